Lay out the workspace and the shared types

Cause: the starting design asks for small packages with one job each, and every lane needs the same words for hosts, zones, servers, models, orders and reports before it can begin.

--- /dev/null
+++ b/crates/backend/src/lib.rs
@@ -0,0 +1,1 @@
+//! Backend servers: requests, token streams, orders, load reports, cache events
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Entry point.
+fn main() {}
--- /dev/null
+++ b/crates/observe/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics, the event ring and its merge
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between hosts, over jsonrpsee
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! The object API and the host list, behind one trait
--- /dev/null
+++ b/crates/policy/src/config.rs
@@ -0,0 +1,1 @@
+//! Numbered configurations: patches, conflicts, and the number in force.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,18 @@
+//! All decisions, without I/O, clock or randomness of their own.
+//!
+//! Events and the time go in, actions come out. The same code runs in a host's process, in a
+//! focused test under virtual time and in the exhaustive check of `crates/spec`. A decision that
+//! needs a socket to be tested is in the wrong place.
+
+pub mod admit;
+pub mod config;
+pub mod lease;
+pub mod ledger;
+pub mod limit;
+pub mod member;
+pub mod once;
+pub mod plan;
+pub mod quarantine;
+pub mod retry;
+pub mod route;
+pub mod stream;
--- /dev/null
+++ b/crates/policy/src/limit.rs
@@ -0,0 +1,1 @@
+//! Adaptive limits on work in flight for each server and model.
--- /dev/null
+++ b/crates/policy/src/member.rs
@@ -0,0 +1,1 @@
+//! Membership of hosts and backend servers, and what spreads among hosts.
--- /dev/null
+++ b/crates/policy/src/once.rs
@@ -0,0 +1,1 @@
+//! At most one run of each non-idempotent request.
--- /dev/null
+++ b/crates/policy/src/plan.rs
@@ -0,0 +1,1 @@
+//! Placement: which engine holds what, and the moves towards it.
--- /dev/null
+++ b/crates/policy/src/quarantine.rs
@@ -0,0 +1,1 @@
+//! Requests that crash the servers which run them.
--- /dev/null
+++ b/crates/policy/src/retry.rs
@@ -0,0 +1,1 @@
+//! Which failures are tried again, and the budget for it.
--- /dev/null
+++ b/crates/policy/src/route.rs
@@ -0,0 +1,1 @@
+//! Choice of a backend server for a request.
--- /dev/null
+++ b/crates/policy/src/stream.rs
@@ -0,0 +1,1 @@
+//! Token streams: each token once, in order, resumed by offset.
--- /dev/null
+++ b/crates/spec/src/lib.rs
@@ -0,0 +1,1 @@
+//! The small specification and its exhaustive exploration
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins of the systems that hosts meet, the fault proxy, the load generator
--- /dev/null
+++ b/crates/types/src/memory.rs
@@ -0,0 +1,4 @@
+//! Accelerator memory.
+
+/// Accelerator memory in MiB.
+pub type Mebibytes = u64;
--- /dev/null
+++ b/crates/types/src/target.rs
@@ -0,0 +1,21 @@
+//! Latency targets.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Latency target of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// Time to the first token, or to the answer's head for a plain service; milliseconds in JSON.
+    #[serde(rename = "first_token_ms", with = "crate::time::millis")]
+    pub first_token: Duration,
+    /// Mean time between tokens after the first; milliseconds in JSON.
+    #[serde(rename = "between_tokens_ms", with = "crate::time::millis", default = "unbounded")]
+    pub between_tokens: Duration,
+}
+
+fn unbounded() -> Duration {
+    Duration::from_secs(3600)
+}
