Shape the settings of a host's process

Cause: a process learns its addresses and zone from its settings, and every lane that runs a host needs their shape.

--- /dev/null
+++ b/crates/settings/src/process.rs
@@ -0,0 +1,128 @@
+//! Settings of one host's process.
+//!
+//! A process learns its name, addresses and availability zone from here and nowhere else.
+//! Everything that operators change while it runs is in the declared configuration instead.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use types::{host::Host, time::millis};
+
+/// Settings of one host's process.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Process {
+    /// Who and where this host is.
+    pub host: Host,
+    /// Where the platform's object API and host list listen.
+    pub platform: SocketAddr,
+    /// Token that operators must show; none lets in loopback only.
+    #[serde(default)]
+    pub operators_token: Option<String>,
+    /// Token that hosts show each other; none lets in loopback only.
+    #[serde(default)]
+    pub peers_token: Option<String>,
+    /// Bounds on what callers send.
+    #[serde(default)]
+    pub bounds: Bounds,
+    /// Times of a planned stop.
+    #[serde(default)]
+    pub drain: Drain,
+    /// How often things are asked for.
+    #[serde(default)]
+    pub intervals: Intervals,
+    /// Where logs go.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Bounds on what callers send.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Bounds {
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Largest body of a call to a model, in bytes.
+    pub body_bytes: usize,
+    /// Longest silence on a connection within a request; milliseconds in JSON.
+    #[serde(rename = "idle_ms", with = "millis")]
+    pub idle: Duration,
+    /// Longest time for a whole request; milliseconds in JSON.
+    #[serde(rename = "request_ms", with = "millis")]
+    pub request: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds {
+            head_bytes: 64 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            idle: Duration::from_secs(30),
+            request: Duration::from_secs(300),
+        }
+    }
+}
+
+/// Times of a planned stop.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Drain {
+    /// How long the host says not ready before it stops listening, so that the balancer notices;
+    /// milliseconds in JSON.
+    #[serde(rename = "balancer_ms", with = "millis")]
+    pub balancer: Duration,
+    /// Longest wait for requests in flight; milliseconds in JSON.
+    #[serde(rename = "finish_ms", with = "millis")]
+    pub finish: Duration,
+}
+
+impl Default for Drain {
+    fn default() -> Drain {
+        Drain { balancer: Duration::from_secs(3), finish: Duration::from_secs(600) }
+    }
+}
+
+/// How often things are asked for.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Intervals {
+    /// Between reads of the platform's host list; milliseconds in JSON.
+    #[serde(rename = "list_ms", with = "millis")]
+    pub list: Duration,
+    /// Between load reports of one backend server; milliseconds in JSON.
+    #[serde(rename = "report_ms", with = "millis")]
+    pub report: Duration,
+    /// Between heartbeats to other hosts; milliseconds in JSON.
+    #[serde(rename = "heartbeat_ms", with = "millis")]
+    pub heartbeat: Duration,
+    /// Between rounds of planning; milliseconds in JSON.
+    #[serde(rename = "plan_ms", with = "millis")]
+    pub plan: Duration,
+}
+
+impl Default for Intervals {
+    fn default() -> Intervals {
+        Intervals {
+            list: Duration::from_secs(1),
+            report: Duration::from_millis(250),
+            heartbeat: Duration::from_millis(250),
+            plan: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Where logs go.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// File for the JSON lines; standard error if there is none.
+    pub file: Option<PathBuf>,
+    /// Least level that is written: error, warn, info, debug or trace.
+    pub level: String,
+}
+
+impl Default for Log {
+    fn default() -> Log {
+        Log { file: None, level: "info".into() }
+    }
+}
