Read settings and the declared configuration with every finding

Cause: the process settings had a shape but no reader, and serde stops at the first fault without a line, so an operator would start the program once for each mistake.

Change: `settings::read_process`, `read_config` and `write_config`. Text is parsed into nodes that know line and column (json-spanned-value); the types' own serde shapes are tried against it again and again with placeholders where findings stand, so shapes are declared once. A directory of JSON files is merged, and what two files declare is a finding. Contradictions (dangling names, zero shares, listeners off loopback without a token) are checked in `settings::process::check` and `policy::config::check`.

Weighed: a schema kept beside the types (stands twice), the first error only (one start for each fault), JSON Schema with derived schemas (poor words for enums, derives on every shared type).

Objects written as arrays of values, which serde takes, are refused on purpose.

--- /dev/null
+++ b/crates/settings/src/config.rs
@@ -0,0 +1,144 @@
+//! The declared configuration as files: one JSON file, or a directory of them kept in version
+//! control.
+//!
+//! Each file of a directory holds a part of the whole in the same form, so that customers, models
+//! and services can stand in files of their own, or each model in one. A name that two files
+//! declare is a finding; nothing overrides anything.
+
+use std::{collections::HashMap, path::Path};
+
+use policy::config::check;
+use types::config::Config;
+
+use crate::{
+    finding::{Finding, Findings, Place, json_files, read_bytes},
+    node::{Member, Node, Value, join},
+    shape,
+};
+
+/// Sections whose entries may be spread over files.
+const SECTIONS: [&str; 3] = ["customers", "models", "services"];
+
+/// Reads the declared configuration from a file, or from the JSON files of a directory and those
+/// below it.
+///
+/// # Errors
+///
+/// Every finding in every file: text that isn't JSON, shapes that don't fit, names declared twice,
+/// names that dangle, zero shares.
+pub fn read_config(path: &Path) -> Result<Config, Findings> {
+    let files = json_files(path)?;
+    if files.is_empty() {
+        return Err(Findings::of_file(path, "holds no JSON file"));
+    }
+    let mut findings = Findings::default();
+    let mut nodes = Vec::new();
+    for file in &files {
+        match read_bytes(file).and_then(|bytes| Node::parse(file, &bytes)) {
+            Ok(node) => nodes.push(node),
+            Err(mut more) => findings.0.append(&mut more.0),
+        }
+    }
+    let is_whole = nodes.len() == files.len();
+    findings.0.extend(nodes.iter().flat_map(Node::duplicates));
+    let root = merge(path, nodes, &mut findings);
+    let reading = shape::read::<Config>(&root);
+    // A file that could not be parsed would make every name in it dangle.
+    if let Some(config) = reading.value.as_ref().filter(|_| is_whole) {
+        let problems = check::problems(config).into_iter();
+        let is_moot = |path: &str| reading.is_placeholder(path);
+        findings.0.extend(problems.filter(|problem| !is_moot(&problem.path)).map(|problem| {
+            let place = root.place_of(&problem.path).clone();
+            Finding { place, path: problem.path, message: problem.message }
+        }));
+    }
+    findings.0.extend(reading.findings);
+    match reading.value {
+        Some(config) => findings.or_value(config),
+        None => Err(findings.sorted()),
+    }
+}
+
+/// Writes the declared configuration to a file, sorted by name, so that reading it back gives the
+/// same and a line-by-line comparison says what changed.
+///
+/// # Errors
+///
+/// The file can't be written.
+pub fn write_config(path: &Path, config: &Config) -> std::io::Result<()> {
+    std::fs::write(path, to_text(config)?)
+}
+
+/// The text that [`write_config`] writes.
+///
+/// # Errors
+///
+/// A weight that JSON can't hold.
+pub fn to_text(config: &Config) -> std::io::Result<String> {
+    let mut text = serde_json::to_string_pretty(config)?;
+    text.push('\n');
+    Ok(text)
+}
+
+/// One object out of the files' objects, section by section.
+fn merge(path: &Path, nodes: Vec<Node>, findings: &mut Findings) -> Node {
+    let mut nodes = nodes.into_iter();
+    let place = Place::whole(path);
+    let mut root = match nodes.len() {
+        1 => return nodes.next().unwrap_or(Node { place, value: Value::Null }),
+        _ => Node { place, value: Value::Object(Vec::new()) },
+    };
+    let mut declared = HashMap::new();
+    for node in nodes {
+        let Value::Object(members) = node.value else {
+            let message = "must be an object with sections of the configuration".into();
+            findings.0.push(Finding { place: node.place, path: String::new(), message });
+            continue;
+        };
+        for member in members {
+            absorb(&mut root, member, &mut declared, findings);
+        }
+    }
+    root
+}
+
+/// Adds a member of one file's object to the whole.
+fn absorb(
+    root: &mut Node,
+    member: Member,
+    declared: &mut HashMap<String, Place>,
+    findings: &mut Findings,
+) {
+    let Value::Object(sections) = &mut root.value else { return };
+    let section = join("", &member.name);
+    let spreads = SECTIONS.contains(&member.name.as_str());
+    let known = sections.iter_mut().find(|known| known.name == member.name);
+    match (known, &member.node.value) {
+        (None, _) => {
+            declared.extend(places(&section, &member));
+            sections.push(member);
+        }
+        (Some(known), Value::Object(entries)) if spreads => {
+            for entry in entries {
+                let path = join(&section, &entry.name);
+                if let Some(first) = declared.get(&path) {
+                    findings.0.push(twice(entry, path, first));
+                    continue;
+                }
+                declared.insert(path, entry.place.clone());
+                known.node.push(entry.clone());
+            }
+        }
+        (Some(known), _) => findings.0.push(twice(&member, section, &known.place)),
+    }
+}
+
+fn places(section: &str, member: &Member) -> Vec<(String, Place)> {
+    let Value::Object(entries) = &member.node.value else { return Vec::new() };
+    entries.iter().map(|entry| (join(section, &entry.name), entry.place.clone())).collect()
+}
+
+fn twice(member: &Member, path: String, first: &Place) -> Finding {
+    let message = format!("given twice, first at {first}");
+    Finding { place: member.place.clone(), path, message }
+}
--- /dev/null
+++ b/crates/settings/src/finding.rs
@@ -0,0 +1,128 @@
+//! What is wrong with a file, and where.
+
+use std::{
+    fmt,
+    path::{Path, PathBuf},
+    sync::Arc,
+};
+
+use serde::Serialize;
+
+/// Where something stands in a file.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct Place {
+    /// The file.
+    pub file: Arc<Path>,
+    /// Line, from one; zero for the file as a whole.
+    pub line: usize,
+    /// Column in characters, from one; zero for the file as a whole.
+    pub column: usize,
+}
+
+impl Place {
+    /// The file as a whole.
+    pub fn whole(file: &Path) -> Place {
+        Place { file: file.into(), line: 0, column: 0 }
+    }
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.line {
+            0 => write!(f, "{}", self.file.display()),
+            line => write!(f, "{}:{line}:{}", self.file.display(), self.column),
+        }
+    }
+}
+
+/// One thing that is wrong.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct Finding {
+    /// Where it stands.
+    #[serde(flatten)]
+    pub place: Place,
+    /// JSON pointer (RFC 6901) of the value at fault; empty for the whole.
+    pub path: String,
+    /// What is wrong with it.
+    pub message: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.path.as_str() {
+            "" => write!(f, "{}: {}", self.place, self.message),
+            path => write!(f, "{}: {path}: {}", self.place, self.message),
+        }
+    }
+}
+
+/// Everything that is wrong, in the order of files and lines; a line for each when printed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[serde(transparent)]
+pub struct Findings(pub Vec<Finding>);
+
+impl Findings {
+    /// One finding about a file as a whole, such as one that can't be read.
+    pub fn of_file(file: &Path, message: impl fmt::Display) -> Findings {
+        let place = Place::whole(file);
+        Findings(vec![Finding { place, path: String::new(), message: message.to_string() }])
+    }
+
+    /// In the order of files and lines, without doubles.
+    pub(crate) fn sorted(mut self) -> Findings {
+        self.0.sort();
+        self.0.dedup();
+        self
+    }
+
+    /// The value when nothing was found, else the findings.
+    pub(crate) fn or_value<T>(self, value: T) -> Result<T, Findings> {
+        if self.0.is_empty() { Ok(value) } else { Err(self.sorted()) }
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, finding) in self.0.iter().enumerate() {
+            if index != 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Findings {}
+
+/// Reads a file, or says why it can't be read.
+pub(crate) fn read_bytes(file: &Path) -> Result<Vec<u8>, Findings> {
+    std::fs::read(file).map_err(|error| Findings::of_file(file, format!("can't be read: {error}")))
+}
+
+/// The JSON files of a directory and of those below it, in the order of their names; the path
+/// itself when it is a file. Names that start with a dot are passed over.
+pub(crate) fn json_files(path: &Path) -> Result<Vec<PathBuf>, Findings> {
+    if !path.is_dir() {
+        return Ok(vec![path.to_path_buf()]);
+    }
+    let unreadable = |error| Findings::of_file(path, format!("can't be listed: {error}"));
+    let entries = std::fs::read_dir(path)
+        .and_then(|entries| entries.collect::<Result<Vec<_>, _>>())
+        .map_err(unreadable)?;
+    let mut paths: Vec<PathBuf> = entries.into_iter().map(|entry| entry.path()).collect();
+    paths.sort();
+    let mut files = Vec::new();
+    for entry in paths.into_iter().filter(|path| !is_hidden(path)) {
+        if entry.is_dir() {
+            files.extend(json_files(&entry)?);
+        } else if entry.extension().is_some_and(|extension| extension == "json") {
+            files.push(entry);
+        }
+    }
+    Ok(files)
+}
+
+fn is_hidden(path: &Path) -> bool {
+    path.file_name().is_some_and(|name| name.as_encoded_bytes().starts_with(b"."))
+}
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -3,11 +3,49 @@
 //! A process learns its name, addresses and availability zone from here and nowhere else.
 //! Everything that operators change while it runs is in the declared configuration instead.
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+mod check;
+
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 use types::{host::Host, time::millis};
 
+use crate::{
+    finding::{Finding, Findings, read_bytes},
+    node::Node,
+    shape,
+};
+
+/// Reads a process's settings from a file.
+///
+/// # Errors
+///
+/// Every finding: a file that can't be read or parsed, shapes that don't fit, settings that
+/// contradict each other or let strangers in.
+pub fn read_process(file: &Path) -> Result<Process, Findings> {
+    let node = Node::parse(file, &read_bytes(file)?)?;
+    let mut findings = Findings(node.duplicates());
+    let reading = shape::read::<Process>(&node);
+    if let Some(process) = &reading.value {
+        let is_moot = |paths: &[&str]| paths.iter().any(|path| reading.is_placeholder(path));
+        let problems = check::problems(process).into_iter();
+        findings.0.extend(problems.filter(|problem| !is_moot(&problem.paths)).map(|problem| {
+            let path = problem.paths[0];
+            let place = node.place_of(path).clone();
+            Finding { place, path: path.into(), message: problem.message }
+        }));
+    }
+    findings.0.extend(reading.findings);
+    match reading.value {
+        Some(process) => findings.or_value(process),
+        None => Err(findings.sorted()),
+    }
+}
+
 /// Settings of one host's process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/settings/src/process/check.rs
@@ -0,0 +1,130 @@
+//! What the shape of a process's settings can't say.
+
+use std::{net::SocketAddr, time::Duration};
+
+use super::Process;
+
+/// Levels that the log knows.
+const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+
+/// Shortest token that is worth comparing, in characters.
+const SHORTEST_TOKEN: usize = 16;
+
+/// Something wrong with a value, or with several together.
+pub(super) struct Problem {
+    /// JSON pointers of the values that it rests on, the one at fault first.
+    pub(super) paths: Vec<&'static str>,
+    /// What is wrong.
+    pub(super) message: String,
+}
+
+impl Problem {
+    fn new(path: &'static str, message: impl Into<String>) -> Problem {
+        Problem { paths: vec![path], message: message.into() }
+    }
+
+    fn beside(mut self, path: &'static str) -> Problem {
+        self.paths.push(path);
+        self
+    }
+}
+
+/// Everything wrong with the settings.
+pub(super) fn problems(process: &Process) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    names(process, &mut problems);
+    addresses(process, &mut problems);
+    tokens(process, &mut problems);
+    bounds(process, &mut problems);
+    intervals(process, &mut problems);
+    problems
+}
+
+fn names(process: &Process, problems: &mut Vec<Problem>) {
+    let names = [("/host/id", &process.host.id), ("/host/zone", &process.host.zone)];
+    let empty = names.into_iter().filter(|(_, name)| name.trim().is_empty());
+    problems.extend(empty.map(|(path, _)| Problem::new(path, "must not be empty")));
+    if !LEVELS.contains(&process.log.level.as_str()) {
+        let message = format!("no level `{}`, expected one of {LEVELS:?}", process.log.level);
+        problems.push(Problem::new("/log/level", message));
+    }
+}
+
+fn listeners(process: &Process) -> [(&'static str, SocketAddr); 3] {
+    [
+        ("/host/callers", process.host.callers),
+        ("/host/peers", process.host.peers),
+        ("/host/operators", process.host.operators),
+    ]
+}
+
+fn addresses(process: &Process, problems: &mut Vec<Problem>) {
+    let listeners = listeners(process);
+    for (path, address) in listeners {
+        if address.ip().is_unspecified() {
+            let message = format!("{address} is no address that others can reach; name the host's");
+            problems.push(Problem::new(path, message));
+        }
+    }
+    for (index, (path, address)) in listeners.iter().enumerate() {
+        let taken = listeners[..index].iter().find(|(_, other)| other == address);
+        if let Some((other, _)) = taken.filter(|_| address.port() != 0) {
+            let message = format!("{address} is taken by {other}");
+            problems.push(Problem::new(path, message).beside(other));
+        }
+    }
+    if process.platform.port() == 0 {
+        problems.push(Problem::new("/platform", "needs a port"));
+    }
+}
+
+fn tokens(process: &Process, problems: &mut Vec<Problem>) {
+    let [_, peers, operators] = listeners(process);
+    let guarded = [
+        ("/operators_token", &process.operators_token, operators),
+        ("/peers_token", &process.peers_token, peers),
+    ];
+    for (path, token, (listener, address)) in guarded {
+        match token {
+            Some(token) if token.chars().count() < SHORTEST_TOKEN => {
+                let message = format!("shorter than {SHORTEST_TOKEN} characters");
+                problems.push(Problem::new(path, message));
+            }
+            Some(token) if !token.chars().all(|c| c.is_ascii_graphic()) => {
+                let message = "only visible ASCII characters can be sent";
+                problems.push(Problem::new(path, message));
+            }
+            None if !address.ip().is_loopback() => {
+                let message = format!("missing, though {address} isn't loopback");
+                problems.push(Problem::new(path, message).beside(listener));
+            }
+            _ => {}
+        }
+    }
+}
+
+fn bounds(process: &Process, problems: &mut Vec<Problem>) {
+    let bounds = &process.bounds;
+    let sizes =
+        [("/bounds/head_bytes", bounds.head_bytes), ("/bounds/body_bytes", bounds.body_bytes)];
+    let zeros = sizes.into_iter().filter(|(_, size)| *size == 0);
+    problems.extend(zeros.map(|(path, _)| Problem::new(path, "must be positive")));
+    if bounds.request < bounds.idle {
+        let problem = Problem::new("/bounds/idle_ms", "longer than the time for a whole request");
+        problems.push(problem.beside("/bounds/request_ms"));
+    }
+}
+
+fn intervals(process: &Process, problems: &mut Vec<Problem>) {
+    let times = [
+        ("/bounds/idle_ms", process.bounds.idle),
+        ("/bounds/request_ms", process.bounds.request),
+        ("/drain/finish_ms", process.drain.finish),
+        ("/intervals/list_ms", process.intervals.list),
+        ("/intervals/report_ms", process.intervals.report),
+        ("/intervals/heartbeat_ms", process.intervals.heartbeat),
+        ("/intervals/plan_ms", process.intervals.plan),
+    ];
+    let zeros = times.into_iter().filter(|(_, time)| *time == Duration::ZERO);
+    problems.extend(zeros.map(|(path, _)| Problem::new(path, "must be positive")));
+}
