Decide on numbered patches, cut configurations into parts

Cause: a configuration must be one number for all hosts, patches that race must not merge silently, a retry must get its first outcome, and the whole may grow past the value limit of the object API.

Change: `policy::config`. Parts end at names with a marked hash, so a change rewrites one part; a part's name carries the number that it was written for, so that sweeping is safe however long the sweeper was paused.

Weighed: operations on paths (RFC 6902; positions in arrays that we don't have), parts of fixed size (each insertion moves all later cuts), one object (near the limit at 950 models), keeping 256 patches in the root (49 KB a root against 27 KB with 128).

--- /dev/null
+++ b/crates/policy/src/config/part.rs
@@ -0,0 +1,199 @@
+//! A configuration cut into parts, each far below the value limit of the object API.
+//!
+//! Entries of a section stand in the order of their names, and a part ends after an entry whose
+//! name has a marked hash. So where the cuts fall depends on the names alone: a change of one
+//! entry rewrites one part, and adding or removing one moves no other cut. A part is named by the
+//! number that it was first written for and by the hash of its content; the number in the name is
+//! what makes sweeping safe (see [`garbage`]).
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value, json};
+use types::config::{Config, Number, Weights};
+
+use super::{PART_PREFIX, Root};
+
+/// A part ends after one entry in so many, on average; a power of two.
+const ENTRIES: u8 = 16;
+
+/// A part ends early once it holds so many bytes.
+const LARGE: usize = 128 * 1024;
+
+/// Digits of the number in a name, so that names sort by number.
+const DIGITS: usize = 12;
+
+/// Name of a part: the number that it was first written for and the hash of its content.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Name(String);
+
+impl Name {
+    fn new(number: Number, bytes: &[u8]) -> Name {
+        Name(format!("{number:0DIGITS$}-{}", hash(bytes)))
+    }
+
+    /// Its key in the object API.
+    pub fn key(&self) -> String {
+        format!("{PART_PREFIX}{}", self.0)
+    }
+
+    /// Reads a key of the object API.
+    pub fn of_key(key: &str) -> Option<Name> {
+        let name = Name(key.strip_prefix(PART_PREFIX)?.to_owned());
+        name.number().map(|_| name)
+    }
+
+    /// The number that the part was first written for.
+    pub fn number(&self) -> Option<Number> {
+        self.0.split_once('-')?.0.parse().ok()
+    }
+
+    /// Whether these bytes are the part's.
+    pub fn matches(&self, bytes: &[u8]) -> bool {
+        self.0.split_once('-').is_some_and(|(_, known)| known == hash(bytes))
+    }
+}
+
+/// A part to create.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Its name.
+    pub name: Name,
+    /// Its content, in JSON.
+    pub bytes: Vec<u8>,
+}
+
+/// What a root names, and which of it is new.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Cut {
+    /// Every part, in order.
+    pub names: Vec<Name>,
+    /// Those that the earlier root doesn't name.
+    pub new: Vec<Part>,
+}
+
+/// Why parts don't make a configuration.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// The content isn't what the name says.
+    #[error("the content of {0} isn't what its name says")]
+    Content(String),
+    /// The content hasn't the shape of a part.
+    #[error("{name} isn't a part of a configuration: {cause}")]
+    Shape {
+        /// Key of the part.
+        name: String,
+        /// What the parser says.
+        cause: String,
+    },
+}
+
+/// Cuts a configuration into parts for a number; parts that the earlier ones equal keep their
+/// names.
+///
+/// # Errors
+///
+/// A value that JSON can't hold.
+pub fn cut(config: &Config, number: Number, earlier: &[Name]) -> Result<Cut, serde_json::Error> {
+    let known: BTreeMap<&str, &Name> =
+        earlier.iter().filter_map(|name| Some((name.0.split_once('-')?.1, name))).collect();
+    let mut cut = Cut::default();
+    for bytes in chunks(config)? {
+        match known.get(hash(&bytes).as_str()) {
+            Some(name) => cut.names.push((*name).clone()),
+            None => {
+                let name = Name::new(number, &bytes);
+                cut.names.push(name.clone());
+                cut.new.push(Part { name, bytes });
+            }
+        }
+    }
+    Ok(cut)
+}
+
+/// Joins the parts of a root.
+///
+/// # Errors
+///
+/// A part whose content isn't what its name says, or that can't be read.
+pub fn join<'a>(
+    weights: Weights,
+    parts: impl IntoIterator<Item = (&'a Name, &'a [u8])>,
+) -> Result<Config, Fault> {
+    let mut config = Config { weights, ..Config::default() };
+    for (name, bytes) in parts {
+        let part = read(name, bytes)?;
+        config.customers.extend(part.customers);
+        config.models.extend(part.models);
+        config.services.extend(part.services);
+    }
+    Ok(config)
+}
+
+/// Reads one part.
+///
+/// # Errors
+///
+/// As [`join`].
+pub fn read(name: &Name, bytes: &[u8]) -> Result<Config, Fault> {
+    if !name.matches(bytes) {
+        return Err(Fault::Content(name.key()));
+    }
+    serde_json::from_slice(bytes)
+        .map_err(|error| Fault::Shape { name: name.key(), cause: error.to_string() })
+}
+
+/// Of these parts, those that no root can name any more.
+///
+/// A root names parts of the root before it and parts written for its own number. So a part
+/// written for this root's number or an earlier one, which this root doesn't name, is named by no
+/// later root either, however long the one who asks has been paused: it may be deleted. A host
+/// that is still reading an older root finds a part gone and reads the root again.
+pub fn garbage(root: &Root, stored: impl IntoIterator<Item = Name>) -> Vec<Name> {
+    let named: BTreeSet<&Name> = root.parts.iter().collect();
+    stored
+        .into_iter()
+        .filter(|name| !named.contains(name))
+        .filter(|name| name.number().is_some_and(|number| number <= root.number))
+        .collect()
+}
+
+fn chunks(config: &Config) -> Result<Vec<Vec<u8>>, serde_json::Error> {
+    let mut chunks = Vec::new();
+    section("customers", &config.customers, &mut chunks)?;
+    section("models", &config.models, &mut chunks)?;
+    section("services", &config.services, &mut chunks)?;
+    Ok(chunks)
+}
+
+fn section<V: Serialize>(
+    section: &str,
+    entries: &BTreeMap<std::sync::Arc<str>, V>,
+    chunks: &mut Vec<Vec<u8>>,
+) -> Result<(), serde_json::Error> {
+    let mut members = Map::new();
+    let mut size = 0;
+    let mut entries = entries.iter().peekable();
+    while let Some((name, entry)) = entries.next() {
+        let value = serde_json::to_value(entry)?;
+        size += name.len() + serde_json::to_vec(&value)?.len();
+        members.insert(name.to_string(), value);
+        if entries.peek().is_none() || LARGE < size || ends_part(name) {
+            let members = Value::Object(std::mem::take(&mut members));
+            chunks.push(serde_json::to_vec(&json!({ section: members }))?);
+            size = 0;
+        }
+    }
+    Ok(())
+}
+
+fn ends_part(name: &str) -> bool {
+    blake3::hash(name.as_bytes()).as_bytes()[0] & (ENTRIES - 1) == 0
+}
+
+fn hash(bytes: &[u8]) -> String {
+    let mut hex = blake3::hash(bytes).to_hex().to_string();
+    hex.truncate(32);
+    hex
+}
--- /dev/null
+++ b/crates/policy/src/config/root.rs
@@ -0,0 +1,127 @@
+//! The root object, which names the parts of a numbered configuration.
+//!
+//! It also keeps the latest patches, so that a retry gets the first outcome and a stale patch is
+//! told what clashes. The list is bounded, and nothing rests on its length: a retry that comes
+//! after its entry has gone is against a number long past and refused as stale, never run twice.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use serde::{Deserialize, Serialize};
+use types::config::{Number, Weights};
+
+use super::{
+    Id, Patch,
+    merge::{self, Path, clash},
+    part,
+};
+
+/// Most patches that a root keeps.
+const MOST_PATCHES: usize = 128;
+
+/// Most paths that are kept of all patches together.
+const MOST_PATHS: usize = 2048;
+
+/// Most paths that are kept of one patch before they are shortened.
+const MOST_PATHS_OF_ONE: usize = 64;
+
+/// Names in a path to one entry of a section.
+const ENTRY_DEPTH: usize = 2;
+
+/// Root of a numbered configuration, as the object API holds it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Root {
+    /// The number.
+    pub number: Number,
+    /// Weights of the two measures.
+    #[serde(default)]
+    pub weights: Weights,
+    /// The parts, in order.
+    #[serde(default)]
+    pub parts: Vec<part::Name>,
+    /// The latest patches, the oldest first.
+    #[serde(default)]
+    pub patches: VecDeque<Accepted>,
+}
+
+/// A patch that was accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Accepted {
+    /// Its name.
+    pub id: Id,
+    /// Digest of what it asked.
+    pub digest: String,
+    /// The number that it made.
+    pub number: Number,
+    /// What it touched, shortened to entries or sections where that is much.
+    pub paths: Vec<Path>,
+}
+
+impl Root {
+    /// The root without its patches: all that a host needs which doesn't decide on patches. It is
+    /// a tenth of the whole at the size of 950 models.
+    pub fn bare(&self) -> Root {
+        let Root { number, weights, parts, .. } = self;
+        Root { number: *number, weights: *weights, parts: parts.clone(), patches: VecDeque::new() }
+    }
+
+    /// What is known of a patch with this name.
+    pub fn accepted(&self, id: &str) -> Option<&Accepted> {
+        self.patches.iter().rev().find(|patch| &*patch.id == id)
+    }
+
+    /// Paths of a patch that others have changed since the number it is against. Every path of
+    /// it, when that number lies further back than the patches that are kept.
+    pub fn clashes(&self, patch: &Patch) -> Vec<Path> {
+        let paths = merge::paths(&patch.changes);
+        let oldest = self.patches.front().map_or(self.number, |accepted| accepted.number - 1);
+        if patch.against < oldest {
+            return paths.into_iter().collect();
+        }
+        let later = self.patches.iter().filter(|accepted| patch.against < accepted.number);
+        let touched: BTreeSet<&Path> = later.flat_map(|accepted| &accepted.paths).collect();
+        let is_touched = |path: &Path| touched.iter().any(|other| clash(path, other));
+        paths.into_iter().filter(is_touched).collect()
+    }
+
+    /// Keeps a patch as accepted and drops the oldest beyond the bounds.
+    pub(super) fn keep(&mut self, patch: &Patch, touched: BTreeSet<Path>) {
+        self.patches.push_back(Accepted {
+            id: patch.id.clone(),
+            digest: digest(patch),
+            number: self.number,
+            paths: shorten(touched),
+        });
+        let mut paths: usize = self.patches.iter().map(|accepted| accepted.paths.len()).sum();
+        while MOST_PATCHES < self.patches.len() || MOST_PATHS < paths {
+            let Some(oldest) = self.patches.pop_front() else { break };
+            paths -= oldest.paths.len();
+        }
+    }
+}
+
+/// Digest of what a patch asks.
+pub(super) fn digest(patch: &Patch) -> String {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&patch.against.to_be_bytes());
+    hasher.update(patch.changes.to_string().as_bytes());
+    let mut hex = hasher.finalize().to_hex().to_string();
+    hex.truncate(16);
+    hex
+}
+
+fn shorten(paths: BTreeSet<Path>) -> Vec<Path> {
+    let mut paths = paths;
+    for depth in [ENTRY_DEPTH, ENTRY_DEPTH - 1] {
+        if paths.len() <= MOST_PATHS_OF_ONE {
+            break;
+        }
+        paths = paths.iter().map(|path| first_names(path, depth)).collect();
+    }
+    paths.into_iter().collect()
+}
+
+fn first_names(path: &str, count: usize) -> Path {
+    path.split('/').skip(1).take(count).map(|name| format!("/{name}")).collect()
+}
