Serve a thin path from callers to backend servers

Cause: nothing served yet; the first milestone is a request that goes through separate processes from one end to the other. Change: the platform client and the backend client, stand-ins of the object API, host list, engine, plain service and weight store, and a host that reads its configuration from the object API, lists servers, reads load reports and answers chat, completions and plain calls. An engine is always asked for a stream, and a lost one is resumed at its offset on the next candidate. Routing takes the least loaded server only, and there is no admission, no retry policy, no membership and no planning yet.

--- /dev/null
+++ b/crates/backend/src/client.rs
@@ -0,0 +1,204 @@
+//! HTTP client of backend servers.
+//!
+//! Never repeats a request by itself. The pool below it may pick a fresh connection for a request
+//! of which no byte was written, which is safe for every request.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client as Http, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::{Serialize, de::DeserializeOwned};
+use types::{
+    error::chain,
+    order::{Ack, Order},
+    report::Load,
+};
+
+use crate::{error::Error, wire};
+
+/// Error of a request body that is passed on.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// A request body, whole or streamed.
+pub type Body = UnsyncBoxBody<Bytes, BodyError>;
+
+/// An answer whose body is still to come.
+pub type Streamed = Response<Incoming>;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const POOL_IDLE: Duration = Duration::from_secs(10);
+const DETAIL_BYTES: usize = 300;
+
+/// Client of backend servers.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: Http<HttpConnector, Body>,
+}
+
+impl Default for Client {
+    fn default() -> Client {
+        Client::new()
+    }
+}
+
+impl Client {
+    /// Makes a client; it connects when first used.
+    pub fn new() -> Client {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let http =
+            Http::builder(TokioExecutor::new()).pool_idle_timeout(POOL_IDLE).build(connector);
+        Client { http }
+    }
+
+    /// Sends a request whose URI is a path; any status counts as an answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] if no byte can have left, else [`Error::Broken`].
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Body>,
+    ) -> Result<Streamed, Error> {
+        let path = request.uri().path_and_query().map_or("/", |p| p.as_str());
+        let uri = format!("http://{address}{path}")
+            .parse()
+            .map_err(|e: http::uri::InvalidUri| malformed(address, &e))?;
+        *request.uri_mut() = uri;
+        self.http.request(request).await.map_err(|e| match e.is_connect() {
+            true => Error::Unreachable { address, cause: chain(&e) },
+            false => Error::Broken { address, cause: chain(&e) },
+        })
+    }
+
+    /// Asks for a load report.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`], and for an answer that is no report.
+    pub async fn load(&self, address: SocketAddr) -> Result<Load, Error> {
+        self.ask(address, Request::get("/load").body(empty())).await
+    }
+
+    /// Gives an order.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`], and for an answer that is no acknowledgement. Unless
+    /// [`Error::is_unsent`], the order may have been or may still be taken.
+    pub async fn order(&self, address: SocketAddr, order: &Order) -> Result<Ack, Error> {
+        self.post(address, "/orders", order).await
+    }
+
+    /// Reads cache events from a number on; they come late and with gaps.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`], and for an answer that is no list of events.
+    pub async fn cache_events(
+        &self,
+        address: SocketAddr,
+        from: u64,
+    ) -> Result<Vec<wire::CacheEvent>, Error> {
+        let path = format!("/cache-events?from={from}");
+        self.ask(address, Request::get(path).body(empty())).await
+    }
+
+    /// Has the engine export the KV cache of a prompt, as opaque bytes.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`]; status 404 if nothing of the prompt is cached.
+    pub async fn export(&self, address: SocketAddr, cache: &wire::Cache) -> Result<Bytes, Error> {
+        let request = self.json(address, "/kv/export", cache)?;
+        let response = self.send(address, request).await?;
+        let (status, body) = read(address, response).await?;
+        checked(address, status, body)
+    }
+
+    /// Has the engine import what another exported.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`].
+    pub async fn import(&self, address: SocketAddr, cache: Bytes) -> Result<(), Error> {
+        let request = Request::post("/kv/import").body(whole(cache));
+        let request = request.map_err(|e| malformed(address, &e))?;
+        let response = self.send(address, request).await?;
+        let (status, body) = read(address, response).await?;
+        checked(address, status, body).map(|_| ())
+    }
+
+    async fn post<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        question: &Q,
+    ) -> Result<A, Error> {
+        let request = self.json(address, path, question)?;
+        self.ask(address, Ok(request)).await
+    }
+
+    fn json<Q: Serialize>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        question: &Q,
+    ) -> Result<Request<Body>, Error> {
+        let body = serde_json::to_vec(question).map_err(|e| malformed(address, &e))?;
+        Request::post(path)
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(whole(Bytes::from(body)))
+            .map_err(|e| malformed(address, &e))
+    }
+
+    async fn ask<A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        request: http::Result<Request<Body>>,
+    ) -> Result<A, Error> {
+        let request = request.map_err(|e| malformed(address, &e))?;
+        let response = self.send(address, request).await?;
+        let (status, body) = read(address, response).await?;
+        let body = checked(address, status, body)?;
+        serde_json::from_slice(&body).map_err(|e| malformed(address, &e))
+    }
+}
+
+/// An empty body.
+pub fn empty() -> Body {
+    whole(Bytes::new())
+}
+
+/// A body that is here already.
+pub fn whole(bytes: Bytes) -> Body {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
+
+async fn read(address: SocketAddr, response: Streamed) -> Result<(StatusCode, Bytes), Error> {
+    let status = response.status();
+    let body = response.into_body().collect().await;
+    let body = body.map_err(|e| Error::Broken { address, cause: chain(&e) })?;
+    Ok((status, body.to_bytes()))
+}
+
+fn checked(address: SocketAddr, status: StatusCode, body: Bytes) -> Result<Bytes, Error> {
+    if status.is_success() {
+        return Ok(body);
+    }
+    let start = &body[..body.len().min(DETAIL_BYTES)];
+    let detail = String::from_utf8_lossy(start).into_owned();
+    Err(Error::Status { address, status, detail })
+}
+
+fn malformed(address: SocketAddr, cause: &dyn std::error::Error) -> Error {
+    Error::Malformed { address, cause: chain(cause) }
+}
--- /dev/null
+++ b/crates/stage/examples/demo.rs
@@ -0,0 +1,167 @@
+//! The main job on embedded stand-ins: one platform, engines, a plain service and several hosts.
+//!
+//! Prints addresses and ready-to-paste `curl` lines, streams one answer, and ends on Ctrl-C.
+
+#![allow(clippy::print_stdout, reason = "a demonstration talks to its user")]
+
+use std::{error::Error, net::Ipv4Addr, time::Duration};
+
+use serde_json::json;
+use settings::process::Process;
+use stage::Running;
+use standin::{
+    engine::{self, Engine},
+    objects::Platform,
+    plain::Plain,
+};
+use types::{
+    backend::{self, Kind, Server},
+    host::{Entry, Host, List, Listed},
+};
+
+const HOSTS: usize = 3;
+const ZONES: [&str; 4] = ["mobile-hall", "biloxi-hall", "gulfport-hall", "pensacola-hall"];
+const READY_WITHIN: Duration = Duration::from_secs(10);
+const POLL: Duration = Duration::from_millis(50);
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let platform = Platform::start().await?;
+    platform.poke("config/root", json!({"number": 1, "config": config()}));
+    let engines = [engine("lm-1").await?, engine("lm-2").await?];
+    let plain = Plain::start("app-1").await?;
+    let mut hosts = Vec::new();
+    for place in 0..HOSTS {
+        hosts.push(stage::start(settings(place, &platform)?).await?);
+    }
+    platform.set_list(list(&hosts, &engines, &plain));
+    ready(&hosts).await?;
+    show(&platform, &hosts);
+    ask(&hosts[0]).await?;
+    println!("\nCtrl-C ends it.");
+    tokio::signal::ctrl_c().await?;
+    println!("\nfinishing what is in flight ...");
+    futures_util::future::join_all(hosts.into_iter().map(Running::drain)).await;
+    println!("ended cleanly");
+    Ok(())
+}
+
+async fn engine(id: &str) -> std::io::Result<Engine> {
+    let settings = engine::Settings::new(id)
+        .with_model("welcome", "v1", 16_000)
+        .with_adapter("welcome", "es", "v1", 200)
+        .with_model("front-desk", "v1", 24_000);
+    Engine::start(settings).await
+}
+
+fn config() -> serde_json::Value {
+    let adapter = json!({"memory": 200, "version": "v1"});
+    json!({
+        "customers": {"magnolia": {}},
+        "models": {
+            "welcome": {
+                "group": "portal-lm", "version": "v1", "memory": 16_000, "replicas": 2,
+                "adapters": {"es": adapter},
+            },
+            "front-desk": {"group": "portal-lm", "version": "v1", "memory": 24_000, "replicas": 2},
+        },
+        "services": {
+            "guests": {
+                "customer": "magnolia", "offer": {"models": ["welcome"]}, "priority": "urgent",
+                "target": {"first_token_ms": 1400, "between_tokens_ms": 74},
+            },
+            "staff": {
+                "customer": "magnolia", "offer": {"models": ["front-desk"]},
+                "target": {"first_token_ms": 5000, "between_tokens_ms": 200},
+            },
+            "tickets": {
+                "customer": "magnolia", "offer": {"plain": "portal-app"}, "priority": "urgent",
+                "target": {"first_token_ms": 1000}, "non_idempotent": ["POST"],
+            },
+        },
+    })
+}
+
+fn settings(place: usize, platform: &Platform) -> serde_json::Result<Process> {
+    let any = (Ipv4Addr::LOCALHOST, 0).into();
+    let zone = ZONES[place % ZONES.len()].into();
+    let id = format!("host-{}", place + 1).into();
+    let host = Host { id, zone, callers: any, peers: any, operators: any };
+    serde_json::from_value(json!({
+        "host": host, "platform": platform.address(), "drain": {"balancer_ms": 200},
+    }))
+}
+
+fn list(hosts: &[Running], engines: &[Engine], plain: &Plain) -> List {
+    let hosts = hosts
+        .iter()
+        .map(|host| Entry { host: host.context().host().clone(), state: Listed::Live })
+        .collect();
+    let engines = engines.iter().enumerate().map(|(place, engine)| Server {
+        id: engine.settings().id.clone(),
+        group: "portal-lm".into(),
+        kind: Kind::Engine,
+        zone: ZONES[place].into(),
+        address: engine.address(),
+    });
+    let plain = Server {
+        id: "app-1".into(),
+        group: "portal-app".into(),
+        kind: Kind::Plain,
+        zone: ZONES[0].into(),
+        address: plain.address(),
+    };
+    let live = |server| backend::Entry { server, state: Listed::Live };
+    List { hosts, servers: engines.chain([plain]).map(live).collect() }
+}
+
+async fn ready(hosts: &[Running]) -> Result<(), &'static str> {
+    let is_ready = |host: &Running| {
+        let context = host.context();
+        context.is_ready() && context.fleet.readings().len() == context.fleet.list().servers.len()
+    };
+    let waiting = async {
+        while !hosts
+            .iter()
+            .all(|host| is_ready(host) && !host.context().fleet.list().servers.is_empty())
+        {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    tokio::time::timeout(READY_WITHIN, waiting).await.map_err(|_| "hosts did not get ready")
+}
+
+fn show(platform: &Platform, hosts: &[Running]) {
+    println!("platform {}", platform.address());
+    for host in hosts {
+        let host = host.context().host();
+        println!("{} callers {} operators {}", host.id, host.callers, host.operators);
+    }
+    let callers = hosts[0].context().host().callers;
+    println!(
+        "\ncurl -N http://{callers}/v1/chat/completions -d '{{\"model\": \"welcome:es\", \
+         \"stream\": true, \"messages\": [{{\"role\": \"user\", \"content\": \"Hola\"}}]}}'"
+    );
+    println!("curl http://{callers}/v1/models");
+    println!("curl -X POST http://{callers}/services/tickets/rooms/12 -d 'room 12'");
+}
+
+/// Streams one answer to the screen.
+async fn ask(host: &Running) -> Result<(), Box<dyn Error>> {
+    use http_body_util::BodyExt;
+    let callers = host.context().host().callers;
+    let question = json!({
+        "model": "welcome", "stream": true, "max_tokens": 8,
+        "messages": [{"role": "user", "content": "Bonjour"}],
+    });
+    let request = http::Request::post("/v1/chat/completions")
+        .body(::backend::whole(question.to_string().into()))?;
+    let mut body = ::backend::Client::new().send(callers, request).await?.into_body();
+    println!("\nan answer:");
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            print!("{}", String::from_utf8_lossy(&data));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/stage/src/context.rs
@@ -0,0 +1,105 @@
+//! What every part of the host shares.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Instant, SystemTime, UNIX_EPOCH},
+};
+
+use platform::Store;
+use settings::process::Process;
+use tokio::sync::watch;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use types::{config::Numbered, prelude::*};
+
+use crate::fleet::Fleet;
+
+/// What every part of the host shares.
+pub struct Context {
+    /// Settings of this process.
+    pub settings: Process,
+    /// Number of this run; greater after each start.
+    pub incarnation: host::Incarnation,
+    /// The platform.
+    pub store: Arc<dyn Store>,
+    /// Client of backend servers.
+    pub backends: ::backend::Client,
+    /// Hosts, backend servers and what they report.
+    pub fleet: Fleet,
+    /// The configuration in force; only [`Context::advance`] changes it.
+    config: watch::Sender<Arc<Numbered>>,
+    /// Ends background duties.
+    pub stop: CancellationToken,
+    /// Background duties.
+    pub duties: TaskTracker,
+    draining: AtomicBool,
+    origin: Instant,
+}
+
+impl Context {
+    /// Starts from settings and the platform's client.
+    pub fn new(settings: Process, store: Arc<dyn Store>) -> Context {
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Context {
+            settings,
+            incarnation: u64::try_from(started.as_micros()).unwrap_or(u64::MAX),
+            store,
+            backends: ::backend::Client::new(),
+            fleet: Fleet::default(),
+            config: watch::channel(Arc::default()).0,
+            stop: CancellationToken::new(),
+            duties: TaskTracker::new(),
+            draining: AtomicBool::new(false),
+            origin: Instant::now(),
+        }
+    }
+
+    /// Time since this process began.
+    pub fn now(&self) -> Moment {
+        self.origin.elapsed()
+    }
+
+    /// This host.
+    pub fn host(&self) -> &Host {
+        &self.settings.host
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Arc<Numbered> {
+        self.config.borrow().clone()
+    }
+
+    /// Follows the configuration in force.
+    pub fn config_changes(&self) -> watch::Receiver<Arc<Numbered>> {
+        self.config.subscribe()
+    }
+
+    /// Puts a configuration in force, unless its number is not higher; tells whether it did.
+    pub fn advance(&self, numbered: Numbered) -> bool {
+        let numbered = Arc::new(numbered);
+        self.config.send_if_modified(|current| {
+            let is_newer = current.number < numbered.number;
+            if is_newer {
+                *current = numbered;
+            }
+            is_newer
+        })
+    }
+
+    /// Whether this host takes new work.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && 0 < self.config.borrow().number
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Begins a planned stop.
+    pub fn begin_drain(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+}
--- /dev/null
+++ b/crates/stage/src/duties.rs
@@ -0,0 +1,26 @@
+//! What a host does in the background.
+
+mod config;
+mod list;
+mod reports;
+
+use std::{future::Future, sync::Arc};
+
+use crate::context::Context;
+
+/// Starts every duty; they end with the context's stop token.
+pub fn start(context: &Arc<Context>) {
+    spawn(context, list::run(context.clone()));
+    spawn(context, config::run(context.clone()));
+    spawn(context, reports::run(context.clone()));
+}
+
+fn spawn(context: &Arc<Context>, duty: impl Future<Output = ()> + Send + 'static) {
+    let stop = context.stop.clone();
+    context.duties.spawn(async move {
+        tokio::select! {
+            () = duty => {}
+            () = stop.cancelled() => {}
+        }
+    });
+}
--- /dev/null
+++ b/crates/stage/src/duties/reports.rs
@@ -0,0 +1,56 @@
+//! Reads load reports of backend servers.
+
+use std::{collections::HashMap, sync::Arc};
+
+use tokio::task::AbortHandle;
+use types::prelude::*;
+
+use crate::{context::Context, fleet::Reading};
+
+/// Keeps one reader for each listed server.
+pub(super) async fn run(context: Arc<Context>) {
+    let mut readers: HashMap<backend::Server, Reader> = HashMap::new();
+    loop {
+        let list = context.fleet.list();
+        let servers = || list.servers.iter().map(|entry| &entry.server);
+        readers.retain(|known, _| servers().any(|server| server == known));
+        for server in servers() {
+            readers.entry(server.clone()).or_insert_with(|| Reader::start(&context, server));
+        }
+        tokio::time::sleep(context.settings.intervals.report).await;
+    }
+}
+
+/// Reads one server's reports until dropped.
+struct Reader(AbortHandle);
+
+impl Reader {
+    fn start(context: &Arc<Context>, server: &backend::Server) -> Reader {
+        Reader(tokio::spawn(read(context.clone(), server.clone())).abort_handle())
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+async fn read(context: Arc<Context>, server: backend::Server) {
+    let interval = context.settings.intervals.report;
+    loop {
+        let asked = context.backends.load(server.address);
+        match tokio::time::timeout(interval * 4, asked).await {
+            Ok(Ok(load)) => {
+                let reading = Reading { read: context.now(), load };
+                context.fleet.set_reading(&server.id, reading);
+            }
+            Ok(Err(error)) => {
+                log::debug!("load report: {error}");
+                context.fleet.drop_reading(&server.id);
+            }
+            Err(_) => log::debug!(server = &*server.id; "load report: timeout"),
+        }
+        tokio::time::sleep(interval).await;
+    }
+}
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -1,1 +1,17 @@
-//! The host's program: filters joined in a row, three listeners, duties
+//! The host's program: filters joined in a row, three listeners, and duties in the background.
+//!
+//! Holds no decision of its own; those are in `policy`. It is a library so that tests and examples
+//! can run hosts within their own process.
+
+pub mod answer;
+pub mod callers;
+pub mod context;
+pub mod duties;
+pub mod filters;
+pub mod flags;
+pub mod fleet;
+pub mod operators;
+pub mod problem;
+mod serve;
+
+pub use crate::serve::{Error, Running, start};
--- /dev/null
+++ b/crates/stage/src/problem.rs
@@ -0,0 +1,146 @@
+//! Refusals as problem documents (RFC 9457).
+//!
+//! Each says in `ran` whether the request did not run, may have run, or ran. "Did not run" is said
+//! only when no byte of it can have reached a backend server.
+
+use std::time::Duration;
+
+use axum::{
+    http::{HeaderValue, StatusCode, header},
+    response::{IntoResponse, Response},
+};
+use serde_json::json;
+use types::request::Ran;
+
+const TYPE_PREFIX: &str = "urn:cyclamenstage:problem:";
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// The request can't be understood.
+    BadRequest,
+    /// The body is over its limit.
+    BodyTooLarge,
+    /// No such model or adapter is declared.
+    UnknownModel,
+    /// No such service is declared, or it does not offer this.
+    UnknownService,
+    /// No such path.
+    UnknownPath,
+    /// No backend server can take it now.
+    NoServer,
+    /// It can't meet its target now.
+    Overloaded,
+    /// The host is not ready.
+    NotReady,
+    /// A backend server failed it.
+    BackendFailed,
+    /// Its time is over.
+    Timeout,
+}
+
+impl Kind {
+    /// Stable name, the end of the document's `type`.
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::BadRequest => "bad-request",
+            Kind::BodyTooLarge => "body-too-large",
+            Kind::UnknownModel => "unknown-model",
+            Kind::UnknownService => "unknown-service",
+            Kind::UnknownPath => "unknown-path",
+            Kind::NoServer => "no-server",
+            Kind::Overloaded => "overloaded",
+            Kind::NotReady => "not-ready",
+            Kind::BackendFailed => "backend-failed",
+            Kind::Timeout => "timeout",
+        }
+    }
+
+    fn status(self) -> StatusCode {
+        match self {
+            Kind::BadRequest => StatusCode::BAD_REQUEST,
+            Kind::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Kind::UnknownModel | Kind::UnknownService | Kind::UnknownPath => StatusCode::NOT_FOUND,
+            Kind::NoServer | Kind::Overloaded | Kind::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            Kind::BackendFailed => StatusCode::BAD_GATEWAY,
+            Kind::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    fn title(self) -> &'static str {
+        match self {
+            Kind::BadRequest => "The request can't be understood",
+            Kind::BodyTooLarge => "The body is over its limit",
+            Kind::UnknownModel => "No such model",
+            Kind::UnknownService => "No such service",
+            Kind::UnknownPath => "No such path",
+            Kind::NoServer => "No backend server can take the request now",
+            Kind::Overloaded => "The request can't meet its target now",
+            Kind::NotReady => "The host is not ready",
+            Kind::BackendFailed => "A backend server failed the request",
+            Kind::Timeout => "The request's time is over",
+        }
+    }
+}
+
+/// A refusal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// Why.
+    pub kind: Kind,
+    /// What exactly, for the caller.
+    pub detail: String,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// When to come back, if waiting helps.
+    pub retry_after: Option<Duration>,
+}
+
+impl Problem {
+    /// A refusal of a request that did not run.
+    pub fn new(kind: Kind, detail: impl Into<String>) -> Problem {
+        Problem { kind, detail: detail.into(), ran: Ran::DidNotRun, retry_after: None }
+    }
+
+    /// Says whether the request ran.
+    pub fn ran(mut self, ran: Ran) -> Problem {
+        self.ran = ran;
+        self
+    }
+
+    /// Says when to come back.
+    pub fn retry_after(mut self, wait: Duration) -> Problem {
+        self.retry_after = Some(wait);
+        self
+    }
+
+    /// The document's body.
+    pub fn body(&self) -> serde_json::Value {
+        json!({
+            "type": format!("{TYPE_PREFIX}{}", self.kind.name()),
+            "title": self.kind.title(),
+            "status": self.kind.status().as_u16(),
+            "detail": self.detail,
+            "ran": self.ran,
+        })
+    }
+}
+
+impl IntoResponse for Problem {
+    fn into_response(self) -> Response {
+        let mut response = (self.kind.status(), self.body().to_string()).into_response();
+        let headers = response.headers_mut();
+        let problem = HeaderValue::from_static("application/problem+json");
+        headers.insert(header::CONTENT_TYPE, problem);
+        if let Some(wait) = self.retry_after {
+            headers.insert(header::RETRY_AFTER, seconds(wait).into());
+        }
+        response.extensions_mut().insert(self);
+        response
+    }
+}
+
+/// Whole seconds, rounded up, since the header knows no parts.
+fn seconds(wait: Duration) -> u64 {
+    wait.as_secs() + u64::from(0 < wait.subsec_nanos())
+}
--- /dev/null
+++ b/crates/stage/src/serve.rs
@@ -0,0 +1,99 @@
+//! Starts a host and stops it in order.
+
+use std::{io, net::SocketAddr, sync::Arc};
+
+use axum::Router;
+use settings::process::Process;
+use tokio::{net::TcpListener, task::JoinHandle};
+use tokio_util::sync::CancellationToken;
+
+use crate::{callers, context::Context, duties, operators};
+
+/// Why a host can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A listener's address can't be bound.
+    #[error("listener for {role} at {address}: {cause}")]
+    Bind {
+        /// Whom it is for.
+        role: &'static str,
+        /// The address in the settings.
+        address: SocketAddr,
+        /// Why.
+        cause: io::Error,
+    },
+}
+
+/// A running host.
+pub struct Running {
+    context: Arc<Context>,
+    stop_callers: CancellationToken,
+    stop_operators: CancellationToken,
+    callers: JoinHandle<()>,
+    operators: JoinHandle<()>,
+}
+
+/// Starts a host; port 0 in the settings means a port that the system picks.
+///
+/// # Errors
+///
+/// If a listener can't be bound.
+pub async fn start(mut settings: Process) -> Result<Running, Error> {
+    let callers = bind("callers", &mut settings.host.callers).await?;
+    let operators = bind("operators", &mut settings.host.operators).await?;
+    let store = platform::Builder::new(settings.platform).build();
+    let context = Arc::new(Context::new(settings, Arc::new(store)));
+    log::info!(
+        host = &*context.host().id, callers:% = context.host().callers,
+        operators:% = context.host().operators; "host starts"
+    );
+    duties::start(&context);
+    let stop_callers = CancellationToken::new();
+    let stop_operators = CancellationToken::new();
+    let callers =
+        tokio::spawn(listen(callers, callers::router(context.clone()), stop_callers.clone()));
+    let operators =
+        tokio::spawn(listen(operators, operators::router(context.clone()), stop_operators.clone()));
+    Ok(Running { context, stop_callers, stop_operators, callers, operators })
+}
+
+impl Running {
+    /// What the host's parts share.
+    pub fn context(&self) -> &Arc<Context> {
+        &self.context
+    }
+
+    /// Stops as planned: not ready first, then a pause for the balancer, then no new connections,
+    /// then the end of what is in flight.
+    pub async fn drain(self) {
+        let drain = self.context.settings.drain.clone();
+        self.context.begin_drain();
+        log::info!(host = &*self.context.host().id; "drain begins");
+        tokio::time::sleep(drain.balancer).await;
+        self.stop_callers.cancel();
+        if tokio::time::timeout(drain.finish, self.callers).await.is_err() {
+            log::error!(host = &*self.context.host().id; "drain ends with requests in flight");
+        }
+        self.context.stop.cancel();
+        self.context.duties.close();
+        self.context.duties.wait().await;
+        self.stop_operators.cancel();
+        let _ = self.operators.await;
+        log::info!(host = &*self.context.host().id; "host ends");
+    }
+}
+
+async fn bind(role: &'static str, address: &mut SocketAddr) -> Result<TcpListener, Error> {
+    let wanted = *address;
+    let failed = |cause| Error::Bind { role, address: wanted, cause };
+    let listener = TcpListener::bind(wanted).await.map_err(failed)?;
+    *address = listener.local_addr().map_err(failed)?;
+    Ok(listener)
+}
+
+async fn listen(listener: TcpListener, router: Router, stop: CancellationToken) {
+    let served = axum::serve(listener, router).with_graceful_shutdown(stop.cancelled_owned());
+    if let Err(error) = served.await {
+        log::error!("listener ends: {error}");
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/cache.rs
@@ -0,0 +1,61 @@
+//! Prefix cache of limited size, with events that have gaps.
+
+use std::collections::BTreeMap;
+
+use ::backend::wire::{CacheChange, CacheEvent};
+
+/// Every so many events one is lost.
+const GAP: u64 = 10;
+const EVENTS_KEPT: usize = 1_000;
+
+#[derive(Debug)]
+pub(super) struct Cache {
+    limit: usize,
+    blocks: BTreeMap<u64, u64>,
+    tick: u64,
+    sequence: u64,
+    events: Vec<CacheEvent>,
+}
+
+impl Cache {
+    pub(super) fn new(limit: usize) -> Cache {
+        Cache { limit, blocks: BTreeMap::new(), tick: 0, sequence: 0, events: Vec::new() }
+    }
+
+    /// Leading blocks that are cached.
+    pub(super) fn hits(&self, blocks: &[u64]) -> usize {
+        blocks.iter().take_while(|block| self.blocks.contains_key(block)).count()
+    }
+
+    pub(super) fn store(&mut self, model: &str, blocks: &[u64]) {
+        for block in blocks {
+            self.tick += 1;
+            if self.blocks.insert(*block, self.tick).is_none() {
+                self.event(model, *block, CacheChange::Stored);
+            }
+        }
+        while self.limit < self.blocks.len() {
+            let Some(oldest) = self.blocks.iter().min_by_key(|(_, t)| **t).map(|(b, _)| *b) else {
+                return;
+            };
+            self.blocks.remove(&oldest);
+            self.event(model, oldest, CacheChange::Evicted);
+        }
+    }
+
+    pub(super) fn events(&self, from: u64) -> Vec<CacheEvent> {
+        self.events.iter().filter(|event| from <= event.sequence).cloned().collect()
+    }
+
+    fn event(&mut self, model: &str, block: u64, change: CacheChange) {
+        self.sequence += 1;
+        if self.sequence.is_multiple_of(GAP) {
+            return;
+        }
+        let sequence = self.sequence;
+        self.events.push(CacheEvent { sequence, model: model.into(), block, change });
+        if EVENTS_KEPT < self.events.len() {
+            self.events.remove(0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/http.rs
@@ -0,0 +1,313 @@
+//! The engine's HTTP interface.
+
+use std::{convert::Infallible, sync::Arc};
+
+use ::backend::wire::{self, Cache, CacheEvent};
+use axum::{
+    Json, Router,
+    body::Bytes,
+    extract::{Query, State},
+    http::{HeaderMap, StatusCode},
+    response::{
+        IntoResponse, Response,
+        sse::{Event, Sse},
+    },
+    routing::{get, post},
+};
+use futures_util::{Stream, StreamExt, stream};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+use types::{
+    order::{Ack, Order},
+    prelude::*,
+};
+
+use super::{
+    EFFECT, POISON, Shared,
+    batch::{Job, Token},
+    memory::Work,
+};
+use crate::net::Lost;
+
+const DEFAULT_MAX_TOKENS: u64 = 16;
+const UNLOAD_TIME: Duration = Duration::from_millis(5);
+
+pub(super) fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/v1/chat/completions", post(chat))
+        .route("/v1/completions", post(completions))
+        .route("/load", get(load))
+        .route("/orders", post(order))
+        .route("/cache-events", get(cache_events))
+        .route("/kv/export", post(export))
+        .route("/kv/import", post(import))
+        .with_state(shared)
+}
+
+#[derive(Deserialize)]
+struct Question {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u64>,
+    prompt: Option<String>,
+    messages: Option<Value>,
+}
+
+impl Question {
+    fn prompt(&self) -> String {
+        match (&self.messages, &self.prompt) {
+            (Some(messages), _) => messages.to_string(),
+            (None, Some(prompt)) => prompt.clone(),
+            (None, None) => String::new(),
+        }
+    }
+}
+
+/// Shape of an answer.
+#[derive(Clone, Copy)]
+enum Shape {
+    Chat,
+    Text,
+}
+
+async fn chat(state: State<Arc<Shared>>, headers: HeaderMap, body: Bytes) -> Response {
+    generate(&state.0, Shape::Chat, &headers, &body).await
+}
+
+async fn completions(state: State<Arc<Shared>>, headers: HeaderMap, body: Bytes) -> Response {
+    generate(&state.0, Shape::Text, &headers, &body).await
+}
+
+async fn generate(
+    shared: &Arc<Shared>,
+    shape: Shape,
+    headers: &HeaderMap,
+    body: &Bytes,
+) -> Response {
+    let Ok(question) = serde_json::from_slice::<Question>(body) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let request = header(headers, wire::REQUEST_ID).unwrap_or_default();
+    let name = model::Name::parse(&question.model);
+    let prompt = question.prompt();
+    let tokens = {
+        let mut state = shared.state();
+        state.counts.arrivals += 1;
+        if !state.memory.is_ready(&name) {
+            return StatusCode::NOT_FOUND.into_response();
+        }
+        *state.counts.runs.entry(request.clone()).or_default() += 1;
+        if let Some(effect) = header(headers, EFFECT) {
+            *state.counts.effects.entry(effect).or_default() += 1;
+        }
+        if state.leaving {
+            log::debug!(request = request.as_str(); "work for a leaving engine");
+        }
+        enqueue(&mut state, headers, &question, &prompt)
+    };
+    if prompt.contains(POISON) {
+        shared.crash_by_poison();
+        return std::future::pending().await;
+    }
+    shared.wake.notify_one();
+    let mut response = match question.stream {
+        true => streamed(shape, &request, &question.model, tokens).into_response(),
+        false => whole(shape, &request, &question.model, tokens).await,
+    };
+    for name in [wire::REQUEST_ID, wire::ATTEMPT] {
+        if let Some(value) = headers.get(name) {
+            response.headers_mut().insert(name, value.clone());
+        }
+    }
+    response
+}
+
+fn enqueue(
+    state: &mut super::state::State,
+    headers: &HeaderMap,
+    question: &Question,
+    prompt: &str,
+) -> mpsc::UnboundedReceiver<Token> {
+    let resume = header(headers, wire::LAST_EVENT_ID).and_then(|id| id.parse::<u64>().ok());
+    let next = resume.map_or(0, |last| last + 1);
+    let blocks = wire::blocks(&question.model, prompt);
+    let cached = state.cache.hits(&blocks) * wire::BLOCK_BYTES;
+    let uncached = (prompt.len() - cached).div_ceil(wire::TOKEN_BYTES) as u64;
+    state.cache.store(&question.model, &blocks);
+    let (sender, tokens) = mpsc::unbounded_channel();
+    state.batch.push(Job {
+        priority: header(headers, wire::PRIORITY).and_then(|p| p.parse().ok()).unwrap_or(0),
+        prompt: prompt.to_owned(),
+        prompt_left: uncached + next,
+        next,
+        end: question.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).max(next + 1),
+        tokens: sender,
+    });
+    tokens
+}
+
+fn streamed(
+    shape: Shape,
+    request: &str,
+    model: &str,
+    tokens: mpsc::UnboundedReceiver<Token>,
+) -> Sse<impl Stream<Item = Result<Event, Infallible>> + use<>> {
+    let (request, model) = (request.to_owned(), model.to_owned());
+    let tokens = stream::unfold(tokens, async |mut tokens| {
+        let token = tokens.recv().await?;
+        Some((token, tokens))
+    });
+    let events = tokens.map(move |token| {
+        let data = chunk(shape, &request, &model, &token.text);
+        Event::default().id(token.offset.to_string()).data(data.to_string())
+    });
+    let done = stream::once(async { Event::default().data(wire::DONE) });
+    Sse::new(events.chain(done).map(Ok))
+}
+
+fn chunk(shape: Shape, request: &str, model: &str, text: &str) -> Value {
+    match shape {
+        Shape::Chat => json!({
+            "id": request, "object": "chat.completion.chunk", "model": model,
+            "choices": [{"index": 0, "delta": {"content": text}}],
+        }),
+        Shape::Text => json!({
+            "id": request, "object": "text_completion", "model": model,
+            "choices": [{"index": 0, "text": text}],
+        }),
+    }
+}
+
+async fn whole(
+    shape: Shape,
+    request: &str,
+    model: &str,
+    mut tokens: mpsc::UnboundedReceiver<Token>,
+) -> Response {
+    let mut text = String::new();
+    while let Some(token) = tokens.recv().await {
+        text.push_str(&token.text);
+    }
+    let answer = match shape {
+        Shape::Chat => json!({
+            "id": request, "object": "chat.completion", "model": model,
+            "choices": [{"index": 0, "message": {"role": "assistant", "content": text}}],
+        }),
+        Shape::Text => chunk(shape, request, model, &text),
+    };
+    Json(answer).into_response()
+}
+
+async fn load(State(shared): State<Arc<Shared>>) -> Json<report::Load> {
+    Json(shared.state().report(&shared.settings))
+}
+
+async fn order(State(shared): State<Arc<Shared>>, Json(order): Json<Order>) -> Response {
+    let fate = fate(&shared);
+    match fate {
+        Fate::Taken => Json(take(&shared, &order)).into_response(),
+        Fate::Lost => lost(),
+        Fate::AckLost => {
+            take(&shared, &order);
+            lost()
+        }
+        Fate::Late(lateness) => {
+            tokio::spawn(async move {
+                tokio::time::sleep(lateness).await;
+                take(&shared, &order);
+            });
+            lost()
+        }
+    }
+}
+
+/// What becomes of an order.
+enum Fate {
+    Taken,
+    Lost,
+    AckLost,
+    Late(Duration),
+}
+
+fn fate(shared: &Shared) -> Fate {
+    let fault = &mut shared.state().fault;
+    if 0 < fault.lost_orders {
+        fault.lost_orders -= 1;
+        return Fate::Lost;
+    }
+    if 0 < fault.lost_acks {
+        fault.lost_acks -= 1;
+        return Fate::AckLost;
+    }
+    if 0 < fault.late_orders {
+        fault.late_orders -= 1;
+        return Fate::Late(fault.lateness);
+    }
+    Fate::Taken
+}
+
+fn lost() -> Response {
+    let mut response = StatusCode::OK.into_response();
+    response.extensions_mut().insert(Lost);
+    response
+}
+
+fn take(shared: &Arc<Shared>, order: &Order) -> Ack {
+    let mut guard = shared.state();
+    let state = &mut *guard;
+    if !state.is_up {
+        return Ack::Refused { reason: "engine is down".into() };
+    }
+    let (ack, work) = state.memory.take(&mut state.counts, order);
+    let incarnation = state.incarnation;
+    if work != Work::Nothing {
+        tokio::spawn(finish(shared.clone(), incarnation, work));
+    }
+    ack
+}
+
+async fn finish(shared: Arc<Shared>, incarnation: backend::Incarnation, work: Work) {
+    match work {
+        Work::Nothing => {}
+        Work::Load(_) => shared.settings.weights.load().await,
+        Work::Unload(_) => tokio::time::sleep(UNLOAD_TIME).await,
+    }
+    let mut state = shared.state();
+    if state.incarnation == incarnation && state.is_up {
+        state.memory.finish(&work);
+    }
+}
+
+#[derive(Deserialize)]
+struct From {
+    #[serde(default)]
+    from: u64,
+}
+
+async fn cache_events(
+    State(shared): State<Arc<Shared>>,
+    Query(query): Query<From>,
+) -> Json<Vec<CacheEvent>> {
+    Json(shared.state().cache.events(query.from))
+}
+
+/// The export is the list of blocks that are truly cached.
+async fn export(State(shared): State<Arc<Shared>>, Json(mut cache): Json<Cache>) -> Response {
+    let hits = shared.state().cache.hits(&cache.blocks);
+    if hits == 0 {
+        return StatusCode::NOT_FOUND.into_response();
+    }
+    cache.blocks.truncate(hits);
+    Json(cache).into_response()
+}
+
+async fn import(State(shared): State<Arc<Shared>>, Json(cache): Json<Cache>) -> StatusCode {
+    shared.state().cache.store(&cache.model, &cache.blocks);
+    StatusCode::OK
+}
+
+fn header(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned)
+}
--- /dev/null
+++ b/crates/standin/src/net.rs
@@ -0,0 +1,119 @@
+//! A listener that can be cut off, killed and started again on its port.
+
+use std::{
+    convert::Infallible,
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use axum::{Router, body::Body, extract::Request, response::Response};
+use hyper::service::service_fn;
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo},
+    server::conn::auto,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::{AbortHandle, JoinSet},
+};
+use tower::ServiceExt;
+
+const BIND_TRIES: u32 = 100;
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// Marks an answer that must not reach the caller: its connection is closed instead.
+#[derive(Clone, Copy, Debug)]
+pub struct Lost;
+
+/// A running listener; it ends when dropped.
+#[derive(Debug)]
+pub struct Listener {
+    address: SocketAddr,
+    accepting: AbortHandle,
+}
+
+impl Listener {
+    /// Serves `router` on a loopback port that the system picks.
+    ///
+    /// # Errors
+    ///
+    /// If no port can be bound.
+    pub async fn start(router: Router) -> io::Result<Listener> {
+        Listener::start_at((Ipv4Addr::LOCALHOST, 0).into(), router).await
+    }
+
+    /// Serves `router` at `address`, waiting a little for an earlier owner to let go of it.
+    ///
+    /// # Errors
+    ///
+    /// If the address can't be bound.
+    pub async fn start_at(address: SocketAddr, router: Router) -> io::Result<Listener> {
+        let listener = bind(address).await?;
+        let address = listener.local_addr()?;
+        let accepting = tokio::spawn(accept(listener, router)).abort_handle();
+        Ok(Listener { address, accepting })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Ends it at once, with every connection that it has.
+    pub fn kill(&self) {
+        self.accepting.abort();
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    for _ in 0..BIND_TRIES {
+        match TcpListener::bind(address).await {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse => tokio::time::sleep(BIND_PAUSE).await,
+            result => return result,
+        }
+    }
+    TcpListener::bind(address).await
+}
+
+/// Accepts for good; connections belong to the set, so that aborting this task ends them.
+async fn accept(listener: TcpListener, router: Router) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    connections.spawn(serve(stream, router.clone()));
+                }
+                Err(_) => tokio::time::sleep(BIND_PAUSE).await,
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, router: Router) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
+        answer(router.clone(), request.map(Body::new))
+    });
+    // A broken connection is the peer's affair and no error of the stand-in.
+    let _ = auto::Builder::new(TokioExecutor::new())
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn answer(router: Router, request: Request) -> Result<Response, Arc<io::Error>> {
+    let response = router.oneshot(request).await.unwrap_or_else(|never: Infallible| match never {});
+    match response.extensions().get::<Lost>() {
+        Some(Lost) => Err(Arc::new(io::Error::other("answer lost on purpose"))),
+        None => Ok(response),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/plain.rs
@@ -0,0 +1,197 @@
+//! Stand-in of a plain service: it counts each call that it runs.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use axum::{
+    Json, Router,
+    body::Body,
+    extract::{Request, State},
+    http::{HeaderMap, StatusCode},
+    middleware::{self, Next},
+    response::{IntoResponse, Response},
+    routing::get,
+};
+use futures_util::StreamExt;
+use serde_json::json;
+use types::{backend, order::Role, report::Load};
+
+use crate::net::{Listener, Lost};
+
+/// Header by which a caller names the effect that must happen once.
+pub const EFFECT: &str = "idempotency-key";
+
+/// How the service misbehaves.
+#[derive(Clone, Debug, Default)]
+pub struct Fault {
+    /// Time that each call takes.
+    pub work: Duration,
+    /// Runs this many calls and loses their answers.
+    pub lost_answers: u32,
+    /// Answers this many calls with 503, unrun.
+    pub refusals: u32,
+}
+
+/// A running plain service.
+#[derive(Debug)]
+pub struct Plain {
+    listener: Listener,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    id: backend::Id,
+    runs: Mutex<BTreeMap<String, u64>>,
+    fault: Mutex<Fault>,
+    total: AtomicU64,
+    running: AtomicU64,
+    sequence: AtomicU64,
+    leaving: AtomicBool,
+}
+
+impl Plain {
+    /// Starts it.
+    ///
+    /// # Errors
+    ///
+    /// If no port can be bound.
+    pub async fn start(id: &str) -> io::Result<Plain> {
+        let shared = Arc::new(Shared {
+            id: id.into(),
+            runs: Mutex::default(),
+            fault: Mutex::default(),
+            total: AtomicU64::new(0),
+            running: AtomicU64::new(0),
+            sequence: AtomicU64::new(0),
+            leaving: AtomicBool::new(false),
+        });
+        let router = Router::new()
+            .fallback(run)
+            .layer(middleware::from_fn_with_state(shared.clone(), lose))
+            .route("/load", get(load))
+            .with_state(shared.clone());
+        let listener = Listener::start(router).await?;
+        Ok(Plain { listener, shared })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Changes how it misbehaves.
+    pub fn fault(&self, change: impl FnOnce(&mut Fault)) {
+        change(&mut lock(&self.shared.fault));
+    }
+
+    /// Says in its reports that it is leaving.
+    pub fn leave(&self) {
+        self.shared.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Ends it at once, with every connection.
+    pub fn kill(&self) {
+        self.listener.kill();
+    }
+
+    /// Calls run so far.
+    pub fn total(&self) -> u64 {
+        self.shared.total.load(Ordering::Relaxed)
+    }
+
+    /// Calls run so far by [`EFFECT`] header.
+    pub fn runs(&self) -> BTreeMap<String, u64> {
+        lock(&self.shared.runs).clone()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+async fn lose(State(shared): State<Arc<Shared>>, request: Request, next: Next) -> Response {
+    if take(&mut lock(&shared.fault).refusals) {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let mut response = next.run(request).await;
+    if take(&mut lock(&shared.fault).lost_answers) {
+        response.extensions_mut().insert(Lost);
+    }
+    response
+}
+
+fn take(count: &mut u32) -> bool {
+    let is_left = 0 < *count;
+    *count = count.saturating_sub(1);
+    is_left
+}
+
+/// Reads the body to its end, counts the run, and echoes what it got.
+async fn run(State(shared): State<Arc<Shared>>, request: Request) -> Response {
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    let effect = effect(request.headers());
+    shared.running.fetch_add(1, Ordering::Relaxed);
+    let bytes = drain(request.into_body()).await;
+    let work = lock(&shared.fault).work;
+    if bytes.is_some() {
+        shared.total.fetch_add(1, Ordering::Relaxed);
+        if let Some(effect) = &effect {
+            *lock(&shared.runs).entry(effect.clone()).or_default() += 1;
+        }
+        tokio::time::sleep(work).await;
+    }
+    shared.running.fetch_sub(1, Ordering::Relaxed);
+    let Some(bytes) = bytes else { return StatusCode::BAD_REQUEST.into_response() };
+    Json(json!({
+        "server": shared.id, "method": method.as_str(), "path": path, "bytes": bytes,
+        "effect": effect,
+    }))
+    .into_response()
+}
+
+fn effect(headers: &HeaderMap) -> Option<String> {
+    headers.get(EFFECT).and_then(|v| v.to_str().ok()).map(str::to_owned)
+}
+
+/// Length of a body, or nothing if it broke off.
+async fn drain(body: Body) -> Option<u64> {
+    let mut stream = body.into_data_stream();
+    let mut bytes = 0;
+    while let Some(chunk) = stream.next().await {
+        bytes += chunk.ok()?.len() as u64;
+    }
+    Some(bytes)
+}
+
+async fn load(State(shared): State<Arc<Shared>>) -> Json<Load> {
+    let running = shared.running.load(Ordering::Relaxed);
+    Json(Load {
+        server: shared.id.clone(),
+        incarnation: 1,
+        sequence: shared.sequence.fetch_add(1, Ordering::Relaxed),
+        age: Duration::ZERO,
+        leaving: shared.leaving.load(Ordering::Relaxed),
+        running: u32::try_from(running).unwrap_or(u32::MAX),
+        waiting: 0,
+        slots: 64,
+        step: lock(&shared.fault).work,
+        prefill_rate: 0,
+        prompt_backlog: 0,
+        capacity: 0,
+        residents: Vec::new(),
+        fence: 0,
+        fenced: false,
+        orders: Vec::new(),
+        role: Role::Whole,
+    })
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod backend;
 pub mod config;
 pub mod customer;
+pub mod error;
 pub mod host;
 pub mod memory;
 pub mod model;
