Decide placement: residency, zones, versions, adapters, demand

Cause: nothing decided yet which engine holds which model.

Change: policy::plan::Planner is told the configuration, each engine as the ledger sees it and the work of each model, and answers with the moves that may start now within memory and the weight store's rate. Order of concern: missing, adapters, spread over two zones, old versions, replicas for demand by net gain (attainment gained against the price of the moves).

Ruled out: a search over whole assignments (moves are to be few, and the state is never still); an even split of a model's load over its replicas (it sees heat that routing levels out by itself, and asks for moves that gain nothing).

--- /dev/null
+++ b/crates/policy/src/plan/bucket.rs
@@ -0,0 +1,41 @@
+//! Token bucket that keeps to the weight store's rate.
+
+use types::time::Moment;
+
+use super::Limits;
+
+/// Loads that may start.
+#[derive(Clone, Debug)]
+pub(super) struct Bucket {
+    limits: Limits,
+    tokens: f64,
+    filled: Moment,
+}
+
+impl Bucket {
+    pub(super) fn new(limits: Limits) -> Bucket {
+        Bucket { limits, tokens: full(limits), filled: Moment::ZERO }
+    }
+
+    /// Loads that may start now, while `loading` others run.
+    pub(super) fn available(&mut self, now: Moment, loading: usize) -> usize {
+        let elapsed = now.saturating_sub(self.filled).as_secs_f64();
+        self.filled = self.filled.max(now);
+        if self.limits.loads_per_second.is_finite() {
+            let gained = elapsed * self.limits.loads_per_second;
+            self.tokens = (self.tokens + gained).min(full(self.limits));
+        }
+        let at_once = self.limits.at_once.saturating_sub(loading);
+        at_once.min(self.tokens as usize)
+    }
+
+    /// Takes what was started.
+    pub(super) fn take(&mut self, loads: usize) {
+        self.tokens = (self.tokens - loads as f64).max(0.0);
+    }
+}
+
+/// The most that the bucket holds: one second's worth, and one load at the least.
+fn full(limits: Limits) -> f64 {
+    limits.loads_per_second.max(1.0)
+}
--- /dev/null
+++ b/crates/policy/src/plan/forecast.rs
@@ -0,0 +1,74 @@
+//! Demand look-ahead from shared counts.
+//!
+//! Each interval's work is smoothed with its trend (Holt's method), and the estimate for a few
+//! intervals ahead is what placement provides for. It rises at once and falls slowly, so that a
+//! demand that flaps does not move models to and fro.
+
+use std::collections::BTreeMap;
+
+use types::prelude::*;
+
+use super::Demand;
+
+/// Weight of the newest interval in the level.
+const LEVEL: f64 = 0.5;
+
+/// Weight of the newest change in the trend.
+const TREND: f64 = 0.3;
+
+/// Intervals that the estimate looks ahead.
+const AHEAD: f64 = 3.0;
+
+/// Share of the held peak that is left after each interval.
+const DECAY: f64 = 0.97;
+
+/// Most that the trend may add, as a multiple of the level.
+const STEEPEST: f64 = 1.0;
+
+/// One model's smoothed work.
+#[derive(Clone, Copy, Debug)]
+struct Series {
+    level: f64,
+    trend: f64,
+    peak: f64,
+}
+
+/// Smoothed work of all models.
+#[derive(Clone, Debug, Default)]
+pub struct Forecast {
+    series: BTreeMap<model::Id, Series>,
+}
+
+impl Forecast {
+    /// Takes in the work of one interval for every model, in engines' worth, and returns the
+    /// demand to plan for. A model that is left out had no work.
+    pub fn observe(&mut self, work: &BTreeMap<model::Id, f64>) -> BTreeMap<model::Id, Demand> {
+        for (id, work) in work {
+            let first = Series { level: *work, trend: 0.0, peak: *work };
+            self.series.entry(id.clone()).or_insert(first);
+        }
+        let demands = self.series.iter_mut().map(|(id, series)| {
+            let now = work.get(id).copied().unwrap_or(0.0);
+            (id.clone(), series.observe(now))
+        });
+        demands.collect()
+    }
+
+    /// Forgets models that are no longer declared.
+    pub fn retain(&mut self, config: &config::Config) {
+        self.series.retain(|id, _| config.models.contains_key(id));
+    }
+}
+
+impl Series {
+    fn observe(&mut self, work: f64) -> Demand {
+        let before = self.level;
+        self.level = LEVEL * work + (1.0 - LEVEL) * (self.level + self.trend);
+        self.level = self.level.max(0.0);
+        self.trend = TREND * (self.level - before) + (1.0 - TREND) * self.trend;
+        let rise = (AHEAD * self.trend).clamp(0.0, STEEPEST * self.level);
+        let estimate = self.level + rise;
+        self.peak = estimate.max(self.peak * DECAY);
+        Demand { now: self.level, ahead: self.peak }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/plan/heat.rs
@@ -0,0 +1,90 @@
+//! Where the work goes: each model's load spread over its replicas.
+//!
+//! Routing sends a request where it waits least, so a model's load fills its engines like water:
+//! the coolest first, until all it uses are level. A few sweeps over all models come close to the
+//! joint balance. `misses` turns an engine's heat into work that misses its target; it is convex,
+//! so that evening out never looks worse.
+
+use std::collections::BTreeMap;
+
+use types::prelude::*;
+
+use super::{fleet::Fleet, planner::Declared};
+
+/// Heat from which on some work misses its target.
+pub(super) const KNEE: f64 = 0.6;
+
+/// Sweeps over all models.
+const SWEEPS: usize = 3;
+
+/// Each model's load on each of its engines.
+pub(super) type Shares = BTreeMap<model::Id, Vec<(backend::Id, f64)>>;
+
+/// Work that misses its target on an engine of this heat, in engines' worth.
+pub(super) fn misses(heat: f64) -> f64 {
+    let over = (heat - KNEE).max(0.0);
+    let full = 1.0 - KNEE;
+    if over < full { over * over / (2.0 * full) } else { over - full / 2.0 }
+}
+
+/// Pours a load over engines of these heats; the share of each.
+pub(super) fn pour(heats: &[f64], load: f64) -> Vec<f64> {
+    let mut order: Vec<f64> = heats.to_vec();
+    order.sort_by(f64::total_cmp);
+    let mut sum = 0.0;
+    let mut level = 0.0;
+    for (count, heat) in order.iter().enumerate() {
+        sum += heat;
+        level = (sum + load) / (count + 1) as f64;
+        if order.get(count + 1).is_none_or(|next| level <= *next) {
+            break;
+        }
+    }
+    heats.iter().map(|heat| (level - heat).max(0.0)).collect()
+}
+
+/// Sets each slot's heat, and returns the shares it comes from.
+pub(super) fn balance(models: &BTreeMap<model::Id, Declared>, fleet: &mut Fleet) -> Shares {
+    let servers: Vec<backend::Id> = fleet.slots.keys().cloned().collect();
+    let index: BTreeMap<&backend::Id, usize> =
+        servers.iter().enumerate().map(|(index, server)| (server, index)).collect();
+    let mut heats = vec![0.0; servers.len()];
+    let mut loads: Vec<(&model::Id, f64, Vec<usize>, Vec<f64>)> = models
+        .iter()
+        .filter(|(_, declared)| 0.0 < declared.load)
+        .map(|(id, declared)| {
+            let at: Vec<usize> =
+                replicas(fleet, id).filter_map(|s| index.get(s).copied()).collect();
+            let shares = vec![0.0; at.len()];
+            (id, declared.load, at, shares)
+        })
+        .collect();
+    for _ in 0..SWEEPS {
+        for (_, load, at, shares) in &mut loads {
+            let others: Vec<f64> =
+                at.iter().zip(shares.iter()).map(|(i, share)| heats[*i] - share).collect();
+            *shares = pour(&others, *load);
+            for ((i, other), share) in at.iter().zip(&others).zip(shares.iter()) {
+                heats[*i] = other + share;
+            }
+        }
+    }
+    for (slot, heat) in fleet.slots.values_mut().zip(&heats) {
+        slot.heat = *heat;
+    }
+    loads
+        .into_iter()
+        .map(|(id, _, at, shares)| {
+            let shares = at.into_iter().zip(shares);
+            (id.clone(), shares.map(|(i, share)| (servers[i].clone(), share)).collect())
+        })
+        .collect()
+}
+
+/// Live engines on which a model answers or will.
+fn replicas<'a>(fleet: &'a Fleet, id: &'a model::Id) -> impl Iterator<Item = &'a backend::Id> {
+    let holders = fleet.holders(id);
+    holders
+        .filter(|(slot, bundle)| slot.is_live() && bundle.bases().next().is_some())
+        .map(|(slot, _)| &slot.told.server)
+}
--- /dev/null
+++ b/crates/policy/src/plan/planner.rs
@@ -0,0 +1,161 @@
+//! The planner and the order of its concerns.
+
+use std::collections::BTreeMap;
+
+use types::{model::Model, prelude::*};
+
+use super::{Demand, Engine, Limits, Move, REPLICAS, bucket::Bucket, fleet::Fleet, heat};
+
+/// A declared model with what placement needs of it.
+#[derive(Clone, Debug)]
+pub(super) struct Declared {
+    pub(super) model: Model,
+    /// Memory of a replica with all adapters, in MiB.
+    pub(super) bundle: Mebibytes,
+    /// Work to provide for, in engines' worth.
+    pub(super) load: f64,
+}
+
+impl Declared {
+    fn new(model: Model, demand: Demand) -> Declared {
+        let adapters: Mebibytes = model.adapters.values().map(|adapter| adapter.memory).sum();
+        Declared { bundle: model.footprint() + adapters, load: demand.provided(), model }
+    }
+
+    /// Replicas that come before any that demand asks for.
+    pub(super) fn floor(&self) -> usize {
+        REPLICAS.max(self.model.replicas as usize)
+    }
+}
+
+/// Decides moves.
+#[derive(Clone, Debug)]
+pub struct Planner {
+    weights: config::Weights,
+    models: BTreeMap<model::Id, Declared>,
+    demands: BTreeMap<model::Id, Demand>,
+    fleet: Fleet,
+    bucket: Bucket,
+}
+
+impl Planner {
+    /// A planner that knows nothing yet and keeps to these limits of the weight store.
+    pub fn new(limits: Limits) -> Planner {
+        Planner {
+            weights: config::Weights::default(),
+            models: BTreeMap::new(),
+            demands: BTreeMap::new(),
+            fleet: Fleet::default(),
+            bucket: Bucket::new(limits),
+        }
+    }
+
+    /// Takes in the declared configuration.
+    pub fn configure(&mut self, config: &config::Config) {
+        self.weights = config.weights;
+        self.models.retain(|id, _| config.models.contains_key(id));
+        for (id, model) in &config.models {
+            if self.models.get(id).is_some_and(|declared| declared.model == *model) {
+                continue;
+            }
+            let demand = self.demands.get(id).copied().unwrap_or_default();
+            self.models.insert(id.clone(), Declared::new(model.clone(), demand));
+        }
+        self.demands.retain(|id, _| config.models.contains_key(id));
+    }
+
+    /// Takes in what an engine holds or has reserved; to be called for each engine that changed
+    /// or that a move was tried on.
+    pub fn engine(&mut self, now: Moment, engine: Engine) {
+        self.fleet.put(now, engine);
+    }
+
+    /// Forgets an engine that is gone.
+    pub fn forget(&mut self, server: &backend::Id) {
+        self.fleet.remove(server);
+    }
+
+    /// Takes in the work that a model gets.
+    pub fn demand(&mut self, model: &model::Id, demand: Demand) {
+        self.demands.insert(model.clone(), demand);
+        if let Some(declared) = self.models.get_mut(model) {
+            declared.load = demand.provided();
+        }
+    }
+
+    /// The moves that may start now, to be tried in this order.
+    pub fn plan(&mut self, now: Moment) -> Vec<Move> {
+        self.fleet.revert(now);
+        let loading = self.fleet.loading();
+        let budget = self.bucket.available(now, loading);
+        let moves = self.draft(now, budget).moves;
+        self.bucket.take(moves.iter().filter(|m| m.is_load()).count());
+        moves
+    }
+
+    /// Plans as if each move were done at once, until none is left or the rounds are used up.
+    /// Returns the moves; for checks of what could be placed.
+    pub fn settle(&mut self, now: Moment, rounds: usize) -> Vec<Move> {
+        let mut all = Vec::new();
+        for _ in 0..rounds {
+            self.fleet.revert(now);
+            let moves = self.draft(now, usize::MAX).moves;
+            if moves.is_empty() {
+                break;
+            }
+            all.extend(moves);
+            self.fleet.settle(now);
+        }
+        all
+    }
+
+    fn draft(&mut self, now: Moment, budget: usize) -> Draft<'_> {
+        let mut draft = self.blank(now, budget);
+        draft.remove_undeclared();
+        draft.place_missing();
+        draft.load_adapters();
+        draft.spread_replicas();
+        draft.retire_versions();
+        draft.meet_demand();
+        draft
+    }
+
+    /// A plan without a move yet.
+    pub(super) fn blank(&mut self, now: Moment, budget: usize) -> Draft<'_> {
+        let shares = heat::balance(&self.models, &mut self.fleet);
+        let mut draft = Draft {
+            now,
+            shares,
+            weights: self.weights,
+            models: &self.models,
+            fleet: &mut self.fleet,
+            budget,
+            moves: Vec::new(),
+        };
+        draft.owe();
+        draft
+    }
+}
+
+/// A plan in the making.
+pub(super) struct Draft<'a> {
+    pub(super) now: Moment,
+    pub(super) weights: config::Weights,
+    pub(super) models: &'a BTreeMap<model::Id, Declared>,
+    pub(super) fleet: &'a mut Fleet,
+    /// Each model's load on each of its engines.
+    pub(super) shares: heat::Shares,
+    /// Loads that may still start.
+    pub(super) budget: usize,
+    pub(super) moves: Vec<Move>,
+}
+
+impl Draft<'_> {
+    /// Notes a load.
+    pub(super) fn start(&mut self, load: Option<Move>) {
+        if let Some(load) = load {
+            self.budget = self.budget.saturating_sub(1);
+            self.moves.push(load);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/plan/executor.rs
@@ -0,0 +1,247 @@
+//! A tiny executor of moves under virtual time, that checks memory and reachability as it goes.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use policy::plan::{Cause, Engine, Limits, Move, Planner, State};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use types::{
+    adapter::Adapter,
+    model::Model,
+    order::Action,
+    prelude::*,
+    resident::{Resident, State as Progress},
+};
+
+pub(crate) const STEP: Duration = Duration::from_millis(500);
+
+/// A model's name, its memory, and its adapters with theirs.
+pub(crate) type Sketch<'a> = (&'a str, Mebibytes, &'a [(&'a str, Mebibytes)]);
+
+/// A configuration of these models, in one group.
+pub(crate) fn config(models: &[Sketch<'_>]) -> config::Config {
+    let models = models.iter().map(|(id, memory, adapters)| {
+        let adapters = adapters
+            .iter()
+            .map(|(id, memory)| ((*id).into(), Adapter { memory: *memory, version: "1".into() }));
+        ((*id).into(), Model { adapters: adapters.collect(), ..model(*memory) })
+    });
+    config::Config { models: models.collect(), ..config::Config::default() }
+}
+
+pub(crate) fn model(memory: Mebibytes) -> Model {
+    Model {
+        group: "lm".into(),
+        version: "1".into(),
+        memory,
+        kv: 0,
+        replicas: 1,
+        adapters: BTreeMap::new(),
+    }
+}
+
+/// One engine's true state.
+pub(crate) struct Machine {
+    pub(crate) zone: availability::Id,
+    pub(crate) state: State,
+    pub(crate) capacity: Mebibytes,
+    /// Residents, and when their change is done.
+    pub(crate) residents: Vec<(Resident, Moment)>,
+}
+
+/// Engines, a planner, and the moves that were made.
+pub(crate) struct World {
+    pub(crate) now: Moment,
+    pub(crate) planner: Planner,
+    pub(crate) config: config::Config,
+    pub(crate) machines: BTreeMap<backend::Id, Machine>,
+    pub(crate) moves: Vec<Move>,
+    /// Orders take a random time, up to this many steps.
+    pub(crate) slowest: u32,
+    /// One in so many moves is not carried out, without the planner's knowing; zero for none.
+    pub(crate) skipped: u32,
+    pub(crate) rng: ChaCha8Rng,
+}
+
+impl World {
+    /// `servers` engines of one capacity, over `zones` zones in turn.
+    pub(crate) fn new(
+        rng: ChaCha8Rng,
+        config: config::Config,
+        servers: usize,
+        zones: usize,
+        capacity: Mebibytes,
+        limits: Limits,
+    ) -> World {
+        let machines = (0..servers).map(|n| {
+            let machine = Machine {
+                zone: format!("zone-{}", n % zones).into(),
+                state: State::Live,
+                capacity,
+                residents: Vec::new(),
+            };
+            (format!("lm-{n:02}").into(), machine)
+        });
+        let mut planner = Planner::new(limits);
+        planner.configure(&config);
+        World {
+            now: Moment::ZERO,
+            planner,
+            config,
+            machines: machines.collect(),
+            moves: Vec::new(),
+            slowest: 4,
+            skipped: 0,
+            rng,
+        }
+    }
+
+    /// Takes a new configuration in force.
+    pub(crate) fn configure(&mut self, config: config::Config) {
+        self.planner.configure(&config);
+        self.config = config;
+    }
+
+    /// One round of planning and a step of time; returns the round's moves.
+    pub(crate) fn step(&mut self) -> Vec<Move> {
+        self.now += STEP;
+        self.finish();
+        for (server, machine) in &self.machines {
+            let engine = engine(server, machine);
+            self.planner.engine(self.now, engine);
+        }
+        let moves = self.planner.plan(self.now);
+        for planned in &moves {
+            if 0 < self.skipped && self.rng.random_range(0..self.skipped) == 0 {
+                continue;
+            }
+            self.carry_out(planned);
+        }
+        self.moves.extend(moves.iter().cloned());
+        moves
+    }
+
+    /// Steps until nothing has moved or changed for a while.
+    pub(crate) fn settle(&mut self) {
+        let mut quiet = 0;
+        for _ in 0..4_000 {
+            let moves = self.step();
+            let busy = self.machines.values().any(|machine| {
+                machine.residents.iter().any(|(resident, _)| resident.state != Progress::Ready)
+            });
+            quiet = if moves.is_empty() && !busy { quiet + 1 } else { 0 };
+            if quiet == 20 {
+                return;
+            }
+        }
+        panic!("moves never end; the last are {:#?}", &self.moves[self.moves.len() - 6..]);
+    }
+
+    /// Live servers on which a model answers, in any version.
+    pub(crate) fn ready(&self, model: &str) -> Vec<&backend::Id> {
+        self.ready_in(model, |_| true)
+    }
+
+    /// Live servers on which a version of a model answers.
+    pub(crate) fn ready_version(&self, model: &str, version: &str) -> Vec<&backend::Id> {
+        self.ready_in(model, |held| held == version)
+    }
+
+    fn ready_in(&self, model: &str, wanted: impl Fn(&str) -> bool) -> Vec<&backend::Id> {
+        let live = self.machines.iter().filter(|(_, machine)| machine.state == State::Live);
+        let ready = live.filter(|(_, machine)| {
+            machine.residents.iter().any(|(resident, _)| {
+                resident.state == Progress::Ready
+                    && matches!(&resident.unit, Unit::Model { model: held, version }
+                        if **held == *model && wanted(version))
+            })
+        });
+        ready.map(|(server, _)| server).collect()
+    }
+
+    /// Live servers on which an adapter answers, with its base.
+    pub(crate) fn ready_adapter(&self, model: &str, adapter: &str) -> Vec<&backend::Id> {
+        let bases = self.ready(model);
+        let with = bases.into_iter().filter(|server| {
+            self.machines[*server].residents.iter().any(|(resident, _)| {
+                resident.state == Progress::Ready
+                    && matches!(&resident.unit, Unit::Adapter { model: base, adapter: held, .. }
+                        if **base == *model && **held == *adapter)
+            })
+        });
+        with.collect()
+    }
+
+    /// Availability zones in which a model answers.
+    pub(crate) fn zones(&self, model: &str) -> Vec<availability::Id> {
+        let mut zones: Vec<_> =
+            self.ready(model).iter().map(|server| self.machines[*server].zone.clone()).collect();
+        zones.sort();
+        zones.dedup();
+        zones
+    }
+
+    /// Number of moves with this cause.
+    pub(crate) fn count(&self, cause: Cause) -> usize {
+        self.moves.iter().filter(|planned| planned.cause == cause).count()
+    }
+
+    fn finish(&mut self) {
+        let now = self.now;
+        for machine in self.machines.values_mut() {
+            machine
+                .residents
+                .retain(|(resident, at)| resident.state != Progress::Unloading || now < *at);
+            for (resident, at) in &mut machine.residents {
+                if resident.state == Progress::Loading && *at <= now {
+                    resident.state = Progress::Ready;
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, planned: &Move) {
+        let done = self.now + STEP * self.rng.random_range(1..=self.slowest);
+        let machine = self.machines.get_mut(&planned.server).expect("a move names a known server");
+        match &planned.action {
+            Action::Load { unit, memory } => {
+                let resident =
+                    Resident { unit: unit.clone(), memory: *memory, state: Progress::Loading };
+                machine.residents.push((resident, done));
+                assert!(
+                    taken(machine) <= machine.capacity,
+                    "{} is overcommitted by {planned:?}",
+                    planned.server
+                );
+            }
+            Action::Unload { unit } => {
+                let found = machine
+                    .residents
+                    .iter_mut()
+                    .find(|(resident, _)| {
+                        resident.unit == *unit && resident.state == Progress::Ready
+                    })
+                    .unwrap_or_else(|| panic!("{planned:?} unloads what is not ready"));
+                found.0.state = Progress::Unloading;
+                found.1 = done;
+            }
+            Action::Role { .. } => panic!("{planned:?} is no move of placement"),
+        }
+    }
+}
+
+/// What the planner is told of an engine.
+pub(crate) fn engine(server: &backend::Id, machine: &Machine) -> Engine {
+    Engine {
+        server: server.clone(),
+        group: "lm".into(),
+        zone: machine.zone.clone(),
+        state: machine.state,
+        free: machine.capacity - taken(machine),
+        residents: machine.residents.iter().map(|(resident, _)| resident.clone()).collect(),
+    }
+}
+
+fn taken(machine: &Machine) -> Mebibytes {
+    machine.residents.iter().map(|(resident, _)| resident.memory).sum()
+}
--- /dev/null
+++ b/crates/policy/tests/plan/gap.rs
@@ -0,0 +1,160 @@
+//! Never a gap: long random sequences of patches and failures.
+
+use std::collections::BTreeSet;
+
+use policy::plan::{Limits, State};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use types::{adapter::Adapter, prelude::*};
+
+use crate::executor::{World, config, model};
+
+const PATCHES: usize = 60;
+
+/// Models and adapters that answered once must answer until they are removed.
+#[derive(Default)]
+struct Watch {
+    answered: BTreeSet<(model::Id, Option<adapter::Id>)>,
+}
+
+impl Watch {
+    fn check(&mut self, world: &World) {
+        let config = &world.config;
+        self.answered.retain(|(model, adapter)| {
+            let declared = config.models.get(model);
+            let adapter = adapter.as_ref();
+            declared.is_some_and(|d| adapter.is_none_or(|a| d.adapters.contains_key(a)))
+        });
+        for (id, declared) in &config.models {
+            let answers = !world.ready(id).is_empty();
+            self.note(world, (id.clone(), None), answers);
+            for adapter in declared.adapters.keys() {
+                let answers = !world.ready_adapter(id, adapter).is_empty();
+                self.note(world, (id.clone(), Some(adapter.clone())), answers);
+            }
+        }
+    }
+
+    fn note(&mut self, world: &World, name: (model::Id, Option<adapter::Id>), answers: bool) {
+        if answers {
+            self.answered.insert(name);
+            return;
+        }
+        assert!(
+            !self.answered.contains(&name),
+            "{name:?} has a gap at {:?}; the last moves are {:#?}",
+            world.now,
+            &world.moves[world.moves.len().saturating_sub(12)..]
+        );
+    }
+}
+
+fn patch(rng: &mut ChaCha8Rng, config: &mut config::Config, serial: usize) {
+    let ids: Vec<model::Id> = config.models.keys().cloned().collect();
+    let id = ids[rng.random_range(0..ids.len())].clone();
+    let version: model::Version = format!("{serial}").into();
+    match rng.random_range(0..6) {
+        0 if ids.len() < 12 => {
+            let new = model(rng.random_range(5..25));
+            config.models.insert(format!("new-{serial}").into(), new);
+        }
+        1 if 4 < ids.len() => {
+            config.models.remove(&id);
+        }
+        2 => {
+            let declared = config.models.get_mut(&id).expect("declared");
+            let adapter = Adapter { memory: rng.random_range(1..4), version };
+            declared.adapters.insert(format!("adapter-{}", serial % 3).into(), adapter);
+        }
+        3 => {
+            let declared = config.models.get_mut(&id).expect("declared");
+            declared.adapters.pop_first();
+        }
+        4 => {
+            let declared = config.models.get_mut(&id).expect("declared");
+            declared.version = version;
+            declared.memory = rng.random_range(5..25);
+        }
+        _ => {
+            let declared = config.models.get_mut(&id).expect("declared");
+            declared.version = version;
+        }
+    }
+}
+
+#[rstest]
+#[case::roomy(120, 0)]
+#[case::tight(60, 0)]
+#[case::lossy(90, 4)]
+fn no_model_that_answers_stops_answering_through_patches(
+    #[case] capacity: Mebibytes,
+    #[case] skipped: u32,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+) {
+    let rng = ChaCha8Rng::seed_from_u64(seed);
+    let declared = config(&[
+        ("a", 20, &[("adapter-0", 2)]),
+        ("b", 15, &[]),
+        ("c", 10, &[("adapter-1", 1)]),
+        ("d", 24, &[]),
+    ]);
+    let mut world = World::new(rng, declared, 5, 3, capacity, Limits::default());
+    world.skipped = skipped;
+    let mut watch = Watch::default();
+    for serial in 0..PATCHES {
+        let mut config = world.config.clone();
+        patch(&mut world.rng, &mut config, serial);
+        world.configure(config);
+        for _ in 0..world.rng.random_range(1..25) {
+            world.step();
+            watch.check(&world);
+        }
+    }
+    world.settle();
+    watch.check(&world);
+    for (id, declared) in &world.config.models {
+        assert!(!world.ready_version(id, &declared.version).is_empty(), "{id} in force");
+        for adapter in declared.adapters.keys() {
+            assert!(!world.ready_adapter(id, adapter).is_empty(), "{id}:{adapter}");
+        }
+    }
+}
+
+#[rstest]
+fn no_gap_while_servers_fall_silent_and_come_back(#[values(1, 2, 3, 4)] seed: u64) {
+    let rng = ChaCha8Rng::seed_from_u64(seed);
+    let declared = config(&[("a", 20, &[("adapter-0", 2)]), ("b", 15, &[]), ("c", 10, &[])]);
+    let mut world = World::new(rng, declared, 5, 3, 60, Limits::default());
+    world.settle();
+    let mut watch = Watch::default();
+    for _ in 0..40 {
+        let servers: Vec<backend::Id> = world.machines.keys().cloned().collect();
+        let server = &servers[world.rng.random_range(0..servers.len())];
+        world.machines.get_mut(server).expect("known").state = State::Suspected;
+        for _ in 0..world.rng.random_range(1..20) {
+            world.step();
+        }
+        world.machines.get_mut(server).expect("known").state = State::Live;
+        world.step();
+        watch.check(&world);
+    }
+}
+
+/// With no memory to hold both versions anywhere, a change goes through the other replica's room.
+#[test]
+fn a_version_change_with_no_room_beside_goes_through_another_replica() {
+    let rng = ChaCha8Rng::seed_from_u64(11);
+    let mut world = World::new(rng, config(&[("a", 50, &[])]), 2, 2, 60, Limits::default());
+    world.settle();
+    let mut next = world.config.clone();
+    next.models.get_mut("a").expect("declared").version = "2".into();
+    world.configure(next);
+    let mut watch = Watch::default();
+    for _ in 0..200 {
+        world.step();
+        watch.check(&world);
+    }
+    assert_eq!(world.ready_version("a", "2").len(), 2);
+    assert!(world.ready_version("a", "1").is_empty());
+}
