Claim keys before dispatch, and judge requests that crash servers

Cause: a request marked non-idempotent may run at most once over all hosts, also when its caller sends it again through another host, and a request that crashes servers must cost two of them at the most. Change: policy::once claims a key by a conditional write of its range's object, grouped; an entry is removed only by its own claimant before a dispatch, or when every accepted re-send is over. Keys that carry their time are refused by it once forgotten. "Did not run" is said only after a look that is no older than the request. Outages: refuse, or grant recent keys from memory under a hold that a successor must write over, leaving a gap of refused times. policy::quarantine keeps suspects, trials and refusals in one object and bounds concurrent copies of a request to two servers.

--- /dev/null
+++ b/crates/policy/src/once/range.rs
@@ -0,0 +1,395 @@
+//! One host's view of one range of keys: claims go in, calls of the object API come out.
+//!
+//! At most one call is under way. What waits meanwhile goes into the next write. A write whose
+//! answer is lost is followed by a read: an entry with the claim's own name shows that it took
+//! effect. A call that times out may still take effect later; the conditional write keeps it from
+//! undoing anything, and an entry of this host that was never granted counts as free.
+
+mod build;
+mod memory;
+mod patience;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem,
+    sync::Arc,
+    time::Duration,
+};
+
+use types::{request, time::Moment};
+
+use super::{
+    Answer, Change, Claim, Document, End, Entry, Key, Now, Refusal, Run, Settings, State, Verdict,
+};
+
+/// Version of an object in the object API.
+pub type Version = u64;
+
+/// Longest pause after failed calls.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// A call of the object API on the object of the range.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Call {
+    /// Read it.
+    Read,
+    /// Create it; it must not exist.
+    Create(Document),
+    /// Write it, if it still has this version.
+    Update(Version, Document),
+}
+
+/// What came of a read.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Read {
+    /// The object.
+    Found(Version, Document),
+    /// There is none.
+    Absent,
+    /// No answer, or a refusal for now.
+    Failed,
+}
+
+/// What came of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Written {
+    /// It took effect.
+    Done(Version),
+    /// It did not: the object has another version.
+    Conflict,
+    /// It may have taken effect, or may yet.
+    Failed,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Step {
+    /// Claims that are decided.
+    pub answers: Vec<Answer>,
+    /// A call to make; its outcome is told by [`Range::read`] or [`Range::wrote`].
+    pub call: Option<Call>,
+}
+
+/// One host's view of one range of keys.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Range {
+    me: Run,
+    settings: Arc<Settings>,
+    known: Option<Known>,
+    flight: Option<Flight>,
+    waiting: Vec<Waiting>,
+    /// How many claims came so far.
+    claims: u64,
+    changes: Vec<Change>,
+    /// When the first of the changes was told.
+    changed: Option<Moment>,
+    granted: BTreeSet<request::Id>,
+    /// Claims that wait and whose write may have taken effect, or may yet.
+    doubtful: BTreeSet<request::Id>,
+    /// Entries that were granted while the object API was down.
+    memory: BTreeMap<Key, Entry>,
+    /// When the right to grant from memory ends.
+    held: Option<Moment>,
+    gone: BTreeSet<Run>,
+    leaving: bool,
+    failures: u32,
+    next: Moment,
+}
+
+/// What was last read or written.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Known {
+    version: Option<Version>,
+    document: Document,
+    /// How many claims had come when the call that showed it was made.
+    claims: u64,
+    /// Whether a later write may have changed it.
+    stale: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Flight {
+    Read { claims: u64 },
+    Write { sent: Moment, claims: u64, document: Document, changes: usize },
+}
+
+/// A claim that waits, with its number in order of coming.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Waiting {
+    number: u64,
+    claim: Claim,
+}
+
+impl Known {
+    /// Whether it shows the object as it was when the claim came, or later.
+    fn is_look_for(&self, waiting: &Waiting) -> bool {
+        waiting.number <= self.claims
+    }
+}
+
+impl Range {
+    /// A range that nothing is known of.
+    pub fn new(me: Run, settings: Arc<Settings>) -> Range {
+        Range {
+            me,
+            settings,
+            known: None,
+            flight: None,
+            waiting: Vec::new(),
+            claims: 0,
+            changes: Vec::new(),
+            changed: None,
+            granted: BTreeSet::new(),
+            doubtful: BTreeSet::new(),
+            memory: BTreeMap::new(),
+            held: None,
+            gone: BTreeSet::new(),
+            leaving: false,
+            failures: 0,
+            next: Moment::ZERO,
+        }
+    }
+
+    /// Asks for a key; the answer comes out of a later [`Range::step`].
+    pub fn claim(&mut self, claim: Claim) {
+        self.claims += 1;
+        self.waiting.push(Waiting { number: self.claims, claim });
+    }
+
+    /// Tells how a granted claim ended; must come from the host that claimed it.
+    pub fn end(&mut self, now: Now, change: Change) {
+        self.granted.remove(&change.id);
+        change.apply(&mut self.memory);
+        self.changed.get_or_insert(now.moment);
+        self.changes.push(change);
+    }
+
+    /// Notes that a run of a host's process ended for good.
+    pub fn gone(&mut self, run: Run) {
+        self.gone.insert(run);
+    }
+
+    /// Renews the right to grant from memory, which a write does as well.
+    pub fn renew(&mut self, now: Now) {
+        self.changed.get_or_insert(now.moment);
+    }
+
+    /// Gives up the right to grant from memory, for a planned stop.
+    pub fn leave(&mut self, now: Now) {
+        self.leaving = true;
+        self.held = None;
+        self.changed.get_or_insert(now.moment);
+    }
+
+    /// Whether something waits to be written or answered.
+    pub fn is_busy(&self) -> bool {
+        self.flight.is_some() || !self.waiting.is_empty() || self.changed.is_some()
+    }
+
+    /// When the next [`Range::step`] may have something to do, if nothing is told before.
+    pub fn due(&self) -> Option<Moment> {
+        let patience = self.waiting.iter().map(|w| w.claim.asked + self.settings.patience).min();
+        let call = match (&self.flight, self.waiting.is_empty(), self.changed) {
+            (Some(_), _, _) | (None, true, None) => None,
+            (None, false, _) => Some(self.next),
+            (None, true, Some(at)) => Some(self.next.max(at + self.settings.settle)),
+        };
+        patience.into_iter().chain(call).min()
+    }
+
+    /// Decides what can be decided and makes the next call.
+    pub fn step(&mut self, now: Now) -> Step {
+        let mut answers = match self.failures {
+            0 => Vec::new(),
+            _ => self.grant_from_memory(now),
+        };
+        answers.extend(self.give_up(now));
+        let may_call = self.flight.is_none() && self.next <= now.moment;
+        let call = if may_call { self.next_call(now, &mut answers) } else { None };
+        Step { answers, call }
+    }
+
+    /// Takes the outcome of a read.
+    pub fn read(&mut self, now: Now, read: Read) -> Vec<Answer> {
+        let Some(Flight::Read { claims }) = self.flight.take() else { return Vec::new() };
+        let (version, document) = match read {
+            Read::Found(version, document) => (Some(version), document),
+            Read::Absent => (None, Document::default()),
+            Read::Failed => return self.failed(now),
+        };
+        if document.hold.as_ref().is_none_or(|hold| hold.holder != self.me) {
+            self.held = None;
+        }
+        self.failures = 0;
+        self.known = Some(Known { version, document, claims, stale: false });
+        self.grant_written(now)
+    }
+
+    /// Takes the outcome of a write.
+    pub fn wrote(&mut self, now: Now, written: Written) -> Vec<Answer> {
+        let Some(Flight::Write { sent, claims, document, changes }) = self.flight.take() else {
+            return Vec::new();
+        };
+        match written {
+            Written::Done(version) => {
+                self.failures = 0;
+                self.next = sent + self.settings.window;
+                self.forget_changes(now, changes);
+                self.memory.retain(|key, _| !document.entries.contains_key(key));
+                self.held = document.hold.is_some().then_some(sent + self.settings.hold);
+                self.known = Some(Known { version: Some(version), document, claims, stale: false });
+                self.grant_written(now)
+            }
+            Written::Conflict => {
+                self.mark_stale();
+                Vec::new()
+            }
+            Written::Failed => {
+                self.mark_stale();
+                self.doubt(&document);
+                self.failed(now)
+            }
+        }
+    }
+
+    fn next_call(&mut self, now: Now, answers: &mut Vec<Answer>) -> Option<Call> {
+        let settling = self.changed.is_some_and(|at| at + self.settings.settle <= now.moment);
+        if self.waiting.is_empty() && !settling {
+            return None;
+        }
+        let known = self.known.as_ref().filter(|known| !known.stale && !self.needs_read(known));
+        let Some(known) = known else {
+            return Some(self.look());
+        };
+        let mut decided = Vec::new();
+        let document = self.build(now, &known.document, &mut decided);
+        if self.is_hasty(known, &decided) {
+            return Some(self.look());
+        }
+        let version = known.version;
+        let changes = self.changes.len();
+        let follows = known.document.hold.as_ref().is_some_and(|hold| hold.holder != self.me);
+        self.forget_answered(&decided);
+        answers.append(&mut decided);
+        let idle = self.waiting.is_empty() && !settling && !follows;
+        if idle {
+            return None;
+        }
+        self.flight = Some(Flight::Write {
+            sent: now.moment,
+            claims: self.claims,
+            document: document.clone(),
+            changes,
+        });
+        Some(match version {
+            Some(version) => Call::Update(version, document),
+            None => Call::Create(document),
+        })
+    }
+
+    fn look(&mut self) -> Call {
+        self.flight = Some(Flight::Read { claims: self.claims });
+        Call::Read
+    }
+
+    /// Another host's claim may have ended since it was read.
+    fn needs_read(&self, known: &Known) -> bool {
+        self.waiting.iter().filter(|waiting| !known.is_look_for(waiting)).any(|waiting| {
+            let entry = known.document.entries.get(&waiting.claim.key.key);
+            entry.is_some_and(|e| e.state == State::Claimed && e.claimant != self.me)
+        })
+    }
+
+    /// "Did not run" needs a look that is no older than the request.
+    fn is_hasty(&self, known: &Known, decided: &[Answer]) -> bool {
+        self.waiting.iter().filter(|waiting| !known.is_look_for(waiting)).any(|waiting| {
+            decided
+                .iter()
+                .filter(|answer| answer.id == waiting.claim.id)
+                .any(|answer| matches!(answer.verdict, Verdict::Refused(r) if r.needs_look()))
+        })
+    }
+
+    /// Grants what the object shows to be claimed by the very claim that waits. One that could not
+    /// be used any more is left to be given up.
+    fn grant_written(&mut self, now: Now) -> Vec<Answer> {
+        let Some(known) = &self.known else { return Vec::new() };
+        let grant = self.settings.grant;
+        let mut granted = Vec::new();
+        for waiting in mem::take(&mut self.waiting) {
+            match known.document.is_claimed_by(&waiting.claim) {
+                true if now.moment < waiting.claim.asked + grant => granted.push(waiting.claim),
+                true => {
+                    self.doubtful.insert(waiting.claim.id.clone());
+                    self.waiting.push(waiting);
+                }
+                false => self.waiting.push(waiting),
+            }
+        }
+        granted.into_iter().map(|claim| self.grant(claim)).collect()
+    }
+
+    fn grant(&mut self, claim: Claim) -> Answer {
+        let until = claim.asked + self.settings.grant;
+        self.doubtful.remove(&claim.id);
+        self.granted.insert(claim.id.clone());
+        Answer { id: claim.id, key: claim.key.key, verdict: Verdict::Granted { until } }
+    }
+
+    fn failed(&mut self, now: Now) -> Vec<Answer> {
+        let pause = self.settings.window.saturating_mul(1 << self.failures.min(10));
+        self.failures = self.failures.saturating_add(1);
+        self.next = now.moment + pause.min(LONGEST_PAUSE);
+        self.grant_from_memory(now)
+    }
+
+    fn mark_stale(&mut self) {
+        if let Some(known) = &mut self.known {
+            known.stale = true;
+        }
+    }
+
+    fn forget_changes(&mut self, now: Now, written: usize) {
+        self.changes.drain(..written);
+        self.changed = (!self.changes.is_empty()).then_some(now.moment);
+    }
+
+    fn forget_answered(&mut self, answers: &[Answer]) {
+        self.waiting.retain(|waiting| answers.iter().all(|answer| answer.id != waiting.claim.id));
+    }
+}
+
+fn entry(claim: &Claim, now: Now) -> Entry {
+    Entry {
+        id: claim.id.clone(),
+        digest: claim.digest,
+        claimant: claim.claimant.clone(),
+        at: now.wall,
+        state: State::Claimed,
+    }
+}
+
+fn answer(claim: &Claim, verdict: Verdict) -> Answer {
+    Answer { id: claim.id.clone(), key: claim.key.key, verdict }
+}
+
+fn refuse(claim: &Claim, refusal: Refusal) -> Answer {
+    answer(claim, Verdict::Refused(refusal))
+}
+
+impl Change {
+    /// Notes the end of a claim, if the key is still that claim's.
+    fn apply(&self, entries: &mut BTreeMap<Key, Entry>) {
+        let Some(entry) = entries.get_mut(&self.key) else { return };
+        if entry.id != self.id {
+            return;
+        }
+        match &self.end {
+            End::Ran(outcome) => entry.state = State::Done(outcome.clone()),
+            End::Lost => entry.state = State::Lost,
+            End::Released => {
+                entries.remove(&self.key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/once/range/build.rs
@@ -0,0 +1,108 @@
+//! The next state of a range's object, and the verdict on each claim.
+
+use super::{
+    Answer, Claim, Document, Entry, Key, Now, Range, Refusal, State, Verdict, answer, entry, refuse,
+};
+use crate::once::{Hold, Outage, Presence, Settings, millis};
+
+impl Range {
+    /// Builds the next object; claims that it does not grant are answered at once.
+    pub(super) fn build(&self, now: Now, known: &Document, answers: &mut Vec<Answer>) -> Document {
+        let mut document = known.clone();
+        forget_old(&self.settings, now, &mut document);
+        self.add_memory(&mut document);
+        self.changes.iter().for_each(|change| change.apply(&mut document.entries));
+        self.take_hold(now, &mut document);
+        let wanted: usize = self.waiting.iter().map(|w| entry(&w.claim, now).bytes()).sum();
+        document.shed(self.settings.bytes.saturating_sub(wanted));
+        let mut bytes = document.bytes();
+        for claim in self.waiting.iter().map(|waiting| &waiting.claim) {
+            match self.decide(now, &document, claim) {
+                Ok(()) => {
+                    let entry = entry(claim, now);
+                    bytes += entry.bytes();
+                    if self.settings.bytes < bytes {
+                        bytes -= entry.bytes();
+                        answers.push(refuse(claim, Refusal::Full));
+                        continue;
+                    }
+                    document.entries.insert(claim.key.key, entry);
+                }
+                Err(verdict) => answers.push(answer(claim, verdict)),
+            }
+        }
+        document
+    }
+
+    /// Whether a claim may have its key, or what to answer.
+    pub(super) fn decide(
+        &self,
+        now: Now,
+        document: &Document,
+        claim: &Claim,
+    ) -> Result<(), Verdict> {
+        let Some(entry) = self.entry(document, claim.key.key) else {
+            return self.decide_unknown(now, document, claim).map_err(Verdict::Refused);
+        };
+        if entry.digest != claim.digest {
+            return Err(Verdict::Refused(Refusal::Different));
+        }
+        Err(match &entry.state {
+            State::Claimed => Verdict::Claimed { claimant: entry.claimant.clone() },
+            State::Done(outcome) => Verdict::Done(outcome.clone()),
+            State::Lost => Verdict::Refused(Refusal::Unsure),
+        })
+    }
+
+    fn decide_unknown(&self, now: Now, document: &Document, claim: &Claim) -> Result<(), Refusal> {
+        match claim.key.stamp {
+            Some(stamp) if document.is_in_gap(stamp) => Err(Refusal::Unsure),
+            stamp => self.settings.check(now.wall, stamp),
+        }
+    }
+
+    /// The entry that binds a key. One of this host that it never granted, and that no claim waits
+    /// for, comes from a write whose answer was lost: it was not dispatched and never will be.
+    fn entry<'a>(&'a self, document: &'a Document, key: Key) -> Option<&'a Entry> {
+        let entry = self.memory.get(&key).or_else(|| document.entries.get(&key))?;
+        (!self.is_free(entry)).then_some(entry)
+    }
+
+    fn is_free(&self, entry: &Entry) -> bool {
+        entry.claimant == self.me
+            && entry.state == State::Claimed
+            && !self.granted.contains(&entry.id)
+            && self.changes.iter().all(|change| change.id != entry.id)
+            && self.waiting.iter().all(|waiting| waiting.claim.id != entry.id)
+    }
+
+    fn add_memory(&self, document: &mut Document) {
+        for (key, entry) in &self.memory {
+            let stored = document.entries.get(key);
+            if stored.is_none_or(|stored| self.is_free(stored)) {
+                document.entries.insert(*key, entry.clone());
+            }
+        }
+    }
+
+    /// Takes the right to grant from memory, with a gap if another host may use it still.
+    fn take_hold(&self, now: Now, document: &mut Document) {
+        if let Some(hold) = document.hold.take_if(|hold| hold.holder != self.me) {
+            let presence = match self.gone.contains(&hold.holder) {
+                true => Presence::Gone,
+                false => Presence::Unknown,
+            };
+            document.gaps.push(self.settings.gap(hold.at, now.wall, presence));
+        }
+        document.hold = match (self.settings.outage, self.leaving) {
+            (Outage::Hold, false) => Some(Hold { holder: self.me.clone(), at: now.wall }),
+            (Outage::Hold, true) | (Outage::Refuse, _) => None,
+        };
+    }
+}
+
+fn forget_old(settings: &Settings, now: Now, document: &mut Document) {
+    let kept = millis(settings.kept());
+    document.entries.retain(|_, entry| now.wall <= entry.at + kept);
+    document.gaps.retain(|gap| now.wall <= gap.until + kept);
+}
--- /dev/null
+++ b/crates/policy/src/quarantine/guard.rs
@@ -0,0 +1,149 @@
+//! One host's view of the quarantine: what it has read, and what it has seen itself.
+
+use std::{collections::BTreeMap, mem};
+
+use types::{backend, request, service, time::Moment};
+
+use super::{Document, Fingerprint, Life, Settings};
+
+/// What to do with a request before it is routed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing is held against it.
+    Free,
+    /// Runs only in a trial.
+    Suspect,
+    /// A home died a moment ago, and its suspects may not be known here yet: ask again then.
+    Wait {
+        /// When to ask again.
+        until: Moment,
+    },
+    /// Crashed servers before.
+    Refused,
+}
+
+/// One host's view of the quarantine.
+#[derive(Clone, Debug, Default)]
+pub struct Guard {
+    settings: Settings,
+    document: Document,
+    /// When the read that showed the document was made.
+    read: Option<Moment>,
+    in_flight: BTreeMap<request::Id, Flight>,
+    /// Deaths seen here that the object does not show yet, with the requests in flight.
+    unwritten: BTreeMap<Life, BTreeMap<Fingerprint, service::Id>>,
+    /// When a death of each server was last seen here.
+    died: BTreeMap<backend::Id, Moment>,
+}
+
+#[derive(Clone, Debug)]
+struct Flight {
+    fingerprint: Fingerprint,
+    service: service::Id,
+    life: Life,
+}
+
+impl Guard {
+    /// A view that has read nothing.
+    pub fn new(settings: Settings) -> Guard {
+        Guard { settings, ..Guard::default() }
+    }
+
+    /// The object as last read.
+    pub fn document(&self) -> &Document {
+        &self.document
+    }
+
+    /// Takes the object from a read, or from a write of its own, that was made at this moment.
+    pub fn read(&mut self, made: Moment, document: Document) {
+        if self.read.is_some_and(|read| made < read) {
+            return;
+        }
+        self.read = Some(made);
+        self.document = document;
+    }
+
+    /// What to do with a request that has these homes.
+    pub fn admit<'a>(
+        &self,
+        now: Moment,
+        fingerprint: Fingerprint,
+        homes: impl IntoIterator<Item = &'a backend::Id>,
+    ) -> Verdict {
+        if self.document.refused.contains_key(&fingerprint) {
+            return Verdict::Refused;
+        }
+        let accused = self.unwritten.values().any(|suspects| suspects.contains_key(&fingerprint));
+        if accused || self.document.suspects.contains_key(&fingerprint) {
+            return Verdict::Suspect;
+        }
+        let heard = homes
+            .into_iter()
+            .filter_map(|server| self.died.get(server))
+            .map(|died| *died + self.settings.spread)
+            .max();
+        match heard {
+            Some(until) if self.read.is_none_or(|read| read < until) => {
+                Verdict::Wait { until: until.max(now) }
+            }
+            Some(_) | None => Verdict::Free,
+        }
+    }
+
+    /// Notes that a request is about to be sent to a server.
+    pub fn sent(
+        &mut self,
+        id: request::Id,
+        fingerprint: Fingerprint,
+        service: service::Id,
+        life: Life,
+    ) {
+        self.in_flight.insert(id, Flight { fingerprint, service, life });
+    }
+
+    /// Notes that a request is in flight no more, with its server alive.
+    pub fn ended(&mut self, id: &request::Id) {
+        self.in_flight.remove(id);
+    }
+
+    /// Notes that a server died; what was in flight on it is to be written, see
+    /// [`Guard::unwritten`]. Says whether that is new.
+    pub fn died(&mut self, now: Moment, life: &Life) -> bool {
+        let (lost, left): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            mem::take(&mut self.in_flight).into_iter().partition(|(_, f)| f.life == *life);
+        self.in_flight = left;
+        let suspects: BTreeMap<Fingerprint, service::Id> =
+            lost.into_values().map(|flight| (flight.fingerprint, flight.service)).collect();
+        self.died.insert(life.server.clone(), now);
+        self.died.retain(|_, died| now < *died + 4 * self.settings.spread);
+        if suspects.is_empty() {
+            return false;
+        }
+        self.unwritten.entry(life.clone()).or_default().extend(suspects);
+        true
+    }
+
+    /// Deaths that the object does not show yet.
+    pub fn unwritten(&self) -> &BTreeMap<Life, BTreeMap<Fingerprint, service::Id>> {
+        &self.unwritten
+    }
+
+    /// Writes them into the object; they are forgotten by [`Guard::written`].
+    pub fn accuse(&self, wall: crate::once::Wall, document: &mut Document) {
+        for (life, suspects) in &self.unwritten {
+            let in_flight = suspects.iter().map(|(fingerprint, service)| (*fingerprint, service));
+            document.accuse(&self.settings, wall, life, in_flight);
+        }
+    }
+
+    /// Forgets deaths that a write has shown to all.
+    pub fn written(&mut self, deaths: &BTreeMap<Life, BTreeMap<Fingerprint, service::Id>>) {
+        for (life, written) in deaths {
+            let Some(suspects) = self.unwritten.get_mut(life) else { continue };
+            suspects.retain(|fingerprint, _| !written.contains_key(fingerprint));
+            if suspects.is_empty() {
+                self.unwritten.remove(life);
+            }
+        }
+    }
+}
