Add the log, the metrics and the events of a host

Cause: every package needs one place to say what it does, before the path of a request is written. An order's settlement and a configuration's number travel through the platform without a stamp, so the merge takes those causes from the records themselves.

--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -1,1 +1,16 @@
-//! Logs, metrics, the event ring and its merge
+//! What is seen of a host: its log, its metrics and its events.
+//!
+//! Three views for three questions. The log says what went wrong, in words. The metrics say how
+//! often and how much. The events say what came before what, over all hosts, for one request, one
+//! order or one server. None of them may slow or stop the path of a request, so all three are
+//! bounded in memory, and what is dropped is counted.
+
+pub mod clock;
+pub mod event;
+pub mod log;
+pub mod merge;
+pub mod metrics;
+pub mod page;
+pub mod ring;
+
+pub use crate::{clock::Clock, event::Event, metrics::Metrics, ring::Ring};
--- /dev/null
+++ b/crates/observe/src/merge.rs
@@ -0,0 +1,238 @@
+//! Several hosts' records, merged into one causal order.
+//!
+//! Stamps give the order wherever a message carried one from host to host. Some causes travel by
+//! another way: what a host reads from the platform's object API carries no stamp. For these the
+//! records themselves say what came first (an order before its acknowledgement and settlement, a
+//! patch before its number is in force), and the merge puts the cause first even when the clocks
+//! disagree. Records that nothing connects are ordered by stamp, then by host.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, HashMap},
+};
+
+use types::{backend, config, host, model, order, request};
+
+use crate::{
+    clock::Stamp,
+    event::{Event, Kind, Record},
+};
+
+/// Puts records into one causal order, each once.
+pub fn merge(records: impl IntoIterator<Item = Record>) -> Vec<Record> {
+    let mut sorted: Vec<Record> = records.into_iter().collect();
+    sorted.sort_by(|a, b| place(a).cmp(&place(b)));
+    sorted.dedup_by(|a, b| place(a) == place(b));
+    let edges = edges(&sorted);
+    let order = topological(sorted.len(), &edges);
+    let mut slots: Vec<Option<Record>> = sorted.into_iter().map(Some).collect();
+    order.into_iter().filter_map(|index| slots[index].take()).collect()
+}
+
+/// Which records to show; all unless narrowed.
+#[derive(Clone, Debug, Default)]
+pub struct Filter {
+    request: Option<request::Id>,
+    model: Option<model::Id>,
+    server: Option<backend::Id>,
+    host: Option<host::Id>,
+    from: Option<Stamp>,
+    until: Option<Stamp>,
+}
+
+impl Filter {
+    /// Only what belongs to one request.
+    #[must_use]
+    pub fn request(mut self, id: request::Id) -> Filter {
+        self.request = Some(id);
+        self
+    }
+
+    /// Only what concerns one model.
+    #[must_use]
+    pub fn model(mut self, id: model::Id) -> Filter {
+        self.model = Some(id);
+        self
+    }
+
+    /// Only what concerns one backend server.
+    #[must_use]
+    pub fn server(mut self, id: backend::Id) -> Filter {
+        self.server = Some(id);
+        self
+    }
+
+    /// Only what one host recorded.
+    #[must_use]
+    pub fn host(mut self, id: host::Id) -> Filter {
+        self.host = Some(id);
+        self
+    }
+
+    /// Only what is stamped at or after this.
+    #[must_use]
+    pub fn from(mut self, stamp: Stamp) -> Filter {
+        self.from = Some(stamp);
+        self
+    }
+
+    /// Only what is stamped before this.
+    #[must_use]
+    pub fn until(mut self, stamp: Stamp) -> Filter {
+        self.until = Some(stamp);
+        self
+    }
+
+    /// Whether a record is to be shown.
+    pub fn keeps(&self, record: &Record) -> bool {
+        let event = &record.event;
+        matches(&self.request, event.request.as_ref())
+            && matches(&self.model, event.model.as_ref())
+            && matches(&self.server, event.server.as_ref())
+            && matches(&self.host, Some(&record.host))
+            && self.from.is_none_or(|from| from <= record.at)
+            && self.until.is_none_or(|until| record.at < until)
+    }
+}
+
+/// One line of text for people: stamp, host, what happened, what about.
+pub fn line(record: &Record) -> String {
+    let (name, details) = describe(&record.event);
+    format!("{} {:<12} {name:<16}{details}", record.at, record.host)
+}
+
+/// One line of JSON, with the wall time near the stamp as `time`.
+///
+/// # Errors
+///
+/// As `serde_json`'s.
+pub fn json_line(record: &Record) -> Result<String, serde_json::Error> {
+    let mut value = serde_json::to_value(record)?;
+    if let Some(object) = value.as_object_mut() {
+        object.insert("time".into(), record.at.to_string().into());
+    }
+    serde_json::to_string(&value)
+}
+
+/// An event's kind, and everything else about it as ` name=value`.
+pub(crate) fn describe(event: &Event) -> (String, String) {
+    let Ok(serde_json::Value::Object(fields)) = serde_json::to_value(event) else {
+        return (String::new(), String::new());
+    };
+    let name = fields.get("kind").map(plain).unwrap_or_default();
+    let details = fields
+        .iter()
+        .filter(|(field, _)| *field != "kind")
+        .map(|(field, value)| format!(" {field}={}", plain(value)))
+        .collect();
+    (name, details)
+}
+
+fn plain(value: &serde_json::Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+}
+
+fn matches<T: PartialEq>(wanted: &Option<T>, found: Option<&T>) -> bool {
+    wanted.as_ref().is_none_or(|wanted| found == Some(wanted))
+}
+
+/// A record's place when nothing but stamps orders it; unique for each record.
+fn place(record: &Record) -> (Stamp, &host::Id, host::Incarnation, u64) {
+    (record.at, &record.host, record.incarnation, record.sequence)
+}
+
+/// Pairs of (cause, effect), by index.
+fn edges(records: &[Record]) -> Vec<(usize, usize)> {
+    let mut edges = program_order(records);
+    edges.extend(orders(records));
+    edges.extend(configurations(records));
+    edges
+}
+
+/// Each record of one run before the next of that run.
+fn program_order(records: &[Record]) -> Vec<(usize, usize)> {
+    let mut runs: BTreeMap<(&host::Id, host::Incarnation), Vec<(u64, usize)>> = BTreeMap::new();
+    for (index, record) in records.iter().enumerate() {
+        let run = runs.entry((&record.host, record.incarnation)).or_default();
+        run.push((record.sequence, index));
+    }
+    runs.into_values()
+        .flat_map(|mut run| {
+            run.sort_unstable();
+            run.windows(2).map(|pair| (pair[0].1, pair[1].1)).collect::<Vec<_>>()
+        })
+        .collect()
+}
+
+/// Each order before its acknowledgement and its settlement.
+fn orders(records: &[Record]) -> Vec<(usize, usize)> {
+    let mut sent: HashMap<&order::Id, usize> = HashMap::new();
+    for (index, record) in records.iter().enumerate() {
+        if let Kind::Order { order, .. } = &record.event.kind {
+            // An order sent again keeps its first place as the cause.
+            sent.entry(order).or_insert(index);
+        }
+    }
+    records
+        .iter()
+        .enumerate()
+        .filter_map(|(index, record)| match &record.event.kind {
+            Kind::Acknowledgement { order, .. } | Kind::Settlement { order, .. } => {
+                sent.get(order).map(|&cause| (cause, index))
+            }
+            _ => None,
+        })
+        .collect()
+}
+
+/// Word of a patch's verdict that makes a new number.
+pub const ACCEPTED: &str = "accepted";
+
+/// Each accepted patch before its number is in force anywhere.
+fn configurations(records: &[Record]) -> Vec<(usize, usize)> {
+    let mut accepted: HashMap<config::Number, usize> = HashMap::new();
+    for (index, record) in records.iter().enumerate() {
+        if let Kind::Patch { number, verdict, .. } = &record.event.kind
+            && verdict == ACCEPTED
+        {
+            accepted.entry(*number).or_insert(index);
+        }
+    }
+    records
+        .iter()
+        .enumerate()
+        .filter_map(|(index, record)| match &record.event.kind {
+            Kind::Configuration { number } => accepted.get(number).map(|&cause| (cause, index)),
+            _ => None,
+        })
+        .collect()
+}
+
+/// An order of `0..count` that keeps every edge and is otherwise as near to rising as can be.
+///
+/// Records that claim to cause each other, which only a lying or broken host writes, are left in
+/// rising order rather than lost.
+fn topological(count: usize, edges: &[(usize, usize)]) -> Vec<usize> {
+    let mut waits = vec![0_usize; count];
+    let mut effects: Vec<Vec<usize>> = vec![Vec::new(); count];
+    for &(cause, effect) in edges {
+        waits[effect] += 1;
+        effects[cause].push(effect);
+    }
+    let mut free: BinaryHeap<Reverse<usize>> =
+        (0..count).filter(|&index| waits[index] == 0).map(Reverse).collect();
+    let mut order = Vec::with_capacity(count);
+    let mut placed = vec![false; count];
+    while let Some(Reverse(index)) = free.pop() {
+        order.push(index);
+        placed[index] = true;
+        for &effect in &effects[index] {
+            waits[effect] -= 1;
+            if waits[effect] == 0 {
+                free.push(Reverse(effect));
+            }
+        }
+    }
+    order.extend((0..count).filter(|&index| !placed[index]));
+    order
+}
