Choose a server by estimated first-token time

Cause: a host sees load reports that are old by their lag, so sending to the least reported one puts a whole burst on one server. Change: the first-token time of a few ready replicas is estimated from the report, own work sent and ended since it was taken, what peers told, cached prefixes and distance; the least wins, the prefix owners always among the few. Servers that are suspected, leaving or gone get nothing; the version in force goes first, an older one keeps the model reachable.

--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -1,1 +1,180 @@
 //! Choice of a backend server for a request.
+//!
+//! The first-token time is estimated for a few of the servers that hold what the request wants,
+//! and the smallest estimate wins. Looking at a few instead of at all keeps hosts that see the
+//! same old report from all rushing to the same idle server, and bounds the cost of a decision;
+//! the servers that are thought to have the prompt's prefix in their cache are always among the
+//! few. Distance between zones is part of each estimate, weighed by [`SPILL_WEIGHT`], so that work
+//! leaves its zone only when it gains more than the way there costs.
+//!
+//! Ids are turned into dense indices when a server or a unit is first heard of. The path of a
+//! request then looks up one name and walks vectors.
+
+pub mod estimate;
+pub mod hints;
+pub mod table;
+
+use types::prelude::*;
+
+pub use self::{
+    estimate::Estimate,
+    hints::Hints,
+    table::{Distances, Index, Place, Standing, Table, Wanted},
+};
+
+/// Most servers whose first-token time is estimated by chance, for one request.
+pub const SAMPLE: usize = 4;
+
+/// How often the way to another zone and back counts against a server there. One counts the time
+/// alone; the rest stands for the tokens that all travel the same way.
+pub const SPILL_WEIGHT: u32 = 2;
+
+/// What a request asks of the choice.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Where the request's replicas are listed.
+    pub place: Place,
+    /// Version in force; others are used only while no server has it ready. Empty for plain
+    /// services.
+    pub version: &'a str,
+    /// Digests of the prompt's prefixes, shortest first.
+    pub prefix: &'a [u64],
+    /// Length of the prompt in tokens.
+    pub prompt_tokens: u32,
+    /// Servers not to be used, such as those that failed this request.
+    pub avoid: &'a [Index],
+    /// Any number; the same number gives the same choice.
+    pub seed: u64,
+}
+
+/// The server chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The server.
+    pub server: Index,
+    /// Expected time until the caller has the first token.
+    pub first_token: Duration,
+    /// Prompt tokens that its cache is thought to hold.
+    pub cached_tokens: u32,
+}
+
+/// Outcome of a choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Send it there.
+    Send(Choice),
+    /// Servers are ready, but all are at their limit; the best of them.
+    Full(Choice),
+    /// No usable server has it ready.
+    Unready,
+}
+
+/// Chooses a server at `now`. `has_room` says whether one is below its limit.
+pub fn choose(
+    table: &Table,
+    hints: &Hints,
+    ask: &Ask<'_>,
+    now: Moment,
+    has_room: impl Fn(Index) -> bool,
+) -> Decision {
+    let usable = usable(table, ask, now);
+    if usable.is_empty() {
+        return Decision::Unready;
+    }
+    let cached = hints.owners(ask.prefix, now);
+    let (open, full): (Vec<Index>, Vec<Index>) =
+        usable.into_iter().partition(|server| has_room(*server));
+    match best(table, ask, &cached, open, now) {
+        Some(choice) => Decision::Send(choice),
+        None => best(table, ask, &cached, full, now).map_or(Decision::Unready, Decision::Full),
+    }
+}
+
+/// Servers that may be used, those with the version in force if there are any.
+fn usable(table: &Table, ask: &Ask<'_>, now: Moment) -> Vec<Index> {
+    let ready = || {
+        table
+            .replicas(ask.place)
+            .iter()
+            .filter(|r| table.takes_work(r.server, now) && !ask.avoid.contains(&r.server))
+    };
+    let in_force: Vec<Index> =
+        ready().filter(|r| &*r.version == ask.version).map(|r| r.server).collect();
+    if in_force.is_empty() { ready().map(|r| r.server).collect() } else { in_force }
+}
+
+fn best(
+    table: &Table,
+    ask: &Ask<'_>,
+    cached: &[hints::Owner],
+    servers: Vec<Index>,
+    now: Moment,
+) -> Option<Choice> {
+    sample(table, servers, cached, ask.seed)
+        .into_iter()
+        .map(|server| estimated(table, ask, cached, server, now))
+        .min_by_key(|(cost, choice)| (*cost, choice.server))
+        .map(|(_, choice)| choice)
+}
+
+/// The cost that servers are compared by, and the choice that it stands for.
+fn estimated(
+    table: &Table,
+    ask: &Ask<'_>,
+    cached: &[hints::Owner],
+    server: Index,
+    now: Moment,
+) -> (Duration, Choice) {
+    let cached_tokens = cached
+        .iter()
+        .find(|owner| owner.server == server)
+        .map_or(0, |owner| owner.tokens.min(ask.prompt_tokens));
+    let estimate = table.estimate(server, ask.prompt_tokens - cached_tokens, now);
+    let way = table.distance(server) * 2;
+    let cost = estimate.total() + way * SPILL_WEIGHT;
+    (cost, Choice { server, first_token: estimate.total() + way, cached_tokens })
+}
+
+/// A few of the servers: half of the sample from the host's own zone where it has them, and every
+/// server with a cached prefix.
+fn sample(table: &Table, servers: Vec<Index>, cached: &[hints::Owner], seed: u64) -> Vec<Index> {
+    if servers.len() <= SAMPLE {
+        return servers;
+    }
+    let (near, far): (Vec<Index>, Vec<Index>) =
+        servers.into_iter().partition(|server| table.is_near(*server));
+    let from_far = far.len().min(SAMPLE / 2);
+    let from_near = near.len().min(SAMPLE - from_far);
+    let owners: Vec<Index> = cached
+        .iter()
+        .map(|owner| owner.server)
+        .filter(|server| near.contains(server) || far.contains(server))
+        .collect();
+    let mut picked = draw(near, from_near, seed);
+    picked.extend(draw(far, SAMPLE - from_near, seed.rotate_left(32)));
+    picked.extend(owners);
+    picked.sort_unstable();
+    picked.dedup();
+    picked
+}
+
+/// Draws `count` of the servers, without putting back.
+fn draw(mut servers: Vec<Index>, count: usize, seed: u64) -> Vec<Index> {
+    let mut state = seed;
+    for at in 0..count.min(servers.len()) {
+        state = mixed(state);
+        let left = servers.len() - at;
+        let other = at + (state % left as u64) as usize;
+        servers.swap(at, other);
+    }
+    servers.truncate(count);
+    servers
+}
+
+/// One step of the SplitMix64 generator.
+fn mixed(state: u64) -> u64 {
+    let state = state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let state = (state ^ (state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let state = (state ^ (state >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    state ^ (state >> 31)
+}
--- /dev/null
+++ b/crates/policy/src/route/estimate.rs
@@ -0,0 +1,230 @@
+//! What a host believes of one server, and the first-token time that follows from it.
+//!
+//! A report is old by its lag. What this host sent since the report was taken is added to it, what
+//! ended since is taken off, and the prompt backlog is drained at the reported rate, so that a
+//! burst within one lag is not sent to one server. What peers have in flight is known only as a
+//! count; where own and peers' work together pass the reported figure, the larger one holds.
+
+use std::collections::VecDeque;
+
+use types::{prelude::*, report::Load};
+
+/// Weight of the newest sample in the mean time that a request holds a slot: one in this many.
+const HOLD_WEIGHT: u32 = 8;
+
+/// Time a request is thought to hold a slot before any has ended.
+const FIRST_HOLD: Duration = Duration::from_millis(500);
+
+/// Estimated parts of the time to the first token.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Estimate {
+    /// Wait for a place in the batch.
+    pub queue: Duration,
+    /// Reading of prompts, those ahead and its own.
+    pub prefill: Duration,
+    /// The step that gives the token.
+    pub step: Duration,
+}
+
+impl Estimate {
+    /// The whole time on the server.
+    pub fn total(&self) -> Duration {
+        self.queue + self.prefill + self.step
+    }
+}
+
+/// Receipt of a request sent to a server; needed when it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sent {
+    /// When it was sent.
+    pub at: Moment,
+    /// Prompt tokens that the server has to read.
+    pub tokens: u32,
+}
+
+/// Work that peers have in flight on one server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Requests.
+    pub requests: u32,
+}
+
+/// The figures of a report that estimates use.
+#[derive(Clone, Copy, Debug)]
+struct Figures {
+    taken: Moment,
+    in_flight: u32,
+    slots: u32,
+    step: Duration,
+    prefill_rate: u32,
+    prompt_backlog: u64,
+}
+
+impl Figures {
+    /// What is assumed of a server before its first report.
+    const UNKNOWN: Figures = Figures {
+        taken: Duration::ZERO,
+        in_flight: 0,
+        slots: 8,
+        step: Duration::from_millis(10),
+        prefill_rate: 512,
+        prompt_backlog: 0,
+    };
+}
+
+/// What a host believes of one server.
+#[derive(Clone, Debug)]
+pub struct View {
+    figures: Figures,
+    sent: VecDeque<Sent>,
+    ended: VecDeque<Moment>,
+    own: u32,
+    peers: Told,
+    backlog: u64,
+    backlog_at: Moment,
+    hold: Duration,
+}
+
+impl Default for View {
+    fn default() -> View {
+        View {
+            figures: Figures::UNKNOWN,
+            sent: VecDeque::new(),
+            ended: VecDeque::new(),
+            own: 0,
+            peers: Told::default(),
+            backlog: 0,
+            backlog_at: Duration::ZERO,
+            hold: FIRST_HOLD,
+        }
+    }
+}
+
+impl View {
+    /// Takes in a report that was read at `now`.
+    pub fn report(&mut self, load: &Load, now: Moment) {
+        let taken = now.saturating_sub(load.age);
+        if taken < self.figures.taken {
+            return;
+        }
+        self.figures = Figures {
+            taken,
+            in_flight: load.running.saturating_add(load.waiting),
+            slots: load.slots.max(1),
+            step: load.step,
+            prefill_rate: load.prefill_rate,
+            prompt_backlog: load.prompt_backlog,
+        };
+        self.sent.retain(|sent| taken < sent.at);
+        self.ended.retain(|ended| taken < *ended);
+        self.backlog = load.prompt_backlog;
+        self.backlog_at = taken;
+        for sent in std::mem::take(&mut self.sent) {
+            self.add_backlog(sent);
+            self.sent.push_back(sent);
+        }
+    }
+
+    /// A request with this many prompt tokens to read was sent.
+    pub fn sent(&mut self, tokens: u32, now: Moment) -> Sent {
+        let sent = Sent { at: now, tokens };
+        self.add_backlog(sent);
+        self.sent.push_back(sent);
+        self.own += 1;
+        sent
+    }
+
+    /// A request has ended, however it did.
+    pub fn ended(&mut self, sent: Sent, now: Moment) {
+        self.own = self.own.saturating_sub(1);
+        self.hold = mean(self.hold, now.saturating_sub(sent.at));
+        match self.sent.iter().position(|other| *other == sent) {
+            Some(at) => {
+                self.sent.remove(at);
+                self.cap_backlog(now);
+            }
+            None if self.ended.len() < self.figures.in_flight as usize => {
+                self.ended.push_back(now);
+            }
+            None => {}
+        }
+    }
+
+    /// Work that peers have told of, all together.
+    pub fn peers(&mut self, told: Told) {
+        self.peers = told;
+    }
+
+    /// Work that peers have told of, as last set.
+    pub fn told(&self) -> Told {
+        self.peers
+    }
+
+    /// Requests that this host has in flight there.
+    pub fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Mean time that a request holds a place there.
+    pub fn hold(&self) -> Duration {
+        self.hold
+    }
+
+    /// Requests thought to be there, of all hosts.
+    pub fn in_flight(&self) -> u32 {
+        let reported = self
+            .figures
+            .in_flight
+            .saturating_add(self.sent.len() as u32)
+            .saturating_sub(self.ended.len() as u32);
+        reported.max(self.own.saturating_add(self.peers.requests))
+    }
+
+    /// First-token time there at `now`, for a request with this many prompt tokens to read.
+    pub fn estimate(&self, tokens: u32, now: Moment) -> Estimate {
+        let over = (self.in_flight() + 1).saturating_sub(self.figures.slots);
+        let step = self.figures.step;
+        let steps = match self.figures.prefill_rate {
+            0 => 0,
+            rate => (self.backlog_at(now) + u64::from(tokens)).div_ceil(u64::from(rate)),
+        };
+        Estimate {
+            queue: self.hold * over / self.figures.slots,
+            prefill: step.saturating_mul(u32::try_from(steps).unwrap_or(u32::MAX)),
+            step,
+        }
+    }
+
+    /// First-token time there if nothing else ran, for a request with this many prompt tokens.
+    pub fn unloaded(&self, tokens: u32) -> Duration {
+        let steps = tokens.checked_div(self.figures.prefill_rate).map_or(0, |steps| steps + 1);
+        self.figures.step.saturating_mul(steps + 1)
+    }
+
+    fn add_backlog(&mut self, sent: Sent) {
+        self.backlog = self.backlog_at(sent.at) + u64::from(sent.tokens);
+        self.backlog_at = sent.at;
+    }
+
+    /// No more can wait to be read than was reported or has been sent since and not ended.
+    fn cap_backlog(&mut self, now: Moment) {
+        let sent: u64 = self.sent.iter().map(|sent| u64::from(sent.tokens)).sum();
+        self.backlog = self.backlog_at(now).min(self.figures.prompt_backlog + sent);
+        self.backlog_at = now;
+    }
+
+    /// The backlog at a later moment, drained at the reported rate.
+    fn backlog_at(&self, now: Moment) -> u64 {
+        if self.backlog == 0 {
+            return 0;
+        }
+        let micros = self.figures.step.as_micros().max(1) as u64;
+        let passed = now.saturating_sub(self.backlog_at).as_micros() as u64;
+        let read = (passed / micros).saturating_mul(u64::from(self.figures.prefill_rate));
+        self.backlog.saturating_sub(read)
+    }
+}
+
+fn mean(before: Duration, sample: Duration) -> Duration {
+    (before * (HOLD_WEIGHT - 1) + sample) / HOLD_WEIGHT
+}
--- /dev/null
+++ b/crates/policy/src/route/hints.rs
@@ -0,0 +1,163 @@
+//! Which server is thought to have a prompt's prefix in its cache.
+//!
+//! Hints come from the engines' cache events, which are late and have gaps, and from where earlier
+//! requests were sent. They are only ever a reason to prefer a server: a wrong one costs a
+//! prefill, never an answer. Memory is bounded by two generations: when the young one is full it
+//! becomes the old one, and what was old and unused since is forgotten.
+
+use std::{
+    collections::HashMap,
+    hash::{BuildHasherDefault, DefaultHasher},
+};
+
+use types::prelude::*;
+
+use super::table::Index;
+
+/// Most servers remembered for one prefix.
+const OWNERS: usize = 4;
+
+/// Hints by prefix; the hasher has no random state, and the order never shows.
+type Generation = HashMap<u64, Owners, BuildHasherDefault<DefaultHasher>>;
+
+/// Bounds of the hints.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Most prefixes in one generation.
+    pub generation: usize,
+    /// Age at which a hint counts for nothing.
+    pub life: Duration,
+    /// Tokens in one block of a prompt.
+    pub block_tokens: u32,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds { generation: 32_768, life: Duration::from_secs(300), block_tokens: 64 }
+    }
+}
+
+/// A server that is thought to hold a prefix.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Owner {
+    /// The server.
+    pub server: Index,
+    /// Tokens of the prompt that it holds.
+    pub tokens: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Hint {
+    server: Index,
+    heard: Moment,
+}
+
+/// The servers of one prefix, the last heard of first.
+#[derive(Clone, Copy, Debug, Default)]
+struct Owners([Option<Hint>; OWNERS]);
+
+impl Owners {
+    fn iter(&self) -> impl Iterator<Item = &Hint> {
+        self.0.iter().flatten()
+    }
+
+    fn is_empty(&self) -> bool {
+        self.iter().next().is_none()
+    }
+
+    fn put(&mut self, hint: Hint) {
+        let same = self.0.iter().position(|h| h.is_some_and(|h| h.server == hint.server));
+        let end = same.or_else(|| self.0.iter().position(Option::is_none)).unwrap_or(OWNERS - 1);
+        self.0.copy_within(0..end, 1);
+        self.0[0] = Some(hint);
+    }
+
+    fn remove(&mut self, server: Index) {
+        for slot in &mut self.0 {
+            if slot.is_some_and(|hint| hint.server == server) {
+                *slot = None;
+            }
+        }
+    }
+}
+
+/// Prefix digests and the servers that hold them.
+#[derive(Clone, Debug, Default)]
+pub struct Hints {
+    bounds: Bounds,
+    young: Generation,
+    old: Generation,
+}
+
+impl Hints {
+    /// Without hints yet.
+    pub fn new(bounds: Bounds) -> Hints {
+        Hints { bounds, ..Hints::default() }
+    }
+
+    /// Prefixes remembered, at most twice [`Bounds::generation`].
+    pub fn len(&self) -> usize {
+        self.young.len() + self.old.len()
+    }
+
+    /// Whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.young.is_empty() && self.old.is_empty()
+    }
+
+    /// The server holds this prefix, or will once it has read the prompt.
+    pub fn add(&mut self, prefix: u64, server: Index, now: Moment) {
+        if self.bounds.generation <= self.young.len() && !self.young.contains_key(&prefix) {
+            std::mem::swap(&mut self.old, &mut self.young);
+            self.young.clear();
+        }
+        let old = &mut self.old;
+        let owners =
+            self.young.entry(prefix).or_insert_with(|| old.remove(&prefix).unwrap_or_default());
+        owners.put(Hint { server, heard: now });
+    }
+
+    /// The server has dropped this prefix.
+    pub fn remove(&mut self, prefix: u64, server: Index) {
+        for generation in [&mut self.young, &mut self.old] {
+            if let Some(owners) = generation.get_mut(&prefix) {
+                owners.remove(server);
+            }
+        }
+    }
+
+    /// The server has lost its whole cache, as after a restart.
+    pub fn clear(&mut self, server: Index) {
+        for generation in [&mut self.young, &mut self.old] {
+            generation.retain(|_, owners| {
+                owners.remove(server);
+                !owners.is_empty()
+            });
+        }
+    }
+
+    /// Servers that hold some of these prefixes (shortest first), with the longest that each holds.
+    ///
+    /// A cache holds whole beginnings, so the search ends at the first prefix, from the longest,
+    /// that anyone holds, and looks no further than the few before it for shorter holds.
+    pub fn owners(&self, prefixes: &[u64], now: Moment) -> Vec<Owner> {
+        let mut owners: Vec<Owner> = Vec::new();
+        for (at, prefix) in prefixes.iter().enumerate().rev() {
+            let tokens = self.bounds.block_tokens.saturating_mul(at as u32 + 1);
+            for hint in self.hints(*prefix).iter().flat_map(|owners| owners.iter()) {
+                let fresh = now.saturating_sub(hint.heard) < self.bounds.life;
+                if fresh && owners.iter().all(|owner| owner.server != hint.server) {
+                    owners.push(Owner { server: hint.server, tokens });
+                }
+            }
+            if OWNERS <= owners.len() {
+                break;
+            }
+        }
+        owners
+    }
+
+    fn hints(&self, prefix: u64) -> Option<&Owners> {
+        self.young.get(&prefix).or_else(|| self.old.get(&prefix))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/route/table.rs
@@ -0,0 +1,317 @@
+//! The servers that a host knows, and what each has ready.
+//!
+//! Servers and wanted units are interned once: an index stays valid for the life of the table, and
+//! a server that comes back gets its old one. What a server has ready comes from its own reports,
+//! so a unit that it lost in a restart is no longer offered after the next report.
+
+use std::collections::BTreeMap;
+
+use types::{prelude::*, report::Load, resident::State};
+
+use super::estimate::{Estimate, Sent, Told, View};
+
+/// Dense index of a server.
+pub type Index = u32;
+
+/// Dense index of something that requests want.
+pub type Place = u32;
+
+/// What a request wants a server to have.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Wanted {
+    /// A model or an adapter on it, whatever its version.
+    Model(model::Name),
+    /// Any server of a group of plain servers.
+    Group(backend::Group),
+}
+
+/// A server that has a wanted unit ready.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Replica {
+    /// The server.
+    pub server: Index,
+    /// The version it has; empty for plain servers.
+    pub version: model::Version,
+}
+
+/// Whether a server gets new work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// It does.
+    #[default]
+    Live,
+    /// Not until this moment, after failures.
+    Suspected(Moment),
+    /// No more; what it has, it finishes.
+    Leaving,
+    /// It is not there.
+    Gone,
+}
+
+/// One-way times from the host's own zone.
+#[derive(Clone, Debug)]
+pub struct Distances {
+    /// The host's own zone.
+    pub own: availability::Id,
+    /// To a zone that is not named below.
+    pub other: Duration,
+    /// To these zones.
+    pub named: BTreeMap<availability::Id, Duration>,
+}
+
+impl Distances {
+    fn to(&self, zone: &availability::Id) -> Duration {
+        if *zone == self.own {
+            return Duration::ZERO;
+        }
+        self.named.get(zone).copied().unwrap_or(self.other)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    server: backend::Server,
+    distance: Duration,
+    standing: Standing,
+    says_leaving: bool,
+    incarnation: backend::Incarnation,
+    view: View,
+    ready: Vec<Place>,
+}
+
+/// The servers that a host knows.
+#[derive(Clone, Debug)]
+pub struct Table {
+    distances: Distances,
+    rows: Vec<Row>,
+    by_id: BTreeMap<backend::Id, Index>,
+    places: BTreeMap<Wanted, Place>,
+    replicas: Vec<Vec<Replica>>,
+    pools: Vec<Place>,
+    told: BTreeMap<host::Id, Vec<(Index, Told)>>,
+}
+
+impl Table {
+    /// Without servers yet.
+    pub fn new(distances: Distances) -> Table {
+        Table {
+            distances,
+            rows: Vec::new(),
+            by_id: BTreeMap::new(),
+            places: BTreeMap::new(),
+            replicas: Vec::new(),
+            pools: Vec::new(),
+            told: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in a server, or its new address; plain ones are ready for their group at once.
+    pub fn add(&mut self, server: &backend::Server) -> Index {
+        let distance = self.distances.to(&server.zone);
+        let index = match self.by_id.get(&server.id) {
+            Some(index) => *index,
+            None => {
+                let index = self.rows.len() as Index;
+                self.by_id.insert(server.id.clone(), index);
+                self.rows.push(Row {
+                    server: server.clone(),
+                    distance,
+                    standing: Standing::Live,
+                    says_leaving: false,
+                    incarnation: 0,
+                    view: View::default(),
+                    ready: Vec::new(),
+                });
+                index
+            }
+        };
+        let row = &mut self.rows[index as usize];
+        row.distance = distance;
+        row.server = server.clone();
+        if server.kind == backend::Kind::Plain {
+            self.set_ready(index, vec![(Wanted::Group(server.group.clone()), "".into())]);
+        }
+        index
+    }
+
+    /// The index of a server, if it is known.
+    pub fn index(&self, id: &str) -> Option<Index> {
+        self.by_id.get(id).copied()
+    }
+
+    /// The server at an index.
+    pub fn server(&self, index: Index) -> &backend::Server {
+        &self.rows[index as usize].server
+    }
+
+    /// Every server with its index, in the order they were first heard of.
+    pub fn servers(&self) -> impl Iterator<Item = (Index, &backend::Server)> {
+        self.rows.iter().enumerate().map(|(at, row)| (at as Index, &row.server))
+    }
+
+    /// The place of something wanted; it is made when there is none.
+    pub fn place(&mut self, wanted: &Wanted) -> Place {
+        if let Some(place) = self.places.get(wanted) {
+            return *place;
+        }
+        let pool = match wanted {
+            Wanted::Model(model::Name { model, adapter: Some(_) }) => {
+                let base = model::Name { model: model.clone(), adapter: None };
+                Some(self.place(&Wanted::Model(base)))
+            }
+            Wanted::Model(_) | Wanted::Group(_) => None,
+        };
+        let place = self.replicas.len() as Place;
+        self.places.insert(wanted.clone(), place);
+        self.replicas.push(Vec::new());
+        self.pools.push(pool.unwrap_or(place));
+        place
+    }
+
+    /// The place that limits and queues go by: an adapter's model, else the place itself.
+    pub fn pool(&self, place: Place) -> Place {
+        self.pools.get(place as usize).copied().unwrap_or(place)
+    }
+
+    /// The place of something wanted, if it was heard of.
+    pub fn find(&self, wanted: &Wanted) -> Option<Place> {
+        self.places.get(wanted).copied()
+    }
+
+    /// Servers that have it ready, whatever their standing.
+    pub fn replicas(&self, place: Place) -> &[Replica] {
+        self.replicas.get(place as usize).map_or(&[], Vec::as_slice)
+    }
+
+    /// Takes in a load report that was read at `now`, and says whether the server's process is a
+    /// new one, whose cache is empty.
+    pub fn report(&mut self, index: Index, load: &Load, now: Moment) -> Restarted {
+        let row = &mut self.rows[index as usize];
+        if load.incarnation < row.incarnation {
+            return Restarted::No;
+        }
+        let restarted = row.incarnation != 0 && row.incarnation < load.incarnation;
+        row.incarnation = load.incarnation;
+        row.view.report(load, now);
+        row.says_leaving = load.leaving;
+        if row.server.kind == backend::Kind::Engine {
+            self.set_ready(index, ready_units(load));
+        }
+        if restarted { Restarted::Yes } else { Restarted::No }
+    }
+
+    /// Sets whether a server gets new work.
+    pub fn set_standing(&mut self, index: Index, standing: Standing) {
+        self.rows[index as usize].standing = standing;
+    }
+
+    /// Whether a server gets new work, as last set.
+    pub fn standing(&self, index: Index) -> Standing {
+        self.rows[index as usize].standing
+    }
+
+    /// Whether a server may be given something new at `now`.
+    pub fn takes_work(&self, index: Index, now: Moment) -> bool {
+        let row = &self.rows[index as usize];
+        match row.standing {
+            _ if row.says_leaving => false,
+            Standing::Live => true,
+            Standing::Suspected(until) => until <= now,
+            Standing::Leaving | Standing::Gone => false,
+        }
+    }
+
+    /// Takes in what a peer has in flight, in place of what it told before.
+    pub fn told(&mut self, peer: &host::Id, in_flight: &[(backend::Id, Told)]) {
+        let known: Vec<(Index, Told)> = in_flight
+            .iter()
+            .filter_map(|(id, told)| self.index(id).map(|index| (index, *told)))
+            .collect();
+        self.forget(peer);
+        for (server, told) in &known {
+            let view = &mut self.rows[*server as usize].view;
+            view.peers(Told { requests: view.told().requests.saturating_add(told.requests) });
+        }
+        self.told.insert(peer.clone(), known);
+    }
+
+    /// Forgets what a peer told, as when it is gone.
+    pub fn forget(&mut self, peer: &host::Id) {
+        for (server, told) in self.told.remove(peer).unwrap_or_default() {
+            let view = &mut self.rows[server as usize].view;
+            view.peers(Told { requests: view.told().requests.saturating_sub(told.requests) });
+        }
+    }
+
+    /// A request with this many prompt tokens to read was sent to a server.
+    pub fn sent(&mut self, index: Index, tokens: u32, now: Moment) -> Sent {
+        self.rows[index as usize].view.sent(tokens, now)
+    }
+
+    /// A request sent to a server has ended.
+    pub fn ended(&mut self, index: Index, sent: Sent, now: Moment) {
+        self.rows[index as usize].view.ended(sent, now);
+    }
+
+    /// What this host believes of a server's load.
+    pub fn view(&self, index: Index) -> &View {
+        &self.rows[index as usize].view
+    }
+
+    /// First-token time on a server, for a request with this many prompt tokens to read.
+    pub fn estimate(&self, index: Index, tokens: u32, now: Moment) -> Estimate {
+        self.view(index).estimate(tokens, now)
+    }
+
+    /// One-way time to a server's zone.
+    pub fn distance(&self, index: Index) -> Duration {
+        self.rows[index as usize].distance
+    }
+
+    /// Whether a server stands in the host's own zone.
+    pub fn is_near(&self, index: Index) -> bool {
+        self.rows[index as usize].server.zone == self.distances.own
+    }
+
+    fn set_ready(&mut self, index: Index, units: Vec<(Wanted, model::Version)>) {
+        for place in std::mem::take(&mut self.rows[index as usize].ready) {
+            self.replicas[place as usize].retain(|replica| replica.server != index);
+        }
+        for (wanted, version) in units {
+            let place = self.place(&wanted);
+            let replicas = &mut self.replicas[place as usize];
+            let at = replicas.partition_point(|replica| replica.server <= index);
+            replicas.insert(at, Replica { server: index, version });
+            self.rows[index as usize].ready.push(place);
+        }
+    }
+}
+
+/// Whether a report came from a new process of its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Restarted {
+    /// The same process as before, or the first one seen.
+    No,
+    /// A new process.
+    Yes,
+}
+
+/// Models and adapters that a report shows ready; an adapter only with its model.
+fn ready_units(load: &Load) -> Vec<(Wanted, model::Version)> {
+    let ready = || load.residents.iter().filter(|r| r.state == State::Ready).map(|r| &r.unit);
+    let has_model = |id: &model::Id| {
+        ready().any(|unit| matches!(unit, Unit::Model { model, .. } if model == id))
+    };
+    ready()
+        .filter_map(|unit| match unit {
+            Unit::Model { model, version } => {
+                let name = model::Name { model: model.clone(), adapter: None };
+                Some((Wanted::Model(name), version.clone()))
+            }
+            Unit::Adapter { model, adapter, version } => has_model(model).then(|| {
+                let name = model::Name { model: model.clone(), adapter: Some(adapter.clone()) };
+                (Wanted::Model(name), version.clone())
+            }),
+        })
+        .collect()
+}
