Limit work in flight for each server and model

Cause: a host can't see how much other hosts send to a server, so its share of the server has to be found from what its own requests meet. Change: pools by server and model under one of three laws: fixed, additive increase with multiplicative decrease, gradient of the first-token time. A limit that is not in use does not grow; one overload is answered by one decrease. Conclusion: kept, AIMD as default until measured.

--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -1,1 +1,250 @@
 //! Adaptive limits on work in flight for each server and model.
+//!
+//! A host sees neither how many other hosts send to the same server nor how far the engine's batch
+//! can still grow; a limit that adapts finds out from what its own requests meet. Three ways stand
+//! side by side so that they can be measured against each other: a fixed limit, additive increase
+//! with multiplicative decrease (AIMD), and one that follows the gradient of the first-token time.
+//! `docs/design/caller-path.md` holds the measurement and the choice.
+
+use std::{
+    collections::HashMap,
+    hash::{BuildHasherDefault, DefaultHasher},
+};
+
+use types::prelude::*;
+
+use crate::route::{Index, Place};
+
+/// How a request ended, as far as a limit cares.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// The first token came after this time.
+    FirstToken(Duration),
+    /// The server refused it for load, or gave no answer in time.
+    Overload,
+    /// It ended for a reason that says nothing about load.
+    Neutral,
+}
+
+/// How a limit is set.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Law {
+    /// Always the same.
+    Fixed(u32),
+    /// Additive increase, multiplicative decrease.
+    Aimd(Aimd),
+    /// After the gradient of the first-token time.
+    Gradient(Gradient),
+}
+
+impl Default for Law {
+    fn default() -> Law {
+        Law::Aimd(Aimd::default())
+    }
+}
+
+/// Parameters of additive increase with multiplicative decrease.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Aimd {
+    /// Limit to begin with.
+    pub first: f64,
+    /// Least limit; at least one.
+    pub least: f64,
+    /// Greatest limit.
+    pub most: f64,
+    /// Added for each limit's worth of good answers.
+    pub increase: f64,
+    /// Factor on overload, below one.
+    pub decrease: f64,
+    /// First-token time above which an answer counts as overload.
+    pub slow: Duration,
+    /// Least time between two decreases: one overload is answered once.
+    pub pause: Duration,
+}
+
+impl Default for Aimd {
+    fn default() -> Aimd {
+        Aimd {
+            first: 16.0,
+            least: 1.0,
+            most: 256.0,
+            increase: 1.0,
+            decrease: 0.7,
+            slow: Duration::from_millis(500),
+            pause: Duration::from_millis(250),
+        }
+    }
+}
+
+/// Parameters of the gradient law.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Gradient {
+    /// Limit to begin with.
+    pub first: f64,
+    /// Least limit; at least one.
+    pub least: f64,
+    /// Greatest limit.
+    pub most: f64,
+    /// How many times the usual first-token time is tolerated before the limit falls.
+    pub tolerance: f64,
+    /// Weight of a new limit against the last, between zero and one.
+    pub smoothing: f64,
+    /// Samples in the mean that stands for the usual time.
+    pub window: f64,
+}
+
+impl Default for Gradient {
+    fn default() -> Gradient {
+        Gradient {
+            first: 16.0,
+            least: 1.0,
+            most: 256.0,
+            tolerance: 1.5,
+            smoothing: 0.2,
+            window: 100.0,
+        }
+    }
+}
+
+/// Work in flight on one server for one model, and its limit.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    law: Law,
+    limit: f64,
+    in_flight: u32,
+    usual: f64,
+    decreased: Moment,
+}
+
+impl Pool {
+    /// Empty, at the law's first limit.
+    pub fn new(law: Law) -> Pool {
+        let limit = match law {
+            Law::Fixed(limit) => f64::from(limit),
+            Law::Aimd(aimd) => aimd.first,
+            Law::Gradient(gradient) => gradient.first,
+        };
+        Pool { law, limit, in_flight: 0, usual: 0.0, decreased: Duration::ZERO }
+    }
+
+    /// Most requests in flight now.
+    pub fn limit(&self) -> u32 {
+        self.limit as u32
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// How many more may start.
+    pub fn room(&self) -> u32 {
+        self.limit().saturating_sub(self.in_flight)
+    }
+
+    /// A request starts.
+    pub fn start(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// A request has ended.
+    pub fn end(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Takes in what a request met.
+    pub fn signal(&mut self, signal: Signal, now: Moment) {
+        match self.law {
+            Law::Fixed(_) => {}
+            Law::Aimd(aimd) => self.adapt_aimd(aimd, signal, now),
+            Law::Gradient(gradient) => self.adapt_gradient(gradient, signal),
+        }
+    }
+
+    fn adapt_aimd(&mut self, aimd: Aimd, signal: Signal, now: Moment) {
+        let overload = match signal {
+            Signal::Neutral => return,
+            Signal::Overload => true,
+            Signal::FirstToken(time) => aimd.slow < time,
+        };
+        if overload {
+            if self.decreased == Duration::ZERO || aimd.pause <= now.saturating_sub(self.decreased)
+            {
+                self.limit = (self.limit * aimd.decrease).max(aimd.least);
+                self.decreased = now.max(Duration::from_nanos(1));
+            }
+        } else if self.is_used() {
+            self.limit = (self.limit + aimd.increase / self.limit).min(aimd.most);
+        }
+    }
+
+    fn adapt_gradient(&mut self, gradient: Gradient, signal: Signal) {
+        let time = match signal {
+            Signal::Neutral => return,
+            Signal::Overload => self.usual * gradient.tolerance * 2.0,
+            Signal::FirstToken(time) => time.as_secs_f64(),
+        };
+        if time <= 0.0 {
+            return;
+        }
+        let usual = if self.usual == 0.0 { time } else { self.usual };
+        self.usual = usual + (time - usual) / gradient.window;
+        if usual < time || self.is_used() {
+            let slope = (gradient.tolerance * usual / time).clamp(0.5, 1.0);
+            let next = self.limit * slope + self.limit.sqrt();
+            let smooth = self.limit + (next - self.limit) * gradient.smoothing;
+            self.limit = smooth.clamp(gradient.least, gradient.most);
+        }
+    }
+
+    /// A limit that is not used says nothing about whether more would fit.
+    fn is_used(&self) -> bool {
+        self.limit() <= self.in_flight.saturating_mul(2)
+    }
+}
+
+/// The pools of one host, by server and by the place of the model or group.
+#[derive(Clone, Debug, Default)]
+pub struct Pools {
+    law: Law,
+    /// The hasher has no random state, and the order never shows.
+    pools: HashMap<(Index, Place), Pool, BuildHasherDefault<DefaultHasher>>,
+}
+
+impl Pools {
+    /// Without pools yet; each starts by this law.
+    pub fn new(law: Law) -> Pools {
+        Pools { law, pools: HashMap::default() }
+    }
+
+    /// How many more may start on a server for a model.
+    pub fn room(&self, server: Index, place: Place) -> u32 {
+        match self.pools.get(&(server, place)) {
+            Some(pool) => pool.room(),
+            None => Pool::new(self.law).room(),
+        }
+    }
+
+    /// Requests in flight on a server for a model.
+    pub fn in_flight(&self, server: Index, place: Place) -> u32 {
+        self.pools.get(&(server, place)).map_or(0, Pool::in_flight)
+    }
+
+    /// The pool of a server and a model; it is made when there is none.
+    pub fn pool(&mut self, server: Index, place: Place) -> &mut Pool {
+        let law = self.law;
+        self.pools.entry((server, place)).or_insert_with(|| Pool::new(law))
+    }
+
+    /// Every pool, in the order of server and place.
+    pub fn iter(&self) -> impl Iterator<Item = (Index, Place, &Pool)> {
+        let mut keys: Vec<(Index, Place)> = self.pools.keys().copied().collect();
+        keys.sort_unstable();
+        keys.into_iter().map(|key| (key.0, key.1, &self.pools[&key]))
+    }
+
+    /// Drops the pools of a server that is gone.
+    pub fn forget(&mut self, server: Index) {
+        self.pools.retain(|(other, _), pool| *other != server || 0 < pool.in_flight);
+    }
+}
