--- a/crates/types/src/request.rs
+++ b/crates/types/src/request.rs
@@ -28,8 +28,9 @@
     Once,
 }
 
-/// What is known of a request's run when it is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+/// What is known of a request's run when it is refused, so that `max` is the most that can have
+/// happened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Ran {
     /// No byte of it can have reached a backend server.
