Admit by priority and by expected time against target

Cause: in a rush, work that can't meet its target takes places from work that can, and waiting until it is late wastes the caller's time. Change: a bounded queue for each model, urgent before normal before batch, turns by customer and service share, earliest due first. Work is refused on arrival, and while waiting as soon as its outlook turns bad, with a time to come back that is spread.

--- /dev/null
+++ b/crates/policy/src/admit/queue.rs
@@ -0,0 +1,258 @@
+//! The queue of one model: by priority, then by share, then by due time.
+//!
+//! Shares are kept by virtual time: each start moves its customer, and its service within the
+//! customer, on by the inverse of the share, and the one that is furthest behind is next. One that
+//! was idle starts where the others are, so that idling saves nothing up.
+
+use std::collections::BTreeMap;
+
+use types::prelude::*;
+
+use super::{LOWER_EVERY, Outlook, Ticket, Work};
+use crate::route::Place;
+
+/// Virtual time of one start at share one.
+const UNIT: u64 = 1 << 20;
+
+/// Weight of the newest start in the mean that tells how starts are spread over the classes: one
+/// in this many.
+const STARTS_WEIGHT: f64 = 64.0;
+
+/// Work of one service that wants the same.
+#[derive(Clone, Debug, Default)]
+struct Flow {
+    passed: u64,
+    share: u32,
+    waiting: BTreeMap<(Moment, Ticket), Work>,
+}
+
+/// Flows of one customer.
+#[derive(Clone, Debug, Default)]
+struct Account {
+    passed: u64,
+    share: u32,
+    flows: BTreeMap<(service::Id, Place), Flow>,
+}
+
+/// Work of one priority.
+#[derive(Clone, Debug, Default)]
+struct Class {
+    accounts: BTreeMap<customer::Id, Account>,
+    waiting: usize,
+    starts: f64,
+}
+
+/// Waiting work for one model.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    classes: [Class; Priority::ALL.len()],
+    places: BTreeMap<Ticket, (Priority, customer::Id, service::Id, Place, Moment)>,
+    starts: u32,
+}
+
+impl Queue {
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Pieces of work that wait.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Waiting work that would start before this.
+    pub fn ahead(&self, work: &Work) -> usize {
+        let higher = self.higher(work.priority);
+        let class = &self.classes[work.priority as usize];
+        let before = class
+            .accounts
+            .get(&work.customer)
+            .and_then(|account| account.flows.get(&(work.service.clone(), work.wanted)))
+            .map_or(0, |flow| flow.waiting.range(..(work.due, work.ticket)).count());
+        higher + class.interleaved(&work.customer, work, before)
+    }
+
+    /// How long the work at a position (from one) waits, its class' part of the starts given.
+    pub fn wait(&self, position: usize, priority: Priority, outlook: &Outlook) -> Duration {
+        if outlook.in_flight == 0 {
+            return Duration::ZERO;
+        }
+        let to_higher: f64 =
+            self.classes[priority as usize + 1..].iter().map(|class| class.starts).sum();
+        let part = (1.0 - to_higher).max(1.0 / f64::from(LOWER_EVERY));
+        let each = outlook.hold.as_secs_f64() / f64::from(outlook.in_flight);
+        Duration::try_from_secs_f64(position as f64 * each / part).unwrap_or(Duration::MAX / 4)
+    }
+
+    /// Adds work.
+    pub fn push(&mut self, work: Work) {
+        self.places.insert(
+            work.ticket,
+            (work.priority, work.customer.clone(), work.service.clone(), work.wanted, work.due),
+        );
+        self.classes[work.priority as usize].push(work);
+    }
+
+    /// Takes out the next piece of work that has room.
+    pub fn pop(&mut self, room: impl Fn(Place) -> u32) -> Option<Work> {
+        let lower_first = self.starts % LOWER_EVERY == LOWER_EVERY - 1;
+        let mut order: Vec<usize> =
+            (0..self.classes.len()).rev().filter(|at| 0 < self.classes[*at].waiting).collect();
+        if lower_first && 1 < order.len() {
+            order.swap(0, 1);
+        }
+        let work = order.into_iter().find_map(|at| self.classes[at].pop(&room))?;
+        self.places.remove(&work.ticket);
+        self.started(work.priority);
+        Some(work)
+    }
+
+    /// A piece of work of this priority has started, from the queue or past it.
+    pub fn started(&mut self, priority: Priority) {
+        self.starts = self.starts.wrapping_add(1);
+        for (at, class) in self.classes.iter_mut().enumerate() {
+            let sample = if at == priority as usize { 1.0 } else { 0.0 };
+            class.starts += (sample - class.starts) / STARTS_WEIGHT;
+        }
+    }
+
+    /// Takes out the last of the least urgent work below this priority.
+    pub fn displace(&mut self, priority: Priority) -> Option<Work> {
+        let class = self.classes[..priority as usize].iter().find(|class| 0 < class.waiting)?;
+        let ticket = class
+            .flows()
+            .filter_map(|flow| flow.waiting.keys().next_back())
+            .max()
+            .map(|(_, ticket)| *ticket)?;
+        self.remove(ticket)
+    }
+
+    /// Takes out this piece of work.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<Work> {
+        let (priority, customer, service, wanted, due) = self.places.remove(&ticket)?;
+        let class = &mut self.classes[priority as usize];
+        let flow = class.accounts.get_mut(&customer)?.flows.get_mut(&(service, wanted))?;
+        let work = flow.waiting.remove(&(due, ticket))?;
+        class.waiting -= 1;
+        Some(work)
+    }
+
+    /// Waiting work with its position, from one.
+    pub fn positions(&self) -> impl Iterator<Item = (usize, &Work)> {
+        Priority::ALL.into_iter().flat_map(move |priority| {
+            let class = &self.classes[priority as usize];
+            let higher = self.higher(priority);
+            class.flows().flat_map(move |flow| {
+                flow.waiting.values().enumerate().map(move |(before, work)| {
+                    (higher + class.interleaved(&work.customer, work, before) + 1, work)
+                })
+            })
+        })
+    }
+
+    fn higher(&self, priority: Priority) -> usize {
+        self.classes[priority as usize + 1..].iter().map(|class| class.waiting).sum()
+    }
+}
+
+impl Class {
+    fn flows(&self) -> impl Iterator<Item = &Flow> {
+        self.accounts.values().flat_map(|account| account.flows.values())
+    }
+
+    fn push(&mut self, work: Work) {
+        let front = self.accounts.values().filter(|a| a.is_waiting()).map(|a| a.passed).min();
+        let account = self.accounts.entry(work.customer.clone()).or_default();
+        if !account.is_waiting() {
+            account.passed = account.passed.max(front.unwrap_or(0));
+        }
+        account.share = work.customer_share.max(1);
+        account.push(work);
+        self.waiting += 1;
+    }
+
+    fn pop(&mut self, room: impl Fn(Place) -> u32) -> Option<Work> {
+        let account = self
+            .accounts
+            .values_mut()
+            .filter(|account| {
+                account.flows.iter().any(|((_, wanted), flow)| flow.is_open(*wanted, &room))
+            })
+            .min_by_key(|account| account.passed)?;
+        account.passed += UNIT / u64::from(account.share);
+        let ((_, _), flow) = account
+            .flows
+            .iter_mut()
+            .filter(|((_, wanted), flow)| flow.is_open(*wanted, &room))
+            .min_by_key(|(_, flow)| flow.passed)?;
+        flow.passed += UNIT / u64::from(flow.share);
+        let (_, work) = flow.waiting.pop_first()?;
+        self.waiting -= 1;
+        Some(work)
+    }
+
+    /// Work of this class that starts before the one with `before` of its own flow ahead of it,
+    /// when the flows take turns by their shares.
+    fn interleaved(&self, customer: &customer::Id, work: &Work, before: usize) -> usize {
+        let own_weight = f64::from(work.customer_share.max(1));
+        let own_services: f64 =
+            self.accounts.get(customer).map_or(0.0, |account| {
+                account.weight_without(&(work.service.clone(), work.wanted))
+            }) + f64::from(work.service_share.max(1));
+        let own_part = own_weight * f64::from(work.service_share.max(1)) / own_services;
+        let turns = (before + 1) as f64 / own_part;
+        self.accounts
+            .iter()
+            .flat_map(|(id, account)| {
+                let (weight, all) = if id == customer {
+                    (own_weight, own_services)
+                } else {
+                    (f64::from(account.share), account.weight())
+                };
+                account.flows.iter().map(move |(key, flow)| {
+                    let own = id == customer && key.0 == work.service && key.1 == work.wanted;
+                    let part = weight * f64::from(flow.share) / all;
+                    match own {
+                        true => before,
+                        false => flow.waiting.len().min((turns * part) as usize),
+                    }
+                })
+            })
+            .sum()
+    }
+}
+
+impl Account {
+    fn is_waiting(&self) -> bool {
+        self.flows.values().any(|flow| !flow.waiting.is_empty())
+    }
+
+    fn weight(&self) -> f64 {
+        let waiting = self.flows.values().filter(|flow| !flow.waiting.is_empty());
+        waiting.map(|flow| f64::from(flow.share)).sum::<f64>().max(1.0)
+    }
+
+    fn weight_without(&self, own: &(service::Id, Place)) -> f64 {
+        let others =
+            self.flows.iter().filter(|(key, flow)| *key != own && !flow.waiting.is_empty());
+        others.map(|(_, flow)| f64::from(flow.share)).sum()
+    }
+
+    fn push(&mut self, work: Work) {
+        let waiting = self.flows.values().filter(|flow| !flow.waiting.is_empty());
+        let front = waiting.map(|flow| flow.passed).min();
+        let flow = self.flows.entry((work.service.clone(), work.wanted)).or_default();
+        if flow.waiting.is_empty() {
+            flow.passed = flow.passed.max(front.unwrap_or(0));
+        }
+        flow.share = work.service_share.max(1);
+        flow.waiting.insert((work.due, work.ticket), work);
+    }
+}
+
+impl Flow {
+    fn is_open(&self, wanted: Place, room: impl Fn(Place) -> u32) -> bool {
+        !self.waiting.is_empty() && 0 < room(wanted)
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/admit.rs
@@ -0,0 +1,287 @@
+//! Admission under overload: order, shares, early refusal, no starvation.
+
+use std::collections::BTreeMap;
+
+use policy::admit::{
+    Bounds, Cause, Gate, LEAST_RETRY_AFTER, LOWER_EVERY, MOST_RETRY_AFTER, Outlook, Refusal,
+    Ticket, Verdict, Work,
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rstest::rstest;
+use types::prelude::*;
+
+const POOL: u32 = 0;
+
+fn work(ticket: Ticket, priority: Priority, service: &str, due: u64) -> Work {
+    Work {
+        ticket,
+        priority,
+        customer: "magnolia".into(),
+        customer_share: 1,
+        service: service.into(),
+        service_share: 1,
+        wanted: POOL,
+        pool: POOL,
+        due: millis(due),
+        spread: ticket,
+    }
+}
+
+fn millis(n: u64) -> Moment {
+    Duration::from_millis(n)
+}
+
+/// All places taken, each for 100 ms; ten run at once, so one ends each 10 ms.
+fn busy() -> Outlook {
+    Outlook {
+        room: 0,
+        in_flight: 10,
+        hold: millis(100),
+        first_token: millis(20),
+        unloaded: millis(20),
+    }
+}
+
+fn arrive(gate: &mut Gate, work: Work, outlook: &Outlook) -> (Verdict, Vec<(Ticket, Refusal)>) {
+    let mut refused = Vec::new();
+    let verdict = gate.arrive(work, outlook, Duration::ZERO, &mut refused);
+    (verdict, refused)
+}
+
+fn drain(gate: &mut Gate) -> Vec<Ticket> {
+    std::iter::from_fn(|| gate.next(POOL, |_| 1)).map(|work| work.ticket).collect()
+}
+
+#[test]
+fn work_with_room_starts_at_once() {
+    let outlook = Outlook { room: 1, ..busy() };
+    let (verdict, _) =
+        arrive(&mut Gate::default(), work(1, Priority::Normal, "chat", 500), &outlook);
+    assert_eq!(verdict, Verdict::Take);
+}
+
+#[test]
+fn urgent_goes_before_normal_before_batch_and_the_earliest_due_first() {
+    let mut gate = Gate::default();
+    for (ticket, priority, due) in [
+        (1, Priority::Batch, 9000),
+        (2, Priority::Normal, 9000),
+        (3, Priority::Urgent, 9000),
+        (4, Priority::Urgent, 8000),
+        (5, Priority::Normal, 8000),
+    ] {
+        assert_eq!(arrive(&mut gate, work(ticket, priority, "s", due), &busy()).0, Verdict::Wait);
+    }
+    assert_eq!(drain(&mut gate), [4, 3, 5, 2, 1]);
+    assert_eq!(gate.waiting(), 0);
+}
+
+#[test]
+fn services_take_turns_by_their_shares() {
+    let mut gate = Gate::default();
+    for ticket in 0..60 {
+        let service = if ticket % 2 == 0 { "large" } else { "small" };
+        let share = if ticket % 2 == 0 { 3 } else { 1 };
+        let work = Work { service_share: share, ..work(ticket, Priority::Normal, service, 60_000) };
+        arrive(&mut gate, work, &busy());
+    }
+    let first: Vec<Ticket> = drain(&mut gate).into_iter().take(32).collect();
+    assert_eq!(first.iter().filter(|ticket| **ticket % 2 == 0).count(), 24);
+}
+
+#[test]
+fn one_customer_with_many_services_gets_no_more_than_its_share() {
+    let mut gate = Gate::default();
+    for ticket in 0..80 {
+        let (customer, service) = match ticket % 4 {
+            0 => ("buzon", "letters".to_owned()),
+            other => ("magnolia", format!("s{other}")),
+        };
+        let work =
+            Work { customer: customer.into(), ..work(ticket, Priority::Normal, &service, 60_000) };
+        arrive(&mut gate, work, &busy());
+    }
+    let first: Vec<Ticket> = drain(&mut gate).into_iter().take(20).collect();
+    assert_eq!(first.iter().filter(|ticket| **ticket % 4 == 0).count(), 10);
+}
+
+#[test]
+fn a_service_that_was_idle_saves_nothing_up() {
+    let mut gate = Gate::default();
+    for ticket in 0..100 {
+        arrive(&mut gate, work(ticket, Priority::Normal, "busy", 90_000), &busy());
+    }
+    (0..50).for_each(|_| drop(gate.next(POOL, |_| 1)));
+    for ticket in 100..120 {
+        arrive(&mut gate, work(ticket, Priority::Normal, "idle", 90_000), &busy());
+    }
+    let first: Vec<Ticket> = drain(&mut gate).into_iter().take(20).collect();
+    let of_idle = first.iter().filter(|ticket| 100 <= **ticket).count();
+    assert!((9..=11).contains(&of_idle), "{of_idle} of 20");
+}
+
+#[rstest]
+#[case::can_be_met(31, Verdict::Wait)]
+#[case::just_missed(29, Verdict::Refuse(Refusal { cause: Cause::Late, retry_after: LEAST_RETRY_AFTER }))]
+fn work_that_cannot_meet_its_target_is_refused_on_arrival(
+    #[case] due: u64,
+    #[case] expected: Verdict,
+) {
+    let work = Work { spread: 0, ..work(1, Priority::Urgent, "guests", due) };
+    assert_eq!(arrive(&mut Gate::default(), work, &busy()).0, expected);
+}
+
+#[test]
+fn a_refused_caller_is_told_to_come_back_when_the_queue_should_have_drained() {
+    let mut gate = Gate::new(Bounds { waiting: 10_000 });
+    for ticket in 0..500 {
+        arrive(&mut gate, work(ticket, Priority::Normal, "chat", 60_000), &busy());
+    }
+    let late = Work { spread: 0, ..work(999, Priority::Normal, "chat", 1000) };
+    // Earlier due than all that wait, but of another service, so that it takes turns.
+    let late = Work { service: "other".into(), ..late };
+    let (verdict, _) = arrive(&mut gate, late, &busy());
+    assert_eq!(verdict, Verdict::Wait, "a turn of its own comes soon");
+    let late = Work { due: millis(61_000), ..work(1000, Priority::Batch, "scan", 0) };
+    let late = Work { due: millis(2000), spread: 0, ..late };
+    match arrive(&mut gate, late, &busy()).0 {
+        Verdict::Refuse(Refusal { cause: Cause::Late, retry_after }) => {
+            assert!(millis(3000) <= retry_after, "{retry_after:?}");
+            assert!(retry_after <= MOST_RETRY_AFTER);
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn refused_callers_are_spread_over_time() {
+    let retry_after = |spread| {
+        let work = Work { spread, ..work(1, Priority::Normal, "chat", 1) };
+        match arrive(&mut Gate::default(), work, &busy()).0 {
+            Verdict::Refuse(refusal) => refusal.retry_after,
+            other => panic!("{other:?}"),
+        }
+    };
+    assert!(retry_after(0) < retry_after(128));
+    assert!(retry_after(255) < LEAST_RETRY_AFTER * 3 / 2);
+}
+
+#[test]
+fn waiting_work_is_refused_as_soon_as_its_outlook_turns_bad_not_when_it_is_due() {
+    let mut gate = Gate::default();
+    assert_eq!(arrive(&mut gate, work(1, Priority::Normal, "chat", 400), &busy()).0, Verdict::Wait);
+    for ticket in 10..60 {
+        arrive(&mut gate, work(ticket, Priority::Urgent, "guests", 9000), &busy());
+    }
+    let refused = gate.sweep(POOL, millis(1), |_| busy());
+    assert_eq!(refused.iter().map(|(ticket, _)| *ticket).collect::<Vec<_>>(), [1]);
+    assert_eq!(gate.waiting(), 50);
+}
+
+#[test]
+fn work_past_its_due_time_is_refused_and_not_started() {
+    let mut gate = Gate::default();
+    arrive(&mut gate, work(1, Priority::Urgent, "guests", 100), &busy());
+    let refused = gate.sweep(POOL, millis(200), |_| Outlook { room: 5, ..busy() });
+    assert_eq!(refused.len(), 1);
+    assert!(gate.next(POOL, |_| 5).is_none());
+}
+
+#[test]
+fn a_full_queue_gives_up_its_least_urgent_work_at_once() {
+    let mut gate = Gate::new(Bounds { waiting: 2 });
+    arrive(&mut gate, work(1, Priority::Batch, "scan", 8000), &busy());
+    arrive(&mut gate, work(2, Priority::Batch, "scan", 9000), &busy());
+    let (verdict, refused) = arrive(&mut gate, work(3, Priority::Urgent, "guests", 900), &busy());
+    assert_eq!(verdict, Verdict::Wait);
+    assert!(matches!(refused[..], [(2, Refusal { cause: Cause::Displaced, .. })]));
+    let (verdict, _) = arrive(&mut gate, work(4, Priority::Batch, "scan", 9000), &busy());
+    assert!(matches!(verdict, Verdict::Refuse(Refusal { cause: Cause::Full, .. })));
+    assert_eq!(gate.waiting(), 2);
+}
+
+#[test]
+fn a_long_rush_slows_lower_classes_and_does_not_stop_them() {
+    let mut gate = Gate::new(Bounds { waiting: 4096 });
+    for ticket in 0..10 {
+        arrive(&mut gate, work(ticket, Priority::Batch, "scan", 900_000), &busy());
+    }
+    for ticket in 100..2000 {
+        arrive(&mut gate, work(ticket, Priority::Urgent, "guests", 900_000), &busy());
+    }
+    let first: Vec<Ticket> = drain(&mut gate).into_iter().take(5 * LOWER_EVERY as usize).collect();
+    assert_eq!(first.iter().filter(|ticket| **ticket < 10).count(), 5);
+}
+
+#[test]
+fn a_target_that_no_server_could_meet_is_served_all_the_same() {
+    let outlook = Outlook { room: 1, first_token: millis(700), unloaded: millis(700), ..busy() };
+    let (verdict, _) =
+        arrive(&mut Gate::default(), work(1, Priority::Normal, "letters", 100), &outlook);
+    assert_eq!(verdict, Verdict::Take);
+}
+
+#[test]
+fn one_adapter_without_room_does_not_hold_up_the_others() {
+    let mut gate = Gate::default();
+    arrive(&mut gate, Work { wanted: 7, ..work(1, Priority::Urgent, "guests", 500) }, &busy());
+    arrive(&mut gate, work(2, Priority::Urgent, "guests", 900), &busy());
+    let started = gate.next(POOL, |wanted| u32::from(wanted != 7)).map(|work| work.ticket);
+    assert_eq!(started, Some(2));
+    assert_eq!(gate.waiting(), 1);
+}
+
+#[test]
+fn work_whose_caller_has_gone_is_taken_out() {
+    let mut gate = Gate::default();
+    arrive(&mut gate, work(1, Priority::Urgent, "guests", 500), &busy());
+    assert!(gate.cancel(1));
+    assert!(!gate.cancel(1));
+    assert!(gate.next(POOL, |_| 1).is_none());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    /// Each piece of work gets exactly one answer, and each wait stays within the bound.
+    #[test]
+    fn every_arrival_is_answered_once(
+        events in prop::collection::vec((0u8..5, 0u8..3, 0u8..3, 1u64..2000, 0u32..3), 1..200)
+    ) {
+        let mut gate = Gate::new(Bounds { waiting: 20 });
+        let mut answers: BTreeMap<Ticket, u32> = BTreeMap::new();
+        let mut waiting = 0usize;
+        for (at, (kind, priority, service, due, room)) in events.into_iter().enumerate() {
+            let (ticket, now) = (at as Ticket, millis(at as u64));
+            let outlook = Outlook { room, ..busy() };
+            match kind {
+                0..=2 => {
+                    let work = work(ticket, Priority::ALL[priority as usize], &service.to_string(), due);
+                    let mut refused = Vec::new();
+                    let verdict = gate.arrive(work, &outlook, now, &mut refused);
+                    match verdict {
+                        Verdict::Wait => waiting += 1,
+                        Verdict::Take | Verdict::Refuse(_) => *answers.entry(ticket).or_default() += 1,
+                    }
+                    waiting -= refused.len();
+                    refused.iter().for_each(|(t, _)| *answers.entry(*t).or_default() += 1);
+                }
+                3 => {
+                    for (t, _) in gate.sweep(POOL, now, |_| outlook) {
+                        *answers.entry(t).or_default() += 1;
+                        waiting -= 1;
+                    }
+                }
+                _ => {
+                    if let Some(work) = gate.next(POOL, |_| room) {
+                        *answers.entry(work.ticket).or_default() += 1;
+                        waiting -= 1;
+                    }
+                }
+            }
+            prop_assert_eq!(gate.waiting(), waiting);
+            prop_assert!(waiting <= 20);
+        }
+        prop_assert!(answers.values().all(|n| *n == 1));
+    }
+}
