Join the decisions on a request's path

Cause: admission, choice and limit count the same places, and the filters between admission and choice take time, in which a place must stay reserved. Change: Traffic holds them together: admit reserves, dispatch chooses and uses the reservation up, ended gives the place to waiting work. Figures: in a rush at ten times the capacity no admitted request starts past its target and places are in use above 7/8 of the time (test).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod retry;
 pub mod route;
 pub mod stream;
+pub mod traffic;
--- /dev/null
+++ b/crates/policy/src/traffic.rs
@@ -0,0 +1,282 @@
+//! The decisions on the path of a request, joined: admission, choice of a server, its limit, and
+//! the account of what each attempt met.
+//!
+//! Admission comes before the filters that may take a while (at most once, quarantine), and the
+//! choice of a server after them. In between the request holds a reservation: it counts against
+//! the room of its model, but on no server yet. One [`Traffic`] belongs to one host; all of it is
+//! plain data, so the caller may put it behind one lock.
+
+mod room;
+
+use std::collections::BTreeMap;
+
+use types::prelude::*;
+
+use crate::{
+    admit::{self, Gate, Refusal, Ticket, Work},
+    limit::{Law, Pools, Signal},
+    retry::{self, Budget, Point, Suspicion, suspicion},
+    route::{
+        self, Ask, Choice, Decision, Distances, Hints, Index, Place, Standing, Table,
+        estimate::Sent, hints,
+    },
+};
+
+/// Parameters of one host's traffic.
+#[derive(Clone, Debug, Default)]
+pub struct Rules {
+    /// How limits adapt.
+    pub law: Law,
+    /// Bounds of the prefix hints.
+    pub hints: hints::Bounds,
+    /// Bounds of the queues.
+    pub queues: admit::Bounds,
+    /// Bounds on attempts.
+    pub attempts: retry::Bounds,
+    /// The retry budget.
+    pub budget: retry::budget::Share,
+    /// How long servers are left out.
+    pub suspicion: suspicion::Times,
+}
+
+/// A request, as far as these decisions see it.
+#[derive(Clone, Debug)]
+pub struct Demand {
+    /// What admission sees.
+    pub work: Work,
+    /// Version in force; empty for plain services.
+    pub version: model::Version,
+    /// Digests of the prompt's prefixes, shortest first.
+    pub prefix: Vec<u64>,
+    /// Length of the prompt in tokens.
+    pub prompt_tokens: u32,
+}
+
+/// Answer to a request for admission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It holds a reservation.
+    Take,
+    /// It waits; a [`Change`] follows.
+    Wait,
+    /// It is refused; it did not run.
+    Refuse(Refusal),
+    /// No server has what it wants.
+    Unready,
+}
+
+/// What has become of waiting work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// It holds a reservation now.
+    Start(Ticket),
+    /// It is refused; it did not run.
+    Refuse(Ticket, Refusal),
+}
+
+/// One attempt on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Flight {
+    /// Where it was sent, and what was expected.
+    pub choice: Choice,
+    sent: Sent,
+    pool: Place,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The whole answer came.
+    Whole,
+    /// The caller went away.
+    Cancelled,
+    /// It failed at this point.
+    Failed(Point),
+}
+
+/// All that one host decides about requests on their way.
+#[derive(Clone, Debug)]
+pub struct Traffic {
+    rules: Rules,
+    /// The servers.
+    pub table: Table,
+    /// Prefix hints.
+    pub hints: Hints,
+    /// Limits.
+    pub pools: Pools,
+    /// Waiting work.
+    pub gate: Gate,
+    /// Servers in doubt.
+    pub suspicion: Suspicion,
+    /// Retries left.
+    pub budget: Budget,
+    reserved: BTreeMap<Place, u32>,
+}
+
+impl Traffic {
+    /// Without servers and work yet.
+    pub fn new(distances: Distances, rules: Rules) -> Traffic {
+        Traffic {
+            table: Table::new(distances),
+            hints: Hints::new(rules.hints),
+            pools: Pools::new(rules.law),
+            gate: Gate::new(rules.queues),
+            suspicion: Suspicion::new(rules.suspicion),
+            budget: Budget::new(rules.budget),
+            reserved: BTreeMap::new(),
+            rules,
+        }
+    }
+
+    /// Judges a request that has arrived. Work that it displaced is among the changes.
+    pub fn admit(&mut self, demand: &Demand, now: Moment, changes: &mut Vec<Change>) -> Admission {
+        let Some(outlook) = self.outlook(demand, now) else {
+            return Admission::Unready;
+        };
+        let mut displaced = Vec::new();
+        let verdict = self.gate.arrive(demand.work.clone(), &outlook, now, &mut displaced);
+        changes.extend(displaced.into_iter().map(|(ticket, r)| Change::Refuse(ticket, r)));
+        match verdict {
+            admit::Verdict::Take => {
+                *self.reserved.entry(demand.work.pool).or_default() += 1;
+                Admission::Take
+            }
+            admit::Verdict::Wait => Admission::Wait,
+            admit::Verdict::Refuse(refusal) => Admission::Refuse(refusal),
+        }
+    }
+
+    /// Gives back a reservation that is not used.
+    pub fn release(&mut self, pool: Place) {
+        if let Some(reserved) = self.reserved.get_mut(&pool) {
+            *reserved = reserved.saturating_sub(1);
+        }
+    }
+
+    /// Chooses the server for a request that holds a reservation, and uses that up. `None` if no
+    /// server can be used any more; the reservation is used up then too.
+    pub fn dispatch(&mut self, demand: &Demand, now: Moment) -> Option<Flight> {
+        self.release(demand.work.pool);
+        self.send(demand, &[], now)
+    }
+
+    /// Chooses another server for a request whose attempt failed. Work that is on its way goes
+    /// before work that waits, so the limit does not hold it back.
+    pub fn dispatch_again(
+        &mut self,
+        demand: &Demand,
+        avoid: &[Index],
+        now: Moment,
+    ) -> Option<Flight> {
+        self.send(demand, avoid, now).or_else(|| self.send(demand, &[], now))
+    }
+
+    /// The first token of an attempt has come.
+    pub fn answered(&mut self, flight: &Flight, now: Moment) {
+        let time = now.saturating_sub(flight.sent.at);
+        self.pools.pool(flight.choice.server, flight.pool).signal(Signal::FirstToken(time), now);
+        self.trust(flight.choice.server);
+    }
+
+    /// An attempt has ended.
+    pub fn ended(&mut self, flight: &Flight, end: End, now: Moment) {
+        let server = flight.choice.server;
+        self.table.ended(server, flight.sent, now);
+        let pool = self.pools.pool(server, flight.pool);
+        pool.end();
+        match end {
+            End::Whole => {
+                self.budget.deposit();
+                self.trust(server);
+            }
+            End::Cancelled => {}
+            End::Failed(point) => {
+                let signal = if matches!(point, Point::Refused | Point::Waiting) {
+                    Signal::Overload
+                } else {
+                    Signal::Neutral
+                };
+                pool.signal(signal, now);
+                let standing = self.suspicion.failed(server, point, now);
+                self.doubt(server, standing);
+            }
+        }
+    }
+
+    /// What follows a failed attempt; to be asked after [`Traffic::ended`].
+    pub fn after_failure(&mut self, failure: &retry::Failure) -> retry::Verdict {
+        retry::decide(failure, &self.rules.attempts, &mut self.budget)
+    }
+
+    /// Starts what has room, and refuses what can't meet its target any more. To be called when
+    /// an attempt has ended, a report has come, and at short intervals while work waits.
+    pub fn pump(&mut self, now: Moment) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for pool in self.gate.pools() {
+            self.refuse_lost(pool, now, &mut changes);
+            self.start_waiting(pool, now, &mut changes);
+        }
+        changes
+    }
+
+    fn refuse_lost(&mut self, pool: Place, now: Moment, changes: &mut Vec<Change>) {
+        let mut gate = std::mem::take(&mut self.gate);
+        let lost = gate.sweep(pool, now, |wanted| self.plain_outlook(wanted, now));
+        changes.extend(lost.into_iter().map(|(ticket, r)| Change::Refuse(ticket, r)));
+        self.gate = gate;
+    }
+
+    fn start_waiting(&mut self, pool: Place, now: Moment, changes: &mut Vec<Change>) {
+        let mut gate = std::mem::take(&mut self.gate);
+        while let Some(work) = gate.next(pool, |wanted| self.room(wanted, now)) {
+            *self.reserved.entry(pool).or_default() += 1;
+            changes.push(Change::Start(work.ticket));
+        }
+        self.gate = gate;
+    }
+
+    fn send(&mut self, demand: &Demand, avoid: &[Index], now: Moment) -> Option<Flight> {
+        let pool = demand.work.pool;
+        let ask = Ask { avoid, ..ask(demand) };
+        let has_room = |server| 0 < self.pools.room(server, pool);
+        let choice = match route::choose(&self.table, &self.hints, &ask, now, has_room) {
+            Decision::Send(choice) | Decision::Full(choice) => choice,
+            Decision::Unready => return None,
+        };
+        if matches!(self.table.standing(choice.server), Standing::Suspected(_)) {
+            let standing = self.suspicion.try_out(choice.server, now);
+            self.doubt(choice.server, standing);
+        }
+        self.pools.pool(choice.server, pool).start();
+        for prefix in &demand.prefix {
+            self.hints.add(*prefix, choice.server, now);
+        }
+        let tokens = demand.prompt_tokens - choice.cached_tokens;
+        let sent = self.table.sent(choice.server, tokens, now);
+        Some(Flight { choice, sent, pool })
+    }
+
+    fn trust(&mut self, server: Index) {
+        if self.suspicion.succeeded(server) {
+            self.doubt(server, Standing::Live);
+        }
+    }
+
+    /// Doubt never makes a server that is leaving or gone live again.
+    fn doubt(&mut self, server: Index, standing: Standing) {
+        if matches!(self.table.standing(server), Standing::Live | Standing::Suspected(_)) {
+            self.table.set_standing(server, standing);
+        }
+    }
+}
+
+fn ask(demand: &Demand) -> Ask<'_> {
+    Ask {
+        place: demand.work.wanted,
+        version: &demand.version,
+        prefix: &demand.prefix,
+        prompt_tokens: demand.prompt_tokens,
+        avoid: &[],
+        seed: demand.work.spread,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/traffic/room.rs
@@ -0,0 +1,90 @@
+//! Room and outlook of what requests want, over all servers that have it.
+
+use types::prelude::*;
+
+use super::{Demand, Traffic, ask};
+use crate::{
+    admit::Outlook,
+    route::{self, Choice, Decision, Index, Place, Standing},
+};
+
+impl Traffic {
+    /// How many more may start for something wanted.
+    pub fn room(&self, wanted: Place, now: Moment) -> u32 {
+        let pool = self.table.pool(wanted);
+        let open: u32 = self.usable(wanted, now).map(|server| self.pools.room(server, pool)).sum();
+        open.saturating_sub(self.reserved.get(&pool).copied().unwrap_or(0))
+    }
+
+    /// What a request can expect; `None` if no server has what it wants, nor will once a suspicion
+    /// ends.
+    pub(super) fn outlook(&self, demand: &Demand, now: Moment) -> Option<Outlook> {
+        let wanted = demand.work.wanted;
+        let pool = demand.work.pool;
+        let has_room = |server| 0 < self.pools.room(server, pool);
+        match route::choose(&self.table, &self.hints, &ask(demand), now, has_room) {
+            Decision::Send(choice) | Decision::Full(choice) => {
+                Some(self.outlook_by(wanted, &choice, demand.prompt_tokens, now))
+            }
+            Decision::Unready => self.outlook_in_doubt(wanted, now),
+        }
+    }
+
+    /// What a short request can expect.
+    pub(super) fn plain_outlook(&self, wanted: Place, now: Moment) -> Outlook {
+        let best = self
+            .usable(wanted, now)
+            .map(|server| {
+                let way = self.table.distance(server) * 2;
+                let first_token = self.table.estimate(server, 0, now).total() + way;
+                Choice { server, first_token, cached_tokens: 0 }
+            })
+            .min_by_key(|choice| (choice.first_token, choice.server));
+        match best {
+            Some(choice) => self.outlook_by(wanted, &choice, 0, now),
+            None => self.outlook_in_doubt(wanted, now).unwrap_or_default(),
+        }
+    }
+
+    fn outlook_by(&self, wanted: Place, choice: &Choice, tokens: u32, now: Moment) -> Outlook {
+        let pool = self.table.pool(wanted);
+        let (servers, hold) = self
+            .usable(wanted, now)
+            .fold((0, Duration::ZERO), |(n, hold), s| (n + 1, hold + self.table.view(s).hold()));
+        let in_flight = self
+            .usable(wanted, now)
+            .map(|server| self.pools.in_flight(server, pool))
+            .sum::<u32>()
+            .saturating_add(self.reserved.get(&pool).copied().unwrap_or(0));
+        let way = self.table.distance(choice.server) * 2;
+        Outlook {
+            room: self.room(wanted, now),
+            in_flight,
+            hold: hold / servers.max(1),
+            first_token: choice.first_token,
+            unloaded: self.table.view(choice.server).unloaded(tokens) + way,
+        }
+    }
+
+    /// When only servers in doubt have it: the first of them may be tried when its time is out.
+    fn outlook_in_doubt(&self, wanted: Place, now: Moment) -> Option<Outlook> {
+        let until = self
+            .table
+            .replicas(wanted)
+            .iter()
+            .filter_map(|replica| match self.table.standing(replica.server) {
+                Standing::Suspected(until) => Some(until),
+                Standing::Live | Standing::Leaving | Standing::Gone => None,
+            })
+            .min()?;
+        Some(Outlook { first_token: until.saturating_sub(now), ..Outlook::default() })
+    }
+
+    fn usable(&self, wanted: Place, now: Moment) -> impl Iterator<Item = Index> {
+        self.table
+            .replicas(wanted)
+            .iter()
+            .map(|replica| replica.server)
+            .filter(move |server| self.table.takes_work(*server, now))
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/traffic.rs
@@ -0,0 +1,233 @@
+//! Admission, choice, limits and accounting joined.
+
+use std::collections::BTreeMap;
+
+use policy::{
+    admit::{Cause, Refusal, Ticket, Work},
+    limit::Law,
+    retry::Point,
+    route::{Distances, Standing, Wanted},
+    traffic::{Admission, Change, Demand, End, Rules, Traffic},
+};
+use rstest::rstest;
+use types::{
+    prelude::*,
+    report::Load,
+    resident::{Resident, State},
+};
+
+fn millis(n: u64) -> Moment {
+    Duration::from_millis(n)
+}
+
+fn traffic(servers: u32, limit: u32) -> Traffic {
+    let distances = Distances { own: "med-a".into(), other: millis(1), named: BTreeMap::new() };
+    let rules = Rules { law: Law::Fixed(limit), ..Rules::default() };
+    let mut traffic = Traffic::new(distances, rules);
+    for at in 0..servers {
+        let server = backend::Server {
+            id: format!("lector-{at}").into(),
+            group: "lector".into(),
+            kind: backend::Kind::Engine,
+            zone: "med-a".into(),
+            address: "127.0.0.1:1".parse().unwrap(),
+        };
+        let index = traffic.table.add(&server);
+        traffic.table.report(index, &load(&server.id), millis(0));
+    }
+    traffic
+}
+
+fn load(server: &backend::Id) -> Load {
+    let unit = Unit::Model { model: "reader".into(), version: "1".into() };
+    Load {
+        server: server.clone(),
+        incarnation: 1,
+        sequence: 1,
+        age: Duration::ZERO,
+        leaving: false,
+        running: 0,
+        waiting: 0,
+        slots: 8,
+        step: millis(10),
+        prefill_rate: 1000,
+        prompt_backlog: 0,
+        capacity: 1000,
+        residents: vec![Resident { unit, memory: 10, state: State::Ready }],
+        fence: 0,
+        fenced: true,
+        orders: Vec::new(),
+        role: order::Role::Whole,
+    }
+}
+
+fn demand(traffic: &mut Traffic, ticket: Ticket, priority: Priority, due: u64) -> Demand {
+    let wanted = traffic.table.place(&Wanted::Model(model::Name::parse("reader")));
+    let work = Work {
+        ticket,
+        priority,
+        customer: "buzon".into(),
+        customer_share: 1,
+        service: "letters".into(),
+        service_share: 1,
+        wanted,
+        pool: traffic.table.pool(wanted),
+        due: millis(due),
+        spread: ticket,
+    };
+    Demand { work, version: "1".into(), prefix: Vec::new(), prompt_tokens: 100 }
+}
+
+fn admit(traffic: &mut Traffic, ticket: Ticket, due: u64, now: u64) -> (Admission, Demand) {
+    let demand = demand(traffic, ticket, Priority::Normal, due);
+    let admission = traffic.admit(&demand, millis(now), &mut Vec::new());
+    (admission, demand)
+}
+
+#[test]
+fn reservations_count_before_a_server_is_chosen() {
+    let mut traffic = traffic(2, 1);
+    assert_eq!(admit(&mut traffic, 1, 5000, 0).0, Admission::Take);
+    assert_eq!(admit(&mut traffic, 2, 5000, 0).0, Admission::Take);
+    assert_eq!(admit(&mut traffic, 3, 5000, 0).0, Admission::Wait);
+}
+
+#[test]
+fn a_place_that_becomes_free_goes_to_waiting_work() {
+    let mut traffic = traffic(1, 1);
+    let (_, first) = admit(&mut traffic, 1, 5000, 0);
+    let flight = traffic.dispatch(&first, millis(0)).unwrap();
+    assert_eq!(admit(&mut traffic, 2, 5000, 0).0, Admission::Wait);
+    assert_eq!(traffic.pump(millis(10)), []);
+    traffic.ended(&flight, End::Whole, millis(20));
+    assert_eq!(traffic.pump(millis(20)), [Change::Start(2)]);
+}
+
+#[test]
+fn a_reservation_that_is_given_back_goes_to_waiting_work() {
+    let mut traffic = traffic(1, 1);
+    let (_, first) = admit(&mut traffic, 1, 5000, 0);
+    admit(&mut traffic, 2, 5000, 0);
+    traffic.release(first.work.pool);
+    assert_eq!(traffic.pump(millis(1)), [Change::Start(2)]);
+}
+
+#[test]
+fn a_failed_server_is_left_out_and_the_retry_goes_elsewhere() {
+    let mut traffic = traffic(2, 8);
+    let (_, demand) = admit(&mut traffic, 1, 5000, 0);
+    let first = traffic.dispatch(&demand, millis(0)).unwrap();
+    traffic.ended(&first, End::Failed(Point::Connect), millis(1));
+    let again = traffic.dispatch_again(&demand, &[first.choice.server], millis(1)).unwrap();
+    assert_ne!(again.choice.server, first.choice.server);
+    assert!(!traffic.table.takes_work(first.choice.server, millis(1)));
+    for ticket in 2..8 {
+        let (_, demand) = admit(&mut traffic, ticket, 5000, 1);
+        let flight = traffic.dispatch(&demand, millis(1)).unwrap();
+        assert_eq!(flight.choice.server, again.choice.server);
+    }
+}
+
+#[test]
+fn a_server_in_doubt_gets_one_trial_and_its_success_clears_it() {
+    let mut traffic = traffic(1, 8);
+    let (_, demand) = admit(&mut traffic, 1, 90_000, 0);
+    let flight = traffic.dispatch(&demand, millis(0)).unwrap();
+    traffic.ended(&flight, End::Failed(Point::Waiting), millis(0));
+    let (admission, second) = admit(&mut traffic, 2, 90_000, 1);
+    assert_eq!(admission, Admission::Wait, "the only replica comes back soon");
+    assert_eq!(traffic.pump(millis(100)), []);
+    assert_eq!(traffic.pump(millis(600)), [Change::Start(2)]);
+    let trial = traffic.dispatch(&second, millis(600)).unwrap();
+    assert!(!traffic.table.takes_work(0, millis(601)), "one trial at a time");
+    traffic.answered(&trial, millis(650));
+    assert!(traffic.table.takes_work(0, millis(650)));
+}
+
+#[rstest]
+#[case(Standing::Leaving)]
+#[case(Standing::Gone)]
+fn success_of_old_work_does_not_bring_a_leaving_server_back(#[case] standing: Standing) {
+    let mut traffic = traffic(1, 8);
+    let (_, demand) = admit(&mut traffic, 1, 5000, 0);
+    let flight = traffic.dispatch(&demand, millis(0)).unwrap();
+    traffic.ended(&flight, End::Failed(Point::Connect), millis(0));
+    traffic.table.set_standing(0, standing);
+    traffic.answered(&flight, millis(5));
+    traffic.ended(&flight, End::Whole, millis(6));
+    assert_eq!(traffic.table.standing(0), standing);
+    assert_eq!(admit(&mut traffic, 2, 5000, 10).0, Admission::Unready);
+}
+
+#[test]
+fn a_model_that_no_server_has_is_refused_at_once() {
+    let mut traffic = traffic(0, 8);
+    assert_eq!(admit(&mut traffic, 1, 5000, 0).0, Admission::Unready);
+}
+
+#[test]
+fn the_prefix_sent_to_a_server_draws_the_next_request_there() {
+    let mut traffic = traffic(6, 64);
+    let prefixed = |traffic: &mut Traffic, ticket| Demand {
+        prefix: vec![1, 2, 3, 4],
+        prompt_tokens: 5000,
+        ..demand(traffic, ticket, Priority::Normal, 60_000)
+    };
+    let first = prefixed(&mut traffic, 1);
+    traffic.admit(&first, millis(0), &mut Vec::new());
+    let flight = traffic.dispatch(&first, millis(0)).unwrap();
+    traffic.ended(&flight, End::Whole, millis(1000));
+    for ticket in 2..20 {
+        let next = prefixed(&mut traffic, ticket);
+        traffic.admit(&next, millis(1000), &mut Vec::new());
+        let again = traffic.dispatch(&next, millis(1000)).unwrap();
+        assert_eq!(again.choice.server, flight.choice.server);
+        traffic.ended(&again, End::Whole, millis(1000));
+    }
+}
+
+/// Ten times more arrives than can be served, for as long as it lasts: what is admitted meets its
+/// target, and the places stay in use.
+#[test]
+fn a_rush_of_ten_times_the_capacity_keeps_admitted_work_in_time() {
+    const SERVICE: u64 = 100;
+    const TARGET: u64 = 400;
+    let mut traffic = traffic(1, 8);
+    let mut running: Vec<(u64, policy::traffic::Flight)> = Vec::new();
+    let mut waiting: BTreeMap<Ticket, (u64, Demand)> = BTreeMap::new();
+    let (mut started, mut late, mut refused, mut busy) = (0, 0, 0, 0u64);
+    for now in 0..4000u64 {
+        let (ended, rest) = running.into_iter().partition(|(until, _)| *until <= now);
+        running = rest;
+        ended.into_iter().for_each(|(_, flight)| traffic.ended(&flight, End::Whole, millis(now)));
+        let mut changes = traffic.pump(millis(now));
+        if now % 5 != 4 {
+            let (admission, demand) = admit(&mut traffic, now, now + TARGET, now);
+            match admission {
+                Admission::Take => changes.push(Change::Start(now)),
+                Admission::Refuse(Refusal { cause, .. }) => {
+                    assert_eq!(cause, Cause::Late);
+                    refused += 1;
+                }
+                Admission::Wait | Admission::Unready => {}
+            }
+            waiting.insert(now, (now, demand));
+        }
+        for change in changes {
+            match change {
+                Change::Start(ticket) => {
+                    let (arrived, demand) = waiting.remove(&ticket).unwrap();
+                    let flight = traffic.dispatch(&demand, millis(now)).unwrap();
+                    late += u64::from(arrived + TARGET < now + 20);
+                    started += 1;
+                    running.push((now + SERVICE, flight));
+                }
+                Change::Refuse(_, _) => refused += 1,
+            }
+        }
+        busy += running.len() as u64;
+    }
+    assert_eq!(late, 0, "{started} started, {refused} refused");
+    assert!(7 * 4000 < busy, "places stay in use: {busy} of {}", 8 * 4000);
+    assert!(2000 < refused);
+}
