Look only at models that changed when planning again

Every pass walked the replicas of every model, although a model's lacks depend only on its own declaration and on the engines that hold it.

Change: the planner keeps the models to look at: those declared anew, those on an engine that was told anew, and those that lacked something last time.

--- a/crates/policy/src/plan/adapters.rs
+++ b/crates/policy/src/plan/adapters.rs
@@ -21,9 +21,11 @@
     /// Loads adapters where their base is ready; those that answer nowhere first.
     pub(super) fn load_adapters(&mut self) {
         let models = self.models;
+        let looked_at = self.looked_at().into_iter();
         let mut lacks: Vec<Lack<'_>> =
-            models.iter().flat_map(|(id, declared)| self.lacks(id, declared)).collect();
+            looked_at.flat_map(|(id, declared)| self.lacks(id, declared)).collect();
         lacks.sort();
+        self.wanting.extend(lacks.iter().map(|lack| lack.model.clone()));
         for lack in lacks {
             if self.budget == 0 {
                 return;
@@ -127,6 +129,9 @@
                 }));
             }
         }
+        if !stale.is_empty() {
+            self.wanting.insert(id.clone());
+        }
         for (server, unit) in stale {
             let keeper = Some(server.clone());
             let unload = self.fleet.unload(&server, &unit, Cause::Version, keeper);
--- a/crates/policy/src/plan/fleet.rs
+++ b/crates/policy/src/plan/fleet.rs
@@ -133,6 +133,8 @@
     pub(super) slots: BTreeMap<backend::Id, Slot>,
     holders: BTreeMap<model::Id, BTreeSet<backend::Id>>,
     touched: BTreeSet<backend::Id>,
+    /// Models that an engine has been told anew to hold or no longer to hold.
+    stirred: BTreeSet<model::Id>,
 }
 
 impl Fleet {
@@ -162,6 +164,7 @@
         for model in slot.bundles.keys() {
             let holders = self.holders.entry(model.clone()).or_default();
             holders.insert(slot.told.server.clone());
+            self.stirred.insert(model.clone());
         }
         self.slots.insert(slot.told.server.clone(), slot);
     }
@@ -170,6 +173,7 @@
     pub(super) fn remove(&mut self, server: &backend::Id) -> Option<Slot> {
         let slot = self.slots.remove(server)?;
         for model in slot.bundles.keys() {
+            self.stirred.insert(model.clone());
             let Some(holders) = self.holders.get_mut(model) else { continue };
             holders.remove(server);
             if holders.is_empty() {
@@ -215,9 +219,9 @@
         })
     }
 
-    /// Models that any engine holds something of.
-    pub(super) fn held(&self) -> impl Iterator<Item = &model::Id> {
-        self.holders.keys()
+    /// Models whose engines were told anew since this was last asked.
+    pub(super) fn take_stirred(&mut self) -> BTreeSet<model::Id> {
+        std::mem::take(&mut self.stirred)
     }
 
     /// Loads that run.
--- a/crates/policy/src/plan/planner.rs
+++ b/crates/policy/src/plan/planner.rs
@@ -1,6 +1,6 @@
 //! The planner and the order of its concerns.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use types::{model::Model, prelude::*};
 
@@ -36,6 +36,8 @@
     demands: BTreeMap<model::Id, Demand>,
     fleet: Fleet,
     bucket: Bucket,
+    /// Models to look at: those that changed, and those that lacked something last time.
+    pending: BTreeSet<model::Id>,
 }
 
 impl Planner {
@@ -47,17 +49,21 @@
             demands: BTreeMap::new(),
             fleet: Fleet::default(),
             bucket: Bucket::new(limits),
+            pending: BTreeSet::new(),
         }
     }
 
     /// Takes in the declared configuration.
     pub fn configure(&mut self, config: &config::Config) {
         self.weights = config.weights;
+        let removed = self.models.keys().filter(|id| !config.models.contains_key(*id));
+        self.pending.extend(removed.cloned());
         self.models.retain(|id, _| config.models.contains_key(id));
         for (id, model) in &config.models {
             if self.models.get(id).is_some_and(|declared| declared.model == *model) {
                 continue;
             }
+            self.pending.insert(id.clone());
             let demand = self.demands.get(id).copied().unwrap_or_default();
             self.models.insert(id.clone(), Declared::new(model.clone(), demand));
         }
@@ -88,7 +94,7 @@
         self.fleet.revert(now);
         let loading = self.fleet.loading();
         let budget = self.bucket.available(now, loading);
-        let moves = self.draft(now, budget).moves;
+        let moves = self.draft(now, budget);
         self.bucket.take(moves.iter().filter(|m| m.is_load()).count());
         moves
     }
@@ -99,7 +105,7 @@
         let mut all = Vec::new();
         for _ in 0..rounds {
             self.fleet.revert(now);
-            let moves = self.draft(now, usize::MAX).moves;
+            let moves = self.draft(now, usize::MAX);
             if moves.is_empty() {
                 break;
             }
@@ -109,7 +115,8 @@
         all
     }
 
-    fn draft(&mut self, now: Moment, budget: usize) -> Draft<'_> {
+    fn draft(&mut self, now: Moment, budget: usize) -> Vec<Move> {
+        self.pending.extend(self.fleet.take_stirred());
         let mut draft = self.blank(now, budget);
         draft.remove_undeclared();
         draft.place_missing();
@@ -117,7 +124,9 @@
         draft.spread_replicas();
         draft.retire_versions();
         draft.meet_demand();
-        draft
+        let Draft { moves, wanting, .. } = draft;
+        self.pending = wanting;
+        moves
     }
 
     /// A plan without a move yet.
@@ -131,6 +140,8 @@
             fleet: &mut self.fleet,
             budget,
             moves: Vec::new(),
+            pending: self.pending.clone(),
+            wanting: BTreeSet::new(),
         };
         draft.owe();
         draft
@@ -148,9 +159,19 @@
     /// Loads that may still start.
     pub(super) budget: usize,
     pub(super) moves: Vec<Move>,
+    /// Models to look at.
+    pub(super) pending: BTreeSet<model::Id>,
+    /// Models that lack something or hold too much, to be looked at again next time.
+    pub(super) wanting: BTreeSet<model::Id>,
 }
 
-impl Draft<'_> {
+impl<'a> Draft<'a> {
+    /// Declared models to look at.
+    pub(super) fn looked_at(&self) -> Vec<(&'a model::Id, &'a Declared)> {
+        let models = self.models;
+        self.pending.iter().filter_map(|id| models.get_key_value(id)).collect()
+    }
+
     /// Notes a load.
     pub(super) fn start(&mut self, load: Option<Move>) {
         if let Some(load) = load {
--- a/crates/policy/src/plan/residency.rs
+++ b/crates/policy/src/plan/residency.rs
@@ -28,11 +28,14 @@
     /// Unloads what is no longer declared, adapters before their base.
     pub(super) fn remove_undeclared(&mut self) {
         let mut removals = Vec::new();
-        for model in self.fleet.held() {
+        for model in &self.pending {
             let declared = self.models.get(model);
             for (slot, bundle) in self.fleet.holders(model).filter(|(slot, _)| slot.is_live()) {
                 let units = bundle.units().into_iter();
                 let units = units.filter(|unit| !is_declared(declared, bundle, unit));
+                if declared.is_none() {
+                    self.wanting.insert(model.clone());
+                }
                 removals.extend(units.map(|unit| (slot.told.server.clone(), unit)));
             }
         }
@@ -45,8 +48,8 @@
     /// Places models that no live engine holds in the version in force; the unreachable first.
     pub(super) fn place_missing(&mut self) {
         let mut missing: Vec<(bool, Reverse<Mebibytes>, &model::Id, Cause)> = self
-            .models
-            .iter()
+            .looked_at()
+            .into_iter()
             .filter(|(id, declared)| !self.is_resident(id, declared))
             .map(|(id, declared)| {
                 let cause = self.cause_of_absence(id, declared);
@@ -55,6 +58,7 @@
             })
             .collect();
         missing.sort();
+        self.wanting.extend(missing.iter().map(|(_, _, id, _)| (*id).clone()));
         for (_, _, id, cause) in missing {
             if self.budget == 0 {
                 return;
@@ -66,8 +70,8 @@
     /// Brings models to their least number of replicas and into two availability zones.
     pub(super) fn spread_replicas(&mut self) {
         let mut thin: Vec<(usize, Reverse<Mebibytes>, &model::Id)> = self
-            .models
-            .iter()
+            .looked_at()
+            .into_iter()
             .filter_map(|(id, declared)| {
                 let replicas = self.replicas(id, declared);
                 let wanted = replicas < declared.floor() || self.zones(id, declared).len() < 2;
@@ -75,6 +79,7 @@
             })
             .collect();
         thin.sort();
+        self.wanting.extend(thin.iter().map(|(_, _, id)| (*id).clone()));
         for (_, _, id) in thin {
             if self.budget == 0 {
                 return;
@@ -99,7 +104,7 @@
 
     /// Unloads versions that are no longer in force where enough replicas of the new one answer.
     pub(super) fn retire_versions(&mut self) {
-        for (id, declared) in self.models {
+        for (id, declared) in self.looked_at() {
             self.retire(id, declared.floor());
             self.retire_adapters(id, declared);
         }
@@ -110,6 +115,10 @@
     fn retire(&mut self, id: &model::Id, enough: usize) {
         let Some(declared) = self.models.get(id) else { return };
         let version = &declared.model.version;
+        if !self.fleet.holders(id).any(|(_, bundle)| bundle.bases().any(|(v, _)| v != version)) {
+            return;
+        }
+        self.wanting.insert(id.clone());
         let holders = self.fleet.holders(id).filter(|(slot, _)| slot.is_live());
         let (ready, old): (Vec<_>, Vec<_>) =
             holders.partition(|(_, bundle)| bundle.is_ready_in(version));
