Add a fault-injecting proxy for one link

Cause: tests with real processes must be able to break each link alone, and the verdict must not hang on luck. Change: standin::fault holds a TCP proxy changed through its handle: delay, hold (one-way or both), discard (half-open), cut, cut after so many bytes, a shut door, small writes (tokio-netem), another target, and traps that lose or hold the request or the answer of one request found by its text. tokio-netem's delay adds up over the writes of a stream, so delay is the proxy's own queue.

--- /dev/null
+++ b/crates/standin/src/fault.rs
@@ -0,0 +1,251 @@
+//! A proxy between two TCP ends that misbehaves on request.
+//!
+//! A test puts one on a link (host to platform, host to server, host to host, caller to host) and
+//! changes it while it runs. Faults belong to one direction, so that loss may be one-way. TCP never
+//! loses bytes within a stream, so loss is what the ends see of it: silence for as long as
+//! the fault lasts ([`Fault::Hold`]), a connection that one end has left and the other hasn't
+//! noticed ([`Fault::Discard`]), or a reset ([`Proxy::cut`], [`Fault::CutAfter`]). A [`Trap`] waits
+//! for one request by its text and strikes just that one. Small writes come from `tokio-netem`;
+//! delay doesn't, since its delay adds up over the writes of a stream where a long link's doesn't.
+
+mod connection;
+mod trap;
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::{AbortHandle, JoinSet},
+};
+use tokio_netem::slicer::DynamicSize;
+
+use self::connection::Connection;
+pub use self::trap::{Strike, Trap};
+
+/// Direction of bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Way {
+    /// From the end that connects to the target.
+    Forth,
+    /// From the target to the end that connected.
+    Back,
+}
+
+impl Way {
+    /// Both directions.
+    pub const BOTH: [Way; 2] = [Way::Forth, Way::Back];
+}
+
+/// What happens to the bytes of one direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// They pass.
+    #[default]
+    Pass,
+    /// They pass this much later; the order and the rate stay.
+    Delay(Duration),
+    /// They wait, and so do closings, until another fault is set.
+    Hold,
+    /// They and closings are thrown away; a connection that lost any is reset as soon as another
+    /// fault is set.
+    Discard,
+    /// So many more pass on each connection, then it is reset.
+    CutAfter(u64),
+}
+
+/// Whether new connections are let in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Door {
+    /// They are.
+    #[default]
+    Open,
+    /// They are reset at once, as by a machine without a listener.
+    Shut,
+}
+
+/// A fault and the number of the change that set it.
+#[derive(Clone, Copy, Debug, Default)]
+struct Setting {
+    fault: Fault,
+    change: u64,
+}
+
+/// What the proxy and its connections share.
+#[derive(Debug)]
+struct Shared {
+    target: watch::Sender<SocketAddr>,
+    door: watch::Sender<Door>,
+    forth: watch::Sender<Setting>,
+    back: watch::Sender<Setting>,
+    cuts: watch::Sender<u64>,
+    slice: Arc<DynamicSize>,
+    traps: trap::Traps,
+    accepted: AtomicU64,
+    refused: AtomicU64,
+    bytes_forth: AtomicU64,
+    bytes_back: AtomicU64,
+}
+
+impl Shared {
+    fn setting(&self, way: Way) -> &watch::Sender<Setting> {
+        match way {
+            Way::Forth => &self.forth,
+            Way::Back => &self.back,
+        }
+    }
+
+    fn bytes(&self, way: Way) -> &AtomicU64 {
+        match way {
+            Way::Forth => &self.bytes_forth,
+            Way::Back => &self.bytes_back,
+        }
+    }
+}
+
+/// A running proxy; it ends, with all its connections, when dropped.
+#[derive(Debug)]
+pub struct Proxy {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    accepting: AbortHandle,
+}
+
+impl Proxy {
+    /// Starts a proxy to `target` on a loopback port that the system picks.
+    ///
+    /// # Errors
+    ///
+    /// If no port can be bound.
+    pub async fn start(target: SocketAddr) -> io::Result<Proxy> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            target: watch::Sender::new(target),
+            door: watch::Sender::default(),
+            forth: watch::Sender::default(),
+            back: watch::Sender::default(),
+            cuts: watch::Sender::default(),
+            slice: DynamicSize::new(0),
+            traps: trap::Traps::default(),
+            accepted: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
+            bytes_forth: AtomicU64::new(0),
+            bytes_back: AtomicU64::new(0),
+        });
+        let accepting = tokio::spawn(accept(listener, Arc::clone(&shared))).abort_handle();
+        Ok(Proxy { address, shared, accepting })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends new connections to another target; those that stand stay.
+    pub fn retarget(&self, target: SocketAddr) {
+        self.shared.target.send_replace(target);
+    }
+
+    /// Sets the fault of one direction, for connections that stand and for new ones.
+    pub fn set(&self, way: Way, fault: Fault) {
+        self.shared.setting(way).send_modify(|setting| {
+            setting.fault = fault;
+            setting.change += 1;
+        });
+    }
+
+    /// Sets the same fault in both directions.
+    pub fn set_both(&self, fault: Fault) {
+        Way::BOTH.into_iter().for_each(|way| self.set(way, fault));
+    }
+
+    /// Opens or shuts the door to new connections.
+    pub fn door(&self, door: Door) {
+        self.shared.door.send_replace(door);
+    }
+
+    /// Lets everything pass again.
+    pub fn heal(&self) {
+        self.shared.slice.set(0);
+        self.door(Door::Open);
+        self.set_both(Fault::Pass);
+    }
+
+    /// Resets every connection that stands.
+    pub fn cut(&self) {
+        self.shared.cuts.send_modify(|cuts| *cuts += 1);
+    }
+
+    /// Writes at most this many bytes at a time; zero writes as they come.
+    pub fn slice(&self, bytes: usize) {
+        self.shared.slice.set(bytes);
+    }
+
+    /// Lays a trap for the next request whose text holds `text`.
+    ///
+    /// The text is looked for in each piece as it was written, so it should stand in the request's
+    /// first line or the start of its headers.
+    pub fn trap(&self, text: &str, strike: Strike) -> Trap {
+        self.shared.traps.lay(text, strike)
+    }
+
+    /// Connections let in so far.
+    pub fn accepted(&self) -> u64 {
+        self.shared.accepted.load(Ordering::Relaxed)
+    }
+
+    /// Connections reset at the door so far.
+    pub fn refused(&self) -> u64 {
+        self.shared.refused.load(Ordering::Relaxed)
+    }
+
+    /// Bytes passed on so far in one direction.
+    pub fn bytes(&self, way: Way) -> u64 {
+        self.shared.bytes(way).load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
+
+/// Accepts for good; connections belong to the set, so that aborting this task ends them.
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    const PAUSE_AFTER_ERROR: Duration = Duration::from_millis(20);
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => admit(stream, &shared, &mut connections),
+                Err(_) => tokio::time::sleep(PAUSE_AFTER_ERROR).await,
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+fn admit(stream: TcpStream, shared: &Arc<Shared>, connections: &mut JoinSet<()>) {
+    if *shared.door.borrow() == Door::Shut {
+        shared.refused.fetch_add(1, Ordering::Relaxed);
+        reset(&stream);
+        return;
+    }
+    shared.accepted.fetch_add(1, Ordering::Relaxed);
+    connections.spawn(Connection::new(Arc::clone(shared)).run(stream));
+}
+
+/// Makes the coming close a reset. A socket that is gone already needs none.
+fn reset(stream: &TcpStream) {
+    let _ = stream.set_zero_linger();
+}
--- /dev/null
+++ b/crates/standin/tests/fault.rs
@@ -0,0 +1,327 @@
+//! The proxy's faults, each as the ends of a connection see it.
+
+use std::{
+    io::{self, ErrorKind},
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use rstest::rstest;
+use standin::fault::{Door, Fault, Proxy, Strike, Way};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::Instant,
+};
+
+/// Long enough that nothing in these tests comes by itself within it.
+const SILENCE: Duration = Duration::from_millis(200);
+
+/// An echo server that counts the bytes it got and the connections that ended.
+struct Echo {
+    address: SocketAddr,
+    bytes: Arc<AtomicU64>,
+    ended: Arc<AtomicU64>,
+}
+
+impl Echo {
+    async fn start() -> Echo {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (bytes, ended) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+        let echo = Echo { address, bytes: bytes.clone(), ended: ended.clone() };
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (bytes, ended) = (bytes.clone(), ended.clone());
+                tokio::spawn(async move {
+                    let _ = echo_back(stream, &bytes).await;
+                    ended.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        echo
+    }
+
+    fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::SeqCst)
+    }
+
+    async fn until_bytes(&self, bytes: u64) {
+        while self.bytes() < bytes {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    async fn until_ended(&self, connections: u64) {
+        while self.ended.load(Ordering::SeqCst) < connections {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+}
+
+async fn echo_back(mut stream: TcpStream, bytes: &AtomicU64) -> io::Result<()> {
+    let mut piece = [0; 4096];
+    loop {
+        let length = stream.read(&mut piece).await?;
+        if length == 0 {
+            return Ok(());
+        }
+        bytes.fetch_add(length as u64, Ordering::SeqCst);
+        stream.write_all(&piece[..length]).await?;
+    }
+}
+
+async fn link() -> (Echo, Proxy, TcpStream) {
+    let echo = Echo::start().await;
+    let proxy = Proxy::start(echo.address).await.unwrap();
+    let stream = TcpStream::connect(proxy.address()).await.unwrap();
+    (echo, proxy, stream)
+}
+
+async fn ask(stream: &mut TcpStream, text: &str) -> io::Result<String> {
+    stream.write_all(text.as_bytes()).await?;
+    hear(stream, text.len()).await
+}
+
+async fn hear(stream: &mut TcpStream, length: usize) -> io::Result<String> {
+    let mut answer = vec![0; length];
+    stream.read_exact(&mut answer).await?;
+    Ok(String::from_utf8(answer).expect("the echo of text"))
+}
+
+async fn is_silent(stream: &mut TcpStream) -> bool {
+    tokio::time::timeout(SILENCE, stream.read_u8()).await.is_err()
+}
+
+fn is_reset<T: std::fmt::Debug>(result: io::Result<T>) {
+    let kind = result.unwrap_err().kind();
+    let reset = [ErrorKind::ConnectionReset, ErrorKind::BrokenPipe];
+    assert!(reset.contains(&kind), "{kind:?}");
+}
+
+#[tokio::test]
+async fn passes_bytes_and_closings_and_counts_them() {
+    let (echo, proxy, mut stream) = link().await;
+
+    assert_eq!(ask(&mut stream, "hello").await.unwrap(), "hello");
+    stream.shutdown().await.unwrap();
+
+    assert_eq!(stream.read(&mut [0; 8]).await.unwrap(), 0);
+    echo.until_ended(1).await;
+    assert_eq!((proxy.bytes(Way::Forth), proxy.bytes(Way::Back)), (5, 5));
+    assert_eq!((proxy.accepted(), proxy.refused()), (1, 0));
+}
+
+#[tokio::test]
+async fn delay_does_not_add_up_over_pieces() {
+    let (echo, proxy, mut stream) = link().await;
+    ask(&mut stream, "warm").await.unwrap();
+    let (pieces, delay) = (100, Duration::from_millis(50));
+    proxy.set(Way::Back, Fault::Delay(delay));
+
+    let start = Instant::now();
+    for number in 1..=pieces {
+        stream.write_all(b"x").await.unwrap();
+        echo.until_bytes(4 + number).await;
+    }
+    hear(&mut stream, pieces as usize).await.unwrap();
+
+    // A delay that adds up takes a hundred times as long as one that doesn't.
+    let taken = start.elapsed();
+    assert!(delay <= taken && taken < delay * pieces as u32, "{taken:?}");
+}
+
+#[rstest]
+#[case::requests(Way::Forth, 4)]
+#[case::answers(Way::Back, 9)]
+#[tokio::test]
+async fn one_way_loss_holds_one_direction_alone(#[case] way: Way, #[case] arrived: u64) {
+    let (echo, proxy, mut stream) = link().await;
+    ask(&mut stream, "warm").await.unwrap();
+
+    proxy.set(way, Fault::Hold);
+    stream.write_all(b"later").await.unwrap();
+    assert!(is_silent(&mut stream).await);
+    assert_eq!(echo.bytes(), arrived);
+
+    proxy.heal();
+    assert_eq!(hear(&mut stream, 5).await.unwrap(), "later");
+}
+
+#[tokio::test]
+async fn held_link_lets_in_new_connections_and_stays_silent() {
+    let (echo, proxy, _stream) = link().await;
+    proxy.set_both(Fault::Hold);
+
+    let mut late = TcpStream::connect(proxy.address()).await.unwrap();
+    late.write_all(b"late").await.unwrap();
+    assert!(is_silent(&mut late).await);
+    assert_eq!(echo.bytes(), 0);
+
+    proxy.heal();
+    assert_eq!(hear(&mut late, 4).await.unwrap(), "late");
+}
+
+#[rstest]
+#[case::held(Fault::Hold)]
+#[case::discarded(Fault::Discard)]
+#[tokio::test]
+async fn half_open_connection_stays_at_the_far_end(#[case] fault: Fault) {
+    let (echo, proxy, mut stream) = link().await;
+    ask(&mut stream, "warm").await.unwrap();
+
+    proxy.set(Way::Forth, fault);
+    drop(stream);
+    tokio::time::sleep(SILENCE).await;
+    assert_eq!(echo.ended.load(Ordering::SeqCst), 0);
+
+    proxy.heal();
+    echo.until_ended(1).await;
+}
+
+#[tokio::test]
+async fn discarded_bytes_never_come_and_the_connection_is_reset_afterwards() {
+    let (echo, proxy, mut stream) = link().await;
+    ask(&mut stream, "warm").await.unwrap();
+
+    proxy.set(Way::Forth, Fault::Discard);
+    stream.write_all(b"lost").await.unwrap();
+    assert!(is_silent(&mut stream).await);
+    proxy.heal();
+
+    is_reset(stream.read_u8().await);
+    assert_eq!(echo.bytes(), 4);
+}
+
+#[tokio::test]
+async fn cut_resets_both_ends_of_what_stands_and_lets_in_new_ones() {
+    let (echo, proxy, mut stream) = link().await;
+    ask(&mut stream, "warm").await.unwrap();
+
+    proxy.cut();
+
+    is_reset(stream.read_u8().await);
+    echo.until_ended(1).await;
+    let mut next = TcpStream::connect(proxy.address()).await.unwrap();
+    assert_eq!(ask(&mut next, "again").await.unwrap(), "again");
+}
+
+#[tokio::test]
+async fn shut_door_resets_new_connections_alone() {
+    let (_echo, proxy, mut stream) = link().await;
+    ask(&mut stream, "warm").await.unwrap();
+    proxy.door(Door::Shut);
+
+    let mut next = TcpStream::connect(proxy.address()).await.unwrap();
+    let _ = next.write_all(b"hello").await;
+    is_reset(next.read_u8().await);
+    assert_eq!(ask(&mut stream, "still").await.unwrap(), "still");
+    assert_eq!(proxy.refused(), 1);
+
+    proxy.heal();
+    let mut next = TcpStream::connect(proxy.address()).await.unwrap();
+    assert_eq!(ask(&mut next, "again").await.unwrap(), "again");
+}
+
+#[rstest]
+#[case::before_the_first(0)]
+#[case::within(3)]
+#[case::after_the_last(5)]
+#[tokio::test]
+async fn cut_after_counts_from_when_it_was_set(#[case] limit: u64) {
+    let (_echo, proxy, mut stream) = link().await;
+    ask(&mut stream, "warm").await.unwrap();
+
+    proxy.set(Way::Back, Fault::CutAfter(limit));
+    stream.write_all(b"hello").await.unwrap();
+
+    let mut heard = Vec::new();
+    is_reset(stream.read_to_end(&mut heard).await);
+    assert_eq!(heard, &b"hello"[..limit as usize]);
+}
+
+#[tokio::test]
+async fn lost_answer_after_the_request_got_through() {
+    let (echo, proxy, mut stream) = link().await;
+    let trap = proxy.trap("PUT /objects/a", Strike::LoseAnswer);
+    assert_eq!(ask(&mut stream, "GET /objects/a").await.unwrap(), "GET /objects/a");
+    assert!(!trap.has_sprung());
+
+    stream.write_all(b"PUT /objects/a").await.unwrap();
+
+    is_reset(stream.read_u8().await);
+    assert!(trap.has_sprung());
+    assert_eq!(echo.bytes(), 28);
+}
+
+#[tokio::test]
+async fn lost_request_never_arrives_and_the_next_one_does() {
+    let (echo, proxy, mut stream) = link().await;
+    let trap = proxy.trap("POST /orders", Strike::LoseRequest);
+
+    stream.write_all(b"POST /orders 1").await.unwrap();
+    is_reset(stream.read_u8().await);
+    trap.sprung().await;
+    assert_eq!(echo.bytes(), 0);
+
+    let mut next = TcpStream::connect(proxy.address()).await.unwrap();
+    assert_eq!(ask(&mut next, "POST /orders 2").await.unwrap(), "POST /orders 2");
+}
+
+#[rstest]
+#[case::request(Strike::HoldRequest, 0)]
+#[case::answer(Strike::HoldAnswer, 5)]
+#[tokio::test]
+async fn held_request_comes_after_its_successor(#[case] strike: Strike, #[case] arrived: u64) {
+    let (echo, proxy, mut first) = link().await;
+    let trap = proxy.trap("one", strike);
+    first.write_all(b"  one").await.unwrap();
+    trap.sprung().await;
+    assert_eq!(echo.bytes(), arrived);
+
+    let mut second = TcpStream::connect(proxy.address()).await.unwrap();
+    assert_eq!(ask(&mut second, "two").await.unwrap(), "two");
+    assert!(is_silent(&mut first).await);
+    trap.release();
+
+    assert_eq!(hear(&mut first, 5).await.unwrap(), "  one");
+}
+
+#[tokio::test]
+async fn sliced_bytes_come_whole_and_in_order() {
+    let (_echo, proxy, mut stream) = link().await;
+    proxy.slice(1);
+    let text = "data: {\"token\":1}\n\n".repeat(50);
+
+    assert_eq!(ask(&mut stream, &text).await.unwrap(), text);
+}
+
+#[tokio::test]
+async fn target_that_is_gone_resets_the_caller() {
+    let (echo, proxy, _stream) = link().await;
+    let spare = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    proxy.retarget(spare.local_addr().unwrap());
+    drop(spare);
+
+    let mut stream = TcpStream::connect(proxy.address()).await.unwrap();
+    is_reset(stream.read_u8().await);
+
+    proxy.retarget(echo.address);
+    let mut stream = TcpStream::connect(proxy.address()).await.unwrap();
+    assert_eq!(ask(&mut stream, "back").await.unwrap(), "back");
+}
+
+#[tokio::test]
+async fn dropped_proxy_ends_its_connections() {
+    let (echo, proxy, mut stream) = link().await;
+    ask(&mut stream, "warm").await.unwrap();
+
+    drop(proxy);
+
+    assert!(stream.read(&mut [0; 1]).await.map_or(true, |length| length == 0));
+    echo.until_ended(1).await;
+}
