Take patches on the operators' listener, by parts where they are large

Cause: hosts read one object with the whole configuration, nobody could change it, and the operators' listener asked for no token.

Change: `GET /config`, `POST /config/patches` and `POST /config/check` on the operators' listener. `stage::declared` carries a decision out (parts, then one conditional write of the root) and reads back after every write whose end is unclear, so that a lost answer gets its true outcome; parts that no root names are swept every 64 numbers. The watch takes roots and fetches missing parts. A configuration up to 32 KB stands in the root itself, so that today's sizes come into force with the watch's own answer. `stage::guard` compares tokens in constant time and refuses a listener off loopback without one. `check` prints every finding; `serve` refuses on findings.

--- a/crates/policy/src/config.rs
+++ b/crates/policy/src/config.rs
@@ -16,6 +16,7 @@
 pub mod fit;
 pub mod holder;
 pub mod merge;
+pub mod outcome;
 pub mod part;
 pub mod root;
 
@@ -25,6 +26,7 @@
 use types::config::Number;
 
 pub use decide::{Decision, Draft, decide};
+pub use outcome::Outcome;
 pub use root::Root;
 
 /// Key of the root object.
--- a/crates/policy/src/config/decide.rs
+++ b/crates/policy/src/config/decide.rs
@@ -1,7 +1,9 @@
 //! What becomes of a patch.
 
+use std::{collections::VecDeque, sync::Arc};
+
 use serde::{Deserialize, Serialize};
-use types::config::{Config, Number, Numbered};
+use types::config::{Config, Number};
 
 use super::{
     Patch, Root,
@@ -9,7 +11,7 @@
     fit::{self, Server, Shortage},
     merge::{self, Path},
     part::{self, Part},
-    root::digest,
+    root::{Content, LARGEST_WHOLE, digest},
 };
 
 /// The configuration as it was last read: the root and what its parts make.
@@ -18,7 +20,7 @@
     /// The root.
     pub root: Root,
     /// What is declared.
-    pub config: Config,
+    pub config: Arc<Config>,
 }
 
 /// The next configuration, to be written: first the parts, each if it is absent, then the root if
@@ -30,13 +32,31 @@
     /// The root.
     pub root: Root,
     /// What is declared.
-    pub config: Config,
+    pub config: Arc<Config>,
 }
 
 impl Draft {
-    /// The configuration with its number.
-    pub fn numbered(&self) -> Numbered {
-        Numbered { number: self.root.number, config: self.config.clone() }
+    /// A configuration under a number, without a history of patches. Parts that the earlier ones
+    /// equal are named again.
+    ///
+    /// # Errors
+    ///
+    /// A value that JSON can't hold.
+    pub fn new(
+        number: Number,
+        config: Config,
+        earlier: &[part::Name],
+    ) -> Result<Draft, serde_json::Error> {
+        let size = serde_json::to_vec(&config)?.len();
+        let config = Arc::new(config);
+        let (content, parts) = if size <= LARGEST_WHOLE {
+            (Content::Whole(config.clone()), Vec::new())
+        } else {
+            let cut = part::cut(&config, number, earlier)?;
+            (Content::Parts { weights: config.weights, names: cut.names }, cut.new)
+        };
+        let root = Root { number, content, patches: VecDeque::new() };
+        Ok(Draft { parts, root, config })
     }
 }
 
@@ -85,7 +105,7 @@
         Ok(config) => config,
         Err(problem) => return Decision::Invalid(vec![problem]),
     };
-    if config == current.config && current.root.number != 0 {
+    if config == *current.config && current.root.number != 0 {
         return Decision::Unchanged(current.root.number);
     }
     let problems = check::problems(&config);
@@ -101,20 +121,15 @@
 
 fn draft(current: &Current, patch: &Patch, config: Config) -> Decision {
     let number = current.root.number + 1;
-    let unfit = |error: serde_json::Error| {
-        let message = format!("can't be written as JSON: {error}");
-        Decision::Invalid(vec![Problem { path: String::new(), message }])
-    };
-    let cut = match part::cut(&config, number, &current.root.parts) {
-        Ok(cut) => cut,
-        Err(error) => return unfit(error),
-    };
-    let mut root = Root {
-        number,
-        weights: config.weights,
-        parts: cut.names,
-        patches: current.root.patches.clone(),
-    };
-    root.keep(patch, merge::paths(&patch.changes));
-    Decision::Accept(Box::new(Draft { parts: cut.new, root, config }))
+    match Draft::new(number, config, current.root.parts()) {
+        Ok(mut draft) => {
+            draft.root.patches.clone_from(&current.root.patches);
+            draft.root.keep(patch, merge::paths(&patch.changes));
+            Decision::Accept(Box::new(draft))
+        }
+        Err(error) => {
+            let message = format!("can't be written as JSON: {error}");
+            Decision::Invalid(vec![Problem { path: String::new(), message }])
+        }
+    }
 }
--- a/crates/policy/src/config/holder.rs
+++ b/crates/policy/src/config/holder.rs
@@ -9,9 +9,9 @@
     sync::Arc,
 };
 
-use types::config::{Number, Numbered};
+use types::config::{Config, Number, Numbered};
 
-use super::{Root, part};
+use super::{Root, part, root::Content};
 
 /// Bytes of a part.
 pub type Bytes = Arc<[u8]>;
@@ -102,7 +102,7 @@
 
     /// Parts that the newest root names and that aren't held.
     pub fn needs(&self) -> Vec<part::Name> {
-        let named = self.pending.iter().flat_map(|root| &root.parts);
+        let named = self.pending.iter().flat_map(|root| root.parts());
         named.filter(|name| !self.parts.contains_key(*name)).cloned().collect()
     }
 
@@ -112,8 +112,13 @@
             return Ok(Progress::Needs(needs));
         }
         let Some(root) = self.pending.take() else { return Ok(Progress::Known) };
-        let parts = root.parts.iter().filter_map(|name| Some((name, &**self.parts.get(name)?)));
-        let config = part::join(root.weights, parts)?;
+        let config = match &root.content {
+            Content::Whole(config) => Config::clone(config),
+            Content::Parts { weights, names } => {
+                let parts = names.iter().filter_map(|name| Some((name, &**self.parts.get(name)?)));
+                part::join(*weights, parts)?
+            }
+        };
         let numbered = Arc::new(Numbered { number: root.number, config });
         self.in_force = Some(Held { root: Arc::new(root), numbered: numbered.clone() });
         self.drop_unnamed();
@@ -122,8 +127,8 @@
 
     /// Drops parts that neither the root in force nor the newest one names.
     fn drop_unnamed(&mut self) {
-        let in_force = self.in_force.iter().flat_map(|held| &held.root.parts);
-        let pending = self.pending.iter().flat_map(|root| &root.parts);
+        let in_force = self.in_force.iter().flat_map(|held| held.root.parts());
+        let pending = self.pending.iter().flat_map(|root| root.parts());
         let named: BTreeSet<part::Name> = in_force.chain(pending).cloned().collect();
         self.parts.retain(|name, _| named.contains(name));
     }
--- a/crates/policy/src/config/part.rs
+++ b/crates/policy/src/config/part.rs
@@ -151,7 +151,7 @@
 /// later root either, however long the one who asks has been paused: it may be deleted. A host
 /// that is still reading an older root finds a part gone and reads the root again.
 pub fn garbage(root: &Root, stored: impl IntoIterator<Item = Name>) -> Vec<Name> {
-    let named: BTreeSet<&Name> = root.parts.iter().collect();
+    let named: BTreeSet<&Name> = root.parts().iter().collect();
     stored
         .into_iter()
         .filter(|name| !named.contains(name))
--- a/crates/policy/src/config/root.rs
+++ b/crates/policy/src/config/root.rs
@@ -1,13 +1,19 @@
-//! The root object, which names the parts of a numbered configuration.
+//! The root object, which holds a small configuration or names the parts of a large one.
+//!
+//! A small one comes into force with the one value that a watch brings. Above [`LARGEST_WHOLE`]
+//! a change would rewrite more than it needs to, and the value limit would come in sight.
 //!
 //! It also keeps the latest patches, so that a retry gets the first outcome and a stale patch is
 //! told what clashes. The list is bounded, and nothing rests on its length: a retry that comes
 //! after its entry has gone is against a number long past and refused as stale, never run twice.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
-use types::config::{Number, Weights};
+use types::config::{Config, Number, Weights};
 
 use super::{
     Id, Patch,
@@ -27,23 +33,79 @@
 /// Names in a path to one entry of a section.
 const ENTRY_DEPTH: usize = 2;
 
+/// Largest configuration that stands in the root itself, in bytes of JSON.
+pub const LARGEST_WHOLE: usize = 32 * 1024;
+
 /// Root of a numbered configuration, as the object API holds it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(try_from = "Wire", into = "Wire")]
 pub struct Root {
     /// The number.
     pub number: Number,
-    /// Weights of the two measures.
-    #[serde(default)]
-    pub weights: Weights,
-    /// The parts, in order.
-    #[serde(default)]
-    pub parts: Vec<part::Name>,
+    /// What it holds or names.
+    pub content: Content,
     /// The latest patches, the oldest first.
-    #[serde(default)]
     pub patches: VecDeque<Accepted>,
 }
 
+/// What a root holds or names.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Content {
+    /// All that is declared.
+    Whole(Arc<Config>),
+    /// The names of parts.
+    Parts {
+        /// Weights of the two measures, which stand in no part.
+        weights: Weights,
+        /// The parts, in order.
+        names: Vec<part::Name>,
+    },
+}
+
+impl Default for Content {
+    fn default() -> Content {
+        Content::Whole(Arc::default())
+    }
+}
+
+/// A root in JSON: `config`, or `weights` and `parts`.
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Wire {
+    number: Number,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    config: Option<Arc<Config>>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    weights: Option<Weights>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    parts: Option<Vec<part::Name>>,
+    #[serde(default)]
+    patches: VecDeque<Accepted>,
+}
+
+impl TryFrom<Wire> for Root {
+    type Error = &'static str;
+
+    fn try_from(wire: Wire) -> Result<Root, &'static str> {
+        let content = match (wire.config, wire.weights, wire.parts) {
+            (Some(config), None, None) => Content::Whole(config),
+            (None, Some(weights), Some(names)) => Content::Parts { weights, names },
+            _ => return Err("a root has either `config`, or `weights` and `parts`"),
+        };
+        Ok(Root { number: wire.number, content, patches: wire.patches })
+    }
+}
+
+impl From<Root> for Wire {
+    fn from(root: Root) -> Wire {
+        let (config, weights, parts) = match root.content {
+            Content::Whole(config) => (Some(config), None, None),
+            Content::Parts { weights, names } => (None, Some(weights), Some(names)),
+        };
+        Wire { number: root.number, config, weights, parts, patches: root.patches }
+    }
+}
+
 /// A patch that was accepted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -60,10 +122,17 @@
 
 impl Root {
     /// The root without its patches: all that a host needs which doesn't decide on patches. It is
-    /// a tenth of the whole at the size of 950 models.
+    /// a sixth of the whole at the size of 950 models.
     pub fn bare(&self) -> Root {
-        let Root { number, weights, parts, .. } = self;
-        Root { number: *number, weights: *weights, parts: parts.clone(), patches: VecDeque::new() }
+        Root { number: self.number, content: self.content.clone(), patches: VecDeque::new() }
+    }
+
+    /// The parts that it names, in order; none when it holds the whole.
+    pub fn parts(&self) -> &[part::Name] {
+        match &self.content {
+            Content::Whole(_) => &[],
+            Content::Parts { names, .. } => names,
+        }
     }
 
     /// What is known of a patch with this name.
--- a/crates/policy/tests/config.rs
+++ b/crates/policy/tests/config.rs
@@ -1,6 +1,6 @@
 //! Patches against numbers: who wins, who is refused, what a retry gets.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use policy::config::{
     Decision, Draft, Patch, Root, decide,
@@ -48,6 +48,21 @@
     after(&Current::default(), &patch("first", 0, changes))
 }
 
+/// Number 1, too large for the root.
+fn large() -> Current {
+    let models: BTreeMap<String, Value> =
+        (0..700).map(|i| (format!("filler-{i:03}"), model(1))).collect();
+    after(&Current::default(), &patch("first", 0, json!({"models": models})))
+}
+
+/// The configuration that a root and parts make.
+fn made(root: &Root, parts: &BTreeMap<part::Name, Vec<u8>>) -> Config {
+    let mut holder = Holder::default();
+    holder.hear(root.clone()).unwrap();
+    supply_all(&mut holder, parts);
+    holder.in_force().unwrap().config.clone()
+}
+
 #[test]
 fn each_accepted_patch_makes_the_next_number() {
     let one = first();
@@ -197,6 +212,9 @@
 #[test]
 fn of_patches_that_race_one_wins_each_number_and_the_losers_garbage_is_safe_to_sweep() {
     let mut platform = Platform::default();
+    let first = large();
+    assert!(platform.write(0, Draft::new(1, Config::clone(&first.config), &[]).unwrap()));
+    assert!(platform.parts.len() > 20);
     for round in 0..40 {
         let (version, base) = (platform.version, platform.current.clone());
         // Three writers read the same root; each tries to write what it decided.
@@ -217,9 +235,7 @@
                 platform.parts.remove(&name);
             }
         }
-        let root = &platform.current.root;
-        let parts = root.parts.iter().map(|name| (name, &*platform.parts[name]));
-        assert_eq!(part::join(root.weights, parts).unwrap(), platform.current.config);
+        assert_eq!(made(&platform.current.root, &platform.parts), *platform.current.config);
     }
 }
 
@@ -236,10 +252,12 @@
 
 /// Roots of numbers 1 to 5 and every part that they name.
 fn history() -> (Vec<Current>, BTreeMap<part::Name, Vec<u8>>) {
-    let mut parts = BTreeMap::new();
-    let mut all: Vec<Current> = Vec::new();
-    for number in 0..5 {
-        let base = all.last().cloned().unwrap_or_default();
+    let first = Draft::new(1, Config::clone(&large().config), &[]).unwrap();
+    let mut parts: BTreeMap<_, _> =
+        first.parts.into_iter().map(|part| (part.name, part.bytes)).collect();
+    let mut all = vec![Current { root: first.root, config: first.config }];
+    for number in 1..5 {
+        let base = all[number as usize - 1].clone();
         let changes = json!({"models": {format!("m{number}"): model(10 + number)}});
         let draft = accept(&base, &patch(&format!("p{number}"), number, changes));
         parts.extend(draft.parts.iter().map(|part| (part.name.clone(), part.bytes.clone())));
@@ -258,7 +276,7 @@
         supply_all(&mut holder, &parts);
         highest = highest.max(heard as Number + 1);
         assert_eq!(holder.number(), highest);
-        assert_eq!(holder.in_force().unwrap().config, history[highest as usize - 1].config);
+        assert_eq!(holder.in_force().unwrap().config, *history[highest as usize - 1].config);
     }
 }
 
@@ -270,7 +288,9 @@
     assert_eq!((holder.number(), holder.heard()), (0, 1));
     holder.hear(history[3].root.clone()).unwrap();
     // The part of number 1 comes late.
-    let late = history[0].root.parts[0].clone();
+    let named = |root: &Root| root.parts().to_vec();
+    let newest = named(&history[3].root);
+    let late = named(&history[0].root).into_iter().find(|name| !newest.contains(name)).unwrap();
     let bytes = parts[&late].as_slice().into();
     assert_eq!(holder.supply(late, bytes).unwrap(), Progress::Known);
     assert_eq!(holder.number(), 0);
@@ -282,11 +302,12 @@
     let (history, parts) = history();
     let mut holder = Holder::default();
     holder.hear(history[0].root.clone()).unwrap();
-    let name = holder.needs()[0].clone();
+    let needs = holder.needs();
+    let name = needs[0].clone();
     let mut bytes = parts[&name].clone();
     bytes[3] ^= 1;
-    assert!(holder.supply(name.clone(), bytes.into()).is_err());
-    assert_eq!(holder.needs(), [name]);
+    assert!(holder.supply(name, bytes.into()).is_err());
+    assert_eq!(holder.needs(), needs);
     assert_eq!(supply_all(&mut holder, &parts), Some(1));
 }
 
@@ -295,16 +316,45 @@
     let (history, _) = history();
     let root = &history[4].root;
     assert_eq!(&serde_json::from_value::<Root>(json!(root)).unwrap(), root);
-    let name = &root.parts[0];
+    let name = &root.parts()[0];
     assert_eq!(part::Name::of_key(&name.key()).as_ref(), Some(name));
     for other in ["config/root", "config/part/", "config/part/x", "config/part/x-1"] {
         assert_eq!(part::Name::of_key(other), None, "{other}");
     }
 }
 
+#[test]
+fn a_small_configuration_stands_in_the_root_and_a_large_one_in_parts() {
+    let small = first();
+    assert_eq!(small.root.parts(), []);
+    let text = json!(small.root).to_string();
+    assert!(text.contains("\"config\":{"), "{text}");
+    let mut holder = Holder::default();
+    let progress = holder.hear(serde_json::from_str(&text).unwrap()).unwrap();
+    assert!(matches!(progress, Progress::InForce(numbered) if numbered.config == *small.config));
+
+    let large = large();
+    assert!(large.root.parts().len() > 20);
+    assert!(!json!(large.root).to_string().contains("filler"));
+    let none = large.config.models.keys().map(|id| (id.to_string(), Value::Null));
+    let none: BTreeMap<String, Value> = none.collect();
+    let emptied = after(&large, &patch("b", 1, json!({"models": none})));
+    assert_eq!(emptied.root.parts(), []);
+    assert_eq!(part::garbage(&emptied.root, large.root.parts().to_vec()), large.root.parts());
+}
+
+#[rstest]
+#[case::both(json!({"number": 1, "config": {}, "weights": {"attainment": 1, "moves": 1}}))]
+#[case::neither(json!({"number": 1}))]
+#[case::parts_without_weights(json!({"number": 1, "parts": []}))]
+#[case::unknown(json!({"number": 1, "config": {}, "color": 1}))]
+fn a_root_of_no_kind_is_refused(#[case] root: Value) {
+    assert!(serde_json::from_value::<Root>(root).is_err());
+}
+
 #[test]
 fn an_empty_first_configuration_gets_a_number() {
     let one = after(&Current::default(), &patch("a", 0, json!({})));
-    assert_eq!((one.root.number, one.config), (1, Config::default()));
+    assert_eq!((one.root.number, one.config), (1, Arc::new(Config::default())));
     assert_eq!(merge::changes(&Config::default(), &Config::default()).unwrap(), json!({}));
 }
--- a/crates/policy/tests/config_properties.rs
+++ b/crates/policy/tests/config_properties.rs
@@ -1,8 +1,8 @@
 //! Patches and parts over many configurations.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
-use policy::config::{Root, merge, part};
+use policy::config::{Root, merge, part, root::Content};
 use proptest::{
     prelude::*,
     test_runner::{Config as RunConfig, RngSeed},
@@ -94,9 +94,10 @@
             prop_assert!(stored.insert(part.name.clone(), part.bytes.clone()).is_none());
         }
         let parts = second.names.iter().map(|name| (name, &*stored[name]));
-        prop_assert_eq!(part::join(to.weights, parts).unwrap(), to);
+        prop_assert_eq!(part::join(to.weights, parts).unwrap(), to.clone());
 
-        let root = Root { number: 2, parts: second.names.clone(), ..Root::default() };
+        let content = Content::Parts { weights: to.weights, names: second.names.clone() };
+        let root = Root { number: 2, content, patches: VecDeque::new() };
         let garbage = part::garbage(&root, stored.keys().cloned());
         prop_assert_eq!(garbage.len() + second.names.len(), stored.len());
     }
--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -14,7 +14,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::fleet::Fleet;
+use crate::{declared::Declared, fleet::Fleet};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -28,6 +28,8 @@
     pub backends: ::backend::Client,
     /// Hosts, backend servers and what they report.
     pub fleet: Fleet,
+    /// What is held of the declared configuration.
+    pub declared: Declared,
     /// The configuration in force; only [`Context::advance`] changes it.
     config: watch::Sender<Arc<Numbered>>,
     /// Ends background duties.
@@ -48,6 +50,7 @@
             store,
             backends: ::backend::Client::new(),
             fleet: Fleet::default(),
+            declared: Declared::default(),
             config: watch::channel(Arc::default()).0,
             stop: CancellationToken::new(),
             duties: TaskTracker::new(),
--- /dev/null
+++ b/crates/stage/src/declared/patch.rs
@@ -0,0 +1,195 @@
+//! Carries a decision on a patch out: parts first, then the root, in one conditional write.
+//!
+//! Every way that a write can end leads back to the same question, what the newest root says. Lost
+//! to another patch: the root has moved, and the patch is stale. Answer lost: the root has the
+//! patch, or it has not and nothing was done. So the loop reads and decides again until a write is
+//! certain.
+
+use std::sync::Arc;
+
+use policy::config::{
+    Decision, Draft, Outcome, PART_PREFIX, Patch, ROOT_KEY, Root, decide,
+    decide::Current,
+    fit::Server,
+    holder::Holder,
+    part::{self, Part},
+};
+use types::prelude::*;
+
+use super::{
+    Error,
+    source::{self, Drafted, Platform, Read, Source},
+};
+use crate::context::Context;
+
+/// Times that a root is read and written for one patch. Losing to another patch ends the loop by
+/// itself, so only lost answers use them up.
+const ATTEMPTS: u32 = 4;
+
+/// A sweep of parts that no root names follows each number that this divides.
+const SWEEP_EVERY: config::Number = 64;
+
+/// What becomes of a write of the root.
+enum Written {
+    Done,
+    Unclear(platform::Error),
+}
+
+/// Decides on a patch and carries it out.
+pub async fn apply(context: &Arc<Context>, patch: &Patch) -> Outcome {
+    let mut is_ours = false;
+    let mut cause = String::new();
+    for _ in 0..ATTEMPTS {
+        let (read, decision) = match decided(context, patch).await {
+            Ok(decided) => decided,
+            Err(error) => return unavailable(error),
+        };
+        let draft = match decision {
+            Decision::Accept(draft) => draft,
+            Decision::Repeated(number) if is_ours => return Outcome::Accepted { number },
+            other => return outcome(other),
+        };
+        match write(context, &read, &draft).await {
+            Ok(Written::Done) => {
+                let number = draft.root.number;
+                finish(context, *draft).await;
+                return Outcome::Accepted { number };
+            }
+            // The answer is lost, so the patch may stand under this very call.
+            Ok(Written::Unclear(error)) => {
+                is_ours |= error.is_ambiguous();
+                cause = error.to_string();
+            }
+            Err(error) => return unavailable(error),
+        }
+    }
+    Outcome::Unavailable { cause }
+}
+
+/// Says what would become of a patch, and writes nothing.
+pub async fn check(context: &Context, patch: &Patch) -> Outcome {
+    match decided(context, patch).await {
+        Ok((_, decision)) => outcome(decision),
+        Err(error) => unavailable(error),
+    }
+}
+
+/// Reads the newest configuration and decides on the patch.
+async fn decided(context: &Context, patch: &Patch) -> Result<(Read, Decision), Error> {
+    let read = source::newest(&*context.store).await?;
+    let current = current(context, read.root.clone()).await?;
+    Ok((read, decide(&current, patch, &servers(context))))
+}
+
+/// What a root stands for. Parts that this host holds are not fetched again.
+async fn current(context: &Context, root: Root) -> Result<Current, Error> {
+    let in_force = context.config();
+    if root.number == in_force.number {
+        return Ok(Current { root, config: Arc::new(in_force.config.clone()) });
+    }
+    let mut holder = Holder::default();
+    holder.hear(root.clone())?;
+    for name in holder.needs() {
+        let bytes = match context.declared.part(&name) {
+            Some(bytes) => bytes,
+            None => Platform(&*context.store).part(&name).await?,
+        };
+        holder.supply(name, bytes)?;
+    }
+    let config = holder.in_force().map(|numbered| numbered.config.clone()).unwrap_or_default();
+    Ok(Current { root, config: Arc::new(config) })
+}
+
+/// Engines that report their memory and stay.
+fn servers(context: &Context) -> Vec<Server> {
+    let readings = context.fleet.readings();
+    let capacity = |server: &backend::Server| Some(readings.get(&server.id)?.load.capacity);
+    let engine = |server: backend::Server| {
+        let capacity = capacity(&server).filter(|capacity| 0 < *capacity)?;
+        Some(Server { id: server.id, group: server.group, capacity })
+    };
+    context.fleet.open_servers().into_iter().filter_map(engine).collect()
+}
+
+async fn write(context: &Context, read: &Read, draft: &Draft) -> Result<Written, Error> {
+    for part in &draft.parts {
+        match create(context, part).await {
+            Ok(()) => {}
+            Err(error) if error.is_ambiguous() => return Ok(Written::Unclear(error)),
+            Err(error) => return Err(error.into()),
+        }
+    }
+    let value = serde_json::to_vec(&draft.root)
+        .map_err(|error| Error::Root { key: ROOT_KEY.into(), cause: error.to_string() })?;
+    let written = match read.version {
+        Some(version) => context.store.update(ROOT_KEY, version, value.into()).await,
+        None => context.store.create(ROOT_KEY, value.into()).await,
+    };
+    match written {
+        Ok(_) => Ok(Written::Done),
+        Err(error) if error.is_ambiguous() || error.is_conflict() => Ok(Written::Unclear(error)),
+        Err(error) => Err(error.into()),
+    }
+}
+
+/// Creates a part, unless it is there: its name says what it holds.
+async fn create(context: &Context, part: &Part) -> Result<(), platform::Error> {
+    let value = part.bytes.clone().into();
+    match context.store.create(&part.name.key(), value).await {
+        Ok(_) => Ok(()),
+        Err(error) if error.is_conflict() => Ok(()),
+        Err(error) => Err(error),
+    }
+}
+
+/// Brings an accepted draft into force on this host without reading it back.
+async fn finish(context: &Arc<Context>, draft: Draft) {
+    let number = draft.root.number;
+    let source = Drafted { parts: draft.parts, rest: Platform(&*context.store) };
+    if let Err(error) = super::take(context, draft.root, &source).await {
+        log::warn!(number = number; "configuration was accepted and waits for the watch: {error}");
+    }
+    if number.is_multiple_of(SWEEP_EVERY) {
+        let context = context.clone();
+        context.duties.clone().spawn(async move {
+            if let Err(error) = sweep(&context).await {
+                log::warn!("sweep of parts: {error}");
+            }
+        });
+    }
+}
+
+/// Deletes parts that no root can name any more.
+async fn sweep(context: &Context) -> Result<(), Error> {
+    let root = source::newest(&*context.store).await?.root;
+    let stored = context.store.list(PART_PREFIX).await?.objects;
+    let names = stored.iter().filter_map(|object| part::Name::of_key(&object.key));
+    let garbage = part::garbage(&root, names);
+    for object in &stored {
+        let is_garbage = |name: part::Name| garbage.contains(&name);
+        if part::Name::of_key(&object.key).is_some_and(is_garbage) {
+            match context.store.delete(&object.key, object.version).await {
+                Err(error) if !error.is_conflict() => return Err(error.into()),
+                _ => {}
+            }
+        }
+    }
+    log::info!(number = root.number, deleted = garbage.len(); "parts swept");
+    Ok(())
+}
+
+fn outcome(decision: Decision) -> Outcome {
+    match decision {
+        Decision::Accept(draft) => Outcome::Accepted { number: draft.root.number },
+        Decision::Repeated(number) => Outcome::Repeated { number },
+        Decision::Unchanged(number) => Outcome::Unchanged { number },
+        Decision::Stale(stale) => Outcome::Stale(stale),
+        Decision::Reused => Outcome::Reused,
+        Decision::Invalid(problems) => Outcome::Invalid { problems },
+        Decision::Short(shortages) => Outcome::Short { shortages },
+    }
+}
+
+fn unavailable(error: Error) -> Outcome {
+    Outcome::Unavailable { cause: error.to_string() }
+}
--- a/crates/stage/src/duties/config.rs
+++ b/crates/stage/src/duties/config.rs
@@ -3,11 +3,15 @@
 use std::sync::Arc;
 
 use platform::{Change, Object, Revision};
-use types::config::Numbered;
+use policy::config::ROOT_KEY;
 
-use crate::context::Context;
-
-const ROOT: &str = "config/root";
+use crate::{
+    context::Context,
+    declared::{
+        self, Error,
+        source::{self, Platform},
+    },
+};
 
 /// Follows the configuration for good: a list first, then watches from its revision.
 pub(super) async fn run(context: Arc<Context>) {
@@ -19,30 +23,26 @@
     }
 }
 
-async fn follow(context: &Context) -> Result<(), platform::Error> {
-    let listing = context.store.list(ROOT).await?;
-    listing.objects.iter().for_each(|object| take(context, object));
+async fn follow(context: &Context) -> Result<(), Error> {
+    let listing = context.store.list(ROOT_KEY).await?;
+    for object in listing.objects.iter().filter(|object| object.key == ROOT_KEY) {
+        take(context, object).await?;
+    }
     let mut revision: Revision = listing.revision;
     loop {
-        let changes = context.store.watch(ROOT, revision).await?;
+        let changes = context.store.watch(ROOT_KEY, revision).await?;
         revision = changes.revision;
-        for change in &changes.changes {
-            match change {
-                Change::Put(object) => take(context, object),
-                Change::Delete { key } => log::error!(key = key.as_str(); "configuration deleted"),
+        // Of several changes only the last matters: numbers only go up.
+        match changes.changes.last() {
+            Some(Change::Put(object)) => take(context, object).await?,
+            Some(Change::Delete { key }) => {
+                log::error!(key = key.as_str(); "configuration deleted; the last one stays");
             }
+            None => {}
         }
     }
 }
 
-fn take(context: &Context, object: &Object) {
-    match serde_json::from_slice::<Numbered>(&object.value) {
-        Ok(numbered) => {
-            let number = numbered.number;
-            if context.advance(numbered) {
-                log::info!(number = number; "configuration in force");
-            }
-        }
-        Err(error) => log::error!(key = object.key.as_str(); "configuration unreadable: {error}"),
-    }
+async fn take(context: &Context, object: &Object) -> Result<(), Error> {
+    declared::take(context, source::parse(object)?, &Platform(&*context.store)).await
 }
--- a/crates/stage/src/flags.rs
+++ b/crates/stage/src/flags.rs
@@ -1,13 +1,13 @@
 //! The command line, turned into checked settings before anything runs.
 
 use std::{
-    fs, io,
+    io,
     path::{Path, PathBuf},
     process::ExitCode,
 };
 
 use clap::{Parser, Subcommand};
-use settings::process::Process;
+use settings::{Findings, process::Process, read_process};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Serves many models on fewer accelerators: the program that runs on every entry host.
@@ -37,22 +37,9 @@
 /// Failure of a command.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// The settings file can't be read.
-    #[error("{}: {cause}", file.display())]
-    File {
-        /// The file.
-        file: PathBuf,
-        /// Why.
-        cause: io::Error,
-    },
     /// The settings are not usable.
-    #[error("{}: {cause}", file.display())]
-    Settings {
-        /// The file.
-        file: PathBuf,
-        /// Why.
-        cause: serde_json::Error,
-    },
+    #[error("the settings have findings:\n{0}")]
+    Settings(#[from] Findings),
     /// The host can't serve.
     #[error(transparent)]
     Serve(#[from] crate::Error),
@@ -70,18 +57,27 @@
     pub fn run(self) -> Result<ExitCode, Error> {
         match self.command {
             Command::Serve { settings } => {
-                let settings = read(&settings)?;
+                let settings = read_process(&settings)?;
                 let runtime = tokio::runtime::Runtime::new()?;
                 runtime.block_on(serve(settings))
             }
-            Command::Check { settings } => read(&settings).map(|_| ExitCode::SUCCESS),
+            Command::Check { settings } => Ok(check(&settings)),
         }
     }
 }
 
-fn read(file: &Path) -> Result<Process, Error> {
-    let text = fs::read(file).map_err(|cause| Error::File { file: file.into(), cause })?;
-    serde_json::from_slice(&text).map_err(|cause| Error::Settings { file: file.into(), cause })
+#[allow(clippy::print_stdout, reason = "the findings are what was asked for")]
+fn check(settings: &Path) -> ExitCode {
+    match read_process(settings) {
+        Ok(_) => {
+            println!("{}: no findings", settings.display());
+            ExitCode::SUCCESS
+        }
+        Err(findings) => {
+            println!("{findings}");
+            ExitCode::FAILURE
+        }
+    }
 }
 
 async fn serve(settings: Process) -> Result<ExitCode, Error> {
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -6,10 +6,12 @@
 pub mod answer;
 pub mod callers;
 pub mod context;
+pub mod declared;
 pub mod duties;
 pub mod filters;
 pub mod flags;
 pub mod fleet;
+pub mod guard;
 pub mod operators;
 pub mod problem;
 mod serve;
--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -1,18 +1,32 @@
 //! The listener for operators.
+//!
+//! Whether the host is live and ready is told to anyone, since balancers show no token. All else
+//! needs the token.
+
+mod config;
 
 use std::sync::Arc;
 
-use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
+use axum::{
+    Json, Router, extract::State, http::StatusCode, middleware::from_fn_with_state, routing::get,
+};
 use serde_json::{Value, json};
+use types::host::List;
 
-use crate::context::Context;
+use crate::{
+    context::Context,
+    guard::{self, Guard},
+};
 
 /// Routes for operators.
-pub fn router(context: Arc<Context>) -> Router {
+pub fn router(context: Arc<Context>, guard: Guard) -> Router {
     Router::new()
+        .route("/status", get(status))
+        .route("/hosts", get(hosts))
+        .merge(config::router())
+        .layer(from_fn_with_state(guard, guard::filter))
         .route("/live", get(async || StatusCode::OK))
         .route("/ready", get(ready))
-        .route("/status", get(status))
         .with_state(context)
 }
 
@@ -23,6 +37,10 @@
     }
 }
 
+async fn hosts(State(context): State<Arc<Context>>) -> Json<Arc<List>> {
+    Json(context.fleet.list())
+}
+
 async fn status(State(context): State<Arc<Context>>) -> Json<Value> {
     Json(json!({
         "host": context.host(),
@@ -30,6 +48,7 @@
         "ready": context.is_ready(),
         "draining": context.is_draining(),
         "configuration": context.config().number,
+        "heard": context.declared.heard(),
         "servers": context.fleet.list().servers.len(),
         "reporting": context.fleet.readings().len(),
     }))
--- /dev/null
+++ b/crates/stage/src/operators/config.rs
@@ -0,0 +1,63 @@
+//! The declared configuration, for operators.
+
+use std::sync::Arc;
+
+use axum::{
+    Json, Router,
+    extract::{DefaultBodyLimit, State},
+    http::StatusCode,
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+use policy::config::{Outcome, Patch};
+use types::config::Numbered;
+
+use crate::{context::Context, declared::patch};
+
+/// Largest patch, in bytes: the whole of a configuration at several times the size planned for.
+const LARGEST_PATCH: usize = 8 * 1024 * 1024;
+
+/// Routes of the declared configuration.
+pub(super) fn router() -> Router<Arc<Context>> {
+    Router::new()
+        .route("/config", get(in_force))
+        .route("/config/patches", post(apply))
+        .route("/config/check", post(check))
+        .layer(DefaultBodyLimit::max(LARGEST_PATCH))
+}
+
+async fn in_force(State(context): State<Arc<Context>>) -> Json<Arc<Numbered>> {
+    Json(context.config())
+}
+
+async fn apply(State(context): State<Arc<Context>>, Json(asked): Json<Patch>) -> Response {
+    // Once begun it goes on to its end, also when the operator hangs up.
+    let id = asked.id.clone();
+    let against = asked.against;
+    let applying = {
+        let context = context.clone();
+        tokio::spawn(async move { patch::apply(&context, &asked).await })
+    };
+    let outcome = match applying.await {
+        Ok(outcome) => outcome,
+        Err(error) => Outcome::Unavailable { cause: error.to_string() },
+    };
+    log::info!(patch = &*id, against = against, number = outcome.number(); "patch is {}", outcome.word());
+    answer(outcome)
+}
+
+async fn check(State(context): State<Arc<Context>>, Json(asked): Json<Patch>) -> Response {
+    answer(patch::check(&context, &asked).await)
+}
+
+fn answer(outcome: Outcome) -> Response {
+    let status = match &outcome {
+        Outcome::Accepted { .. } | Outcome::Repeated { .. } | Outcome::Unchanged { .. } => {
+            StatusCode::OK
+        }
+        Outcome::Stale(_) | Outcome::Reused => StatusCode::CONFLICT,
+        Outcome::Invalid { .. } | Outcome::Short { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+        Outcome::Unavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    (status, Json(outcome)).into_response()
+}
--- a/crates/stage/src/serve.rs
+++ b/crates/stage/src/serve.rs
@@ -7,7 +7,13 @@
 use tokio::{net::TcpListener, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
-use crate::{callers, context::Context, duties, operators};
+use crate::{
+    callers,
+    context::Context,
+    duties,
+    guard::{self, Guard},
+    operators,
+};
 
 /// Why a host can't start.
 #[derive(Debug, thiserror::Error)]
@@ -22,6 +28,9 @@
         /// Why.
         cause: io::Error,
     },
+    /// A listener would be open to strangers.
+    #[error(transparent)]
+    Open(#[from] guard::Open),
 }
 
 /// A running host.
@@ -41,6 +50,11 @@
 pub async fn start(mut settings: Process) -> Result<Running, Error> {
     let callers = bind("callers", &mut settings.host.callers).await?;
     let operators = bind("operators", &mut settings.host.operators).await?;
+    let guard = Guard::new(
+        guard::Role::Operators,
+        settings.operators_token.as_deref(),
+        settings.host.operators,
+    )?;
     let store = platform::Builder::new(settings.platform).build();
     let context = Arc::new(Context::new(settings, Arc::new(store)));
     log::info!(
@@ -52,8 +66,11 @@
     let stop_operators = CancellationToken::new();
     let callers =
         tokio::spawn(listen(callers, callers::router(context.clone()), stop_callers.clone()));
-    let operators =
-        tokio::spawn(listen(operators, operators::router(context.clone()), stop_operators.clone()));
+    let operators = tokio::spawn(listen(
+        operators,
+        operators::router(context.clone(), guard),
+        stop_operators.clone(),
+    ));
     Ok(Running { context, stop_callers, stop_operators, callers, operators })
 }
 
