Leave known residents out of load reports, and count control bytes on the wire

Cause: a host that reads 13 servers four times a second receives a report's residents, which seldom change, each time; the allowance for all control is 7 KB/s for a host. Change: a reader names the residents that it knows by a tag, and an engine that holds the same list leaves it out; an engine without tags sends it whole as before. crates/meter counts the bytes of connections themselves, so that heads are in the figure; the platform's client and a client of its own for reports and orders run under it.

--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -9,10 +9,8 @@
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::body::Incoming;
-use hyper_util::{
-    client::legacy::{Client as Http, connect::HttpConnector},
-    rt::TokioExecutor,
-};
+use hyper_util::{client::legacy::Client as Http, rt::TokioExecutor};
+use meter::{Connector, Meter};
 use serde::{Serialize, de::DeserializeOwned};
 use types::{
     error::chain,
@@ -38,7 +36,7 @@
 /// Client of backend servers.
 #[derive(Clone, Debug)]
 pub struct Client {
-    http: Http<HttpConnector, Body>,
+    http: Http<Connector, Body>,
 }
 
 impl Default for Client {
@@ -50,9 +48,12 @@
 impl Client {
     /// Makes a client; it connects when first used.
     pub fn new() -> Client {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        Client::metered(Meter::default())
+    }
+
+    /// Makes a client whose bytes count on this meter.
+    pub fn metered(meter: Meter) -> Client {
+        let connector = Connector::new(meter, CONNECT_TIMEOUT);
         let http =
             Http::builder(TokioExecutor::new()).pool_idle_timeout(POOL_IDLE).build(connector);
         Client { http }
@@ -183,14 +184,21 @@
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
-async fn read(address: SocketAddr, response: Streamed) -> Result<(StatusCode, Bytes), Error> {
+pub(crate) async fn read(
+    address: SocketAddr,
+    response: Streamed,
+) -> Result<(StatusCode, Bytes), Error> {
     let status = response.status();
     let body = response.into_body().collect().await;
     let body = body.map_err(|e| Error::Broken { address, cause: chain(&e) })?;
     Ok((status, body.to_bytes()))
 }
 
-fn checked(address: SocketAddr, status: StatusCode, body: Bytes) -> Result<Bytes, Error> {
+pub(crate) fn checked(
+    address: SocketAddr,
+    status: StatusCode,
+    body: Bytes,
+) -> Result<Bytes, Error> {
     if status.is_success() {
         return Ok(body);
     }
@@ -199,6 +207,6 @@
     Err(Error::Status { address, status, detail })
 }
 
-fn malformed(address: SocketAddr, cause: &dyn std::error::Error) -> Error {
+pub(crate) fn malformed(address: SocketAddr, cause: &dyn std::error::Error) -> Error {
     Error::Malformed { address, cause: chain(cause) }
 }
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -7,6 +7,7 @@
 mod client;
 mod error;
 pub mod frame;
+pub mod reports;
 pub mod wire;
 
 pub use crate::{
--- a/crates/backend/src/wire.rs
+++ b/crates/backend/src/wire.rs
@@ -11,6 +11,12 @@
 /// Header with the priority, as a number that rises with it.
 pub const PRIORITY: &str = "x-priority";
 
+/// Header of a load report with the tag of its residents.
+pub const RESIDENTS: &str = "x-residents";
+
+/// Header by which a reader names the residents that it knows, so that they can be left out.
+pub const KNOWN_RESIDENTS: &str = "x-known-residents";
+
 /// Header that resumes a stream after this token offset.
 pub const LAST_EVENT_ID: &str = "last-event-id";
 
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -14,10 +14,8 @@
 use futures_util::future::BoxFuture;
 use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
-use hyper_util::{
-    client::legacy::{Client as Http, connect::HttpConnector},
-    rt::TokioExecutor,
-};
+use hyper_util::{client::legacy::Client as Http, rt::TokioExecutor};
+use meter::{Connector, Meter};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use types::{error::chain, host::List};
@@ -37,12 +35,18 @@
     address: SocketAddr,
     timeout: Duration,
     watch_time: Duration,
+    meter: Meter,
 }
 
 impl Builder {
     /// Starts from the platform's address.
     pub fn new(address: SocketAddr) -> Builder {
-        Builder { address, timeout: DEFAULT_TIMEOUT, watch_time: DEFAULT_WATCH_TIME }
+        Builder {
+            address,
+            timeout: DEFAULT_TIMEOUT,
+            watch_time: DEFAULT_WATCH_TIME,
+            meter: Meter::default(),
+        }
     }
 
     /// Sets the time limit of a call.
@@ -57,11 +61,15 @@
         self
     }
 
+    /// Counts its bytes on this meter.
+    pub fn meter(mut self, meter: Meter) -> Builder {
+        self.meter = meter;
+        self
+    }
+
     /// Makes the client; it connects when first used.
     pub fn build(self) -> Client {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(self.timeout));
+        let connector = Connector::new(self.meter, self.timeout);
         Client {
             http: Http::builder(TokioExecutor::new()).build(connector),
             address: self.address,
@@ -75,7 +83,7 @@
 /// Client of the platform over HTTP.
 #[derive(Debug)]
 pub struct Client {
-    http: Http<HttpConnector, Full<Bytes>>,
+    http: Http<Connector, Full<Bytes>>,
     address: SocketAddr,
     timeout: Duration,
     watch_time: Duration,
--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -8,6 +8,7 @@
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
+use meter::Meter;
 use platform::Store;
 use settings::process::Process;
 use tokio::sync::watch;
@@ -24,8 +25,14 @@
     pub incarnation: host::Incarnation,
     /// The platform.
     pub store: Arc<dyn Store>,
-    /// Client of backend servers.
+    /// Client of backend servers for callers' requests.
     pub backends: ::backend::Client,
+    /// Client of backend servers for load reports and orders.
+    pub control: ::backend::Client,
+    /// Bytes of load reports and orders.
+    pub control_bytes: Meter,
+    /// Bytes of calls to the platform.
+    pub platform_bytes: Meter,
     /// Hosts, backend servers and what they report.
     pub fleet: Fleet,
     /// The configuration in force; only [`Context::advance`] changes it.
@@ -39,14 +46,20 @@
 }
 
 impl Context {
-    /// Starts from settings and the platform's client.
-    pub fn new(settings: Process, store: Arc<dyn Store>) -> Context {
+    /// Starts from settings; the clients connect when first used.
+    pub fn new(settings: Process) -> Context {
+        let platform_bytes = Meter::default();
+        let builder = platform::Builder::new(settings.platform).meter(platform_bytes.clone());
+        let control_bytes = Meter::default();
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Context {
             settings,
             incarnation: u64::try_from(started.as_micros()).unwrap_or(u64::MAX),
-            store,
+            store: Arc::new(builder.build()),
             backends: ::backend::Client::new(),
+            control: ::backend::Client::metered(control_bytes.clone()),
+            control_bytes,
+            platform_bytes,
             fleet: Fleet::default(),
             config: watch::channel(Arc::default()).0,
             stop: CancellationToken::new(),
--- a/crates/stage/src/duties/reports.rs
+++ b/crates/stage/src/duties/reports.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
+use ::backend::reports;
 use tokio::task::AbortHandle;
 use types::prelude::*;
 
@@ -38,8 +39,9 @@
 
 async fn read(context: Arc<Context>, server: backend::Server) {
     let interval = context.settings.intervals.report;
+    let mut reader = reports::Reader::new(server.address);
     loop {
-        let asked = context.backends.load(server.address);
+        let asked = reader.read(&context.control);
         match tokio::time::timeout(interval * 4, asked).await {
             Ok(Ok(load)) => {
                 let reading = Reading { read: context.now(), load };
--- a/crates/stage/src/serve.rs
+++ b/crates/stage/src/serve.rs
@@ -41,8 +41,7 @@
 pub async fn start(mut settings: Process) -> Result<Running, Error> {
     let callers = bind("callers", &mut settings.host.callers).await?;
     let operators = bind("operators", &mut settings.host.operators).await?;
-    let store = platform::Builder::new(settings.platform).build();
-    let context = Arc::new(Context::new(settings, Arc::new(store)));
+    let context = Arc::new(Context::new(settings));
     log::info!(
         host = &*context.host().id, callers:% = context.host().callers,
         operators:% = context.host().operators; "host starts"
--- /dev/null
+++ b/crates/standin/examples/report_bytes.rs
@@ -0,0 +1,61 @@
+//! Bytes that one reader of load reports costs, with and without the tag of known residents.
+//!
+//! Three sizes of engine, a fixed number of reads each; prints bytes for one report.
+
+#![allow(clippy::print_stdout, reason = "a measurement prints its result")]
+
+use std::error::Error;
+
+use ::backend::{Client, reports::Reader};
+use meter::Meter;
+use standin::engine::{Engine, Settings};
+
+const READS: u64 = 200;
+const MODELS: [usize; 3] = [2, 6, 18];
+const ADAPTERS: usize = 3;
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    println!("{:>9} {:>13} {:>13} {:>6}", "residents", "whole B/read", "tagged B/read", "ratio");
+    for models in MODELS {
+        let engine = Engine::start(settings(models)).await?;
+        let whole = measure(&engine, Habit::Forgets).await?;
+        let tagged = measure(&engine, Habit::Remembers).await?;
+        let residents = engine.residents().len();
+        let ratio = tagged as f64 / whole as f64;
+        println!("{residents:>9} {whole:>13} {tagged:>13} {ratio:>6.2}");
+    }
+    Ok(())
+}
+
+/// Whether the reader knows what it read before.
+#[derive(Clone, Copy)]
+enum Habit {
+    Forgets,
+    Remembers,
+}
+
+async fn measure(engine: &Engine, habit: Habit) -> Result<u64, ::backend::Error> {
+    let meter = Meter::default();
+    let client = Client::metered(meter.clone());
+    let mut reader = Reader::new(engine.address());
+    for _ in 0..READS {
+        if let Habit::Forgets = habit {
+            reader = Reader::new(engine.address());
+        }
+        reader.read(&client).await?;
+    }
+    Ok((meter.received() + meter.sent()) / READS)
+}
+
+fn settings(models: usize) -> Settings {
+    let mut settings = Settings::new("portal-lm-1");
+    for model in 0..models {
+        let name = format!("welcome-{model}");
+        settings = settings.with_model(&name, "2026-11-01", 12_000);
+        for adapter in 0..ADAPTERS {
+            settings = settings.with_adapter(&name, &format!("lang-{adapter}"), "2026-11-01", 200);
+        }
+    }
+    settings
+}
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -1,6 +1,10 @@
 //! The engine's HTTP interface.
 
-use std::{convert::Infallible, sync::Arc};
+use std::{
+    convert::Infallible,
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+};
 
 use ::backend::wire::{self, Cache, CacheEvent};
 use axum::{
@@ -200,8 +204,19 @@
     Json(answer).into_response()
 }
 
-async fn load(State(shared): State<Arc<Shared>>) -> Json<report::Load> {
-    Json(shared.state().report(&shared.settings))
+async fn load(State(shared): State<Arc<Shared>>, headers: HeaderMap) -> Response {
+    let mut load = shared.state().report(&shared.settings);
+    let tag = tag(&load);
+    if header(&headers, wire::KNOWN_RESIDENTS).as_deref() == Some(&*tag) {
+        load.residents.clear();
+    }
+    ([(wire::RESIDENTS, tag)], Json(load)).into_response()
+}
+
+fn tag(load: &report::Load) -> String {
+    let mut hasher = DefaultHasher::new();
+    load.residents.hash(&mut hasher);
+    format!("{:x}", hasher.finish())
 }
 
 async fn order(State(shared): State<Arc<Shared>>, Json(order): Json<Order>) -> Response {
--- a/crates/types/src/report.rs
+++ b/crates/types/src/report.rs
@@ -35,7 +35,8 @@
     pub prompt_backlog: u64,
     /// Accelerator memory, in MiB; zero for a plain server.
     pub capacity: Mebibytes,
-    /// What is in that memory.
+    /// What is in that memory; left out on the wire when the reader named the same list.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub residents: Vec<Resident>,
     /// Highest fencing number seen.
     pub fence: order::Fence,
