--- a/crates/backend/src/frame.rs
+++ b/crates/backend/src/frame.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
 use http_body::Body;
-use serde_json::Value;
+use serde::Deserialize;
 use sse_stream::SseStream;
 
 use crate::wire;
@@ -17,6 +17,8 @@
     Token {
         /// Its place in the answer, from zero.
         offset: u64,
+        /// The request that the event says it is for, if it says one.
+        request: Option<String>,
         /// The event's data, passed on as it is.
         data: String,
     },
@@ -65,9 +67,17 @@
     let offset = id
         .and_then(|id| id.parse().ok())
         .ok_or_else(|| Error::Malformed(format!("event id {id:?}")))?;
-    match serde_json::from_str(&data) {
-        Ok(Value::Object(_)) => Ok(Frame::Token { offset, data }),
-        Ok(_) => Err(Error::Malformed("data is no object".into())),
+    if !data.starts_with('{') {
+        return Err(Error::Malformed("data is no object".into()));
+    }
+    match serde_json::from_str::<Chunk>(&data) {
+        Ok(chunk) => Ok(Frame::Token { offset, request: chunk.id, data }),
         Err(error) => Err(Error::Malformed(error.to_string())),
     }
 }
+
+/// What is read of an event's data; the rest is passed on unread.
+#[derive(Deserialize)]
+struct Chunk {
+    id: Option<String>,
+}
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -51,6 +51,20 @@
         Point::Body,
     ];
 
+    /// Its stable word.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Point::Connect => "connect",
+            Point::Sending => "sending",
+            Point::Waiting => "waiting",
+            Point::Refused => "refused",
+            Point::Fault => "fault",
+            Point::Head => "head",
+            Point::Stream => "stream",
+            Point::Body => "body",
+        }
+    }
+
     /// What is known of the request's run after one attempt that failed here.
     ///
     /// A server that answers "overloaded" has had the request; its word that it did not run it
--- a/crates/policy/src/route/table.rs
+++ b/crates/policy/src/route/table.rs
@@ -173,6 +173,15 @@
         self.pools.get(place as usize).copied().unwrap_or(place)
     }
 
+    /// What a place stands for, in words.
+    pub fn name(&self, place: Place) -> Arc<str> {
+        match self.places.iter().find(|(_, other)| **other == place) {
+            Some((Wanted::Model(name), _)) => name.to_string().into(),
+            Some((Wanted::Group(group), _)) => group.clone(),
+            None => "".into(),
+        }
+    }
+
     /// The place of something wanted, if it was heard of.
     pub fn find(&self, wanted: &Wanted) -> Option<Place> {
         self.places.get(wanted).copied()
@@ -221,6 +230,15 @@
         }
     }
 
+    /// When a server that is only in doubt may be tried.
+    pub fn doubted_until(&self, index: Index) -> Option<Moment> {
+        let row = &self.rows[index as usize];
+        match row.standing {
+            Standing::Suspected(until) if !row.says_leaving => Some(until),
+            _ => None,
+        }
+    }
+
     /// Takes in what a peer has in flight, in place of what it told before.
     pub fn told(&mut self, peer: &host::Id, in_flight: &[(backend::Id, Told)]) {
         let known: Vec<(Index, Told)> = in_flight
--- a/crates/policy/src/traffic.rs
+++ b/crates/policy/src/traffic.rs
@@ -8,7 +8,7 @@
 
 mod room;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use types::prelude::*;
 
@@ -18,7 +18,7 @@
     retry::{self, Budget, Point, Suspicion, suspicion},
     route::{
         self, Ask, Choice, Decision, Distances, Hints, Index, Place, Standing, Table,
-        estimate::Sent, hints,
+        estimate::Sent, hints, table::Restarted,
     },
 };
 
@@ -83,6 +83,17 @@
     pool: Place,
 }
 
+/// A further attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Again {
+    /// It is on its way.
+    Sent(Flight),
+    /// Only servers in doubt have what it wants; the first may be tried at this moment.
+    At(Moment),
+    /// No server has what it wants.
+    Unready,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -111,6 +122,7 @@
     /// Retries left.
     pub budget: Budget,
     reserved: BTreeMap<Place, u32>,
+    unreached: BTreeSet<Index>,
 }
 
 impl Traffic {
@@ -124,6 +136,7 @@
             suspicion: Suspicion::new(rules.suspicion),
             budget: Budget::new(rules.budget),
             reserved: BTreeMap::new(),
+            unreached: BTreeSet::new(),
             rules,
         }
     }
@@ -160,15 +173,31 @@
         self.send(demand, &[], now)
     }
 
-    /// Chooses another server for a request whose attempt failed. Work that is on its way goes
-    /// before work that waits, so the limit does not hold it back.
-    pub fn dispatch_again(
-        &mut self,
-        demand: &Demand,
-        avoid: &[Index],
-        now: Moment,
-    ) -> Option<Flight> {
-        self.send(demand, avoid, now).or_else(|| self.send(demand, &[], now))
+    /// Chooses a server for a request whose attempt failed, another one if there is one. Work that
+    /// is on its way goes before work that waits, so the limit does not hold it back.
+    pub fn dispatch_again(&mut self, demand: &Demand, avoid: &[Index], now: Moment) -> Again {
+        match self.send(demand, avoid, now).or_else(|| self.send(demand, &[], now)) {
+            Some(flight) => Again::Sent(flight),
+            None => self.out_of_doubt(demand.work.wanted).map_or(Again::Unready, Again::At),
+        }
+    }
+
+    /// Takes in a server's load report that was read at `now`.
+    pub fn report(&mut self, server: Index, load: &report::Load, now: Moment) {
+        let restarted = self.table.report(server, load, now);
+        if restarted == Restarted::Yes {
+            self.hints.clear(server);
+        }
+        if self.unreached.remove(&server) || restarted == Restarted::Yes {
+            self.trust(server);
+        }
+    }
+
+    /// A server gave no report, since it can't be reached.
+    pub fn unreachable(&mut self, server: Index, now: Moment) {
+        self.unreached.insert(server);
+        let standing = self.suspicion.failed(server, Point::Connect, now);
+        self.doubt(server, standing);
     }
 
     /// The first token of an attempt has come.
--- a/crates/policy/src/traffic/room.rs
+++ b/crates/policy/src/traffic/room.rs
@@ -5,7 +5,7 @@
 use super::{Demand, Traffic, ask};
 use crate::{
     admit::Outlook,
-    route::{self, Choice, Decision, Index, Place, Standing},
+    route::{self, Choice, Decision, Index, Place},
 };
 
 impl Traffic {
@@ -66,20 +66,16 @@
         }
     }
 
-    /// When only servers in doubt have it: the first of them may be tried when its time is out.
     fn outlook_in_doubt(&self, wanted: Place, now: Moment) -> Option<Outlook> {
-        let until = self
-            .table
-            .replicas(wanted)
-            .iter()
-            .filter_map(|replica| match self.table.standing(replica.server) {
-                Standing::Suspected(until) => Some(until),
-                Standing::Live | Standing::Leaving | Standing::Gone => None,
-            })
-            .min()?;
+        let until = self.out_of_doubt(wanted)?;
         Some(Outlook { first_token: until.saturating_sub(now), ..Outlook::default() })
     }
 
+    /// When only servers in doubt have it: the first of them may be tried when its time is out.
+    pub(super) fn out_of_doubt(&self, wanted: Place) -> Option<Moment> {
+        self.table.replicas(wanted).iter().filter_map(|r| self.table.doubted_until(r.server)).min()
+    }
+
     fn usable(&self, wanted: Place, now: Moment) -> impl Iterator<Item = Index> {
         self.table
             .replicas(wanted)
--- a/crates/policy/tests/traffic.rs
+++ b/crates/policy/tests/traffic.rs
@@ -7,7 +7,7 @@
     limit::Law,
     retry::Point,
     route::{Distances, Standing, Wanted},
-    traffic::{Admission, Change, Demand, End, Rules, Traffic},
+    traffic::{Admission, Again, Change, Demand, End, Flight, Rules, Traffic},
 };
 use rstest::rstest;
 use types::{
@@ -84,6 +84,38 @@
     (admission, demand)
 }
 
+fn sent(again: Again) -> Flight {
+    match again {
+        Again::Sent(flight) => flight,
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+#[test]
+fn a_retry_waits_for_the_only_replica_and_gives_up_when_there_is_none() {
+    let mut traffic = traffic(1, 8);
+    let (_, demand) = admit(&mut traffic, 1, 5000, 0);
+    let first = traffic.dispatch(&demand, millis(0)).unwrap();
+    traffic.ended(&first, End::Failed(Point::Connect), millis(0));
+    let avoid = [first.choice.server];
+    assert_eq!(traffic.dispatch_again(&demand, &avoid, millis(1)), Again::At(millis(500)));
+    assert_eq!(sent(traffic.dispatch_again(&demand, &avoid, millis(500))).choice.server, 0);
+    traffic.table.set_standing(0, Standing::Gone);
+    assert_eq!(traffic.dispatch_again(&demand, &avoid, millis(900)), Again::Unready);
+}
+
+#[test]
+fn a_server_that_started_again_is_trusted_and_its_cache_is_forgotten() {
+    let mut traffic = traffic(1, 8);
+    traffic.hints.add(5, 0, millis(0));
+    traffic.unreachable(0, millis(1));
+    assert!(!traffic.table.takes_work(0, millis(2)));
+    let again = Load { incarnation: 2, ..load(&"lector-0".into()) };
+    traffic.report(0, &again, millis(3));
+    assert!(traffic.table.takes_work(0, millis(3)));
+    assert!(traffic.hints.is_empty());
+}
+
 #[test]
 fn reservations_count_before_a_server_is_chosen() {
     let mut traffic = traffic(2, 1);
@@ -118,7 +150,7 @@
     let (_, demand) = admit(&mut traffic, 1, 5000, 0);
     let first = traffic.dispatch(&demand, millis(0)).unwrap();
     traffic.ended(&first, End::Failed(Point::Connect), millis(1));
-    let again = traffic.dispatch_again(&demand, &[first.choice.server], millis(1)).unwrap();
+    let again = sent(traffic.dispatch_again(&demand, &[first.choice.server], millis(1)));
     assert_ne!(again.choice.server, first.choice.server);
     assert!(!traffic.table.takes_work(first.choice.server, millis(1)));
     for ticket in 2..8 {
@@ -193,7 +225,7 @@
     const SERVICE: u64 = 100;
     const TARGET: u64 = 400;
     let mut traffic = traffic(1, 8);
-    let mut running: Vec<(u64, policy::traffic::Flight)> = Vec::new();
+    let mut running: Vec<(u64, Flight)> = Vec::new();
     let mut waiting: BTreeMap<Ticket, (u64, Demand)> = BTreeMap::new();
     let (mut started, mut late, mut refused, mut busy) = (0, 0, 0, 0u64);
     for now in 0..4000u64 {
--- a/crates/stage/src/answer.rs
+++ b/crates/stage/src/answer.rs
@@ -1,42 +1,49 @@
 //! A model's whole answer, drawn from one engine after another if need be.
 //!
 //! Engines are always asked for a stream, also for a caller who wants the answer in one piece,
-//! since only a stream can be resumed at its offset after a loss.
-
-use std::{collections::VecDeque, sync::Arc};
+//! since only a stream can be resumed at its offset after a loss. Which frames count, and what
+//! follows a failure, is decided in `policy`; this carries it out.
 
 use ::backend::{
+    Streamed,
     frame::{self, Frame},
     wire,
 };
 use futures_util::{StreamExt, stream::BoxStream};
-use http::{Request, StatusCode, header};
+use http::{HeaderMap, Request, StatusCode, header};
+use policy::{
+    retry::{self, Body, Failure, Point},
+    route::Index,
+    stream::{self, Part, Stream},
+    traffic::Demand,
+};
+use tokio::time::timeout;
 use types::{prelude::*, request::Ran};
 
 use crate::{
     context::Context,
-    filters::{Call, Question},
-    fleet::Flight,
+    filters::{Call, Question, account::Account, attempt},
     problem::{self, Problem},
+    traffic::{Further, Sent},
 };
 
 /// A model's answer on its way.
 pub struct Answer {
     context: Arc<Context>,
+    account: Account,
     call: Call,
     question: Arc<Question>,
-    candidates: VecDeque<backend::Server>,
+    demand: Arc<Demand>,
+    stream: Stream,
+    next: Option<Sent>,
     source: Option<Source>,
-    next: u64,
-    attempt: request::Attempt,
+    failed: Vec<Index>,
     ran: Ran,
-    is_over: bool,
 }
 
 struct Source {
     frames: BoxStream<'static, Result<Frame, frame::Error>>,
-    server: backend::Id,
-    _flight: Flight,
+    sent: Sent,
 }
 
 /// One token on its way to the caller.
@@ -49,25 +56,26 @@
 }
 
 impl Answer {
-    /// Starts with the candidates for it, the best first.
+    /// Starts with the first attempt.
     pub fn new(
         context: Arc<Context>,
+        account: Account,
         call: Call,
         question: Arc<Question>,
-        candidates: &[backend::Server],
+        demand: Arc<Demand>,
+        first: Sent,
     ) -> Answer {
-        let candidates = candidates.iter().cloned().collect();
-        let ran = Ran::DidNotRun;
         Answer {
+            stream: Stream::new(call.request.id.clone()),
             context,
+            account,
             call,
             question,
-            candidates,
+            demand,
+            next: Some(first),
             source: None,
-            next: 0,
-            attempt: 0,
-            ran,
-            is_over: false,
+            failed: Vec::new(),
+            ran: Ran::DidNotRun,
         }
     }
 
@@ -75,88 +83,178 @@
     ///
     /// # Errors
     ///
-    /// When no candidate is left that could go on.
+    /// When no further attempt is allowed or possible.
     pub async fn next(&mut self) -> Result<Option<Token>, Problem> {
-        while !self.is_over {
-            let frame = match self.source.as_mut() {
-                None => {
-                    self.connect().await?;
-                    continue;
-                }
-                Some(source) => source.frames.next().await,
+        loop {
+            if self.stream.is_whole() {
+                return Ok(None);
+            }
+            let Some(source) = self.source.as_mut() else {
+                self.connect().await?;
+                continue;
             };
-            match frame {
-                Some(Ok(Frame::Token { offset, .. })) if offset < self.next => {}
-                Some(Ok(Frame::Token { offset, data })) if offset == self.next => {
-                    self.next += 1;
-                    return Ok(Some(Token { offset, data }));
+            let silence = self.context.settings.bounds.idle.min(self.call.time_left(&self.context));
+            match timeout(silence, source.frames.next()).await {
+                Ok(Some(Ok(frame))) => {
+                    if let Some(token) = self.take(frame).await? {
+                        return Ok(Some(token));
+                    }
                 }
-                Some(Ok(Frame::Token { offset, .. })) => {
-                    self.lose(&format!("token {offset} came in place of {}", self.next));
+                Ok(Some(Err(error))) => self.lose(&error.to_string()).await?,
+                Ok(None) => self.lose("stream ended early").await?,
+                Err(_) => self.lose("stream fell silent").await?,
+            }
+        }
+    }
+
+    /// Judges a frame; gives the token if it is the next.
+    async fn take(&mut self, frame: Frame) -> Result<Option<Token>, Problem> {
+        let own = self.call.request.id.clone();
+        let (request, part, token) = match frame {
+            Frame::Token { offset, request, data } => {
+                (request, Part::Token(offset), Some(Token { offset, data }))
+            }
+            Frame::Done => (None, Part::End(self.stream.next()), None),
+        };
+        let request = request.as_deref().unwrap_or(&own);
+        let frame = stream::Frame { request, attempt: self.stream.attempt(), part };
+        match self.stream.take(&frame) {
+            stream::Verdict::Deliver => {
+                if self.stream.next() == 1 {
+                    self.answered();
                 }
-                Some(Ok(Frame::Done)) => self.is_over = true,
-                Some(Err(error)) => self.lose(&error.to_string()),
-                None => self.lose("stream ended early"),
+                self.account.token();
+                Ok(token)
+            }
+            stream::Verdict::Finish => {
+                if let Some(source) = self.source.take() {
+                    source.sent.complete();
+                }
+                self.account.answered();
+                Ok(None)
+            }
+            stream::Verdict::Drop(reason) => {
+                log::warn!(request = &*own; "frame dropped: {reason:?}");
+                Ok(None)
+            }
+            stream::Verdict::Gap => {
+                self.lose("a token is missing").await?;
+                Ok(None)
             }
         }
-        self.source = None;
-        Ok(None)
     }
 
-    fn lose(&mut self, cause: &str) {
-        let Some(source) = self.source.take() else { return };
-        log::warn!(
-            request = &*self.call.request.id, server = &*source.server, offset = self.next;
-            "stream lost: {cause}"
-        );
+    fn answered(&self) {
+        if let Some(source) = &self.source {
+            source.sent.answered();
+        }
+    }
+
+    /// The stream of the present attempt is lost.
+    async fn lose(&mut self, cause: &str) -> Result<(), Problem> {
+        let Some(source) = self.source.take() else { return Ok(()) };
+        let point = if self.stream.next() == 0 { Point::Head } else { Point::Stream };
+        self.fail(source.sent, point, cause).await
     }
 
+    /// Makes the attempt that is due.
     async fn connect(&mut self) -> Result<(), Problem> {
-        let Some(server) = self.candidates.pop_front() else {
-            let kind = match self.ran {
-                Ran::DidNotRun => problem::Kind::NoServer,
-                Ran::MayHaveRun | Ran::Ran => problem::Kind::BackendFailed,
-            };
-            return Err(Problem::new(kind, "no backend server is left to try").ran(self.ran));
+        let Some(sent) = self.next.take() else {
+            return Err(Problem::new(problem::Kind::Internal, "no attempt is due").ran(self.ran));
         };
         let request = self.request();
-        self.attempt += 1;
-        let flight = self.context.fleet.begin(&server.id);
-        let response = match self.context.backends.send(server.address, request).await {
-            Ok(response) => response,
-            Err(error) => {
-                if !error.is_unsent() {
-                    self.ran = Ran::MayHaveRun;
-                }
-                self.fail(&server.id, &error);
-                return Ok(());
+        self.account.attempted(self.stream.attempt(), &sent.server().id);
+        let patience = self.context.settings.bounds.idle.min(self.call.time_left(&self.context));
+        let asked = self.context.backends.send(sent.server().address, request);
+        match timeout(patience, asked).await {
+            Ok(Ok(response)) => self.begin(sent, response).await,
+            Ok(Err(error)) => {
+                let point = if error.is_unsent() { Point::Connect } else { Point::Waiting };
+                self.fail(sent, point, &error.to_string()).await
             }
-        };
-        if response.status() != StatusCode::OK {
-            log::warn!(server = &*server.id, status = response.status().as_u16(); "engine refused");
+            Err(_) => self.fail(sent, Point::Waiting, "no answer in time").await,
+        }
+    }
+
+    /// Goes by the head of an engine's answer.
+    async fn begin(&mut self, sent: Sent, response: Streamed) -> Result<(), Problem> {
+        let status = response.status();
+        if status == StatusCode::OK && self.is_own(response.headers()) {
+            self.ran = self.ran.max(Ran::MayHaveRun);
+            let frames = frame::read(response.into_body()).boxed();
+            self.source = Some(Source { frames, sent });
             return Ok(());
         }
-        self.ran = Ran::Ran;
-        self.source = Some(Source {
-            frames: frame::read(response.into_body()).boxed(),
-            server: server.id,
-            _flight: flight,
-        });
-        Ok(())
+        let point = match status {
+            StatusCode::OK => Point::Head,
+            // An engine that does not have the model ready any more answers 404.
+            StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::NOT_FOUND => Point::Refused,
+            status if status.is_server_error() => Point::Fault,
+            status => {
+                let detail = format!("the engine answers {status} to this request");
+                sent.complete();
+                return Err(Problem::new(problem::Kind::BadRequest, detail).ran(Ran::MayHaveRun));
+            }
+        };
+        self.fail(sent, point, &format!("engine answers {status}")).await
     }
 
-    fn fail(&self, server: &backend::Id, error: &::backend::Error) {
-        log::warn!(request = &*self.call.request.id, server = &**server; "attempt failed: {error}");
+    /// Whether an answer's head names this request and this attempt, if it names any.
+    fn is_own(&self, headers: &HeaderMap) -> bool {
+        let names = |name: &str, own: &str| headers.get(name).is_none_or(|value| value == own);
+        names(wire::REQUEST_ID, &self.call.request.id)
+            && names(wire::ATTEMPT, &self.stream.attempt().to_string())
+    }
+
+    /// An attempt has failed: prepares the next one, or gives up.
+    async fn fail(&mut self, sent: Sent, point: Point, cause: &str) -> Result<(), Problem> {
+        let attempt = self.stream.attempt();
+        let server = sent.server().clone();
+        log::warn!(
+            request = &*self.call.request.id, server = &*server.id, attempt = attempt,
+            offset = self.stream.next(); "attempt failed at {point:?}: {cause}"
+        );
+        self.account.failed_attempt(attempt, &server.id, point.as_str());
+        self.failed.push(sent.index());
+        sent.fail(point);
+        let failure = Failure {
+            point,
+            repeat: self.call.request.repeat,
+            body: Body::Held,
+            before: self.ran,
+            attempts: attempt + 1,
+            time_left: self.call.time_left(&self.context),
+        };
+        self.ran = self.ran.max(point.ran());
+        let verdict = self.context.traffic.after_failure(&failure);
+        if let retry::Verdict::GiveUp(ran) = verdict {
+            return Err(attempt::give_up(&self.call, &self.context, ran, cause));
+        }
+        let next = self.stream.begin_attempt();
+        self.account.retried(point.as_str());
+        if verdict == retry::Verdict::Resume {
+            self.account.resumed(next, self.stream.next());
+        }
+        let further = further(&self.context, &self.call, &self.demand, &self.failed).await;
+        match further {
+            Some(sent) => {
+                self.next = Some(sent);
+                Ok(())
+            }
+            None => Err(attempt::give_up(&self.call, &self.context, self.ran, cause)),
+        }
     }
 
     fn request(&self) -> Request<::backend::Body> {
         let mut request = Request::post(self.question.shape.path())
             .header(header::CONTENT_TYPE, "application/json")
             .header(wire::REQUEST_ID, &*self.call.request.id)
-            .header(wire::ATTEMPT, self.attempt)
+            .header(wire::ATTEMPT, self.stream.attempt())
             .header(wire::PRIORITY, self.call.request.priority as u16);
-        if 0 < self.next {
-            request = request.header(wire::LAST_EVENT_ID, self.next - 1);
+        if let Some(last) = self.stream.next().checked_sub(1) {
+            request = request.header(wire::LAST_EVENT_ID, last);
         }
         if let Some(key) = &self.call.request.key {
             request = request.header(crate::filters::identify::IDEMPOTENCY_KEY, &**key);
@@ -165,3 +263,27 @@
         request.body(body).unwrap_or_else(|_| Request::new(::backend::empty()))
     }
 }
+
+/// A further attempt, as soon as a server may be used, while the call's time lasts.
+pub(crate) async fn further(
+    context: &Context,
+    call: &Call,
+    demand: &Demand,
+    failed: &[Index],
+) -> Option<Sent> {
+    /// Least pause before servers in doubt are looked at again.
+    const PAUSE: Duration = Duration::from_millis(5);
+    loop {
+        match context.traffic.dispatch_again(demand, failed) {
+            Further::Sent(sent) => return Some(sent),
+            Further::Unready => return None,
+            Further::At(moment) => {
+                let wait = moment.saturating_sub(context.now()).max(PAUSE);
+                if call.time_left(context) <= wait {
+                    return None;
+                }
+                tokio::time::sleep(wait).await;
+            }
+        }
+    }
+}
--- a/crates/stage/src/callers.rs
+++ b/crates/stage/src/callers.rs
@@ -4,7 +4,10 @@
 
 use axum::{
     Router,
-    middleware::from_fn_with_state,
+    extract::{Request, State},
+    http::{HeaderValue, Version, header},
+    middleware::{Next, from_fn_with_state},
+    response::Response,
     routing::{any, get, post},
 };
 
@@ -32,5 +35,22 @@
         .route("/v1/models", get(identify::models))
         .fallback(async || Problem::new(Kind::UnknownPath, "no such path"))
         .layer(from_fn_with_state(context.clone(), filters::account::filter))
+        .layer(from_fn_with_state(context.clone(), close_when_draining))
         .with_state(context)
 }
+
+/// During a planned stop, asks callers on HTTP/1 to open their next connection elsewhere, so that
+/// none has a request on its way when this host closes.
+async fn close_when_draining(
+    State(context): State<Arc<Context>>,
+    request: Request,
+    next: Next,
+) -> Response {
+    let version = request.version();
+    let mut response = next.run(request).await;
+    if context.is_draining() && version < Version::HTTP_2 {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -8,13 +8,14 @@
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
+use observe::{Clock, Event, Metrics, Ring, event};
 use platform::Store;
 use settings::process::Process;
 use tokio::sync::watch;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::fleet::Fleet;
+use crate::{fleet::Fleet, traffic::Traffic};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -28,6 +29,12 @@
     pub backends: ::backend::Client,
     /// Hosts, backend servers and what they report.
     pub fleet: Fleet,
+    /// Requests on their way: admission, choice of servers, limits.
+    pub traffic: Arc<Traffic>,
+    /// Metrics of this host.
+    pub metrics: Metrics,
+    /// The last events of this host.
+    pub events: Arc<Ring>,
     /// The configuration in force; only [`Context::advance`] changes it.
     config: watch::Sender<Arc<Numbered>>,
     /// Ends background duties.
@@ -40,11 +47,27 @@
 
 impl Context {
     /// Starts from settings and the platform's client.
-    pub fn new(settings: Process, store: Arc<dyn Store>) -> Context {
+    ///
+    /// # Errors
+    ///
+    /// If the metrics can't be set up.
+    pub fn new(
+        settings: Process,
+        store: Arc<dyn Store>,
+    ) -> Result<Context, observe::metrics::Error> {
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Context {
+        let incarnation = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
+        let origin = Instant::now();
+        let metrics = Metrics::new()?;
+        let events = Arc::new(Ring::new(settings.host.id.clone(), incarnation, Clock::system()));
+        metrics.watch_ring(&events);
+        events.record(Event::new(event::Kind::Start));
+        Ok(Context {
+            traffic: Arc::new(Traffic::new(settings.host.zone.clone(), origin)),
+            metrics,
+            events,
             settings,
-            incarnation: u64::try_from(started.as_micros()).unwrap_or(u64::MAX),
+            incarnation,
             store,
             backends: ::backend::Client::new(),
             fleet: Fleet::default(),
@@ -52,8 +75,8 @@
             stop: CancellationToken::new(),
             duties: TaskTracker::new(),
             draining: AtomicBool::new(false),
-            origin: Instant::now(),
-        }
+            origin,
+        })
     }
 
     /// Time since this process began.
--- a/crates/stage/src/duties/list.rs
+++ b/crates/stage/src/duties/list.rs
@@ -8,7 +8,10 @@
 pub(super) async fn run(context: Arc<Context>) {
     loop {
         match context.store.hosts().await {
-            Ok(list) => context.fleet.set_list(list),
+            Ok(list) => {
+                context.traffic.list(&list);
+                context.fleet.set_list(list);
+            }
             Err(error) => log::warn!("host list: {error}"),
         }
         tokio::time::sleep(context.settings.intervals.list).await;
--- a/crates/stage/src/duties/reports.rs
+++ b/crates/stage/src/duties/reports.rs
@@ -42,11 +42,13 @@
         let asked = context.backends.load(server.address);
         match tokio::time::timeout(interval * 4, asked).await {
             Ok(Ok(load)) => {
+                context.traffic.report(&server.id, &load);
                 let reading = Reading { read: context.now(), load };
                 context.fleet.set_reading(&server.id, reading);
             }
             Ok(Err(error)) => {
                 log::debug!("load report: {error}");
+                context.traffic.unreachable(&server.id);
                 context.fleet.drop_reading(&server.id);
             }
             Err(_) => log::debug!(server = &*server.id; "load report: timeout"),
--- a/crates/stage/src/filters.rs
+++ b/crates/stage/src/filters.rs
@@ -1,24 +1,28 @@
 //! The row of filters that a call goes through, each a tower layer with one job.
 //!
-//! account → in force → identify → route → attempt, with the answer delivered on the way back.
+//! In the order that a call meets them: account, in force, identify, admit, at most once,
+//! quarantine, route, attempt; the answer is delivered on the way back, and the account is closed
+//! when its last byte has gone. Admission holds a place before the slower filters run, and none of
+//! them knows of the others but by what they add to the request's extensions.
 
 pub mod account;
+pub mod admit;
 pub mod attempt;
+pub mod deliver;
 pub mod identify;
 pub mod in_force;
 pub mod route;
 
 use std::sync::Arc;
 
-use axum::Router;
+use axum::{Router, http::Extensions, middleware::from_fn_with_state};
 use bytes::Bytes;
-use types::{
-    config::Numbered,
-    prelude::*,
-    request::{Ran, Request},
-};
+use types::{config::Numbered, prelude::*, request::Request};
 
-use crate::context::Context;
+use crate::{
+    context::Context,
+    problem::{self, Problem},
+};
 
 /// A call that has been identified, as it moves along the row.
 #[derive(Clone, Debug)]
@@ -33,6 +37,13 @@
     pub kind: Kind,
 }
 
+impl Call {
+    /// Time left until its deadline.
+    pub fn time_left(&self, context: &Context) -> Duration {
+        (self.received + self.request.deadline).saturating_sub(context.now())
+    }
+}
+
 /// What a call asks for.
 #[derive(Clone, Debug)]
 pub enum Kind {
@@ -86,14 +97,23 @@
     Whole,
 }
 
-/// What is known of a call when it has ended, for the account.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Ended {
-    /// Whether it ran.
-    pub ran: Ran,
-}
-
 /// Lays the filters between identification and the attempt around a router.
+///
+/// The last layer is the first that a call meets: admit, at most once, quarantine, route.
 pub fn row(router: Router<Arc<Context>>, context: &Arc<Context>) -> Router<Arc<Context>> {
-    router.layer(axum::middleware::from_fn_with_state(context.clone(), route::filter))
+    router
+        .layer(from_fn_with_state(context.clone(), route::filter))
+        .layer(from_fn_with_state(context.clone(), admit::filter))
+}
+
+/// The extension that an earlier filter of the row has added.
+///
+/// # Errors
+///
+/// If the row was put together wrongly.
+pub fn earlier<T: Clone + Send + Sync + 'static>(extensions: &Extensions) -> Result<T, Problem> {
+    extensions
+        .get::<T>()
+        .cloned()
+        .ok_or_else(|| Problem::new(problem::Kind::Internal, "a filter is missing in the row"))
 }
--- a/crates/stage/src/filters/account.rs
+++ b/crates/stage/src/filters/account.rs
@@ -1,31 +1,197 @@
-//! Counts what became of each call.
+//! Keeps the account of each call, from its first byte to the last byte of its answer.
+//!
+//! What happens to a call is noted on the way by whoever knows it; the account is closed when its
+//! last holder lets go, which is also how a caller that goes away is seen.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use axum::{
     extract::{Request, State},
     middleware::Next,
     response::Response,
 };
+use observe::{
+    Event,
+    event::{self, Outcome},
+    metrics::{Attainment, InFlight},
+};
+use types::{prelude::*, request::Ran};
 
 use crate::{context::Context, problem::Problem};
 
-/// Logs each call's outcome.
-pub async fn filter(State(context): State<Arc<Context>>, request: Request, next: Next) -> Response {
-    let began = context.now();
-    let path = request.uri().path().to_owned();
+/// The account of one call.
+#[derive(Clone)]
+pub struct Account(Arc<Inner>);
+
+struct Inner {
+    context: Arc<Context>,
+    began: Moment,
+    notes: Mutex<Notes>,
+}
+
+#[derive(Default)]
+struct Notes {
+    call: Option<(Arc<request::Request>, InFlight)>,
+    first: Option<Moment>,
+    last: Option<Moment>,
+    tokens: u32,
+    outcome: Option<Outcome>,
+}
+
+impl Account {
+    fn open(context: Arc<Context>) -> Account {
+        let began = context.now();
+        Account(Arc::new(Inner { context, began, notes: Mutex::default() }))
+    }
+
+    /// The call has been identified.
+    pub fn identified(&self, request: &Arc<request::Request>) {
+        let context = &self.0.context;
+        let in_flight = context.metrics.in_flight(&request.service);
+        self.notes().call = Some((request.clone(), in_flight));
+        self.record(event::Kind::Request { service: request.service.clone() });
+    }
+
+    /// An attempt was sent to a server.
+    pub fn attempted(&self, attempt: request::Attempt, server: &backend::Id) {
+        self.record_at(event::Kind::Attempt { attempt }, server);
+    }
+
+    /// An attempt failed.
+    pub fn failed_attempt(
+        &self,
+        attempt: request::Attempt,
+        server: &backend::Id,
+        cause: &'static str,
+    ) {
+        self.record_at(event::Kind::AttemptFailed { attempt, cause: cause.into() }, server);
+    }
+
+    /// A further attempt is made, since one failed for this cause.
+    pub fn retried(&self, cause: &'static str) {
+        if let Some(service) = self.service() {
+            self.0.context.metrics.retry(&service, cause);
+        }
+    }
+
+    /// A stream goes on from this offset by a new attempt.
+    pub fn resumed(&self, attempt: request::Attempt, offset: u64) {
+        self.record(event::Kind::Resume { attempt, offset });
+    }
+
+    /// A token, or the head of an answer without tokens, is handed over.
+    pub fn token(&self) {
+        let now = self.0.context.now();
+        let service = self.service();
+        let mut notes = self.notes();
+        notes.tokens += 1;
+        let before = notes.last.replace(now);
+        if before.is_none() {
+            notes.first = Some(now);
+        }
+        drop(notes);
+        let metrics = &self.0.context.metrics;
+        match (service, before) {
+            (Some(service), None) => metrics.first_token(&service, now - self.0.began),
+            (Some(service), Some(before)) => metrics.between_tokens(&service, now - before),
+            (None, _) => {}
+        }
+    }
+
+    /// The whole answer was handed over.
+    pub fn answered(&self) {
+        self.notes().outcome = Some(Outcome::Answered);
+    }
+
+    /// The answer broke off after its head had been handed over.
+    pub fn broke_off(&self) {
+        self.notes().outcome = Some(Outcome::Failed);
+    }
+
+    /// The call ended with this problem.
+    pub fn problem(&self, problem: &Problem) {
+        let cause = problem.kind.name();
+        self.notes().outcome = Some(match problem.ran {
+            Ran::DidNotRun => Outcome::Refused,
+            Ran::MayHaveRun | Ran::Ran => Outcome::Failed,
+        });
+        if let Some(service) = self.service() {
+            self.0.context.metrics.refusal(&service, cause);
+        }
+        self.record(event::Kind::Refusal { cause: cause.into(), ran: problem.ran });
+        log::info!(
+            request = self.request().as_deref().unwrap_or("-"), problem = cause,
+            detail = problem.detail.as_str(); "call refused"
+        );
+    }
+
+    fn notes(&self) -> MutexGuard<'_, Notes> {
+        self.0.notes.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn service(&self) -> Option<service::Id> {
+        self.notes().call.as_ref().map(|(request, _)| request.service.clone())
+    }
+
+    fn request(&self) -> Option<request::Id> {
+        self.notes().call.as_ref().map(|(request, _)| request.id.clone())
+    }
+
+    fn record(&self, kind: event::Kind) {
+        if let Some(id) = self.request() {
+            self.0.context.events.record(Event::new(kind).request(&id));
+        }
+    }
+
+    fn record_at(&self, kind: event::Kind, server: &backend::Id) {
+        if let Some(id) = self.request() {
+            self.0.context.events.record(Event::new(kind).request(&id).server(server));
+        }
+    }
+}
+
+impl Drop for Inner {
+    fn drop(&mut self) {
+        let notes = self.notes.get_mut().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let Some((request, _)) = &notes.call else { return };
+        let outcome = notes.outcome.unwrap_or(Outcome::Cancelled);
+        self.context.metrics.request(&request.service, outcome);
+        self.context
+            .events
+            .record(Event::new(event::Kind::Answer { outcome }).request(&request.id));
+        if outcome != Outcome::Cancelled {
+            let attainment = attainment(notes, request, self.began, outcome);
+            self.context.metrics.attainment(&request.service, attainment);
+        }
+    }
+}
+
+fn attainment(
+    notes: &Notes,
+    request: &request::Request,
+    began: Moment,
+    outcome: Outcome,
+) -> Attainment {
+    let (Some(first), Some(last), Outcome::Answered) = (notes.first, notes.last, outcome) else {
+        return Attainment::Missed;
+    };
+    let between = (last - first) / (notes.tokens - 1).max(1);
+    let is_met =
+        first - began <= request.target.first_token && between <= request.target.between_tokens;
+    if is_met { Attainment::Met } else { Attainment::Missed }
+}
+
+/// Opens an account for each call.
+pub async fn filter(
+    State(context): State<Arc<Context>>,
+    mut request: Request,
+    next: Next,
+) -> Response {
+    let account = Account::open(context);
+    request.extensions_mut().insert(account.clone());
     let response = next.run(request).await;
-    let took = context.now() - began;
-    match response.extensions().get::<Problem>() {
-        Some(problem) => log::info!(
-            path = path.as_str(), status = response.status().as_u16(),
-            problem = problem.kind.name(), detail = problem.detail.as_str(),
-            took_ms = took.as_millis(); "call refused"
-        ),
-        None => log::debug!(
-            path = path.as_str(), status = response.status().as_u16(),
-            head_ms = took.as_millis(); "call answered"
-        ),
+    if let Some(problem) = response.extensions().get::<Problem>() {
+        account.problem(problem);
     }
     response
 }
--- /dev/null
+++ b/crates/stage/src/filters/admit.rs
@@ -0,0 +1,116 @@
+//! Takes a call, has it wait, or refuses it early as not run.
+
+use std::sync::Arc;
+
+use axum::{
+    extract::{Request, State},
+    middleware::Next,
+    response::{IntoResponse, Response},
+};
+use policy::{
+    admit::{Cause, Refusal, Work},
+    route::Wanted,
+    traffic::Demand,
+};
+use types::{config::Config, prelude::*};
+
+use crate::{
+    context::Context,
+    filters::{Call, Kind, earlier},
+    problem::{self, Problem},
+    traffic::{Denial, Reservation},
+};
+
+/// When to come back if no server has what a call wants.
+const UNREADY_COME_BACK: Duration = Duration::from_secs(2);
+
+/// A call that has been admitted.
+#[derive(Clone, Debug)]
+pub struct Admitted {
+    /// What the decisions see of it.
+    pub demand: Arc<Demand>,
+    /// Its place, until it is sent.
+    pub reservation: Arc<Reservation>,
+}
+
+/// Adds [`Admitted`] to the request, or refuses it.
+pub async fn filter(State(context): State<Arc<Context>>, request: Request, next: Next) -> Response {
+    match admit(&context, request).await {
+        Ok(request) => next.run(request).await,
+        Err(problem) => problem.into_response(),
+    }
+}
+
+async fn admit(context: &Arc<Context>, mut request: Request) -> Result<Request, Problem> {
+    let call: Call = earlier(request.extensions())?;
+    let demand = demand(context, &call);
+    let reservation = context.traffic.admit(&demand).await.map_err(refused)?;
+    let admitted = Admitted { demand: Arc::new(demand), reservation: Arc::new(reservation) };
+    request.extensions_mut().insert(admitted);
+    Ok(request)
+}
+
+fn demand(context: &Context, call: &Call) -> Demand {
+    let request = &call.request;
+    let config = &call.numbered.config;
+    let service = config.services.get(&request.service);
+    let customer = service.map(|service| service.customer.clone()).unwrap_or_default();
+    let customer_share = config.customers.get(&customer).map_or(1, |customer| customer.share);
+    let (wanted, version) = wanted(call, config);
+    let (place, pool) = context.traffic.places(&wanted);
+    let work = Work {
+        ticket: context.traffic.ticket(),
+        priority: request.priority,
+        customer,
+        customer_share,
+        service: request.service.clone(),
+        service_share: service.map_or(1, |service| service.share),
+        wanted: place,
+        pool,
+        due: call.received + request.target.first_token,
+        spread: spread(&request.id),
+    };
+    let prefix = request.prefix.clone();
+    Demand { work, version, prefix, prompt_tokens: request.prompt_tokens }
+}
+
+/// What a server must have, and the version in force.
+fn wanted(call: &Call, config: &Config) -> (Wanted, model::Version) {
+    match (&call.kind, &call.request.model) {
+        (Kind::Plain { group, .. }, _) => (Wanted::Group(group.clone()), "".into()),
+        (Kind::Model(_), Some(name)) => (Wanted::Model(name.clone()), version(config, name)),
+        (Kind::Model(_), None) => (Wanted::Model(model::Name::parse("")), "".into()),
+    }
+}
+
+fn version(config: &Config, name: &model::Name) -> model::Version {
+    let Some(model) = config.models.get(&name.model) else { return "".into() };
+    match &name.adapter {
+        None => model.version.clone(),
+        Some(adapter) => model.adapters.get(adapter).map_or("".into(), |a| a.version.clone()),
+    }
+}
+
+/// Differs from request to request, so that choices and times to come back do too.
+fn spread(id: &request::Id) -> u64 {
+    let digest = blake3::hash(id.as_bytes());
+    let (first, _) = digest.as_bytes().split_at(size_of::<u64>());
+    first.try_into().map_or(0, u64::from_le_bytes)
+}
+
+fn refused(denial: Denial) -> Problem {
+    match denial {
+        Denial::Unready => {
+            Problem::new(problem::Kind::NoServer, "no backend server is ready for it")
+                .retry_after(UNREADY_COME_BACK)
+        }
+        Denial::Refused(Refusal { cause, retry_after }) => {
+            let detail = match cause {
+                Cause::Late => "its first token can't come in time under the present load",
+                Cause::Full => "the queue of its model is full",
+                Cause::Displaced => "it made place for more urgent work",
+            };
+            Problem::new(problem::Kind::Overloaded, detail).retry_after(retry_after)
+        }
+    }
+}
--- /dev/null
+++ b/crates/stage/src/filters/attempt/plain.rs
@@ -0,0 +1,174 @@
+//! Attempts at one call to a plain service.
+
+use std::sync::Arc;
+
+use ::backend::{Streamed, wire};
+use axum::{
+    extract::Request,
+    http::{StatusCode, header, request::Parts},
+    response::Response,
+};
+use policy::{
+    retry::{self, Failure, Point},
+    route::Index,
+    traffic::Demand,
+};
+use types::{prelude::*, request::Ran};
+
+use super::{first, give_up, upload::Upload};
+use crate::{
+    answer::further,
+    context::Context,
+    filters::{
+        Call, Kind,
+        account::Account,
+        admit::Admitted,
+        deliver::{self, strip},
+        earlier,
+    },
+    problem::{self, Problem},
+    traffic::Sent,
+};
+
+/// Attempts at one call to a plain service.
+pub(super) struct Attempts {
+    context: Arc<Context>,
+    account: Account,
+    call: Call,
+    path: Arc<str>,
+    demand: Arc<Demand>,
+    parts: Parts,
+    upload: Upload,
+    first: Option<Sent>,
+    failed: Vec<Index>,
+    number: request::Attempt,
+    ran: Ran,
+}
+
+impl Attempts {
+    /// Takes the call apart, and reads its body if it is short.
+    pub(super) async fn start(
+        context: Arc<Context>,
+        request: Request,
+    ) -> Result<Attempts, Problem> {
+        let (parts, body) = request.into_parts();
+        let call: Call = earlier(&parts.extensions)?;
+        let admitted: Admitted = earlier(&parts.extensions)?;
+        let account: Account = earlier(&parts.extensions)?;
+        let first = first(&earlier(&parts.extensions)?)?;
+        let Kind::Plain { path, .. } = call.kind.clone() else {
+            return Err(Problem::new(problem::Kind::UnknownPath, "no call to a service"));
+        };
+        let upload = Upload::read(body, context.settings.bounds.idle).await?;
+        Ok(Attempts {
+            context,
+            account,
+            call,
+            path,
+            demand: admitted.demand,
+            parts,
+            upload,
+            first: Some(first),
+            failed: Vec::new(),
+            number: 0,
+            ran: Ran::DidNotRun,
+        })
+    }
+
+    /// Makes attempts until one is answered or no further one is allowed.
+    pub(super) async fn run(mut self) -> Result<Response, Problem> {
+        let mut next = self.first.take();
+        while let Some(sent) = next.take() {
+            self.account.attempted(self.number, &sent.server().id);
+            let asked = self.context.backends.send(sent.server().address, self.request());
+            let answer = tokio::time::timeout(self.call.time_left(&self.context), asked).await;
+            let (point, cause) = match answer {
+                Ok(Ok(response)) if is_refusal(&response) => {
+                    match self.fail(sent, Point::Refused, "the service refuses").await {
+                        Ok(sent) => next = Some(sent),
+                        // The service's own words say more than a problem document.
+                        Err(_) => return Ok(deliver::passed_on(response, &self.account)),
+                    }
+                    continue;
+                }
+                Ok(Ok(response)) => {
+                    let idle = self.context.settings.bounds.idle;
+                    return Ok(deliver::plain(response, sent, self.account, idle));
+                }
+                Ok(Err(_)) if self.upload.is_broken() => {
+                    let ran = self.ran.max(Ran::MayHaveRun);
+                    return Err(
+                        Problem::new(problem::Kind::BadRequest, "the body broke off").ran(ran)
+                    );
+                }
+                Ok(Err(error)) => (self.point(&error), error.to_string()),
+                Err(_) => (Point::Waiting, "no answer in time".into()),
+            };
+            next = Some(self.fail(sent, point, &cause).await?);
+        }
+        Err(Problem::new(problem::Kind::Internal, "no attempt is due").ran(self.ran))
+    }
+
+    fn point(&self, error: &::backend::Error) -> Point {
+        if error.is_unsent() {
+            Point::Connect
+        } else if self.upload.is_unfinished() {
+            Point::Sending
+        } else {
+            Point::Waiting
+        }
+    }
+
+    /// An attempt has failed: gives the next one, or the problem that ends the call.
+    async fn fail(&mut self, sent: Sent, point: Point, cause: &str) -> Result<Sent, Problem> {
+        let server = &sent.server().id;
+        log::warn!(
+            request = &*self.call.request.id, server = &**server, attempt = self.number;
+            "attempt failed at {point:?}: {cause}"
+        );
+        self.account.failed_attempt(self.number, server, point.as_str());
+        self.failed.push(sent.index());
+        sent.fail(point);
+        let failure = Failure {
+            point,
+            repeat: self.call.request.repeat,
+            body: self.upload.state(),
+            before: self.ran,
+            attempts: self.number + 1,
+            time_left: self.call.time_left(&self.context),
+        };
+        self.ran = self.ran.max(point.ran());
+        match self.context.traffic.after_failure(&failure) {
+            retry::Verdict::GiveUp(ran) => Err(give_up(&self.call, &self.context, ran, cause)),
+            retry::Verdict::Retry | retry::Verdict::Resume => {
+                self.number += 1;
+                self.account.retried(point.as_str());
+                further(&self.context, &self.call, &self.demand, &self.failed)
+                    .await
+                    .ok_or_else(|| give_up(&self.call, &self.context, self.ran, cause))
+            }
+        }
+    }
+
+    fn request(&self) -> http::Request<::backend::Body> {
+        let mut request = http::Request::new(self.upload.body());
+        *request.method_mut() = self.parts.method.clone();
+        *request.headers_mut() = self.parts.headers.clone();
+        let headers = request.headers_mut();
+        strip(headers);
+        headers.remove(header::HOST);
+        headers.insert(wire::ATTEMPT, self.number.into());
+        if let Ok(id) = self.call.request.id.parse() {
+            headers.insert(wire::REQUEST_ID, id);
+        }
+        if let Ok(uri) = self.path.parse() {
+            *request.uri_mut() = uri;
+        }
+        request
+    }
+}
+
+/// Whether a service refuses for load or because it leaves.
+fn is_refusal(response: &Streamed) -> bool {
+    matches!(response.status(), StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE)
+}
--- /dev/null
+++ b/crates/stage/src/filters/deliver.rs
@@ -0,0 +1,209 @@
+//! Brings an answer to the caller: as a stream of events, in one piece, or passed through.
+
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use ::backend::{Streamed, wire};
+use axum::{
+    Json,
+    body::Body,
+    http::{HeaderMap, HeaderName, header},
+    response::{
+        IntoResponse, Response,
+        sse::{Event, Sse},
+    },
+};
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http_body::{Body as _, Frame, SizeHint};
+use hyper::body::Incoming;
+use policy::retry::Point;
+use serde_json::{Value, json};
+
+use crate::{
+    answer::{Answer, Token},
+    filters::{Call, Question, Shape, account::Account},
+    idle::Guarded,
+    problem::Problem,
+    traffic::Sent,
+};
+
+/// Headers that belong to one connection and are never passed on (RFC 9110, 7.6.1).
+const HOP_BY_HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Delivers token by token. Waits for the first one, so that a failure before it is still a plain
+/// refusal.
+///
+/// # Errors
+///
+/// The problem that came before the first token.
+pub async fn streamed(mut answer: Answer, account: Account) -> Result<Response, Problem> {
+    let first = answer.next().await?.map_or_else(end, event);
+    let rest = futures_util::stream::unfold(Some((answer, account)), async |state| {
+        let (mut answer, account) = state?;
+        match answer.next().await {
+            Ok(Some(token)) => Some((event(token), Some((answer, account)))),
+            Ok(None) => Some((end(), None)),
+            // No end mark follows an error, or the caller would take a part for the whole.
+            Err(problem) => {
+                account.problem(&problem);
+                Some((failure(&problem), None))
+            }
+        }
+    });
+    let events = futures_util::stream::once(async { first }).chain(rest);
+    Ok(Sse::new(events.map(Ok::<_, Infallible>)).into_response())
+}
+
+fn end() -> Event {
+    Event::default().data(wire::DONE)
+}
+
+fn event(token: Token) -> Event {
+    Event::default().id(token.offset.to_string()).data(token.data)
+}
+
+fn failure(problem: &Problem) -> Event {
+    Event::default().event("error").data(problem.body().to_string())
+}
+
+/// Delivers in one piece.
+///
+/// # Errors
+///
+/// The problem that ended the answer early.
+pub async fn whole(
+    mut answer: Answer,
+    call: &Call,
+    question: &Question,
+) -> Result<Response, Problem> {
+    let mut text = String::new();
+    while let Some(Token { data, .. }) = answer.next().await? {
+        text.push_str(&content(question.shape, &data));
+    }
+    let model = call.request.model.as_ref().map(ToString::to_string);
+    let choice = match question.shape {
+        Shape::Chat => json!({"index": 0, "message": {"role": "assistant", "content": text}}),
+        Shape::Text => json!({"index": 0, "text": text}),
+    };
+    let object = match question.shape {
+        Shape::Chat => "chat.completion",
+        Shape::Text => "text_completion",
+    };
+    let id = &call.request.id;
+    let body = json!({"id": id, "object": object, "model": model, "choices": [choice]});
+    Ok(Json(body).into_response())
+}
+
+fn content(shape: Shape, data: &str) -> String {
+    let data: Value = serde_json::from_str(data).unwrap_or_default();
+    let text = match shape {
+        Shape::Chat => &data["choices"][0]["delta"]["content"],
+        Shape::Text => &data["choices"][0]["text"],
+    };
+    text.as_str().unwrap_or_default().to_owned()
+}
+
+/// Passes a plain service's answer through, and keeps its attempt open until its end.
+pub fn plain(response: Streamed, sent: Sent, account: Account, idle: Duration) -> Response {
+    sent.answered();
+    account.token();
+    let (mut parts, body) = response.into_parts();
+    strip(&mut parts.headers);
+    let body = Tracked { body: Guarded::new(body, idle), open: Some((sent, account)) };
+    Response::from_parts(parts, Body::new(body))
+}
+
+/// Passes on an answer whose attempt has ended already.
+pub fn passed_on(response: Streamed, account: &Account) -> Response {
+    account.answered();
+    let (mut parts, body) = response.into_parts();
+    strip(&mut parts.headers);
+    Response::from_parts(parts, Body::new(body))
+}
+
+/// Removes the headers that belong to one connection.
+pub fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in HOP_BY_HOP.iter().chain(&named) {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+}
+
+/// A body whose end is the end of its attempt.
+struct Tracked {
+    body: Guarded<Incoming>,
+    open: Option<(Sent, Account)>,
+}
+
+impl Tracked {
+    fn complete(&mut self) {
+        if let Some((sent, account)) = self.open.take() {
+            sent.complete();
+            account.answered();
+        }
+    }
+
+    fn break_off(&mut self) {
+        if let Some((sent, account)) = self.open.take() {
+            sent.fail(Point::Body);
+            account.broke_off();
+        }
+    }
+}
+
+impl http_body::Body for Tracked {
+    type Data = Bytes;
+    type Error = ::backend::BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, ::backend::BodyError>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        match &frame {
+            Poll::Pending => {}
+            Poll::Ready(None) => self.complete(),
+            Poll::Ready(Some(Err(_))) => self.break_off(),
+            // A server that knows the length may not ask for the end.
+            Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => self.complete(),
+            Poll::Ready(Some(Ok(_))) => {}
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        if self.body.is_end_stream() {
+            self.complete();
+        }
+    }
+}
--- a/crates/stage/src/filters/identify.rs
+++ b/crates/stage/src/filters/identify.rs
@@ -4,8 +4,6 @@
 //! the least urgent service that offers the model, so that nobody gains priority by leaving the
 //! name out.
 
-use std::sync::Arc;
-
 use ::backend::wire;
 use axum::{
     Json,
@@ -19,14 +17,15 @@
 use serde_json::{Map, Value, json};
 use types::{
     config::{Config, Numbered},
-    model, request,
+    prelude::*,
     request::{Digest, Repeat},
-    service::{self, Offer, Service},
+    service::{Offer, Service},
 };
 
 use crate::{
     context::Context,
-    filters::{Call, Delivery, Kind, Question, Shape},
+    filters::{Call, Delivery, Kind, Question, Shape, account::Account},
+    idle,
     problem::{self, Problem},
 };
 
@@ -36,6 +35,12 @@
 /// Header that identifies a request across re-sends.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
+/// Header by which a caller tightens the time allowed for a request, in milliseconds.
+pub const TIMEOUT: &str = "x-timeout-ms";
+
+/// Header by which a caller says whether a request may run more than once.
+pub const IDEMPOTENT: &str = "x-idempotent";
+
 const DEFAULT_MAX_TOKENS: u32 = 16;
 
 /// Identifies a call to a model.
@@ -149,6 +154,9 @@
     kind: Kind,
 ) -> Request {
     let call = Call { request: Arc::new(request), numbered, received: context.now(), kind };
+    if let Some(account) = parts.extensions.get::<Account>() {
+        account.identified(&call.request);
+    }
     let mut request = Request::from_parts(parts, body);
     request.extensions_mut().insert(call);
     request
@@ -163,34 +171,55 @@
     digest: Digest,
 ) -> Result<request::Request, Problem> {
     let key = header(headers, IDEMPOTENCY_KEY)?;
-    let repeat = match service.is_non_idempotent(method.as_str()) {
-        true => Repeat::Once,
-        false => Repeat::Idempotent,
-    };
+    let repeat = repeat(headers, service, method)?;
+    let deadline = deadline(headers)?.unwrap_or(Duration::MAX).min(context.settings.bounds.request);
+    let first_token = service.target.first_token.min(deadline);
     Ok(request::Request {
         id: uuid::Uuid::new_v4().to_string().into(),
         service: id.clone(),
         model: None,
         priority: service.priority,
-        target: service.target,
+        target: Target { first_token, ..service.target },
         repeat,
         key: key.map(Into::into),
         digest,
         prefix: Vec::new(),
         prompt_tokens: 0,
         max_tokens: 0,
-        deadline: context.settings.bounds.request,
+        deadline,
     })
 }
 
+/// A caller may mark a request as non-idempotent, and may not clear the service's mark.
+fn repeat(headers: &HeaderMap, service: &Service, method: &Method) -> Result<Repeat, Problem> {
+    let is_declared = service.is_non_idempotent(method.as_str());
+    match (header(headers, IDEMPOTENT)?.as_deref(), is_declared) {
+        (None, true) | (Some("false"), _) => Ok(Repeat::Once),
+        (None | Some("true"), false) => Ok(Repeat::Idempotent),
+        (Some("true"), true) => Err(bad(&format!(
+            "header {IDEMPOTENT} says true, but the service declares {method} non-idempotent"
+        ))),
+        (Some(_), _) => Err(bad(&format!("header {IDEMPOTENT} must be true or false"))),
+    }
+}
+
+fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Problem> {
+    let Some(text) = header(headers, TIMEOUT)? else { return Ok(None) };
+    match text.parse::<u64>() {
+        Ok(millis) if 0 < millis => Ok(Some(Duration::from_millis(millis))),
+        _ => Err(bad(&format!("header {TIMEOUT} must be a positive whole number"))),
+    }
+}
+
 async fn read(context: &Context, body: Body) -> Result<Bytes, Problem> {
     let limit = context.settings.bounds.body_bytes;
+    let body = Body::new(idle::Guarded::new(body, context.settings.bounds.idle));
     to_bytes(body, limit).await.map_err(|error| {
         if types::error::chain(&error).contains("length limit") {
             let detail = format!("the body is over {limit} bytes");
             return Problem::new(problem::Kind::BodyTooLarge, detail);
         }
-        bad(&format!("the body broke off: {error}"))
+        bad(&format!("the body broke off: {}", types::error::chain(&error)))
     })
 }
 
--- /dev/null
+++ b/crates/stage/src/idle.rs
@@ -0,0 +1,69 @@
+//! A body that fails when nothing comes for too long.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use tokio::time::{Instant, Sleep};
+
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Nothing came for too long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("nothing came for {0:?}")]
+pub struct Silence(pub Duration);
+
+/// A body with a limit on the time between its frames.
+pub struct Guarded<B> {
+    body: B,
+    limit: Duration,
+    silence: Pin<Box<Sleep>>,
+    is_waiting: bool,
+}
+
+impl<B> Guarded<B> {
+    /// Guards a body. Only time in which a frame is asked for counts.
+    pub fn new(body: B, limit: Duration) -> Guarded<B> {
+        let silence = Box::pin(tokio::time::sleep(limit));
+        Guarded { body, limit, silence, is_waiting: false }
+    }
+}
+
+impl<B> Body for Guarded<B>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<BoxError>,
+{
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(context) {
+            self.is_waiting = false;
+            return Poll::Ready(frame.map(|frame| frame.map_err(Into::into)));
+        }
+        if !std::mem::replace(&mut self.is_waiting, true) {
+            let deadline = Instant::now() + self.limit;
+            self.silence.as_mut().reset(deadline);
+        }
+        match self.silence.as_mut().poll(context) {
+            Poll::Ready(()) => Poll::Ready(Some(Err(Silence(self.limit).into()))),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -10,8 +10,11 @@
 pub mod filters;
 pub mod flags;
 pub mod fleet;
+pub mod idle;
+mod listener;
 pub mod operators;
 pub mod problem;
 mod serve;
+pub mod traffic;
 
 pub use crate::serve::{Error, Running, start};
--- /dev/null
+++ b/crates/stage/src/listener.rs
@@ -0,0 +1,85 @@
+//! The listener for callers: bounds on heads and idle time, and an orderly end.
+
+use std::{convert::Infallible, time::Duration};
+
+use axum::{Router, body::Body, extract::Request};
+use hyper::{body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto, graceful::GracefulShutdown},
+};
+use settings::process::Bounds;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_io_timeout::TimeoutStream;
+use tokio_util::sync::CancellationToken;
+use tower::ServiceExt;
+
+/// Pause after a failure to accept, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// How long connections are still taken that the system had queued before the end.
+const BACKLOG: Duration = Duration::from_millis(20);
+
+/// Least buffer that hyper takes for a head.
+const LEAST_HEAD: usize = 8 * 1024;
+
+/// Serves until told to stop, and then until every request in flight has ended.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    router: Router,
+    bounds: Bounds,
+    stop: CancellationToken,
+) {
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => connect(stream, &router, &bounds, &graceful),
+            Err(error) => {
+                log::warn!("callers' listener: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    while let Ok(Ok((stream, _))) = tokio::time::timeout(BACKLOG, listener.accept()).await {
+        connect(stream, &router, &bounds, &graceful);
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn connect(stream: TcpStream, router: &Router, bounds: &Bounds, graceful: &GracefulShutdown) {
+    // Without it the last bytes of each token wait for the caller's acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(bounds.idle));
+    let router = router.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let router = router.clone();
+        async move {
+            let response = router.oneshot(request.map(Body::new)).await;
+            response.map_err(|never: Infallible| match never {})
+        }
+    });
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(bounds.idle)
+        .max_buf_size(bounds.head_bytes.max(LEAST_HEAD));
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(u32::try_from(bounds.head_bytes).unwrap_or(u32::MAX))
+        .keep_alive_interval(Some(bounds.idle));
+    let connection = builder.serve_connection(TokioIo::new(Box::pin(stream)), service).into_owned();
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("caller's connection: {error}");
+        }
+    });
+}
--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -2,7 +2,14 @@
 
 use std::sync::Arc;
 
-use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
+use axum::{
+    Json, Router,
+    extract::State,
+    http::{StatusCode, header},
+    response::{IntoResponse, Response},
+    routing::get,
+};
+use observe::metrics::CONTENT_TYPE;
 use serde_json::{Value, json};
 
 use crate::context::Context;
@@ -13,6 +20,7 @@
         .route("/live", get(async || StatusCode::OK))
         .route("/ready", get(ready))
         .route("/status", get(status))
+        .route("/metrics", get(metrics))
         .with_state(context)
 }
 
@@ -23,6 +31,17 @@
     }
 }
 
+async fn metrics(State(context): State<Arc<Context>>) -> Response {
+    context.traffic.show(&context.metrics);
+    match context.metrics.text() {
+        Ok(text) => ([(header::CONTENT_TYPE, CONTENT_TYPE)], text).into_response(),
+        Err(error) => {
+            log::error!("metrics: {error}");
+            StatusCode::INTERNAL_SERVER_ERROR.into_response()
+        }
+    }
+}
+
 async fn status(State(context): State<Arc<Context>>) -> Json<Value> {
     Json(json!({
         "host": context.host(),
--- a/crates/stage/src/problem.rs
+++ b/crates/stage/src/problem.rs
@@ -37,6 +37,8 @@
     BackendFailed,
     /// Its time is over.
     Timeout,
+    /// The host is at fault.
+    Internal,
 }
 
 impl Kind {
@@ -53,6 +55,7 @@
             Kind::NotReady => "not-ready",
             Kind::BackendFailed => "backend-failed",
             Kind::Timeout => "timeout",
+            Kind::Internal => "internal",
         }
     }
 
@@ -64,6 +67,7 @@
             Kind::NoServer | Kind::Overloaded | Kind::NotReady => StatusCode::SERVICE_UNAVAILABLE,
             Kind::BackendFailed => StatusCode::BAD_GATEWAY,
             Kind::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            Kind::Internal => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
 
@@ -79,6 +83,7 @@
             Kind::NotReady => "The host is not ready",
             Kind::BackendFailed => "A backend server failed the request",
             Kind::Timeout => "The request's time is over",
+            Kind::Internal => "The host is at fault",
         }
     }
 }
--- a/crates/stage/src/serve.rs
+++ b/crates/stage/src/serve.rs
@@ -3,11 +3,15 @@
 use std::{io, net::SocketAddr, sync::Arc};
 
 use axum::Router;
+use observe::{
+    Event,
+    event::{self, DrainStep},
+};
 use settings::process::Process;
 use tokio::{net::TcpListener, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
-use crate::{callers, context::Context, duties, operators};
+use crate::{callers, context::Context, duties, listener, operators};
 
 /// Why a host can't start.
 #[derive(Debug, thiserror::Error)]
@@ -22,6 +26,9 @@
         /// Why.
         cause: io::Error,
     },
+    /// The metrics can't be set up.
+    #[error(transparent)]
+    Metrics(#[from] observe::metrics::Error),
 }
 
 /// A running host.
@@ -42,7 +49,7 @@
     let callers = bind("callers", &mut settings.host.callers).await?;
     let operators = bind("operators", &mut settings.host.operators).await?;
     let store = platform::Builder::new(settings.platform).build();
-    let context = Arc::new(Context::new(settings, Arc::new(store)));
+    let context = Arc::new(Context::new(settings, Arc::new(store))?);
     log::info!(
         host = &*context.host().id, callers:% = context.host().callers,
         operators:% = context.host().operators; "host starts"
@@ -50,8 +57,12 @@
     duties::start(&context);
     let stop_callers = CancellationToken::new();
     let stop_operators = CancellationToken::new();
-    let callers =
-        tokio::spawn(listen(callers, callers::router(context.clone()), stop_callers.clone()));
+    let callers = tokio::spawn(listener::serve(
+        callers,
+        callers::router(context.clone()),
+        context.settings.bounds.clone(),
+        stop_callers.clone(),
+    ));
     let operators =
         tokio::spawn(listen(operators, operators::router(context.clone()), stop_operators.clone()));
     Ok(Running { context, stop_callers, stop_operators, callers, operators })
@@ -68,12 +79,15 @@
     pub async fn drain(self) {
         let drain = self.context.settings.drain.clone();
         self.context.begin_drain();
+        record(&self.context, DrainStep::NotReady);
         log::info!(host = &*self.context.host().id; "drain begins");
         tokio::time::sleep(drain.balancer).await;
         self.stop_callers.cancel();
+        record(&self.context, DrainStep::Closed);
         if tokio::time::timeout(drain.finish, self.callers).await.is_err() {
             log::error!(host = &*self.context.host().id; "drain ends with requests in flight");
         }
+        record(&self.context, DrainStep::Idle);
         self.context.stop.cancel();
         self.context.duties.close();
         self.context.duties.wait().await;
@@ -83,6 +97,10 @@
     }
 }
 
+fn record(context: &Context, drain: DrainStep) {
+    context.events.record(Event::new(event::Kind::Drain { drain }));
+}
+
 async fn bind(role: &'static str, address: &mut SocketAddr) -> Result<TcpListener, Error> {
     let wanted = *address;
     let failed = |cause| Error::Bind { role, address: wanted, cause };
--- /dev/null
+++ b/crates/stage/src/traffic.rs
@@ -0,0 +1,261 @@
+//! The decisions on requests behind one lock, and the guards that keep their account right.
+//!
+//! Whatever ends a request, also a caller that goes away, drops its guard, and the guard gives the
+//! place back and starts what waits for it.
+
+mod guard;
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Instant,
+};
+
+use observe::Metrics;
+use policy::{
+    admit::{Refusal, Ticket},
+    retry,
+    route::{Distances, Index, Place, Standing, Wanted, estimate::Told},
+    traffic::{Admission, Again, Change, Demand, Rules},
+};
+use tokio::sync::oneshot;
+use types::{
+    host::{List, Listed},
+    prelude::*,
+    report::Load,
+};
+
+use self::guard::Waiter;
+pub use self::guard::{Reservation, Sent};
+
+/// One-way time to another zone, until it is measured.
+const OTHER_ZONE: Duration = Duration::from_millis(1);
+
+/// Why a request is not admitted; it did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    /// For load.
+    Refused(Refusal),
+    /// No server has what it wants.
+    Unready,
+}
+
+/// A further attempt.
+#[derive(Debug)]
+pub enum Further {
+    /// It is on its way.
+    Sent(Sent),
+    /// Not before this moment.
+    At(Moment),
+    /// No server has what it wants.
+    Unready,
+}
+
+/// The decisions on requests, shared.
+#[derive(Debug)]
+pub struct Traffic {
+    state: Mutex<State>,
+    tickets: AtomicU64,
+    origin: Instant,
+}
+
+#[derive(Debug)]
+struct State {
+    policy: policy::traffic::Traffic,
+    waiters: HashMap<Ticket, oneshot::Sender<Result<(), Refusal>>>,
+}
+
+impl Traffic {
+    /// For a host in this zone; moments count from `origin`.
+    pub fn new(zone: availability::Id, origin: Instant) -> Traffic {
+        let distances = Distances { own: zone, other: OTHER_ZONE, named: Default::default() };
+        let policy = policy::traffic::Traffic::new(distances, Rules::default());
+        let state = Mutex::new(State { policy, waiters: HashMap::new() });
+        Traffic { state, tickets: AtomicU64::new(0), origin }
+    }
+
+    /// A number for a new piece of work.
+    pub fn ticket(&self) -> Ticket {
+        self.tickets.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Places of something wanted: its own, and the one of its limits and queue.
+    pub fn places(&self, wanted: &Wanted) -> (Place, Place) {
+        let table = &mut self.lock().policy.table;
+        let place = table.place(wanted);
+        (place, table.pool(place))
+    }
+
+    /// Takes in the platform's list: what is new, leaving or not listed any more.
+    pub fn list(&self, list: &List) {
+        let mut state = self.lock();
+        let table = &mut state.policy.table;
+        let listed: HashMap<Index, Listed> =
+            list.servers.iter().map(|entry| (table.add(&entry.server), entry.state)).collect();
+        let known: Vec<Index> = table.servers().map(|(index, _)| index).collect();
+        for index in known {
+            let standing = match (listed.get(&index), table.standing(index)) {
+                (Some(Listed::Live), Standing::Suspected(until)) => Standing::Suspected(until),
+                (Some(Listed::Live), _) => Standing::Live,
+                (Some(Listed::Leaving), _) => Standing::Leaving,
+                (None, _) => Standing::Gone,
+            };
+            table.set_standing(index, standing);
+        }
+    }
+
+    /// Takes in a load report that was just read.
+    pub fn report(&self, server: &backend::Id, load: &Load) {
+        let now = self.now();
+        self.with_index(server, |policy, index| policy.report(index, load, now));
+    }
+
+    /// A server can't be reached for a report.
+    pub fn unreachable(&self, server: &backend::Id) {
+        let now = self.now();
+        self.with_index(server, |policy, index| policy.unreachable(index, now));
+    }
+
+    /// Sets whether a server gets new work.
+    pub fn set_standing(&self, server: &backend::Id, standing: Standing) {
+        self.with_index(server, |policy, index| policy.table.set_standing(index, standing));
+    }
+
+    /// Takes in what a peer has in flight on each server.
+    pub fn told(&self, peer: &host::Id, in_flight: &[(backend::Id, Told)]) {
+        self.lock().policy.table.told(peer, in_flight);
+    }
+
+    /// Forgets what a peer told.
+    pub fn forget(&self, peer: &host::Id) {
+        self.lock().policy.table.forget(peer);
+    }
+
+    /// What this host has in flight, by server, for its peers.
+    pub fn in_flight(&self) -> Vec<(backend::Id, Told)> {
+        let state = self.lock();
+        let table = &state.policy.table;
+        table
+            .servers()
+            .map(|(index, server)| (server.id.clone(), table.view(index).own()))
+            .filter(|(_, requests)| 0 < *requests)
+            .map(|(id, requests)| (id, Told { requests }))
+            .collect()
+    }
+
+    /// Waits for admission.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, as soon as it is known.
+    pub async fn admit(self: &Arc<Self>, demand: &Demand) -> Result<Reservation, Denial> {
+        let ticket = demand.work.ticket;
+        let pool = demand.work.pool;
+        let receiver = {
+            let mut state = self.lock();
+            let mut changes = Vec::new();
+            let admission = state.policy.admit(demand, self.now(), &mut changes);
+            state.tell(changes);
+            match admission {
+                Admission::Take => return Ok(Reservation::new(self.clone(), pool)),
+                Admission::Refuse(refusal) => return Err(Denial::Refused(refusal)),
+                Admission::Unready => return Err(Denial::Unready),
+                Admission::Wait => {}
+            }
+            let (sender, receiver) = oneshot::channel();
+            state.waiters.insert(ticket, sender);
+            receiver
+        };
+        self.pump();
+        let refused = Waiter::new(self.clone(), ticket, pool, receiver).wait().await;
+        refused.map_err(Denial::Refused)?;
+        Ok(Reservation::new(self.clone(), pool))
+    }
+
+    /// Sends a request that holds a reservation; nothing if no server can be used any more.
+    pub fn dispatch(self: &Arc<Self>, reservation: &Reservation, demand: &Demand) -> Option<Sent> {
+        if !reservation.use_up() {
+            return None;
+        }
+        let mut state = self.lock();
+        let flight = state.policy.dispatch(demand, self.now())?;
+        let server = state.policy.table.server(flight.choice.server).clone();
+        Some(Sent::new(self.clone(), flight, server))
+    }
+
+    /// Sends a request again, to another server than these if there is one.
+    pub fn dispatch_again(self: &Arc<Self>, demand: &Demand, avoid: &[Index]) -> Further {
+        let mut state = self.lock();
+        match state.policy.dispatch_again(demand, avoid, self.now()) {
+            Again::Sent(flight) => {
+                let server = state.policy.table.server(flight.choice.server).clone();
+                Further::Sent(Sent::new(self.clone(), flight, server))
+            }
+            Again::At(moment) => Further::At(moment),
+            Again::Unready => Further::Unready,
+        }
+    }
+
+    /// What follows a failed attempt.
+    pub fn after_failure(&self, failure: &retry::Failure) -> retry::Verdict {
+        self.lock().policy.after_failure(failure)
+    }
+
+    /// Starts what has room, and refuses what can't meet its target any more.
+    pub fn pump(&self) {
+        let mut state = self.lock();
+        if 0 < state.policy.gate.waiting() {
+            let changes = state.policy.pump(self.now());
+            state.tell(changes);
+        }
+    }
+
+    /// Time since the process began.
+    pub fn now(&self) -> Moment {
+        self.origin.elapsed()
+    }
+
+    /// Shows the limits in the metrics.
+    pub fn show(&self, metrics: &Metrics) {
+        let state = self.lock();
+        let table = &state.policy.table;
+        for (server, place, pool) in state.policy.pools.iter() {
+            let name = table.name(place);
+            metrics.limit(&table.server(server).id, &name, u64::from(pool.limit()));
+        }
+    }
+
+    fn with_index(
+        &self,
+        server: &backend::Id,
+        change: impl FnOnce(&mut policy::traffic::Traffic, Index),
+    ) {
+        let mut state = self.lock();
+        if let Some(index) = state.policy.table.index(server) {
+            change(&mut state.policy, index);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
+
+impl State {
+    /// Tells those that wait. One that has gone in the meantime gives its place back itself.
+    fn tell(&mut self, changes: Vec<Change>) {
+        for change in changes {
+            let (ticket, outcome) = match change {
+                Change::Start(ticket) => (ticket, Ok(())),
+                Change::Refuse(ticket, refusal) => (ticket, Err(refusal)),
+            };
+            if let Some(waiter) = self.waiters.remove(&ticket) {
+                // A waiter that is being dropped finds the outcome in its channel.
+                let _ = waiter.send(outcome);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/stage/src/traffic/guard.rs
@@ -0,0 +1,145 @@
+//! Guards: a wait, a reservation, an attempt on its way.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
+use policy::{
+    admit::{Refusal, Ticket},
+    retry::Point,
+    route::{Index, Place},
+    traffic::{End, Flight},
+};
+use tokio::sync::oneshot;
+use types::prelude::*;
+
+use super::Traffic;
+
+/// A place for a request on some server of its model; given back when dropped unused.
+#[derive(Debug)]
+pub struct Reservation {
+    traffic: Arc<Traffic>,
+    pool: Place,
+    is_used: AtomicBool,
+}
+
+impl Reservation {
+    pub(super) fn new(traffic: Arc<Traffic>, pool: Place) -> Reservation {
+        Reservation { traffic, pool, is_used: AtomicBool::new(false) }
+    }
+
+    /// Whether this call used it up.
+    pub(super) fn use_up(&self) -> bool {
+        !self.is_used.swap(true, Ordering::AcqRel)
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        if self.use_up() {
+            self.traffic.lock().policy.release(self.pool);
+            self.traffic.pump();
+        }
+    }
+}
+
+/// A request in the queue; leaves it when dropped.
+pub(super) struct Waiter {
+    traffic: Arc<Traffic>,
+    ticket: Ticket,
+    pool: Place,
+    outcome: Option<oneshot::Receiver<Result<(), Refusal>>>,
+}
+
+impl Waiter {
+    pub(super) fn new(
+        traffic: Arc<Traffic>,
+        ticket: Ticket,
+        pool: Place,
+        outcome: oneshot::Receiver<Result<(), Refusal>>,
+    ) -> Waiter {
+        Waiter { traffic, ticket, pool, outcome: Some(outcome) }
+    }
+
+    /// Waits until the request has a place or is refused.
+    pub(super) async fn wait(mut self) -> Result<(), Refusal> {
+        let Some(receiver) = self.outcome.as_mut() else { return Ok(()) };
+        let outcome = receiver.await;
+        self.outcome = None;
+        // The sender is kept until it has sent.
+        outcome.unwrap_or(Ok(()))
+    }
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        let Some(mut receiver) = self.outcome.take() else { return };
+        let mut state = self.traffic.lock();
+        if state.waiters.remove(&self.ticket).is_some() {
+            state.policy.gate.cancel(self.ticket);
+            return;
+        }
+        if let Ok(Ok(())) = receiver.try_recv() {
+            state.policy.release(self.pool);
+        }
+        drop(state);
+        self.traffic.pump();
+    }
+}
+
+/// An attempt on its way to a server; counted as cancelled when dropped before its end.
+#[derive(Debug)]
+pub struct Sent {
+    traffic: Arc<Traffic>,
+    flight: Flight,
+    server: backend::Server,
+    is_over: bool,
+}
+
+impl Sent {
+    pub(super) fn new(traffic: Arc<Traffic>, flight: Flight, server: backend::Server) -> Sent {
+        Sent { traffic, flight, server, is_over: false }
+    }
+
+    /// The server it goes to.
+    pub fn server(&self) -> &backend::Server {
+        &self.server
+    }
+
+    /// That server's index.
+    pub fn index(&self) -> Index {
+        self.flight.choice.server
+    }
+
+    /// The first token, or the answer's head, has come.
+    pub fn answered(&self) {
+        let now = self.traffic.now();
+        self.traffic.lock().policy.answered(&self.flight, now);
+    }
+
+    /// The whole answer has come.
+    pub fn complete(mut self) {
+        self.end(End::Whole);
+    }
+
+    /// It failed at this point.
+    pub fn fail(mut self, point: Point) {
+        self.end(End::Failed(point));
+    }
+
+    fn end(&mut self, end: End) {
+        if std::mem::replace(&mut self.is_over, true) {
+            return;
+        }
+        let now = self.traffic.now();
+        self.traffic.lock().policy.ended(&self.flight, end, now);
+        self.traffic.pump();
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        self.end(End::Cancelled);
+    }
+}
