--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! system under test says of itself.
 
 pub mod engine;
+pub mod fault;
 pub mod net;
 pub mod objects;
 pub mod plain;
