--- a/crates/stage/src/declared.rs
+++ b/crates/stage/src/declared.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use futures_util::{StreamExt, stream};
+use observe::{Event, event};
 use policy::config::{
     Root,
     holder::{Holder, Progress},
@@ -98,6 +99,8 @@
     let Progress::InForce(numbered) = progress else { return };
     let number = numbered.number;
     if context.advance(Numbered::clone(&numbered)) {
+        context.metrics.configuration(number);
+        context.events.record(Event::new(event::Kind::Configuration { number }));
         log::info!(number = number; "configuration in force");
     }
 }
--- a/crates/stage/src/declared/patch.rs
+++ b/crates/stage/src/declared/patch.rs
@@ -14,7 +14,7 @@
     holder::Holder,
     part::{self, Part},
 };
-use types::prelude::*;
+use types::{host::Listed, prelude::*};
 
 use super::{
     Error,
@@ -103,12 +103,13 @@
 /// Engines that report their memory and stay.
 fn servers(context: &Context) -> Vec<Server> {
     let readings = context.fleet.readings();
-    let capacity = |server: &backend::Server| Some(readings.get(&server.id)?.load.capacity);
-    let engine = |server: backend::Server| {
-        let capacity = capacity(&server).filter(|capacity| 0 < *capacity)?;
-        Some(Server { id: server.id, group: server.group, capacity })
+    let engine = |entry: &backend::Entry| {
+        let load = &readings.get(&entry.server.id)?.load;
+        let is_open = entry.state == Listed::Live && !load.leaving && 0 < load.capacity;
+        let backend::Server { id, group, .. } = entry.server.clone();
+        is_open.then_some(Server { id, group, capacity: load.capacity })
     };
-    context.fleet.open_servers().into_iter().filter_map(engine).collect()
+    context.fleet.list().servers.iter().filter_map(engine).collect()
 }
 
 async fn write(context: &Context, read: &Read, draft: &Draft) -> Result<Written, Error> {
--- a/crates/stage/src/guard.rs
+++ b/crates/stage/src/guard.rs
@@ -12,41 +12,25 @@
     middleware::Next,
     response::{IntoResponse, Response},
 };
+use observe::metrics::Listener;
 use subtle::ConstantTimeEq;
 
-const SCHEME: &str = "Bearer ";
-
-/// Which listener a token guards.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Role {
-    /// The listener for operators.
-    Operators,
-    /// The listener for other hosts.
-    Peers,
-}
+use crate::context::Context;
 
-impl Role {
-    /// Stable word for logs and metrics.
-    pub fn word(self) -> &'static str {
-        match self {
-            Role::Operators => "operators",
-            Role::Peers => "peers",
-        }
-    }
-}
+const SCHEME: &str = "Bearer ";
 
 /// A listener's token, if its settings have one.
 #[derive(Clone)]
 pub struct Guard {
-    role: Role,
+    listener: Listener,
     token: Option<Arc<blake3::Hash>>,
 }
 
 /// A listener would be open to strangers.
 #[derive(Debug, thiserror::Error)]
-#[error("the listener for {} at {address} needs a token, since it isn't on loopback", role.word())]
+#[error("the listener for {} at {address} needs a token, since it isn't on loopback", word(*listener))]
 pub struct Open {
-    role: Role,
+    listener: Listener,
     address: SocketAddr,
 }
 
@@ -56,12 +40,16 @@
     /// # Errors
     ///
     /// There is no token, and the address isn't on loopback.
-    pub fn new(role: Role, token: Option<&str>, address: SocketAddr) -> Result<Guard, Open> {
+    pub fn new(
+        listener: Listener,
+        token: Option<&str>,
+        address: SocketAddr,
+    ) -> Result<Guard, Open> {
         if token.is_none() && !address.ip().is_loopback() {
-            return Err(Open { role, address });
+            return Err(Open { listener, address });
         }
         let token = token.map(|token| Arc::new(blake3::hash(token.as_bytes())));
-        Ok(Guard { role, token })
+        Ok(Guard { listener, token })
     }
 
     /// Whether a request may pass.
@@ -72,17 +60,35 @@
         blake3::hash(shown).as_bytes().ct_eq(token.as_bytes()).into()
     }
 
-    /// The listener it guards.
-    pub fn role(&self) -> Role {
-        self.role
+    /// Notes a refusal.
+    pub fn refused(&self, context: &Context, path: &str) {
+        context.metrics.denied(self.listener);
+        log::warn!(listener = word(self.listener), path = path; "wrong or missing token");
     }
 }
 
+/// A guard, and where it notes refusals.
+#[derive(Clone)]
+pub struct Gate {
+    /// The guard.
+    pub guard: Guard,
+    /// What the host shares.
+    pub context: Arc<Context>,
+}
+
 /// Refuses requests that don't show the token.
-pub async fn filter(State(guard): State<Guard>, request: Request, next: Next) -> Response {
-    if guard.admits(request.headers()) {
+pub async fn filter(State(gate): State<Gate>, request: Request, next: Next) -> Response {
+    if gate.guard.admits(request.headers()) {
         return next.run(request).await;
     }
-    log::warn!(listener = guard.role.word(), path = request.uri().path(); "wrong or missing token");
+    gate.guard.refused(&gate.context, request.uri().path());
     (StatusCode::UNAUTHORIZED, [(header::WWW_AUTHENTICATE, SCHEME.trim_end())]).into_response()
 }
+
+fn word(listener: Listener) -> &'static str {
+    match listener {
+        Listener::Callers => "callers",
+        Listener::Peers => "peers",
+        Listener::Operators => "operators",
+    }
+}
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -12,8 +12,11 @@
 pub mod flags;
 pub mod fleet;
 pub mod guard;
+pub mod idle;
+mod listener;
 pub mod operators;
 pub mod problem;
 mod serve;
+pub mod traffic;
 
 pub use crate::serve::{Error, Running, start};
--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -8,23 +8,31 @@
 use std::sync::Arc;
 
 use axum::{
-    Json, Router, extract::State, http::StatusCode, middleware::from_fn_with_state, routing::get,
+    Json, Router,
+    extract::State,
+    http::{StatusCode, header},
+    middleware::from_fn_with_state,
+    response::{IntoResponse, Response},
+    routing::get,
 };
+use observe::metrics::CONTENT_TYPE;
 use serde_json::{Value, json};
 use types::host::List;
 
 use crate::{
     context::Context,
-    guard::{self, Guard},
+    guard::{self, Gate, Guard},
 };
 
 /// Routes for operators.
 pub fn router(context: Arc<Context>, guard: Guard) -> Router {
+    let gate = Gate { guard, context: context.clone() };
     Router::new()
         .route("/status", get(status))
         .route("/hosts", get(hosts))
+        .route("/metrics", get(metrics))
         .merge(config::router())
-        .layer(from_fn_with_state(guard, guard::filter))
+        .layer(from_fn_with_state(gate, guard::filter))
         .route("/live", get(async || StatusCode::OK))
         .route("/ready", get(ready))
         .with_state(context)
@@ -41,6 +49,17 @@
     Json(context.fleet.list())
 }
 
+async fn metrics(State(context): State<Arc<Context>>) -> Response {
+    context.traffic.show(&context.metrics);
+    match context.metrics.text() {
+        Ok(text) => ([(header::CONTENT_TYPE, CONTENT_TYPE)], text).into_response(),
+        Err(error) => {
+            log::error!("metrics: {error}");
+            StatusCode::INTERNAL_SERVER_ERROR.into_response()
+        }
+    }
+}
+
 async fn status(State(context): State<Arc<Context>>) -> Json<Value> {
     Json(json!({
         "host": context.host(),
--- a/crates/stage/src/operators/config.rs
+++ b/crates/stage/src/operators/config.rs
@@ -9,8 +9,9 @@
     response::{IntoResponse, Response},
     routing::{get, post},
 };
-use policy::config::{Outcome, Patch};
-use types::config::Numbered;
+use observe::{Event, event};
+use policy::config::{Id, Outcome, Patch};
+use types::config::{Number, Numbered};
 
 use crate::{context::Context, declared::patch};
 
@@ -42,7 +43,7 @@
         Ok(outcome) => outcome,
         Err(error) => Outcome::Unavailable { cause: error.to_string() },
     };
-    log::info!(patch = &*id, against = against, number = outcome.number(); "patch is {}", outcome.word());
+    record(&context, id, against, &outcome);
     answer(outcome)
 }
 
@@ -50,6 +51,18 @@
     answer(patch::check(&context, &asked).await)
 }
 
+fn record(context: &Context, id: Id, against: Number, outcome: &Outcome) {
+    let number = outcome.number().unwrap_or(context.config().number);
+    let verdict = outcome.word();
+    log::info!(patch = &*id, against = against, number = number; "patch is {verdict}");
+    let patch = id.to_string().into();
+    context.events.record(Event::new(event::Kind::Patch {
+        patch,
+        number,
+        verdict: verdict.into(),
+    }));
+}
+
 fn answer(outcome: Outcome) -> Response {
     let status = match &outcome {
         Outcome::Accepted { .. } | Outcome::Repeated { .. } | Outcome::Unchanged { .. } => {
--- a/crates/stage/src/serve.rs
+++ b/crates/stage/src/serve.rs
@@ -3,6 +3,11 @@
 use std::{io, net::SocketAddr, sync::Arc};
 
 use axum::Router;
+use observe::{
+    Event,
+    event::{self, DrainStep},
+    metrics::Listener,
+};
 use settings::process::Process;
 use tokio::{net::TcpListener, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
@@ -12,7 +17,7 @@
     context::Context,
     duties,
     guard::{self, Guard},
-    operators,
+    listener, operators,
 };
 
 /// Why a host can't start.
@@ -31,6 +36,9 @@
     /// A listener would be open to strangers.
     #[error(transparent)]
     Open(#[from] guard::Open),
+    /// The metrics can't be set up.
+    #[error(transparent)]
+    Metrics(#[from] observe::metrics::Error),
 }
 
 /// A running host.
@@ -51,12 +59,11 @@
     let callers = bind("callers", &mut settings.host.callers).await?;
     let operators = bind("operators", &mut settings.host.operators).await?;
     let guard = Guard::new(
-        guard::Role::Operators,
+        Listener::Operators,
         settings.operators_token.as_deref(),
         settings.host.operators,
     )?;
-    let store = platform::Builder::new(settings.platform).build();
-    let context = Arc::new(Context::new(settings, Arc::new(store)));
+    let context = Arc::new(Context::new(settings)?);
     log::info!(
         host = &*context.host().id, callers:% = context.host().callers,
         operators:% = context.host().operators; "host starts"
@@ -64,8 +71,12 @@
     duties::start(&context);
     let stop_callers = CancellationToken::new();
     let stop_operators = CancellationToken::new();
-    let callers =
-        tokio::spawn(listen(callers, callers::router(context.clone()), stop_callers.clone()));
+    let callers = tokio::spawn(listener::serve(
+        callers,
+        callers::router(context.clone()),
+        context.settings.bounds.clone(),
+        stop_callers.clone(),
+    ));
     let operators = tokio::spawn(listen(
         operators,
         operators::router(context.clone(), guard),
@@ -85,12 +96,15 @@
     pub async fn drain(self) {
         let drain = self.context.settings.drain.clone();
         self.context.begin_drain();
+        record(&self.context, DrainStep::NotReady);
         log::info!(host = &*self.context.host().id; "drain begins");
         tokio::time::sleep(drain.balancer).await;
         self.stop_callers.cancel();
+        record(&self.context, DrainStep::Closed);
         if tokio::time::timeout(drain.finish, self.callers).await.is_err() {
             log::error!(host = &*self.context.host().id; "drain ends with requests in flight");
         }
+        record(&self.context, DrainStep::Idle);
         self.context.stop.cancel();
         self.context.duties.close();
         self.context.duties.wait().await;
@@ -100,6 +114,10 @@
     }
 }
 
+fn record(context: &Context, drain: DrainStep) {
+    context.events.record(Event::new(event::Kind::Drain { drain }));
+}
+
 async fn bind(role: &'static str, address: &mut SocketAddr) -> Result<TcpListener, Error> {
     let wanted = *address;
     let failed = |cause| Error::Bind { role, address: wanted, cause };
