--- a/crates/stage/src/duties/config.rs
+++ b/crates/stage/src/duties/config.rs
@@ -43,6 +43,14 @@
     }
 }
 
+/// Takes a root. One that can't be understood is passed over: reading it again won't mend it, and
+/// the watch brings the next.
 async fn take(context: &Context, object: &Object) -> Result<(), Error> {
-    declared::take(context, source::parse(object)?, &Platform(&*context.store)).await
+    match source::parse(object) {
+        Ok(root) => declared::take(context, root, &Platform(&*context.store)).await,
+        Err(error) => {
+            log::error!("configuration: {error}");
+            Ok(())
+        }
+    }
 }
