Add the operators' command line

Cause: patches could only be sent by hand, and nothing showed which hosts have a number in force.

Files are based on a number that `get --to` keeps beside them, so that files from an old checkout are refused instead of undoing what others did. `apply` keeps the name of its patch over repetitions.

Weighed: taking the number in force as the base of files (silently undoes what others changed since the checkout); it remains as `--against current`.

--- /dev/null
+++ b/crates/ctl/src/commands.rs
@@ -0,0 +1,12 @@
+//! What the command line can do, a module for each thing.
+
+pub(crate) mod apply;
+mod base;
+pub(crate) mod check;
+pub(crate) mod diff;
+pub(crate) mod drain;
+pub(crate) mod get;
+pub(crate) mod moves;
+pub(crate) mod residents;
+pub(crate) mod status;
+pub(crate) mod timeline;
--- /dev/null
+++ b/crates/ctl/src/commands/base.rs
@@ -0,0 +1,37 @@
+//! The number that files are based on, kept beside them.
+//!
+//! For a directory it stands in a hidden file inside, for a file in one next to it; neither is read
+//! as a part of the configuration. It can go into version control with the files.
+
+use std::path::{Path, PathBuf};
+
+use types::config::Number;
+
+use crate::error::Error;
+
+const NAME: &str = ".number";
+
+/// The number kept beside files, if there is one.
+pub(super) fn read(path: &Path) -> Result<Option<Number>, Error> {
+    let file = place(path);
+    match std::fs::read_to_string(&file) {
+        Ok(text) => text.trim().parse().map(Some).map_err(|_| Error::NoBase),
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(None),
+        Err(cause) => Err(Error::File { file, cause }),
+    }
+}
+
+/// Keeps a number beside files.
+pub(super) fn write(path: &Path, number: Number) -> Result<(), Error> {
+    let file = place(path);
+    std::fs::write(&file, format!("{number}\n")).map_err(|cause| Error::File { file, cause })
+}
+
+fn place(path: &Path) -> PathBuf {
+    if path.is_dir() {
+        return path.join(NAME);
+    }
+    let mut name = path.as_os_str().to_owned();
+    name.push(NAME);
+    name.into()
+}
--- /dev/null
+++ b/crates/ctl/src/commands/diff.rs
@@ -0,0 +1,101 @@
+//! Shows what applying files would change.
+
+use std::path::Path;
+
+use policy::config::{Outcome, Patch, merge};
+use serde_json::json;
+use similar::TextDiff;
+use types::config::{Config, Numbered};
+use uuid::Uuid;
+
+use crate::{
+    client::Client,
+    error::{Code, Error},
+    report::Report,
+};
+
+/// Lines that are shown around a change.
+const CONTEXT_LINES: usize = 3;
+
+/// Compares files with what is in force and asks a host whether it would take the change.
+pub(crate) async fn run(client: &Client, path: &Path) -> Result<Report, Error> {
+    let wanted = settings::read_config(path)?;
+    let current: Numbered = client.get("/config").await?;
+    let patch = patch(&current, &wanted);
+    if is_empty(&patch) {
+        let text = format!("no difference to number {}", current.number);
+        return Ok(Report::done(text, json!({"number": current.number, "changes": {}})));
+    }
+    let outcome: Outcome = client.post("/config/check", &patch).await?.json()?;
+    let lines = difference(&current, &wanted)?;
+    let text = format!("{lines}\nagainst number {}: {}", current.number, verdict(&outcome));
+    let json = json!({"number": current.number, "changes": patch.changes, "check": outcome});
+    Ok(Report::done(text, json).code(code(&outcome)))
+}
+
+/// A patch with a new name that turns what is in force into what is wanted.
+pub(super) fn patch(current: &Numbered, wanted: &Config) -> Patch {
+    Patch {
+        id: Uuid::new_v4().to_string().into(),
+        against: current.number,
+        // Weights are checked to be finite before, so JSON can hold all of it.
+        changes: merge::changes(&current.config, wanted).unwrap_or_default(),
+    }
+}
+
+/// Whether a patch changes nothing.
+pub(super) fn is_empty(patch: &Patch) -> bool {
+    patch.changes.as_object().is_some_and(|changes| changes.is_empty())
+}
+
+/// What an outcome means, for people.
+pub(super) fn verdict(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Accepted { number } => format!("accepted as number {number}"),
+        Outcome::Repeated { number } => format!("accepted before as number {number}"),
+        Outcome::Unchanged { number } => format!("nothing changes at number {number}"),
+        Outcome::Stale(stale) if stale.clashes.is_empty() => {
+            format!("refused: the number is {} by now; nothing clashes", stale.current)
+        }
+        Outcome::Stale(stale) => {
+            let paths = lines(&stale.clashes);
+            format!("refused: the number is {} by now, and others changed{paths}", stale.current)
+        }
+        Outcome::Reused => "refused: another patch has this name".into(),
+        Outcome::Invalid { problems } => {
+            let said =
+                problems.iter().map(|problem| format!("{}: {}", problem.path, problem.message));
+            format!("refused: not a configuration{}", lines(said))
+        }
+        Outcome::Short { shortages } => format!("refused: memory is short{}", lines(shortages)),
+        Outcome::Unavailable { cause } => format!("failed: {cause}"),
+    }
+}
+
+/// The exit code that an outcome stands for.
+pub(super) fn code(outcome: &Outcome) -> Code {
+    match outcome {
+        Outcome::Accepted { .. } | Outcome::Repeated { .. } | Outcome::Unchanged { .. } => {
+            Code::Done
+        }
+        Outcome::Stale(_) | Outcome::Reused => Code::Stale,
+        Outcome::Invalid { .. } | Outcome::Short { .. } => Code::Refused,
+        Outcome::Unavailable { .. } => Code::Failed,
+    }
+}
+
+fn lines<T: std::fmt::Display>(items: impl IntoIterator<Item = T>) -> String {
+    items.into_iter().map(|item| format!("\n  {item}")).collect()
+}
+
+fn difference(current: &Numbered, wanted: &Config) -> Result<String, Error> {
+    let text = |config: &Config| {
+        settings::config::to_text(config)
+            .map_err(|cause| Error::File { file: "configuration".into(), cause })
+    };
+    let (old, new) = (text(&current.config)?, text(wanted)?);
+    let diff = TextDiff::from_lines(&old, &new);
+    let header = (format!("number {}", current.number), "files".to_owned());
+    let mut unified = diff.unified_diff();
+    Ok(unified.context_radius(CONTEXT_LINES).header(&header.0, &header.1).to_string())
+}
--- /dev/null
+++ b/crates/ctl/src/report.rs
@@ -0,0 +1,92 @@
+//! What a command found, as tables for people or as JSON for programs.
+
+use serde_json::Value;
+use tabled::{builder::Builder, settings::Style};
+
+use crate::error::Code;
+
+/// How reports are printed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+}
+
+/// What a command found.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// For people.
+    pub text: String,
+    /// For programs.
+    pub json: Value,
+    /// What the process ends with.
+    pub code: Code,
+}
+
+impl Report {
+    /// A report of something done.
+    pub fn done(text: impl Into<String>, json: Value) -> Report {
+        Report { text: text.into(), json, code: Code::Done }
+    }
+
+    /// Ends the process with another code.
+    pub fn code(mut self, code: Code) -> Report {
+        self.code = code;
+        self
+    }
+
+    /// Prints it on standard output.
+    #[allow(clippy::print_stdout, reason = "a report is what was asked for")]
+    pub fn print(&self, form: Form) {
+        match form {
+            Form::Text if self.text.is_empty() => {}
+            Form::Text => println!("{}", self.text.trim_end()),
+            Form::Json => println!("{:#}", self.json),
+        }
+    }
+}
+
+/// A table with a line of names above it.
+pub fn table<const N: usize>(
+    names: [&str; N],
+    rows: impl IntoIterator<Item = [String; N]>,
+) -> String {
+    let mut builder = Builder::default();
+    builder.push_record(names);
+    rows.into_iter().for_each(|row| builder.push_record(row));
+    render(builder)
+}
+
+/// A table of objects: a column for each name that any of them has, in the order of first sight.
+pub fn table_of(objects: &[Value]) -> String {
+    let mut names: Vec<&String> = Vec::new();
+    for name in objects.iter().filter_map(Value::as_object).flat_map(|object| object.keys()) {
+        if !names.contains(&name) {
+            names.push(name);
+        }
+    }
+    let mut builder = Builder::default();
+    builder.push_record(names.iter().map(|name| name.as_str()));
+    for object in objects {
+        builder.push_record(names.iter().map(|name| plain(&object[name.as_str()])));
+    }
+    render(builder)
+}
+
+fn render(builder: Builder) -> String {
+    let mut table = builder.build();
+    table.with(Style::blank());
+    let text = table.to_string();
+    text.lines().map(|line| line.trim_end().to_owned() + "\n").collect()
+}
+
+/// A value without the quotes of a string; nothing for null.
+fn plain(value: &Value) -> String {
+    match value {
+        Value::Null => String::new(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/common/mod.rs
@@ -0,0 +1,184 @@
+//! Hosts in this process, the command line as a process of its own.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::Path,
+    process::Output,
+    time::Duration,
+};
+
+use serde_json::{Value, json};
+use stage::Running;
+use standin::{
+    engine::{self, Engine},
+    objects::Platform,
+};
+use types::{
+    backend::{self, Kind, Server},
+    host::{Entry, List, Listed},
+};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(20);
+
+/// The operators' token of every host.
+pub const TOKEN: &str = "a-token-of-more-than-16-characters";
+
+/// What a command gave.
+#[derive(Debug)]
+pub struct Run {
+    pub code: i32,
+    pub out: String,
+    pub err: String,
+}
+
+impl Run {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.out).unwrap_or_else(|error| panic!("{error}: {self:?}"))
+    }
+}
+
+/// A platform, an engine that holds model `m`, and hosts.
+pub struct Site {
+    pub platform: Platform,
+    pub hosts: Vec<Running>,
+    engine: Engine,
+    pub files: tempfile::TempDir,
+}
+
+impl Site {
+    pub async fn start(hosts: usize) -> Site {
+        let platform = Platform::start().await.unwrap();
+        let settings = engine::Settings::new("lm-1").with_model("m", "1", 10_000);
+        let engine = Engine::start(settings.with_adapter("m", "es", "1", 100)).await.unwrap();
+        platform.poke("config/root", json!({"number": 1, "config": config()}));
+        let mut running = Vec::new();
+        for place in 0..hosts {
+            running.push(stage::start(host(place, platform.address())).await.unwrap());
+        }
+        let files = tempfile::tempdir().unwrap();
+        std::fs::write(files.path().join("token"), TOKEN).unwrap();
+        let site = Site { platform, hosts: running, engine, files };
+        site.platform.set_list(site.list());
+        for host in &site.hosts {
+            let context = host.context();
+            until("the host is ready", async || {
+                context.is_ready() && context.fleet.readings().len() == 1
+            })
+            .await;
+        }
+        site
+    }
+
+    /// The platform's list, to be changed.
+    pub fn list(&self) -> List {
+        let live = |host| Entry { host, state: Listed::Live };
+        let hosts = self.hosts.iter().map(|host| live(host.context().host().clone())).collect();
+        let server = Server {
+            id: "lm-1".into(),
+            group: "lm".into(),
+            kind: Kind::Engine,
+            zone: "med-a".into(),
+            address: self.engine.address(),
+        };
+        List { hosts, servers: vec![backend::Entry { server, state: Listed::Live }] }
+    }
+
+    pub fn operators(&self, host: usize) -> SocketAddr {
+        self.hosts[host].context().host().operators
+    }
+
+    /// Runs `cyclamenctl` against the first host.
+    pub async fn ctl(&self, arguments: &[&str]) -> Run {
+        self.ctl_at(self.operators(0), arguments).await
+    }
+
+    /// Runs `cyclamenctl` against some address.
+    pub async fn ctl_at(&self, address: SocketAddr, arguments: &[&str]) -> Run {
+        let token = self.files.path().join("token");
+        let mut command = command();
+        command.args(arguments).args(["--host", &address.to_string()]);
+        command.arg("--token-file").arg(token);
+        finish(command.output().await.unwrap())
+    }
+
+    pub async fn json(&self, arguments: &[&str]) -> Value {
+        self.ctl(&[arguments, &["--json"]].concat()).await.json()
+    }
+
+    /// Writes a file of configuration, with the number that it is based on.
+    pub fn write(&self, name: &str, config: &Value, number: Option<u64>) -> String {
+        let path = self.files.path().join(name);
+        std::fs::write(&path, config.to_string()).unwrap();
+        if let Some(number) = number {
+            std::fs::write(format!("{}.number", path.display()), number.to_string()).unwrap();
+        }
+        text(&path)
+    }
+
+    pub async fn end(self) {
+        futures_util::future::join_all(self.hosts.into_iter().map(Running::drain)).await;
+    }
+}
+
+/// Runs `cyclamenctl` without a host.
+pub async fn ctl(arguments: &[&str]) -> Run {
+    finish(command().args(arguments).output().await.unwrap())
+}
+
+fn command() -> tokio::process::Command {
+    let mut command = tokio::process::Command::new(env!("CARGO_BIN_EXE_cyclamenctl"));
+    command.env_remove("CYCLAMENCTL_HOSTS").env_remove("CYCLAMENCTL_TOKEN_FILE");
+    command
+}
+
+fn finish(output: Output) -> Run {
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    let code = output.status.code().unwrap();
+    Run { code, out: text(output.stdout), err: text(output.stderr) }
+}
+
+fn host(place: usize, platform: SocketAddr) -> settings::process::Process {
+    let any: SocketAddr = (Ipv4Addr::LOCALHOST, 0).into();
+    serde_json::from_value(json!({
+        "host": {
+            "id": format!("host-{place}"), "zone": "med-a",
+            "callers": any, "peers": any, "operators": any
+        },
+        "platform": platform,
+        "operators_token": TOKEN,
+        "intervals": {"list_ms": 100, "report_ms": 50},
+        "drain": {"balancer_ms": 10},
+    }))
+    .unwrap()
+}
+
+pub fn config() -> Value {
+    json!({
+        "customers": {"clientes": {"share": 1}},
+        "models": {"m": {
+            "group": "lm", "version": "1", "memory": 10_000,
+            "adapters": {"es": {"memory": 100, "version": "1"}}
+        }},
+        "services": {"lectura": {
+            "customer": "clientes", "offer": {"models": ["m"]},
+            "target": {"first_token_ms": 1400, "between_tokens_ms": 74}
+        }}
+    })
+}
+
+pub fn text(path: &Path) -> String {
+    path.to_str().unwrap().to_owned()
+}
+
+/// Polls a condition, and fails by name when patience ends.
+pub async fn until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let waiting = async {
+        while !condition().await {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    assert!(tokio::time::timeout(PATIENCE, waiting).await.is_ok(), "never: {what}");
+}
--- /dev/null
+++ b/crates/ctl/tests/views.rs
@@ -0,0 +1,117 @@
+//! What the command line shows of hosts, servers and events, and how it ends.
+
+mod common;
+
+use common::{Site, ctl, text};
+use rstest::rstest;
+
+#[tokio::test]
+async fn status_has_a_line_for_each_host_also_for_one_that_does_not_answer() {
+    let site = Site::start(2).await;
+    let mut list = site.list();
+    let mut silent = list.hosts[0].clone();
+    silent.host.id = "silent".into();
+    silent.host.operators = "127.0.0.1:1".parse().unwrap();
+    list.hosts.push(silent);
+    site.platform.set_list(list);
+    common::until("the list is read", async || {
+        site.hosts[0].context().fleet.list().hosts.len() == 3
+    })
+    .await;
+    let run = site.ctl(&["status"]).await;
+    assert_eq!(run.code, 0, "{run:?}");
+    let lines: Vec<Vec<&str>> =
+        run.out.lines().map(|line| line.split_whitespace().collect()).collect();
+    assert_eq!(lines[0], ["HOST", "ZONE", "LISTED", "STATE", "NUMBER", "HEARD", "REPORTING"]);
+    assert_eq!(lines[1], ["host-0", "med-a", "live", "ready", "1", "1", "1/1"]);
+    assert_eq!(lines[3], ["silent", "med-a", "live", "no", "answer"]);
+    let json = site.json(&["status"]).await;
+    assert_eq!(json["hosts"][1]["status"]["configuration"], 1);
+    assert!(json["hosts"][2]["no_answer"].is_string());
+    site.end().await;
+}
+
+#[tokio::test]
+async fn where_names_the_servers_that_hold_a_model_and_its_adapters() {
+    let site = Site::start(1).await;
+    let run = site.ctl(&["where", "m"]).await;
+    assert_eq!(run.code, 0, "{run:?}");
+    let lines: Vec<Vec<&str>> =
+        run.out.lines().map(|line| line.split_whitespace().collect()).collect();
+    assert_eq!(lines[0], ["SERVER", "GROUP", "ZONE", "UNIT", "VERSION", "STATE", "MIB"]);
+    assert!(lines.contains(&vec!["lm-1", "lm", "med-a", "m", "1", "ready", "10000"]), "{lines:?}");
+    assert!(lines.contains(&vec!["lm-1", "lm", "med-a", "m:es", "1", "ready", "100"]), "{lines:?}");
+
+    let none = site.ctl(&["where", "nobody"]).await;
+    assert_eq!((none.code, none.out.as_str()), (1, "no server reports nobody\n"));
+    site.end().await;
+}
+
+#[tokio::test]
+async fn drain_asks_the_host_that_is_named() {
+    let site = Site::start(2).await;
+    let run = site.ctl(&["drain", "host-1"]).await;
+    assert_eq!((run.code, run.out.as_str()), (0, "host-1 drains\n"));
+    let asked = |host: usize| site.hosts[host].context().stop_asked.is_cancelled();
+    assert_eq!((asked(0), asked(1)), (false, true));
+    let unknown = site.ctl(&["drain", "host-9"]).await;
+    assert_eq!(unknown.code, 1);
+    assert!(unknown.err.contains("no host `host-9`"), "{}", unknown.err);
+    site.end().await;
+}
+
+#[tokio::test]
+async fn a_wrong_token_is_refused_in_words() {
+    let site = Site::start(1).await;
+    let token = site.files.path().join("token");
+    std::fs::write(&token, "another-token-of-this-length").unwrap();
+    let run = site.ctl(&["status"]).await;
+    assert_eq!(run.code, 1);
+    assert!(run.err.contains("/hosts: 401 Unauthorized"), "{}", run.err);
+    site.end().await;
+}
+
+#[tokio::test]
+async fn the_first_host_that_answers_is_asked() {
+    let site = Site::start(1).await;
+    let live = site.operators(0).to_string();
+    let run = site.ctl(&["where", "m", "--host", "127.0.0.1:1", "--host", &live]).await;
+    assert_eq!(run.code, 0, "{run:?}");
+    site.end().await;
+}
+
+#[rstest]
+#[case::no_command(&[], 2, "Usage:")]
+#[case::no_host(&["status"], 2, "--host ADDRESS")]
+#[case::no_such_command(&["frob"], 2, "unrecognized")]
+#[case::nobody_there(&["status", "--host", "127.0.0.1:1"], 1, "no host answers")]
+#[case::bad_time(&["timeline", "--from", "noon", "--host", "127.0.0.1:1"], 2, "RFC 3339")]
+#[tokio::test]
+async fn what_cannot_be_done_ends_with_its_code(
+    #[case] arguments: &[&str],
+    #[case] code: i32,
+    #[case] words: &str,
+) {
+    let run = ctl(arguments).await;
+    assert_eq!(run.code, code, "{run:?}");
+    assert!(run.err.contains(words), "{}", run.err);
+}
+
+#[tokio::test]
+async fn help_names_every_command_and_exit_code() {
+    let help = ctl(&["--help"]).await;
+    assert_eq!(help.code, 0);
+    let commands =
+        ["check", "diff", "apply", "get", "status", "where", "moves", "timeline", "drain"];
+    for word in commands.iter().chain(&["Exit codes:", "3  refused", "--json", "--host"]) {
+        assert!(help.out.contains(word), "no {word:?} in {}", help.out);
+    }
+}
+
+#[tokio::test]
+async fn a_token_file_that_is_not_there_is_named() {
+    let missing = text(std::path::Path::new("/nowhere/token"));
+    let run = ctl(&["status", "--host", "127.0.0.1:1", "--token-file", &missing]).await;
+    assert_eq!(run.code, 1);
+    assert!(run.err.contains("/nowhere/token: "), "{}", run.err);
+}
--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -46,6 +46,8 @@
     pub events: Arc<Ring>,
     /// The configuration in force; only [`Context::advance`] changes it.
     config: watch::Sender<Arc<Numbered>>,
+    /// Cancelled when an operator asks for a planned stop.
+    pub stop_asked: CancellationToken,
     /// Ends background duties.
     pub stop: CancellationToken,
     /// Background duties.
@@ -85,6 +87,7 @@
             fleet: Fleet::default(),
             declared: Declared::default(),
             config: watch::channel(Arc::default()).0,
+            stop_asked: CancellationToken::new(),
             stop: CancellationToken::new(),
             duties: TaskTracker::new(),
             draining: AtomicBool::new(false),
--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -13,11 +13,14 @@
     http::{StatusCode, header},
     middleware::from_fn_with_state,
     response::{IntoResponse, Response},
-    routing::get,
+    routing::{get, post},
 };
 use observe::metrics::CONTENT_TYPE;
-use serde_json::{Value, json};
-use types::host::List;
+use types::{
+    backend,
+    host::List,
+    status::{Seen, Status},
+};
 
 use crate::{
     context::Context,
@@ -30,6 +33,8 @@
     Router::new()
         .route("/status", get(status))
         .route("/hosts", get(hosts))
+        .route("/servers", get(servers))
+        .route("/drain", post(drain))
         .route("/metrics", get(metrics))
         .merge(config::router())
         .layer(from_fn_with_state(gate, guard::filter))
@@ -60,15 +65,31 @@
     }
 }
 
-async fn status(State(context): State<Arc<Context>>) -> Json<Value> {
-    Json(json!({
-        "host": context.host(),
-        "incarnation": context.incarnation,
-        "ready": context.is_ready(),
-        "draining": context.is_draining(),
-        "configuration": context.config().number,
-        "heard": context.declared.heard(),
-        "servers": context.fleet.list().servers.len(),
-        "reporting": context.fleet.readings().len(),
-    }))
+async fn status(State(context): State<Arc<Context>>) -> Json<Status> {
+    Json(Status {
+        host: context.host().clone(),
+        incarnation: context.incarnation,
+        ready: context.is_ready(),
+        draining: context.is_draining(),
+        configuration: context.config().number,
+        heard: context.declared.heard(),
+        servers: context.fleet.list().servers.len(),
+        reporting: context.fleet.readings().len(),
+    })
+}
+
+async fn servers(State(context): State<Arc<Context>>) -> Json<Vec<Seen>> {
+    let readings = context.fleet.readings();
+    let seen = |entry: &backend::Entry| Seen {
+        entry: entry.clone(),
+        load: readings.get(&entry.server.id).map(|reading| reading.load.clone()),
+    };
+    Json(context.fleet.list().servers.iter().map(seen).collect())
+}
+
+/// Begins a planned stop, as SIGTERM does.
+async fn drain(State(context): State<Arc<Context>>) -> StatusCode {
+    log::info!(host = &*context.host().id; "an operator asks for a planned stop");
+    context.stop_asked.cancel();
+    StatusCode::ACCEPTED
 }
--- a/crates/stage/tests/config.rs
+++ b/crates/stage/tests/config.rs
@@ -295,3 +295,13 @@
     assert!(line.contains("operators") && line.ends_with(" 20"), "{line}");
     host.drain().await;
 }
+
+#[tokio::test]
+async fn a_host_that_an_operator_drains_ends_as_planned() {
+    let mut site = Site::start(2, engines(1)).await;
+    let operators = site.hosts()[1].operators();
+    assert_eq!(send(operators, "POST", "/drain", &[], "").await.status, 202);
+    let mut drained = site.hosts_mut().remove(1);
+    assert_eq!(drained.ended().await, Some(0));
+    site.end().await;
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod request;
 pub mod resident;
 pub mod service;
+pub mod status;
 pub mod target;
 pub mod time;
