Show metrics, log and time line of a host

Cause: the host's program neither counted nor recorded anything, so that nobody could see what became of a call or when the platform went away. Change: serve starts the log; the context holds metrics and the event ring; a tally travels with each call to the last byte of its answer and counts outcome, first token, gaps, attainment and refusals; the platform client is wrapped so that every call of every duty is counted and an outage noticed once; operators get /metrics and /timeline (JSON lines, text, a page; filters by request, model, server and time). Cost on the path not measured.

--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -46,7 +46,8 @@
 const BETWEEN_TOKENS_BOUNDS: [f64; 12] =
     [0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.074, 0.1, 0.2, 0.5, 1.0, 5.0];
 
-/// The host's metrics.
+/// The host's metrics; a clone counts into the same series.
+#[derive(Clone)]
 pub struct Metrics {
     registry: Registry,
     // Held for its life: instruments stop counting when it goes.
--- a/crates/stage/src/answer.rs
+++ b/crates/stage/src/answer.rs
@@ -18,6 +18,7 @@
     filters::{Call, Question},
     fleet::Flight,
     problem::{self, Problem},
+    tally,
 };
 
 /// A model's answer on its way.
@@ -29,6 +30,7 @@
     source: Option<Source>,
     next: u64,
     attempt: request::Attempt,
+    failure: Option<&'static str>,
     ran: Ran,
     is_over: bool,
 }
@@ -66,6 +68,7 @@
             source: None,
             next: 0,
             attempt: 0,
+            failure: None,
             ran,
             is_over: false,
         }
@@ -109,6 +112,7 @@
             request = &*self.call.request.id, server = &*source.server, offset = self.next;
             "stream lost: {cause}"
         );
+        self.record_failure(&source.server, "stream-lost");
     }
 
     async fn connect(&mut self) -> Result<(), Problem> {
@@ -120,6 +124,14 @@
             return Err(Problem::new(kind, "no backend server is left to try").ran(self.ran));
         };
         let request = self.request();
+        self.record(&server.id, observe::event::Kind::Attempt { attempt: self.attempt });
+        if let Some(cause) = self.failure.take() {
+            self.context.metrics.retry(&self.call.request.service, cause);
+        }
+        if 0 < self.next {
+            let (attempt, offset) = (self.attempt, self.next);
+            self.record(&server.id, observe::event::Kind::Resume { attempt, offset });
+        }
         self.attempt += 1;
         let flight = self.context.fleet.begin(&server.id);
         let response = match self.context.backends.send(server.address, request).await {
@@ -134,6 +146,7 @@
         };
         if response.status() != StatusCode::OK {
             log::warn!(server = &*server.id, status = response.status().as_u16(); "engine refused");
+            self.record_failure(&server.id, "refused");
             return Ok(());
         }
         self.ran = Ran::Ran;
@@ -145,8 +158,21 @@
         Ok(())
     }
 
-    fn fail(&self, server: &backend::Id, error: &::backend::Error) {
+    fn fail(&mut self, server: &backend::Id, error: &::backend::Error) {
         log::warn!(request = &*self.call.request.id, server = &**server; "attempt failed: {error}");
+        self.record_failure(server, "no-answer");
+    }
+
+    /// Tells the time line that the latest attempt failed.
+    fn record_failure(&mut self, server: &backend::Id, cause: &'static str) {
+        let attempt = self.attempt.saturating_sub(1);
+        self.failure = Some(cause);
+        self.record(server, observe::event::Kind::AttemptFailed { attempt, cause: cause.into() });
+    }
+
+    fn record(&self, server: &backend::Id, kind: observe::event::Kind) {
+        let event = observe::Event::new(kind).server(server);
+        self.context.events.record(tally::about(&self.call, event));
     }
 
     fn request(&self) -> Request<::backend::Body> {
--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -8,13 +8,14 @@
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
+use observe::{Clock, Metrics, Ring, metrics};
 use platform::Store;
 use settings::process::Process;
 use tokio::sync::watch;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::fleet::Fleet;
+use crate::{counted::Counted, fleet::Fleet};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -26,6 +27,10 @@
     pub store: Arc<dyn Store>,
     /// Client of backend servers.
     pub backends: ::backend::Client,
+    /// What is counted.
+    pub metrics: Metrics,
+    /// What happened lately, in order.
+    pub events: Arc<Ring>,
     /// Hosts, backend servers and what they report.
     pub fleet: Fleet,
     /// The configuration in force; only [`Context::advance`] changes it.
@@ -40,12 +45,23 @@
 
 impl Context {
     /// Starts from settings and the platform's client.
-    pub fn new(settings: Process, store: Arc<dyn Store>) -> Context {
+    ///
+    /// # Errors
+    ///
+    /// If the metrics can't be set up.
+    pub fn new(settings: Process, store: Arc<dyn Store>) -> Result<Context, metrics::Error> {
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Context {
+        let incarnation = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
+        let metrics = Metrics::new()?;
+        let events = Ring::new(settings.host.id.clone(), incarnation, Clock::system());
+        let events = Arc::new(events);
+        metrics.watch_ring(&events);
+        Ok(Context {
             settings,
-            incarnation: u64::try_from(started.as_micros()).unwrap_or(u64::MAX),
-            store,
+            incarnation,
+            store: Arc::new(Counted::new(store, metrics.clone(), events.clone())),
+            metrics,
+            events,
             backends: ::backend::Client::new(),
             fleet: Fleet::default(),
             config: watch::channel(Arc::default()).0,
@@ -53,7 +69,7 @@
             duties: TaskTracker::new(),
             draining: AtomicBool::new(false),
             origin: Instant::now(),
-        }
+        })
     }
 
     /// Time since this process began.
--- a/crates/stage/src/duties/config.rs
+++ b/crates/stage/src/duties/config.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use observe::{Event, event::Kind};
 use platform::{Change, Object, Revision};
 use types::config::Numbered;
 
@@ -40,6 +41,8 @@
         Ok(numbered) => {
             let number = numbered.number;
             if context.advance(numbered) {
+                context.metrics.configuration(number);
+                context.events.record(Event::new(Kind::Configuration { number }));
                 log::info!(number = number; "configuration in force");
             }
         }
--- a/crates/stage/src/filters/attempt.rs
+++ b/crates/stage/src/filters/attempt.rs
@@ -23,6 +23,7 @@
     context::Context,
     filters::{Call, Delivery, Kind, Question, Shape, route::Candidates},
     problem::{self, Problem},
+    tally::{self, Tally},
 };
 
 /// Headers that belong to one connection and are never passed on (RFC 9110, 7.6.1).
@@ -41,13 +42,14 @@
     State(context): State<Arc<Context>>,
     Extension(call): Extension<Call>,
     Extension(candidates): Extension<Candidates>,
+    Extension(tally): Extension<Tally>,
 ) -> Response {
     let Kind::Model(question) = call.kind.clone() else {
         return Problem::new(problem::Kind::UnknownPath, "no call to a model").into_response();
     };
     let answer = Answer::new(context, call.clone(), question.clone(), &candidates.0);
     let delivered = match question.delivery {
-        Delivery::Streamed => streamed(answer).await,
+        Delivery::Streamed => streamed(answer, tally).await,
         Delivery::Whole => whole(answer, &call, &question).await,
     };
     let mut response = delivered.unwrap_or_else(Problem::into_response);
@@ -58,16 +60,25 @@
 }
 
 /// Waits for the first token, so that a failure before it is still a plain refusal.
-async fn streamed(mut answer: Answer) -> Result<Response, Problem> {
+async fn streamed(mut answer: Answer, tally: Tally) -> Result<Response, Problem> {
     let first = answer.next().await?;
+    if first.is_some() {
+        tally.token();
+    }
     let first = first.map_or_else(end, event);
-    let rest = futures_util::stream::unfold(Some(answer), async |answer| {
-        let mut answer = answer?;
+    let rest = futures_util::stream::unfold(Some((answer, tally)), async |state| {
+        let (mut answer, tally) = state?;
         match answer.next().await {
-            Ok(Some(token)) => Some((event(token), Some(answer))),
+            Ok(Some(token)) => {
+                tally.token();
+                Some((event(token), Some((answer, tally))))
+            }
             Ok(None) => Some((end(), None)),
             // No end mark follows an error, or the caller would take a part for the whole.
-            Err(problem) => Some((failure(&problem), None)),
+            Err(problem) => {
+                tally.failed(&problem);
+                Some((failure(&problem), None))
+            }
         }
     });
     let events = futures_util::stream::once(async { first }).chain(rest);
@@ -131,6 +142,9 @@
         return Problem::new(problem::Kind::NoServer, "no backend server").into_response();
     };
     let flight = context.fleet.begin(&server.id);
+    let attempt =
+        observe::Event::new(observe::event::Kind::Attempt { attempt: 0 }).server(&server.id);
+    context.events.record(tally::about(&call, attempt));
     let sent = context.backends.send(server.address, forward(&call, path, request)).await;
     match sent {
         Ok(response) => {
--- a/crates/stage/src/filters/identify.rs
+++ b/crates/stage/src/filters/identify.rs
@@ -28,6 +28,7 @@
     context::Context,
     filters::{Call, Delivery, Kind, Question, Shape},
     problem::{self, Problem},
+    tally::Tally,
 };
 
 /// Header that names the service of a call to models.
@@ -149,6 +150,9 @@
     kind: Kind,
 ) -> Request {
     let call = Call { request: Arc::new(request), numbered, received: context.now(), kind };
+    if let Some(tally) = parts.extensions.get::<Tally>() {
+        tally.identified(&call);
+    }
     let mut request = Request::from_parts(parts, body);
     request.extensions_mut().insert(call);
     request
--- a/crates/stage/src/flags.rs
+++ b/crates/stage/src/flags.rs
@@ -7,6 +7,7 @@
 };
 
 use clap::{Parser, Subcommand};
+use observe::log::{Log, Sink};
 use settings::process::Process;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -53,6 +54,12 @@
         /// Why.
         cause: serde_json::Error,
     },
+    /// The log can't be started.
+    #[error(transparent)]
+    Log(#[from] observe::log::Error),
+    /// The settings name no level of the log.
+    #[error("log level: {0}")]
+    Level(#[from] log::ParseLevelError),
     /// The host can't serve.
     #[error(transparent)]
     Serve(#[from] crate::Error),
@@ -71,6 +78,7 @@
         match self.command {
             Command::Serve { settings } => {
                 let settings = read(&settings)?;
+                start_log(&settings.log)?;
                 let runtime = tokio::runtime::Runtime::new()?;
                 runtime.block_on(serve(settings))
             }
@@ -84,6 +92,12 @@
     serde_json::from_slice(&text).map_err(|cause| Error::Settings { file: file.into(), cause })
 }
 
+fn start_log(settings: &settings::process::Log) -> Result<(), Error> {
+    let sink = settings.file.clone().map_or(Sink::StandardError, Sink::File);
+    let level = settings.level.parse()?;
+    Ok(Log::new().sink(sink).level(level).start()?)
+}
+
 async fn serve(settings: Process) -> Result<ExitCode, Error> {
     let mut terminate = signal(SignalKind::terminate())?;
     let running = crate::start(settings).await?;
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod answer;
 pub mod callers;
 pub mod context;
+mod counted;
 pub mod duties;
 pub mod filters;
 pub mod flags;
@@ -13,5 +14,6 @@
 pub mod operators;
 pub mod problem;
 mod serve;
+pub mod tally;
 
 pub use crate::serve::{Error, Running, start};
--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -1,5 +1,7 @@
 //! The listener for operators.
 
+mod watch;
+
 use std::sync::Arc;
 
 use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
@@ -13,6 +15,8 @@
         .route("/live", get(async || StatusCode::OK))
         .route("/ready", get(ready))
         .route("/status", get(status))
+        .route("/metrics", get(watch::metrics))
+        .route("/timeline", get(watch::timeline))
         .with_state(context)
 }
 
--- /dev/null
+++ b/crates/stage/src/operators/watch.rs
@@ -0,0 +1,108 @@
+//! What operators watch: the metrics and this host's part of the time line.
+
+use std::sync::Arc;
+
+use axum::{
+    extract::{Query, State},
+    http::{StatusCode, header},
+    response::{Html, IntoResponse, Response},
+};
+use observe::{
+    clock::Stamp,
+    event::Record,
+    merge::{self, Filter},
+    metrics, page,
+};
+use serde::Deserialize;
+
+use crate::context::Context;
+
+const JSON_LINES: &str = "application/jsonl";
+
+/// All metrics as Prometheus text.
+pub(super) async fn metrics(State(context): State<Arc<Context>>) -> Response {
+    match context.metrics.text() {
+        Ok(text) => ([(header::CONTENT_TYPE, metrics::CONTENT_TYPE)], text).into_response(),
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()).into_response(),
+    }
+}
+
+/// How the time line is written.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum Form {
+    /// One JSON object a line; what the merge of several hosts reads.
+    #[default]
+    Json,
+    /// One line of text for each event.
+    Text,
+    /// A page.
+    Page,
+}
+
+/// Which events are asked for; all unless narrowed. Times are RFC 3339 text.
+#[derive(Debug, Default, Deserialize)]
+pub(super) struct Asked {
+    request: Option<String>,
+    model: Option<String>,
+    server: Option<String>,
+    from: Option<String>,
+    until: Option<String>,
+    #[serde(default)]
+    form: Form,
+}
+
+impl Asked {
+    fn filter(&self) -> Result<Filter, String> {
+        let mut filter = Filter::default();
+        if let Some(id) = &self.request {
+            filter = filter.request(id.as_str().into());
+        }
+        if let Some(id) = &self.model {
+            filter = filter.model(id.as_str().into());
+        }
+        if let Some(id) = &self.server {
+            filter = filter.server(id.as_str().into());
+        }
+        if let Some(text) = &self.from {
+            filter = filter.from(stamp(text)?);
+        }
+        if let Some(text) = &self.until {
+            filter = filter.until(stamp(text)?);
+        }
+        Ok(filter)
+    }
+}
+
+fn stamp(text: &str) -> Result<Stamp, String> {
+    Stamp::parse(text).ok_or_else(|| format!("`{text}` is no time in RFC 3339 form"))
+}
+
+/// The events that this host holds.
+pub(super) async fn timeline(
+    State(context): State<Arc<Context>>,
+    Query(asked): Query<Asked>,
+) -> Response {
+    let filter = match asked.filter() {
+        Ok(filter) => filter,
+        Err(cause) => return (StatusCode::BAD_REQUEST, cause).into_response(),
+    };
+    let records: Vec<Record> =
+        context.events.records().into_iter().filter(|record| filter.keeps(record)).collect();
+    match asked.form {
+        Form::Json => json(&records),
+        Form::Text => lines(records.iter().map(merge::line)).into_response(),
+        Form::Page => Html(page::render(&records)).into_response(),
+    }
+}
+
+fn json(records: &[Record]) -> Response {
+    match records.iter().map(merge::json_line).collect::<Result<Vec<String>, _>>() {
+        Ok(text) => ([(header::CONTENT_TYPE, JSON_LINES)], lines(text)).into_response(),
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()).into_response(),
+    }
+}
+
+fn lines(lines: impl IntoIterator<Item = String>) -> String {
+    lines.into_iter().map(|line| line + "\n").collect()
+}
--- a/crates/stage/src/serve.rs
+++ b/crates/stage/src/serve.rs
@@ -3,6 +3,10 @@
 use std::{io, net::SocketAddr, sync::Arc};
 
 use axum::Router;
+use observe::{
+    Event,
+    event::{DrainStep, Kind},
+};
 use settings::process::Process;
 use tokio::{net::TcpListener, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
@@ -22,6 +26,9 @@
         /// Why.
         cause: io::Error,
     },
+    /// The metrics can't be set up.
+    #[error(transparent)]
+    Metrics(#[from] observe::metrics::Error),
 }
 
 /// A running host.
@@ -42,7 +49,8 @@
     let callers = bind("callers", &mut settings.host.callers).await?;
     let operators = bind("operators", &mut settings.host.operators).await?;
     let store = platform::Builder::new(settings.platform).build();
-    let context = Arc::new(Context::new(settings, Arc::new(store)));
+    let context = Arc::new(Context::new(settings, Arc::new(store))?);
+    context.events.record(Event::new(Kind::Start));
     log::info!(
         host = &*context.host().id, callers:% = context.host().callers,
         operators:% = context.host().operators; "host starts"
@@ -65,14 +73,19 @@
 
     /// Stops as planned: not ready first, then a pause for the balancer, then no new connections,
     /// then the end of what is in flight.
-    pub async fn drain(self) {
+    pub async fn drain(mut self) {
         let drain = self.context.settings.drain.clone();
         self.context.begin_drain();
+        self.step(DrainStep::NotReady);
         log::info!(host = &*self.context.host().id; "drain begins");
         tokio::time::sleep(drain.balancer).await;
         self.stop_callers.cancel();
-        if tokio::time::timeout(drain.finish, self.callers).await.is_err() {
-            log::error!(host = &*self.context.host().id; "drain ends with requests in flight");
+        self.step(DrainStep::Closed);
+        match tokio::time::timeout(drain.finish, &mut self.callers).await {
+            Ok(_) => self.step(DrainStep::Idle),
+            Err(_) => {
+                log::error!(host = &*self.context.host().id; "drain ends with requests in flight");
+            }
         }
         self.context.stop.cancel();
         self.context.duties.close();
@@ -81,6 +94,10 @@
         let _ = self.operators.await;
         log::info!(host = &*self.context.host().id; "host ends");
     }
+
+    fn step(&self, drain: DrainStep) {
+        self.context.events.record(Event::new(Kind::Drain { drain }));
+    }
 }
 
 async fn bind(role: &'static str, address: &mut SocketAddr) -> Result<TcpListener, Error> {
--- /dev/null
+++ b/crates/stage/tests/observe.rs
@@ -0,0 +1,166 @@
+//! What operators see of real host processes: metrics, the time line, the log.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::{Answer, Site, events, post_chat, send, try_send, until};
+use observe::{
+    event::{Kind, Outcome, PlatformState, Record},
+    merge,
+};
+use rstest::rstest;
+use serde_json::{Value, json};
+use standin::engine;
+
+const TOKENS: u64 = 12;
+
+fn chat(model: &str) -> Value {
+    json!({
+        "model": model, "stream": true, "max_tokens": TOKENS,
+        "messages": [{"role": "user", "content": "Bienvenue"}],
+    })
+}
+
+async fn site() -> Site {
+    let engines = vec![engine::Settings::new("lm-1").with_model("welcome", "v1", 900)];
+    Site::start(2, engines).await
+}
+
+async fn metrics(site: &Site, host: usize) -> String {
+    send(site.hosts()[host].operators(), "GET", "/metrics", &[], "").await.text()
+}
+
+fn value(text: &str, series: &str) -> f64 {
+    let line = text.lines().find(|line| line.starts_with(series));
+    line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0.0)
+}
+
+async fn records(site: &Site, host: usize, query: &str) -> Vec<Record> {
+    let uri = format!("/timeline?{query}");
+    let answer = send(site.hosts()[host].operators(), "GET", &uri, &[], "").await;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    answer.text().lines().map(|line| serde_json::from_str(line).expect("a record")).collect()
+}
+
+fn request_id(answer: &Answer) -> String {
+    answer.headers["x-request-id"].to_str().expect("text").to_owned()
+}
+
+#[tokio::test]
+async fn metrics_count_what_callers_got() {
+    let site = site().await;
+    let callers = site.hosts()[0].callers();
+    let answer = post_chat(callers, &chat("welcome")).await;
+    assert_eq!(events(&answer.text()).len() as u64, TOKENS + 1);
+    assert_eq!(post_chat(callers, &chat("nobody")).await.status, 404);
+
+    // The account closes when the answer's last holder is gone, a moment after its last byte.
+    until("both calls are counted", async || {
+        let text = metrics(&site, 0).await;
+        value(&text, r#"cyclamenstage_requests_total{outcome="answered",service="chat"}"#) == 1.0
+            && value(&text, r#"cyclamenstage_requests_total{outcome="refused",service="none"}"#)
+                == 1.0
+    })
+    .await;
+    let text = metrics(&site, 0).await;
+    let gaps = r#"cyclamenstage_between_tokens_seconds_count{service="chat"}"#;
+    assert_eq!(value(&text, gaps), (TOKENS - 1) as f64, "{text}");
+    let first = r#"cyclamenstage_first_token_seconds_count{service="chat"}"#;
+    assert_eq!(value(&text, first), 1.0, "{text}");
+    let refusals = r#"cyclamenstage_refusals_total{cause="unknown-model",service="none"}"#;
+    assert_eq!(value(&text, refusals), 1.0, "{text}");
+    assert_eq!(value(&text, r#"cyclamenstage_in_flight{service="chat"}"#), 0.0, "{text}");
+    assert_eq!(value(&text, "cyclamenstage_configuration"), 1.0, "{text}");
+    assert_eq!(value(&text, "cyclamenstage_platform_up"), 1.0, "{text}");
+    assert!(0.0 < value(&text, r#"cyclamenstage_control_bytes_total{direction="in""#), "{text}");
+    site.end().await;
+}
+
+#[tokio::test]
+async fn outage_of_the_platform_shows_and_passes() {
+    let site = site().await;
+    let up =
+        async |wanted: f64| value(&metrics(&site, 1).await, "cyclamenstage_platform_up") == wanted;
+
+    site.platform.fault(|fault| fault.down = true);
+    until("the outage shows", async || up(0.0).await).await;
+    site.platform.fault(|fault| fault.down = false);
+    until("its end shows", async || up(1.0).await).await;
+
+    let seen: Vec<PlatformState> = records(&site, 1, "")
+        .await
+        .into_iter()
+        .filter_map(|record| match record.event.kind {
+            Kind::Platform { platform } => Some(platform),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(seen, [PlatformState::Up, PlatformState::Down, PlatformState::Up]);
+    site.end().await;
+}
+
+#[tokio::test]
+async fn timeline_follows_one_request_in_order() {
+    let site = site().await;
+    let answer = post_chat(site.hosts()[0].callers(), &chat("welcome")).await;
+    let other = post_chat(site.hosts()[0].callers(), &chat("welcome")).await;
+    let id = request_id(&answer);
+    assert_ne!(id, request_id(&other));
+
+    let ended = Kind::Answer { outcome: Outcome::Answered };
+    let query = format!("request={id}");
+    until("the request's end is recorded", async || {
+        records(&site, 0, &query).await.iter().any(|record| record.event.kind == ended)
+    })
+    .await;
+    let kinds: Vec<Kind> =
+        records(&site, 0, &query).await.into_iter().map(|record| record.event.kind).collect();
+
+    let expected = [Kind::Request { service: "chat".into() }, Kind::Attempt { attempt: 0 }, ended];
+    assert_eq!(kinds, expected);
+    site.end().await;
+}
+
+#[tokio::test]
+async fn timelines_of_all_hosts_merge_into_one() {
+    let site = site().await;
+    let mut all = records(&site, 0, "").await;
+    all.extend(records(&site, 1, "").await);
+    let count = all.len();
+
+    let merged = merge::merge(all);
+
+    assert_eq!(merged.len(), count);
+    assert!(merged.is_sorted_by_key(|record| record.at));
+    let hosts: BTreeSet<&str> = merged.iter().map(|record| &*record.host).collect();
+    assert_eq!(hosts, BTreeSet::from(["host-0", "host-1"]));
+    for number in ["host-0", "host-1"] {
+        let mine = || merged.iter().filter(|record| &*record.host == number);
+        assert!(mine().any(|r| r.event.kind == Kind::Start), "{number}");
+        assert!(mine().any(|r| r.event.kind == Kind::Configuration { number: 1 }), "{number}");
+    }
+    site.end().await;
+}
+
+#[rstest]
+#[case::text("form=text", "start")]
+#[case::page("form=page", "<!doctype html>")]
+#[tokio::test]
+async fn timeline_has_forms_for_people(#[case] query: &str, #[case] expected: &str) {
+    let site = site().await;
+    let uri = format!("/timeline?{query}");
+    let answer = send(site.hosts()[0].operators(), "GET", &uri, &[], "").await;
+    assert!(answer.text().contains(expected), "{}", answer.text());
+    site.end().await;
+}
+
+#[tokio::test]
+async fn timeline_refuses_a_time_it_cannot_read() {
+    let site = site().await;
+    let uri = "/timeline?from=yesterday";
+    let answer = try_send(site.hosts()[0].operators(), "GET", uri, &[], "").await.unwrap();
+    assert_eq!(answer.status, 400);
+    assert!(answer.text().contains("yesterday"));
+    site.end().await;
+}
