--- /dev/null
+++ b/crates/stage/tests/common/process.rs
@@ -0,0 +1,102 @@
+//! A host as a process of its own.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::{Child, Command},
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::Value;
+use types::host::Host;
+
+use super::until;
+
+/// A host's process; killed when dropped.
+pub struct Process {
+    pub host: Host,
+    child: Child,
+    log: PathBuf,
+}
+
+impl Process {
+    /// Starts a host whose settings let the system pick its ports, and waits until it listens.
+    pub async fn start(mut settings: Value, folder: &Path, run: usize) -> Process {
+        let mut host: Host = serde_json::from_value(settings["host"].clone()).expect("a host");
+        let log = folder.join(format!("{}-{run}.log", host.id));
+        settings["log"] = serde_json::json!({"file": log, "level": "debug"});
+        let file = folder.join(format!("{}-{run}.json", host.id));
+        std::fs::write(&file, settings.to_string()).expect("settings file");
+        let child = Command::new(env!("CARGO_BIN_EXE_cyclamenstage"))
+            .args(["serve", "--settings"])
+            .arg(&file)
+            .spawn()
+            .expect("host process");
+        let mut process = Process { host: host.clone(), child, log };
+        until("the host listens", async || process.find_addresses(&mut host)).await;
+        process.host = host;
+        process
+    }
+
+    pub fn callers(&self) -> SocketAddr {
+        self.host.callers
+    }
+
+    pub fn operators(&self) -> SocketAddr {
+        self.host.operators
+    }
+
+    /// What it logged so far, a JSON object a line; a last line that is half written is left out.
+    pub fn log(&self) -> Vec<Value> {
+        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+        text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect()
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).expect("process id");
+        kill(Pid::from_raw(id), signal).expect("signal to own child");
+    }
+
+    /// Ends it without notice.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for its end; its exit code.
+    pub async fn ended(&mut self) -> Option<i32> {
+        let mut status = None;
+        until("the process ends", async || {
+            status = self.child.try_wait().expect("own child");
+            status.is_some()
+        })
+        .await;
+        status.and_then(|status| status.code())
+    }
+
+    /// Reads from its log where it listens; the system picked the ports, so that no two processes
+    /// can ever be given the same one.
+    fn find_addresses(&mut self, host: &mut Host) -> bool {
+        let ended = self.child.try_wait().expect("own child");
+        assert!(ended.is_none(), "{} ended at its start: {:#?}", host.id, self.log());
+        let log = self.log();
+        let Some(line) = log.iter().find(|line| line["message"] == "host starts") else {
+            return false;
+        };
+        let address = |role: &str| line["attributes"][role].as_str().and_then(|a| a.parse().ok());
+        let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        host.callers = address("callers").expect("a listener for callers");
+        host.operators = address("operators").expect("a listener for operators");
+        host.peers = address("peers").unwrap_or(nowhere);
+        true
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- a/crates/stage/tests/observe.rs
+++ b/crates/stage/tests/observe.rs
@@ -4,9 +4,9 @@
 
 use std::collections::BTreeSet;
 
-use common::{Answer, Site, events, post_chat, send, try_send, until};
+use common::{Answer, Site, events, metrics, post_chat, records, send, try_send, until, value};
 use observe::{
-    event::{Kind, Outcome, PlatformState, Record},
+    event::{Kind, Outcome, PlatformState},
     merge,
 };
 use rstest::rstest;
@@ -27,22 +27,6 @@
     Site::start(2, engines).await
 }
 
-async fn metrics(site: &Site, host: usize) -> String {
-    send(site.hosts()[host].operators(), "GET", "/metrics", &[], "").await.text()
-}
-
-fn value(text: &str, series: &str) -> f64 {
-    let line = text.lines().find(|line| line.starts_with(series));
-    line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0.0)
-}
-
-async fn records(site: &Site, host: usize, query: &str) -> Vec<Record> {
-    let uri = format!("/timeline?{query}");
-    let answer = send(site.hosts()[host].operators(), "GET", &uri, &[], "").await;
-    assert_eq!(answer.status, 200, "{}", answer.text());
-    answer.text().lines().map(|line| serde_json::from_str(line).expect("a record")).collect()
-}
-
 fn request_id(answer: &Answer) -> String {
     answer.headers["x-request-id"].to_str().expect("text").to_owned()
 }
@@ -57,13 +41,13 @@
 
     // The account closes when the answer's last holder is gone, a moment after its last byte.
     until("both calls are counted", async || {
-        let text = metrics(&site, 0).await;
+        let text = metrics(&site.hosts()[0]).await;
         value(&text, r#"cyclamenstage_requests_total{outcome="answered",service="chat"}"#) == 1.0
             && value(&text, r#"cyclamenstage_requests_total{outcome="refused",service="none"}"#)
                 == 1.0
     })
     .await;
-    let text = metrics(&site, 0).await;
+    let text = metrics(&site.hosts()[0]).await;
     let gaps = r#"cyclamenstage_between_tokens_seconds_count{service="chat"}"#;
     assert_eq!(value(&text, gaps), (TOKENS - 1) as f64, "{text}");
     let first = r#"cyclamenstage_first_token_seconds_count{service="chat"}"#;
@@ -80,15 +64,16 @@
 #[tokio::test]
 async fn outage_of_the_platform_shows_and_passes() {
     let site = site().await;
-    let up =
-        async |wanted: f64| value(&metrics(&site, 1).await, "cyclamenstage_platform_up") == wanted;
+    let up = async |wanted: f64| {
+        value(&metrics(&site.hosts()[1]).await, "cyclamenstage_platform_up") == wanted
+    };
 
     site.platform.fault(|fault| fault.down = true);
     until("the outage shows", async || up(0.0).await).await;
     site.platform.fault(|fault| fault.down = false);
     until("its end shows", async || up(1.0).await).await;
 
-    let seen: Vec<PlatformState> = records(&site, 1, "")
+    let seen: Vec<PlatformState> = records(&site.hosts()[1], "")
         .await
         .into_iter()
         .filter_map(|record| match record.event.kind {
@@ -111,11 +96,14 @@
     let ended = Kind::Answer { outcome: Outcome::Answered };
     let query = format!("request={id}");
     until("the request's end is recorded", async || {
-        records(&site, 0, &query).await.iter().any(|record| record.event.kind == ended)
+        records(&site.hosts()[0], &query).await.iter().any(|record| record.event.kind == ended)
     })
     .await;
-    let kinds: Vec<Kind> =
-        records(&site, 0, &query).await.into_iter().map(|record| record.event.kind).collect();
+    let kinds: Vec<Kind> = records(&site.hosts()[0], &query)
+        .await
+        .into_iter()
+        .map(|record| record.event.kind)
+        .collect();
 
     let expected = [Kind::Request { service: "chat".into() }, Kind::Attempt { attempt: 0 }, ended];
     assert_eq!(kinds, expected);
@@ -125,8 +113,8 @@
 #[tokio::test]
 async fn timelines_of_all_hosts_merge_into_one() {
     let site = site().await;
-    let mut all = records(&site, 0, "").await;
-    all.extend(records(&site, 1, "").await);
+    let mut all = records(&site.hosts()[0], "").await;
+    all.extend(records(&site.hosts()[1], "").await);
     let count = all.len();
 
     let merged = merge::merge(all);
