--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -8,7 +8,11 @@
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
-use observe::{Clock, Metrics, Ring, metrics};
+use meter::Meter;
+use observe::{
+    Clock, Metrics, Ring,
+    metrics::{self, Direction, Link},
+};
 use platform::Store;
 use settings::process::Process;
 use tokio::sync::watch;
@@ -25,8 +29,14 @@
     pub incarnation: host::Incarnation,
     /// The platform.
     pub store: Arc<dyn Store>,
-    /// Client of backend servers.
+    /// Client of backend servers for callers' requests.
     pub backends: ::backend::Client,
+    /// Client of backend servers for load reports and orders.
+    pub control: ::backend::Client,
+    /// Bytes of load reports and orders.
+    pub control_bytes: Meter,
+    /// Bytes of calls to the platform.
+    pub platform_bytes: Meter,
     /// What is counted.
     pub metrics: Metrics,
     /// What happened lately, in order.
@@ -44,25 +54,33 @@
 }
 
 impl Context {
-    /// Starts from settings and the platform's client.
+    /// Starts from settings; the clients connect when first used.
     ///
     /// # Errors
     ///
     /// If the metrics can't be set up.
-    pub fn new(settings: Process, store: Arc<dyn Store>) -> Result<Context, metrics::Error> {
+    pub fn new(settings: Process) -> Result<Context, metrics::Error> {
+        let platform_bytes = Meter::default();
+        let builder = platform::Builder::new(settings.platform).meter(platform_bytes.clone());
+        let control_bytes = Meter::default();
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
         let metrics = Metrics::new()?;
         let events = Ring::new(settings.host.id.clone(), incarnation, Clock::system());
         let events = Arc::new(events);
         metrics.watch_ring(&events);
+        watch_bytes(&metrics, Link::Platform, &platform_bytes);
+        watch_bytes(&metrics, Link::Servers, &control_bytes);
         Ok(Context {
             settings,
             incarnation,
-            store: Arc::new(Counted::new(store, metrics.clone(), events.clone())),
+            store: Arc::new(Counted::new(builder.build(), metrics.clone(), events.clone())),
             metrics,
             events,
             backends: ::backend::Client::new(),
+            control: ::backend::Client::metered(control_bytes.clone()),
+            control_bytes,
+            platform_bytes,
             fleet: Fleet::default(),
             config: watch::channel(Arc::default()).0,
             stop: CancellationToken::new(),
@@ -119,3 +137,12 @@
         self.draining.store(true, Ordering::Release);
     }
 }
+
+/// Shows a meter's bytes in the metrics.
+fn watch_bytes(metrics: &Metrics, link: Link, meter: &Meter) {
+    let meter = meter.clone();
+    metrics.watch_bytes(link, move |direction| match direction {
+        Direction::In => meter.received(),
+        Direction::Out => meter.sent(),
+    });
+}
--- a/crates/stage/src/serve.rs
+++ b/crates/stage/src/serve.rs
@@ -48,8 +48,7 @@
 pub async fn start(mut settings: Process) -> Result<Running, Error> {
     let callers = bind("callers", &mut settings.host.callers).await?;
     let operators = bind("operators", &mut settings.host.operators).await?;
-    let store = platform::Builder::new(settings.platform).build();
-    let context = Arc::new(Context::new(settings, Arc::new(store))?);
+    let context = Arc::new(Context::new(settings)?);
     context.events.record(Event::new(Kind::Start));
     log::info!(
         host = &*context.host().id, callers:% = context.host().callers,
