--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -4,18 +4,17 @@
 //! needs the token.
 
 mod config;
+mod watch;
 
 use std::sync::Arc;
 
 use axum::{
     Json, Router,
     extract::State,
-    http::{StatusCode, header},
+    http::StatusCode,
     middleware::from_fn_with_state,
-    response::{IntoResponse, Response},
     routing::{get, post},
 };
-use observe::metrics::CONTENT_TYPE;
 use types::{
     backend,
     host::List,
@@ -35,7 +34,8 @@
         .route("/hosts", get(hosts))
         .route("/servers", get(servers))
         .route("/drain", post(drain))
-        .route("/metrics", get(metrics))
+        .route("/metrics", get(watch::metrics))
+        .route("/timeline", get(watch::timeline))
         .merge(config::router())
         .layer(from_fn_with_state(gate, guard::filter))
         .route("/live", get(async || StatusCode::OK))
@@ -54,17 +54,6 @@
     Json(context.fleet.list())
 }
 
-async fn metrics(State(context): State<Arc<Context>>) -> Response {
-    context.traffic.show(&context.metrics);
-    match context.metrics.text() {
-        Ok(text) => ([(header::CONTENT_TYPE, CONTENT_TYPE)], text).into_response(),
-        Err(error) => {
-            log::error!("metrics: {error}");
-            StatusCode::INTERNAL_SERVER_ERROR.into_response()
-        }
-    }
-}
-
 async fn status(State(context): State<Arc<Context>>) -> Json<Status> {
     Json(Status {
         host: context.host().clone(),
