Prefer less work in flight among equal estimates

Cause: with free slots and no prompts to read, all servers of a zone have the same estimate, and the first index got all of the work until its slots were full. Change: the one with less work in flight wins among equals.

--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -113,7 +113,7 @@
     sample(table, servers, cached, ask.seed)
         .into_iter()
         .map(|server| estimated(table, ask, cached, server, now))
-        .min_by_key(|(cost, choice)| (*cost, choice.server))
+        .min_by_key(|(cost, choice)| (*cost, table.view(choice.server).in_flight(), choice.server))
         .map(|(_, choice)| choice)
 }
 
--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -109,6 +109,14 @@
     assert_eq!(counts, [10, 10, 10]);
 }
 
+#[test]
+fn among_equal_estimates_the_one_with_less_work_is_chosen() {
+    let mut table = table(&[("a", "biloxi", 0), ("b", "biloxi", 0)]);
+    let ask = Ask { prompt_tokens: 0, ..ask(&mut table) };
+    table.sent(0, 0, Duration::ZERO);
+    assert_eq!(chosen(&table, &Hints::default(), &ask).server, 1);
+}
+
 #[test]
 fn work_sent_before_a_report_was_taken_is_not_counted_twice() {
     let mut table = table(&[("a", "biloxi", 0)]);
