Take an end mark only for a finished answer

Cause: an engine that goes down may close its streams in order, end mark included. The test that crashes an engine in mid-stream got 13 tokens of 200 and [DONE]. Change: an end mark counts when the engine gave a finish reason or as many tokens as were asked for; else the stream is lost and resumed. Load reports are asked for as soon as a server is listed. An engine that neither gives a finish reason nor fills max_tokens would be resumed once and then answer an error.

--- a/crates/backend/src/frame.rs
+++ b/crates/backend/src/frame.rs
@@ -19,6 +19,8 @@
         offset: u64,
         /// The request that the event says it is for, if it says one.
         request: Option<String>,
+        /// Whether the engine says that it is the last one, and why.
+        finish: Option<String>,
         /// The event's data, passed on as it is.
         data: String,
     },
@@ -71,7 +73,10 @@
         return Err(Error::Malformed("data is no object".into()));
     }
     match serde_json::from_str::<Chunk>(&data) {
-        Ok(chunk) => Ok(Frame::Token { offset, request: chunk.id, data }),
+        Ok(chunk) => {
+            let finish = chunk.choices.into_iter().find_map(|choice| choice.finish_reason);
+            Ok(Frame::Token { offset, request: chunk.id, finish, data })
+        }
         Err(error) => Err(Error::Malformed(error.to_string())),
     }
 }
@@ -80,4 +85,11 @@
 #[derive(Deserialize)]
 struct Chunk {
     id: Option<String>,
+    #[serde(default)]
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    finish_reason: Option<String>,
 }
--- a/crates/stage/src/answer.rs
+++ b/crates/stage/src/answer.rs
@@ -39,6 +39,7 @@
     source: Option<Source>,
     failed: Vec<Index>,
     ran: Ran,
+    finish: Option<String>,
 }
 
 struct Source {
@@ -76,6 +77,7 @@
             source: None,
             failed: Vec::new(),
             ran: Ran::DidNotRun,
+            finish: None,
         }
     }
 
@@ -110,11 +112,16 @@
     /// Judges a frame; gives the token if it is the next.
     async fn take(&mut self, frame: Frame) -> Result<Option<Token>, Problem> {
         let own = self.call.request.id.clone();
-        let (request, part, token) = match frame {
-            Frame::Token { offset, request, data } => {
-                (request, Part::Token(offset), Some(Token { offset, data }))
+        let (request, part, finish, token) = match frame {
+            Frame::Token { offset, request, finish, data } => {
+                (request, Part::Token(offset), finish, Some(Token { offset, data }))
+            }
+            Frame::Done if self.is_finished() => (None, Part::End(self.stream.next()), None, None),
+            // An engine that goes down in order may end its streams as if they were whole.
+            Frame::Done => {
+                self.lose("the stream ended before the answer did").await?;
+                return Ok(None);
             }
-            Frame::Done => (None, Part::End(self.stream.next()), None),
         };
         let request = request.as_deref().unwrap_or(&own);
         let frame = stream::Frame { request, attempt: self.stream.attempt(), part };
@@ -123,6 +130,7 @@
                 if self.stream.next() == 1 {
                     self.answered();
                 }
+                self.finish = finish.or(self.finish.take());
                 self.account.token();
                 Ok(token)
             }
@@ -144,6 +152,12 @@
         }
     }
 
+    /// Whether the engine has said why it ends, or has given as many tokens as were asked for.
+    fn is_finished(&self) -> bool {
+        let wanted = u64::from(self.call.request.max_tokens);
+        self.finish.is_some() || wanted <= self.stream.next()
+    }
+
     fn answered(&self) {
         if let Some(source) = &self.source {
             source.sent.answered();
--- a/crates/stage/src/duties/reports.rs
+++ b/crates/stage/src/duties/reports.rs
@@ -17,7 +17,8 @@
         for server in servers() {
             readers.entry(server.clone()).or_insert_with(|| Reader::start(&context, server));
         }
-        tokio::time::sleep(context.settings.intervals.report).await;
+        let intervals = &context.settings.intervals;
+        tokio::time::sleep(intervals.list.min(intervals.report)).await;
     }
 }
 
