Test the caller's path through real sockets

Cause: what the table of failure points, the bounds and the planned stop say has to be seen on the wire. A host whose port was taken between choice and use is started again by the site.

--- /dev/null
+++ b/crates/stage/tests/bounds.rs
@@ -0,0 +1,167 @@
+//! What callers may send, and what they are told when they don't keep to it.
+
+mod common;
+
+use common::{
+    Answer,
+    inside::Inside,
+    script::{Act, Script},
+    send,
+};
+use rstest::rstest;
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+use types::backend::Kind;
+
+async fn inside() -> (Inside, Vec<Script>) {
+    let servers = vec![
+        Script::start("lm-1", Kind::Engine, 0, Act::Serve).await,
+        Script::start("app-1", Kind::Plain, 0, Act::Serve).await,
+    ];
+    let bounds = json!({"body_bytes": 5000, "head_bytes": 9000, "idle_ms": 200});
+    (Inside::start_with(&servers, bounds).await, servers)
+}
+
+async fn chat(inside: &Inside, headers: &[(&str, &str)], body: &str) -> Answer {
+    send(inside.callers(), "POST", "/v1/chat/completions", headers, body).await
+}
+
+const GOOD: &str = r#"{"model": "welcome", "messages": []}"#;
+
+#[rstest]
+#[case::no_json("{", 400, "bad-request")]
+#[case::no_object("[]", 400, "bad-request")]
+#[case::no_model(r#"{"messages": []}"#, 400, "bad-request")]
+#[case::no_messages(r#"{"model": "welcome"}"#, 400, "bad-request")]
+#[case::negative(r#"{"model": "welcome", "messages": [], "max_tokens": -1}"#, 400, "bad-request")]
+#[case::unknown_model(r#"{"model": "nobody", "messages": []}"#, 404, "unknown-model")]
+#[case::unknown_adapter(r#"{"model": "welcome:xx", "messages": []}"#, 404, "unknown-model")]
+#[case::too_long(&"x".repeat(6000), 413, "body-too-large")]
+#[tokio::test]
+async fn bad_body_is_refused_as_not_run(
+    #[case] body: &str,
+    #[case] status: u16,
+    #[case] kind: &str,
+) {
+    let (inside, servers) = inside().await;
+    let answer = chat(&inside, &[], body).await;
+    check(&answer, status, kind);
+    assert_eq!(servers[0].requests(), 0);
+    inside.host.drain().await;
+}
+
+#[rstest]
+#[case::unknown_service(&[("service", "nobody")], 404, "unknown-service")]
+#[case::service_without_the_model(&[("service", "tickets")], 404, "unknown-service")]
+#[case::timeout_is_no_number(&[("x-timeout-ms", "soon")], 400, "bad-request")]
+#[case::timeout_is_zero(&[("x-timeout-ms", "0")], 400, "bad-request")]
+#[case::two_keys(&[("idempotency-key", "a"), ("idempotency-key", "b")], 400, "bad-request")]
+#[case::neither(&[("x-idempotent", "maybe")], 400, "bad-request")]
+#[tokio::test]
+async fn bad_header_is_refused_as_not_run(
+    #[case] headers: &[(&str, &str)],
+    #[case] status: u16,
+    #[case] kind: &str,
+) {
+    let (inside, servers) = inside().await;
+    let answer = chat(&inside, headers, GOOD).await;
+    check(&answer, status, kind);
+    assert_eq!(servers[0].requests(), 0);
+    inside.host.drain().await;
+}
+
+#[tokio::test]
+async fn a_caller_may_not_clear_the_mark_of_a_non_idempotent_method() {
+    let (inside, servers) = inside().await;
+    let uri = "/services/tickets/rooms";
+    let headers = [("x-idempotent", "true")];
+    let answer = send(inside.callers(), "POST", uri, &headers, "letter").await;
+    check(&answer, 400, "bad-request");
+    assert_eq!(servers[1].requests(), 0);
+    inside.host.drain().await;
+}
+
+fn check(answer: &Answer, status: u16, kind: &str) {
+    assert_eq!(answer.status, status, "{}", answer.text());
+    let problem = answer.json();
+    assert_eq!(problem["type"], format!("urn:cyclamenstage:problem:{kind}"));
+    assert_eq!(problem["ran"], "did-not-run");
+    assert_ne!(problem["detail"], "");
+    let content_type = answer.headers.get("content-type").map(|value| value.as_bytes());
+    assert_eq!(content_type, Some(&b"application/problem+json"[..]));
+}
+
+/// Sends these bytes, then nothing; gives what comes back before the connection ends.
+async fn raw(inside: &Inside, bytes: &str) -> String {
+    let mut stream = TcpStream::connect(inside.callers()).await.expect("connection");
+    stream.write_all(bytes.as_bytes()).await.expect("bytes");
+    let mut answer = Vec::new();
+    // A connection that is reset has ended too.
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[tokio::test]
+async fn a_head_over_its_limit_is_refused() {
+    let (inside, servers) = inside().await;
+    let long = "x".repeat(20_000);
+    let request = format!("GET /v1/models HTTP/1.1\r\nhost: x\r\nx: {long}\r\n\r\n");
+    let answer = raw(&inside, &request).await;
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+    assert_eq!(servers[0].requests(), 0);
+    inside.host.drain().await;
+}
+
+#[rstest]
+#[case::head("POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n", "")]
+#[case::body(
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 50\r\n\r\n{",
+    "HTTP/1.1 400"
+)]
+#[case::short_upload(
+    "PUT /services/tickets/a HTTP/1.1\r\nhost: x\r\ncontent-length: 50\r\n\r\n{",
+    "HTTP/1.1 400"
+)]
+#[tokio::test]
+async fn a_caller_that_falls_silent_is_not_waited_for(#[case] sent: &str, #[case] begins: &str) {
+    let (inside, servers) = inside().await;
+    let answer = raw(&inside, sent).await;
+    assert!(answer.starts_with(begins), "{answer}");
+    assert_eq!(servers[0].requests() + servers[1].requests(), 0);
+    inside.host.drain().await;
+}
+
+#[tokio::test]
+async fn a_request_past_its_own_time_gets_a_timeout_that_says_what_is_known() {
+    let servers = vec![Script::start("lm-1", Kind::Engine, 0, Act::Silent).await];
+    let inside = Inside::start(&servers).await;
+    let answer = chat(&inside, &[("x-timeout-ms", "150")], GOOD).await;
+    assert_eq!(answer.status, 504, "{}", answer.text());
+    assert_eq!(answer.json()["ran"], "may-have-run");
+    inside.host.drain().await;
+}
+
+#[tokio::test]
+async fn headers_of_one_connection_are_not_passed_on() {
+    let (inside, servers) = inside().await;
+    let headers = [("connection", "x-own"), ("x-own", "1"), ("te", "trailers"), ("x-kept", "2")];
+    let uri = "/services/tickets/rooms?lang=es";
+    let answer = send(inside.callers(), "PUT", uri, &headers, "letter").await;
+    assert_eq!(answer.status, 200);
+    let head = servers[1].last_head().to_lowercase();
+    assert!(head.starts_with("put /rooms?lang=es "), "{head}");
+    assert!(head.contains("x-kept: 2"), "{head}");
+    assert!(!head.contains("x-own") && !head.contains("te: trailers"), "{head}");
+    inside.host.drain().await;
+}
+
+#[tokio::test]
+async fn models_and_adapters_are_listed() {
+    let (inside, _servers) = inside().await;
+    let answer = send(inside.callers(), "GET", "/v1/models", &[], "").await;
+    assert_eq!(answer.json()["data"][0]["id"], "welcome");
+    inside.host.drain().await;
+}
--- /dev/null
+++ b/crates/stage/tests/common/inside.rs
@@ -0,0 +1,85 @@
+//! A host within the test's own process, before scripted backend servers.
+
+use serde_json::json;
+use stage::Running;
+use standin::objects::Platform;
+use types::{
+    backend::{self, Kind, Server},
+    host::{List, Listed},
+};
+
+use super::{get, script::Script, until};
+
+/// A host within the test's own process.
+pub struct Inside {
+    pub host: Running,
+    pub platform: Platform,
+}
+
+impl Inside {
+    /// Starts it before these servers. It reads each server's report once and then rarely, so that
+    /// only the requests show what becomes of a server.
+    pub async fn start(servers: &[Script]) -> Inside {
+        Inside::start_with(servers, json!({})).await
+    }
+
+    /// As [`Inside::start`], with these bounds on callers.
+    pub async fn start_with(servers: &[Script], bounds: serde_json::Value) -> Inside {
+        let platform = Platform::start().await.expect("platform");
+        let config = json!({
+            "customers": {"guests": {}},
+            "models": {"welcome": {"group": "lm", "version": "v1", "memory": 1}},
+            "services": {
+                "chat": {
+                    "customer": "guests", "offer": {"models": ["welcome"]},
+                    "target": {"first_token_ms": 60_000},
+                },
+                "tickets": {
+                    "customer": "guests", "offer": {"plain": "app"},
+                    "target": {"first_token_ms": 60_000}, "non_idempotent": ["POST"],
+                },
+            },
+        });
+        platform.poke("config/root", json!({"number": 1, "config": config}));
+        platform.set_list(List { hosts: Vec::new(), servers: servers.iter().map(entry).collect() });
+        let any = "127.0.0.1:0";
+        let settings = json!({
+            "host": {
+                "id": "host-0", "zone": "biloxi-hall",
+                "callers": any, "peers": any, "operators": any,
+            },
+            "platform": platform.address(),
+            "intervals": {
+                "list_ms": 50, "report_ms": 600_000, "heartbeat_ms": 50, "plan_ms": 600_000,
+            },
+            "drain": {"balancer_ms": 0, "finish_ms": 5000},
+            "bounds": bounds,
+        });
+        let settings = serde_json::from_value(settings).expect("settings");
+        let host = stage::start(settings).await.expect("host");
+        let inside = Inside { host, platform };
+        let operators = inside.host.context().host().operators;
+        until("the host is ready", async || {
+            let Some(status) = get(operators, "/status").await else { return false };
+            status["ready"] == true && status["reporting"] == servers.len()
+        })
+        .await;
+        inside
+    }
+
+    pub fn callers(&self) -> std::net::SocketAddr {
+        self.host.context().host().callers
+    }
+}
+
+fn entry(script: &Script) -> backend::Entry {
+    let group = if script.kind == Kind::Engine { "lm" } else { "app" };
+    let server = Server {
+        id: script.id.as_str().into(),
+        group: group.into(),
+        kind: script.kind,
+        zone: "biloxi-hall".into(),
+        address: script.address,
+    };
+    backend::Entry { server, state: Listed::Live }
+}
--- a/crates/stage/tests/common/mod.rs
+++ b/crates/stage/tests/common/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod inside;
+pub mod script;
+
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
@@ -33,6 +36,7 @@
 
 const PATIENCE: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(20);
+const SPAWNS: usize = 5;
 const ZONES: [&str; 4] = ["mobile-hall", "biloxi-hall", "gulfport-hall", "pensacola-hall"];
 
 /// A host's process; killed when dropped.
@@ -108,7 +112,7 @@
         };
         site.platform.poke("config/root", json!({"number": 1, "config": site.config()}));
         for place in 0..hosts {
-            let process = site.spawn(place);
+            let process = site.spawn(place).await;
             site.hosts.push(process);
         }
         site.list();
@@ -189,7 +193,28 @@
         self.platform.set_list(List { hosts, servers: engines.chain(plains).map(live).collect() });
     }
 
-    fn spawn(&self, place: usize) -> Process {
+    /// Starts a host, and again with other ports if one was taken in the meantime.
+    async fn spawn(&self, place: usize) -> Process {
+        for _ in 0..SPAWNS {
+            let mut process = self.try_spawn(place);
+            let operators = process.operators();
+            let mut has_ended = false;
+            until("the host starts or ends", async || {
+                has_ended = process.child.try_wait().expect("own child").is_some();
+                has_ended
+                    || get(operators, "/status")
+                        .await
+                        .is_some_and(|status| status["host"]["id"] == *process.host.id)
+            })
+            .await;
+            if !has_ended {
+                return process;
+            }
+        }
+        panic!("host {place} ends at once, {SPAWNS} times");
+    }
+
+    fn try_spawn(&self, place: usize) -> Process {
         let host = Host {
             id: format!("host-{place}").into(),
             zone: ZONES[place % ZONES.len()].into(),
--- /dev/null
+++ b/crates/stage/tests/common/script.rs
@@ -0,0 +1,248 @@
+//! A backend server that fails on purpose, at an exact byte of the exchange.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+};
+use types::{
+    backend::Kind,
+    order::Role,
+    report::Load,
+    resident::{Resident, State, Unit},
+};
+
+/// What a scripted server does with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Answers in full.
+    Serve,
+    /// Closes after the first bytes of the body.
+    CloseEarly,
+    /// Closes after the whole request.
+    Close,
+    /// Never answers.
+    Silent,
+    /// Answers this status.
+    Status(u16),
+    /// Answers the head and closes.
+    Head,
+    /// Sends these events of a stream and closes.
+    Events(Vec<Step>),
+    /// Sends half of the body that its head announces, and closes.
+    Half,
+}
+
+/// One event of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// The token at this offset.
+    Token(u64),
+    /// A token at this offset of another request.
+    Stranger(u64),
+    /// The end mark.
+    Done,
+}
+
+/// A backend server that fails on purpose.
+pub struct Script {
+    pub id: String,
+    pub kind: Kind,
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    accepting: JoinHandle<()>,
+}
+
+struct Shared {
+    id: String,
+    busy: u32,
+    act: Mutex<Act>,
+    requests: AtomicU32,
+    head: Mutex<String>,
+}
+
+impl Script {
+    /// Starts it; it reports this many requests running, so that tests choose who is tried first.
+    pub async fn start(id: &str, kind: Kind, busy: u32, act: Act) -> Script {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let shared = Arc::new(Shared {
+            id: id.into(),
+            busy,
+            act: Mutex::new(act),
+            requests: AtomicU32::new(0),
+            head: Mutex::default(),
+        });
+        let accepting = tokio::spawn(accept(listener, shared.clone()));
+        Script { id: id.into(), kind, address, shared, accepting }
+    }
+
+    /// Stops listening.
+    pub async fn close(&mut self) {
+        self.accepting.abort();
+        let _ = (&mut self.accepting).await;
+    }
+
+    /// Requests of which at least the head arrived.
+    pub fn requests(&self) -> u32 {
+        self.shared.requests.load(Ordering::SeqCst)
+    }
+}
+
+impl Script {
+    /// Head of the last request.
+    pub fn last_head(&self) -> String {
+        self.shared.head.lock().expect("head").clone()
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(exchange(stream, shared.clone()));
+    }
+}
+
+async fn exchange(mut stream: TcpStream, shared: Arc<Shared>) -> Option<()> {
+    let (head, rest) = read_head(&mut stream).await?;
+    if head.starts_with("GET /load") {
+        let body = serde_json::to_string(&load(&shared)).expect("report");
+        return respond(&mut stream, "200 OK", &body).await;
+    }
+    shared.requests.fetch_add(1, Ordering::SeqCst);
+    shared.head.lock().expect("head").clone_from(&head);
+    let act = shared.act.lock().expect("act").clone();
+    if act == Act::CloseEarly {
+        return Some(());
+    }
+    let body = read_body(&mut stream, &head, rest).await?;
+    match act {
+        Act::CloseEarly | Act::Close => Some(()),
+        Act::Silent => std::future::pending().await,
+        Act::Status(status) => respond(&mut stream, &format!("{status} No"), "no").await,
+        Act::Head => stream.write_all(STREAM_HEAD.as_bytes()).await.ok(),
+        Act::Events(steps) => {
+            stream.write_all(STREAM_HEAD.as_bytes()).await.ok()?;
+            events(&mut stream, &head, &steps).await
+        }
+        Act::Half => {
+            stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf!").await.ok()
+        }
+        Act::Serve if head.starts_with("POST /v1/") => {
+            stream.write_all(STREAM_HEAD.as_bytes()).await.ok()?;
+            let asked: Value = serde_json::from_slice(&body).unwrap_or_default();
+            let first = header(&head, "last-event-id").map_or(0, |last| last + 1);
+            let end = asked["max_tokens"].as_u64().unwrap_or(1);
+            let steps: Vec<Step> = (first..end).map(Step::Token).chain([Step::Done]).collect();
+            events(&mut stream, &head, &steps).await
+        }
+        Act::Serve => respond(&mut stream, "200 OK", "done").await,
+    }
+}
+
+const STREAM_HEAD: &str =
+    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n";
+
+async fn events(stream: &mut TcpStream, head: &str, steps: &[Step]) -> Option<()> {
+    let own = text(head, "x-request-id").unwrap_or_default();
+    for step in steps {
+        let event = match step {
+            Step::Token(offset) => event(&own, *offset, &token(*offset)),
+            Step::Stranger(offset) => event("another", *offset, "wrong "),
+            Step::Done => "data: [DONE]\n\n".into(),
+        };
+        stream.write_all(event.as_bytes()).await.ok()?;
+        stream.flush().await.ok()?;
+        // One event for each packet, so that the host sees them one by one.
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    Some(())
+}
+
+/// The token at an offset of every answer.
+pub fn token(offset: u64) -> String {
+    format!("t{offset} ")
+}
+
+fn event(request: &str, offset: u64, text: &str) -> String {
+    let data = json!({"id": request, "choices": [{"index": 0, "delta": {"content": text}}]});
+    format!("id: {offset}\ndata: {data}\n\n")
+}
+
+async fn respond(stream: &mut TcpStream, status: &str, body: &str) -> Option<()> {
+    let length = body.len();
+    let head =
+        format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n");
+    stream.write_all(format!("{head}{body}").as_bytes()).await.ok()
+}
+
+async fn read_head(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
+    let mut bytes = Vec::new();
+    loop {
+        if let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
+            let rest = bytes.split_off(end + 4);
+            return Some((String::from_utf8_lossy(&bytes).into_owned(), rest));
+        }
+        if stream.read_buf(&mut bytes).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+async fn read_body(stream: &mut TcpStream, head: &str, mut bytes: Vec<u8>) -> Option<Vec<u8>> {
+    let length = header(head, "content-length");
+    let is_chunked = text(head, "transfer-encoding").is_some();
+    let is_whole = |bytes: &[u8]| match length {
+        Some(length) => length <= bytes.len() as u64,
+        None => !is_chunked || bytes.ends_with(b"0\r\n\r\n"),
+    };
+    while !is_whole(&bytes) {
+        if stream.read_buf(&mut bytes).await.ok()? == 0 {
+            return None;
+        }
+    }
+    Some(bytes)
+}
+
+fn header(head: &str, name: &str) -> Option<u64> {
+    text(head, name)?.parse().ok()
+}
+
+fn text(head: &str, name: &str) -> Option<String> {
+    head.lines().find_map(|line| {
+        let (found, value) = line.split_once(':')?;
+        found.eq_ignore_ascii_case(name).then(|| value.trim().to_owned())
+    })
+}
+
+fn load(shared: &Shared) -> Load {
+    let unit = Unit::Model { model: "welcome".into(), version: "v1".into() };
+    Load {
+        server: shared.id.as_str().into(),
+        incarnation: 1,
+        sequence: 1,
+        age: Duration::ZERO,
+        leaving: false,
+        running: shared.busy,
+        waiting: 0,
+        slots: 1,
+        step: Duration::from_millis(1),
+        prefill_rate: 1000,
+        prompt_backlog: 0,
+        capacity: 1000,
+        residents: vec![Resident { unit, memory: 1, state: State::Ready }],
+        fence: 0,
+        fenced: true,
+        orders: Vec::new(),
+        role: Role::Whole,
+    }
+}
--- /dev/null
+++ b/crates/stage/tests/drain.rs
@@ -0,0 +1,168 @@
+//! Planned stops: of a host with long streams and uploads in flight, and of a backend server.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Answer, Site, answer_text, events, post_chat, until};
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+use standin::{engine, plain::Plain};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    task::JoinHandle,
+};
+
+const TOKENS: u64 = 200;
+const STREAMS: usize = 8;
+
+fn engines() -> Vec<engine::Settings> {
+    ["lm-1", "lm-2"]
+        .map(|id| engine::Settings::new(id).with_model("welcome", "v1", 900))
+        .into_iter()
+        .collect()
+}
+
+fn long_chat(caller: usize) -> Value {
+    json!({
+        "model": "welcome", "stream": true, "max_tokens": TOKENS,
+        "messages": [{"role": "user", "content": format!("caller {caller}")}],
+    })
+}
+
+fn start_streams(site: &Site, host: usize) -> Vec<(Value, JoinHandle<Answer>)> {
+    let address = site.hosts()[host].callers();
+    (0..STREAMS)
+        .map(|caller| {
+            let body = long_chat(caller);
+            let sent = body.clone();
+            (body, tokio::spawn(async move { post_chat(address, &sent).await }))
+        })
+        .collect()
+}
+
+async fn check_streams(site: &Site, streams: Vec<(Value, JoinHandle<Answer>)>) {
+    for (body, stream) in streams {
+        let answer = stream.await.expect("an answer");
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        let events = events(&answer.text());
+        assert_eq!(answer_text(&events), site.expected(&body, TOKENS));
+        assert_eq!(events.last().map(|event| event.data.as_str()), Some("[DONE]"));
+    }
+}
+
+fn engines_busy(site: &Site) -> usize {
+    site.engines().iter().map(|engine| engine.in_flight()).sum()
+}
+
+/// An upload whose second half comes only after `finish`.
+struct Upload {
+    stream: TcpStream,
+}
+
+impl Upload {
+    const HALF: usize = 200_000;
+
+    async fn begin(address: std::net::SocketAddr) -> Upload {
+        let mut stream = TcpStream::connect(address).await.expect("connection");
+        let length = 2 * Upload::HALF;
+        let head = format!(
+            "PUT /services/tickets/scan HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.expect("head");
+        stream.write_all(&vec![b'a'; Upload::HALF]).await.expect("first half");
+        Upload { stream }
+    }
+
+    async fn finish(mut self) -> String {
+        self.stream.write_all(&vec![b'b'; Upload::HALF]).await.expect("second half");
+        let mut answer = String::new();
+        self.stream.read_to_string(&mut answer).await.expect("answer");
+        answer
+    }
+}
+
+#[tokio::test]
+async fn each_host_in_turn_stops_without_cutting_a_stream_or_an_upload() {
+    let plain = Plain::start("app-1").await.expect("plain service");
+    let mut site = Site::start_with(3, engines(), vec![plain]).await;
+    for host in 0..3 {
+        let streams = start_streams(&site, host);
+        let upload = Upload::begin(site.hosts()[host].callers()).await;
+        until("all streams run", async || engines_busy(&site) == STREAMS).await;
+        site.hosts()[host].signal(Signal::SIGTERM);
+        // Still within the pause for the balancer: new work is taken.
+        let late = post_chat(site.hosts()[host].callers(), &long_chat(99)).await;
+        assert_eq!(late.status, 200, "{}", late.text());
+        assert_eq!(late.headers.get("connection").map(|v| v.as_bytes()), Some(&b"close"[..]));
+        check_streams(&site, streams).await;
+        let answer = upload.finish().await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(answer.contains(&format!("\"bytes\":{}", 2 * Upload::HALF)), "{answer}");
+        assert_eq!(site.hosts_mut()[host].ended().await, Some(0));
+    }
+    let cut: u64 = site.engines().iter().map(|engine| engine.counts().cancels).sum();
+    assert_eq!(cut, 0, "the engines saw callers go away");
+}
+
+#[tokio::test]
+async fn a_leaving_server_gets_nothing_new_and_finishes_what_it_has() {
+    let site = Site::start(2, engines()).await;
+    let streams = start_streams(&site, 0);
+    until("all streams run", async || engines_busy(&site) == STREAMS).await;
+    let leaving = &site.engines()[0];
+    leaving.leave();
+    // The platform's list never says so in this test; the report does, within its interval.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let before = leaving.counts().arrivals;
+    for caller in 0..40 {
+        let body = json!({
+            "model": "welcome", "max_tokens": 2,
+            "messages": [{"role": "user", "content": format!("late {caller}")}],
+        });
+        let answer = post_chat(site.hosts()[caller % 2].callers(), &body).await;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+    assert_eq!(leaving.counts().arrivals, before, "new work for a leaving server");
+    check_streams(&site, streams).await;
+    site.end().await;
+}
+
+#[tokio::test]
+async fn a_server_killed_in_the_middle_of_streams_costs_no_token() {
+    let site = Site::start(1, engines()).await;
+    let streams = start_streams(&site, 0);
+    // The host's own zone is preferred, so its engine has all of them.
+    let near = &site.engines()[0];
+    until("all streams are under way", async || {
+        near.in_flight() == STREAMS && 10 * STREAMS < near.counts().tokens as usize
+    })
+    .await;
+    near.crash();
+    check_streams(&site, streams).await;
+    assert_eq!(site.engines()[1].counts().arrivals, STREAMS as u64);
+    site.end().await;
+}
+
+#[tokio::test]
+async fn a_caller_that_goes_away_frees_the_engine() {
+    let site = Site::start(1, engines()).await;
+    let mut streams = Vec::new();
+    for caller in 0..STREAMS {
+        let mut stream = TcpStream::connect(site.hosts()[0].callers()).await.expect("connection");
+        let body = long_chat(caller).to_string();
+        let length = body.len();
+        let head = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n"
+        );
+        stream.write_all(format!("{head}{body}").as_bytes()).await.expect("request");
+        streams.push(stream);
+    }
+    until("all streams run", async || engines_busy(&site) == STREAMS).await;
+    drop(streams);
+    until("the engines are free", async || engines_busy(&site) == 0).await;
+    let cancels: u64 = site.engines().iter().map(|engine| engine.counts().cancels).sum();
+    assert_eq!(cancels, STREAMS as u64);
+    site.end().await;
+}
