Measure ways to admit and limit in a lobby rush

Cause: which limit to take, and what admission is worth, had to be seen with real hosts, engines that queue, and reports that lag. Change: the settings choose admission (judged or open) and the limit (aimd, gradient or fixed); a first token counts as slow by its part of its own target; examples/rush sends the same seeded arrivals to each way, guests at ten times the capacity for 5 s beside staff chats.

--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -18,8 +18,13 @@
 /// How a request ended, as far as a limit cares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Signal {
-    /// The first token came after this time.
-    FirstToken(Duration),
+    /// The first token came after this time, of so much that its target allows.
+    FirstToken {
+        /// Time that it took.
+        time: Duration,
+        /// Time that it may take.
+        target: Duration,
+    },
     /// The server refused it for load, or gave no answer in time.
     Overload,
     /// It ended for a reason that says nothing about load.
@@ -56,8 +61,8 @@
     pub increase: f64,
     /// Factor on overload, below one.
     pub decrease: f64,
-    /// First-token time above which an answer counts as overload.
-    pub slow: Duration,
+    /// Part of its target that a first token may take before it counts as overload.
+    pub slow: f64,
     /// Least time between two decreases: one overload is answered once.
     pub pause: Duration,
 }
@@ -70,7 +75,7 @@
             most: 256.0,
             increase: 1.0,
             decrease: 0.7,
-            slow: Duration::from_millis(500),
+            slow: 0.5,
             pause: Duration::from_millis(250),
         }
     }
@@ -165,7 +170,7 @@
         let overload = match signal {
             Signal::Neutral => return,
             Signal::Overload => true,
-            Signal::FirstToken(time) => aimd.slow < time,
+            Signal::FirstToken { time, target } => target.mul_f64(aimd.slow) < time,
         };
         if overload {
             if self.decreased == Duration::ZERO || aimd.pause <= now.saturating_sub(self.decreased)
@@ -182,7 +187,7 @@
         let time = match signal {
             Signal::Neutral => return,
             Signal::Overload => self.usual * gradient.tolerance * 2.0,
-            Signal::FirstToken(time) => time.as_secs_f64(),
+            Signal::FirstToken { time, .. } => time.as_secs_f64(),
         };
         if time <= 0.0 {
             return;
--- a/crates/policy/src/traffic.rs
+++ b/crates/policy/src/traffic.rs
@@ -22,9 +22,21 @@
     },
 };
 
+/// What is admitted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Entry {
+    /// What can meet its target, within the limits.
+    #[default]
+    Judged,
+    /// Everything at once, for comparison.
+    Open,
+}
+
 /// Parameters of one host's traffic.
 #[derive(Clone, Debug, Default)]
 pub struct Rules {
+    /// What is admitted.
+    pub entry: Entry,
     /// How limits adapt.
     pub law: Law,
     /// Bounds of the prefix hints.
@@ -44,6 +56,8 @@
 pub struct Demand {
     /// What admission sees.
     pub work: Work,
+    /// Time that its first token may take.
+    pub target: Duration,
     /// Version in force; empty for plain services.
     pub version: model::Version,
     /// Digests of the prompt's prefixes, shortest first.
@@ -81,6 +95,7 @@
     pub choice: Choice,
     sent: Sent,
     pool: Place,
+    target: Duration,
 }
 
 /// A further attempt.
@@ -146,6 +161,10 @@
         let Some(outlook) = self.outlook(demand, now) else {
             return Admission::Unready;
         };
+        if self.rules.entry == Entry::Open {
+            *self.reserved.entry(demand.work.pool).or_default() += 1;
+            return Admission::Take;
+        }
         let mut displaced = Vec::new();
         let verdict = self.gate.arrive(demand.work.clone(), &outlook, now, &mut displaced);
         changes.extend(displaced.into_iter().map(|(ticket, r)| Change::Refuse(ticket, r)));
@@ -203,7 +222,8 @@
     /// The first token of an attempt has come.
     pub fn answered(&mut self, flight: &Flight, now: Moment) {
         let time = now.saturating_sub(flight.sent.at);
-        self.pools.pool(flight.choice.server, flight.pool).signal(Signal::FirstToken(time), now);
+        let signal = Signal::FirstToken { time, target: flight.target };
+        self.pools.pool(flight.choice.server, flight.pool).signal(signal, now);
         self.trust(flight.choice.server);
     }
 
@@ -282,7 +302,7 @@
         }
         let tokens = demand.prompt_tokens - choice.cached_tokens;
         let sent = self.table.sent(choice.server, tokens, now);
-        Some(Flight { choice, sent, pool })
+        Some(Flight { choice, sent, pool, target: demand.target })
     }
 
     fn trust(&mut self, server: Index) {
--- a/crates/policy/tests/limit.rs
+++ b/crates/policy/tests/limit.rs
@@ -4,8 +4,9 @@
 use rstest::rstest;
 use types::prelude::*;
 
-const FAST: Signal = Signal::FirstToken(Duration::from_millis(50));
-const SLOW: Signal = Signal::FirstToken(Duration::from_secs(2));
+const TARGET: Duration = Duration::from_secs(1);
+const FAST: Signal = Signal::FirstToken { time: Duration::from_millis(50), target: TARGET };
+const SLOW: Signal = Signal::FirstToken { time: Duration::from_secs(2), target: TARGET };
 
 fn pool_in_use(law: Law) -> Pool {
     let mut pool = Pool::new(law);
--- a/crates/policy/tests/traffic.rs
+++ b/crates/policy/tests/traffic.rs
@@ -75,7 +75,13 @@
         due: millis(due),
         spread: ticket,
     };
-    Demand { work, version: "1".into(), prefix: Vec::new(), prompt_tokens: 100 }
+    Demand {
+        work,
+        target: millis(400),
+        version: "1".into(),
+        prefix: Vec::new(),
+        prompt_tokens: 100,
+    }
 }
 
 fn admit(traffic: &mut Traffic, ticket: Ticket, due: u64, now: u64) -> (Admission, Demand) {
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -69,6 +69,9 @@
     /// How often things are asked for.
     #[serde(default)]
     pub intervals: Intervals,
+    /// How requests are admitted and limited.
+    #[serde(default)]
+    pub traffic: Traffic,
     /// Where logs go.
     #[serde(default)]
     pub log: Log,
@@ -101,6 +104,40 @@
     }
 }
 
+/// How requests are admitted and limited.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Traffic {
+    /// What is admitted.
+    pub admission: Admission,
+    /// How the limit on work in flight for each server and model is set.
+    pub limit: Limit,
+}
+
+/// What is admitted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Admission {
+    /// What can meet its target, within the limits; the rest is refused early.
+    #[default]
+    Judged,
+    /// Everything at once.
+    Open,
+}
+
+/// How a limit is set.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Limit {
+    /// Additive increase, multiplicative decrease.
+    #[default]
+    Aimd,
+    /// After the gradient of the first-token time.
+    Gradient,
+    /// Always this many.
+    Fixed(std::num::NonZeroU32),
+}
+
 /// Times of a planned stop.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- /dev/null
+++ b/crates/stage/examples/rush.rs
@@ -0,0 +1,271 @@
+//! A lobby rush: guests ask for ten times what the engines can serve, while staff chats run.
+//!
+//! Runs the same seeded arrivals against each way to admit and limit, one after the other, and
+//! prints what became of the guests and the staff before, during and after the rush. Two hosts and
+//! two engines in this process, loopback only, about fourteen seconds for each way.
+
+#![allow(clippy::print_stdout, reason = "a measurement prints its figures")]
+
+use std::{
+    error::Error,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use clap::Parser;
+use http_body_util::{BodyExt, Full};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use settings::process::Process;
+use stage::Running;
+use standin::{
+    engine::{self, Engine},
+    objects::Platform,
+};
+use types::{
+    backend::{self, Kind, Server},
+    host::{List, Listed},
+};
+
+const HOSTS: usize = 2;
+const ENGINES: usize = 2;
+const SLOTS: u32 = 8;
+const STEP: Duration = Duration::from_millis(10);
+const TOKENS: u32 = 32;
+/// What the engines can serve each second.
+const CAPACITY: f64 = 1000.0 * (ENGINES as u32 * SLOTS) as f64 / (10 * TOKENS) as f64;
+const TARGET: Duration = Duration::from_millis(400);
+const STAFF_TARGET: Duration = Duration::from_secs(2);
+/// How long a caller stays before it gives up.
+const PATIENCE: Duration = Duration::from_secs(4);
+
+/// Parts of the run with the guests' demand as a multiple of the capacity.
+const PARTS: [(&str, f64, Duration); 3] = [
+    ("before", 0.5, Duration::from_secs(3)),
+    ("rush", 10.0, Duration::from_secs(5)),
+    ("after", 0.5, Duration::from_secs(6)),
+];
+/// The staff's demand as a multiple of the capacity.
+const STAFF: f64 = 0.2;
+
+#[derive(Parser)]
+struct Flags {
+    /// Seed of the arrivals.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Caller {
+    Guest,
+    Staff,
+}
+
+/// What became of one request.
+struct Sample {
+    part: usize,
+    caller: Caller,
+    first: Option<Duration>,
+    was_refused: bool,
+}
+
+type Http = Client<HttpConnector, Full<Bytes>>;
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let flags = Flags::parse();
+    println!("capacity {CAPACITY} requests/s, target {TARGET:?}, seed {}", flags.seed);
+    println!(
+        "way                      part    guests sent  met  share | staff sent  met | refused"
+    );
+    for (name, traffic) in ways() {
+        let samples = run(&traffic, flags.seed).await?;
+        for (part, (title, _, _)) in PARTS.iter().enumerate() {
+            show(name, title, samples.iter().filter(|sample| sample.part == part));
+        }
+    }
+    Ok(())
+}
+
+fn ways() -> [(&'static str, Value); 6] {
+    [
+        ("open", json!({"admission": "open"})),
+        ("judged, fixed 4", json!({"limit": {"fixed": 4}})),
+        ("judged, fixed 16", json!({"limit": {"fixed": 16}})),
+        ("judged, fixed 64", json!({"limit": {"fixed": 64}})),
+        ("judged, aimd", json!({"limit": "aimd"})),
+        ("judged, gradient", json!({"limit": "gradient"})),
+    ]
+}
+
+fn show<'a>(name: &str, part: &str, samples: impl Iterator<Item = &'a Sample> + Clone) {
+    let of = |caller| samples.clone().filter(move |sample| sample.caller == caller);
+    let met = |caller, target| {
+        of(caller).filter(|sample| sample.first.is_some_and(|first| first <= target)).count()
+    };
+    let (guests, staff) = (of(Caller::Guest).count(), of(Caller::Staff).count());
+    let guests_met = met(Caller::Guest, TARGET);
+    println!(
+        "{name:24} {part:7} {guests:11} {guests_met:5} {:5.1}% | {staff:10} {:4} | {}",
+        100.0 * guests_met as f64 / guests.max(1) as f64,
+        met(Caller::Staff, STAFF_TARGET),
+        samples.clone().filter(|sample| sample.was_refused).count(),
+    );
+}
+
+async fn run(traffic: &Value, seed: u64) -> Result<Vec<Sample>, Box<dyn Error>> {
+    let platform = Platform::start().await?;
+    platform.poke("config/root", json!({"number": 1, "config": config()}));
+    let mut engines = Vec::new();
+    for place in 0..ENGINES {
+        let settings = engine::Settings {
+            slots: SLOTS,
+            step: STEP,
+            report_lag: Duration::from_millis(100),
+            ..engine::Settings::new(&format!("lm-{place}")).with_model("welcome", "v1", 900)
+        };
+        engines.push(Engine::start(settings).await?);
+    }
+    platform.set_list(List { hosts: Vec::new(), servers: engines.iter().map(entry).collect() });
+    let mut hosts = Vec::new();
+    for place in 0..HOSTS {
+        hosts.push(stage::start(process(place, &platform, traffic)?).await?);
+    }
+    let addresses: Vec<SocketAddr> =
+        hosts.iter().map(|host| host.context().host().callers).collect();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let samples = arrivals(&addresses, seed).await;
+    futures_util::future::join_all(hosts.into_iter().map(Running::drain)).await;
+    Ok(samples)
+}
+
+/// Sends each request at its moment, and waits for them all.
+async fn arrivals(hosts: &[SocketAddr], seed: u64) -> Vec<Sample> {
+    let client: Http = Client::builder(TokioExecutor::new()).build(HttpConnector::new());
+    let client = Arc::new(client);
+    let began = Instant::now();
+    let mut sent = Vec::new();
+    for (count, (at, part, caller)) in schedule(seed).into_iter().enumerate() {
+        tokio::time::sleep_until((began + at).into()).await;
+        let (client, host) = (client.clone(), hosts[count % hosts.len()]);
+        sent.push(tokio::spawn(async move {
+            let asked = Instant::now();
+            let answer = ask(&client, host, caller, count).await;
+            let first = answer.as_ref().ok().map(|_| asked.elapsed());
+            let was_refused = matches!(answer, Err(Some(503)));
+            if let Ok(body) = answer {
+                let _ = tokio::time::timeout(PATIENCE, body.collect()).await;
+            }
+            Sample { part, caller, first, was_refused }
+        }));
+    }
+    let ended = futures_util::future::join_all(sent).await;
+    ended.into_iter().filter_map(Result::ok).collect()
+}
+
+/// Poisson arrivals of guests and staff.
+fn schedule(seed: u64) -> Vec<(Duration, usize, Caller)> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut arrivals = Vec::new();
+    let mut start = Duration::ZERO;
+    for (part, (_, multiple, length)) in PARTS.iter().enumerate() {
+        for (caller, rate) in
+            [(Caller::Guest, multiple * CAPACITY), (Caller::Staff, STAFF * CAPACITY)]
+        {
+            let mut at = Duration::ZERO;
+            loop {
+                let uniform: f64 = rng.random();
+                at += Duration::from_secs_f64(-(1.0 - uniform).ln() / rate);
+                if *length <= at {
+                    break;
+                }
+                arrivals.push((start + at, part, caller));
+            }
+        }
+        start += *length;
+    }
+    arrivals.sort_by_key(|(at, _, _)| *at);
+    arrivals
+}
+
+/// The answer once its first token is there, or the status of a refusal.
+async fn ask(
+    client: &Http,
+    host: SocketAddr,
+    caller: Caller,
+    count: usize,
+) -> Result<hyper::body::Incoming, Option<u16>> {
+    let service = match caller {
+        Caller::Guest => "guests",
+        Caller::Staff => "staff",
+    };
+    let body = json!({
+        "model": "welcome", "stream": true, "max_tokens": TOKENS,
+        "messages": [{"role": "user", "content": format!("request {count}")}],
+    });
+    let request = http::Request::post(format!("http://{host}/v1/chat/completions"))
+        .header("service", service)
+        .header("x-timeout-ms", PATIENCE.as_millis() as u64)
+        .body(Full::new(Bytes::from(body.to_string())))
+        .map_err(|_| None)?;
+    let answer = tokio::time::timeout(PATIENCE, client.request(request)).await;
+    let response = answer.map_err(|_| None)?.map_err(|_| None)?;
+    // The host sends the head with the first token.
+    match response.status().as_u16() {
+        200 => Ok(response.into_body()),
+        status => Err(Some(status)),
+    }
+}
+
+fn config() -> Value {
+    let service = |priority: &str, target: Duration| {
+        json!({
+            "customer": "magnolia", "offer": {"models": ["welcome"]}, "priority": priority,
+            "target": {"first_token_ms": target.as_millis() as u64},
+        })
+    };
+    json!({
+        "customers": {"magnolia": {}},
+        "models": {"welcome": {"group": "lm", "version": "v1", "memory": 900}},
+        "services": {
+            "guests": service("urgent", TARGET),
+            "staff": service("normal", STAFF_TARGET),
+        },
+    })
+}
+
+fn entry(engine: &Engine) -> backend::Entry {
+    let server = Server {
+        id: engine.settings().id.clone(),
+        group: "lm".into(),
+        kind: Kind::Engine,
+        zone: "biloxi-hall".into(),
+        address: engine.address(),
+    };
+    backend::Entry { server, state: Listed::Live }
+}
+
+fn process(
+    place: usize,
+    platform: &Platform,
+    traffic: &Value,
+) -> Result<Process, serde_json::Error> {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    serde_json::from_value(json!({
+        "host": {
+            "id": format!("host-{place}"), "zone": "biloxi-hall",
+            "callers": any, "peers": any, "operators": any,
+        },
+        "platform": platform.address(),
+        "intervals": {"list_ms": 200, "report_ms": 100, "heartbeat_ms": 250, "plan_ms": 60_000},
+        "drain": {"balancer_ms": 0, "finish_ms": 10_000},
+        "traffic": traffic,
+    }))
+}
--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -70,7 +70,7 @@
         metrics.watch_ring(&events);
         events.record(Event::new(event::Kind::Start));
         Ok(Context {
-            traffic: Arc::new(Traffic::new(settings.host.zone.clone(), origin)),
+            traffic: Arc::new(Traffic::new(&settings, origin)),
             metrics,
             events,
             settings,
--- a/crates/stage/src/filters/admit.rs
+++ b/crates/stage/src/filters/admit.rs
@@ -70,8 +70,13 @@
         due: call.received + request.target.first_token,
         spread: spread(&request.id),
     };
-    let prefix = request.prefix.clone();
-    Demand { work, version, prefix, prompt_tokens: request.prompt_tokens }
+    Demand {
+        work,
+        target: request.target.first_token,
+        version,
+        prefix: request.prefix.clone(),
+        prompt_tokens: request.prompt_tokens,
+    }
 }
 
 /// What a server must have, and the version in force.
--- a/crates/stage/src/traffic.rs
+++ b/crates/stage/src/traffic.rs
@@ -17,10 +17,12 @@
 use observe::Metrics;
 use policy::{
     admit::{Refusal, Ticket},
+    limit::{Aimd, Gradient, Law},
     retry,
     route::{Distances, Index, Place, Standing, Wanted, estimate::Told},
-    traffic::{Admission, Again, Change, Demand, Rules},
+    traffic::{Admission, Again, Change, Demand, Entry, Rules},
 };
+use settings::process::{self, Process};
 use tokio::sync::oneshot;
 use types::{
     host::{List, Listed},
@@ -69,10 +71,11 @@
 }
 
 impl Traffic {
-    /// For a host in this zone; moments count from `origin`.
-    pub fn new(zone: availability::Id, origin: Instant) -> Traffic {
-        let distances = Distances { own: zone, other: OTHER_ZONE, named: Default::default() };
-        let policy = policy::traffic::Traffic::new(distances, Rules::default());
+    /// For a host with these settings; moments count from `origin`.
+    pub fn new(settings: &Process, origin: Instant) -> Traffic {
+        let own = settings.host.zone.clone();
+        let distances = Distances { own, other: OTHER_ZONE, named: Default::default() };
+        let policy = policy::traffic::Traffic::new(distances, rules(&settings.traffic));
         let state = Mutex::new(State { policy, waiters: HashMap::new() });
         Traffic { state, tickets: AtomicU64::new(0), origin }
     }
@@ -244,6 +247,19 @@
     }
 }
 
+fn rules(settings: &process::Traffic) -> Rules {
+    let entry = match settings.admission {
+        process::Admission::Judged => Entry::Judged,
+        process::Admission::Open => Entry::Open,
+    };
+    let law = match settings.limit {
+        process::Limit::Aimd => Law::Aimd(Aimd::default()),
+        process::Limit::Gradient => Law::Gradient(Gradient::default()),
+        process::Limit::Fixed(limit) => Law::Fixed(limit.get()),
+    };
+    Rules { entry, law, ..Rules::default() }
+}
+
 impl State {
     /// Tells those that wait. One that has gone in the meantime gives its place back itself.
     fn tell(&mut self, changes: Vec<Change>) {
