Keep work out of the servers' own queues

Cause: with every limit but the smallest, hosts put more on an engine than it has slots for; what waits there can't be refused any more, and urgent work of another host can't overtake it before a report shows it. Change: room on a server is also bounded by its reported slots, an eighth more, less what all hosts are thought to have there.

--- a/crates/policy/src/route/estimate.rs
+++ b/crates/policy/src/route/estimate.rs
@@ -12,6 +12,10 @@
 /// Weight of the newest sample in the mean time that a request holds a slot: one in this many.
 const HOLD_WEIGHT: u32 = 8;
 
+/// One request in this many slots may wait on the server, so that places that become free between
+/// two reports do not stay empty.
+const OVERFILL: u32 = 8;
+
 /// Time a request is thought to hold a slot before any has ended.
 const FIRST_HOLD: Duration = Duration::from_millis(500);
 
@@ -180,6 +184,14 @@
         reported.max(self.own.saturating_add(self.peers.requests))
     }
 
+    /// How many more may be sent before the server's own queue grows beyond [`OVERFILL`]. What
+    /// waits there is out of reach: it can't be refused any more, nor overtaken by priority on
+    /// another host.
+    pub fn spare(&self) -> u32 {
+        let slots = self.figures.slots;
+        (slots + slots.div_ceil(OVERFILL)).saturating_sub(self.in_flight())
+    }
+
     /// First-token time there at `now`, for a request with this many prompt tokens to read.
     pub fn estimate(&self, tokens: u32, now: Moment) -> Estimate {
         let over = (self.in_flight() + 1).saturating_sub(self.figures.slots);
--- a/crates/policy/src/traffic.rs
+++ b/crates/policy/src/traffic.rs
@@ -287,7 +287,7 @@
     fn send(&mut self, demand: &Demand, avoid: &[Index], now: Moment) -> Option<Flight> {
         let pool = demand.work.pool;
         let ask = Ask { avoid, ..ask(demand) };
-        let has_room = |server| 0 < self.pools.room(server, pool);
+        let has_room = |server| 0 < self.room_on(server, pool);
         let choice = match route::choose(&self.table, &self.hints, &ask, now, has_room) {
             Decision::Send(choice) | Decision::Full(choice) => choice,
             Decision::Unready => return None,
--- a/crates/policy/src/traffic/room.rs
+++ b/crates/policy/src/traffic/room.rs
@@ -12,16 +12,22 @@
     /// How many more may start for something wanted.
     pub fn room(&self, wanted: Place, now: Moment) -> u32 {
         let pool = self.table.pool(wanted);
-        let open: u32 = self.usable(wanted, now).map(|server| self.pools.room(server, pool)).sum();
+        let open: u32 = self.usable(wanted, now).map(|server| self.room_on(server, pool)).sum();
         open.saturating_sub(self.reserved.get(&pool).copied().unwrap_or(0))
     }
 
+    /// How many more may start on a server: within this host's limit, and within the places that
+    /// all hosts together leave there.
+    pub(super) fn room_on(&self, server: Index, pool: Place) -> u32 {
+        self.pools.room(server, pool).min(self.table.view(server).spare())
+    }
+
     /// What a request can expect; `None` if no server has what it wants, nor will once a suspicion
     /// ends.
     pub(super) fn outlook(&self, demand: &Demand, now: Moment) -> Option<Outlook> {
         let wanted = demand.work.wanted;
         let pool = demand.work.pool;
-        let has_room = |server| 0 < self.pools.room(server, pool);
+        let has_room = |server| 0 < self.room_on(server, pool);
         match route::choose(&self.table, &self.hints, &ask(demand), now, has_room) {
             Decision::Send(choice) | Decision::Full(choice) => {
                 Some(self.outlook_by(wanted, &choice, demand.prompt_tokens, now))
--- a/crates/policy/tests/traffic.rs
+++ b/crates/policy/tests/traffic.rs
@@ -130,6 +130,20 @@
     assert_eq!(admit(&mut traffic, 3, 5000, 0).0, Admission::Wait);
 }
 
+#[test]
+fn work_that_would_queue_on_the_server_waits_here_where_it_can_be_refused() {
+    // Eight slots and one to spare, whatever the limit says.
+    let mut traffic = traffic(1, 64);
+    let told = policy::route::estimate::Told { requests: 4 };
+    traffic.table.told(&"host-2".into(), &[("lector-0".into(), told)]);
+    for ticket in 0..5 {
+        let (admission, demand) = admit(&mut traffic, ticket, 5000, 0);
+        assert_eq!(admission, Admission::Take, "{ticket}");
+        traffic.dispatch(&demand, millis(0)).unwrap();
+    }
+    assert_eq!(admit(&mut traffic, 9, 5000, 0).0, Admission::Wait);
+}
+
 #[test]
 fn a_place_that_becomes_free_goes_to_waiting_work() {
     let mut traffic = traffic(1, 1);
