--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -19,7 +19,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::{counted::Counted, fleet::Fleet, traffic::Traffic};
+use crate::{counted::Counted, declared::Declared, fleet::Fleet, traffic::Traffic};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -39,6 +39,8 @@
     pub platform_bytes: Meter,
     /// Hosts, backend servers and what they report.
     pub fleet: Fleet,
+    /// What is held of the declared configuration.
+    pub declared: Declared,
     /// Requests on their way: admission, choice of servers, limits.
     pub traffic: Arc<Traffic>,
     /// Metrics of this host.
@@ -47,6 +49,8 @@
     pub events: Arc<Ring>,
     /// The configuration in force; only [`Context::advance`] changes it.
     config: watch::Sender<Arc<Numbered>>,
+    /// Cancelled when an operator asks for a planned stop.
+    pub stop_asked: CancellationToken,
     /// Ends background duties.
     pub stop: CancellationToken,
     /// Background duties.
@@ -87,7 +91,9 @@
             control_bytes,
             platform_bytes,
             fleet: Fleet::default(),
+            declared: Declared::default(),
             config: watch::channel(Arc::default()).0,
+            stop_asked: CancellationToken::new(),
             stop: CancellationToken::new(),
             duties: TaskTracker::new(),
             draining: AtomicBool::new(false),
--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -1,22 +1,45 @@
 //! The listener for operators.
+//!
+//! Whether the host is live and ready is told to anyone, since balancers show no token. All else
+//! needs the token.
 
+mod config;
 mod watch;
 
 use std::sync::Arc;
 
-use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
-use serde_json::{Value, json};
+use axum::{
+    Json, Router,
+    extract::State,
+    http::StatusCode,
+    middleware::from_fn_with_state,
+    routing::{get, post},
+};
+use types::{
+    backend,
+    host::List,
+    status::{Seen, Status},
+};
 
-use crate::context::Context;
+use crate::{
+    context::Context,
+    guard::{self, Gate, Guard},
+};
 
 /// Routes for operators.
-pub fn router(context: Arc<Context>) -> Router {
+pub fn router(context: Arc<Context>, guard: Guard) -> Router {
+    let gate = Gate { guard, context: context.clone() };
     Router::new()
-        .route("/live", get(async || StatusCode::OK))
-        .route("/ready", get(ready))
         .route("/status", get(status))
+        .route("/hosts", get(hosts))
+        .route("/servers", get(servers))
+        .route("/drain", post(drain))
         .route("/metrics", get(watch::metrics))
         .route("/timeline", get(watch::timeline))
+        .merge(config::router())
+        .layer(from_fn_with_state(gate, guard::filter))
+        .route("/live", get(async || StatusCode::OK))
+        .route("/ready", get(ready))
         .with_state(context)
 }
 
@@ -27,14 +50,35 @@
     }
 }
 
-async fn status(State(context): State<Arc<Context>>) -> Json<Value> {
-    Json(json!({
-        "host": context.host(),
-        "incarnation": context.incarnation,
-        "ready": context.is_ready(),
-        "draining": context.is_draining(),
-        "configuration": context.config().number,
-        "servers": context.fleet.list().servers.len(),
-        "reporting": context.fleet.readings().len(),
-    }))
+async fn hosts(State(context): State<Arc<Context>>) -> Json<Arc<List>> {
+    Json(context.fleet.list())
+}
+
+async fn status(State(context): State<Arc<Context>>) -> Json<Status> {
+    Json(Status {
+        host: context.host().clone(),
+        incarnation: context.incarnation,
+        ready: context.is_ready(),
+        draining: context.is_draining(),
+        configuration: context.config().number,
+        heard: context.declared.heard(),
+        servers: context.fleet.list().servers.len(),
+        reporting: context.fleet.readings().len(),
+    })
+}
+
+async fn servers(State(context): State<Arc<Context>>) -> Json<Vec<Seen>> {
+    let readings = context.fleet.readings();
+    let seen = |entry: &backend::Entry| Seen {
+        entry: entry.clone(),
+        load: readings.get(&entry.server.id).map(|reading| reading.load.clone()),
+    };
+    Json(context.fleet.list().servers.iter().map(seen).collect())
+}
+
+/// Begins a planned stop, as SIGTERM does.
+async fn drain(State(context): State<Arc<Context>>) -> StatusCode {
+    log::info!(host = &*context.host().id; "an operator asks for a planned stop");
+    context.stop_asked.cancel();
+    StatusCode::ACCEPTED
 }
