Measure attainment per accelerator and moves against two baselines

Cause: nothing told whether placement and routing beat simple ways.

Ours goes through real hosts on loopback; the baselines' routers stand in the same process.

--- /dev/null
+++ b/crates/stage/examples/measure/load.rs
@@ -0,0 +1,157 @@
+//! Callers: an open loop of requests, each timed to its first and last token.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use ::backend::wire;
+use http_body_util::BodyExt;
+use serde_json::{Value, json};
+use tokio::{task::JoinSet, time::Instant};
+use types::prelude::*;
+
+use crate::{
+    Way,
+    demand::{Arrival, Schedule},
+    deployment::Sizes,
+    route::Router,
+    site::Site,
+};
+
+/// Longest wait for an answer.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// Arrivals by model, shared with the mover of models.
+pub(crate) struct Counts(BTreeMap<model::Id, AtomicU64>);
+
+impl Counts {
+    pub(crate) fn new(sizes: &Sizes) -> Counts {
+        Counts(sizes.config.models.keys().map(|id| (id.clone(), AtomicU64::new(0))).collect())
+    }
+
+    /// Arrivals since this was last asked.
+    pub(crate) fn take(&self) -> BTreeMap<model::Id, u64> {
+        self.0.iter().map(|(id, count)| (id.clone(), count.swap(0, Ordering::Relaxed))).collect()
+    }
+
+    fn note(&self, model: &model::Id) {
+        if let Some(count) = self.0.get(model) {
+            count.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// What became of a request.
+#[derive(Clone, Debug)]
+pub(crate) enum End {
+    /// Answered whole: time to the first token and mean time between tokens.
+    Answered { first: Duration, between: Duration },
+    /// Refused, with the cause.
+    Refused(String),
+    /// Cut short, broken or given up, with the cause.
+    Failed(String),
+}
+
+/// A request with its end.
+#[derive(Clone, Debug)]
+pub(crate) struct Outcome {
+    pub(crate) arrival: Arrival,
+    pub(crate) end: End,
+}
+
+/// Plays a schedule and waits for every end.
+pub(crate) async fn play(
+    site: &Arc<Site>,
+    schedule: &Schedule,
+    way: Way,
+    counts: Arc<Counts>,
+) -> Vec<Outcome> {
+    let client = ::backend::Client::new();
+    let router = Arc::new(Router::new(site, way));
+    let origin = Instant::now();
+    let mut callers = JoinSet::new();
+    for (serial, arrival) in schedule.arrivals.iter().cloned().enumerate() {
+        tokio::time::sleep_until(origin + arrival.at).await;
+        counts.note(&arrival.model);
+        let (client, router) = (client.clone(), router.clone());
+        callers.spawn(async move {
+            let asked = ask(&client, &router, &arrival, serial);
+            let end = tokio::time::timeout(PATIENCE, asked).await;
+            let end = end.unwrap_or_else(|_| End::Failed("given up".into()));
+            Outcome { arrival, end }
+        });
+    }
+    tokio::time::sleep_until(origin + schedule.length).await;
+    let mut outcomes = callers.join_all().await;
+    outcomes.sort_by_key(|outcome| outcome.arrival.at);
+    outcomes
+}
+
+async fn ask(client: &::backend::Client, router: &Router, arrival: &Arrival, serial: usize) -> End {
+    let started = Instant::now();
+    let Some(chosen) = router.choose(arrival) else {
+        return End::Refused("no replica".into());
+    };
+    let name =
+        model::Name { model: arrival.model.clone(), adapter: arrival.adapter.clone() }.to_string();
+    let question = json!({
+        "model": name, "stream": true, "max_tokens": arrival.tokens,
+        "messages": [{"role": "user", "content": format!("letter {}", arrival.prompt)}],
+    });
+    let request = http::Request::post("/v1/chat/completions")
+        .header(wire::REQUEST_ID, format!("measure-{serial}"))
+        .body(::backend::whole(question.to_string().into()));
+    let Ok(request) = request else { return End::Failed("malformed".into()) };
+    match client.send(chosen.address, request).await {
+        Ok(response) if response.status().is_success() => read(response, started).await,
+        Ok(response) => End::Refused(cause(response).await),
+        Err(error) => End::Failed(if error.is_unsent() { "unreachable" } else { "broken" }.into()),
+    }
+}
+
+/// Reads a stream of events to its end mark.
+async fn read(response: ::backend::Streamed, started: Instant) -> End {
+    let mut body = response.into_body();
+    let mut text = Vec::new();
+    let mut first = None;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return End::Failed("cut".into()) };
+        if let Ok(data) = frame.into_data() {
+            text.extend_from_slice(&data);
+            first.get_or_insert_with(|| started.elapsed());
+        }
+    }
+    let text = String::from_utf8_lossy(&text);
+    if let Some((_, error)) = text.split_once("event: error") {
+        let cause = error.lines().find_map(|line| line.strip_prefix("data:"));
+        return End::Failed(cause.map_or_else(|| "error".into(), kind));
+    }
+    if !text.contains(wire::DONE) {
+        return End::Failed("cut".into());
+    }
+    let tokens = text.matches("data:").count().saturating_sub(1);
+    let Some(first) = first else { return End::Failed("empty".into()) };
+    let gaps = u32::try_from(tokens.saturating_sub(1).max(1)).unwrap_or(u32::MAX);
+    End::Answered { first, between: (started.elapsed() - first) / gaps }
+}
+
+async fn cause(response: ::backend::Streamed) -> String {
+    let status = response.status();
+    let body = response.into_body().collect().await.map(|body| body.to_bytes());
+    let body = body.unwrap_or_default();
+    match std::str::from_utf8(&body) {
+        Ok(text) if !text.is_empty() => kind(text),
+        _ => status.to_string(),
+    }
+}
+
+/// The type of a problem document.
+fn kind(text: &str) -> String {
+    let problem: Value = serde_json::from_str(text.trim()).unwrap_or_default();
+    problem["type"].as_str().map_or_else(|| "unknown".into(), str::to_owned)
+}
--- /dev/null
+++ b/crates/stage/examples/measure/plot.rs
@@ -0,0 +1,59 @@
+//! Attainment over the time of the run, as SVG.
+
+use std::{
+    error::Error,
+    path::{Path, PathBuf},
+};
+
+use plotters::prelude::*;
+
+use crate::{Way, report::Figures};
+
+const SIZE: (u32, u32) = (900, 420);
+
+/// Draws the first seed's runs into one picture, and returns where it is.
+pub(crate) fn draw(folder: &Path, all: &[Figures]) -> Result<PathBuf, Box<dyn Error>> {
+    let first = all.first().ok_or("no run")?;
+    let title = format!("{:?}, {:?}, faults {:?}", first.deployment, first.demand, first.faults);
+    let path = folder.join(file(&title));
+    let area = SVGBackend::new(&path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let seconds = first.seconds.len() as f64;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(&title, ("sans-serif", 18))
+        .margin(10)
+        .x_label_area_size(34)
+        .y_label_area_size(44)
+        .build_cartesian_2d(0.0..seconds, 0.0..1.05)?;
+    chart.configure_mesh().x_desc("seconds").y_desc("share within target").draw()?;
+    for figures in all.iter().filter(|figures| figures.seed == first.seed) {
+        let colour = colour(figures.way);
+        let points = figures
+            .seconds
+            .iter()
+            .enumerate()
+            .map(|(at, second)| (at as f64, second.met as f64 / second.requests.max(1) as f64));
+        chart
+            .draw_series(LineSeries::new(points, colour.stroke_width(2)))?
+            .label(format!("{:?}, {} moves", figures.way, figures.moves))
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], colour));
+    }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+    area.present()?;
+    drop(chart);
+    drop(area);
+    Ok(path)
+}
+
+fn colour(way: Way) -> RGBColor {
+    match way {
+        Way::Ours => RGBColor(0, 110, 60),
+        Way::Static => RGBColor(190, 60, 40),
+        Way::LastMinute => RGBColor(50, 80, 180),
+    }
+}
+
+fn file(title: &str) -> String {
+    let name = title.to_lowercase().replace(|c: char| !c.is_ascii_alphanumeric(), "-");
+    format!("{}.svg", name.replace("--", "-"))
+}
--- /dev/null
+++ b/crates/stage/examples/measure/route.rs
@@ -0,0 +1,74 @@
+//! The way of a request: through a host, or straight to an engine by a baseline's router.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, AtomicUsize, Ordering},
+    },
+};
+
+use types::{prelude::*, resident::State as Progress};
+
+use crate::{Way, demand::Arrival, site::Site};
+
+/// Chooses where a request goes.
+pub(crate) struct Router {
+    site: Arc<Site>,
+    way: Way,
+    turn: AtomicUsize,
+    in_flight: Vec<Arc<AtomicU32>>,
+}
+
+/// A chosen way, which counts as in flight until dropped.
+pub(crate) struct Chosen {
+    pub(crate) address: SocketAddr,
+    in_flight: Option<Arc<AtomicU32>>,
+}
+
+impl Drop for Chosen {
+    fn drop(&mut self) {
+        if let Some(count) = &self.in_flight {
+            count.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Router {
+    pub(crate) fn new(site: &Arc<Site>, way: Way) -> Router {
+        let in_flight = site.engines.iter().map(|_| Arc::default()).collect();
+        Router { site: site.clone(), way, turn: AtomicUsize::new(0), in_flight }
+    }
+
+    /// Where this request goes; none if no engine has its model ready.
+    pub(crate) fn choose(&self, arrival: &Arrival) -> Option<Chosen> {
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        if self.way == Way::Ours {
+            let callers = &self.site.callers;
+            return Some(Chosen { address: callers[turn % callers.len()], in_flight: None });
+        }
+        let ready: Vec<usize> =
+            (0..self.site.engines.len()).filter(|n| self.is_ready(*n, arrival)).collect();
+        let load = |n: &&usize| self.in_flight[**n].load(Ordering::Relaxed);
+        let chosen = match self.way {
+            Way::LastMinute => ready.iter().min_by_key(load),
+            Way::Ours | Way::Static => ready.get(turn % ready.len().max(1)),
+        };
+        let count = self.in_flight[*chosen?].clone();
+        count.fetch_add(1, Ordering::Relaxed);
+        Some(Chosen { address: self.site.servers[*chosen?].address, in_flight: Some(count) })
+    }
+
+    fn is_ready(&self, engine: usize, arrival: &Arrival) -> bool {
+        self.site.engines[engine].residents().iter().any(|resident| {
+            let is_it = match (&resident.unit, &arrival.adapter) {
+                (Unit::Model { model, .. }, None) => *model == arrival.model,
+                (Unit::Adapter { model, adapter, .. }, Some(wanted)) => {
+                    *model == arrival.model && adapter == wanted
+                }
+                _ => false,
+            };
+            is_it && resident.state == Progress::Ready
+        })
+    }
+}
--- /dev/null
+++ b/crates/stage/examples/measure/site.rs
@@ -0,0 +1,161 @@
+//! The site of one run: platform, engines and hosts in this process, on loopback.
+
+use std::{collections::BTreeMap, error::Error, net::Ipv4Addr, time::Duration};
+
+use policy::plan::{self, Limits, Planner};
+use serde_json::json;
+use settings::process::Process;
+use stage::Running;
+use standin::{
+    engine::{self, Engine},
+    objects::Platform,
+    weights,
+};
+use tokio::sync::Mutex;
+use types::{
+    backend::{self, Kind, Server},
+    host::{Entry, Host, List, Listed},
+    prelude::*,
+};
+
+use crate::{Way, deployment::Sizes};
+
+const READY_WITHIN: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(50);
+const ROUNDS: usize = 64;
+
+/// A running site.
+pub(crate) struct Site {
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) servers: Vec<Server>,
+    hosts: Mutex<Vec<Running>>,
+    /// Where callers reach the hosts.
+    pub(crate) callers: Vec<std::net::SocketAddr>,
+    _platform: Platform,
+}
+
+impl Site {
+    /// Starts everything with the models placed, and waits until the hosts see it.
+    pub(crate) async fn start(sizes: &Sizes, hosts: u8, way: Way) -> Result<Site, Box<dyn Error>> {
+        let platform = Platform::start().await?;
+        platform.poke("config/root", json!({"number": 1, "config": sizes.config}));
+        let weights = weights::Store::new(
+            sizes.limits.loads_per_second,
+            sizes.limits.at_once,
+            sizes.load_time,
+        );
+        let preloads = first_placement(sizes);
+        let mut engines = Vec::new();
+        for (id, preload) in preloads {
+            engines.push(Engine::start(settings(sizes, &id, preload, &weights)).await?);
+        }
+        let servers: Vec<Server> =
+            engines.iter().enumerate().map(|(n, e)| server(sizes, n, e)).collect();
+        let hosts = if way == Way::Ours { hosts } else { 0 };
+        let mut running = Vec::new();
+        for n in 0..hosts {
+            let any = (Ipv4Addr::LOCALHOST, 0).into();
+            let zone = sizes.zones[usize::from(n) % sizes.zones.len()].into();
+            let id = format!("host-{n}").into();
+            let host = Host { id, zone, callers: any, peers: any, operators: any };
+            let settings = json!({
+                "host": host, "platform": platform.address(), "drain": {"balancer_ms": 0},
+            });
+            running.push(stage::start(serde_json::from_value::<Process>(settings)?).await?);
+        }
+        platform.set_list(list(&running, &servers));
+        ready(&running, servers.len()).await?;
+        let callers = running.iter().map(|host| host.context().host().callers).collect();
+        Ok(Site { engines, servers, hosts: Mutex::new(running), callers, _platform: platform })
+    }
+
+    /// Loads and unloads that the engines took.
+    pub(crate) fn moves(&self) -> u64 {
+        self.engines.iter().map(|engine| engine.counts().moves).sum()
+    }
+
+    /// Ends the hosts in order.
+    pub(crate) async fn stop(&self) {
+        let hosts: Vec<Running> = self.hosts.lock().await.drain(..).collect();
+        futures_util::future::join_all(hosts.into_iter().map(Running::drain)).await;
+    }
+}
+
+/// The planner's own placement of the models at no demand, as a start for every way.
+fn first_placement(sizes: &Sizes) -> BTreeMap<backend::Id, Vec<(Unit, Mebibytes)>> {
+    let mut planner = Planner::new(Limits::NONE);
+    planner.configure(&sizes.config);
+    let mut placed = BTreeMap::new();
+    for n in 0..sizes.engines {
+        let engine = plan::Engine {
+            server: id(sizes, n),
+            group: sizes.group.into(),
+            zone: sizes.zones[n % sizes.zones.len()].into(),
+            state: plan::State::Live,
+            free: sizes.capacity,
+            residents: Vec::new(),
+        };
+        placed.insert(engine.server.clone(), Vec::new());
+        planner.engine(Duration::ZERO, engine);
+    }
+    for planned in planner.settle(Duration::ZERO, ROUNDS) {
+        let Some(held) = placed.get_mut(&planned.server) else { continue };
+        match planned.action {
+            types::order::Action::Load { unit, memory } => held.push((unit, memory)),
+            types::order::Action::Unload { unit } => held.retain(|(other, _)| *other != unit),
+            types::order::Action::Role { .. } => {}
+        }
+    }
+    placed
+}
+
+fn id(sizes: &Sizes, n: usize) -> backend::Id {
+    format!("{}-{n:02}", sizes.group).into()
+}
+
+fn settings(
+    sizes: &Sizes,
+    id: &str,
+    preload: Vec<(Unit, Mebibytes)>,
+    weights: &weights::Store,
+) -> engine::Settings {
+    engine::Settings {
+        capacity: sizes.capacity,
+        slots: sizes.slots,
+        step: sizes.step,
+        preload,
+        weights: weights.clone(),
+        ..engine::Settings::new(id)
+    }
+}
+
+fn server(sizes: &Sizes, n: usize, engine: &Engine) -> Server {
+    Server {
+        id: engine.settings().id.clone(),
+        group: sizes.group.into(),
+        kind: Kind::Engine,
+        zone: sizes.zones[n % sizes.zones.len()].into(),
+        address: engine.address(),
+    }
+}
+
+fn list(hosts: &[Running], servers: &[Server]) -> List {
+    let hosts = hosts
+        .iter()
+        .map(|host| Entry { host: host.context().host().clone(), state: Listed::Live })
+        .collect();
+    let live = |server: &Server| backend::Entry { server: server.clone(), state: Listed::Live };
+    List { hosts, servers: servers.iter().map(live).collect() }
+}
+
+async fn ready(hosts: &[Running], servers: usize) -> Result<(), &'static str> {
+    let is_ready = |host: &Running| {
+        host.context().is_ready() && host.context().fleet.readings().len() == servers
+    };
+    let waiting = async {
+        while !hosts.iter().all(is_ready) {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    tokio::time::timeout(READY_WITHIN, waiting).await.map_err(|_| "hosts did not get ready")
+}
