--- a/crates/stage/src/duties/reports.rs
+++ b/crates/stage/src/duties/reports.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
+use ::backend::reports;
 use tokio::task::AbortHandle;
 use types::prelude::*;
 
@@ -38,15 +39,18 @@
 
 async fn read(context: Arc<Context>, server: backend::Server) {
     let interval = context.settings.intervals.report;
+    let mut reader = reports::Reader::new(server.address);
     loop {
-        let asked = context.backends.load(server.address);
+        let asked = reader.read(&context.control);
         match tokio::time::timeout(interval * 4, asked).await {
             Ok(Ok(load)) => {
+                context.traffic.report(&server.id, &load);
                 let reading = Reading { read: context.now(), load };
                 context.fleet.set_reading(&server.id, reading);
             }
             Ok(Err(error)) => {
                 log::debug!("load report: {error}");
+                context.traffic.unreachable(&server.id);
                 context.fleet.drop_reading(&server.id);
             }
             Err(_) => log::debug!(server = &*server.id; "load report: timeout"),
