--- a/crates/stage/examples/measure.rs
+++ b/crates/stage/examples/measure.rs
@@ -57,6 +57,9 @@
     /// Seconds of load in each run.
     #[arg(long, default_value_t = 24, value_parser = clap::value_parser!(u64).range(3..=LONGEST))]
     seconds: u64,
+    /// Share of the engines' capacity that the steady demand asks for.
+    #[arg(long, default_value_t = 0.7)]
+    level: f64,
     /// Hosts in front of the servers.
     #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(1..=8))]
     hosts: u8,
@@ -123,7 +126,7 @@
 
 async fn run(flags: &Flags, sizes: &Sizes, way: Way, seed: u64) -> Result<Figures, Box<dyn Error>> {
     let length = Duration::from_secs(flags.seconds);
-    let schedule = Schedule::new(sizes, flags.demand, length, seed);
+    let schedule = Schedule::new(sizes, flags.demand, flags.level, length, seed);
     let site = Arc::new(Site::start(sizes, flags.hosts, way).await?);
     let counts = Arc::new(load::Counts::new(sizes));
     let director = placement::spawn(&site, sizes, way, counts.clone());
--- a/crates/stage/examples/measure/demand.rs
+++ b/crates/stage/examples/measure/demand.rs
@@ -20,13 +20,10 @@
     LobbyRush,
     /// After a third, the busy models turn quiet and the quiet ones busy, more than tenfold.
     Shift,
-    /// A ramp over the whole run, from a fifth of the engines' capacity to nine tenths.
+    /// A ramp over the whole run, from three tenths of the steady demand to 1.4 times it.
     PostOffice,
 }
 
-/// Share of the engines' capacity that the steady demand asks for.
-const BASE: f64 = 0.5;
-
 /// One request to come.
 #[derive(Clone, Debug)]
 pub(crate) struct Arrival {
@@ -45,7 +42,13 @@
 }
 
 impl Schedule {
-    pub(crate) fn new(sizes: &Sizes, demand: Demand, length: Duration, seed: u64) -> Schedule {
+    pub(crate) fn new(
+        sizes: &Sizes,
+        demand: Demand,
+        level: f64,
+        length: Duration,
+        seed: u64,
+    ) -> Schedule {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut ranks: Vec<usize> = (0..sizes.config.models.len()).collect();
         ranks.shuffle(&mut rng);
@@ -53,7 +56,7 @@
         for ((id, model), rank) in sizes.config.models.iter().zip(&ranks) {
             let is_urgent =
                 sizes.service(id).is_some_and(|(_, service)| service.priority == Priority::Urgent);
-            let rate = |at: f64| rate(sizes, demand, *rank, is_urgent, at);
+            let rate = |at: f64| level * rate(sizes, demand, *rank, is_urgent, at);
             let adapters: Vec<&adapter::Id> = model.adapters.keys().collect();
             for at in times(&mut rng, length, rate) {
                 let pick = rng.random_range(0..=adapters.len());
@@ -71,19 +74,19 @@
     }
 }
 
-/// Requests a second for the model of this rank, `at` in parts of the run.
+/// Requests a second for the model of this rank at level 1, `at` in parts of the run.
 fn rate(sizes: &Sizes, demand: Demand, rank: usize, is_urgent: bool, at: f64) -> f64 {
     let models = sizes.config.models.len();
     let weight = |rank: usize| 1.0 / (rank as f64 + 1.0);
     let sum: f64 = (0..models).map(weight).sum();
     let middle = (1.0 / 3.0..2.0 / 3.0).contains(&at);
     let (rank, level) = match demand {
-        Demand::Steady => (rank, BASE),
-        Demand::LobbyRush if middle && is_urgent => (rank, BASE * 5.0),
-        Demand::LobbyRush => (rank, BASE),
-        Demand::Shift if 1.0 / 3.0 <= at => (models - 1 - rank, BASE),
-        Demand::Shift => (rank, BASE),
-        Demand::PostOffice => (rank, 0.2 + 0.7 * at),
+        Demand::Steady => (rank, 1.0),
+        Demand::LobbyRush if middle && is_urgent => (rank, 5.0),
+        Demand::LobbyRush => (rank, 1.0),
+        Demand::Shift if 1.0 / 3.0 <= at => (models - 1 - rank, 1.0),
+        Demand::Shift => (rank, 1.0),
+        Demand::PostOffice => (rank, 0.3 + 1.1 * at),
     };
     level * sizes.engines as f64 * sizes.engine_rate() * weight(rank) / sum
 }
--- /dev/null
+++ b/crates/stage/examples/slopes/fleet.rs
@@ -0,0 +1,153 @@
+//! Planning: state and time, at 950 models on 770 servers and in proportion below.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use policy::plan::{Demand, Engine, Limits, Planner, State};
+use types::{
+    adapter::Adapter,
+    backend,
+    model::Model,
+    order::Action,
+    prelude::*,
+    resident::{Resident, State as Progress},
+};
+
+use crate::fit::{Row, kibibytes, micros};
+
+const SIZES: [usize; 4] = [119, 238, 475, 950];
+const TARGET: f64 = 950.0;
+const GROUPS: usize = 4;
+const ZONES: usize = 8;
+const ADAPTERS: usize = 3;
+const GIBIBYTE: Mebibytes = 1024;
+const CAPACITY: Mebibytes = 8 * 80 * GIBIBYTE;
+const MEMORY: [Mebibytes; 6] = [16, 30, 70, 90, 140, 240];
+const ROUNDS: usize = 64;
+const NOW: Moment = Duration::from_secs(3600);
+
+pub(crate) fn plan_rows() -> Vec<Row> {
+    let placed: Vec<Placed> = SIZES.iter().map(|models| Placed::new(*models)).collect();
+    let points = |of: &dyn Fn(&Placed) -> f64| {
+        placed.iter().map(|p| (p.config.models.len() as f64, of(p))).collect::<Vec<_>>()
+    };
+    let row = |what, unit, of: &dyn Fn(&Placed) -> f64| {
+        Row::new(what, unit, "models", points(of), TARGET)
+    };
+    vec![
+        row("planner's state", "KiB", &|p| kibibytes(8, || p.planner.clone())),
+        row("whole plan from empty engines", "ms", &|p| from_empty(p) / 1e3),
+        row("plan of a planner that takes over", "ms", &|p| takeover(p) / 1e3),
+        row("plan after one engine changed", "ms", &|p| one_engine(p) / 1e3),
+        row("plan after one patch", "ms", &|p| one_patch(p) / 1e3),
+    ]
+}
+
+/// A configuration of this many models.
+pub(crate) fn config(models: usize) -> config::Config {
+    let models = (0..models).map(|n| {
+        let adapters = (0..ADAPTERS)
+            .map(|a| (format!("adapter-{a}").into(), Adapter { memory: 200, version: "1".into() }));
+        let model = Model {
+            group: format!("group-{}", n % GROUPS).into(),
+            version: "1".into(),
+            memory: MEMORY[n * 7 % MEMORY.len()] * GIBIBYTE,
+            kv: 10 * GIBIBYTE,
+            replicas: 2,
+            adapters: adapters.collect(),
+        };
+        (format!("model-{n:05}").into(), model)
+    });
+    config::Config { models: models.collect(), ..config::Config::default() }
+}
+
+struct Placed {
+    config: config::Config,
+    planner: Planner,
+    engines: BTreeMap<backend::Id, Engine>,
+}
+
+impl Placed {
+    fn new(models: usize) -> Placed {
+        let config = config(models);
+        let mut engines = empty(models);
+        let mut planner = Planner::new(Limits::NONE);
+        planner.configure(&config);
+        for (n, id) in config.models.keys().enumerate() {
+            let now = if n % 10 == 0 { 1.6 } else { 0.3 };
+            planner.demand(id, Demand { now, ahead: now });
+        }
+        engines.values().for_each(|engine| planner.engine(NOW, engine.clone()));
+        for planned in planner.settle(NOW, ROUNDS) {
+            let Some(engine) = engines.get_mut(&planned.server) else { continue };
+            apply(engine, &planned.action);
+        }
+        Placed { config, planner, engines }
+    }
+}
+
+fn empty(models: usize) -> BTreeMap<backend::Id, Engine> {
+    let engines = (0..models * 770 / 950).map(|n| Engine {
+        server: format!("server-{n:05}").into(),
+        group: format!("group-{}", n % GROUPS).into(),
+        zone: format!("zone-{}", n / GROUPS % ZONES).into(),
+        state: State::Live,
+        free: CAPACITY,
+        residents: Vec::new(),
+    });
+    engines.map(|engine| (engine.server.clone(), engine)).collect()
+}
+
+fn apply(engine: &mut Engine, action: &Action) {
+    match action {
+        Action::Load { unit, memory } => {
+            engine.free -= memory;
+            let state = Progress::Ready;
+            engine.residents.push(Resident { unit: unit.clone(), memory: *memory, state });
+        }
+        Action::Unload { unit } => {
+            let gone = engine.residents.iter().filter(|r| r.unit == *unit).map(|r| r.memory);
+            engine.free += gone.sum::<Mebibytes>();
+            engine.residents.retain(|resident| resident.unit != *unit);
+        }
+        Action::Role { .. } => {}
+    }
+}
+
+fn whole(config: &config::Config, engines: &BTreeMap<backend::Id, Engine>) -> usize {
+    let mut planner = Planner::new(Limits::NONE);
+    planner.configure(config);
+    engines.values().for_each(|engine| planner.engine(NOW, engine.clone()));
+    planner.plan(NOW).len()
+}
+
+fn from_empty(placed: &Placed) -> f64 {
+    let engines = empty(placed.config.models.len());
+    micros(5, 2, || whole(&placed.config, &engines))
+}
+
+fn takeover(placed: &Placed) -> f64 {
+    micros(5, 4, || whole(&placed.config, &placed.engines))
+}
+
+fn one_engine(placed: &Placed) -> f64 {
+    let mut planner = placed.planner.clone();
+    let Some(engine) = placed.engines.values().nth(placed.engines.len() / 2) else { return 0.0 };
+    micros(5, 40, || {
+        planner.engine(NOW, engine.clone());
+        planner.plan(NOW)
+    })
+}
+
+fn one_patch(placed: &Placed) -> f64 {
+    let mut planner = placed.planner.clone();
+    let mut next = placed.config.clone();
+    if let Some(model) = next.models.values_mut().nth(placed.config.models.len() / 2) {
+        model.version = "2".into();
+    }
+    let mut turn = 0;
+    micros(5, 40, || {
+        turn += 1;
+        planner.configure(if turn % 2 == 0 { &placed.config } else { &next });
+        planner.plan(NOW)
+    })
+}
--- /dev/null
+++ b/crates/stage/examples/slopes/route.rs
@@ -0,0 +1,166 @@
+//! Routing state, the decision on one request, and the intake of one load report.
+
+use std::{cell::RefCell, collections::BTreeMap, time::Duration};
+
+use policy::{
+    admit::{Ticket, Work},
+    route::{Distances, Wanted},
+    traffic::{Admission, Demand, End, Rules, Traffic},
+};
+use types::{
+    backend,
+    prelude::*,
+    report::Load,
+    resident::{Resident, State},
+};
+
+use crate::fit::{Row, kibibytes, micros};
+
+const SIZES: [u32; 4] = [96, 192, 385, 770];
+const TARGET: f64 = 770.0;
+const REPLICAS: u32 = 8;
+const ZONES: u32 = 8;
+const COPIES: usize = 8;
+const BLOCKS: u64 = 16;
+const NOW: Moment = Duration::from_secs(1);
+
+pub(crate) fn rows() -> Vec<Row> {
+    let points = |of: &dyn Fn(u32) -> f64| {
+        SIZES.iter().map(|servers| (f64::from(*servers), of(*servers))).collect::<Vec<_>>()
+    };
+    vec![
+        Row::new(
+            "routing state of a host",
+            "KiB",
+            "servers",
+            points(&|servers| kibibytes(COPIES, || traffic(servers))),
+            TARGET,
+        ),
+        Row::new("decision on a request", "µs", "servers", points(&decision), TARGET),
+        Row::new("intake of a load report", "µs", "servers", points(&intake), TARGET),
+        Row::new(
+            "load report on the wire",
+            "bytes",
+            "residents",
+            [4_u32, 8, 16, 32].map(|n| (f64::from(n), report_bytes(n))).to_vec(),
+            16.0,
+        ),
+    ]
+}
+
+fn models(servers: u32) -> u32 {
+    servers * 950 / 770
+}
+
+fn traffic(servers: u32) -> Traffic {
+    let distances =
+        Distances { own: "z0".into(), other: Duration::from_millis(1), named: BTreeMap::new() };
+    let mut traffic = Traffic::new(distances, Rules::default());
+    for at in 0..servers {
+        let server = backend::Server {
+            id: name("server", at),
+            group: "engines".into(),
+            kind: backend::Kind::Engine,
+            zone: format!("z{}", at % ZONES).into(),
+            address: ([127, 0, 0, 1], 1).into(),
+        };
+        let index = traffic.table.add(&server);
+        traffic.table.report(index, &load(servers, at), NOW);
+    }
+    traffic
+}
+
+fn name(kind: &str, at: u32) -> Arc<str> {
+    format!("{kind}-{at:05}").into()
+}
+
+fn load(servers: u32, at: u32) -> Load {
+    let holds = |model: &u32| (at + servers - model * 7 % servers) % servers < REPLICAS;
+    let units = (0..models(servers)).filter(holds).map(unit);
+    report(at, units)
+}
+
+fn unit(model: u32) -> Unit {
+    Unit::Model { model: name("model", model), version: "1".into() }
+}
+
+fn report(at: u32, units: impl Iterator<Item = Unit>) -> Load {
+    let resident = |unit| Resident { unit, memory: 30_000, state: State::Ready };
+    Load {
+        server: name("server", at),
+        incarnation: 1_700_000_000_000_000,
+        sequence: 100_000,
+        age: Duration::from_millis(50),
+        leaving: false,
+        running: at % 7,
+        waiting: 0,
+        slots: 32,
+        step: Duration::from_millis(8),
+        prefill_rate: 2048,
+        prompt_backlog: u64::from(at % 5) * 100,
+        capacity: 640_000,
+        residents: units.map(resident).collect(),
+        fence: 1_000,
+        fenced: true,
+        orders: Vec::new(),
+        role: order::Role::Whole,
+    }
+}
+
+fn report_bytes(residents: u32) -> f64 {
+    let report = report(1, (0..residents).map(unit));
+    serde_json::to_vec(&report).map_or(0.0, |bytes| bytes.len() as f64)
+}
+
+/// Admit, choose, account, for one request.
+fn decision(servers: u32) -> f64 {
+    let state = RefCell::new((traffic(servers), 0, NOW));
+    micros(5, 20_000, || {
+        let (traffic, ticket, now) = &mut *state.borrow_mut();
+        *ticket += 1;
+        *now += Duration::from_micros(200);
+        let Some(demand) = demand(traffic, servers, *ticket, *now) else { return };
+        if traffic.admit(&demand, *now, &mut Vec::new()) != Admission::Take {
+            return;
+        }
+        if let Some(flight) = traffic.dispatch(&demand, *now) {
+            traffic.answered(&flight, *now);
+            traffic.ended(&flight, End::Whole, *now);
+        }
+        drop(traffic.pump(*now));
+    })
+}
+
+fn demand(traffic: &Traffic, servers: u32, ticket: Ticket, now: Moment) -> Option<Demand> {
+    let model = ticket.wrapping_mul(2_654_435_761) % u64::from(models(servers));
+    let wanted = Wanted::Model(model::Name::parse(&name("model", model as u32)));
+    let wanted = traffic.table.find(&wanted)?;
+    Some(Demand {
+        work: Work {
+            ticket,
+            priority: Priority::ALL[ticket as usize % Priority::ALL.len()],
+            customer: "magnolia".into(),
+            customer_share: 1,
+            service: "guests".into(),
+            service_share: 1,
+            wanted,
+            pool: traffic.table.pool(wanted),
+            due: now + Duration::from_secs(60),
+            spread: ticket.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        },
+        version: "1".into(),
+        prefix: (0..BLOCKS).map(|block| model << 32 | (ticket % 64) << 8 | block).collect(),
+        prompt_tokens: 1024,
+    })
+}
+
+fn intake(servers: u32) -> f64 {
+    let loads: Vec<Load> = (0..servers).map(|at| load(servers, at)).collect();
+    let mut traffic = traffic(servers);
+    let mut turn = 0;
+    micros(5, 20_000, || {
+        let load = &loads[turn % loads.len()];
+        turn += 1;
+        traffic.table.index(&load.server).map(|index| traffic.table.report(index, load, NOW))
+    })
+}
