--- a/crates/stage/examples/measure/report.rs
+++ b/crates/stage/examples/measure/report.rs
@@ -201,7 +201,7 @@
     moves: String,
 }
 
-/// Medians and ranges over the seeds.
+/// Medians, the lower of two, and ranges over the seeds.
 pub(crate) fn summary(all: &[Figures]) -> String {
     let ways = [Way::Ours, Way::Static, Way::LastMinute];
     let rows = ways.into_iter().filter_map(|way| {
@@ -211,7 +211,7 @@
         attainments.sort_by(f64::total_cmp);
         let mut moves: Vec<u64> = runs.iter().map(|figures| figures.moves).collect();
         moves.sort_unstable();
-        let middle = runs.len() / 2;
+        let middle = runs.len().saturating_sub(1) / 2;
         Some(Median {
             way: name(way),
             runs: runs.len(),
--- a/crates/stage/examples/slopes.rs
+++ b/crates/stage/examples/slopes.rs
@@ -2,8 +2,8 @@
 //!
 //! Each row has at least three sizes and a line fitted to them by least squares. What grows
 //! faster than the line shows by its fit; the figure at the target is then measured, not read off,
-//! wherever the target's size is among the sizes. Memory is that of the process, before and after
-//! several copies were made; bytes are those of the JSON that goes over the wire.
+//! wherever the target's size is among the sizes. Memory is what the
+//! allocator counts before and after several copies were made; bytes are those of the JSON that goes over the wire.
 
 #![allow(clippy::print_stdout, reason = "a measurement talks to its user")]
 
--- a/crates/stage/examples/slopes/fit.rs
+++ b/crates/stage/examples/slopes/fit.rs
@@ -1,9 +1,14 @@
 //! Points, lines through them, and the process's memory.
 
-use std::{hint::black_box, time::Instant};
+use std::{alloc::System, hint::black_box, time::Instant};
 
+use cap::Cap;
 use tabled::Tabled;
 
+/// Counts what is allocated.
+#[global_allocator]
+static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
+
 /// A measured growth.
 #[derive(Tabled)]
 pub(crate) struct Row {
@@ -79,19 +84,12 @@
     (0..rounds).map(round).fold(f64::INFINITY, f64::min)
 }
 
-/// Kibibytes of the process's memory that one of several copies takes.
+/// Kibibytes of allocated memory that one of several copies takes.
 pub(crate) fn kibibytes<T>(copies: usize, make: impl Fn() -> T) -> f64 {
-    let before = resident();
-    let kept: Vec<T> = (0..copies).map(|_| make()).collect();
-    let after = resident();
+    let mut kept: Vec<T> = Vec::with_capacity(copies);
+    let before = ALLOCATOR.allocated();
+    kept.extend((0..copies).map(|_| make()));
+    let after = ALLOCATOR.allocated();
     drop(black_box(kept));
-    after.saturating_sub(before) as f64 / copies as f64
-}
-
-/// Resident memory of this process in KiB; zero where the system does not tell.
-fn resident() -> u64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kibibytes = line.and_then(|line| line.trim().strip_suffix("kB"));
-    kibibytes.and_then(|number| number.trim().parse().ok()).unwrap_or(0)
+    after.saturating_sub(before) as f64 / 1024.0 / copies as f64
 }
