Measure what an idle host spends on control

Change: examples/idle runs one host as a process of its own beside stand-ins, at several numbers of servers and hosts, and reads its processor time and memory from the system and the bytes from a host's own meter.

--- /dev/null
+++ b/crates/stage/examples/idle.rs
@@ -0,0 +1,200 @@
+//! Measures what an idle host spends on control: processor, memory and bytes, by fleet size.
+//!
+//! One host runs as a process of its own, so that its processor time and memory are its own; the
+//! other hosts run in this process, with the stand-ins, and the bytes are those that the first of
+//! them counts on its connections. Bounded in time; ends its process by itself.
+
+#![allow(clippy::print_stdout, reason = "a measurement talks to its user")]
+
+use std::{
+    error::Error,
+    fs,
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    process::{Child, Command},
+    time::Duration,
+};
+
+use clap::Parser;
+use serde_json::json;
+use settings::process::Process;
+use stage::Running;
+use standin::{
+    engine::{self, Engine},
+    objects::Platform,
+};
+use types::{
+    backend::{self, Kind, Server},
+    host::{Entry, Host, List, Listed},
+};
+
+/// Clock ticks a second in which Linux counts processor time for programs.
+const TICKS: f64 = 100.0;
+
+const MODELS: usize = 4;
+const SETTLE: Duration = Duration::from_secs(4);
+
+/// Measures what an idle host spends on control.
+#[derive(Debug, Parser)]
+struct Flags {
+    /// The host's program.
+    #[arg(long)]
+    binary: PathBuf,
+    /// Numbers of servers, each a run of its own.
+    #[arg(long, value_delimiter = ',', default_value = "12,24,48,96")]
+    servers: Vec<usize>,
+    /// Numbers of hosts, each a run of its own with the first number of servers.
+    #[arg(long, value_delimiter = ',', default_value = "2,4,8")]
+    hosts: Vec<usize>,
+    /// Seconds of each run.
+    #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u64).range(1..=60))]
+    seconds: u64,
+}
+
+/// Ends its process when dropped.
+struct Spawned(Child);
+
+impl Drop for Spawned {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let flags = Flags::parse();
+    println!(
+        "| servers | hosts | processor, % of a core | resident, MiB | received, KB/s | sent, KB/s | object API calls/s |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    for servers in &flags.servers {
+        run(&flags, *servers, 2).await?;
+    }
+    let first = flags.servers.first().copied().unwrap_or(MODELS);
+    for hosts in &flags.hosts {
+        run(&flags, first, *hosts).await?;
+    }
+    Ok(())
+}
+
+async fn run(flags: &Flags, servers: usize, hosts: usize) -> Result<(), Box<dyn Error>> {
+    let platform = Platform::start().await?;
+    let models: serde_json::Map<_, _> = (0..MODELS)
+        .map(|n| (model(n), json!({"group": "lm", "version": "v1", "memory": 16_000})))
+        .collect();
+    platform.poke("config/root", json!({"number": 1, "config": {"models": models}}));
+    let mut engines = Vec::new();
+    for n in 0..servers {
+        let settings = engine::Settings::new(&format!("lm-{n:03}"));
+        let settings = (0..MODELS).fold(settings, |s, m| s.with_model(&model(m), "v1", 16_000));
+        engines.push(Engine::start(settings).await?);
+    }
+    let mut running = Vec::new();
+    for n in 1..hosts {
+        running.push(stage::start(settings(n, any(), &platform)?).await?);
+    }
+    let ports = [free()?, free()?, free()?];
+    let own = settings(0, ports, &platform)?;
+    let folder = tempfile::tempdir()?;
+    let file = folder.path().join("settings.json");
+    fs::write(&file, serde_json::to_vec(&own)?)?;
+    let log = fs::File::create(folder.path().join("log"))?;
+    let child = Command::new(&flags.binary)
+        .arg("serve")
+        .arg("--settings")
+        .arg(&file)
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()?;
+    let child = Spawned(child);
+    platform.set_list(list(&own.host, &running, &engines));
+    tokio::time::sleep(SETTLE).await;
+    let (ticks, bytes, calls) = (processor(&child)?, bytes(&running), calls(&platform));
+    let length = Duration::from_secs(flags.seconds);
+    tokio::time::sleep(length).await;
+    let seconds = length.as_secs_f64();
+    let spent = (processor(&child)? - ticks) / TICKS / seconds * 100.0;
+    let now = self::bytes(&running);
+    let rate = |from: u64, to: u64| (to - from) as f64 / 1000.0 / seconds;
+    println!(
+        "| {servers} | {hosts} | {spent:.1} | {:.1} | {:.1} | {:.1} | {:.1} |",
+        resident(&child)?,
+        rate(bytes.0, now.0),
+        rate(bytes.1, now.1),
+        (self::calls(&platform) - calls) as f64 / seconds,
+    );
+    drop(child);
+    futures_util::future::join_all(running.into_iter().map(Running::drain)).await;
+    Ok(())
+}
+
+fn model(n: usize) -> String {
+    format!("model-{n}")
+}
+
+fn any() -> [SocketAddr; 3] {
+    [(Ipv4Addr::LOCALHOST, 0).into(); 3]
+}
+
+/// An address that was free a moment ago.
+fn free() -> std::io::Result<SocketAddr> {
+    std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
+
+fn settings(
+    n: usize,
+    [callers, peers, operators]: [SocketAddr; 3],
+    platform: &Platform,
+) -> serde_json::Result<Process> {
+    let zone = format!("zone-{}", n % 4).into();
+    let host = Host { id: format!("host-{n}").into(), zone, callers, peers, operators };
+    serde_json::from_value(json!({
+        "host": host, "platform": platform.address(), "drain": {"balancer_ms": 0},
+        "log": {"level": "error"},
+    }))
+}
+
+fn list(own: &Host, hosts: &[Running], engines: &[Engine]) -> List {
+    let others = hosts.iter().map(|host| host.context().host().clone());
+    let hosts = others.chain([own.clone()]).map(|host| Entry { host, state: Listed::Live });
+    let servers = engines.iter().enumerate().map(|(n, engine)| backend::Entry {
+        server: Server {
+            id: engine.settings().id.clone(),
+            group: "lm".into(),
+            kind: Kind::Engine,
+            zone: format!("zone-{}", n % 4).into(),
+            address: engine.address(),
+        },
+        state: Listed::Live,
+    });
+    List { hosts: hosts.collect(), servers: servers.collect() }
+}
+
+/// Bytes received and sent by the first of these hosts.
+fn bytes(hosts: &[Running]) -> (u64, u64) {
+    let meter = hosts.first().map(|host| &host.context().control_bytes);
+    meter.map_or((0, 0), |meter| (meter.received(), meter.sent()))
+}
+
+fn calls(platform: &Platform) -> u64 {
+    let calls = platform.calls();
+    calls.reads + calls.writes + calls.watches + calls.lists
+}
+
+/// Clock ticks that a process has spent.
+fn processor(child: &Spawned) -> Result<f64, Box<dyn Error>> {
+    const USER: usize = 11;
+    let stat = fs::read_to_string(format!("/proc/{}/stat", child.0.id()))?;
+    let (_, rest) = stat.rsplit_once(") ").ok_or("unreadable stat")?;
+    let fields: Vec<&str> = rest.split(' ').collect();
+    Ok(fields[USER].parse::<f64>()? + fields[USER + 1].parse::<f64>()?)
+}
+
+/// Resident memory of a process, in MiB.
+fn resident(child: &Spawned) -> Result<f64, Box<dyn Error>> {
+    let status = fs::read_to_string(format!("/proc/{}/status", child.0.id()))?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).ok_or("no VmRSS")?;
+    Ok(line.trim().trim_end_matches(" kB").trim().parse::<f64>()? / 1024.0)
+}
