Run each keyed non-idempotent request at most once over all hosts

Cause: nothing on the caller's path kept a key's request from running again through another host. Change: a filter between identification and routing claims the key through policy::once and records the outcome; a claimed request goes on when its caller hangs up; the dispatch checks the grant, so a process that was paused too long does not use it. A duty makes the object API calls, and a planned stop waits for outcomes to be written. Refusals before a dispatch release the key at once. Speed is not measured yet.

--- a/crates/policy/src/once/range.rs
+++ b/crates/policy/src/once/range.rs
@@ -160,7 +160,12 @@
     pub fn end(&mut self, now: Now, change: Change) {
         self.granted.remove(&change.id);
         change.apply(&mut self.memory);
-        self.changed.get_or_insert(now.moment);
+        let told = match change.end {
+            // The caller may send it again at once.
+            End::Released => now.moment.saturating_sub(self.settings.settle),
+            End::Ran(_) | End::Lost => now.moment,
+        };
+        self.changed = Some(self.changed.map_or(told, |changed| changed.min(told)));
         self.changes.push(change);
     }
 
--- /dev/null
+++ b/crates/stage/src/claims.rs
@@ -0,0 +1,147 @@
+//! Claims of keys on this host: one [`once::Range`] for each range that was asked for.
+//!
+//! Filters ask and tell here; `duties::once` makes the calls of the object API.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Mutex, MutexGuard},
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use policy::once::{self, Answer, Call, Change, Claim, Now, Range, Read, Run, Verdict, Written};
+use tokio::sync::{Notify, oneshot};
+use types::prelude::*;
+
+/// Claims of keys on this host.
+pub struct Claims {
+    me: Run,
+    settings: Arc<once::Settings>,
+    inner: Mutex<Inner>,
+    wake: Notify,
+}
+
+#[derive(Default)]
+struct Inner {
+    ranges: BTreeMap<once::Number, Range>,
+    waiting: HashMap<request::Id, oneshot::Sender<Verdict>>,
+}
+
+/// A call of the object API on a range's object.
+#[derive(Debug)]
+pub struct Due {
+    /// The range.
+    pub range: once::Number,
+    /// The call.
+    pub call: Call,
+}
+
+impl Claims {
+    /// Starts with nothing claimed.
+    pub fn new(me: Run, settings: once::Settings) -> Claims {
+        Claims { me, settings: Arc::new(settings), inner: Mutex::default(), wake: Notify::new() }
+    }
+
+    /// The run of the host that claims here.
+    pub fn me(&self) -> &Run {
+        &self.me
+    }
+
+    /// Asks for a key. Dropping the future leaves the claim to be decided; its grant is released.
+    pub async fn claim(&self, claim: Claim) -> Option<Verdict> {
+        let (reply, verdict) = oneshot::channel();
+        {
+            let mut inner = self.inner();
+            inner.waiting.insert(claim.id.clone(), reply);
+            self.range(&mut inner, claim.key.key).claim(claim);
+        }
+        self.wake.notify_one();
+        verdict.await.ok()
+    }
+
+    /// Tells how a granted claim ended.
+    pub fn end(&self, moment: Moment, change: Change) {
+        let mut inner = self.inner();
+        self.range(&mut inner, change.key).end(now(moment), change);
+        drop(inner);
+        self.wake.notify_one();
+    }
+
+    /// Decides what can be decided; returns the calls to make and when to ask again.
+    pub fn step(&self, moment: Moment) -> (Vec<Due>, Option<Moment>) {
+        let now = now(moment);
+        let mut inner = self.inner();
+        let mut answers = Vec::new();
+        let mut calls = Vec::new();
+        for (number, range) in &mut inner.ranges {
+            let step = range.step(now);
+            answers.extend(step.answers);
+            calls.extend(step.call.map(|call| Due { range: *number, call }));
+        }
+        self.deliver(&mut inner, now, answers);
+        let due = inner.ranges.values().filter_map(Range::due).min();
+        (calls, due)
+    }
+
+    /// Takes the outcome of a read.
+    pub fn read(&self, moment: Moment, range: once::Number, read: Read) {
+        self.told(moment, range, |range, now| range.read(now, read));
+    }
+
+    /// Takes the outcome of a write.
+    pub fn wrote(&self, moment: Moment, range: once::Number, written: Written) {
+        self.told(moment, range, |range, now| range.wrote(now, written));
+    }
+
+    /// Waits until something is asked or told.
+    pub async fn woken(&self) {
+        self.wake.notified().await;
+    }
+
+    /// Whether everything told is written.
+    pub fn is_quiet(&self) -> bool {
+        !self.inner().ranges.values().any(Range::is_busy)
+    }
+
+    fn told(
+        &self,
+        moment: Moment,
+        range: once::Number,
+        tell: impl FnOnce(&mut Range, Now) -> Vec<Answer>,
+    ) {
+        let now = now(moment);
+        let mut inner = self.inner();
+        let Some(range) = inner.ranges.get_mut(&range) else { return };
+        let answers = tell(range, now);
+        self.deliver(&mut inner, now, answers);
+    }
+
+    /// A grant whose asker is gone was not dispatched and never will be.
+    fn deliver(&self, inner: &mut Inner, now: Now, answers: Vec<Answer>) {
+        for Answer { id, key, verdict } in answers {
+            let Some(reply) = inner.waiting.remove(&id) else { continue };
+            let unheard = reply.send(verdict).is_err_and(|v| matches!(v, Verdict::Granted { .. }));
+            if unheard {
+                let change = Change { id, key, end: once::End::Released };
+                self.range(inner, key).end(now, change);
+            }
+        }
+    }
+
+    fn range<'a>(&self, inner: &'a mut Inner, key: once::Key) -> &'a mut Range {
+        let number = key.range(self.settings.ranges);
+        inner
+            .ranges
+            .entry(number)
+            .or_insert_with(|| Range::new(self.me.clone(), self.settings.clone()))
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
+
+/// The wall clock is read first: a caller passes a moment that it read before.
+fn now(moment: Moment) -> Now {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Now { wall: u64::try_from(wall.as_millis()).unwrap_or(u64::MAX), moment }
+}
--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -9,12 +9,13 @@
 };
 
 use platform::Store;
+use policy::once::{self, Run};
 use settings::process::Process;
 use tokio::sync::watch;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::fleet::Fleet;
+use crate::{claims::Claims, fleet::Fleet};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -28,6 +29,8 @@
     pub backends: ::backend::Client,
     /// Hosts, backend servers and what they report.
     pub fleet: Fleet,
+    /// Claims of keys.
+    pub claims: Claims,
     /// The configuration in force; only [`Context::advance`] changes it.
     config: watch::Sender<Arc<Numbered>>,
     /// Ends background duties.
@@ -42,12 +45,15 @@
     /// Starts from settings and the platform's client.
     pub fn new(settings: Process, store: Arc<dyn Store>) -> Context {
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let incarnation = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
+        let me = Run { host: settings.host.id.clone(), incarnation };
         Context {
             settings,
-            incarnation: u64::try_from(started.as_micros()).unwrap_or(u64::MAX),
+            incarnation,
             store,
             backends: ::backend::Client::new(),
             fleet: Fleet::default(),
+            claims: Claims::new(me, once::Settings::default()),
             config: watch::channel(Arc::default()).0,
             stop: CancellationToken::new(),
             duties: TaskTracker::new(),
--- a/crates/stage/src/duties.rs
+++ b/crates/stage/src/duties.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod list;
+pub mod once;
 mod reports;
 
 use std::{future::Future, sync::Arc};
@@ -13,6 +14,7 @@
     spawn(context, list::run(context.clone()));
     spawn(context, config::run(context.clone()));
     spawn(context, reports::run(context.clone()));
+    spawn(context, once::run(context.clone()));
 }
 
 fn spawn(context: &Arc<Context>, duty: impl Future<Output = ()> + Send + 'static) {
--- a/crates/stage/src/filters.rs
+++ b/crates/stage/src/filters.rs
@@ -1,16 +1,17 @@
 //! The row of filters that a call goes through, each a tower layer with one job.
 //!
-//! account → in force → identify → route → attempt, with the answer delivered on the way back.
+//! account → in force → identify → once → route → attempt, with the answer delivered on the way back.
 
 pub mod account;
 pub mod attempt;
 pub mod identify;
 pub mod in_force;
+pub mod once;
 pub mod route;
 
 use std::sync::Arc;
 
-use axum::Router;
+use axum::{Router, middleware::from_fn_with_state};
 use bytes::Bytes;
 use types::{
     config::Numbered,
@@ -95,5 +96,7 @@
 
 /// Lays the filters between identification and the attempt around a router.
 pub fn row(router: Router<Arc<Context>>, context: &Arc<Context>) -> Router<Arc<Context>> {
-    router.layer(axum::middleware::from_fn_with_state(context.clone(), route::filter))
+    router
+        .layer(from_fn_with_state(context.clone(), route::filter))
+        .layer(from_fn_with_state(context.clone(), once::filter))
 }
--- a/crates/stage/src/filters/attempt.rs
+++ b/crates/stage/src/filters/attempt.rs
@@ -21,7 +21,7 @@
 use crate::{
     answer::{Answer, Token},
     context::Context,
-    filters::{Call, Delivery, Kind, Question, Shape, route::Candidates},
+    filters::{Call, Delivery, Kind, Question, Shape, once::Grant, route::Candidates},
     problem::{self, Problem},
 };
 
@@ -41,7 +41,11 @@
     State(context): State<Arc<Context>>,
     Extension(call): Extension<Call>,
     Extension(candidates): Extension<Candidates>,
+    grant: Option<Extension<Grant>>,
 ) -> Response {
+    if let Some(Err(problem)) = grant.map(|grant| grant.check(context.now())) {
+        return problem.into_response();
+    }
     let Kind::Model(question) = call.kind.clone() else {
         return Problem::new(problem::Kind::UnknownPath, "no call to a model").into_response();
     };
@@ -122,6 +126,7 @@
     State(context): State<Arc<Context>>,
     Extension(call): Extension<Call>,
     Extension(candidates): Extension<Candidates>,
+    grant: Option<Extension<Grant>>,
     request: Request,
 ) -> Response {
     let Kind::Plain { path, .. } = &call.kind else {
@@ -130,6 +135,9 @@
     let Some(server) = candidates.0.first() else {
         return Problem::new(problem::Kind::NoServer, "no backend server").into_response();
     };
+    if let Some(Err(problem)) = grant.map(|grant| grant.check(context.now())) {
+        return problem.into_response();
+    }
     let flight = context.fleet.begin(&server.id);
     let sent = context.backends.send(server.address, forward(&call, path, request)).await;
     match sent {
--- /dev/null
+++ b/crates/stage/src/filters/once.rs
@@ -0,0 +1,229 @@
+//! Runs each non-idempotent request at most once over all hosts.
+//!
+//! A request with a key claims it before it goes on, and tells its outcome afterwards. One without
+//! a key needs no claim, since no re-send of it can be recognised; the attempt sends it at most
+//! once.
+//!
+//! A claimed request goes on when its caller hangs up, so that a re-send finds its outcome.
+
+use std::sync::Arc;
+
+use axum::{
+    body::{Body, to_bytes},
+    extract::{Request, State},
+    http::{HeaderValue, StatusCode, header},
+    middleware::Next,
+    response::{IntoResponse, Response},
+};
+use http_body_util::BodyExt;
+use policy::once::{self, Change, Claim, End, Outcome, Refusal, Stamped, Verdict};
+use types::{
+    prelude::*,
+    request::{Ran, Repeat},
+};
+
+use crate::{
+    context::Context,
+    filters::Call,
+    problem::{Kind, Problem},
+};
+
+/// Header of an answer that was recorded when its request ran.
+pub const REPLAYED: &str = "idempotent-replayed";
+
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// The right to dispatch a claimed request.
+#[derive(Clone, Copy, Debug)]
+pub struct Grant {
+    until: Moment,
+}
+
+impl Grant {
+    /// Refuses a dispatch that comes too late, as after a pause of this process.
+    ///
+    /// # Errors
+    ///
+    /// If the grant has ended.
+    pub fn check(self, now: Moment) -> Result<(), Problem> {
+        match now < self.until {
+            true => Ok(()),
+            false => {
+                let detail = "the host was held up between the claim of the key and the dispatch";
+                Err(Problem::new(Kind::ClaimsUnavailable, detail).retry_after(COME_BACK))
+            }
+        }
+    }
+}
+
+/// Claims the key of a non-idempotent request.
+pub async fn filter(State(context): State<Arc<Context>>, request: Request, next: Next) -> Response {
+    let Some(call) = request.extensions().get::<Call>().cloned() else {
+        return Problem::new(Kind::UnknownPath, "no call").into_response();
+    };
+    match (call.request.repeat, &call.request.key) {
+        (Repeat::Once, Some(key)) => {
+            let claimed = claimed(context, &call, key, request, next).await;
+            claimed.unwrap_or_else(Problem::into_response)
+        }
+        (Repeat::Once, None) | (Repeat::Idempotent, _) => next.run(request).await,
+    }
+}
+
+async fn claimed(
+    context: Arc<Context>,
+    call: &Call,
+    key: &request::Key,
+    request: Request,
+    next: Next,
+) -> Result<Response, Problem> {
+    let (mut request, digest) = with_digest(&context, request).await?;
+    let service = call.numbered.config.services.get(&call.request.service);
+    let customer = service.map(|service| service.customer.clone()).unwrap_or_default();
+    let key = Stamped::new(&customer, &call.request.service, key);
+    let claim = Claim {
+        id: call.request.id.clone(),
+        key,
+        digest,
+        claimant: context.claims.me().clone(),
+        asked: context.now(),
+    };
+    let until = match context.claims.claim(claim).await {
+        Some(Verdict::Granted { until }) => until,
+        Some(Verdict::Claimed { claimant }) => return Err(in_use(&context, &claimant)),
+        Some(Verdict::Done(outcome)) => return replay(outcome),
+        Some(Verdict::Refused(refusal)) => return Err(refused(refusal)),
+        None => return Err(refused(Refusal::Unread)),
+    };
+    request.extensions_mut().insert(Grant { until });
+    let open = Open { context, id: call.request.id.clone(), key: key.key, end: End::Lost };
+    tokio::spawn(run(open, request, next)).await.map_err(|_| {
+        let detail = "the request was given up while it ran";
+        Problem::new(Kind::BackendFailed, detail).ran(Ran::MayHaveRun)
+    })
+}
+
+/// A claimed request; when dropped it tells how the request ended.
+struct Open {
+    context: Arc<Context>,
+    id: request::Id,
+    key: once::Key,
+    end: End,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        let end = std::mem::replace(&mut self.end, End::Lost);
+        let change = Change { id: self.id.clone(), key: self.key, end };
+        self.context.claims.end(self.context.now(), change);
+    }
+}
+
+async fn run(mut open: Open, request: Request, next: Next) -> Response {
+    let response = next.run(request).await;
+    if let Some(problem) = response.extensions().get::<Problem>() {
+        open.end = match problem.ran {
+            Ran::DidNotRun => End::Released,
+            Ran::MayHaveRun | Ran::Ran => End::Lost,
+        };
+        return response;
+    }
+    let (parts, body) = response.into_parts();
+    open.end = End::Ran(outcome(&parts, once::Body::Unrecorded));
+    let is_short = parts
+        .headers
+        .get(header::CONTENT_LENGTH)
+        .and_then(|length| length.to_str().ok()?.parse::<usize>().ok())
+        .is_some_and(|length| length <= once::Body::LIMIT);
+    if !is_short {
+        let body = body.map_frame(move |frame| {
+            let _ = &open;
+            frame
+        });
+        return Response::from_parts(parts, Body::new(body));
+    }
+    match to_bytes(body, once::Body::LIMIT).await {
+        Ok(bytes) => {
+            open.end = End::Ran(outcome(&parts, once::Body::new(&bytes)));
+            Response::from_parts(parts, Body::from(bytes))
+        }
+        Err(error) => Problem::new(Kind::BackendFailed, format!("the answer broke off: {error}"))
+            .ran(Ran::Ran)
+            .into_response(),
+    }
+}
+
+fn outcome(parts: &axum::http::response::Parts, body: once::Body) -> Outcome {
+    let content_type = parts.headers.get(header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
+    Outcome { status: parts.status.as_u16(), content_type: content_type.to_owned(), body }
+}
+
+/// Reads the body, which two requests with the same key are told apart by.
+async fn with_digest(context: &Context, request: Request) -> Result<(Request, u64), Problem> {
+    let (parts, body) = request.into_parts();
+    let limit = context.settings.bounds.body_bytes;
+    let bytes = to_bytes(body, limit).await.map_err(|error| {
+        let detail =
+            format!("the body of a request with a key: {error}; its limit is {limit} bytes");
+        Problem::new(Kind::BodyTooLarge, detail)
+    })?;
+    let mut hasher = blake3::Hasher::new();
+    let asked = parts.extensions.get::<Call>().map(|call| call.request.digest).unwrap_or_default();
+    hasher.update(&asked);
+    hasher.update(parts.method.as_str().as_bytes());
+    hasher.update(&bytes);
+    let digest = Claim::shorten(hasher.finalize().as_bytes());
+    Ok((Request::from_parts(parts, Body::from(bytes)), digest))
+}
+
+fn replay(outcome: Outcome) -> Result<Response, Problem> {
+    let once::Body::Whole(body) = outcome.body else {
+        let detail = format!("it ran, with status {}; its answer was not kept", outcome.status);
+        return Err(Problem::new(Kind::AlreadyRan, detail).ran(Ran::Ran));
+    };
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = StatusCode::from_u16(outcome.status).unwrap_or_default();
+    if let Ok(value) = HeaderValue::from_str(&outcome.content_type)
+        && !outcome.content_type.is_empty()
+    {
+        response.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    response.headers_mut().insert(REPLAYED, HeaderValue::from_static("true"));
+    Ok(response)
+}
+
+/// The claimant may be at work, or have died at any point: both are "may have run".
+fn in_use(context: &Context, claimant: &once::Run) -> Problem {
+    let list = context.fleet.list();
+    let is_listed = list.hosts.iter().any(|entry| entry.host.id == claimant.host);
+    let detail = match is_listed {
+        true => format!("host {} has a request with this key in flight", claimant.host),
+        false => format!("host {} had this request and is gone", claimant.host),
+    };
+    let problem = Problem::new(Kind::KeyInUse, detail).ran(Ran::MayHaveRun);
+    if is_listed { problem.retry_after(COME_BACK) } else { problem }
+}
+
+fn refused(refusal: Refusal) -> Problem {
+    let (kind, detail) = match refusal {
+        Refusal::Different => {
+            (Kind::KeyReused, "the key was used for a request that asks something else")
+        }
+        Refusal::Ahead => (Kind::KeyAhead, "the time in the key is ahead of this host's clock"),
+        Refusal::Old => (Kind::KeyExpired, "the time in the key is older than keys are kept"),
+        Refusal::Unsure => (Kind::KeyInUse, "the request may have run; its outcome was lost"),
+        Refusal::Unread => {
+            (Kind::ClaimsUnavailable, "whether the key was used can't be read now; send it again")
+        }
+        Refusal::Unwritten => {
+            (Kind::ClaimsUnavailable, "the key can't be claimed now; send it again")
+        }
+        Refusal::Full => (Kind::ClaimsUnavailable, "as many keys are kept as there is room for"),
+    };
+    let problem = Problem::new(kind, detail).ran(refusal.ran());
+    match kind {
+        Kind::ClaimsUnavailable | Kind::KeyAhead => problem.retry_after(COME_BACK),
+        _ => problem,
+    }
+}
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod answer;
 pub mod callers;
+pub mod claims;
 pub mod context;
 pub mod duties;
 pub mod filters;
--- a/crates/stage/src/problem.rs
+++ b/crates/stage/src/problem.rs
@@ -37,6 +37,18 @@
     BackendFailed,
     /// Its time is over.
     Timeout,
+    /// Its key was claimed before, and no outcome is known.
+    KeyInUse,
+    /// Its key was used for a request that asks something else.
+    KeyReused,
+    /// Its key's own time is older than keys are kept.
+    KeyExpired,
+    /// Its key's own time is ahead of the host's clock.
+    KeyAhead,
+    /// It ran before, and its answer was not kept.
+    AlreadyRan,
+    /// Keys can't be claimed now.
+    ClaimsUnavailable,
 }
 
 impl Kind {
@@ -53,6 +65,12 @@
             Kind::NotReady => "not-ready",
             Kind::BackendFailed => "backend-failed",
             Kind::Timeout => "timeout",
+            Kind::KeyInUse => "key-in-use",
+            Kind::KeyReused => "key-reused",
+            Kind::KeyExpired => "key-expired",
+            Kind::KeyAhead => "key-ahead",
+            Kind::AlreadyRan => "already-ran",
+            Kind::ClaimsUnavailable => "claims-unavailable",
         }
     }
 
@@ -64,6 +82,11 @@
             Kind::NoServer | Kind::Overloaded | Kind::NotReady => StatusCode::SERVICE_UNAVAILABLE,
             Kind::BackendFailed => StatusCode::BAD_GATEWAY,
             Kind::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            Kind::KeyInUse | Kind::AlreadyRan => StatusCode::CONFLICT,
+            Kind::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Kind::KeyExpired => StatusCode::GONE,
+            Kind::KeyAhead => StatusCode::BAD_REQUEST,
+            Kind::ClaimsUnavailable => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -79,6 +102,12 @@
             Kind::NotReady => "The host is not ready",
             Kind::BackendFailed => "A backend server failed the request",
             Kind::Timeout => "The request's time is over",
+            Kind::KeyInUse => "The key is in use, or its outcome is not known",
+            Kind::KeyReused => "The key was used for another request",
+            Kind::KeyExpired => "The key is too old",
+            Kind::KeyAhead => "The key's time lies ahead",
+            Kind::AlreadyRan => "The request ran before",
+            Kind::ClaimsUnavailable => "Keys can't be claimed now",
         }
     }
 }
--- a/crates/stage/src/serve.rs
+++ b/crates/stage/src/serve.rs
@@ -1,6 +1,6 @@
 //! Starts a host and stops it in order.
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use axum::Router;
 use settings::process::Process;
@@ -9,6 +9,9 @@
 
 use crate::{callers, context::Context, duties, operators};
 
+/// Longest wait for outcomes of claimed requests to be written.
+const FLUSH: Duration = Duration::from_secs(5);
+
 /// Why a host can't start.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -74,6 +77,7 @@
         if tokio::time::timeout(drain.finish, self.callers).await.is_err() {
             log::error!(host = &*self.context.host().id; "drain ends with requests in flight");
         }
+        duties::once::flush(&self.context, FLUSH).await;
         self.context.stop.cancel();
         self.context.duties.close();
         self.context.duties.wait().await;
--- a/crates/stage/tests/common/mod.rs
+++ b/crates/stage/tests/common/mod.rs
@@ -138,6 +138,15 @@
         (0..tokens).map(|offset| engine::token(&prompt, offset)).collect()
     }
 
+    /// Ends one host by a signal and starts another in its place.
+    pub async fn replace(&mut self, place: usize, signal: Signal) {
+        self.hosts[place].signal(signal);
+        self.hosts[place].ended().await;
+        self.hosts[place] = self.spawn(place);
+        self.list();
+        self.ready().await;
+    }
+
     /// Ends every host in order.
     pub async fn end(mut self) {
         for host in &self.hosts {
@@ -173,7 +182,8 @@
         })
     }
 
-    fn list(&self) {
+    /// Lists every host and server as live.
+    pub fn list(&self) {
         let live = |server| backend::Entry { server, state: Listed::Live };
         let engines = self.engines.iter().enumerate().map(|(place, engine)| {
             server(&engine.settings().id, "lm", Kind::Engine, place, engine.address())
--- /dev/null
+++ b/crates/stage/tests/once.rs
@@ -0,0 +1,231 @@
+//! At most one run of each keyed request over all hosts, counted by the service itself.
+
+mod common;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use common::{Answer, Site, send, try_send, until};
+use futures_util::future::join_all;
+use nix::sys::signal::Signal;
+use standin::plain::Plain;
+use types::host::List;
+
+const HOSTS: usize = 3;
+
+#[tokio::test]
+async fn same_key_to_every_host_at_once_runs_once() {
+    let site = site().await;
+    for round in 0..10 {
+        let key = format!("ticket-{round}");
+        let sends = (0..12).map(|number| ticket(&site, number % HOSTS, &key));
+        let answers = join_all(sends).await;
+        let ran = answers.iter().filter(|answer| answer.status == 200).count();
+        assert!(0 < ran, "one is answered: {answers:?}");
+        answers.iter().filter(|answer| answer.status != 200).for_each(assert_honest);
+    }
+    assert_runs(&site, 10);
+    site.end().await;
+}
+
+#[tokio::test]
+async fn sent_again_the_recorded_answer_comes_from_every_host() {
+    let site = site().await;
+    let first = ticket(&site, 0, "ticket").await;
+    assert_eq!(first.status, 200, "{}", first.text());
+    for host in 0..HOSTS {
+        until("the outcome is known", async || {
+            let again = ticket(&site, host, "ticket").await;
+            again.status == 200 && again.body == first.body
+        })
+        .await;
+        let again = ticket(&site, host, "ticket").await;
+        assert_eq!(again.headers["idempotent-replayed"], "true");
+    }
+    assert_runs(&site, 1);
+    site.end().await;
+}
+
+#[tokio::test]
+async fn same_key_with_another_body_is_refused() {
+    let site = site().await;
+    assert_eq!(ticket(&site, 0, "ticket").await.status, 200);
+    let headers = [("idempotency-key", "ticket")];
+    let callers = site.hosts()[1].callers();
+    let other = send(callers, "POST", "/services/tickets/issue", &headers, "another guest").await;
+    assert_eq!(other.status, 422);
+    assert_eq!(other.json()["ran"], "did-not-run");
+    assert_runs(&site, 1);
+    site.end().await;
+}
+
+/// The host dies while the service works on the request.
+#[tokio::test]
+async fn sent_again_after_its_host_died_does_not_run_again() {
+    let mut site = site().await;
+    site.plains()[0].fault(|fault| fault.work = Duration::from_secs(2));
+    let callers = site.hosts()[0].callers();
+    let first = tokio::spawn(async move {
+        try_send(callers, "POST", "/services/tickets/issue", &[KEY], BODY).await
+    });
+    until("it runs", async || site.plains()[0].total() == 1).await;
+    site.hosts()[0].signal(Signal::SIGKILL);
+    assert!(first.await.unwrap().is_none(), "its answer is lost");
+    site.plains()[0].fault(|fault| fault.work = Duration::ZERO);
+    for host in [1, 2, 1] {
+        let again = ticket(&site, host, "ticket").await;
+        assert_eq!(again.status, 409, "{}", again.text());
+        assert_honest(&again);
+    }
+    site.hosts_mut().remove(0);
+    assert_runs(&site, 1);
+    site.end().await;
+}
+
+/// The process is stopped with a claim on its way and goes on long after another host had the key.
+#[tokio::test]
+async fn paused_host_that_goes_on_does_not_run_what_another_ran() {
+    let site = site().await;
+    for round in 0..5 {
+        let key = format!("ticket-{round}");
+        site.platform.fault(|fault| fault.latency = Duration::from_millis(40));
+        let callers = site.hosts()[0].callers();
+        let headers = [("idempotency-key".to_owned(), key.clone())];
+        let paused = tokio::spawn(async move {
+            let headers = [(headers[0].0.as_str(), headers[0].1.as_str())];
+            try_send(callers, "POST", "/services/tickets/issue", &headers, BODY).await
+        });
+        let before = site.platform.calls();
+        until("its claim is on the way", async || site.platform.calls().reads != before.reads)
+            .await;
+        tokio::time::sleep(Duration::from_millis(20 * round)).await;
+        site.hosts()[0].signal(Signal::SIGSTOP);
+        let other = ticket(&site, 1, &key).await;
+        site.hosts()[0].signal(Signal::SIGCONT);
+        let paused = paused.await.unwrap().expect("it goes on");
+        for answer in [paused, other] {
+            if answer.status != 200 {
+                assert_honest(&answer);
+            }
+        }
+    }
+    site.platform.fault(|fault| fault.latency = Duration::ZERO);
+    assert!(runs(&site).values().all(|runs| *runs == 1), "{:?}", runs(&site));
+    site.end().await;
+}
+
+#[tokio::test]
+async fn lost_answer_of_a_claim_neither_doubles_nor_loses_the_request() {
+    let site = site().await;
+    for round in 0..6 {
+        site.platform.fault(|fault| fault.lost_answers = 1 + round % 2);
+        let answer = ticket(&site, round as usize % HOSTS, &format!("ticket-{round}")).await;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+    assert_runs(&site, 6);
+    site.end().await;
+}
+
+#[tokio::test]
+async fn outage_refuses_honestly_and_keys_work_again_after_it() {
+    let site = site().await;
+    assert_eq!(ticket(&site, 0, "before").await.status, 200);
+    site.platform.fault(|fault| fault.down = true);
+    let again = ticket(&site, 1, "before").await;
+    assert_eq!(again.status, 503, "{}", again.text());
+    assert_eq!(again.json()["ran"], "may-have-run", "this host can't know that it ran");
+    let unkeyed = send(site.hosts()[0].callers(), "POST", "/services/tickets/issue", &[], BODY);
+    assert_eq!(unkeyed.await.status, 200, "a request without a key needs no claim");
+    let refused = ticket(&site, 0, "during").await;
+    assert_eq!(refused.status, 503);
+    assert!(refused.headers.contains_key("retry-after"));
+    site.platform.fault(|fault| fault.down = false);
+    until("keys are claimed again", async || ticket(&site, 0, "during").await.status == 200).await;
+    let runs = runs(&site);
+    assert_eq!((runs["before"], runs["during"]), (1, 1));
+    site.end().await;
+}
+
+#[tokio::test]
+async fn keys_outlive_every_host() {
+    let mut site = site().await;
+    let first = ticket(&site, 0, "ticket").await;
+    assert_eq!(first.status, 200);
+    for place in 0..HOSTS {
+        site.replace(place, Signal::SIGTERM).await;
+        let again = ticket(&site, place, "ticket").await;
+        assert_eq!((again.status, &again.body), (200, &first.body), "{}", again.text());
+    }
+    for place in 0..HOSTS {
+        site.replace(place, Signal::SIGKILL).await;
+        let again = ticket(&site, place, "ticket").await;
+        assert_eq!((again.status, &again.body), (200, &first.body), "{}", again.text());
+    }
+    assert_runs(&site, 1);
+    site.end().await;
+}
+
+/// The service runs the request and its answer never comes.
+#[tokio::test]
+async fn answer_lost_by_the_service_is_never_asked_for_again() {
+    let site = site().await;
+    site.plains()[0].fault(|fault| fault.lost_answers = 1);
+    let first = ticket(&site, 0, "ticket").await;
+    assert_eq!(first.json()["ran"], "may-have-run", "{}", first.text());
+    for host in 0..HOSTS {
+        let again = ticket(&site, host, "ticket").await;
+        assert_eq!(again.status, 409, "{}", again.text());
+        assert_honest(&again);
+    }
+    assert_runs(&site, 1);
+    site.end().await;
+}
+
+/// A request that was refused before its dispatch has not used up its key.
+#[tokio::test]
+async fn refused_as_not_run_its_key_runs_later() {
+    let site = site().await;
+    site.platform.set_list(List::default());
+    until("no server is listed", async || {
+        let callers = site.hosts()[0].callers();
+        let unkeyed = send(callers, "POST", "/services/tickets/issue", &[], BODY).await;
+        unkeyed.json()["type"] == "urn:cyclamenstage:problem:no-server"
+    })
+    .await;
+    let total = site.plains()[0].total();
+    let refused = ticket(&site, 0, "ticket").await;
+    assert_eq!(refused.json()["ran"], "did-not-run", "{}", refused.text());
+    assert_eq!(site.plains()[0].total(), total);
+    site.list();
+    until("it runs", async || ticket(&site, 1, "ticket").await.status == 200).await;
+    assert_eq!(runs(&site)["ticket"], 1);
+    site.end().await;
+}
+
+const KEY: (&str, &str) = ("idempotency-key", "ticket");
+const BODY: &str = "room 12, two nights";
+
+async fn site() -> Site {
+    Site::start_with(HOSTS, Vec::new(), vec![Plain::start("app-0").await.unwrap()]).await
+}
+
+async fn ticket(site: &Site, host: usize, key: &str) -> Answer {
+    let headers = [("idempotency-key", key)];
+    let callers = site.hosts()[host].callers();
+    send(callers, "POST", "/services/tickets/issue", &headers, BODY).await
+}
+
+/// A refusal never says "did not run" of a key that ran.
+fn assert_honest(answer: &Answer) {
+    let ran = answer.json()["ran"].clone();
+    assert!(ran == "may-have-run" || ran == "ran", "{}", answer.text());
+}
+
+fn runs(site: &Site) -> BTreeMap<String, u64> {
+    site.plains()[0].runs()
+}
+
+fn assert_runs(site: &Site, keys: usize) {
+    let runs = runs(site);
+    assert_eq!(runs.len(), keys, "{runs:?}");
+    assert!(runs.values().all(|count| *count == 1), "{runs:?}");
+}
