--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -8,6 +8,8 @@
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
+use meter::Meter;
+use observe::{Clock, Event, Metrics, Ring, event};
 use platform::Store;
 use policy::once::{self, Run};
 use settings::process::Process;
@@ -15,7 +17,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::{claims::Claims, fleet::Fleet};
+use crate::{claims::Claims, fleet::Fleet, traffic::Traffic};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -25,12 +27,24 @@
     pub incarnation: host::Incarnation,
     /// The platform.
     pub store: Arc<dyn Store>,
-    /// Client of backend servers.
+    /// Client of backend servers for callers' requests.
     pub backends: ::backend::Client,
+    /// Client of backend servers for load reports and orders.
+    pub control: ::backend::Client,
+    /// Bytes of load reports and orders.
+    pub control_bytes: Meter,
+    /// Bytes of calls to the platform.
+    pub platform_bytes: Meter,
     /// Hosts, backend servers and what they report.
     pub fleet: Fleet,
     /// Claims of keys.
     pub claims: Claims,
+    /// Requests on their way: admission, choice of servers, limits.
+    pub traffic: Arc<Traffic>,
+    /// Metrics of this host.
+    pub metrics: Metrics,
+    /// The last events of this host.
+    pub events: Arc<Ring>,
     /// The configuration in force; only [`Context::advance`] changes it.
     config: watch::Sender<Arc<Numbered>>,
     /// Ends background duties.
@@ -42,24 +56,42 @@
 }
 
 impl Context {
-    /// Starts from settings and the platform's client.
-    pub fn new(settings: Process, store: Arc<dyn Store>) -> Context {
+    /// Starts from settings; the clients connect when first used.
+    ///
+    /// # Errors
+    ///
+    /// If the metrics can't be set up.
+    pub fn new(settings: Process) -> Result<Context, observe::metrics::Error> {
+        let platform_bytes = Meter::default();
+        let builder = platform::Builder::new(settings.platform).meter(platform_bytes.clone());
+        let control_bytes = Meter::default();
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
         let me = Run { host: settings.host.id.clone(), incarnation };
-        Context {
+        let origin = Instant::now();
+        let metrics = Metrics::new()?;
+        let events = Arc::new(Ring::new(settings.host.id.clone(), incarnation, Clock::system()));
+        metrics.watch_ring(&events);
+        events.record(Event::new(event::Kind::Start));
+        Ok(Context {
+            traffic: Arc::new(Traffic::new(settings.host.zone.clone(), origin)),
+            metrics,
+            events,
             settings,
             incarnation,
-            store,
+            store: Arc::new(builder.build()),
             backends: ::backend::Client::new(),
+            control: ::backend::Client::metered(control_bytes.clone()),
+            control_bytes,
+            platform_bytes,
             fleet: Fleet::default(),
             claims: Claims::new(me, once::Settings::default()),
             config: watch::channel(Arc::default()).0,
             stop: CancellationToken::new(),
             duties: TaskTracker::new(),
             draining: AtomicBool::new(false),
-            origin: Instant::now(),
-        }
+            origin,
+        })
     }
 
     /// Time since this process began.
--- a/crates/stage/src/duties.rs
+++ b/crates/stage/src/duties.rs
@@ -3,6 +3,7 @@
 mod config;
 mod list;
 pub mod once;
+mod pump;
 mod reports;
 
 use std::{future::Future, sync::Arc};
@@ -15,6 +16,7 @@
     spawn(context, config::run(context.clone()));
     spawn(context, reports::run(context.clone()));
     spawn(context, once::run(context.clone()));
+    spawn(context, pump::run(context.clone()));
 }
 
 fn spawn(context: &Arc<Context>, duty: impl Future<Output = ()> + Send + 'static) {
--- a/crates/stage/src/filters/once.rs
+++ b/crates/stage/src/filters/once.rs
@@ -11,7 +11,7 @@
 use axum::{
     body::{Body, to_bytes},
     extract::{Request, State},
-    http::{HeaderValue, StatusCode, header},
+    http::{Extensions, HeaderValue, StatusCode, header},
     middleware::Next,
     response::{IntoResponse, Response},
 };
@@ -40,15 +40,17 @@
 }
 
 impl Grant {
-    /// Refuses a dispatch that comes too late, as after a pause of this process.
+    /// Refuses the dispatch of a claimed request that comes too late, as after a pause of this
+    /// process.
     ///
     /// # Errors
     ///
     /// If the grant has ended.
-    pub fn check(self, now: Moment) -> Result<(), Problem> {
-        match now < self.until {
-            true => Ok(()),
-            false => {
+    pub fn check(extensions: &Extensions, now: Moment) -> Result<(), Problem> {
+        match extensions.get::<Grant>() {
+            None => Ok(()),
+            Some(grant) if now < grant.until => Ok(()),
+            Some(_) => {
                 let detail = "the host was held up between the claim of the key and the dispatch";
                 Err(Problem::new(Kind::ClaimsUnavailable, detail).retry_after(COME_BACK))
             }
@@ -64,12 +66,40 @@
     match (call.request.repeat, &call.request.key) {
         (Repeat::Once, Some(key)) => {
             let claimed = claimed(context, &call, key, request, next).await;
-            claimed.unwrap_or_else(Problem::into_response)
+            let mut response = claimed.unwrap_or_else(Problem::into_response);
+            response.extensions_mut().insert(Looked);
+            response
         }
         (Repeat::Once, None) | (Repeat::Idempotent, _) => next.run(request).await,
     }
 }
 
+/// Corrects refusals that came before the key was looked up.
+///
+/// The send did not run, but an earlier one of the same key may have, and the caller asks for the
+/// fate of both.
+pub async fn correct(request: Request, next: Next) -> Response {
+    let call = request.extensions().get::<Call>();
+    let is_keyed =
+        call.is_some_and(|c| c.request.repeat == Repeat::Once && c.request.key.is_some());
+    let response = next.run(request).await;
+    let extensions = response.extensions();
+    match extensions.get::<Problem>() {
+        Some(problem)
+            if is_keyed
+                && problem.ran == Ran::DidNotRun
+                && extensions.get::<Looked>().is_none() =>
+        {
+            problem.clone().ran(Ran::MayHaveRun).into_response()
+        }
+        Some(_) | None => response,
+    }
+}
+
+/// Marks an answer that was given after the key was looked up.
+#[derive(Clone, Copy, Debug)]
+struct Looked;
+
 async fn claimed(
     context: Arc<Context>,
     call: &Call,
--- a/crates/stage/src/problem.rs
+++ b/crates/stage/src/problem.rs
@@ -49,6 +49,8 @@
     AlreadyRan,
     /// Keys can't be claimed now.
     ClaimsUnavailable,
+    /// The host is at fault.
+    Internal,
 }
 
 impl Kind {
@@ -71,6 +73,7 @@
             Kind::KeyAhead => "key-ahead",
             Kind::AlreadyRan => "already-ran",
             Kind::ClaimsUnavailable => "claims-unavailable",
+            Kind::Internal => "internal",
         }
     }
 
@@ -87,6 +90,7 @@
             Kind::KeyExpired => StatusCode::GONE,
             Kind::KeyAhead => StatusCode::BAD_REQUEST,
             Kind::ClaimsUnavailable => StatusCode::SERVICE_UNAVAILABLE,
+            Kind::Internal => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
 
@@ -108,6 +112,7 @@
             Kind::KeyAhead => "The key's time lies ahead",
             Kind::AlreadyRan => "The request ran before",
             Kind::ClaimsUnavailable => "Keys can't be claimed now",
+            Kind::Internal => "The host is at fault",
         }
     }
 }
