--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -14,12 +14,13 @@
     metrics::{self, Direction, Link},
 };
 use platform::Store;
+use policy::once::{self, Run};
 use settings::process::Process;
 use tokio::sync::watch;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::{counted::Counted, declared::Declared, fleet::Fleet, traffic::Traffic};
+use crate::{claims::Claims, counted::Counted, declared::Declared, fleet::Fleet, traffic::Traffic};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -41,6 +42,8 @@
     pub fleet: Fleet,
     /// What is held of the declared configuration.
     pub declared: Declared,
+    /// Claims of keys.
+    pub claims: Claims,
     /// Requests on their way: admission, choice of servers, limits.
     pub traffic: Arc<Traffic>,
     /// Metrics of this host.
@@ -71,6 +74,7 @@
         let control_bytes = Meter::default();
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
+        let me = Run { host: settings.host.id.clone(), incarnation };
         let origin = Instant::now();
         let metrics = Metrics::new()?;
         let events = Arc::new(Ring::new(settings.host.id.clone(), incarnation, Clock::system()));
@@ -92,6 +96,7 @@
             platform_bytes,
             fleet: Fleet::default(),
             declared: Declared::default(),
+            claims: Claims::new(me, once::Settings::default()),
             config: watch::channel(Arc::default()).0,
             stop_asked: CancellationToken::new(),
             stop: CancellationToken::new(),
--- a/crates/stage/src/filters.rs
+++ b/crates/stage/src/filters.rs
@@ -11,11 +11,16 @@
 pub mod deliver;
 pub mod identify;
 pub mod in_force;
+pub mod once;
 pub mod route;
 
 use std::sync::Arc;
 
-use axum::{Router, http::Extensions, middleware::from_fn_with_state};
+use axum::{
+    Router,
+    http::Extensions,
+    middleware::{from_fn, from_fn_with_state},
+};
 use bytes::Bytes;
 use types::{config::Numbered, prelude::*, request::Request};
 
@@ -103,7 +108,9 @@
 pub fn row(router: Router<Arc<Context>>, context: &Arc<Context>) -> Router<Arc<Context>> {
     router
         .layer(from_fn_with_state(context.clone(), route::filter))
+        .layer(from_fn_with_state(context.clone(), once::filter))
         .layer(from_fn_with_state(context.clone(), admit::filter))
+        .layer(from_fn(once::correct))
 }
 
 /// The extension that an earlier filter of the row has added.
--- a/crates/stage/src/filters/attempt/plain.rs
+++ b/crates/stage/src/filters/attempt/plain.rs
@@ -25,6 +25,7 @@
         admit::Admitted,
         deliver::{self, strip},
         earlier,
+        once::Grant,
     },
     problem::{self, Problem},
     traffic::Sent,
@@ -79,6 +80,8 @@
     pub(super) async fn run(mut self) -> Result<Response, Problem> {
         let mut next = self.first.take();
         while let Some(sent) = next.take() {
+            Grant::check(&self.parts.extensions, self.context.now())
+                .map_err(|problem| problem.ran(self.ran))?;
             self.account.attempted(self.number, &sent.server().id);
             let asked = self.context.backends.send(sent.server().address, self.request());
             let answer = tokio::time::timeout(self.call.time_left(&self.context), asked).await;
