See a server that ends nothing any more

Cause: the mean time that requests hold a place counted only those that ended, so behind a few very long answers work was queued until it was due instead of being refused at once. Change: the mean age of this host's requests in flight counts once it is greater.

--- a/crates/policy/src/route/estimate.rs
+++ b/crates/policy/src/route/estimate.rs
@@ -83,6 +83,8 @@
     sent: VecDeque<Sent>,
     ended: VecDeque<Moment>,
     own: u32,
+    /// Sum of the moments at which this host's requests in flight were sent.
+    own_sent: Duration,
     peers: Told,
     backlog: u64,
     backlog_at: Moment,
@@ -96,6 +98,7 @@
             sent: VecDeque::new(),
             ended: VecDeque::new(),
             own: 0,
+            own_sent: Duration::ZERO,
             peers: Told::default(),
             backlog: 0,
             backlog_at: Duration::ZERO,
@@ -135,12 +138,14 @@
         self.add_backlog(sent);
         self.sent.push_back(sent);
         self.own += 1;
+        self.own_sent += sent.at;
         sent
     }
 
     /// A request has ended, however it did.
     pub fn ended(&mut self, sent: Sent, now: Moment) {
         self.own = self.own.saturating_sub(1);
+        self.own_sent = self.own_sent.saturating_sub(sent.at);
         self.hold = mean(self.hold, now.saturating_sub(sent.at));
         match self.sent.iter().position(|other| *other == sent) {
             Some(at) => {
@@ -169,9 +174,13 @@
         self.own
     }
 
-    /// Mean time that a request holds a place there.
-    pub fn hold(&self) -> Duration {
-        self.hold
+    /// Mean time that a request holds a place there: of those that ended, or the mean age of
+    /// those in flight once that is greater, as when a server is stuck or answers are long.
+    pub fn hold(&self, now: Moment) -> Duration {
+        if self.own == 0 {
+            return self.hold;
+        }
+        self.hold.max(now.saturating_sub(self.own_sent / self.own))
     }
 
     /// Requests thought to be there, of all hosts.
@@ -201,7 +210,7 @@
             rate => (self.backlog_at(now) + u64::from(tokens)).div_ceil(u64::from(rate)),
         };
         Estimate {
-            queue: self.hold * over / self.figures.slots,
+            queue: self.hold(now) * over / self.figures.slots,
             prefill: step.saturating_mul(u32::try_from(steps).unwrap_or(u32::MAX)),
             step,
         }
--- a/crates/policy/src/traffic/room.rs
+++ b/crates/policy/src/traffic/room.rs
@@ -56,7 +56,7 @@
         let pool = self.table.pool(wanted);
         let (servers, hold) = self
             .usable(wanted, now)
-            .fold((0, Duration::ZERO), |(n, hold), s| (n + 1, hold + self.table.view(s).hold()));
+            .fold((0, Duration::ZERO), |(n, hold), s| (n + 1, hold + self.table.view(s).hold(now)));
         let in_flight = self
             .usable(wanted, now)
             .map(|server| self.pools.in_flight(server, pool))
--- a/crates/policy/tests/traffic.rs
+++ b/crates/policy/tests/traffic.rs
@@ -144,6 +144,22 @@
     assert_eq!(admit(&mut traffic, 9, 5000, 0).0, Admission::Wait);
 }
 
+#[test]
+fn a_server_that_ends_nothing_any_more_makes_work_refused_at_once() {
+    let mut traffic = traffic(1, 8);
+    for ticket in 0..8 {
+        let (_, demand) = admit(&mut traffic, ticket, 400, 0);
+        let flight = traffic.dispatch(&demand, millis(0)).unwrap();
+        traffic.ended(&flight, End::Whole, millis(10));
+        traffic.dispatch(&demand, millis(10)).unwrap();
+    }
+    let (admission, _) = admit(&mut traffic, 10, 4400, 4000);
+    assert!(
+        matches!(admission, Admission::Refuse(Refusal { cause: Cause::Late, .. })),
+        "{admission:?}"
+    );
+}
+
 #[test]
 fn a_place_that_becomes_free_goes_to_waiting_work() {
     let mut traffic = traffic(1, 1);
