--- a/crates/stage/src/answer.rs
+++ b/crates/stage/src/answer.rs
@@ -278,7 +278,10 @@
     }
 }
 
-/// A further attempt, as soon as a server may be used, while the call's time lasts.
+/// A further attempt, as soon as a server may be used.
+///
+/// A server in doubt is waited for no longer than the call's target for the first token: a caller
+/// whom the wait can't help gets the final answer at once.
 pub(crate) async fn further(
     context: &Context,
     call: &Call,
@@ -287,13 +290,15 @@
 ) -> Option<Sent> {
     /// Least pause before servers in doubt are looked at again.
     const PAUSE: Duration = Duration::from_millis(5);
+    let time_left = call.time_left(context).min(call.request.target.first_token);
+    let until = context.now() + time_left;
     loop {
         match context.traffic.dispatch_again(demand, failed) {
             Further::Sent(sent) => return Some(sent),
             Further::Unready => return None,
             Further::At(moment) => {
                 let wait = moment.saturating_sub(context.now()).max(PAUSE);
-                if call.time_left(context) <= wait {
+                if until <= context.now() + wait {
                     return None;
                 }
                 tokio::time::sleep(wait).await;
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -6,10 +6,13 @@
 pub mod answer;
 pub mod callers;
 pub mod context;
+mod counted;
+pub mod declared;
 pub mod duties;
 pub mod filters;
 pub mod flags;
 pub mod fleet;
+pub mod guard;
 pub mod idle;
 mod listener;
 pub mod operators;
--- a/crates/stage/src/serve.rs
+++ b/crates/stage/src/serve.rs
@@ -6,12 +6,19 @@
 use observe::{
     Event,
     event::{self, DrainStep},
+    metrics::Listener,
 };
 use settings::process::Process;
 use tokio::{net::TcpListener, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
-use crate::{callers, context::Context, duties, listener, operators};
+use crate::{
+    callers,
+    context::Context,
+    duties,
+    guard::{self, Guard},
+    listener, operators,
+};
 
 /// Why a host can't start.
 #[derive(Debug, thiserror::Error)]
@@ -26,6 +33,9 @@
         /// Why.
         cause: io::Error,
     },
+    /// A listener would be open to strangers.
+    #[error(transparent)]
+    Open(#[from] guard::Open),
     /// The metrics can't be set up.
     #[error(transparent)]
     Metrics(#[from] observe::metrics::Error),
@@ -48,6 +58,11 @@
 pub async fn start(mut settings: Process) -> Result<Running, Error> {
     let callers = bind("callers", &mut settings.host.callers).await?;
     let operators = bind("operators", &mut settings.host.operators).await?;
+    let guard = Guard::new(
+        Listener::Operators,
+        settings.operators_token.as_deref(),
+        settings.host.operators,
+    )?;
     let context = Arc::new(Context::new(settings)?);
     log::info!(
         host = &*context.host().id, callers:% = context.host().callers,
@@ -62,8 +77,11 @@
         context.settings.bounds.clone(),
         stop_callers.clone(),
     ));
-    let operators =
-        tokio::spawn(listen(operators, operators::router(context.clone()), stop_operators.clone()));
+    let operators = tokio::spawn(listen(
+        operators,
+        operators::router(context.clone(), guard),
+        stop_operators.clone(),
+    ));
     Ok(Running { context, stop_callers, stop_operators, callers, operators })
 }
 
--- a/crates/stage/tests/common/script.rs
+++ b/crates/stage/tests/common/script.rs
@@ -234,7 +234,7 @@
         leaving: false,
         running: shared.busy,
         waiting: 0,
-        slots: 1,
+        slots: 64,
         step: Duration::from_millis(1),
         prefill_rate: 1000,
         prompt_backlog: 0,
