--- a/crates/policy/src/route/estimate.rs
+++ b/crates/policy/src/route/estimate.rs
@@ -12,6 +12,10 @@
 /// Weight of the newest sample in the mean time that a request holds a slot: one in this many.
 const HOLD_WEIGHT: u32 = 8;
 
+/// One request in this many slots may wait on the server, so that places that become free between
+/// two reports do not stay empty.
+const OVERFILL: u32 = 8;
+
 /// Time a request is thought to hold a slot before any has ended.
 const FIRST_HOLD: Duration = Duration::from_millis(500);
 
@@ -79,6 +83,8 @@
     sent: VecDeque<Sent>,
     ended: VecDeque<Moment>,
     own: u32,
+    /// Sum of the moments at which this host's requests in flight were sent.
+    own_sent: Duration,
     peers: Told,
     backlog: u64,
     backlog_at: Moment,
@@ -92,6 +98,7 @@
             sent: VecDeque::new(),
             ended: VecDeque::new(),
             own: 0,
+            own_sent: Duration::ZERO,
             peers: Told::default(),
             backlog: 0,
             backlog_at: Duration::ZERO,
@@ -131,12 +138,14 @@
         self.add_backlog(sent);
         self.sent.push_back(sent);
         self.own += 1;
+        self.own_sent += sent.at;
         sent
     }
 
     /// A request has ended, however it did.
     pub fn ended(&mut self, sent: Sent, now: Moment) {
         self.own = self.own.saturating_sub(1);
+        self.own_sent = self.own_sent.saturating_sub(sent.at);
         self.hold = mean(self.hold, now.saturating_sub(sent.at));
         match self.sent.iter().position(|other| *other == sent) {
             Some(at) => {
@@ -165,9 +174,13 @@
         self.own
     }
 
-    /// Mean time that a request holds a place there.
-    pub fn hold(&self) -> Duration {
-        self.hold
+    /// Mean time that a request holds a place there: of those that ended, or the mean age of
+    /// those in flight once that is greater, as when a server is stuck or answers are long.
+    pub fn hold(&self, now: Moment) -> Duration {
+        if self.own == 0 {
+            return self.hold;
+        }
+        self.hold.max(now.saturating_sub(self.own_sent / self.own))
     }
 
     /// Requests thought to be there, of all hosts.
@@ -180,6 +193,14 @@
         reported.max(self.own.saturating_add(self.peers.requests))
     }
 
+    /// How many more may be sent before the server's own queue grows beyond [`OVERFILL`]. What
+    /// waits there is out of reach: it can't be refused any more, nor overtaken by priority on
+    /// another host.
+    pub fn spare(&self) -> u32 {
+        let slots = self.figures.slots;
+        (slots + slots.div_ceil(OVERFILL)).saturating_sub(self.in_flight())
+    }
+
     /// First-token time there at `now`, for a request with this many prompt tokens to read.
     pub fn estimate(&self, tokens: u32, now: Moment) -> Estimate {
         let over = (self.in_flight() + 1).saturating_sub(self.figures.slots);
@@ -189,7 +210,7 @@
             rate => (self.backlog_at(now) + u64::from(tokens)).div_ceil(u64::from(rate)),
         };
         Estimate {
-            queue: self.hold * over / self.figures.slots,
+            queue: self.hold(now) * over / self.figures.slots,
             prefill: step.saturating_mul(u32::try_from(steps).unwrap_or(u32::MAX)),
             step,
         }
--- a/crates/stage/src/duties.rs
+++ b/crates/stage/src/duties.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod list;
+pub mod once;
 mod pump;
 mod reports;
 
@@ -14,6 +15,7 @@
     spawn(context, list::run(context.clone()));
     spawn(context, config::run(context.clone()));
     spawn(context, reports::run(context.clone()));
+    spawn(context, once::run(context.clone()));
     spawn(context, pump::run(context.clone()));
 }
 
