Record an accepted patch before its number is in force

Cause: a host recorded the patch after it had brought the number into force itself, so the merged time line showed the number before its cause; found by the new test of `cyclamenctl timeline`.

Change: the record moves to the moment of acceptance.

--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -51,8 +51,9 @@
 impl Site {
     pub async fn start(hosts: usize) -> Site {
         let platform = Platform::start().await.unwrap();
-        let settings = engine::Settings::new("lm-1").with_model("m", "1", 10_000);
-        let engine = Engine::start(settings.with_adapter("m", "es", "1", 100)).await.unwrap();
+        let settings = engine::Settings::new("lector-1").with_model("carta", "1", 10_000);
+        let engine =
+            Engine::start(settings.with_adapter("carta", "notaria", "1", 100)).await.unwrap();
         platform.poke("config/root", json!({"number": 1, "config": config()}));
         let mut running = Vec::new();
         for place in 0..hosts {
@@ -77,8 +78,8 @@
         let live = |host| Entry { host, state: Listed::Live };
         let hosts = self.hosts.iter().map(|host| live(host.context().host().clone())).collect();
         let server = Server {
-            id: "lm-1".into(),
-            group: "lm".into(),
+            id: "lector-1".into(),
+            group: "lector".into(),
             kind: Kind::Engine,
             zone: "med-a".into(),
             address: self.engine.address(),
@@ -158,12 +159,12 @@
 pub fn config() -> Value {
     json!({
         "customers": {"clientes": {"share": 1}},
-        "models": {"m": {
-            "group": "lm", "version": "1", "memory": 10_000,
-            "adapters": {"es": {"memory": 100, "version": "1"}}
+        "models": {"carta": {
+            "group": "lector", "version": "1", "memory": 10_000,
+            "adapters": {"notaria": {"memory": 100, "version": "1"}}
         }},
         "services": {"lectura": {
-            "customer": "clientes", "offer": {"models": ["m"]},
+            "customer": "clientes", "offer": {"models": ["carta"]},
             "target": {"first_token_ms": 1400, "between_tokens_ms": 74}
         }}
     })
--- a/crates/ctl/tests/config.rs
+++ b/crates/ctl/tests/config.rs
@@ -78,11 +78,15 @@
     assert_eq!(json["changes"], json!({"weights": {"moves": 7.0}}));
 
     let mut large = config();
-    large["models"]["m"]["memory"] = json!(90_000);
+    large["models"]["carta"]["memory"] = json!(90_000);
     let file = site.write("large.json", &large, None);
     let run = site.ctl(&["diff", &file]).await;
     assert_eq!(run.code, 5);
-    assert!(run.out.contains("refused: memory is short\n  model m needs 90100 MiB"), "{}", run.out);
+    assert!(
+        run.out.contains("refused: memory is short\n  model carta needs 90100 MiB"),
+        "{}",
+        run.out
+    );
     assert_eq!(site.platform.peek("config/root").unwrap().1["number"], 1);
     site.end().await;
 }
--- a/crates/ctl/tests/views.rs
+++ b/crates/ctl/tests/views.rs
@@ -34,13 +34,19 @@
 #[tokio::test]
 async fn where_names_the_servers_that_hold_a_model_and_its_adapters() {
     let site = Site::start(1).await;
-    let run = site.ctl(&["where", "m"]).await;
+    let run = site.ctl(&["where", "carta"]).await;
     assert_eq!(run.code, 0, "{run:?}");
     let lines: Vec<Vec<&str>> =
         run.out.lines().map(|line| line.split_whitespace().collect()).collect();
     assert_eq!(lines[0], ["SERVER", "GROUP", "ZONE", "UNIT", "VERSION", "STATE", "MIB"]);
-    assert!(lines.contains(&vec!["lm-1", "lm", "med-a", "m", "1", "ready", "10000"]), "{lines:?}");
-    assert!(lines.contains(&vec!["lm-1", "lm", "med-a", "m:es", "1", "ready", "100"]), "{lines:?}");
+    assert!(
+        lines.contains(&vec!["lector-1", "lector", "med-a", "carta", "1", "ready", "10000"]),
+        "{lines:?}"
+    );
+    assert!(
+        lines.contains(&vec!["lector-1", "lector", "med-a", "carta:notaria", "1", "ready", "100"]),
+        "{lines:?}"
+    );
 
     let none = site.ctl(&["where", "nobody"]).await;
     assert_eq!((none.code, none.out.as_str()), (1, "no server reports nobody\n"));
@@ -75,7 +81,7 @@
 async fn the_first_host_that_answers_is_asked() {
     let site = Site::start(1).await;
     let live = site.operators(0).to_string();
-    let run = site.ctl(&["where", "m", "--host", "127.0.0.1:1", "--host", &live]).await;
+    let run = site.ctl(&["where", "carta", "--host", "127.0.0.1:1", "--host", &live]).await;
     assert_eq!(run.code, 0, "{run:?}");
     site.end().await;
 }
@@ -115,3 +121,30 @@
     assert_eq!(run.code, 1);
     assert!(run.err.contains("/nowhere/token: "), "{}", run.err);
 }
+
+#[tokio::test]
+async fn timeline_merges_the_events_of_all_hosts_causes_first() {
+    let site = Site::start(2).await;
+    let mut changed = common::config();
+    changed["weights"] = serde_json::json!({"attainment": 1, "moves": 7});
+    let file = site.write("a.json", &changed, Some(1));
+    assert_eq!(site.ctl(&["apply", &file, "--wait"]).await.code, 0);
+
+    let run = site.ctl(&["timeline"]).await;
+    assert_eq!(run.code, 0, "{run:?}");
+    let place = |words: &[&str]| {
+        let is_it = |line: &str| words.iter().all(|word| line.contains(word));
+        run.out.lines().position(is_it).unwrap_or_else(|| panic!("no {words:?} in {}", run.out))
+    };
+    let patch = place(&["host-0", " patch ", "verdict=accepted"]);
+    let first = place(&["host-0", " configuration ", "number=2"]);
+    let second = place(&["host-1", " configuration ", "number=2"]);
+    assert!(patch < first && patch < second, "{}", run.out);
+
+    let json = site.json(&["timeline", "--model", "nobody"]).await;
+    assert_eq!(json, serde_json::json!({"events": [], "silent": []}));
+    let page = text(&site.files.path().join("page.html"));
+    assert_eq!(site.ctl(&["timeline", "--page", &page]).await.code, 0);
+    assert!(std::fs::read_to_string(&page).unwrap().contains("<html"));
+    site.end().await;
+}
--- a/crates/stage/src/declared/patch.rs
+++ b/crates/stage/src/declared/patch.rs
@@ -7,6 +7,7 @@
 
 use std::sync::Arc;
 
+use observe::{Event, event};
 use policy::config::{
     Decision, Draft, Outcome, PART_PREFIX, Patch, ROOT_KEY, Root, decide,
     decide::Current,
@@ -37,33 +38,54 @@
 
 /// Decides on a patch and carries it out.
 pub async fn apply(context: &Arc<Context>, patch: &Patch) -> Outcome {
+    let (outcome, draft) = carry_out(context, patch).await;
+    // Before it is in force here, so that the time line has the cause first.
+    record(context, patch, &outcome);
+    if let Some(draft) = draft {
+        finish(context, *draft).await;
+    }
+    outcome
+}
+
+/// Writes until the outcome is certain; gives the draft if this very call is known to have
+/// written it.
+async fn carry_out(context: &Context, patch: &Patch) -> (Outcome, Option<Box<Draft>>) {
     let mut is_ours = false;
     let mut cause = String::new();
     for _ in 0..ATTEMPTS {
         let (read, decision) = match decided(context, patch).await {
             Ok(decided) => decided,
-            Err(error) => return unavailable(error),
+            Err(error) => return (unavailable(error), None),
         };
         let draft = match decision {
             Decision::Accept(draft) => draft,
-            Decision::Repeated(number) if is_ours => return Outcome::Accepted { number },
-            other => return outcome(other),
+            Decision::Repeated(number) if is_ours => return (Outcome::Accepted { number }, None),
+            other => return (outcome(other), None),
         };
         match write(context, &read, &draft).await {
             Ok(Written::Done) => {
-                let number = draft.root.number;
-                finish(context, *draft).await;
-                return Outcome::Accepted { number };
+                return (Outcome::Accepted { number: draft.root.number }, Some(draft));
             }
             // The answer is lost, so the patch may stand under this very call.
             Ok(Written::Unclear(error)) => {
                 is_ours |= error.is_ambiguous();
                 cause = error.to_string();
             }
-            Err(error) => return unavailable(error),
+            Err(error) => return (unavailable(error), None),
         }
     }
-    Outcome::Unavailable { cause }
+    (Outcome::Unavailable { cause }, None)
+}
+
+fn record(context: &Context, patch: &Patch, outcome: &Outcome) {
+    let number = outcome.number().unwrap_or(context.config().number);
+    let verdict = outcome.word();
+    log::info!(
+        patch = &*patch.id, against = patch.against, number = number; "patch is {verdict}"
+    );
+    let patch = patch.id.to_string().into();
+    let verdict = verdict.into();
+    context.events.record(Event::new(event::Kind::Patch { patch, number, verdict }));
 }
 
 /// Says what would become of a patch, and writes nothing.
--- a/crates/stage/src/operators/config.rs
+++ b/crates/stage/src/operators/config.rs
@@ -9,9 +9,8 @@
     response::{IntoResponse, Response},
     routing::{get, post},
 };
-use observe::{Event, event};
-use policy::config::{Id, Outcome, Patch};
-use types::config::{Number, Numbered};
+use policy::config::{Outcome, Patch};
+use types::config::Numbered;
 
 use crate::{context::Context, declared::patch};
 
@@ -33,36 +32,17 @@
 
 async fn apply(State(context): State<Arc<Context>>, Json(asked): Json<Patch>) -> Response {
     // Once begun it goes on to its end, also when the operator hangs up.
-    let id = asked.id.clone();
-    let against = asked.against;
-    let applying = {
-        let context = context.clone();
-        tokio::spawn(async move { patch::apply(&context, &asked).await })
-    };
-    let outcome = match applying.await {
+    let applying = tokio::spawn(async move { patch::apply(&context, &asked).await });
+    answer(match applying.await {
         Ok(outcome) => outcome,
         Err(error) => Outcome::Unavailable { cause: error.to_string() },
-    };
-    record(&context, id, against, &outcome);
-    answer(outcome)
+    })
 }
 
 async fn check(State(context): State<Arc<Context>>, Json(asked): Json<Patch>) -> Response {
     answer(patch::check(&context, &asked).await)
 }
 
-fn record(context: &Context, id: Id, against: Number, outcome: &Outcome) {
-    let number = outcome.number().unwrap_or(context.config().number);
-    let verdict = outcome.word();
-    log::info!(patch = &*id, against = against, number = number; "patch is {verdict}");
-    let patch = id.to_string().into();
-    context.events.record(Event::new(event::Kind::Patch {
-        patch,
-        number,
-        verdict: verdict.into(),
-    }));
-}
-
 fn answer(outcome: Outcome) -> Response {
     let status = match &outcome {
         Outcome::Accepted { .. } | Outcome::Repeated { .. } | Outcome::Unchanged { .. } => {
