--- a/crates/stage/tests/config.rs
+++ b/crates/stage/tests/config.rs
@@ -291,7 +291,7 @@
     assert_eq!(status("/config", Some(&right)).await, 200);
     let headers = [("authorization", right.as_str())];
     let metrics = send(operators, "GET", "/metrics", &headers, "").await.text();
-    let line = metrics.lines().find(|line| line.starts_with("cyclamenstage_denied")).unwrap();
+    let line = metrics.lines().find(|line| line.starts_with("cyclamenstage_denied_total")).unwrap();
     assert!(line.contains("operators") && line.ends_with(" 20"), "{line}");
     host.drain().await;
 }
@@ -305,3 +305,24 @@
     assert_eq!(drained.ended().await, Some(0));
     site.end().await;
 }
+
+#[test]
+fn the_samples_pass_the_check_that_the_page_shows() {
+    let page =
+        include_str!(concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/operators/configuration.md"));
+    let lines: Vec<&str> = page.lines().collect();
+    let shown: Vec<_> = lines
+        .windows(2)
+        .filter_map(|pair| Some((pair[0].strip_prefix("$ cyclamenstage ")?, pair[1])))
+        .collect();
+    assert_eq!(shown.len(), 2);
+    for (arguments, output) in shown {
+        let run = Command::new(env!("CARGO_BIN_EXE_cyclamenstage"))
+            .args(arguments.split_whitespace())
+            .current_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/../.."))
+            .output()
+            .unwrap();
+        assert_eq!(run.status.code(), Some(0));
+        assert_eq!(String::from_utf8(run.stdout).unwrap().trim_end(), output);
+    }
+}
