--- /dev/null
+++ b/crates/stage/src/filters/attempt.rs
@@ -0,0 +1,92 @@
+//! Sends a call to a backend server, and again where that does no harm.
+//!
+//! What may be sent again is decided in `policy::retry`; `docs/design/caller-path.md` has the
+//! table.
+
+mod plain;
+mod upload;
+
+use std::sync::Arc;
+
+use ::backend::wire;
+use axum::{
+    extract::{Request, State},
+    response::{IntoResponse, Response},
+};
+use types::{prelude::*, request::Ran};
+
+use crate::{
+    answer::Answer,
+    context::Context,
+    filters::{
+        Call, Delivery, Kind, account::Account, admit::Admitted, deliver, earlier, route::Routed,
+    },
+    problem::{self, Problem},
+    traffic::Sent,
+};
+
+/// When to come back after a refusal that a short wait may mend.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// Answers a call to a model.
+pub async fn model(State(context): State<Arc<Context>>, request: Request) -> Response {
+    match try_model(context, request).await {
+        Ok(response) => response,
+        Err(problem) => problem.into_response(),
+    }
+}
+
+async fn try_model(context: Arc<Context>, request: Request) -> Result<Response, Problem> {
+    let extensions = request.extensions();
+    let call: Call = earlier(extensions)?;
+    let admitted: Admitted = earlier(extensions)?;
+    let account: Account = earlier(extensions)?;
+    let first = first(&earlier(extensions)?)?;
+    let Kind::Model(question) = call.kind.clone() else {
+        return Err(Problem::new(problem::Kind::UnknownPath, "no call to a model"));
+    };
+    let answer = Answer::new(
+        context,
+        account.clone(),
+        call.clone(),
+        question.clone(),
+        admitted.demand,
+        first,
+    );
+    let mut response = match question.delivery {
+        Delivery::Streamed => deliver::streamed(answer, account).await?,
+        Delivery::Whole => deliver::whole(answer, &call, &question).await?,
+    };
+    if let Ok(id) = call.request.id.parse() {
+        response.headers_mut().insert(wire::REQUEST_ID, id);
+    }
+    Ok(response)
+}
+
+/// Answers a call to a plain service.
+pub async fn plain(State(context): State<Arc<Context>>, request: Request) -> Response {
+    match plain::Attempts::start(context, request).await {
+        Ok(attempts) => attempts.run().await.unwrap_or_else(Problem::into_response),
+        Err(problem) => problem.into_response(),
+    }
+}
+
+fn first(routed: &Routed) -> Result<Sent, Problem> {
+    routed
+        .take()
+        .ok_or_else(|| Problem::new(problem::Kind::Internal, "the attempt was made already"))
+}
+
+/// The problem that ends a call after its last attempt.
+pub(crate) fn give_up(call: &Call, context: &Context, ran: Ran, cause: &str) -> Problem {
+    let kind = match ran {
+        _ if call.time_left(context).is_zero() => problem::Kind::Timeout,
+        Ran::DidNotRun => problem::Kind::NoServer,
+        Ran::MayHaveRun | Ran::Ran => problem::Kind::BackendFailed,
+    };
+    let problem = Problem::new(kind, cause).ran(ran);
+    match ran {
+        Ran::DidNotRun => problem.retry_after(COME_BACK),
+        Ran::MayHaveRun | Ran::Ran => problem,
+    }
+}
--- /dev/null
+++ b/crates/stage/src/filters/route.rs
@@ -0,0 +1,49 @@
+//! Chooses the backend server of a call's first attempt.
+
+use std::sync::{Arc, Mutex};
+
+use axum::{
+    extract::{Request, State},
+    middleware::Next,
+    response::{IntoResponse, Response},
+};
+use types::prelude::*;
+
+use crate::{
+    context::Context,
+    filters::{admit::Admitted, earlier},
+    problem::{Kind, Problem},
+    traffic::Sent,
+};
+
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// The first attempt of a call, to be taken by the one that makes it.
+#[derive(Clone, Debug)]
+pub struct Routed(Arc<Mutex<Option<Sent>>>);
+
+impl Routed {
+    /// The attempt, if nobody has taken it yet.
+    pub fn take(&self) -> Option<Sent> {
+        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).take()
+    }
+}
+
+/// Adds [`Routed`] to the request, or refuses if no server can be used any more.
+pub async fn filter(
+    State(context): State<Arc<Context>>,
+    mut request: Request,
+    next: Next,
+) -> Response {
+    let admitted: Admitted = match earlier(request.extensions()) {
+        Ok(admitted) => admitted,
+        Err(problem) => return problem.into_response(),
+    };
+    let Some(sent) = context.traffic.dispatch(&admitted.reservation, &admitted.demand) else {
+        return Problem::new(Kind::NoServer, "no backend server is ready for it any more")
+            .retry_after(COME_BACK)
+            .into_response();
+    };
+    request.extensions_mut().insert(Routed(Arc::new(Mutex::new(Some(sent)))));
+    next.run(request).await
+}
