--- a/crates/meter/src/lib.rs
+++ b/crates/meter/src/lib.rs
@@ -36,6 +36,11 @@
 }
 
 impl Meter {
+    /// Puts a connection that was accepted under this meter.
+    pub fn wrap(&self, stream: TcpStream) -> Metered {
+        Metered { stream, meter: self.clone() }
+    }
+
     /// Bytes received.
     pub fn received(&self) -> u64 {
         self.0.received.load(Ordering::Relaxed)
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -23,10 +23,10 @@
     time::Moment,
 };
 
-/// Bytes of HTTP and JSON-RPC around a request; measured in `crates/peer/tests/bytes.rs`.
+/// Bytes of HTTP and JSON-RPC around a request; measured in `crates/peer/tests/calls.rs`.
 pub(crate) const REQUEST_OVERHEAD: usize = 260;
 
-/// Bytes of HTTP and JSON-RPC around an answer; measured in `crates/peer/tests/bytes.rs`.
+/// Bytes of HTTP and JSON-RPC around an answer; measured in `crates/peer/tests/calls.rs`.
 pub(crate) const ANSWER_OVERHEAD: usize = 160;
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
