--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -16,7 +16,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::{fleet::Fleet, traffic::Traffic};
+use crate::{declared::Declared, fleet::Fleet, traffic::Traffic};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -36,6 +36,8 @@
     pub platform_bytes: Meter,
     /// Hosts, backend servers and what they report.
     pub fleet: Fleet,
+    /// What is held of the declared configuration.
+    pub declared: Declared,
     /// Requests on their way: admission, choice of servers, limits.
     pub traffic: Arc<Traffic>,
     /// Metrics of this host.
@@ -81,6 +83,7 @@
             control_bytes,
             platform_bytes,
             fleet: Fleet::default(),
+            declared: Declared::default(),
             config: watch::channel(Arc::default()).0,
             stop: CancellationToken::new(),
             duties: TaskTracker::new(),
--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -1,4 +1,9 @@
 //! The listener for operators.
+//!
+//! Whether the host is live and ready is told to anyone, since balancers show no token. All else
+//! needs the token.
+
+mod config;
 
 use std::sync::Arc;
 
@@ -6,21 +11,30 @@
     Json, Router,
     extract::State,
     http::{StatusCode, header},
+    middleware::from_fn_with_state,
     response::{IntoResponse, Response},
     routing::get,
 };
 use observe::metrics::CONTENT_TYPE;
 use serde_json::{Value, json};
+use types::host::List;
 
-use crate::context::Context;
+use crate::{
+    context::Context,
+    guard::{self, Gate, Guard},
+};
 
 /// Routes for operators.
-pub fn router(context: Arc<Context>) -> Router {
+pub fn router(context: Arc<Context>, guard: Guard) -> Router {
+    let gate = Gate { guard, context: context.clone() };
     Router::new()
-        .route("/live", get(async || StatusCode::OK))
-        .route("/ready", get(ready))
         .route("/status", get(status))
+        .route("/hosts", get(hosts))
         .route("/metrics", get(metrics))
+        .merge(config::router())
+        .layer(from_fn_with_state(gate, guard::filter))
+        .route("/live", get(async || StatusCode::OK))
+        .route("/ready", get(ready))
         .with_state(context)
 }
 
@@ -31,6 +45,10 @@
     }
 }
 
+async fn hosts(State(context): State<Arc<Context>>) -> Json<Arc<List>> {
+    Json(context.fleet.list())
+}
+
 async fn metrics(State(context): State<Arc<Context>>) -> Response {
     context.traffic.show(&context.metrics);
     match context.metrics.text() {
@@ -49,6 +67,7 @@
         "ready": context.is_ready(),
         "draining": context.is_draining(),
         "configuration": context.config().number,
+        "heard": context.declared.heard(),
         "servers": context.fleet.list().servers.len(),
         "reporting": context.fleet.readings().len(),
     }))
