Let hosts act together: heartbeats, few watchers, one picture for routing

Cause: each host read the list and watched the object API by itself, and knew nothing of the others; a host that started in an outage had nothing to serve by. Change: the peers' listener and the beating duty join the membership core to the process. Only watchers follow the object API, the others fetch what they lack from the host that told them, parts from there too. The list is one witness among others; routing goes by the core's picture, without what leaves and around what is suspected. What peers have in flight is given to routing. `peers` in the settings names hosts to ask while the platform is down. A host that starts to drain tells the others. Failed reads back off with jitter.

--- a/crates/peer/src/api.rs
+++ b/crates/peer/src/api.rs
@@ -9,7 +9,7 @@
 };
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
-use types::host::Host;
+use types::host::{Host, List};
 
 /// What a host holds on a topic.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -45,6 +45,9 @@
     /// It holds nothing newer.
     #[error("nothing newer is held here")]
     NothingNewer,
+    /// It does not hold this part.
+    #[error("the part is not held here")]
+    NoPart,
     /// What it holds can't be written as JSON.
     #[error("content can't be written: {0}")]
     Unwritable(String),
@@ -54,8 +57,10 @@
     fn from(failure: Failure) -> ErrorObjectOwned {
         const NOTHING_NEWER: i32 = 1;
         const UNWRITABLE: i32 = 2;
+        const NO_PART: i32 = 3;
         let code = match failure {
             Failure::NothingNewer => NOTHING_NEWER,
+            Failure::NoPart => NO_PART,
             Failure::Unwritable(_) => UNWRITABLE,
         };
         ErrorObjectOwned::owned(code, failure.to_string(), None::<()>)
@@ -73,8 +78,8 @@
     /// Whether it is there; nothing more.
     fn ping(&self) -> impl Future<Output = ()> + Send;
 
-    /// The hosts that it knows, itself among them.
-    fn members(&self) -> impl Future<Output = Vec<Host>> + Send;
+    /// The hosts and backend servers that it knows, itself among them.
+    fn members(&self) -> impl Future<Output = List> + Send;
 
     /// What it holds on a topic, if newer than `above`.
     fn fetch(
@@ -82,6 +87,9 @@
         topic: Topic,
         above: u64,
     ) -> impl Future<Output = Result<Content, Failure>> + Send;
+
+    /// A part of the configuration, by its key.
+    fn part(&self, key: String) -> impl Future<Output = Result<Box<RawValue>, Failure>> + Send;
 }
 
 /// The calls as jsonrpsee carries them; names are short, since each beat carries one.
@@ -99,13 +107,17 @@
     #[method(name = "ping")]
     async fn ping(&self) -> Result<(), ErrorObjectOwned>;
 
-    /// The hosts that it knows.
+    /// The hosts and backend servers that it knows.
     #[method(name = "members")]
-    async fn members(&self) -> Result<Vec<Host>, ErrorObjectOwned>;
+    async fn members(&self) -> Result<List, ErrorObjectOwned>;
 
     /// What it holds on a topic.
     #[method(name = "fetch")]
     async fn fetch(&self, topic: Topic, above: u64) -> Result<Content, ErrorObjectOwned>;
+
+    /// A part of the configuration.
+    #[method(name = "part")]
+    async fn part(&self, key: String) -> Result<Box<RawValue>, ErrorObjectOwned>;
 }
 
 /// Passes calls on to an [`Api`].
@@ -126,11 +138,15 @@
         Ok(())
     }
 
-    async fn members(&self) -> Result<Vec<Host>, ErrorObjectOwned> {
+    async fn members(&self) -> Result<List, ErrorObjectOwned> {
         Ok(self.0.members().await)
     }
 
     async fn fetch(&self, topic: Topic, above: u64) -> Result<Content, ErrorObjectOwned> {
         Ok(self.0.fetch(topic, above).await?)
     }
+
+    async fn part(&self, key: String) -> Result<Box<RawValue>, ErrorObjectOwned> {
+        Ok(self.0.part(key).await?)
+    }
 }
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -27,8 +27,9 @@
 };
 use meter::{Connector, Meter};
 use policy::member::heartbeat::{Heartbeat, Topic};
+use serde_json::value::RawValue;
 use tower::{Service, ServiceBuilder, layer::layer_fn};
-use types::host::Host;
+use types::host::{Host, List};
 
 use crate::{
     api::{Content, Outcome, RpcClient},
@@ -137,12 +138,12 @@
         within(self.timeout, peer.ping()).await.map_err(failed(address))
     }
 
-    /// Asks for the hosts that a host knows.
+    /// Asks for the hosts and backend servers that a host knows.
     ///
     /// # Errors
     ///
     /// If no answer comes in time.
-    pub async fn members(&self, address: SocketAddr) -> Result<Vec<Host>, Error> {
+    pub async fn members(&self, address: SocketAddr) -> Result<List, Error> {
         let peer = self.peer(address)?;
         within(CONTENT_TIMEOUT, peer.members()).await.map_err(failed(address))
     }
@@ -162,6 +163,16 @@
         within(CONTENT_TIMEOUT, peer.fetch(topic, above)).await.map_err(failed(address))
     }
 
+    /// Fetches a part of the configuration, by its key.
+    ///
+    /// # Errors
+    ///
+    /// If the host does not hold it, or no answer comes in time.
+    pub async fn part(&self, address: SocketAddr, key: &str) -> Result<Box<RawValue>, Error> {
+        let peer = self.peer(address)?;
+        within(CONTENT_TIMEOUT, peer.part(key.to_owned())).await.map_err(failed(address))
+    }
+
     /// Forgets hosts other than these.
     pub fn retain(&self, is_known: impl Fn(&SocketAddr) -> bool) {
         let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/policy/src/member/gossip.rs
+++ b/crates/policy/src/member/gossip.rs
@@ -13,12 +13,12 @@
 
 use types::{
     backend,
-    host::{self, Host},
+    host::{self, Host, Listed},
     time::Moment,
 };
 
 use super::{
-    Epoch, Health, Settings,
+    Epoch, Health, Settings, Standing,
     heartbeat::{Heartbeat, InFlight, News, Topic, Word},
     hosts::{Change, Hosts},
     queue::Queue,
@@ -206,11 +206,36 @@
         if urgent { self.push(now) } else { Vec::new() }
     }
 
-    /// Adds a host that a peer named.
-    pub fn introduce(&mut self, now: Moment, host: &Host) {
-        if host.id != self.me.id {
-            self.hosts.introduce(now, host);
+    /// Adds hosts and backend servers that a peer named.
+    pub fn adopt(&mut self, now: Moment, list: &host::List) {
+        let others = list.hosts.iter().filter(|entry| entry.host.id != self.me.id);
+        for entry in others {
+            self.hosts.introduce(now, &entry.host);
         }
+        for entry in &list.servers {
+            self.servers.introduce(now, &entry.server);
+        }
+    }
+
+    /// The picture in the form of the platform's list: hosts and backend servers that are not gone,
+    /// this host among them.
+    pub fn picture(&self, now: Moment) -> host::List {
+        let state = |standing| match standing {
+            Standing::Live | Standing::Suspected => Some(Listed::Live),
+            Standing::Leaving => Some(Listed::Leaving),
+            Standing::Gone => None,
+        };
+        let own = if self.leaving { Listed::Leaving } else { Listed::Live };
+        let me = host::Entry { host: self.me.clone(), state: own };
+        let others = self.hosts.iter().filter_map(|member| {
+            let state = state(member.standing())?;
+            Some(host::Entry { host: member.host.clone(), state })
+        });
+        let servers = self.servers.iter().filter_map(|member| {
+            let state = state(member.standing(now))?;
+            Some(backend::Entry { server: member.server.clone(), state })
+        });
+        host::List { hosts: others.chain([me]).collect(), servers: servers.collect() }
     }
 
     /// Notes that this host now holds this in full; lower numbers are ignored.
--- a/crates/policy/src/member/servers.rs
+++ b/crates/policy/src/member/servers.rs
@@ -172,6 +172,11 @@
         fresh_mark.then(|| mark(member, me, Seen::ListedLeaving))
     }
 
+    /// Adds a server that another host named, until the list or its own answers speak for it.
+    pub fn introduce(&mut self, now: Moment, server: &Server) {
+        self.members.entry(server.id.clone()).or_insert_with(|| Member::new(server.clone(), now));
+    }
+
     /// Takes in a load report of the server's own; gives a mark that others should hear.
     pub fn reported(
         &mut self,
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -54,6 +54,9 @@
     pub host: Host,
     /// Where the platform's object API and host list listen.
     pub platform: SocketAddr,
+    /// Peers' listeners of some other hosts, asked when a host starts while the platform is down.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
     /// Token that operators must show; none lets in loopback only.
     #[serde(default)]
     pub operators_token: Option<String>,
--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -16,7 +16,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::{declared::Declared, fleet::Fleet, traffic::Traffic};
+use crate::{declared::Declared, fleet::Fleet, peers::Peers, traffic::Traffic};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -38,6 +38,8 @@
     pub fleet: Fleet,
     /// What is held of the declared configuration.
     pub declared: Declared,
+    /// The other hosts.
+    pub peers: Peers,
     /// Requests on their way: admission, choice of servers, limits.
     pub traffic: Arc<Traffic>,
     /// Metrics of this host.
@@ -46,6 +48,8 @@
     pub events: Arc<Ring>,
     /// The configuration in force; only [`Context::advance`] changes it.
     config: watch::Sender<Arc<Numbered>>,
+    /// Cancelled when an operator asks for a planned stop.
+    pub stop_asked: CancellationToken,
     /// Ends background duties.
     pub stop: CancellationToken,
     /// Background duties.
@@ -62,7 +66,9 @@
     /// If the metrics can't be set up.
     pub fn new(settings: Process) -> Result<Context, observe::metrics::Error> {
         let platform_bytes = Meter::default();
-        let builder = platform::Builder::new(settings.platform).meter(platform_bytes.clone());
+        let builder = platform::Builder::new(settings.platform)
+            .watch_time(policy::member::watch::TIMEOUT)
+            .meter(platform_bytes.clone());
         let control_bytes = Meter::default();
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
@@ -71,7 +77,9 @@
         let events = Arc::new(Ring::new(settings.host.id.clone(), incarnation, Clock::system()));
         metrics.watch_ring(&events);
         events.record(Event::new(event::Kind::Start));
+        let peers = Peers::new(&settings, incarnation);
         Ok(Context {
+            peers,
             traffic: Arc::new(Traffic::new(settings.host.zone.clone(), origin)),
             metrics,
             events,
@@ -85,6 +93,7 @@
             fleet: Fleet::default(),
             declared: Declared::default(),
             config: watch::channel(Arc::default()).0,
+            stop_asked: CancellationToken::new(),
             stop: CancellationToken::new(),
             duties: TaskTracker::new(),
             draining: AtomicBool::new(false),
--- a/crates/stage/src/duties.rs
+++ b/crates/stage/src/duties.rs
@@ -1,6 +1,7 @@
 //! What a host does in the background.
 
 mod config;
+mod gossip;
 mod list;
 mod pump;
 mod reports;
@@ -12,6 +13,9 @@
 /// Starts every duty; they end with the context's stop token.
 pub fn start(context: &Arc<Context>) {
     spawn(context, list::run(context.clone()));
+    spawn(context, gossip::ask_seeds(context.clone()));
+    spawn(context, gossip::run(context.clone()));
+    spawn(context, gossip::tell_numbers(context.clone()));
     spawn(context, config::run(context.clone()));
     spawn(context, reports::run(context.clone()));
     spawn(context, pump::run(context.clone()));
--- a/crates/stage/src/duties/config.rs
+++ b/crates/stage/src/duties/config.rs
@@ -1,9 +1,16 @@
-//! Follows the declared configuration in the object API.
+//! Follows the declared configuration in the object API, where that is this host's part.
+//!
+//! A few hosts watch; the others hear of numbers from them, and fetch what they lack. A host that
+//! has just started, and knows no others yet, watches too.
 
 use std::sync::Arc;
 
 use platform::{Change, Object, Revision};
-use policy::config::ROOT_KEY;
+use policy::{
+    config::ROOT_KEY,
+    member::{backoff::Backoff, rendezvous},
+};
+use types::prelude::*;
 
 use crate::{
     context::Context,
@@ -13,24 +20,38 @@
     },
 };
 
+/// First wait after a failure.
+const FIRST_BACKOFF: Duration = Duration::from_millis(200);
+
+/// Longest wait after a failure.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(5);
+
 /// Follows the configuration for good: a list first, then watches from its revision.
 pub(super) async fn run(context: Arc<Context>) {
+    let seed = rendezvous::score(b"config", &context.host().id) ^ context.incarnation;
+    let mut backoff = Backoff::new(FIRST_BACKOFF, LONGEST_BACKOFF, seed);
     loop {
-        if let Err(error) = follow(&context).await {
+        if !is_watching(&context) {
+            tokio::time::sleep(context.settings.intervals.heartbeat).await;
+            continue;
+        }
+        if let Err(error) = follow(&context, &mut backoff).await {
             log::warn!("configuration: {error}");
+            tokio::time::sleep(backoff.fail()).await;
         }
-        tokio::time::sleep(context.settings.intervals.list).await;
     }
 }
 
-async fn follow(context: &Context) -> Result<(), Error> {
+async fn follow(context: &Context, backoff: &mut Backoff) -> Result<(), Error> {
     let listing = context.store.list(ROOT_KEY).await?;
+    answered(context, backoff);
     for object in listing.objects.iter().filter(|object| object.key == ROOT_KEY) {
         take(context, object).await?;
     }
     let mut revision: Revision = listing.revision;
-    loop {
+    while is_watching(context) {
         let changes = context.store.watch(ROOT_KEY, revision).await?;
+        answered(context, backoff);
         revision = changes.revision;
         // Of several changes only the last matters: numbers only go up.
         match changes.changes.last() {
@@ -41,6 +62,16 @@
             None => {}
         }
     }
+    Ok(())
+}
+
+fn is_watching(context: &Context) -> bool {
+    context.peers.gossip().is_watching(context.now())
+}
+
+fn answered(context: &Context, backoff: &mut Backoff) {
+    backoff.succeed();
+    context.peers.gossip().platform_answered(context.now());
 }
 
 /// Takes a root. One that can't be understood is passed over: reading it again won't mend it, and
--- /dev/null
+++ b/crates/stage/src/duties/gossip/account.rs
@@ -0,0 +1,95 @@
+//! Keeps the account of membership: events when a standing changes, figures for operators.
+
+use std::collections::BTreeMap;
+
+use observe::{
+    Event, event,
+    metrics::{Direction, Link, Listener, Member},
+};
+use policy::member::Standing;
+use types::prelude::*;
+
+use crate::context::Context;
+
+/// What was last told.
+#[derive(Debug, Default)]
+pub(super) struct Account {
+    hosts: BTreeMap<host::Id, Standing>,
+    servers: BTreeMap<backend::Id, Standing>,
+    received: u64,
+    sent: u64,
+    refused: u64,
+}
+
+impl Account {
+    /// Tells what changed since the last time.
+    pub(super) fn update(&mut self, context: &Context) {
+        self.members(context);
+        let meter = context.peers.meter();
+        let (received, sent) = (meter.received(), meter.sent());
+        let metrics = &context.metrics;
+        metrics.control_bytes(Link::Peers, Direction::In, received - self.received);
+        metrics.control_bytes(Link::Peers, Direction::Out, sent - self.sent);
+        let refused = context.peers.refused();
+        (self.refused..refused).for_each(|_| metrics.denied(Listener::Peers));
+        (self.received, self.sent, self.refused) = (received, sent, refused);
+    }
+
+    fn members(&mut self, context: &Context) {
+        let now = context.now();
+        let gossip = context.peers.gossip();
+        let hosts: BTreeMap<_, _> = gossip
+            .hosts()
+            .iter()
+            .map(|member| (member.host.id.clone(), member.standing()))
+            .collect();
+        for (id, standing) in changed(&self.hosts, &hosts) {
+            let run = gossip.hosts().get(id).map_or(0, |member| member.epoch.run);
+            let kind = event::Kind::Member {
+                member: id.clone(),
+                member_incarnation: run,
+                standing: word(standing).into(),
+            };
+            context.events.record(Event::new(kind));
+        }
+        let servers: BTreeMap<_, _> = gossip
+            .servers()
+            .iter()
+            .map(|member| (member.server.id.clone(), member.standing(now)))
+            .collect();
+        for (id, standing) in changed(&self.servers, &servers) {
+            let kind = event::Kind::Server { standing: word(standing).into() };
+            context.events.record(Event::new(kind).server(id));
+        }
+        for standing in STANDINGS {
+            let count = |standings: usize| standings as u64;
+            let hosts = hosts.values().filter(|other| **other == standing).count();
+            let servers = servers.values().filter(|other| **other == standing).count();
+            context.metrics.members(Member::Host, word(standing), count(hosts));
+            context.metrics.members(Member::Server, word(standing), count(servers));
+        }
+        (self.hosts, self.servers) = (hosts, servers);
+    }
+}
+
+const STANDINGS: [Standing; 4] =
+    [Standing::Live, Standing::Suspected, Standing::Leaving, Standing::Gone];
+
+fn changed<'a>(
+    before: &'a BTreeMap<Arc<str>, Standing>,
+    after: &'a BTreeMap<Arc<str>, Standing>,
+) -> impl Iterator<Item = (&'a Arc<str>, Standing)> {
+    after
+        .iter()
+        .filter(|(id, standing)| before.get(*id) != Some(standing))
+        .map(|(id, standing)| (id, *standing))
+}
+
+fn word(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Live => "live",
+        Standing::Suspected => "suspected",
+        Standing::Leaving => "leaving",
+        Standing::Gone => "gone",
+    }
+}
--- a/crates/stage/src/duties/list.rs
+++ b/crates/stage/src/duties/list.rs
@@ -1,19 +1,39 @@
 //! Reads the platform's list of hosts and backend servers.
+//!
+//! The list is one witness among others: it goes to the membership core, and routing goes by what
+//! the core makes of it. All hosts together keep to a fixed rate of reads; peers tell of changes
+//! in between.
 
 use std::sync::Arc;
 
-use crate::context::Context;
+use policy::member::{backoff::Backoff, rendezvous, watch};
+use types::prelude::*;
 
-/// Reads the list for good. An outage leaves the last list in place.
+use super::gossip;
+use crate::{context::Context, peers};
+
+/// Longest wait between reads that fail.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(10);
+
+/// Reads the list for good.
 pub(super) async fn run(context: Arc<Context>) {
+    let least = context.settings.intervals.list;
+    let seed = rendezvous::score(b"list", &context.host().id) ^ context.incarnation;
+    let mut backoff = Backoff::new(least, LONGEST_BACKOFF, seed);
     loop {
-        match context.store.hosts().await {
+        let wait = match context.store.hosts().await {
             Ok(list) => {
-                context.traffic.list(&list);
-                context.fleet.set_list(list);
+                let actions = context.peers.gossip().list(context.now(), &list);
+                peers::perform(&context, actions);
+                gossip::apply(&context);
+                backoff.succeed();
+                watch::list_interval(least, list.hosts.len())
+            }
+            Err(error) => {
+                log::warn!("host list: {error}");
+                backoff.fail()
             }
-            Err(error) => log::warn!("host list: {error}"),
-        }
-        tokio::time::sleep(context.settings.intervals.list).await;
+        };
+        tokio::time::sleep(wait).await;
     }
 }
--- a/crates/stage/src/duties/reports.rs
+++ b/crates/stage/src/duties/reports.rs
@@ -3,10 +3,11 @@
 use std::{collections::HashMap, sync::Arc};
 
 use ::backend::reports;
+use policy::member::gossip::{Action, Gossip};
 use tokio::task::AbortHandle;
 use types::prelude::*;
 
-use crate::{context::Context, fleet::Reading};
+use crate::{context::Context, fleet::Reading, peers};
 
 /// Keeps one reader for each listed server.
 pub(super) async fn run(context: Arc<Context>) {
@@ -45,12 +46,15 @@
         match tokio::time::timeout(interval * 4, asked).await {
             Ok(Ok(load)) => {
                 context.traffic.report(&server.id, &load);
+                let (run, leaving) = (load.incarnation, load.leaving);
+                tell(&context, |gossip, now| gossip.server_reported(now, &server.id, run, leaving));
                 let reading = Reading { read: context.now(), load };
                 context.fleet.set_reading(&server.id, reading);
             }
             Ok(Err(error)) => {
                 log::debug!("load report: {error}");
                 context.traffic.unreachable(&server.id);
+                tell(&context, |gossip, now| gossip.server_failed(now, &server.id));
                 context.fleet.drop_reading(&server.id);
             }
             Err(_) => log::debug!(server = &*server.id; "load report: timeout"),
@@ -58,3 +62,9 @@
         tokio::time::sleep(interval).await;
     }
 }
+
+/// Lets the membership core know, and carries out what it asks for.
+fn tell(context: &Arc<Context>, tell: impl FnOnce(&mut Gossip, Moment) -> Vec<Action>) {
+    let actions = tell(&mut context.peers.gossip(), context.now());
+    peers::perform(context, actions);
+}
--- a/crates/stage/src/flags.rs
+++ b/crates/stage/src/flags.rs
@@ -85,6 +85,7 @@
     let running = crate::start(settings).await?;
     tokio::select! {
         _ = terminate.recv() => {}
+        () = running.context().stop_asked.cancelled() => {}
         result = tokio::signal::ctrl_c() => result?,
     }
     running.drain().await;
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod idle;
 mod listener;
 pub mod operators;
+pub mod peers;
 pub mod problem;
 mod serve;
 pub mod traffic;
--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -70,5 +70,7 @@
         "heard": context.declared.heard(),
         "servers": context.fleet.list().servers.len(),
         "reporting": context.fleet.readings().len(),
+        "watching": context.peers.gossip().is_watching(context.now()),
+        "hosts": context.peers.standings(),
     }))
 }
--- /dev/null
+++ b/crates/stage/src/peers/source.rs
@@ -0,0 +1,34 @@
+//! Parts of a configuration from the host that told of it.
+
+use std::sync::Arc;
+
+use futures_util::future::BoxFuture;
+use platform::Store;
+use policy::config::part;
+use types::host::Host;
+
+use crate::declared::{
+    Error,
+    source::{Platform, Source},
+};
+
+/// A host that holds a configuration; the platform where it no longer holds a part.
+pub(super) struct Peer<'p> {
+    pub(super) client: &'p ::peer::Client,
+    pub(super) host: &'p Host,
+    pub(super) store: &'p dyn Store,
+}
+
+impl Source for Peer<'_> {
+    fn part<'a>(&'a self, name: &'a part::Name) -> BoxFuture<'a, Result<Arc<[u8]>, Error>> {
+        Box::pin(async move {
+            match self.client.part(self.host.peers, &name.key()).await {
+                Ok(part) => Ok(Arc::from(part.get().as_bytes())),
+                Err(error) => {
+                    log::debug!("part of the configuration: {error}");
+                    Platform(self.store).part(name).await
+                }
+            }
+        })
+    }
+}
--- a/crates/stage/src/serve.rs
+++ b/crates/stage/src/serve.rs
@@ -17,7 +17,7 @@
     context::Context,
     duties,
     guard::{self, Guard},
-    listener, operators,
+    listener, operators, peers,
 };
 
 /// Why a host can't start.
@@ -45,8 +45,10 @@
 pub struct Running {
     context: Arc<Context>,
     stop_callers: CancellationToken,
+    stop_peers: CancellationToken,
     stop_operators: CancellationToken,
     callers: JoinHandle<()>,
+    peers: JoinHandle<()>,
     operators: JoinHandle<()>,
 }
 
@@ -57,7 +59,9 @@
 /// If a listener can't be bound.
 pub async fn start(mut settings: Process) -> Result<Running, Error> {
     let callers = bind("callers", &mut settings.host.callers).await?;
+    let peers = bind("peers", &mut settings.host.peers).await?;
     let operators = bind("operators", &mut settings.host.operators).await?;
+    Guard::new(Listener::Peers, settings.peers_token.as_deref(), settings.host.peers)?;
     let guard = Guard::new(
         Listener::Operators,
         settings.operators_token.as_deref(),
@@ -68,6 +72,8 @@
         host = &*context.host().id, callers:% = context.host().callers,
         operators:% = context.host().operators; "host starts"
     );
+    let stop_peers = CancellationToken::new();
+    let peers = tokio::spawn(peers::listen(peers, context.clone(), stop_peers.clone()));
     duties::start(&context);
     let stop_callers = CancellationToken::new();
     let stop_operators = CancellationToken::new();
@@ -82,7 +88,7 @@
         operators::router(context.clone(), guard),
         stop_operators.clone(),
     ));
-    Ok(Running { context, stop_callers, stop_operators, callers, operators })
+    Ok(Running { context, stop_callers, stop_peers, stop_operators, callers, peers, operators })
 }
 
 impl Running {
@@ -98,6 +104,8 @@
         self.context.begin_drain();
         record(&self.context, DrainStep::NotReady);
         log::info!(host = &*self.context.host().id; "drain begins");
+        let actions = self.context.peers.gossip().leave(self.context.now());
+        peers::perform(&self.context, actions);
         tokio::time::sleep(drain.balancer).await;
         self.stop_callers.cancel();
         record(&self.context, DrainStep::Closed);
@@ -108,6 +116,8 @@
         self.context.stop.cancel();
         self.context.duties.close();
         self.context.duties.wait().await;
+        self.stop_peers.cancel();
+        let _ = self.peers.await;
         self.stop_operators.cancel();
         let _ = self.operators.await;
         log::info!(host = &*self.context.host().id; "host ends");
