--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -46,7 +46,8 @@
 const BETWEEN_TOKENS_BOUNDS: [f64; 12] =
     [0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.074, 0.1, 0.2, 0.5, 1.0, 5.0];
 
-/// The host's metrics.
+/// The host's metrics; a clone counts into the same series.
+#[derive(Clone)]
 pub struct Metrics {
     registry: Registry,
     // Held for its life: instruments stop counting when it goes.
@@ -59,7 +60,6 @@
     limit: Gauge<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
-    control_bytes: Counter<u64>,
     platform_calls: Counter<u64>,
     platform_up: Gauge<u64>,
     waiting: Gauge<u64>,
@@ -113,11 +113,6 @@
             limit: gauge(&meter, "limit", "Limit on requests in flight, by server and model"),
             refusals: counter(&meter, "refusals", "Requests refused, by service and cause"),
             retries: counter(&meter, "retries", "Further attempts, by service and cause"),
-            control_bytes: counter(
-                &meter,
-                "control_bytes",
-                "Bytes of control traffic, by link and direction",
-            ),
             platform_calls: counter(
                 &meter,
                 "platform_calls",
@@ -150,6 +145,28 @@
             .build();
     }
 
+    /// Shows the bytes of a link's control traffic, which is everything but callers' requests and
+    /// their answers. `total` is asked for the bytes since the process began.
+    pub fn watch_bytes(
+        &self,
+        link: Link,
+        total: impl Fn(Direction) -> u64 + Send + Sync + 'static,
+    ) {
+        let _registered = self
+            .provider
+            .meter(NAMESPACE)
+            .u64_observable_counter("control_bytes")
+            .with_description("Bytes of control traffic, by link and direction")
+            .with_callback(move |observer| {
+                for direction in [Direction::In, Direction::Out] {
+                    let link = KeyValue::new("link", link.as_str());
+                    let way = KeyValue::new("direction", direction.as_str());
+                    observer.observe(total(direction), &[link, way]);
+                }
+            })
+            .build();
+    }
+
     /// A request ended.
     pub fn request(&self, service: &service::Id, outcome: Outcome) {
         self.requests.add(1, &[of_service(service), KeyValue::new("outcome", outcome.as_str())]);
@@ -193,12 +210,6 @@
         self.retries.add(1, &[of_service(service), KeyValue::new("cause", cause)]);
     }
 
-    /// Control traffic passed: everything but callers' requests and their answers.
-    pub fn control_bytes(&self, link: Link, direction: Direction, bytes: u64) {
-        let link = KeyValue::new("link", link.as_str());
-        self.control_bytes.add(bytes, &[link, KeyValue::new("direction", direction.as_str())]);
-    }
-
     /// The object API was called.
     pub fn platform_call(&self, operation: &'static str, result: &'static str) {
         let operation = KeyValue::new("operation", operation);
--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -9,14 +9,17 @@
 };
 
 use meter::Meter;
-use observe::{Clock, Event, Metrics, Ring, event};
+use observe::{
+    Clock, Event, Metrics, Ring, event,
+    metrics::{self, Direction, Link},
+};
 use platform::Store;
 use settings::process::Process;
 use tokio::sync::watch;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::{declared::Declared, fleet::Fleet, peers::Peers, traffic::Traffic};
+use crate::{counted::Counted, declared::Declared, fleet::Fleet, peers::Peers, traffic::Traffic};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -64,7 +67,7 @@
     /// # Errors
     ///
     /// If the metrics can't be set up.
-    pub fn new(settings: Process) -> Result<Context, observe::metrics::Error> {
+    pub fn new(settings: Process) -> Result<Context, metrics::Error> {
         let platform_bytes = Meter::default();
         let builder = platform::Builder::new(settings.platform)
             .watch_time(policy::member::watch::TIMEOUT)
@@ -76,8 +79,12 @@
         let metrics = Metrics::new()?;
         let events = Arc::new(Ring::new(settings.host.id.clone(), incarnation, Clock::system()));
         metrics.watch_ring(&events);
+        watch_bytes(&metrics, Link::Platform, &platform_bytes);
+        watch_bytes(&metrics, Link::Servers, &control_bytes);
         events.record(Event::new(event::Kind::Start));
         let peers = Peers::new(&settings, incarnation);
+        watch_bytes(&metrics, Link::Peers, peers.meter());
+        let store = Counted::new(builder.build(), metrics.clone(), events.clone());
         Ok(Context {
             peers,
             traffic: Arc::new(Traffic::new(settings.host.zone.clone(), origin)),
@@ -85,7 +92,7 @@
             events,
             settings,
             incarnation,
-            store: Arc::new(builder.build()),
+            store: Arc::new(store),
             backends: ::backend::Client::new(),
             control: ::backend::Client::metered(control_bytes.clone()),
             control_bytes,
@@ -148,3 +155,12 @@
         self.draining.store(true, Ordering::Release);
     }
 }
+
+/// Shows a meter's bytes in the metrics.
+fn watch_bytes(metrics: &Metrics, link: Link, meter: &Meter) {
+    let meter = meter.clone();
+    metrics.watch_bytes(link, move |direction| match direction {
+        Direction::In => meter.received(),
+        Direction::Out => meter.sent(),
+    });
+}
--- a/crates/stage/src/duties/gossip/account.rs
+++ b/crates/stage/src/duties/gossip/account.rs
@@ -4,7 +4,7 @@
 
 use observe::{
     Event, event,
-    metrics::{Direction, Link, Listener, Member},
+    metrics::{Listener, Member},
 };
 use policy::member::Standing;
 use types::prelude::*;
@@ -16,8 +16,6 @@
 pub(super) struct Account {
     hosts: BTreeMap<host::Id, Standing>,
     servers: BTreeMap<backend::Id, Standing>,
-    received: u64,
-    sent: u64,
     refused: u64,
 }
 
@@ -25,14 +23,9 @@
     /// Tells what changed since the last time.
     pub(super) fn update(&mut self, context: &Context) {
         self.members(context);
-        let meter = context.peers.meter();
-        let (received, sent) = (meter.received(), meter.sent());
-        let metrics = &context.metrics;
-        metrics.control_bytes(Link::Peers, Direction::In, received - self.received);
-        metrics.control_bytes(Link::Peers, Direction::Out, sent - self.sent);
         let refused = context.peers.refused();
-        (self.refused..refused).for_each(|_| metrics.denied(Listener::Peers));
-        (self.received, self.sent, self.refused) = (received, sent, refused);
+        (self.refused..refused).for_each(|_| context.metrics.denied(Listener::Peers));
+        self.refused = refused;
     }
 
     fn members(&mut self, context: &Context) {
--- a/crates/stage/src/flags.rs
+++ b/crates/stage/src/flags.rs
@@ -7,6 +7,7 @@
 };
 
 use clap::{Parser, Subcommand};
+use observe::log::{Log, Sink};
 use settings::{Findings, process::Process, read_process};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -40,6 +41,12 @@
     /// The settings are not usable.
     #[error("the settings have findings:\n{0}")]
     Settings(#[from] Findings),
+    /// The log can't be started.
+    #[error(transparent)]
+    Log(#[from] observe::log::Error),
+    /// The settings name no level of the log.
+    #[error("log level: {0}")]
+    Level(#[from] log::ParseLevelError),
     /// The host can't serve.
     #[error(transparent)]
     Serve(#[from] crate::Error),
@@ -58,6 +65,7 @@
         match self.command {
             Command::Serve { settings } => {
                 let settings = read_process(&settings)?;
+                start_log(&settings.log)?;
                 let runtime = tokio::runtime::Runtime::new()?;
                 runtime.block_on(serve(settings))
             }
@@ -80,6 +88,12 @@
     }
 }
 
+fn start_log(settings: &settings::process::Log) -> Result<(), Error> {
+    let sink = settings.file.clone().map_or(Sink::StandardError, Sink::File);
+    let level = settings.level.parse()?;
+    Ok(Log::new().sink(sink).level(level).start()?)
+}
+
 async fn serve(settings: Process) -> Result<ExitCode, Error> {
     let mut terminate = signal(SignalKind::terminate())?;
     let running = crate::start(settings).await?;
--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -4,18 +4,13 @@
 //! needs the token.
 
 mod config;
+mod watch;
 
 use std::sync::Arc;
 
 use axum::{
-    Json, Router,
-    extract::State,
-    http::{StatusCode, header},
-    middleware::from_fn_with_state,
-    response::{IntoResponse, Response},
-    routing::get,
+    Json, Router, extract::State, http::StatusCode, middleware::from_fn_with_state, routing::get,
 };
-use observe::metrics::CONTENT_TYPE;
 use serde_json::{Value, json};
 use types::host::List;
 
@@ -30,7 +25,8 @@
     Router::new()
         .route("/status", get(status))
         .route("/hosts", get(hosts))
-        .route("/metrics", get(metrics))
+        .route("/metrics", get(watch::metrics))
+        .route("/timeline", get(watch::timeline))
         .merge(config::router())
         .layer(from_fn_with_state(gate, guard::filter))
         .route("/live", get(async || StatusCode::OK))
@@ -49,17 +45,6 @@
     Json(context.fleet.list())
 }
 
-async fn metrics(State(context): State<Arc<Context>>) -> Response {
-    context.traffic.show(&context.metrics);
-    match context.metrics.text() {
-        Ok(text) => ([(header::CONTENT_TYPE, CONTENT_TYPE)], text).into_response(),
-        Err(error) => {
-            log::error!("metrics: {error}");
-            StatusCode::INTERNAL_SERVER_ERROR.into_response()
-        }
-    }
-}
-
 async fn status(State(context): State<Arc<Context>>) -> Json<Value> {
     Json(json!({
         "host": context.host(),
