Prove with real processes that hosts act together

Cause: the joined path had no tests of its own. Behind the proxies of the tests a host's own word on its address would also have replaced the list's. Change: ten tests: few watch and all have the number; every watcher killed; a start in an outage of the platform; serving on in an outage; each host killed under load; a paused host; a draining host; a host listed as leaving; an empty list; a host cut off from its peers. Where the platform lists a host, the list's address counts. The log names the peers' listener.

--- a/crates/policy/src/member/hosts.rs
+++ b/crates/policy/src/member/hosts.rs
@@ -186,12 +186,18 @@
         member
     }
 
+    /// Takes the address that a word gives; where the platform lists the host, the list's counts.
+    fn introduce_by(&mut self, now: Moment, word: &Word) {
+        let listed = self.members.get(&word.id).is_some_and(|member| member.listed.is_some());
+        if let Some(host) = word.host.as_deref().filter(|_| !listed) {
+            self.introduce(now, host);
+        }
+    }
+
     /// Takes in a host's word on itself, which it sent to this one.
     pub fn answered(&mut self, now: Moment, word: &Word, held: &BTreeMap<Topic, u64>) -> Change {
         let unknown = !self.members.contains_key(&word.id);
-        if let Some(host) = &word.host {
-            self.introduce(now, host);
-        }
+        self.introduce_by(now, word);
         let Some(member) = self.members.get_mut(&word.id) else { return Change::None };
         if word.epoch.run < member.epoch.run {
             return Change::None;
@@ -209,9 +215,7 @@
     /// Takes in what another host says of a host.
     pub fn told(&mut self, now: Moment, word: &Word, fresh: Duration) -> Change {
         let unknown = !self.members.contains_key(&word.id);
-        if let Some(host) = &word.host {
-            self.introduce(now, host);
-        }
+        self.introduce_by(now, word);
         let Some(member) = self.members.get_mut(&word.id) else { return Change::None };
         if word.epoch.run < member.epoch.run {
             return Change::None;
--- a/crates/stage/src/serve.rs
+++ b/crates/stage/src/serve.rs
@@ -70,7 +70,7 @@
     let context = Arc::new(Context::new(settings)?);
     log::info!(
         host = &*context.host().id, callers:% = context.host().callers,
-        operators:% = context.host().operators; "host starts"
+        peers:% = context.host().peers, operators:% = context.host().operators; "host starts"
     );
     let stop_peers = CancellationToken::new();
     let peers = tokio::spawn(peers::listen(peers, context.clone(), stop_peers.clone()));
--- a/crates/stage/tests/common/site.rs
+++ b/crates/stage/tests/common/site.rs
@@ -195,6 +195,11 @@
         self.hosts[place].kill();
     }
 
+    /// Changes the settings of hosts that start from now on.
+    pub fn change_settings(&mut self, change: impl Fn(&mut Value) + 'static) {
+        self.change = Box::new(change);
+    }
+
     /// Starts a host again after its end, as a new process under the same name.
     pub async fn restart(&mut self, place: usize) {
         self.hosts[place] = self.spawn(place).await;
--- /dev/null
+++ b/crates/stage/tests/member.rs
@@ -0,0 +1,242 @@
+//! Hosts that act together, as real processes: what spreads, what an outage of the platform leaves
+//! standing, and what becomes of hosts and servers that die, leave or pause.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::{Ask, Builder, Chat, Crowd, Ending, Site, get, until};
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+use standin::{engine, fault};
+use types::host::Listed;
+
+const MODEL: &str = "welcome";
+const ZONES: usize = 4;
+
+fn lm(place: usize) -> engine::Settings {
+    engine::Settings::new(&format!("lm-{place}")).with_model(MODEL, "1", 1000)
+}
+
+fn ask(name: &'static str) -> Ask {
+    Ask { name, models: vec![MODEL.into()], tokens: 8 }
+}
+
+/// Declares a change; gives its number.
+fn change(site: &Site) -> u64 {
+    site.declare(|config| config["weights"] = json!({"attainment": 1.0, "moves": 2.0}))
+}
+
+async fn status(site: &Site, place: usize) -> Value {
+    get(site.hosts()[place].operators(), "/status").await.unwrap_or_default()
+}
+
+async fn standing(site: &Site, at: usize, of: usize) -> Value {
+    status(site, at).await["hosts"][format!("host-{of}")].clone()
+}
+
+async fn until_standing(site: &Site, of: usize, wanted: &str) {
+    for at in (0..site.hosts().len()).filter(|at| *at != of) {
+        until(&format!("host {at} takes host {of} for {wanted}"), async || {
+            standing(site, at, of).await == wanted
+        })
+        .await;
+    }
+}
+
+async fn until_whole(site: &Site) {
+    for of in 0..site.hosts().len() {
+        until_standing(site, of, "live").await;
+    }
+}
+
+async fn watchers(site: &Site) -> usize {
+    let mut watchers = 0;
+    for place in 0..site.hosts().len() {
+        watchers += usize::from(status(site, place).await["watching"] == true);
+    }
+    watchers
+}
+
+async fn until_in_force(site: &Site, number: u64) {
+    for place in 0..site.hosts().len() {
+        until(&format!("number {number} is in force on host {place}"), async || {
+            site.in_force(place).await == number
+        })
+        .await;
+    }
+}
+
+#[tokio::test]
+async fn a_configuration_reaches_every_host_though_few_watch() {
+    let site = Builder::new(6).engine(lm(0)).start().await;
+    until_whole(&site).await;
+    until("one host in each zone watches", async || watchers(&site).await == ZONES).await;
+    for _ in 0..10 {
+        let number = change(&site);
+        until_in_force(&site, number).await;
+    }
+    assert_eq!(watchers(&site).await, ZONES);
+    site.end().await;
+}
+
+#[tokio::test]
+async fn others_watch_when_every_watcher_is_killed() {
+    let mut site = Builder::new(6).engine(lm(0)).start().await;
+    until_whole(&site).await;
+    until("one host in each zone watches", async || watchers(&site).await == ZONES).await;
+    let mut left = Vec::new();
+    for place in 0..6 {
+        match status(&site, place).await["watching"] == true {
+            true => site.kill(place),
+            false => left.push(place),
+        }
+    }
+    let number = change(&site);
+    for place in &left {
+        until("the number is in force", async || site.in_force(*place).await == number).await;
+    }
+    assert_eq!(left.len(), 2);
+}
+
+#[tokio::test]
+async fn a_host_that_starts_while_the_platform_is_down_serves_by_what_its_peers_have() {
+    let mut site = Builder::new(3).engine(lm(0)).engine(lm(1)).start().await;
+    until_whole(&site).await;
+    let number = change(&site);
+    until_in_force(&site, number).await;
+    site.platform.fault(|fault| fault.down = true);
+    site.kill(2);
+    let seeds: Vec<SocketAddr> = site.hosts()[..2].iter().map(|host| host.host.peers).collect();
+    site.change_settings(move |settings| settings["peers"] = json!(seeds));
+    site.restart(2).await;
+    site.host_ready(2).await;
+    assert_eq!(site.in_force(2).await, number);
+    let ending = Chat::new("after", MODEL, 6).send(site.hosts()[2].callers()).await;
+    assert_eq!(ending, Ending::Whole);
+}
+
+#[tokio::test]
+async fn serving_goes_on_in_an_outage_of_the_platform_and_a_change_waits_for_its_end() {
+    let site = Builder::new(4).engine(lm(0)).engine(lm(1)).start().await;
+    until_whole(&site).await;
+    site.platform.fault(|fault| fault.down = true);
+    let crowd = Crowd::start(8, &site.entrances(), ask("outage"));
+    let before = site.platform.calls();
+    let number = change(&site);
+    let enough = 200;
+    until("calls are answered", async || enough <= crowd.endings().whole()).await;
+    for place in 0..4 {
+        assert!(site.in_force(place).await < number, "the platform was down");
+    }
+    let refused = site.platform.calls().refused - before.refused;
+    assert!(0 < refused, "nobody asked the platform");
+    site.platform.fault(|fault| fault.down = false);
+    until_in_force(&site, number).await;
+    assert_eq!(crowd.stop().await.others(), []);
+    site.end().await;
+}
+
+#[tokio::test]
+async fn each_host_in_turn_is_killed_under_load_and_only_its_own_calls_suffer() {
+    let mut site = Builder::new(4).engine(lm(0)).engine(lm(1)).start().await;
+    until_whole(&site).await;
+    for place in 0..4 {
+        let others: Vec<_> = site
+            .entrances()
+            .into_iter()
+            .enumerate()
+            .filter(|(other, _)| *other != place)
+            .map(|(_, entrance)| entrance)
+            .collect();
+        let crowd = Crowd::start(6, &others, ask("killed"));
+        let whole = async |count: usize| {
+            until("calls are answered", async || count <= crowd.endings().whole()).await;
+        };
+        whole(20).await;
+        site.kill(place);
+        until_standing(&site, place, "gone").await;
+        let done = crowd.endings().whole();
+        whole(done + 20).await;
+        site.restart(place).await;
+        site.host_ready(place).await;
+        until_whole(&site).await;
+        assert_eq!(
+            crowd.stop().await.others(),
+            [],
+            "host {place} was killed, others' calls failed"
+        );
+    }
+    site.end().await;
+}
+
+#[tokio::test]
+async fn a_host_that_was_paused_comes_back_with_the_newest_number() {
+    let site = Builder::new(4).engine(lm(0)).start().await;
+    until_whole(&site).await;
+    site.hosts()[1].signal(Signal::SIGSTOP);
+    until_standing(&site, 1, "gone").await;
+    let number = change(&site);
+    for place in [0, 2, 3] {
+        until("the number is in force", async || site.in_force(place).await == number).await;
+    }
+    site.hosts()[1].signal(Signal::SIGCONT);
+    until_in_force(&site, number).await;
+    until_whole(&site).await;
+    site.end().await;
+}
+
+#[tokio::test]
+async fn a_host_that_drains_is_leaving_for_all_though_the_list_calls_it_live() {
+    let mut site = Builder::new(3)
+        .engine(lm(0))
+        .settings(|settings| settings["drain"]["balancer_ms"] = json!(3000))
+        .start()
+        .await;
+    until_whole(&site).await;
+    site.hosts()[0].signal(Signal::SIGTERM);
+    until_standing(&site, 0, "leaving").await;
+    assert_eq!(site.hosts_mut()[0].ended().await, Some(0));
+}
+
+#[tokio::test]
+async fn a_host_that_the_list_calls_leaving_is_leaving_for_all() {
+    let mut site = Builder::new(3).engine(lm(0)).start().await;
+    until_whole(&site).await;
+    site.list_host(1, Listed::Leaving);
+    until_standing(&site, 1, "leaving").await;
+    site.list_host(1, Listed::Live);
+    until_standing(&site, 1, "live").await;
+    site.end().await;
+}
+
+#[tokio::test]
+async fn an_empty_list_leaves_hosts_and_servers_in_place() {
+    let site = Builder::new(3).engine(lm(0)).start().await;
+    until_whole(&site).await;
+    let lists = site.platform.calls().lists;
+    site.platform.set_list(Default::default());
+    until("each host has read it", async || lists + 12 <= site.platform.calls().lists).await;
+    for place in 0..3 {
+        assert_eq!(status(&site, place).await["servers"], 1);
+        let ending = Chat::new(format!("empty-{place}"), MODEL, 4);
+        assert_eq!(ending.send(site.hosts()[place].callers()).await, Ending::Whole);
+    }
+    until_whole(&site).await;
+    site.end().await;
+}
+
+#[tokio::test]
+async fn a_host_cut_off_from_its_peers_goes_on_serving_and_joins_again() {
+    let site = Builder::new(3).engine(lm(0)).linked().start().await;
+    until_whole(&site).await;
+    site.links().peers(0).door(fault::Door::Shut);
+    site.links().peers(0).cut();
+    let number = change(&site);
+    until_in_force(&site, number).await;
+    let chat = Chat::new("cut", MODEL, 4);
+    assert_eq!(chat.send(site.hosts()[0].callers()).await, Ending::Whole);
+    site.links().peers(0).door(fault::Door::Open);
+    until_whole(&site).await;
+    site.end().await;
+}
