--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -87,7 +87,7 @@
         let store = Counted::new(builder.build(), metrics.clone(), events.clone());
         Ok(Context {
             peers,
-            traffic: Arc::new(Traffic::new(settings.host.zone.clone(), origin)),
+            traffic: Arc::new(Traffic::new(&settings, origin)),
             metrics,
             events,
             settings,
