Serve through each way that the platform fails, and measure long outages

Cause: outages of the object API and the list had a test only for plain refusal. The measurements are not run yet.

--- a/crates/stage/tests/common/process.rs
+++ b/crates/stage/tests/common/process.rs
@@ -41,6 +41,11 @@
         process
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn callers(&self) -> SocketAddr {
         self.host.callers
     }
--- /dev/null
+++ b/crates/stage/tests/outage.rs
@@ -0,0 +1,139 @@
+//! The platform's object API and list fail in every way that is to be expected.
+//!
+//! The long one is a measurement, run by hand:
+//! `cargo test --release -p cyclamenstage --test outage -- --ignored --nocapture`
+
+#![allow(clippy::print_stderr, reason = "a measurement's output")]
+
+mod common;
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use common::{Builder, Chat, Ending, Site, get, until};
+use rstest::rstest;
+use serde_json::json;
+use standin::{engine, objects};
+
+const MODEL: &str = "welcome";
+
+fn lm(place: usize) -> engine::Settings {
+    engine::Settings::new(&format!("lm-{place}")).with_model(MODEL, "1", 1000)
+}
+
+async fn site(hosts: usize) -> Site {
+    let site = Builder::new(hosts).engine(lm(0)).engine(lm(1)).start().await;
+    for host in site.hosts() {
+        until("a host knows the others", async || {
+            let status = get(host.operators(), "/status").await.unwrap_or_default();
+            status["hosts"].as_object().is_some_and(|others| others.len() + 1 == hosts)
+        })
+        .await;
+    }
+    site
+}
+
+/// Declares a change; gives its number.
+fn change(site: &Site) -> u64 {
+    site.declare(|config| config["weights"] = json!({"attainment": 1.0, "moves": 2.0}))
+}
+
+async fn until_in_force(site: &Site, number: u64) {
+    for place in 0..site.hosts().len() {
+        until("the number is in force", async || site.in_force(place).await == number).await;
+    }
+}
+
+#[rstest]
+#[case::down(|fault: &mut objects::Fault| fault.down = true)]
+#[case::slow(|fault: &mut objects::Fault| fault.latency = Duration::from_secs(5))]
+#[case::refusing_by_rate(|fault: &mut objects::Fault| fault.rate = 1)]
+#[tokio::test]
+async fn every_call_is_served_and_the_change_comes_after(
+    #[case] fail: impl Fn(&mut objects::Fault),
+) {
+    const CALLS: usize = 40;
+    let site = site(4).await;
+    site.platform.fault(fail);
+    let number = change(&site);
+    for call in 0..CALLS {
+        let chat = Chat::new(format!("call-{call}"), MODEL, 4);
+        let ending = chat.send(site.hosts()[call % 4].callers()).await;
+        assert_eq!(ending, Ending::Whole);
+    }
+    site.platform.fault(|fault| *fault = objects::Fault::default());
+    until_in_force(&site, number).await;
+    site.end().await;
+}
+
+#[tokio::test]
+#[ignore = "a measurement of twelve minutes"]
+async fn ten_minutes_without_the_platform() {
+    const HOSTS: usize = 8;
+    const OUTAGE: Duration = Duration::from_secs(600);
+    const AFTER: Duration = Duration::from_secs(30);
+    const PAUSE: Duration = Duration::from_millis(250);
+    let mut site = site(HOSTS).await;
+    let seeds: Vec<SocketAddr> = site.hosts()[..3].iter().map(|host| host.host.peers).collect();
+    site.change_settings(move |settings| settings["peers"] = json!(seeds));
+    site.platform.fault(|fault| fault.down = true);
+    let began = Instant::now();
+    let (mut whole, mut others, mut rates) = (0, Vec::new(), Vec::new());
+    let (mut asked, mut second) = (total(&site), Instant::now());
+    let (mut number, mut is_replaced, mut healed) = (0, false, None::<Instant>);
+    let mut in_force = None;
+    for call in 0.. {
+        let since = began.elapsed();
+        if OUTAGE + AFTER <= since {
+            break;
+        }
+        let chat = Chat::new(format!("call-{call}"), MODEL, 4);
+        match chat.send(site.hosts()[call % HOSTS].callers()).await {
+            Ending::Whole => whole += 1,
+            ending => others.push((since.as_secs(), ending)),
+        }
+        if OUTAGE / 2 <= since && !is_replaced {
+            is_replaced = true;
+            number = change(&site);
+            site.kill(HOSTS - 1);
+            site.restart(HOSTS - 1).await;
+            site.host_ready(HOSTS - 1).await;
+            eprintln!("host replaced in the outage, ready after {:?}", began.elapsed() - since);
+        }
+        if OUTAGE <= since && healed.is_none() {
+            site.platform.fault(|fault| fault.down = false);
+            healed = Some(Instant::now());
+        }
+        if let Some(at) = healed.filter(|_| in_force.is_none()) {
+            until_in_force(&site, number).await;
+            in_force = Some(at.elapsed());
+        }
+        if Duration::from_secs(1) <= second.elapsed() {
+            let now = total(&site);
+            let rate = (now - asked) as f64 / second.elapsed().as_secs_f64();
+            rates.push((healed.is_some(), rate));
+            (asked, second) = (now, Instant::now());
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    let most = |is_after: bool| {
+        let rates = rates.iter().filter(|(after, _)| *after == is_after);
+        rates.map(|(_, rate)| *rate).fold(0.0, f64::max)
+    };
+    let mean = rates.iter().filter(|(after, _)| !after).map(|(_, rate)| rate).sum::<f64>()
+        / rates.iter().filter(|(after, _)| !after).count() as f64;
+    eprintln!("whole {whole}, others {others:?}");
+    eprintln!("calls a second, all hosts: outage mean {mean:.1}, most {:.1}", most(false));
+    eprintln!("calls a second, all hosts: most after it {:.1}", most(true));
+    eprintln!("change in force on all after {in_force:?}");
+    assert_eq!(others, []);
+    site.end().await;
+}
+
+/// Calls that the platform got, of every kind.
+fn total(site: &Site) -> u64 {
+    let calls = site.platform.calls();
+    calls.reads + calls.writes + calls.watches + calls.lists + calls.refused
+}
