--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -4,15 +4,23 @@
 //! needs the token.
 
 mod config;
+mod members;
 mod watch;
 
 use std::sync::Arc;
 
 use axum::{
-    Json, Router, extract::State, http::StatusCode, middleware::from_fn_with_state, routing::get,
+    Json, Router,
+    extract::State,
+    http::StatusCode,
+    middleware::from_fn_with_state,
+    routing::{get, post},
+};
+use types::{
+    backend,
+    host::List,
+    status::{Seen, Status},
 };
-use serde_json::{Value, json};
-use types::host::List;
 
 use crate::{
     context::Context,
@@ -25,6 +33,9 @@
     Router::new()
         .route("/status", get(status))
         .route("/hosts", get(hosts))
+        .route("/members", get(members::members))
+        .route("/servers", get(servers))
+        .route("/drain", post(drain))
         .route("/metrics", get(watch::metrics))
         .route("/timeline", get(watch::timeline))
         .merge(config::router())
@@ -45,17 +56,31 @@
     Json(context.fleet.list())
 }
 
-async fn status(State(context): State<Arc<Context>>) -> Json<Value> {
-    Json(json!({
-        "host": context.host(),
-        "incarnation": context.incarnation,
-        "ready": context.is_ready(),
-        "draining": context.is_draining(),
-        "configuration": context.config().number,
-        "heard": context.declared.heard(),
-        "servers": context.fleet.list().servers.len(),
-        "reporting": context.fleet.readings().len(),
-        "watching": context.peers.gossip().is_watching(context.now()),
-        "hosts": context.peers.standings(),
-    }))
+async fn status(State(context): State<Arc<Context>>) -> Json<Status> {
+    Json(Status {
+        host: context.host().clone(),
+        incarnation: context.incarnation,
+        ready: context.is_ready(),
+        draining: context.is_draining(),
+        configuration: context.config().number,
+        heard: context.declared.heard(),
+        servers: context.fleet.list().servers.len(),
+        reporting: context.fleet.readings().len(),
+    })
+}
+
+async fn servers(State(context): State<Arc<Context>>) -> Json<Vec<Seen>> {
+    let readings = context.fleet.readings();
+    let seen = |entry: &backend::Entry| Seen {
+        entry: entry.clone(),
+        load: readings.get(&entry.server.id).map(|reading| reading.load.clone()),
+    };
+    Json(context.fleet.list().servers.iter().map(seen).collect())
+}
+
+/// Begins a planned stop, as SIGTERM does.
+async fn drain(State(context): State<Arc<Context>>) -> StatusCode {
+    log::info!(host = &*context.host().id; "an operator asks for a planned stop");
+    context.stop_asked.cancel();
+    StatusCode::ACCEPTED
 }
--- /dev/null
+++ b/crates/stage/src/operators/members.rs
@@ -0,0 +1,25 @@
+//! What this host takes the other hosts for, and its part in watching the platform.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use axum::{Json, extract::State};
+use policy::member::Standing;
+use serde::Serialize;
+use types::host;
+
+use crate::context::Context;
+
+/// This host's view of the others.
+#[derive(Debug, Serialize)]
+pub(super) struct Members {
+    /// Whether this host watches the object API.
+    watching: bool,
+    /// The other hosts.
+    hosts: BTreeMap<host::Id, Standing>,
+}
+
+/// This host's view of the others.
+pub(super) async fn members(State(context): State<Arc<Context>>) -> Json<Members> {
+    let watching = context.peers.gossip().is_watching(context.now());
+    Json(Members { watching, hosts: context.peers.standings() })
+}
