--- a/crates/stage/src/duties.rs
+++ b/crates/stage/src/duties.rs
@@ -3,6 +3,7 @@
 mod config;
 mod gossip;
 mod list;
+pub mod once;
 mod pump;
 mod reports;
 
@@ -18,6 +19,7 @@
     spawn(context, gossip::tell_numbers(context.clone()));
     spawn(context, config::run(context.clone()));
     spawn(context, reports::run(context.clone()));
+    spawn(context, once::run(context.clone()));
     spawn(context, pump::run(context.clone()));
 }
 
--- a/crates/stage/src/filters/attempt.rs
+++ b/crates/stage/src/filters/attempt.rs
@@ -19,7 +19,8 @@
     answer::Answer,
     context::Context,
     filters::{
-        Call, Delivery, Kind, account::Account, admit::Admitted, deliver, earlier, route::Routed,
+        Call, Delivery, Kind, account::Account, admit::Admitted, deliver, earlier, once::Grant,
+        route::Routed,
     },
     problem::{self, Problem},
     traffic::Sent,
@@ -42,6 +43,7 @@
     let admitted: Admitted = earlier(extensions)?;
     let account: Account = earlier(extensions)?;
     let first = first(&earlier(extensions)?)?;
+    Grant::check(extensions, context.now())?;
     let Kind::Model(question) = call.kind.clone() else {
         return Err(Problem::new(problem::Kind::UnknownPath, "no call to a model"));
     };
--- a/crates/stage/src/serve.rs
+++ b/crates/stage/src/serve.rs
@@ -1,6 +1,6 @@
 //! Starts a host and stops it in order.
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use axum::Router;
 use observe::{
@@ -20,6 +20,9 @@
     listener, operators, peers,
 };
 
+/// Longest wait for outcomes of claimed requests to be written.
+const FLUSH: Duration = Duration::from_secs(5);
+
 /// Why a host can't start.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -112,6 +115,7 @@
         if tokio::time::timeout(drain.finish, self.callers).await.is_err() {
             log::error!(host = &*self.context.host().id; "drain ends with requests in flight");
         }
+        duties::once::flush(&self.context, FLUSH).await;
         record(&self.context, DrainStep::Idle);
         self.context.stop.cancel();
         self.context.duties.close();
