Show that an old answer of the platform reverts no number

Cause: no test let a host see a lower number after a higher one, so that "never reverts" passed with the guard switched off. Change: the platform answers from an old copy between two true answers; each host's history of numbers must be exactly the true ones.

--- a/crates/stage/tests/promises/configuration.rs
+++ b/crates/stage/tests/promises/configuration.rs
@@ -93,3 +93,23 @@
     }
     site.end().await;
 }
+
+/// The platform answers from an old copy, then from the true one again.
+#[tokio::test]
+async fn old_answer_of_the_platform_reverts_nothing() {
+    let site = site().await;
+    let (_, old) = site.platform.peek("config/root").expect("a configuration");
+    let number = add_customer(&site);
+    until_in_force(&site, number).await;
+    let (_, latest) = site.platform.peek("config/root").expect("a configuration");
+
+    site.platform.poke("config/root", old);
+    site.platform.poke("config/root", latest);
+    let next = add_customer(&site);
+    until_in_force(&site, next).await;
+
+    for place in 0..site.hosts().len() {
+        assert_eq!(history(&site, place).await, [1, number, next]);
+    }
+    site.end().await;
+}
