--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -10,8 +10,8 @@
 
 use meter::Meter;
 use observe::{
-    Clock, Metrics, Ring,
-    metrics::{self, Direction, Link},
+    Clock, Event, Metrics, Ring, event,
+    metrics::{Direction, Link},
 };
 use platform::Store;
 use settings::process::Process;
@@ -19,7 +19,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::{counted::Counted, fleet::Fleet};
+use crate::{counted::Counted, fleet::Fleet, traffic::Traffic};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -37,12 +37,14 @@
     pub control_bytes: Meter,
     /// Bytes of calls to the platform.
     pub platform_bytes: Meter,
-    /// What is counted.
-    pub metrics: Metrics,
-    /// What happened lately, in order.
-    pub events: Arc<Ring>,
     /// Hosts, backend servers and what they report.
     pub fleet: Fleet,
+    /// Requests on their way: admission, choice of servers, limits.
+    pub traffic: Arc<Traffic>,
+    /// Metrics of this host.
+    pub metrics: Metrics,
+    /// The last events of this host.
+    pub events: Arc<Ring>,
     /// The configuration in force; only [`Context::advance`] changes it.
     config: watch::Sender<Arc<Numbered>>,
     /// Ends background duties.
@@ -59,24 +61,26 @@
     /// # Errors
     ///
     /// If the metrics can't be set up.
-    pub fn new(settings: Process) -> Result<Context, metrics::Error> {
+    pub fn new(settings: Process) -> Result<Context, observe::metrics::Error> {
         let platform_bytes = Meter::default();
         let builder = platform::Builder::new(settings.platform).meter(platform_bytes.clone());
         let control_bytes = Meter::default();
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
+        let origin = Instant::now();
         let metrics = Metrics::new()?;
-        let events = Ring::new(settings.host.id.clone(), incarnation, Clock::system());
-        let events = Arc::new(events);
+        let events = Arc::new(Ring::new(settings.host.id.clone(), incarnation, Clock::system()));
         metrics.watch_ring(&events);
         watch_bytes(&metrics, Link::Platform, &platform_bytes);
         watch_bytes(&metrics, Link::Servers, &control_bytes);
+        events.record(Event::new(event::Kind::Start));
         Ok(Context {
-            settings,
-            incarnation,
             store: Arc::new(Counted::new(builder.build(), metrics.clone(), events.clone())),
+            traffic: Arc::new(Traffic::new(settings.host.zone.clone(), origin)),
             metrics,
             events,
+            settings,
+            incarnation,
             backends: ::backend::Client::new(),
             control: ::backend::Client::metered(control_bytes.clone()),
             control_bytes,
@@ -86,7 +90,7 @@
             stop: CancellationToken::new(),
             duties: TaskTracker::new(),
             draining: AtomicBool::new(false),
-            origin: Instant::now(),
+            origin,
         })
     }
 
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -11,9 +11,11 @@
 pub mod filters;
 pub mod flags;
 pub mod fleet;
+pub mod idle;
+mod listener;
 pub mod operators;
 pub mod problem;
 mod serve;
-pub mod tally;
+pub mod traffic;
 
 pub use crate::serve::{Error, Running, start};
--- a/crates/stage/src/operators/watch.rs
+++ b/crates/stage/src/operators/watch.rs
@@ -21,6 +21,7 @@
 
 /// All metrics as Prometheus text.
 pub(super) async fn metrics(State(context): State<Arc<Context>>) -> Response {
+    context.traffic.show(&context.metrics);
     match context.metrics.text() {
         Ok(text) => ([(header::CONTENT_TYPE, metrics::CONTENT_TYPE)], text).into_response(),
         Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()).into_response(),
--- a/crates/stage/src/serve.rs
+++ b/crates/stage/src/serve.rs
@@ -5,13 +5,13 @@
 use axum::Router;
 use observe::{
     Event,
-    event::{DrainStep, Kind},
+    event::{self, DrainStep},
 };
 use settings::process::Process;
 use tokio::{net::TcpListener, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
-use crate::{callers, context::Context, duties, operators};
+use crate::{callers, context::Context, duties, listener, operators};
 
 /// Why a host can't start.
 #[derive(Debug, thiserror::Error)]
@@ -49,7 +49,6 @@
     let callers = bind("callers", &mut settings.host.callers).await?;
     let operators = bind("operators", &mut settings.host.operators).await?;
     let context = Arc::new(Context::new(settings)?);
-    context.events.record(Event::new(Kind::Start));
     log::info!(
         host = &*context.host().id, callers:% = context.host().callers,
         operators:% = context.host().operators; "host starts"
@@ -57,8 +56,12 @@
     duties::start(&context);
     let stop_callers = CancellationToken::new();
     let stop_operators = CancellationToken::new();
-    let callers =
-        tokio::spawn(listen(callers, callers::router(context.clone()), stop_callers.clone()));
+    let callers = tokio::spawn(listener::serve(
+        callers,
+        callers::router(context.clone()),
+        context.settings.bounds.clone(),
+        stop_callers.clone(),
+    ));
     let operators =
         tokio::spawn(listen(operators, operators::router(context.clone()), stop_operators.clone()));
     Ok(Running { context, stop_callers, stop_operators, callers, operators })
@@ -72,20 +75,18 @@
 
     /// Stops as planned: not ready first, then a pause for the balancer, then no new connections,
     /// then the end of what is in flight.
-    pub async fn drain(mut self) {
+    pub async fn drain(self) {
         let drain = self.context.settings.drain.clone();
         self.context.begin_drain();
-        self.step(DrainStep::NotReady);
+        record(&self.context, DrainStep::NotReady);
         log::info!(host = &*self.context.host().id; "drain begins");
         tokio::time::sleep(drain.balancer).await;
         self.stop_callers.cancel();
-        self.step(DrainStep::Closed);
-        match tokio::time::timeout(drain.finish, &mut self.callers).await {
-            Ok(_) => self.step(DrainStep::Idle),
-            Err(_) => {
-                log::error!(host = &*self.context.host().id; "drain ends with requests in flight");
-            }
+        record(&self.context, DrainStep::Closed);
+        if tokio::time::timeout(drain.finish, self.callers).await.is_err() {
+            log::error!(host = &*self.context.host().id; "drain ends with requests in flight");
         }
+        record(&self.context, DrainStep::Idle);
         self.context.stop.cancel();
         self.context.duties.close();
         self.context.duties.wait().await;
@@ -93,10 +94,10 @@
         let _ = self.operators.await;
         log::info!(host = &*self.context.host().id; "host ends");
     }
+}
 
-    fn step(&self, drain: DrainStep) {
-        self.context.events.record(Event::new(Kind::Drain { drain }));
-    }
+fn record(context: &Context, drain: DrainStep) {
+    context.events.record(Event::new(event::Kind::Drain { drain }));
 }
 
 async fn bind(role: &'static str, address: &mut SocketAddr) -> Result<TcpListener, Error> {
--- a/crates/stage/tests/common/caller.rs
+++ b/crates/stage/tests/common/caller.rs
@@ -85,15 +85,16 @@
             Ok(Ok(response)) => response,
         };
         let is_stream = response.status() == http::StatusCode::OK;
-        let (text, is_cut) = read(response.into_body()).await;
-        match is_stream {
-            true => self.judge(&text, is_cut),
-            false if is_cut => Ending::Cut,
-            false => problem(&text),
+        let (text, end) = read(response.into_body()).await;
+        match (is_stream, end) {
+            (_, End::Never) => Ending::Wrong(format!("{}: no end within patience", self.key)),
+            (true, end) => self.judge(&text, end),
+            (false, End::Cut) => Ending::Cut,
+            (false, End::Clean) => problem(&text),
         }
     }
 
-    fn judge(&self, text: &str, is_cut: bool) -> Ending {
+    fn judge(&self, text: &str, end: End) -> Ending {
         let events = events(text);
         let (heard, right) = (answer_text(&events), self.right());
         if !right.starts_with(&heard) {
@@ -104,23 +105,31 @@
             "[DONE]" if heard == right => Ending::Whole,
             "[DONE]" => Ending::Wrong(format!("{}: ended after {heard:?}", self.key)),
             data if data.contains("\"ran\"") => problem(data),
-            _ if is_cut => Ending::Cut,
+            _ if end == End::Cut => Ending::Cut,
             _ => Ending::Wrong(format!("{}: ended without an end mark", self.key)),
         }
     }
 }
 
-async fn read(mut body: hyper::body::Incoming) -> (String, bool) {
+/// How a body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    Clean,
+    Cut,
+    Never,
+}
+
+async fn read(mut body: hyper::body::Incoming) -> (String, End) {
     let mut text = Vec::new();
-    loop {
+    let end = loop {
         match tokio::time::timeout(PATIENCE, body.frame()).await {
             Ok(Some(Ok(frame))) => text.extend(frame.into_data().unwrap_or_default()),
-            Ok(None) => return (String::from_utf8_lossy(&text).into_owned(), false),
-            Ok(Some(Err(_))) | Err(_) => {
-                return (String::from_utf8_lossy(&text).into_owned(), true);
-            }
+            Ok(Some(Err(_))) => break End::Cut,
+            Ok(None) => break End::Clean,
+            Err(_) => break End::Never,
         }
-    }
+    };
+    (String::from_utf8_lossy(&text).into_owned(), end)
 }
 
 fn problem(text: &str) -> Ending {
