--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -11,15 +11,16 @@
 use meter::Meter;
 use observe::{
     Clock, Event, Metrics, Ring, event,
-    metrics::{Direction, Link},
+    metrics::{self, Direction, Link},
 };
 use platform::Store;
+use policy::once::{self, Run};
 use settings::process::Process;
 use tokio::sync::watch;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::{counted::Counted, fleet::Fleet, traffic::Traffic};
+use crate::{claims::Claims, counted::Counted, declared::Declared, fleet::Fleet, traffic::Traffic};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -39,6 +40,10 @@
     pub platform_bytes: Meter,
     /// Hosts, backend servers and what they report.
     pub fleet: Fleet,
+    /// What is held of the declared configuration.
+    pub declared: Declared,
+    /// Claims of keys.
+    pub claims: Claims,
     /// Requests on their way: admission, choice of servers, limits.
     pub traffic: Arc<Traffic>,
     /// Metrics of this host.
@@ -47,6 +52,8 @@
     pub events: Arc<Ring>,
     /// The configuration in force; only [`Context::advance`] changes it.
     config: watch::Sender<Arc<Numbered>>,
+    /// Cancelled when an operator asks for a planned stop.
+    pub stop_asked: CancellationToken,
     /// Ends background duties.
     pub stop: CancellationToken,
     /// Background duties.
@@ -61,12 +68,13 @@
     /// # Errors
     ///
     /// If the metrics can't be set up.
-    pub fn new(settings: Process) -> Result<Context, observe::metrics::Error> {
+    pub fn new(settings: Process) -> Result<Context, metrics::Error> {
         let platform_bytes = Meter::default();
         let builder = platform::Builder::new(settings.platform).meter(platform_bytes.clone());
         let control_bytes = Meter::default();
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
+        let me = Run { host: settings.host.id.clone(), incarnation };
         let origin = Instant::now();
         let metrics = Metrics::new()?;
         let events = Arc::new(Ring::new(settings.host.id.clone(), incarnation, Clock::system()));
@@ -74,19 +82,23 @@
         watch_bytes(&metrics, Link::Platform, &platform_bytes);
         watch_bytes(&metrics, Link::Servers, &control_bytes);
         events.record(Event::new(event::Kind::Start));
+        let store = Counted::new(builder.build(), metrics.clone(), events.clone());
         Ok(Context {
-            store: Arc::new(Counted::new(builder.build(), metrics.clone(), events.clone())),
-            traffic: Arc::new(Traffic::new(settings.host.zone.clone(), origin)),
+            traffic: Arc::new(Traffic::new(&settings, origin)),
             metrics,
             events,
             settings,
             incarnation,
+            store: Arc::new(store),
             backends: ::backend::Client::new(),
             control: ::backend::Client::metered(control_bytes.clone()),
             control_bytes,
             platform_bytes,
             fleet: Fleet::default(),
+            declared: Declared::default(),
+            claims: Claims::new(me, once::Settings::default()),
             config: watch::channel(Arc::default()).0,
+            stop_asked: CancellationToken::new(),
             stop: CancellationToken::new(),
             duties: TaskTracker::new(),
             draining: AtomicBool::new(false),
--- a/crates/stage/src/filters/account.rs
+++ b/crates/stage/src/filters/account.rs
@@ -19,8 +19,8 @@
 
 use crate::{context::Context, problem::Problem};
 
-/// Service under which calls are counted that were refused before they named one.
-const NO_SERVICE: &str = "none";
+/// Service under which refusals of calls that could not be identified are counted.
+const UNIDENTIFIED: &str = "none";
 
 /// The account of one call.
 #[derive(Clone)]
@@ -118,11 +118,11 @@
             Ran::DidNotRun => Outcome::Refused,
             Ran::MayHaveRun | Ran::Ran => Outcome::Failed,
         });
-        let service = self.service().unwrap_or_else(|| NO_SERVICE.into());
+        let service = self.service().unwrap_or_else(|| UNIDENTIFIED.into());
         self.0.context.metrics.refusal(&service, cause);
         self.record(event::Kind::Refusal { cause: cause.into(), ran: problem.ran });
         log::info!(
-            request = self.request().as_ref().map_or("-", |request| &*request.id), problem = cause,
+            request = self.request().as_deref().unwrap_or("-"), problem = cause,
             detail = problem.detail.as_str(); "call refused"
         );
     }
@@ -135,19 +135,19 @@
         self.notes().call.as_ref().map(|(request, _)| request.service.clone())
     }
 
-    fn request(&self) -> Option<Arc<request::Request>> {
-        self.notes().call.as_ref().map(|(request, _)| request.clone())
+    fn request(&self) -> Option<request::Id> {
+        self.notes().call.as_ref().map(|(request, _)| request.id.clone())
     }
 
     fn record(&self, kind: event::Kind) {
-        if let Some(request) = self.request() {
-            self.0.context.events.record(about(&request, kind));
+        if let Some(id) = self.request() {
+            self.0.context.events.record(Event::new(kind).request(&id));
         }
     }
 
     fn record_at(&self, kind: event::Kind, server: &backend::Id) {
-        if let Some(request) = self.request() {
-            self.0.context.events.record(about(&request, kind).server(server));
+        if let Some(id) = self.request() {
+            self.0.context.events.record(Event::new(kind).request(&id).server(server));
         }
     }
 }
@@ -155,13 +155,17 @@
 impl Drop for Inner {
     fn drop(&mut self) {
         let notes = self.notes.get_mut().unwrap_or_else(|poisoned| poisoned.into_inner());
-        let outcome = notes.outcome.unwrap_or(Outcome::Cancelled);
         let Some((request, _)) = &notes.call else {
-            self.context.metrics.request(&NO_SERVICE.into(), outcome);
+            if let Some(outcome) = notes.outcome {
+                self.context.metrics.request(&UNIDENTIFIED.into(), outcome);
+            }
             return;
         };
+        let outcome = notes.outcome.unwrap_or(Outcome::Cancelled);
         self.context.metrics.request(&request.service, outcome);
-        self.context.events.record(about(request, event::Kind::Answer { outcome }));
+        self.context
+            .events
+            .record(Event::new(event::Kind::Answer { outcome }).request(&request.id));
         if outcome != Outcome::Cancelled {
             let attainment = attainment(notes, request, self.began, outcome);
             self.context.metrics.attainment(&request.service, attainment);
@@ -184,14 +188,6 @@
     if is_met { Attainment::Met } else { Attainment::Missed }
 }
 
-fn about(request: &request::Request, kind: event::Kind) -> Event {
-    let event = Event::new(kind).request(&request.id);
-    match &request.model {
-        Some(name) => event.model(&name.model),
-        None => event,
-    }
-}
-
 /// Opens an account for each call.
 pub async fn filter(
     State(context): State<Arc<Context>>,
--- a/crates/stage/src/serve.rs
+++ b/crates/stage/src/serve.rs
@@ -1,17 +1,27 @@
 //! Starts a host and stops it in order.
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use axum::Router;
 use observe::{
     Event,
     event::{self, DrainStep},
+    metrics::Listener,
 };
 use settings::process::Process;
 use tokio::{net::TcpListener, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
-use crate::{callers, context::Context, duties, listener, operators};
+use crate::{
+    callers,
+    context::Context,
+    duties,
+    guard::{self, Guard},
+    listener, operators,
+};
+
+/// Longest wait for outcomes of claimed requests to be written.
+const FLUSH: Duration = Duration::from_secs(5);
 
 /// Why a host can't start.
 #[derive(Debug, thiserror::Error)]
@@ -26,6 +36,9 @@
         /// Why.
         cause: io::Error,
     },
+    /// A listener would be open to strangers.
+    #[error(transparent)]
+    Open(#[from] guard::Open),
     /// The metrics can't be set up.
     #[error(transparent)]
     Metrics(#[from] observe::metrics::Error),
@@ -48,6 +61,11 @@
 pub async fn start(mut settings: Process) -> Result<Running, Error> {
     let callers = bind("callers", &mut settings.host.callers).await?;
     let operators = bind("operators", &mut settings.host.operators).await?;
+    let guard = Guard::new(
+        Listener::Operators,
+        settings.operators_token.as_deref(),
+        settings.host.operators,
+    )?;
     let context = Arc::new(Context::new(settings)?);
     log::info!(
         host = &*context.host().id, callers:% = context.host().callers,
@@ -62,8 +80,11 @@
         context.settings.bounds.clone(),
         stop_callers.clone(),
     ));
-    let operators =
-        tokio::spawn(listen(operators, operators::router(context.clone()), stop_operators.clone()));
+    let operators = tokio::spawn(listen(
+        operators,
+        operators::router(context.clone(), guard),
+        stop_operators.clone(),
+    ));
     Ok(Running { context, stop_callers, stop_operators, callers, operators })
 }
 
@@ -86,6 +107,7 @@
         if tokio::time::timeout(drain.finish, self.callers).await.is_err() {
             log::error!(host = &*self.context.host().id; "drain ends with requests in flight");
         }
+        duties::once::flush(&self.context, FLUSH).await;
         record(&self.context, DrainStep::Idle);
         self.context.stop.cancel();
         self.context.duties.close();
--- a/crates/stage/tests/common/mod.rs
+++ b/crates/stage/tests/common/mod.rs
@@ -5,8 +5,10 @@
 
 mod caller;
 mod http;
+pub mod inside;
 mod links;
 mod process;
+pub mod script;
 mod seen;
 mod site;
 
--- a/crates/stage/tests/promises/not_run.rs
+++ b/crates/stage/tests/promises/not_run.rs
@@ -20,7 +20,7 @@
 async fn site() -> Site {
     let engine = Settings::new("lm-1").with_model(MODEL, "v1", 900);
     let short = |settings: &mut serde_json::Value| {
-        settings["bounds"] = serde_json::json!({"request_ms": 3_000});
+        settings["bounds"] = serde_json::json!({"request_ms": 3_000, "idle_ms": 2_000});
     };
     Builder::new(2).engine(engine).settings(short).linked().start().await
 }
