--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -9,7 +9,10 @@
 };
 
 use meter::Meter;
-use observe::{Clock, Event, Metrics, Ring, event};
+use observe::{
+    Clock, Event, Metrics, Ring, event,
+    metrics::{self, Direction, Link},
+};
 use platform::Store;
 use policy::once::{self, Run};
 use settings::process::Process;
@@ -17,7 +20,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::{claims::Claims, fleet::Fleet, traffic::Traffic};
+use crate::{claims::Claims, counted::Counted, fleet::Fleet, traffic::Traffic};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -61,7 +64,7 @@
     /// # Errors
     ///
     /// If the metrics can't be set up.
-    pub fn new(settings: Process) -> Result<Context, observe::metrics::Error> {
+    pub fn new(settings: Process) -> Result<Context, metrics::Error> {
         let platform_bytes = Meter::default();
         let builder = platform::Builder::new(settings.platform).meter(platform_bytes.clone());
         let control_bytes = Meter::default();
@@ -72,14 +75,17 @@
         let metrics = Metrics::new()?;
         let events = Arc::new(Ring::new(settings.host.id.clone(), incarnation, Clock::system()));
         metrics.watch_ring(&events);
+        watch_bytes(&metrics, Link::Platform, &platform_bytes);
+        watch_bytes(&metrics, Link::Servers, &control_bytes);
         events.record(Event::new(event::Kind::Start));
+        let store = Counted::new(builder.build(), metrics.clone(), events.clone());
         Ok(Context {
             traffic: Arc::new(Traffic::new(settings.host.zone.clone(), origin)),
             metrics,
             events,
             settings,
             incarnation,
-            store: Arc::new(builder.build()),
+            store: Arc::new(store),
             backends: ::backend::Client::new(),
             control: ::backend::Client::metered(control_bytes.clone()),
             control_bytes,
@@ -141,3 +147,12 @@
         self.draining.store(true, Ordering::Release);
     }
 }
+
+/// Shows a meter's bytes in the metrics.
+fn watch_bytes(metrics: &Metrics, link: Link, meter: &Meter) {
+    let meter = meter.clone();
+    metrics.watch_bytes(link, move |direction| match direction {
+        Direction::In => meter.received(),
+        Direction::Out => meter.sent(),
+    });
+}
--- a/crates/stage/src/filters/account.rs
+++ b/crates/stage/src/filters/account.rs
@@ -19,6 +19,9 @@
 
 use crate::{context::Context, problem::Problem};
 
+/// Service under which refusals of calls that could not be identified are counted.
+const UNIDENTIFIED: &str = "none";
+
 /// The account of one call.
 #[derive(Clone)]
 pub struct Account(Arc<Inner>);
@@ -115,9 +118,8 @@
             Ran::DidNotRun => Outcome::Refused,
             Ran::MayHaveRun | Ran::Ran => Outcome::Failed,
         });
-        if let Some(service) = self.service() {
-            self.0.context.metrics.refusal(&service, cause);
-        }
+        let service = self.service().unwrap_or_else(|| UNIDENTIFIED.into());
+        self.0.context.metrics.refusal(&service, cause);
         self.record(event::Kind::Refusal { cause: cause.into(), ran: problem.ran });
         log::info!(
             request = self.request().as_deref().unwrap_or("-"), problem = cause,
@@ -153,7 +155,12 @@
 impl Drop for Inner {
     fn drop(&mut self) {
         let notes = self.notes.get_mut().unwrap_or_else(|poisoned| poisoned.into_inner());
-        let Some((request, _)) = &notes.call else { return };
+        let Some((request, _)) = &notes.call else {
+            if let Some(outcome) = notes.outcome {
+                self.context.metrics.request(&UNIDENTIFIED.into(), outcome);
+            }
+            return;
+        };
         let outcome = notes.outcome.unwrap_or(Outcome::Cancelled);
         self.context.metrics.request(&request.service, outcome);
         self.context
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod callers;
 pub mod claims;
 pub mod context;
+mod counted;
 pub mod duties;
 pub mod filters;
 pub mod flags;
