Promise accelerator memory through one ledger for each server

Cause: orders to engines are lost or come late, planners are paused or die, answers of the object API are lost after the effect, and engines restart with empty memory; some engines ignore fencing numbers.

The search showed that an engine that forgets its fencing number at a restart takes superseded orders again: they stay counted in a second sum.

--- /dev/null
+++ b/crates/policy/src/ledger/settle.rs
@@ -0,0 +1,135 @@
+//! Settling orders by evidence, never by time.
+//!
+//! A lost order and a late one look the same from outside, so silence settles nothing. Each order
+//! is sent once at most, which leaves these ways to know that it can't arrive any more:
+//!
+//! - the engine lists it among the orders it took: it has arrived, and the same report shows its
+//!   effect;
+//! - its sender knows that the engine never took it and never will: it was refused, or no byte of
+//!   it was sent;
+//! - its sender knows that nothing of it is in flight, or the sender is gone for good. Whether it
+//!   took effect is then shown by any report taken afterwards, and the word names the first such
+//!   report.
+//!
+//! Reports lag and arrive out of order; one that is older than the last one applied is dropped.
+
+use types::prelude::*;
+
+use super::{Entry, Ledger, Mark};
+
+/// Something known about a server's orders.
+#[derive(Clone, Debug)]
+pub enum Evidence<'a> {
+    /// A load report.
+    Report(&'a report::Load),
+    /// The engine did not take the order and never will.
+    Never {
+        /// The order.
+        order: order::Id,
+    },
+    /// Nothing of the order is in flight, by its sender's word.
+    Quiet {
+        /// The order.
+        order: order::Id,
+        /// The first report that is known to have been taken afterwards.
+        after: Mark,
+    },
+    /// A host's process is gone for good, and nothing that it sent is in flight.
+    Gone {
+        /// The host.
+        sender: host::Id,
+        /// Its last run that is gone.
+        incarnation: host::Incarnation,
+        /// The first report that is known to have been taken afterwards.
+        after: Mark,
+    },
+}
+
+/// How an order was settled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    /// The engine reported that it took it.
+    Taken,
+    /// The engine never took it.
+    Never,
+    /// Nothing of it is in flight; the reports show what came of it.
+    Quiet,
+}
+
+/// An order that was settled.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settled {
+    /// The order as it stood in the ledger.
+    pub entry: Entry,
+    /// How it was settled.
+    pub how: How,
+}
+
+/// Outcome of looking at evidence.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outcome {
+    /// The ledger to write by conditional update, if it differs.
+    pub ledger: Ledger,
+    /// What was settled.
+    pub settled: Vec<Settled>,
+}
+
+impl Ledger {
+    /// Takes in evidence.
+    pub fn settle(&self, evidence: &[Evidence<'_>]) -> Outcome {
+        let mut outcome = Outcome { ledger: self.clone(), settled: Vec::new() };
+        for piece in evidence {
+            match piece {
+                Evidence::Report(load) => outcome.report(load),
+                Evidence::Never { order } => {
+                    outcome.drop_where(How::Never, |entry| entry.order.id == *order);
+                }
+                Evidence::Quiet { order, after } => {
+                    outcome.quieten(*after, |entry| entry.order.id == *order);
+                }
+                Evidence::Gone { sender, incarnation, after } => {
+                    outcome.quieten(*after, |entry| {
+                        entry.order.sender == *sender && entry.order.incarnation <= *incarnation
+                    });
+                }
+            }
+        }
+        outcome
+    }
+}
+
+impl Outcome {
+    fn report(&mut self, load: &report::Load) {
+        let mark = Mark::of(load);
+        if mark < self.ledger.mark || load.server != self.ledger.server {
+            return;
+        }
+        self.ledger.mark = mark;
+        self.ledger.capacity = load.capacity;
+        self.ledger.fenced = load.fenced;
+        self.ledger.seen = load.fence;
+        self.ledger.fence = self.ledger.fence.max(load.fence);
+        self.ledger.residents = load.residents.clone();
+        self.drop_where(How::Taken, |entry| load.orders.contains(&entry.order.id));
+        self.drop_quiet();
+    }
+
+    fn quieten(&mut self, after: Mark, applies: impl Fn(&Entry) -> bool) {
+        let entries = self.ledger.orders.iter_mut();
+        entries
+            .filter(|entry| entry.quiet.is_none() && applies(entry))
+            .for_each(|entry| entry.quiet = Some(after));
+        self.drop_quiet();
+    }
+
+    /// Drops the orders whose effect the last report shows.
+    fn drop_quiet(&mut self) {
+        let mark = self.ledger.mark;
+        self.drop_where(How::Quiet, |entry| entry.quiet.is_some_and(|after| after <= mark));
+    }
+
+    fn drop_where(&mut self, how: How, applies: impl Fn(&Entry) -> bool) {
+        let gone = self.ledger.orders.extract_if(.., |entry| applies(entry));
+        self.settled.extend(gone.map(|entry| Settled { entry, how }));
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/ledger.rs
@@ -0,0 +1,209 @@
+//! The ledger's decisions, case by case: what frees memory and what does not.
+
+use policy::ledger::{
+    Claim, Ledger, MOST_ORDERS, Mark, Short,
+    held::Wait,
+    replica::may_break,
+    settle::{Evidence, How},
+};
+use rstest::rstest;
+use types::{
+    order::{Action, Order, Role},
+    prelude::*,
+    report::Load,
+    resident::{Resident, State},
+};
+
+const CAPACITY: Mebibytes = 100;
+
+fn unit(model: &str) -> Unit {
+    Unit::Model { model: model.into(), version: "1".into() }
+}
+
+fn load(model: &str, memory: Mebibytes) -> Action {
+    Action::Load { unit: unit(model), memory }
+}
+
+fn unload(model: &str) -> Action {
+    Action::Unload { unit: unit(model) }
+}
+
+fn claim(id: &str) -> Claim {
+    Claim { id: id.into(), sender: "host-1".into(), incarnation: 7, cause: "test".into() }
+}
+
+/// A report with these residents, of the first run.
+fn report(sequence: u64, residents: &[(&str, Mebibytes)]) -> Load {
+    let resident =
+        |&(model, memory): &(&str, _)| Resident { unit: unit(model), memory, state: State::Ready };
+    Load {
+        server: "engine-1".into(),
+        incarnation: 1,
+        sequence,
+        age: Duration::ZERO,
+        leaving: false,
+        running: 0,
+        waiting: 0,
+        slots: 8,
+        step: Duration::from_millis(5),
+        prefill_rate: 1000,
+        prompt_backlog: 0,
+        capacity: CAPACITY,
+        residents: residents.iter().map(resident).collect(),
+        fence: 0,
+        fenced: false,
+        orders: Vec::new(),
+        role: Role::Whole,
+    }
+}
+
+fn reserved(ledger: &Ledger, id: &str, action: Action) -> (Ledger, Order) {
+    ledger.reserve(claim(id), action).expect("it fits")
+}
+
+#[test]
+fn reservation_that_does_not_fit_says_what_is_short() {
+    let ledger = Ledger::new(&report(1, &[("a", 60)]));
+    let (ledger, _) = reserved(&ledger, "o1", load("b", 30));
+    let short = ledger.reserve(claim("o2"), load("c", 30)).expect_err("10 are free");
+    let expected = Short::Memory { server: "engine-1".into(), needed: 30, free: 10, in_doubt: 30 };
+    assert_eq!(short, expected);
+}
+
+#[test]
+fn lost_load_may_be_ordered_again_at_no_cost() {
+    let ledger = Ledger::new(&report(1, &[]));
+    let (ledger, _) = reserved(&ledger, "o1", load("a", 80));
+    let (ledger, _) = reserved(&ledger, "o2", load("a", 80));
+    assert_eq!(ledger.split().promised, 80);
+}
+
+#[test]
+fn unload_frees_only_when_a_report_shows_it() {
+    let ledger = Ledger::new(&report(1, &[("a", 80)]));
+    let (ledger, _) = reserved(&ledger, "o1", unload("a"));
+    assert_eq!(ledger.split().free, 20);
+
+    let leaving = Load { orders: vec!["o1".into()], ..report(2, &[("a", 80)]) };
+    let ledger = ledger.settle(&[Evidence::Report(&leaving)]).ledger;
+    assert!(ledger.orders.is_empty());
+    assert_eq!(ledger.split().free, 20, "the engine is still unloading");
+
+    let ledger = ledger.settle(&[Evidence::Report(&report(3, &[]))]).ledger;
+    assert_eq!(ledger.split().free, 100);
+}
+
+#[test]
+fn late_load_is_covered_after_its_unload_on_an_engine_that_ignores_fences() {
+    let ledger = Ledger::new(&report(1, &[("a", 80)]));
+    let (ledger, _) = reserved(&ledger, "late", load("a", 80));
+    let (ledger, _) = reserved(&ledger, "successor", unload("a"));
+    let gone = Load { orders: vec!["successor".into()], fence: 2, ..report(2, &[]) };
+    let ledger = ledger.settle(&[Evidence::Report(&gone)]).ledger;
+    assert_eq!(ledger.split().in_doubt, 80);
+    assert!(ledger.reserve(claim("o3"), load("b", 30)).is_err());
+
+    let after = Mark { incarnation: 1, sequence: 3 };
+    let word = Evidence::Quiet { order: "late".into(), after };
+    let ledger = ledger.settle(&[word]).ledger;
+    assert_eq!(ledger.split().in_doubt, 80, "no report since the word has been seen");
+    let ledger = ledger.settle(&[Evidence::Report(&report(3, &[]))]).ledger;
+    assert_eq!(ledger.split().free, 100);
+}
+
+#[test]
+fn superseded_load_leaves_room_beside_residents_but_counts_for_a_restart() {
+    let fenced = |report: Load| Load { fenced: true, ..report };
+    let ledger = Ledger::new(&fenced(report(1, &[("a", 50)])));
+    let (ledger, _) = reserved(&ledger, "late", load("b", 40));
+    let (ledger, _) = reserved(&ledger, "successor", unload("b"));
+    let newer = Load { fence: 2, orders: vec!["successor".into()], ..report(2, &[("a", 50)]) };
+    let ledger = ledger.settle(&[Evidence::Report(&fenced(newer))]).ledger;
+
+    assert!(ledger.is_superseded(&ledger.orders[0]));
+    assert!(ledger.reserve(claim("o3"), load("c", 50)).is_ok(), "b can't arrive beside a and c");
+    assert!(ledger.reserve(claim("o3"), load("c", 61)).is_err(), "b and c after a restart");
+
+    let restarted = Load { incarnation: 2, ..report(1, &[]) };
+    let ledger = ledger.settle(&[Evidence::Report(&fenced(restarted))]).ledger;
+    assert!(!ledger.is_superseded(&ledger.orders[0]), "the new run has no fencing number");
+    assert_eq!(ledger.split().in_doubt, 40);
+}
+
+#[rstest]
+#[case::older_report(1, 4)]
+#[case::older_run(0, 9)]
+fn report_that_comes_late_changes_nothing(#[case] incarnation: u64, #[case] sequence: u64) {
+    let ledger = Ledger::new(&report(5, &[("a", 80)]));
+    let late = Load { incarnation, ..report(sequence, &[]) };
+    assert_eq!(ledger.settle(&[Evidence::Report(&late)]).ledger, ledger);
+}
+
+#[test]
+fn report_of_another_server_changes_nothing() {
+    let ledger = Ledger::new(&report(1, &[("a", 80)]));
+    let other = Load { server: "engine-2".into(), ..report(2, &[]) };
+    assert_eq!(ledger.settle(&[Evidence::Report(&other)]).ledger, ledger);
+}
+
+#[test]
+fn order_that_was_never_taken_frees_at_once() {
+    let ledger = Ledger::new(&report(1, &[]));
+    let (ledger, order) = reserved(&ledger, "o1", load("a", 80));
+    let outcome = ledger.settle(&[Evidence::Never { order: order.id }]);
+    assert_eq!(outcome.settled[0].how, How::Never);
+    assert_eq!(outcome.ledger.split().free, 100);
+}
+
+#[test]
+fn only_orders_of_the_run_that_is_gone_are_quiet() {
+    let ledger = Ledger::new(&report(1, &[]));
+    let (ledger, _) = reserved(&ledger, "old", load("a", 10));
+    let newer = Claim { incarnation: 8, ..claim("new") };
+    let (ledger, _) = ledger.reserve(newer, load("b", 20)).expect("it fits");
+    let gone = Evidence::Gone { sender: "host-1".into(), incarnation: 7, after: ledger.mark };
+    let outcome = ledger.settle(&[gone]);
+    assert_eq!(&*outcome.settled[0].entry.order.id, "old");
+    assert_eq!(outcome.ledger.split().promised, 20);
+}
+
+#[test]
+fn unsettled_orders_are_bounded() {
+    let mut ledger = Ledger::new(&report(1, &[]));
+    for number in 0..MOST_ORDERS {
+        (ledger, _) = reserved(&ledger, &format!("o{number}"), load("a", 1));
+    }
+    let short = ledger.reserve(claim("more"), load("a", 1));
+    assert!(matches!(short, Err(Short::Orders { open: MOST_ORDERS, .. })));
+}
+
+#[test]
+fn operators_see_what_would_settle_an_order() {
+    let ledger = Ledger::new(&report(1, &[("a", 30)]));
+    let (ledger, _) = reserved(&ledger, "o1", load("b", 40));
+    let held = ledger.why_held();
+    assert_eq!((held[0].memory, held[0].waits), (40, Wait::Arrival));
+    assert!(held[0].settled_by.iter().any(|way| way.contains("host-1 (run 7) says")));
+
+    let after = Mark { incarnation: 1, sequence: 9 };
+    let ledger = ledger.settle(&[Evidence::Quiet { order: "o1".into(), after }]).ledger;
+    assert_eq!(ledger.why_held()[0].waits, Wait::Report { after });
+}
+
+#[test]
+fn two_unloads_at_once_do_not_count_on_each_other() {
+    let here = Ledger::new(&report(1, &[("a", 30)]));
+    let there = here.clone();
+    assert!(may_break(&unit("a"), [&there]));
+    let (there, _) = reserved(&there, "o1", unload("a"));
+    assert!(!may_break(&unit("a"), [&there]));
+}
+
+#[test]
+fn ledger_reads_back_as_it_was_written() {
+    let ledger = Ledger::new(&report(1, &[("a", 30)]));
+    let (ledger, _) = reserved(&ledger, "o1", load("b", 40));
+    let text = serde_json::to_string(&ledger).expect("it is plain data");
+    let read: Ledger = serde_json::from_str(&text).expect("it was just written");
+    assert_eq!(read, ledger);
+}
--- /dev/null
+++ b/crates/spec/src/ledger/words.rs
@@ -0,0 +1,106 @@
+//! Between the small states and the types that `policy` works on.
+
+use std::{ops::Range, sync::Arc, time::Duration};
+
+use policy::ledger::{Claim, Ledger};
+use types::{
+    order,
+    report::Load,
+    resident::{Resident, State, Unit},
+};
+
+use super::{
+    Bounds,
+    state::{Action, Engine, MOST_ORDERS},
+};
+
+/// Accelerator memory of the engine, in MiB.
+pub(super) fn capacity(bounds: &Bounds) -> u64 {
+    u64::from(bounds.capacity) * MEMORY
+}
+
+/// Units that may be loaded: one more than fit.
+pub(super) fn units(bounds: &Bounds) -> Range<u8> {
+    0..bounds.capacity + 1
+}
+
+/// Memory of each unit, in MiB.
+pub(super) const MEMORY: u64 = 1;
+
+/// Names of the units.
+pub(super) const NAMES: [&str; 3] = ["A", "B", "C"];
+
+const SERVER: &str = "engine";
+
+pub(super) fn host(planner: usize) -> Arc<str> {
+    format!("planner-{planner}").into()
+}
+
+pub(super) fn order_id(number: usize) -> order::Id {
+    format!("order-{number}").into()
+}
+
+/// Ids of the orders whose bits are set.
+pub(super) fn orders(bits: u8) -> impl Iterator<Item = order::Id> {
+    (0..MOST_ORDERS).filter(move |number| bits & (1 << number) != 0).map(order_id)
+}
+
+/// Orders that stand in a ledger, a bit each.
+pub(super) fn standing(ledger: &Ledger) -> u8 {
+    let stands = |number: &usize| {
+        let id = order_id(*number);
+        ledger.orders.iter().any(|entry| entry.order.id == id)
+    };
+    (0..MOST_ORDERS).filter(stands).fold(0, |bits, number| bits | 1 << number)
+}
+
+pub(super) fn claim(number: usize, planner: usize, incarnation: u8) -> Claim {
+    Claim {
+        id: order_id(number),
+        sender: host(planner),
+        incarnation: incarnation.into(),
+        cause: "".into(),
+    }
+}
+
+pub(super) fn action(action: Action) -> order::Action {
+    match action {
+        Action::Load(number) => order::Action::Load { unit: unit(number), memory: MEMORY },
+        Action::Unload(number) => order::Action::Unload { unit: unit(number) },
+    }
+}
+
+pub(super) fn unit(number: u8) -> Unit {
+    Unit::Model { model: NAMES[usize::from(number)].into(), version: "1".into() }
+}
+
+pub(super) fn residents(engine: &Engine) -> Vec<Resident> {
+    (0..)
+        .zip(NAMES)
+        .filter(|(number, _)| engine.residents & (1 << number) != 0)
+        .map(|(number, _)| Resident { unit: unit(number), memory: MEMORY, state: State::Ready })
+        .collect()
+}
+
+/// The report that the engine gives now.
+pub(super) fn load(engine: &Engine, bounds: &Bounds) -> Load {
+    Load {
+        server: SERVER.into(),
+        incarnation: engine.incarnation.into(),
+        sequence: engine.sequence.into(),
+        age: Duration::ZERO,
+        leaving: false,
+        running: 0,
+        waiting: 0,
+        slots: 1,
+        step: Duration::from_millis(5),
+        prefill_rate: 1,
+        prompt_backlog: 0,
+        capacity: capacity(bounds),
+        residents: residents(engine),
+        fence: engine.fence.into(),
+        fenced: bounds.fenced,
+        orders: orders(engine.taken).collect(),
+        role: order::Role::Whole,
+    }
+}
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -7,3 +7,4 @@
 //! should.
 
 pub mod explore;
+pub mod ledger;
