Say what a sender may say of its orders, and who counts as gone

Cause: settling by evidence needs somebody to produce it: the sender's word that nothing is in flight, and the finding that a sender is gone for good.

--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -23,8 +23,11 @@
 use thiserror::Error;
 use types::{order::Order, prelude::*, resident::Resident};
 
+pub mod absence;
 pub mod held;
+mod picture;
 pub mod replica;
+pub mod sender;
 pub mod settle;
 
 /// Most unsettled orders of one server.
--- /dev/null
+++ b/crates/policy/src/ledger/picture.rs
@@ -0,0 +1,64 @@
+//! The ledger as placement sees it.
+
+use types::{
+    order::Action,
+    resident::{Resident, State, Unit},
+};
+
+use super::{Entry, Ledger};
+
+/// Most orders for one unit that are open at once, so that repeating leaves room for others.
+const MOST_REPEATS: usize = 4;
+
+impl Ledger {
+    /// What takes memory: a load that is ordered counts as loading, an unload that is ordered as
+    /// unloading.
+    pub fn picture(&self) -> Vec<Resident> {
+        let mut residents = self.residents.clone();
+        let open = self.orders.iter().filter(|entry| !self.is_superseded(entry));
+        for entry in open {
+            match &entry.order.action {
+                Action::Load { unit, memory } => {
+                    if !residents.iter().any(|resident| resident.unit == *unit) {
+                        let (unit, memory) = (unit.clone(), *memory);
+                        residents.push(Resident { unit, memory, state: State::Loading });
+                    }
+                }
+                Action::Unload { unit } => {
+                    let held = residents.iter_mut().filter(|resident| resident.unit == *unit);
+                    held.for_each(|resident| resident.state = State::Unloading);
+                }
+                Action::Role { .. } => {}
+            }
+        }
+        residents
+    }
+
+    /// The last open order for each unit whose effect no report shows, which may be given again:
+    /// a lost order and a late one look the same, and the unit's memory is held anyway.
+    pub fn repeatable(&self) -> Vec<&Entry> {
+        let last = |(index, entry): &(usize, &Entry)| {
+            let later = &self.orders[index + 1..];
+            !later.iter().any(|other| other.order.action.unit() == entry.order.action.unit())
+        };
+        let orders = self.orders.iter().enumerate().filter(last).map(|(_, entry)| entry);
+        orders.filter(|entry| !self.shows(entry) && self.repeats(entry) < MOST_REPEATS).collect()
+    }
+
+    fn repeats(&self, entry: &Entry) -> usize {
+        let unit = entry.order.action.unit();
+        self.orders.iter().filter(|other| other.order.action.unit() == unit).count()
+    }
+
+    /// Whether the last report shows what the order asks for.
+    fn shows(&self, entry: &Entry) -> bool {
+        let resident = |unit: &Unit| self.residents.iter().find(|resident| resident.unit == *unit);
+        match &entry.order.action {
+            Action::Load { unit, .. } => resident(unit).is_some(),
+            Action::Unload { unit } => {
+                resident(unit).is_none_or(|resident| resident.state == State::Unloading)
+            }
+            Action::Role { .. } => true,
+        }
+    }
+}
--- a/crates/policy/src/ledger/replica.rs
+++ b/crates/policy/src/ledger/replica.rs
@@ -15,10 +15,14 @@
 use super::Ledger;
 
 impl Ledger {
-    /// Whether the unit is ready here and no order to unload it may still arrive.
+    /// Whether some version of the unit is ready here that no order may still unload.
     pub fn keeps(&self, unit: &Unit) -> bool {
-        let ready = |resident: &Resident| resident.unit == *unit && resident.state == State::Ready;
-        self.residents.iter().any(ready) && !self.unloads(unit)
+        let keeps = |resident: &Resident| {
+            is_version_of(&resident.unit, unit)
+                && resident.state == State::Ready
+                && !self.unloads(&resident.unit)
+        };
+        self.residents.iter().any(keeps)
     }
 
     /// Whether an order to unload this unit, or the model under it, is unsettled.
@@ -36,6 +40,20 @@
     others.into_iter().any(|ledger| ledger.keeps(unit))
 }
 
+/// Whether both are versions of the same model, or of the same adapter.
+fn is_version_of(unit: &Unit, other: &Unit) -> bool {
+    match (unit, other) {
+        (Unit::Model { model, .. }, Unit::Model { model: other, .. }) => model == other,
+        (
+            Unit::Adapter { model, adapter, .. },
+            Unit::Adapter { model: base, adapter: other, .. },
+        ) => model == base && adapter == other,
+        (Unit::Model { .. }, Unit::Adapter { .. }) | (Unit::Adapter { .. }, Unit::Model { .. }) => {
+            false
+        }
+    }
+}
+
 /// Whether `unit` is an adapter on the model that `base` is a version of.
 fn is_under(unit: &Unit, base: &Unit) -> bool {
     match (unit, base) {
--- a/crates/policy/src/ledger/settle.rs
+++ b/crates/policy/src/ledger/settle.rs
@@ -99,6 +99,20 @@
 }
 
 impl Outcome {
+    /// Whether a planner would decide otherwise by the ledger than by the one `before`, so that
+    /// writing it is worth a call. Reports come many times a second and mostly say the same.
+    pub fn is_news(&self, before: &Ledger) -> bool {
+        let superseded = |ledger: &Ledger| -> Vec<bool> {
+            ledger.orders.iter().map(|entry| ledger.is_superseded(entry)).collect()
+        };
+        self.ledger.orders != before.orders
+            || self.ledger.residents != before.residents
+            || self.ledger.capacity != before.capacity
+            || self.ledger.fenced != before.fenced
+            || self.ledger.mark.incarnation != before.mark.incarnation
+            || superseded(&self.ledger) != superseded(before)
+    }
+
     fn report(&mut self, load: &report::Load) {
         let mark = Mark::of(load);
         if mark < self.ledger.mark || load.server != self.ledger.server {
--- /dev/null
+++ b/crates/policy/tests/sender.rs
@@ -0,0 +1,173 @@
+//! What a sender may say of its orders, and who counts as gone.
+
+use policy::ledger::{
+    Ledger, Mark,
+    absence::{Absence, Times},
+    sender::{Reading, Sender},
+    settle::Evidence,
+};
+use rstest::rstest;
+use types::{
+    host::{Entry, List, Listed},
+    order::{Ack, Action, Role},
+    prelude::*,
+    report::Load,
+};
+
+const LINGER: Duration = Duration::from_secs(120);
+const LAG: Duration = Duration::from_secs(10);
+
+fn at(seconds: u64) -> Moment {
+    Duration::from_secs(seconds)
+}
+
+fn load(sequence: u64, age: u64) -> Load {
+    Load {
+        server: "engine-1".into(),
+        incarnation: 1,
+        sequence,
+        age: at(age),
+        leaving: false,
+        running: 0,
+        waiting: 0,
+        slots: 8,
+        step: Duration::from_millis(5),
+        prefill_rate: 1000,
+        prompt_backlog: 0,
+        capacity: 100,
+        residents: Vec::new(),
+        fence: 0,
+        fenced: false,
+        orders: Vec::new(),
+        role: Role::Whole,
+    }
+}
+
+fn reading(asked: u64, age: u64) -> Reading {
+    Reading { asked: at(asked), load: load(5, age) }
+}
+
+fn sender(incarnation: u64) -> Sender {
+    Sender::new("host-1".into(), incarnation, LINGER)
+}
+
+/// A ledger with one order of this sender.
+fn reserved(sender: &mut Sender) -> (Ledger, order::Id) {
+    let unit = Unit::Model { model: "a".into(), version: "1".into() };
+    let claim = sender.claim("test".into());
+    let reserved = Ledger::new(&load(1, 0)).reserve(claim, Action::Load { unit, memory: 10 });
+    let (ledger, order) = reserved.expect("it fits");
+    (ledger, order.id)
+}
+
+#[test]
+fn order_in_hand_or_in_flight_gets_no_word() {
+    let mut sender = sender(1);
+    let (ledger, id) = reserved(&mut sender);
+    assert!(sender.words(&ledger, Some(&reading(9, 0))).is_empty());
+    sender.sends(&id);
+    assert!(sender.words(&ledger, Some(&reading(9, 0))).is_empty());
+}
+
+#[test]
+fn accepted_order_is_quiet_by_a_report_taken_afterwards_only() {
+    let mut sender = sender(1);
+    let (ledger, id) = reserved(&mut sender);
+    sender.sends(&id);
+    sender.answered(at(20), &id, &Ack::Accepted);
+    assert!(sender.words(&ledger, Some(&reading(25, 6))).is_empty(), "taken at 19");
+    let words = sender.words(&ledger, Some(&reading(25, 4)));
+    let after = Mark { incarnation: 1, sequence: 5 };
+    assert!(matches!(&words[..], [Evidence::Quiet { after: named, .. }] if *named == after));
+}
+
+#[test]
+fn broken_exchange_is_in_doubt_until_the_linger_time_has_passed() {
+    let mut sender = sender(1);
+    let (ledger, id) = reserved(&mut sender);
+    sender.sends(&id);
+    sender.unanswered(at(20), &id);
+    assert!(sender.words(&ledger, Some(&reading(139, 0))).is_empty());
+    assert!(!sender.wants_report(at(139), &ledger));
+    assert!(sender.wants_report(at(141), &ledger));
+    assert_eq!(sender.words(&ledger, Some(&reading(141, 0))).len(), 1);
+}
+
+#[rstest]
+#[case::refused(Ack::Refused { reason: "full".into() })]
+#[case::stale(Ack::Stale { highest: 9 })]
+fn refused_order_never_ran(#[case] ack: Ack) {
+    let mut sender = sender(1);
+    let (ledger, id) = reserved(&mut sender);
+    sender.sends(&id);
+    sender.answered(at(20), &id, &ack);
+    assert!(matches!(&sender.words(&ledger, None)[..], [Evidence::Never { .. }]));
+}
+
+#[test]
+fn own_order_that_is_not_known_was_never_sent() {
+    let (ledger, id) = reserved(&mut sender(1));
+    let words = sender(1).words(&ledger, None);
+    assert!(matches!(&words[..], [Evidence::Never { order }] if *order == id));
+    assert!(sender(2).words(&ledger, None).is_empty(), "an earlier run's order is not its own");
+}
+
+fn list(hosts: &[&str]) -> List {
+    let entry = |id: &&str| {
+        let address = "127.0.0.1:1".parse().expect("an address");
+        let zone = "zone".into();
+        let host =
+            Host { id: (*id).into(), zone, callers: address, peers: address, operators: address };
+        Entry { host, state: Listed::Live }
+    };
+    List { hosts: hosts.iter().map(entry).collect(), servers: Vec::new() }
+}
+
+fn absence() -> Absence {
+    Absence::new(Times { list_lag: LAG, linger: LINGER })
+}
+
+#[test]
+fn listed_sender_is_never_gone_however_silent() {
+    let mut absence = absence();
+    let host: host::Id = "host-1".into();
+    for time in 0..100 {
+        absence.list(at(100 * time), &list(&["host-1"]), [&host]);
+    }
+    assert_eq!(absence.gone(&host, 1), None);
+}
+
+#[test]
+fn unlisted_sender_is_gone_after_the_lists_lag_and_the_linger_time() {
+    let mut absence = absence();
+    let host: host::Id = "host-1".into();
+    absence.list(at(100), &list(&[]), [&host]);
+    assert_eq!(absence.gone(&host, 1), None, "no later list has confirmed it");
+    absence.list(at(109), &list(&[]), [&host]);
+    assert_eq!(absence.gone(&host, 1), None);
+    absence.list(at(110), &list(&[]), [&host]);
+    assert_eq!(absence.gone(&host, 1), Some(at(110) + LINGER));
+}
+
+#[test]
+fn sender_that_is_listed_again_starts_its_absence_anew() {
+    let mut absence = absence();
+    let host: host::Id = "host-1".into();
+    absence.list(at(100), &list(&[]), [&host]);
+    absence.list(at(105), &list(&["host-1"]), [&host]);
+    absence.list(at(106), &list(&[]), [&host]);
+    absence.list(at(112), &list(&[]), [&host]);
+    assert_eq!(absence.gone(&host, 1), None);
+}
+
+#[test]
+fn earlier_run_is_gone_once_a_later_one_is_known() {
+    let mut absence = absence();
+    let host: host::Id = "host-1".into();
+    absence.run(at(50), &host, 2);
+    assert_eq!(absence.gone(&host, 1), Some(at(50) + LINGER));
+    assert_eq!(absence.gone(&host, 2), None);
+    let (ledger, _) = reserved(&mut sender(1));
+    assert!(absence.words(&ledger, &reading(170, 0)).is_empty());
+    assert_eq!(absence.words(&ledger, &reading(171, 0)).len(), 1);
+}
--- a/crates/types/src/order.rs
+++ b/crates/types/src/order.rs
@@ -48,6 +48,16 @@
     },
 }
 
+impl Action {
+    /// What is loaded or unloaded; none for a change of role.
+    pub fn unit(&self) -> Option<&Unit> {
+        match self {
+            Action::Load { unit, .. } | Action::Unload { unit } => Some(unit),
+            Action::Role { .. } => None,
+        }
+    }
+}
+
 /// An order to one engine.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Order {
