Plan moves on one host at a time, through the ledgers

Cause: models get onto engines by orders, and nothing gave any yet.

Change: the planner's duty takes a lease, settles what evidence settles, asks policy::plan for moves, reserves by conditional update, reads back when the answer is lost, sends each order once, and withholds an unload whose keeper no longer keeps the model. A host without the lease settles its own orders. Operators see open orders, what would settle each, and memory at /status/moves; memory promised, in doubt and free in the metrics.

--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -126,7 +126,7 @@
 }
 
 /// Memory of one server by what is known of it; all in MiB.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct Split {
     /// All of it.
     pub capacity: Mebibytes,
--- a/crates/policy/src/ledger/absence.rs
+++ b/crates/policy/src/ledger/absence.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Whether some host was missing from the last list.
+    pub fn is_watching(&self) -> bool {
+        !self.unlisted.is_empty()
+    }
+
     /// Since when nothing of this run can arrive any more, if it is gone.
     pub fn gone(&self, host: &host::Id, incarnation: host::Incarnation) -> Option<Moment> {
         let replaced = self.latest.get(host).filter(|(latest, _)| incarnation < *latest);
--- a/crates/policy/src/ledger/sender.rs
+++ b/crates/policy/src/ledger/sender.rs
@@ -113,7 +113,25 @@
         own.filter_map(|entry| self.word(&entry.order.id, reading)).collect()
     }
 
-    /// Forgets what is settled in every ledger that it may stand in.
+    /// Whether it may have orders that are not settled.
+    pub fn has_orders(&self) -> bool {
+        !self.orders.is_empty()
+    }
+
+    /// Forgets orders that are over and stand in none of these ledgers, which are all there are.
+    pub fn keep_only<'a>(&mut self, ledgers: impl IntoIterator<Item = &'a Ledger>) {
+        let ledgers: Vec<&Ledger> = ledgers.into_iter().collect();
+        let stands = |id: &order::Id| {
+            let mut orders = ledgers.iter().flat_map(|ledger| &ledger.orders);
+            orders.any(|entry| entry.order.id == *id)
+        };
+        self.orders.retain(|id, state| match state {
+            State::Hand | State::Flight => true,
+            State::Never | State::Quiet { .. } => stands(id),
+        });
+    }
+
+    /// Forgets an order that is settled, or that was never reserved.
     pub fn settled(&mut self, id: &order::Id) {
         self.orders.remove(id);
     }
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -4,6 +4,7 @@
 //! Everything that operators change while it runs is in the declared configuration instead.
 
 mod check;
+mod planning;
 
 use std::{
     net::SocketAddr,
@@ -20,6 +21,8 @@
     shape,
 };
 
+pub use self::planning::Planning;
+
 /// Reads a process's settings from a file.
 ///
 /// # Errors
@@ -69,6 +72,9 @@
     /// How often things are asked for.
     #[serde(default)]
     pub intervals: Intervals,
+    /// Planning of moves.
+    #[serde(default)]
+    pub planning: Planning,
     /// Where logs go.
     #[serde(default)]
     pub log: Log,
--- a/crates/settings/src/process/check.rs
+++ b/crates/settings/src/process/check.rs
@@ -37,6 +37,7 @@
     tokens(process, &mut problems);
     bounds(process, &mut problems);
     intervals(process, &mut problems);
+    planning(process, &mut problems);
     problems
 }
 
@@ -124,7 +125,27 @@
         ("/intervals/report_ms", process.intervals.report),
         ("/intervals/heartbeat_ms", process.intervals.heartbeat),
         ("/intervals/plan_ms", process.intervals.plan),
+        ("/planning/lease_ms", process.planning.lease),
+        ("/planning/order_ms", process.planning.order),
+        ("/planning/linger_ms", process.planning.linger),
+        ("/planning/list_lag_ms", process.planning.list_lag),
     ];
     let zeros = times.into_iter().filter(|(_, time)| *time == Duration::ZERO);
     problems.extend(zeros.map(|(path, _)| Problem::new(path, "must be positive")));
 }
+
+fn planning(process: &Process, problems: &mut Vec<Problem>) {
+    let planning = &process.planning;
+    let rate = planning.loads_per_second;
+    if !(rate.is_finite() && 0.0 < rate) {
+        problems.push(Problem::new("/planning/loads_per_second", "must be positive"));
+    }
+    if planning.loads_at_once == 0 {
+        problems.push(Problem::new("/planning/loads_at_once", "must be positive"));
+    }
+    if planning.list_lag <= process.intervals.list {
+        let message = "must be longer than the time between two reads of the list";
+        let problem = Problem::new("/planning/list_lag_ms", message);
+        problems.push(problem.beside("/intervals/list_ms"));
+    }
+}
--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -16,7 +16,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::{fleet::Fleet, traffic::Traffic};
+use crate::{fleet::Fleet, moves::Moves, traffic::Traffic};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -38,6 +38,8 @@
     pub fleet: Fleet,
     /// Requests on their way: admission, choice of servers, limits.
     pub traffic: Arc<Traffic>,
+    /// Moves as this host knows them.
+    pub moves: Moves,
     /// Metrics of this host.
     pub metrics: Metrics,
     /// The last events of this host.
@@ -71,6 +73,7 @@
         events.record(Event::new(event::Kind::Start));
         Ok(Context {
             traffic: Arc::new(Traffic::new(settings.host.zone.clone(), origin)),
+            moves: Moves::default(),
             metrics,
             events,
             settings,
--- a/crates/stage/src/duties.rs
+++ b/crates/stage/src/duties.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod list;
+mod plan;
 mod pump;
 mod reports;
 
@@ -15,6 +16,7 @@
     spawn(context, config::run(context.clone()));
     spawn(context, reports::run(context.clone()));
     spawn(context, pump::run(context.clone()));
+    spawn(context, plan::run(context.clone()));
 }
 
 fn spawn(context: &Arc<Context>, duty: impl Future<Output = ()> + Send + 'static) {
--- /dev/null
+++ b/crates/stage/src/duties/plan.rs
@@ -0,0 +1,274 @@
+//! The planner's duty: which model stands where, and the orders that move them.
+//!
+//! One host plans at a time, by a lease that only saves work; two that both think they hold it do
+//! no harm. Each round settles what can be settled, then turns the planner's moves into orders:
+//! reserve in the server's ledger, read back when the answer is lost, and send only what stands
+//! there. An unload that relies on another replica is sent only if that replica's ledger, read
+//! after the unload was written, still keeps it. A host without the lease settles its own orders.
+
+mod book;
+mod fleet;
+mod held;
+mod orders;
+mod settle;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use observe::{Event, event};
+use policy::{
+    ledger::{
+        absence::{Absence, Times},
+        replica::may_break,
+    },
+    plan::{Cause, Engine, Limits, Move, Planner},
+};
+use types::{
+    order::{Action, Order},
+    prelude::*,
+};
+
+use self::{
+    book::{Book, Stored, Written},
+    held::Held,
+    orders::Orders,
+};
+use crate::context::Context;
+
+/// Longest time between two reads of all ledgers; other hosts' writes are also met as conflicts.
+const RELIST: Duration = Duration::from_secs(10);
+
+/// Plans for good.
+pub(super) async fn run(context: Arc<Context>) {
+    let mut duty = Duty::new(context.clone());
+    loop {
+        if let Err(error) = duty.round().await {
+            log::warn!("planning: {error}");
+        }
+        tokio::time::sleep(context.settings.intervals.plan).await;
+    }
+}
+
+struct Duty {
+    context: Arc<Context>,
+    held: Held,
+    book: Book,
+    orders: Orders,
+    absence: Absence,
+    planner: Planner,
+    configured: config::Number,
+    /// Engines as the planner was told them.
+    told: BTreeMap<backend::Id, Engine>,
+    /// When loads were last given again, by unit and server.
+    repeated: BTreeMap<(backend::Id, Unit), Moment>,
+}
+
+impl Duty {
+    fn new(context: Arc<Context>) -> Duty {
+        let planning = &context.settings.planning;
+        let times = Times { list_lag: planning.list_lag, linger: planning.linger };
+        let limits =
+            Limits { loads_per_second: planning.loads_per_second, at_once: planning.loads_at_once };
+        Duty {
+            held: Held::new(context.clone()),
+            book: Book::new(context.clone()),
+            orders: Orders::new(context.clone()),
+            absence: Absence::new(times),
+            planner: Planner::new(limits),
+            configured: 0,
+            told: BTreeMap::new(),
+            repeated: BTreeMap::new(),
+            context,
+        }
+    }
+
+    async fn round(&mut self) -> Result<(), platform::Error> {
+        if self.context.is_draining() {
+            self.held.give_up().await;
+            return self.settle_own().await;
+        }
+        if self.context.config().number == 0 || !self.is_listed() {
+            return Ok(());
+        }
+        if !self.held.keep().await {
+            self.told.clear();
+            return self.settle_own().await;
+        }
+        let now = self.context.now();
+        if self.book.listed().is_none_or(|listed| listed + RELIST <= now) {
+            self.book.list().await?;
+            self.orders.sender().keep_only(self.book.ledgers());
+        }
+        self.settle_all().await;
+        self.show();
+        self.repeat_loads().await;
+        self.make_moves().await;
+        self.show();
+        Ok(())
+    }
+
+    /// Whether the platform lists this host; until then it might be taken for gone.
+    fn is_listed(&self) -> bool {
+        let host = &self.context.host().id;
+        self.context.fleet.list().hosts.iter().any(|entry| entry.host.id == *host)
+    }
+
+    fn show(&self) {
+        self.context.moves.ledgers(self.context.now(), self.book.ledgers());
+        self.context.moves.show(&self.context.metrics);
+    }
+
+    async fn make_moves(&mut self) {
+        let config = self.context.config();
+        if self.configured != config.number {
+            self.planner.configure(&config.config);
+            self.configured = config.number;
+        }
+        self.tell_engines();
+        let moves = self.planner.plan(self.context.now());
+        let tried: BTreeSet<backend::Id> = moves.iter().map(|m| m.server.clone()).collect();
+        for proposal in &moves {
+            self.make(proposal).await;
+        }
+        // What was tried is told anew, so that a move that was not made is proposed again.
+        self.told.retain(|server, _| !tried.contains(server));
+    }
+
+    async fn make(&mut self, proposal: &Move) {
+        let cause = cause_word(proposal.cause);
+        let Some(order) = self.reserve(&proposal.server, &proposal.action, cause.into()).await
+        else {
+            return;
+        };
+        if let (Action::Unload { unit }, Some(keeper)) = (&order.action, &proposal.keeper)
+            && !self.is_kept(unit, keeper).await
+        {
+            log::info!(order = &*order.id, keeper = &**keeper; "unload withdrawn: nobody keeps it");
+            self.orders.sender().withdraws(&order.id);
+            return;
+        }
+        self.context.metrics.moved(cause);
+        self.send(order, cause);
+    }
+
+    /// Gives lost loads again: their memory is held anyway until they are settled.
+    async fn repeat_loads(&mut self) {
+        let now = self.context.now();
+        let pause = self.context.settings.planning.order * 2;
+        let config = self.context.config();
+        let lost: Vec<(backend::Id, Action, Arc<str>)> = self
+            .book
+            .ledgers()
+            .flat_map(|ledger| ledger.repeatable())
+            .filter(|entry| pause <= self.context.moves.known_for(now, &entry.order.id))
+            .filter(|entry| is_wanted(&config.config, &entry.order.action))
+            .map(|entry| {
+                let order = &entry.order;
+                (order.server.clone(), order.action.clone(), entry.cause.clone())
+            })
+            .collect();
+        for (server, action, cause) in lost {
+            let Action::Load { unit, .. } = &action else { continue };
+            let key = (server.clone(), unit.clone());
+            if self.repeated.get(&key).is_some_and(|last| now < *last + pause) {
+                continue;
+            }
+            self.repeated.insert(key, now);
+            if let Some(order) = self.reserve(&server, &action, cause.clone()).await {
+                self.send(order, &cause);
+            }
+        }
+        self.repeated.retain(|_, last| now < *last + pause);
+    }
+
+    /// Reserves for an order; gives it back only if the reservation is known to stand.
+    async fn reserve(
+        &mut self,
+        server: &backend::Id,
+        action: &Action,
+        cause: Arc<str>,
+    ) -> Option<Order> {
+        let Stored { version, ledger } = self.book.get(server).cloned()?;
+        let claim = self.orders.sender().claim(cause);
+        let id = claim.id.clone();
+        let (next, order) = match ledger.reserve(claim, action.clone()) {
+            Ok(reserved) => reserved,
+            Err(short) => {
+                log::info!(server = &**server; "no reservation: {short}");
+                self.orders.sender().settled(&id);
+                return None;
+            }
+        };
+        match self.book.reserve(version, &next, &id).await {
+            Written::Stands => Some(order),
+            Written::Refused => {
+                self.orders.sender().settled(&id);
+                None
+            }
+            Written::Unknown => {
+                self.orders.sender().withdraws(&id);
+                None
+            }
+        }
+    }
+
+    /// Whether the keeper's ledger, read now, keeps the unit.
+    async fn is_kept(&mut self, unit: &Unit, keeper: &backend::Id) -> bool {
+        match self.book.read(keeper).await {
+            Ok(stored) => may_break(unit, stored.map(|stored| &stored.ledger)),
+            Err(error) => {
+                log::warn!(server = &**keeper; "ledger of the keeper: {error}");
+                false
+            }
+        }
+    }
+
+    fn send(&self, order: Order, cause: &str) {
+        let Some(address) = self.address(&order.server) else {
+            self.orders.sender().withdraws(&order.id);
+            return;
+        };
+        log::info!(
+            order = &*order.id, server = &*order.server, cause = cause;
+            "order: {:?}", order.action
+        );
+        let mut event = Event::new(event::Kind::Order {
+            order: order.id.clone(),
+            fence: order.fence,
+            action: order.action.clone(),
+            cause: cause.to_owned().into(),
+        });
+        if let Some(unit) = order.action.unit() {
+            event = event.model(unit.model());
+        }
+        self.context.events.record(event.server(&order.server));
+        self.orders.send(address, order);
+    }
+}
+
+/// Whether what would be loaded is declared.
+fn is_wanted(config: &config::Config, action: &Action) -> bool {
+    let Action::Load { unit, .. } = action else { return false };
+    let Some(declared) = config.models.get(unit.model()) else { return false };
+    match unit {
+        Unit::Model { version, .. } => declared.version == *version,
+        Unit::Adapter { adapter, version, .. } => {
+            declared.adapters.get(adapter).is_some_and(|adapter| adapter.version == *version)
+        }
+    }
+}
+
+fn cause_word(cause: Cause) -> &'static str {
+    match cause {
+        Cause::Missing => "missing",
+        Cause::Leaving => "leaving",
+        Cause::Version => "version",
+        Cause::Adapter => "adapter",
+        Cause::Spread => "spread",
+        Cause::Demand => "demand",
+        Cause::Room => "room",
+        Cause::Removed => "removed",
+    }
+}
--- /dev/null
+++ b/crates/stage/src/duties/plan/book.rs
@@ -0,0 +1,179 @@
+//! The ledgers as last read or written, and writes whose answer may be lost.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use bytes::Bytes;
+use platform::{Error, Version};
+use policy::ledger::Ledger;
+use types::prelude::*;
+
+use crate::context::Context;
+
+const PREFIX: &str = "ledger/";
+
+/// Tries at a write whose answer is lost, or at reading it back.
+const TRIES: u32 = 4;
+
+/// Pause before the second try; it doubles with each.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// A ledger with the version that it was read or written at.
+#[derive(Clone, Debug)]
+pub(super) struct Stored {
+    pub(super) version: Version,
+    /// The ledger with what has been learned since, as far as it was not worth writing. Whatever
+    /// is written on top of it is conditional on `version`, so the two are kept together.
+    pub(super) ledger: Ledger,
+}
+
+/// What became of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Written {
+    /// It stands in the object API.
+    Stands,
+    /// It does not, and never will.
+    Refused,
+    /// It may stand, or may still come to stand.
+    Unknown,
+}
+
+/// The ledgers as last read or written.
+pub(super) struct Book {
+    context: Arc<Context>,
+    stored: BTreeMap<backend::Id, Stored>,
+    listed: Option<Moment>,
+}
+
+impl Book {
+    pub(super) fn new(context: Arc<Context>) -> Book {
+        Book { context, stored: BTreeMap::new(), listed: None }
+    }
+
+    pub(super) fn get(&self, server: &backend::Id) -> Option<&Stored> {
+        self.stored.get(server)
+    }
+
+    /// Takes in what was learned on top of what stands at this version.
+    pub(super) fn learn(&mut self, version: Version, ledger: Ledger) {
+        let stored = self.stored.get_mut(&ledger.server);
+        if let Some(stored) = stored.filter(|stored| stored.version == version) {
+            stored.ledger = ledger;
+        }
+    }
+
+    pub(super) fn ledgers(&self) -> impl Iterator<Item = &Ledger> {
+        self.stored.values().map(|stored| &stored.ledger)
+    }
+
+    /// When all ledgers were last read.
+    pub(super) fn listed(&self) -> Option<Moment> {
+        self.listed
+    }
+
+    /// Reads all ledgers.
+    pub(super) async fn list(&mut self) -> Result<(), Error> {
+        let asked = self.context.now();
+        let listing = self.context.store.list(PREFIX).await?;
+        self.stored.clear();
+        for object in &listing.objects {
+            self.keep(object.version, &object.value, &object.key);
+        }
+        self.listed = Some(asked);
+        Ok(())
+    }
+
+    /// Reads one ledger.
+    pub(super) async fn read(&mut self, server: &backend::Id) -> Result<Option<&Stored>, Error> {
+        let key = Ledger::key(server);
+        let object = self.context.store.get(&key).await?;
+        self.stored.remove(server);
+        if let Some(object) = object {
+            self.keep(object.version, &object.value, &key);
+        }
+        Ok(self.get(server))
+    }
+
+    /// Writes a ledger that holds a new order, on top of version `base`.
+    pub(super) async fn reserve(
+        &mut self,
+        base: Version,
+        next: &Ledger,
+        id: &order::Id,
+    ) -> Written {
+        let stands = |read: &Ledger| read.orders.iter().any(|entry| entry.order.id == *id);
+        self.write(Some(base), next, stands).await
+    }
+
+    /// Writes what evidence made of a ledger, on top of version `base`.
+    pub(super) async fn settle(&mut self, base: Version, next: &Ledger) -> Written {
+        self.write(Some(base), next, |read| read == next).await
+    }
+
+    /// Writes the first ledger of a server.
+    pub(super) async fn begin(&mut self, first: &Ledger) -> Written {
+        self.write(None, first, |read| read == first).await
+    }
+
+    /// Writes a ledger if the object still has version `base`.
+    ///
+    /// A write without an answer is read back. It may still be on its way as long as the object
+    /// has the version that the write is conditional on; it is then written again, until the
+    /// version says what became of it.
+    async fn write(
+        &mut self,
+        base: Option<Version>,
+        next: &Ledger,
+        stands: impl Fn(&Ledger) -> bool,
+    ) -> Written {
+        let server = &next.server;
+        let mut may_be_late = false;
+        for attempt in 0..TRIES {
+            if 0 < attempt {
+                tokio::time::sleep(PAUSE * 2_u32.pow(attempt - 1)).await;
+            }
+            match self.put(base, next).await {
+                Ok(version) => {
+                    let stored = Stored { version, ledger: next.clone() };
+                    self.stored.insert(server.clone(), stored);
+                    return Written::Stands;
+                }
+                Err(error) if error.is_conflict() || error.is_ambiguous() => may_be_late = true,
+                Err(error) => {
+                    log::warn!(server = &**server; "ledger: {error}");
+                    if !may_be_late {
+                        return Written::Refused;
+                    }
+                }
+            }
+            match self.read(server).await {
+                Ok(Some(stored)) if stands(&stored.ledger) => return Written::Stands,
+                Ok(stored) if stored.map(|stored| stored.version) != base => {
+                    return Written::Refused;
+                }
+                Ok(_) => {}
+                Err(error) => log::warn!(server = &**server; "ledger, reading back: {error}"),
+            }
+        }
+        self.stored.remove(server);
+        self.listed = None;
+        Written::Unknown
+    }
+
+    async fn put(&self, base: Option<Version>, next: &Ledger) -> Result<Version, Error> {
+        let key = Ledger::key(&next.server);
+        let value = serde_json::to_vec(next).map(Bytes::from).unwrap_or_default();
+        match base {
+            Some(version) => self.context.store.update(&key, version, value).await,
+            None => self.context.store.create(&key, value).await,
+        }
+    }
+
+    fn keep(&mut self, version: Version, value: &[u8], key: &str) {
+        match serde_json::from_slice::<Ledger>(value) {
+            Ok(ledger) => {
+                self.stored.insert(ledger.server.clone(), Stored { version, ledger });
+            }
+            Err(error) => log::error!(key = key; "ledger unreadable: {error}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/stage/src/duties/plan/fleet.rs
@@ -0,0 +1,62 @@
+//! Engines as the planner is told them.
+
+use std::{collections::BTreeSet, net::SocketAddr};
+
+use policy::plan::{Engine, State};
+use types::{backend::Kind, host::Listed, prelude::*};
+
+use super::Duty;
+
+impl Duty {
+    /// Engines on the platform's list.
+    pub(super) fn engines(&self) -> Vec<backend::Entry> {
+        let list = self.context.fleet.list();
+        list.servers.iter().filter(|entry| entry.server.kind == Kind::Engine).cloned().collect()
+    }
+
+    pub(super) fn address(&self, server: &backend::Id) -> Option<SocketAddr> {
+        let list = self.context.fleet.list();
+        let entry = list.servers.iter().find(|entry| entry.server.id == *server)?;
+        Some(entry.server.address)
+    }
+
+    /// Tells the planner of each engine that changed since it was last told.
+    pub(super) fn tell_engines(&mut self) {
+        let now = self.context.now();
+        let engines: Vec<Engine> =
+            self.engines().iter().filter_map(|entry| self.picture(entry)).collect();
+        let known: BTreeSet<&backend::Id> = engines.iter().map(|engine| &engine.server).collect();
+        let gone: Vec<backend::Id> =
+            self.told.keys().filter(|server| !known.contains(server)).cloned().collect();
+        for server in gone {
+            self.planner.forget(&server);
+            self.told.remove(&server);
+        }
+        for engine in engines {
+            if self.told.get(&engine.server) != Some(&engine) {
+                self.planner.engine(now, engine.clone());
+                self.told.insert(engine.server.clone(), engine);
+            }
+        }
+    }
+
+    fn picture(&self, entry: &backend::Entry) -> Option<Engine> {
+        let server = &entry.server;
+        let ledger = &self.book.get(&server.id)?.ledger;
+        let readings = self.context.fleet.readings();
+        let state = match readings.get(&server.id) {
+            _ if entry.state == Listed::Leaving => State::Leaving,
+            Some(reading) if reading.load.leaving => State::Leaving,
+            Some(_) => State::Live,
+            None => State::Suspected,
+        };
+        Some(Engine {
+            server: server.id.clone(),
+            group: server.group.clone(),
+            zone: server.zone.clone(),
+            state,
+            free: ledger.split().free,
+            residents: ledger.picture(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/stage/src/duties/plan/held.rs
@@ -0,0 +1,116 @@
+//! The planning lease, as this host sees it.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use observe::{Event, event};
+use platform::{Error, Version};
+use policy::lease::{Lease, Observer, Step};
+use types::prelude::*;
+
+use crate::context::Context;
+
+const DUTY: &str = "plan";
+
+/// Reads of a lease that another holds, within one term.
+const READS: u32 = 3;
+
+/// The planning lease.
+pub(super) struct Held {
+    context: Arc<Context>,
+    observer: Observer,
+    /// The lease as last read or written, and when.
+    known: Option<(Version, Lease)>,
+    read: Option<Moment>,
+    was_held: bool,
+}
+
+impl Held {
+    pub(super) fn new(context: Arc<Context>) -> Held {
+        let term = context.settings.planning.lease;
+        let observer = Observer::new(context.host().id.clone(), context.incarnation, term);
+        Held { context, observer, known: None, read: None, was_held: false }
+    }
+
+    /// Takes or renews the lease as far as that is due; whether this host may plan.
+    pub(super) async fn keep(&mut self) -> bool {
+        if let Err(error) = self.step().await {
+            log::warn!("planning lease: {error}");
+            self.read = None;
+        }
+        let is_held = self.observer.is_held(self.context.now());
+        if is_held != self.was_held {
+            self.was_held = is_held;
+            let lease = if is_held { event::LeaseState::Taken } else { event::LeaseState::Lost };
+            log::info!(holds = is_held; "planning lease");
+            let kind = event::Kind::Lease { duty: DUTY.into(), lease };
+            self.context.events.record(Event::new(kind));
+        }
+        is_held
+    }
+
+    /// Gives the lease up, so that another host need not wait for its end.
+    pub(super) async fn give_up(&mut self) {
+        if !self.observer.is_held(self.context.now()) {
+            return;
+        }
+        if let Some((version, _)) = self.known.take() {
+            let key = Observer::key(DUTY);
+            if let Err(error) = self.context.store.delete(&key, version).await {
+                log::warn!("planning lease, giving up: {error}");
+            }
+        }
+        self.observer.observe(self.context.now(), None);
+        self.was_held = false;
+    }
+
+    async fn step(&mut self) -> Result<(), Error> {
+        let now = self.context.now();
+        if !self.observer.is_held(now) {
+            let pause = self.context.settings.planning.lease / READS;
+            if self.read.is_some_and(|read| now < read + pause) {
+                return Ok(());
+            }
+            self.read().await?;
+            self.read = Some(now);
+        }
+        let known = self.known.as_ref().map(|(_, lease)| lease);
+        match self.observer.observe(now, known) {
+            Step::Hold | Step::Wait => Ok(()),
+            Step::Renew(lease) | Step::Take(lease) => self.write(now, lease).await,
+        }
+    }
+
+    async fn read(&mut self) -> Result<(), Error> {
+        let object = self.context.store.get(&Observer::key(DUTY)).await?;
+        self.known = object.and_then(|object| {
+            let lease = serde_json::from_slice(&object.value).ok()?;
+            Some((object.version, lease))
+        });
+        Ok(())
+    }
+
+    async fn write(&mut self, now: Moment, lease: Lease) -> Result<(), Error> {
+        let key = Observer::key(DUTY);
+        let value = serde_json::to_vec(&lease).map(Bytes::from).unwrap_or_default();
+        let written = match &self.known {
+            Some((version, _)) => self.context.store.update(&key, *version, value).await,
+            None => self.context.store.create(&key, value).await,
+        };
+        match written {
+            Ok(version) => {
+                self.observer.observe(now, Some(&lease));
+                self.known = Some((version, lease));
+                Ok(())
+            }
+            Err(error) if error.is_conflict() => {
+                // Another host was first, or an earlier write of ours took effect.
+                self.read().await?;
+                let known = self.known.as_ref().map(|(_, lease)| lease);
+                self.observer.observe(now, known);
+                Ok(())
+            }
+            Err(error) => Err(error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/stage/src/duties/plan/settle.rs
@@ -0,0 +1,140 @@
+//! Gathers evidence, and writes what it settles.
+
+use observe::{Event, event};
+use policy::ledger::{
+    Ledger,
+    sender::Reading,
+    settle::{Evidence, Outcome},
+};
+use types::{prelude::*, report::Load};
+
+use super::{
+    Duty,
+    book::{Stored, Written},
+};
+use crate::moves::evidence;
+
+impl Duty {
+    /// Settles whatever can be settled on every engine.
+    pub(super) async fn settle_all(&mut self) {
+        self.look_for_the_gone().await;
+        for entry in self.engines() {
+            self.settle(&entry.server).await;
+        }
+    }
+
+    /// Settles this run's own orders, as far as it was the planner once.
+    pub(super) async fn settle_own(&mut self) -> Result<(), platform::Error> {
+        if !self.orders.sender().has_orders() {
+            return Ok(());
+        }
+        self.book.list().await?;
+        self.orders.sender().keep_only(self.book.ledgers());
+        for entry in self.engines() {
+            let owns = |ledger: &Ledger| {
+                let sender = self.orders.sender();
+                ledger.orders.iter().any(|entry| sender.owns(entry))
+            };
+            if self.book.get(&entry.server.id).is_some_and(|stored| owns(&stored.ledger)) {
+                self.settle(&entry.server).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn settle(&mut self, server: &backend::Server) {
+        let report = self.last_report(&server.id);
+        let Some(Stored { version, ledger }) = self.book.get(&server.id).cloned() else {
+            return self.begin(report).await;
+        };
+        let fresh = self.fresh_report(server, &ledger).await;
+        let mut known: Vec<Evidence<'_>> = report.iter().map(Evidence::Report).collect();
+        known.extend(self.orders.sender().words(&ledger, fresh.as_ref()));
+        if let Some(fresh) = &fresh {
+            known.push(Evidence::Report(&fresh.load));
+            known.extend(self.absence.words(&ledger, fresh));
+        }
+        let outcome = ledger.settle(&known);
+        let is_news = outcome.is_news(&ledger);
+        if !is_news {
+            self.book.learn(version, outcome.ledger);
+            return;
+        }
+        // When another host wrote first, the next round looks again.
+        if self.book.settle(version, &outcome.ledger).await == Written::Stands {
+            self.note(outcome);
+        }
+    }
+
+    /// Begins the ledger of a server that has none.
+    async fn begin(&mut self, report: Option<Load>) {
+        let Some(load) = report else { return };
+        let ledger = Ledger::new(&load);
+        self.book.begin(&ledger).await;
+    }
+
+    /// The last report that this host read, under the name that the list gives the server.
+    fn last_report(&self, server: &backend::Id) -> Option<Load> {
+        let readings = self.context.fleet.readings();
+        let reading = readings.get(server)?;
+        Some(Load { server: server.clone(), ..reading.load.clone() })
+    }
+
+    /// A report asked for now, if a word waits for one.
+    async fn fresh_report(&self, server: &backend::Server, ledger: &Ledger) -> Option<Reading> {
+        let asked = self.context.now();
+        let is_wanted = self.orders.sender().wants_report(asked, ledger)
+            || self.absence.wants_report(asked, ledger);
+        if !is_wanted {
+            return None;
+        }
+        let report = self.context.control.load(server.address);
+        match tokio::time::timeout(self.context.settings.planning.order, report).await {
+            Ok(Ok(load)) => {
+                Some(Reading { asked, load: Load { server: server.id.clone(), ..load } })
+            }
+            Ok(Err(error)) => {
+                log::debug!(server = &*server.id; "fresh report: {error}");
+                None
+            }
+            Err(_) => None,
+        }
+    }
+
+    /// Looks whether senders of open orders are gone for good.
+    async fn look_for_the_gone(&mut self) {
+        let now = self.context.now();
+        let host = self.context.host().id.clone();
+        self.absence.run(now, &host, self.context.incarnation);
+        let orders = self.book.ledgers().flat_map(|ledger| &ledger.orders);
+        let senders: Vec<(host::Id, host::Incarnation)> =
+            orders.map(|entry| (entry.order.sender.clone(), entry.order.incarnation)).collect();
+        for (sender, incarnation) in &senders {
+            self.absence.run(now, sender, *incarnation);
+        }
+        let list = self.context.fleet.list();
+        let is_listed = |id: &host::Id| list.hosts.iter().any(|entry| entry.host.id == *id);
+        let all_listed = senders.iter().all(|(sender, _)| is_listed(sender));
+        if all_listed && !self.absence.is_watching() {
+            return;
+        }
+        // The shared picture may be as old as an outage; absence is judged by a list of its own.
+        match self.context.store.hosts().await {
+            Ok(list) => self.absence.list(now, &list, senders.iter().map(|(sender, _)| sender)),
+            Err(error) => log::debug!("host list for absence: {error}"),
+        }
+    }
+
+    fn note(&self, outcome: Outcome) {
+        for settled in &outcome.settled {
+            let order = &settled.entry.order;
+            self.orders.sender().settled(&order.id);
+            let evidence = evidence(settled.how);
+            log::info!(order = &*order.id, server = &*order.server; "order settled: {evidence}");
+            let kind =
+                event::Kind::Settlement { order: order.id.clone(), evidence: evidence.into() };
+            self.context.events.record(Event::new(kind).server(&order.server));
+        }
+        self.context.moves.settled(self.context.now(), outcome.settled);
+    }
+}
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod idle;
 mod listener;
+pub mod moves;
 pub mod operators;
 pub mod problem;
 mod serve;
--- /dev/null
+++ b/crates/stage/src/moves.rs
@@ -0,0 +1,162 @@
+//! Moves as operators see them: what is open and why, what was settled, whose memory is whose.
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+use observe::metrics::{Memory, Metrics};
+use policy::ledger::{
+    Ledger, Split,
+    held::Held,
+    settle::{How, Settled},
+};
+use serde::Serialize;
+use types::prelude::*;
+
+/// Settled moves that are kept.
+const KEPT: usize = 256;
+
+/// An open order with the time that this host has known it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Open {
+    /// The order and what would settle it.
+    #[serde(flatten)]
+    pub held: Held,
+    /// What is waited for, in words.
+    pub why: String,
+    /// How long this host has known of it; milliseconds in JSON.
+    #[serde(rename = "known_for_ms", with = "types::time::millis")]
+    pub known_for: Duration,
+}
+
+/// An order that this host settled.
+#[derive(Clone, Debug, Serialize)]
+pub struct Done {
+    /// The order.
+    pub order: order::Id,
+    /// The server that it was for.
+    pub server: backend::Id,
+    /// What it asked for.
+    pub action: order::Action,
+    /// Why it was planned.
+    pub cause: Arc<str>,
+    /// What proved it.
+    pub evidence: &'static str,
+    /// How long ago; milliseconds in JSON.
+    #[serde(rename = "ago_ms", with = "types::time::millis")]
+    pub ago: Duration,
+}
+
+/// Accelerator memory of one server, in MiB.
+#[derive(Clone, Debug, Serialize)]
+pub struct Server {
+    /// The server.
+    pub server: backend::Id,
+    /// Its memory by what is known of it.
+    #[serde(flatten)]
+    pub memory: Split,
+}
+
+/// What operators see of moves.
+#[derive(Clone, Debug, Serialize)]
+pub struct Status {
+    /// Whether the ledgers were read for this answer, or are as this host last knew them.
+    pub current: bool,
+    /// Orders that are not settled.
+    pub open: Vec<Open>,
+    /// Orders that this host settled, the latest last.
+    pub settled: Vec<Done>,
+    /// Memory of each server.
+    pub memory: Vec<Server>,
+}
+
+/// Moves as this host knows them.
+#[derive(Debug, Default)]
+pub struct Moves {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    ledgers: BTreeMap<backend::Id, Ledger>,
+    known: HashMap<order::Id, Moment>,
+    settled: VecDeque<(Moment, Settled)>,
+}
+
+impl Moves {
+    /// Takes in every ledger as read.
+    pub fn ledgers<'a>(&self, now: Moment, ledgers: impl IntoIterator<Item = &'a Ledger>) {
+        let mut inner = self.lock();
+        inner.ledgers =
+            ledgers.into_iter().map(|ledger| (ledger.server.clone(), ledger.clone())).collect();
+        let Inner { ledgers, known, .. } = &mut *inner;
+        let open = || ledgers.values().flat_map(|ledger| &ledger.orders);
+        known.retain(|id, _| open().any(|entry| entry.order.id == *id));
+        for entry in open() {
+            known.entry(entry.order.id.clone()).or_insert(now);
+        }
+    }
+
+    /// Notes what this host settled.
+    pub fn settled(&self, now: Moment, settled: impl IntoIterator<Item = Settled>) {
+        let mut inner = self.lock();
+        inner.settled.extend(settled.into_iter().map(|settled| (now, settled)));
+        let surplus = inner.settled.len().saturating_sub(KEPT);
+        inner.settled.drain(..surplus);
+    }
+
+    /// How long this host has known of an order.
+    pub fn known_for(&self, now: Moment, id: &order::Id) -> Duration {
+        self.lock().known.get(id).map_or(Duration::ZERO, |since| now.saturating_sub(*since))
+    }
+
+    /// What operators see.
+    pub fn status(&self, now: Moment, current: bool) -> Status {
+        let inner = self.lock();
+        let open = inner.ledgers.values().flat_map(Ledger::why_held).map(|held| {
+            let since = inner.known.get(&held.order).copied().unwrap_or(now);
+            Open { why: held.waits.to_string(), known_for: now.saturating_sub(since), held }
+        });
+        let settled = inner.settled.iter().map(|(at, settled)| Done {
+            order: settled.entry.order.id.clone(),
+            server: settled.entry.order.server.clone(),
+            action: settled.entry.order.action.clone(),
+            cause: settled.entry.cause.clone(),
+            evidence: evidence(settled.how),
+            ago: now.saturating_sub(*at),
+        });
+        let servers = inner.ledgers.iter();
+        let memory =
+            servers.map(|(id, ledger)| Server { server: id.clone(), memory: ledger.split() });
+        Status {
+            current,
+            open: open.collect(),
+            settled: settled.collect(),
+            memory: memory.collect(),
+        }
+    }
+
+    /// Shows memory in the metrics.
+    pub fn show(&self, metrics: &Metrics) {
+        for (server, ledger) in &self.lock().ledgers {
+            let split = ledger.split();
+            metrics.memory(server, Memory::Promised, split.promised);
+            metrics.memory(server, Memory::InDoubt, split.in_doubt);
+            metrics.memory(server, Memory::Free, split.free);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What proved that an order is settled, as a stable word.
+pub fn evidence(how: How) -> &'static str {
+    match how {
+        How::Taken => "taken",
+        How::Never => "never-taken",
+        How::Quiet => "nothing-in-flight",
+    }
+}
--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -1,5 +1,7 @@
 //! The listener for operators.
 
+mod moves;
+
 use std::sync::Arc;
 
 use axum::{
@@ -21,6 +23,7 @@
         .route("/ready", get(ready))
         .route("/status", get(status))
         .route("/metrics", get(metrics))
+        .merge(moves::router())
         .with_state(context)
 }
 
--- /dev/null
+++ b/crates/stage/src/operators/moves.rs
@@ -0,0 +1,35 @@
+//! Moves for operators: open orders, what would settle each, and memory of each server.
+
+use std::sync::Arc;
+
+use axum::{Json, Router, extract::State, routing::get};
+use policy::ledger::Ledger;
+
+use crate::{context::Context, moves::Status};
+
+const PREFIX: &str = "ledger/";
+
+/// Routes of moves.
+pub(super) fn router() -> Router<Arc<Context>> {
+    Router::new().route("/status/moves", get(moves))
+}
+
+/// Any host may be asked: it reads the ledgers, and answers from memory when it can't.
+async fn moves(State(context): State<Arc<Context>>) -> Json<Status> {
+    let listing = context.store.list(PREFIX).await;
+    let now = context.now();
+    let current = match listing {
+        Ok(listing) => {
+            let objects = listing.objects.iter();
+            let ledgers: Vec<Ledger> =
+                objects.filter_map(|object| serde_json::from_slice(&object.value).ok()).collect();
+            context.moves.ledgers(now, &ledgers);
+            true
+        }
+        Err(error) => {
+            log::warn!("ledgers for operators: {error}");
+            false
+        }
+    };
+    Json(context.moves.status(now, current))
+}
