Prove the moves with real processes under faults

Cause: the planner's duty had no test with processes. The first run found a fault: a host that was killed with an order on its way and started again was never known to be gone, as only the planner looked at incarnations, and the other host was the planner; the order's memory stayed reserved for good.

Change: a host settles the orders of its own earlier runs after its start, whether it plans or not. Tests drive orders lost, late and late after their successor, acknowledgements lost, a planner killed before and after its order, one stopped past its lease and resumed with an order in its hand, two planners at once, the object API down and losing answers, an engine that restarts, reports that lag; with engines that honour and ignore fencing.

--- a/crates/stage/src/duties/plan.rs
+++ b/crates/stage/src/duties/plan.rs
@@ -59,6 +59,8 @@
     absence: Absence,
     planner: Planner,
     configured: config::Number,
+    /// Whether no order of an earlier run of this host is left.
+    looked_back: bool,
     /// Engines as the planner was told them.
     told: BTreeMap<backend::Id, Engine>,
     /// When loads were last given again, by unit and server.
@@ -78,6 +80,7 @@
             absence: Absence::new(times),
             planner: Planner::new(limits),
             configured: 0,
+            looked_back: false,
             told: BTreeMap::new(),
             repeated: BTreeMap::new(),
             context,
--- a/crates/stage/src/duties/plan/settle.rs
+++ b/crates/stage/src/duties/plan/settle.rs
@@ -23,25 +23,35 @@
         }
     }
 
-    /// Settles this run's own orders, as far as it was the planner once.
+    /// Settles the orders of this host, also of its earlier runs: that they are gone is known here
+    /// before anyone else knows it.
     pub(super) async fn settle_own(&mut self) -> Result<(), platform::Error> {
-        if !self.orders.sender().has_orders() {
+        let now = self.context.now();
+        if !self.orders.sender().has_orders() && self.looked_back {
             return Ok(());
         }
         self.book.list().await?;
         self.orders.sender().keep_only(self.book.ledgers());
+        self.absence.run(now, &self.context.host().id, self.context.incarnation);
+        let mut is_clear = true;
         for entry in self.engines() {
-            let owns = |ledger: &Ledger| {
-                let sender = self.orders.sender();
-                ledger.orders.iter().any(|entry| sender.owns(entry))
-            };
-            if self.book.get(&entry.server.id).is_some_and(|stored| owns(&stored.ledger)) {
+            let ledger = self.book.get(&entry.server.id).map(|stored| &stored.ledger);
+            if ledger.is_some_and(|ledger| self.is_sender(ledger)) {
+                is_clear = false;
                 self.settle(&entry.server).await;
             }
         }
+        // Writes of an earlier run may still arrive for the linger time.
+        self.looked_back = is_clear && self.context.settings.planning.linger < now;
         Ok(())
     }
 
+    /// Whether some run of this host has an order in the ledger.
+    fn is_sender(&self, ledger: &Ledger) -> bool {
+        let host = &self.context.host().id;
+        ledger.orders.iter().any(|entry| entry.order.sender == *host)
+    }
+
     async fn settle(&mut self, server: &backend::Server) {
         let report = self.last_report(&server.id);
         let Some(Stored { version, ledger }) = self.book.get(&server.id).cloned() else {
--- /dev/null
+++ b/crates/stage/tests/moves/main.rs
@@ -0,0 +1,247 @@
+//! Accelerator memory is never promised twice: hosts as processes, orders and answers that are
+//! lost or late, planners that die, rest or race, an object API that fails, engines that restart.
+//! The stand-in engine keeps the true memory and counts every overcommit.
+
+mod site;
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Uri};
+use http_body_util::{BodyExt, Empty};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use nix::sys::signal::Signal;
+use rstest::rstest;
+use serde_json::Value;
+use standin::{engine, fault::Strike, weights};
+
+use crate::site::{CAPACITY, LINGER, MODEL, Site, engine, until};
+
+const LEASE: u64 = 600;
+const PUT_LEDGER: &str = "PUT /objects/ledger/lm-0";
+const ORDER: &str = "POST /orders";
+
+/// Lateness of orders: long after their sender gave up, and less than the linger time.
+const LATENESS: Duration = Duration::from_millis(1_500);
+
+/// What goes wrong while models take turns in memory.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    OrdersLost,
+    OrdersLate,
+    AcksLost,
+    PlatformDown,
+    PlatformAnswersLost,
+    EngineRestarts,
+    ReportsLate,
+}
+
+impl Trouble {
+    fn settings(self, fenced: bool) -> engine::Settings {
+        let settings = engine(0, fenced);
+        match self {
+            Trouble::ReportsLate => {
+                engine::Settings { report_lag: Duration::from_millis(700), ..settings }
+            }
+            Trouble::EngineRestarts => {
+                let weights = weights::Store::new(1_000.0, 64, Duration::from_millis(150));
+                engine::Settings { weights, ..settings }
+            }
+            Trouble::OrdersLost
+            | Trouble::OrdersLate
+            | Trouble::AcksLost
+            | Trouble::PlatformDown
+            | Trouble::PlatformAnswersLost => settings,
+        }
+    }
+
+    async fn strike(self, site: &Site) {
+        let engine = &site.engines[0];
+        match self {
+            Trouble::OrdersLost => engine.fault(|fault| fault.lost_orders = 1),
+            Trouble::OrdersLate => engine.fault(|fault| {
+                fault.late_orders = 1;
+                fault.lateness = LATENESS;
+            }),
+            Trouble::AcksLost => engine.fault(|fault| fault.lost_acks = 2),
+            Trouble::PlatformDown => {
+                tokio::time::sleep(Duration::from_millis(60)).await;
+                site.platform.fault(|fault| fault.down = true);
+                tokio::time::sleep(Duration::from_millis(900)).await;
+                site.platform.fault(|fault| fault.down = false);
+            }
+            Trouble::PlatformAnswersLost => site.platform.fault(|fault| fault.lost_answers = 3),
+            Trouble::EngineRestarts => {
+                until("the engine is loading", async || !engine.residents().is_empty()).await;
+                engine.crash();
+                engine.restart().await.expect("the same port");
+            }
+            Trouble::ReportsLate => {}
+        }
+    }
+}
+
+#[rstest]
+#[tokio::test]
+async fn models_that_do_not_fit_together_take_turns(
+    #[values(
+        Trouble::OrdersLost,
+        Trouble::OrdersLate,
+        Trouble::AcksLost,
+        Trouble::PlatformDown,
+        Trouble::PlatformAnswersLost,
+        Trouble::EngineRestarts,
+        Trouble::ReportsLate
+    )]
+    trouble: Trouble,
+    #[values(true, false)] fenced: bool,
+) {
+    let mut site = Site::start(2, vec![trouble.settings(fenced)], LEASE).await;
+    for model in ["a", "b", "a"] {
+        site.declare(&[model]);
+        trouble.strike(&site).await;
+        site.holds(model).await;
+    }
+    site.settled().await;
+    site.check_memory();
+}
+
+/// A late order to load is still on its way when its model is given up for another.
+#[rstest]
+#[tokio::test]
+async fn late_load_finds_its_memory_still_reserved(#[values(true, false)] fenced: bool) {
+    let mut site = Site::start(2, vec![engine(0, fenced)], LEASE).await;
+    site.engines[0].fault(|fault| {
+        fault.late_orders = 1;
+        fault.lateness = LATENESS;
+    });
+    site.declare(&["a"]);
+    until("the load is reserved", async || !open(&site).is_empty()).await;
+    site.declare(&["b"]);
+    site.holds("b").await;
+    site.settled().await;
+    site.check_memory();
+}
+
+#[rstest]
+#[tokio::test]
+async fn planner_that_dies_before_its_order_leaves_memory_covered_until_it_is_gone(
+    #[values(true, false)] fenced: bool,
+) {
+    let mut site = Site::start(2, vec![engine(0, fenced)], LEASE).await;
+    let planner = site.some_planner().await;
+    let held = site.to_platform[planner].trap(PUT_LEDGER, Strike::HoldAnswer);
+    site.declare(&["a"]);
+    held.sprung().await;
+    assert_eq!(open(&site).len(), 1, "reserved, and its sender does not know yet");
+    site.hosts[planner].kill();
+    held.release();
+    site.declare(&["b"]);
+    site.delist(planner);
+    site.holds("b").await;
+    site.settled().await;
+    site.check_memory();
+}
+
+#[rstest]
+#[tokio::test]
+async fn planner_that_dies_after_its_order_is_settled_for_by_the_next(
+    #[values(true, false)] fenced: bool,
+    #[values(Strike::HoldAnswer, Strike::HoldRequest)] strike: Strike,
+) {
+    let mut site = Site::start(2, vec![engine(0, fenced)], LEASE).await;
+    let planner = site.some_planner().await;
+    let held = site.to_engine[0].trap(ORDER, strike);
+    site.declare(&["a"]);
+    held.sprung().await;
+    site.hosts[planner].kill();
+    site.declare(&["b"]);
+    site.restart(planner);
+    tokio::time::sleep(LATENESS).await;
+    held.release();
+    site.holds("b").await;
+    site.settled().await;
+    site.check_memory();
+}
+
+#[rstest]
+#[tokio::test]
+async fn paused_planner_resumes_with_an_order_in_its_hand(#[values(true, false)] fenced: bool) {
+    let mut site = Site::start(2, vec![engine(0, fenced)], LEASE).await;
+    let planner = site.some_planner().await;
+    let held = site.to_platform[planner].trap(PUT_LEDGER, Strike::HoldAnswer);
+    site.declare(&["a"]);
+    held.sprung().await;
+    site.hosts[planner].signal(Signal::SIGSTOP);
+    held.release();
+    until("another host plans", async || site.planner().is_some_and(|p| p != planner)).await;
+    site.declare(&["b"]);
+    tokio::time::sleep(LINGER * 2).await;
+    assert!(!site.has(0, "b"), "a's memory is reserved as long as its order may come");
+    assert_eq!(open(&site)[0].1, format!("host-{planner}"));
+
+    site.hosts[planner].signal(Signal::SIGCONT);
+    site.holds("b").await;
+    site.settled().await;
+    site.check_memory();
+}
+
+/// A lease so short that each host takes it from the other all the time.
+#[rstest]
+#[tokio::test]
+async fn two_planners_at_once_promise_no_memory_twice(#[values(true, false)] fenced: bool) {
+    let engines = vec![engine(0, fenced), engine(1, fenced)];
+    let mut site = Site::start(3, engines, 30).await;
+    for model in ["a", "b", "a", "b"] {
+        site.declare(&[model]);
+        site.engines[0].fault(|fault| fault.lost_acks = 1);
+        site.engines[1].fault(|fault| {
+            fault.late_orders = 1;
+            fault.lateness = LATENESS / 3;
+        });
+        site.holds(model).await;
+    }
+    site.settled().await;
+    site.check_memory();
+}
+
+#[tokio::test]
+async fn operators_see_why_memory_is_held_and_what_would_free_it() {
+    let mut site = Site::start(2, vec![engine(0, false)], LEASE).await;
+    site.engines[0].fault(|fault| fault.lost_orders = 1);
+    site.declare(&["a"]);
+    until("an order is lost", async || 1 < open(&site).len() || site.has(0, "a")).await;
+    // Any host tells, also one that never plans; this one runs in the test's own process.
+    let onlooker = stage::start(site.onlooker()).await.expect("a host");
+    let text = get(onlooker.context().host().operators, "/status/moves").await;
+    let status: Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!(status["current"], true);
+    assert_eq!(status["memory"][0]["capacity"], CAPACITY);
+    assert_eq!(status["memory"][0]["promised"], MODEL);
+    let open = status["open"].as_array().expect("open moves");
+    assert!(!open.is_empty(), "the lost order is in doubt for the linger time");
+    let ways = open[0]["settled_by"].as_array().expect("ways to settle");
+    assert!(ways.iter().any(|way| way.as_str().is_some_and(|way| way.contains("in flight"))));
+    site.settled().await;
+    site.check_memory();
+}
+
+async fn get(address: SocketAddr, path: &str) -> String {
+    let client = Client::builder(TokioExecutor::new()).build(HttpConnector::new());
+    let uri = format!("http://{address}{path}").parse().expect("a URI");
+    let response =
+        client.request(Request::get::<Uri>(uri).body(Empty::<Bytes>::new()).expect("a request"));
+    let response = response.await.expect("an answer");
+    let body = response.into_body().collect().await.expect("a body").to_bytes();
+    String::from_utf8_lossy(&body).into_owned()
+}
+
+/// Open orders of the first engine with their senders.
+fn open(site: &Site) -> Vec<(String, String)> {
+    let orders = site.ledger(0).map(|ledger| ledger.orders).unwrap_or_default();
+    let open = orders.iter().map(|entry| &entry.order);
+    open.map(|order| (order.id.to_string(), order.sender.to_string())).collect()
+}
--- /dev/null
+++ b/crates/stage/tests/moves/site.rs
@@ -0,0 +1,271 @@
+//! Hosts as processes of their own around stand-ins, with a proxy on each host's link to the
+//! platform and on the link to each engine.
+
+use std::{
+    net::SocketAddr,
+    process::{Child, Command},
+    time::Duration,
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use policy::ledger::Ledger;
+use serde_json::{Value, json};
+use standin::{
+    engine::{self, Engine},
+    fault::Proxy,
+    objects::Platform,
+};
+use tempfile::TempDir;
+use types::{
+    backend::{Entry, Kind, Server},
+    host::{self, Host, List, Listed},
+    resident::State,
+};
+
+/// How long a test waits for what must come; far more than it takes on a loaded machine.
+const PATIENCE: Duration = Duration::from_secs(90);
+const POLL: Duration = Duration::from_millis(10);
+
+/// Memory of each engine; no two models fit together.
+pub const CAPACITY: u64 = 100;
+pub const MODEL: u64 = 60;
+
+/// Longest time that anything sent may still arrive, as the hosts are told.
+pub const LINGER: Duration = Duration::from_millis(2_500);
+
+/// A host's process; killed when dropped.
+pub struct Process {
+    child: Child,
+    host: Host,
+}
+
+impl Process {
+    pub fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).expect("process id");
+        kill(Pid::from_raw(id), signal).expect("signal to own child");
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    pub fn id(&self) -> &host::Id {
+        &self.host.id
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+pub struct Site {
+    pub platform: Platform,
+    pub engines: Vec<Engine>,
+    /// Links from each host to the platform.
+    pub to_platform: Vec<Proxy>,
+    /// Links to each engine.
+    pub to_engine: Vec<Proxy>,
+    pub hosts: Vec<Process>,
+    listed: Vec<host::Entry>,
+    files: TempDir,
+    lease_ms: u64,
+    number: u64,
+    runs: usize,
+}
+
+impl Site {
+    /// Hosts and engines without a model declared, once each engine has its ledger.
+    pub async fn start(hosts: usize, engines: Vec<engine::Settings>, lease_ms: u64) -> Site {
+        let platform = Platform::start().await.expect("platform");
+        let mut running = Vec::new();
+        let mut to_engine = Vec::new();
+        for settings in engines {
+            let engine = Engine::start(settings).await.expect("engine");
+            to_engine.push(Proxy::start(engine.address()).await.expect("proxy"));
+            running.push(engine);
+        }
+        let mut to_platform = Vec::new();
+        for _ in 0..hosts {
+            to_platform.push(Proxy::start(platform.address()).await.expect("proxy"));
+        }
+        let mut site = Site {
+            platform,
+            engines: running,
+            to_platform,
+            to_engine,
+            hosts: Vec::new(),
+            listed: Vec::new(),
+            files: tempfile::tempdir().expect("folder"),
+            lease_ms,
+            number: 0,
+            runs: 0,
+        };
+        site.declare(&[]);
+        for place in 0..hosts {
+            let process = site.spawn(place);
+            site.listed.push(host::Entry { host: process.host.clone(), state: Listed::Live });
+            site.hosts.push(process);
+        }
+        site.list();
+        for place in 0..site.engines.len() {
+            until("the engine has a ledger", async || site.ledger(place).is_some()).await;
+        }
+        site
+    }
+
+    /// Declares exactly these models under the next number.
+    pub fn declare(&mut self, models: &[&str]) {
+        self.number += 1;
+        let declared = |name: &&str| {
+            let model = json!({"group": "lm", "version": "1", "memory": MODEL});
+            ((*name).to_owned(), model)
+        };
+        let models: serde_json::Map<String, Value> = models.iter().map(declared).collect();
+        let config = json!({"models": models});
+        self.platform.poke("config/root", json!({"number": self.number, "config": config}));
+    }
+
+    /// The ledger of an engine, as it stands.
+    pub fn ledger(&self, engine: usize) -> Option<Ledger> {
+        let (_, value) = self.platform.peek(&Ledger::key(&self.engines[engine].settings().id))?;
+        serde_json::from_value(value).ok()
+    }
+
+    /// Whether a model is ready in an engine's true memory.
+    pub fn has(&self, engine: usize, model: &str) -> bool {
+        let residents = self.engines[engine].residents();
+        residents.iter().any(|r| &**r.unit.model() == model && r.state == State::Ready)
+    }
+
+    /// Waits until every engine holds exactly this model.
+    pub async fn holds(&self, model: &str) {
+        for place in 0..self.engines.len() {
+            until(&format!("engine {place} holds {model}"), async || {
+                self.has(place, model) && self.engines[place].residents().len() == 1
+            })
+            .await;
+        }
+    }
+
+    /// Waits until no order is open, and the ledgers say what is truly in memory.
+    pub async fn settled(&self) {
+        for place in 0..self.engines.len() {
+            until(&format!("the ledger of engine {place} settles"), async || {
+                self.ledger(place).is_some_and(|ledger| {
+                    ledger.orders.is_empty() && ledger.residents == self.engines[place].residents()
+                })
+            })
+            .await;
+        }
+    }
+
+    /// What must hold at the end of every test.
+    pub fn check_memory(&self) {
+        for engine in &self.engines {
+            let counts = engine.counts();
+            assert_eq!(counts.overcommits, 0, "{}: {counts:?}", engine.settings().id);
+            assert!(counts.peak <= CAPACITY, "{}: {counts:?}", engine.settings().id);
+        }
+    }
+
+    /// The host that holds the planning lease.
+    pub fn planner(&self) -> Option<usize> {
+        let (_, lease) = self.platform.peek("lease/plan")?;
+        let holder = lease["holder"].as_str()?.to_owned();
+        self.hosts.iter().position(|process| **process.id() == *holder)
+    }
+
+    /// Waits until a host holds the planning lease.
+    pub async fn some_planner(&self) -> usize {
+        until("a host plans", async || self.planner().is_some()).await;
+        self.planner().expect("a planner")
+    }
+
+    /// Takes a host off the platform's list.
+    pub fn delist(&mut self, place: usize) {
+        let id = self.hosts[place].id().clone();
+        self.listed.retain(|entry| entry.host.id != id);
+        self.list();
+    }
+
+    /// Starts a host again after its end, under the same name.
+    pub fn restart(&mut self, place: usize) {
+        self.hosts[place] = self.spawn(place);
+    }
+
+    /// Settings of a host that the platform does not list.
+    pub fn onlooker(&self) -> settings::process::Process {
+        let host = with_any_ports("onlooker");
+        let settings = json!({"host": host, "platform": self.platform.address()});
+        serde_json::from_value(settings).expect("settings")
+    }
+
+    fn list(&self) {
+        let servers = self.engines.iter().zip(&self.to_engine).enumerate();
+        let servers = servers.map(|(place, (engine, link))| {
+            let server = Server {
+                id: engine.settings().id.clone(),
+                group: "lm".into(),
+                kind: Kind::Engine,
+                zone: format!("zone-{place}").into(),
+                address: link.address(),
+            };
+            Entry { server, state: Listed::Live }
+        });
+        self.platform.set_list(List { hosts: self.listed.clone(), servers: servers.collect() });
+    }
+
+    fn spawn(&mut self, place: usize) -> Process {
+        let host = with_any_ports(&format!("host-{place}"));
+        self.runs += 1;
+        let log = self.files.path().join(format!("{}-{}.log", host.id, self.runs));
+        let settings = json!({
+            "host": host,
+            "platform": self.to_platform[place].address(),
+            "intervals": {"list_ms": 50, "report_ms": 40, "plan_ms": 40},
+            "drain": {"balancer_ms": 10, "finish_ms": 1_000},
+            "planning": {
+                "lease_ms": self.lease_ms, "order_ms": 400, "list_lag_ms": 500,
+                "linger_ms": u64::try_from(LINGER.as_millis()).expect("a short time"),
+                "loads_per_second": 50.0, "loads_at_once": 8,
+            },
+            "log": {"file": log, "level": "info"},
+        });
+        let file = self.files.path().join(format!("{}-{}.json", host.id, self.runs));
+        std::fs::write(&file, settings.to_string()).expect("settings file");
+        let child = Command::new(env!("CARGO_BIN_EXE_cyclamenstage"))
+            .args(["serve", "--settings"])
+            .arg(&file)
+            .spawn()
+            .expect("host process");
+        Process { child, host }
+    }
+}
+
+/// A host whose ports the system picks.
+fn with_any_ports(id: &str) -> Host {
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    Host { id: id.into(), zone: "zone".into(), callers: any, peers: any, operators: any }
+}
+
+/// An engine for two models of which only one fits.
+pub fn engine(place: usize, fenced: bool) -> engine::Settings {
+    let id = format!("lm-{place}");
+    engine::Settings { capacity: CAPACITY, fenced, ..engine::Settings::new(&id) }
+}
+
+/// Polls a condition, and fails by name when patience ends.
+pub async fn until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let waiting = async {
+        while !condition().await {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    assert!(tokio::time::timeout(PATIENCE, waiting).await.is_ok(), "never: {what}");
+}
