--- a/crates/observe/tests/metrics.rs
+++ b/crates/observe/tests/metrics.rs
@@ -23,6 +23,8 @@
 #[case::refusals(r#"cyclamenstage_refusals_total{cause="overloaded",service="portal"}"#, 1.0)]
 #[case::retries(r#"cyclamenstage_retries_total{cause="cut",service="portal"}"#, 1.0)]
 #[case::bytes(r#"cyclamenstage_control_bytes_total{direction="in",link="peers"}"#, 300.0)]
+#[case::bytes_out(r#"cyclamenstage_control_bytes_total{direction="out",link="peers"}"#, 20.0)]
+#[case::other_link(r#"cyclamenstage_control_bytes_total{direction="in",link="servers"}"#, 7.0)]
 #[case::platform(r#"cyclamenstage_platform_calls_total{operation="get",result="ok"}"#, 1.0)]
 #[case::up("cyclamenstage_platform_up", 0.0)]
 #[case::memory(r#"cyclamenstage_memory{server="s",state="in-doubt"}"#, 4096.0)]
@@ -39,8 +41,11 @@
     metrics.limit(&server, &model, 7);
     metrics.refusal(&service, "overloaded");
     metrics.retry(&service, "cut");
-    metrics.control_bytes(Link::Peers, Direction::In, 100);
-    metrics.control_bytes(Link::Peers, Direction::In, 200);
+    metrics.watch_bytes(Link::Peers, |direction| match direction {
+        Direction::In => 300,
+        Direction::Out => 20,
+    });
+    metrics.watch_bytes(Link::Servers, |_| 7);
     metrics.platform_call("get", "ok");
     metrics.platform(PlatformState::Down);
     metrics.memory(&server, Memory::InDoubt, 4096);
--- /dev/null
+++ b/crates/stage/src/counted.rs
@@ -0,0 +1,114 @@
+//! The platform's client with every call counted, and its outages noticed.
+//!
+//! An outage is what operators see first in the metrics and the time line, so it is noticed here,
+//! where every call of every duty passes, and not by each duty for itself.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU8, Ordering},
+};
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use observe::{
+    Event, Metrics, Ring,
+    event::{Kind, PlatformState},
+};
+use platform::{Changes, Client, Error, Listing, Object, Revision, Store, Version};
+use types::host::List;
+
+const UNKNOWN: u8 = 0;
+const UP: u8 = 1;
+const DOWN: u8 = 2;
+
+/// A platform's client whose calls are counted.
+pub(crate) struct Counted {
+    inner: Client,
+    metrics: Metrics,
+    events: Arc<Ring>,
+    seen: AtomicU8,
+}
+
+impl Counted {
+    pub(crate) fn new(inner: Client, metrics: Metrics, events: Arc<Ring>) -> Counted {
+        Counted { inner, metrics, events, seen: AtomicU8::new(UNKNOWN) }
+    }
+
+    async fn call<T>(
+        &self,
+        operation: &'static str,
+        call: BoxFuture<'_, Result<T, Error>>,
+    ) -> Result<T, Error> {
+        let result = call.await;
+        self.metrics.platform_call(operation, word(&result));
+        self.notice(&result);
+        result
+    }
+
+    /// Records when the platform begins or ceases to answer.
+    fn notice<T>(&self, result: &Result<T, Error>) {
+        let (state, code) = match result {
+            Err(Error::Unavailable { .. } | Error::Unanswered { .. } | Error::Malformed { .. }) => {
+                (PlatformState::Down, DOWN)
+            }
+            // A refusal of one call is an answer all the same.
+            _ => (PlatformState::Up, UP),
+        };
+        if self.seen.swap(code, Ordering::Relaxed) != code {
+            self.metrics.platform(state);
+            self.events.record(Event::new(Kind::Platform { platform: state }));
+        }
+    }
+}
+
+fn word<T>(result: &Result<T, Error>) -> &'static str {
+    match result {
+        Ok(_) => "ok",
+        Err(Error::Conflict { .. }) => "conflict",
+        Err(Error::Gone { .. }) => "gone",
+        Err(Error::TooLarge { .. }) => "too-large",
+        Err(Error::Limited { .. }) => "limited",
+        Err(Error::Unavailable { .. }) => "unavailable",
+        Err(Error::Unanswered { .. }) => "unanswered",
+        Err(Error::Malformed { .. }) => "malformed",
+    }
+}
+
+impl Store for Counted {
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Object>, Error>> {
+        Box::pin(self.call("get", self.inner.get(key)))
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Listing, Error>> {
+        Box::pin(self.call("list", self.inner.list(prefix)))
+    }
+
+    fn create<'a>(&'a self, key: &'a str, value: Bytes) -> BoxFuture<'a, Result<Version, Error>> {
+        Box::pin(self.call("create", self.inner.create(key, value)))
+    }
+
+    fn update<'a>(
+        &'a self,
+        key: &'a str,
+        version: Version,
+        value: Bytes,
+    ) -> BoxFuture<'a, Result<Version, Error>> {
+        Box::pin(self.call("update", self.inner.update(key, version, value)))
+    }
+
+    fn delete<'a>(&'a self, key: &'a str, version: Version) -> BoxFuture<'a, Result<(), Error>> {
+        Box::pin(self.call("delete", self.inner.delete(key, version)))
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        from: Revision,
+    ) -> BoxFuture<'a, Result<Changes, Error>> {
+        Box::pin(self.call("watch", self.inner.watch(prefix, from)))
+    }
+
+    fn hosts(&self) -> BoxFuture<'_, Result<List, Error>> {
+        Box::pin(self.call("hosts", self.inner.hosts()))
+    }
+}
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod answer;
 pub mod callers;
 pub mod context;
+mod counted;
 pub mod duties;
 pub mod filters;
 pub mod flags;
