--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -19,7 +19,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::{counted::Counted, fleet::Fleet, moves::Moves, traffic::Traffic};
+use crate::{counted::Counted, declared::Declared, fleet::Fleet, moves::Moves, traffic::Traffic};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -39,6 +39,8 @@
     pub platform_bytes: Meter,
     /// Hosts, backend servers and what they report.
     pub fleet: Fleet,
+    /// What is held of the declared configuration.
+    pub declared: Declared,
     /// Requests on their way: admission, choice of servers, limits.
     pub traffic: Arc<Traffic>,
     /// Moves as this host knows them.
@@ -49,6 +51,8 @@
     pub events: Arc<Ring>,
     /// The configuration in force; only [`Context::advance`] changes it.
     config: watch::Sender<Arc<Numbered>>,
+    /// Cancelled when an operator asks for a planned stop.
+    pub stop_asked: CancellationToken,
     /// Ends background duties.
     pub stop: CancellationToken,
     /// Background duties.
@@ -78,7 +82,7 @@
         events.record(Event::new(event::Kind::Start));
         let store = Counted::new(builder.build(), metrics.clone(), events.clone());
         Ok(Context {
-            traffic: Arc::new(Traffic::new(settings.host.zone.clone(), origin)),
+            traffic: Arc::new(Traffic::new(&settings, origin)),
             moves: Moves::default(),
             metrics,
             events,
@@ -90,7 +94,9 @@
             control_bytes,
             platform_bytes,
             fleet: Fleet::default(),
+            declared: Declared::default(),
             config: watch::channel(Arc::default()).0,
+            stop_asked: CancellationToken::new(),
             stop: CancellationToken::new(),
             duties: TaskTracker::new(),
             draining: AtomicBool::new(false),
