--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -8,3 +8,4 @@
 
 pub mod explore;
 pub mod ledger;
+pub mod once;
--- a/crates/stage/tests/common/site.rs
+++ b/crates/stage/tests/common/site.rs
@@ -208,6 +208,14 @@
         self.list();
     }
 
+    /// Ends a host by a signal and starts another in its place.
+    pub async fn replace(&mut self, place: usize, signal: Signal) {
+        self.hosts[place].signal(signal);
+        self.hosts[place].ended().await;
+        self.restart(place).await;
+        self.host_ready(place).await;
+    }
+
     /// Ends every host in order.
     pub async fn end(mut self) {
         for host in &self.hosts {
@@ -277,7 +285,7 @@
     }
 
     /// Publishes the list of hosts and servers.
-    fn list(&self) {
+    pub fn list(&self) {
         let live = |server| backend::Entry { server, state: Listed::Live };
         let hosts = self.hosts.iter().enumerate().map(|(place, process)| {
             let mut host = process.host.clone();
