--- a/crates/stage/src/duties.rs
+++ b/crates/stage/src/duties.rs
@@ -4,6 +4,7 @@
 mod gossip;
 mod list;
 pub mod once;
+mod plan;
 mod pump;
 mod reports;
 
@@ -21,6 +22,7 @@
     spawn(context, reports::run(context.clone()));
     spawn(context, once::run(context.clone()));
     spawn(context, pump::run(context.clone()));
+    spawn(context, plan::run(context.clone()));
 }
 
 fn spawn(context: &Arc<Context>, duty: impl Future<Output = ()> + Send + 'static) {
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod guard;
 pub mod idle;
 mod listener;
+pub mod moves;
 pub mod operators;
 pub mod peers;
 pub mod problem;
