Measure what a host spends under load as well

Change: examples/idle becomes examples/cost and also streams answers at several rates of tokens through the measured process.

--- a/crates/stage/examples/idle.rs
+++ b/crates/stage/examples/cost.rs
@@ -1,4 +1,4 @@
-//! Measures what an idle host spends on control: processor, memory and bytes, by fleet size.
+//! Measures what a host spends: processor, memory and bytes, idle by fleet size, and under load.
 //!
 //! One host runs as a process of its own, so that its processor time and memory are its own; the
 //! other hosts run in this process, with the stand-ins, and the bytes are those that the first of
@@ -16,6 +16,7 @@
 };
 
 use clap::Parser;
+use http_body_util::BodyExt;
 use serde_json::json;
 use settings::process::Process;
 use stage::Running;
@@ -23,6 +24,7 @@
     engine::{self, Engine},
     objects::Platform,
 };
+use tokio::task::JoinSet;
 use types::{
     backend::{self, Kind, Server},
     host::{Entry, Host, List, Listed},
@@ -32,9 +34,12 @@
 const TICKS: f64 = 100.0;
 
 const MODELS: usize = 4;
+/// Tokens of an answer.
+const ANSWER: u32 = 50;
+
 const SETTLE: Duration = Duration::from_secs(4);
 
-/// Measures what an idle host spends on control.
+/// Measures what a host spends, idle and under load.
 #[derive(Debug, Parser)]
 struct Flags {
     /// The host's program.
@@ -46,6 +51,9 @@
     /// Numbers of hosts, each a run of its own with the first number of servers.
     #[arg(long, value_delimiter = ',', default_value = "2,4,8")]
     hosts: Vec<usize>,
+    /// Rates of tokens a second, each a run of its own with the first number of servers.
+    #[arg(long, value_delimiter = ',', default_value = "500,1000,2000")]
+    tokens: Vec<u64>,
     /// Seconds of each run.
     #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u64).range(1..=60))]
     seconds: u64,
@@ -66,25 +74,39 @@
 async fn main() -> Result<(), Box<dyn Error>> {
     let flags = Flags::parse();
     println!(
-        "| servers | hosts | processor, % of a core | resident, MiB | received, KB/s | sent, KB/s | object API calls/s |"
+        "| servers | hosts | tokens/s | processor, % of a core | resident, MiB | received, KB/s | sent, KB/s | object API calls/s |"
     );
-    println!("|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|");
     for servers in &flags.servers {
-        run(&flags, *servers, 2).await?;
+        run(&flags, *servers, 2, 0).await?;
     }
     let first = flags.servers.first().copied().unwrap_or(MODELS);
     for hosts in &flags.hosts {
-        run(&flags, first, *hosts).await?;
+        run(&flags, first, *hosts, 0).await?;
+    }
+    for tokens in &flags.tokens {
+        run(&flags, first, 2, *tokens).await?;
     }
     Ok(())
 }
 
-async fn run(flags: &Flags, servers: usize, hosts: usize) -> Result<(), Box<dyn Error>> {
+async fn run(
+    flags: &Flags,
+    servers: usize,
+    hosts: usize,
+    tokens: u64,
+) -> Result<(), Box<dyn Error>> {
     let platform = Platform::start().await?;
     let models: serde_json::Map<_, _> = (0..MODELS)
         .map(|n| (model(n), json!({"group": "lm", "version": "v1", "memory": 16_000})))
         .collect();
-    platform.poke("config/root", json!({"number": 1, "config": {"models": models}}));
+    let offered: Vec<String> = (0..MODELS).map(model).collect();
+    let target = json!({"first_token_ms": 5_000, "between_tokens_ms": 500});
+    let service = json!({"customer": "owner", "offer": {"models": offered}, "target": target});
+    let config = json!({
+        "customers": {"owner": {}}, "models": models, "services": {"letters": service},
+    });
+    platform.poke("config/root", json!({"number": 1, "config": config}));
     let mut engines = Vec::new();
     for n in 0..servers {
         let settings = engine::Settings::new(&format!("lm-{n:03}"));
@@ -110,6 +132,7 @@
         .spawn()?;
     let child = Spawned(child);
     platform.set_list(list(&own.host, &running, &engines));
+    let load = tokio::spawn(load(own.host.callers, tokens));
     tokio::time::sleep(SETTLE).await;
     let (ticks, bytes, calls) = (processor(&child)?, bytes(&running), calls(&platform));
     let length = Duration::from_secs(flags.seconds);
@@ -119,17 +142,56 @@
     let now = self::bytes(&running);
     let rate = |from: u64, to: u64| (to - from) as f64 / 1000.0 / seconds;
     println!(
-        "| {servers} | {hosts} | {spent:.1} | {:.1} | {:.1} | {:.1} | {:.1} |",
+        "| {servers} | {hosts} | {tokens} | {spent:.1} | {:.1} | {:.1} | {:.1} | {:.1} |",
         resident(&child)?,
         rate(bytes.0, now.0),
         rate(bytes.1, now.1),
         (self::calls(&platform) - calls) as f64 / seconds,
     );
+    load.abort();
     drop(child);
     futures_util::future::join_all(running.into_iter().map(Running::drain)).await;
     Ok(())
 }
 
+/// Streams answers through the host at this rate of tokens a second, for good.
+async fn load(callers: SocketAddr, tokens: u64) {
+    if tokens == 0 {
+        return;
+    }
+    let client = ::backend::Client::new();
+    let gap = Duration::from_secs(1) * ANSWER / u32::try_from(tokens).unwrap_or(u32::MAX);
+    let mut ticks = tokio::time::interval(gap);
+    let mut callers_waiting = JoinSet::new();
+    for serial in 0_usize.. {
+        ticks.tick().await;
+        let client = client.clone();
+        callers_waiting.spawn(async move {
+            // A refusal or a cut answer only makes the load smaller, which the host's figures show.
+            let _ = ask(&client, callers, serial).await;
+        });
+        while callers_waiting.try_join_next().is_some() {}
+    }
+}
+
+async fn ask(
+    client: &::backend::Client,
+    callers: SocketAddr,
+    serial: usize,
+) -> Result<(), Box<dyn Error + Send + Sync>> {
+    let question = json!({
+        "model": model(serial % MODELS), "stream": true, "max_tokens": ANSWER,
+        "messages": [{"role": "user", "content": format!("letter {serial}")}],
+    });
+    let request = http::Request::post("/v1/chat/completions")
+        .body(::backend::whole(question.to_string().into()))?;
+    let mut body = client.send(callers, request).await?.into_body();
+    while let Some(frame) = body.frame().await {
+        frame?;
+    }
+    Ok(())
+}
+
 fn model(n: usize) -> String {
     format!("model-{n}")
 }
