--- a/crates/stage/examples/slopes/fleet.rs
+++ b/crates/stage/examples/slopes/fleet.rs
@@ -23,6 +23,7 @@
 const CAPACITY: Mebibytes = 8 * 80 * GIBIBYTE;
 const MEMORY: [Mebibytes; 6] = [16, 30, 70, 90, 140, 240];
 const ROUNDS: usize = 64;
+const LOST: &str = "zone-0";
 const NOW: Moment = Duration::from_secs(3600);
 
 pub(crate) fn plan_rows() -> Vec<Row> {
@@ -39,6 +40,8 @@
         row("plan of a planner that takes over", "ms", &|p| takeover(p) / 1e3),
         row("plan after one engine changed", "ms", &|p| one_engine(p) / 1e3),
         row("plan after one patch", "ms", &|p| one_patch(p) / 1e3),
+        row("loads after one of 8 zones is lost", "loads", &zone_lost),
+        row("models without an engine until then", "models", &unreachable),
     ]
 }
 
@@ -151,3 +154,27 @@
         planner.plan(NOW)
     })
 }
+
+/// Loads that make up for a lost zone.
+fn zone_lost(placed: &Placed) -> f64 {
+    let mut planner = placed.planner.clone();
+    for engine in lost(placed) {
+        planner.forget(&engine.server);
+    }
+    let moves = planner.settle(NOW, ROUNDS);
+    moves.iter().filter(|planned| planned.is_load()).count() as f64
+}
+
+/// Models all of whose replicas stood in the lost zone.
+fn unreachable(placed: &Placed) -> f64 {
+    let holds = |engine: &Engine, id: &model::Id| {
+        engine.residents.iter().any(|resident| resident.unit.model() == id)
+    };
+    let left: Vec<&Engine> = placed.engines.values().filter(|e| &*e.zone != LOST).collect();
+    let models = placed.config.models.keys();
+    models.filter(|id| !left.iter().any(|engine| holds(engine, id))).count() as f64
+}
+
+fn lost(placed: &Placed) -> impl Iterator<Item = &Engine> {
+    placed.engines.values().filter(|engine| &*engine.zone == LOST)
+}
