--- a/crates/stage/tests/promises/not_run.rs
+++ b/crates/stage/tests/promises/not_run.rs
@@ -6,14 +6,42 @@
     fault::{Door, Fault, Proxy, Strike, Way},
 };
 
+use tokio::task::JoinHandle;
+
 use crate::common::{Builder, Chat, Ending, Site, until};
 
 const MODEL: &str = "portal";
 const CALLS: usize = 12;
 
+/// More than all calls with their retries can make.
+const ATTEMPTS: usize = 500;
+
+/// One engine, and a short time for a whole request: the last word must have come by then.
 async fn site() -> Site {
     let engine = Settings::new("lm-1").with_model(MODEL, "v1", 900);
-    Builder::new(2).engine(engine).linked().start().await
+    let short = |settings: &mut serde_json::Value| {
+        settings["bounds"] = serde_json::json!({"request_ms": 3_000, "idle_ms": 2_000});
+    };
+    Builder::new(2).engine(engine).settings(short).linked().start().await
+}
+
+/// Sends all calls at once, to both hosts by turns.
+fn send_all(site: &Site, tokens: u64) -> Vec<JoinHandle<(String, Ending)>> {
+    (0..CALLS)
+        .map(|number| {
+            let callers = site.hosts()[number % 2].callers();
+            let chat = Chat::new(format!("key-{number}"), MODEL, tokens);
+            tokio::spawn(async move { (chat.key.clone(), chat.send(callers).await) })
+        })
+        .collect()
+}
+
+async fn join(calls: Vec<JoinHandle<(String, Ending)>>) -> Vec<(String, Ending)> {
+    let mut endings = Vec::new();
+    for call in calls {
+        endings.push(call.await.expect("a caller that doesn't panic"));
+    }
+    endings
 }
 
 fn shut(link: &Proxy) {
@@ -30,13 +58,13 @@
 }
 
 fn lose_requests(link: &Proxy) {
-    (0..CALLS).for_each(|_| {
+    (0..ATTEMPTS).for_each(|_| {
         link.trap("POST /v1", Strike::LoseRequest);
     });
 }
 
 fn lose_answers(link: &Proxy) {
-    (0..CALLS).for_each(|_| {
+    (0..ATTEMPTS).for_each(|_| {
         link.trap("POST /v1", Strike::LoseAnswer);
     });
 }
@@ -54,12 +82,7 @@
     let site = site().await;
     break_link(site.links().server("lm-1"));
 
-    let mut endings = Vec::new();
-    for number in 0..CALLS {
-        let chat = Chat::new(format!("key-{number}"), MODEL, 5);
-        let host = &site.hosts()[number % 2];
-        endings.push((chat.key.clone(), chat.send(host.callers()).await));
-    }
+    let endings = join(send_all(&site, 5)).await;
 
     check(&site, &endings);
     assert!(endings.iter().any(|(_, ending)| *ending != Ending::Whole), "the fault had no effect");
@@ -70,21 +93,12 @@
 #[tokio::test]
 async fn not_run_is_true_when_the_engine_dies() {
     let site = site().await;
-    let callers = site.hosts()[0].callers();
-    let calls: Vec<_> = (0..CALLS)
-        .map(|number| {
-            let chat = Chat::new(format!("key-{number}"), MODEL, 200);
-            tokio::spawn(async move { (chat.key.clone(), chat.send(callers).await) })
-        })
-        .collect();
+    let calls = send_all(&site, 400);
     until("requests run", async || 0 < site.engines()[0].in_flight()).await;
 
     site.engines()[0].crash();
 
-    let mut endings = Vec::new();
-    for call in calls {
-        endings.push(call.await.unwrap());
-    }
+    let endings = join(calls).await;
     check(&site, &endings);
     assert!(endings.iter().all(|(_, ending)| *ending != Ending::Whole));
     site.end().await;
