--- a/crates/stage/examples/slopes/route.rs
+++ b/crates/stage/examples/slopes/route.rs
@@ -148,6 +148,7 @@
             due: now + Duration::from_secs(60),
             spread: ticket.wrapping_mul(0x9e37_79b9_7f4a_7c15),
         },
+        target: Duration::from_secs(60),
         version: "1".into(),
         prefix: (0..BLOCKS).map(|block| model << 32 | (ticket % 64) << 8 | block).collect(),
         prompt_tokens: 1024,
