Take the KV cache along when a stream is resumed

Cause: an engine whose connection broke may be alive, and the one that resumes the stream would read the whole prompt again.

--- a/crates/stage/src/answer.rs
+++ b/crates/stage/src/answer.rs
@@ -23,6 +23,7 @@
 use crate::{
     context::Context,
     filters::{Call, Question, account::Account, attempt},
+    kv,
     problem::{self, Problem},
     traffic::{Further, Sent},
 };
@@ -36,6 +37,7 @@
     demand: Arc<Demand>,
     stream: Stream,
     next: Option<Sent>,
+    lost: Option<backend::Server>,
     source: Option<Source>,
     failed: Vec<Index>,
     ran: Ran,
@@ -74,6 +76,7 @@
             question,
             demand,
             next: Some(first),
+            lost: None,
             source: None,
             failed: Vec::new(),
             ran: Ran::DidNotRun,
@@ -176,6 +179,9 @@
         let Some(sent) = self.next.take() else {
             return Err(Problem::new(problem::Kind::Internal, "no attempt is due").ran(self.ran));
         };
+        if let Some(lost) = self.lost.take() {
+            kv::carry(&self.context, &self.call, &lost, &sent).await;
+        }
         let request = self.request();
         self.account.attempted(self.stream.attempt(), &sent.server().id);
         let patience = self.context.settings.bounds.idle.min(self.call.time_left(&self.context));
@@ -250,6 +256,7 @@
         self.account.retried(point.as_str());
         if verdict == retry::Verdict::Resume {
             self.account.resumed(next, self.stream.next());
+            self.lost = Some(server);
         }
         let further = further(&self.context, &self.call, &self.demand, &self.failed).await;
         match further {
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod guard;
 pub mod idle;
+mod kv;
 mod listener;
 pub mod operators;
 pub mod problem;
--- a/crates/stage/src/traffic/guard.rs
+++ b/crates/stage/src/traffic/guard.rs
@@ -112,6 +112,13 @@
         self.flight.choice.server
     }
 
+    /// Time that the server needs to read what it is not thought to have of a prompt.
+    pub fn prefill(&self, prompt_tokens: u32) -> Duration {
+        let uncached = prompt_tokens.saturating_sub(self.flight.choice.cached_tokens);
+        let now = self.traffic.now();
+        self.traffic.lock().policy.table.estimate(self.index(), uncached, now).prefill
+    }
+
     /// The first token, or the answer's head, has come.
     pub fn answered(&self) {
         let now = self.traffic.now();
--- a/crates/stage/tests/common/script.rs
+++ b/crates/stage/tests/common/script.rs
@@ -69,6 +69,7 @@
     act: Mutex<Act>,
     requests: AtomicU32,
     head: Mutex<String>,
+    kv: Mutex<Vec<String>>,
 }
 
 impl Script {
@@ -82,6 +83,7 @@
             act: Mutex::new(act),
             requests: AtomicU32::new(0),
             head: Mutex::default(),
+            kv: Mutex::default(),
         });
         let accepting = tokio::spawn(accept(listener, shared.clone()));
         Script { id: id.into(), kind, address, shared, accepting }
@@ -100,6 +102,11 @@
 }
 
 impl Script {
+    /// First lines of the calls about KV caches.
+    pub fn kv_calls(&self) -> Vec<String> {
+        self.shared.kv.lock().expect("kv").clone()
+    }
+
     /// Head of the last request.
     pub fn last_head(&self) -> String {
         self.shared.head.lock().expect("head").clone()
@@ -118,6 +125,11 @@
         let body = serde_json::to_string(&load(&shared)).expect("report");
         return respond(&mut stream, "200 OK", &body).await;
     }
+    if head.starts_with("POST /kv/") {
+        read_body(&mut stream, &head, rest).await?;
+        shared.kv.lock().expect("kv").push(head.lines().next().unwrap_or_default().into());
+        return respond(&mut stream, "200 OK", "the cache").await;
+    }
     shared.requests.fetch_add(1, Ordering::SeqCst);
     shared.head.lock().expect("head").clone_from(&head);
     let act = shared.act.lock().expect("act").clone();
--- a/crates/stage/tests/retry.rs
+++ b/crates/stage/tests/retry.rs
@@ -147,9 +147,13 @@
 }
 
 async fn chat(inside: &Inside, idempotent: &str) -> Answer {
+    chat_about(inside, idempotent, "hola").await
+}
+
+async fn chat_about(inside: &Inside, idempotent: &str, prompt: &str) -> Answer {
     let body = json!({
         "model": "welcome", "stream": true, "max_tokens": 6,
-        "messages": [{"role": "user", "content": "hola"}],
+        "messages": [{"role": "user", "content": prompt}],
     });
     let headers = [("x-idempotent", idempotent)];
     let uri = "/v1/chat/completions";
@@ -196,6 +200,25 @@
     inside.host.drain().await;
 }
 
+/// The prompt takes near a second to read at the scripted rate, or next to nothing.
+#[rstest]
+#[case::long_prompt("a long letter ".repeat(250_000), &["POST /kv/export HTTP/1.1"], &["POST /kv/import HTTP/1.1"])]
+#[case::short_prompt("hola".into(), &[], &[])]
+#[tokio::test]
+async fn a_resumed_stream_takes_the_cache_along_where_that_is_cheaper(
+    #[case] prompt: String,
+    #[case] exports: &[&str],
+    #[case] imports: &[&str],
+) {
+    let servers = servers(Kind::Engine, Act::Events(vec![Token(0), Token(1)])).await;
+    let inside = Inside::start(&servers).await;
+    let answer = chat_about(&inside, "true", &prompt).await;
+    assert_eq!(answer_text(&events(&answer.text())), tokens(6));
+    assert_eq!(servers[0].kv_calls(), exports);
+    assert_eq!(servers[1].kv_calls(), imports);
+    inside.host.drain().await;
+}
+
 #[tokio::test]
 async fn a_failed_server_gets_nothing_more_for_a_while() {
     let servers = servers(Kind::Engine, Act::Close).await;
