--- a/crates/stage/src/traffic.rs
+++ b/crates/stage/src/traffic.rs
@@ -216,6 +216,11 @@
         }
     }
 
+    /// Requests that wait for admission.
+    pub fn waiting(&self) -> usize {
+        self.lock().policy.gate.waiting()
+    }
+
     /// Time since the process began.
     pub fn now(&self) -> Moment {
         self.origin.elapsed()
