Take no server away for an empty list

Cause: the platform's list may be empty for a moment; every server was then gone for routing, and all requests were refused.

--- a/crates/stage/tests/overload.rs
+++ b/crates/stage/tests/overload.rs
@@ -53,6 +53,17 @@
     running.iter().for_each(JoinHandle::abort);
 }
 
+#[tokio::test]
+async fn an_empty_list_takes_no_server_away() {
+    let servers = vec![Script::start("lm-1", Kind::Engine, 0, Act::Serve).await];
+    let inside = Inside::start(&servers).await;
+    inside.platform.set_list(Default::default());
+    until("the empty list is read", async || inside.host.context().fleet.list().servers.is_empty())
+        .await;
+    assert_eq!(chat(&inside, "60000").await.expect("an answer").status, 200);
+    inside.host.drain().await;
+}
+
 #[tokio::test]
 async fn a_waiting_caller_that_goes_away_leaves_the_queue_and_never_runs() {
     let (inside, servers, running) = full().await;
