--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -14,12 +14,16 @@
     metrics::{self, Direction, Link},
 };
 use platform::Store;
+use policy::once::{self, Run};
 use settings::process::Process;
 use tokio::sync::watch;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::{counted::Counted, declared::Declared, fleet::Fleet, traffic::Traffic};
+use crate::{
+    claims::Claims, counted::Counted, declared::Declared, fleet::Fleet, peers::Peers,
+    traffic::Traffic,
+};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -41,6 +45,10 @@
     pub fleet: Fleet,
     /// What is held of the declared configuration.
     pub declared: Declared,
+    /// Claims of keys.
+    pub claims: Claims,
+    /// The other hosts.
+    pub peers: Peers,
     /// Requests on their way: admission, choice of servers, limits.
     pub traffic: Arc<Traffic>,
     /// Metrics of this host.
@@ -67,10 +75,13 @@
     /// If the metrics can't be set up.
     pub fn new(settings: Process) -> Result<Context, metrics::Error> {
         let platform_bytes = Meter::default();
-        let builder = platform::Builder::new(settings.platform).meter(platform_bytes.clone());
+        let builder = platform::Builder::new(settings.platform)
+            .watch_time(policy::member::watch::TIMEOUT)
+            .meter(platform_bytes.clone());
         let control_bytes = Meter::default();
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
+        let me = Run { host: settings.host.id.clone(), incarnation };
         let origin = Instant::now();
         let metrics = Metrics::new()?;
         let events = Arc::new(Ring::new(settings.host.id.clone(), incarnation, Clock::system()));
@@ -78,8 +89,11 @@
         watch_bytes(&metrics, Link::Platform, &platform_bytes);
         watch_bytes(&metrics, Link::Servers, &control_bytes);
         events.record(Event::new(event::Kind::Start));
+        let peers = Peers::new(&settings, incarnation);
+        watch_bytes(&metrics, Link::Peers, peers.meter());
         let store = Counted::new(builder.build(), metrics.clone(), events.clone());
         Ok(Context {
+            peers,
             traffic: Arc::new(Traffic::new(&settings, origin)),
             metrics,
             events,
@@ -92,6 +106,7 @@
             platform_bytes,
             fleet: Fleet::default(),
             declared: Declared::default(),
+            claims: Claims::new(me, once::Settings::default()),
             config: watch::channel(Arc::default()).0,
             stop_asked: CancellationToken::new(),
             stop: CancellationToken::new(),
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod answer;
 pub mod callers;
+pub mod claims;
 pub mod context;
 mod counted;
 pub mod declared;
@@ -17,6 +18,7 @@
 mod kv;
 mod listener;
 pub mod operators;
+pub mod peers;
 pub mod problem;
 mod serve;
 pub mod traffic;
--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -4,6 +4,7 @@
 //! needs the token.
 
 mod config;
+mod members;
 mod watch;
 
 use std::sync::Arc;
@@ -32,6 +33,7 @@
     Router::new()
         .route("/status", get(status))
         .route("/hosts", get(hosts))
+        .route("/members", get(members::members))
         .route("/servers", get(servers))
         .route("/drain", post(drain))
         .route("/metrics", get(watch::metrics))
