--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -4,6 +4,7 @@
 //! Everything that operators change while it runs is in the declared configuration instead.
 
 mod check;
+mod planning;
 
 use std::{
     net::SocketAddr,
@@ -20,6 +21,8 @@
     shape,
 };
 
+pub use self::planning::Planning;
+
 /// Reads a process's settings from a file.
 ///
 /// # Errors
@@ -54,6 +57,9 @@
     pub host: Host,
     /// Where the platform's object API and host list listen.
     pub platform: SocketAddr,
+    /// Peers' listeners of some other hosts, asked when a host starts while the platform is down.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
     /// Token that operators must show; none lets in loopback only.
     #[serde(default)]
     pub operators_token: Option<String>,
@@ -69,6 +75,9 @@
     /// How often things are asked for.
     #[serde(default)]
     pub intervals: Intervals,
+    /// Planning of moves.
+    #[serde(default)]
+    pub planning: Planning,
     /// How requests are admitted and limited.
     #[serde(default)]
     pub traffic: Traffic,
--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -20,7 +20,10 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::{claims::Claims, counted::Counted, declared::Declared, fleet::Fleet, traffic::Traffic};
+use crate::{
+    claims::Claims, counted::Counted, declared::Declared, fleet::Fleet, moves::Moves, peers::Peers,
+    traffic::Traffic,
+};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -44,8 +47,12 @@
     pub declared: Declared,
     /// Claims of keys.
     pub claims: Claims,
+    /// The other hosts.
+    pub peers: Peers,
     /// Requests on their way: admission, choice of servers, limits.
     pub traffic: Arc<Traffic>,
+    /// Moves as this host knows them.
+    pub moves: Moves,
     /// Metrics of this host.
     pub metrics: Metrics,
     /// The last events of this host.
@@ -70,7 +77,9 @@
     /// If the metrics can't be set up.
     pub fn new(settings: Process) -> Result<Context, metrics::Error> {
         let platform_bytes = Meter::default();
-        let builder = platform::Builder::new(settings.platform).meter(platform_bytes.clone());
+        let builder = platform::Builder::new(settings.platform)
+            .watch_time(policy::member::watch::TIMEOUT)
+            .meter(platform_bytes.clone());
         let control_bytes = Meter::default();
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
@@ -82,9 +91,13 @@
         watch_bytes(&metrics, Link::Platform, &platform_bytes);
         watch_bytes(&metrics, Link::Servers, &control_bytes);
         events.record(Event::new(event::Kind::Start));
+        let peers = Peers::new(&settings, incarnation);
+        watch_bytes(&metrics, Link::Peers, peers.meter());
         let store = Counted::new(builder.build(), metrics.clone(), events.clone());
         Ok(Context {
+            peers,
             traffic: Arc::new(Traffic::new(&settings, origin)),
+            moves: Moves::default(),
             metrics,
             events,
             settings,
--- a/crates/stage/src/duties.rs
+++ b/crates/stage/src/duties.rs
@@ -1,8 +1,10 @@
 //! What a host does in the background.
 
 mod config;
+mod gossip;
 mod list;
 pub mod once;
+mod plan;
 mod pump;
 mod reports;
 
@@ -13,10 +15,14 @@
 /// Starts every duty; they end with the context's stop token.
 pub fn start(context: &Arc<Context>) {
     spawn(context, list::run(context.clone()));
+    spawn(context, gossip::ask_seeds(context.clone()));
+    spawn(context, gossip::run(context.clone()));
+    spawn(context, gossip::tell_numbers(context.clone()));
     spawn(context, config::run(context.clone()));
     spawn(context, reports::run(context.clone()));
     spawn(context, once::run(context.clone()));
     spawn(context, pump::run(context.clone()));
+    spawn(context, plan::run(context.clone()));
 }
 
 fn spawn(context: &Arc<Context>, duty: impl Future<Output = ()> + Send + 'static) {
--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -4,6 +4,8 @@
 //! needs the token.
 
 mod config;
+mod members;
+mod moves;
 mod watch;
 
 use std::sync::Arc;
@@ -32,9 +34,11 @@
     Router::new()
         .route("/status", get(status))
         .route("/hosts", get(hosts))
+        .route("/members", get(members::members))
         .route("/servers", get(servers))
         .route("/drain", post(drain))
         .route("/metrics", get(watch::metrics))
+        .merge(moves::router())
         .route("/timeline", get(watch::timeline))
         .merge(config::router())
         .layer(from_fn_with_state(gate, guard::filter))
--- a/crates/stage/tests/once.rs
+++ b/crates/stage/tests/once.rs
@@ -8,7 +8,7 @@
 use futures_util::future::join_all;
 use nix::sys::signal::Signal;
 use standin::plain::Plain;
-use types::host::List;
+use types::host::{List, Listed};
 
 const HOSTS: usize = 3;
 
@@ -151,12 +151,12 @@
     let first = ticket(&site, 0, "ticket").await;
     assert_eq!(first.status, 200);
     for place in 0..HOSTS {
-        site.replace(place, Signal::SIGTERM).await;
+        replace(&mut site, place, Signal::SIGTERM).await;
         let again = ticket(&site, place, "ticket").await;
         assert_eq!((again.status, &again.body), (200, &first.body), "{}", again.text());
     }
     for place in 0..HOSTS {
-        site.replace(place, Signal::SIGKILL).await;
+        replace(&mut site, place, Signal::SIGKILL).await;
         let again = ticket(&site, place, "ticket").await;
         assert_eq!((again.status, &again.body), (200, &first.body), "{}", again.text());
     }
@@ -184,7 +184,7 @@
 /// the key is not used up.
 #[tokio::test]
 async fn refused_before_its_claim_its_key_runs_later() {
-    let site = site().await;
+    let mut site = site().await;
     site.platform.set_list(List::default());
     until("no server is listed", async || {
         let callers = site.hosts()[0].callers();
@@ -197,7 +197,7 @@
     assert_eq!(refused.json()["ran"], "may-have-run", "{}", refused.text());
     assert!(refused.headers.contains_key("retry-after"));
     assert_eq!(site.plains()[0].total(), total);
-    site.list();
+    site.list_host(0, Listed::Live);
     until("it runs", async || ticket(&site, 1, "ticket").await.status == 200).await;
     assert_eq!(runs(&site)["ticket"], 1);
     site.end().await;
@@ -210,6 +210,14 @@
     Site::start_with(HOSTS, Vec::new(), vec![Plain::start("app-0").await.unwrap()]).await
 }
 
+/// Ends a host by a signal and starts another in its place.
+async fn replace(site: &mut Site, place: usize, signal: Signal) {
+    site.hosts()[place].signal(signal);
+    site.hosts_mut()[place].ended().await;
+    site.restart(place).await;
+    site.ready().await;
+}
+
 async fn ticket(site: &Site, host: usize, key: &str) -> Answer {
     let headers = [("idempotency-key", key)];
     let callers = site.hosts()[host].callers();
