Show moves from all hosts on the command line

Cause: `moves` waited for its endpoint, and a host tells only what it settled itself. Hosts are listed in another order since the list comes from the members, which two tests of `status` noticed.

Change: `moves` reads `/status/moves` of every listed host: open orders with why they are held and what would settle them, settled ones with their cause and evidence, memory of each server. `status` sorts by name.

--- a/crates/ctl/src/commands/moves.rs
+++ b/crates/ctl/src/commands/moves.rs
@@ -1,21 +1,176 @@
-//! Shows loads and unloads.
+//! Shows loads and unloads: what is open and why, what was settled, whose memory is whose.
+//!
+//! What is open stands in the ledgers, which any host reads. What was settled is known to the host
+//! that settled it, so all hosts are asked.
 
-use serde_json::Value;
+use std::{collections::BTreeMap, time::Duration};
+
+use futures_util::future::join_all;
+use http::Method;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use types::{backend, host::List, memory::Mebibytes, order, resident::Unit, time::millis};
 
 use crate::{
     client::Client,
     error::Error,
-    report::{Report, table_of},
+    report::{Report, table},
 };
 
-/// A line for each move that a host knows of, as it tells them.
+/// What one host tells of moves.
+#[derive(Debug, Deserialize)]
+struct Told {
+    current: bool,
+    open: Vec<Open>,
+    settled: Vec<Settled>,
+    memory: Vec<Memory>,
+}
+
+/// An order that is not settled.
+#[derive(Debug, Serialize, Deserialize)]
+struct Open {
+    order: order::Id,
+    server: backend::Id,
+    action: order::Action,
+    cause: String,
+    memory: Mebibytes,
+    why: String,
+    settled_by: Vec<String>,
+    #[serde(rename = "known_for_ms", with = "millis")]
+    known_for: Duration,
+}
+
+/// An order that was settled.
+#[derive(Debug, Serialize, Deserialize)]
+struct Settled {
+    order: order::Id,
+    server: backend::Id,
+    action: order::Action,
+    cause: String,
+    evidence: String,
+    #[serde(rename = "ago_ms", with = "millis")]
+    ago: Duration,
+}
+
+/// Accelerator memory of a server, in MiB.
+#[derive(Debug, Serialize, Deserialize)]
+struct Memory {
+    server: backend::Id,
+    capacity: Mebibytes,
+    promised: Mebibytes,
+    in_doubt: Mebibytes,
+    free: Mebibytes,
+}
+
+/// Tables of open and settled moves and of memory.
 pub(crate) async fn run(client: &Client) -> Result<Report, Error> {
-    let json: Value = client.get("/moves").await?;
-    let moves = json["moves"].as_array().or_else(|| json.as_array());
-    let text = match moves {
-        Some(moves) if moves.is_empty() => "no moves".into(),
-        Some(moves) => table_of(moves),
-        None => format!("{json:#}"),
-    };
+    let told: Told = client.get("/status/moves").await?;
+    let settled = settled(client).await?;
+    let text = text(&told, &settled);
+    let Told { current, open, memory, .. } = told;
+    let json = json!({"current": current, "open": open, "settled": settled, "memory": memory});
     Ok(Report::done(text, json))
 }
+
+/// What each listed host has settled, each order once, the latest last.
+async fn settled(client: &Client) -> Result<Vec<Settled>, Error> {
+    let list: List = client.get("/hosts").await?;
+    let answers = list.hosts.iter().map(async |entry| {
+        let address = entry.host.operators;
+        let path = "/status/moves";
+        let answer = client.call(address, Method::GET, path, Default::default()).await.ok()?;
+        answer.success().ok()?.json::<Told>().ok()
+    });
+    let told = join_all(answers).await.into_iter().flatten();
+    let by_order: BTreeMap<order::Id, Settled> = told
+        .flat_map(|told| told.settled)
+        .map(|settled| (settled.order.clone(), settled))
+        .collect();
+    let mut settled: Vec<Settled> = by_order.into_values().collect();
+    settled.sort_by_key(|settled| std::cmp::Reverse(settled.ago));
+    Ok(settled)
+}
+
+fn text(told: &Told, settled: &[Settled]) -> String {
+    let mut text = String::new();
+    if !told.current {
+        text.push_str("the object API does not answer: open moves are as last known\n\n");
+    }
+    text.push_str(&open(&told.open));
+    text.push('\n');
+    if settled.is_empty() {
+        text.push_str("no settled moves\n");
+    } else {
+        let names = ["SETTLED", "SERVER", "MOVE", "CAUSE", "EVIDENCE", "AGO"];
+        text.push_str(&table(names, settled.iter().map(settled_row)));
+    }
+    text.push('\n');
+    let names = ["MEMORY MIB", "CAPACITY", "PROMISED", "IN DOUBT", "FREE"];
+    text + &table(names, told.memory.iter().map(memory_row))
+}
+
+fn open(open: &[Open]) -> String {
+    if open.is_empty() {
+        return "no open moves\n".into();
+    }
+    let names = ["OPEN", "SERVER", "MOVE", "CAUSE", "MIB", "KNOWN FOR", "WHY"];
+    let mut text = table(names, open.iter().map(open_row));
+    for open in open {
+        text.push_str(&format!("\n{} is settled when\n", open.order));
+        open.settled_by.iter().for_each(|way| text.push_str(&format!("  {way}\n")));
+    }
+    text
+}
+
+fn open_row(open: &Open) -> [String; 7] {
+    [
+        open.order.to_string(),
+        open.server.to_string(),
+        action(&open.action),
+        open.cause.clone(),
+        open.memory.to_string(),
+        time(open.known_for),
+        open.why.clone(),
+    ]
+}
+
+fn settled_row(settled: &Settled) -> [String; 6] {
+    [
+        settled.order.to_string(),
+        settled.server.to_string(),
+        action(&settled.action),
+        settled.cause.clone(),
+        settled.evidence.clone(),
+        time(settled.ago),
+    ]
+}
+
+fn memory_row(memory: &Memory) -> [String; 5] {
+    [
+        memory.server.to_string(),
+        memory.capacity.to_string(),
+        memory.promised.to_string(),
+        memory.in_doubt.to_string(),
+        memory.free.to_string(),
+    ]
+}
+
+fn action(action: &order::Action) -> String {
+    match action {
+        order::Action::Load { unit, .. } => format!("load {}", name(unit)),
+        order::Action::Unload { unit } => format!("unload {}", name(unit)),
+        order::Action::Role { role } => format!("role {role:?}").to_lowercase(),
+    }
+}
+
+fn name(unit: &Unit) -> String {
+    match unit {
+        Unit::Model { model, version } => format!("{model} {version}"),
+        Unit::Adapter { model, adapter, version } => format!("{model}:{adapter} {version}"),
+    }
+}
+
+/// Seconds with one decimal.
+fn time(time: Duration) -> String {
+    format!("{:.1} s", time.as_secs_f64())
+}
--- a/crates/ctl/src/commands/status.rs
+++ b/crates/ctl/src/commands/status.rs
@@ -21,9 +21,10 @@
     pub(super) answer: Result<Status, String>,
 }
 
-/// Asks every listed host for its status.
+/// Asks every listed host for its status; in the order of their names.
 pub(super) async fn ask(client: &Client) -> Result<Vec<Asked>, Error> {
-    let list: List = client.get("/hosts").await?;
+    let mut list: List = client.get("/hosts").await?;
+    list.hosts.sort_by(|one, other| one.host.id.cmp(&other.host.id));
     let asked = list.hosts.into_iter().map(async |entry| {
         let address = entry.host.operators;
         let answer = client.call(address, Method::GET, "/status", Default::default()).await;
--- a/crates/ctl/src/report.rs
+++ b/crates/ctl/src/report.rs
@@ -59,34 +59,9 @@
     render(builder)
 }
 
-/// A table of objects: a column for each name that any of them has, in the order of first sight.
-pub fn table_of(objects: &[Value]) -> String {
-    let mut names: Vec<&String> = Vec::new();
-    for name in objects.iter().filter_map(Value::as_object).flat_map(|object| object.keys()) {
-        if !names.contains(&name) {
-            names.push(name);
-        }
-    }
-    let mut builder = Builder::default();
-    builder.push_record(names.iter().map(|name| name.as_str()));
-    for object in objects {
-        builder.push_record(names.iter().map(|name| plain(&object[name.as_str()])));
-    }
-    render(builder)
-}
-
 fn render(builder: Builder) -> String {
     let mut table = builder.build();
     table.with(Style::blank());
     let text = table.to_string();
     text.lines().map(|line| line.trim_end().to_owned() + "\n").collect()
 }
-
-/// A value without the quotes of a string; nothing for null.
-fn plain(value: &Value) -> String {
-    match value {
-        Value::Null => String::new(),
-        Value::String(text) => text.clone(),
-        other => other.to_string(),
-    }
-}
--- a/crates/ctl/tests/views.rs
+++ b/crates/ctl/tests/views.rs
@@ -148,3 +148,33 @@
     assert!(std::fs::read_to_string(&page).unwrap().contains("<html"));
     site.end().await;
 }
+
+#[tokio::test]
+async fn moves_shows_what_a_new_version_set_going_until_it_is_settled() {
+    let site = Site::start(2).await;
+    let mut changed = common::config();
+    changed["models"]["carta"]["version"] = "2".into();
+    let file = site.write("a.json", &changed, Some(1));
+    assert_eq!(site.ctl(&["apply", &file, "--wait"]).await.code, 0);
+
+    let moved = |json: &serde_json::Value, action: &str| {
+        let settled = json["settled"].as_array().unwrap();
+        settled.iter().any(|one| one["action"][action]["unit"]["model"]["version"].is_string())
+    };
+    common::until("the old version is gone", async || {
+        let json = site.json(&["moves"]).await;
+        moved(&json, "load")
+            && moved(&json, "unload")
+            && json["open"].as_array().unwrap().is_empty()
+    })
+    .await;
+    let run = site.ctl(&["moves"]).await;
+    assert_eq!(run.code, 0, "{run:?}");
+    for words in ["no open moves", "load carta 2", "unload carta 1", "lector-1", "IN DOUBT"] {
+        assert!(run.out.contains(words), "no {words:?} in {}", run.out);
+    }
+    let held = site.ctl(&["where", "carta"]).await.out;
+    let old = |line: &str| line.split_whitespace().collect::<Vec<_>>()[3..5] == ["carta", "1"];
+    assert!(!held.lines().any(old), "{held}");
+    site.end().await;
+}
