Leave empty lists to membership

Cause: membership came in with the merge and is now what takes in the platform's list; it already ignores an empty one. What routing gets is its picture, in which no server means that none is left, so ignoring that there was wrong. The test waited for the empty list to show in the picture, which it rightly never does.

--- a/crates/stage/src/traffic.rs
+++ b/crates/stage/src/traffic.rs
@@ -92,12 +92,8 @@
         (place, table.pool(place))
     }
 
-    /// Takes in the platform's list: what is new, leaving or not listed any more. A list without
-    /// any server says more of the platform than of the servers, and changes nothing.
+    /// Takes in the servers that membership knows: what is new, leaving or gone.
     pub fn list(&self, list: &List) {
-        if list.servers.is_empty() {
-            return;
-        }
         let mut state = self.lock();
         let table = &mut state.policy.table;
         let listed: HashMap<Index, Listed> =
