Tell what the hosts give without moves, and take weights as a flag

Cause: ours differs from the baselines in routing, early refusal and placement at once, so that its lead did not say what placement gives.

Change: examples/measure has a fourth way, our hosts with the first placement for good, and takes other weights than the deployment's.

--- a/crates/stage/examples/measure.rs
+++ b/crates/stage/examples/measure.rs
@@ -28,6 +28,7 @@
 
 use clap::{Parser, ValueEnum};
 use serde::Serialize;
+use types::config::Weights;
 
 use crate::{
     demand::{Demand, Schedule},
@@ -63,8 +64,11 @@
     /// Hosts in front of the servers.
     #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(1..=8))]
     hosts: u8,
+    /// Weights of attainment and of moves, in place of the deployment's.
+    #[arg(long, value_delimiter = ',', num_args = 2)]
+    weights: Vec<f64>,
     /// Ways to run; all by default.
-    #[arg(long, value_enum, value_delimiter = ',', default_values = ["ours", "static", "last-minute"])]
+    #[arg(long, value_enum, value_delimiter = ',', default_values = ["ours", "hosts", "static", "last-minute"])]
     ways: Vec<Way>,
     /// Folder for the plot; none is drawn by default.
     #[arg(long)]
@@ -92,16 +96,28 @@
 enum Way {
     /// Our planner, and requests through our hosts.
     Ours,
+    /// The first placement for good, and requests through our hosts: what the hosts give alone.
+    Hosts,
     /// The first placement for good, and round robin.
     Static,
     /// Placement by last minute's demand, and the least-loaded replica.
     LastMinute,
 }
 
+impl Way {
+    /// Whether requests go through our hosts.
+    fn has_hosts(self) -> bool {
+        matches!(self, Way::Ours | Way::Hosts)
+    }
+}
+
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn Error>> {
     let flags = Flags::parse();
-    let sizes = flags.deployment.sizes();
+    let mut sizes = flags.deployment.sizes();
+    if let [attainment, moves] = flags.weights[..] {
+        sizes.config.weights = Weights { attainment, moves };
+    }
     let mut all = Vec::new();
     for seed in &flags.seeds {
         for way in &flags.ways {
--- a/crates/stage/examples/measure/placement.rs
+++ b/crates/stage/examples/measure/placement.rs
@@ -38,7 +38,7 @@
     };
     match way {
         Way::Ours => tokio::spawn(ours(mover)).abort_handle(),
-        Way::Static => tokio::spawn(async {}).abort_handle(),
+        Way::Hosts | Way::Static => tokio::spawn(async {}).abort_handle(),
         Way::LastMinute => tokio::spawn(last_minute(mover)).abort_handle(),
     }
 }
--- a/crates/stage/examples/measure/plot.rs
+++ b/crates/stage/examples/measure/plot.rs
@@ -48,6 +48,7 @@
 fn colour(way: Way) -> RGBColor {
     match way {
         Way::Ours => RGBColor(0, 110, 60),
+        Way::Hosts => RGBColor(140, 150, 40),
         Way::Static => RGBColor(190, 60, 40),
         Way::LastMinute => RGBColor(50, 80, 180),
     }
--- a/crates/stage/examples/measure/report.rs
+++ b/crates/stage/examples/measure/report.rs
@@ -203,7 +203,7 @@
 
 /// Medians, the lower of two, and ranges over the seeds.
 pub(crate) fn summary(all: &[Figures]) -> String {
-    let ways = [Way::Ours, Way::Static, Way::LastMinute];
+    let ways = [Way::Ours, Way::Hosts, Way::Static, Way::LastMinute];
     let rows = ways.into_iter().filter_map(|way| {
         let runs: Vec<&Figures> = all.iter().filter(|figures| figures.way == way).collect();
         let mut attainments: Vec<f64> =
@@ -230,6 +230,7 @@
 fn name(way: Way) -> String {
     match way {
         Way::Ours => "ours",
+        Way::Hosts => "hosts",
         Way::Static => "static",
         Way::LastMinute => "last-minute",
     }
--- a/crates/stage/examples/measure/route.rs
+++ b/crates/stage/examples/measure/route.rs
@@ -43,7 +43,7 @@
     /// Where this request goes; none if no engine has its model ready.
     pub(crate) fn choose(&self, arrival: &Arrival) -> Option<Chosen> {
         let turn = self.turn.fetch_add(1, Ordering::Relaxed);
-        if self.way == Way::Ours {
+        if self.way.has_hosts() {
             let callers = &self.site.callers;
             return Some(Chosen { address: callers[turn % callers.len()], in_flight: None });
         }
@@ -52,7 +52,7 @@
         let load = |n: &&usize| self.in_flight[**n].load(Ordering::Relaxed);
         let chosen = match self.way {
             Way::LastMinute => ready.iter().min_by_key(load),
-            Way::Ours | Way::Static => ready.get(turn % ready.len().max(1)),
+            Way::Ours | Way::Hosts | Way::Static => ready.get(turn % ready.len().max(1)),
         };
         let count = self.in_flight[*chosen?].clone();
         count.fetch_add(1, Ordering::Relaxed);
--- a/crates/stage/examples/measure/site.rs
+++ b/crates/stage/examples/measure/site.rs
@@ -51,7 +51,7 @@
         }
         let servers: Vec<Server> =
             engines.iter().enumerate().map(|(n, e)| server(sizes, n, e)).collect();
-        let hosts = if way == Way::Ours { hosts } else { 0 };
+        let hosts = if way.has_hosts() { hosts } else { 0 };
         let mut running = Vec::new();
         for n in 0..hosts {
             let any = (Ipv4Addr::LOCALHOST, 0).into();
