--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -21,7 +21,7 @@
 use types::{config::Numbered, prelude::*};
 
 use crate::{
-    claims::Claims, counted::Counted, declared::Declared, fleet::Fleet, peers::Peers,
+    claims::Claims, counted::Counted, declared::Declared, fleet::Fleet, moves::Moves, peers::Peers,
     traffic::Traffic,
 };
 
@@ -51,6 +51,8 @@
     pub peers: Peers,
     /// Requests on their way: admission, choice of servers, limits.
     pub traffic: Arc<Traffic>,
+    /// Moves as this host knows them.
+    pub moves: Moves,
     /// Metrics of this host.
     pub metrics: Metrics,
     /// The last events of this host.
@@ -95,6 +97,7 @@
         Ok(Context {
             peers,
             traffic: Arc::new(Traffic::new(&settings, origin)),
+            moves: Moves::default(),
             metrics,
             events,
             settings,
--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -5,6 +5,7 @@
 
 mod config;
 mod members;
+mod moves;
 mod watch;
 
 use std::sync::Arc;
@@ -37,6 +38,7 @@
         .route("/servers", get(servers))
         .route("/drain", post(drain))
         .route("/metrics", get(watch::metrics))
+        .merge(moves::router())
         .route("/timeline", get(watch::timeline))
         .merge(config::router())
         .layer(from_fn_with_state(gate, guard::filter))
