Tell the planner of demand

Cause: the planner's duty never told the planner of any work, so that no model got a replica for demand, whatever its load.

Change: each round the planning host counts its requests in flight by model, takes the other live hosts to have as many each, and after five rounds gives the mean to the forecast, in engines' worth by the slots that engines report.

Ruled out: counts from each host by message (more bytes, and the balancer spreads callers evenly already).

--- a/crates/stage/src/duties/plan.rs
+++ b/crates/stage/src/duties/plan.rs
@@ -7,6 +7,7 @@
 //! after the unload was written, still keeps it. A host without the lease settles its own orders.
 
 mod book;
+mod demand;
 mod fleet;
 mod held;
 mod orders;
@@ -32,6 +33,7 @@
 
 use self::{
     book::{Book, Stored, Written},
+    demand::Work,
     held::Held,
     orders::Orders,
 };
@@ -58,6 +60,7 @@
     orders: Orders,
     absence: Absence,
     planner: Planner,
+    work: Work,
     configured: config::Number,
     /// Whether no order of an earlier run of this host is left.
     looked_back: bool,
@@ -79,6 +82,7 @@
             orders: Orders::new(context.clone()),
             absence: Absence::new(times),
             planner: Planner::new(limits),
+            work: Work::default(),
             configured: 0,
             looked_back: false,
             told: BTreeMap::new(),
@@ -129,6 +133,7 @@
             self.planner.configure(&config.config);
             self.configured = config.number;
         }
+        self.tell_demand();
         self.tell_engines();
         let moves = self.planner.plan(self.context.now());
         let tried: BTreeSet<backend::Id> = moves.iter().map(|m| m.server.clone()).collect();
--- /dev/null
+++ b/crates/stage/src/duties/plan/demand.rs
@@ -0,0 +1,65 @@
+//! The work that each model gets, for the planner.
+//!
+//! The planning host counts its own requests in flight and takes the others to have as many each,
+//! since the platform's balancer spreads callers evenly. That costs no message; with few requests
+//! on each host it is rough, so that it is averaged over several rounds before the forecast sees it.
+
+use std::collections::BTreeMap;
+
+use policy::plan::forecast::Forecast;
+use types::{host::Listed, prelude::*};
+
+use super::Duty;
+
+/// Rounds whose mean is one observation of the forecast.
+const ROUNDS: u32 = 5;
+
+/// Counts of the rounds since the last observation.
+#[derive(Debug, Default)]
+pub(super) struct Work {
+    forecast: Forecast,
+    in_flight: BTreeMap<model::Id, u32>,
+    rounds: u32,
+}
+
+impl Duty {
+    /// Counts this round, and tells the planner when enough were counted.
+    pub(super) fn tell_demand(&mut self) {
+        for (model, requests) in self.context.traffic.in_flight_by_model() {
+            *self.work.in_flight.entry(model).or_default() += requests;
+        }
+        self.work.rounds += 1;
+        if self.work.rounds < ROUNDS {
+            return;
+        }
+        let hosts = self.live_hosts();
+        let config = self.context.config();
+        let in_flight = std::mem::take(&mut self.work.in_flight);
+        let rounds = f64::from(std::mem::take(&mut self.work.rounds));
+        let work = in_flight.iter().filter_map(|(id, requests)| {
+            let slots = self.slots(&config.config.models.get(id)?.group)?;
+            Some((id.clone(), f64::from(*requests) / rounds * hosts / slots))
+        });
+        let work = work.collect();
+        self.work.forecast.retain(&config.config);
+        for (id, demand) in self.work.forecast.observe(&work) {
+            self.planner.demand(&id, demand);
+        }
+    }
+
+    fn live_hosts(&self) -> f64 {
+        let list = self.context.fleet.list();
+        let live = list.hosts.iter().filter(|entry| entry.state == Listed::Live);
+        live.count().max(1) as f64
+    }
+
+    /// Requests that one engine of a group runs at once, in the mean.
+    fn slots(&self, group: &backend::Group) -> Option<f64> {
+        let readings = self.context.fleet.readings();
+        let engines = self.engines().into_iter().filter(|entry| entry.server.group == *group);
+        let slots: Vec<f64> = engines
+            .filter_map(|entry| Some(f64::from(readings.get(&entry.server.id)?.load.slots.max(1))))
+            .collect();
+        (!slots.is_empty()).then(|| slots.iter().sum::<f64>() / slots.len() as f64)
+    }
+}
--- a/crates/stage/src/traffic.rs
+++ b/crates/stage/src/traffic.rs
@@ -6,7 +6,7 @@
 mod guard;
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
@@ -153,6 +153,17 @@
             .collect()
     }
 
+    /// What this host has in flight, by model, those of its adapters included.
+    pub fn in_flight_by_model(&self) -> BTreeMap<model::Id, u32> {
+        let state = self.lock();
+        let mut places: BTreeMap<Place, u32> = BTreeMap::new();
+        for (_, place, pool) in state.policy.pools.iter().filter(|(_, _, p)| 0 < p.in_flight()) {
+            *places.entry(place).or_default() += pool.in_flight();
+        }
+        let table = &state.policy.table;
+        places.into_iter().map(|(place, requests)| (table.name(place), requests)).collect()
+    }
+
     /// Waits for admission.
     ///
     /// # Errors
