Carry the clock between hosts, and record claims in the time line

Cause: heartbeats carried no stamp, so the time line of real hosts fell back on wall clocks; claims of keys left no event. Change: a heartbeat and its answer carry the sender's stamp, set when it is sent, with room kept for it in the message; the receiver's clock follows. The once filter records each verdict on a key. Figures: a heartbeat from a host five seconds ahead puts the receiver's next events after it (new test); a heartbeat grows by 29 bytes at most.

--- a/crates/policy/src/member/gossip/exchange.rs
+++ b/crates/policy/src/member/gossip/exchange.rs
@@ -16,6 +16,9 @@
 /// Of this many beats, one tries a host that is suspected or was given up.
 const SILENT_EVERY: u64 = 4;
 
+/// Room kept for the clock's stamp, which is set when a heartbeat is sent.
+const STAMP_BYTES: usize = "\"stamp\":,".len() + 20;
+
 /// Beats without an answer after which others are asked to try.
 const TRIES: u32 = 3;
 
@@ -202,6 +205,7 @@
         let age = |proof| now.saturating_sub(proof).as_millis() as u64;
         let mut heartbeat = Heartbeat {
             from,
+            stamp: 0,
             number: self.held(Topic::Config),
             quarantine: self.held(Topic::Quarantine),
             platform_ms: self.proof.map(age),
@@ -210,7 +214,7 @@
             news: Vec::new(),
             in_flight: self.own_digest(),
         };
-        let used = serde_json::to_string(&heartbeat).map_or(0, |text| text.len());
+        let used = serde_json::to_string(&heartbeat).map_or(0, |text| text.len()) + STAMP_BYTES;
         let left = self.settings.message_bytes.saturating_sub(used);
         heartbeat.news = self.queue.take(left, self.hosts.present().count() + 1);
         heartbeat
--- a/crates/policy/src/member/heartbeat.rs
+++ b/crates/policy/src/member/heartbeat.rs
@@ -13,6 +13,10 @@
 pub struct Heartbeat {
     /// The sender's word on itself.
     pub from: Word,
+    /// The sender's hybrid logical clock, for the order of events; set by who sends it on, and no
+    /// decision goes by it.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub stamp: u64,
     /// Number of the configuration that the sender holds in full.
     pub number: config::Number,
     /// Version of the quarantine that the sender holds in full.
--- a/crates/stage/src/filters/once.rs
+++ b/crates/stage/src/filters/once.rs
@@ -16,6 +16,7 @@
     response::{IntoResponse, Response},
 };
 use http_body_util::BodyExt;
+use observe::{Event, event};
 use policy::once::{self, Change, Claim, End, Outcome, Refusal, Stamped, Verdict};
 use types::{
     prelude::*,
@@ -118,7 +119,9 @@
         claimant: context.claims.me().clone(),
         asked: context.now(),
     };
-    let until = match context.claims.claim(claim).await {
+    let verdict = context.claims.claim(claim).await;
+    record(&context, call, verdict.as_ref());
+    let until = match verdict {
         Some(Verdict::Granted { until }) => until,
         Some(Verdict::Claimed { claimant }) => return Err(in_use(&context, &claimant)),
         Some(Verdict::Done(outcome)) => return replay(outcome),
@@ -133,6 +136,19 @@
     })
 }
 
+/// Puts what was decided on a key into the time line.
+fn record(context: &Context, call: &Call, verdict: Option<&Verdict>) {
+    let Some(key) = &call.request.key else { return };
+    let claim = match verdict {
+        Some(Verdict::Granted { .. }) => "granted",
+        Some(Verdict::Claimed { .. }) => "claimed before",
+        Some(Verdict::Done(_)) => "ran before",
+        Some(Verdict::Refused(_)) | None => "refused",
+    };
+    let kind = event::Kind::Claim { key: key.clone(), claim: claim.into() };
+    context.events.record(Event::new(kind).request(&call.request.id));
+}
+
 /// A claimed request; when dropped it tells how the request ended.
 struct Open {
     context: Arc<Context>,
--- a/crates/stage/src/peers.rs
+++ b/crates/stage/src/peers.rs
@@ -15,6 +15,7 @@
 };
 
 use meter::Meter;
+use observe::clock::Stamp;
 use policy::{
     config::Root,
     member::{
@@ -118,11 +119,28 @@
     context.traffic.told(&heartbeat.from.id, &told);
 }
 
-async fn send(context: Arc<Context>, to: Host, heartbeat: Heartbeat) {
+/// Stamps a heartbeat that goes out, so that what its receiver does next is stamped later.
+fn stamp(context: &Context, heartbeat: &mut Heartbeat) {
+    heartbeat.stamp = context.events.clock().stamp().0;
+}
+
+/// Takes note of the stamp of a heartbeat that came in; a host that doesn't stamp sends none.
+fn see(context: &Context, heartbeat: &Heartbeat) {
+    if heartbeat.stamp == 0 {
+        return;
+    }
+    if let Err(error) = context.events.clock().see(Stamp(heartbeat.stamp)) {
+        log::warn!(peer = &*heartbeat.from.id; "{error}");
+    }
+}
+
+async fn send(context: Arc<Context>, to: Host, mut heartbeat: Heartbeat) {
+    stamp(&context, &mut heartbeat);
     let answer = context.peers.client().heartbeat(to.peers, heartbeat).await;
     let now = context.now();
     let actions = match answer {
         Ok(answer) => {
+            see(&context, &answer);
             take_in_flight(&context, &answer);
             context.peers.gossip().answer(now, &answer)
         }
--- a/crates/stage/src/peers/answers.rs
+++ b/crates/stage/src/peers/answers.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 use types::host::{Host, List};
 
-use super::{perform, take_in_flight};
+use super::{perform, see, stamp, take_in_flight};
 use crate::context::Context;
 
 /// Serves other hosts until told to stop.
@@ -31,9 +31,11 @@
 
 impl Api for Answers {
     async fn heartbeat(&self, heartbeat: Heartbeat) -> Heartbeat {
+        see(&self.0, &heartbeat);
         take_in_flight(&self.0, &heartbeat);
         let received = self.0.peers.gossip().receive(self.0.now(), &heartbeat);
-        let (answer, actions) = received;
+        let (mut answer, actions) = received;
+        stamp(&self.0, &mut answer);
         perform(&self.0, actions);
         answer
     }
--- a/crates/stage/tests/observe.rs
+++ b/crates/stage/tests/observe.rs
@@ -2,16 +2,22 @@
 
 mod common;
 
-use std::collections::BTreeSet;
+use std::{
+    collections::BTreeSet,
+    time::{Duration, SystemTime},
+};
 
 use common::{Answer, Site, events, metrics, post_chat, records, send, try_send, until, value};
 use observe::{
+    clock::Stamp,
     event::{Kind, Outcome, PlatformState},
     merge,
 };
+use policy::member::{gossip::Gossip, heartbeat::Heartbeat};
 use rstest::rstest;
 use serde_json::{Value, json};
 use standin::engine;
+use types::host::Host;
 
 const TOKENS: u64 = 12;
 
@@ -131,6 +137,28 @@
     site.end().await;
 }
 
+/// A host five seconds ahead sends a heartbeat: what the receiver does next is stamped later.
+#[tokio::test]
+async fn heartbeats_carry_the_clock_from_host_to_host() {
+    let site = site().await;
+    let host = &site.hosts()[0];
+    let ahead = Stamp::from_wall(SystemTime::now() + Duration::from_secs(5));
+    let stranger = Host { id: "stranger".into(), ..site.hosts()[1].host.clone() };
+    let rules = policy::member::Settings::default();
+    let mut gossip = Gossip::new(Duration::ZERO, rules, 1, stranger, 1);
+    let heartbeat = Heartbeat { stamp: ahead.0, ..gossip.hello(Duration::from_secs(1)) };
+    let client = peer::Builder::new().build();
+
+    let answer = client.heartbeat(host.host.peers, heartbeat).await.expect("an answer");
+    let call = post_chat(host.callers(), &chat("welcome")).await;
+
+    assert!(ahead < Stamp(answer.stamp));
+    let query = format!("request={}", request_id(&call));
+    let records = records(host, &query).await;
+    assert!(!records.is_empty() && records.iter().all(|record| ahead < record.at), "{records:?}");
+    site.end().await;
+}
+
 #[rstest]
 #[case::text("form=text", "start")]
 #[case::page("form=page", "<!doctype html>")]
