Wait in each test of moves for what may still come

Cause: a trial with a guard off (a time-out taken for evidence) passed the test of a late load: the test ended before the late order arrived.

Change: each test waits until all is settled, then for the lateness, then until all is settled again, and only then counts overcommits.

--- a/crates/stage/tests/moves/main.rs
+++ b/crates/stage/tests/moves/main.rs
@@ -18,15 +18,12 @@
 use serde_json::Value;
 use standin::{engine, fault::Strike, weights};
 
-use crate::site::{CAPACITY, LINGER, MODEL, Site, engine, until};
+use crate::site::{CAPACITY, LATENESS, LINGER, MODEL, Site, engine, until};
 
 const LEASE: u64 = 600;
 const PUT_LEDGER: &str = "PUT /objects/ledger/lm-0";
 const ORDER: &str = "POST /orders";
 
-/// Lateness of orders: long after their sender gave up, and less than the linger time.
-const LATENESS: Duration = Duration::from_millis(1_500);
-
 /// What goes wrong while models take turns in memory.
 #[derive(Clone, Copy, Debug)]
 enum Trouble {
@@ -105,8 +102,7 @@
         trouble.strike(&site).await;
         site.holds(model).await;
     }
-    site.settled().await;
-    site.check_memory();
+    site.ends_well().await;
 }
 
 /// A late order to load is still on its way when its model is given up for another.
@@ -122,8 +118,7 @@
     until("the load is reserved", async || !open(&site).is_empty()).await;
     site.declare(&["b"]);
     site.holds("b").await;
-    site.settled().await;
-    site.check_memory();
+    site.ends_well().await;
 }
 
 #[rstest]
@@ -142,8 +137,7 @@
     site.declare(&["b"]);
     site.delist(planner);
     site.holds("b").await;
-    site.settled().await;
-    site.check_memory();
+    site.ends_well().await;
 }
 
 #[rstest]
@@ -163,8 +157,7 @@
     tokio::time::sleep(LATENESS).await;
     held.release();
     site.holds("b").await;
-    site.settled().await;
-    site.check_memory();
+    site.ends_well().await;
 }
 
 #[rstest]
@@ -185,8 +178,7 @@
 
     site.hosts[planner].signal(Signal::SIGCONT);
     site.holds("b").await;
-    site.settled().await;
-    site.check_memory();
+    site.ends_well().await;
 }
 
 /// A lease so short that each host takes it from the other all the time.
@@ -204,8 +196,7 @@
         });
         site.holds(model).await;
     }
-    site.settled().await;
-    site.check_memory();
+    site.ends_well().await;
 }
 
 #[tokio::test]
@@ -225,8 +216,7 @@
     assert!(!open.is_empty(), "the lost order is in doubt for the linger time");
     let ways = open[0]["settled_by"].as_array().expect("ways to settle");
     assert!(ways.iter().any(|way| way.as_str().is_some_and(|way| way.contains("in flight"))));
-    site.settled().await;
-    site.check_memory();
+    site.ends_well().await;
 }
 
 async fn get(address: SocketAddr, path: &str) -> String {
--- a/crates/stage/tests/moves/site.rs
+++ b/crates/stage/tests/moves/site.rs
@@ -36,6 +36,9 @@
 /// Longest time that anything sent may still arrive, as the hosts are told.
 pub const LINGER: Duration = Duration::from_millis(2_500);
 
+/// Lateness of orders: long after their sender gave up, and less than the linger time.
+pub const LATENESS: Duration = Duration::from_millis(1_500);
+
 /// A host's process; killed when dropped.
 pub struct Process {
     child: Child,
@@ -154,7 +157,7 @@
     }
 
     /// Waits until no order is open, and the ledgers say what is truly in memory.
-    pub async fn settled(&self) {
+    async fn settled(&self) {
         for place in 0..self.engines.len() {
             until(&format!("the ledger of engine {place} settles"), async || {
                 self.ledger(place).is_some_and(|ledger| {
@@ -165,8 +168,12 @@
         }
     }
 
-    /// What must hold at the end of every test.
-    pub fn check_memory(&self) {
+    /// Waits until all is settled and whatever may still come has come; no engine's memory was
+    /// overcommitted meanwhile.
+    pub async fn ends_well(&self) {
+        self.settled().await;
+        tokio::time::sleep(LATENESS).await;
+        self.settled().await;
         for engine in &self.engines {
             let counts = engine.counts();
             assert_eq!(counts.overcommits, 0, "{}: {counts:?}", engine.settings().id);
