Check make before break between two planners exhaustively

Cause: each ledger is an object of its own, so two planners that each count on the other's replica could unload both.

Change: crates/spec::replica explores two planners and two replicas over policy::ledger::replica. Looking at the other ledger after the unload is written holds; looking before it does not, and the trace is printed.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod explore;
 pub mod ledger;
 pub mod once;
+pub mod replica;
--- /dev/null
+++ b/crates/spec/src/replica.rs
@@ -0,0 +1,216 @@
+//! Make before break: two planners, two replicas of one model, a ledger for each.
+//!
+//! Each planner wants to unload the model on the server of its own number and relies on the other
+//! server's replica. No single conditional update covers both ledgers; `policy::ledger::replica`
+//! is asked after the unload was written, never before. Planners rest as long as they like
+//! between any two steps.
+
+use std::fmt;
+
+use policy::ledger::{Claim, Ledger, replica::may_break, settle::Evidence};
+use types::{
+    order::{Action, Role},
+    prelude::*,
+    report::Load,
+    resident::{Resident, State as Progress},
+};
+
+use crate::explore::System;
+
+const SERVERS: usize = 2;
+
+/// Unloads that each planner may try.
+const TRIES: u8 = 2;
+
+/// When a planner looks whether the other replica is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Check {
+    /// After its own unload is written; so the rule has it.
+    AfterWrite,
+    /// Before it writes.
+    BeforeWrite,
+}
+
+/// The system.
+#[derive(Clone, Copy, Debug)]
+pub struct Replicas {
+    /// When planners look.
+    pub check: Check,
+}
+
+/// A state of both servers and both planners.
+#[derive(Clone, PartialEq, Eq, Hash)]
+pub struct State {
+    ledgers: [Ledger; SERVERS],
+    ready: [bool; SERVERS],
+    sequence: [u64; SERVERS],
+    planners: [Planner; SERVERS],
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+struct Planner {
+    tries: u8,
+    doing: Doing,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+enum Doing {
+    Idle,
+    /// It looked before it wrote, and found a keeper.
+    Looked,
+    /// Its unload stands in the ledger and has not been sent.
+    Written,
+    /// Its unload is on its way.
+    Sent,
+}
+
+/// A step of one planner, or of its server.
+#[derive(Clone, Copy, Debug)]
+pub struct Step {
+    planner: usize,
+    what: What,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum What {
+    Look,
+    Write,
+    Send,
+    Withdraw,
+    Arrive,
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Step { planner, what } = self;
+        match what {
+            What::Look => write!(f, "planner {planner} finds the other replica kept"),
+            What::Write => write!(f, "planner {planner} writes the unload into its ledger"),
+            What::Send => write!(f, "planner {planner} sends the unload"),
+            What::Withdraw => write!(f, "planner {planner} withdraws the unload, never sent"),
+            What::Arrive => write!(f, "server {planner} unloads, and reports it"),
+        }
+    }
+}
+
+impl System for Replicas {
+    type State = State;
+    type Step = Step;
+
+    fn start(&self) -> State {
+        State {
+            ledgers: [0, 1].map(|server| Ledger::new(&report(server, 1, true, Vec::new()))),
+            ready: [true; SERVERS],
+            sequence: [1; SERVERS],
+            planners: [Planner { tries: 0, doing: Doing::Idle }; SERVERS],
+        }
+    }
+
+    fn steps(&self, state: &State) -> Vec<(Step, State)> {
+        (0..SERVERS).flat_map(|planner| self.planner(state, planner)).collect()
+    }
+
+    fn broken(&self, state: &State) -> Option<String> {
+        (state.ready == [false; SERVERS]).then(|| "no replica of the model answers".into())
+    }
+
+    fn is_quiet(&self, step: &Step) -> bool {
+        matches!(step.what, What::Send | What::Withdraw | What::Arrive)
+    }
+
+    fn is_settled(&self, state: &State) -> bool {
+        state.ledgers.iter().all(|ledger| ledger.orders.is_empty())
+    }
+}
+
+impl Replicas {
+    fn planner(&self, state: &State, planner: usize) -> Vec<(Step, State)> {
+        let now = state.planners[planner];
+        let other = &state.ledgers[1 - planner];
+        let is_kept = may_break(&unit(), [other]);
+        match (now.doing, self.check) {
+            (Doing::Idle, _) if now.tries == TRIES || !state.ready[planner] => Vec::new(),
+            (Doing::Idle, Check::BeforeWrite) if is_kept => {
+                vec![state.step(planner, What::Look, Doing::Looked)]
+            }
+            (Doing::Idle, Check::BeforeWrite) => Vec::new(),
+            (Doing::Idle, Check::AfterWrite) | (Doing::Looked, _) => state.write(planner),
+            (Doing::Written, Check::AfterWrite) if !is_kept => vec![state.withdraw(planner)],
+            (Doing::Written, _) => vec![state.step(planner, What::Send, Doing::Sent)],
+            (Doing::Sent, _) => vec![state.arrive(planner)],
+        }
+    }
+}
+
+impl State {
+    fn step(&self, planner: usize, what: What, doing: Doing) -> (Step, State) {
+        let mut next = self.clone();
+        next.planners[planner].doing = doing;
+        (Step { planner, what }, next)
+    }
+
+    fn write(&self, planner: usize) -> Vec<(Step, State)> {
+        let claim = Claim {
+            id: self.order(planner),
+            sender: format!("planner-{planner}").into(),
+            incarnation: 1,
+            cause: "".into(),
+        };
+        let reserved = self.ledgers[planner].reserve(claim, Action::Unload { unit: unit() });
+        let written = reserved.ok().map(|(ledger, _)| {
+            let (step, mut next) = self.step(planner, What::Write, Doing::Written);
+            next.ledgers[planner] = ledger;
+            (step, next)
+        });
+        written.into_iter().collect()
+    }
+
+    fn withdraw(&self, planner: usize) -> (Step, State) {
+        let (step, mut next) = self.step(planner, What::Withdraw, Doing::Idle);
+        let never = Evidence::Never { order: self.order(planner) };
+        next.ledgers[planner] = self.ledgers[planner].settle(&[never]).ledger;
+        next.planners[planner].tries += 1;
+        (step, next)
+    }
+
+    fn arrive(&self, planner: usize) -> (Step, State) {
+        let (step, mut next) = self.step(planner, What::Arrive, Doing::Idle);
+        next.ready[planner] = false;
+        next.sequence[planner] += 1;
+        let taken = vec![self.order(planner)];
+        let report = report(planner, next.sequence[planner], false, taken);
+        next.ledgers[planner] = self.ledgers[planner].settle(&[Evidence::Report(&report)]).ledger;
+        (step, next)
+    }
+
+    fn order(&self, planner: usize) -> order::Id {
+        format!("order-{planner}-{}", self.planners[planner].tries).into()
+    }
+}
+
+fn unit() -> Unit {
+    Unit::Model { model: "A".into(), version: "1".into() }
+}
+
+fn report(server: usize, sequence: u64, ready: bool, orders: Vec<order::Id>) -> Load {
+    let resident = Resident { unit: unit(), memory: 1, state: Progress::Ready };
+    Load {
+        server: format!("server-{server}").into(),
+        incarnation: 1,
+        sequence,
+        age: Duration::ZERO,
+        leaving: false,
+        running: 0,
+        waiting: 0,
+        slots: 1,
+        step: Duration::from_millis(5),
+        prefill_rate: 1,
+        prompt_backlog: 0,
+        capacity: 1,
+        residents: ready.then_some(resident).into_iter().collect(),
+        fence: 0,
+        fenced: false,
+        orders,
+        role: Role::Whole,
+    }
+}
--- /dev/null
+++ b/crates/spec/tests/replica.rs
@@ -0,0 +1,24 @@
+//! Make before break between two planners: it holds, and fails when they look too early.
+
+#![allow(clippy::print_stderr, reason = "state counts and traces are the output of the search")]
+
+use spec::{
+    explore::explore,
+    replica::{Check, Replicas},
+};
+
+const MOST_STATES: usize = 100_000;
+
+#[test]
+fn some_replica_always_answers_and_every_unload_can_settle() {
+    let report = explore(&Replicas { check: Check::AfterWrite }, MOST_STATES);
+    eprintln!("make before break: {report}");
+    assert!(report.holds(), "{report}");
+}
+
+#[test]
+fn planners_that_look_before_they_write_unload_both_replicas() {
+    let report = explore(&Replicas { check: Check::BeforeWrite }, MOST_STATES);
+    eprintln!("without \"look after the write\": {report}");
+    assert!(report.broken().is_some(), "{report}");
+}
