--- a/crates/policy/src/once.rs
+++ b/crates/policy/src/once.rs
@@ -109,7 +109,7 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
-            ranges: 64,
+            ranges: 256,
             accept: Duration::from_secs(3600),
             ahead: Duration::from_secs(5),
             clock_error: Duration::from_secs(10),
