--- a/crates/policy/tests/traffic.rs
+++ b/crates/policy/tests/traffic.rs
@@ -75,7 +75,13 @@
         due: millis(due),
         spread: ticket,
     };
-    Demand { work, version: "1".into(), prefix: Vec::new(), prompt_tokens: 100 }
+    Demand {
+        work,
+        target: millis(400),
+        version: "1".into(),
+        prefix: Vec::new(),
+        prompt_tokens: 100,
+    }
 }
 
 fn admit(traffic: &mut Traffic, ticket: Ticket, due: u64, now: u64) -> (Admission, Demand) {
@@ -124,6 +130,36 @@
     assert_eq!(admit(&mut traffic, 3, 5000, 0).0, Admission::Wait);
 }
 
+#[test]
+fn work_that_would_queue_on_the_server_waits_here_where_it_can_be_refused() {
+    // Eight slots and one to spare, whatever the limit says.
+    let mut traffic = traffic(1, 64);
+    let told = policy::route::estimate::Told { requests: 4 };
+    traffic.table.told(&"host-2".into(), &[("lector-0".into(), told)]);
+    for ticket in 0..5 {
+        let (admission, demand) = admit(&mut traffic, ticket, 5000, 0);
+        assert_eq!(admission, Admission::Take, "{ticket}");
+        traffic.dispatch(&demand, millis(0)).unwrap();
+    }
+    assert_eq!(admit(&mut traffic, 9, 5000, 0).0, Admission::Wait);
+}
+
+#[test]
+fn a_server_that_ends_nothing_any_more_makes_work_refused_at_once() {
+    let mut traffic = traffic(1, 8);
+    for ticket in 0..8 {
+        let (_, demand) = admit(&mut traffic, ticket, 400, 0);
+        let flight = traffic.dispatch(&demand, millis(0)).unwrap();
+        traffic.ended(&flight, End::Whole, millis(10));
+        traffic.dispatch(&demand, millis(10)).unwrap();
+    }
+    let (admission, _) = admit(&mut traffic, 10, 4400, 4000);
+    assert!(
+        matches!(admission, Admission::Refuse(Refusal { cause: Cause::Late, .. })),
+        "{admission:?}"
+    );
+}
+
 #[test]
 fn a_place_that_becomes_free_goes_to_waiting_work() {
     let mut traffic = traffic(1, 1);
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -4,6 +4,7 @@
 //! Everything that operators change while it runs is in the declared configuration instead.
 
 mod check;
+mod planning;
 
 use std::{
     net::SocketAddr,
@@ -20,6 +21,8 @@
     shape,
 };
 
+pub use self::planning::Planning;
+
 /// Reads a process's settings from a file.
 ///
 /// # Errors
@@ -54,6 +57,9 @@
     pub host: Host,
     /// Where the platform's object API and host list listen.
     pub platform: SocketAddr,
+    /// Peers' listeners of some other hosts, asked when a host starts while the platform is down.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
     /// Token that operators must show; none lets in loopback only.
     #[serde(default)]
     pub operators_token: Option<String>,
@@ -69,6 +75,12 @@
     /// How often things are asked for.
     #[serde(default)]
     pub intervals: Intervals,
+    /// Planning of moves.
+    #[serde(default)]
+    pub planning: Planning,
+    /// How requests are admitted and limited.
+    #[serde(default)]
+    pub traffic: Traffic,
     /// Where logs go.
     #[serde(default)]
     pub log: Log,
@@ -101,6 +113,40 @@
     }
 }
 
+/// How requests are admitted and limited.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Traffic {
+    /// What is admitted.
+    pub admission: Admission,
+    /// How the limit on work in flight for each server and model is set.
+    pub limit: Limit,
+}
+
+/// What is admitted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Admission {
+    /// What can meet its target, within the limits; the rest is refused early.
+    #[default]
+    Judged,
+    /// Everything at once.
+    Open,
+}
+
+/// How a limit is set.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Limit {
+    /// Additive increase, multiplicative decrease.
+    #[default]
+    Aimd,
+    /// After the gradient of the first-token time.
+    Gradient,
+    /// Always this many.
+    Fixed(std::num::NonZeroU32),
+}
+
 /// Times of a planned stop.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -7,4 +7,5 @@
 //! should.
 
 pub mod explore;
+pub mod ledger;
 pub mod once;
--- a/crates/stage/src/answer.rs
+++ b/crates/stage/src/answer.rs
@@ -23,6 +23,7 @@
 use crate::{
     context::Context,
     filters::{Call, Question, account::Account, attempt},
+    kv,
     problem::{self, Problem},
     traffic::{Further, Sent},
 };
@@ -36,9 +37,11 @@
     demand: Arc<Demand>,
     stream: Stream,
     next: Option<Sent>,
+    lost: Option<backend::Server>,
     source: Option<Source>,
     failed: Vec<Index>,
     ran: Ran,
+    finish: Option<String>,
 }
 
 struct Source {
@@ -73,9 +76,11 @@
             question,
             demand,
             next: Some(first),
+            lost: None,
             source: None,
             failed: Vec::new(),
             ran: Ran::DidNotRun,
+            finish: None,
         }
     }
 
@@ -110,11 +115,16 @@
     /// Judges a frame; gives the token if it is the next.
     async fn take(&mut self, frame: Frame) -> Result<Option<Token>, Problem> {
         let own = self.call.request.id.clone();
-        let (request, part, token) = match frame {
-            Frame::Token { offset, request, data } => {
-                (request, Part::Token(offset), Some(Token { offset, data }))
+        let (request, part, finish, token) = match frame {
+            Frame::Token { offset, request, finish, data } => {
+                (request, Part::Token(offset), finish, Some(Token { offset, data }))
+            }
+            Frame::Done if self.is_finished() => (None, Part::End(self.stream.next()), None, None),
+            // An engine that goes down in order may end its streams as if they were whole.
+            Frame::Done => {
+                self.lose("the stream ended before the answer did").await?;
+                return Ok(None);
             }
-            Frame::Done => (None, Part::End(self.stream.next()), None),
         };
         let request = request.as_deref().unwrap_or(&own);
         let frame = stream::Frame { request, attempt: self.stream.attempt(), part };
@@ -123,6 +133,7 @@
                 if self.stream.next() == 1 {
                     self.answered();
                 }
+                self.finish = finish.or(self.finish.take());
                 self.account.token();
                 Ok(token)
             }
@@ -144,6 +155,12 @@
         }
     }
 
+    /// Whether the engine has said why it ends, or has given as many tokens as were asked for.
+    fn is_finished(&self) -> bool {
+        let wanted = u64::from(self.call.request.max_tokens);
+        self.finish.is_some() || wanted <= self.stream.next()
+    }
+
     fn answered(&self) {
         if let Some(source) = &self.source {
             source.sent.answered();
@@ -162,6 +179,9 @@
         let Some(sent) = self.next.take() else {
             return Err(Problem::new(problem::Kind::Internal, "no attempt is due").ran(self.ran));
         };
+        if let Some(lost) = self.lost.take() {
+            kv::carry(&self.context, &self.call, &lost, &sent).await;
+        }
         let request = self.request();
         self.account.attempted(self.stream.attempt(), &sent.server().id);
         let patience = self.context.settings.bounds.idle.min(self.call.time_left(&self.context));
@@ -236,6 +256,7 @@
         self.account.retried(point.as_str());
         if verdict == retry::Verdict::Resume {
             self.account.resumed(next, self.stream.next());
+            self.lost = Some(server);
         }
         let further = further(&self.context, &self.call, &self.demand, &self.failed).await;
         match further {
@@ -264,7 +285,10 @@
     }
 }
 
-/// A further attempt, as soon as a server may be used, while the call's time lasts.
+/// A further attempt, as soon as a server may be used.
+///
+/// A server in doubt is waited for no longer than the call's target for the first token: a caller
+/// whom the wait can't help gets the final answer at once.
 pub(crate) async fn further(
     context: &Context,
     call: &Call,
@@ -273,13 +297,15 @@
 ) -> Option<Sent> {
     /// Least pause before servers in doubt are looked at again.
     const PAUSE: Duration = Duration::from_millis(5);
+    let time_left = call.time_left(context).min(call.request.target.first_token);
+    let until = context.now() + time_left;
     loop {
         match context.traffic.dispatch_again(demand, failed) {
             Further::Sent(sent) => return Some(sent),
             Further::Unready => return None,
             Further::At(moment) => {
                 let wait = moment.saturating_sub(context.now()).max(PAUSE);
-                if call.time_left(context) <= wait {
+                if until <= context.now() + wait {
                     return None;
                 }
                 tokio::time::sleep(wait).await;
--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -20,7 +20,10 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{config::Numbered, prelude::*};
 
-use crate::{claims::Claims, counted::Counted, fleet::Fleet, traffic::Traffic};
+use crate::{
+    claims::Claims, counted::Counted, declared::Declared, fleet::Fleet, moves::Moves, peers::Peers,
+    traffic::Traffic,
+};
 
 /// What every part of the host shares.
 pub struct Context {
@@ -40,16 +43,24 @@
     pub platform_bytes: Meter,
     /// Hosts, backend servers and what they report.
     pub fleet: Fleet,
+    /// What is held of the declared configuration.
+    pub declared: Declared,
     /// Claims of keys.
     pub claims: Claims,
+    /// The other hosts.
+    pub peers: Peers,
     /// Requests on their way: admission, choice of servers, limits.
     pub traffic: Arc<Traffic>,
+    /// Moves as this host knows them.
+    pub moves: Moves,
     /// Metrics of this host.
     pub metrics: Metrics,
     /// The last events of this host.
     pub events: Arc<Ring>,
     /// The configuration in force; only [`Context::advance`] changes it.
     config: watch::Sender<Arc<Numbered>>,
+    /// Cancelled when an operator asks for a planned stop.
+    pub stop_asked: CancellationToken,
     /// Ends background duties.
     pub stop: CancellationToken,
     /// Background duties.
@@ -66,7 +77,9 @@
     /// If the metrics can't be set up.
     pub fn new(settings: Process) -> Result<Context, metrics::Error> {
         let platform_bytes = Meter::default();
-        let builder = platform::Builder::new(settings.platform).meter(platform_bytes.clone());
+        let builder = platform::Builder::new(settings.platform)
+            .watch_time(policy::member::watch::TIMEOUT)
+            .meter(platform_bytes.clone());
         let control_bytes = Meter::default();
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
@@ -78,9 +91,13 @@
         watch_bytes(&metrics, Link::Platform, &platform_bytes);
         watch_bytes(&metrics, Link::Servers, &control_bytes);
         events.record(Event::new(event::Kind::Start));
+        let peers = Peers::new(&settings, incarnation);
+        watch_bytes(&metrics, Link::Peers, peers.meter());
         let store = Counted::new(builder.build(), metrics.clone(), events.clone());
         Ok(Context {
-            traffic: Arc::new(Traffic::new(settings.host.zone.clone(), origin)),
+            peers,
+            traffic: Arc::new(Traffic::new(&settings, origin)),
+            moves: Moves::default(),
             metrics,
             events,
             settings,
@@ -91,8 +108,10 @@
             control_bytes,
             platform_bytes,
             fleet: Fleet::default(),
+            declared: Declared::default(),
             claims: Claims::new(me, once::Settings::default()),
             config: watch::channel(Arc::default()).0,
+            stop_asked: CancellationToken::new(),
             stop: CancellationToken::new(),
             duties: TaskTracker::new(),
             draining: AtomicBool::new(false),
--- a/crates/stage/src/duties/config.rs
+++ b/crates/stage/src/duties/config.rs
@@ -1,51 +1,87 @@
-//! Follows the declared configuration in the object API.
+//! Follows the declared configuration in the object API, where that is this host's part.
+//!
+//! A few hosts watch; the others hear of numbers from them, and fetch what they lack. A host that
+//! has just started, and knows no others yet, watches too.
 
 use std::sync::Arc;
 
-use observe::{Event, event::Kind};
 use platform::{Change, Object, Revision};
-use types::config::Numbered;
+use policy::{
+    config::ROOT_KEY,
+    member::{backoff::Backoff, rendezvous},
+};
+use types::prelude::*;
 
-use crate::context::Context;
+use crate::{
+    context::Context,
+    declared::{
+        self, Error,
+        source::{self, Platform},
+    },
+};
 
-const ROOT: &str = "config/root";
+/// First wait after a failure.
+const FIRST_BACKOFF: Duration = Duration::from_millis(200);
+
+/// Longest wait after a failure.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(5);
 
 /// Follows the configuration for good: a list first, then watches from its revision.
 pub(super) async fn run(context: Arc<Context>) {
+    let seed = rendezvous::score(b"config", &context.host().id) ^ context.incarnation;
+    let mut backoff = Backoff::new(FIRST_BACKOFF, LONGEST_BACKOFF, seed);
     loop {
-        if let Err(error) = follow(&context).await {
+        if !is_watching(&context) {
+            tokio::time::sleep(context.settings.intervals.heartbeat).await;
+            continue;
+        }
+        if let Err(error) = follow(&context, &mut backoff).await {
             log::warn!("configuration: {error}");
+            tokio::time::sleep(backoff.fail()).await;
         }
-        tokio::time::sleep(context.settings.intervals.list).await;
     }
 }
 
-async fn follow(context: &Context) -> Result<(), platform::Error> {
-    let listing = context.store.list(ROOT).await?;
-    listing.objects.iter().for_each(|object| take(context, object));
+async fn follow(context: &Context, backoff: &mut Backoff) -> Result<(), Error> {
+    let listing = context.store.list(ROOT_KEY).await?;
+    answered(context, backoff);
+    for object in listing.objects.iter().filter(|object| object.key == ROOT_KEY) {
+        take(context, object).await?;
+    }
     let mut revision: Revision = listing.revision;
-    loop {
-        let changes = context.store.watch(ROOT, revision).await?;
+    while is_watching(context) {
+        let changes = context.store.watch(ROOT_KEY, revision).await?;
+        answered(context, backoff);
         revision = changes.revision;
-        for change in &changes.changes {
-            match change {
-                Change::Put(object) => take(context, object),
-                Change::Delete { key } => log::error!(key = key.as_str(); "configuration deleted"),
+        // Of several changes only the last matters: numbers only go up.
+        match changes.changes.last() {
+            Some(Change::Put(object)) => take(context, object).await?,
+            Some(Change::Delete { key }) => {
+                log::error!(key = key.as_str(); "configuration deleted; the last one stays");
             }
+            None => {}
         }
     }
+    Ok(())
 }
 
-fn take(context: &Context, object: &Object) {
-    match serde_json::from_slice::<Numbered>(&object.value) {
-        Ok(numbered) => {
-            let number = numbered.number;
-            if context.advance(numbered) {
-                context.metrics.configuration(number);
-                context.events.record(Event::new(Kind::Configuration { number }));
-                log::info!(number = number; "configuration in force");
-            }
+fn is_watching(context: &Context) -> bool {
+    context.peers.gossip().is_watching(context.now())
+}
+
+fn answered(context: &Context, backoff: &mut Backoff) {
+    backoff.succeed();
+    context.peers.gossip().platform_answered(context.now());
+}
+
+/// Takes a root. One that can't be understood is passed over: reading it again won't mend it, and
+/// the watch brings the next.
+async fn take(context: &Context, object: &Object) -> Result<(), Error> {
+    match source::parse(object) {
+        Ok(root) => declared::take(context, root, &Platform(&*context.store)).await,
+        Err(error) => {
+            log::error!("configuration: {error}");
+            Ok(())
         }
-        Err(error) => log::error!(key = object.key.as_str(); "configuration unreadable: {error}"),
     }
 }
--- a/crates/stage/tests/common/site.rs
+++ b/crates/stage/tests/common/site.rs
@@ -195,6 +195,11 @@
         self.hosts[place].kill();
     }
 
+    /// Changes the settings of hosts that start from now on.
+    pub fn change_settings(&mut self, change: impl Fn(&mut Value) + 'static) {
+        self.change = Box::new(change);
+    }
+
     /// Starts a host again after its end, as a new process under the same name.
     pub async fn restart(&mut self, place: usize) {
         self.hosts[place] = self.spawn(place).await;
@@ -208,6 +213,14 @@
         self.list();
     }
 
+    /// Ends a host by a signal and starts another in its place.
+    pub async fn replace(&mut self, place: usize, signal: Signal) {
+        self.hosts[place].signal(signal);
+        self.hosts[place].ended().await;
+        self.restart(place).await;
+        self.host_ready(place).await;
+    }
+
     /// Ends every host in order.
     pub async fn end(mut self) {
         for host in &self.hosts {
@@ -277,7 +290,7 @@
     }
 
     /// Publishes the list of hosts and servers.
-    fn list(&self) {
+    pub fn list(&self) {
         let live = |server| backend::Entry { server, state: Listed::Live };
         let hosts = self.hosts.iter().enumerate().map(|(place, process)| {
             let mut host = process.host.clone();
