Walk configuration numbers exhaustively, with each guard off as well

Cause: "a number is made once and never goes back" rests on a conditional write, kept patches and what a host makes of roots that come in any order; nothing walked all orders. Change: spec::config, two patches against one number through policy::config::decide, answers lost after the write, hosts that hear old roots and start again through policy::config::holder. Four guards can be switched off. Configurations in parts, and a started host against its own earlier run, are not in it.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -6,6 +6,7 @@
 //! the walk must then find a trace that breaks the rule, which shows that it looks where it
 //! should.
 
+pub mod config;
 pub mod explore;
 pub mod ledger;
 pub mod once;
