Walk 120 changes with callers asking: no model is ever out of reach

Cause: that every model stays reachable through any change was shown for the planner alone, not with hosts, engines and callers.

Change: `stage/tests/reachable.rs`: random patches (new models, versions, replicas, adapters, removals) through the operators' listener while a caller for each model asks again and again through both hosts.

The walk has room to spare and no faults; the edge of memory and killed engines are left.

--- /dev/null
+++ b/crates/stage/tests/reachable.rs
@@ -0,0 +1,157 @@
+//! Every model that was created stays reachable through a long walk of changes: adding, another
+//! version, more and fewer replicas, adapters, removing others.
+
+#![allow(clippy::print_stdout, reason = "the figures are read with --nocapture")]
+
+mod common;
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use common::{Site, get, post_chat, send, until};
+use rand::{RngExt, SeedableRng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use standin::engine;
+use tokio_util::sync::CancellationToken;
+
+const SEED: u64 = 20_261_202;
+const CHANGES: u64 = 120;
+const MOST_MODELS: usize = 6;
+const MEMORY: u64 = 20_000;
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Calls one model again and again through all hosts until told to stop.
+struct Caller {
+    stop: CancellationToken,
+    task: tokio::task::JoinHandle<()>,
+}
+
+/// What callers saw.
+#[derive(Clone, Default)]
+struct Seen {
+    answered: Arc<AtomicU64>,
+    unreachable: Arc<Mutex<Vec<String>>>,
+}
+
+impl Caller {
+    fn start(hosts: Vec<std::net::SocketAddr>, model: &str, seen: &Seen) -> Caller {
+        let stop = CancellationToken::new();
+        let (token, seen, model) = (stop.clone(), seen.clone(), model.to_owned());
+        let task = tokio::spawn(async move {
+            for host in hosts.into_iter().cycle() {
+                if token.is_cancelled() {
+                    return;
+                }
+                let answer = post_chat(host, &ask(&model)).await;
+                if answer.status == 200 {
+                    seen.answered.fetch_add(1, Ordering::Relaxed);
+                } else {
+                    let what = format!("{model}: {} {}", answer.status, answer.text());
+                    seen.unreachable.lock().unwrap().push(what);
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        });
+        Caller { stop, task }
+    }
+
+    async fn stop(self) {
+        self.stop.cancel();
+        self.task.await.unwrap();
+    }
+}
+
+fn ask(model: &str) -> Value {
+    json!({"model": model, "max_tokens": 2, "messages": [{"role": "user", "content": "hi"}]})
+}
+
+/// The next change of a random walk, and the model that it removes.
+fn change(rng: &mut ChaCha8Rng, step: u64, models: &[String]) -> (Value, Option<String>) {
+    let model = models.choose(rng).unwrap().clone();
+    match rng.random_range(0..6) {
+        0 | 1 if models.len() < MOST_MODELS => {
+            let entry = json!({"group": "lm", "version": "1", "memory": MEMORY});
+            (json!({format!("m{step}"): entry}), None)
+        }
+        2 if 2 < models.len() => (json!({model.clone(): Value::Null}), Some(model)),
+        3 => (json!({model: {"replicas": rng.random_range(1..3)}}), None),
+        4 => {
+            let adapter = json!({"memory": 100, "version": step.to_string()});
+            (json!({model: {"adapters": {"es": adapter}}}), None)
+        }
+        _ => (json!({model: {"version": step.to_string()}}), None),
+    }
+}
+
+#[tokio::test]
+async fn every_model_stays_reachable_through_a_walk_of_changes() {
+    let engines = (0..3).map(|place| {
+        engine::Settings::new(&format!("lm-{place}")).with_model(&format!("m-{place}"), "1", MEMORY)
+    });
+    let site = Site::start(2, engines.collect()).await;
+    let operators = site.hosts()[0].operators();
+    let hosts: Vec<_> = site.hosts().iter().map(|host| host.callers()).collect();
+    let seen = Seen::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let mut callers: BTreeMap<String, Caller> = BTreeMap::new();
+    let mut outcomes: BTreeMap<String, u64> = BTreeMap::new();
+
+    for step in 0..CHANGES {
+        let current = get(operators, "/config").await.unwrap();
+        let models = current["config"]["models"].as_object().unwrap();
+        for model in models.keys() {
+            if !callers.contains_key(model) {
+                // A model counts from its first answer on.
+                until("a new model answers", async || {
+                    post_chat(hosts[0], &ask(model)).await.status == 200
+                        && post_chat(hosts[1], &ask(model)).await.status == 200
+                })
+                .await;
+                callers.insert(model.clone(), Caller::start(hosts.clone(), model, &seen));
+            }
+        }
+        let names: Vec<String> = models.keys().cloned().collect();
+        let (changes, removed) = change(&mut rng, step, &names);
+        let mut offered = names;
+        offered.extend(changes.as_object().unwrap().keys().cloned());
+        offered.sort();
+        offered.dedup();
+        if let Some(removed) = &removed {
+            offered.retain(|model| model != removed);
+            callers.remove(removed).unwrap().stop().await;
+        }
+        let offer = json!({"chat": {"offer": {"models": offered}}});
+        let patch = json!({
+            "id": format!("step-{step}"), "against": current["number"],
+            "changes": {"models": changes, "services": offer}
+        });
+        let headers = [("content-type", "application/json")];
+        let answer = send(operators, "POST", "/config/patches", &headers, &patch.to_string()).await;
+        let outcome = answer.json()["outcome"].as_str().unwrap().to_owned();
+        assert!(["accepted", "unchanged", "short"].contains(&&*outcome), "{}", answer.text());
+        *outcomes.entry(outcome).or_default() += 1;
+    }
+    // Whatever is still on its way comes to rest with callers asking.
+    until("no order is open", async || {
+        let moves = get(operators, "/status/moves").await.unwrap();
+        moves["open"].as_array().is_some_and(|open| open.is_empty())
+    })
+    .await;
+    for caller in callers.into_values() {
+        caller.stop().await;
+    }
+    let unreachable = seen.unreachable.lock().unwrap().clone();
+    let answered = seen.answered.load(Ordering::Relaxed);
+    assert_eq!(unreachable, Vec::<String>::new(), "of {answered} answered; {outcomes:?}");
+    assert!(CHANGES / 2 < outcomes["accepted"], "{outcomes:?}");
+    assert!(CHANGES < answered, "{answered}");
+    println!("{answered} answered, none unreachable; {outcomes:?}");
+    site.end().await;
+}
