Let our own list lift a leaving mark that a peer read, once it has settled

Change: a reading of our own that calls the server live lifts a peer's mark that is older than 10 s, as it lifts our own.

--- a/crates/policy/src/member/servers.rs
+++ b/crates/policy/src/member/servers.rs
@@ -29,7 +29,7 @@
 /// How long the list must call a server live before a leaving mark of the list is lifted.
 const HOLD: Duration = Duration::from_secs(10);
 
-/// How long a leaving mark that others read off the list holds.
+/// How long a leaving mark that others read off the list holds without a reading of our own.
 const MARK: Duration = Duration::from_secs(30);
 
 /// What a host tells others of a backend server.
@@ -165,6 +165,7 @@
         }
         member.listed = Some(entry.state);
         if entry.state == Listed::Live {
+            member.told_leaving = member.told_leaving.filter(|at| now < *at + HOLD);
             return None;
         }
         let fresh_mark = member.marked.is_none_or(|at| at + HOLD <= now);
--- a/crates/policy/tests/member_servers.rs
+++ b/crates/policy/tests/member_servers.rs
@@ -137,3 +137,13 @@
     assert_eq!(servers.standing(at(20), SERVER), Standing::Leaving);
     assert_eq!(servers.standing(at(40), SERVER), Standing::Live);
 }
+
+#[test]
+fn a_mark_that_a_peer_read_gives_way_to_our_own_list_once_it_has_settled() {
+    let mut servers = known();
+    servers.told(at(1), &told(0, "stage-1", Seen::ListedLeaving));
+    servers.list(at(5), &[entry(SERVER, Listed::Live)], &me());
+    assert_eq!(servers.standing(at(5), SERVER), Standing::Leaving, "our list may lag");
+    servers.list(at(12), &[entry(SERVER, Listed::Live)], &me());
+    assert_eq!(servers.standing(at(12), SERVER), Standing::Live);
+}
