Prove three more pairs of failures with real hosts

Cause: no test let a patch race meet a lost answer, a host die with a patch in its hand, or a planned stop meet hosts cut off from each other. Change: promises/pairs_control: the winner of a race sent again gets its first outcome though the platform's answer was lost; a patch whose host died after the write gets its outcome through another host; a planned stop with every host-host link silent cuts and refuses nothing.

--- a/crates/stage/tests/promises/main.rs
+++ b/crates/stage/tests/promises/main.rs
@@ -13,3 +13,4 @@
 mod not_run;
 mod once;
 mod pairs;
+mod pairs_control;
--- /dev/null
+++ b/crates/stage/tests/promises/pairs_control.rs
@@ -0,0 +1,104 @@
+//! Two failures at once, of what hosts agree on.
+
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+use standin::{
+    engine::Settings,
+    fault::{Fault, Strike},
+};
+
+use crate::common::{Ask, Builder, Crowd, Site, send, until};
+
+const MODEL: &str = "portal";
+const PUT_ROOT: &str = "PUT /objects/config/root";
+
+async fn site() -> Site {
+    let engine = |id: &str| Settings::new(id).with_model(MODEL, "v1", 900);
+    let slow_balancer = |settings: &mut Value| {
+        settings["drain"]["balancer_ms"] = 1_500.into();
+    };
+    let builder = Builder::new(3).settings(slow_balancer);
+    builder.engine(engine("lm-1")).engine(engine("lm-2")).linked().start().await
+}
+
+/// Sends a patch against the first number through a host; its status and outcome.
+async fn patch(site: &Site, host: usize, id: &str) -> (u16, Value) {
+    let operators = site.hosts()[host].operators();
+    let changes = json!({"customers": {id: {}}});
+    let body = json!({"id": id, "against": 1, "changes": changes}).to_string();
+    let headers = [("content-type", "application/json")];
+    let answer = send(operators, "POST", "/config/patches", &headers, &body).await;
+    (answer.status, answer.json())
+}
+
+async fn until_in_force(site: &Site, number: u64) {
+    for place in 0..site.hosts().len() {
+        until("the number is in force", async || site.in_force(place).await == number).await;
+    }
+}
+
+/// Two operators race while the platform's answer to the first write is lost.
+#[tokio::test]
+async fn patches_race_while_the_answer_to_a_write_is_lost() {
+    let site = site().await;
+    let trap = site.links().platform(0).trap(PUT_ROOT, Strike::LoseAnswer);
+
+    let (first, second) = tokio::join!(patch(&site, 0, "first"), patch(&site, 1, "second"));
+
+    let won = [&first, &second].iter().filter(|(status, _)| *status == 200).count();
+    assert_eq!(won, 1, "one wins the number: {first:?}, {second:?}");
+    until_in_force(&site, 2).await;
+    let (_, root) = site.platform.peek("config/root").expect("a configuration");
+    assert_eq!(root["number"], 2);
+    let again = patch(&site, 2, if first.0 == 200 { "first" } else { "second" }).await;
+    assert_eq!(again.0, 200, "the winner sent again gets its first outcome: {again:?}");
+    until_in_force(&site, 2).await;
+    trap.release();
+    site.end().await;
+}
+
+/// A host dies with a patch in its hand, and its operator sends it again through another.
+#[tokio::test]
+async fn host_dies_while_the_answer_to_its_write_is_held() {
+    let mut site = site().await;
+    let trap = site.links().platform(0).trap(PUT_ROOT, Strike::HoldAnswer);
+    let operators = site.hosts()[0].operators();
+    let body = json!({"id": "p", "against": 1, "changes": {"customers": {"p": {}}}}).to_string();
+    let lost = tokio::spawn(async move {
+        let headers = [("content-type", "application/json")];
+        crate::common::try_send(operators, "POST", "/config/patches", &headers, &body).await
+    });
+    trap.sprung().await;
+    site.kill(0);
+    assert!(lost.await.unwrap().is_none(), "a dead host answers nothing");
+
+    let (status, outcome) = patch(&site, 1, "p").await;
+
+    assert_eq!((status, &outcome["number"]), (200, &json!(2)), "{outcome}");
+    trap.release();
+    site.restart(0).await;
+    until_in_force(&site, 2).await;
+    site.end().await;
+}
+
+/// A host stops as planned while it and the others are cut off from each other.
+#[tokio::test]
+async fn planned_stop_while_hosts_are_cut_off_from_each_other() {
+    let mut site = site().await;
+    let ask = Ask { name: "apart", models: vec![MODEL.into()], tokens: 60 };
+    let crowd = Crowd::start(9, &site.entrances(), ask);
+    until("calls end", async || 9 <= crowd.endings().whole()).await;
+
+    (0..3).for_each(|place| site.links().peers(place).set_both(Fault::Hold));
+    site.hosts()[2].signal(Signal::SIGTERM);
+    let code = site.hosts_mut()[2].ended().await;
+    let whole = crowd.endings().whole();
+    until("calls go on", async || whole + 18 <= crowd.endings().whole()).await;
+
+    let endings = crowd.stop().await;
+    assert_eq!(code, Some(0));
+    assert_eq!(endings.others(), [], "of {}", endings.all().len());
+    (0..3).for_each(|place| site.links().peers(place).heal());
+    site.restart(2).await;
+    site.end().await;
+}
