--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -44,7 +44,7 @@
 
 impl Default for Law {
     fn default() -> Law {
-        Law::Aimd(Aimd::default())
+        Law::Gradient(Gradient::default())
     }
 }
 
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -132,11 +132,11 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Limit {
-    /// Additive increase, multiplicative decrease.
-    #[default]
-    Aimd,
     /// After the gradient of the first-token time.
+    #[default]
     Gradient,
+    /// Additive increase, multiplicative decrease.
+    Aimd,
     /// Always this many.
     Fixed(std::num::NonZeroU32),
 }
