--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -6,5 +6,8 @@
 //! the walk must then find a trace that breaks the rule, which shows that it looks where it
 //! should.
 
+pub mod config;
 pub mod explore;
+pub mod ledger;
 pub mod once;
+pub mod replica;
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod idle;
 mod kv;
 mod listener;
+pub mod moves;
 pub mod operators;
 pub mod peers;
 pub mod problem;
