--- a/crates/stage/src/traffic.rs
+++ b/crates/stage/src/traffic.rs
@@ -6,7 +6,7 @@
 mod guard;
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
@@ -92,7 +92,7 @@
         (place, table.pool(place))
     }
 
-    /// Takes in the platform's list: what is new, leaving or not listed any more.
+    /// Takes in the servers that membership knows: what is new, leaving or gone.
     pub fn list(&self, list: &List) {
         let mut state = self.lock();
         let table = &mut state.policy.table;
@@ -149,6 +149,17 @@
             .collect()
     }
 
+    /// What this host has in flight, by model, those of its adapters included.
+    pub fn in_flight_by_model(&self) -> BTreeMap<model::Id, u32> {
+        let state = self.lock();
+        let mut places: BTreeMap<Place, u32> = BTreeMap::new();
+        for (_, place, pool) in state.policy.pools.iter().filter(|(_, _, p)| 0 < p.in_flight()) {
+            *places.entry(place).or_default() += pool.in_flight();
+        }
+        let table = &state.policy.table;
+        places.into_iter().map(|(place, requests)| (table.name(place), requests)).collect()
+    }
+
     /// Waits for admission.
     ///
     /// # Errors
@@ -216,6 +227,11 @@
         }
     }
 
+    /// Requests that wait for admission.
+    pub fn waiting(&self) -> usize {
+        self.lock().policy.gate.waiting()
+    }
+
     /// Time since the process began.
     pub fn now(&self) -> Moment {
         self.origin.elapsed()
