--- a/crates/stage/examples/measure.rs
+++ b/crates/stage/examples/measure.rs
@@ -65,7 +65,7 @@
     #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(1..=8))]
     hosts: u8,
     /// Weights of attainment and of moves, in place of the deployment's.
-    #[arg(long, value_delimiter = ',', num_args = 2)]
+    #[arg(long, value_delimiter = ',')]
     weights: Vec<f64>,
     /// Ways to run; all by default.
     #[arg(long, value_enum, value_delimiter = ',', default_values = ["ours", "hosts", "static", "last-minute"])]
--- a/crates/stage/examples/slopes/route.rs
+++ b/crates/stage/examples/slopes/route.rs
@@ -4,6 +4,7 @@
 
 use policy::{
     admit::{Ticket, Work},
+    ledger::Ledger,
     route::{Distances, Wanted},
     traffic::{Admission, Demand, End, Rules, Traffic},
 };
@@ -45,6 +46,13 @@
             [4_u32, 8, 16, 32].map(|n| (f64::from(n), report_bytes(n))).to_vec(),
             16.0,
         ),
+        Row::new(
+            "ledger of a server, nothing open",
+            "bytes",
+            "residents",
+            [4_u32, 8, 16, 32].map(|n| (f64::from(n), ledger_bytes(n))).to_vec(),
+            16.0,
+        ),
     ]
 }
 
@@ -112,6 +120,11 @@
     serde_json::to_vec(&report).map_or(0.0, |bytes| bytes.len() as f64)
 }
 
+fn ledger_bytes(residents: u32) -> f64 {
+    let ledger = Ledger::new(&report(1, (0..residents).map(unit)));
+    serde_json::to_vec(&ledger).map_or(0.0, |bytes| bytes.len() as f64)
+}
+
 /// Admit, choose, account, for one request.
 fn decision(servers: u32) -> f64 {
     let state = RefCell::new((traffic(servers), 0, NOW));
