Leave our moves to the hosts' own planner in measure

Cause: the hosts have a planner's duty now, which ran beside the planner in the measuring process.

Change: ours is the hosts with their planner, through the ledgers; hosts without moves plan once an hour; the planner in the measuring process is gone.

What the duty should be told of demand is to be looked at next.

--- a/crates/stage/examples/measure.rs
+++ b/crates/stage/examples/measure.rs
@@ -94,9 +94,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum, Serialize)]
 #[serde(rename_all = "kebab-case")]
 enum Way {
-    /// Our planner, and requests through our hosts.
+    /// Our hosts, with their planner.
     Ours,
-    /// The first placement for good, and requests through our hosts: what the hosts give alone.
+    /// Our hosts with the first placement for good: what they give without moves.
     Hosts,
     /// The first placement for good, and round robin.
     Static,
--- a/crates/stage/examples/measure/placement.rs
+++ b/crates/stage/examples/measure/placement.rs
@@ -1,11 +1,11 @@
-//! Who moves models: our planner, nobody, or a planner of last minute's demand.
+//! A planner of last minute's demand, the baseline.
 //!
-//! Orders go to the engines by HTTP, as a host's planner gives them. The ledger has no part in
-//! this measurement: there is one planner, and it reads the engines' reports.
+//! Orders go to the engines by HTTP, as a host's planner gives them. Our own moves are made by
+//! the planner's duty of the hosts, through the ledgers.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use policy::plan::{Engine, Planner, State, forecast::Forecast};
+use policy::plan::{Engine, State};
 use tokio::{
     task::AbortHandle,
     time::{Instant, MissedTickBehavior},
@@ -23,7 +23,6 @@
 pub(crate) const MINUTE: Duration = Duration::from_secs(6);
 
 const TICK: Duration = Duration::from_millis(500);
-const TICKS_A_SECOND: u32 = 2;
 const REPORT_WITHIN: Duration = Duration::from_millis(400);
 
 /// Starts the mover of models, if the way has one.
@@ -37,8 +36,7 @@
         fence: 0,
     };
     match way {
-        Way::Ours => tokio::spawn(ours(mover)).abort_handle(),
-        Way::Hosts | Way::Static => tokio::spawn(async {}).abort_handle(),
+        Way::Ours | Way::Hosts | Way::Static => tokio::spawn(async {}).abort_handle(),
         Way::LastMinute => tokio::spawn(last_minute(mover)).abort_handle(),
     }
 }
@@ -117,36 +115,6 @@
     }
 }
 
-async fn ours(mut mover: Mover) {
-    let origin = Instant::now();
-    let mut planner = Planner::new(mover.sizes.limits);
-    planner.configure(&mover.sizes.config);
-    let mut forecast = Forecast::default();
-    let mut ticks = tokio::time::interval(TICK);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut tick = 0;
-    let mut counted = Instant::now();
-    loop {
-        ticks.tick().await;
-        tick += 1;
-        mover.read().await;
-        if tick % TICKS_A_SECOND == 0 {
-            let work = mover.work(&mover.counts.take(), counted.elapsed());
-            counted = Instant::now();
-            for (id, demand) in forecast.observe(&work) {
-                planner.demand(&id, demand);
-            }
-        }
-        let now = origin.elapsed();
-        for engine in mover.engines.values() {
-            planner.engine(now, engine.clone());
-        }
-        for planned in planner.plan(now) {
-            mover.order(&planned.server, planned.action).await;
-        }
-    }
-}
-
 /// Each minute, gives every model replicas in proportion to the demand of the last one, as many
 /// as memory holds, and moves at once to what that asks for.
 async fn last_minute(mut mover: Mover) {
--- a/crates/stage/examples/measure/site.rs
+++ b/crates/stage/examples/measure/site.rs
@@ -24,6 +24,12 @@
 const POLL: Duration = Duration::from_millis(50);
 const ROUNDS: usize = 64;
 
+/// Between rounds of planning.
+const PLAN_MS: u64 = 500;
+
+/// Longer than any run: no round after the first, which finds nothing to do.
+const NEVER_MS: u64 = 3_600_000;
+
 /// A running site.
 pub(crate) struct Site {
     pub(crate) engines: Vec<Engine>,
@@ -60,6 +66,11 @@
             let host = Host { id, zone, callers: any, peers: any, operators: any };
             let settings = json!({
                 "host": host, "platform": platform.address(), "drain": {"balancer_ms": 0},
+                "intervals": {"plan_ms": if way == Way::Ours { PLAN_MS } else { NEVER_MS }},
+                "planning": {
+                    "loads_per_second": sizes.limits.loads_per_second,
+                    "loads_at_once": sizes.limits.at_once,
+                },
             });
             running.push(stage::start(serde_json::from_value::<Process>(settings)?).await?);
         }
