Walk the changes at the edge of memory too

Cause: the walk had room for twelve replicas, so no change was ever short.

Change: a second case in which six replicas fit; the check must refuse some changes, and every model must stay reachable all the same.

--- a/crates/stage/tests/reachable.rs
+++ b/crates/stage/tests/reachable.rs
@@ -17,6 +17,7 @@
 use common::{Site, get, post_chat, send, until};
 use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
 use serde_json::{Value, json};
 use standin::engine;
 use tokio_util::sync::CancellationToken;
@@ -24,7 +25,6 @@
 const SEED: u64 = 20_261_202;
 const CHANGES: u64 = 120;
 const MOST_MODELS: usize = 6;
-const MEMORY: u64 = 20_000;
 const PAUSE: Duration = Duration::from_millis(10);
 
 /// Calls one model again and again through all hosts until told to stop.
@@ -73,11 +73,16 @@
 }
 
 /// The next change of a random walk, and the model that it removes.
-fn change(rng: &mut ChaCha8Rng, step: u64, models: &[String]) -> (Value, Option<String>) {
+fn change(
+    rng: &mut ChaCha8Rng,
+    step: u64,
+    models: &[String],
+    memory: u64,
+) -> (Value, Option<String>) {
     let model = models.choose(rng).unwrap().clone();
     match rng.random_range(0..6) {
         0 | 1 if models.len() < MOST_MODELS => {
-            let entry = json!({"group": "lm", "version": "1", "memory": MEMORY});
+            let entry = json!({"group": "lm", "version": "1", "memory": memory});
             (json!({format!("m{step}"): entry}), None)
         }
         2 if 2 < models.len() => (json!({model.clone(): Value::Null}), Some(model)),
@@ -90,10 +95,17 @@
     }
 }
 
+/// Three engines of 80,000 MiB each: four replicas fit on each, or two.
+#[rstest]
+#[case::with_room(20_000, 0)]
+#[case::at_the_edge_of_memory(39_000, 10)]
 #[tokio::test]
-async fn every_model_stays_reachable_through_a_walk_of_changes() {
+async fn every_model_stays_reachable_through_a_walk_of_changes(
+    #[case] memory: u64,
+    #[case] least_short: u64,
+) {
     let engines = (0..3).map(|place| {
-        engine::Settings::new(&format!("lm-{place}")).with_model(&format!("m-{place}"), "1", MEMORY)
+        engine::Settings::new(&format!("lm-{place}")).with_model(&format!("m-{place}"), "1", memory)
     });
     let site = Site::start(2, engines.collect()).await;
     let operators = site.hosts()[0].operators();
@@ -118,7 +130,7 @@
             }
         }
         let names: Vec<String> = models.keys().cloned().collect();
-        let (changes, removed) = change(&mut rng, step, &names);
+        let (changes, removed) = change(&mut rng, step, &names, memory);
         let mut offered = names;
         offered.extend(changes.as_object().unwrap().keys().cloned());
         offered.sort();
@@ -151,6 +163,8 @@
     let answered = seen.answered.load(Ordering::Relaxed);
     assert_eq!(unreachable, Vec::<String>::new(), "of {answered} answered; {outcomes:?}");
     assert!(CHANGES / 2 < outcomes["accepted"], "{outcomes:?}");
+    let short = outcomes.get("short").copied().unwrap_or_default();
+    assert!(least_short <= short, "{outcomes:?}");
     assert!(CHANGES < answered, "{answered}");
     println!("{answered} answered, none unreachable; {outcomes:?}");
     site.end().await;
