Count objects, not calls, in the test of parts

Cause: the test counted every write at the platform around one change. The count was wrong, not the code.

Change: as strict on what it is about: exactly one part is created, the new root names exactly one part that the old one didn't, and the number is the next.

--- a/crates/stage/tests/config.rs
+++ b/crates/stage/tests/config.rs
@@ -156,15 +156,23 @@
     let answer = apply(&site, 0, &patch("many", 1, json!({"models": many}))).await;
     assert_eq!(answer.json(), json!({"outcome": "accepted", "number": 2}));
     everywhere(&site, 2).await;
-    let parts = site.platform.keys("config/part/").len();
-    assert!(10 < parts, "{parts} parts");
+    let parts = site.platform.keys("config/part/");
+    assert!(10 < parts.len(), "{} parts", parts.len());
 
-    // A change of one model writes one part and the root.
-    let writes = site.platform.calls().writes;
+    // A change of one model writes one part and the root. Planners write too, so objects are
+    // counted and not calls.
+    let named = |root: &Value| root["parts"].as_array().unwrap().clone();
+    let (version, before) = site.platform.peek("config/root").unwrap();
     let changes = json!({"models": {"small-123": {"memory": 2}}});
     apply(&site, 1, &patch("one", 2, changes)).await;
     everywhere(&site, 3).await;
-    assert_eq!(site.platform.calls().writes - writes, 2);
+    let stored = site.platform.keys("config/part/");
+    assert_eq!(stored.iter().filter(|key| !parts.contains(key)).count(), 1);
+    let (next, after) = site.platform.peek("config/root").unwrap();
+    assert!(version < next && after["number"] == 3);
+    let (before, after) = (named(&before), named(&after));
+    assert_eq!(before.len(), after.len());
+    assert_eq!(after.iter().filter(|name| !before.contains(name)).count(), 1);
     for host in 0..3 {
         let config = in_force(&site, host).await["config"].clone();
         assert_eq!(config["models"]["small-123"]["memory"], 2);
