Look back for orders of earlier runs at the pace of listing

Cause: until the linger time had passed after its start, each host without the lease listed all ledgers in every round of planning.

--- a/crates/stage/src/duties/plan.rs
+++ b/crates/stage/src/duties/plan.rs
@@ -105,7 +105,7 @@
             return self.settle_own().await;
         }
         let now = self.context.now();
-        if self.book.listed().is_none_or(|listed| listed + RELIST <= now) {
+        if self.is_list_due(now) {
             self.book.list().await?;
             self.orders.sender().keep_only(self.book.ledgers());
         }
@@ -117,6 +117,10 @@
         Ok(())
     }
 
+    fn is_list_due(&self, now: Moment) -> bool {
+        self.book.listed().is_none_or(|listed| listed + RELIST <= now)
+    }
+
     /// Forgets what the planner was told: another host plans meanwhile.
     fn forget_plan(&mut self) {
         if !self.told.is_empty() {
--- a/crates/stage/src/duties/plan/settle.rs
+++ b/crates/stage/src/duties/plan/settle.rs
@@ -27,7 +27,9 @@
     /// before anyone else knows it.
     pub(super) async fn settle_own(&mut self) -> Result<(), platform::Error> {
         let now = self.context.now();
-        if !self.orders.sender().has_orders() && self.looked_back {
+        let has_open = self.orders.sender().has_orders()
+            || self.book.ledgers().any(|ledger| self.is_sender(ledger));
+        if !has_open && (self.looked_back || !self.is_list_due(now)) {
             return Ok(());
         }
         self.book.list().await?;
