Show that models stay reachable through a random walk of patches

Cause: no test with processes changed models while they were called. Change: 24 seeded patches through random hosts add, re-version and remove models, two of which are called all the time; each call must end with its whole answer, the versions declared last must become ready, the engines must have moved units, and none may overcommit.

--- a/crates/stage/tests/promises/main.rs
+++ b/crates/stage/tests/promises/main.rs
@@ -14,3 +14,4 @@
 mod once;
 mod pairs;
 mod pairs_control;
+mod reachable;
--- /dev/null
+++ b/crates/stage/tests/promises/reachable.rs
@@ -0,0 +1,98 @@
+//! Every model we have created stays reachable.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use standin::engine::Settings;
+
+use types::resident::{State, Unit};
+
+use crate::common::{Ask, Builder, Chat, Crowd, Ending, Site, send, until};
+
+const MODELS: [&str; 2] = ["portal", "notices"];
+const STEPS: u64 = 24;
+const SEED: u64 = 11;
+
+async fn site() -> Site {
+    let engine = |id: &str| {
+        let empty = Settings { capacity: 8_000, ..Settings::new(id) };
+        MODELS.iter().fold(empty, |settings, model| settings.with_model(model, "v1", 1_000))
+    };
+    Builder::new(3).engine(engine("lm-1")).engine(engine("lm-2")).start().await
+}
+
+/// One random change: a model comes, goes, or gets another version, also one that is called.
+fn change(random: &mut ChaCha8Rng) -> Value {
+    let other = format!("other-{}", random.random_range(0..3));
+    let called = MODELS[random.random_range(0..MODELS.len())].to_owned();
+    let version = format!("v{}", random.random_range(1..4));
+    let declared = json!({"group": "lm", "version": version, "memory": 1_000});
+    match random.random_range(0..4) {
+        0 => json!({"models": {other: Value::Null}}),
+        1 => json!({"models": {called: declared}}),
+        _ => json!({"models": {other: declared}}),
+    }
+}
+
+/// Whether each called model is ready somewhere in the version declared last.
+fn all_ready(site: &Site) -> bool {
+    let (_, root) = site.platform.peek("config/root").expect("a configuration");
+    let residents = || site.engines().iter().flat_map(|engine| engine.residents());
+    MODELS.iter().all(|name| {
+        let wanted = &root["config"]["models"][name]["version"];
+        residents().any(|resident| match &resident.unit {
+            Unit::Model { model, version } => {
+                &**model == *name && *wanted == **version && resident.state == State::Ready
+            }
+            Unit::Adapter { .. } => false,
+        })
+    })
+}
+
+/// Sends a patch; gives the number in force after it, whether it was accepted or not.
+async fn apply(site: &Site, host: usize, id: u64, against: u64, changes: Value) -> u64 {
+    let operators = site.hosts()[host].operators();
+    let body = json!({"id": format!("step-{id}"), "against": against, "changes": changes});
+    let headers = [("content-type", "application/json")];
+    let answer = send(operators, "POST", "/config/patches", &headers, &body.to_string()).await;
+    match answer.status {
+        200 => answer.json()["number"].as_u64().expect("a number"),
+        _ => against,
+    }
+}
+
+/// Models come, change version and go by a random walk, while two of them are called all the time.
+#[tokio::test]
+async fn models_stay_reachable_while_models_are_changed_at_random() {
+    let site = site().await;
+    let mut random = ChaCha8Rng::seed_from_u64(SEED);
+    let models = MODELS.iter().map(ToString::to_string).collect();
+    let crowd = Crowd::start(4, &site.entrances(), Ask { name: "walk", models, tokens: 10 });
+
+    let mut number = 1;
+    for step in 0..STEPS {
+        let host = random.random_range(0..3);
+        let next = apply(&site, host, step, number, change(&mut random)).await;
+        if number < next {
+            for place in 0..3 {
+                until("the number is in force", async || next <= site.in_force(place).await).await;
+            }
+        }
+        number = next;
+        let ended = crowd.endings().all().len();
+        until("calls go on", async || ended + 4 <= crowd.endings().all().len()).await;
+    }
+
+    until("the versions declared last are ready", async || all_ready(&site)).await;
+    let endings = crowd.stop().await;
+    assert!(STEPS / 4 < number, "too few of the patches were accepted: {number}");
+    assert_eq!(endings.others(), [], "of {}", endings.all().len());
+    for (place, model) in MODELS.iter().enumerate() {
+        let chat = Chat::new(format!("last-{place}"), model, 5);
+        assert_eq!(chat.send(site.hosts()[place].callers()).await, Ending::Whole);
+    }
+    let moves: u64 = site.engines().iter().map(|engine| engine.counts().moves).sum();
+    assert!(STEPS / 4 < moves, "too few moves for a walk: {moves}");
+    assert!(site.engines().iter().all(|engine| engine.counts().overcommits == 0));
+    site.end().await;
+}
