Try suspects alone, and refuse requests that crash engines, on hosts

Cause: the decisions of the quarantine stood without a caller; a request that crashes engines was sent to the next one as often as the retry budget let it, and again for each send. Change: each attempt at a model is watched to its end. One that breaks off has its server looked at; a death is written to quarantine/list, with what was in flight there, before any of it is sent again; a suspect waits for a trial of its own. One watch follows the object; operators list and lift entries. Reads of the object are ordered by its version in place of the time they were made: a late watch made a host forget the suspects that it had just written. Copies that run at the same moment may cost more than two engines; docs/design/ quarantine.md says what is left.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -255,6 +255,15 @@
         }
     }
 
+    /// Notes that a request was answered whole by a server that died afterwards.
+    pub fn acquit(&mut self, fingerprint: Fingerprint, life: &Life) {
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return };
+        suspect.deaths.remove(life);
+        if suspect.deaths.is_empty() && suspect.trial.is_none() {
+            self.suspects.remove(&fingerprint);
+        }
+    }
+
     /// Notes that a trial ended before it showed anything, with its server alive.
     pub fn abort(&mut self, fingerprint: Fingerprint, host: &Run) {
         if self.has_trial(fingerprint, host)
--- a/crates/policy/src/quarantine/guard.rs
+++ b/crates/policy/src/quarantine/guard.rs
@@ -2,9 +2,10 @@
 
 use std::{collections::BTreeMap, mem};
 
-use types::{request, service, time::Moment};
+use types::{request, service};
 
 use super::{Document, Fingerprint, Life, Settings};
+use crate::once::range::Version;
 
 /// What to do with a request before it is routed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,8 +23,8 @@
 pub struct Guard {
     settings: Settings,
     document: Document,
-    /// When the read that showed the document was made.
-    read: Option<Moment>,
+    /// Version of the document that was read.
+    version: Option<Version>,
     in_flight: BTreeMap<request::Id, Flight>,
     /// Deaths seen here that the object does not show yet, with the requests in flight.
     unwritten: BTreeMap<Life, BTreeMap<Fingerprint, service::Id>>,
@@ -47,12 +48,12 @@
         &self.document
     }
 
-    /// Takes the object from a read, or from a write of its own, that was made at this moment.
-    pub fn read(&mut self, made: Moment, document: Document) {
-        if self.read.is_some_and(|read| made < read) {
+    /// Takes the object from a read, or from a write of its own, which may come in any order.
+    pub fn read(&mut self, version: Version, document: Document) {
+        if self.version.is_some_and(|known| version < known) {
             return;
         }
-        self.read = Some(made);
+        self.version = Some(version);
         self.document = document;
     }
 
@@ -84,6 +85,14 @@
         self.in_flight.remove(id);
     }
 
+    /// Notes that a request was answered whole by a server, which may have died since.
+    pub fn completed(&mut self, id: &request::Id, fingerprint: Fingerprint, life: &Life) {
+        self.in_flight.remove(id);
+        if let Some(suspects) = self.unwritten.get_mut(life) {
+            suspects.remove(&fingerprint);
+        }
+    }
+
     /// Notes that a server died; what was in flight on it is to be written, see
     /// [`Guard::unwritten`]. Says whether that is new.
     pub fn died(&mut self, life: &Life) -> bool {
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -1,6 +1,6 @@
 //! Quarantine: who is blamed, who comes free, and how many servers a poison request costs.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
 use policy::{
     once::Run,
@@ -150,7 +150,7 @@
 #[test]
 fn request_in_flight_at_a_death_is_a_suspect_before_it_is_written() {
     let mut guard = Guard::new(settings());
-    guard.read(ms(0), Document::default());
+    guard.read(0, Document::default());
     guard.sent("r1".into(), fingerprint(1), "chat".into(), life("s1"));
     guard.sent("r2".into(), fingerprint(2), "chat".into(), life("s2"));
     guard.sent("r3".into(), fingerprint(3), "chat".into(), life("s1"));
@@ -164,16 +164,29 @@
     assert_eq!(document.suspects.keys().copied().collect::<Vec<_>>(), [fingerprint(1)]);
     let written = guard.unwritten().clone();
     guard.written(&written);
-    guard.read(ms(200), document);
+    guard.read(200, document);
     assert!(guard.unwritten().is_empty());
     assert_eq!(guard.admit(fingerprint(1)), Verdict::Suspect);
 }
 
+/// Its answer and the news of the death cross: nobody would try it again.
+#[test]
+fn request_answered_by_a_server_that_died_is_no_suspect() {
+    let mut document = accused(&[1, 2], "s1");
+    document.acquit(fingerprint(1), &life("s1"));
+    assert_eq!(document.suspects.keys().copied().collect::<Vec<_>>(), [fingerprint(2)]);
+    let mut guard = Guard::new(settings());
+    guard.sent("r1".into(), fingerprint(1), "chat".into(), life("s1"));
+    assert!(guard.died(&life("s1")));
+    guard.completed(&"r1".into(), fingerprint(1), &life("s1"));
+    assert_eq!(guard.admit(fingerprint(1)), Verdict::Free);
+}
+
 #[test]
 fn older_read_does_not_replace_a_newer_one() {
     let mut guard = Guard::new(settings());
-    guard.read(ms(200), accused(&[1], "s1"));
-    guard.read(ms(100), Document::default());
+    guard.read(200, accused(&[1], "s1"));
+    guard.read(100, Document::default());
     assert_eq!(guard.admit(fingerprint(1)), Verdict::Suspect);
 }
 
@@ -227,7 +240,3 @@
 fn run(host: &str) -> Run {
     Run { host: host.into(), incarnation: 1 }
 }
-
-fn ms(millis: u64) -> Duration {
-    Duration::from_millis(millis)
-}
--- a/crates/policy/tests/quarantine_deployment.rs
+++ b/crates/policy/tests/quarantine_deployment.rs
@@ -5,7 +5,7 @@
 
 #![allow(clippy::print_stdout, reason = "the figures of a run")]
 
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
 use policy::{
     once::Run,
@@ -138,7 +138,7 @@
     fn read(&mut self) {
         for (index, guard) in self.guards.iter_mut().enumerate() {
             if (self.time + 37 * index as u64) % READ < ROUND {
-                guard.read(Duration::from_millis(self.time), self.document.clone());
+                guard.read(self.time, self.document.clone());
             }
         }
     }
@@ -161,7 +161,7 @@
                 guard.accuse(self.time, &mut self.document);
                 let written = guard.unwritten().clone();
                 guard.written(&written);
-                guard.read(Duration::from_millis(self.time), self.document.clone());
+                guard.read(self.time, self.document.clone());
             }
         }
         for request in &mut self.requests {
@@ -175,7 +175,6 @@
         let Request { fingerprint, host, .. } = self.requests[index];
         let ids: Vec<backend::Id> = self.servers.iter().map(|server| server.id.clone()).collect();
         let homes: Vec<backend::Id> = homes(fingerprint, &ids).into_iter().cloned().collect();
-        let now = Duration::from_millis(self.time);
         match self.guards[host].admit(fingerprint) {
             Verdict::Refused => self.requests[index].state = State::Refused,
             Verdict::Free => {
@@ -194,7 +193,7 @@
                         return;
                     }
                 }
-                self.guards[host].read(now, self.document.clone());
+                self.guards[host].read(self.time, self.document.clone());
             }
         }
     }
--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -14,7 +14,10 @@
     metrics::{self, Direction, Link},
 };
 use platform::Store;
-use policy::once::{self, Run};
+use policy::{
+    once::{self, Run},
+    quarantine,
+};
 use settings::process::Process;
 use tokio::sync::watch;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -22,7 +25,7 @@
 
 use crate::{
     claims::Claims, counted::Counted, declared::Declared, fleet::Fleet, moves::Moves, peers::Peers,
-    traffic::Traffic,
+    suspects::Suspects, traffic::Traffic,
 };
 
 /// What every part of the host shares.
@@ -47,6 +50,8 @@
     pub declared: Declared,
     /// Claims of keys.
     pub claims: Claims,
+    /// Requests that may crash servers.
+    pub suspects: Suspects,
     /// The other hosts.
     pub peers: Peers,
     /// Requests on their way: admission, choice of servers, limits.
@@ -109,7 +114,8 @@
             platform_bytes,
             fleet: Fleet::default(),
             declared: Declared::default(),
-            claims: Claims::new(me, once::Settings::default()),
+            claims: Claims::new(me.clone(), once::Settings::default()),
+            suspects: Suspects::new(me, quarantine::Settings::default()),
             config: watch::channel(Arc::default()).0,
             stop_asked: CancellationToken::new(),
             stop: CancellationToken::new(),
--- a/crates/stage/src/filters/route.rs
+++ b/crates/stage/src/filters/route.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     context::Context,
-    filters::{admit::Admitted, earlier},
+    filters::{Call, admit::Admitted, earlier, quarantine},
     problem::{Kind, Problem},
     traffic::Sent,
 };
@@ -44,6 +44,14 @@
             .retry_after(COME_BACK)
             .into_response();
     };
+    let call: Call = match earlier(request.extensions()) {
+        Ok(call) => call,
+        Err(problem) => return problem.into_response(),
+    };
+    let sent = match quarantine::take(&context, &call, sent).await {
+        Ok(sent) => sent,
+        Err(problem) => return problem.into_response(),
+    };
     request.extensions_mut().insert(Routed(Arc::new(Mutex::new(Some(sent)))));
     next.run(request).await
 }
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod peers;
 pub mod problem;
 mod serve;
+pub mod suspects;
 pub mod traffic;
 
 pub use crate::serve::{Error, Running, start};
--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -6,6 +6,7 @@
 mod config;
 mod members;
 mod moves;
+mod quarantine;
 mod watch;
 
 use std::sync::Arc;
@@ -41,6 +42,7 @@
         .merge(moves::router())
         .route("/timeline", get(watch::timeline))
         .merge(config::router())
+        .merge(quarantine::router())
         .layer(from_fn_with_state(gate, guard::filter))
         .route("/live", get(async || StatusCode::OK))
         .route("/ready", get(ready))
