--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod explore;
 pub mod ledger;
 pub mod once;
+pub mod replica;
--- a/crates/stage/tests/moves/site.rs
+++ b/crates/stage/tests/moves/site.rs
@@ -36,6 +36,9 @@
 /// Longest time that anything sent may still arrive, as the hosts are told.
 pub const LINGER: Duration = Duration::from_millis(2_500);
 
+/// Lateness of orders: long after their sender gave up, and less than the linger time.
+pub const LATENESS: Duration = Duration::from_millis(1_500);
+
 /// A host's process; killed when dropped.
 pub struct Process {
     child: Child,
@@ -43,7 +46,30 @@
 }
 
 impl Process {
-    pub fn signal(&self, signal: Signal) {
+    /// Stops it, and waits until each of its threads rests: the signal takes effect a while after
+    /// it was sent.
+    pub async fn pause(&self) {
+        self.signal(Signal::SIGSTOP);
+        until("the process is stopped", async || self.is_stopped()).await;
+    }
+
+    pub fn resume(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    fn is_stopped(&self) -> bool {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id()));
+        let tasks = tasks.expect("threads of own child").filter_map(Result::ok);
+        let states =
+            tasks.filter_map(|task| std::fs::read_to_string(task.path().join("stat")).ok());
+        // The state follows the command's name, which stands in parentheses.
+        states.into_iter().all(|stat| {
+            let state = stat.rsplit(')').next().and_then(|rest| rest.split_whitespace().next());
+            state == Some("T")
+        })
+    }
+
+    fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).expect("process id");
         kill(Pid::from_raw(id), signal).expect("signal to own child");
     }
@@ -154,7 +180,7 @@
     }
 
     /// Waits until no order is open, and the ledgers say what is truly in memory.
-    pub async fn settled(&self) {
+    async fn settled(&self) {
         for place in 0..self.engines.len() {
             until(&format!("the ledger of engine {place} settles"), async || {
                 self.ledger(place).is_some_and(|ledger| {
@@ -165,8 +191,12 @@
         }
     }
 
-    /// What must hold at the end of every test.
-    pub fn check_memory(&self) {
+    /// Waits until all is settled and whatever may still come has come; no engine's memory was
+    /// overcommitted meanwhile.
+    pub async fn ends_well(&self) {
+        self.settled().await;
+        tokio::time::sleep(LATENESS).await;
+        self.settled().await;
         for engine in &self.engines {
             let counts = engine.counts();
             assert_eq!(counts.overcommits, 0, "{}: {counts:?}", engine.settings().id);
