Take the quarantine off the hosts again

Change: the stage is as it was; the policy keeps what was learnt: reads ordered by version, and a request that its server answered whole is freed of that death.

--- a/crates/stage/src/answer.rs
+++ b/crates/stage/src/answer.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     context::Context,
-    filters::{Call, Question, account::Account, attempt, quarantine},
+    filters::{Call, Question, account::Account, attempt},
     kv,
     problem::{self, Problem},
     traffic::{Further, Sent},
@@ -261,8 +261,7 @@
         let further = further(&self.context, &self.call, &self.demand, &self.failed).await;
         match further {
             Some(sent) => {
-                let sent = quarantine::take(&self.context, &self.call, sent).await;
-                self.next = Some(sent.map_err(|problem| problem.ran(self.ran))?);
+                self.next = Some(sent);
                 Ok(())
             }
             None => Err(attempt::give_up(&self.call, &self.context, self.ran, cause)),
--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -14,10 +14,7 @@
     metrics::{self, Direction, Link},
 };
 use platform::Store;
-use policy::{
-    once::{self, Run},
-    quarantine,
-};
+use policy::once::{self, Run};
 use settings::process::Process;
 use tokio::sync::watch;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -25,7 +22,7 @@
 
 use crate::{
     claims::Claims, counted::Counted, declared::Declared, fleet::Fleet, moves::Moves, peers::Peers,
-    suspects::Suspects, traffic::Traffic,
+    traffic::Traffic,
 };
 
 /// What every part of the host shares.
@@ -50,8 +47,6 @@
     pub declared: Declared,
     /// Claims of keys.
     pub claims: Claims,
-    /// Requests that may crash servers.
-    pub suspects: Suspects,
     /// The other hosts.
     pub peers: Peers,
     /// Requests on their way: admission, choice of servers, limits.
@@ -114,8 +109,7 @@
             platform_bytes,
             fleet: Fleet::default(),
             declared: Declared::default(),
-            claims: Claims::new(me.clone(), once::Settings::default()),
-            suspects: Suspects::new(me, quarantine::Settings::default()),
+            claims: Claims::new(me, once::Settings::default()),
             config: watch::channel(Arc::default()).0,
             stop_asked: CancellationToken::new(),
             stop: CancellationToken::new(),
--- a/crates/stage/src/duties.rs
+++ b/crates/stage/src/duties.rs
@@ -6,7 +6,6 @@
 pub mod once;
 mod plan;
 mod pump;
-mod quarantine;
 mod reports;
 
 use std::{future::Future, sync::Arc};
@@ -22,7 +21,6 @@
     spawn(context, config::run(context.clone()));
     spawn(context, reports::run(context.clone()));
     spawn(context, once::run(context.clone()));
-    spawn(context, quarantine::run(context.clone()));
     spawn(context, pump::run(context.clone()));
     spawn(context, plan::run(context.clone()));
 }
--- a/crates/stage/src/filters.rs
+++ b/crates/stage/src/filters.rs
@@ -12,7 +12,6 @@
 pub mod identify;
 pub mod in_force;
 pub mod once;
-pub mod quarantine;
 pub mod route;
 
 use std::sync::Arc;
--- a/crates/stage/src/filters/route.rs
+++ b/crates/stage/src/filters/route.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     context::Context,
-    filters::{Call, admit::Admitted, earlier, quarantine},
+    filters::{admit::Admitted, earlier},
     problem::{Kind, Problem},
     traffic::Sent,
 };
@@ -44,14 +44,6 @@
             .retry_after(COME_BACK)
             .into_response();
     };
-    let call: Call = match earlier(request.extensions()) {
-        Ok(call) => call,
-        Err(problem) => return problem.into_response(),
-    };
-    let sent = match quarantine::take(&context, &call, sent).await {
-        Ok(sent) => sent,
-        Err(problem) => return problem.into_response(),
-    };
     request.extensions_mut().insert(Routed(Arc::new(Mutex::new(Some(sent)))));
     next.run(request).await
 }
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -22,7 +22,6 @@
 pub mod peers;
 pub mod problem;
 mod serve;
-pub mod suspects;
 pub mod traffic;
 
 pub use crate::serve::{Error, Running, start};
--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -6,7 +6,6 @@
 mod config;
 mod members;
 mod moves;
-mod quarantine;
 mod watch;
 
 use std::sync::Arc;
@@ -42,7 +41,6 @@
         .merge(moves::router())
         .route("/timeline", get(watch::timeline))
         .merge(config::router())
-        .merge(quarantine::router())
         .layer(from_fn_with_state(gate, guard::filter))
         .route("/live", get(async || StatusCode::OK))
         .route("/ready", get(ready))
--- a/crates/stage/src/problem.rs
+++ b/crates/stage/src/problem.rs
@@ -49,8 +49,6 @@
     AlreadyRan,
     /// Keys can't be claimed now.
     ClaimsUnavailable,
-    /// Requests like it crashed servers.
-    Quarantined,
     /// The host is at fault.
     Internal,
 }
@@ -75,7 +73,6 @@
             Kind::KeyAhead => "key-ahead",
             Kind::AlreadyRan => "already-ran",
             Kind::ClaimsUnavailable => "claims-unavailable",
-            Kind::Quarantined => "quarantined",
             Kind::Internal => "internal",
         }
     }
@@ -93,7 +90,6 @@
             Kind::KeyExpired => StatusCode::GONE,
             Kind::KeyAhead => StatusCode::BAD_REQUEST,
             Kind::ClaimsUnavailable => StatusCode::SERVICE_UNAVAILABLE,
-            Kind::Quarantined => StatusCode::FORBIDDEN,
             Kind::Internal => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
@@ -116,7 +112,6 @@
             Kind::KeyAhead => "The key's time lies ahead",
             Kind::AlreadyRan => "The request ran before",
             Kind::ClaimsUnavailable => "Keys can't be claimed now",
-            Kind::Quarantined => "The request is in quarantine",
             Kind::Internal => "The host is at fault",
         }
     }
--- a/crates/stage/src/traffic/guard.rs
+++ b/crates/stage/src/traffic/guard.rs
@@ -15,7 +15,6 @@
 use types::prelude::*;
 
 use super::Traffic;
-use crate::filters::quarantine::Custody;
 
 /// A place for a request on some server of its model; given back when dropped unused.
 #[derive(Debug)]
@@ -95,18 +94,12 @@
     traffic: Arc<Traffic>,
     flight: Flight,
     server: backend::Server,
-    custody: Option<Box<Custody>>,
     is_over: bool,
 }
 
 impl Sent {
     pub(super) fn new(traffic: Arc<Traffic>, flight: Flight, server: backend::Server) -> Sent {
-        Sent { traffic, flight, server, custody: None, is_over: false }
-    }
-
-    /// Has its end told to the quarantine.
-    pub fn watch(&mut self, custody: Custody) {
-        self.custody = Some(Box::new(custody));
+        Sent { traffic, flight, server, is_over: false }
     }
 
     /// The server it goes to.
@@ -146,12 +139,6 @@
         if std::mem::replace(&mut self.is_over, true) {
             return;
         }
-        match (self.custody.take(), end) {
-            (Some(custody), End::Whole) => custody.completed(),
-            (Some(custody), End::Cancelled) => custody.cancelled(),
-            (Some(custody), End::Failed(point)) => custody.failed(point),
-            (None, _) => {}
-        }
         let now = self.traffic.now();
         self.traffic.lock().policy.ended(&self.flight, end, now);
         self.traffic.pump();
