Name the operators' command line in the demonstration

Cause: a newcomer who runs the demonstration saw how to call a model, but not how to look at hosts. Change: two ready-to-paste lines for cyclamenctl, status and time line.

--- a/crates/stage/examples/demo.rs
+++ b/crates/stage/examples/demo.rs
@@ -144,6 +144,9 @@
     );
     println!("curl http://{callers}/v1/models");
     println!("curl -X POST http://{callers}/services/tickets/rooms/12 -d 'room 12'");
+    let operators = hosts[0].context().host().operators;
+    println!("cargo run --bin cyclamenctl -- --host {operators} status");
+    println!("cargo run --bin cyclamenctl -- --host {operators} timeline");
 }
 
 /// Streams one answer to the screen.
