Split the model of claims by job

Change: the state, the steps, what hosts do, the calls to the object API and the faults stand in files of their own under once/; the bounds, the guards and the walk itself stay. Code is moved, not changed: without visibility and blank lines only imports, module lines and impl heads differ.

--- /dev/null
+++ b/crates/spec/src/once/faults.rs
@@ -0,0 +1,41 @@
+//! The faults that may come next, within their bounds.
+
+use policy::once::End;
+
+use super::{Claims, Lacks, State, Step, state::Leg};
+
+impl Claims {
+    pub(super) fn faults(&self, state: &State, steps: &mut Vec<(Step, State)>) {
+        if state.losses < self.losses {
+            let lost = |mut next: State| {
+                next.losses += 1;
+                next
+            };
+            for number in 0..state.transit.len() {
+                steps.push((
+                    Step::Lose(state.transit[number].to_string()),
+                    lost(self.tell(state, number, true)),
+                ));
+                let transit = &state.transit[number];
+                if transit.awaited && matches!(transit.leg, Leg::Out(_)) {
+                    steps.push((
+                        Step::TimeOut(state.transit[number].to_string()),
+                        lost(self.time_out(state, number)),
+                    ));
+                }
+            }
+            for host in 0..state.hosts.len() {
+                let end = match self.lacks {
+                    Lacks::ReleaseOnlyUnsent => End::Released,
+                    _ => End::Lost,
+                };
+                let next = self.finish(state, host, end);
+                steps.extend(next.map(|next| (Step::LoseOutcome(host), lost(next))));
+            }
+        }
+        if state.crashes < self.crashes {
+            let hosts = 0..state.hosts.len();
+            steps.extend(hosts.map(|host| (Step::Crash(host), self.crash(state, host))));
+        }
+    }
+}
--- /dev/null
+++ b/crates/spec/src/once/state.rs
@@ -0,0 +1,67 @@
+//! What the world holds: the object, the hosts, the calls under way, and the sends.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::{self, Display},
+    time::Duration,
+};
+
+use policy::once::{Call, Document, Range, Read, Run, Written};
+use types::request;
+
+/// Everything that decides what may happen next.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct State {
+    pub(super) version: u64,
+    pub(super) stored: Option<Document>,
+    pub(super) hosts: Vec<Host>,
+    pub(super) transit: Vec<Transit>,
+    pub(super) sent: Vec<Send>,
+    pub(super) runs: u8,
+    pub(super) false_word: bool,
+    pub(super) crashes: u8,
+    pub(super) losses: u8,
+    pub(super) jumps: u8,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Host {
+    pub(super) run: Run,
+    pub(super) range: Range,
+    pub(super) granted: BTreeMap<request::Id, Duration>,
+    pub(super) dispatched: BTreeSet<request::Id>,
+}
+
+/// A call under way.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Transit {
+    pub(super) run: Run,
+    pub(super) leg: Leg,
+    /// Whether the host still waits for the answer.
+    pub(super) awaited: bool,
+}
+
+impl Display for Transit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let call = match &self.leg {
+            Leg::Out(Call::Read) | Leg::Read(_) => "read",
+            Leg::Out(Call::Create(_) | Call::Update(..)) | Leg::Written(_) => "write",
+        };
+        let late = if self.awaited { "" } else { "late " };
+        write!(f, "the {late}{call} of {} run {}", self.run.host, self.run.incarnation)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) enum Leg {
+    Out(Call),
+    Read(Read),
+    Written(Written),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Send {
+    pub(super) host: usize,
+    pub(super) after_run: bool,
+    pub(super) answered: bool,
+}
