Check tokens in one place, and refuse one that can't be sent

Cause: the check of a shown token stood twice. The peers' compared the headers themselves, so unequal lengths returned early and showed the token's length; and a peers' token that no header can carry was taken for none, which left the peers' listener open. Only the settings' check stood before that. Change: peer::Token compares blake3 digests of both sides with subtle, and the operators' guard uses it. Guard::new is an error for a token that no header can carry, on either listener; the token that it parsed goes to the peers' client and listener, so none is parsed twice. An empty token, which the settings' check refuses anyway, no longer lets in a request without the header. Figures: on the code before, both cases of a_host_whose_token_no_header_carries_does_not_start fail (the host starts). After: peer, 10 passed, 0 failed (3 of them new cases); cyclamenstage config 18 passed (2 new), drain 4 passed, member 10 passed, 0 failed.

--- a/crates/peer/src/token.rs
+++ b/crates/peer/src/token.rs
@@ -1,13 +1,25 @@
-//! The token that hosts show each other.
+//! The token that a listener asks for: from other hosts, and from operators.
+//!
+//! Tokens are compared by their hashes in constant time, so that neither their length nor how much
+//! of a guess is right can be read from the time of a refusal.
 
-use http::{HeaderMap, HeaderValue, header::AUTHORIZATION};
+use http::{
+    HeaderMap, HeaderValue,
+    header::{AUTHORIZATION, InvalidHeaderValue},
+};
 use subtle::ConstantTimeEq;
 
 const SCHEME: &str = "Bearer ";
 
-/// The token that hosts show each other, or none.
+/// The token that callers of a listener must show, or none.
 #[derive(Clone, Default)]
-pub struct Token(Option<HeaderValue>);
+pub struct Token(Option<Wanted>);
+
+#[derive(Clone)]
+struct Wanted {
+    header: HeaderValue,
+    hash: blake3::Hash,
+}
 
 impl Token {
     /// A token; none lets everyone in, which is for loopback only.
@@ -15,23 +27,29 @@
     /// # Errors
     ///
     /// If it holds characters that a header can't carry.
-    pub fn new(token: Option<&str>) -> Result<Token, http::header::InvalidHeaderValue> {
-        let value = token.map(|token| HeaderValue::from_str(&format!("{SCHEME}{token}")));
-        let mut value = value.transpose()?;
-        value.iter_mut().for_each(|value| value.set_sensitive(true));
-        Ok(Token(value))
+    pub fn new(token: Option<&str>) -> Result<Token, InvalidHeaderValue> {
+        Ok(Token(token.map(Wanted::new).transpose()?))
     }
 
     /// The headers that show it.
     pub(crate) fn headers(&self) -> HeaderMap {
-        self.0.iter().map(|value| (AUTHORIZATION, value.clone())).collect()
+        self.0.iter().map(|wanted| (AUTHORIZATION, wanted.header.clone())).collect()
     }
 
-    /// Whether these headers show it; takes the same time for every wrong token of its length.
-    pub(crate) fn is_shown_in(&self, headers: &HeaderMap) -> bool {
+    /// Whether these headers show it; the time depends only on what they show.
+    pub fn is_shown_in(&self, headers: &HeaderMap) -> bool {
         let Some(wanted) = &self.0 else { return true };
         let shown = headers.get(AUTHORIZATION).map_or(&[][..], HeaderValue::as_bytes);
-        wanted.as_bytes().ct_eq(shown).into()
+        wanted.hash.as_bytes().ct_eq(blake3::hash(shown).as_bytes()).into()
+    }
+}
+
+impl Wanted {
+    fn new(token: &str) -> Result<Wanted, InvalidHeaderValue> {
+        let mut header = HeaderValue::from_str(&format!("{SCHEME}{token}"))?;
+        header.set_sensitive(true);
+        let hash = blake3::hash(header.as_bytes());
+        Ok(Wanted { header, hash })
     }
 }
 
--- a/crates/peer/tests/calls.rs
+++ b/crates/peer/tests/calls.rs
@@ -119,6 +119,7 @@
 #[case::none(None)]
 #[case::wrong(Some("secrex"))]
 #[case::longer(Some("secret1"))]
+#[case::shorter(Some("secre"))]
 #[tokio::test]
 async fn a_peer_without_the_right_token_is_refused_and_counted(#[case] token: Option<&str>) {
     let server = serve(Some("secret")).await;
@@ -128,6 +129,13 @@
     assert_eq!(server.refused.load(Ordering::Relaxed), 1);
 }
 
+#[rstest]
+#[case::line_break("secret\nof two lines")]
+#[case::control_character("sec\u{7f}ret")]
+fn a_token_that_no_header_carries_is_an_error(#[case] token: &str) {
+    assert!(Token::new(Some(token)).is_err(), "{token:?}");
+}
+
 #[tokio::test]
 async fn a_peer_that_never_answers_is_given_up_in_time() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
--- a/crates/stage/src/context.rs
+++ b/crates/stage/src/context.rs
@@ -70,12 +70,12 @@
 }
 
 impl Context {
-    /// Starts from settings; the clients connect when first used.
+    /// Starts from settings and the peers' token; the clients connect when first used.
     ///
     /// # Errors
     ///
     /// If the metrics can't be set up.
-    pub fn new(settings: Process) -> Result<Context, metrics::Error> {
+    pub fn new(settings: Process, peers_token: peer::Token) -> Result<Context, metrics::Error> {
         let platform_bytes = Meter::default();
         let builder = platform::Builder::new(settings.platform)
             .watch_time(policy::member::watch::TIMEOUT)
@@ -91,7 +91,7 @@
         watch_bytes(&metrics, Link::Platform, &platform_bytes);
         watch_bytes(&metrics, Link::Servers, &control_bytes);
         events.record(Event::new(event::Kind::Start));
-        let peers = Peers::new(&settings, incarnation);
+        let peers = Peers::new(&settings, incarnation, peers_token);
         watch_bytes(&metrics, Link::Peers, peers.meter());
         let store = Counted::new(builder.build(), metrics.clone(), events.clone());
         Ok(Context {
--- a/crates/stage/src/guard.rs
+++ b/crates/stage/src/guard.rs
@@ -1,37 +1,49 @@
 //! The token that operators and other hosts must show.
 //!
-//! Tokens are compared by their hashes in constant time, so that neither their length nor how much
-//! of a guess is right can be read from the time of a refusal. Without a token in the settings a
-//! listener only starts on a loopback address.
+//! The comparison is [`peer::Token`]'s. Without a token in the settings a listener only starts on a
+//! loopback address; with one that no header can carry it doesn't start at all.
 
 use std::{net::SocketAddr, sync::Arc};
 
 use axum::{
     extract::{Request, State},
-    http::{HeaderMap, StatusCode, header},
+    http::{HeaderMap, StatusCode, header, header::InvalidHeaderValue},
     middleware::Next,
     response::{IntoResponse, Response},
 };
 use observe::metrics::Listener;
-use subtle::ConstantTimeEq;
+use peer::Token;
 
 use crate::context::Context;
 
-const SCHEME: &str = "Bearer ";
+const SCHEME: &str = "Bearer";
 
 /// A listener's token, if its settings have one.
 #[derive(Clone)]
 pub struct Guard {
     listener: Listener,
-    token: Option<Arc<blake3::Hash>>,
+    token: Token,
 }
 
-/// A listener would be open to strangers.
+/// Why a listener can't be guarded.
 #[derive(Debug, thiserror::Error)]
-#[error("the listener for {} at {address} needs a token, since it isn't on loopback", word(*listener))]
-pub struct Open {
-    listener: Listener,
-    address: SocketAddr,
+pub enum Error {
+    /// It would be open to strangers.
+    #[error("the listener for {} at {address} needs a token, since it isn't on loopback", word(*listener))]
+    Open {
+        /// Whom it is for.
+        listener: Listener,
+        /// The address in the settings.
+        address: SocketAddr,
+    },
+    /// Nobody could show its token.
+    #[error("the token of the listener for {} can't be sent: {cause}", word(*listener))]
+    Unsendable {
+        /// Whom it is for.
+        listener: Listener,
+        /// Why.
+        cause: InvalidHeaderValue,
+    },
 }
 
 impl Guard {
@@ -39,25 +51,27 @@
     ///
     /// # Errors
     ///
-    /// There is no token, and the address isn't on loopback.
+    /// There is no token, and the address isn't on loopback; or no header can carry the token.
     pub fn new(
         listener: Listener,
         token: Option<&str>,
         address: SocketAddr,
-    ) -> Result<Guard, Open> {
+    ) -> Result<Guard, Error> {
         if token.is_none() && !address.ip().is_loopback() {
-            return Err(Open { listener, address });
+            return Err(Error::Open { listener, address });
         }
-        let token = token.map(|token| Arc::new(blake3::hash(token.as_bytes())));
+        let token = Token::new(token).map_err(|cause| Error::Unsendable { listener, cause })?;
         Ok(Guard { listener, token })
     }
 
+    /// The token.
+    pub fn token(&self) -> &Token {
+        &self.token
+    }
+
     /// Whether a request may pass.
     pub fn admits(&self, headers: &HeaderMap) -> bool {
-        let Some(token) = &self.token else { return true };
-        let shown = headers.get(header::AUTHORIZATION).map_or(&b""[..], |value| value.as_bytes());
-        let shown = shown.strip_prefix(SCHEME.as_bytes()).unwrap_or_default();
-        blake3::hash(shown).as_bytes().ct_eq(token.as_bytes()).into()
+        self.token.is_shown_in(headers)
     }
 
     /// Notes a refusal.
@@ -82,7 +96,7 @@
         return next.run(request).await;
     }
     gate.guard.refused(&gate.context, request.uri().path());
-    (StatusCode::UNAUTHORIZED, [(header::WWW_AUTHENTICATE, SCHEME.trim_end())]).into_response()
+    (StatusCode::UNAUTHORIZED, [(header::WWW_AUTHENTICATE, SCHEME)]).into_response()
 }
 
 fn word(listener: Listener) -> &'static str {
--- a/crates/stage/src/peers.rs
+++ b/crates/stage/src/peers.rs
@@ -48,7 +48,7 @@
 
 impl Peers {
     /// Knows nobody yet.
-    pub fn new(settings: &Process, incarnation: host::Incarnation) -> Peers {
+    pub fn new(settings: &Process, incarnation: host::Incarnation, token: ::peer::Token) -> Peers {
         let heartbeat = settings.intervals.heartbeat;
         let rules = member::Settings {
             interval: heartbeat,
@@ -59,8 +59,6 @@
         let seed = rendezvous::score(&incarnation.to_le_bytes(), &me.id);
         let gossip = Gossip::new(Duration::ZERO, rules, seed, me, incarnation);
         let meter = Meter::default();
-        // The settings' check lets no token pass that a header can't carry.
-        let token = ::peer::Token::new(settings.peers_token.as_deref()).unwrap_or_default();
         let client = ::peer::Builder::new().token(token.clone()).meter(meter.clone()).build();
         let gossip = Mutex::new(gossip);
         Peers { gossip, client, token, meter, refused: Arc::default() }
--- a/crates/stage/src/serve.rs
+++ b/crates/stage/src/serve.rs
@@ -36,9 +36,9 @@
         /// Why.
         cause: io::Error,
     },
-    /// A listener would be open to strangers.
+    /// A listener can't be guarded.
     #[error(transparent)]
-    Open(#[from] guard::Open),
+    Guard(#[from] guard::Error),
     /// The metrics can't be set up.
     #[error(transparent)]
     Metrics(#[from] observe::metrics::Error),
@@ -59,18 +59,19 @@
 ///
 /// # Errors
 ///
-/// If a listener can't be bound.
+/// If a listener can't be bound or guarded, or the metrics can't be set up.
 pub async fn start(mut settings: Process) -> Result<Running, Error> {
     let callers = bind("callers", &mut settings.host.callers).await?;
     let peers = bind("peers", &mut settings.host.peers).await?;
     let operators = bind("operators", &mut settings.host.operators).await?;
-    Guard::new(Listener::Peers, settings.peers_token.as_deref(), settings.host.peers)?;
+    let peers_guard =
+        Guard::new(Listener::Peers, settings.peers_token.as_deref(), settings.host.peers)?;
     let guard = Guard::new(
         Listener::Operators,
         settings.operators_token.as_deref(),
         settings.host.operators,
     )?;
-    let context = Arc::new(Context::new(settings)?);
+    let context = Arc::new(Context::new(settings, peers_guard.token().clone())?);
     log::info!(
         host = &*context.host().id, callers:% = context.host().callers,
         peers:% = context.host().peers, operators:% = context.host().operators; "host starts"
--- a/crates/stage/tests/config.rs
+++ b/crates/stage/tests/config.rs
@@ -8,6 +8,7 @@
 use common::{Answer, Site, get, send, until};
 use rstest::rstest;
 use serde_json::{Value, json};
+use settings::process::Process;
 use standin::engine;
 
 fn engines(count: usize) -> Vec<engine::Settings> {
@@ -304,6 +305,23 @@
     host.drain().await;
 }
 
+#[rstest]
+#[case::peers(|settings: &mut Process, token| settings.peers_token = Some(token), "for peers")]
+#[case::operators(
+    |settings: &mut Process, token| settings.operators_token = Some(token), "for operators"
+)]
+#[tokio::test]
+async fn a_host_whose_token_no_header_carries_does_not_start(
+    #[case] set: fn(&mut Process, String),
+    #[case] listener: &str,
+) {
+    let directory = tempfile::tempdir().unwrap();
+    let mut settings = settings::read_process(&settings(&directory, json!({}))).unwrap();
+    set(&mut settings, format!("{TOKEN}\n"));
+    let error = stage::start(settings).await.err().expect("refused").to_string();
+    assert!(error.contains(listener), "{error}");
+}
+
 #[tokio::test]
 async fn a_host_that_an_operator_drains_ends_as_planned() {
     let mut site = Site::start(2, engines(1)).await;
