Take in words on a host by one function

Cause: a host's word on itself and others' words on it began with the same nine lines: introduce, find, pass over an earlier run, note what was before, and set whether it is leaving. Change: Hosts' private function heard does this for both. The likeness in the operators' client (call and exchange) is a list of parameters, not logic, and stays.

--- a/crates/policy/src/member/hosts.rs
+++ b/crates/policy/src/member/hosts.rs
@@ -194,17 +194,21 @@
         }
     }
 
-    /// Takes in a host's word on itself, which it sent to this one.
-    pub fn answered(&mut self, now: Moment, word: &Word, held: &BTreeMap<Topic, u64>) -> Change {
+    /// The member that a word is on, which is leaving if the word says so, and what it was before;
+    /// none if the word gives no address of an unknown host, or is on an earlier run.
+    fn heard(&mut self, now: Moment, word: &Word) -> Option<(Before, &mut Member)> {
         let unknown = !self.members.contains_key(&word.id);
         self.introduce_by(now, word);
-        let Some(member) = self.members.get_mut(&word.id) else { return Change::None };
-        if word.epoch.run < member.epoch.run {
-            return Change::None;
-        }
+        let member = self.members.get_mut(&word.id).filter(|m| m.epoch.run <= word.epoch.run)?;
         let before = Before { unknown, run: member.epoch.run, standing: member.standing() };
-        let newer_run = member.epoch.run < word.epoch.run;
+        let newer_run = before.run < word.epoch.run;
         member.leaving = word.leaving || (member.leaving && !newer_run);
+        Some((before, member))
+    }
+
+    /// Takes in a host's word on itself, which it sent to this one.
+    pub fn answered(&mut self, now: Moment, word: &Word, held: &BTreeMap<Topic, u64>) -> Change {
+        let Some((before, member)) = self.heard(now, word) else { return Change::None };
         member.epoch = member.epoch.max(word.epoch);
         member.held.clone_from(held);
         member.answered = Some(now);
@@ -214,16 +218,9 @@
 
     /// Takes in what another host says of a host.
     pub fn told(&mut self, now: Moment, word: &Word, fresh: Duration) -> Change {
-        let unknown = !self.members.contains_key(&word.id);
-        self.introduce_by(now, word);
-        let Some(member) = self.members.get_mut(&word.id) else { return Change::None };
-        if word.epoch.run < member.epoch.run {
-            return Change::None;
-        }
-        let before = Before { unknown, run: member.epoch.run, standing: member.standing() };
-        let newer_run = member.epoch.run < word.epoch.run;
-        member.leaving = word.leaving || (member.leaving && !newer_run);
+        let Some((before, member)) = self.heard(now, word) else { return Change::None };
         if (member.epoch, member.health) < (word.epoch, word.health) {
+            let newer_run = before.run < word.epoch.run;
             let outweighed = !newer_run && member.is_fresh(now, fresh);
             if word.health != Health::Live && outweighed {
                 member.refused = Some(word.clone());
