--- a/crates/observe/src/clock.rs
+++ b/crates/observe/src/clock.rs
@@ -36,11 +36,6 @@
         Stamp(NTP64::from(since).as_u64())
     }
 
-    /// The wall time that it stands near.
-    pub fn to_wall(self) -> SystemTime {
-        NTP64(self.0).to_system_time()
-    }
-
     /// Reads a stamp from RFC 3339 text, or none if the text is something else.
     pub fn parse(text: &str) -> Option<Stamp> {
         NTP64::parse_rfc3339(text).ok().map(|time| Stamp(time.as_u64()))
