Take a load report without copying all others

Cause: each report that a host took copied the whole map of reports, and each round compared every reader with every listed server, so both grew with the square of the fleet; the plan and the status needed single reports only. Change: the map is behind a lock and hands out one report; readers are looked up in a set.

--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -66,7 +66,7 @@
         for host in &site.hosts {
             let context = host.context();
             until("the host is ready", async || {
-                context.is_ready() && context.fleet.readings().len() == 1
+                context.is_ready() && context.fleet.reporting() == 1
             })
             .await;
         }
--- a/crates/stage/examples/demo.rs
+++ b/crates/stage/examples/demo.rs
@@ -118,7 +118,7 @@
 async fn ready(hosts: &[Running]) -> Result<(), &'static str> {
     let is_ready = |host: &Running| {
         let context = host.context();
-        context.is_ready() && context.fleet.readings().len() == context.fleet.list().servers.len()
+        context.is_ready() && context.fleet.reporting() == context.fleet.list().servers.len()
     };
     let waiting = async {
         while !hosts
--- a/crates/stage/examples/measure/site.rs
+++ b/crates/stage/examples/measure/site.rs
@@ -160,9 +160,8 @@
 }
 
 async fn ready(hosts: &[Running], servers: usize) -> Result<(), &'static str> {
-    let is_ready = |host: &Running| {
-        host.context().is_ready() && host.context().fleet.readings().len() == servers
-    };
+    let is_ready =
+        |host: &Running| host.context().is_ready() && host.context().fleet.reporting() == servers;
     let waiting = async {
         while !hosts.iter().all(is_ready) {
             tokio::time::sleep(POLL).await;
--- a/crates/stage/src/declared/patch.rs
+++ b/crates/stage/src/declared/patch.rs
@@ -124,9 +124,9 @@
 
 /// Engines that report their memory and stay.
 fn servers(context: &Context) -> Vec<Server> {
-    let readings = context.fleet.readings();
     let engine = |entry: &backend::Entry| {
-        let load = &readings.get(&entry.server.id)?.load;
+        let reading = context.fleet.reading(&entry.server.id)?;
+        let load = &reading.load;
         let is_open = entry.state == Listed::Live && !load.leaving && 0 < load.capacity;
         let backend::Server { id, group, .. } = entry.server.clone();
         is_open.then_some(Server { id, group, capacity: load.capacity })
--- a/crates/stage/src/duties/plan/demand.rs
+++ b/crates/stage/src/duties/plan/demand.rs
@@ -55,10 +55,10 @@
 
     /// Requests that one engine of a group runs at once, in the mean.
     fn slots(&self, group: &backend::Group) -> Option<f64> {
-        let readings = self.context.fleet.readings();
         let engines = self.engines().into_iter().filter(|entry| entry.server.group == *group);
         let slots: Vec<f64> = engines
-            .filter_map(|entry| Some(f64::from(readings.get(&entry.server.id)?.load.slots.max(1))))
+            .filter_map(|entry| self.context.fleet.reading(&entry.server.id))
+            .map(|reading| f64::from(reading.load.slots.max(1)))
             .collect();
         (!slots.is_empty()).then(|| slots.iter().sum::<f64>() / slots.len() as f64)
     }
--- a/crates/stage/src/duties/plan/fleet.rs
+++ b/crates/stage/src/duties/plan/fleet.rs
@@ -44,8 +44,7 @@
     fn picture(&self, entry: &backend::Entry) -> Option<Engine> {
         let server = &entry.server;
         let ledger = &self.book.get(&server.id)?.ledger;
-        let readings = self.context.fleet.readings();
-        let state = match readings.get(&server.id) {
+        let state = match self.context.fleet.reading(&server.id) {
             _ if entry.state == Listed::Leaving => State::Leaving,
             Some(reading) if reading.load.leaving => State::Leaving,
             Some(_) => State::Live,
--- a/crates/stage/src/duties/plan/settle.rs
+++ b/crates/stage/src/duties/plan/settle.rs
@@ -87,8 +87,7 @@
 
     /// The last report that this host read, under the name that the list gives the server.
     fn last_report(&self, server: &backend::Id) -> Option<Load> {
-        let readings = self.context.fleet.readings();
-        let reading = readings.get(server)?;
+        let reading = self.context.fleet.reading(server)?;
         Some(Load { server: server.clone(), ..reading.load.clone() })
     }
 
--- a/crates/stage/src/duties/reports.rs
+++ b/crates/stage/src/duties/reports.rs
@@ -1,6 +1,9 @@
 //! Reads load reports of backend servers.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use ::backend::reports;
 use policy::member::gossip::{Action, Gossip};
@@ -14,10 +17,13 @@
     let mut readers: HashMap<backend::Server, Reader> = HashMap::new();
     loop {
         let list = context.fleet.list();
-        let servers = || list.servers.iter().map(|entry| &entry.server);
-        readers.retain(|known, _| servers().any(|server| server == known));
-        for server in servers() {
-            readers.entry(server.clone()).or_insert_with(|| Reader::start(&context, server));
+        let listed: HashSet<&backend::Server> =
+            list.servers.iter().map(|entry| &entry.server).collect();
+        readers.retain(|known, _| listed.contains(known));
+        for server in listed {
+            if !readers.contains_key(server) {
+                readers.insert(server.clone(), Reader::start(&context, server));
+            }
         }
         let intervals = &context.settings.intervals;
         tokio::time::sleep(intervals.list.min(intervals.report)).await;
--- a/crates/stage/src/fleet.rs
+++ b/crates/stage/src/fleet.rs
@@ -3,7 +3,10 @@
 //! Lists and reports lag, so the picture is only ever a hint. What requests go by is in `traffic`,
 //! which adds what this host itself has in flight.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard},
+};
 
 use arc_swap::ArcSwap;
 use types::{host::List, prelude::*};
@@ -21,7 +24,7 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     list: ArcSwap<List>,
-    readings: ArcSwap<HashMap<backend::Id, Arc<Reading>>>,
+    readings: Mutex<HashMap<backend::Id, Arc<Reading>>>,
 }
 
 impl Fleet {
@@ -35,27 +38,27 @@
         self.list.store(Arc::new(list));
     }
 
-    /// Load reports as last read.
-    pub fn readings(&self) -> Arc<HashMap<backend::Id, Arc<Reading>>> {
-        self.readings.load_full()
+    /// A server's load report as last read.
+    pub fn reading(&self, server: &backend::Id) -> Option<Arc<Reading>> {
+        self.readings().get(server).cloned()
+    }
+
+    /// How many servers report their load.
+    pub fn reporting(&self) -> usize {
+        self.readings().len()
     }
 
     /// Takes a newer report of a server, under the name that the list gives it.
     pub fn set_reading(&self, server: &backend::Id, reading: Reading) {
-        let reading = Arc::new(reading);
-        self.readings.rcu(|readings| {
-            let mut readings = HashMap::clone(readings);
-            readings.insert(server.clone(), reading.clone());
-            readings
-        });
+        self.readings().insert(server.clone(), Arc::new(reading));
     }
 
     /// Forgets the report of a server that doesn't answer.
     pub fn drop_reading(&self, server: &backend::Id) {
-        self.readings.rcu(|readings| {
-            let mut readings = HashMap::clone(readings);
-            readings.remove(server);
-            readings
-        });
+        self.readings().remove(server);
+    }
+
+    fn readings(&self) -> MutexGuard<'_, HashMap<backend::Id, Arc<Reading>>> {
+        self.readings.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 }
--- a/crates/stage/src/operators.rs
+++ b/crates/stage/src/operators.rs
@@ -67,15 +67,14 @@
         configuration: context.config().number,
         heard: context.declared.heard(),
         servers: context.fleet.list().servers.len(),
-        reporting: context.fleet.readings().len(),
+        reporting: context.fleet.reporting(),
     })
 }
 
 async fn servers(State(context): State<Arc<Context>>) -> Json<Vec<Seen>> {
-    let readings = context.fleet.readings();
     let seen = |entry: &backend::Entry| Seen {
         entry: entry.clone(),
-        load: readings.get(&entry.server.id).map(|reading| reading.load.clone()),
+        load: context.fleet.reading(&entry.server.id).map(|reading| reading.load.clone()),
     };
     Json(context.fleet.list().servers.iter().map(seen).collect())
 }
