Use kept connections in turn, but the freshest where a request may run only once

A server may also forget connections sooner and reset what is sent next on them; what may run only once is lost then, answered as it must be, not known to have run.

Change: policy::kept decides. What may run again takes the connection that rested longest; what may run only once the one that rested least, and for 10 s after a reset at once of one that had rested only one that rested 250 ms at the most.

--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -17,6 +17,7 @@
 };
 use policy::{
     dispatch::{self, Change as News, Dispatcher, Terms, Ticket, Verdict},
+    kept::Kept,
     place::{self, Planner},
     term::{self, Term},
 };
@@ -56,6 +57,7 @@
     pub(crate) declared: Mutex<Moment>,
     pub(crate) store: Store,
     pub(crate) pool: Pool,
+    kept: Mutex<Kept>,
     pub(crate) control: Control,
     /// Longest flight of an order.
     pub(crate) flight: Duration,
@@ -139,6 +141,7 @@
             clock,
             jumped: Arc::default(),
             pool: Pool::default(),
+            kept: Mutex::default(),
             closing: CancellationToken::new(),
             stop: CancellationToken::new(),
             declaration: ArcSwapOption::empty(),
@@ -216,6 +219,11 @@
         self.planner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What is known of how servers keep connections.
+    pub(crate) fn kept(&self) -> MutexGuard<'_, Kept> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The decisions on requests.
     pub(crate) fn dispatcher(&self) -> MutexGuard<'_, Dispatcher> {
         self.dispatcher.lock().unwrap_or_else(PoisonError::into_inner)
