Let changes of the servers gather where many hosts watch

Cause: every order changes a server's entry, and each change ends the waiting watch of every host.

Change: two hosts by rendezvous and the lease's holder ask again at once; the others after 40 ms for each host beyond 8, at most 0.6 of the time to drain. That an entry has gone is told to peers as a leaving server is, by who was not told of it. A host counts as behind its peers only if it reads nothing new.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -169,6 +169,12 @@
         }
     }
 
+    /// Whether a server is known and not known to leave.
+    pub fn is_used(&self, id: &backend::Id) -> bool {
+        let server = self.fleet.index(id).and_then(|index| self.fleet.get(index));
+        server.is_some_and(|server| server.state == routed::State::Ready)
+    }
+
     /// A server takes nothing new.
     pub fn draining(&mut self, id: &backend::Id) {
         if let Some(index) = self.fleet.index(id) {
--- /dev/null
+++ b/crates/policy/src/follow.rs
@@ -0,0 +1,62 @@
+//! How often a host asks the store after changes of what changes all the time.
+//!
+//! A watch that is asked again after each change costs a call for each change and host. So only a
+//! few hosts, the scouts, ask again at once and tell the others what can't wait. Every other host
+//! lets changes gather between two calls, longer the more hosts there are, so that the calls of all
+//! of them together stay as many; and never so long that it would miss the time in which it has to
+//! know by itself, whatever the scouts tell.
+
+use types::prelude::*;
+
+use crate::member::rendezvous;
+
+/// Hosts that ask again at once, beside the holder of the lease on orders.
+pub const SCOUTS: usize = 2;
+
+/// Hosts whose calls are few however often they ask.
+pub const FEW: usize = 8;
+
+/// Pause for each host beyond these.
+pub const EACH: Duration = Duration::from_millis(40);
+
+/// Time from a host's start in which it does not know yet how many others there are, and the pause
+/// meanwhile.
+pub const STARTING: Duration = Duration::from_secs(3);
+const STARTING_PAUSE: Duration = Duration::from_millis(500);
+
+/// Part of the time in which a change must be known that may pass between two calls.
+pub const PART: f64 = 0.6;
+
+/// Key of the order in which hosts are scouts.
+const KEY: &[u8] = b"scout";
+
+/// What a host is to the others in following the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It asks again at once.
+    Scout,
+    /// It lets changes gather.
+    Follower,
+}
+
+/// The role of a host that holds no lease, among others that are in touch.
+pub fn role<'a>(own: &host::Id, others: impl Iterator<Item = &'a host::Id>) -> Role {
+    let rank = rendezvous::score(KEY, own);
+    let before = others.filter(|other| (rank, own) < (rendezvous::score(KEY, other), *other));
+    if before.take(SCOUTS).count() < SCOUTS { Role::Scout } else { Role::Follower }
+}
+
+/// Pause after an answer that comes `up` after the host's start, in a deployment of so many hosts,
+/// for changes that each host must know within `within` of their acknowledgement.
+pub fn pause(up: Moment, role: Role, hosts: usize, within: Duration) -> Duration {
+    if up < STARTING {
+        return STARTING_PAUSE.min(within.mul_f64(PART));
+    }
+    match role {
+        Role::Scout => Duration::ZERO,
+        Role::Follower => {
+            let hosts = u32::try_from(hosts.saturating_sub(FEW)).unwrap_or(u32::MAX);
+            EACH.saturating_mul(hosts).min(within.mul_f64(PART))
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dispatch;
 pub mod event;
 pub mod fleet;
+pub mod follow;
 pub mod lease;
 pub mod ledger;
 pub mod limit;
--- /dev/null
+++ b/crates/policy/tests/follow.rs
@@ -0,0 +1,70 @@
+//! How often hosts ask the store after changes.
+
+use std::time::Duration;
+
+use policy::follow::{self, Role};
+use rstest::rstest;
+use types::host;
+
+const DRAIN: Duration = Duration::from_secs(3);
+
+fn hosts(count: usize) -> Vec<host::Id> {
+    (0..count).map(|number| format!("host-{number}").into()).collect()
+}
+
+fn settled(role: Role, hosts: usize) -> Duration {
+    follow::pause(follow::STARTING, role, hosts, DRAIN)
+}
+
+fn roles(hosts: &[host::Id]) -> Vec<Role> {
+    let role = |own| follow::role(own, hosts.iter().filter(|other| *other != own));
+    hosts.iter().map(role).collect()
+}
+
+#[rstest]
+#[case(1, 1)]
+#[case(2, 2)]
+#[case(3, follow::SCOUTS)]
+#[case(350, follow::SCOUTS)]
+fn a_few_hosts_are_scouts_whatever_their_number(#[case] count: usize, #[case] scouts: usize) {
+    let roles = roles(&hosts(count));
+    assert_eq!(roles.iter().filter(|role| **role == Role::Scout).count(), scouts);
+}
+
+#[test]
+fn another_host_takes_a_lost_scouts_place_and_the_others_keep_theirs() {
+    let mut hosts = hosts(20);
+    let before = roles(&hosts);
+    let lost = before.iter().position(|role| *role == Role::Scout).unwrap();
+    hosts.remove(lost);
+    let after = roles(&hosts);
+    let mut before = before;
+    before.remove(lost);
+    let scouts = |roles: &[Role]| roles.iter().filter(|role| **role == Role::Scout).count();
+    assert_eq!((scouts(&before), scouts(&after)), (follow::SCOUTS - 1, follow::SCOUTS));
+    let kept = before.iter().zip(&after).filter(|(was, is)| **was == Role::Scout && was == is);
+    assert_eq!(kept.count(), follow::SCOUTS - 1);
+}
+
+#[test]
+fn few_hosts_ask_at_once() {
+    assert_eq!(settled(Role::Follower, follow::FEW), Duration::ZERO);
+}
+
+#[rstest]
+#[case(17)]
+#[case(82)]
+#[case(350)]
+fn followers_ask_in_time_and_seldom(#[case] count: usize) {
+    let pause = settled(Role::Follower, count);
+    assert!(pause < DRAIN);
+    let calls = count as f64 / pause.as_secs_f64();
+    assert!(calls < 200.0, "{calls} calls a second of all hosts");
+    assert_eq!(settled(Role::Scout, count), Duration::ZERO);
+}
+
+#[test]
+fn a_host_that_knows_no_other_yet_does_not_ask_at_each_registration() {
+    let alone = follow::pause(Duration::ZERO, Role::Scout, 1, DRAIN);
+    assert!(Duration::ZERO < alone && alone < DRAIN);
+}
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -45,7 +45,8 @@
     arrivals: BTreeMap<Demand, u64>,
     /// Peers' arrivals that the planner knows.
     heard: BTreeMap<Demand, u64>,
-    behind: Option<Moment>,
+    /// The last change known here when peers were first seen ahead of it, and when that was.
+    behind: Option<(Revision, Moment)>,
     wanted: HashMap<(model::Id, Option<adapter::Id>), Moment>,
     /// Sums over this host's requests for models: requests, prompt tokens, output tokens.
     sums: Work,
@@ -75,13 +76,25 @@
         is_due
     }
 
-    /// Whether peers have known a later change of the servers for some time.
-    fn is_behind(&mut self, revision: Revision, picture: &Picture, now: Moment) -> bool {
+    /// Whether peers have known a later change of the servers for so long, and nothing came here.
+    fn is_behind(
+        &mut self,
+        revision: Revision,
+        picture: &Picture,
+        patience: Duration,
+        now: Moment,
+    ) -> bool {
         if picture.store.revision <= revision {
             self.behind = None;
             return false;
         }
-        *self.behind.get_or_insert(now) + CUT <= now
+        match self.behind {
+            Some((known, since)) if known == revision => since + patience <= now,
+            Some(_) | None => {
+                self.behind = Some((revision, now));
+                false
+            }
+        }
     }
 
     /// What a peer's requests are likely to ask for, by this host's own.
@@ -285,7 +298,11 @@
         let from = Some(&ahead.member.id);
         fetch_declaration(shared, exchange, ahead.member.address, from, version).await;
     }
-    if !counts(shared, |counts| counts.is_behind(shared.revision(), picture, shared.now())) {
+    // A host whose store answers lets changes gather, and is behind its peers meanwhile.
+    let patience = CUT + if shared.is_shaken() { Duration::ZERO } else { shared.gather() };
+    let is_behind =
+        |counts: &mut Counts| counts.is_behind(shared.revision(), picture, patience, shared.now());
+    if !counts(shared, is_behind) {
         return;
     }
     if let Some(ahead) = picture.ahead_in_store(&shared.host.zone, shared.revision()).first()
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -96,6 +96,7 @@
         if self.runs_models(&server) {
             self.planner().server(&server, now);
         }
+        let was_used = self.dispatcher().is_used(&server.id);
         self.dispatcher().server(&server, now);
         if before != Some(server.state) {
             let standing = match server.state {
@@ -104,7 +105,8 @@
             };
             self.standing(&server, standing, from, "it is registered so");
         }
-        if before == Some(State::Ready) && server.state == State::Draining {
+        // Who was told by a peer doesn't tell it on.
+        if before == Some(State::Ready) && was_used && server.state == State::Draining {
             self.notify(Notice::Leaving { server: server.id.clone() });
         }
     }
@@ -116,6 +118,9 @@
         // A peer has waited itself before it tells of it.
         let is_told = matches!(from, Heard::Peer(_));
         if !is_ready || !self.is_shaken() || is_told {
+            if is_ready && !is_told && self.dispatcher().is_used(id) {
+                self.notify(Notice::Leaving { server: id.clone() });
+            }
             return self.gone(id, from, "it is no longer registered");
         }
         if self.directory().is_suspect(id) {
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -3,6 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use observe::story::Heard;
+use policy::{
+    fleet::Standing,
+    follow::{self, Role},
+};
 use tokio::time::sleep;
 
 use crate::{
@@ -86,7 +90,11 @@
                     shared.is_newest();
                 }
                 since = since.max(seen.revision);
+                let is_news = !seen.changes.is_empty();
                 seen.changes.into_iter().for_each(&take);
+                if is_news && kind == Kind::Server {
+                    sleep(shared.gather()).await;
+                }
             }
             Told::Compacted => return,
             told => {
@@ -97,3 +105,17 @@
         }
     }
 }
+
+impl Shared {
+    /// Time in which changes of the servers gather before this host asks for them again.
+    pub(crate) fn gather(&self) -> Duration {
+        let Some(exchange) = self.exchange() else { return Duration::ZERO };
+        let picture = exchange.fleet();
+        let live = picture.hosts.iter().filter(|seen| seen.standing == Standing::Live);
+        let role = match self.term().fence(self.now()) {
+            Some(_) => Role::Scout,
+            None => follow::role(&self.host.id, live.map(|seen| &seen.member.id)),
+        };
+        follow::pause(self.now(), role, picture.live, self.routed.drain)
+    }
+}
