Revert "Use kept connections in turn, but the freshest where a request may run only once"

The part for requests that may run only once, after resets of rested connections, may return by itself.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod event;
 pub mod fleet;
 pub mod follow;
-pub mod kept;
 pub mod lease;
 pub mod ledger;
 pub mod limit;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -7,10 +7,7 @@
 use http_body::Body;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use policy::{
-    dispatch::{NotRun, Ticket, Unclear, Unreachable},
-    kept::Runs,
-};
+use policy::dispatch::{NotRun, Ticket, Unclear, Unreachable};
 use tokio::{
     task::yield_now,
     time::{Instant, timeout},
@@ -23,7 +20,6 @@
     edge::{Answer, Ask, Onward, Run, Seal},
     fields,
     host::Shared,
-    pool::Rested,
 };
 
 /// Largest refusal that is read so that its connection is kept, in bytes.
@@ -127,28 +123,19 @@
 ) -> Result<Begun, Failed> {
     let held = &call.held;
     let mut flight = Flight::new(shared.clone(), server.clone());
-    let (mut connection, rested) = match kept(shared, server, call).await {
-        Some((connection, rested)) => (connection, Some(rested)),
-        None => {
-            let opened = connect::open(server.address).await;
-            (opened.map_err(|error| unreachable(&error))?, None)
-        }
+    let mut connection = match kept(shared, server).await {
+        Some(connection) => connection,
+        None => connect::open(server.address).await.map_err(|error| unreachable(&error))?,
     };
     call.trace.connected(flight.began.elapsed());
     shared.dispatcher().sent(held.ticket, shared.now());
     let request = request(shared, held, onward);
-    let began = Instant::now();
     let sent = connection.sender.try_send_request(request).await;
     let response = sent.map_err(|mut error| match error.take_message() {
         // A kept connection had ended before a byte of the request left.
         Some(_) => Failed::Unreachable(Unreachable::Closed),
         None if error.error().is_parse() => Failed::Unclear(Unclear::Garbled),
-        None => {
-            if let Some(rested) = rested {
-                shared.kept().broke(&server.service, rested, began.elapsed(), shared.now());
-            }
-            Failed::Unclear(Unclear::Cut)
-        }
+        None => Failed::Unclear(Unclear::Cut),
     })?;
     let (head, body) = response.into_parts();
     flight.reuse = reuse(&head, &connection);
@@ -184,18 +171,15 @@
 }
 
 /// A kept connection that is still good, as far as can be seen.
-async fn kept(shared: &Shared, server: &Server, call: &Call) -> Option<Rested> {
-    let runs = if call.may_repeat() { Runs::Again } else { Runs::Once };
-    loop {
-        let now = shared.now();
-        let pick = shared.kept().pick(&server.service, runs, now);
-        let (connection, rested) = shared.pool.take(now, &server.id, server.address, pick)?;
+async fn kept(shared: &Shared, server: &Server) -> Option<Connection> {
+    while let Some(connection) = shared.pool.take(shared.now(), &server.id, server.address) {
         // What has come meanwhile, an end or bytes that belong to no request, is seen first.
         yield_now().await;
         if connection.sender.is_ready() {
-            return Some((connection, rested));
+            return Some(connection);
         }
     }
+    None
 }
 
 /// Whether an answer's connection may take another request after it.
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -17,7 +17,6 @@
 };
 use policy::{
     dispatch::{self, Change as News, Dispatcher, Terms, Ticket, Verdict},
-    kept::Kept,
     place::{self, Planner},
     term::{self, Term},
 };
@@ -57,7 +56,6 @@
     pub(crate) declared: Mutex<Moment>,
     pub(crate) store: Store,
     pub(crate) pool: Pool,
-    kept: Mutex<Kept>,
     pub(crate) control: Control,
     /// Longest flight of an order.
     pub(crate) flight: Duration,
@@ -141,7 +139,6 @@
             clock,
             jumped: Arc::default(),
             pool: Pool::default(),
-            kept: Mutex::default(),
             closing: CancellationToken::new(),
             stop: CancellationToken::new(),
             declaration: ArcSwapOption::empty(),
@@ -219,11 +216,6 @@
         self.planner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// What is known of how servers keep connections.
-    pub(crate) fn kept(&self) -> MutexGuard<'_, Kept> {
-        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// The decisions on requests.
     pub(crate) fn dispatcher(&self) -> MutexGuard<'_, Dispatcher> {
         self.dispatcher.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -3,14 +3,8 @@
 //! The pool never sends anything by itself: a request that fails on a kept connection comes back
 //! to whoever decides whether it may be sent again.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    net::SocketAddr,
-    sync::Mutex,
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, sync::Mutex, time::Duration};
 
-use policy::kept::Pick;
 use types::prelude::*;
 
 use crate::connect::Connection;
@@ -28,17 +22,13 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
-    since: Moment,
     until: Moment,
 }
 
-/// A connection that was kept, and how long it rested.
-pub(crate) type Rested = (Connection, Duration);
-
 /// Idle connections by the run of the server that they lead to.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
-    idle: Mutex<HashMap<(backend::Id, SocketAddr), VecDeque<Idle>>>,
+    idle: Mutex<HashMap<(backend::Id, SocketAddr), Vec<Idle>>>,
 }
 
 impl Pool {
@@ -48,21 +38,15 @@
         now: Moment,
         server: &backend::Id,
         address: SocketAddr,
-        pick: Pick,
-    ) -> Option<Rested> {
+    ) -> Option<Connection> {
         let mut idle = self.idle.lock().ok()?;
         let kept = idle.get_mut(&(server.clone(), address))?;
-        kept.retain(|idle| now < idle.until && idle.connection.sender.is_ready());
-        let rested = |idle: &Idle| now.saturating_sub(idle.since);
-        let idle = match pick {
-            Pick::Longest => kept.pop_front(),
-            Pick::Least => kept.pop_back(),
-            Pick::Within(most) if kept.back().is_some_and(|idle| rested(idle) <= most) => {
-                kept.pop_back()
+        while let Some(Idle { connection, until }) = kept.pop() {
+            if now < until && connection.sender.is_ready() {
+                return Some(connection);
             }
-            Pick::Within(_) => None,
-        };
-        idle.map(|idle| (rested(&idle), idle)).map(|(rested, idle)| (idle.connection, rested))
+        }
+        None
     }
 
     /// Keeps a connection whose answer has come whole.
@@ -78,7 +62,7 @@
         let Ok(mut idle) = self.idle.lock() else { return };
         let kept = idle.entry((server.clone(), address)).or_default();
         if kept.len() < MOST {
-            kept.push_back(Idle { connection, since: now, until: now + kept_for });
+            kept.push(Idle { connection, until: now + kept_for });
         }
     }
 
