--- /dev/null
+++ b/crates/stage/examples/soak.rs
@@ -0,0 +1,81 @@
+//! Soaks hosts of a routed deployment under faults drawn from a seed, and judges what callers and
+//! servers saw. Real processes before stand-ins, loopback only. Ends with 1 if a promise broke.
+
+#![allow(clippy::print_stdout, reason = "a soak tells what it found")]
+
+use std::{error::Error, path::PathBuf, process::ExitCode, time::Duration};
+
+use clap::Parser;
+use standin::routed::soak::{Plan, Summary, run, schedule};
+use tabled::builder::Builder;
+
+/// Recovery is judged after the last fault by [`RECOVER`]; the rest is for the requests of then.
+const RECOVER: u64 = 12;
+const TAIL: u64 = RECOVER + 4;
+
+/// Soaks hosts of a routed deployment under faults.
+#[derive(Debug, Parser)]
+struct Flags {
+    /// Seeds, each a soak of its own.
+    #[arg(long, value_delimiter = ',', default_value = "1")]
+    seeds: Vec<u64>,
+    /// Seconds of each; under 24 there is no time to see recovery.
+    #[arg(long, default_value_t = 60, value_parser = clap::value_parser!(u64).range(5..=3_600))]
+    seconds: u64,
+    /// Hosts.
+    #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u8).range(1..=16))]
+    hosts: u8,
+    /// The host's program.
+    #[arg(long, default_value = "target/release/cyclamenstage")]
+    program: PathBuf,
+    /// Folder for the hosts' settings and logs, by seed.
+    #[arg(long, default_value = "target/soak")]
+    folder: PathBuf,
+    /// Prints the schedules and does nothing.
+    #[arg(long)]
+    dry: bool,
+}
+
+#[tokio::main(worker_threads = 2)]
+async fn main() -> Result<ExitCode, Box<dyn Error + Send + Sync>> {
+    let flags = Flags::parse();
+    let length = Duration::from_secs(flags.seconds);
+    let tail = if flags.seconds < TAIL + 8 { length / 4 } else { Duration::from_secs(TAIL) };
+    let mut broken = 0;
+    for seed in &flags.seeds {
+        let schedule = schedule::draw(*seed, flags.hosts.into(), length, tail);
+        if flags.dry {
+            println!("{}", serde_json::to_string(&schedule)?);
+            continue;
+        }
+        let folder = flags.folder.join(format!("seed-{seed}"));
+        std::fs::create_dir_all(&folder)?;
+        let (program, hosts) = (&*flags.program, flags.hosts.into());
+        let plan = Plan { program, folder: &folder, seed: *seed, hosts, length, schedule };
+        let summary = run(&plan).await?;
+        println!("{}", serde_json::to_string(&summary)?);
+        println!("{}", table(&summary));
+        broken += summary.breaches.len();
+    }
+    Ok(if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn table(summary: &Summary) -> String {
+    let mut table = Builder::default();
+    table.push_record(["seed", "requests", "outcome", "number"]);
+    for (kind, outcomes) in &summary.requests {
+        for (outcome, number) in outcomes {
+            let number = number.to_string();
+            table.push_record([&summary.seed.to_string(), kind, outcome, &number]);
+        }
+    }
+    let mut text = table.build().to_string();
+    for breach in &summary.breaches {
+        let (at, id) = (breach.at.as_secs_f64(), breach.request.as_deref().unwrap_or("-"));
+        text += &format!(
+            "\nbroken: {:?} seed {} at {at:.3} s, request {id}: {}",
+            breach.promise, summary.seed, breach.what
+        );
+    }
+    text + &format!("\nseed {}: {} broken", summary.seed, summary.breaches.len())
+}
--- a/crates/standin/src/routed.rs
+++ b/crates/standin/src/routed.rs
@@ -6,6 +6,7 @@
 pub mod host;
 pub mod server;
 pub mod site;
+pub mod soak;
 pub mod store;
 
 mod wire;
--- a/crates/standin/src/routed/server.rs
+++ b/crates/standin/src/routed/server.rs
@@ -103,10 +103,24 @@
     pub headers: http::HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// When the request came to the server.
+    pub came: Instant,
     /// When it began.
     pub began: Instant,
+    /// The fault that it met.
+    pub fault: Option<Fault>,
     /// How it ended.
     pub ending: Option<Ending>,
+    /// When it ended.
+    pub ended: Option<Instant>,
+}
+
+impl Run {
+    fn end(&mut self, ending: Ending) {
+        if self.ending.is_none() {
+            (self.ending, self.ended) = (Some(ending), Some(Instant::now()));
+        }
+    }
 }
 
 /// How a run ended.
@@ -186,6 +200,11 @@
         &self.shared.settings.id
     }
 
+    /// The service that it belongs to.
+    pub fn service(&self) -> &service::Id {
+        &self.shared.settings.service
+    }
+
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
         self.listener.address
@@ -292,9 +311,7 @@
 
     /// Ends the server, with every run.
     fn crash(&self) {
-        for run in lock(&self.runs).iter_mut().filter(|run| run.ending.is_none()) {
-            run.ending = Some(Ending::Crashed);
-        }
+        lock(&self.runs).iter_mut().for_each(|run| run.end(Ending::Crashed));
         if let Some(end) = lock(&self.end).take() {
             end.abort();
         }
--- a/crates/standin/src/routed/server/serving.rs
+++ b/crates/standin/src/routed/server/serving.rs
@@ -78,25 +78,25 @@
     connection: &mut Connection,
     order: far::Order,
 ) -> io::Result<After> {
-    let fault = lock(&shared.script).orders.pop_front();
+    let (came, fault) = (Instant::now(), lock(&shared.script).orders.pop_front());
     if let Some(OrderFault::Late(late)) = fault {
         let shared = shared.clone();
         tokio::spawn(async move {
             sleep(late).await;
-            carry_out(&shared, &order);
+            carry_out(&shared, &order, came);
         });
         connection.closed().await;
         return Ok(After::Close);
     }
-    let outcome = carry_out(shared, &order);
+    let outcome = carry_out(shared, &order, came);
     if fault == Some(OrderFault::Lost) {
         return Ok(After::Close);
     }
     connection.write(&far::ordered(outcome)).await.map(|()| After::Keep)
 }
 
-fn carry_out(shared: &Arc<Shared>, order: &far::Order) -> Ordered {
-    let (outcome, coming) = shared.stock().order(order);
+fn carry_out(shared: &Arc<Shared>, order: &far::Order, came: Instant) -> Ordered {
+    let (outcome, coming) = shared.stock().order(order, came);
     shared.register();
     if shared.stock().overload.is_some() {
         shared.crash();
@@ -183,6 +183,7 @@
     body: Bytes,
     stale: &mut Stale,
 ) -> io::Result<After> {
+    let came = Instant::now();
     let Some(id) = asked.id.clone() else {
         return not_run(shared, connection, &head, StatusCode::BAD_REQUEST).await;
     };
@@ -206,23 +207,29 @@
     if let Some(stale) = stale.take() {
         connection.write_raw(&stale).await?;
     }
-    let run = begin(shared, asked, head, body);
+    let run = begin(shared, asked, head, body, Met { came, fault });
     let work = Work { shared, run, id, fault, connection };
     let (ending, after) = work.answer(stale).await;
     finish(shared, run, ending);
     Ok(after)
 }
 
-fn begin(shared: &Shared, asked: Asked, head: Parts, body: Bytes) -> usize {
+/// What a request met before it ran.
+struct Met {
+    came: Instant,
+    fault: Option<Fault>,
+}
+
+fn begin(shared: &Shared, asked: Asked, head: Parts, body: Bytes, met: Met) -> usize {
     let path = head.uri.path_and_query().map_or("", |path| path.as_str()).to_owned();
     let (method, headers) = (head.method, head.headers);
     let began = Instant::now();
     let mut runs = lock(&shared.runs);
-    runs.push(Run { asked, method, path, headers, body, began, ending: None });
+    let (Met { came, fault }, ending, ended) = (met, None, None);
+    runs.push(Run { asked, method, path, headers, body, came, began, fault, ending, ended });
     runs.len() - 1
 }
 
 fn finish(shared: &Shared, run: usize, ending: Ending) {
-    let ended = &mut lock(&shared.runs)[run].ending;
-    *ended = ended.or(Some(ending));
+    lock(&shared.runs)[run].end(ending);
 }
--- a/crates/standin/src/routed/server/stock.rs
+++ b/crates/standin/src/routed/server/stock.rs
@@ -23,6 +23,8 @@
     pub order: Order,
     /// What the server made of it when it was judged.
     pub outcome: Ordered,
+    /// When it came.
+    pub came: Instant,
     /// When it was judged.
     pub at: Instant,
 }
@@ -95,7 +97,7 @@
     }
 
     /// Judges an order and takes it in; a load that is accepted is complete at [`Stock::finish`].
-    pub(super) fn order(&mut self, order: &Order) -> (Ordered, Option<Coming>) {
+    pub(super) fn order(&mut self, order: &Order, came: Instant) -> (Ordered, Option<Coming>) {
         let outcome = self.judge(order);
         let mut coming = None;
         if outcome == Ordered::Accepted {
@@ -104,7 +106,7 @@
         // An adapter is unloaded at once, which is told like what holds already.
         let is_done = outcome == Ordered::Accepted && coming.is_none();
         let outcome = if is_done && order.adapter.is_some() { Ordered::Holds } else { outcome };
-        self.given.push(Given { order: order.clone(), outcome, at: Instant::now() });
+        self.given.push(Given { order: order.clone(), outcome, came, at: Instant::now() });
         (outcome, coming)
     }
 
--- a/crates/standin/src/routed/site.rs
+++ b/crates/standin/src/routed/site.rs
@@ -93,12 +93,17 @@
         self.servers.iter().for_each(|server| server.script(&change));
     }
 
-    /// Takes a server's registration away for good.
-    pub fn forget(&mut self, id: &str) {
+    /// Lets a server's registration be as it is for good.
+    pub fn silence(&self, id: &str) {
         let place = self.servers.iter().position(|server| **server.id() == *id);
         if let Some(place) = place {
             self.registering[place].abort();
         }
+    }
+
+    /// Takes a server's registration away for good.
+    pub fn forget(&mut self, id: &str) {
+        self.silence(id);
         self.store.remove(&far::kind(Kind::Server), id);
     }
 
@@ -142,7 +147,9 @@
     /// The hosts.
     pub hosts: Vec<Host>,
     program: PathBuf,
-    folder: TempDir,
+    folder: PathBuf,
+    /// Removes the folder when dropped, if it is the site's own.
+    own: Option<TempDir>,
     runs: usize,
 }
 
@@ -153,8 +160,16 @@
     ///
     /// If a folder for settings and logs can't be made.
     pub fn new(program: &Path, backend: Backend) -> io::Result<Site> {
-        let (program, folder) = (program.to_owned(), TempDir::new()?);
-        Ok(Site { backend, hosts: Vec::new(), program, folder, runs: 0 })
+        let own = TempDir::new()?;
+        let mut site = Site::in_folder(program, backend, own.path());
+        site.own = Some(own);
+        Ok(site)
+    }
+
+    /// A site that has no hosts yet, and keeps its settings and logs in a folder.
+    pub fn in_folder(program: &Path, backend: Backend, folder: &Path) -> Site {
+        let (program, folder) = (program.to_owned(), folder.to_owned());
+        Site { backend, hosts: Vec::new(), program, folder, own: None, runs: 0 }
     }
 
     /// Starts another host, with a door of its own at the store and settings as `change` leaves
@@ -173,12 +188,30 @@
         let peers: Vec<SocketAddr> = self.hosts.iter().filter_map(Host::peers).collect();
         let mut settings = settings(&name, place, door, &peers);
         change(&mut settings);
-        self.runs += 1;
-        let host = Host::start(&self.program, self.folder.path(), self.runs, settings).await?;
+        let host = self.start(settings).await?;
         self.hosts.push(host);
         Ok(&self.hosts[place])
     }
 
+    /// Starts a host that has ended once more, with the settings of its last start.
+    ///
+    /// # Errors
+    ///
+    /// If its settings can't be read or its process can't start.
+    pub async fn restart(&mut self, place: usize) -> io::Result<&Host> {
+        let text = std::fs::read_to_string(self.hosts[place].settings())?;
+        let mut settings: Value = serde_json::from_str(&text).map_err(io::Error::other)?;
+        // Each start has a log of its own.
+        settings["log"] = Value::Null;
+        self.hosts[place] = self.start(settings).await?;
+        Ok(&self.hosts[place])
+    }
+
+    async fn start(&mut self, settings: Value) -> io::Result<Host> {
+        self.runs += 1;
+        Host::start(&self.program, &self.folder, self.runs, settings).await
+    }
+
     /// Waits until all hosts have seen what the store holds now.
     ///
     /// A mark of its own is written among the servers; a watch that has seen it is followed by
--- /dev/null
+++ b/crates/standin/src/routed/soak/judge.rs
@@ -0,0 +1,363 @@
+//! Judges the record of a soak by the users' promises.
+
+mod declared;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use http::StatusCode;
+use serde::Serialize;
+use serde_json::Value;
+use types::routed::Kind;
+
+use super::record::{Answer, Order, Outcome, Place, Record, Request, Run, Span};
+
+/// Time that a run may go on at a server after its request went elsewhere.
+const OVERLAP: Duration = Duration::from_millis(400);
+
+/// What the stand-ins' own clockwork may cost.
+const SLACK: Duration = Duration::from_millis(150);
+
+/// Connections that a host may lose by chance.
+const LOST: usize = 3;
+
+/// Fewest requests after the last fault from which recovery is judged.
+const ENOUGH: usize = 20;
+
+/// A promise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum Promise {
+    /// What isn't idempotent runs at most once, and a stream at one server at a time.
+    Twice,
+    /// What is refused never runs.
+    Refused,
+    /// Each caller gets its own answer, and whole.
+    Mixed,
+    /// What runs was asked for.
+    Unasked,
+    /// Streams are whole and in order.
+    Order,
+    /// A leaving server gets nothing new.
+    Drain,
+    /// One host at a time gives orders.
+    One,
+    /// No server is ordered to hold more than it can.
+    Limit,
+    /// Declarations come into force in time and never go back.
+    Config,
+    /// Planned stops cut nothing, nor does calm.
+    Lost,
+    /// Requests are served after the last fault.
+    Recover,
+    /// No process ends by itself.
+    Fault,
+}
+
+/// A broken promise.
+#[derive(Clone, Debug, Serialize)]
+pub struct Breach {
+    /// The promise.
+    pub promise: Promise,
+    /// The request, if it is one's.
+    pub request: Option<String>,
+    /// When, since the start.
+    pub at: Duration,
+    /// What was seen.
+    pub what: String,
+}
+
+/// Every promise that was broken, by time.
+pub fn judge(record: &Record) -> Vec<Breach> {
+    let judge = Judge::new(record);
+    let mut breaches = Vec::new();
+    for request in &record.requests {
+        breaches.extend(judge.request(request));
+    }
+    breaches.extend(record.runs.iter().filter_map(|run| judge.run(run)));
+    breaches.extend(judge.orders());
+    breaches.extend(judge.declared());
+    breaches.extend(judge.lost_by_chance());
+    breaches.extend(judge.recovery());
+    let limit = |(server, at): &(String, Duration)| Breach {
+        promise: Promise::Limit,
+        request: None,
+        at: *at,
+        what: format!("{server} was ordered to hold more than it can"),
+    };
+    breaches.extend(record.overloads.iter().map(limit));
+    let end = record.requests.iter().map(|request| request.span.to).max().unwrap_or_default();
+    let dead = |host: &usize| Breach {
+        promise: Promise::Fault,
+        request: None,
+        at: end,
+        what: format!("host {host} ended by itself"),
+    };
+    breaches.extend(record.dead.iter().map(dead));
+    breaches.sort_by_key(|breach| breach.at);
+    breaches
+}
+
+struct Judge<'a> {
+    record: &'a Record,
+    requests: BTreeMap<&'a str, &'a Request>,
+    runs: BTreeMap<&'a str, Vec<&'a Run>>,
+}
+
+fn breach(promise: Promise, request: &Request, at: Duration, what: String) -> Breach {
+    Breach { promise, request: Some(request.id.clone()), at, what }
+}
+
+impl<'a> Judge<'a> {
+    fn new(record: &'a Record) -> Judge<'a> {
+        let requests = record.requests.iter().map(|request| (&*request.id, request)).collect();
+        let mut runs: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+        for run in &record.runs {
+            runs.entry(&run.id).or_default().push(run);
+        }
+        runs.values_mut().for_each(|runs| runs.sort_by_key(|run| run.came));
+        Judge { record, requests, runs }
+    }
+
+    fn runs(&self, request: &Request) -> &[&'a Run] {
+        self.runs.get(&*request.id).map_or(&[], Vec::as_slice)
+    }
+
+    /// What one request's own record breaks.
+    fn request(&self, request: &Request) -> Vec<Breach> {
+        let mut breaches = Vec::new();
+        breaches.extend(self.twice(request));
+        breaches.extend(self.cut(request));
+        if let Outcome::Answered(answer) = &request.outcome {
+            let found = self.answer(request, answer);
+            let told = |(promise, what)| breach(promise, request, request.span.to, what);
+            breaches.extend(found.map(told));
+        }
+        breaches
+    }
+
+    fn twice(&self, request: &Request) -> Option<Breach> {
+        let runs = self.runs(request);
+        let once = match request.kind {
+            Kind::Idempotent => return None,
+            Kind::NonIdempotent => true,
+            Kind::Stream => !request.resumable,
+        };
+        for pair in runs.windows(2) {
+            let [before, after] = pair else { continue };
+            let late = after.came + OVERLAP;
+            let span = Span { from: after.came, to: late };
+            let overlaps = before.ended.is_none_or(|ended| late < ended)
+                && self.record.in_touch(request.life.host, span);
+            if once || overlaps {
+                let what = format!("ran at {}, then at {}", before.server, after.server);
+                return Some(breach(Promise::Twice, request, after.came, what));
+            }
+        }
+        None
+    }
+
+    fn answer(&self, request: &Request, answer: &Answer) -> Option<(Promise, String)> {
+        let runs = self.runs(request);
+        if answer.id.as_ref().is_some_and(|id| *id != request.id) {
+            return Some((Promise::Mixed, format!("got the answer of {:?}", answer.id)));
+        }
+        const NOT_RUN: [StatusCode; 4] = [
+            StatusCode::REQUEST_TIMEOUT,
+            StatusCode::MISDIRECTED_REQUEST,
+            StatusCode::TOO_MANY_REQUESTS,
+            StatusCode::SERVICE_UNAVAILABLE,
+        ];
+        let is_once = request.kind != Kind::Idempotent;
+        if NOT_RUN.contains(&answer.status) && is_once && !runs.is_empty() {
+            let what = format!("{} though it ran at {}", answer.status, runs[0].server);
+            return Some((Promise::Refused, what));
+        }
+        let sealing = answer
+            .seal
+            .as_ref()
+            .map(|seal| runs.iter().find(|run| *seal == format!("{}.{}", run.server, run.id)));
+        if !answer.status.is_success() {
+            let given = sealing?.and_then(|run| run.failed);
+            let what = format!("{} under the seal of an answer of {given:?}", answer.status);
+            return (given != Some(answer.status)).then_some((Promise::Mixed, what));
+        }
+        match sealing {
+            None => return Some((Promise::Mixed, "a success without a seal".into())),
+            Some(None) => {
+                return Some((Promise::Mixed, format!("a stranger's seal: {:?}", answer.seal)));
+            }
+            Some(Some(run)) if run.failed.is_some() => {
+                return Some((Promise::Mixed, "a success where the server failed".into()));
+            }
+            Some(Some(_)) => {}
+        }
+        match request.kind {
+            Kind::Stream => self.stream(answer),
+            _ if !answer.whole => None,
+            _ => plain(request, answer),
+        }
+    }
+
+    /// A stream's events are those that follow each other from the first; the last has come if it
+    /// ends as complete.
+    fn stream(&self, answer: &Answer) -> Option<(Promise, String)> {
+        let text = String::from_utf8_lossy(&answer.body);
+        let mut expected = String::new();
+        let mut number = 0;
+        while expected.len() < text.len() {
+            number += 1;
+            expected += &format!("id: {number}\ndata: token {number}\n\n");
+        }
+        let last = self.record.bounds.events;
+        if expected != text && (answer.whole || !expected.starts_with(&*text)) {
+            return Some((Promise::Order, format!("the stream reads {text:?}")));
+        }
+        (answer.whole && number != last || last < number)
+            .then(|| (Promise::Order, format!("{number} events, of {last}")))
+    }
+
+    /// What a planned stop cut.
+    fn cut(&self, request: &Request) -> Option<Breach> {
+        let is_cut = match &request.outcome {
+            Outcome::Closed => true,
+            Outcome::Answered(answer) => !answer.whole,
+            Outcome::Unreached | Outcome::Left | Outcome::Late => false,
+        };
+        let bounds = &self.record.bounds;
+        let took = request.span.to - request.span.from;
+        if !is_cut || request.deadline <= took + SLACK {
+            return None;
+        }
+        let host = request.life.host;
+        let planned = self.record.troubles.iter().find(|trouble| {
+            trouble.place == Place::Planned(host) && trouble.span.meets(request.span)
+        })?;
+        let calm =
+            Span { from: request.span.from.saturating_sub(bounds.contact), to: request.span.to };
+        let runs = self.runs(request);
+        let is_harmed = |place: &Place| match place {
+            Place::Host(other) => *other == host,
+            Place::Server(server) => runs.iter().any(|run| run.server == *server),
+            Place::Planned(_) | Place::Store | Place::Door(_) => false,
+        };
+        let mut troubles = self.record.troubles.iter();
+        if troubles.any(|trouble| is_harmed(&trouble.place) && trouble.span.meets(calm)) {
+            return None;
+        }
+        let last_sixth = planned.span.from + bounds.grace * 5 / 6;
+        let is_at_work = |run: &Run| run.ended.is_none_or(|ended| last_sixth <= ended);
+        if runs.iter().any(|run| run.spoilt || is_at_work(run)) {
+            return None;
+        }
+        if runs.is_empty() && took < bounds.loss {
+            return None;
+        }
+        let what = format!("cut in host {host}'s {}", planned.what);
+        Some(breach(Promise::Lost, request, request.span.to, what))
+    }
+
+    /// What one run breaks.
+    fn run(&self, run: &Run) -> Option<Breach> {
+        let Some(request) = self.requests.get(&*run.id) else {
+            let what = format!("{} ran what nobody asked for", run.server);
+            let request = Some(run.id.clone());
+            return Some(Breach { promise: Promise::Unasked, request, at: run.came, what });
+        };
+        if (&run.path, run.body) != (&request.path, request.body) {
+            let what = format!("{} got {} and {} bytes", run.server, run.path, run.body);
+            return Some(breach(Promise::Unasked, request, run.came, what));
+        }
+        let leave = self.record.leaves.iter().find(|leave| leave.server == run.server)?;
+        let is_late = leave.at + self.record.bounds.drain + SLACK < run.came;
+        let span = Span { from: leave.at, to: run.came };
+        (is_late && self.record.in_touch(request.life.host, span)).then(|| {
+            let late = (run.came - leave.at).as_millis();
+            let what = format!(
+                "host {} sent it to {late} ms after {} left",
+                request.life.host, run.server
+            );
+            breach(Promise::Drain, request, run.came, what)
+        })
+    }
+
+    fn orders(&self) -> Vec<Breach> {
+        let orders = &self.record.orders;
+        let mut breaches = Vec::new();
+        let mut last: BTreeMap<&str, &Order> = BTreeMap::new();
+        let mut holders: BTreeMap<u64, &str> = BTreeMap::new();
+        for order in orders.iter().filter(|order| !self.is_thawing(order)) {
+            let holder = *holders.entry(order.fence).or_insert(&order.holder);
+            let before = last.insert(&order.server, order);
+            let what = match before {
+                _ if holder != order.holder => format!("{holder} has this fence too"),
+                Some(before) if order.fence < before.fence => format!("after {before:?}"),
+                Some(before) if before.holder == order.holder => continue,
+                Some(before) if order.came < before.came + self.record.bounds.turn => {
+                    format!("too soon after {before:?}")
+                }
+                _ => continue,
+            };
+            let what = format!("{order:?}: {what}");
+            breaches.push(Breach { promise: Promise::One, request: None, at: order.came, what });
+        }
+        breaches
+    }
+
+    /// Whether an order's sender had just been thawed.
+    fn is_thawing(&self, order: &Order) -> bool {
+        let host = self.record.hosts.iter().position(|host| *host == order.holder);
+        let since = order.came.saturating_sub(self.record.bounds.thaw);
+        self.record.troubles.iter().any(|trouble| {
+            host.is_some_and(|host| trouble.place == Place::Host(host))
+                && since <= trouble.span.to
+                && trouble.span.to <= order.came
+        })
+    }
+
+    /// Requests that hosts in touch passed on to sound servers and left without an answer.
+    fn lost_by_chance(&self) -> Vec<Breach> {
+        let lost = self.record.requests.iter().filter(|request| {
+            let is_sound =
+                |run: &&Run| !run.spoilt && self.record.is_sound(&run.server, request.span);
+            matches!(request.outcome, Outcome::Closed)
+                && self.record.in_touch(request.life.host, request.span)
+                && self.runs(request).last().is_some_and(is_sound)
+        });
+        let told = |request: &Request| {
+            let what = format!("host {} closed without an answer", request.life.host);
+            breach(Promise::Lost, request, request.span.to, what)
+        };
+        let lost: Vec<Breach> = lost.map(told).collect();
+        if lost.len() <= LOST { Vec::new() } else { lost }
+    }
+
+    fn recovery(&self) -> Option<Breach> {
+        let bounds = &self.record.bounds;
+        let last = self.record.troubles.iter().map(|trouble| trouble.span.to).max()?;
+        let from = last + bounds.recover;
+        let after = self.record.requests.iter().filter(|request| {
+            from <= request.span.from && !matches!(request.outcome, Outcome::Left)
+        });
+        let after: Vec<&Request> = after.collect();
+        let served = after.iter().filter(|request| is_served(request)).count();
+        let is_low = (served as f64) < bounds.recovered * after.len() as f64;
+        (ENOUGH <= after.len() && is_low).then(|| {
+            let what = format!("{served} of {} served after the last fault", after.len());
+            Breach { promise: Promise::Recover, request: None, at: from, what }
+        })
+    }
+}
+
+/// Whether a request's answer is a whole success.
+pub fn is_served(request: &Request) -> bool {
+    matches!(&request.outcome, Outcome::Answered(answer) if answer.whole && answer.status.is_success())
+}
+
+/// A plain server's body says what it answers.
+fn plain(request: &Request, answer: &Answer) -> Option<(Promise, String)> {
+    let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    let is_own = body["request"] == *request.id
+        && body["path"] == *request.path
+        && body["bytes"] == request.body;
+    (!is_own).then(|| (Promise::Mixed, format!("the body reads {:?}", answer.body)))
+}
--- /dev/null
+++ b/crates/standin/src/routed/soak/play.rs
@@ -0,0 +1,287 @@
+//! Makes the faults of a schedule, and notes when each was.
+
+use std::{
+    error::Error,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use nix::sys::signal::Signal;
+use relay::edge::Kind;
+use serde_json::Value;
+use tokio::time::{Instant, sleep_until};
+use types::routed::Declaration;
+
+use super::{
+    load::{Crowd, Seat},
+    record::{Bounds, Declared, Leave, Life, Place, Span, Trouble},
+    schedule::{Fault, Notice, Planned},
+    site,
+};
+use crate::routed::{
+    lock,
+    server::{OrderFault, Server},
+    site::Site,
+    store::Mood,
+};
+
+/// What the store's delay is while it is slow.
+const SLOW: Duration = Duration::from_millis(700);
+
+/// What a slow server takes for an answer, and between events.
+const DULL: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(250));
+
+/// How late a late order, or a late write, is carried out.
+const LATE: Duration = Duration::from_millis(900);
+
+/// The entry of a crashed server stays for so long.
+const STALE: Duration = Duration::from_millis(2_000);
+
+type Failed = Box<dyn Error + Send + Sync>;
+
+/// Makes the faults.
+#[derive(Debug)]
+pub(super) struct Player {
+    pub(super) site: Site,
+    pub(super) crowd: Arc<Crowd>,
+    pub(super) bounds: Bounds,
+    pub(super) declaration: Declaration,
+    pub(super) declared: Vec<Declared>,
+    pub(super) leaves: Vec<Leave>,
+    pub(super) troubles: Vec<Trouble>,
+    /// The id of the server at each place now, and how many there were before.
+    pub(super) servers: Vec<(String, usize)>,
+}
+
+/// One end of a fault.
+enum Step<'a> {
+    Begin(&'a Planned),
+    /// What its beginning noted.
+    End(&'a Planned),
+}
+
+impl Player {
+    /// Starts the server at a place.
+    pub(super) async fn serve(&mut self, place: usize) -> Result<(), Failed> {
+        let run = self.servers.get(place).map_or(0, |(_, run)| run + 1);
+        let server = self.site.backend.add(site::server(place, run)).await?;
+        site::calm(server, self.bounds.events);
+        let seat = (server.id().to_string(), run);
+        match self.servers.get_mut(place) {
+            Some(server) => *server = seat,
+            None => self.servers.push(seat),
+        }
+        Ok(())
+    }
+
+    /// Tells callers of a host that has started.
+    pub(super) fn seat(&mut self, place: usize) {
+        let host = &self.site.hosts[place];
+        let (callers, operators) = (host.callers(), host.operators());
+        let mut seats = lock(&self.crowd.seats);
+        let start = seats.get(place).map_or(0, |seat| seat.life.start + 1);
+        let life = Life { host: place, start };
+        let seat = Seat { life, callers, operators, is_ready: false };
+        match seats.get_mut(place) {
+            Some(old) => *old = seat,
+            None => seats.push(seat),
+        }
+    }
+
+    /// Writes a declaration into the store.
+    pub(super) fn declare(&mut self, declaration: Declaration) {
+        let (version, services) = (declaration.version, site::services(&declaration));
+        self.site.backend.declare(&declaration);
+        self.declared.push(Declared { version, at: self.now(), services });
+        self.declaration = declaration;
+    }
+
+    fn now(&self) -> Duration {
+        self.crowd.since(Instant::now())
+    }
+
+    /// Plays all faults to their ends.
+    pub(super) async fn play(
+        &mut self,
+        schedule: &[Planned],
+        began: Instant,
+    ) -> Result<(), Failed> {
+        let ends = schedule.iter().map(|planned| (planned.at + planned.lasts, Step::End(planned)));
+        let mut steps: Vec<(Duration, Step<'_>)> =
+            schedule.iter().map(|planned| (planned.at, Step::Begin(planned))).collect();
+        steps.extend(ends);
+        // A fault without a length ends after it has begun: the sort is stable.
+        steps.sort_by_key(|(at, _)| *at);
+        for (at, step) in steps {
+            sleep_until(began + at).await;
+            match step {
+                Step::Begin(planned) => self.begin(planned)?,
+                Step::End(planned) => self.end(planned).await?,
+            }
+        }
+        Ok(())
+    }
+
+    fn server(&self, place: usize) -> &Server {
+        self.site.backend.server(&self.servers[place].0)
+    }
+
+    /// Notes a fault that is as long as planned.
+    fn note(&mut self, place: Place, planned: &Planned) {
+        let from = self.now();
+        let span = Span { from, to: from + planned.lasts };
+        self.troubles.push(Trouble { place, what: format!("{:?}", planned.fault), span });
+    }
+
+    fn begin(&mut self, planned: &Planned) -> Result<(), Failed> {
+        let place = match planned.fault {
+            Fault::Kill(host) | Fault::Freeze(host) => Some(Place::Host(host)),
+            Fault::Stop(host) | Fault::Reload(host) => Some(Place::Planned(host)),
+            Fault::TurnAway(host, _) => Some(Place::Door(host)),
+            Fault::Crash(server)
+            | Fault::Leave(server, _)
+            | Fault::Grey(server, _)
+            | Fault::Dull(server) => Some(Place::Server(self.servers[server].0.clone())),
+            Fault::Down | Fault::Slow | Fault::Lost(_) | Fault::LateWrite | Fault::Compact => {
+                Some(Place::Store)
+            }
+            Fault::Orders(_) | Fault::Declare | Fault::Burst => None,
+        };
+        if let Some(place) = place {
+            self.note(place, planned);
+        }
+        self.make(planned.fault)
+    }
+
+    fn make(&mut self, fault: Fault) -> Result<(), Failed> {
+        let store = self.site.backend.store.clone();
+        match fault {
+            Fault::Kill(host) => self.site.hosts[host].kill(),
+            Fault::Stop(host) => self.site.hosts[host].signal(Signal::SIGTERM),
+            Fault::Freeze(host) => self.site.hosts[host].signal(Signal::SIGSTOP),
+            Fault::Reload(host) => self.reload(host)?,
+            Fault::Down => store.everywhere(|mood| mood.refusal = Some(super::DOWN)),
+            Fault::Slow => store.everywhere(|mood| mood.delay = SLOW),
+            Fault::Lost(answers) => store.everywhere(|mood| mood.lost = answers),
+            Fault::LateWrite => store.everywhere(|mood| mood.late = Some(LATE)),
+            Fault::Compact => store.compact(),
+            Fault::TurnAway(host, refusal) => {
+                store.at(&self.site.hosts[host].name, |mood| mood.refusal = Some(refusal));
+            }
+            Fault::Crash(server) => self.server(server).kill(),
+            Fault::Leave(server, notice) => {
+                let id = self.servers[server].0.clone();
+                match notice {
+                    Notice::Told => self.server(server).leave(None),
+                    Notice::Untold => self.site.backend.forget(&id),
+                }
+                let at = self.now();
+                self.leaves.push(Leave { server: id, at });
+            }
+            Fault::Grey(server, grey) => {
+                self.server(server).script(|script| script.always = Some(grey));
+            }
+            Fault::Dull(server) => {
+                self.server(server).script(|script| (script.work, script.pace) = DULL);
+            }
+            Fault::Orders(server) => self.server(server).script(|script| {
+                script.orders = [OrderFault::Lost, OrderFault::Late(LATE)].into();
+            }),
+            Fault::Declare => {
+                let next = site::next(&self.declaration);
+                let version = next.version;
+                self.declare(next);
+                lock(&self.crowd.versions).push(version);
+            }
+            Fault::Burst => self.crowd.is_burst.store(true, Ordering::Relaxed),
+        }
+        Ok(())
+    }
+
+    /// Changes what a host may use at once, and tells it.
+    fn reload(&mut self, host: usize) -> Result<(), Failed> {
+        let host = &self.site.hosts[host];
+        let mut settings: Value = serde_json::from_str(&std::fs::read_to_string(host.settings())?)?;
+        let extra = settings["routed"]["retry"]["extra"].as_u64().unwrap_or_default();
+        settings["routed"]["retry"]["extra"] = (extra + 1).into();
+        std::fs::write(host.settings(), settings.to_string())?;
+        host.signal(Signal::SIGHUP);
+        Ok(())
+    }
+
+    async fn end(&mut self, planned: &Planned) -> Result<(), Failed> {
+        let store = self.site.backend.store.clone();
+        match planned.fault {
+            Fault::Kill(host) | Fault::Stop(host) => self.restart(host, planned).await?,
+            Fault::Freeze(host) => {
+                self.site.hosts[host].signal(Signal::SIGCONT);
+                self.ends(&Place::Host(host));
+            }
+            Fault::Reload(host) => {
+                let apply = self.bounds.apply;
+                let last = self.troubles.iter_mut().rfind(|t| t.place == Place::Planned(host));
+                last.into_iter().for_each(|trouble| trouble.span.to += apply);
+            }
+            Fault::Down | Fault::Slow | Fault::Lost(_) | Fault::LateWrite | Fault::Compact => {
+                store.everywhere(|mood| {
+                    let Mood { refusal, delay, lost, late } = Mood::default();
+                    (mood.lost, mood.late, mood.delay) = (lost, late, delay);
+                    if mood.refusal == Some(super::DOWN) {
+                        mood.refusal = refusal;
+                    }
+                });
+                self.ends(&Place::Store);
+            }
+            Fault::TurnAway(host, _) => {
+                store.at(&self.site.hosts[host].name, |mood| mood.refusal = None);
+                self.ends(&Place::Door(host));
+            }
+            Fault::Crash(server) | Fault::Leave(server, _) => self.replace(server).await?,
+            Fault::Grey(server, _) | Fault::Dull(server) => {
+                site::calm(self.server(server), self.bounds.events);
+                self.ends(&Place::Server(self.servers[server].0.clone()));
+            }
+            Fault::Burst => self.crowd.is_burst.store(false, Ordering::Relaxed),
+            Fault::Orders(_) | Fault::Declare => {}
+        }
+        Ok(())
+    }
+
+    /// Notes that the last trouble of a place ends now.
+    fn ends(&mut self, place: &Place) {
+        let now = self.now();
+        let last = self.troubles.iter_mut().rfind(|trouble| trouble.place == *place);
+        last.into_iter().for_each(|trouble| trouble.span.to = now);
+    }
+
+    async fn restart(&mut self, host: usize, planned: &Planned) -> Result<(), Failed> {
+        if matches!(planned.fault, Fault::Stop(_)) {
+            // It has ended by itself, or is taken away as the platform does it.
+            self.site.hosts[host].kill();
+        }
+        self.ends(&Place::Host(host));
+        self.ends(&Place::Planned(host));
+        let from = self.now();
+        self.site.restart(host).await?;
+        self.seat(host);
+        // A machine that starts isn't in touch.
+        let span = Span { from, to: self.now() };
+        self.troubles.push(Trouble { place: Place::Host(host), what: "start".into(), span });
+        Ok(())
+    }
+
+    /// A server of the same service comes in a server's place.
+    async fn replace(&mut self, place: usize) -> Result<(), Failed> {
+        let old = self.servers[place].0.clone();
+        self.server(place).kill();
+        self.ends(&Place::Server(old.clone()));
+        // Nothing is heard of it, and its entry goes a little later.
+        self.site.backend.silence(&old);
+        let store = self.site.backend.store.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(STALE).await;
+            store.remove(&platform::far::store::kind(Kind::Server), &old);
+        });
+        self.serve(place).await
+    }
+}
--- /dev/null
+++ b/crates/standin/src/routed/soak/schedule.rs
@@ -0,0 +1,199 @@
+//! The faults of a soak, drawn from its seed alone.
+
+use std::{collections::HashMap, hash::Hash, time::Duration};
+
+use http::StatusCode;
+use rand::{RngExt, SeedableRng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+
+use super::site::SERVERS;
+use crate::routed::{server::Fault as Grey, store::Refusal};
+
+/// Calm before the first fault.
+const BEFORE: Duration = Duration::from_secs(4);
+
+/// Between the beginnings of two faults, in ms.
+const BETWEEN: std::ops::Range<u64> = 900..3_200;
+
+/// Rest of whatever was in trouble, beyond the fault itself.
+const REST: Duration = Duration::from_secs(4);
+
+/// From SIGTERM until the host is started anew.
+pub const STOP: Duration = Duration::from_secs(10);
+
+/// From a server's leave to its end, which is later than any host may still use it.
+pub const LEAVE: Duration = Duration::from_millis(4_500);
+
+/// A fault and when it begins.
+#[derive(Clone, Debug, Serialize)]
+pub struct Planned {
+    /// When, since the start.
+    pub at: Duration,
+    /// How long it lasts; what is restarted is back then.
+    pub lasts: Duration,
+    /// What.
+    pub fault: Fault,
+}
+
+/// What is done. Hosts and servers are named by their place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Fault {
+    /// A host is killed.
+    Kill(usize),
+    /// A host gets SIGTERM.
+    Stop(usize),
+    /// A host is frozen, and goes on.
+    Freeze(usize),
+    /// A host's settings change, and it gets SIGHUP.
+    Reload(usize),
+    /// The store turns all away.
+    Down,
+    /// The store is slow.
+    Slow,
+    /// Answers to writes are lost at all doors, this many each.
+    Lost(u32),
+    /// The next write at each door is carried out late.
+    LateWrite,
+    /// The store forgets its history.
+    Compact,
+    /// The store turns one host away.
+    TurnAway(usize, #[serde(skip)] Refusal),
+    /// A server crashes, and another one comes in its place.
+    Crash(usize),
+    /// A server leaves; whether it says so first.
+    Leave(usize, Notice),
+    /// All requests to a server meet a fault.
+    Grey(usize, #[serde(serialize_with = "debug")] Grey),
+    /// A server is slow.
+    Dull(usize),
+    /// Orders to a server are lost, or judged late.
+    Orders(usize),
+    /// A new declaration.
+    Declare,
+    /// Callers press.
+    Burst,
+}
+
+/// Whether a leaving server says so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Notice {
+    /// It says that it drains.
+    Told,
+    /// Its entry goes.
+    Untold,
+}
+
+fn debug<S: serde::Serializer>(fault: &Grey, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_str(&format!("{fault:?}"))
+}
+
+/// What can be in one trouble at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Thing {
+    Host(usize),
+    Store,
+    Server(usize),
+    Callers,
+}
+
+const REFUSALS: [Refusal; 4] = [Refusal::Down, Refusal::TooMany, Refusal::Reset, Refusal::Silence];
+
+const GREYS: [Grey; 13] = [
+    Grey::Failed(StatusCode::INTERNAL_SERVER_ERROR),
+    Grey::NotRun(StatusCode::SERVICE_UNAVAILABLE),
+    Grey::Silent,
+    Grey::Lost,
+    Grey::Unsealed,
+    Grey::OtherId,
+    Grey::Truncated,
+    Grey::UnframedReset,
+    Grey::Garbled,
+    Grey::Doubled,
+    Grey::DoubledLate,
+    Grey::Broken { events: 3 },
+    Grey::Stalled { events: 3 },
+];
+
+/// Draws the faults for some hosts and a length. The last ones end early enough for recovery to be
+/// seen, if the soak is long enough for that.
+pub fn draw(seed: u64, hosts: usize, length: Duration, tail: Duration) -> Vec<Planned> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut free: HashMap<Thing, Duration> = HashMap::new();
+    let mut planned = Vec::new();
+    let mut at = BEFORE.min(length / 4);
+    let end = length.saturating_sub(tail);
+    while at < end {
+        let fault = pick(&mut random, hosts);
+        let lasts = lasts(&mut random, fault);
+        let (thing, most) = bounds(fault, hosts);
+        let out = free.iter().filter(|(other, until)| same(**other, thing) && at < **until);
+        let is_free = free.get(&thing).is_none_or(|until| *until <= at) && out.count() < most;
+        if is_free && at + lasts <= end {
+            free.insert(thing, at + lasts + REST);
+            planned.push(Planned { at, lasts, fault });
+        }
+        at += Duration::from_millis(random.random_range(BETWEEN));
+    }
+    planned
+}
+
+fn pick(random: &mut ChaCha8Rng, hosts: usize) -> Fault {
+    let (host, server) = (random.random_range(0..hosts), random.random_range(0..SERVERS.len()));
+    let grey = GREYS.choose(random).copied().unwrap_or(Grey::Lost);
+    let refusal = REFUSALS.choose(random).copied().unwrap_or(Refusal::Down);
+    match random.random_range(0..20) {
+        0 => Fault::Kill(host),
+        1 | 2 => Fault::Stop(host),
+        3 => Fault::Freeze(host),
+        4 => Fault::Reload(host),
+        5 => Fault::Down,
+        6 => Fault::Slow,
+        7 => Fault::Lost(random.random_range(1..4)),
+        8 => Fault::LateWrite,
+        9 => Fault::Compact,
+        10 => Fault::TurnAway(host, refusal),
+        11 => Fault::Crash(server),
+        12 => Fault::Leave(server, Notice::Told),
+        13 => Fault::Leave(server, Notice::Untold),
+        14 | 15 => Fault::Grey(server, grey),
+        16 => Fault::Dull(server),
+        17 => Fault::Orders(server),
+        18 => Fault::Declare,
+        _ => Fault::Burst,
+    }
+}
+
+fn lasts(random: &mut ChaCha8Rng, fault: Fault) -> Duration {
+    match fault {
+        Fault::Stop(_) => STOP,
+        Fault::Leave(..) => LEAVE,
+        Fault::Reload(_) | Fault::Compact | Fault::Declare => Duration::ZERO,
+        Fault::Orders(_) | Fault::LateWrite => Duration::from_secs(2),
+        _ => Duration::from_millis(random.random_range(800..3_500)),
+    }
+}
+
+/// What a fault troubles, and how many such things may be in trouble at once.
+fn bounds(fault: Fault, hosts: usize) -> (Thing, usize) {
+    match fault {
+        Fault::Kill(host)
+        | Fault::Stop(host)
+        | Fault::Freeze(host)
+        | Fault::Reload(host)
+        | Fault::TurnAway(host, _) => (Thing::Host(host), hosts / 2),
+        Fault::Down | Fault::Slow | Fault::Lost(_) | Fault::LateWrite | Fault::Compact => {
+            (Thing::Store, 1)
+        }
+        Fault::Crash(server)
+        | Fault::Leave(server, _)
+        | Fault::Grey(server, _)
+        | Fault::Dull(server)
+        | Fault::Orders(server) => (Thing::Server(server), 2),
+        Fault::Declare | Fault::Burst => (Thing::Callers, 1),
+    }
+}
+
+fn same(one: Thing, other: Thing) -> bool {
+    std::mem::discriminant(&one) == std::mem::discriminant(&other)
+}
--- /dev/null
+++ b/crates/standin/tests/soak_judge.rs
@@ -0,0 +1,276 @@
+//! The judge of a soak: each promise, broken by a made-up record, and kept by its neighbour.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use http::StatusCode;
+use rstest::rstest;
+use standin::routed::soak::{
+    judge::{Promise, judge},
+    record::{
+        Answer, Declared, Leave, Life, Order, Outcome, Place, Record, Request, Run, Span, Trouble,
+    },
+    schedule,
+};
+use types::routed::Kind;
+
+const LIFE: Life = Life { host: 0, start: 0 };
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn span(from: u64, to: u64) -> Span {
+    Span { from: ms(from), to: ms(to) }
+}
+
+fn answer(status: StatusCode, seal: Option<&str>, body: &str) -> Outcome {
+    let (id, seal) = (Some("r1".into()), seal.map(str::to_owned));
+    Outcome::Answered(Answer { status, id, seal, body: body.to_owned().into(), whole: true })
+}
+
+fn events(last: u64) -> String {
+    (1..=last).map(|number| format!("id: {number}\ndata: token {number}\n\n")).collect()
+}
+
+/// A request of 10 s after the start, which host 0 passed to `app-1` and answered well.
+fn served(kind: Kind) -> Record {
+    let body = match kind {
+        Kind::Stream => events(10),
+        _ => r#"{"server":"app-1","request":"r1","path":"/pages/x","bytes":0}"#.into(),
+    };
+    let request = Request {
+        id: "r1".into(),
+        kind,
+        resumable: false,
+        path: "/pages/x".into(),
+        body: 0,
+        life: LIFE,
+        span: span(10_000, 10_100),
+        deadline: ms(4_000),
+        outcome: answer(StatusCode::OK, Some("app-1.r1"), &body),
+    };
+    let services = BTreeMap::from([("/pages/".to_owned(), ["app".to_owned()].into())]);
+    Record {
+        hosts: vec!["host-0".into(), "host-1".into()],
+        requests: vec![request],
+        runs: vec![run("app-1", 10_010, 10_090)],
+        declared: vec![Declared { version: 3, at: ms(0), services }],
+        ..Record::default()
+    }
+}
+
+fn run(server: &str, came: u64, ended: u64) -> Run {
+    Run {
+        id: "r1".into(),
+        server: server.into(),
+        service: "app".into(),
+        path: "/pages/x".into(),
+        body: 0,
+        came: ms(came),
+        ended: Some(ms(ended)),
+        failed: None,
+        spoilt: false,
+    }
+}
+
+fn outcome(record: &mut Record) -> &mut Outcome {
+    &mut record.requests[0].outcome
+}
+
+fn answered(record: &mut Record, change: impl FnOnce(&mut Answer)) {
+    if let Outcome::Answered(answer) = outcome(record) {
+        change(answer);
+    }
+}
+
+fn trouble(place: Place, from: u64, to: u64) -> Trouble {
+    Trouble { place, what: "fault".into(), span: span(from, to) }
+}
+
+fn order(holder: &str, fence: u64, came: u64) -> Order {
+    Order { server: "lm-1".into(), holder: holder.into(), fence, came: ms(came) }
+}
+
+fn orders(record: &mut Record, orders: [(&str, u64, u64); 2]) {
+    record.orders = orders.map(|(holder, fence, came)| order(holder, fence, came)).into();
+}
+
+/// A second version that moves the pages to another service.
+fn moved(record: &mut Record, at: u64) {
+    let services = BTreeMap::from([("/pages/".to_owned(), ["other".to_owned()].into())]);
+    record.declared.push(Declared { version: 5, at: ms(at), services });
+}
+
+/// An earlier request at the same host, which the second version decided.
+fn shown(record: &mut Record, came: u64) {
+    let mut before = record.requests[0].clone();
+    (before.id, before.outcome, before.span) = ("r0".into(), Outcome::Left, span(came, came));
+    record.requests.push(before);
+    let run = Run { id: "r0".into(), service: "other".into(), ..run("other-1", came, came) };
+    record.runs.push(run);
+}
+
+fn leave(record: &mut Record, at: u64) {
+    record.leaves.push(Leave { server: "app-1".into(), at: ms(at) });
+}
+
+/// Many requests after the last fault, some of them refused.
+fn recovers(record: &mut Record, refused: usize) {
+    record.troubles.push(trouble(Place::Host(1), 1_000, 2_000));
+    for number in 0..100 {
+        let mut request = record.requests[0].clone();
+        (request.id, request.span) = (format!("s{number}"), span(20_000, 20_100));
+        request.outcome = answer(StatusCode::SERVICE_UNAVAILABLE, None, "");
+        if refused <= number {
+            request.outcome = answer(StatusCode::OK, Some(&format!("app-1.s{number}")), "");
+            let text = format!(r#"{{"request":"s{number}","path":"/pages/x","bytes":0}}"#);
+            if let Outcome::Answered(answer) = &mut request.outcome {
+                answer.body = text.into();
+            }
+            record.runs.push(Run { id: request.id.clone(), ..run("app-1", 20_010, 20_020) });
+        }
+        if let Outcome::Answered(answer) = &mut request.outcome {
+            answer.id = Some(request.id.clone());
+        }
+        record.requests.push(request);
+    }
+}
+
+#[rstest]
+#[case::as_it_should(Kind::Idempotent, |_: &mut Record| {})]
+#[case::once(Kind::NonIdempotent, |_: &mut Record| {})]
+#[case::a_stream(Kind::Stream, |_: &mut Record| {})]
+#[case::two_runs_that_may_be(Kind::Idempotent, |r: &mut Record| r.runs.push(run("app-2", 10_010, 10_020)))]
+#[case::goes_on_after_the_first_has_ended(Kind::Stream, |r: &mut Record| {
+    r.requests[0].resumable = true;
+    r.runs.push(run("app-2", 10_095, 10_099));
+})]
+#[case::refused(Kind::NonIdempotent, |r: &mut Record| {
+    r.runs.clear();
+    *outcome(r) = answer(StatusCode::SERVICE_UNAVAILABLE, None, "");
+})]
+#[case::a_servers_own_failure(Kind::NonIdempotent, |r: &mut Record| {
+    r.runs[0].failed = Some(StatusCode::INTERNAL_SERVER_ERROR);
+    *outcome(r) = answer(StatusCode::INTERNAL_SERVER_ERROR, Some("app-1.r1"), "");
+})]
+#[case::cut_and_looks_so(Kind::Stream, |r: &mut Record| answered(r, |answer| {
+    (answer.body, answer.whole) = (events(4).into(), false);
+}))]
+#[case::within_the_drain_time(Kind::Idempotent, |r: &mut Record| leave(r, 8_500))]
+#[case::left_by_a_host_out_of_touch(Kind::Idempotent, |r: &mut Record| {
+    leave(r, 4_000);
+    r.troubles.push(trouble(Place::Store, 6_000, 7_000));
+})]
+#[case::hands_over(Kind::Idempotent, |r: &mut Record| orders(r, [("host-0", 4, 1_000), ("host-1", 5, 4_100)]))]
+#[case::just_declared(Kind::Idempotent, |r: &mut Record| moved(r, 9_000))]
+#[case::shown_at_the_same_moment(Kind::Idempotent, |r: &mut Record| {
+    moved(r, 9_000);
+    shown(r, 9_900);
+})]
+#[case::closed_before_it_was_passed_on(Kind::Idempotent, |r: &mut Record| {
+    r.runs.clear();
+    r.troubles.push(trouble(Place::Planned(0), 9_900, 18_900));
+    *outcome(r) = Outcome::Closed;
+})]
+#[case::killed(Kind::Idempotent, |r: &mut Record| {
+    r.troubles.push(trouble(Place::Host(0), 10_050, 12_000));
+    *outcome(r) = Outcome::Closed;
+})]
+#[case::recovers(Kind::Idempotent, |r: &mut Record| recovers(r, 9))]
+fn a_kept_promise_is_left_alone(#[case] kind: Kind, #[case] change: fn(&mut Record)) {
+    let mut record = served(kind);
+    change(&mut record);
+    assert!(judge(&record).is_empty(), "{:#?}", judge(&record));
+}
+
+#[rstest]
+#[case::run_twice(Kind::NonIdempotent, Promise::Twice, |r: &mut Record| r.runs.push(run("app-2", 10_095, 10_099)))]
+#[case::a_stream_run_twice(Kind::Stream, Promise::Twice, |r: &mut Record| r.runs.push(run("app-2", 10_095, 10_099)))]
+#[case::at_two_servers_at_once(Kind::Stream, Promise::Twice, |r: &mut Record| {
+    r.requests[0].resumable = true;
+    r.runs[0].ended = None;
+    r.runs.push(run("app-2", 10_020, 10_099));
+})]
+#[case::refused_and_run(Kind::NonIdempotent, Promise::Refused, |r: &mut Record| {
+    *outcome(r) = answer(StatusCode::SERVICE_UNAVAILABLE, None, "");
+})]
+#[case::anothers_answer(Kind::Idempotent, Promise::Mixed, |r: &mut Record| answered(r, |answer| answer.id = Some("r2".into())))]
+#[case::no_seal(Kind::Idempotent, Promise::Mixed, |r: &mut Record| answered(r, |answer| answer.seal = None))]
+#[case::a_strangers_seal(Kind::Idempotent, Promise::Mixed, |r: &mut Record| answered(r, |answer| answer.seal = Some("app-1.r2".into())))]
+#[case::half_a_body(Kind::Idempotent, Promise::Mixed, |r: &mut Record| answered(r, |answer| answer.body = answer.body.slice(..20)))]
+#[case::a_failure_made_well(Kind::Idempotent, Promise::Mixed, |r: &mut Record| {
+    r.runs[0].failed = Some(StatusCode::INTERNAL_SERVER_ERROR);
+})]
+#[case::another_failure(Kind::Idempotent, Promise::Mixed, |r: &mut Record| {
+    r.runs[0].failed = Some(StatusCode::INTERNAL_SERVER_ERROR);
+    answered(r, |answer| answer.status = StatusCode::BAD_GATEWAY);
+})]
+#[case::a_stranger(Kind::Idempotent, Promise::Unasked, |r: &mut Record| r.runs.push(Run { id: "r9".into(), ..run("app-1", 1, 2) }))]
+#[case::another_path(Kind::Idempotent, Promise::Unasked, |r: &mut Record| r.runs[0].path = "/pages/y".into())]
+#[case::an_event_missing(Kind::Stream, Promise::Order, |r: &mut Record| answered(r, |answer| {
+    answer.body = events(10).replace("id: 4\ndata: token 4\n\n", "").into();
+}))]
+#[case::an_event_twice(Kind::Stream, Promise::Order, |r: &mut Record| answered(r, |answer| {
+    (answer.body, answer.whole) = (format!("{}{}", events(4), events(1)).into(), false);
+}))]
+#[case::short(Kind::Stream, Promise::Order, |r: &mut Record| answered(r, |answer| answer.body = events(9).into()))]
+#[case::after_the_drain_time(Kind::Idempotent, Promise::Drain, |r: &mut Record| leave(r, 7_800))]
+#[case::two_holders_of_a_fence(Kind::Idempotent, Promise::One, |r: &mut Record| {
+    orders(r, [("host-0", 4, 1_000), ("host-1", 4, 5_000)]);
+})]
+#[case::a_fence_that_falls(Kind::Idempotent, Promise::One, |r: &mut Record| {
+    orders(r, [("host-0", 4, 1_000), ("host-1", 3, 5_000)]);
+})]
+#[case::turns_too_close(Kind::Idempotent, Promise::One, |r: &mut Record| {
+    orders(r, [("host-0", 4, 1_000), ("host-1", 5, 3_900)]);
+})]
+#[case::too_much(Kind::Idempotent, Promise::Limit, |r: &mut Record| r.overloads.push(("lm-1".into(), ms(7))))]
+#[case::late_in_force(Kind::Idempotent, Promise::Config, |r: &mut Record| moved(r, 7_900))]
+#[case::backwards(Kind::Idempotent, Promise::Config, |r: &mut Record| {
+    moved(r, 9_000);
+    shown(r, 9_700);
+})]
+#[case::never_declared(Kind::Idempotent, Promise::Config, |r: &mut Record| r.runs[0].service = "lm".into())]
+#[case::not_found(Kind::Idempotent, Promise::Config, |r: &mut Record| {
+    r.runs.clear();
+    *outcome(r) = answer(StatusCode::NOT_FOUND, None, "");
+})]
+#[case::cut_by_a_stop(Kind::NonIdempotent, Promise::Lost, |r: &mut Record| {
+    r.troubles.push(trouble(Place::Planned(0), 9_900, 18_900));
+    *outcome(r) = Outcome::Closed;
+})]
+#[case::an_answer_cut_by_a_stop(Kind::Stream, Promise::Lost, |r: &mut Record| {
+    r.troubles.push(trouble(Place::Planned(0), 9_900, 18_900));
+    answered(r, |answer| (answer.body, answer.whole) = (events(4).into(), false));
+})]
+#[case::lost_in_calm(Kind::Idempotent, Promise::Lost, |r: &mut Record| {
+    let (request, run) = (r.requests[0].clone(), r.runs[0].clone());
+    for number in 2..=5 {
+        let id = format!("r{number}");
+        r.requests.push(Request { id: id.clone(), outcome: Outcome::Closed, ..request.clone() });
+        r.runs.push(Run { id, ..run.clone() });
+    }
+})]
+#[case::does_not_recover(Kind::Idempotent, Promise::Recover, |r: &mut Record| recovers(r, 11))]
+#[case::ends_by_itself(Kind::Idempotent, Promise::Fault, |r: &mut Record| r.dead.push(1))]
+fn a_broken_promise_is_found(
+    #[case] kind: Kind,
+    #[case] promise: Promise,
+    #[case] change: fn(&mut Record),
+) {
+    let mut record = served(kind);
+    change(&mut record);
+    let breaches = judge(&record);
+    assert!(!breaches.is_empty(), "nothing found");
+    assert!(breaches.iter().all(|breach| breach.promise == promise), "{breaches:#?}");
+}
+
+#[test]
+fn a_schedule_is_its_seeds() {
+    let draw = |seed| {
+        let drawn = schedule::draw(seed, 4, Duration::from_secs(60), Duration::from_secs(16));
+        serde_json::to_string(&drawn).unwrap()
+    };
+    assert_eq!(draw(7), draw(7));
+    assert_ne!(draw(7), draw(8));
+}
