Keep a quarter of the log for plans, and tell what a wish waits for

Cause: lines of placements and orders shared the log's last quarter with all other beliefs, of which servers and hosts tell in rushes, and shared the queue with requests when nobody reads; what was dropped was not told apart.

Lines outside of any ceiling: the bound on a second stays.

Change: three classes, five, six and eight eighths of the ceiling and of the queue; dropped lines of plans are counted (`plans`, `log_dropped_plans_total`). After each plan `place::Wish` names what requests wait for or are overrun at and no order brings, and its obstacle; told after 0.3 s, again each 2 s, 16 a second; gauge `routed_wishes`. An order held back for want of a connection or the lease is told too. `explain` of a request that was queued or refused shows the wish for its model, on whichever host it was told; `--term` shows the holder's.

--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -37,7 +37,7 @@
 
 #[rstest]
 #[case::refused(&["refused-1"], &[
-    "~ start a", "~ declaration a", "~ dependency a",
+    "~ start a", "~ declaration a", "~ dependency a", "~ wish b",
     "- arrived a", "- queued a", "- refused a", "- ended a",
 ])]
 #[case::unclear(&["unclear-1"], &[
@@ -51,7 +51,7 @@
 ])]
 #[case::well(&["well-1"], &["~ start a", "~ declaration a", "- ended a"])]
 #[case::term(&["--term", "41"], &[
-    "- lease b", "- placement b", "- order b", "~ dropped b", "- lease b",
+    "- lease b", "- placement b", "- order b", "~ dropped b", "- wish b", "- lease b",
 ])]
 #[case::version(&["--version", "12"], &[
     "~ start a", "~ start b", "- declaration a", "- declaration b",
--- a/crates/ctl/tests/incident/mod.rs
+++ b/crates/ctl/tests/incident/mod.rs
@@ -72,7 +72,7 @@
         why: "no answer for 2 s".into(),
     });
     late(a, b);
-    refused(a);
+    refused(a, b);
     let why = "asked to stop".into();
     b.belief(Belief::Lease {
         duty: "placement".into(),
@@ -159,10 +159,17 @@
     });
     story.note(Step::Resumed { attempt: 2, server: STAYER.into(), after: 12 });
     story.end(end(Outcome::Late, Some(200), Some("pause"), Some(ms(52)), 47, ms(2210)));
-    b.belief(Belief::Dropped { full: 0, ceiling: 3 });
+    b.belief(Belief::Dropped { full: 0, ceiling: 3, plans: 0 });
 }
 
-fn refused(a: &Teller) {
+fn refused(a: &Teller, b: &Teller) {
+    b.belief(Belief::Wish {
+        model: MODEL.into(),
+        adapter: None,
+        replicas: 1,
+        since: ms(900),
+        why: "no-room".into(),
+    });
     let mut story = a.request("refused-1".into());
     story.note(Step::Arrived(arrival("notes", Kind::Stream, Some(MODEL), ms(4000))));
     story.note(Step::Queued {
--- a/crates/observe/src/log/ceiling.rs
+++ b/crates/observe/src/log/ceiling.rs
@@ -2,15 +2,20 @@
 //!
 //! Lines that tell what the process believes are few, and explain all others; requests are many.
 //! So requests may use only [`REQUEST_PARTS`] of [`PARTS`] of the ceiling, and a rush of them
-//! can't push out the line that explains it.
+//! can't push out the line that explains it. What is heard of servers and hosts comes in rushes too,
+//! in large deployments: beliefs may use [`BELIEF_PARTS`], and what a planner wants, orders and may
+//! do always has the rest.
 
 use types::time::Moment;
 
 /// Parts of the ceiling that requests may use, of [`PARTS`].
-pub const REQUEST_PARTS: usize = 3;
+pub const REQUEST_PARTS: usize = 5;
+
+/// Parts of the ceiling that requests and beliefs may use, of [`PARTS`].
+pub const BELIEF_PARTS: usize = 6;
 
 /// Parts of a ceiling.
-pub const PARTS: usize = 4;
+pub const PARTS: usize = 8;
 
 /// Most that is written in a second.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,18 +37,25 @@
 pub enum Class {
     /// Lines about one request.
     Request,
-    /// All others.
+    /// What is believed, but for plans.
     Belief,
+    /// What decides all others: starts, declarations, the lease, what is wanted and ordered.
+    Plan,
 }
 
 impl Ceiling {
     fn part(self, class: Class) -> Ceiling {
-        match class {
-            Class::Belief => self,
-            Class::Request => Ceiling {
-                lines: self.lines / PARTS * REQUEST_PARTS,
-                bytes: self.bytes / PARTS * REQUEST_PARTS,
-            },
+        Ceiling { lines: class.part(self.lines), bytes: class.part(self.bytes) }
+    }
+}
+
+impl Class {
+    /// The part of a whole that it may use.
+    pub fn part(self, whole: usize) -> usize {
+        match self {
+            Class::Plan => whole,
+            Class::Belief => whole / PARTS * BELIEF_PARTS,
+            Class::Request => whole / PARTS * REQUEST_PARTS,
         }
     }
 }
--- a/crates/observe/src/log/queue.rs
+++ b/crates/observe/src/log/queue.rs
@@ -51,6 +51,8 @@
     pub full: u64,
     /// Because the ceiling was reached.
     pub ceiling: u64,
+    /// Those of all these that told of plans.
+    pub plans: u64,
 }
 
 impl Dropped {
@@ -60,10 +62,29 @@
     }
 
     fn since(self, before: Dropped) -> Dropped {
-        Dropped { full: self.full - before.full, ceiling: self.ceiling - before.ceiling }
+        Dropped {
+            full: self.full - before.full,
+            ceiling: self.ceiling - before.ceiling,
+            plans: self.plans - before.plans,
+        }
+    }
+
+    fn count(&mut self, class: Class, cause: Cause) {
+        match cause {
+            Cause::Full => self.full += 1,
+            Cause::Ceiling => self.ceiling += 1,
+        }
+        self.plans += u64::from(class == Class::Plan);
     }
 }
 
+/// Why a record is left out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    Full,
+    Ceiling,
+}
+
 /// The end of the queue that lines are put into; `log4rs` takes it as an appender.
 #[derive(Clone)]
 pub struct Lines(Arc<Queue>);
@@ -142,6 +163,7 @@
         match record.target() {
             story::REQUEST => self.put(Class::Request, record.args()),
             story::BELIEF => self.put(Class::Belief, record.args()),
+            story::PLAN => self.put(Class::Plan, record.args()),
             _ => self.0.put(Class::Belief, |waiting| {
                 let mut bytes = SimpleWriter(Vec::new());
                 JsonEncoder::new().encode(&mut bytes, record).map_err(|_| fmt::Error)?;
@@ -179,27 +201,25 @@
         let mut state = self.lock();
         let state = &mut *state;
         if state.window.open(self.origin.elapsed(), class).is_err() {
-            state.dropped.ceiling += 1;
-            return;
+            return state.dropped.count(class, Cause::Ceiling);
         }
-        if self.bounds.waiting <= state.waiting.len() {
-            state.dropped.full += 1;
-            return;
+        // Whoever doesn't read loses requests first.
+        let most = class.part(self.bounds.waiting);
+        if most <= state.waiting.len() {
+            return state.dropped.count(class, Cause::Full);
         }
         let start = state.waiting.len();
         // Display fails only if what it shows does; the line is then left as far as it got.
         let _ = make(&mut state.waiting);
         let made = &state.waiting.as_bytes()[start..];
         let (lines, bytes) = (made.iter().filter(|byte| **byte == b'\n').count(), made.len());
-        if self.bounds.waiting < state.waiting.len() {
-            state.waiting.truncate(start);
-            state.dropped.full += 1;
-            return;
-        }
-        if let Err(Over) = state.window.spend(class, lines, bytes) {
+        let cause = match most < state.waiting.len() {
+            true => Some(Cause::Full),
+            false => state.window.spend(class, lines, bytes).err().map(|Over| Cause::Ceiling),
+        };
+        if let Some(cause) = cause {
             state.waiting.truncate(start);
-            state.dropped.ceiling += 1;
-            return;
+            return state.dropped.count(class, cause);
         }
         if state.writer == Writer::Asleep {
             state.writer = Writer::Awake;
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -150,11 +150,16 @@
             .u64_observable_counter("log_dropped")
             .with_description("Records left out of the log, by cause")
             .with_callback(|observer| {
-                let log::Dropped { full, ceiling } = log::dropped();
+                let log::Dropped { full, ceiling, .. } = log::dropped();
                 observer.observe(full, &[KeyValue::new("cause", "full")]);
                 observer.observe(ceiling, &[KeyValue::new("cause", "ceiling")]);
             })
             .build();
+        let _registered = meter
+            .u64_observable_counter("log_dropped_plans")
+            .with_description("Those of them that told of plans: starts, leases, wishes, orders")
+            .with_callback(|observer| observer.observe(log::dropped().plans, &[]))
+            .build();
     }
 
     /// The instruments of the routed path, with their labels resolved; to be made once.
--- a/crates/observe/src/metrics/routed.rs
+++ b/crates/observe/src/metrics/routed.rs
@@ -1,6 +1,6 @@
 //! Metrics of the routed path.
 //!
-//! All labels but a service's name and a duty's come from closed sets, so their series are made
+//! All labels but a service's name, a duty's and a wish's come from closed sets, so their series are made
 //! once, and an update costs an index and an atomic operation or, for a histogram, a lock.
 
 mod labels;
@@ -49,6 +49,7 @@
     lease: Gauge<u64>,
     term: Gauge<u64>,
     budget: Gauge<f64>,
+    wishes: Gauge<u64>,
 }
 
 impl Routed {
@@ -97,6 +98,11 @@
             lease: gauge(meter, "routed_lease", "1 while this host holds a lease, else 0, by duty"),
             term: gauge(meter, "routed_term", "Fencing number of the last lease held, by duty"),
             budget,
+            wishes: gauge(
+                meter,
+                "routed_wishes",
+                "Models and adapters that the planner wants and can't order, by why",
+            ),
         }))
     }
 
@@ -160,6 +166,11 @@
         }
     }
 
+    /// The planner wants so many models and adapters that wait for the same.
+    pub fn wishes(&self, why: &'static str, wishes: usize) {
+        self.0.wishes.record(wishes as u64, &[KeyValue::new("why", why)]);
+    }
+
     /// This host may make so many further attempts at a service's servers.
     pub fn budget(&self, service: &service::Id, left: f64) {
         self.0.budget.record(left, &[KeyValue::new("service", Arc::clone(service))]);
--- a/crates/observe/src/story.rs
+++ b/crates/observe/src/story.rs
@@ -39,9 +39,12 @@
 /// Target of lines about one request.
 pub const REQUEST: &str = "story::request";
 
-/// Target of all other lines.
+/// Target of lines about what is believed, but for plans.
 pub const BELIEF: &str = "story::belief";
 
+/// Target of lines about what decides all others.
+pub const PLAN: &str = "story::plan";
+
 static TELLER: OnceLock<Teller> = OnceLock::new();
 
 /// Makes this the process's teller; the first one stays.
@@ -62,6 +65,6 @@
 
 /// The line that tells what was left out.
 pub(crate) fn dropped(dropped: Dropped) -> String {
-    let Dropped { full, ceiling } = dropped;
-    teller().text(&Belief::Dropped { full, ceiling })
+    let Dropped { full, ceiling, plans } = dropped;
+    teller().text(&Belief::Dropped { full, ceiling, plans })
 }
--- a/crates/observe/src/story/belief.rs
+++ b/crates/observe/src/story/belief.rs
@@ -79,6 +79,21 @@
         /// Why.
         why: Word,
     },
+    /// What the planner wants and can't order yet.
+    Wish {
+        /// Which model.
+        model: model::Id,
+        /// Which adapter of it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        adapter: Option<adapter::Id>,
+        /// Servers that hold it now.
+        replicas: u32,
+        /// For how long it has been wanted.
+        #[serde(with = "millis")]
+        since: Duration,
+        /// What it waits for: a stable word.
+        why: Word,
+    },
     /// What the planner wants, and why.
     Placement {
         /// Where.
@@ -161,6 +176,9 @@
         full: u64,
         /// Because the ceiling was reached.
         ceiling: u64,
+        /// Those of all these that told of plans.
+        #[serde(default, skip_serializing_if = "is_none")]
+        plans: u64,
     },
 }
 
@@ -176,6 +194,26 @@
         }
     }
 
+    /// Whether it is about what decides all others: it goes before the rest.
+    pub fn is_plan(&self) -> bool {
+        match self {
+            Belief::Start { .. }
+            | Belief::Reload { .. }
+            | Belief::Stop { .. }
+            | Belief::Declaration { .. }
+            | Belief::Lease { .. }
+            | Belief::Wish { .. }
+            | Belief::Placement { .. }
+            | Belief::Order { .. }
+            | Belief::Dependency { .. } => true,
+            Belief::Server { .. }
+            | Belief::Peer { .. }
+            | Belief::Limit { .. }
+            | Belief::Poison { .. }
+            | Belief::Dropped { .. } => false,
+        }
+    }
+
     /// The term that it belongs to.
     pub fn fence(&self) -> Option<Fence> {
         match self {
@@ -185,6 +223,11 @@
     }
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes it so")]
+fn is_none(count: &u64) -> bool {
+    *count == 0
+}
+
 /// From where something was heard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/observe/src/story/tale.rs
+++ b/crates/observe/src/story/tale.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeSet, HashMap, HashSet};
 
 use serde::Serialize;
-use types::{backend, host, model, order::Fence, request, routed::Version};
+use types::{adapter, backend, host, model, order::Fence, request, routed::Version};
 
 use super::{
     belief::{Belief, DependencyState, LeaseState},
@@ -22,6 +22,9 @@
 /// late. Stamps count seconds in their upper half.
 const AFTERMATH: u64 = 2 << 32;
 
+/// How long a planner's wish explains a refusal; it is told again sooner.
+const WISHED: u64 = 3 << 32;
+
 /// What is asked for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Ask {
@@ -150,6 +153,7 @@
     Placement(backend::Id, model::Id),
     Order(backend::Id),
     Lease(Fence),
+    Wish(model::Id, Option<adapter::Id>),
 }
 
 #[derive(Debug, Default)]
@@ -165,6 +169,10 @@
     having: HashSet<backend::Id>,
     /// Who holds the term that is asked for.
     holder: Option<Run>,
+    /// When each wish was told last.
+    wishes: HashMap<Key, Stamp>,
+    /// What the request asks for.
+    wanted: Option<Key>,
 }
 
 impl Told {
@@ -174,8 +182,17 @@
             self.asked.insert(index);
         }
         match &line.what {
-            What::Step(step) => self.decided(&run, step),
-            What::Belief(belief) => self.believed(ask, index, run, belief),
+            What::Step(step) => {
+                self.decided(&run, step);
+                self.wished(step, line.time.at);
+            }
+            What::Belief(belief) => {
+                if let Belief::Wish { model, adapter, .. } = belief {
+                    let key = Key::Wish(model.clone(), adapter.clone());
+                    self.wishes.insert(key, line.time.at);
+                }
+                self.believed(ask, index, run, belief);
+            }
         }
     }
 
@@ -207,6 +224,25 @@
         keys.iter().for_each(|key| self.need(key));
     }
 
+    /// A request that found no place: what the planner wanted for it and couldn't give, on
+    /// whichever host it ran.
+    fn wished(&mut self, step: &Step, at: Stamp) {
+        match step {
+            Step::Arrived(arrival) => {
+                let adapter = arrival.adapter.clone();
+                self.wanted = arrival.model.clone().map(|model| Key::Wish(model, adapter));
+            }
+            Step::Queued { .. } | Step::Refused { .. } => {
+                let Some(key) = self.wanted.clone() else { return };
+                let is_fresh = self.wishes.get(&key).is_some_and(|told| at.0 <= told.0 + WISHED);
+                if is_fresh {
+                    self.need(&key);
+                }
+            }
+            _ => {}
+        }
+    }
+
     fn need(&mut self, key: &Key) {
         let Some(&index) = self.last.get(key) else { return };
         self.believed.insert(index);
@@ -244,6 +280,12 @@
                 }
                 self.set(Key::Placement(server.clone(), model.clone()), index);
             }
+            Belief::Wish { model, adapter, .. } => {
+                if self.holder.as_ref() == Some(&run) {
+                    self.asked.insert(index);
+                }
+                self.set(Key::Wish(model.clone(), adapter.clone()), index);
+            }
             Belief::Order { server, model, fence, .. } => {
                 self.fences.insert(index, *fence);
                 if self.asked.contains(&index) {
--- a/crates/observe/src/story/teller.rs
+++ b/crates/observe/src/story/teller.rs
@@ -11,7 +11,7 @@
 use types::{host, request};
 
 use super::{
-    BELIEF, REQUEST,
+    BELIEF, PLAN, REQUEST,
     belief::{
         Answer, Belief, DependencyState, LeaseState, PeerStanding, PoisonState, ServerStanding,
     },
@@ -60,7 +60,8 @@
     pub fn belief(&self, belief: Belief) {
         let level = level(&belief);
         if self.wants(level) {
-            self.tell(level, BELIEF, &self.line(&self.now(), None, &belief));
+            let target = if belief.is_plan() { PLAN } else { BELIEF };
+            self.tell(level, target, &self.line(&self.now(), None, &belief));
         }
     }
 
@@ -158,6 +159,7 @@
         | Belief::Peer { standing: PeerStanding::Seen, .. }
         | Belief::Lease { state: LeaseState::Gained | LeaseState::Released, .. }
         | Belief::Placement { .. }
+        | Belief::Wish { .. }
         | Belief::Order { answer: Answer::Accepted | Answer::Holds, .. }
         | Belief::Limit { .. }
         | Belief::Dependency { state: DependencyState::Regained, .. } => Level::Info,
--- a/crates/observe/tests/queue.rs
+++ b/crates/observe/tests/queue.rs
@@ -62,21 +62,25 @@
 #[test]
 fn a_batch_is_one_write_and_a_stuck_reader_blocks_nobody() {
     let held = Held::new(1000, WIDE);
-    held.lines.put(Class::Belief, &"first");
+    held.lines.put(Class::Plan, &"first");
     while held.lines.waiting() != 0 {
         std::thread::yield_now();
     }
     // The writer is stuck with the first; of these, 20 lines of 50 bytes fit.
     let line = "x".repeat(49);
-    (0..25).for_each(|_| held.lines.put(Class::Belief, &line));
-    assert_eq!(held.lines.dropped(), Dropped { full: 5, ceiling: 0 });
+    (0..25).for_each(|_| held.lines.put(Class::Plan, &line));
+    assert_eq!(held.lines.dropped(), Dropped { full: 5, ceiling: 0, plans: 5 });
 
     let batches = held.written();
     assert_eq!(batches[0], "first\n");
     assert_eq!(batches.len(), 2, "{batches:?}");
     let lines: Vec<&str> = batches[1].lines().collect();
     assert_eq!(lines[..20], vec![line.as_str(); 20]);
-    assert!(lines[20].contains(r#""kind":"dropped","full":5,"ceiling":0"#), "{}", lines[20]);
+    assert!(
+        lines[20].contains(r#""kind":"dropped","full":5,"ceiling":0,"plans":5"#),
+        "{}",
+        lines[20]
+    );
 }
 
 /// Text that counts how often it is made.
@@ -99,18 +103,52 @@
 }
 
 #[test]
-fn requests_leave_a_part_of_the_ceiling_to_beliefs() {
+fn each_class_leaves_a_part_of_the_ceiling_to_those_above() {
     let mut window = Window::new(Ceiling { lines: 8, bytes: 8000 });
     let now = Duration::from_millis(1500);
-    for _ in 0..6 {
-        window.open(now, Class::Request).unwrap();
-        window.spend(Class::Request, 1, 10).unwrap();
+    for (class, most) in [(Class::Request, 5), (Class::Belief, 1), (Class::Plan, 2)] {
+        for _ in 0..most {
+            assert_eq!(window.open(now, class), Ok(()));
+            assert_eq!(window.spend(class, most + 1, 10), Err(Over));
+            assert_eq!(window.spend(class, 1, 8000), Err(Over));
+            window.spend(class, 1, 10).unwrap();
+        }
+        assert_eq!(window.open(now, class), Err(Over), "{class:?}");
     }
-    assert_eq!(window.open(now, Class::Request), Err(Over));
-    assert_eq!(window.open(now, Class::Belief), Ok(()));
-    assert_eq!(window.spend(Class::Belief, 3, 10), Err(Over));
-    assert_eq!(window.spend(Class::Belief, 2, 8000), Err(Over));
-    assert_eq!(window.spend(Class::Belief, 2, 10), Ok(()));
-    assert_eq!(window.open(now, Class::Belief), Err(Over));
-    assert_eq!(window.open(Duration::from_millis(2000), Class::Request), Ok(()));
+    for class in [Class::Request, Class::Belief, Class::Plan] {
+        assert_eq!(window.open(Duration::from_millis(2000), class), Ok(()));
+    }
+}
+
+/// A rush of requests, and of news of servers, beside a planner at work.
+#[test]
+fn a_rush_pushes_out_no_plan() {
+    let held = Held::new(WIDE.bytes, Ceiling { lines: 1000, bytes: 1_000_000 });
+    for _ in 0..900 {
+        held.lines.put(Class::Request, &"request");
+        held.lines.put(Class::Belief, &"server");
+    }
+    (0..250).for_each(|_| held.lines.put(Class::Plan, &"order"));
+    let dropped = held.lines.dropped();
+    assert_eq!((dropped.plans, dropped.full), (0, 0));
+    assert_eq!(dropped.ceiling, 900 + 900 - 750);
+    held.lines.put(Class::Plan, &"order");
+    assert_eq!(held.lines.dropped().plans, 1);
+}
+
+#[test]
+fn a_reader_that_stopped_loses_requests_first() {
+    let held = Held::new(800, WIDE);
+    held.lines.put(Class::Plan, &"first");
+    while held.lines.waiting() != 0 {
+        std::thread::yield_now();
+    }
+    let line = "x".repeat(49);
+    (0..20).for_each(|_| held.lines.put(Class::Request, &line));
+    assert_eq!(held.lines.dropped(), Dropped { full: 10, ceiling: 0, plans: 0 });
+    (0..2).for_each(|_| held.lines.put(Class::Belief, &line));
+    (0..4).for_each(|_| held.lines.put(Class::Plan, &line));
+    assert_eq!(held.lines.dropped(), Dropped { full: 10, ceiling: 0, plans: 0 });
+    held.lines.put(Class::Plan, &line);
+    assert_eq!(held.lines.dropped(), Dropped { full: 11, ceiling: 0, plans: 1 });
 }
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -23,10 +23,15 @@
 mod planner;
 mod rate;
 mod store;
+mod wish;
 
 use types::{prelude::*, routed::Sequence};
 
-pub use self::{demand::Work, planner::Planner};
+pub use self::{
+    demand::Work,
+    planner::Planner,
+    wish::{Obstacle, Telling, Wish},
+};
 
 /// What an order asks of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/policy/src/place/gain.rs
+++ b/crates/policy/src/place/gain.rs
@@ -197,7 +197,7 @@
 }
 
 /// The models to give up at a site so that one fits; none if that can't be.
-fn victims(picture: &Picture, model: usize, site: usize) -> Option<Vec<model::Id>> {
+pub(super) fn victims(picture: &Picture, model: usize, site: usize) -> Option<Vec<model::Id>> {
     let at = &picture.sites[site];
     let wanted = picture.engine.models[model].weights;
     let mut room = at.room?;
--- a/crates/policy/src/place/planner.rs
+++ b/crates/policy/src/place/planner.rs
@@ -14,6 +14,7 @@
     gain,
     picture::{Decision, Picture, store_loads},
     store::{self, Allowance, Bucket},
+    wish::{self, Wish},
 };
 
 /// A service with model servers.
@@ -32,13 +33,14 @@
     services: BTreeMap<service::Id, Service>,
     servers: BTreeMap<backend::Id, Book>,
     demand: Demand,
+    wishes: Vec<Wish>,
 }
 
 impl Planner {
     /// Knows nothing yet.
     pub fn new(rules: Rules) -> Planner {
-        let (services, servers) = Default::default();
-        Planner { rules, services, servers, demand: Demand::default() }
+        let (services, servers, wishes) = Default::default();
+        Planner { rules, services, servers, demand: Demand::default(), wishes }
     }
 
     /// Takes what a service's servers are like, new or changed.
@@ -118,10 +120,16 @@
     /// The orders to give now. Each has to be answered with [`Planner::answered`].
     pub fn plan(&mut self, now: Moment) -> Vec<Order> {
         self.servers.values_mut().for_each(|book| book.expire(&self.rules, now));
+        self.wishes.clear();
         let names: Vec<service::Id> = self.services.keys().cloned().collect();
         names.iter().flat_map(|service| self.plan_service(service, now)).collect()
     }
 
+    /// What the last plan wanted and could not order.
+    pub fn wishes(&self) -> &[Wish] {
+        &self.wishes
+    }
+
     fn plan_service(&mut self, name: &service::Id, now: Moment) -> Vec<Order> {
         let Some(service) = self.services.get_mut(name) else { return Vec::new() };
         let own = || self.servers.iter().filter(|(_, book)| book.service == *name);
@@ -145,6 +153,7 @@
         let mut picture = Picture::new(&self.rules, engine, sizes, &self.demand, own(), now);
         gain::plan(&mut picture, &mut store);
         adapters::plan(&mut picture);
+        self.wishes.extend(wish::wishes(&picture, &mut store));
         let decisions = picture.decisions;
         decisions.into_iter().map(|decision| self.send(decision, now)).collect()
     }
--- a/crates/policy/tests/place/main.rs
+++ b/crates/policy/tests/place/main.rs
@@ -5,4 +5,5 @@
 mod machine;
 mod models;
 mod random;
+mod wishes;
 mod world;
--- /dev/null
+++ b/crates/policy/tests/place/wishes.rs
@@ -0,0 +1,126 @@
+//! What a plan wants and can't order, and how much of it is told.
+
+use policy::place::{Obstacle, Telling, Wish, Work};
+use rstest::rstest;
+use types::prelude::*;
+
+use crate::world::{Faults, World, engine};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// One server kept fully used for a tenth of a second.
+fn busy(model: &str, world: &mut World, servers: f64) {
+    let output = (servers * 0.1 * 64.0 / 0.0056) as u64;
+    let work = Work { requests: 10, prompt: 0, output };
+    world.planner.arrivals(&model.into(), None, work, world.now);
+}
+
+fn obstacles(world: &World, model: &str) -> Vec<Obstacle> {
+    let of_model = world.planner.wishes().iter().filter(|wish| &*wish.model == model);
+    of_model.map(|wish| wish.obstacle).collect()
+}
+
+#[test]
+fn calm_leaves_no_wish() {
+    let mut world = World::new(engine(83_000, 8, &[(34_300, 0); 6]), 6, 3, 1);
+    world.run(10 * SECOND);
+    assert_eq!(world.planner.wishes(), []);
+}
+
+/// Two servers of two models: each is full of a model's last replicas.
+#[test]
+fn a_model_that_nothing_makes_room_for_is_wished_for() {
+    let mut world = World::new(engine(40_000, 8, &[(34_300, 0); 2]), 2, 2, 1);
+    for _ in 0..50 {
+        busy("m00", &mut world, 3.0);
+        world.run(SECOND / 10);
+    }
+    assert_eq!(obstacles(&world, "m00"), [Obstacle::NoRoom]);
+    assert_eq!(obstacles(&world, "m01"), []);
+}
+
+#[test]
+fn a_model_that_stands_everywhere_waits_for_servers() {
+    let mut world = World::new(engine(83_000, 8, &[(34_300, 0); 2]), 2, 2, 1);
+    for _ in 0..100 {
+        busy("m00", &mut world, 4.0);
+        world.run(SECOND / 10);
+    }
+    assert_eq!(obstacles(&world, "m00"), [Obstacle::NoServer]);
+}
+
+/// No order is answered, so that nothing is known of any server.
+#[test]
+fn servers_whose_orders_have_no_answer_are_busy() {
+    let mut world = World::new(engine(83_000, 8, &[(34_300, 0); 3]), 3, 3, 1);
+    world.faults = Faults { silent: 1.0, late: 1.0, ..Faults::default() };
+    let mut seen = Vec::new();
+    for _ in 0..50 {
+        busy("m00", &mut world, 3.0);
+        world.run(SECOND / 10);
+        seen.extend(obstacles(&world, "m00"));
+    }
+    assert!(seen.contains(&Obstacle::Busy), "{seen:?}");
+}
+
+#[test]
+fn an_adapter_that_finds_no_place_is_wished_for() {
+    let mut world = World::new(engine(83_000, 1, &[(34_300, 26)]), 1, 1, 1);
+    let mut seen = Vec::new();
+    for _ in 0..10 {
+        for adapter in ["a1", "a2"] {
+            let work = Work { requests: 1, prompt: 300, output: 40 };
+            world.planner.arrivals(&"m00".into(), Some(&adapter.into()), work, world.now);
+            world.planner.missing(&"m00".into(), Some(&adapter.into()), world.now);
+        }
+        world.step();
+        let wished = world.planner.wishes().iter().filter(|wish| wish.adapter.is_some());
+        seen.extend(wished.map(|wish| wish.obstacle));
+    }
+    assert!(seen.contains(&Obstacle::NoRoom), "{seen:?}");
+}
+
+fn wish(model: usize, obstacle: Obstacle) -> Wish {
+    Wish { model: format!("m{model}").into(), adapter: None, replicas: 1, obstacle }
+}
+
+#[rstest]
+#[case::too_short(&[0, 200], 0)]
+#[case::once(&[0, 300, 400, 2200], 1)]
+#[case::again(&[0, 300, 2300], 2)]
+#[case::with_a_gap(&[0, 200, 10_000, 10_200], 0)]
+fn a_wish_is_told_if_it_lasts(#[case] times: &[u64], #[case] told: usize) {
+    let mut telling = Telling::default();
+    let mut number = 0;
+    for (place, &time) in times.iter().enumerate() {
+        let now = Duration::from_millis(time);
+        if place == 2 && time == 10_000 {
+            telling.take(&[], now);
+        }
+        number += telling.take(&[wish(0, Obstacle::Busy)], now).len();
+    }
+    assert_eq!(number, told);
+}
+
+#[test]
+fn another_obstacle_is_told_sooner() {
+    let mut telling = Telling::default();
+    let mut told = |obstacle, ms| telling.take(&[wish(0, obstacle)], Duration::from_millis(ms));
+    assert_eq!(told(Obstacle::Busy, 0), []);
+    assert_eq!(told(Obstacle::Busy, 300).len(), 1);
+    assert_eq!(told(Obstacle::NoRoom, 400), []);
+    let again = told(Obstacle::NoRoom, 600);
+    assert_eq!(again, [(wish(0, Obstacle::NoRoom), Duration::from_millis(600))]);
+}
+
+#[test]
+fn a_shortage_of_hundreds_is_told_of_some_in_a_second() {
+    let mut telling = Telling::default();
+    let wishes: Vec<Wish> = (0..300).map(|model| wish(model, Obstacle::NoRoom)).collect();
+    let mut told = 0;
+    for ms in (0..1000).step_by(50) {
+        told += telling.take(&wishes, Duration::from_millis(ms)).len();
+    }
+    assert_eq!(told, 16);
+    assert_eq!(telling.take(&wishes, SECOND).len(), 16, "others of them");
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,5 +27,6 @@
 mod stream;
 mod trace;
 mod watch;
+mod wishes;
 
 pub use run::{Error, Running, reloaded, start, start_by};
--- a/crates/relay/src/planning.rs
+++ b/crates/relay/src/planning.rs
@@ -14,6 +14,7 @@
     control::Line,
     edge::{self, Ordered},
     host::Shared,
+    wishes::{self, Wishes},
 };
 
 /// Longest pause between rounds of planning.
@@ -27,6 +28,7 @@
 
 /// Plans until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut wishes = Wishes::default();
     loop {
         select! {
             () = sleep(ROUND) => {}
@@ -35,6 +37,9 @@
         let now = shared.now();
         if shared.term().fence(now).is_some() {
             round(&shared, now);
+            wishes.tell(&shared, now);
+        } else {
+            wishes.end(&shared);
         }
     }
 }
@@ -78,9 +83,15 @@
 
 async fn send(shared: &Shared, server: &Server, order: &place::Order) -> Outcome {
     let kept = shared.control.kept(server);
-    let Some(line) = Line::open(server, &kept).await else { return Outcome::Busy };
+    let Some(line) = Line::open(server, &kept).await else {
+        wishes::held_back(shared, order, "not-reached");
+        return Outcome::Busy;
+    };
     // Judged right before the bytes go out: the connection may have taken its time.
-    let Some(fence) = shared.term().may_order(shared.now()) else { return Outcome::Busy };
+    let Some(fence) = shared.term().may_order(shared.now()) else {
+        wishes::held_back(shared, order, "no-lease");
+        return Outcome::Busy;
+    };
     let began = Instant::now();
     let sent = edge::Order {
         server: order.server.clone(),
@@ -129,9 +140,6 @@
 }
 
 fn placement(shared: &Shared, order: &place::Order) -> Belief {
-    let directory = shared.directory();
-    let holds = |server: &&Arc<Server>| server.models.iter().any(|m| m.model == order.model);
-    let replicas = directory.servers.values().filter(holds).count();
     let why = match order.cause {
         place::Cause::Missing => "missing",
         place::Cause::Spread => "spread",
@@ -144,11 +152,18 @@
         model: order.model.clone(),
         adapter: order.adapter.clone(),
         demand: None,
-        replicas: u32::try_from(replicas).unwrap_or(u32::MAX),
+        replicas: replicas(shared, &order.model),
         why: Word::Borrowed(why),
     }
 }
 
+/// Servers that hold a model, as they say.
+pub(crate) fn replicas(shared: &Shared, model: &model::Id) -> u32 {
+    let directory = shared.directory();
+    let holds = |server: &&Arc<Server>| server.models.iter().any(|held| held.model == *model);
+    u32::try_from(directory.servers.values().filter(holds).count()).unwrap_or(u32::MAX)
+}
+
 fn action(operation: place::Operation) -> Word {
     Word::Borrowed(match operation {
         place::Operation::Load => "load",
--- /dev/null
+++ b/crates/relay/src/wishes.rs
@@ -0,0 +1,57 @@
+//! Tells what the planner wants and can't order.
+
+use std::time::Duration;
+
+use observe::story::{Belief, Word};
+use policy::place::{Obstacle, Order, Telling};
+use types::prelude::*;
+
+use crate::{host::Shared, planning};
+
+/// Wishes of the plans of this host.
+#[derive(Debug, Default)]
+pub(crate) struct Wishes {
+    telling: Telling,
+    is_counted: bool,
+}
+
+impl Wishes {
+    /// Tells and counts what the last plan wanted in vain.
+    pub(crate) fn tell(&mut self, shared: &Shared, now: Moment) {
+        let wishes = shared.planner().wishes().to_vec();
+        for obstacle in Obstacle::ALL {
+            let waiting = wishes.iter().filter(|wish| wish.obstacle == obstacle).count();
+            shared.meters.wishes(obstacle.word(), waiting);
+        }
+        self.is_counted = true;
+        for (wish, lasted) in self.telling.take(&wishes, now) {
+            shared.teller.belief(Belief::Wish {
+                model: wish.model,
+                adapter: wish.adapter,
+                replicas: u32::try_from(wish.replicas).unwrap_or(u32::MAX),
+                since: lasted,
+                why: Word::Borrowed(wish.obstacle.word()),
+            });
+        }
+    }
+
+    /// This host plans no longer.
+    pub(crate) fn end(&mut self, shared: &Shared) {
+        if !std::mem::take(&mut self.is_counted) {
+            return;
+        }
+        self.telling = Telling::default();
+        Obstacle::ALL.iter().for_each(|obstacle| shared.meters.wishes(obstacle.word(), 0));
+    }
+}
+
+/// Tells of an order that was decided and isn't sent.
+pub(crate) fn held_back(shared: &Shared, order: &Order, why: &'static str) {
+    shared.teller.belief(Belief::Wish {
+        model: order.model.clone(),
+        adapter: order.adapter.clone(),
+        replicas: planning::replicas(shared, &order.model),
+        since: Duration::ZERO,
+        why: Word::Borrowed(why),
+    });
+}
