Take out four settings of a routed host that nothing used

Cause: `apply_ms`, `heartbeat_ms`, `descriptors` and `memory_mb` were rendered, checked and documented, and used by nothing; a reader takes them for bounds that hold.

Ruled out: using them.

The tests that used them as examples of findings use other fields for the same sorts of findings.

--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -163,11 +163,7 @@
         dialect: process::Dialect::Platform,
         drain: LONGEST,
         grace: LONGEST,
-        apply: LONGEST,
         turn: LONGEST,
-        heartbeat: LONGEST,
         retry: Retry { ratio: 1.0, extra: 100.0, window: LONGEST },
-        descriptors: 1024,
-        memory_mb: 256,
     }
 }
--- a/crates/settings/src/process/check.rs
+++ b/crates/settings/src/process/check.rs
@@ -161,19 +161,11 @@
     let times = [
         ("/routed/drain_ms", routed.drain),
         ("/routed/grace_s", routed.grace),
-        ("/routed/apply_ms", routed.apply),
         ("/routed/turn_ms", routed.turn),
-        ("/routed/heartbeat_ms", routed.heartbeat),
         ("/routed/retry/window_s", routed.retry.window),
     ];
     let zeros = times.into_iter().filter(|(_, time)| *time == Duration::ZERO);
     problems.extend(zeros.map(|(path, _)| Problem::new(path, "must be positive")));
-    let sizes = [
-        ("/routed/descriptors", u64::from(routed.descriptors)),
-        ("/routed/memory_mb", routed.memory_mb),
-    ];
-    let zeros = sizes.into_iter().filter(|(_, size)| *size == 0);
-    problems.extend(zeros.map(|(path, _)| Problem::new(path, "must be positive")));
     let shares =
         [("/routed/retry/ratio", routed.retry.ratio), ("/routed/retry/extra", routed.retry.extra)];
     let negative = shares.into_iter().filter(|(_, share)| !(share.is_finite() && 0.0 <= *share));
--- a/crates/settings/src/process/routed.rs
+++ b/crates/settings/src/process/routed.rs
@@ -17,22 +17,11 @@
     /// Time between SIGTERM and the end of the process; seconds in JSON.
     #[serde(rename = "grace_s", with = "seconds")]
     pub grace: Duration,
-    /// Time in which a declaration must be in force; milliseconds in JSON.
-    #[serde(rename = "apply_ms", with = "millis")]
-    pub apply: Duration,
     /// Time that must pass between the orders of two hosts to one server; milliseconds in JSON.
     #[serde(rename = "turn_ms", with = "millis")]
     pub turn: Duration,
-    /// Time after which a registered server that keeps silent counts as gone; milliseconds in
-    /// JSON.
-    #[serde(rename = "heartbeat_ms", with = "millis")]
-    pub heartbeat: Duration,
     /// Retries of all hosts together.
     pub retry: Retry,
-    /// Most descriptors of the process.
-    pub descriptors: u32,
-    /// Memory of the process, in MB.
-    pub memory_mb: u64,
 }
 
 /// What callers, servers and the store speak.
--- a/crates/settings/tests/process.rs
+++ b/crates/settings/tests/process.rs
@@ -137,12 +137,8 @@
     "dialect": "platform",
     "drain_ms": 2000,
     "grace_s": 8,
-    "apply_ms": 2000,
     "turn_ms": 3000,
-    "heartbeat_ms": 1200,
-    "retry": { "ratio": 0.2, "extra": 52, "window_s": 10 },
-    "descriptors": 4200,
-    "memory_mb": 260
+    "retry": { "ratio": 0.2, "extra": 52, "window_s": 10 }
   }
 }"#;
 
@@ -161,31 +157,28 @@
     "callers": "127.0.0.1:7080", "peers": "127.0.0.1:7081", "operators": "127.0.0.1:7082"
   },
   "platform": "127.0.0.1:7070",
+  "planning": { "adapters_at_once": -1 },
+  "bounds": { "head_bytes": 4200.5 },
   "routed": {
     "dialect": "morse",
     "drain_ms": 0,
     "grace_s": "long",
-    "apply_ms": -1,
-    "turn_ms": 0,
     "heart_ms": 1200,
-    "retry": { "ratio": -0.2, "extra": -1, "window_s": 0, "burst": 3 },
-    "descriptors": 4200.5
+    "retry": { "ratio": -0.2, "extra": -1, "window_s": 0, "burst": 3 }
   }
 }"#;
     let expected = [
-        "7:13: /routed/heartbeat_ms: missing",
-        "7:13: /routed/memory_mb: missing",
-        "8:16: /routed/dialect: unknown variant `morse`, expected `platform`",
-        "9:5: /routed/drain_ms: must be positive",
-        "10:16: /routed/grace_s: invalid type: string \"long\"",
-        "11:17: /routed/apply_ms: invalid value: integer `-1`",
-        "12:5: /routed/turn_ms: must be positive",
+        "7:37: /planning/adapters_at_once: invalid value: integer `-1`",
+        "8:29: /bounds/head_bytes: invalid type: floating point `4200.5`",
+        "9:13: /routed/turn_ms: missing",
+        "10:16: /routed/dialect: unknown variant `morse`, expected `platform`",
+        "11:5: /routed/drain_ms: must be positive",
+        "12:16: /routed/grace_s: invalid type: string \"long\"",
         "13:5: /routed/heart_ms: unknown field `heart_ms`, expected one of",
         "14:16: /routed/retry/ratio: must not be negative",
         "14:31: /routed/retry/extra: must not be negative",
         "14:44: /routed/retry/window_s: must be positive",
         "14:59: /routed/retry/burst: unknown field `burst`",
-        "15:20: /routed/descriptors: invalid type: floating point `4200.5`",
     ];
     let found = findings(text);
     for line in expected {
@@ -195,13 +188,13 @@
 }
 
 #[rstest]
-#[case::nothing_to_serve_with("\"descriptors\": 4200", "\"descriptors\": 0", "/routed/descriptors")]
+#[case::no_turn("\"turn_ms\": 3000", "\"turn_ms\": 0", "/routed/turn_ms")]
+#[case::no_grace("\"grace_s\": 8", "\"grace_s\": 0", "/routed/grace_s")]
 #[case::no_adapters_under_way(
     "\"routed\": {",
     "\"planning\": { \"adapters_at_once\": 0 }, \"routed\": {",
     "/planning/adapters_at_once"
 )]
-#[case::no_memory("\"memory_mb\": 260", "\"memory_mb\": 0", "/routed/memory_mb")]
 fn a_bound_that_leaves_nothing_is_a_finding(
     #[case] good: &str,
     #[case] bad: &str,
--- a/crates/standin/src/routed/site.rs
+++ b/crates/standin/src/routed/site.rs
@@ -245,10 +245,8 @@
         "platform": store,
         "peers": peers,
         "routed": {
-            "dialect": "platform", "drain_ms": 2000, "grace_s": 8, "apply_ms": 2000,
-            "turn_ms": 3000, "heartbeat_ms": 1200,
+            "dialect": "platform", "drain_ms": 2000, "grace_s": 8, "turn_ms": 3000,
             "retry": {"ratio": 0.2, "extra": 52, "window_s": 10},
-            "descriptors": 4200, "memory_mb": 260,
         },
     })
 }
