--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -5,13 +5,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, Version, header, response};
 use http_body::Body;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use policy::dispatch::{NotRun, Ticket, Unclear, Unreachable};
-use tokio::{
-    task::yield_now,
-    time::{Instant, timeout},
-};
+use tokio::{task::yield_now, time::Instant};
 use types::routed::Server;
 
 use crate::{
@@ -22,12 +19,6 @@
     host::Shared,
 };
 
-/// Largest refusal that is read so that its connection is kept, in bytes.
-const REFUSAL_BYTES: usize = 16 * 1024;
-
-/// Longest wait for the rest of a refusal.
-const REFUSAL: Duration = Duration::from_millis(200);
-
 /// A caller's request, held whole so that it can be sent again.
 pub(crate) struct Held {
     pub(crate) ask: Ask,
@@ -144,30 +135,9 @@
     if let Some([running, waiting, slots]) = answer.load {
         shared.dispatcher().load(&server.id, running, waiting, slots, shared.now());
     }
+    judge(&held.ask, server, &head, &answer)?;
     let end = end(&head.headers, &body);
-    let link = Link { body, end, answer, flight };
-    match judge(&held.ask, server, &head, &link.answer) {
-        Ok(()) => Ok(Begun { head, link }),
-        Err(failed) => {
-            if is_refusal(failed) && link.end == End::Framed {
-                tokio::spawn(keep(link));
-            }
-            Err(failed)
-        }
-    }
-}
-
-/// Whether the server that was meant has refused, and nothing else is wrong.
-fn is_refusal(failed: Failed) -> bool {
-    matches!(failed, Failed::NotRun(NotRun::Full | NotRun::NotHeld))
-}
-
-/// Keeps the connection of a refusal, once the refusal has come whole.
-async fn keep(mut link: Link) {
-    let body = Limited::new(&mut link.body, REFUSAL_BYTES).collect();
-    if let Ok(Ok(_)) = timeout(REFUSAL, body).await {
-        link.finish();
-    }
+    Ok(Begun { head, link: Link { body, end, answer, flight } })
 }
 
 /// A kept connection that is still good, as far as can be seen.
