--- a/crates/standin/src/routed/site.rs
+++ b/crates/standin/src/routed/site.rs
@@ -202,7 +202,9 @@
         let text = std::fs::read_to_string(self.hosts[place].settings())?;
         let mut settings: Value = serde_json::from_str(&text).map_err(io::Error::other)?;
         // Each start has a log of its own.
-        settings["log"] = Value::Null;
+        if !settings["log"]["file"].is_null() {
+            settings["log"] = Value::Null;
+        }
         self.hosts[place] = self.start(settings).await?;
         Ok(&self.hosts[place])
     }
--- a/crates/standin/src/routed/soak.rs
+++ b/crates/standin/src/routed/soak.rs
@@ -18,6 +18,7 @@
 };
 
 use serde::Serialize;
+use serde_json::json;
 use tokio::time::{Instant, sleep_until, timeout};
 
 use self::{
@@ -130,7 +131,8 @@
     }
     player.declare(site::first());
     for place in 0..plan.hosts {
-        player.site.add(|_| {}).await?;
+        // As operators have it, for `cyclamenctl explain`.
+        player.site.add(|settings| settings["log"] = json!({"level": "debug"})).await?;
         player.seat(place);
     }
     player.site.ready().await;
