--- a/crates/policy/tests/dispatch/crowd.rs
+++ b/crates/policy/tests/dispatch/crowd.rs
@@ -94,7 +94,9 @@
             told: VecDeque::new(),
             sum: Sum::default(),
         };
-        [Event::Arrive, Event::Pump, Event::Digest].map(|event| world.after(at(1), event));
+        for event in [Event::Arrive, Event::Pump, Event::Digest] {
+            world.after(at(1), event);
+        }
         world
     }
 
