Place many models: make room for more loads at once, where room can be made

Cause, in the play of 60 servers with 104 models (place_baselines, new here): a model that turned busy kept its 2 to 4 replicas for seconds while the store served 2 loads a second of the 10 that it allows. - Each server at which room is made kept a token of three, so room was made at two or three servers at once. - The eight coolest servers were looked at for each model.

Change: the chance is shared by all models (0.84 in all, as 14 models had it); the sites that can make room are looked at; tokens that come in a second need not be kept for room that is being made, and up to 12 loads start at once where the rate allows (5 s at 0.9 of the rate and these stay below the ceiling); demand is counted on for 2.2 s more than a load takes; what a step takes off is worked out on the servers that it touches. What may be given up is in a module of its own. The play knows sites of 60 and 90 servers, the time of a plan and what was never answered.

Both new tests fail without it (1 replica; room made at no server).

--- a/crates/policy/examples/place_baselines.rs
+++ b/crates/policy/examples/place_baselines.rs
@@ -1,15 +1,18 @@
 //! Share of requests that find their model and adapter ready, against two baselines.
 //!
-//! `cargo run --release -p cyclamenstage-policy --example place_baselines -- [SEEDS]`
+//! `cargo run --release -p cyclamenstage-policy --example place_baselines -- [SEEDS [SITE]]`
 //!
-//! Virtual time. Demand moves along the list of models every five seconds. Requests wait up to their
-//! goal for a replica, then they are missed; routing takes the replica that reads the prompt first.
+//! Virtual time. Demand moves along the list of models every five seconds, at once or over all of
+//! them. Requests wait up to their goal for a replica, then they are missed; routing takes the replica
+//! that reads the prompt first. *Plan* is the mean processor time of a plan, and that of the longest.
 
 #![allow(clippy::print_stdout, reason = "the example's output")]
 #![allow(dead_code, reason = "shared with the tests")]
 
 #[path = "../tests/place/machine.rs"]
 mod machine;
+#[path = "../tests/place/sites.rs"]
+mod sites;
 #[path = "../tests/place/world.rs"]
 mod world;
 
@@ -17,7 +20,10 @@
 
 use policy::place::{Planner, Rules, Work};
 use rand::RngExt;
-use types::{prelude::*, routed::Engine};
+use types::{
+    prelude::*,
+    routed::{Engine, Model},
+};
 use world::World;
 
 const GOAL: Duration = Duration::from_millis(400);
@@ -25,7 +31,23 @@
 const LEAD: Duration = Duration::from_secs(8);
 const SHIFT: Duration = Duration::from_secs(5);
 const TOLD: Duration = Duration::from_millis(200);
-const SHARES: [f64; 3] = [0.607, 0.225, 0.168];
+
+/// Shares of the models of a small site, the busiest first; the rest falls on all.
+const FEW: Shares = Shares { of: &[0.607, 0.225, 0.168], rest: 0.07 };
+
+/// Shares at many servers.
+const MANY: Shares = Shares {
+    of: &[
+        0.256, 0.095, 0.071, 0.059, 0.051, 0.046, 0.042, 0.039, 0.036, 0.034, 0.032, 0.031, 0.029,
+        0.028, 0.027, 0.026, 0.025, 0.025, 0.024, 0.024,
+    ],
+    rest: 0.01,
+};
+
+struct Shares {
+    of: &'static [f64],
+    rest: f64,
+}
 
 #[derive(Clone, Copy, Debug)]
 enum Strategy {
@@ -51,6 +73,8 @@
     ready: usize,
     on_time: usize,
     seconds: BTreeMap<u64, (usize, usize)>,
+    /// Asked and answered by model and adapter.
+    units: BTreeMap<(model::Id, Option<adapter::Id>), (usize, usize)>,
 }
 
 struct Site {
@@ -60,6 +84,20 @@
     rate: f64,
     /// Models that the busiest moves by.
     by: usize,
+    shares: Shares,
+    /// Whether free room holds more replicas of the busy models from the start.
+    start: Start,
+    /// Time that a small model takes of that of a large one.
+    small: f64,
+}
+
+/// What servers hold at the start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Start {
+    /// Each model once.
+    Once,
+    /// As many replicas of the busy ones besides as there is room for.
+    Full,
 }
 
 /// Where demand moves at each shift.
@@ -69,13 +107,44 @@
     Onward,
     /// On, and back at the next shift.
     Return,
+    /// On along the list, over the whole time between two shifts.
+    Drift,
 }
 
-const SITES: [Site; 4] = [
-    Site { name: "9 x 83 GB", engine: world::small_site, servers: 9, rate: 140.0, by: 1 },
-    Site { name: "9 x 83 GB, busy", engine: world::small_site, servers: 9, rate: 190.0, by: 1 },
-    Site { name: "12 x 200 GB", engine: large_site, servers: 12, rate: 150.0, by: 2 },
-    Site { name: "12 x 200 GB, busy", engine: large_site, servers: 12, rate: 210.0, by: 2 },
+const SMALL: Site = Site {
+    name: "9 x 83 GB",
+    engine: world::small_site,
+    servers: 9,
+    rate: 140.0,
+    by: 1,
+    shares: FEW,
+    start: Start::Once,
+    small: 1.0,
+};
+const LARGE: Site =
+    Site { name: "12 x 200 GB", engine: large_site, servers: 12, rate: 150.0, by: 2, ..SMALL };
+const SIXTY: Site = Site {
+    name: "60 x 83 GB",
+    engine: sites::sixty,
+    servers: 60,
+    rate: 560.0,
+    by: 2,
+    shares: MANY,
+    start: Start::Full,
+    small: 0.28,
+};
+const NINETY: Site =
+    Site { name: "90 x 200 GB", engine: sites::ninety, servers: 90, rate: 540.0, ..SIXTY };
+
+const SITES: [Site; 8] = [
+    SMALL,
+    Site { name: "9 x 83 GB, busy", rate: 190.0, ..SMALL },
+    LARGE,
+    Site { name: "12 x 200 GB, busy", rate: 210.0, ..LARGE },
+    SIXTY,
+    Site { name: "60 x 83 GB, busy", rate: 850.0, ..SIXTY },
+    NINETY,
+    Site { name: "90 x 200 GB, busy", rate: 820.0, ..NINETY },
 ];
 
 fn large_site() -> Engine {
@@ -90,12 +159,18 @@
 
 fn main() {
     let seeds: u64 = std::env::args().skip(1).find_map(|text| text.parse().ok()).unwrap_or(5);
+    let name = std::env::args().nth(2).unwrap_or_default();
     println!(
-        "| site | shifts | placement | ready | on time | worst second | store loads | orders |"
+        "| site | shifts | placement | ready | on time | worst second | starved | store loads | \
+         orders | plan |"
     );
-    println!("|---|---|---|---|---|---|---|---|");
-    for site in &SITES {
-        for course in [Course::Onward, Course::Return] {
+    println!("|---|---|---|---|---|---|---|---|---|---|");
+    for site in SITES.iter().filter(|site| site.name.starts_with(&name)) {
+        let courses = match site.start {
+            Start::Once => [Course::Onward, Course::Return],
+            Start::Full => [Course::Onward, Course::Drift],
+        };
+        for course in courses {
             for strategy in [Strategy::Static, Strategy::LastMinute, Strategy::Planned] {
                 row(site, course, strategy, seeds);
             }
@@ -117,14 +192,25 @@
     let mean = |part: &dyn Fn(&World) -> usize| {
         runs.iter().map(|(_, world)| part(world)).sum::<usize>() as f64 / seeds as f64
     };
+    let starved = |tally: &Tally| {
+        let often = tally.units.values().filter(|(asked, _)| 4 <= *asked);
+        often.filter(|(_, answered)| *answered == 0).count()
+    };
+    let longest = runs.iter().flat_map(|(_, world)| &world.times).max();
+    let plans: usize = runs.iter().map(|(_, world)| world.times.len()).sum();
+    let time: Duration = runs.iter().flat_map(|(_, world)| &world.times).sum();
     println!(
-        "| {} | {course:?} | {strategy:?} | {:.1}% | {:.1}% | {:.0}% | {:.1} | {:.0} |",
+        "| {} | {course:?} | {strategy:?} | {:.1}% | {:.1}% | {:.0}% | {:.1} | {:.1} | {:.0} | \
+         {:.2} ms, {:.0} ms |",
         site.name,
         share(&|tally| tally.ready),
         share(&|tally| tally.on_time),
         100.0 * runs.iter().map(|(tally, _)| worst(tally)).sum::<f64>() / seeds as f64,
+        runs.iter().map(|(tally, _)| starved(tally)).sum::<usize>() as f64 / seeds as f64,
         mean(&|world| world.record.store_loads.len()),
         mean(&|world| world.orders.len()),
+        1000.0 * time.as_secs_f64() / plans.max(1) as f64,
+        longest.map_or(0.0, |time| 1000.0 * time.as_secs_f64()),
     );
 }
 
@@ -138,6 +224,9 @@
     if !matches!(strategy, Strategy::Static) {
         world.planner.declare(&"lm".into(), &world.engine, world.now);
     }
+    if site.start == Start::Full {
+        fill_up(&mut world, &site.shares);
+    }
     for n in 0..world.machines.len() {
         let registration = world.machines[n].registration();
         world.planner.server(&registration, world.now);
@@ -154,6 +243,31 @@
     (traffic.tally, world)
 }
 
+/// Fills free room with the models that are busy at the start, by share and replicas.
+fn fill_up(world: &mut World, shares: &Shares) {
+    let engine = world.engine.clone();
+    let mut replicas = vec![1.0; engine.models.len()];
+    let mut open: Vec<usize> = (0..shares.of.len()).collect();
+    while !open.is_empty() {
+        let need = |&index: &usize| shares.of[index] / replicas[index];
+        let busiest = open.iter().copied().max_by(|a, b| need(a).total_cmp(&need(b)));
+        let Some(index) = busiest else { return };
+        let model = &engine.models[index];
+        let taken = |m: &machine::Machine| -> Mebibytes {
+            let sizes = engine.models.iter().filter(|model| m.held.contains_key(&model.name));
+            sizes.map(|model| model.weights).sum()
+        };
+        let fits = |m: &&mut machine::Machine| {
+            !m.held.contains_key(&model.name) && taken(m) + model.weights <= engine.weights
+        };
+        match world.machines.iter_mut().find(fits) {
+            Some(machine) => machine.hold(&engine, &model.name),
+            None => open.retain(|&other| other != index),
+        }
+        replicas[index] += 1.0;
+    }
+}
+
 /// Reads a server's prompts one after the other.
 #[derive(Clone, Default)]
 struct Reader {
@@ -210,7 +324,7 @@
     fn step(&mut self, world: &mut World) {
         let per_tick = self.site.rate * 0.01;
         // Two draws give a spread close to that of a Poisson process.
-        let count = (0..8).filter(|_| world.rng.random_bool((per_tick / 8.0).min(1.0))).count();
+        let count = (0..32).filter(|_| world.rng.random_bool((per_tick / 32.0).min(1.0))).count();
         for _ in 0..count {
             let request = self.draw(world);
             self.tally.asked += 1;
@@ -232,21 +346,32 @@
         }
     }
 
-    fn draw(&self, world: &mut World) -> Request {
-        let models = &world.engine.models;
-        let shifts = ((world.now - LEAD).as_secs() / SHIFT.as_secs()) as usize;
-        let shift = match self.course {
+    /// Shifts before a request that arrives now.
+    fn shift(&self, world: &mut World) -> usize {
+        let time = (world.now - LEAD).as_secs_f64() / SHIFT.as_secs_f64();
+        let shifts = time as usize;
+        match self.course {
             Course::Onward => shifts,
             Course::Return => shifts % 2,
-        } * self.site.by;
-        let roll: f64 = world.rng.random();
-        let rank = match world.rng.random_bool(0.93) {
-            true if roll < SHARES[0] => 0,
-            true if roll < SHARES[0] + SHARES[1] => 1,
-            true => 2,
-            false => world.rng.random_range(0..models.len()),
+            Course::Drift => shifts + usize::from(world.rng.random_bool(time.fract())),
+        }
+    }
+
+    fn draw(&self, world: &mut World) -> Request {
+        let models = world.engine.models.clone();
+        let shift = self.shift(world) * self.site.by;
+        let Shares { of, rest } = &self.site.shares;
+        let rank = match world.rng.random_bool(1.0 - rest) {
+            true => {
+                let mut roll = world.rng.random_range(0.0..of.iter().sum());
+                of.iter().position(|share| {
+                    roll -= share;
+                    roll < 0.0
+                })
+            }
+            false => Some(world.rng.random_range(0..models.len())),
         };
-        let model = &models[(shift + rank) % models.len()];
+        let model = &models[(shift + rank.unwrap_or(0)) % models.len()];
         let adapters = model.adapters;
         let adapter = (0 < adapters && world.rng.random_bool(0.3))
             .then(|| format!("a{}", 1 + world.rng.random_range(0..adapters)).into());
@@ -276,8 +401,14 @@
             self.count(&request, now, false);
             return None;
         };
-        let (first, slower) = self.readers[number].read(request.prompt, now);
-        let end = first + Duration::from_micros(5600 * request.output).mul_f64(slower);
+        let is_small = |model: &Model| model.name == request.model && model.weights < 20_000;
+        let pace = match world.engine.models.iter().any(is_small) {
+            true => self.site.small,
+            false => 1.0,
+        };
+        let prompt = (request.prompt as f64 * pace) as u64;
+        let (first, slower) = self.readers[number].read(prompt, now);
+        let end = first + Duration::from_micros(5600 * request.output).mul_f64(slower * pace);
         let run = (request.model.clone(), request.adapter.clone(), end);
         world.machines[number].running.push(run);
         self.count(&request, now, first <= request.at + GOAL);
@@ -290,6 +421,10 @@
         second.0 += 1;
         second.1 += usize::from(good);
         self.tally.on_time += usize::from(good);
+        let unit = (request.model.clone(), request.adapter.clone());
+        let unit = self.tally.units.entry(unit).or_default();
+        unit.0 += 1;
+        unit.1 += usize::from(good);
     }
 
     fn tell(&mut self, world: &mut World) {
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -22,6 +22,7 @@
 mod picture;
 mod planner;
 mod rate;
+mod spare;
 mod store;
 
 use types::{prelude::*, routed::Sequence};
@@ -114,7 +115,7 @@
         Rules {
             late: Duration::from_secs(15),
             store_share: 0.9,
-            store_burst: 3.0,
+            store_burst: 12.0,
             adapters_at_once: 4,
             adapters_in_all: 16,
             memory: Duration::from_secs(1),
--- a/crates/policy/src/place/adapters.rs
+++ b/crates/policy/src/place/adapters.rs
@@ -121,7 +121,7 @@
     let mut sites: Vec<usize> = want.ready.iter().filter(fits).copied().collect();
     sites.sort_by(|&a, &b| {
         let key = |site: usize| picture.sites[site].book.current.is_some();
-        key(a).cmp(&key(b)).then(picture.heat[a].total_cmp(&picture.heat[b]))
+        key(a).cmp(&key(b)).then(picture.heat(a).total_cmp(&picture.heat(b)))
     });
     let (model, adapter) = &want.unit;
     let cause = if want.holders == 0 { Cause::Missing } else { Cause::Demand };
--- a/crates/policy/src/place/picture.rs
+++ b/crates/policy/src/place/picture.rs
@@ -11,14 +11,14 @@
     Cause, Operation, Order, Rules,
     book::{Book, Current, Source, Standing},
     demand::Demand,
-    heat,
+    heat::Level,
 };
 
 /// Work that a model has at the least while a request waits for it.
 const WAITED: f64 = 0.05;
 
-/// Chance that any model is the busiest next.
-const CHANCE: f64 = 0.06;
+/// Chance that the busiest next is any of the models, whichever.
+const CHANCE: f64 = 0.84;
 
 /// Chance that the busiest next is one that was busy lately.
 const RETURN: f64 = 0.3;
@@ -71,9 +71,12 @@
     pub(super) chances: Vec<f64>,
     /// Work of the busiest model.
     pub(super) top: f64,
-    /// Heat of each site as things are planned.
-    pub(super) heat: Vec<f64>,
+    /// For each declared model: work that it still gets.
+    pub(super) rest: Vec<f64>,
+    /// How work lies on the sites as things are planned.
+    pub(super) level: Level,
     pub(super) decisions: Vec<Decision>,
+    indexes: BTreeMap<&'a model::Id, usize>,
 }
 
 impl<'a> Picture<'a> {
@@ -118,7 +121,9 @@
             work,
             chances: chances(demand, engine, now),
             top,
-            heat: Vec::new(),
+            rest: engine.models.iter().map(|m| demand.rest(rules, &m.name, now)).collect(),
+            level: Level::default(),
+            indexes: engine.models.iter().enumerate().map(|(n, m)| (&m.name, n)).collect(),
             decisions: Vec::new(),
         };
         picture.relevel();
@@ -127,12 +132,17 @@
 
     /// Brings the heat up to date.
     pub(super) fn relevel(&mut self) {
-        self.heat = heat::level(&self.work, &self.places, self.sites.len());
+        self.level = Level::new(&self.work, &self.places, self.sites.len());
+    }
+
+    /// Heat of a site.
+    pub(super) fn heat(&self, site: usize) -> f64 {
+        self.level.heat[site]
     }
 
     /// Index of a declared model.
     pub(super) fn index(&self, model: &model::Id) -> Option<usize> {
-        self.engine.models.iter().position(|declared| declared.name == *model)
+        self.indexes.get(model).copied()
     }
 
     /// Gives an order; nothing else goes to that site in this plan.
@@ -174,7 +184,8 @@
     let earlier: Vec<f64> = engine.models.iter().map(|m| demand.earlier(&m.name, now)).collect();
     let sum: f64 = earlier.iter().sum();
     let share = |&amount: &f64| if 0.0 < sum { amount / sum } else { 0.0 };
-    earlier.iter().map(|amount| CHANCE + RETURN * share(amount)).collect()
+    let any = CHANCE / engine.models.len().max(1) as f64;
+    earlier.iter().map(|amount| any + RETURN * share(amount)).collect()
 }
 
 /// Loads from the weight store under way or asked for.
--- a/crates/policy/src/place/store.rs
+++ b/crates/policy/src/place/store.rs
@@ -18,6 +18,10 @@
 /// Part of the tokens after the first that only what is pressing may take.
 const RESERVED: f64 = 0.9;
 
+/// Time that room for a load takes to make at the least, in seconds: tokens that come meanwhile need
+/// not be kept for it.
+const ROOM: f64 = 1.0;
+
 /// How soon a load is needed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Urgency {
@@ -61,6 +65,11 @@
         1.0 + reserved + kept as f64 <= self.tokens
     }
 
+    /// Tokens that come while room is made, all but one.
+    fn meanwhile(&self) -> usize {
+        (self.per_second * ROOM - 1.0).max(0.0) as usize
+    }
+
     /// Charges a load.
     pub(super) fn charge(&mut self) {
         self.tokens -= 1.0;
@@ -75,9 +84,13 @@
 /// Loads from the weight store under way at once: as many as run on average at its full rate. More
 /// would only slow each other down.
 pub(super) fn at_once(engine: &Engine) -> usize {
+    (engine.loads_per_s * mean_load(engine)).round().max(1.0) as usize
+}
+
+/// Seconds that a load from the weight store takes on average.
+pub(super) fn mean_load(engine: &Engine) -> f64 {
     let times = engine.models.iter().map(|model| model.load.as_secs_f64());
-    let mean = times.sum::<f64>() / engine.models.len().max(1) as f64;
-    (engine.loads_per_s * mean).round().max(1.0) as usize
+    times.sum::<f64>() / engine.models.len().max(1) as f64
 }
 
 /// Loads that the weight store still has for a plan.
@@ -104,7 +117,8 @@
             return true;
         }
         let claimed = self.claimed.iter().filter(|claimed| *claimed != server).count();
-        let kept = claimed + self.doubted.len().saturating_sub(SLACK);
+        let kept = claimed.saturating_sub(self.bucket.meanwhile())
+            + self.doubted.len().saturating_sub(SLACK);
         let most = match urgency {
             Urgency::Pressing => self.at_once,
             Urgency::Calm => self.at_once.saturating_sub(1).max(1),
--- a/crates/policy/tests/place/models.rs
+++ b/crates/policy/tests/place/models.rs
@@ -255,3 +255,47 @@
     ask(&mut world, &[("m02", 0.1)], 6 * SECOND);
     assert_eq!(world.holders("m01").len(), 2);
 }
+
+/// 24 servers of two large models each, 36 models; what room is left holds replicas of the first, on
+/// servers 0 to 11 beside models 12 to 23.
+fn many_models() -> World {
+    let mut engine = engine(83_000, 8, &[(34_300, 0); 36]);
+    engine.loads_per_s = 10.0;
+    let mut world = World::new(engine.clone(), 24, 4, 1);
+    for machine in world.machines.iter_mut().filter(|machine| machine.held.len() < 2) {
+        machine.hold(&engine, &"m00".into());
+        world.planner.server(&machine.registration(), world.now);
+    }
+    assert_eq!(world.holders("m00").len(), 13);
+    ask(&mut world, &[("m00", 4.0)], 4 * SECOND);
+    world
+}
+
+/// The coolest servers hold only models that stand nowhere else; warmer ones hold replicas that can go.
+#[test]
+fn a_busy_model_of_many_gets_replicas_where_room_can_be_made() {
+    let mut world = many_models();
+    let others: Vec<String> = (12..24).map(|number| format!("m{number:02}")).collect();
+    let others = others.iter().map(|name| (name.as_str(), 0.15));
+    let shares: Vec<(&str, f64)> = others.chain([("m01", 4.0)]).collect();
+    ask(&mut world, &shares, 6 * SECOND);
+    let replicas = world.holders("m01").len();
+    assert!(5 <= replicas, "{replicas} replicas");
+}
+
+/// Where the store serves many loads a second, room is made for more of them than may start at once.
+#[test]
+fn room_is_made_for_as_many_loads_as_the_store_serves_meanwhile() {
+    let mut world = many_models();
+    let end = world.now + 3 * SECOND;
+    for machine in world.machines.iter_mut().filter(|machine| machine.held.contains_key("m00")) {
+        machine.running.push(("m00".into(), None, end));
+        world.planner.in_flight(&machine.server.id, &"m00".into(), 1);
+    }
+    ask(&mut world, &[("m01", 6.0)], 2 * SECOND);
+    let making = |machine: &&Machine| matches!(machine.current, Some((Operation::Unload, ..)));
+    let making = world.machines.iter().filter(making).count();
+    assert!(5 <= making, "room is made at {making} servers");
+    let peak = world.store_peak() as f64;
+    assert!(peak <= 10.0 * 5.0 * 1.1 + 3.0, "{peak} loads in five seconds");
+}
--- a/crates/policy/tests/place/world.rs
+++ b/crates/policy/tests/place/world.rs
@@ -1,6 +1,6 @@
 //! Model servers, a planner and the wire between them, in virtual time.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Instant};
 
 use policy::place::{Order, Outcome, Planner, Rules};
 use rand::{RngExt, SeedableRng};
@@ -40,6 +40,8 @@
     pub faults: Faults,
     pub orders: Vec<(Moment, Order)>,
     pub rng: ChaCha8Rng,
+    /// Processor time of each plan; no test judges it.
+    pub times: Vec<Duration>,
     waiting: Vec<(Moment, Order)>,
     runs: usize,
     /// Models that no server answered for, at the end of each step.
@@ -117,6 +119,7 @@
             faults: Faults::default(),
             orders: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
+            times: Vec::new(),
             waiting: Vec::new(),
             runs: 0,
             unreachable: BTreeSet::new(),
@@ -134,7 +137,9 @@
         if self.now.as_millis().is_multiple_of(50) {
             self.reports();
         }
+        let began = Instant::now();
         let orders = self.planner.plan(self.now);
+        self.times.push(began.elapsed());
         orders.iter().for_each(|order| self.send(order));
         self.orders.extend(orders.into_iter().map(|order| (self.now, order)));
         let answers = |model: &&Model| self.machines.iter().any(|m| m.answers(&model.name, None));
