--- a/crates/policy/src/place/wish.rs
+++ b/crates/policy/src/place/wish.rs
@@ -5,8 +5,9 @@
 use types::prelude::*;
 
 use super::{
-    Operation, gain,
+    Operation,
     picture::{Picture, Site},
+    spare,
     store::{Allowance, Urgency},
 };
 
@@ -87,7 +88,7 @@
 /// Whether requests wait for a model that is not on its way, or overrun those who have it.
 fn is_wanted(picture: &Picture, model: usize) -> bool {
     let places = &picture.places[model];
-    let coolest = places.iter().map(|&site| picture.heat[site]).fold(f64::INFINITY, f64::min);
+    let coolest = places.iter().map(|&site| picture.heat(site)).fold(f64::INFINITY, f64::min);
     let is_missed = picture.demand.is_waited_for(&picture.engine.models[model].name, picture.now);
     if places.is_empty() { is_missed } else { 0.0 < picture.work[model] && OVERRUN <= coolest }
 }
@@ -105,7 +106,11 @@
     if sites.is_empty() {
         return Obstacle::Busy;
     }
-    sites.retain(|&site| gain::victims(picture, model, site).is_some());
+    let can_make_room = |site| {
+        let spares = spare::spares(picture, site);
+        spare::victims(picture, model, site, &spares).is_some()
+    };
+    sites.retain(|&site| can_make_room(site));
     if sites.is_empty() {
         return Obstacle::NoRoom;
     }
