--- a/crates/exchange/examples/cost.rs
+++ b/crates/exchange/examples/cost.rs
@@ -99,6 +99,7 @@
         timeout: Duration::from_secs(2),
         goal: Duration::from_millis(300),
         gap: None,
+        silence: None,
         attempts: 3,
         priority: 1,
         split: vec![Share { service: format!("service-{n}").into(), weight: 1 }],
--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -263,7 +263,7 @@
         let start = now + duration(outlook.wait);
         let served = start + duration(outlook.serve);
         let most = task.due.max(now) + task.patience() / HOPE;
-        let is_lost = task.ask.deadline < served || most < start;
+        let is_lost = task.leaves() < served || most < start;
         is_lost.then(|| after(task, outlook.wait))
     }
 
@@ -287,7 +287,7 @@
 
 /// The last moment at which it is of use to send a request.
 fn last(task: &Task, outlook: &Outlook) -> Moment {
-    task.ask.deadline.saturating_sub(duration(outlook.serve))
+    task.leaves().saturating_sub(duration(outlook.serve))
 }
 
 /// Until when a request waits.
--- a/crates/policy/src/dispatch/ask.rs
+++ b/crates/policy/src/dispatch/ask.rs
@@ -45,6 +45,8 @@
     pub goal: Duration,
     /// Longest pause between events with which it still earns all.
     pub pause: Option<Duration>,
+    /// Silence after which its caller leaves, if that is known.
+    pub silence: Option<Duration>,
     /// When its caller has given up.
     pub deadline: Moment,
     /// Servers that are not to be used.
@@ -71,6 +73,7 @@
             attempts: route.attempts,
             goal: route.goal,
             pause: route.gap,
+            silence: route.silence,
             deadline,
             avoid: Vec::new(),
             resume: None,
--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -103,7 +103,17 @@
 
     /// Time that its caller gives it, from its arrival.
     pub fn patience(&self) -> Duration {
-        self.ask.deadline.saturating_sub(self.arrived)
+        self.leaves().saturating_sub(self.arrived)
+    }
+
+    /// When its caller leaves if nothing comes. Callers of streams bear a silence that is much shorter
+    /// than their deadline: what is held beyond it is answered to nobody, while a refusal in time
+    /// brings the caller back. Waits bounded by the deadline alone left 62 to 104 of some 8,000
+    /// requests of a busy minute, nine hosts before 21 servers, waiting until their callers had gone.
+    pub fn leaves(&self) -> Moment {
+        let silence = self.ask.silence.filter(|_| self.ask.resume.is_none());
+        let leaves = silence.map_or(self.ask.deadline, |silence| self.arrived + silence);
+        leaves.min(self.ask.deadline)
     }
 
     /// Whether another server may still be tried.
--- a/crates/policy/tests/dispatch/fixture.rs
+++ b/crates/policy/tests/dispatch/fixture.rs
@@ -28,6 +28,7 @@
         timeout: PATIENCE,
         goal: GOAL,
         gap: None,
+        silence: None,
         attempts: 3,
         priority: 2,
         split: vec![Share { service: "app".into(), weight: 1 }],
--- a/crates/policy/tests/dispatch/queue.rs
+++ b/crates/policy/tests/dispatch/queue.rs
@@ -1,6 +1,6 @@
 //! What waits, in which order, and what is refused.
 
-use policy::dispatch::{Ask, Cause, Dispatcher, End, Ticket, Verdict};
+use policy::dispatch::{Ask, Cause, Change, Dispatcher, End, Ticket, Verdict};
 use rstest::rstest;
 use types::{
     prelude::*,
@@ -108,6 +108,24 @@
     assert!(matches!(refused[..], [Verdict::Refuse { cause: Cause::NoServer, .. }]), "{refused:?}");
 }
 
+/// The caller of a stream leaves long before its deadline, and comes back only if it is told so.
+#[rstest]
+#[case::for_a_load("m2")]
+#[case::for_a_place("m1")]
+fn what_waits_is_refused_before_its_caller_leaves(#[case] held: &str) {
+    let silence = Some(Duration::from_millis(800));
+    let mut host = host();
+    host.server(&server("s1", "a", &[(held, &[])]), at(0));
+    for ticket in 0..20 {
+        host.arrive(Ask { silence, ..generation(ticket, "m1", at(0)) }, at(0));
+    }
+    assert_ne!(host.waiting(), 0);
+    let changes = host.pump(at(790));
+    let is_refused = |change: &Change| matches!(change.verdict, Verdict::Refuse { .. });
+    assert!(changes.iter().all(is_refused), "{changes:?}");
+    assert_eq!(host.waiting(), 0);
+}
+
 /// A request whose model waits for a load holds up none that has a server.
 #[rstest]
 fn a_missing_adapter_holds_nobody_up() {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -97,6 +97,7 @@
         timeout: LONGEST,
         goal: LONGEST,
         gap: None,
+        silence: None,
         attempts: 2,
         priority: 0,
         split: vec![Share { service: SERVICE.into(), weight: 1 }],
--- a/crates/stage/examples/demo/routed.rs
+++ b/crates/stage/examples/demo/routed.rs
@@ -154,6 +154,7 @@
         timeout: Duration::from_secs(12),
         goal: Duration::from_millis(400),
         gap: (kind == Kind::Stream).then_some(Duration::from_millis(150)),
+        silence: None,
         attempts: 3,
         priority: 0,
         split: vec![Share { service: to.into(), weight: 1 }],
--- a/crates/stage/tests/routed/site.rs
+++ b/crates/stage/tests/routed/site.rs
@@ -34,6 +34,7 @@
         timeout: Duration::from_secs(10),
         goal: Duration::from_secs(1),
         gap: (kind == Kind::Stream).then_some(Duration::from_millis(500)),
+        silence: None,
         attempts: 3,
         priority: 1,
         split: services.iter().map(share).collect(),
--- a/crates/standin/src/routed/soak/site.rs
+++ b/crates/standin/src/routed/soak/site.rs
@@ -33,6 +33,7 @@
         timeout: DEADLINE,
         goal: Duration::from_secs(1),
         gap: (kind == Kind::Stream).then_some(Duration::from_millis(800)),
+        silence: None,
         attempts: 3,
         priority: 1,
         split: vec![Share { service: service.into(), weight: 1 }],
--- a/crates/standin/tests/routed.rs
+++ b/crates/standin/tests/routed.rs
@@ -104,6 +104,7 @@
         timeout: Duration::from_millis(12_000),
         goal: Duration::from_millis(400),
         gap: Some(Duration::from_millis(150)),
+        silence: None,
         attempts: 3,
         priority: 2,
         split: vec![share("lm", 3), share("lm-next", 1)],
@@ -111,6 +112,7 @@
     let plain = Route {
         kind: Kind::NonIdempotent,
         gap: None,
+        silence: None,
         split: vec![share("app", 1)],
         ..route.clone()
     };
--- a/crates/types/src/routed.rs
+++ b/crates/types/src/routed.rs
@@ -88,6 +88,8 @@
     pub goal: Duration,
     /// Longest pause between events that is still on time.
     pub gap: Option<Duration>,
+    /// Silence after which a stream's caller leaves, also before the first event, if that is known.
+    pub silence: Option<Duration>,
     /// Most servers that one request may be sent to.
     pub attempts: u32,
     /// Rank; 0 goes first.
