Tell work in flight each 5 ms

cause: hosts choose servers by what all of them have sent there, and heard of each other's work 60 to 120 ms late.

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -8,8 +8,8 @@
 };
 
 use policy::fleet::{
-    Counts, Fleet, Heard, Member, Notice, Part, Picture, Revision, Settings, Standing, State, To,
-    Unknown,
+    Counts, Fleet, Heard, Load, Member, Notice, Part, Picture, Revision, Settings, Standing, State,
+    To, Unknown,
 };
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -172,6 +172,16 @@
         self.shared.picture()
     }
 
+    /// Work in flight from all others, as they last told; far cheaper than [`Exchange::fleet`].
+    pub fn in_flight(&self) -> Vec<Load> {
+        self.shared.with(|fleet, now| fleet.in_flight(now))
+    }
+
+    /// Time between two digests to a host that has something to hear.
+    pub fn pace(&self) -> Duration {
+        self.shared.with(|fleet, _| fleet.pace())
+    }
+
     /// Datagrams, bytes and losses so far.
     pub fn counts(&self) -> Counts {
         self.shared.with(|fleet, _| fleet.counts())
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -88,8 +88,8 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
-            interval: Duration::from_millis(30),
-            far_interval: Duration::from_millis(30),
+            interval: Duration::from_millis(5),
+            far_interval: Duration::from_millis(5),
             heartbeat: Duration::from_millis(500),
             silence: Duration::from_secs(3),
             far_round: Duration::from_secs(3),
@@ -177,6 +177,7 @@
     number: Number,
     windows: BTreeMap<Run, Window>,
     outgoing: Vec<Datagram>,
+    has_gone: bool,
     counts: Counts,
     purse: tell::Purse,
     greeting_purse: tell::Purse,
@@ -218,6 +219,7 @@
             number: 0,
             windows: BTreeMap::new(),
             outgoing: Vec::new(),
+            has_gone: false,
             counts: Counts::default(),
             next_tick: now,
             next_store: now,
@@ -287,8 +289,10 @@
         Ok(())
     }
 
-    /// Tells all hosts in touch that this one ends.
+    /// Tells all hosts in touch that this one ends. From then on it tells nothing else: a digest that
+    /// came after the goodbye would make it known again.
     pub fn bye(&mut self) {
+        self.has_gone = true;
         let in_touch = self.hosts.iter().filter(|peer| !peer.is_silent());
         let addresses: Vec<_> = in_touch.map(|peer| peer.member.address).collect();
         addresses.into_iter().for_each(|address| self.put(address, Body::Bye));
@@ -342,6 +346,9 @@
 
     /// Puts a packet among those to be sent.
     fn put(&mut self, to: SocketAddr, body: Body) {
+        if self.has_gone && body != Body::Bye {
+            return;
+        }
         self.count += 1;
         let packet = Packet { run: self.member.run(), count: self.count, body };
         let bytes = wire::encode(&packet);
--- a/crates/policy/src/fleet/picture.rs
+++ b/crates/policy/src/fleet/picture.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use types::{availability, backend, routed::Version, service, time::Moment};
+use types::{availability, backend, model, routed::Version, service, time::Moment};
 
 use crate::term;
 
@@ -99,16 +99,10 @@
         let mut tally = Tally::default();
         let told = self.told(now, Distance::Near).chain(self.told(now, Distance::Far));
         told.for_each(|(fact, age)| tally.add(fact, age));
-        let loads = tally.in_flight.into_iter().map(|((server, model), (requests, tokens))| Load {
-            server,
-            model,
-            requests,
-            tokens,
-        });
         let mut picture = Picture {
             hosts,
             live: live + usize::from(self.state(now) != State::Leaving),
-            in_flight: loads.filter(|load| load.requests > 0 || load.tokens > 0).collect(),
+            in_flight: loads(tally.in_flight),
             servers: tally.servers,
             poison: tally.poison,
             lease: tally.lease,
@@ -128,6 +122,20 @@
         picture
     }
 
+    /// Work in flight from all others alone: what of a picture is wanted far more often than the rest.
+    pub fn in_flight(&self, now: Moment) -> Vec<Load> {
+        let mut tally = Tally::default();
+        let told = self.told(now, Distance::Near).chain(self.told(now, Distance::Far));
+        told.filter(|(fact, _)| matches!(fact, Fact::InFlight(_)))
+            .for_each(|(fact, age)| tally.add(fact, age));
+        loads(tally.in_flight)
+    }
+
+    /// Time between two digests to a host that has something to hear.
+    pub fn pace(&self) -> Duration {
+        self.plan.tick(&self.settings)
+    }
+
     fn seen(&self, now: Moment, peer: &Peer) -> Seen {
         let mut seen = Seen {
             member: peer.member.clone(),
@@ -148,3 +156,14 @@
         seen
     }
 }
+
+/// Sums of work, without those at rest.
+fn loads(sums: BTreeMap<(backend::Id, Option<model::Id>), (u32, u64)>) -> Vec<Load> {
+    let loads = sums.into_iter().map(|((server, model), (requests, tokens))| Load {
+        server,
+        model,
+        requests,
+        tokens,
+    });
+    loads.filter(|load| load.requests > 0 || load.tokens > 0).collect()
+}
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -8,6 +8,7 @@
 mod play;
 mod poison;
 mod queue;
+mod reading;
 mod repeat;
 mod routes;
 mod watch;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,5 +28,6 @@
 mod trace;
 mod watch;
 mod wishes;
+mod workload;
 
 pub use run::{Error, Running, reloaded, start, start_by};
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -9,8 +9,7 @@
 use exchange::{
     Exchange, Registered, Source,
     fleet::{
-        Demand, Departure, Heard, Lease, Load, Notice, Part, Picture, Reach, Revision, State,
-        Store, To,
+        Demand, Departure, Heard, Lease, Notice, Part, Picture, Reach, Revision, State, Store, To,
     },
 };
 use observe::story::{self, Belief, PeerStanding};
@@ -25,7 +24,7 @@
     routed::{self, Declaration, Version},
 };
 
-use crate::host::Shared;
+use crate::{host::Shared, workload::PEERS};
 
 /// Pause between two rounds of telling and reading.
 const ROUND: Duration = Duration::from_millis(60);
@@ -36,9 +35,6 @@
 /// Time behind the peers' servers after which they are asked of a peer.
 const CUT: Duration = Duration::from_millis(600);
 
-/// The name under which all peers' work is kept: they tell it as one sum.
-const PEERS: &str = "peers";
-
 /// What this host has counted for its peers, and of them.
 #[derive(Default)]
 pub(crate) struct Counts {
@@ -132,7 +128,7 @@
     let mut standings = BTreeMap::new();
     loop {
         let work = shared.dispatcher().work();
-        tell(&shared, &exchange, &work);
+        tell(&shared, &exchange);
         let picture = exchange.fleet();
         stand(&shared, &picture, &mut standings);
         take(&shared, &picture, &work);
@@ -157,7 +153,7 @@
     }
 }
 
-fn tell(shared: &Shared, exchange: &Exchange, work: &[dispatch::Work]) {
+fn tell(shared: &Shared, exchange: &Exchange) {
     let now = shared.now();
     let state = match (shared.is_leaving(), shared.declaration()) {
         (true, _) => State::Leaving,
@@ -177,13 +173,6 @@
     exchange.publish(Part::Lease(lease));
     let reach = if shared.is_shaken() { Reach::Cut } else { Reach::Reached };
     exchange.publish(Part::Store(Store { reach, revision: shared.revision() }));
-    let loads = work.iter().map(|(server, model, requests, tokens)| Load {
-        server: server.clone(),
-        model: model.clone(),
-        requests: *requests,
-        tokens: *tokens,
-    });
-    exchange.publish(Part::InFlight(loads.collect()));
     let arrivals = counts(shared, |counts| {
         counts.arrivals.iter().map(|(demand, count)| (demand.clone(), *count)).collect()
     });
@@ -224,12 +213,6 @@
     for (service, used) in used(picture) {
         dispatcher.others_used(service, used, now);
     }
-    let work: Vec<_> = picture
-        .in_flight
-        .iter()
-        .map(|load| (load.server.clone(), load.model.clone(), load.requests, load.tokens))
-        .collect();
-    dispatcher.peer(&PEERS.into(), &work, now);
     let marks: Vec<_> =
         picture.poison.iter().map(|(mark, crashes)| (*mark, u32::from(*crashes))).collect();
     dispatcher.mark(&PEERS.into(), &marks, now);
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -19,7 +19,7 @@
     host::Shared,
     lease,
     peers::{self, Answers},
-    planning, ready, watch,
+    planning, ready, watch, workload,
 };
 
 /// Part of the grace after which what is still in flight is given up.
@@ -123,6 +123,7 @@
     tokio::spawn(sweep(shared.clone()));
     let callers = tokio::spawn(callers::listen(shared.clone(), callers, stop.clone()));
     tokio::spawn(peers::run(shared.clone(), exchange.clone()));
+    tokio::spawn(workload::run(shared.clone(), exchange.clone()));
     tokio::spawn(introduce(shared.clone(), exchange.clone()));
     Ok(Running { shared, exchange, stop, callers })
 }
