--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -35,6 +35,9 @@
 const AFTER_LEAST: u32 = 12;
 const AFTER_MOST: u32 = 5;
 
+/// Callers wait one part in so many of what they have left, at the most, before they come back.
+const COME_BACK: u32 = 3;
+
 /// What an arrival can expect.
 struct Outlook {
     /// Time until it starts; milliseconds.
@@ -200,6 +203,11 @@
 
     fn wait_for_load(&mut self, mut task: Task, now: Moment) -> Verdict {
         let coming = self.coming_at(&task);
+        if let Some(ready) = coming.filter(|ready| self.is_too_late(&task, *ready)) {
+            let most = task.ask.deadline.saturating_sub(now) / COME_BACK;
+            let after = ready.saturating_sub(now).min(most);
+            return Verdict::Refuse { cause: Cause::NoServer, after };
+        }
         let give_up = missing_until(&task, coming);
         let missing = task.ask.model.clone().filter(|_| coming.is_none());
         let adapter = task.ask.adapter.clone();
@@ -208,6 +216,11 @@
         missing.map_or(Verdict::Wait, |model| Verdict::Missing { model, adapter })
     }
 
+    /// Whether its caller will have left when a load that it waits for is done: loads take seconds.
+    fn is_too_late(&self, task: &Task, ready: Moment) -> bool {
+        task.leaves() < ready + duration(self.stats(task).base())
+    }
+
     /// When a load that the request waits for should be done.
     fn coming_at(&self, task: &Task) -> Option<Moment> {
         let coming = &self.fleet.models[task.model? as usize].coming;
--- a/crates/policy/tests/dispatch/queue.rs
+++ b/crates/policy/tests/dispatch/queue.rs
@@ -126,6 +126,21 @@
     assert_eq!(host.waiting(), 0);
 }
 
+/// It is told when the model will be there, rather than held until its caller leaves.
+#[rstest]
+fn a_request_whose_load_comes_too_late_is_refused_at_once() {
+    let mut host = host();
+    host.server(&server("s1", "a", &[]), at(0));
+    host.coming(&"s1".into(), &"m1".into(), None, at(1_000));
+    let brief = |ticket, silence| Ask {
+        silence: Some(Duration::from_millis(silence)),
+        ..generation(ticket, "m1", at(0))
+    };
+    let refused = Verdict::Refuse { cause: Cause::NoServer, after: at(1_000) };
+    assert_eq!(host.arrive(brief(1, 800), at(0)), refused);
+    assert_eq!(host.arrive(brief(2, 2_000), at(0)), Verdict::Wait);
+}
+
 /// A request whose model waits for a load holds up none that has a server.
 #[rstest]
 fn a_missing_adapter_holds_nobody_up() {
