--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -108,8 +108,8 @@
 
     /// When its caller leaves if nothing comes. Callers of streams bear a silence that is much shorter
     /// than their deadline: what is held beyond it is answered to nobody, while a refusal in time
-    /// brings the caller back. Waits bounded by the deadline alone left 62 to 104 of some 8,000
-    /// requests of a busy minute, nine hosts before 21 servers, waiting until their callers had gone.
+    /// brings the caller back. Waits bounded by the deadline alone left 78 of a busy minute's 9,117
+    /// requests, at nine hosts before 21 servers, waiting until their callers had gone; 1 with this.
     pub fn leaves(&self) -> Moment {
         let silence = self.ask.silence.filter(|_| self.ask.resume.is_none());
         let leaves = silence.map_or(self.ask.deadline, |silence| self.arrived + silence);
--- a/crates/policy/src/place/gain.rs
+++ b/crates/policy/src/place/gain.rs
@@ -222,8 +222,8 @@
 /// Seconds of demand that a replica is likely to see that is there after so many: work leaves its
 /// model at a constant rate, which is learnt.
 ///
-/// Answers demand that stays longer than loads take. A fixed time of 2.2 s beyond the mean load left
-/// hot models at one replica for 10 s where loads take 3 to 6 s and demand stays for 10 to 20. With
+/// Answers demand that stays longer than loads take. A fixed time of 2.2 s beyond the mean load left a
+/// hot model at one replica for 6 s and at two for 8 more, where loads take 3 to 6 s. With
 /// nine hosts before 18 model servers, over five days with faults and three seeds each, the share of
 /// worth served rose from 0.823 to 0.840, of the worst kind of request from 0.755 to 0.793, measured
 /// together with refusals at once of what a load comes too late for.
