--- a/crates/standin/tests/routed.rs
+++ b/crates/standin/tests/routed.rs
@@ -104,7 +104,7 @@
         timeout: Duration::from_millis(12_000),
         goal: Duration::from_millis(400),
         gap: Some(Duration::from_millis(150)),
-        silence: None,
+        silence: Some(Duration::from_secs(2)),
         attempts: 3,
         priority: 2,
         split: vec![share("lm", 3), share("lm-next", 1)],
@@ -140,6 +140,24 @@
     assert_eq!(Platform.declaration(&object("main", content)), Some(declaration()));
 }
 
+/// The longest of two seconds, four latency objectives and eight pauses.
+#[rstest]
+#[case::least(400, 150, 2_000)]
+#[case::objective(800, 250, 3_200)]
+#[case::pause(100, 500, 4_000)]
+fn how_long_a_streams_caller_bears_silence_is_known(
+    #[case] goal: u64,
+    #[case] gap: u64,
+    #[case] silence: u64,
+) {
+    let mut written = declaration();
+    written.routes[0].goal = Duration::from_millis(goal);
+    written.routes[0].gap = Some(Duration::from_millis(gap));
+    let read = Platform.declaration(&object("main", entry::declaration(&written))).unwrap();
+    assert_eq!(read.routes[0].silence, Some(Duration::from_millis(silence)));
+    assert_eq!(read.routes[1].silence, None, "its answers come whole");
+}
+
 #[test]
 fn a_registration_is_read_as_it_was_written() {
     let registered = routed::Server {
