Make loads in one place, and ask whether a deployment is wide

cause: read again: loads were made from the same sums in two places, and all that others told was chained in two; the rounds of work were long where the digests' pause was above a constant of another crate, so that changing that pause by a millisecond would have made them long everywhere; two plays of the dispatcher built the same host. ruled out: one map of flows for demand and its stay: they forget at different rates, and the stay is tested by itself. change: fleet::sums::loads, Fleet::told_by_all, Exchange::is_wide, a fixture for a host among others.

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -177,9 +177,9 @@
         self.shared.with(|fleet, now| fleet.in_flight(now))
     }
 
-    /// Time between two digests to a host that has something to hear.
-    pub fn pace(&self) -> Duration {
-        self.shared.with(|fleet, _| fleet.pace())
+    /// Whether there are so many hosts that digests wait for a budget.
+    pub fn is_wide(&self) -> bool {
+        self.shared.with(|fleet, _| fleet.is_wide())
     }
 
     /// Datagrams, bytes and losses so far.
--- a/crates/policy/src/fleet/picture.rs
+++ b/crates/policy/src/fleet/picture.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use types::{availability, backend, model, routed::Version, service, time::Moment};
+use types::{availability, backend, routed::Version, service, time::Moment};
 
 use crate::term;
 
@@ -13,7 +13,7 @@
     },
     fanout::Distance,
     hosts::Peer,
-    sums::Tally,
+    sums::{Tally, Working, loads},
     wire::Scope,
 };
 
@@ -97,12 +97,11 @@
         let hosts: Vec<_> = self.hosts.iter().map(|peer| self.seen(now, peer)).collect();
         let live = hosts.iter().filter(|seen| seen.standing == Standing::Live).count();
         let mut tally = Tally::default();
-        let told = self.told(now, Distance::Near).chain(self.told(now, Distance::Far));
-        told.for_each(|(fact, age)| tally.add(fact, age));
+        self.told_by_all(now).for_each(|(fact, age)| tally.add(fact, age));
         let mut picture = Picture {
             hosts,
             live: live + usize::from(self.state(now) != State::Leaving),
-            in_flight: loads(tally.in_flight),
+            in_flight: busy(tally.in_flight),
             servers: tally.servers,
             poison: tally.poison,
             lease: tally.lease,
@@ -125,15 +124,19 @@
     /// Work in flight from all others alone: what of a picture is wanted far more often than the rest.
     pub fn in_flight(&self, now: Moment) -> Vec<Load> {
         let mut tally = Tally::default();
-        let told = self.told(now, Distance::Near).chain(self.told(now, Distance::Far));
-        told.filter(|(fact, _)| matches!(fact, Fact::InFlight(_)))
+        self.told_by_all(now)
+            .filter(|(fact, _)| matches!(fact, Fact::InFlight(_)))
             .for_each(|(fact, age)| tally.add(fact, age));
-        loads(tally.in_flight)
+        busy(tally.in_flight)
     }
 
-    /// Time between two digests to a host that has something to hear.
-    pub fn pace(&self) -> Duration {
-        self.plan.tick(&self.settings)
+    /// Whether there are so many hosts that digests wait for a budget.
+    pub fn is_wide(&self) -> bool {
+        self.plan.is_wide()
+    }
+
+    fn told_by_all(&self, now: Moment) -> impl Iterator<Item = (&Fact, Duration)> {
+        self.told(now, Distance::Near).chain(self.told(now, Distance::Far))
     }
 
     fn seen(&self, now: Moment, peer: &Peer) -> Seen {
@@ -157,13 +160,7 @@
     }
 }
 
-/// Sums of work, without those at rest.
-fn loads(sums: BTreeMap<(backend::Id, Option<model::Id>), (u32, u64)>) -> Vec<Load> {
-    let loads = sums.into_iter().map(|((server, model), (requests, tokens))| Load {
-        server,
-        model,
-        requests,
-        tokens,
-    });
-    loads.filter(|load| load.requests > 0 || load.tokens > 0).collect()
+/// Loads that are not at rest.
+fn busy(working: Working) -> Vec<Load> {
+    loads(working).filter(|load| load.requests > 0 || load.tokens > 0).collect()
 }
--- a/crates/policy/src/fleet/sums.rs
+++ b/crates/policy/src/fleet/sums.rs
@@ -45,10 +45,13 @@
     }
 }
 
+/// Requests and prompt tokens at servers, by server and model.
+pub(super) type Working = BTreeMap<(backend::Id, Option<model::Id>), (u32, u64)>;
+
 /// Facts of several hosts, as one.
 #[derive(Debug, Default)]
 pub(super) struct Tally {
-    pub(super) in_flight: BTreeMap<(backend::Id, Option<model::Id>), (u32, u64)>,
+    pub(super) in_flight: Working,
     pub(super) servers: BTreeMap<backend::Id, Departure>,
     pub(super) poison: BTreeMap<Fingerprint, u8>,
     pub(super) lease: Option<Lease>,
@@ -105,9 +108,7 @@
     }
 
     fn into_facts(self) -> impl Iterator<Item = Fact> {
-        let loads = self.in_flight.into_iter().map(|((server, model), (requests, tokens))| {
-            Fact::InFlight(Load { server, model, requests, tokens })
-        });
+        let loads = loads(self.in_flight).map(Fact::InFlight);
         let servers = self.servers.into_iter().map(|(id, departure)| Fact::Server(id, departure));
         let poison = self.poison.into_iter().map(|(mark, crashes)| Fact::Poison(mark, crashes));
         let lease = self.lease.into_iter().map(Fact::Lease);
@@ -118,6 +119,12 @@
     }
 }
 
+/// Work as loads, those at rest among them.
+pub(super) fn loads(working: Working) -> impl Iterator<Item = Load> {
+    let load = |((server, model), (requests, tokens))| Load { server, model, requests, tokens };
+    working.into_iter().map(load)
+}
+
 fn raise<K: Ord, V: Ord + Copy>(entry: Entry<'_, K, V>, value: V) {
     entry.and_modify(|held| *held = value.max(*held)).or_insert(value);
 }
--- a/crates/policy/tests/dispatch/crowd.rs
+++ b/crates/policy/tests/dispatch/crowd.rs
@@ -5,15 +5,16 @@
     collections::{BTreeMap, BinaryHeap, VecDeque},
 };
 
-use policy::dispatch::{
-    Again, Ask, Dispatcher, End, NotRun, Settings, Terms, Ticket, Verdict, Work,
-};
+use policy::dispatch::{Again, Ask, Dispatcher, End, NotRun, Ticket, Verdict, Work};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
-use types::{prelude::*, routed::Kind};
+use types::{
+    prelude::*,
+    routed::{Kind, Server},
+};
 
-use crate::fixture::{ask, at, server};
+use crate::fixture::{among, ask, at, server};
 
 const HOSTS: usize = 82;
 const SERVERS: usize = 3;
@@ -72,14 +73,8 @@
 }
 
 fn host() -> Dispatcher {
-    let hosts = HOSTS as u32;
-    let mut host = Dispatcher::new(Settings { zone: "a".into(), hosts, retries: Terms::default() });
-    host.hosts(hosts, hosts - 1);
-    for n in 0..SERVERS {
-        let told = server(&id(n), "a", &[]);
-        host.server(&types::routed::Server { slots: SLOTS as u32, ..told }, Duration::ZERO);
-    }
-    host
+    let told = |n| Server { slots: SLOTS as u32, ..server(&id(n), "a", &[]) };
+    among(HOSTS, (0..SERVERS).map(told))
 }
 
 impl World {
--- a/crates/policy/tests/dispatch/reading.rs
+++ b/crates/policy/tests/dispatch/reading.rs
@@ -2,13 +2,13 @@
 
 use std::collections::VecDeque;
 
-use policy::dispatch::{Ask, Dispatcher, End, Settings, Terms, Ticket, Verdict, Work};
+use policy::dispatch::{Ask, Dispatcher, End, Ticket, Verdict, Work};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
-use types::{prelude::*, routed};
+use types::{prelude::*, routed::Server};
 
-use crate::fixture::{at, generation, server};
+use crate::fixture::{among, at, generation, server};
 
 const HOSTS: usize = 9;
 const SERVERS: usize = 4;
@@ -64,14 +64,8 @@
 }
 
 fn host() -> Dispatcher {
-    let hosts = HOSTS as u32;
-    let mut host = Dispatcher::new(Settings { zone: "a".into(), hosts, retries: Terms::default() });
-    host.hosts(hosts, hosts - 1);
-    for n in 0..SERVERS {
-        let told = server(&format!("s{n}"), "a", &[(MODEL, &[])]);
-        host.server(&routed::Server { slots: SLOTS, ..told }, Duration::ZERO);
-    }
-    host
+    let told = |n| Server { slots: SLOTS, ..server(&format!("s{n}"), "a", &[(MODEL, &[])]) };
+    among(HOSTS, (0..SERVERS).map(told))
 }
 
 impl World {
--- a/crates/policy/tests/place/models.rs
+++ b/crates/policy/tests/place/models.rs
@@ -313,7 +313,8 @@
     world.holders("m07").len()
 }
 
-/// What demand has done tells how long a replica is likely to be of use: 3 where it stayed, 2 where it moved.
+/// What demand has done tells how long a replica is likely to be of use: 3 where it stayed, 2 where it moved;
+/// 4 and 4 where a fixed time beyond the mean load was counted on.
 #[test]
 fn slow_loads_follow_demand_that_stays_rather_than_demand_that_moves() {
     let (stays, moves) = (replicas_after(0), replicas_after(20));
