--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -19,7 +19,10 @@
     metrics::routed::{Call as Called, Called as Answered, Routed as Meters},
     story::{Belief, DependencyState, Teller, Word},
 };
-use tokio::sync::Mutex;
+use tokio::{
+    sync::Mutex,
+    time::{Instant, timeout_at},
+};
 
 use crate::{
     connect::{self, Connection},
@@ -45,10 +48,29 @@
     kept: Mutex<Option<Connection>>,
     teller: Teller,
     meters: Meters,
-    /// Whether the last call got no answer.
+    calls: Reach,
+    declaration: Reach,
+    servers: Reach,
+}
+
+/// Whether calls of a sort were answered at last.
+struct Reach {
+    /// What the log calls it.
+    name: &'static str,
     lost: AtomicBool,
 }
 
+impl Reach {
+    fn new(name: &'static str) -> Reach {
+        Reach { name, lost: AtomicBool::new(false) }
+    }
+
+    /// Notes how the last call ended; whether that is news.
+    fn turns(&self, lost: bool) -> bool {
+        self.lost.swap(lost, Ordering::Relaxed) != lost
+    }
+}
+
 impl Store {
     pub(crate) fn new(
         dialect: Arc<dyn Dialect>,
@@ -56,21 +78,33 @@
         teller: Teller,
         meters: Meters,
     ) -> Store {
-        let (kept, lost) = (Mutex::new(None), AtomicBool::new(false));
-        Store { dialect, address, kept, teller, meters, lost }
+        Store {
+            dialect,
+            address,
+            kept: Mutex::new(None),
+            teller,
+            meters,
+            calls: Reach::new("store"),
+            declaration: Reach::new("watch of the declaration"),
+            servers: Reach::new("watch of servers"),
+        }
     }
 
     /// Makes a call that is worth nothing when it takes longer than a term of the lease.
     pub(crate) async fn brief_call(&self, call: &Call<'_>) -> Told {
-        let done = tokio::time::timeout(BRIEF, self.call(call)).await;
-        done.unwrap_or(Told::Unclear)
+        self.call_within(call, BRIEF).await
     }
 
     /// Makes a short call.
     pub(crate) async fn call(&self, call: &Call<'_>) -> Told {
-        let mut kept = self.kept.lock().await;
+        self.call_within(call, CALL).await
+    }
+
+    async fn call_within(&self, call: &Call<'_>, limit: Duration) -> Told {
+        let end = Instant::now() + limit;
+        let Ok(mut kept) = timeout_at(end, self.kept.lock()).await else { return Told::Unclear };
         let connection = kept.take().filter(|connection| connection.sender.is_ready());
-        let (told, connection) = self.exchange(call, connection, CALL).await;
+        let (told, connection) = self.exchange(call, connection, end).await;
         *kept = connection;
         told
     }
@@ -85,7 +119,8 @@
     ) -> Told {
         let connection = kept.take().filter(|connection| connection.sender.is_ready());
         let call = Call::Watch { kind, since, wait };
-        let (told, connection) = self.exchange(&call, connection, wait + WATCH_SLACK).await;
+        let end = Instant::now() + wait + WATCH_SLACK;
+        let (told, connection) = self.exchange(&call, connection, end).await;
         *kept = connection;
         told
     }
@@ -111,30 +146,40 @@
         }
     }
 
+    /// Makes a call; every one is counted and told of, also one that gets no answer.
     async fn exchange(
         &self,
         call: &Call<'_>,
         connection: Option<Connection>,
-        limit: Duration,
+        end: Instant,
     ) -> (Told, Option<Connection>) {
-        let done = tokio::time::timeout(limit, self.try_exchange(call, connection)).await;
+        let began = Instant::now();
+        let done = timeout_at(end, self.try_exchange(call, connection)).await;
         let (told, connection) = done.ok().flatten().unwrap_or((Told::Unclear, None));
         self.meters.call(called(call), result(&told));
-        self.heard(&told);
+        let watch = match call {
+            Call::Watch { kind: Kind::Declaration, .. } => Some(&self.declaration),
+            Call::Watch { kind: Kind::Server, .. } => Some(&self.servers),
+            _ => None,
+        };
+        for reach in [Some(&self.calls), watch].into_iter().flatten() {
+            self.heard(reach, &told, began.elapsed());
+        }
         (told, connection)
     }
 
-    /// Tells when the store falls silent, and when it answers again.
-    fn heard(&self, told: &Told) {
+    /// Tells when calls of a sort get no answer, and when they do again.
+    fn heard(&self, reach: &Reach, told: &Told, took: Duration) {
         let lost = matches!(told, Told::Unclear);
-        if self.lost.swap(lost, Ordering::Relaxed) == lost {
+        if !reach.turns(lost) {
             return;
         }
+        let took = took.as_millis();
         let (state, why) = match lost {
-            true => (DependencyState::Lost, "a call got no answer that can be read"),
-            false => (DependencyState::Regained, "a call was answered"),
+            true => (DependencyState::Lost, format!("no answer that can be read in {took} ms")),
+            false => (DependencyState::Regained, format!("an answer after {took} ms")),
         };
-        let (name, why) = (Word::Borrowed("store"), Word::Borrowed(why));
+        let (name, why) = (Word::Borrowed(reach.name), Word::Owned(why));
         self.teller.belief(Belief::Dependency { name, state, why });
     }
 
--- a/crates/stage/tests/routed/store.rs
+++ b/crates/stage/tests/routed/store.rs
@@ -16,6 +16,7 @@
 
 use crate::site::{
     HOST, backend, chat, declaration, page, route, server_of, site, status_of, ticket, undeclared,
+    usual_site,
 };
 
 async fn serves(host: &Host) {
@@ -58,6 +59,28 @@
     declares_on(&site, 11).await;
 }
 
+/// Whether the host's last word on something that it relies on is this one.
+fn last_said(host: &Host, name: &str, state: &str) -> bool {
+    let log = host.log();
+    let last = log.iter().rfind(|line| line["kind"] == "dependency" && line["name"] == name);
+    last.is_some_and(|line| line["state"] == state)
+}
+
+#[tokio::test]
+async fn an_outage_is_told_by_the_calls_that_got_no_answer() {
+    let site = usual_site().await;
+    let host = &site.hosts[0];
+    let sorts = ["store", "watch of the declaration", "watch of servers"];
+    site.backend.store.everywhere(|mood| mood.refusal = Some(Refusal::Silence));
+    for sort in sorts {
+        until("its loss is told", async || last_said(host, sort, "lost")).await;
+    }
+    site.backend.store.everywhere(|mood| mood.refusal = None);
+    for sort in sorts {
+        until("its return is told", async || last_said(host, sort, "regained")).await;
+    }
+}
+
 #[rstest]
 #[case::down(Refusal::Down)]
 #[case::silent(Refusal::Silence)]
