Show by failing tests that a watch that the store's silence took is deaf for too long

cause: a watch that was asked while the store was silent, or was waiting when it fell silent, gets no answer, also once the store is back; a host learns that from the watch's own limit alone, its wait and 1 s, 5 to 21 s by the number of hosts, where 2 s are the bound.

--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -6,6 +6,7 @@
 mod orders;
 mod pages;
 mod serving;
+mod silence;
 mod site;
 mod stops;
 mod store;
--- /dev/null
+++ b/crates/stage/tests/routed/silence.rs
@@ -0,0 +1,105 @@
+//! Watches of the store that nothing ever comes on.
+//!
+//! What users saw: a route was handled by an old declaration on every host, three seconds after the
+//! operators had the confirmation of a newer one. The order of events: all hosts had taken a declaration at the
+//! same moment and watched for the next; the store fell silent; the watches ended by their own time limit, and were
+//! asked again while the store was still silent; the store came back, answered each other call within
+//! milliseconds, and took newer declarations; the watches stayed silent up to their limit, 4.7 s
+//! later. Since all hosts were deaf alike, none could tell the others.
+//!
+//! Evidence: on six hosts the store was lost at 9.92 s and 15.97 s, each 5.8 s, the limit of a
+//! watch, after the watch was asked (4.12 s, 10.17 s); in between it was regained (11.2 s) and
+//! answered other calls in each second. All seven versions that were missed came at 16.2 s, from the
+//! store, within 4 ms.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use rstest::rstest;
+use standin::routed::{
+    caller::Ask,
+    site::{self as sites, Site},
+    store::Refusal,
+    until,
+};
+use tokio::time::sleep;
+use types::routed::Kind;
+
+use crate::site::{HOST, declaration, route, site, status_of, ticket};
+
+/// A host is held to all bounds once it and the store have been sound for so long. No other bound is
+/// longer: a declaration has 2 s and a leaving server has 2 s.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Several hosts could tell each other, were they not all deaf.
+const HOSTS: usize = 3;
+
+/// How the store falls silent.
+#[derive(Clone, Copy)]
+enum Silence {
+    /// Until watches have ended by their limit and were asked anew.
+    Long,
+    /// For a moment, which only the watches that wait have seen.
+    Short,
+}
+
+/// Declares a further route, and returns what asks for it.
+fn declare(site: &Site, version: u64) -> Ask {
+    let mut declared = declaration();
+    declared.version = version;
+    declared.routes.push(route(&format!("/pages-{version}/"), Kind::Idempotent, &[("app", 1)]));
+    site.backend.declare(&declared);
+    Ask::to(HOST, &format!("/pages-{version}/x"))
+}
+
+/// A site whose hosts watch from the same moment on, after a store that was silent and is back.
+async fn after(silence: Silence) -> Site {
+    let site = site(HOSTS).await;
+    declare(&site, 10);
+    site.seen().await;
+    let deaf = match silence {
+        Silence::Long => 2,
+        Silence::Short => 1,
+    };
+    let store = &site.backend.store;
+    store.everywhere(|mood| mood.refusal = Some(Refusal::Silence));
+    for host in &site.hosts {
+        for kind in [sites::declarations(), sites::servers()] {
+            until("watches are deaf", async || deaf <= store.deaf(&host.name, &kind)).await;
+        }
+    }
+    store.everywhere(|mood| mood.refusal = None);
+    site
+}
+
+#[rstest]
+#[case::long(Silence::Long)]
+#[case::short(Silence::Short)]
+#[tokio::test]
+async fn a_declaration_is_in_force_in_time_after_a_silence(#[case] silence: Silence) {
+    let site = after(silence).await;
+    let ask = declare(&site, 11);
+    sleep(CONTACT).await;
+    for host in &site.hosts {
+        let status = status_of(host, &ask.again()).await;
+        assert_eq!(status, Some(StatusCode::OK), "{} is behind", host.name);
+    }
+}
+
+#[rstest]
+#[case::long(Silence::Long)]
+#[case::short(Silence::Short)]
+#[tokio::test]
+async fn a_leaving_server_is_left_alone_in_time_after_a_silence(#[case] silence: Silence) {
+    let site = after(silence).await;
+    let leaving = site.backend.server("app-1");
+    leaving.leave(None);
+    sleep(CONTACT).await;
+    let before = leaving.runs().len();
+    for host in &site.hosts {
+        for _ in 0..6 {
+            assert_eq!(status_of(host, &ticket()).await, Some(StatusCode::OK));
+        }
+        assert_eq!(leaving.runs().len(), before, "{} still sends to it", host.name);
+    }
+}
--- a/crates/standin/src/routed/store.rs
+++ b/crates/standin/src/routed/store.rs
@@ -87,6 +87,8 @@
     count: Count,
     /// Where the last watch of each kind began.
     watched: HashMap<KindId, Revision>,
+    /// Watches of each kind that silence took.
+    deaf: HashMap<KindId, u64>,
 }
 
 enum Reply {
@@ -125,8 +127,8 @@
         })
         .await?;
         let address = listener.address;
-        let (mood, count, watched) = (Mood::default(), Count::default(), HashMap::new());
-        let opened = Door { listener, mood, count, watched };
+        let (mood, count) = (Mood::default(), Count::default());
+        let opened = Door { listener, mood, count, watched: HashMap::new(), deaf: HashMap::new() };
         lock(&self.shared.doors).insert(door.to_owned(), opened);
         Ok(address)
     }
@@ -160,6 +162,13 @@
         lock(&self.shared.doors).get(door)?.watched.get(kind).copied()
     }
 
+    /// Watches of a kind at a door that silence took so far: nothing ever comes on them, also once
+    /// the store answers again.
+    pub fn deaf(&self, door: &str, kind: &KindId) -> u64 {
+        let doors = lock(&self.shared.doors);
+        doors.get(door).and_then(|door| door.deaf.get(kind)).copied().unwrap_or_default()
+    }
+
     /// Writes an object, whatever it was.
     pub fn put(&self, kind: &KindId, name: &str, content: Value) -> Revision {
         let revision = lock(&self.shared.state).write(kind, &name.into(), content).revision;
@@ -226,6 +235,15 @@
         }
     }
 
+    /// Counts a watch that gets no answer.
+    fn deafen(&self, door: &str, refusal: Refusal, kind: &KindId) {
+        if refusal == Refusal::Silence
+            && let Some(door) = lock(&self.doors).get_mut(door)
+        {
+            *door.deaf.entry(kind.clone()).or_default() += 1;
+        }
+    }
+
     /// Whether the answer to a write is to be lost now.
     fn loses(&self, door: &str) -> bool {
         let mut doors = lock(&self.doors);
@@ -270,6 +288,9 @@
     let mood = shared.mood(door);
     tokio::time::sleep(mood.delay).await;
     if let Some(refusal) = shared.mood(door).refusal {
+        if let Call::Watch { kind, .. } = &call {
+            shared.deafen(door, refusal, kind);
+        }
         return refuse(shared, door, refusal);
     }
     match call {
@@ -319,6 +340,7 @@
     let mut ticks = shared.ticks.subscribe();
     loop {
         if let Some(refusal) = shared.mood(door).refusal {
+            shared.deafen(door, refusal, kind);
             return refuse(shared, door, refusal);
         }
         let watched = lock(&shared.state).watched(kind, since);
