Hedge a watch that may be deaf, as soon as the store answers again

cause: a call that the store's silence took looks like a watch that waits; a host knew within 0.1 s that the store was back, by its calls about the lease, and yet trusted a watch from before for up to 5.8 s (six hosts) or 21 s (25) ruled out: giving the old watch up, since a store that takes a second for an answer would then answer none; a shorter wait everywhere, since calls rise with the hosts change: when a call is answered after one that was not, both watches are asked once more beside the old ones, and the first answer counts; a watch is heard for 5 s beyond its wait, and hedged after 1 s.

--- a/crates/policy/src/follow.rs
+++ b/crates/policy/src/follow.rs
@@ -32,6 +32,16 @@
 /// Part of the time in which a change must be known that may pass between two calls.
 pub const PART: f64 = 0.6;
 
+/// Bounds of a watch's wait for a change.
+const WAIT_LEAST: Duration = Duration::from_secs(4);
+const WAIT_MOST: Duration = Duration::from_secs(20);
+
+/// Wait for each host, so that the calls of all hosts together stay as many.
+const WAIT_EACH: Duration = Duration::from_millis(800);
+
+/// Time beyond its wait after which a watch is no longer trusted.
+const TRUST: Duration = Duration::from_secs(1);
+
 /// Key of the order in which hosts are scouts.
 const KEY: &[u8] = b"scout";
 
@@ -44,6 +54,23 @@
     Follower,
 }
 
+/// How long a watch waits for a change, and for how long without any answer it is trusted: then it
+/// may be deaf.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Watch {
+    /// Wait for a change, after which the store answers that there was none.
+    pub wait: Duration,
+    /// Time after which another is asked beside it.
+    pub trust: Duration,
+}
+
+/// The times of a watch in a deployment of so many hosts.
+pub fn watch(hosts: usize) -> Watch {
+    let each = WAIT_EACH.saturating_mul(u32::try_from(hosts).unwrap_or(u32::MAX));
+    let wait = each.clamp(WAIT_LEAST, WAIT_MOST);
+    Watch { wait, trust: wait + TRUST }
+}
+
 /// The role of a host that holds no lease, among others that are in touch.
 pub fn role<'a>(own: &host::Id, others: impl Iterator<Item = &'a host::Id>) -> Role {
     let rank = rendezvous::score(KEY, own);
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -20,7 +20,7 @@
     story::{Belief, DependencyState, Teller, Word},
 };
 use tokio::{
-    sync::Mutex,
+    sync::{Mutex, watch},
     time::{Instant, timeout_at},
 };
 
@@ -35,8 +35,9 @@
 /// The same for one about the lease.
 const BRIEF: Duration = Duration::from_millis(600);
 
-/// Time that a watch may take beyond the wait that it asked for.
-const WATCH_SLACK: Duration = Duration::from_secs(1);
+/// Time that a watch may take beyond the wait that it asked for. A slow store is heard for so long; a
+/// watch that may be deaf is not left alone until then, but hedged.
+const WATCH_SLACK: Duration = Duration::from_secs(5);
 
 /// Largest answer taken, in bytes.
 const LARGEST: usize = 8 * 1024 * 1024;
@@ -51,6 +52,8 @@
     calls: Reach,
     declaration: Reach,
     servers: Reach,
+    /// Outages that have ended.
+    outages: watch::Sender<u64>,
 }
 
 /// Whether calls of a sort were answered at last.
@@ -87,9 +90,16 @@
             calls: Reach::new("store"),
             declaration: Reach::new("watch of the declaration"),
             servers: Reach::new("watch of servers"),
+            outages: watch::Sender::default(),
         }
     }
 
+    /// Tells when calls that got no answer are followed by one that does. What was asked before that
+    /// may never be answered: a store that was silent forgets who asked.
+    pub(crate) fn outages(&self) -> watch::Receiver<u64> {
+        self.outages.subscribe()
+    }
+
     /// Makes a call that is worth nothing when it takes longer than a term of the lease.
     pub(crate) async fn brief_call(&self, call: &Call<'_>) -> Told {
         self.call_within(call, BRIEF).await
@@ -109,20 +119,33 @@
         told
     }
 
-    /// Waits for changes on a connection that is the watch's own.
+    /// Waits for changes on a connection that is the watch's own: an earlier one's, or a new one.
     pub(crate) async fn watch(
         &self,
-        kept: &mut Option<Connection>,
+        kept: Option<Connection>,
         kind: Kind,
         since: Revision,
         wait: Duration,
-    ) -> Told {
-        let connection = kept.take().filter(|connection| connection.sender.is_ready());
+    ) -> (Told, Option<Connection>) {
+        let connection = kept.filter(|connection| connection.sender.is_ready());
         let call = Call::Watch { kind, since, wait };
-        let end = Instant::now() + wait + WATCH_SLACK;
-        let (told, connection) = self.exchange(&call, connection, end).await;
-        *kept = connection;
-        told
+        self.exchange(&call, connection, Instant::now() + wait + WATCH_SLACK).await
+    }
+
+    /// A watch has had no answer for this time and is no longer trusted.
+    pub(crate) fn doubt(&self, kind: Kind, waited: Duration) {
+        if let Some(reach) = self.reach(kind) {
+            self.heard(reach, &Told::Unclear, waited);
+        }
+    }
+
+    /// Whether a kind's watches were answered at last.
+    fn reach(&self, kind: Kind) -> Option<&Reach> {
+        match kind {
+            Kind::Declaration => Some(&self.declaration),
+            Kind::Server => Some(&self.servers),
+            Kind::Host | Kind::Lease => None,
+        }
     }
 
     /// Lists a kind whole; `None` if a page is missing.
@@ -146,7 +169,7 @@
         }
     }
 
-    /// Makes a call; every one is counted and told of, also one that gets no answer.
+    /// Makes a call; each that ends is counted and told of, also one that gets no answer.
     async fn exchange(
         &self,
         call: &Call<'_>,
@@ -157,22 +180,22 @@
         let done = timeout_at(end, self.try_exchange(call, connection)).await;
         let (told, connection) = done.ok().flatten().unwrap_or((Told::Unclear, None));
         self.meters.call(called(call), result(&told));
-        let watch = match call {
-            Call::Watch { kind: Kind::Declaration, .. } => Some(&self.declaration),
-            Call::Watch { kind: Kind::Server, .. } => Some(&self.servers),
-            _ => None,
-        };
-        for reach in [Some(&self.calls), watch].into_iter().flatten() {
+        if let Call::Watch { kind, .. } = call
+            && let Some(reach) = self.reach(*kind)
+        {
             self.heard(reach, &told, began.elapsed());
         }
+        if let Some(DependencyState::Regained) = self.heard(&self.calls, &told, began.elapsed()) {
+            self.outages.send_modify(|ended| *ended += 1);
+        }
         (told, connection)
     }
 
-    /// Tells when calls of a sort get no answer, and when they do again.
-    fn heard(&self, reach: &Reach, told: &Told, took: Duration) {
+    /// Tells when calls of a sort get no answer, and when they do again; the state, if it is news.
+    fn heard(&self, reach: &Reach, told: &Told, took: Duration) -> Option<DependencyState> {
         let lost = matches!(told, Told::Unclear);
         if !reach.turns(lost) {
-            return;
+            return None;
         }
         let took = took.as_millis();
         let (state, why) = match lost {
@@ -181,6 +204,7 @@
         };
         let (name, why) = (Word::Borrowed(reach.name), Word::Owned(why));
         self.teller.belief(Belief::Dependency { name, state, why });
+        Some(state)
     }
 
     async fn try_exchange(
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -1,5 +1,7 @@
 //! Watches of the store: the declaration and the servers.
 
+mod hedge;
+
 use std::{sync::Arc, time::Duration};
 
 use observe::story::Heard;
@@ -9,19 +11,12 @@
 };
 use tokio::time::sleep;
 
+use self::hedge::Hedge;
 use crate::{
     edge::{Change, Kind, Object, Revision, Told},
     host::Shared,
 };
 
-/// Bounds of the wait of a watch. A watch may fall silent without an end, and only its wait shows
-/// that; a host whose watch works tells the others.
-const WAIT_LEAST: Duration = Duration::from_secs(4);
-const WAIT_MOST: Duration = Duration::from_secs(20);
-
-/// Wait of a watch for each host, so that the calls of all hosts together stay as many.
-const WAIT_EACH: Duration = Duration::from_millis(800);
-
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(250);
 
@@ -73,18 +68,12 @@
     }
 }
 
-fn wait(shared: &Shared) -> Duration {
-    let hosts = shared.exchange().map_or(1, |exchange| exchange.fleet().live);
-    let each = WAIT_EACH.saturating_mul(u32::try_from(hosts).unwrap_or(u32::MAX));
-    each.clamp(WAIT_LEAST, WAIT_MOST)
-}
-
 /// Hands on changes until the history is lost.
 async fn follow(shared: &Shared, kind: Kind, since: Revision, take: impl Fn(Change)) {
     let mut since = since;
-    let mut connection = None;
+    let mut hedge = Hedge::new(shared, kind);
     loop {
-        match shared.store.watch(&mut connection, kind, since, wait(shared)).await {
+        match hedge.next(since, follow::watch(shared.live())).await {
             Told::Seen(seen) => {
                 if kind == Kind::Declaration {
                     shared.is_newest();
@@ -97,16 +86,17 @@
                 }
             }
             Told::Compacted => return,
-            told => {
-                log::debug!(told:? = told; "a watch failed");
-                shared.store_failed();
-                sleep(PAUSE).await;
-            }
+            _ => sleep(PAUSE).await,
         }
     }
 }
 
 impl Shared {
+    /// Hosts that take work, as far as this one knows.
+    fn live(&self) -> usize {
+        self.exchange().map_or(1, |exchange| exchange.fleet().live)
+    }
+
     /// Time in which changes of the servers gather before this host asks for them again.
     pub(crate) fn gather(&self) -> Duration {
         let Some(exchange) = self.exchange() else { return Duration::ZERO };
--- a/crates/stage/tests/routed/store.rs
+++ b/crates/stage/tests/routed/store.rs
@@ -99,10 +99,14 @@
     serves(&site.hosts[0]).await;
 }
 
+/// A slow store is not one that is gone: what it answers late counts.
+#[rstest]
+#[case::a_little(Duration::from_millis(600))]
+#[case::very(Duration::from_millis(1600))]
 #[tokio::test]
-async fn a_slow_store_delays_only_what_needs_it() {
+async fn a_slow_store_delays_only_what_needs_it(#[case] delay: Duration) {
     let site = site(1).await;
-    site.backend.store.everywhere(|mood| mood.delay = Duration::from_millis(600));
+    site.backend.store.everywhere(|mood| mood.delay = delay);
     serves(&site.hosts[0]).await;
     declares_on(&site, 11).await;
 }
