--- a/crates/stage/tests/routed/silence.rs
+++ b/crates/stage/tests/routed/silence.rs
@@ -41,6 +41,8 @@
     Long,
     /// For a moment, which only the watches that wait have seen.
     Short,
+    /// For the watches that wait alone: all other calls are answered as ever.
+    Unseen,
 }
 
 /// Declares a further route, and returns what asks for it.
@@ -57,12 +59,17 @@
     let site = site(HOSTS).await;
     declare(&site, 10);
     site.seen().await;
+    let store = &site.backend.store;
     let deaf = match silence {
         Silence::Long => 2,
-        Silence::Short => 1,
+        Silence::Short | Silence::Unseen => 1,
     };
-    let store = &site.backend.store;
-    store.everywhere(|mood| mood.refusal = Some(Refusal::Silence));
+    match silence {
+        Silence::Long | Silence::Short => {
+            store.everywhere(|mood| mood.refusal = Some(Refusal::Silence));
+        }
+        Silence::Unseen => store.forget_watches(),
+    }
     for host in &site.hosts {
         for kind in [sites::declarations(), sites::servers()] {
             until("watches are deaf", async || deaf <= store.deaf(&host.name, &kind)).await;
@@ -75,6 +82,7 @@
 #[rstest]
 #[case::long(Silence::Long)]
 #[case::short(Silence::Short)]
+#[case::unseen(Silence::Unseen)]
 #[tokio::test]
 async fn a_declaration_is_in_force_in_time_after_a_silence(#[case] silence: Silence) {
     let site = after(silence).await;
@@ -89,6 +97,7 @@
 #[rstest]
 #[case::long(Silence::Long)]
 #[case::short(Silence::Short)]
+#[case::unseen(Silence::Unseen)]
 #[tokio::test]
 async fn a_leaving_server_is_left_alone_in_time_after_a_silence(#[case] silence: Silence) {
     let site = after(silence).await;
--- a/crates/standin/src/routed/store.rs
+++ b/crates/standin/src/routed/store.rs
@@ -8,7 +8,10 @@
     collections::HashMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -78,6 +81,8 @@
     state: Mutex<State>,
     doors: Mutex<HashMap<String, Door>>,
     ticks: watch::Sender<u64>,
+    /// How often the store forgot who watches.
+    forgotten: AtomicU64,
 }
 
 #[derive(Debug)]
@@ -208,6 +213,12 @@
         lock(&self.shared.state).revision()
     }
 
+    /// Forgets who watches, and nothing else: nothing ever comes on the watches that wait now.
+    pub fn forget_watches(&self) {
+        self.shared.forgotten.fetch_add(1, Ordering::Relaxed);
+        self.shared.tick();
+    }
+
     /// Forgets all history; watches from before must list again.
     pub fn compact(&self) {
         lock(&self.shared.state).compact();
@@ -338,7 +349,12 @@
     }
     let end = Instant::now() + wait;
     let mut ticks = shared.ticks.subscribe();
+    let forgotten = shared.forgotten.load(Ordering::Relaxed);
     loop {
+        if forgotten != shared.forgotten.load(Ordering::Relaxed) {
+            shared.deafen(door, Refusal::Silence, kind);
+            return Reply::Silence;
+        }
         if let Some(refusal) = shared.mood(door).refusal {
             shared.deafen(door, refusal, kind);
             return refuse(shared, door, refusal);
