Let scouts trust a watch only for a part of the bound that it serves

cause: where only the waiting watches are deaf, no call tells a host so before its watch's wait and 1 s are over, 5 s or more, and all hosts may be deaf alike ruled out: shorter waits on all hosts: 350 hosts would make 900 calls a second for what three find as well; a host's lists each few seconds change: scouts and the holder wait 0.4 of the bound and trust 0.6 of it; hosts that have just started wait for the bound and trust 1.2 of it. The bound on declarations becomes a setting, routed.apply_ms.

--- a/crates/policy/src/follow.rs
+++ b/crates/policy/src/follow.rs
@@ -42,6 +42,14 @@
 /// Time beyond its wait after which a watch is no longer trusted.
 const TRUST: Duration = Duration::from_secs(1);
 
+/// Part of the time in which a change must be known for which a scout's watch waits for one, and
+/// that of a host that has just started and knows no scout yet.
+const SCOUT_WAIT: f64 = 0.4;
+const STARTING_WAIT: f64 = 1.0;
+
+/// Part of it for which such a watch is trusted beyond its wait.
+const SCOUT_TRUST: f64 = 0.2;
+
 /// Key of the order in which hosts are scouts.
 const KEY: &[u8] = b"scout";
 
@@ -64,11 +72,25 @@
     pub trust: Duration,
 }
 
-/// The times of a watch in a deployment of so many hosts.
-pub fn watch(hosts: usize) -> Watch {
-    let each = WAIT_EACH.saturating_mul(u32::try_from(hosts).unwrap_or(u32::MAX));
-    let wait = each.clamp(WAIT_LEAST, WAIT_MOST);
-    Watch { wait, trust: wait + TRUST }
+/// The times of a watch that is asked `up` after the host's start, in a deployment of so many hosts,
+/// for changes that must be known within `within` of their acknowledgement.
+///
+/// A watch may be deaf and nothing else show it. So scouts trust theirs only for a part of that time,
+/// and tell the others what they learn.
+pub fn watch(up: Moment, role: Role, hosts: usize, within: Duration) -> Watch {
+    let soon =
+        |wait| Watch { wait: within.mul_f64(wait), trust: within.mul_f64(wait + SCOUT_TRUST) };
+    if up < STARTING {
+        return soon(STARTING_WAIT);
+    }
+    match role {
+        Role::Scout => soon(SCOUT_WAIT),
+        Role::Follower => {
+            let each = WAIT_EACH.saturating_mul(u32::try_from(hosts).unwrap_or(u32::MAX));
+            let wait = each.clamp(WAIT_LEAST, WAIT_MOST);
+            Watch { wait, trust: wait + TRUST }
+        }
+    }
 }
 
 /// The role of a host that holds no lease, among others that are in touch.
--- a/crates/policy/tests/follow.rs
+++ b/crates/policy/tests/follow.rs
@@ -71,3 +71,40 @@
     let alone = follow::pause(Duration::ZERO, Role::Scout, 1, DRAIN);
     assert!(Duration::ZERO < alone && alone < DRAIN);
 }
+
+#[rstest]
+#[case(1)]
+#[case(8)]
+#[case(350)]
+fn a_scout_finds_a_deaf_watch_in_time(#[case] count: usize) {
+    let watch = follow::watch(follow::STARTING, Role::Scout, count, DRAIN);
+    assert!(watch.wait < watch.trust, "the store has time to say that nothing changed");
+    // Another is asked at the end of the trust, and its answer is told to the others.
+    assert!(watch.trust < DRAIN.mul_f64(0.75), "{watch:?}");
+}
+
+#[rstest]
+#[case(8)]
+#[case(82)]
+#[case(350)]
+fn watches_of_all_hosts_together_ask_seldom(#[case] count: usize) {
+    let calls = |role| {
+        let watch = follow::watch(follow::STARTING, role, count, DRAIN);
+        assert!(watch.wait < watch.trust);
+        1.0 / watch.wait.as_secs_f64()
+    };
+    // The holder of the lease is a scout too.
+    let scouts = follow::SCOUTS + 1;
+    let all = calls(Role::Scout) * scouts as f64
+        + calls(Role::Follower) * count.saturating_sub(scouts) as f64;
+    assert!(all < 25.0, "{all} calls a second");
+}
+
+#[test]
+fn a_host_that_knows_no_other_yet_finds_a_deaf_watch_itself() {
+    for role in [Role::Scout, Role::Follower] {
+        let watch = follow::watch(Duration::ZERO, role, 1, DRAIN);
+        // It is held to no bound in its first seconds, and finds it as soon as it is.
+        assert!(watch.wait < watch.trust && watch.trust < follow::STARTING + DRAIN, "{watch:?}");
+    }
+}
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -73,7 +73,7 @@
     let mut since = since;
     let mut hedge = Hedge::new(shared, kind);
     loop {
-        match hedge.next(since, follow::watch(shared.live())).await {
+        match hedge.next(since, shared.watch(kind)).await {
             Told::Seen(seen) => {
                 if kind == Kind::Declaration {
                     shared.is_newest();
@@ -92,20 +92,34 @@
 }
 
 impl Shared {
-    /// Hosts that take work, as far as this one knows.
-    fn live(&self) -> usize {
-        self.exchange().map_or(1, |exchange| exchange.fleet().live)
+    /// The times of a watch that is asked now.
+    fn watch(&self, kind: Kind) -> follow::Watch {
+        let within = match kind {
+            Kind::Declaration => self.routed.apply,
+            _ => self.routed.drain,
+        };
+        let (role, live) = self.following();
+        follow::watch(self.now(), role, live, within)
     }
 
     /// Time in which changes of the servers gather before this host asks for them again.
     pub(crate) fn gather(&self) -> Duration {
-        let Some(exchange) = self.exchange() else { return Duration::ZERO };
+        if self.exchange().is_none() {
+            return Duration::ZERO;
+        }
+        let (role, live) = self.following();
+        follow::pause(self.now(), role, live, self.routed.drain)
+    }
+
+    /// What this host is to the others in following the store, and how many take work.
+    fn following(&self) -> (Role, usize) {
+        let Some(exchange) = self.exchange() else { return (Role::Scout, 1) };
         let picture = exchange.fleet();
         let live = picture.hosts.iter().filter(|seen| seen.standing == Standing::Live);
         let role = match self.term().fence(self.now()) {
             Some(_) => Role::Scout,
             None => follow::role(&self.host.id, live.map(|seen| &seen.member.id)),
         };
-        follow::pause(self.now(), role, picture.live, self.routed.drain)
+        (role, picture.live)
     }
 }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -162,6 +162,7 @@
 fn routed() -> Routed {
     Routed {
         dialect: process::Dialect::Platform,
+        apply: LONGEST,
         drain: LONGEST,
         grace: LONGEST,
         turn: LONGEST,
--- a/crates/settings/src/process/check.rs
+++ b/crates/settings/src/process/check.rs
@@ -159,6 +159,7 @@
 
 fn routed_bounds(routed: &Routed, problems: &mut Vec<Problem>) {
     let times = [
+        ("/routed/apply_ms", routed.apply),
         ("/routed/drain_ms", routed.drain),
         ("/routed/grace_s", routed.grace),
         ("/routed/turn_ms", routed.turn),
--- a/crates/settings/src/process/routed.rs
+++ b/crates/settings/src/process/routed.rs
@@ -11,6 +11,9 @@
 pub struct Routed {
     /// What callers, servers and the store speak.
     pub dialect: Dialect,
+    /// Time after which a declaration must be in force; milliseconds in JSON.
+    #[serde(rename = "apply_ms", with = "millis")]
+    pub apply: Duration,
     /// Time after which a leaving server must get nothing new; milliseconds in JSON.
     #[serde(rename = "drain_ms", with = "millis")]
     pub drain: Duration,
--- a/crates/settings/tests/process.rs
+++ b/crates/settings/tests/process.rs
@@ -135,6 +135,7 @@
   "platform": "127.0.0.1:7070",
   "routed": {
     "dialect": "platform",
+    "apply_ms": 2000,
     "drain_ms": 2000,
     "grace_s": 8,
     "turn_ms": 3000,
@@ -161,6 +162,7 @@
   "bounds": { "head_bytes": 4200.5 },
   "routed": {
     "dialect": "morse",
+    "apply_ms": 0,
     "drain_ms": 0,
     "grace_s": "long",
     "heart_ms": 1200,
@@ -172,13 +174,14 @@
         "8:29: /bounds/head_bytes: invalid type: floating point `4200.5`",
         "9:13: /routed/turn_ms: missing",
         "10:16: /routed/dialect: unknown variant `morse`, expected `platform`",
-        "11:5: /routed/drain_ms: must be positive",
-        "12:16: /routed/grace_s: invalid type: string \"long\"",
-        "13:5: /routed/heart_ms: unknown field `heart_ms`, expected one of",
-        "14:16: /routed/retry/ratio: must not be negative",
-        "14:31: /routed/retry/extra: must not be negative",
-        "14:44: /routed/retry/window_s: must be positive",
-        "14:59: /routed/retry/burst: unknown field `burst`",
+        "11:5: /routed/apply_ms: must be positive",
+        "12:5: /routed/drain_ms: must be positive",
+        "13:16: /routed/grace_s: invalid type: string \"long\"",
+        "14:5: /routed/heart_ms: unknown field `heart_ms`, expected one of",
+        "15:16: /routed/retry/ratio: must not be negative",
+        "15:31: /routed/retry/extra: must not be negative",
+        "15:44: /routed/retry/window_s: must be positive",
+        "15:59: /routed/retry/burst: unknown field `burst`",
     ];
     let found = findings(text);
     for line in expected {
--- a/crates/stage/tests/routed/silence.rs
+++ b/crates/stage/tests/routed/silence.rs
@@ -19,7 +19,7 @@
 use standin::routed::{
     caller::Ask,
     site::{self as sites, Site},
-    store::Refusal,
+    store::{Mood, Refusal},
     until,
 };
 use tokio::time::sleep;
@@ -64,18 +64,16 @@
         Silence::Long => 2,
         Silence::Short | Silence::Unseen => 1,
     };
-    match silence {
-        Silence::Long | Silence::Short => {
-            store.everywhere(|mood| mood.refusal = Some(Refusal::Silence));
-        }
-        Silence::Unseen => store.forget_watches(),
-    }
+    store.everywhere(|mood| match silence {
+        Silence::Long | Silence::Short => mood.refusal = Some(Refusal::Silence),
+        Silence::Unseen => mood.deaf = true,
+    });
     for host in &site.hosts {
         for kind in [sites::declarations(), sites::servers()] {
             until("watches are deaf", async || deaf <= store.deaf(&host.name, &kind)).await;
         }
     }
-    store.everywhere(|mood| mood.refusal = None);
+    store.everywhere(|mood| *mood = Mood::default());
     site
 }
 
--- a/crates/standin/src/routed/site.rs
+++ b/crates/standin/src/routed/site.rs
@@ -247,7 +247,8 @@
         "platform": store,
         "peers": peers,
         "routed": {
-            "dialect": "platform", "drain_ms": 2000, "grace_s": 8, "turn_ms": 3000,
+            "dialect": "platform",
+            "apply_ms": 2000, "drain_ms": 2000, "grace_s": 8, "turn_ms": 3000,
             "retry": {"ratio": 0.2, "extra": 52, "window_s": 10},
         },
     })
--- a/crates/standin/src/routed/soak/play.rs
+++ b/crates/standin/src/routed/soak/play.rs
@@ -224,7 +224,7 @@
             }
             Fault::Down | Fault::Slow | Fault::Lost(_) | Fault::LateWrite | Fault::Compact => {
                 store.everywhere(|mood| {
-                    let Mood { refusal, delay, lost, late } = Mood::default();
+                    let Mood { refusal, delay, lost, late, .. } = Mood::default();
                     (mood.lost, mood.late, mood.delay) = (lost, late, delay);
                     if mood.refusal == Some(super::DOWN) {
                         mood.refusal = refusal;
--- a/crates/standin/src/routed/store.rs
+++ b/crates/standin/src/routed/store.rs
@@ -8,10 +8,7 @@
     collections::HashMap,
     io,
     net::SocketAddr,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -33,6 +30,8 @@
 pub struct Mood {
     /// Turns every call away.
     pub refusal: Option<Refusal>,
+    /// Leaves every watch without an answer, for good.
+    pub deaf: bool,
     /// Time that each call takes.
     pub delay: Duration,
     /// Carries out this many writes and loses their answers.
@@ -81,8 +80,6 @@
     state: Mutex<State>,
     doors: Mutex<HashMap<String, Door>>,
     ticks: watch::Sender<u64>,
-    /// How often the store forgot who watches.
-    forgotten: AtomicU64,
 }
 
 #[derive(Debug)]
@@ -213,12 +210,6 @@
         lock(&self.shared.state).revision()
     }
 
-    /// Forgets who watches, and nothing else: nothing ever comes on the watches that wait now.
-    pub fn forget_watches(&self) {
-        self.shared.forgotten.fetch_add(1, Ordering::Relaxed);
-        self.shared.tick();
-    }
-
     /// Forgets all history; watches from before must list again.
     pub fn compact(&self) {
         lock(&self.shared.state).compact();
@@ -349,13 +340,10 @@
     }
     let end = Instant::now() + wait;
     let mut ticks = shared.ticks.subscribe();
-    let forgotten = shared.forgotten.load(Ordering::Relaxed);
     loop {
-        if forgotten != shared.forgotten.load(Ordering::Relaxed) {
-            shared.deafen(door, Refusal::Silence, kind);
-            return Reply::Silence;
-        }
-        if let Some(refusal) = shared.mood(door).refusal {
+        let mood = shared.mood(door);
+        let silence = mood.deaf.then_some(Refusal::Silence);
+        if let Some(refusal) = mood.refusal.or(silence) {
             shared.deafen(door, refusal, kind);
             return refuse(shared, door, refusal);
         }
