--- a/crates/standin/src/routed/soak.rs
+++ b/crates/standin/src/routed/soak.rs
@@ -32,11 +32,8 @@
     lock,
     server::{Ending, Fault, Server},
     site::{Backend, Site},
-    store::Refusal,
 };
 
-const DOWN: Refusal = Refusal::Down;
-
 /// How long callers have for their last answers.
 const LAST: Duration = Duration::from_secs(6);
 
--- a/crates/standin/src/routed/soak/judge.rs
+++ b/crates/standin/src/routed/soak/judge.rs
@@ -269,8 +269,10 @@
         }
         let leave = self.record.leaves.iter().find(|leave| leave.server == run.server)?;
         let is_late = leave.at + self.record.bounds.drain + SLACK < run.came;
-        let span = Span { from: leave.at, to: run.came };
-        (is_late && self.record.in_touch(request.life.host, span)).then(|| {
+        // What was told by a sound store binds a host in touch, whatever was between.
+        let is_bound = self.record.is_stable(leave.at)
+            && self.record.in_touch(request.life.host, Span { from: run.came, to: run.came });
+        (is_late && is_bound).then(|| {
             let late = (run.came - leave.at).as_millis();
             let what = format!(
                 "host {} sent it to {late} ms after {} left",
--- a/crates/standin/src/routed/soak/judge/declared.rs
+++ b/crates/standin/src/routed/soak/judge/declared.rs
@@ -42,14 +42,15 @@
         breaches
     }
 
-    /// The newest version that was due when a request was sent.
+    /// The newest version that was due when a request was sent: each that was written so long before,
+    /// whatever trouble there was then, if its host has been in touch since.
     fn due(&self, request: &Request) -> Version {
         let sent = request.span.from;
-        let due = self.record.declared.iter().filter(|declared| {
-            let span = Span { from: declared.at, to: sent };
-            declared.at + self.record.bounds.apply < sent
-                && self.record.in_touch(request.life.host, span)
-        });
+        if !self.record.in_touch(request.life.host, Span { from: sent, to: sent }) {
+            return 0;
+        }
+        let apply = self.record.bounds.apply;
+        let due = self.record.declared.iter().filter(|declared| declared.at + apply < sent);
         due.map(|declared| declared.version).max().unwrap_or_default()
     }
 
--- a/crates/standin/src/routed/soak/play.rs
+++ b/crates/standin/src/routed/soak/play.rs
@@ -142,7 +142,7 @@
             | Fault::Leave(server, _)
             | Fault::Grey(server, _)
             | Fault::Dull(server) => Some(Place::Server(self.servers[server].0.clone())),
-            Fault::Down | Fault::Slow | Fault::Lost(_) | Fault::LateWrite | Fault::Compact => {
+            Fault::Down(_) | Fault::Slow | Fault::Lost(_) | Fault::LateWrite | Fault::Compact => {
                 Some(Place::Store)
             }
             Fault::Orders(_) | Fault::Declare | Fault::Burst => None,
@@ -160,7 +160,7 @@
             Fault::Stop(host) => self.site.hosts[host].signal(Signal::SIGTERM),
             Fault::Freeze(host) => self.site.hosts[host].signal(Signal::SIGSTOP),
             Fault::Reload(host) => self.reload(host)?,
-            Fault::Down => store.everywhere(|mood| mood.refusal = Some(super::DOWN)),
+            Fault::Down(refusal) => store.everywhere(|mood| mood.refusal = Some(refusal)),
             Fault::Slow => store.everywhere(|mood| mood.delay = SLOW),
             Fault::Lost(answers) => store.everywhere(|mood| mood.lost = answers),
             Fault::LateWrite => store.everywhere(|mood| mood.late = Some(LATE)),
@@ -222,12 +222,14 @@
                 let last = self.troubles.iter_mut().rfind(|t| t.place == Place::Planned(host));
                 last.into_iter().for_each(|trouble| trouble.span.to += apply);
             }
-            Fault::Down | Fault::Slow | Fault::Lost(_) | Fault::LateWrite | Fault::Compact => {
+            Fault::Down(_) | Fault::Slow | Fault::Lost(_) | Fault::LateWrite | Fault::Compact => {
                 store.everywhere(|mood| {
-                    let Mood { refusal, delay, lost, late, .. } = Mood::default();
+                    let Mood { delay, lost, late, .. } = Mood::default();
                     (mood.lost, mood.late, mood.delay) = (lost, late, delay);
-                    if mood.refusal == Some(super::DOWN) {
-                        mood.refusal = refusal;
+                    if let Fault::Down(refusal) = planned.fault
+                        && mood.refusal == Some(refusal)
+                    {
+                        mood.refusal = None;
                     }
                 });
                 self.ends(&Place::Store);
--- a/crates/standin/src/routed/soak/record.rs
+++ b/crates/standin/src/routed/soak/record.rs
@@ -260,6 +260,13 @@
         !self.troubles.iter().any(|trouble| ours(&trouble.place) && trouble.span.meets(span))
     }
 
+    /// Whether the store was without trouble for long enough before a moment.
+    pub fn is_stable(&self, at: Duration) -> bool {
+        let span = Span { from: at.saturating_sub(self.bounds.contact), to: at };
+        let is_store = |trouble: &&Trouble| trouble.place == Place::Store;
+        !self.troubles.iter().filter(is_store).any(|trouble| trouble.span.meets(span))
+    }
+
     /// Whether a server was sound all through a span.
     pub fn is_sound(&self, server: &str, span: Span) -> bool {
         let is_it = |place: &Place| matches!(place, Place::Server(other) if other == server);
--- a/crates/standin/src/routed/soak/schedule.rs
+++ b/crates/standin/src/routed/soak/schedule.rs
@@ -1,11 +1,11 @@
 //! The faults of a soak, drawn from its seed alone.
 
-use std::{collections::HashMap, hash::Hash, time::Duration};
+use std::{collections::HashMap, fmt::Debug, hash::Hash, time::Duration};
 
 use http::StatusCode;
 use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 
 use super::site::SERVERS;
 use crate::routed::{server::Fault as Grey, store::Refusal};
@@ -19,6 +19,9 @@
 /// Rest of whatever was in trouble, beyond the fault itself.
 const REST: Duration = Duration::from_secs(4);
 
+/// Draws how the store turns all away, apart from all else, so that a seed keeps its other faults.
+const REFUSED: u64 = 1 << 63;
+
 /// From SIGTERM until the host is started anew.
 pub const STOP: Duration = Duration::from_secs(10);
 
@@ -48,7 +51,7 @@
     /// A host's settings change, and it gets SIGHUP.
     Reload(usize),
     /// The store turns all away.
-    Down,
+    Down(#[serde(serialize_with = "debug")] Refusal),
     /// The store is slow.
     Slow,
     /// Answers to writes are lost at all doors, this many each.
@@ -58,7 +61,7 @@
     /// The store forgets its history.
     Compact,
     /// The store turns one host away.
-    TurnAway(usize, #[serde(skip)] Refusal),
+    TurnAway(usize, #[serde(serialize_with = "debug")] Refusal),
     /// A server crashes, and another one comes in its place.
     Crash(usize),
     /// A server leaves; whether it says so first.
@@ -84,7 +87,7 @@
     Untold,
 }
 
-fn debug<S: serde::Serializer>(fault: &Grey, serializer: S) -> Result<S::Ok, S::Error> {
+fn debug<S: Serializer>(fault: &impl Debug, serializer: S) -> Result<S::Ok, S::Error> {
     serializer.serialize_str(&format!("{fault:?}"))
 }
 
@@ -119,12 +122,16 @@
 /// seen, if the soak is long enough for that.
 pub fn draw(seed: u64, hosts: usize, length: Duration, tail: Duration) -> Vec<Planned> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut refusals = ChaCha8Rng::seed_from_u64(seed ^ REFUSED);
     let mut free: HashMap<Thing, Duration> = HashMap::new();
     let mut planned = Vec::new();
     let mut at = BEFORE.min(length / 4);
     let end = length.saturating_sub(tail);
     while at < end {
-        let fault = pick(&mut random, hosts);
+        let mut fault = pick(&mut random, hosts);
+        if let Fault::Down(refusal) = &mut fault {
+            *refusal = REFUSALS.choose(&mut refusals).copied().unwrap_or(Refusal::Down);
+        }
         let lasts = lasts(&mut random, fault);
         let (thing, most) = bounds(fault, hosts);
         let out = free.iter().filter(|(other, until)| same(**other, thing) && at < **until);
@@ -147,7 +154,7 @@
         1 | 2 => Fault::Stop(host),
         3 => Fault::Freeze(host),
         4 => Fault::Reload(host),
-        5 => Fault::Down,
+        5 => Fault::Down(Refusal::Down),
         6 => Fault::Slow,
         7 => Fault::Lost(random.random_range(1..4)),
         8 => Fault::LateWrite,
@@ -182,7 +189,7 @@
         | Fault::Freeze(host)
         | Fault::Reload(host)
         | Fault::TurnAway(host, _) => (Thing::Host(host), hosts / 2),
-        Fault::Down | Fault::Slow | Fault::Lost(_) | Fault::LateWrite | Fault::Compact => {
+        Fault::Down(_) | Fault::Slow | Fault::Lost(_) | Fault::LateWrite | Fault::Compact => {
             (Thing::Store, 1)
         }
         Fault::Crash(server)
--- a/crates/standin/tests/soak_judge.rs
+++ b/crates/standin/tests/soak_judge.rs
@@ -159,10 +159,18 @@
 #[case::within_the_drain_time(Kind::Idempotent, |r: &mut Record| leave(r, 8_500))]
 #[case::left_by_a_host_out_of_touch(Kind::Idempotent, |r: &mut Record| {
     leave(r, 4_000);
-    r.troubles.push(trouble(Place::Store, 6_000, 7_000));
+    r.troubles.push(trouble(Place::Store, 6_000, 7_500));
+})]
+#[case::left_by_word_of_a_shaken_store(Kind::Idempotent, |r: &mut Record| {
+    leave(r, 5_000);
+    r.troubles.push(trouble(Place::Store, 2_000, 3_000));
 })]
 #[case::hands_over(Kind::Idempotent, |r: &mut Record| orders(r, [("host-0", 4, 1_000), ("host-1", 5, 4_100)]))]
 #[case::just_declared(Kind::Idempotent, |r: &mut Record| moved(r, 9_000))]
+#[case::declared_to_a_host_out_of_touch(Kind::Idempotent, |r: &mut Record| {
+    moved(r, 7_500);
+    r.troubles.push(trouble(Place::Store, 6_000, 7_100));
+})]
 #[case::shown_at_the_same_moment(Kind::Idempotent, |r: &mut Record| {
     moved(r, 9_000);
     shown(r, 9_900);
@@ -215,6 +223,10 @@
 }))]
 #[case::short(Kind::Stream, Promise::Order, |r: &mut Record| answered(r, |answer| answer.body = events(9).into()))]
 #[case::after_the_drain_time(Kind::Idempotent, Promise::Drain, |r: &mut Record| leave(r, 7_800))]
+#[case::after_the_drain_time_and_an_outage(Kind::Idempotent, Promise::Drain, |r: &mut Record| {
+    leave(r, 4_000);
+    r.troubles.push(trouble(Place::Store, 6_000, 7_000));
+})]
 #[case::two_holders_of_a_fence(Kind::Idempotent, Promise::One, |r: &mut Record| {
     orders(r, [("host-0", 4, 1_000), ("host-1", 4, 5_000)]);
 })]
@@ -226,6 +238,14 @@
 })]
 #[case::too_much(Kind::Idempotent, Promise::Limit, |r: &mut Record| r.overloads.push(("lm-1".into(), ms(7))))]
 #[case::late_in_force(Kind::Idempotent, Promise::Config, |r: &mut Record| moved(r, 7_900))]
+#[case::late_in_force_after_an_outage(Kind::Idempotent, Promise::Config, |r: &mut Record| {
+    moved(r, 7_500);
+    r.troubles.push(trouble(Place::Store, 4_000, 6_900));
+})]
+#[case::late_in_force_when_declared_in_an_outage(Kind::Idempotent, Promise::Config, |r: &mut Record| {
+    moved(r, 5_000);
+    r.troubles.push(trouble(Place::Store, 4_000, 6_900));
+})]
 #[case::backwards(Kind::Idempotent, Promise::Config, |r: &mut Record| {
     moved(r, 9_000);
     shown(r, 9_700);
