Show by a failing test that a list without an answer costs the lease

cause: short calls to the store share one connection and wait for each other; one that gets no answer holds the rest up for its limit of 2 s, longer than a term of the lease.

--- a/crates/stage/tests/routed/silence.rs
+++ b/crates/stage/tests/routed/silence.rs
@@ -19,10 +19,10 @@
 use standin::routed::{
     caller::Ask,
     site::{self as sites, Site},
-    store::{Mood, Refusal},
+    store::{Mood, Refusal, Sort},
     until,
 };
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use types::routed::Kind;
 
 use crate::site::{HOST, declaration, route, site, status_of, ticket};
@@ -66,7 +66,7 @@
     };
     store.everywhere(|mood| match silence {
         Silence::Long | Silence::Short => mood.refusal = Some(Refusal::Silence),
-        Silence::Unseen => mood.deaf = true,
+        Silence::Unseen => mood.deaf = Some(Sort::Watches),
     });
     for host in &site.hosts {
         for kind in [sites::declarations(), sites::servers()] {
@@ -110,3 +110,38 @@
         assert_eq!(leaving.runs().len(), before, "{} still sends to it", host.name);
     }
 }
+
+/// Time from one renewal of the lease on orders to the next, over a span.
+async fn longest_renewal(site: &Site, span: Duration) -> Duration {
+    let began = Instant::now();
+    let (mut renewed, mut longest) = (began, Duration::ZERO);
+    let mut revision = site.backend.store.revision_of(&sites::leases(), "orders");
+    while began.elapsed() < span {
+        sleep(Duration::from_millis(20)).await;
+        let now = site.backend.store.revision_of(&sites::leases(), "orders");
+        if now != revision {
+            (revision, renewed) = (now, Instant::now());
+        }
+        longest = longest.max(renewed.elapsed());
+    }
+    longest
+}
+
+/// The holder's calls about the lease don't queue behind a list that nothing comes of: the lease
+/// would be lost with each such list, and no orders given for seconds.
+#[tokio::test]
+async fn lists_without_an_answer_do_not_cost_the_lease() {
+    const TERM: Duration = Duration::from_millis(1500);
+    let site = site(2).await;
+    let store = &site.backend.store;
+    until("a host holds the lease", async || {
+        store.revision_of(&sites::leases(), "orders").is_some()
+    })
+    .await;
+    store.everywhere(|mood| mood.deaf = Some(Sort::Lists));
+    // All watches end, and what they followed is listed anew.
+    store.put(&"notes".into(), "a", serde_json::json!(1));
+    store.compact();
+    let longest = longest_renewal(&site, 3 * TERM).await;
+    assert!(longest < TERM, "{longest:?} without a renewal");
+}
--- a/crates/standin/src/routed/site.rs
+++ b/crates/standin/src/routed/site.rs
@@ -263,3 +263,8 @@
 pub fn declarations() -> far::KindId {
     far::kind(Kind::Declaration)
 }
+
+/// The kind of leases.
+pub fn leases() -> far::KindId {
+    far::kind(Kind::Lease)
+}
--- a/crates/standin/src/routed/store.rs
+++ b/crates/standin/src/routed/store.rs
@@ -30,8 +30,8 @@
 pub struct Mood {
     /// Turns every call away.
     pub refusal: Option<Refusal>,
-    /// Leaves every watch without an answer, for good.
-    pub deaf: bool,
+    /// Leaves calls of a sort without an answer, for good, and answers the others.
+    pub deaf: Option<Sort>,
     /// Time that each call takes.
     pub delay: Duration,
     /// Carries out this many writes and loses their answers.
@@ -41,6 +41,15 @@
     pub late: Option<Duration>,
 }
 
+/// A sort of calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sort {
+    /// Lists of a kind.
+    Lists,
+    /// Watches of a kind.
+    Watches,
+}
+
 /// How a call is turned away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -100,6 +109,14 @@
     Silence,
 }
 
+impl Mood {
+    /// How a call is turned away now, if it is.
+    fn refusal_of(&self, sort: Option<Sort>) -> Option<Refusal> {
+        let is_deaf = sort.is_some() && self.deaf == sort;
+        self.refusal.or(is_deaf.then_some(Refusal::Silence))
+    }
+}
+
 impl Default for Store {
     fn default() -> Store {
         Store::new()
@@ -200,6 +217,11 @@
         lock(&self.shared.state).object(kind, name).cloned()
     }
 
+    /// The last change of an object.
+    pub fn revision_of(&self, kind: &KindId, name: &str) -> Option<Revision> {
+        Some(self.object(kind, name)?.revision)
+    }
+
     /// Names of a kind's objects.
     pub fn names(&self, kind: &KindId) -> Vec<Arc<str>> {
         lock(&self.shared.state).names(kind)
@@ -289,7 +311,7 @@
     });
     let mood = shared.mood(door);
     tokio::time::sleep(mood.delay).await;
-    if let Some(refusal) = shared.mood(door).refusal {
+    if let Some(refusal) = shared.mood(door).refusal_of(sort(&call)) {
         if let Call::Watch { kind, .. } = &call {
             shared.deafen(door, refusal, kind);
         }
@@ -302,6 +324,14 @@
     }
 }
 
+fn sort(call: &Call) -> Option<Sort> {
+    match call {
+        Call::List { .. } => Some(Sort::Lists),
+        Call::Watch { .. } => Some(Sort::Watches),
+        _ => None,
+    }
+}
+
 fn refuse(shared: &Shared, door: &str, refusal: Refusal) -> Reply {
     shared.count(door, |count| count.refused += 1);
     match refusal {
@@ -341,9 +371,7 @@
     let end = Instant::now() + wait;
     let mut ticks = shared.ticks.subscribe();
     loop {
-        let mood = shared.mood(door);
-        let silence = mood.deaf.then_some(Refusal::Silence);
-        if let Some(refusal) = mood.refusal.or(silence) {
+        if let Some(refusal) = shared.mood(door).refusal_of(Some(Sort::Watches)) {
             shared.deafen(door, refusal, kind);
             return refuse(shared, door, refusal);
         }
