--- a/crates/policy/tests/place/machine.rs
+++ b/crates/policy/tests/place/machine.rs
@@ -28,6 +28,8 @@
     pub held: BTreeMap<model::Id, BTreeSet<adapter::Id>>,
     pub sequence: u64,
     pub current: Option<(Operation, model::Id, Moment)>,
+    /// Time that an adapter takes to come.
+    pub adapter: Duration,
     pub coming: Vec<(Unit, Moment)>,
     /// Ends of running requests.
     pub running: Vec<(model::Id, Option<adapter::Id>, Moment)>,
@@ -59,6 +61,7 @@
             held: BTreeMap::new(),
             sequence: 0,
             current: None,
+            adapter: ADAPTER,
             coming: Vec::new(),
             running: Vec::new(),
             late: Vec::new(),
@@ -189,7 +192,7 @@
                 return Outcome::AlreadyHolds;
             }
             Operation::Load if 4 <= self.coming.len() => return Outcome::Busy,
-            Operation::Load => self.coming.push((unit, now + ADAPTER)),
+            Operation::Load => self.coming.push((unit, now + self.adapter)),
             Operation::Unload if !held.contains(adapter) => return Outcome::AlreadyHolds,
             // Taken as refused while in use: the adapter stays.
             Operation::Unload if used => return Outcome::Busy,
@@ -230,14 +233,16 @@
             .take_if(|(op, model, due)| *due <= now && (*op == Operation::Load || !used(model)));
         match done {
             Some((Operation::Load, model, _)) => self.hold(engine, &model),
+            // Its adapters that are on their way still come, and keep their places until then.
             Some((Operation::Unload, model, _)) => {
                 self.held.remove(&model);
-                self.coming.retain(|((m, _), _)| *m != model);
             }
             None => {}
         }
         for (unit, _) in self.coming.extract_if(.., |(_, due)| *due <= now) {
-            self.held.get_mut(&unit.0).expect("dropped with its model").insert(unit.1);
+            if let Some(adapters) = self.held.get_mut(&unit.0) {
+                adapters.insert(unit.1);
+            }
         }
         let report = Report {
             models: self.models(),
--- a/crates/policy/tests/place/random.rs
+++ b/crates/policy/tests/place/random.rs
@@ -1,5 +1,7 @@
 //! Orders that are lost, late, unanswered or repeated, crashes, and two planners at once.
 
+use std::time::Duration;
+
 use policy::place::{Planner, Rules, Work};
 use proptest::{prelude::*, test_runner::RngSeed};
 use rand::RngExt;
@@ -57,6 +59,24 @@
         prop_assert!(world.store_peak() as f64 <= 1.7 * 5.0 * 1.1 + 3.0);
     }
 
+    /// An adapter may still be on its way when its model is given up, and keeps its place until it
+    /// has come.
+    #[test]
+    fn slow_adapters_overcommit_no_server(slow in 100u64..600, seed: u64) {
+        let mut world = World::new(engine(83_000, 2, &[(34_300, 9); 6]), 4, 2, seed);
+        for machine in &mut world.machines {
+            machine.adapter = Duration::from_millis(slow);
+        }
+        for step in 0..1500 {
+            stir(&mut world, step / 100);
+            world.step();
+            for machine in &world.machines {
+                world.planner.server(&machine.registration(), world.now);
+            }
+            prop_assert!(world.record.crashed.is_empty(), "{:?}", world.record.crashed);
+        }
+    }
+
     #[test]
     fn every_model_stays_reachable_while_orders_go_wrong(faults in faults(), seed: u64) {
         let mut world = World::new(small_site(), 7, 4, seed);
