--- a/crates/policy/src/place/book/hear.rs
+++ b/crates/policy/src/place/book/hear.rs
@@ -144,7 +144,8 @@
         self.parting.retain(|(model, adapter)| {
             held.get(model).is_some_and(|adapters| adapters.contains(adapter))
         });
-        self.coming.retain(|(model, _), _| held.contains_key(model));
+        // What is on its way keeps its place, also if its model has gone, until a report lists it no more:
+        // a server may still take it in. Forgotten here, it let a third adapter into two places.
         let coming = &self.coming;
         self.taken_in.retain(|unit, _| {
             let is_held = held.get(&unit.0).is_some_and(|adapters| adapters.contains(&unit.1));
