Know of an outage when a watch is doubted, so that entries that run out in it are not taken for gone

cause: that the store failed was noted when a watch ended without an answer; a hedged watch is dropped before that, and an outage shorter than a watch's limit was never noted ruled out: noting each brief call of the lease that fails: its limit is a tenth of the others' change: a doubt notes it, be it the outage's end or silence. The hedge's steps have functions of their own; what is called stalled was called deaf figures: a server whose entry is away for 1 s after a silence of 3 s: a request waited for it before, none waits half of that after (test) conclusion: what follows from an outage is tied to its being seen, not to a time limit

--- a/crates/policy/src/follow.rs
+++ b/crates/policy/src/follow.rs
@@ -63,7 +63,7 @@
 }
 
 /// How long a watch waits for a change, and for how long without any answer it is trusted: then it
-/// may be deaf.
+/// may be stalled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Watch {
     /// Wait for a change, after which the store answers that there was none.
@@ -75,7 +75,7 @@
 /// The times of a watch that is asked `up` after the host's start, in a deployment of so many hosts,
 /// for changes that must be known within `within` of their acknowledgement.
 ///
-/// A watch may be deaf and nothing else show it. So scouts trust theirs only for a part of that time,
+/// A watch may be stalled and nothing else show it. So scouts trust theirs only for a part of that time,
 /// and tell the others what they learn.
 pub fn watch(up: Moment, role: Role, hosts: usize, within: Duration) -> Watch {
     let soon =
--- a/crates/policy/tests/follow.rs
+++ b/crates/policy/tests/follow.rs
@@ -76,7 +76,7 @@
 #[case(1)]
 #[case(8)]
 #[case(350)]
-fn a_scout_finds_a_deaf_watch_in_time(#[case] count: usize) {
+fn a_scout_finds_a_stalled_watch_in_time(#[case] count: usize) {
     let watch = follow::watch(follow::STARTING, Role::Scout, count, DRAIN);
     assert!(watch.wait < watch.trust, "the store has time to say that nothing changed");
     // Another is asked at the end of the trust, and its answer is told to the others.
@@ -101,7 +101,7 @@
 }
 
 #[test]
-fn a_host_that_knows_no_other_yet_finds_a_deaf_watch_itself() {
+fn a_host_that_knows_no_other_yet_finds_a_stalled_watch_itself() {
     for role in [Role::Scout, Role::Follower] {
         let watch = follow::watch(Duration::ZERO, role, 1, DRAIN);
         // It is held to no bound in its first seconds, and finds it as soon as it is.
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -36,7 +36,7 @@
 const BRIEF: Duration = Duration::from_millis(600);
 
 /// Time that a watch may take beyond the wait that it asked for. A slow store is heard for so long; a
-/// watch that may be deaf is not left alone until then, but hedged.
+/// watch that may be stalled is not left alone until then, but hedged.
 const WATCH_SLACK: Duration = Duration::from_secs(5);
 
 /// Largest answer taken, in bytes.
@@ -137,8 +137,8 @@
         self.exchange(&call, connection, Instant::now() + wait + WATCH_SLACK).await
     }
 
-    /// A watch has had no answer for this time and is no longer trusted.
-    pub(crate) fn doubt(&self, kind: Kind, waited: Duration) {
+    /// A watch of this kind has had no answer for so long that it is no longer trusted.
+    pub(crate) fn silent(&self, kind: Kind, waited: Duration) {
         if let Some(reach) = self.reach(kind) {
             self.heard(reach, &Told::Unclear, waited);
         }
--- a/crates/relay/src/watch/hedge.rs
+++ b/crates/relay/src/watch/hedge.rs
@@ -1,4 +1,4 @@
-//! Hedged watches: one that may be deaf gets another asked beside it.
+//! Hedged watches: one that may be stalled gets another asked beside it.
 //!
 //! A watch that the store has forgotten looks like one that waits for a change, until its time
 //! limit, which is far beyond the time in which changes must be known. So it is asked once more, on a
@@ -9,7 +9,11 @@
 use std::{pin::Pin, time::Duration};
 
 use policy::follow::Watch;
-use tokio::{select, sync::watch::Receiver, time::Instant};
+use tokio::{
+    select,
+    sync::watch::Receiver,
+    time::{Instant, sleep_until},
+};
 
 use crate::{
     connect::Connection,
@@ -19,6 +23,15 @@
 
 type Asked<'a> = Pin<Box<dyn Future<Output = (Told, Option<Connection>)> + Send + 'a>>;
 
+/// Why a watch is no longer trusted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    /// The store answers again; what was asked before may have been lost.
+    Outage,
+    /// Nothing came for too long.
+    Silence,
+}
+
 /// The watches of one kind: the oldest that is under way, up to its limit, and the newest.
 pub(super) struct Hedge<'a> {
     shared: &'a Shared,
@@ -40,44 +53,50 @@
         let mut newest: Option<Asked<'a>> = None;
         let mut trusted = Instant::now() + watch.trust;
         loop {
-            let (told, connection) = select! {
-                done = &mut oldest => match newest.take() {
-                    Some(other) if !is_answer(&done.0) => {
-                        self.failed(&done.0);
+            select! {
+                (told, connection) = &mut oldest => match newest.take() {
+                    Some(other) if !is_answer(&told) => {
+                        self.failed(&told);
                         oldest = other;
-                        continue;
                     }
-                    _ => done,
+                    _ => return self.end(told, connection),
                 },
-                Some(done) = poll(&mut newest) => {
-                    newest = None;
-                    if !is_answer(&done.0) {
-                        self.failed(&done.0);
-                        continue;
+                Some((told, connection)) = poll(&mut newest) => {
+                    if is_answer(&told) {
+                        return self.end(told, connection);
                     }
-                    done
-                }
-                // What was asked before the outage's end may have been lost in it.
-                _ = self.outages.changed() => {
-                    newest = Some(self.ask(since, watch.wait));
-                    trusted = Instant::now() + watch.trust;
-                    continue;
+                    self.failed(&told);
+                    newest = None;
                 }
-                () = tokio::time::sleep_until(trusted) => {
-                    self.shared.store.doubt(self.kind, watch.trust);
+                cause = self.doubt(trusted) => {
+                    if cause == Cause::Silence {
+                        self.shared.store.silent(self.kind, watch.trust);
+                    }
+                    // Entries of servers may have run out meanwhile.
+                    self.shared.store_failed();
                     newest = Some(self.ask(since, watch.wait));
                     trusted = Instant::now() + watch.trust;
-                    continue;
                 }
-            };
-            if !is_answer(&told) {
-                self.failed(&told);
             }
-            self.kept = connection;
-            return told;
         }
     }
 
+    /// Ends with the first reason to doubt what is under way.
+    async fn doubt(&mut self, trusted: Instant) -> Cause {
+        select! {
+            _ = self.outages.changed() => Cause::Outage,
+            () = sleep_until(trusted) => Cause::Silence,
+        }
+    }
+
+    fn end(&mut self, told: Told, connection: Option<Connection>) -> Told {
+        if !is_answer(&told) {
+            self.failed(&told);
+        }
+        self.kept = connection;
+        told
+    }
+
     fn ask(&mut self, since: Revision, wait: Duration) -> Asked<'a> {
         self.outages.mark_unchanged();
         Box::pin(self.shared.store.watch(self.kept.take(), self.kind, since, wait))
--- a/crates/stage/tests/routed/silence.rs
+++ b/crates/stage/tests/routed/silence.rs
@@ -5,7 +5,7 @@
 //! same moment and watched for the next; the store fell silent; the watches ended by their own time limit, and were
 //! asked again while the store was still silent; the store came back, answered each other call within
 //! milliseconds, and took newer declarations; the watches stayed silent up to their limit, 4.7 s
-//! later. Since all hosts were deaf alike, none could tell the others.
+//! later. Since the watches of all hosts were stalled alike, none could tell the others.
 //!
 //! Evidence: on six hosts the store was lost at 9.92 s and 15.97 s, each 5.8 s, the limit of a
 //! watch, after the watch was asked (4.12 s, 10.17 s); in between it was regained (11.2 s) and
@@ -31,7 +31,7 @@
 /// longer: a declaration has 2 s and a leaving server has 2 s.
 const CONTACT: Duration = Duration::from_secs(3);
 
-/// Several hosts could tell each other, were they not all deaf.
+/// Several hosts could tell each other, did not all their watches stall.
 const HOSTS: usize = 3;
 
 /// How the store falls silent.
@@ -60,17 +60,18 @@
     declare(&site, 10);
     site.seen().await;
     let store = &site.backend.store;
-    let deaf = match silence {
+    let stalled = match silence {
         Silence::Long => 2,
         Silence::Short | Silence::Unseen => 1,
     };
     store.everywhere(|mood| match silence {
         Silence::Long | Silence::Short => mood.refusal = Some(Refusal::Silence),
-        Silence::Unseen => mood.deaf = Some(Sort::Watches),
+        Silence::Unseen => mood.silent = Some(Sort::Watches),
     });
     for host in &site.hosts {
         for kind in [sites::declarations(), sites::servers()] {
-            until("watches are deaf", async || deaf <= store.deaf(&host.name, &kind)).await;
+            until("watches are stalled", async || stalled <= store.stalled(&host.name, &kind))
+                .await;
         }
     }
     store.everywhere(|mood| *mood = Mood::default());
@@ -111,6 +112,32 @@
     }
 }
 
+/// Entries of sound servers run out while the store is silent, and come back a little later. A host
+/// that knows of the outage uses such a server on; one that does not takes it for gone.
+#[tokio::test]
+async fn a_server_whose_entry_runs_out_in_a_silence_is_used_on() {
+    const SILENCE: Duration = Duration::from_secs(3);
+    const AWAY: Duration = Duration::from_millis(1000);
+    let site = site(HOSTS).await;
+    site.seen().await;
+    let store = &site.backend.store;
+    store.everywhere(|mood| mood.refusal = Some(Refusal::Silence));
+    sleep(SILENCE).await;
+    store.everywhere(|mood| *mood = Mood::default());
+    store.expire(&sites::servers(), "other-1", AWAY);
+    let deep = Ask::to(HOST, "/pages/deep/x");
+    let end = Instant::now() + AWAY;
+    while Instant::now() < end {
+        for host in &site.hosts {
+            let began = Instant::now();
+            let status = status_of(host, &deep.again()).await;
+            assert_eq!(status, Some(StatusCode::OK));
+            assert!(began.elapsed() < AWAY / 2, "{} waited for its entry", host.name);
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Time from one renewal of the lease on orders to the next, over a span.
 async fn longest_renewal(site: &Site, span: Duration) -> Duration {
     let began = Instant::now();
@@ -138,7 +165,7 @@
         store.revision_of(&sites::leases(), "orders").is_some()
     })
     .await;
-    store.everywhere(|mood| mood.deaf = Some(Sort::Lists));
+    store.everywhere(|mood| mood.silent = Some(Sort::Lists));
     // All watches end, and what they followed is listed anew.
     store.put(&"notes".into(), "a", serde_json::json!(1));
     store.compact();
--- a/crates/standin/src/routed/store.rs
+++ b/crates/standin/src/routed/store.rs
@@ -31,7 +31,7 @@
     /// Turns every call away.
     pub refusal: Option<Refusal>,
     /// Leaves calls of a sort without an answer, for good, and answers the others.
-    pub deaf: Option<Sort>,
+    pub silent: Option<Sort>,
     /// Time that each call takes.
     pub delay: Duration,
     /// Carries out this many writes and loses their answers.
@@ -99,7 +99,7 @@
     /// Where the last watch of each kind began.
     watched: HashMap<KindId, Revision>,
     /// Watches of each kind that silence took.
-    deaf: HashMap<KindId, u64>,
+    stalled: HashMap<KindId, u64>,
 }
 
 enum Reply {
@@ -112,8 +112,8 @@
 impl Mood {
     /// How a call is turned away now, if it is.
     fn refusal_of(&self, sort: Option<Sort>) -> Option<Refusal> {
-        let is_deaf = sort.is_some() && self.deaf == sort;
-        self.refusal.or(is_deaf.then_some(Refusal::Silence))
+        let is_silent = sort.is_some() && self.silent == sort;
+        self.refusal.or(is_silent.then_some(Refusal::Silence))
     }
 }
 
@@ -147,7 +147,8 @@
         .await?;
         let address = listener.address;
         let (mood, count) = (Mood::default(), Count::default());
-        let opened = Door { listener, mood, count, watched: HashMap::new(), deaf: HashMap::new() };
+        let opened =
+            Door { listener, mood, count, watched: HashMap::new(), stalled: HashMap::new() };
         lock(&self.shared.doors).insert(door.to_owned(), opened);
         Ok(address)
     }
@@ -183,9 +184,9 @@
 
     /// Watches of a kind at a door that silence took so far: nothing ever comes on them, also once
     /// the store answers again.
-    pub fn deaf(&self, door: &str, kind: &KindId) -> u64 {
+    pub fn stalled(&self, door: &str, kind: &KindId) -> u64 {
         let doors = lock(&self.shared.doors);
-        doors.get(door).and_then(|door| door.deaf.get(kind)).copied().unwrap_or_default()
+        doors.get(door).and_then(|door| door.stalled.get(kind)).copied().unwrap_or_default()
     }
 
     /// Writes an object, whatever it was.
@@ -260,11 +261,11 @@
     }
 
     /// Counts a watch that gets no answer.
-    fn deafen(&self, door: &str, refusal: Refusal, kind: &KindId) {
+    fn stall(&self, door: &str, refusal: Refusal, kind: &KindId) {
         if refusal == Refusal::Silence
             && let Some(door) = lock(&self.doors).get_mut(door)
         {
-            *door.deaf.entry(kind.clone()).or_default() += 1;
+            *door.stalled.entry(kind.clone()).or_default() += 1;
         }
     }
 
@@ -313,7 +314,7 @@
     tokio::time::sleep(mood.delay).await;
     if let Some(refusal) = shared.mood(door).refusal_of(sort(&call)) {
         if let Call::Watch { kind, .. } = &call {
-            shared.deafen(door, refusal, kind);
+            shared.stall(door, refusal, kind);
         }
         return refuse(shared, door, refusal);
     }
@@ -372,7 +373,7 @@
     let mut ticks = shared.ticks.subscribe();
     loop {
         if let Some(refusal) = shared.mood(door).refusal_of(Some(Sort::Watches)) {
-            shared.deafen(door, refusal, kind);
+            shared.stall(door, refusal, kind);
             return refuse(shared, door, refusal);
         }
         let watched = lock(&shared.state).watched(kind, since);
