--- a/crates/standin/src/routed/soak/play.rs
+++ b/crates/standin/src/routed/soak/play.rs
@@ -9,7 +9,7 @@
 use nix::sys::signal::Signal;
 use relay::edge::Kind;
 use serde_json::Value;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 use types::routed::Declaration;
 
 use super::{
@@ -22,7 +22,7 @@
     lock,
     server::{OrderFault, Server},
     site::Site,
-    store::Mood,
+    store::{Mood, Refusal},
 };
 
 /// What the store's delay is while it is slow.
@@ -31,6 +31,9 @@
 /// What a slow server takes for an answer, and between events.
 const DULL: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(250));
 
+/// Time in which hosts in calm take a declaration in.
+const SEEN: Duration = Duration::from_millis(200);
+
 /// How late a late order, or a late write, is carried out.
 const LATE: Duration = Duration::from_millis(900);
 
@@ -115,13 +118,26 @@
         for (at, step) in steps {
             sleep_until(began + at).await;
             match step {
-                Step::Begin(planned) => self.begin(planned)?,
+                Step::Begin(planned) => {
+                    if planned.fault == Fault::Down(Refusal::Silence) {
+                        self.align().await?;
+                    }
+                    self.begin(planned)?;
+                }
                 Step::End(planned) => self.end(planned).await?,
             }
         }
         Ok(())
     }
 
+    /// Lets all hosts watch the store from the same moment on, as a declaration does: what then
+    /// happens to one watch happens to all.
+    async fn align(&mut self) -> Result<(), Failed> {
+        self.make(Fault::Declare)?;
+        sleep(SEEN).await;
+        Ok(())
+    }
+
     fn server(&self, place: usize) -> &Server {
         self.site.backend.server(&self.servers[place].0)
     }
@@ -233,6 +249,9 @@
                     }
                 });
                 self.ends(&Place::Store);
+                if planned.fault == Fault::Down(Refusal::Silence) {
+                    self.make(Fault::Declare)?;
+                }
             }
             Fault::TurnAway(host, _) => {
                 store.at(&self.site.hosts[host].name, |mood| mood.refusal = None);
--- a/crates/standin/src/routed/soak/schedule.rs
+++ b/crates/standin/src/routed/soak/schedule.rs
@@ -16,6 +16,10 @@
 /// Between the beginnings of two faults, in ms.
 const BETWEEN: std::ops::Range<u64> = 900..3_200;
 
+/// What a silence of the store lasts beyond other faults, in ms: watches end by their limit and are
+/// asked anew in it.
+const LONGER: std::ops::Range<u64> = 0..4_000;
+
 /// Rest of whatever was in trouble, beyond the fault itself.
 const REST: Duration = Duration::from_secs(4);
 
@@ -50,7 +54,7 @@
     Freeze(usize),
     /// A host's settings change, and it gets SIGHUP.
     Reload(usize),
-    /// The store turns all away.
+    /// The store turns all away; a silence begins and ends with a new declaration.
     Down(#[serde(serialize_with = "debug")] Refusal),
     /// The store is slow.
     Slow,
@@ -129,10 +133,13 @@
     let end = length.saturating_sub(tail);
     while at < end {
         let mut fault = pick(&mut random, hosts);
+        let mut lasts = lasts(&mut random, fault);
         if let Fault::Down(refusal) = &mut fault {
             *refusal = REFUSALS.choose(&mut refusals).copied().unwrap_or(Refusal::Down);
+            if *refusal == Refusal::Silence {
+                lasts += Duration::from_millis(refusals.random_range(LONGER));
+            }
         }
-        let lasts = lasts(&mut random, fault);
         let (thing, most) = bounds(fault, hosts);
         let out = free.iter().filter(|(other, until)| same(**other, thing) && at < **until);
         let is_free = free.get(&thing).is_none_or(|until| *until <= at) && out.count() < most;
