Let a server whose entry went be used on only for what gathering leaves of the time to drain

cause: followers of large deployments let changes gather for up to 0.6 of the time to drain, and then used a server whose entry went while the store was shaken for 0.6 more.

--- a/crates/policy/src/follow.rs
+++ b/crates/policy/src/follow.rs
@@ -50,6 +50,9 @@
 /// Part of it for which such a watch is trusted beyond its wait.
 const SCOUT_TRUST: f64 = 0.2;
 
+/// Part of it within which a server whose entry has gone is left alone at the latest.
+const LEFT: f64 = 0.9;
+
 /// Key of the order in which hosts are scouts.
 const KEY: &[u8] = b"scout";
 
@@ -114,3 +117,10 @@
         Role::Follower => pause,
     }
 }
+
+/// Time for which a server may be used on whose entry went while the store was shaken, by a host that
+/// lets changes gather for so long: it may have gone as long ago, and both together have to end within
+/// `within`. Where they did not, a host of 82 could use it for 1.2 of that time.
+pub fn lapse(gather: Duration, within: Duration) -> Duration {
+    within.mul_f64(PART).min(within.mul_f64(LEFT).saturating_sub(gather))
+}
--- a/crates/policy/tests/follow.rs
+++ b/crates/policy/tests/follow.rs
@@ -108,3 +108,17 @@
         assert!(watch.wait < watch.trust && watch.trust < follow::STARTING + DRAIN, "{watch:?}");
     }
 }
+
+#[rstest]
+#[case(1)]
+#[case(9)]
+#[case(82)]
+#[case(350)]
+fn a_server_whose_entry_went_is_left_alone_in_time(#[case] count: usize) {
+    for role in [Role::Scout, Role::Follower] {
+        let gather = settled(role, count);
+        let lapse = follow::lapse(gather, DRAIN);
+        assert!(gather + lapse < DRAIN, "{role:?}: {gather:?} and {lapse:?}");
+        assert!(Duration::ZERO < lapse, "an entry has some time to come back");
+    }
+}
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -8,7 +8,10 @@
 
 use exchange::fleet::{Demand, Notice, To};
 use observe::story::{Belief, Heard, ServerStanding, Word};
-use policy::place::{self, Operation, Outcome, Planner, Work};
+use policy::{
+    follow,
+    place::{self, Operation, Outcome, Planner, Work},
+};
 use types::{
     prelude::*,
     routed::{Declaration, Held, Report, Server, State},
@@ -27,9 +30,6 @@
 /// Time after the store's last failure in which a server whose entry has gone may come back.
 const SHAKEN: Duration = Duration::from_secs(8);
 
-/// Part of the time to drain in which such a server is still used.
-const LAPSE: f64 = 0.6;
-
 impl Shared {
     /// A server that is registered.
     pub(crate) fn server(&self, id: &backend::Id) -> Option<Arc<Server>> {
@@ -133,7 +133,7 @@
         }
         let (shared, id, from) = (self.clone(), id.clone(), from.clone());
         tokio::spawn(async move {
-            tokio::time::sleep(shared.routed.drain.mul_f64(LAPSE)).await;
+            tokio::time::sleep(follow::lapse(shared.gather(), shared.routed.drain)).await;
             let has_come_back = !shared.directory().is_suspect(&id);
             if !has_come_back {
                 shared.gone(&id, &from, "its entry did not come back");
