--- a/crates/stage/tests/routed/silence.rs
+++ b/crates/stage/tests/routed/silence.rs
@@ -39,7 +39,7 @@
 enum Silence {
     /// Until watches have ended by their limit and were asked anew.
     Long,
-    /// For a moment, which only the watches that wait have seen.
+    /// For a moment, in which watches wait and hardly any other call is made.
     Short,
     /// For the watches that wait alone: all other calls are answered as ever.
     Unseen,
