Write once what tests of the store and the soak's judge had written again

cause: the tests of silences declared a further route in the same lines as those of the store's outages; the soak's record looked through its troubles in three loops of one shape, two of them with the same time before; a silent store was spelled out at each place that asks for it ruled out: one list of cases for both tests of silences: two attributes apart, and easier to read as they are; one time constant module for follow, patience and fade: they share a shape, not a meaning change: declare_route among the tests' shared site; is_calm and with_contact in the record; Fault::SILENCE figures: no behaviour changes, no assertion either; 51 cases of the judge and 24 of silences and outages pass as before conclusion: each is written once

--- a/crates/stage/tests/routed/silence.rs
+++ b/crates/stage/tests/routed/silence.rs
@@ -23,9 +23,8 @@
     until,
 };
 use tokio::time::{Instant, sleep};
-use types::routed::Kind;
 
-use crate::site::{HOST, declaration, route, site, status_of, ticket};
+use crate::site::{HOST, declare_route, site, status_of, ticket};
 
 /// A host is held to all bounds once it and the store have been sound for so long. No other bound is
 /// longer: a declaration has 2 s and a leaving server has 2 s.
@@ -45,19 +44,10 @@
     Unseen,
 }
 
-/// Declares a further route, and returns what asks for it.
-fn declare(site: &Site, version: u64) -> Ask {
-    let mut declared = declaration();
-    declared.version = version;
-    declared.routes.push(route(&format!("/pages-{version}/"), Kind::Idempotent, &[("app", 1)]));
-    site.backend.declare(&declared);
-    Ask::to(HOST, &format!("/pages-{version}/x"))
-}
-
 /// A site whose hosts watch from the same moment on, after a store that was silent and is back.
 async fn after(silence: Silence) -> Site {
     let site = site(HOSTS).await;
-    declare(&site, 10);
+    declare_route(&site, 10);
     site.seen().await;
     let store = &site.backend.store;
     let stalled = match silence {
@@ -85,7 +75,7 @@
 #[tokio::test]
 async fn a_declaration_is_in_force_in_time_after_a_silence(#[case] silence: Silence) {
     let site = after(silence).await;
-    let ask = declare(&site, 11);
+    let ask = declare_route(&site, 11);
     sleep(CONTACT).await;
     for host in &site.hosts {
         let status = status_of(host, &ask.again()).await;
--- a/crates/stage/tests/routed/site.rs
+++ b/crates/stage/tests/routed/site.rs
@@ -129,6 +129,16 @@
     site
 }
 
+/// Declares a further route, and returns what asks for it.
+pub fn declare_route(site: &Site, version: u64) -> Ask {
+    let prefix = format!("/pages-{version}/");
+    let mut declared = declaration();
+    declared.version = version;
+    declared.routes.push(route(&prefix, Kind::Idempotent, &[("app", 1)]));
+    site.backend.declare(&declared);
+    Ask::to(HOST, &format!("{prefix}x"))
+}
+
 pub fn page() -> Ask {
     Ask::to(HOST, "/pages/home?lang=es")
 }
--- a/crates/stage/tests/routed/store.rs
+++ b/crates/stage/tests/routed/store.rs
@@ -12,11 +12,10 @@
     store::Refusal,
     until,
 };
-use types::routed::Kind;
 
 use crate::site::{
-    HOST, backend, chat, declaration, page, route, server_of, site, status_of, ticket, undeclared,
-    usual_site,
+    HOST, backend, chat, declaration, declare_route, page, server_of, site, status_of, ticket,
+    undeclared, usual_site,
 };
 
 async fn serves(host: &Host) {
@@ -27,11 +26,7 @@
 
 /// Declares a further route, and waits until every host serves it.
 async fn declares_on(site: &Site, version: u64) {
-    let mut declared = declaration();
-    declared.version = version;
-    declared.routes.push(route(&format!("/pages-{version}/"), Kind::Idempotent, &[("app", 1)]));
-    site.backend.declare(&declared);
-    let moved = Ask::to(HOST, &format!("/pages-{version}/x"));
+    let moved = declare_route(site, version);
     for host in &site.hosts {
         until("the declaration is in force", async || {
             status_of(host, &moved.again()).await == Some(StatusCode::OK)
--- a/crates/standin/src/routed/soak/play.rs
+++ b/crates/standin/src/routed/soak/play.rs
@@ -22,7 +22,7 @@
     lock,
     server::{OrderFault, Server},
     site::Site,
-    store::{Mood, Refusal},
+    store::Mood,
 };
 
 /// What the store's delay is while it is slow.
@@ -119,7 +119,7 @@
             sleep_until(began + at).await;
             match step {
                 Step::Begin(planned) => {
-                    if planned.fault == Fault::Down(Refusal::Silence) {
+                    if planned.fault == Fault::SILENCE {
                         self.align().await?;
                     }
                     self.begin(planned)?;
@@ -249,7 +249,7 @@
                     }
                 });
                 self.ends(&Place::Store);
-                if planned.fault == Fault::Down(Refusal::Silence) {
+                if planned.fault == Fault::SILENCE {
                     self.make(Fault::Declare)?;
                 }
             }
--- a/crates/standin/src/routed/soak/record.rs
+++ b/crates/standin/src/routed/soak/record.rs
@@ -251,26 +251,32 @@
 impl Record {
     /// Whether a host was in touch all through a span.
     pub fn in_touch(&self, host: usize, span: Span) -> bool {
-        let span = Span { from: span.from.saturating_sub(self.bounds.contact), to: span.to };
-        let ours = |place: &Place| match place {
+        self.is_calm(self.with_contact(span), |place| match place {
             Place::Host(other) | Place::Planned(other) | Place::Door(other) => *other == host,
             Place::Store => true,
             Place::Server(_) => false,
-        };
-        !self.troubles.iter().any(|trouble| ours(&trouble.place) && trouble.span.meets(span))
+        })
     }
 
     /// Whether the store was without trouble for long enough before a moment.
     pub fn is_stable(&self, at: Duration) -> bool {
-        let span = Span { from: at.saturating_sub(self.bounds.contact), to: at };
-        let is_store = |trouble: &&Trouble| trouble.place == Place::Store;
-        !self.troubles.iter().filter(is_store).any(|trouble| trouble.span.meets(span))
+        let span = self.with_contact(Span { from: at, to: at });
+        self.is_calm(span, |place| *place == Place::Store)
     }
 
     /// Whether a server was sound all through a span.
     pub fn is_sound(&self, server: &str, span: Span) -> bool {
-        let is_it = |place: &Place| matches!(place, Place::Server(other) if other == server);
-        !self.troubles.iter().any(|trouble| is_it(&trouble.place) && trouble.span.meets(span))
+        self.is_calm(span, |place| matches!(place, Place::Server(other) if other == server))
+    }
+
+    /// Whether none of these places was in trouble in a span.
+    fn is_calm(&self, span: Span, is_meant: impl Fn(&Place) -> bool) -> bool {
+        !self.troubles.iter().any(|trouble| is_meant(&trouble.place) && trouble.span.meets(span))
+    }
+
+    /// A span and the time before it that has to be calm too.
+    fn with_contact(&self, span: Span) -> Span {
+        Span { from: span.from.saturating_sub(self.bounds.contact), ..span }
     }
 
     /// Runs of a request.
--- a/crates/standin/src/routed/soak/schedule.rs
+++ b/crates/standin/src/routed/soak/schedule.rs
@@ -82,6 +82,11 @@
     Burst,
 }
 
+impl Fault {
+    /// The store is silent for all.
+    pub const SILENCE: Fault = Fault::Down(Refusal::Silence);
+}
+
 /// Whether a leaving server says so.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum Notice {
