--- a/crates/stage/tests/drain.rs
+++ b/crates/stage/tests/drain.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
-use common::{Answer, Site, answer_text, events, post_chat, until};
+use common::{Answer, Site, answer_text, events, post_chat, try_send, until};
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use standin::{engine, plain::Plain};
@@ -17,6 +17,9 @@
 const TOKENS: u64 = 200;
 const STREAMS: usize = 8;
 
+/// Time between two questions of the balancer.
+const PROBE: Duration = Duration::from_secs(1);
+
 fn engines() -> Vec<engine::Settings> {
     ["lm-1", "lm-2"]
         .map(|id| engine::Settings::new(id).with_model("welcome", "v1", 900))
@@ -64,7 +67,7 @@
 impl Upload {
     const HALF: usize = 200_000;
 
-    async fn begin(address: std::net::SocketAddr) -> Upload {
+    async fn begin(address: SocketAddr) -> Upload {
         let mut stream = TcpStream::connect(address).await.expect("connection");
         let length = 2 * Upload::HALF;
         let head = format!(
@@ -83,6 +86,10 @@
     }
 }
 
+async fn is_ready(operators: SocketAddr) -> bool {
+    try_send(operators, "GET", "/ready", &[], "").await.is_some_and(|answer| answer.status == 200)
+}
+
 #[tokio::test]
 async fn each_host_in_turn_stops_without_cutting_a_stream_or_an_upload() {
     let plain = Plain::start("app-1").await.expect("plain service");
@@ -92,6 +99,10 @@
         let upload = Upload::begin(site.hosts()[host].callers()).await;
         until("all streams run", async || engines_busy(&site) == STREAMS).await;
         site.hosts()[host].signal(Signal::SIGTERM);
+        // What is answered while the signal is under way is not yet part of the stop.
+        let operators = site.hosts()[host].operators();
+        let begun = until("the stop has begun", async || !is_ready(operators).await);
+        tokio::time::timeout(PROBE, begun).await.expect("not ready when the balancer asks next");
         // Still within the pause for the balancer: new work is taken.
         let late = post_chat(site.hosts()[host].callers(), &long_chat(99)).await;
         assert_eq!(late.status, 200, "{}", late.text());
