--- a/crates/policy/src/follow.rs
+++ b/crates/policy/src/follow.rs
@@ -90,8 +90,7 @@
     match role {
         Role::Scout => soon(SCOUT_WAIT),
         Role::Follower => {
-            let each = WAIT_EACH.saturating_mul(u32::try_from(hosts).unwrap_or(u32::MAX));
-            let wait = each.clamp(WAIT_LEAST, WAIT_MOST);
+            let wait = for_each(WAIT_EACH, hosts).clamp(WAIT_LEAST, WAIT_MOST);
             Watch { wait, trust: wait + TRUST }
         }
     }
@@ -110,8 +109,7 @@
     if up < STARTING {
         return STARTING_PAUSE.min(within.mul_f64(PART));
     }
-    let hosts = u32::try_from(hosts.saturating_sub(FEW)).unwrap_or(u32::MAX);
-    let pause = EACH.saturating_mul(hosts).min(within.mul_f64(PART));
+    let pause = for_each(EACH, hosts.saturating_sub(FEW)).min(within.mul_f64(PART));
     match role {
         Role::Scout => pause.min(SCOUT_PAUSE),
         Role::Follower => pause,
@@ -124,3 +122,7 @@
 pub fn lapse(gather: Duration, within: Duration) -> Duration {
     within.mul_f64(PART).min(within.mul_f64(LEFT).saturating_sub(gather))
 }
+
+fn for_each(time: Duration, hosts: usize) -> Duration {
+    time.saturating_mul(u32::try_from(hosts).unwrap_or(u32::MAX))
+}
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -282,7 +282,8 @@
         fetch_declaration(shared, exchange, ahead.member.address, from, version).await;
     }
     // A host whose store answers lets changes gather, and is behind its peers meanwhile.
-    let patience = CUT + if shared.is_shaken() { Duration::ZERO } else { shared.gather() };
+    let gather = if shared.is_shaken() { Duration::ZERO } else { shared.gather_among(picture) };
+    let patience = CUT + gather;
     let is_behind =
         |counts: &mut Counts| counts.is_behind(shared.revision(), picture, patience, shared.now());
     if !counts(shared, is_behind) {
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -140,7 +140,7 @@
     /// A watch of this kind has had no answer for so long that it is no longer trusted.
     pub(crate) fn silent(&self, kind: Kind, waited: Duration) {
         if let Some(reach) = self.reach(kind) {
-            self.heard(reach, &Told::Unclear, waited);
+            self.heard(reach, DependencyState::Lost, waited);
         }
     }
 
@@ -185,31 +185,35 @@
         let done = timeout_at(end, self.try_exchange(call, connection)).await;
         let (told, connection) = done.ok().flatten().unwrap_or((Told::Unclear, None));
         self.meters.call(called(call), result(&told));
+        let state = match told {
+            Told::Unclear => DependencyState::Lost,
+            _ => DependencyState::Regained,
+        };
+        let took = began.elapsed();
         if let Call::Watch { kind, .. } = call
             && let Some(reach) = self.reach(*kind)
         {
-            self.heard(reach, &told, began.elapsed());
+            self.heard(reach, state, took);
         }
-        if let Some(DependencyState::Regained) = self.heard(&self.calls, &told, began.elapsed()) {
+        if self.heard(&self.calls, state, took) && state == DependencyState::Regained {
             self.outages.send_modify(|ended| *ended += 1);
         }
         (told, connection)
     }
 
-    /// Tells when calls of a sort get no answer, and when they do again; the state, if it is news.
-    fn heard(&self, reach: &Reach, told: &Told, took: Duration) -> Option<DependencyState> {
-        let lost = matches!(told, Told::Unclear);
-        if !reach.turns(lost) {
-            return None;
+    /// Tells when calls of a sort get no answer, and when they do again; whether that is news.
+    fn heard(&self, reach: &Reach, state: DependencyState, took: Duration) -> bool {
+        let is_news = reach.turns(state == DependencyState::Lost);
+        if is_news {
+            let took = took.as_millis();
+            let why = match state {
+                DependencyState::Lost => format!("no answer that can be read in {took} ms"),
+                DependencyState::Regained => format!("an answer after {took} ms"),
+            };
+            let (name, why) = (Word::Borrowed(reach.name), Word::Owned(why));
+            self.teller.belief(Belief::Dependency { name, state, why });
         }
-        let took = took.as_millis();
-        let (state, why) = match lost {
-            true => (DependencyState::Lost, format!("no answer that can be read in {took} ms")),
-            false => (DependencyState::Regained, format!("an answer after {took} ms")),
-        };
-        let (name, why) = (Word::Borrowed(reach.name), Word::Owned(why));
-        self.teller.belief(Belief::Dependency { name, state, why });
-        Some(state)
+        is_news
     }
 
     async fn try_exchange(
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -6,7 +6,7 @@
 
 use observe::story::Heard;
 use policy::{
-    fleet::Standing,
+    fleet::{Picture, Standing},
     follow::{self, Role},
 };
 use tokio::time::sleep;
@@ -98,28 +98,26 @@
             Kind::Declaration => self.routed.apply,
             _ => self.routed.drain,
         };
-        let (role, live) = self.following();
-        follow::watch(self.now(), role, live, within)
+        let picture = self.exchange().map(|exchange| exchange.fleet()).unwrap_or_default();
+        follow::watch(self.now(), self.role(&picture), picture.live, within)
     }
 
     /// Time in which changes of the servers gather before this host asks for them again.
     pub(crate) fn gather(&self) -> Duration {
-        if self.exchange().is_none() {
-            return Duration::ZERO;
-        }
-        let (role, live) = self.following();
-        follow::pause(self.now(), role, live, self.routed.drain)
+        self.exchange().map_or(Duration::ZERO, |exchange| self.gather_among(&exchange.fleet()))
+    }
+
+    /// The same, by what is already known of the others.
+    pub(crate) fn gather_among(&self, picture: &Picture) -> Duration {
+        follow::pause(self.now(), self.role(picture), picture.live, self.routed.drain)
     }
 
-    /// What this host is to the others in following the store, and how many take work.
-    fn following(&self) -> (Role, usize) {
-        let Some(exchange) = self.exchange() else { return (Role::Scout, 1) };
-        let picture = exchange.fleet();
+    /// What this host is to the others in following the store.
+    fn role(&self, picture: &Picture) -> Role {
         let live = picture.hosts.iter().filter(|seen| seen.standing == Standing::Live);
-        let role = match self.term().fence(self.now()) {
+        match self.term().fence(self.now()) {
             Some(_) => Role::Scout,
             None => follow::role(&self.host.id, live.map(|seen| &seen.member.id)),
-        };
-        (role, picture.live)
+        }
     }
 }
