--- a/crates/stage/tests/routed/silence.rs
+++ b/crates/stage/tests/routed/silence.rs
@@ -128,6 +128,41 @@
     }
 }
 
+/// What the store has taken off stays off, though a peer that learnt it later still uses it on: a list
+/// told by that peer brought the server back for good, since the store says once that an entry went.
+///
+/// The first host learns that an entry went, and is then turned away; the second learns it a second later,
+/// sees a further change, and so is ahead of the first, which asks it for its list.
+#[tokio::test]
+async fn a_server_whose_entry_went_does_not_come_back_by_a_peer() {
+    const LATER: Duration = Duration::from_secs(1);
+    let mut site = site(2).await;
+    site.seen().await;
+    let store = site.backend.store.clone();
+    let [first, second] = [0, 1].map(|place| site.hosts[place].name.clone());
+    store.everywhere(|mood| mood.refusal = Some(Refusal::Silence));
+    sleep(CONTACT).await;
+    store.everywhere(|mood| *mood = Mood::default());
+    site.seen().await;
+    // A watch that is asked now looks at the store a second later.
+    store.at(&second, |mood| mood.delay = LATER);
+    store.put(&sites::servers(), "mark", serde_json::json!({"mark": 1}));
+    sleep(LATER / 4).await;
+    site.backend.forget("other-1");
+    let gone = store.revision();
+    until("the first host has seen it", async || {
+        store.watched_from(&first, &sites::servers()) >= Some(gone)
+    })
+    .await;
+    store.at(&first, |mood| mood.refusal = Some(Refusal::Down));
+    store.put(&sites::servers(), "mark", serde_json::json!({"mark": 2}));
+    sleep(CONTACT).await;
+    let before = site.backend.server("other-1").runs().len();
+    let deep = Ask::to(HOST, "/pages/deep/x");
+    assert_ne!(status_of(&site.hosts[0], &deep).await, Some(StatusCode::OK));
+    assert_eq!(site.backend.server("other-1").runs().len(), before, "it is used again");
+}
+
 /// Time from one renewal of the lease on orders to the next, over a span.
 async fn longest_renewal(site: &Site, span: Duration) -> Duration {
     let began = Instant::now();
