--- a/crates/stage/tests/routed/silence.rs
+++ b/crates/stage/tests/routed/silence.rs
@@ -33,6 +33,9 @@
 /// Several hosts could tell each other, did not all their watches stall.
 const HOSTS: usize = 3;
 
+/// Hosts of which some are no scouts, and wait long for a change.
+const FOLLOWED: usize = 6;
+
 /// How the store falls silent.
 #[derive(Clone, Copy)]
 enum Silence {
@@ -115,19 +118,57 @@
     sleep(SILENCE).await;
     store.everywhere(|mood| *mood = Mood::default());
     store.expire(&sites::servers(), "other-1", AWAY);
+    is_reached_throughout(&site, AWAY).await;
+}
+
+/// Asserts that at each moment of a span every host sends requests on to a server without a wait.
+async fn is_reached_throughout(site: &Site, span: Duration) {
     let deep = Ask::to(HOST, "/pages/deep/x");
-    let end = Instant::now() + AWAY;
+    let end = Instant::now() + span;
     while Instant::now() < end {
         for host in &site.hosts {
             let began = Instant::now();
             let status = status_of(host, &deep.again()).await;
-            assert_eq!(status, Some(StatusCode::OK));
-            assert!(began.elapsed() < AWAY / 2, "{} waited for its entry", host.name);
+            assert_eq!(status, Some(StatusCode::OK), "{} has no server", host.name);
+            assert!(began.elapsed() < span / 2, "{} waited for its entry", host.name);
         }
         sleep(Duration::from_millis(50)).await;
     }
 }
 
+#[tokio::test]
+async fn entries_that_run_out_while_a_watch_waits_through_a_silence_cost_no_server() {
+    const AWAY: Duration = Duration::from_millis(800);
+    let site = site(FOLLOWED).await;
+    site.seen().await;
+    // Until a host knows the others, it asks often.
+    sleep(CONTACT).await;
+    let store = &site.backend.store;
+    store.put(&sites::servers(), "mark", serde_json::json!({"mark": 1}));
+    sleep(CONTACT / 4).await;
+    store.everywhere(|mood| mood.refusal = Some(Refusal::Hold));
+    sleep(CONTACT).await;
+    store.expire(&sites::servers(), "other-1", AWAY);
+    store.everywhere(|mood| *mood = Mood::default());
+    is_reached_throughout(&site, AWAY).await;
+}
+
+#[tokio::test]
+async fn a_server_is_used_again_once_its_entry_is_back_whatever_peers_said() {
+    const AWAY: Duration = Duration::from_millis(500);
+    let site = site(2).await;
+    site.seen().await;
+    let store = &site.backend.store;
+    let second = &site.hosts[1].name;
+    store.at(second, |mood| mood.refusal = Some(Refusal::Silence));
+    sleep(CONTACT).await;
+    store.at(second, |mood| *mood = Mood::default());
+    site.seen().await;
+    store.expire(&sites::servers(), "other-1", AWAY);
+    sleep(CONTACT).await;
+    is_reached_throughout(&site, AWAY).await;
+}
+
 /// What the store has taken off stays off, though a peer that learnt it later still uses it on: a list
 /// told by that peer brought the server back for good, since the store says once that an entry went.
 ///
--- a/crates/standin/src/routed/store.rs
+++ b/crates/standin/src/routed/store.rs
@@ -61,6 +61,8 @@
     Reset,
     /// Nothing comes.
     Silence,
+    /// Nothing comes either, but watches that wait by then are answered once it is over.
+    Hold,
 }
 
 /// Calls at a door.
@@ -339,7 +341,7 @@
         Refusal::Down => Reply::Send(far::down()),
         Refusal::TooMany => Reply::Send(far::too_many()),
         Refusal::Reset => Reply::Reset,
-        Refusal::Silence => Reply::Silence,
+        Refusal::Silence | Refusal::Hold => Reply::Silence,
     }
 }
 
@@ -372,9 +374,18 @@
     let end = Instant::now() + wait;
     let mut ticks = shared.ticks.subscribe();
     loop {
-        if let Some(refusal) = shared.mood(door).refusal_of(Some(Sort::Watches)) {
-            shared.stall(door, refusal, kind);
-            return refuse(shared, door, refusal);
+        match shared.mood(door).refusal_of(Some(Sort::Watches)) {
+            Some(Refusal::Hold) => {
+                if ticks.changed().await.is_err() {
+                    return Reply::Silence;
+                }
+                continue;
+            }
+            Some(refusal) => {
+                shared.stall(door, refusal, kind);
+                return refuse(shared, door, refusal);
+            }
+            None => {}
         }
         let watched = lock(&shared.state).watched(kind, since);
         match watched {
