--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    net::SocketAddr,
     sync::{Arc, Mutex, PoisonError, Weak},
     time::Duration,
 };
@@ -295,8 +296,7 @@
 async fn follow(shared: &Arc<Shared>, exchange: &Exchange, picture: &Picture) {
     let version = shared.declaration().map_or(0, |declaration| declaration.version);
     if let Some(ahead) = picture.ahead(&shared.host.zone, version).first() {
-        let from = Some(&ahead.member.id);
-        fetch_declaration(shared, exchange, ahead.member.address, from, version).await;
+        fetch_declaration(shared, exchange, ahead.member.address, &ahead.member.id, version).await;
     }
     // A host whose store answers lets changes gather, and is behind its peers meanwhile.
     let gather = if shared.is_shaken() { Duration::ZERO } else { shared.gather_among(picture) };
@@ -317,20 +317,26 @@
 async fn fetch_declaration(
     shared: &Shared,
     exchange: &Exchange,
-    from: std::net::SocketAddr,
-    peer: Option<&host::Id>,
+    from: SocketAddr,
+    peer: &host::Id,
     above: Version,
 ) {
     match exchange.fetch_declaration(from, above).await {
         Ok(Some(declaration)) => {
-            let peer = peer.cloned().unwrap_or_else(|| from.to_string().into());
-            shared.declare((*declaration).clone(), story::Heard::Peer(peer));
+            shared.declare((*declaration).clone(), story::Heard::Peer(peer.clone()));
         }
         Ok(None) => {}
         Err(error) => log::debug!(from:% = from; "a declaration can't be fetched: {error}"),
     }
 }
 
+/// The host that listens at an address; named by the address while it is not known.
+fn peer_at(exchange: &Exchange, address: SocketAddr) -> host::Id {
+    let picture = exchange.fleet();
+    let known = picture.hosts.iter().find(|seen| seen.member.address == address);
+    known.map_or_else(|| address.to_string().into(), |seen| seen.member.id.clone())
+}
+
 async fn listen(shared: Arc<Shared>, exchange: Arc<Exchange>, mut notices: Receiver<Heard>) {
     while let Some(heard) = notices.recv().await {
         let now = shared.now();
@@ -346,17 +352,14 @@
             Notice::Dropped { server, model, adapter, .. } => {
                 shared.dispatcher().drops(&server, &model, adapter.as_ref(), now);
             }
-            Notice::Leaving { server } => shared.dispatcher().draining(&server),
+            Notice::Leaving { server } => {
+                shared.set_aside(&server, &story::Heard::Peer(peer_at(&exchange, heard.via)));
+            }
             Notice::Declared { version } => {
                 let held = shared.declaration().map_or(0, |declaration| declaration.version);
                 if held < version {
-                    let from = exchange
-                        .fleet()
-                        .hosts
-                        .iter()
-                        .find(|seen| seen.member.address == heard.via)
-                        .map(|seen| seen.member.id.clone());
-                    fetch_declaration(&shared, &exchange, heard.via, from.as_ref(), held).await;
+                    let peer = peer_at(&exchange, heard.via);
+                    fetch_declaration(&shared, &exchange, heard.via, &peer, held).await;
                 }
             }
         }
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -10,7 +10,7 @@
     Registered,
     fleet::{Demand, Notice, To},
 };
-use observe::story::{Belief, Heard, ServerStanding, Word};
+use observe::story::{Belief, DependencyState, Heard, ServerStanding, Word};
 use policy::{
     follow,
     place::{self, Operation, Outcome, Planner, Work},
@@ -238,9 +238,24 @@
         self.pump_soon.notify_one();
     }
 
+    /// Sends a server nothing new, since a peer says that it leaves.
+    pub(crate) fn set_aside(&self, id: &backend::Id, from: &Heard) {
+        if self.dispatcher().is_used(id)
+            && let Some(server) = self.server(id)
+        {
+            self.standing(&server, ServerStanding::Leaving, from, "a peer says that it leaves");
+        }
+        self.dispatcher().draining(id);
+    }
+
     /// The store has failed this host.
     pub(crate) fn store_failed(&self) {
         let now = self.now();
+        if !self.is_shaken() {
+            let name = Word::Borrowed("registrations");
+            let why = Word::Borrowed("the store failed, so that entries of sound servers may go");
+            self.teller.belief(Belief::Dependency { name, state: DependencyState::Lost, why });
+        }
         *self.trouble.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
     }
 
