Count every call that fails as a failure of the store

cause: a host doubts the entries of servers for 8 s after a failure of the store, but only a failed watch was one.

--- a/crates/policy/src/follow.rs
+++ b/crates/policy/src/follow.rs
@@ -139,7 +139,7 @@
     age <= within.mul_f64(RELAYED_AGE)
 }
 
-/// Time for which a server may be used on whose entry went while the store was shaken, by a host that
+/// Time for which a server may be used on whose entry went while the store was degraded, by a host that
 /// lets changes gather for so long: it may have gone as long ago, and both together have to end within
 /// `within`. Where they did not, a host of 82 could use it for 1.2 of that time.
 pub fn lapse(gather: Duration, within: Duration) -> Duration {
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -81,8 +81,6 @@
     pub(crate) unreadable: Pace,
     /// When what is known of the servers was the store's word.
     pub(crate) current: Mutex<Moment>,
-    /// When the store last failed this host.
-    pub(crate) trouble: Mutex<Option<Moment>>,
     exchange: OnceLock<Weak<Exchange>>,
     leaving: AtomicBool,
     open: AtomicU32,
@@ -115,7 +113,13 @@
         let teller = Teller::new(settings.host.id.clone(), incarnation, stamps, Words::Process);
         let meters = metrics.routed();
         Shared {
-            store: Store::new(dialect.clone(), settings.platform, teller.clone(), meters.clone()),
+            store: Store::new(
+                dialect.clone(),
+                settings.platform,
+                teller.clone(),
+                meters.clone(),
+                clock,
+            ),
             teller,
             metrics,
             meters,
@@ -133,7 +137,6 @@
             counts: Mutex::default(),
             unreadable: Pace::default(),
             current: Mutex::default(),
-            trouble: Mutex::default(),
             exchange: OnceLock::new(),
             incarnation,
             host: settings.host,
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -180,7 +180,7 @@
         exchange.publish(Part::Term(stored));
     }
     exchange.publish(Part::Lease(lease));
-    let reach = if shared.is_shaken() { Reach::Cut } else { Reach::Reached };
+    let reach = if shared.store.is_degraded() { Reach::Cut } else { Reach::Reached };
     exchange.publish(Part::Store(Store { reach, revision: shared.revision() }));
     let arrivals = counts(shared, |counts| {
         counts.arrivals.iter().map(|(demand, count)| (demand.clone(), *count)).collect()
@@ -299,7 +299,8 @@
         fetch_declaration(shared, exchange, ahead.member.address, &ahead.member.id, version).await;
     }
     // A host whose store answers lets changes gather, and is behind its peers meanwhile.
-    let gather = if shared.is_shaken() { Duration::ZERO } else { shared.gather_among(picture) };
+    let gather =
+        if shared.store.is_degraded() { Duration::ZERO } else { shared.gather_among(picture) };
     let patience = CUT + gather;
     let is_behind =
         |counts: &mut Counts| counts.is_behind(shared.revision(), picture, patience, shared.now());
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -10,7 +10,7 @@
     Registered,
     fleet::{Demand, Notice, To},
 };
-use observe::story::{Belief, DependencyState, Heard, ServerStanding, Word};
+use observe::story::{Belief, Heard, ServerStanding, Word};
 use policy::{
     follow,
     place::{self, Operation, Outcome, Planner, Work},
@@ -31,9 +31,6 @@
 /// Time that a load is expected to take.
 const LOAD: Duration = Duration::from_secs(1);
 
-/// Time after the store's last failure in which a server whose entry has gone may come back.
-const SHAKEN: Duration = Duration::from_secs(8);
-
 impl Shared {
     /// A server that is registered.
     pub(crate) fn server(&self, id: &backend::Id) -> Option<Arc<Server>> {
@@ -182,13 +179,13 @@
         }
     }
 
-    /// A server's entry has gone. While the store is shaken, entries of sound servers go and come
+    /// A server's entry has gone. While the store is degraded, entries of sound servers go and come
     /// back; such a server is used on for part of the time that a leaving one may be.
     fn removed(self: &Arc<Self>, id: &backend::Id, from: &Heard) {
         let is_ready = self.server(id).is_some_and(|server| server.state == State::Ready);
         // A peer's list holds what is registered, and is asked for by who is behind: no time is left.
         let is_told = matches!(from, Heard::Peer(_));
-        if !is_ready || !self.is_shaken() || is_told {
+        if !is_ready || !self.store.is_degraded() || is_told {
             if is_ready && !is_told && self.dispatcher().is_used(id) {
                 self.notify(Notice::Leaving { server: id.clone() });
             }
@@ -199,7 +196,7 @@
         }
         self.directory().suspect(id);
         if let Some(server) = self.server(id) {
-            let why = "its entry went while the store was shaken";
+            let why = "its entry went while the store was degraded";
             self.standing(&server, ServerStanding::Suspected, from, why);
         }
         let (shared, id, from) = (self.clone(), id.clone(), from.clone());
@@ -248,23 +245,6 @@
         self.dispatcher().draining(id);
     }
 
-    /// The store has failed this host.
-    pub(crate) fn store_failed(&self) {
-        let now = self.now();
-        if !self.is_shaken() {
-            let name = Word::Borrowed("registrations");
-            let why = Word::Borrowed("the store failed, so that entries of sound servers may go");
-            self.teller.belief(Belief::Dependency { name, state: DependencyState::Lost, why });
-        }
-        *self.trouble.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
-    }
-
-    /// Whether the store has failed this host lately.
-    pub(crate) fn is_shaken(&self) -> bool {
-        let trouble = *self.trouble.lock().unwrap_or_else(PoisonError::into_inner);
-        trouble.is_some_and(|at| self.now() < at + SHAKEN)
-    }
-
     /// Whether a server is one of a service with engines, as far as is declared.
     pub(crate) fn runs_models(&self, server: &Server) -> bool {
         self.declaration().is_some_and(|declaration| has_engine(&declaration, &server.service))
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -6,7 +6,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex as SyncMutex, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -24,7 +24,10 @@
     time::{Instant, timeout_at},
 };
 
+use types::prelude::*;
+
 use crate::{
+    clock::Clock,
     connect::{self, Connection},
     edge::{Call, Dialect, Kind, Object, Page, Revision, Told},
 };
@@ -39,6 +42,9 @@
 /// watch that may be stalled is not left alone until then, but hedged.
 const WATCH_SLACK: Duration = Duration::from_secs(5);
 
+/// Time after the store's last failure in which a server whose entry has gone may come back.
+const DEGRADED: Duration = Duration::from_secs(8);
+
 /// Largest answer taken, in bytes.
 const LARGEST: usize = 8 * 1024 * 1024;
 
@@ -54,6 +60,9 @@
     servers: Reach,
     /// Outages that have ended.
     outages: watch::Sender<u64>,
+    clock: Clock,
+    /// When the store last failed this host.
+    failed: SyncMutex<Option<Moment>>,
 }
 
 /// Whether calls of a sort were answered at last.
@@ -80,6 +89,7 @@
         address: SocketAddr,
         teller: Teller,
         meters: Meters,
+        clock: Clock,
     ) -> Store {
         Store {
             dialect,
@@ -91,7 +101,25 @@
             declaration: Reach::new("watch of the declaration"),
             servers: Reach::new("watch of servers"),
             outages: watch::Sender::default(),
+            clock,
+            failed: SyncMutex::default(),
+        }
+    }
+
+    /// Notes that the store has failed this host.
+    pub(crate) fn fail(&self) {
+        if !self.is_degraded() {
+            let name = Word::Borrowed("registrations");
+            let why = Word::Borrowed("the store failed, so that entries of sound servers may go");
+            self.teller.belief(Belief::Dependency { name, state: DependencyState::Lost, why });
         }
+        *self.failed.lock().unwrap_or_else(PoisonError::into_inner) = Some(self.clock.now());
+    }
+
+    /// Whether the store has failed this host lately.
+    pub(crate) fn is_degraded(&self) -> bool {
+        let failed = *self.failed.lock().unwrap_or_else(PoisonError::into_inner);
+        failed.is_some_and(|at| self.clock.now() < at + DEGRADED)
     }
 
     /// Tells when calls that got no answer are followed by one that does. What was asked before that
@@ -185,6 +213,10 @@
         let done = timeout_at(end, self.try_exchange(call, connection)).await;
         let (told, connection) = done.ok().flatten().unwrap_or((Told::Unclear, None));
         self.meters.call(called(call), result(&told));
+        // Any call counts: a watch may wait through a whole outage and then bring entries that ran out in it.
+        if matches!(told, Told::Unclear | Told::Refused) {
+            self.fail();
+        }
         let state = match told {
             Told::Unclear => DependencyState::Lost,
             _ => DependencyState::Regained,
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -123,7 +123,7 @@
     /// then may come back, and only the store tells.
     fn relay(&self) -> Option<(Arc<Exchange>, Member)> {
         let exchange = self.exchange()?;
-        let is_settled = follow::STARTING <= self.now() && !self.is_shaken();
+        let is_settled = follow::STARTING <= self.now() && !self.store.is_degraded();
         match exchange.tier() {
             Tier::Member(relay) if is_settled && self.role(&exchange.fleet()) == Role::Follower => {
                 Some((exchange, relay))
--- a/crates/relay/src/watch/hedge.rs
+++ b/crates/relay/src/watch/hedge.rs
@@ -77,7 +77,7 @@
                     if cause == Cause::Silence {
                         self.shared.store.silent(self.kind, watch.trust);
                     }
-                    self.shared.store_failed();
+                    self.shared.store.fail();
                     newest = Some(self.ask(since, watch.wait));
                     trusted = Instant::now() + watch.trust;
                 }
@@ -108,7 +108,6 @@
 
     fn failed(&self, told: &Told) {
         log::debug!(told:? = told; "a watch failed");
-        self.shared.store_failed();
     }
 }
 
--- a/crates/standin/tests/soak_judge.rs
+++ b/crates/standin/tests/soak_judge.rs
@@ -161,7 +161,7 @@
     leave(r, 4_000);
     r.troubles.push(trouble(Place::Store, 6_000, 7_500));
 })]
-#[case::left_by_word_of_a_shaken_store(Kind::Idempotent, |r: &mut Record| {
+#[case::left_by_word_of_a_degraded_store(Kind::Idempotent, |r: &mut Record| {
     leave(r, 5_000);
     r.troubles.push(trouble(Place::Store, 2_000, 3_000));
 })]
