Order notices that a server leaves by the store's revisions too

cause: a host that had not noticed an outage told all others that servers were leaving whose entries had run out in it. A notice bore no revision, so that the entry that came back half a second later could not be told from a late one, and 'a server that leaves doesn't come back'. ordered lists, entries and removals by revision; notices were left out ruled out: notices for draining servers alone: whoever misses its own watch then learns of a removal by a peer's list, 0.9 s later; letting any entry bring a server back: a late one would, which a test of the dispatcher forbids and still does change: a notice says whether the entry drains or went, and the revision of that. An entry written later ends it; one that was written before doesn't.

--- a/crates/exchange/tests/exchange.rs
+++ b/crates/exchange/tests/exchange.rs
@@ -8,7 +8,7 @@
 
 use exchange::{
     Config, Entry, Exchange, Registered, Source,
-    fleet::{Load, Notice, Part, Revision, Standing, State, To},
+    fleet::{Departure, Load, Notice, Part, Revision, Standing, State, To},
 };
 use rstest::rstest;
 use tokio::{
@@ -118,7 +118,8 @@
     let hosts = hosts(3).await;
     let mut receivers: Vec<_> = hosts.iter().map(|host| host.notices().expect("once")).collect();
     assert!(hosts[0].notices().is_none());
-    let leaving = Notice::Leaving { server: "i-1".into() };
+    let leaving =
+        Notice::Leaving { server: "i-1".into(), departure: Departure::Leaving, revision: 1 };
     hosts[0].send(To::All, leaving.clone()).expect("known");
     for receiver in &mut receivers[1..] {
         let heard = tokio::time::timeout(PATIENCE, receiver.recv()).await.expect("in time");
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -185,6 +185,13 @@
         }
     }
 
+    /// A server takes work again: its entry was written after it was said to leave.
+    pub fn resume(&mut self, id: &backend::Id) {
+        if let Some(index) = self.fleet.index(id) {
+            self.fleet.resume(index);
+        }
+    }
+
     /// A server is gone.
     pub fn gone(&mut self, id: &backend::Id) {
         if let Some(index) = self.fleet.index(id) {
--- a/crates/policy/src/dispatch/fleet.rs
+++ b/crates/policy/src/dispatch/fleet.rs
@@ -187,6 +187,13 @@
         self.unlist(index);
     }
 
+    /// A server takes work again.
+    pub fn resume(&mut self, index: Index) {
+        let Some(server) = self.get_mut(index) else { return };
+        server.state = routed::State::Ready;
+        self.list(index);
+    }
+
     /// A server is gone.
     pub fn remove(&mut self, index: Index) {
         self.unlist(index);
--- a/crates/policy/src/dispatch/server.rs
+++ b/crates/policy/src/dispatch/server.rs
@@ -64,7 +64,7 @@
         }
     }
 
-    /// What it says of itself now. A server that leaves doesn't come back.
+    /// What it says of itself now. A server that leaves is not brought back by a late entry.
     pub fn update(&mut self, told: &routed::Server) {
         self.address = told.address;
         self.slots = told.slots.max(1);
--- a/crates/policy/src/fleet/notice.rs
+++ b/crates/policy/src/fleet/notice.rs
@@ -14,7 +14,10 @@
     time::Moment,
 };
 
-use super::wire::{self, Item, Number, Run};
+use super::{
+    fact::{Departure, Revision},
+    wire::{self, Item, Number, Run},
+};
 
 /// Times that a notice is sent, at the most.
 const TRIES: u32 = 5;
@@ -69,6 +72,10 @@
     Leaving {
         /// The server.
         server: backend::Id,
+        /// Whether its entry says so, or was removed.
+        departure: Departure,
+        /// The store's revision of that change; an entry that was written later stands.
+        revision: Revision,
     },
     /// A declaration is in force.
     Declared {
--- a/crates/policy/tests/dispatch/choice.rs
+++ b/crates/policy/tests/dispatch/choice.rs
@@ -219,6 +219,17 @@
     assert_eq!(host.address(&"s2".into()), None);
 }
 
+#[rstest]
+fn a_server_that_was_said_to_leave_is_used_again_once_it_resumes() {
+    let mut host = host();
+    host.server(&server("s1", "a", &[("m1", &["a1"])]), at(0));
+    host.draining(&"s1".into());
+    assert!(!host.is_used(&"s1".into()));
+    host.resume(&"s1".into());
+    assert!(host.is_used(&"s1".into()));
+    assert_eq!(&*sent(host.arrive(generation(1, "m1", at(1)), at(1))), "s1");
+}
+
 #[rstest]
 fn servers_to_be_avoided_are() {
     let mut host = plain(&["s1", "s2"]);
--- a/crates/policy/tests/fleet_notices.rs
+++ b/crates/policy/tests/fleet_notices.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use fleet_net::{Faults, Net, address, member};
-use policy::fleet::{Notice, To, Unknown};
+use policy::fleet::{Departure, Notice, To, Unknown};
 use rstest::rstest;
 
 fn leaving(server: usize) -> Notice {
-    Notice::Leaving { server: format!("i-{server}").into() }
+    let server = format!("i-{server}").into();
+    Notice::Leaving { server, departure: Departure::Leaving, revision: 1 }
 }
 
 fn heard(net: &Net, host: usize) -> Vec<&Notice> {
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -14,7 +14,7 @@
 use exchange::Registered;
 use types::{
     prelude::*,
-    routed::{Held, Server},
+    routed::{Held, Server, State},
 };
 
 use crate::edge::Revision;
@@ -35,6 +35,8 @@
     /// When the store's entry was written.
     written: Revision,
     standing: Standing,
+    /// The revision as of which a peer has said that it leaves.
+    left: Option<Revision>,
 }
 
 /// Whether the store has an entry of a server.
@@ -97,7 +99,9 @@
             return None;
         }
         let server = Arc::new(server);
-        let entry = Entry { server: server.clone(), written, standing: Standing::Registered };
+        let left = self.entries.get(&server.id).and_then(|known| known.left);
+        let standing = Standing::Registered;
+        let entry = Entry { server: server.clone(), written, standing, left };
         self.entries.insert(server.id.clone(), entry);
         let before = self.runs.insert(server.name.clone(), server.id.clone());
         if let Some(before) = before.filter(|before| *before != server.id) {
@@ -119,6 +123,21 @@
         0 < removed && self.entries.get(id).is_some_and(|entry| removed < entry.written)
     }
 
+    /// Notes that a server leaves, as a peer has it from the store as of a revision.
+    pub fn leave(&mut self, id: &backend::Id, revision: Revision) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.left = entry.left.max(Some(revision));
+        }
+    }
+
+    /// Whether a server takes nothing new: its entry says that it drains, or a peer has said that it
+    /// leaves and the entry was not written since.
+    pub fn is_leaving(&self, id: &backend::Id) -> bool {
+        self.entries.get(id).is_some_and(|entry| {
+            entry.server.state == State::Draining || Some(entry.written) <= entry.left
+        })
+    }
+
     /// A server's entry went, and may come back.
     pub fn suspect(&mut self, id: &backend::Id) {
         if let Some(entry) = self.entries.get_mut(id) {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -227,10 +227,8 @@
     let marks: Vec<_> =
         picture.poison.iter().map(|(mark, crashes)| (*mark, u32::from(*crashes))).collect();
     dispatcher.mark(&PEERS.into(), &marks, now);
-    for server in picture.servers.keys() {
-        dispatcher.draining(server);
-    }
     drop(dispatcher);
+    shared.drain(picture.servers.keys());
     plan(shared, picture, own, now);
 }
 
@@ -353,8 +351,9 @@
             Notice::Dropped { server, model, adapter, .. } => {
                 shared.dispatcher().drops(&server, &model, adapter.as_ref(), now);
             }
-            Notice::Leaving { server } => {
-                shared.set_aside(&server, &story::Heard::Peer(peer_at(&exchange, heard.via)));
+            Notice::Leaving { server, departure, revision } => {
+                let from = story::Heard::Peer(peer_at(&exchange, heard.via));
+                shared.departs(&server, departure, revision, &from);
             }
             Notice::Declared { version } => {
                 let held = shared.declaration().map_or(0, |declaration| declaration.version);
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -8,7 +8,7 @@
 
 use exchange::{
     Registered,
-    fleet::{Demand, Notice, To},
+    fleet::{Demand, Departure, Notice, To},
 };
 use observe::story::{Belief, Heard, ServerStanding, Word};
 use policy::{
@@ -119,7 +119,7 @@
     }
 
     fn take(self: &Arc<Self>, news: News, revision: Revision, from: &Heard) {
-        news.removed.iter().for_each(|id| self.removed(id, from));
+        news.removed.iter().for_each(|id| self.removed(id, revision, from));
         news.written.into_iter().for_each(|told| self.written(told.server, told.written, from));
         self.directory().advance(revision);
         self.plan_soon.notify_one();
@@ -143,7 +143,9 @@
             Change::Removed { name, revision } => {
                 self.directory().advance(*revision);
                 let id = self.named(name).filter(|id| !self.directory().is_newer(id, *revision));
-                id.iter().for_each(|id| self.removed(id, &Heard::Store));
+                // All that was written up to here is known, also where the removal's revision is not told.
+                let removed = self.revision();
+                id.iter().for_each(|id| self.removed(id, removed, &Heard::Store));
             }
         }
         self.plan_soon.notify_one();
@@ -154,6 +156,7 @@
         let before = self.server(&server.id).map(|server| server.state);
         let earlier = self.directory().named(&server.name).cloned();
         let earlier = earlier.filter(|earlier| earlier.id != server.id);
+        let was_leaving = self.directory().is_leaving(&server.id);
         let Some(server) = self.directory().put(server, revision) else { return };
         if let Some(earlier) = earlier {
             self.standing(&earlier, ServerStanding::Gone, from, "it has started again");
@@ -165,6 +168,11 @@
         }
         let was_used = self.dispatcher().is_used(&server.id);
         self.dispatcher().server(&server, now);
+        if was_leaving && !self.directory().is_leaving(&server.id) {
+            self.dispatcher().resume(&server.id);
+            let why = "it was registered after a peer said that it leaves";
+            self.standing(&server, ServerStanding::Seen, from, why);
+        }
         if before != Some(server.state) {
             let standing = match server.state {
                 State::Ready => ServerStanding::Seen,
@@ -175,30 +183,37 @@
         // Who was told by a peer doesn't tell it on.
         let is_first_hand = was_used && *from == Heard::Store;
         if before == Some(State::Ready) && is_first_hand && server.state == State::Draining {
-            self.notify(Notice::Leaving { server: server.id.clone() });
+            let (server, departure) = (server.id.clone(), Departure::Leaving);
+            self.notify(Notice::Leaving { server, departure, revision });
         }
     }
 
     /// A server's entry has gone. While the store is degraded, entries of sound servers go and come
     /// back; such a server is used on for part of the time that a leaving one may be.
-    fn removed(self: &Arc<Self>, id: &backend::Id, from: &Heard) {
+    fn removed(self: &Arc<Self>, id: &backend::Id, revision: Revision, from: &Heard) {
         let is_ready = self.server(id).is_some_and(|server| server.state == State::Ready);
         // A peer's list holds what is registered, and is asked for by who is behind: no time is left.
         let is_told = matches!(from, Heard::Peer(_));
-        if !is_ready || !self.store.is_degraded() || is_told {
-            if is_ready && !is_told && self.dispatcher().is_used(id) {
-                self.notify(Notice::Leaving { server: id.clone() });
+        if is_ready && !is_told {
+            if self.store.is_degraded() {
+                return self.suspect(id, from);
+            }
+            if self.dispatcher().is_used(id) {
+                let (server, departure) = (id.clone(), Departure::Gone);
+                self.notify(Notice::Leaving { server, departure, revision });
             }
-            return self.gone(id, from, "it is no longer registered");
         }
-        if self.directory().is_suspect(id) {
+        self.gone(id, from, "it is no longer registered");
+    }
+
+    /// Uses a server on whose entry may come back, and drops it when the time for that is over.
+    fn suspect(self: &Arc<Self>, id: &backend::Id, from: &Heard) {
+        let Some(server) = self.server(id).filter(|_| !self.directory().is_suspect(id)) else {
             return;
-        }
+        };
         self.directory().suspect(id);
-        if let Some(server) = self.server(id) {
-            let why = "its entry went while the store was degraded";
-            self.standing(&server, ServerStanding::Suspected, from, why);
-        }
+        let why = "its entry went while the store was degraded";
+        self.standing(&server, ServerStanding::Suspected, from, why);
         let (shared, id, from) = (self.clone(), id.clone(), from.clone());
         tokio::spawn(async move {
             tokio::time::sleep(follow::lapse(shared.gather(), shared.routed.drain)).await;
@@ -209,6 +224,45 @@
         });
     }
 
+    /// Takes in that a server leaves, as a peer has it from the store.
+    ///
+    /// A peer that did not notice an outage takes an entry that ran out in it for a server that leaves. A
+    /// host that did notice doubts it as if the store had told it.
+    pub(crate) fn departs(
+        self: &Arc<Self>,
+        id: &backend::Id,
+        departure: Departure,
+        revision: Revision,
+        from: &Heard,
+    ) {
+        if self.directory().is_newer(id, revision) {
+            return;
+        }
+        match departure {
+            Departure::Gone if self.store.is_degraded() => self.suspect(id, from),
+            Departure::Leaving | Departure::Gone => self.set_aside(id, revision, from),
+        }
+    }
+
+    /// Sends a server nothing new until its entry is written after this revision.
+    fn set_aside(&self, id: &backend::Id, revision: Revision, from: &Heard) {
+        if self.dispatcher().is_used(id)
+            && let Some(server) = self.server(id)
+        {
+            self.standing(&server, ServerStanding::Leaving, from, "a peer says that it leaves");
+        }
+        self.directory().leave(id, revision);
+        self.dispatcher().draining(id);
+    }
+
+    /// Sends servers nothing new whose entries say at a peer that they drain, which is for good.
+    pub(crate) fn drain<'a>(&self, ids: impl Iterator<Item = &'a backend::Id>) {
+        for id in ids {
+            self.directory().leave(id, Revision::MAX);
+            self.dispatcher().draining(id);
+        }
+    }
+
     fn standing(&self, server: &Server, standing: ServerStanding, from: &Heard, why: &'static str) {
         self.teller.belief(Belief::Server {
             server: server.id.clone(),
@@ -235,16 +289,6 @@
         self.pump_soon.notify_one();
     }
 
-    /// Sends a server nothing new, since a peer says that it leaves.
-    pub(crate) fn set_aside(&self, id: &backend::Id, from: &Heard) {
-        if self.dispatcher().is_used(id)
-            && let Some(server) = self.server(id)
-        {
-            self.standing(&server, ServerStanding::Leaving, from, "a peer says that it leaves");
-        }
-        self.dispatcher().draining(id);
-    }
-
     /// Whether a server is one of a service with engines, as far as is declared.
     pub(crate) fn runs_models(&self, server: &Server) -> bool {
         self.declaration().is_some_and(|declaration| has_engine(&declaration, &server.service))
