Keep a server that a peer only suspects for the rest of its time

What callers saw: after a silence a host that learnt of the servers from a peer had 11 of 21 less for half a second, until their entries were back, though the peer itself used them on.

cause: since a peer's list leaves out what the peer suspects, and the one who reads it drops at once what a list lacks ruled out: keeping what a list lacks for the usual time: a host reads one when it is behind for 0.6 s, and both together would pass the time in which a leaving server must be left alone change: a list names the suspected servers apart, with the time for which its host will use them; who uses such a server suspects it for that long, and who doesn't know it still doesn't learn of it.

--- a/crates/exchange/src/calls.rs
+++ b/crates/exchange/src/calls.rs
@@ -19,10 +19,21 @@
     pub age: Duration,
     /// All servers that were registered then.
     pub ids: Vec<backend::Id>,
+    /// Servers that are used on though their entries went, since these may come back.
+    pub suspects: Vec<Suspect>,
     /// Those of them that were written since.
     pub servers: Vec<Entry>,
 }
 
+/// A server whose entry went while the store was degraded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The server.
+    pub id: backend::Id,
+    /// Time for which it may still be used.
+    pub left: Duration,
+}
+
 /// A server's entry in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -14,7 +14,7 @@
 pub use policy::fleet;
 
 pub use crate::{
-    calls::{Entry, Registered, Source},
+    calls::{Entry, Registered, Source, Suspect},
     client::Error as CallError,
     clock::{Clock, steady},
     exchange::{Config, Error, Exchange},
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -11,7 +11,7 @@
     sync::Arc,
 };
 
-use exchange::Registered;
+use exchange::{Registered, Suspect};
 use types::{
     prelude::*,
     routed::{Held, Server, State},
@@ -44,7 +44,10 @@
 enum Standing {
     Registered,
     /// It went, and may come back.
-    Suspected,
+    Suspected {
+        /// When it is too late for that.
+        until: Moment,
+    },
 }
 
 /// What a list changes.
@@ -54,6 +57,8 @@
     pub written: Vec<exchange::Entry>,
     /// Servers that went since.
     pub removed: Vec<backend::Id>,
+    /// Servers whose entries went since and may come back.
+    pub suspected: Vec<Suspect>,
 }
 
 impl Directory {
@@ -138,34 +143,44 @@
         })
     }
 
-    /// A server's entry went, and may come back.
-    pub fn suspect(&mut self, id: &backend::Id) {
+    /// A server's entry went, and may come back until then.
+    pub fn suspect(&mut self, id: &backend::Id, until: Moment) {
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.standing = Standing::Suspected;
+            entry.standing = Standing::Suspected { until };
         }
     }
 
     /// Whether a server's entry went and has not come back, whatever else was heard of it.
     pub fn is_suspect(&self, id: &backend::Id) -> bool {
-        self.entries.get(id).is_some_and(|entry| entry.standing == Standing::Suspected)
+        self.entries.get(id).is_some_and(|entry| entry.standing != Standing::Registered)
+    }
+
+    /// Time for which a suspected server may still be used.
+    pub fn suspected_for(&self, id: &backend::Id, now: Moment) -> Option<Duration> {
+        match self.entries.get(id)?.standing {
+            Standing::Registered => None,
+            Standing::Suspected { until } => Some(until.saturating_sub(now)),
+        }
     }
 
     /// What a peer is told that knows what was written up to a revision: the servers that are registered,
-    /// as the store had them so long ago. A suspected one is for this host to use, and for no other to
-    /// learn of.
-    pub fn registered(&self, above: Revision, age: Duration) -> Registered {
-        let entries =
-            || self.entries.values().filter(|entry| entry.standing == Standing::Registered);
-        let told = |entry: &Entry| exchange::Entry {
-            written: entry.written,
-            server: (*entry.server).clone(),
-        };
-        Registered {
-            revision: self.revision,
-            age,
-            ids: entries().map(|entry| entry.server.id.clone()).collect(),
-            servers: entries().filter(|entry| above < entry.written).map(told).collect(),
+    /// as the store had them so long ago, and which others are suspected. A peer that uses a suspected one
+    /// keeps it for the rest of its time; one that does not know it does not learn of it.
+    pub fn registered(&self, above: Revision, age: Duration, now: Moment) -> Registered {
+        let mut list = Registered { revision: self.revision, age, ..Registered::default() };
+        for (id, entry) in &self.entries {
+            if let Standing::Suspected { until } = entry.standing {
+                let left = until.saturating_sub(now);
+                list.suspects.push(Suspect { id: id.clone(), left });
+                continue;
+            }
+            list.ids.push(id.clone());
+            if above < entry.written {
+                let server = (*entry.server).clone();
+                list.servers.push(exchange::Entry { written: entry.written, server });
+            }
         }
+        list
     }
 
     /// What the store's list changes; nothing if a peer has told of a later one meanwhile.
@@ -173,7 +188,7 @@
         if list.revision < self.revision {
             return News::default();
         }
-        News { removed: self.unlisted(&list), written: list.servers }
+        News { removed: self.unlisted(&list), written: list.servers, ..News::default() }
     }
 
     /// What a peer's list changes; nothing if it is as old as what is known here.
@@ -185,12 +200,17 @@
         if list.revision <= self.revision {
             return News::default();
         }
-        let removed = self.unlisted(&list);
+        let unlisted = self.unlisted(&list);
+        let suspects = list.suspects.into_iter();
+        let suspected: Vec<_> = suspects.filter(|told| unlisted.contains(&told.id)).collect();
+        let is_suspect = |id: &backend::Id| suspected.iter().any(|suspect| suspect.id == *id);
+        let removed = unlisted.into_iter().filter(|id| !is_suspect(id)).collect();
         let is_news = |told: &exchange::Entry| self.revision < told.written;
-        News { removed, written: list.servers.into_iter().filter(is_news).collect() }
+        let written = list.servers.into_iter().filter(is_news).collect();
+        News { written, removed, suspected }
     }
 
-    /// Servers that a list lacks and that were not written after it.
+    /// Servers that a list has not as registered and that were not written after it.
     fn unlisted(&self, list: &Registered) -> Vec<backend::Id> {
         let listed: HashSet<&backend::Id> = list.ids.iter().collect();
         let is_gone = |(id, entry): &(&backend::Id, &Entry)| {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -118,14 +118,14 @@
         let shared = self.0.upgrade()?;
         let directory = shared.directory();
         let is_news = above < directory.revision();
-        is_news.then(|| directory.registered(above, shared.age_of_servers()))
+        is_news.then(|| directory.registered(above, shared.age_of_servers(), shared.now()))
     }
 
     fn follow(&self, above: Revision) -> Option<Registered> {
         let shared = self.0.upgrade()?;
         let directory = shared.directory();
         let is_known = 0 < directory.revision();
-        is_known.then(|| directory.registered(above, shared.age_of_servers()))
+        is_known.then(|| directory.registered(above, shared.age_of_servers(), shared.now()))
     }
 }
 
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -80,7 +80,7 @@
         };
         let servers: Vec<_> = page.objects.iter().filter_map(read).collect();
         let ids = servers.iter().map(|told| told.server.id.clone()).collect();
-        let list = Registered { revision: page.revision, age: Duration::ZERO, ids, servers };
+        let list = Registered { revision: page.revision, ids, servers, ..Registered::default() };
         self.is_current(Duration::ZERO);
         let news = self.directory().replace(list);
         self.take(news, page.revision, &Heard::Store);
@@ -120,6 +120,7 @@
 
     fn take(self: &Arc<Self>, news: News, revision: Revision, from: &Heard) {
         news.removed.iter().for_each(|id| self.removed(id, revision, from));
+        news.suspected.iter().for_each(|told| self.suspect(&told.id, told.left, from));
         news.written.into_iter().for_each(|told| self.written(told.server, told.written, from));
         self.directory().advance(revision);
         self.plan_soon.notify_one();
@@ -192,11 +193,11 @@
     /// back; such a server is used on for part of the time that a leaving one may be.
     fn removed(self: &Arc<Self>, id: &backend::Id, revision: Revision, from: &Heard) {
         let is_ready = self.server(id).is_some_and(|server| server.state == State::Ready);
-        // A peer's list holds what is registered, and is asked for by who is behind: no time is left.
+        // A peer tells by itself which of the servers that its list lacks may come back.
         let is_told = matches!(from, Heard::Peer(_));
         if is_ready && !is_told {
             if self.store.is_degraded() {
-                return self.suspect(id, from);
+                return self.suspect(id, self.lapse(), from);
             }
             if self.dispatcher().is_used(id) {
                 let (server, departure) = (id.clone(), Departure::Gone);
@@ -206,24 +207,34 @@
         self.gone(id, from, "it is no longer registered");
     }
 
-    /// Uses a server on whose entry may come back, and drops it when the time for that is over.
-    fn suspect(self: &Arc<Self>, id: &backend::Id, from: &Heard) {
+    /// Time for which a server is used on whose entry has just gone and may come back.
+    fn lapse(&self) -> Duration {
+        follow::lapse(self.gather(), self.routed.drain)
+    }
+
+    /// Uses a server on for a time in which its entry may come back.
+    fn suspect(self: &Arc<Self>, id: &backend::Id, left: Duration, from: &Heard) {
         let Some(server) = self.server(id).filter(|_| !self.directory().is_suspect(id)) else {
             return;
         };
-        self.directory().suspect(id);
+        self.directory().suspect(id, self.now() + left);
         let why = "its entry went while the store was degraded";
         self.standing(&server, ServerStanding::Suspected, from, why);
         let (shared, id, from) = (self.clone(), id.clone(), from.clone());
         tokio::spawn(async move {
-            tokio::time::sleep(follow::lapse(shared.gather(), shared.routed.drain)).await;
-            let has_come_back = !shared.directory().is_suspect(&id);
-            if !has_come_back {
-                shared.gone(&id, &from, "its entry did not come back");
+            while let Some(left) = shared.suspected_for(&id) {
+                if left.is_zero() {
+                    return shared.gone(&id, &from, "its entry did not come back");
+                }
+                tokio::time::sleep(left).await;
             }
         });
     }
 
+    fn suspected_for(&self, id: &backend::Id) -> Option<Duration> {
+        self.directory().suspected_for(id, self.now())
+    }
+
     /// Takes in that a server leaves, as a peer has it from the store.
     ///
     /// A peer that did not notice an outage takes an entry that ran out in it for a server that leaves. A
@@ -239,7 +250,9 @@
             return;
         }
         match departure {
-            Departure::Gone if self.store.is_degraded() => self.suspect(id, from),
+            Departure::Gone if self.store.is_degraded() => {
+                self.suspect(id, self.lapse(), from);
+            }
             Departure::Leaving | Departure::Gone => self.set_aside(id, revision, from),
         }
     }
--- a/crates/relay/tests/directory.rs
+++ b/crates/relay/tests/directory.rs
@@ -1,6 +1,6 @@
 //! The servers as the store and peers tell of them, in whatever order.
 
-use exchange::{Entry, Registered};
+use exchange::{Entry, Registered, Suspect};
 use relay::directory::Directory;
 use rstest::rstest;
 use types::{
@@ -8,6 +8,9 @@
     routed::{self, Held, Server, State},
 };
 
+const NOW: Moment = Duration::from_secs(10);
+const UNTIL: Moment = Duration::from_millis(10_700);
+
 fn server(models: &[&str]) -> Server {
     Server {
         id: "s1".into(),
@@ -34,7 +37,7 @@
 fn suspecting() -> Directory {
     let mut directory = Directory::default();
     directory.put(server(&["m1"]), 5);
-    directory.suspect(&"s1".into());
+    directory.suspect(&"s1".into(), UNTIL);
     directory
 }
 
@@ -59,14 +62,39 @@
 #[rstest]
 fn peers_are_not_told_of_what_is_suspected() {
     let mut directory = suspecting();
-    assert_eq!(directory.registered(0, Duration::ZERO).ids.len(), 0);
+    assert_eq!(directory.registered(0, Duration::ZERO, NOW).ids.len(), 0);
     assert!(directory.get(&"s1".into()).is_some(), "it is used on");
     directory.put(server(&["m1"]), 6);
-    assert_eq!(directory.registered(0, Duration::ZERO).servers.len(), 1);
-    let told = directory.registered(6, Duration::ZERO);
+    assert_eq!(directory.registered(0, Duration::ZERO, NOW).servers.len(), 1);
+    let told = directory.registered(6, Duration::ZERO, NOW);
     assert_eq!((told.ids.len(), told.servers.len()), (1, 0), "it is known as it is");
 }
 
+#[rstest]
+#[case::used_here(complete(8, Some(7)), 1)]
+#[case::written_here_since(complete(8, Some(10)), 0)]
+#[case::not_known_here(complete(8, None), 0)]
+fn a_peers_suspect_is_used_for_the_rest_of_its_time(
+    #[case] directory: Directory,
+    #[case] suspected: usize,
+) {
+    let told = suspecting().registered(0, Duration::ZERO, NOW);
+    let left = UNTIL - NOW;
+    assert_eq!(told.suspects, [Suspect { id: "s1".into(), left }]);
+    let news = directory.compare(Registered { revision: 9, ..told });
+    assert_eq!((news.suspected.len(), news.removed.len(), news.written.len()), (suspected, 0, 0));
+}
+
+#[rstest]
+#[case::in_time(NOW, Some(UNTIL - NOW))]
+#[case::too_late(UNTIL + NOW, Some(Duration::ZERO))]
+fn a_suspect_has_a_time_to_come_back(#[case] now: Moment, #[case] left: Option<Duration>) {
+    let mut directory = suspecting();
+    assert_eq!(directory.suspected_for(&"s1".into(), now), left);
+    directory.put(server(&["m1"]), 6);
+    assert_eq!(directory.suspected_for(&"s1".into(), now), None);
+}
+
 #[rstest]
 fn what_is_gone_is_not_suspected() {
     let mut directory = suspecting();
@@ -120,7 +148,7 @@
     let entry = |written| Entry { written, server: server(&["m2"]) };
     let servers: Vec<Entry> = written.map(entry).into_iter().collect();
     let ids = servers.iter().map(|told| told.server.id.clone()).collect();
-    Registered { revision, age: Duration::ZERO, ids, servers }
+    Registered { revision, ids, servers, ..Registered::default() }
 }
 
 /// Who has seen an entry go must not learn of it again from a peer that has not.
--- a/crates/stage/tests/routed/silence.rs
+++ b/crates/stage/tests/routed/silence.rs
@@ -169,6 +169,21 @@
     is_reached_throughout(&site, AWAY).await;
 }
 
+#[tokio::test]
+async fn a_server_that_a_peer_only_suspects_is_used_on_by_who_learns_of_it_from_the_peer() {
+    const AWAY: Duration = Duration::from_millis(1000);
+    let site = site(2).await;
+    site.seen().await;
+    let store = &site.backend.store;
+    store.everywhere(|mood| mood.refusal = Some(Refusal::Silence));
+    sleep(CONTACT).await;
+    store.everywhere(|mood| *mood = Mood::default());
+    site.seen().await;
+    store.at(&site.hosts[0].name, |mood| mood.refusal = Some(Refusal::Down));
+    store.expire(&sites::servers(), "other-1", AWAY);
+    is_reached_throughout(&site, AWAY).await;
+}
+
 /// What the store has taken off stays off, though a peer that learnt it later still uses it on: a list
 /// told by that peer brought the server back for good, since the store says once that an entry went.
 ///
