--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -35,7 +35,7 @@
     /// When the store's entry was written.
     written: Revision,
     standing: Standing,
-    /// The revision as of which a peer has said that it leaves.
+    /// The revision as of which a peer has said that the server leaves.
     left: Option<Revision>,
 }
 
@@ -200,17 +200,22 @@
         if list.revision <= self.revision {
             return News::default();
         }
+        let mut news = News::default();
         let unlisted = self.unlisted(&list);
-        let suspects = list.suspects.into_iter();
-        let suspected: Vec<_> = suspects.filter(|told| unlisted.contains(&told.id)).collect();
-        let is_suspect = |id: &backend::Id| suspected.iter().any(|suspect| suspect.id == *id);
-        let removed = unlisted.into_iter().filter(|id| !is_suspect(id)).collect();
+        let mut suspects: HashMap<_, _> =
+            list.suspects.into_iter().map(|suspect| (suspect.id.clone(), suspect)).collect();
+        for id in unlisted {
+            match suspects.remove(&id) {
+                Some(suspect) => news.suspected.push(suspect),
+                None => news.removed.push(id),
+            }
+        }
         let is_news = |told: &exchange::Entry| self.revision < told.written;
-        let written = list.servers.into_iter().filter(is_news).collect();
-        News { written, removed, suspected }
+        news.written = list.servers.into_iter().filter(is_news).collect();
+        news
     }
 
-    /// Servers that a list has not as registered and that were not written after it.
+    /// Servers that a list does not have as registered, and that were not written after it.
     fn unlisted(&self, list: &Registered) -> Vec<backend::Id> {
         let listed: HashSet<&backend::Id> = list.ids.iter().collect();
         let is_gone = |(id, entry): &(&backend::Id, &Entry)| {
