Name what a list of servers changes, and what wakes dispatch and placement, as the field does

cause: News, pump_soon, plan_soon, is_outlived and the directory's Standing need explaining to a newcomer ruled out: names of the log and the metrics, which operators know change: Delta { upserted, deleted, suspected }, dispatch_wakeup, plan_wakeup, is_superseded, Presence; no behaviour figures: none conclusion: tests as before but for the names

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -325,14 +325,14 @@
     pub(crate) fn first(&self) {
         self.shared.dispatcher().first(self.ticket, self.shared.now());
         // Its prompt is read, so the next may follow.
-        self.shared.pump_soon.notify_one();
+        self.shared.dispatch_wakeup.notify_one();
     }
 
     /// It is over.
     pub(crate) fn end(&self, end: Failed) {
         if !self.closed.swap(true, Ordering::Relaxed) {
             self.shared.dispatcher().ended(self.ticket, end, self.shared.now());
-            self.shared.pump_soon.notify_one();
+            self.shared.dispatch_wakeup.notify_one();
         }
     }
 
@@ -340,14 +340,14 @@
         self.closed.store(false, Ordering::Relaxed);
         let verdict = self.shared.dispatcher().arrive(ask, self.shared.now());
         if matches!(verdict, Verdict::Wait | Verdict::Missing { .. }) {
-            self.shared.pump_soon.notify_one();
+            self.shared.dispatch_wakeup.notify_one();
         }
         verdict
     }
 
     fn again(&self, end: Failed) -> dispatch::Again {
         let again = self.shared.dispatcher().again(self.ticket, end, self.shared.now());
-        self.shared.pump_soon.notify_one();
+        self.shared.dispatch_wakeup.notify_one();
         if matches!(again, dispatch::Again::GiveUp(_)) {
             self.close();
         }
@@ -362,7 +362,7 @@
     /// Another server that takes it from a silent one, if there is one now.
     fn leave_for_another(&self) -> Option<backend::Id> {
         let server = self.shared.dispatcher().leave(self.ticket, self.shared.now())?;
-        self.shared.pump_soon.notify_one();
+        self.shared.dispatch_wakeup.notify_one();
         Some(server)
     }
 
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -34,30 +34,30 @@
     server: Arc<Server>,
     /// When the store's entry was written.
     written: Revision,
-    standing: Standing,
+    presence: Presence,
     /// The revision as of which a peer has said that the server leaves.
     left: Option<Revision>,
 }
 
 /// Whether the store has an entry of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Standing {
+enum Presence {
     Registered,
     /// It went, and may come back.
-    Suspected {
+    Suspect {
         /// When it is too late for that.
         until: Moment,
     },
 }
 
-/// What a list changes.
+/// What a list of the servers changes in the directory.
 #[derive(Debug, Default, PartialEq, Eq)]
-pub struct News {
-    /// Servers that were written since.
-    pub written: Vec<exchange::Entry>,
-    /// Servers that went since.
-    pub removed: Vec<backend::Id>,
-    /// Servers whose entries went since and may come back.
+pub struct Delta {
+    /// Entries that were written after the directory's revision.
+    pub upserted: Vec<exchange::Entry>,
+    /// Servers whose entries were deleted.
+    pub deleted: Vec<backend::Id>,
+    /// Servers whose entries were deleted and may be written again.
     pub suspected: Vec<Suspect>,
 }
 
@@ -83,7 +83,7 @@
     }
 
     /// Whether a later run of a server is known.
-    pub fn is_outlived(&self, server: &Server) -> bool {
+    pub fn is_superseded(&self, server: &Server) -> bool {
         self.named(&server.name).is_some_and(|known| server.born < known.born)
     }
 
@@ -100,13 +100,13 @@
     /// Takes in a server as of a revision, unless a later one or a later run of it is known.
     pub fn put(&mut self, server: Server, written: Revision) -> Option<Arc<Server>> {
         let is_older = self.written(&server.id).is_some_and(|known| written < known);
-        if is_older || self.is_outlived(&server) {
+        if is_older || self.is_superseded(&server) {
             return None;
         }
         let server = Arc::new(server);
         let left = self.entries.get(&server.id).and_then(|known| known.left);
-        let standing = Standing::Registered;
-        let entry = Entry { server: server.clone(), written, standing, left };
+        let presence = Presence::Registered;
+        let entry = Entry { server: server.clone(), written, presence, left };
         self.entries.insert(server.id.clone(), entry);
         let before = self.runs.insert(server.name.clone(), server.id.clone());
         if let Some(before) = before.filter(|before| *before != server.id) {
@@ -146,20 +146,20 @@
     /// A server's entry went, and may come back until then.
     pub fn suspect(&mut self, id: &backend::Id, until: Moment) {
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.standing = Standing::Suspected { until };
+            entry.presence = Presence::Suspect { until };
         }
     }
 
     /// Whether a server's entry went and has not come back, whatever else was heard of it.
     pub fn is_suspect(&self, id: &backend::Id) -> bool {
-        self.entries.get(id).is_some_and(|entry| entry.standing != Standing::Registered)
+        self.entries.get(id).is_some_and(|entry| entry.presence != Presence::Registered)
     }
 
     /// Time for which a suspected server may still be used.
     pub fn suspected_for(&self, id: &backend::Id, now: Moment) -> Option<Duration> {
-        match self.entries.get(id)?.standing {
-            Standing::Registered => None,
-            Standing::Suspected { until } => Some(until.saturating_sub(now)),
+        match self.entries.get(id)?.presence {
+            Presence::Registered => None,
+            Presence::Suspect { until } => Some(until.saturating_sub(now)),
         }
     }
 
@@ -169,7 +169,7 @@
     pub fn registered(&self, above: Revision, age: Duration, now: Moment) -> Registered {
         let mut list = Registered { revision: self.revision, age, ..Registered::default() };
         for (id, entry) in &self.entries {
-            if let Standing::Suspected { until } = entry.standing {
+            if let Presence::Suspect { until } = entry.presence {
                 let left = until.saturating_sub(now);
                 list.suspects.push(Suspect { id: id.clone(), left });
                 continue;
@@ -184,11 +184,11 @@
     }
 
     /// What the store's list changes; nothing if a peer has told of a later one meanwhile.
-    pub fn replace(&self, list: Registered) -> News {
+    pub fn replace(&self, list: Registered) -> Delta {
         if list.revision < self.revision {
-            return News::default();
+            return Delta::default();
         }
-        News { removed: self.unlisted(&list), written: list.servers, ..News::default() }
+        Delta { deleted: self.unlisted(&list), upserted: list.servers, ..Delta::default() }
     }
 
     /// What a peer's list changes; nothing if it is as old as what is known here.
@@ -196,23 +196,23 @@
     /// An entry that was written by the revision of this directory is known as it is here, or has gone
     /// since. Without that check, a host that had dropped a server took it back from a peer that still used
     /// it, for good, since the store says once that an entry went.
-    pub fn compare(&self, list: Registered) -> News {
+    pub fn compare(&self, list: Registered) -> Delta {
         if list.revision <= self.revision {
-            return News::default();
+            return Delta::default();
         }
-        let mut news = News::default();
+        let mut delta = Delta::default();
         let unlisted = self.unlisted(&list);
         let mut suspects: HashMap<_, _> =
             list.suspects.into_iter().map(|suspect| (suspect.id.clone(), suspect)).collect();
         for id in unlisted {
             match suspects.remove(&id) {
-                Some(suspect) => news.suspected.push(suspect),
-                None => news.removed.push(id),
+                Some(suspect) => delta.suspected.push(suspect),
+                None => delta.deleted.push(id),
             }
         }
-        let is_news = |told: &exchange::Entry| self.revision < told.written;
-        news.written = list.servers.into_iter().filter(is_news).collect();
-        news
+        let is_newer = |told: &exchange::Entry| self.revision < told.written;
+        delta.upserted = list.servers.into_iter().filter(is_newer).collect();
+        delta
     }
 
     /// Servers that a list does not have as registered, and that were not written after it.
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -60,9 +60,9 @@
     /// Longest flight of an order.
     pub(crate) flight: Duration,
     /// Wakes the look at the queues before its next one is due.
-    pub(crate) pump_soon: Notify,
+    pub(crate) dispatch_wakeup: Notify,
     /// Wakes the planner before its next round is due.
-    pub(crate) plan_soon: Notify,
+    pub(crate) plan_wakeup: Notify,
     /// What waits for a server gets its final answer.
     pub(crate) closing: CancellationToken,
     pub(crate) stop: CancellationToken,
@@ -126,8 +126,8 @@
             declared: Mutex::default(),
             control: Control::default(),
             flight: times.flight,
-            pump_soon: Notify::new(),
-            plan_soon: Notify::new(),
+            dispatch_wakeup: Notify::new(),
+            plan_wakeup: Notify::new(),
             planner: Mutex::new(Planner::new(rules)),
             dispatcher: Mutex::new(dispatcher),
             waiting: Mutex::default(),
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -342,11 +342,11 @@
         match heard.notice {
             Notice::Wanted { model, adapter, .. } => {
                 shared.planner().missing(&model, adapter.as_ref(), now);
-                shared.plan_soon.notify_one();
+                shared.plan_wakeup.notify_one();
             }
             Notice::Held { server, model, adapter, .. } => {
                 shared.dispatcher().holds(&server, &model, adapter.as_ref(), now);
-                shared.pump_soon.notify_one();
+                shared.dispatch_wakeup.notify_one();
             }
             Notice::Dropped { server, model, adapter, .. } => {
                 shared.dispatcher().drops(&server, &model, adapter.as_ref(), now);
--- a/crates/relay/src/planning.rs
+++ b/crates/relay/src/planning.rs
@@ -32,7 +32,7 @@
     loop {
         select! {
             () = sleep(ROUND) => {}
-            () = shared.plan_soon.notified() => sleep(BREATH).await,
+            () = shared.plan_wakeup.notified() => sleep(BREATH).await,
         }
         let now = shared.now();
         if shared.term().fence(now).is_some() {
@@ -67,7 +67,7 @@
     let Some(server) = shared.current_run(&server, report.born) else { return };
     shared.planner().report(&server.id, &report, now);
     shared.reported(&server, &report);
-    shared.plan_soon.notify_one();
+    shared.plan_wakeup.notify_one();
 }
 
 async fn give(shared: Arc<Shared>, order: place::Order) {
@@ -79,7 +79,7 @@
     let now = shared.now();
     shared.planner().answered(&order, outcome, now);
     shared.ordered(&order, outcome);
-    shared.plan_soon.notify_one();
+    shared.plan_wakeup.notify_one();
 }
 
 async fn send(shared: &Arc<Shared>, server: &Arc<Server>, order: &place::Order) -> Outcome {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -225,7 +225,7 @@
     loop {
         select! {
             () = sleep(PUMP) => {}
-            () = shared.pump_soon.notified() => {}
+            () = shared.dispatch_wakeup.notified() => {}
         }
         let now = shared.now();
         if before + JUMP < now {
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     call::Call,
-    directory::News,
+    directory::Delta,
     edge::{Change, Object, Page, Revision},
     host::Shared,
     peers,
@@ -82,8 +82,8 @@
         let ids = servers.iter().map(|told| told.server.id.clone()).collect();
         let list = Registered { revision: page.revision, ids, servers, ..Registered::default() };
         self.is_current(Duration::ZERO);
-        let news = self.directory().replace(list);
-        self.take(news, page.revision, &Heard::Store);
+        let delta = self.directory().replace(list);
+        self.take(delta, page.revision, &Heard::Store);
     }
 
     /// What is known of the servers was the store's word so long ago.
@@ -102,8 +102,8 @@
     /// Takes in the servers that a peer knows.
     pub(crate) fn take_servers(self: &Arc<Self>, list: Registered, peer: &host::Id) {
         let revision = list.revision;
-        let news = self.directory().compare(list);
-        self.take(news, revision, &Heard::Peer(peer.clone()));
+        let delta = self.directory().compare(list);
+        self.take(delta, revision, &Heard::Peer(peer.clone()));
     }
 
     /// Reads a registration. Each that can't be read is counted; the log has one in a while.
@@ -118,13 +118,13 @@
         server
     }
 
-    fn take(self: &Arc<Self>, news: News, revision: Revision, from: &Heard) {
-        news.removed.iter().for_each(|id| self.removed(id, revision, from));
-        news.suspected.iter().for_each(|told| self.suspect(&told.id, told.left, from));
-        news.written.into_iter().for_each(|told| self.written(told.server, told.written, from));
+    fn take(self: &Arc<Self>, delta: Delta, revision: Revision, from: &Heard) {
+        delta.deleted.iter().for_each(|id| self.removed(id, revision, from));
+        delta.suspected.iter().for_each(|told| self.suspect(&told.id, told.left, from));
+        delta.upserted.into_iter().for_each(|told| self.written(told.server, told.written, from));
         self.directory().advance(revision);
-        self.plan_soon.notify_one();
-        self.pump_soon.notify_one();
+        self.plan_wakeup.notify_one();
+        self.dispatch_wakeup.notify_one();
     }
 
     /// Takes in a change of the servers.
@@ -149,8 +149,8 @@
                 id.iter().for_each(|id| self.removed(id, removed, &Heard::Store));
             }
         }
-        self.plan_soon.notify_one();
-        self.pump_soon.notify_one();
+        self.plan_wakeup.notify_one();
+        self.dispatch_wakeup.notify_one();
     }
 
     fn written(&self, server: Server, revision: Revision, from: &Heard) {
@@ -299,7 +299,7 @@
     fn ended(&self, id: &backend::Id) {
         self.planner().gone(id, self.now());
         self.dispatcher().gone(id);
-        self.pump_soon.notify_one();
+        self.dispatch_wakeup.notify_one();
     }
 
     /// Whether a server is one of a service with engines, as far as is declared.
@@ -318,7 +318,7 @@
         for server in servers.iter().filter(|server| self.runs_models(server)) {
             self.planner().server(server, now);
         }
-        self.plan_soon.notify_one();
+        self.plan_wakeup.notify_one();
     }
 
     /// Whether a server was not asked for a report for so long; it counts as asked then.
@@ -344,7 +344,7 @@
             });
         }
         self.directory().reported(&server.id, &report.models);
-        self.pump_soon.notify_one();
+        self.dispatch_wakeup.notify_one();
     }
 
     /// Takes in what came of an order, and tells the others.
@@ -368,7 +368,7 @@
             }
             Operation::Load => dispatcher.coming(&server, &model, adapter, now + LOAD),
         }
-        self.pump_soon.notify_one();
+        self.dispatch_wakeup.notify_one();
     }
 
     /// Counts a request.
@@ -400,7 +400,7 @@
         let now = self.now();
         if self.term().fence(now).is_some() {
             self.planner().missing(model, adapter, now);
-            self.plan_soon.notify_one();
+            self.plan_wakeup.notify_one();
             return;
         }
         let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/relay/tests/directory.rs
+++ b/crates/relay/tests/directory.rs
@@ -81,8 +81,11 @@
     let told = suspecting().registered(0, Duration::ZERO, NOW);
     let left = UNTIL - NOW;
     assert_eq!(told.suspects, [Suspect { id: "s1".into(), left }]);
-    let news = directory.compare(Registered { revision: 9, ..told });
-    assert_eq!((news.suspected.len(), news.removed.len(), news.written.len()), (suspected, 0, 0));
+    let delta = directory.compare(Registered { revision: 9, ..told });
+    assert_eq!(
+        (delta.suspected.len(), delta.deleted.len(), delta.upserted.len()),
+        (suspected, 0, 0)
+    );
 }
 
 #[rstest]
@@ -167,8 +170,8 @@
     #[case] written: usize,
     #[case] removed: usize,
 ) {
-    let news = directory.compare(list);
-    assert_eq!((news.written.len(), news.removed.len()), (written, removed));
+    let delta = directory.compare(list);
+    assert_eq!((delta.upserted.len(), delta.deleted.len()), (written, removed));
 }
 
 /// After a lost history the store's whole list counts, unless a peer has told of a later state.
@@ -182,8 +185,8 @@
     #[case] written: usize,
     #[case] removed: usize,
 ) {
-    let news = directory.replace(list);
-    assert_eq!((news.written.len(), news.removed.len()), (written, removed));
+    let delta = directory.replace(list);
+    assert_eq!((delta.upserted.len(), delta.deleted.len()), (written, removed));
 }
 
 /// The history is read from where it was left, also where a peer's list has gone before.
