--- a/crates/stage/tests/member.rs
+++ b/crates/stage/tests/member.rs
@@ -85,12 +85,14 @@
     let mut site = Builder::new(6).engine(lm(0)).start().await;
     until_whole(&site).await;
     until("one host in each zone watches", async || watchers(&site).await == ZONES).await;
-    let mut left = Vec::new();
+    // Who watches is read before the first one is killed, since another host then takes its place.
+    let mut watching = Vec::new();
     for place in 0..6 {
-        match members(&site, place).await["watching"] == true {
-            true => site.kill(place),
-            false => left.push(place),
-        }
+        watching.push(members(&site, place).await["watching"] == true);
+    }
+    let (killed, left): (Vec<usize>, Vec<usize>) = (0..6).partition(|place| watching[*place]);
+    for place in killed {
+        site.kill(place);
     }
     let number = change(&site);
     for place in &left {
