Name the host that a notice comes from without a picture of all hosts

cause: for the log line of each notice that a server leaves, a whole picture of the hosts was built to find who passed it on, also where no line is written; such notices come in numbers just when servers are lost. The notice names its origin already.

--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -352,7 +352,8 @@
                 shared.dispatcher().drops(&server, &model, adapter.as_ref(), now);
             }
             Notice::Leaving { server, departure, revision } => {
-                let from = story::Heard::Peer(peer_at(&exchange, heard.via));
+                let origin = heard.origin.unwrap_or_else(|| heard.via.to_string().into());
+                let from = story::Heard::Peer(origin);
                 shared.departs(&server, departure, revision, &from);
             }
             Notice::Declared { version } => {
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -270,9 +270,10 @@
 
     /// Sends servers nothing new whose entries say at a peer that they drain, which is for good.
     pub(crate) fn drain<'a>(&self, ids: impl Iterator<Item = &'a backend::Id>) {
+        let (mut directory, mut dispatcher) = (self.directory(), self.dispatcher());
         for id in ids {
-            self.directory().leave(id, Revision::MAX);
-            self.dispatcher().draining(id);
+            directory.leave(id, Revision::MAX);
+            dispatcher.draining(id);
         }
     }
 
