--- a/crates/exchange/src/calls.rs
+++ b/crates/exchange/src/calls.rs
@@ -21,7 +21,7 @@
     pub ids: Vec<backend::Id>,
     /// Servers that are used on though their entries went, since these may come back.
     pub suspects: Vec<Suspect>,
-    /// Those of them that were written since.
+    /// Entries of the registered servers that were written since the revision asked from.
     pub servers: Vec<Entry>,
 }
 
--- a/crates/policy/src/dispatch/ask.rs
+++ b/crates/policy/src/dispatch/ask.rs
@@ -113,7 +113,7 @@
     },
     /// It crashes servers, and must reach none again.
     Quarantined,
-    /// It is to leave its server, which seems to be dead, if [`leave`](super::Dispatcher::leave) finds
+    /// The request is to leave its unresponsive server, if [`leave`](super::Dispatcher::leave) finds
     /// another one.
     Leave,
     /// It is over after an attempt that may have run.
--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -64,11 +64,11 @@
 /// Whether an attempt is to leave its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Leaving {
-    /// It is not.
+    /// The attempt stays with its server.
     No,
-    /// It is, and no other server was found at this time.
+    /// The attempt is to leave, but no other server was found at this time.
     Sought(Moment),
-    /// It was told so.
+    /// The attempt was told to leave.
     Told,
 }
 
--- a/crates/policy/src/fleet/notice.rs
+++ b/crates/policy/src/fleet/notice.rs
@@ -118,7 +118,7 @@
 
 /// Notices that wait to be acknowledged.
 ///
-/// It is looked at on each waking of a host, far more often than a notice is due, so each receiver's queue
+/// The outbox is looked at on each waking of a host, far more often than a notice is due, so each receiver's queue
 /// knows when its first one is.
 #[derive(Debug, Default)]
 pub(super) struct Outbox {
--- a/crates/policy/src/fleet/picture.rs
+++ b/crates/policy/src/fleet/picture.rs
@@ -40,9 +40,9 @@
 pub enum Tier {
     /// All tell all, or nobody tells this host of the others.
     Equal,
-    /// It tells its group of all others.
+    /// This host tells its group of all others.
     Relay,
-    /// It is told by this relay.
+    /// This host follows the given relay.
     Member(Member),
 }
 
--- a/crates/policy/src/follow.rs
+++ b/crates/policy/src/follow.rs
@@ -69,7 +69,7 @@
 pub enum Role {
     /// It asks again soon.
     Scout,
-    /// It asks for others too, who follow the store through it.
+    /// The host also asks for its group, which follows the store through it.
     Relay,
     /// It lets changes gather.
     Follower,
--- a/crates/policy/src/place/book.rs
+++ b/crates/policy/src/place/book.rs
@@ -110,7 +110,7 @@
     pub(super) asked: Option<Sent>,
     pub(super) doubts: Vec<Sent>,
     /// Orders to an earlier run of the server, which may carry them out at the number that they name.
-    /// They were worked out from what that run held, so what they load keeps its room free.
+    /// Such orders were worked out from what that run held, so what they load keeps its room free.
     late: Vec<Sent>,
     /// What room is being made for.
     pub(super) claim: Option<(model::Id, Moment)>,
--- a/crates/policy/src/term/settings.rs
+++ b/crates/policy/src/term/settings.rs
@@ -56,9 +56,9 @@
 /// When a host of many contends for a lease that is free.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Contender {
-    /// At once.
+    /// The host contends as soon as the lease is free.
     First,
-    /// When nobody has taken it for long.
+    /// The host contends when nobody has taken the lease for long.
     Standby,
 }
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -182,7 +182,7 @@
     ///
     /// # Errors
     ///
-    /// It is over.
+    /// The request is over, with this answer to the caller.
     pub(crate) async fn after(&self, shared: &Shared, end: Ended) -> Result<Arc<Server>, Problem> {
         match end {
             Ended::Failed(failed) => self.next(shared, failed).await,
