Show what the planner is given of the demand

Cause: on 85 and 195 hosts too little is served (SHORT), and nothing that a host writes says how much of the demand reaches the planner. With every request logged one can count what callers send, not what the planner counts, so that a blind planner and a slow one look alike. Ruled out: the lines of placement (the planner's decisions) and `routed_wishes`, which stay empty where the planner believes that all is well. Change: the metric `routed_demand_total` by where requests arrived, and a line each 5 s on the host that plans. No decision reads either. Conclusion: the first hypothesis (the planner doesn't see the demand) can be read off one line of one host.

--- a/crates/observe/src/metrics/routed.rs
+++ b/crates/observe/src/metrics/routed.rs
@@ -18,7 +18,7 @@
 };
 
 use self::labels::Label;
-pub use self::labels::{Again, Attempted, Call, Called, Permits, Phase, Queue, Refusal};
+pub use self::labels::{Again, Attempted, Call, Called, Origin, Permits, Phase, Queue, Refusal};
 use super::build::{counter, gauge, seconds};
 use crate::story::{Answer, Outcome};
 
@@ -50,6 +50,7 @@
     term: Gauge<u64>,
     budget: Gauge<f64>,
     wishes: Gauge<u64>,
+    demand: Box<[BoundCounter<u64>]>,
     unreadable: BoundCounter<u64>,
     limited: BoundGauge<u64>,
     shares: BoundGauge<u64>,
@@ -66,6 +67,11 @@
         let again = counter(meter, "routed_again", "Requests sent to a further server, by how");
         let calls = counter(meter, "routed_store_calls", "Calls to the store, by call and result");
         let orders = counter(meter, "routed_orders", "Orders to servers, by answer");
+        let demand = counter(
+            meter,
+            "routed_demand",
+            "Requests for models that the planner was given, by where they arrived",
+        );
         let phases =
             seconds(meter, "routed_phase", "Time in a phase of a request, by kind", &PHASE_BOUNDS);
         let ages = "Age of the report that a decision rests on";
@@ -112,6 +118,7 @@
             term: gauge(meter, "routed_term", "Fencing number of the last lease held, by duty"),
             budget,
             unreadable: unreadable.bind(&[]),
+            demand: each(|origin: Origin| demand.bind(&[origin.pair()])),
             limited: limited.bind(&[]),
             shares: shares.bind(&[]),
             permits: each(|of: Permits| permits.bind(&[of.pair()])),
@@ -189,6 +196,11 @@
         self.0.wishes.record(wishes as u64, &[KeyValue::new("why", why)]);
     }
 
+    /// The planner was given so many requests for models.
+    pub fn demand(&self, origin: Origin, requests: u64) {
+        self.0.demand[origin.place()].add(requests);
+    }
+
     /// A registration could not be read.
     pub fn unreadable(&self) {
         self.0.unreadable.add(1);
--- a/crates/observe/src/metrics/routed/labels.rs
+++ b/crates/observe/src/metrics/routed/labels.rs
@@ -73,6 +73,15 @@
     Stopping,
 }
 
+/// Where requests arrived that the planner was given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Origin {
+    /// At the host that plans.
+    Own,
+    /// At another host.
+    Others,
+}
+
 /// How an attempt at a server ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Attempted {
@@ -197,6 +206,11 @@
     Stopping = "stopping",
 });
 
+label!(Origin as "origin" {
+    Own = "own",
+    Others = "others",
+});
+
 label!(Attempted as "end" {
     Whole = "whole",
     ServerError = "server-error",
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod callers;
 mod connect;
 mod control;
+mod demand;
 mod fields;
 mod lease;
 mod limit;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -13,7 +13,10 @@
         Demand, Departure, Heard, Lease, Notice, Part, Picture, Reach, Revision, State, Store, To,
     },
 };
-use observe::story::{self, Belief, PeerStanding};
+use observe::{
+    metrics::routed::Origin,
+    story::{self, Belief, PeerStanding},
+};
 use policy::{
     dispatch::{self, Used, budget::KNOWN},
     fleet::Standing,
@@ -281,11 +284,15 @@
         let work = |(demand, more)| (demand, counts.work(more));
         news.into_iter().map(work).collect::<Vec<_>>()
     });
+    let mut given = 0;
     for (demand, work) in news {
         if let Some(model) = &demand.model {
             planner.arrivals(model, demand.adapter.as_ref(), work, now);
+            given += u64::from(work.requests);
         }
     }
+    drop(planner);
+    shared.demand_given(Origin::Others, given);
 }
 
 /// Tells the planner what runs where. Only plans that are made ask for it, while all keep the demand.
--- a/crates/relay/src/planning.rs
+++ b/crates/relay/src/planning.rs
@@ -41,8 +41,10 @@
         if shared.term().fence(now).is_some() {
             round(&shared, now);
             wishes.tell(&shared, now);
+            shared.show_demand(now);
         } else {
             wishes.end(&shared);
+            shared.hide_demand();
         }
     }
 }
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -10,7 +10,10 @@
     Registered,
     fleet::{Demand, Departure, Notice, To},
 };
-use observe::story::{Belief, Heard, ServerStanding, Word};
+use observe::{
+    metrics::routed::Origin,
+    story::{Belief, Heard, ServerStanding, Word},
+};
 use policy::{
     follow,
     place::{self, Operation, Outcome, Planner, Work},
@@ -385,6 +388,7 @@
         let work = Work { requests: 1, prompt: ask.tokens_in.into(), output: output.into() };
         self.counted(demand, work);
         self.planner().arrivals(model, ask.adapter.as_ref(), work, self.now());
+        self.demand_given(Origin::Own, 1);
     }
 
     fn counted(&self, demand: Demand, work: Work) {
