--- /dev/null
+++ b/crates/policy/tests/fleet_demand.rs
@@ -0,0 +1,132 @@
+//! What the host that plans hears of the demand at all others, while all of them work.
+
+mod fleet_net;
+
+use std::time::Duration;
+
+use fleet_net::Net;
+use policy::fleet::{Demand, Load, Part};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+/// Between two looks of a host at its work.
+const ROUND: Duration = Duration::from_millis(60);
+
+/// Rounds in a second, about.
+const SECOND: usize = 16;
+
+/// Requests a second at all hosts together.
+const REQUESTS: f64 = 800.0;
+
+const MODELS: usize = 110;
+const ADAPTERS: usize = 4;
+const SERVERS: usize = 80;
+
+/// Requests that each host has in flight.
+const IN_FLIGHT: usize = 6;
+
+/// Part of the requests that the planner must have heard of a second after they arrived.
+const HEARD: f64 = 0.9;
+
+/// The host that plans.
+const PLANNER: usize = 0;
+
+struct Play {
+    net: Net,
+    random: ChaCha8Rng,
+    in_flight: Vec<Vec<(usize, usize)>>,
+    counts: Vec<Vec<u64>>,
+    /// Requests that had arrived at all hosts but the planner by the end of each round.
+    arrived: Vec<u64>,
+}
+
+impl Play {
+    fn new(hosts: usize) -> Play {
+        let mut net = Net::settled(hosts, 1);
+        net.faults.loss = 0.01;
+        let mut random = ChaCha8Rng::seed_from_u64(7);
+        let mut some = || (0..IN_FLIGHT).map(|_| place(&mut random)).collect();
+        let in_flight = (0..hosts).map(|_| some()).collect();
+        let counts = vec![vec![0; MODELS * ADAPTERS]; hosts];
+        Play { net, random, in_flight, counts, arrived: Vec::new() }
+    }
+
+    fn round(&mut self) {
+        let hosts = self.counts.len();
+        let chance = REQUESTS * ROUND.as_secs_f64() / hosts as f64;
+        let mut arrived = 0;
+        for host in 0..hosts {
+            let requests = chance as usize + usize::from(self.random.random_bool(chance.fract()));
+            for _ in 0..requests {
+                self.counts[host][subject(&mut self.random)] += 1;
+                let at = self.random.random_range(0..IN_FLIGHT);
+                self.in_flight[host][at] = place(&mut self.random);
+            }
+            arrived += if host == PLANNER { 0 } else { requests as u64 };
+            let loads = self.in_flight[host].iter().map(|(server, model)| Load {
+                server: format!("i-{server:08x}").into(),
+                model: Some(model_id(*model)),
+                requests: 1,
+                tokens: 700,
+            });
+            self.net.publish(host, Part::InFlight(loads.collect()));
+            self.report(host);
+        }
+        self.arrived.push(self.arrived.last().copied().unwrap_or(0) + arrived);
+        self.net.run_for(ROUND);
+    }
+
+    fn report(&mut self, host: usize) {
+        let counts = self.counts[host].iter().enumerate().filter(|(_, count)| 0 < **count);
+        let counts = counts.map(|(subject, count)| (demand(subject), *count)).collect();
+        self.net.publish(host, Part::Arrivals(counts));
+    }
+
+    /// Requests at other hosts that the planner has heard of.
+    fn heard(&self) -> u64 {
+        self.net.picture(PLANNER).arrivals.values().sum()
+    }
+}
+
+/// A few models get most of the requests.
+fn subject(random: &mut ChaCha8Rng) -> usize {
+    let share: f64 = random.random();
+    (share.powi(3) * (MODELS * ADAPTERS) as f64) as usize
+}
+
+fn place(random: &mut ChaCha8Rng) -> (usize, usize) {
+    (random.random_range(0..SERVERS), subject(random) / ADAPTERS)
+}
+
+fn model_id(model: usize) -> types::model::Id {
+    format!("model{model:05}").into()
+}
+
+fn demand(subject: usize) -> Demand {
+    Demand {
+        service: "chat".into(),
+        model: Some(model_id(subject / ADAPTERS)),
+        adapter: Some(format!("a{}", subject % ADAPTERS).into()),
+    }
+}
+
+#[rstest]
+#[case::few(9)]
+#[case::grown(82)]
+#[case::large(195)]
+#[case::target(346)]
+fn the_planner_hears_of_demand_within_a_second_however_many_hosts_there_are(#[case] hosts: usize) {
+    let mut play = Play::new(hosts);
+    let mut worst = (1.0, 0);
+    for round in 0..10 * SECOND {
+        play.round();
+        let Some(before) = round.checked_sub(SECOND) else { continue };
+        let (heard, due) = (play.heard(), play.arrived[before]);
+        assert!(heard <= play.arrived[round], "{heard} requests of {}", play.arrived[round]);
+        let share = heard as f64 / due as f64;
+        worst = if share < worst.0 { (share, round) } else { worst };
+    }
+    let (share, round) = worst;
+    assert!(HEARD <= share, "{share:.3} of all requests a second after they arrived, in round {round}");
+}
