Report demand straight to the host that plans

Cause: requests by service, model and adapter travelled to every host as rising counters in the tables of policy::fleet, over groups, relays and the rest's sums, within a budget of bytes shared with work in flight. What did come was dated as of its arrival, and priced by the mean of the planning host's own requests, which is nothing on a host that has none. Change: policy::demand. Each host sends totals of requests, prompt and output tokens since the session began, by model and adapter, straight to the holder; a session is a fence. Lost ones are made good by later totals; a new holder is sent the last 15 s with their ages and announces itself by a notice. The planner is given nothing else, its own host's requests included; it forgets demand when a term begins and counts from the first arrival that it is told. Tables keep one count for each service, for the retry budget. Test: the_planner_hears_of_demand_within_a_second_however_many_hosts_there_are failed at 82, 195 and 346 hosts on the parent and passes; its bound is untouched, only the feeding differs. Tests of tables name services where they named models. a_server_that_starts_again_is_another_one failed with this change: it took for granted that a model's only replica was on the server that restarts. The test waits for the order that it judges; what it judges is the same.

--- a/crates/policy/examples/fleet_age.rs
+++ b/crates/policy/examples/fleet_age.rs
@@ -3,7 +3,7 @@
 //!
 //! Hosts under virtual time, 1 ms from each other, in four zones; one datagram in a hundred is lost.
 //! Each host has ten requests in flight at a few of 240 pairs of server and model, starts and ends
-//! some seven a second, and counts arrivals of 400 demands. One host in turn has work of its own at
+//! some seven a second, and counts the arrivals of one service. One host in turn has work of its own at
 //! a server that no other has, which changes each round; the age of what each other host has of it
 //! is what is measured.
 
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use fleet_net::{Net, sent_bytes};
-use policy::fleet::{Demand, Load, Part};
+use policy::fleet::{Load, Part};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -24,7 +24,6 @@
 const ROUND: Duration = Duration::from_millis(60);
 const IN_FLIGHT: usize = 10;
 const PAIRS: usize = 240;
-const DEMANDS: usize = 400;
 const SENDERS: usize = 6;
 const ROUNDS: u32 = 60;
 
@@ -67,7 +66,7 @@
 struct Work {
     random: ChaCha8Rng,
     in_flight: Vec<Vec<usize>>,
-    arrivals: Vec<Vec<u64>>,
+    arrivals: Vec<u64>,
 }
 
 impl Work {
@@ -75,7 +74,7 @@
         let mut random = ChaCha8Rng::seed_from_u64(7);
         let mut some = || (0..IN_FLIGHT).map(|_| pair(&mut random)).collect();
         let in_flight = (0..hosts).map(|_| some()).collect();
-        Work { random, in_flight, arrivals: vec![vec![0; DEMANDS]; hosts] }
+        Work { random, in_flight, arrivals: vec![0; hosts] }
     }
 
     /// All hosts' work for one round; the sender has so many requests at the server that is its own.
@@ -84,8 +83,7 @@
             if self.random.random_bool(0.4) {
                 let place = self.random.random_range(0..IN_FLIGHT);
                 self.in_flight[host][place] = pair(&mut self.random);
-                let demand = pair(&mut self.random) * DEMANDS / PAIRS;
-                self.arrivals[host][demand] += 1;
+                self.arrivals[host] += 1;
             }
             let mut loads: Vec<_> = (0..PAIRS).filter_map(|pair| self.load(host, pair)).collect();
             if let Some((_, requests)) = probe.filter(|(sender, _)| *sender == host) {
@@ -93,9 +91,7 @@
                 loads.push(Load { server, model: None, requests, tokens: 0 });
             }
             net.publish(host, Part::InFlight(loads));
-            let counts = self.arrivals[host].iter().enumerate().filter(|(_, count)| 0 < **count);
-            let counts = counts.map(|(demand, count)| (demand_of(demand), *count)).collect();
-            net.publish(host, Part::Arrivals(counts));
+            net.publish(host, Part::Arrivals(vec![("chat".into(), self.arrivals[host])]));
         }
         net.run_for(ROUND);
     }
@@ -137,11 +133,3 @@
 fn probe_server(host: usize) -> types::backend::Id {
     format!("own-{host}").into()
 }
-
-fn demand_of(number: usize) -> Demand {
-    Demand {
-        service: "chat".into(),
-        model: Some(format!("model-{:05}", number / 4).into()),
-        adapter: Some(format!("a{}", number % 4).into()),
-    }
-}
--- /dev/null
+++ b/crates/policy/src/demand/collector.rs
@@ -0,0 +1,74 @@
+//! The side of the host that plans.
+
+use std::collections::{BTreeMap, HashMap};
+
+use types::{order::Fence, prelude::*};
+
+use super::{Arrival, Report, Span, Subject};
+use crate::place::Work;
+
+/// How long a host counts as reporting after its last report.
+const LATELY: Duration = Duration::from_secs(5);
+
+/// Number of a subject, which stands for its names.
+type Number = u32;
+
+/// Takes in all hosts' reports for the time of one fence.
+#[derive(Debug, Default)]
+pub struct Collector {
+    fence: Option<Fence>,
+    subjects: BTreeMap<Subject, Number>,
+    sources: BTreeMap<host::Id, Source>,
+}
+
+/// What a run of a host has reported.
+#[derive(Debug)]
+struct Source {
+    run: host::Incarnation,
+    heard: Moment,
+    totals: HashMap<(Number, Span), Work>,
+}
+
+impl Collector {
+    /// Begins to collect under this fence; false if it had begun before.
+    pub fn begin(&mut self, fence: Fence) -> bool {
+        let is_new = self.fence != Some(fence);
+        if is_new {
+            *self = Collector { fence: Some(fence), ..Collector::default() };
+        }
+        is_new
+    }
+
+    /// Takes a host's report; what arrived there that no report has counted before.
+    pub fn take(&mut self, host: &host::Id, report: Report, now: Moment) -> Vec<Arrival> {
+        if self.fence != Some(report.fence) {
+            return Vec::new();
+        }
+        let run = report.run;
+        let new = || Source { run, heard: now, totals: HashMap::new() };
+        let source = self.sources.entry(host.clone()).or_insert_with(new);
+        if source.run != run {
+            *source = new();
+        }
+        source.heard = now;
+        let mut arrivals = Vec::new();
+        for line in report.lines {
+            let next = self.subjects.len() as Number;
+            let number = *self.subjects.entry(line.subject.clone()).or_insert(next);
+            let known = source.totals.entry((number, line.span)).or_default();
+            if line.total.requests <= known.requests {
+                continue;
+            }
+            let work = line.total.minus(*known);
+            *known = line.total;
+            let at = now.saturating_sub(Duration::from_millis(line.age_ms.into()));
+            arrivals.push(Arrival { subject: line.subject, work, at });
+        }
+        arrivals
+    }
+
+    /// Hosts that have reported lately.
+    pub fn reporting(&self, now: Moment) -> usize {
+        self.sources.values().filter(|source| now < source.heard + LATELY).count()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/demand/reporter.rs
@@ -0,0 +1,142 @@
+//! The side of the host at which requests arrive.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use types::{order::Fence, prelude::*};
+
+use super::{Arrival, Line, Report, Span, Subject};
+use crate::place::Work;
+
+/// Ends of the spans before a session, by age.
+const SPANS: [Duration; 3] =
+    [Duration::from_secs(1), Duration::from_secs(4), Duration::from_secs(15)];
+
+/// Most arrivals that are kept for the next session.
+const MOST_RECENT: usize = 4_096;
+
+/// Times that a total is sent after it has changed.
+const SENDS: u8 = 3;
+
+/// Totals in a report that did not change since they were last sent, and how long ago that was at the least.
+const REPEATS: usize = 1;
+const REPEAT: Duration = Duration::from_millis(100);
+
+/// Bytes of the lines of a report, about.
+const ROOM: usize = 1_000;
+
+/// Bytes of a line without its names, at the most.
+const LINE_BYTES: usize = 24;
+
+/// Counts what arrives at a host and reports it to the holder of the lease.
+#[derive(Debug)]
+pub struct Reporter {
+    run: host::Incarnation,
+    fence: Option<Fence>,
+    totals: BTreeMap<(Subject, Span), Total>,
+    /// Arrivals of the last spans, the oldest first.
+    recent: VecDeque<Arrival>,
+}
+
+#[derive(Debug)]
+struct Total {
+    work: Work,
+    /// Mean time of arrivals before the session.
+    at: Option<Moment>,
+    /// When the total last changed or was last sent.
+    touched: Moment,
+    /// Times that it was sent since it changed.
+    sends: u8,
+}
+
+impl Reporter {
+    /// Starts with no arrivals, in a run of the host's process.
+    pub fn new(run: host::Incarnation) -> Reporter {
+        Reporter { run, fence: None, totals: BTreeMap::new(), recent: VecDeque::new() }
+    }
+
+    /// Counts a request.
+    pub fn arrive(&mut self, subject: Subject, work: Work, now: Moment) {
+        if self.fence.is_some() {
+            let total = self.totals.entry((subject.clone(), Span::Session));
+            let total = total.or_insert_with(|| Total::new(now));
+            total.work = total.work.plus(work);
+            // The total of a subject that keeps rising is not put off.
+            total.touched = if total.sends == 0 { total.touched } else { now };
+            total.sends = 0;
+        }
+        self.recent.push_back(Arrival { subject, work, at: now });
+        let is_old = |first: &Arrival| first.at + SPANS[SPANS.len() - 1] < now;
+        while self.recent.len() > MOST_RECENT || self.recent.front().is_some_and(is_old) {
+            self.recent.pop_front();
+        }
+    }
+
+    /// Reports to the holder of this fence from now on, unless a later one is known.
+    pub fn begin(&mut self, fence: Fence, now: Moment) {
+        if self.fence.is_some_and(|known| fence <= known) {
+            return;
+        }
+        self.fence = Some(fence);
+        self.totals.clear();
+        let mut ages: BTreeMap<(Subject, Span), f64> = BTreeMap::new();
+        for arrival in &self.recent {
+            let age = now.saturating_sub(arrival.at);
+            let Some(span) = SPANS.iter().position(|end| age <= *end) else { continue };
+            let key = (arrival.subject.clone(), Span::Before(span as u8));
+            let total = self.totals.entry(key.clone()).or_insert_with(|| Total::new(now));
+            total.work = total.work.plus(arrival.work);
+            *ages.entry(key).or_default() += age.as_secs_f64() * f64::from(arrival.work.requests);
+        }
+        for (key, total) in &mut self.totals {
+            let age = ages.get(key).map_or(0.0, |age| age / f64::from(total.work.requests.max(1)));
+            total.at = Some(now.saturating_sub(Duration::from_secs_f64(age)));
+        }
+    }
+
+    /// The next report; none if all was sent often enough. One that is full is followed by others.
+    pub fn report(&mut self, now: Moment) -> Option<Report> {
+        let fence = self.fence?;
+        let is_due = |total: &Total| {
+            total.sends == 0 || total.sends < SENDS && total.touched + REPEAT <= now
+        };
+        let mut due: Vec<_> = self.totals.iter_mut().filter(|(_, one)| is_due(one)).collect();
+        due.sort_by_key(|((_, span), total)| (total.sends, *span, total.touched));
+        let (mut room, mut repeats) = (ROOM, REPEATS);
+        let mut lines = Vec::new();
+        for ((subject, span), total) in due {
+            if 0 < total.sends {
+                if repeats == 0 {
+                    break;
+                }
+                repeats -= 1;
+            }
+            let size =
+                LINE_BYTES + subject.model.len() + subject.adapter.as_ref().map_or(0, |a| a.len());
+            if room < size && !lines.is_empty() {
+                break;
+            }
+            room = room.saturating_sub(size);
+            lines.push(total.line(subject, *span, now));
+            total.sends += 1;
+            total.touched = now;
+        }
+        (!lines.is_empty()).then_some(Report { run: self.run, fence, lines })
+    }
+
+    /// Whether a total has changed that was not sent since.
+    pub fn has_news(&self) -> bool {
+        self.totals.values().any(|total| total.sends == 0)
+    }
+}
+
+impl Total {
+    fn new(now: Moment) -> Total {
+        Total { work: Work::default(), at: None, touched: now, sends: 0 }
+    }
+
+    fn line(&self, subject: &Subject, span: Span, now: Moment) -> Line {
+        let age = self.at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        let age_ms = u16::try_from(age.as_millis()).unwrap_or(u16::MAX);
+        Line { subject: subject.clone(), span, age_ms, total: self.work }
+    }
+}
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -43,9 +43,7 @@
     wire::{Body, Item, Number, Packet, Run, Scope},
 };
 pub use self::{
-    fact::{
-        Demand, Departure, Fingerprint, Lease, Load, Member, Part, Reach, Revision, State, Store,
-    },
+    fact::{Departure, Fingerprint, Lease, Load, Member, Part, Reach, Revision, State, Store},
     notice::{Notice, To},
     picture::{Picture, Seen, Tier},
     wire::DATAGRAM_BYTES,
@@ -252,7 +250,7 @@
             Part::InFlight(loads) => note_in_flight(board, now, loads),
             Part::Arrivals(counts) => counts
                 .into_iter()
-                .for_each(|(demand, count)| board.set(now, Fact::Arrivals(demand, count))),
+                .for_each(|(service, count)| board.set(now, Fact::Arrivals(service, count))),
             Part::Retries(counts) => counts
                 .into_iter()
                 .for_each(|(service, count)| board.set(now, Fact::Retries(service, count))),
--- a/crates/policy/src/fleet/fact.rs
+++ b/crates/policy/src/fleet/fact.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use types::{adapter, availability, backend, host, model, routed::Version, service};
+use types::{availability, backend, host, model, routed::Version, service};
 
 use super::wire::Run;
 use crate::{member::rendezvous, quota::News, term};
@@ -96,17 +96,6 @@
     pub tokens: u64,
 }
 
-/// What requests ask for.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Demand {
-    /// The service.
-    pub service: service::Id,
-    /// The model, if one is named.
-    pub model: Option<model::Id>,
-    /// The adapter, if one is named.
-    pub adapter: Option<adapter::Id>,
-}
-
 /// How a server goes; the later word is the stronger.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Departure {
@@ -131,8 +120,8 @@
     Store(Store),
     /// Work in flight; what is left out is at rest.
     InFlight(Vec<Load>),
-    /// Arrivals since its start; never falling, and what is left out stands.
-    Arrivals(Vec<(Demand, u64)>),
+    /// Arrivals since its start, by service; never falling, and what is left out stands.
+    Arrivals(Vec<(service::Id, u64)>),
     /// Retries spent since its start, by service; never falling, and what is left out stands.
     Retries(Vec<(service::Id, u64)>),
     /// Servers known to be going.
@@ -151,7 +140,7 @@
     Lease(Lease),
     Store(Store),
     InFlight(Load),
-    Arrivals(Demand, u64),
+    Arrivals(service::Id, u64),
     Retries(service::Id, u64),
     Server(backend::Id, Departure),
     Poison(Fingerprint, u8),
@@ -169,7 +158,7 @@
     Lease,
     Store,
     InFlight(backend::Id, Option<model::Id>),
-    Arrivals(Demand),
+    Arrivals(service::Id),
     Retries(service::Id),
     Server(backend::Id),
     Poison(Fingerprint),
@@ -187,7 +176,7 @@
             Fact::Term(_) => Key::Term,
             Fact::Store(_) => Key::Store,
             Fact::InFlight(load) => Key::InFlight(load.server.clone(), load.model.clone()),
-            Fact::Arrivals(demand, _) => Key::Arrivals(demand.clone()),
+            Fact::Arrivals(service, _) => Key::Arrivals(service.clone()),
             Fact::Retries(service, _) => Key::Retries(service.clone()),
             Fact::Server(server, _) => Key::Server(server.clone()),
             Fact::Poison(fingerprint, _) => Key::Poison(*fingerprint),
--- a/crates/policy/src/fleet/notice.rs
+++ b/crates/policy/src/fleet/notice.rs
@@ -9,12 +9,16 @@
 use serde::{Deserialize, Serialize};
 use types::{
     adapter, backend, host, model,
+    order::Fence,
     routed::{Sequence, Version},
     service,
     time::Moment,
 };
 
-use crate::quota::{Message, News};
+use crate::{
+    demand::Report,
+    quota::{Message, News},
+};
 
 use super::{
     fact::{Departure, Revision},
@@ -93,6 +97,13 @@
     },
     /// Asks and grants of quotas; they are sent once.
     Quota(Message),
+    /// What arrives at the sender, for the host that plans; sent once.
+    Demand(Report),
+    /// The sender holds the lease on orders and plans.
+    Plans {
+        /// Its fence.
+        fence: Fence,
+    },
 }
 
 /// Who gets a notice.
--- a/crates/policy/src/fleet/picture.rs
+++ b/crates/policy/src/fleet/picture.rs
@@ -8,9 +8,7 @@
 
 use super::{
     Fleet, Standing,
-    fact::{
-        Demand, Departure, Fact, Fingerprint, Key, Lease, Load, Member, Revision, State, Store,
-    },
+    fact::{Departure, Fact, Fingerprint, Key, Lease, Load, Member, Revision, State, Store},
     fanout::Distance,
     hosts::Peer,
     sums::{Tally, Working, loads},
@@ -55,8 +53,9 @@
     pub live: usize,
     /// Work in flight from all others, by server and model.
     pub in_flight: Vec<Load>,
-    /// Arrivals at all others since this host started, as far as it heard; never falling.
-    pub arrivals: BTreeMap<Demand, u64>,
+    /// Arrivals at all others since this host started, by service, as far as it heard; never
+    /// falling.
+    pub arrivals: BTreeMap<service::Id, u64>,
     /// Retries spent by all others since this host started, as far as it heard; never falling.
     pub retries: BTreeMap<service::Id, u64>,
     /// Servers that others know to be going.
@@ -125,9 +124,7 @@
         };
         for (key, total) in self.sums.totals() {
             match key {
-                Key::Arrivals(demand) => {
-                    *picture.arrivals.entry(demand.clone()).or_default() += total
-                }
+                Key::Arrivals(id) => *picture.arrivals.entry(id.clone()).or_default() += total,
                 Key::Retries(id) => *picture.retries.entry(id.clone()).or_default() += total,
                 _ => {}
             }
--- a/crates/policy/src/fleet/sums.rs
+++ b/crates/policy/src/fleet/sums.rs
@@ -182,7 +182,7 @@
 
 fn rising(totals: &BTreeMap<Key, u64>) -> impl Iterator<Item = Fact> {
     totals.iter().filter_map(|(key, total)| match key {
-        Key::Arrivals(demand) => Some(Fact::Arrivals(demand.clone(), *total)),
+        Key::Arrivals(service) => Some(Fact::Arrivals(service.clone(), *total)),
         Key::Retries(service) => Some(Fact::Retries(service.clone(), *total)),
         _ => None,
     })
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admit;
 pub mod config;
+pub mod demand;
 pub mod dispatch;
 pub mod event;
 pub mod fleet;
--- a/crates/policy/src/place/demand.rs
+++ b/crates/policy/src/place/demand.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
 use types::prelude::*;
 
 use super::{Pace, Rules, fade::Fade, rate::Rate};
@@ -16,7 +17,7 @@
 const WAIT: Duration = Duration::from_millis(500);
 
 /// Requests that arrived, and what they ask of servers.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Work {
     /// Requests.
     pub requests: u32,
@@ -27,6 +28,26 @@
 }
 
 impl Work {
+    /// Both together.
+    #[must_use]
+    pub fn plus(self, other: Work) -> Work {
+        Work {
+            requests: self.requests.saturating_add(other.requests),
+            prompt: self.prompt.saturating_add(other.prompt),
+            output: self.output.saturating_add(other.output),
+        }
+    }
+
+    /// What is left without the other.
+    #[must_use]
+    pub fn minus(self, other: Work) -> Work {
+        Work {
+            requests: self.requests.saturating_sub(other.requests),
+            prompt: self.prompt.saturating_sub(other.prompt),
+            output: self.output.saturating_sub(other.output),
+        }
+    }
+
     /// Seconds that it keeps one server fully used.
     fn seconds(self, pace: &Pace, slots: u32) -> f64 {
         let read = self.prompt as f64 / pace.prompt;
@@ -104,6 +125,9 @@
 /// Work by model and requests by adapter.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Demand {
+    /// From when on demand is told.
+    told: Moment,
+    /// When the first was told.
     began: Option<Moment>,
     fade: Fade,
     /// Work and requests of all models.
@@ -115,7 +139,12 @@
 }
 
 impl Demand {
-    /// Counts arrivals for a model served with so many slots a server.
+    /// Knows no demand yet, and is told of it from now on.
+    pub(super) fn new(now: Moment) -> Demand {
+        Demand { told: now, ..Demand::default() }
+    }
+
+    /// Counts arrivals for a model served with so many slots a server, which may be some seconds old.
     pub(super) fn arrive(
         &mut self,
         rules: &Rules,
@@ -125,7 +154,8 @@
         work: Work,
         now: Moment,
     ) {
-        self.began.get_or_insert(now);
+        // What arrived before was not watched from here, however long ago that was.
+        self.began.get_or_insert(now.max(self.told));
         let seconds = work.seconds(&rules.pace, slots);
         let flow = self.work.entry(model.clone()).or_default();
         flow.add(rules, seconds, work.requests, now);
--- a/crates/policy/src/place/planner.rs
+++ b/crates/policy/src/place/planner.rs
@@ -94,16 +94,21 @@
         }
     }
 
-    /// Counts requests that arrived at any host since it last told.
+    /// Forgets all demand: from now on this host is told what arrives at all others.
+    pub fn begin(&mut self, now: Moment) {
+        self.demand = Demand::new(now);
+    }
+
+    /// Counts requests that arrived at any host at this moment, or shortly before the last ones.
     pub fn arrivals(
         &mut self,
         model: &model::Id,
         adapter: Option<&adapter::Id>,
         work: Work,
-        now: Moment,
+        at: Moment,
     ) {
         let Some(slots) = self.slots(model, adapter) else { return };
-        self.demand.arrive(&self.rules, slots, model, adapter, work, now);
+        self.demand.arrive(&self.rules, slots, model, adapter, work, at);
     }
 
     /// Notes that a request waits right now for a model or adapter.
--- a/crates/policy/src/place/rate.rs
+++ b/crates/policy/src/place/rate.rs
@@ -10,10 +10,12 @@
 }
 
 impl Rate {
-    /// Counts an amount.
-    pub(super) fn add(&mut self, memory: Duration, amount: f64, now: Moment) {
-        self.value = self.value(memory, now) + amount / memory.as_secs_f64();
-        self.at = self.at.max(now);
+    /// Counts an amount of this moment, which may be before the last one.
+    pub(super) fn add(&mut self, memory: Duration, amount: f64, at: Moment) {
+        let late = self.at.saturating_sub(at).as_secs_f64();
+        let left = (-late / memory.as_secs_f64()).exp();
+        self.value = self.value(memory, at) + amount * left / memory.as_secs_f64();
+        self.at = self.at.max(at);
     }
 
     /// The rate now.
--- a/crates/policy/tests/fleet_demand.rs
+++ b/crates/policy/tests/fleet_demand.rs
@@ -4,8 +4,12 @@
 
 use std::time::Duration;
 
-use fleet_net::Net;
-use policy::fleet::{Demand, Load, Part};
+use fleet_net::{Net, member};
+use policy::{
+    demand::{self, Collector, Reporter, Subject},
+    fleet::{Load, Notice, Part},
+    place::Work,
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -29,14 +33,20 @@
 /// Part of the requests that the planner must have heard of a second after they arrived.
 const HEARD: f64 = 0.9;
 
-/// The host that plans.
+/// The host that plans, and its fence.
 const PLANNER: usize = 0;
+const FENCE: u64 = 7;
+
+const ONE: Work = Work { requests: 1, prompt: 700, output: 200 };
 
 struct Play {
     net: Net,
     random: ChaCha8Rng,
     in_flight: Vec<Vec<(usize, usize)>>,
-    counts: Vec<Vec<u64>>,
+    reporters: Vec<Reporter>,
+    collector: Collector,
+    heard: u64,
+    hosts: usize,
     /// Requests that had arrived at all hosts but the planner by the end of each round.
     arrived: Vec<u64>,
 }
@@ -48,18 +58,22 @@
         let mut random = ChaCha8Rng::seed_from_u64(7);
         let mut some = || (0..IN_FLIGHT).map(|_| place(&mut random)).collect();
         let in_flight = (0..hosts).map(|_| some()).collect();
-        let counts = vec![vec![0; MODELS * ADAPTERS]; hosts];
-        Play { net, random, in_flight, counts, arrived: Vec::new() }
+        let reporters = (0..hosts).map(|host| Reporter::new(1_000 + host as u64)).collect();
+        let mut collector = Collector::default();
+        collector.begin(FENCE);
+        let arrived = Vec::new();
+        Play { net, random, in_flight, reporters, collector, heard: 0, hosts, arrived }
     }
 
     fn round(&mut self) {
-        let hosts = self.counts.len();
+        let hosts = self.hosts;
         let chance = REQUESTS * ROUND.as_secs_f64() / hosts as f64;
         let mut arrived = 0;
         for host in 0..hosts {
             let requests = chance as usize + usize::from(self.random.random_bool(chance.fract()));
             for _ in 0..requests {
-                self.counts[host][subject(&mut self.random)] += 1;
+                let subject = subject_of(subject(&mut self.random));
+                self.reporters[host].arrive(subject, ONE, self.net.now);
                 let at = self.random.random_range(0..IN_FLIGHT);
                 self.in_flight[host][at] = place(&mut self.random);
             }
@@ -77,15 +91,34 @@
         self.net.run_for(ROUND);
     }
 
+    /// Sends what is due from a host to the planner.
     fn report(&mut self, host: usize) {
-        let counts = self.counts[host].iter().enumerate().filter(|(_, count)| 0 < **count);
-        let counts = counts.map(|(subject, count)| (demand(subject), *count)).collect();
-        self.net.publish(host, Part::Arrivals(counts));
+        let round = self.arrived.len();
+        let every = demand::interval(self.hosts).div_duration_f64(ROUND).ceil() as usize;
+        if host == PLANNER || !(round + host).is_multiple_of(every) {
+            return;
+        }
+        let now = self.net.now;
+        self.reporters[host].begin(FENCE, now);
+        if let Some(report) = self.reporters[host].report(now) {
+            let planner = member(PLANNER, 0).id;
+            let sent = self.net.fleet(host).send_once(&planner, Notice::Demand(report));
+            sent.expect("the planner is known");
+        }
     }
 
     /// Requests at other hosts that the planner has heard of.
-    fn heard(&self) -> u64 {
-        self.net.picture(PLANNER).arrivals.values().sum()
+    fn heard(&mut self) -> u64 {
+        let now = self.net.now;
+        let heard = std::mem::take(&mut self.net.hosts.get_mut(&PLANNER).expect("it runs").heard);
+        for heard in heard {
+            let (Notice::Demand(report), Some(origin)) = (heard.notice, heard.origin) else {
+                continue;
+            };
+            let arrivals = self.collector.take(&origin, report, now);
+            self.heard += arrivals.iter().map(|one| u64::from(one.work.requests)).sum::<u64>();
+        }
+        self.heard
     }
 }
 
@@ -103,10 +136,9 @@
     format!("model{model:05}").into()
 }
 
-fn demand(subject: usize) -> Demand {
-    Demand {
-        service: "chat".into(),
-        model: Some(model_id(subject / ADAPTERS)),
+fn subject_of(subject: usize) -> Subject {
+    Subject {
+        model: model_id(subject / ADAPTERS),
         adapter: Some(format!("a{}", subject % ADAPTERS).into()),
     }
 }
@@ -128,5 +160,8 @@
         worst = if share < worst.0 { (share, round) } else { worst };
     }
     let (share, round) = worst;
-    assert!(HEARD <= share, "{share:.3} of all requests a second after they arrived, in round {round}");
+    assert!(
+        HEARD <= share,
+        "{share:.3} of all requests a second after they arrived, in round {round}"
+    );
 }
--- a/crates/policy/tests/fleet_facts.rs
+++ b/crates/policy/tests/fleet_facts.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fleet_net::{Net, ROUGH};
-use policy::fleet::{Demand, Departure, Lease, Load, Part, Picture, Reach, Store};
+use policy::fleet::{Departure, Lease, Load, Part, Picture, Reach, Store};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -21,8 +21,8 @@
     Load { server, model: Some("sage".into()), requests, tokens: u64::from(requests) * 300 }
 }
 
-fn demand(model: usize) -> Demand {
-    Demand { service: "chat".into(), model: Some(format!("model-{model}").into()), adapter: None }
+fn service(number: usize) -> types::service::Id {
+    format!("service-{number}").into()
 }
 
 fn after(parts: impl IntoIterator<Item = Part>) -> Picture {
@@ -41,7 +41,7 @@
         Part::Lease(Some(lease)),
         Part::Store(store),
         Part::InFlight(vec![load(2, 3), load(1, 5)]),
-        Part::Arrivals(vec![(demand(1), 10)]),
+        Part::Arrivals(vec![(service(1), 10)]),
         Part::Servers(vec![("i-1".into(), Departure::Gone)]),
         Part::Poison(vec![(99, 2)]),
     ]);
@@ -101,7 +101,7 @@
     for _ in 0..200 {
         for (host, counts) in counts.iter_mut().enumerate() {
             (0..3).for_each(|_| counts[random.random_range(0..20)] += 1);
-            let told = counts.iter().enumerate().map(|(model, count)| (demand(model), *count));
+            let told = counts.iter().enumerate().map(|(number, count)| (service(number), *count));
             net.publish(host, Part::Arrivals(told.collect()));
             let server = random.random_range(0..5);
             net.publish(host, Part::InFlight(vec![load(server, random.random_range(1..9))]));
@@ -128,20 +128,20 @@
 #[test]
 fn a_newcomer_counts_arrivals_from_when_it_listens_and_a_restart_is_not_counted_twice() {
     let mut net = Net::settled(3, 1);
-    net.publish(1, Part::Arrivals(vec![(demand(0), 1_000)]));
+    net.publish(1, Part::Arrivals(vec![(service(0), 1_000)]));
     net.run_for(STEP * 3);
     net.start(4, 5);
     net.run_for(SETTLE);
     assert!(net.picture(4).arrivals.is_empty());
-    net.publish(1, Part::Arrivals(vec![(demand(0), 1_010)]));
+    net.publish(1, Part::Arrivals(vec![(service(0), 1_010)]));
     net.run_for(STEP * 3);
-    assert_eq!(net.picture(4).arrivals[&demand(0)], 10);
-    assert_eq!(net.picture(0).arrivals[&demand(0)], 1_010);
+    assert_eq!(net.picture(4).arrivals[&service(0)], 10);
+    assert_eq!(net.picture(0).arrivals[&service(0)], 1_010);
     net.start(1, 8);
     net.run_for(SETTLE);
-    net.publish(1, Part::Arrivals(vec![(demand(0), 4)]));
+    net.publish(1, Part::Arrivals(vec![(service(0), 4)]));
     net.run_for(STEP * 3);
-    assert_eq!(net.picture(0).arrivals[&demand(0)], 1_014);
+    assert_eq!(net.picture(0).arrivals[&service(0)], 1_014);
 }
 
 #[test]
--- a/crates/policy/tests/fleet_wide.rs
+++ b/crates/policy/tests/fleet_wide.rs
@@ -8,7 +8,7 @@
 };
 
 use fleet_net::{Net, ZONES, address, busy_part, member, sent_bytes};
-use policy::fleet::{Demand, Load, Notice, Part, Standing, To};
+use policy::fleet::{Load, Notice, Part, Standing, To};
 use rstest::rstest;
 
 /// From a fact to its place in every host's sums.
@@ -28,16 +28,12 @@
     Load { server: "i-1".into(), model: None, requests, tokens: 10 * u64::from(requests) }
 }
 
-fn demand() -> Demand {
-    Demand { service: "chat".into(), model: Some("sage".into()), adapter: None }
-}
-
 fn in_flight(net: &Net, host: usize) -> u32 {
     net.picture(host).at("i-1").iter().map(|load| load.requests).sum()
 }
 
 fn arrivals(net: &Net, host: usize) -> u64 {
-    net.picture(host).arrivals.get(&demand()).copied().unwrap_or(0)
+    net.picture(host).arrivals.get("chat").copied().unwrap_or(0)
 }
 
 /// Whether each host has the sum of all others, each of which has one request in flight.
@@ -51,7 +47,7 @@
     hosts.iter().for_each(|&host| net.publish(host, Part::InFlight(vec![load(1)])));
     assert!(net.run_while_not(REACH, is_summed), "some host has not heard of all work");
     let before: Vec<_> = hosts.iter().map(|&host| arrivals(net, host)).collect();
-    hosts.iter().for_each(|&host| net.publish(host, Part::Arrivals(vec![(demand(), 3)])));
+    hosts.iter().for_each(|&host| net.publish(host, Part::Arrivals(vec![("chat".into(), 3)])));
     let rise = 3 * (hosts.len() as u64 - 1);
     let is_counted = |net: &Net| {
         hosts.iter().zip(&before).all(|(&host, before)| arrivals(net, host) == before + rise)
@@ -213,7 +209,7 @@
             net.hosts.remove(&(step as usize / 25));
         }
         for host in net.hosts.keys().copied().collect::<Vec<_>>() {
-            net.publish(host, Part::Arrivals(vec![(demand(), step)]));
+            net.publish(host, Part::Arrivals(vec![("chat".into(), step)]));
             sent += 1;
         }
         net.run_for(Duration::from_millis(300));
--- a/crates/relay/src/demand.rs
+++ b/crates/relay/src/demand.rs
@@ -1,65 +1,202 @@
-//! Shows what the planner is given of the demand at all hosts.
+//! What arrives at all hosts, on its way to the planner of the host that holds the lease.
 //!
-//! The planner places models by the demand that it is given. Where that is less than what callers
-//! ask for, it believes that all is well, so the host that plans shows the difference: compare the
-//! sum over its line and metric with the requests of all hosts.
+//! Every host reports its own arrivals ([`policy::demand`]) to the holder that it believes in, the
+//! holder to itself. The planner is given nothing else, so the host that plans also shows how much
+//! that is: compare its line and its metric with the requests of all hosts.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use exchange::{
+    Exchange,
+    fleet::{Notice, Picture},
+};
 use observe::metrics::routed::Origin;
-use types::prelude::*;
+use policy::demand::{self, Arrival, Collector, Report, Reporter, Subject};
+use policy::place::Work;
+use tokio::time::sleep;
+use types::{order::Fence, prelude::*};
 
 use crate::host::Shared;
 
-/// Time between two lines.
+/// Time between two lines on what the planner was given.
 const PAUSE: Duration = Duration::from_secs(5);
 
-/// Requests that the planner was given since the last line.
-#[derive(Debug, Default)]
-pub(crate) struct Given(Mutex<Since>);
+/// Reports that a host sends at once, at the most.
+const MOST_REPORTS: usize = 4;
+
+/// This host's part in telling the planner of demand.
+#[derive(Debug)]
+pub(crate) struct Demand(Mutex<State>);
 
+#[derive(Debug)]
+struct State {
+    reporter: Reporter,
+    collector: Collector,
+    /// The newest belief about who holds the lease.
+    holder: Option<(Fence, host::Id)>,
+    /// Hosts that are live.
+    hosts: usize,
+    given: Given,
+}
+
+/// Requests that the planner was given since the last line.
 #[derive(Debug, Default)]
-struct Since {
+struct Given {
     began: Option<Moment>,
     own: u64,
     others: u64,
 }
 
+impl Demand {
+    pub(crate) fn new(run: host::Incarnation) -> Demand {
+        Demand(Mutex::new(State {
+            reporter: Reporter::new(run),
+            collector: Collector::default(),
+            holder: None,
+            hosts: 1,
+            given: Given::default(),
+        }))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Reports what arrives here until the process ends.
+pub(crate) async fn run(shared: Arc<Shared>, exchange: Arc<Exchange>) {
+    loop {
+        shared.report_demand(&exchange);
+        let hosts = shared.demand.lock().hosts;
+        sleep(demand::interval(hosts)).await;
+    }
+}
+
 impl Shared {
-    /// Counts requests that the planner is given, if this host plans.
-    pub(crate) fn demand_given(&self, origin: Origin, requests: u64) {
-        if self.term().fence(self.now()).is_none() {
+    /// Counts a request for a model.
+    pub(crate) fn demand_arrived(&self, subject: Subject, work: Work) {
+        self.demand.lock().reporter.arrive(subject, work, self.now());
+    }
+
+    /// The host that is believed to plan.
+    pub(crate) fn holder(&self) -> Option<host::Id> {
+        self.demand.lock().holder.as_ref().map(|(_, holder)| holder.clone())
+    }
+
+    /// Takes in which host plans, unless a later one is known.
+    pub(crate) fn holder_heard(&self, holder: &host::Id, fence: Fence) {
+        let mut state = self.demand.lock();
+        if state.holder.as_ref().is_none_or(|(known, _)| *known < fence) {
+            state.holder = Some((fence, holder.clone()));
+        }
+    }
+
+    /// Takes in what all others are known to believe.
+    pub(crate) fn demand_hosts(&self, picture: &Picture) {
+        self.demand.lock().hosts = picture.live;
+        if let Some(lease) = &picture.lease {
+            self.holder_heard(&lease.holder, lease.fence);
+        }
+    }
+
+    /// Takes in another host's report, if this host plans.
+    pub(crate) fn demand_received(&self, from: &host::Id, report: Report) {
+        let now = self.now();
+        let Some(fence) = self.term().fence(now) else { return };
+        self.begin_term(fence, now);
+        let arrivals = self.demand.lock().collector.take(from, report, now);
+        self.give_demand(Origin::Others, arrivals);
+    }
+
+    fn report_demand(&self, exchange: &Exchange) {
+        let now = self.now();
+        let fence = self.term().fence(now);
+        match fence {
+            Some(fence) => self.give_own(fence, now),
+            None => self.send_reports(exchange, now),
+        }
+    }
+
+    fn give_own(&self, fence: Fence, now: Moment) {
+        self.begin_term(fence, now);
+        let mut state = self.demand.lock();
+        let mut arrivals = Vec::new();
+        while state.reporter.has_news()
+            && let Some(report) = state.reporter.report(now)
+        {
+            arrivals.extend(state.collector.take(&self.host.id, report, now));
+        }
+        drop(state);
+        self.give_demand(Origin::Own, arrivals);
+    }
+
+    fn send_reports(&self, exchange: &Exchange, now: Moment) {
+        let mut state = self.demand.lock();
+        let Some((fence, holder)) = state.holder.clone().filter(|(_, id)| *id != self.host.id)
+        else {
+            return;
+        };
+        state.reporter.begin(fence, now);
+        let mut reports: Vec<_> = state.reporter.report(now).into_iter().collect();
+        while state.reporter.has_news() && reports.len() < MOST_REPORTS {
+            reports.extend(state.reporter.report(now));
+        }
+        drop(state);
+        for report in reports {
+            if let Err(error) = exchange.send_once(&holder, Notice::Demand(report)) {
+                log::debug!(host = &*self.host.id; "{error}");
+            }
+        }
+    }
+
+    /// Begins to plan under a fence, if it is a new one.
+    fn begin_term(&self, fence: Fence, now: Moment) {
+        let mut state = self.demand.lock();
+        if !state.collector.begin(fence) {
             return;
         }
+        state.reporter.begin(fence, now);
+        state.holder = Some((fence, self.host.id.clone()));
+        drop(state);
+        self.planner().begin(now);
+        self.notify(Notice::Plans { fence });
+    }
+
+    fn give_demand(&self, origin: Origin, arrivals: Vec<Arrival>) {
+        let requests = arrivals.iter().map(|arrival| u64::from(arrival.work.requests)).sum();
+        let mut planner = self.planner();
+        for Arrival { subject, work, at } in arrivals {
+            planner.arrivals(&subject.model, subject.adapter.as_ref(), work, at);
+        }
+        drop(planner);
         self.meters.demand(origin, requests);
-        let mut since = self.given.lock();
+        let given = &mut self.demand.lock().given;
         match origin {
-            Origin::Own => since.own += requests,
-            Origin::Others => since.others += requests,
+            Origin::Own => given.own += requests,
+            Origin::Others => given.others += requests,
         }
     }
 
     /// Writes how many requests the planner was given, if a line is due.
     pub(crate) fn show_demand(&self, now: Moment) {
-        let mut since = self.given.lock();
-        let began = *since.began.get_or_insert(now);
+        let mut state = self.demand.lock();
+        let began = *state.given.began.get_or_insert(now);
         if now < began + PAUSE {
             return;
         }
-        let took = now.saturating_sub(began).as_millis();
-        let given = std::mem::replace(&mut *since, Since { began: Some(now), ..Since::default() });
-        drop(since);
-        log::info!(own = given.own, others = given.others, ms = took as u64; "demand given to the planner");
+        let hosts = state.collector.reporting(now);
+        let given =
+            std::mem::replace(&mut state.given, Given { began: Some(now), own: 0, others: 0 });
+        drop(state);
+        let took = now.saturating_sub(began).as_millis() as u64;
+        log::info!(
+            own = given.own, others = given.others, hosts = hosts, ms = took;
+            "demand given to the planner"
+        );
     }
 
     /// This host plans no longer.
     pub(crate) fn hide_demand(&self) {
-        *self.given.lock() = Since::default();
-    }
-}
-
-impl Given {
-    fn lock(&self) -> std::sync::MutexGuard<'_, Since> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.demand.lock().given = Given::default();
     }
 }
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -26,8 +26,8 @@
 use types::{prelude::*, routed::Declaration};
 
 use crate::{
-    clock::Clock, control::Control, demand::Given, directory::Directory, edge::Dialect, pace::Pace,
-    peers::Counts, planning, pool::Pool, store::Store,
+    clock::Clock, control::Control, demand::Demand, directory::Directory, edge::Dialect,
+    pace::Pace, peers::Counts, planning, pool::Pool, store::Store,
 };
 
 /// Time between two hosts that contend for a lease, and the number of times that there are.
@@ -75,8 +75,8 @@
     term: Mutex<Term>,
     /// When servers were last asked for reports.
     pub(crate) reports: Mutex<HashMap<backend::Id, Moment>>,
-    /// What the planner is given of the demand.
-    pub(crate) given: Given,
+    /// This host's part in telling the planner of demand.
+    pub(crate) demand: Demand,
     /// What is counted for peers.
     pub(crate) counts: Mutex<Counts>,
     /// Paces the log's lines on registrations that can't be read.
@@ -140,7 +140,7 @@
             tickets: AtomicU64::new(0),
             term: Mutex::new(term),
             reports: Mutex::default(),
-            given: Given::default(),
+            demand: Demand::new(incarnation),
             counts: Mutex::default(),
             unreadable: Pace::default(),
             unreadable_limits: Pace::default(),
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -9,18 +9,12 @@
 
 use exchange::{
     Exchange, Registered, Source,
-    fleet::{
-        Demand, Departure, Heard, Lease, Notice, Part, Picture, Reach, Revision, State, Store, To,
-    },
-};
-use observe::{
-    metrics::routed::Origin,
-    story::{self, Belief, PeerStanding},
+    fleet::{Departure, Heard, Lease, Notice, Part, Picture, Reach, Revision, State, Store, To},
 };
+use observe::story::{self, Belief, PeerStanding};
 use policy::{
     dispatch::{self, Used, budget::KNOWN},
     fleet::Standing,
-    place::{Planner, Work},
     quota::News,
     term,
 };
@@ -47,25 +41,19 @@
 /// What this host has counted for its peers, and of them.
 #[derive(Default)]
 pub(crate) struct Counts {
-    arrivals: BTreeMap<Demand, u64>,
-    /// Peers' arrivals that the planner knows.
-    heard: BTreeMap<Demand, u64>,
+    /// Requests of callers, by service.
+    arrivals: BTreeMap<service::Id, u64>,
     /// The last change known here when peers were first seen ahead of it, and when that was.
     behind: Option<(Revision, Moment)>,
     /// Whether the others were told of limits in the last round.
     tells_limits: bool,
     wanted: HashMap<(model::Id, Option<adapter::Id>), Moment>,
-    /// Sums over this host's requests for models: requests, prompt tokens, output tokens.
-    sums: Work,
 }
 
 impl Counts {
     /// Counts a request.
-    pub(crate) fn arrived(&mut self, demand: Demand, work: Work) {
-        *self.arrivals.entry(demand).or_default() += 1;
-        self.sums.requests += work.requests;
-        self.sums.prompt += work.prompt;
-        self.sums.output += work.output;
+    pub(crate) fn arrived(&mut self, service: &service::Id) {
+        *self.arrivals.entry(service.clone()).or_default() += 1;
     }
 
     /// Whether a notice is due that something is waited for; it counts as given then.
@@ -103,16 +91,6 @@
             }
         }
     }
-
-    /// What a peer's requests are likely to ask for, by this host's own.
-    fn work(&self, requests: u64) -> Work {
-        let count = u64::from(self.sums.requests.max(1));
-        Work {
-            requests: u32::try_from(requests).unwrap_or(u32::MAX),
-            prompt: self.sums.prompt * requests / count,
-            output: self.sums.output * requests / count,
-        }
-    }
 }
 
 /// Answers peers' calls.
@@ -192,7 +170,7 @@
     let reach = if shared.store.is_degraded() { Reach::Cut } else { Reach::Reached };
     exchange.publish(Part::Store(Store { reach, revision: shared.revision() }));
     let arrivals = counts(shared, |counts| {
-        counts.arrivals.iter().map(|(demand, count)| (demand.clone(), *count)).collect()
+        counts.arrivals.iter().map(|(service, count)| (service.clone(), *count)).collect()
     });
     exchange.publish(Part::Arrivals(arrivals));
     exchange.publish(Part::Servers(departures(shared)));
@@ -250,14 +228,17 @@
     drop(dispatcher);
     shared.drain(picture.servers.keys());
     shared.quota_hosts(picture);
-    plan(shared, picture, own, now);
+    shared.demand_hosts(picture);
+    if shared.term().fence(now).is_some() {
+        tell_running(shared, picture, own);
+    }
 }
 
 /// What all others have used of each service's retry budget.
 fn used(picture: &Picture) -> BTreeMap<&service::Id, Used> {
     let mut sums: BTreeMap<&service::Id, Used> = BTreeMap::new();
-    for (demand, requests) in &picture.arrivals {
-        sums.entry(&demand.service).or_default().requests += requests;
+    for (service, requests) in &picture.arrivals {
+        sums.entry(service).or_default().requests += requests;
     }
     for (service, retries) in &picture.retries {
         sums.entry(service).or_default().retries += retries;
@@ -265,38 +246,8 @@
     sums
 }
 
-/// Feeds the planner with all hosts' work.
-fn plan(shared: &Shared, picture: &Picture, own: &[dispatch::Work], now: Moment) {
-    let mut planner = shared.planner();
-    if shared.term().fence(now).is_some() {
-        tell_running(shared, picture, own, &mut planner);
-    }
-    let news = counts(shared, |counts| {
-        let mut news = Vec::new();
-        for (demand, total) in &picture.arrivals {
-            let heard = counts.heard.entry(demand.clone()).or_default();
-            let more = total.saturating_sub(*heard);
-            *heard = *total;
-            if 0 < more {
-                news.push((demand.clone(), more));
-            }
-        }
-        let work = |(demand, more)| (demand, counts.work(more));
-        news.into_iter().map(work).collect::<Vec<_>>()
-    });
-    let mut given = 0;
-    for (demand, work) in news {
-        if let Some(model) = &demand.model {
-            planner.arrivals(model, demand.adapter.as_ref(), work, now);
-            given += u64::from(work.requests);
-        }
-    }
-    drop(planner);
-    shared.demand_given(Origin::Others, given);
-}
-
-/// Tells the planner what runs where. Only plans that are made ask for it, while all keep the demand.
-fn tell_running(shared: &Shared, picture: &Picture, own: &[dispatch::Work], planner: &mut Planner) {
+/// Tells the planner what runs where.
+fn tell_running(shared: &Shared, picture: &Picture, own: &[dispatch::Work]) {
     let mut running: BTreeMap<(&backend::Id, &model::Id), u32> = BTreeMap::new();
     let others = picture.in_flight.iter().map(|load| (&load.server, &load.model, load.requests));
     let own = own.iter().map(|(server, model, requests, _)| (server, model, *requests));
@@ -304,7 +255,7 @@
         let Some(model) = model else { continue };
         *running.entry((server, model)).or_default() += requests;
     }
-    shared.running(&running, planner);
+    shared.running(&running, &mut shared.planner());
 }
 
 /// Says again what requests wait for.
@@ -392,6 +343,16 @@
                 let origin = heard.origin.unwrap_or_else(|| heard.via.to_string().into());
                 shared.limit_heard(&server, news, &origin);
             }
+            Notice::Demand(report) => {
+                if let Some(origin) = &heard.origin {
+                    shared.demand_received(origin, report);
+                }
+            }
+            Notice::Plans { fence } => {
+                if let Some(origin) = &heard.origin {
+                    shared.holder_heard(origin, fence);
+                }
+            }
             Notice::Quota(message) => {
                 if let Some(origin) = &heard.origin {
                     shared.quota_received(origin, &message);
@@ -424,13 +385,13 @@
     model: &model::Id,
     adapter: Option<&adapter::Id>,
 ) {
-    let Some(lease) = exchange.fleet().lease.clone() else { return };
+    let Some(holder) = shared.holder() else { return };
     let notice = Notice::Wanted {
         service: service.clone(),
         model: model.clone(),
         adapter: adapter.cloned(),
     };
-    if let Err(error) = exchange.send(To::Host(lease.holder), notice) {
+    if let Err(error) = exchange.send(To::Host(holder), notice) {
         log::debug!(host = &*shared.host.id; "{error}");
     }
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -15,6 +15,7 @@
 use crate::{
     callers,
     clock::Clock,
+    demand,
     edge::{Call, Dialect, Kind, Object, Told},
     host::Shared,
     lease,
@@ -125,6 +126,7 @@
     let callers = tokio::spawn(callers::listen(shared.clone(), callers, stop.clone()));
     tokio::spawn(peers::run(shared.clone(), exchange.clone()));
     tokio::spawn(workload::run(shared.clone(), exchange.clone()));
+    tokio::spawn(demand::run(shared.clone(), exchange.clone()));
     tokio::spawn(introduce(shared.clone(), exchange.clone()));
     Ok(Running { shared, exchange, stop, callers })
 }
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -8,13 +8,11 @@
 
 use exchange::{
     Registered,
-    fleet::{Demand, Departure, Notice, To},
-};
-use observe::{
-    metrics::routed::Origin,
-    story::{Belief, Heard, ServerStanding, Word},
+    fleet::{Departure, Notice, To},
 };
+use observe::story::{Belief, Heard, ServerStanding, Word};
 use policy::{
+    demand::Subject,
     follow,
     place::{self, Operation, Outcome, Planner, Work},
 };
@@ -378,21 +376,11 @@
     /// Counts a request.
     pub(crate) fn arrived(&self, call: &Call) {
         let ask = &call.held.ask;
-        let demand = Demand {
-            service: call.service.clone(),
-            model: ask.model.clone(),
-            adapter: ask.adapter.clone(),
-        };
-        let Some(model) = &ask.model else { return self.counted(demand, Work::default()) };
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner).arrived(&call.service);
+        let Some(model) = ask.model.clone() else { return };
         let output = ask.length_hint.unwrap_or(ask.tokens_out).min(ask.tokens_out);
         let work = Work { requests: 1, prompt: ask.tokens_in.into(), output: output.into() };
-        self.counted(demand, work);
-        self.planner().arrivals(model, ask.adapter.as_ref(), work, self.now());
-        self.demand_given(Origin::Own, 1);
-    }
-
-    fn counted(&self, demand: Demand, work: Work) {
-        self.counts.lock().unwrap_or_else(PoisonError::into_inner).arrived(demand, work);
+        self.demand_arrived(Subject { model, adapter: ask.adapter.clone() }, work);
     }
 
     /// A request waits for a model or adapter.
--- a/crates/stage/tests/routed/restarts.rs
+++ b/crates/stage/tests/routed/restarts.rs
@@ -36,6 +36,12 @@
         })
         .await;
     }
+    // The model may have had a replica at the other server already.
+    until("the new run gets an order", async || {
+        status_of(&site.hosts[0], &desk()).await;
+        !site.backend.server("lm-1").orders().is_empty()
+    })
+    .await;
     let orders = site.backend.server("lm-1").orders();
     let first = orders.first().expect("an order");
     assert_eq!(first.order.expected, Some(0), "it was worked out from the new run");
