--- a/crates/policy/src/place/demand.rs
+++ b/crates/policy/src/place/demand.rs
@@ -152,20 +152,20 @@
         model: &model::Id,
         adapter: Option<&adapter::Id>,
         work: Work,
-        now: Moment,
+        at: Moment,
     ) {
         // What arrived before was not watched from here, however long ago that was.
-        self.began.get_or_insert(now.max(self.told));
+        self.began.get_or_insert(at.max(self.told));
         let seconds = work.seconds(&rules.pace, slots);
         let flow = self.work.entry(model.clone()).or_default();
-        flow.add(rules, seconds, work.requests, now);
-        self.fade.add(model, seconds, now);
-        self.seconds.add(EARLIER, seconds, now);
-        self.requests.add(EARLIER, f64::from(work.requests), now);
+        flow.add(rules, seconds, work.requests, at);
+        self.fade.add(model, seconds, at);
+        self.seconds.add(EARLIER, seconds, at);
+        self.requests.add(EARLIER, f64::from(work.requests), at);
         let Some(adapter) = adapter else { return };
         let asked = self.adapters.entry((model.clone(), adapter.clone())).or_default();
-        asked.rate.add(ADAPTER_MEMORY, f64::from(work.requests), now);
-        asked.last = asked.last.max(now);
+        asked.rate.add(ADAPTER_MEMORY, f64::from(work.requests), at);
+        asked.last = asked.last.max(at);
     }
 
     /// Seconds for which a request keeps one server fully used, in the mean of the last ones; 0 without any.
