--- a/crates/policy/examples/demand_traffic.rs
+++ b/crates/policy/examples/demand_traffic.rs
@@ -47,13 +47,13 @@
         let rounds = (SECONDS / pause.as_secs_f64()) as usize;
         for _ in 0..rounds {
             net.run_for(pause);
-            for host in 1..hosts {
+            for (host, reporter) in reporters.iter_mut().enumerate().skip(1) {
                 let arrived = chance as usize + usize::from(random.random_bool(chance.fract()));
                 for _ in 0..arrived {
                     let subject = subject(&mut random, models, adapters);
-                    reporters[host].arrive(subject, ONE, net.now);
+                    reporter.arrive(subject, ONE, net.now);
                 }
-                let Some(report) = reporters[host].report(net.now) else { continue };
+                let Some(report) = reporter.report(net.now) else { continue };
                 let before = sent_bytes(&net)[host];
                 let notice = Notice::Demand(report.clone());
                 let planner = member(PLANNER, 0).id;
