Name parts of the demand reports so that they stand alone, and test the metric

Cause: doc comments of the new modules leaned on nouns elsewhere, and a field was called told; nothing tested that the planning host is given each request of every host once, through processes. Ruled out: any change of what is decided; the code differs by names and comments. Change: comments and one field's name; the_host_that_plans_is_given_each_request_of_every_host_once.

--- a/crates/policy/src/demand.rs
+++ b/crates/policy/src/demand.rs
@@ -38,9 +38,9 @@
 /// Which arrivals a total counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Span {
-    /// Those since the session began.
+    /// Arrivals since the session began.
     Session,
-    /// Those in one of the spans before it.
+    /// Arrivals in one of the spans before the session.
     Before(u8),
 }
 
@@ -49,20 +49,20 @@
 pub struct Line {
     /// What the requests ask for.
     pub subject: Subject,
-    /// Which of them are counted.
+    /// Which arrivals are counted.
     pub span: Span,
     /// Mean age in milliseconds of arrivals before the session; 0 for later ones.
     pub age_ms: u16,
-    /// All of them together.
+    /// Work of all counted arrivals together.
     pub total: Work,
 }
 
-/// What a host tells the holder of the lease.
+/// A host's report to the holder of the lease.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Report {
     /// Run of the reporting host's process.
     pub run: host::Incarnation,
-    /// Fence of the holder that it is for, which names the session.
+    /// Fence of the receiving holder; names the session.
     pub fence: Fence,
     /// Totals that changed.
     pub lines: Vec<Line>,
@@ -71,11 +71,11 @@
 /// Requests that arrived at a host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Arrival {
-    /// What they ask for.
+    /// What the requests ask for.
     pub subject: Subject,
-    /// The work that they bring.
+    /// Work of the requests.
     pub work: Work,
-    /// About when they arrived.
+    /// Mean time of arrival.
     pub at: Moment,
 }
 
--- a/crates/policy/src/demand/collector.rs
+++ b/crates/policy/src/demand/collector.rs
@@ -10,7 +10,7 @@
 /// How long a host counts as reporting after its last report.
 const LATELY: Duration = Duration::from_secs(5);
 
-/// Number of a subject, which stands for its names.
+/// Number of a subject; keeps names out of each host's totals.
 type Number = u32;
 
 /// Takes in all hosts' reports for the time of one fence.
@@ -39,7 +39,7 @@
         is_new
     }
 
-    /// Takes a host's report; what arrived there that no report has counted before.
+    /// Takes a host's report and returns the arrivals that no earlier report has counted.
     pub fn take(&mut self, host: &host::Id, report: Report, now: Moment) -> Vec<Arrival> {
         if self.fence != Some(report.fence) {
             return Vec::new();
--- a/crates/policy/src/demand/reporter.rs
+++ b/crates/policy/src/demand/reporter.rs
@@ -17,8 +17,10 @@
 /// Times that a total is sent after it has changed.
 const SENDS: u8 = 3;
 
-/// Totals in a report that did not change since they were last sent, and how long ago that was at the least.
+/// Unchanged totals in a report, at the most.
 const REPEATS: usize = 1;
+
+/// Least time before an unchanged total is sent again.
 const REPEAT: Duration = Duration::from_millis(100);
 
 /// Bytes of the lines of a report, about.
@@ -44,7 +46,7 @@
     at: Option<Moment>,
     /// When the total last changed or was last sent.
     touched: Moment,
-    /// Times that it was sent since it changed.
+    /// Times that the total was sent since its last change.
     sends: u8,
 }
 
@@ -60,7 +62,7 @@
             let total = self.totals.entry((subject.clone(), Span::Session));
             let total = total.or_insert_with(|| Total::new(now));
             total.work = total.work.plus(work);
-            // The total of a subject that keeps rising is not put off.
+            // Unsent totals keep their place in the queue while they rise.
             total.touched = if total.sends == 0 { total.touched } else { now };
             total.sends = 0;
         }
@@ -93,7 +95,7 @@
         }
     }
 
-    /// The next report; none if all was sent often enough. One that is full is followed by others.
+    /// Returns the next report, or none if nothing is due. Call again while [`Reporter::has_news`] holds.
     pub fn report(&mut self, now: Moment) -> Option<Report> {
         let fence = self.fence?;
         let is_due = |total: &Total| {
--- a/crates/policy/src/place/demand.rs
+++ b/crates/policy/src/place/demand.rs
@@ -28,7 +28,7 @@
 }
 
 impl Work {
-    /// Both together.
+    /// Adds other work.
     #[must_use]
     pub fn plus(self, other: Work) -> Work {
         Work {
@@ -38,7 +38,7 @@
         }
     }
 
-    /// What is left without the other.
+    /// Subtracts other work; nothing goes below zero.
     #[must_use]
     pub fn minus(self, other: Work) -> Work {
         Work {
@@ -125,9 +125,9 @@
 /// Work by model and requests by adapter.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Demand {
-    /// From when on demand is told.
-    told: Moment,
-    /// When the first was told.
+    /// When this host began to receive demand.
+    since: Moment,
+    /// When the first arrival was received.
     began: Option<Moment>,
     fade: Fade,
     /// Work and requests of all models.
@@ -139,12 +139,12 @@
 }
 
 impl Demand {
-    /// Knows no demand yet, and is told of it from now on.
+    /// Creates an empty demand that is received from now on.
     pub(super) fn new(now: Moment) -> Demand {
-        Demand { told: now, ..Demand::default() }
+        Demand { since: now, ..Demand::default() }
     }
 
-    /// Counts arrivals for a model served with so many slots a server, which may be some seconds old.
+    /// Counts arrivals for a model served with so many slots a server; `at` may be some seconds ago.
     pub(super) fn arrive(
         &mut self,
         rules: &Rules,
@@ -154,8 +154,8 @@
         work: Work,
         at: Moment,
     ) {
-        // What arrived before was not watched from here, however long ago that was.
-        self.began.get_or_insert(at.max(self.told));
+        // Arrivals before the term are known in part only.
+        self.began.get_or_insert(at.max(self.since));
         let seconds = work.seconds(&rules.pace, slots);
         let flow = self.work.entry(model.clone()).or_default();
         flow.add(rules, seconds, work.requests, at);
--- a/crates/policy/src/place/planner.rs
+++ b/crates/policy/src/place/planner.rs
@@ -94,12 +94,12 @@
         }
     }
 
-    /// Forgets all demand: from now on this host is told what arrives at all others.
+    /// Begins a term: forgets all demand, since another host received the last reports.
     pub fn begin(&mut self, now: Moment) {
         self.demand = Demand::new(now);
     }
 
-    /// Counts requests that arrived at any host at this moment, or shortly before the last ones.
+    /// Counts requests that arrived at any host at `at`, which may be some seconds ago.
     pub fn arrivals(
         &mut self,
         model: &model::Id,
--- a/crates/policy/src/place/rate.rs
+++ b/crates/policy/src/place/rate.rs
@@ -10,7 +10,7 @@
 }
 
 impl Rate {
-    /// Counts an amount of this moment, which may be before the last one.
+    /// Counts an amount at `at`, which may be earlier than amounts counted before.
     pub(super) fn add(&mut self, memory: Duration, amount: f64, at: Moment) {
         let late = self.at.saturating_sub(at).as_secs_f64();
         let left = (-late / memory.as_secs_f64()).exp();
--- a/crates/relay/src/demand.rs
+++ b/crates/relay/src/demand.rs
@@ -24,7 +24,7 @@
 /// Reports that a host sends at once, at the most.
 const MOST_REPORTS: usize = 4;
 
-/// This host's part in telling the planner of demand.
+/// Demand reports that this host sends, and receives while it plans.
 #[derive(Debug)]
 pub(crate) struct Demand(Mutex<State>);
 
@@ -32,7 +32,7 @@
 struct State {
     reporter: Reporter,
     collector: Collector,
-    /// The newest belief about who holds the lease.
+    /// Holder of the lease under the highest fence heard of.
     holder: Option<(Fence, host::Id)>,
     /// Hosts that are live.
     hosts: usize,
@@ -91,7 +91,7 @@
         }
     }
 
-    /// Takes in what all others are known to believe.
+    /// Takes in how many hosts are live and who holds the lease, as the exchange has it.
     pub(crate) fn demand_hosts(&self, picture: &Picture) {
         self.demand.lock().hosts = picture.live;
         if let Some(lease) = &picture.lease {
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -75,7 +75,7 @@
     term: Mutex<Term>,
     /// When servers were last asked for reports.
     pub(crate) reports: Mutex<HashMap<backend::Id, Moment>>,
-    /// This host's part in telling the planner of demand.
+    /// Demand reports sent and received.
     pub(crate) demand: Demand,
     /// What is counted for peers.
     pub(crate) counts: Mutex<Counts>,
--- a/crates/stage/tests/routed/stories.rs
+++ b/crates/stage/tests/routed/stories.rs
@@ -283,3 +283,29 @@
     })
     .await;
 }
+
+/// Repeated reports would count a request again within the pause.
+#[tokio::test]
+async fn the_host_that_plans_is_given_each_request_of_every_host_once() {
+    const REPEATS: Duration = Duration::from_millis(500);
+    let backend = backend().await;
+    backend.declare(&declaration());
+    let site = undeclared(backend, 2).await;
+    site.ready().await;
+    for host in &site.hosts {
+        for _ in 0..3 {
+            assert_eq!(host.caller().ask(&chat()).await.unwrap().status, StatusCode::OK);
+        }
+    }
+    let given = async |host: usize| {
+        let text = metrics(&site.hosts[host]).await;
+        ["own", "others"].map(|origin| {
+            let series = format!(r#"cyclamenstage_routed_demand_total{{origin="{origin}"}}"#);
+            value(&text, &series).unwrap_or(0.0)
+        })
+    };
+    let all = async || [given(0).await, given(1).await].contains(&[3.0, 3.0]);
+    until("one host is given all requests", all).await;
+    tokio::time::sleep(REPEATS).await;
+    assert!(all().await, "{:?} {:?}", given(0).await, given(1).await);
+}
