Let a host advertise another address to its peers than it listens at

Cause: what hosts tell each other can't be put behind a relay, so no soak could lose or delay it: hosts name the address that they listen at. Ruled out: losing datagrams inside the host for the test's sake; other hosts on the same loopback addresses, which others would still reach. Change: peers_advertised, as where addresses are translated between hosts; the log still names the address that is listened at. Conclusion: no change where it isn't set.

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -52,8 +52,10 @@
     pub host: host::Id,
     /// Its availability zone.
     pub zone: availability::Id,
-    /// Where it listens, for datagrams and calls, as others reach it. Port 0 takes a free one.
+    /// Where it listens, for datagrams and calls. Port 0 takes a free one.
     pub address: SocketAddr,
+    /// Where others reach it, if not there.
+    pub advertised: Option<SocketAddr>,
     /// Number of this run; no other run may have the same, in whatever order they are.
     pub incarnation: host::Incarnation,
     /// Where other hosts may be.
@@ -78,6 +80,7 @@
             host,
             zone,
             address,
+            advertised: None,
             incarnation,
             seeds: Vec::new(),
             settings: Settings::default(),
@@ -100,6 +103,7 @@
     shared: Arc<Shared>,
     client: Client,
     member: Member,
+    bound: SocketAddr,
     notices: Mutex<Option<mpsc::Receiver<Heard>>>,
     tasks: TaskTracker,
     stop: CancellationToken,
@@ -113,10 +117,14 @@
     /// If the address can't be listened at.
     pub async fn start(config: Config, source: Arc<dyn Source>) -> Result<Arc<Exchange>, Error> {
         let address = config.address;
-        let bound = bind(address).await.map_err(|cause| Error { address, cause })?;
-        let (listener, socket, address) = bound;
-        let member =
-            Member { id: config.host, zone: config.zone, address, incarnation: config.incarnation };
+        let sockets = bind(address).await.map_err(|cause| Error { address, cause })?;
+        let (listener, socket, bound) = sockets;
+        let member = Member {
+            id: config.host,
+            zone: config.zone,
+            address: config.advertised.unwrap_or(bound),
+            incarnation: config.incarnation,
+        };
         let now = (config.clock)();
         let fleet = Fleet::new(now, config.settings, member.clone(), config.seeds);
         let shared = Arc::new(Shared::new(config.clock, fleet));
@@ -130,17 +138,23 @@
             shared,
             client: Client::new(config.call_limit),
             member,
+            bound,
             notices: Mutex::new(Some(receiver)),
             tasks,
             stop,
         }))
     }
 
-    /// This host, at the address that it listens at.
+    /// This host, at the address at which others reach it.
     pub fn member(&self) -> &Member {
         &self.member
     }
 
+    /// The address that it listens at.
+    pub fn bound(&self) -> SocketAddr {
+        self.bound
+    }
+
     /// Replaces a part of what this host tells; it goes out within an interval.
     pub fn publish(&self, part: Part) {
         self.shared.with(|fleet, now| fleet.publish(now, part));
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -99,18 +99,18 @@
 ) -> Result<Running, Error> {
     let callers = bind("callers", &mut settings.host.callers).await?;
     let ready = bind("operators", &mut settings.host.operators).await?;
-    let seeds = settings.peers.clone();
+    let (seeds, advertised) = (settings.peers.clone(), settings.peers_advertised);
     let metrics = Metrics::new()?;
     metrics.watch_log();
     let start = start_belief(&settings);
     let shared = Arc::new(Shared::new(settings, routed, dialect, metrics, clock));
     story::install(shared.teller.clone());
     shared.teller.belief(start);
-    let exchange = join(&shared, seeds).await?;
+    let exchange = join(&shared, seeds, advertised).await?;
     log::info!(
         host = &*shared.host.id,
         callers:% = shared.host.callers,
-        peers:% = exchange.member().address,
+        peers:% = exchange.bound(),
         operators:% = shared.host.operators;
         "host starts"
     );
@@ -183,11 +183,16 @@
     }
 }
 
-async fn join(shared: &Arc<Shared>, seeds: Vec<SocketAddr>) -> Result<Arc<Exchange>, Error> {
+async fn join(
+    shared: &Arc<Shared>,
+    seeds: Vec<SocketAddr>,
+    advertised: Option<SocketAddr>,
+) -> Result<Arc<Exchange>, Error> {
     let host = &shared.host;
     let clock = shared.clock;
     let config = Config {
         seeds,
+        advertised,
         clock: Arc::new(move || clock.now()),
         ..Config::new(host.id.clone(), host.zone.clone(), host.peers, shared.incarnation)
     };
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -161,6 +161,7 @@
         peers: Vec::new(),
         operators_token: None,
         peers_token: None,
+        peers_advertised: None,
         bounds: process::Bounds::default(),
         drain: process::Drain::default(),
         intervals: process::Intervals::default(),
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -64,6 +64,9 @@
     /// Peers' listeners of some other hosts, asked when a host starts while the platform is down.
     #[serde(default)]
     pub peers: Vec<SocketAddr>,
+    /// Where other hosts reach this host's listener for them, if addresses are translated between them.
+    #[serde(default)]
+    pub peers_advertised: Option<SocketAddr>,
     /// Token that operators must show; none lets in loopback only.
     #[serde(default)]
     pub operators_token: Option<String>,
