Judge the retries that arrive at servers, and press on their budget

Cause: no promise of the soak counted a retry, no link between hosts was ever lost, and no two hosts were restarted in a series. Ruled out: counting runs, as the record had them: arrivals that a server rejects count too, those with another server's name among them. Change: arrivals at the stand-in servers; the users' rule over them, in windows of any position, over all hosts, excused by nothing; relays between hosts that lose or delay datagrams; services that fail alike; restarts in series. Requests have paths of their own: alike, those of one address were taken for one request that crashes servers. Each summary says how near the worst window came.

--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -11,5 +11,7 @@
 mod queue;
 mod reading;
 mod repeat;
+mod retries;
 mod routes;
+mod rule;
 mod watch;
--- a/crates/stage/examples/soak.rs
+++ b/crates/stage/examples/soak.rs
@@ -77,5 +77,9 @@
             breach.promise, summary.seed, breach.what
         );
     }
+    for (service, part) in &summary.retries {
+        text +=
+            &format!("\nretries of {service}: {part:.2} of what is allowed in the worst window");
+    }
     text + &format!("\nseed {}: {} broken", summary.seed, summary.breaches.len())
 }
--- a/crates/stage/tests/soak.rs
+++ b/crates/stage/tests/soak.rs
@@ -2,8 +2,21 @@
 
 use std::{path::Path, time::Duration};
 
+use http::StatusCode;
 use rstest::rstest;
-use standin::routed::soak::{Plan, run, schedule};
+use standin::routed::{
+    links::Way,
+    server::Fault as Grey,
+    soak::{
+        Plan, run,
+        schedule::{self, Fault, Pairs, Planned},
+    },
+};
+
+const HOSTS: usize = 6;
+
+/// A server of each service.
+const FIRST_SERVERS: [usize; 3] = [0, 3, 5];
 
 /// A soak of a seed, as `--example soak` draws it.
 #[derive(Clone, Copy, Debug)]
@@ -23,6 +36,54 @@
 const SILENT_STORE: Soak =
     Soak { seed: 180, hosts: 4, length: Duration::from_secs(60), tail: Duration::from_secs(16) };
 
+/// All services fail all requests from then on, until the end.
+fn failing(at: u64, end: u64) -> impl Iterator<Item = Planned> {
+    let fault = |place| Fault::AllGrey(place, Grey::NotRun(StatusCode::SERVICE_UNAVAILABLE));
+    FIRST_SERVERS.map(|place| planned(at, end - at, fault(place))).into_iter()
+}
+
+fn planned(at: u64, lasts: u64, fault: Fault) -> Planned {
+    Planned { at: Duration::from_secs(at), lasts: Duration::from_secs(lasts), fault }
+}
+
+/// No datagram passes between hosts for longer than they count those that are silent.
+fn deaf() -> Vec<Planned> {
+    let deaf = planned(1, 53, Fault::Links(Pairs::All, Way::Lost));
+    [deaf].into_iter().chain(failing(42, 54)).collect()
+}
+
+/// All hosts are killed three times each, one after the other, while services fail.
+fn restarted() -> Vec<Planned> {
+    let kill = |n: u32| Planned {
+        at: Duration::from_secs(16) + Duration::from_millis(400) * n,
+        lasts: Duration::from_millis(100),
+        fault: Fault::Kill(n as usize % HOSTS),
+    };
+    (0..3 * HOSTS as u32).map(kill).chain(failing(14, 26)).collect()
+}
+
+#[rstest]
+#[case::hosts_that_do_not_hear_each_other(deaf())]
+#[case::hosts_that_are_restarted_in_series(restarted())]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn retries_keep_to_their_budget(#[case] mut schedule: Vec<Planned>) {
+    let ends = schedule.iter().map(|planned| planned.at + planned.lasts);
+    let length = ends.max().unwrap_or_default();
+    schedule.sort_by_key(|planned| planned.at);
+    let folder = tempfile::tempdir().expect("a folder");
+    let plan = Plan {
+        program: Path::new(env!("CARGO_BIN_EXE_cyclamenstage")),
+        folder: folder.path(),
+        seed: 1,
+        hosts: HOSTS,
+        length,
+        schedule,
+    };
+    let summary = run(&plan).await.expect("a soak");
+    assert!(summary.breaches.is_empty(), "{:#?}", summary.breaches);
+    assert!(summary.retries.values().any(|part| 0.3 < *part), "{:?}", summary.retries);
+}
+
 #[rstest]
 #[case::short(SHORT)]
 #[case::silent_store(SILENT_STORE)]
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -126,7 +126,15 @@
     ///
     /// If no port can be bound.
     pub async fn start(target: SocketAddr) -> io::Result<Proxy> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        Proxy::on(TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?, target)
+    }
+
+    /// Starts a proxy to `target` on a listener.
+    ///
+    /// # Errors
+    ///
+    /// If the listener's address can't be read.
+    pub fn on(listener: TcpListener, target: SocketAddr) -> io::Result<Proxy> {
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             target: watch::Sender::new(target),
--- a/crates/standin/src/routed.rs
+++ b/crates/standin/src/routed.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod host;
+pub mod links;
 pub mod server;
 pub mod site;
 pub mod soak;
--- a/crates/standin/src/routed/caller.rs
+++ b/crates/standin/src/routed/caller.rs
@@ -80,6 +80,16 @@
         self
     }
 
+    /// With a path that no other request of the same caller has.
+    pub fn numbered(mut self, caller: u64, number: u64) -> Ask {
+        let (path, query) = match self.ask.path.split_once('?') {
+            Some((path, query)) => (path, format!("?{query}")),
+            None => (&*self.ask.path, String::new()),
+        };
+        self.ask.path = format!("{path}/{caller}-{number}{query}").into();
+        self
+    }
+
     /// With a method and a body.
     pub fn send(mut self, method: Method, body: impl Into<Bytes>) -> Ask {
         (self.method, self.body) = (method, body.into());
--- a/crates/standin/src/routed/server.rs
+++ b/crates/standin/src/routed/server.rs
@@ -128,6 +128,15 @@
     }
 }
 
+/// A request that came, whether it ran or not.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The request.
+    pub id: Arc<str>,
+    /// When it came.
+    pub at: Instant,
+}
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -155,6 +164,7 @@
     stock: Mutex<Stock>,
     runs: Mutex<Vec<Run>>,
     began: Instant,
+    arrivals: Mutex<Vec<Arrival>>,
     quota: Mutex<Quota>,
     load: watch::Sender<Load>,
     registered: watch::Sender<routed::Server>,
@@ -227,6 +237,11 @@
         lock(&self.shared.runs).clone()
     }
 
+    /// Requests that came so far, those that it rejected among them.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        lock(&self.shared.arrivals).clone()
+    }
+
     /// When it started.
     pub fn began(&self) -> Instant {
         self.shared.began
@@ -306,6 +321,7 @@
             stock: Mutex::new(stock),
             runs: Mutex::default(),
             began: Instant::now(),
+            arrivals: Mutex::default(),
             quota: Mutex::default(),
             load: watch::Sender::default(),
             registered: watch::Sender::new(registered),
--- a/crates/standin/src/routed/server/serving.rs
+++ b/crates/standin/src/routed/server/serving.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep};
 use types::routed::{Report, State};
 
-use super::{Ending, Fault, OrderFault, Run, Shared, work::Work};
+use super::{Arrival, Ending, Fault, OrderFault, Run, Shared, work::Work};
 use crate::routed::{lock, wire::Connection};
 
 /// What becomes of a connection after an answer.
@@ -48,6 +48,7 @@
     stale: &mut Stale,
 ) -> io::Result<After> {
     let (head, body) = request.into_parts();
+    note_arrival(shared, &head, &body);
     let expected = far::expected(&head.headers);
     if expected.is_some_and(|expected| *expected != *shared.settings.id) {
         return not_run(shared, connection, &head, StatusCode::MISDIRECTED_REQUEST).await;
@@ -75,6 +76,15 @@
     }
 }
 
+fn note_arrival(shared: &Shared, head: &Parts, body: &[u8]) {
+    if head.uri.path() != &*shared.settings.health
+        && let Call::Request(asked) = far::call(head, body)
+        && let Some(id) = asked.id
+    {
+        lock(&shared.arrivals).push(Arrival { id, at: Instant::now() });
+    }
+}
+
 async fn ordered(
     shared: &Arc<Shared>,
     connection: &mut Connection,
--- a/crates/standin/src/routed/site.rs
+++ b/crates/standin/src/routed/site.rs
@@ -15,6 +15,7 @@
 
 use super::{
     host::Host,
+    links::{self, Links},
     server::{Script, Server, Settings},
     store::Store,
     until,
@@ -169,6 +170,8 @@
     /// Removes the folder when dropped, if it is the site's own.
     own: Option<TempDir>,
     runs: usize,
+    /// The links between the hosts, if they pass through relays.
+    links: Option<Links>,
 }
 
 impl Site {
@@ -187,7 +190,21 @@
     /// A site that has no hosts yet, and keeps its settings and logs in a folder.
     pub fn in_folder(program: &Path, backend: Backend, folder: &Path) -> Site {
         let (program, folder) = (program.to_owned(), folder.to_owned());
-        Site { backend, hosts: Vec::new(), program, folder, own: None, runs: 0 }
+        Site { backend, hosts: Vec::new(), program, folder, own: None, runs: 0, links: None }
+    }
+
+    /// Lets the links between hosts that are added from now on pass through relays.
+    pub fn relay_links(&mut self) {
+        self.links.get_or_insert_default();
+    }
+
+    /// The links between the hosts.
+    ///
+    /// # Panics
+    ///
+    /// If they don't pass through relays.
+    pub fn links(&self) -> &Links {
+        self.links.as_ref().expect("links through relays")
     }
 
     /// Starts another host, with a door of its own at the store and settings as `change` leaves
@@ -203,11 +220,18 @@
             Some(door) => door,
             None => self.backend.store.open(&name).await?,
         };
-        let peers: Vec<SocketAddr> = self.hosts.iter().filter_map(Host::peers).collect();
+        let mut peers: Vec<SocketAddr> = self.hosts.iter().filter_map(Host::peers).collect();
+        let mut advertised = None;
+        if let Some(links) = &mut self.links {
+            peers = links.addresses();
+            advertised = Some(links.open().await?);
+        }
         let mut settings = settings(&name, place, door, &peers);
+        settings["peers_advertised"] = json!(advertised);
         change(&mut settings);
         let host = self.start(settings).await?;
         self.hosts.push(host);
+        self.link(place);
         Ok(&self.hosts[place])
     }
 
@@ -224,9 +248,17 @@
             settings["log"] = Value::Null;
         }
         self.hosts[place] = self.start(settings).await?;
+        self.link(place);
         Ok(&self.hosts[place])
     }
 
+    /// Tells a host's relay where it listens.
+    fn link(&self, place: usize) {
+        if let (Some(links), Some(listens)) = (&self.links, self.hosts[place].peers()) {
+            links.target(place, listens);
+        }
+    }
+
     async fn start(&mut self, settings: Value) -> io::Result<Host> {
         self.runs += 1;
         Host::start(&self.program, &self.folder, self.runs, settings).await
@@ -259,7 +291,7 @@
 /// Settings of a host whose ports the system picks.
 pub fn settings(name: &str, place: usize, store: SocketAddr, peers: &[SocketAddr]) -> Value {
     let zone: availability::Id = ZONES[place % ZONES.len()].into();
-    let any = format!("127.0.0.{}:0", 10 + place);
+    let any = SocketAddr::new(links::address(place), 0);
     json!({
         "host": {"id": name, "zone": zone, "callers": any, "peers": any, "operators": any},
         "platform": store,
--- a/crates/standin/src/routed/soak.rs
+++ b/crates/standin/src/routed/soak.rs
@@ -22,10 +22,10 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use self::{
-    judge::Breach,
+    judge::{Breach, retries},
     load::Crowd,
     play::Player,
-    record::{Bounds, Order, Outcome, Record, Run},
+    record::{Arrival, Bounds, Order, Outcome, Record, Run},
     schedule::Planned,
 };
 use super::{
@@ -73,6 +73,8 @@
     pub orders: usize,
     /// Hosts that gave orders.
     pub holders: usize,
+    /// Each service's worst window of retries, as a part of what is allowed.
+    pub retries: BTreeMap<String, f64>,
     /// Broken promises.
     pub breaches: Vec<Breach>,
 }
@@ -99,6 +101,10 @@
         runs: record.runs.len(),
         orders: record.orders.len(),
         holders: holders.len(),
+        retries: retries::worst(&record)
+            .into_iter()
+            .map(|(service, window)| (service, window.part()))
+            .collect(),
         breaches: judge::judge(&record),
     })
 }
@@ -127,6 +133,7 @@
         player.serve(place).await?;
     }
     player.declare(site::first());
+    player.site.relay_links();
     for place in 0..plan.hosts {
         // As operators have it, for `cyclamenctl explain`.
         player.site.add(|settings| settings["log"] = json!({"level": "debug"})).await?;
@@ -170,6 +177,7 @@
         };
         let quotas = servers.iter().map(quota).collect();
         let runs = servers.iter().flat_map(|server| runs(server, crowd)).collect();
+        let arrivals = servers.iter().flat_map(|server| arrivals(server, crowd)).collect();
         let requests = std::mem::take(&mut *lock(&crowd.requests));
         let hosts = &mut self.site.hosts;
         let dead = hosts
@@ -182,6 +190,7 @@
             bounds: self.bounds,
             requests,
             runs,
+            arrivals,
             orders,
             overloads,
             quotas,
@@ -210,6 +219,15 @@
     server.runs().into_iter().map(seen).collect()
 }
 
+fn arrivals(server: &Server, crowd: &Crowd) -> Vec<Arrival> {
+    let seen = |arrival: super::server::Arrival| Arrival {
+        id: arrival.id.to_string(),
+        service: server.service().to_string(),
+        at: crowd.since(arrival.at),
+    };
+    server.arrivals().into_iter().map(seen).collect()
+}
+
 /// Requests by kind and outcome.
 fn outcomes(record: &Record) -> BTreeMap<String, BTreeMap<String, usize>> {
     let mut outcomes: BTreeMap<String, BTreeMap<String, usize>> = BTreeMap::new();
--- a/crates/standin/src/routed/soak/judge.rs
+++ b/crates/standin/src/routed/soak/judge.rs
@@ -1,6 +1,7 @@
 //! Judges the record of a soak by the users' promises.
 
 mod declared;
+pub mod retries;
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -46,6 +47,8 @@
     Limit,
     /// No server gets more requests than it says that it takes.
     Quota,
+    /// No service gets more retries than its budget allows.
+    Retries,
     /// Declarations come into force in time and never go back.
     Config,
     /// Planned stops cut nothing, nor does calm.
@@ -82,6 +85,7 @@
     breaches.extend(judge.lost_by_chance());
     breaches.extend(judge.recovery());
     breaches.extend(judge.quotas());
+    breaches.extend(judge.retries());
     let limit = |(server, at): &(String, Duration)| Breach {
         promise: Promise::Limit,
         request: None,
--- a/crates/standin/src/routed/soak/load.rs
+++ b/crates/standin/src/routed/soak/load.rs
@@ -80,7 +80,7 @@
     let mut tasks = JoinSet::new();
     for number in 0..CALLERS {
         let random = ChaCha8Rng::seed_from_u64(seed ^ (number + 1) << 32);
-        tasks.spawn(call(crowd.clone(), random));
+        tasks.spawn(call(crowd.clone(), number, random));
     }
     tasks.spawn(balance(crowd.clone()));
     tasks
@@ -152,18 +152,21 @@
     wanted
 }
 
-async fn call(crowd: Arc<Crowd>, mut random: ChaCha8Rng) {
+async fn call(crowd: Arc<Crowd>, caller: u64, mut random: ChaCha8Rng) {
     let mut kept: HashMap<Life, Caller> = HashMap::new();
+    let mut number = 0_u64;
     while !crowd.is_over.load(Ordering::Relaxed) {
         let is_burst = crowd.is_burst.load(Ordering::Relaxed);
         let pause = random.random_range(if is_burst { BURST } else { PAUSE });
         sleep(Duration::from_millis(pause)).await;
         let versions = lock(&crowd.versions).clone();
-        let wanted = want(&mut random, &versions);
+        let mut wanted = want(&mut random, &versions);
+        number += 1;
+        wanted.ask = wanted.ask.numbered(caller, number);
         let Some(seat) = crowd.seat(&mut random) else { continue };
-        let caller = kept.entry(seat.life).or_insert_with(|| Caller::new(seat.callers));
+        let connection = kept.entry(seat.life).or_insert_with(|| Caller::new(seat.callers));
         if random.random_bool(0.1) {
-            caller.leave();
+            connection.leave();
         }
         let leaves = random.random_bool(0.03);
         let stays = match leaves {
@@ -171,7 +174,7 @@
             false => DEADLINE + BEYOND,
         };
         let from = crowd.since(Instant::now());
-        let outcome = match timeout(stays, caller.ask(&wanted.ask)).await {
+        let outcome = match timeout(stays, connection.ask(&wanted.ask)).await {
             Ok(Ok(answer)) => Outcome::Answered(answered(answer)),
             Ok(Err(Failure::Connect)) => Outcome::Unreached,
             Ok(Err(Failure::Closed)) => Outcome::Closed,
@@ -180,7 +183,7 @@
             Err(_) => Outcome::Late,
         };
         if !matches!(outcome, Outcome::Answered(record::Answer { whole: true, .. })) {
-            caller.leave();
+            connection.leave();
         }
         let span = Span { from, to: crowd.since(Instant::now()) };
         lock(&crowd.requests).push(Request {
--- a/crates/standin/src/routed/soak/play.rs
+++ b/crates/standin/src/routed/soak/play.rs
@@ -1,6 +1,7 @@
 //! Makes the faults of a schedule, and notes when each was.
 
 use std::{
+    collections::BTreeSet,
     error::Error,
     sync::{Arc, atomic::Ordering},
     time::Duration,
@@ -15,10 +16,11 @@
 use super::{
     load::{Crowd, Seat},
     record::{Bounds, Declared, Leave, Life, Place, Span, Trouble},
-    schedule::{Fault, Notice, Planned},
+    schedule::{Fault, Notice, Pairs, Planned},
     site,
 };
 use crate::routed::{
+    links::Way,
     lock,
     server::{OrderFault, Server},
     site::Site,
@@ -150,27 +152,44 @@
     }
 
     fn begin(&mut self, planned: &Planned) -> Result<(), Failed> {
-        let place = match planned.fault {
-            Fault::Kill(host) | Fault::Freeze(host) => Some(Place::Host(host)),
-            Fault::Stop(host) | Fault::Reload(host) => Some(Place::Planned(host)),
-            Fault::TurnAway(host, _) => Some(Place::Door(host)),
-            Fault::Crash(server)
-            | Fault::Leave(server, _)
-            | Fault::Grey(server, _)
-            | Fault::Dull(server) => Some(Place::Server(self.servers[server].0.clone())),
+        for place in self.places(planned.fault) {
+            self.note(place, planned);
+        }
+        self.make(planned.fault)
+    }
+
+    /// What a fault puts in trouble.
+    fn places(&self, fault: Fault) -> Vec<Place> {
+        let server = |place: usize| Place::Server(self.servers[place].0.clone());
+        match fault {
+            Fault::Kill(host) | Fault::Freeze(host) => vec![Place::Host(host)],
+            Fault::Stop(host) | Fault::Reload(host) => vec![Place::Planned(host)],
+            Fault::TurnAway(host, _) => vec![Place::Door(host)],
+            Fault::Crash(at) | Fault::Leave(at, _) | Fault::Grey(at, _) | Fault::Dull(at) => {
+                vec![server(at)]
+            }
+            Fault::AllGrey(at, _) => site::alike(at).map(server).collect(),
+            Fault::Links(pairs, _) => {
+                let hosts = self.site.hosts.len();
+                let ends = pairs.among(hosts).flat_map(|(from, to)| [from, to]);
+                let ends: BTreeSet<usize> = ends.collect();
+                ends.into_iter().map(Place::Host).collect()
+            }
             Fault::Down(_) | Fault::Slow | Fault::Lost(_) | Fault::LateWrite | Fault::Compact => {
-                Some(Place::Store)
+                vec![Place::Store]
             }
             Fault::Orders(_)
             | Fault::Declare
             | Fault::Burst
             | Fault::Limited(..)
-            | Fault::AllLimited(..) => None,
-        };
-        if let Some(place) = place {
-            self.note(place, planned);
+            | Fault::AllLimited(..) => Vec::new(),
         }
-        self.make(planned.fault)
+    }
+
+    /// Sets the links of some pairs of hosts.
+    fn link(&self, pairs: Pairs, way: Way) {
+        let links = self.site.links();
+        pairs.among(self.site.hosts.len()).for_each(|(from, to)| links.set(from, to, way));
     }
 
     fn make(&mut self, fault: Fault) -> Result<(), Failed> {
@@ -201,6 +220,10 @@
             Fault::Grey(server, grey) => {
                 self.server(server).script(|script| script.always = Some(grey));
             }
+            Fault::AllGrey(server, grey) => site::alike(server).for_each(|place| {
+                self.server(place).script(|script| script.always = Some(grey));
+            }),
+            Fault::Links(pairs, way) => self.link(pairs, way),
             Fault::Dull(server) => {
                 self.server(server).script(|script| (script.work, script.pace) = DULL);
             }
@@ -277,6 +300,12 @@
                 site::calm(self.server(server), self.bounds.events);
                 self.ends(&Place::Server(self.servers[server].0.clone()));
             }
+            Fault::AllGrey(server, _) => {
+                for place in site::alike(server).collect::<Vec<_>>() {
+                    site::calm(self.server(place), self.bounds.events);
+                }
+            }
+            Fault::Links(pairs, _) => self.link(pairs, Way::Passes),
             Fault::Burst => self.crowd.is_burst.store(false, Ordering::Relaxed),
             Fault::Limited(server, _) => self.limit([server], None),
             Fault::AllLimited(server, _) => self.limit(site::alike(server), None),
--- a/crates/standin/src/routed/soak/record.rs
+++ b/crates/standin/src/routed/soak/record.rs
@@ -36,6 +36,12 @@
     pub recovered: f64,
     /// Events of a whole stream.
     pub events: u64,
+    /// Retries that a service may get for each of its requests.
+    pub retry_ratio: f64,
+    /// Retries that it may get besides.
+    pub retry_extra: f64,
+    /// The sliding window in which they are counted.
+    pub retry_window: Duration,
 }
 
 impl Default for Bounds {
@@ -53,6 +59,9 @@
             recover: Duration::from_secs(12),
             recovered: 0.9,
             events: 10,
+            retry_ratio: 0.2,
+            retry_extra: 52.0,
+            retry_window: Duration::from_secs(10),
         }
     }
 }
@@ -158,6 +167,17 @@
     pub spoilt: bool,
 }
 
+/// An arrival of a request at a server, whatever became of it.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The request.
+    pub id: String,
+    /// The server's service.
+    pub service: String,
+    /// When it came.
+    pub at: Duration,
+}
+
 /// An order, as a server judged it.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -238,6 +258,8 @@
     pub requests: Vec<Request>,
     /// Runs.
     pub runs: Vec<Run>,
+    /// Arrivals at servers.
+    pub arrivals: Vec<Arrival>,
     /// Orders, of each server in the order in which they came.
     pub orders: Vec<Order>,
     /// Servers that were ordered to hold more than there is room for, and when at the latest.
--- a/crates/standin/src/routed/soak/schedule.rs
+++ b/crates/standin/src/routed/soak/schedule.rs
@@ -8,7 +8,7 @@
 use serde::{Serialize, Serializer};
 
 use super::site::SERVERS;
-use crate::routed::{server::Fault as Grey, store::Refusal};
+use crate::routed::{links::Way, server::Fault as Grey, store::Refusal};
 
 /// Calm before the first fault.
 const BEFORE: Duration = Duration::from_secs(4);
@@ -29,6 +29,24 @@
 /// Draws the limits that servers name, apart from all else.
 const LIMITED: u64 = 1 << 62;
 
+/// Draws what presses on the retry budget, apart from all else.
+const PRESSED: u64 = 1 << 61;
+
+/// Between two such faults, in ms.
+const PRESSED_BETWEEN: std::ops::Range<u64> = 1_500..6_000;
+
+/// How long servers of a service fail alike, and how long links between hosts are out of order, in ms.
+const FAILING_LASTS: std::ops::Range<u64> = 1_000..25_000;
+const LINKS_LAST: std::ops::Range<u64> = 500..40_000;
+
+/// How late datagrams are on a slow link, in ms.
+const LINKS_LATE: std::ops::Range<u64> = 100..4_000;
+
+/// In a series of restarts: times that each host is killed, the time between two, and how long one is away; in ms.
+const SERIES_TIMES: std::ops::RangeInclusive<usize> = 1..=3;
+const SERIES_BETWEEN: std::ops::Range<u64> = 20..700;
+const SERIES_AWAY: std::ops::Range<u64> = 10..300;
+
 /// Between two limits, in ms, and how long one is named.
 const LIMITS_BETWEEN: std::ops::Range<u64> = 1_000..7_000;
 const LIMIT_LASTS: std::ops::Range<u64> = 500..11_000;
@@ -88,6 +106,10 @@
     Limited(usize, u32),
     /// All servers of a server's service name a limit.
     AllLimited(usize, u32),
+    /// All servers of a server's service meet a fault.
+    AllGrey(usize, #[serde(serialize_with = "debug")] Grey),
+    /// Datagrams between hosts are lost or late.
+    Links(Pairs, #[serde(serialize_with = "debug")] Way),
     /// Orders to a server are lost, or judged late.
     Orders(usize),
     /// A new declaration.
@@ -101,6 +123,35 @@
     pub const SILENCE: Fault = Fault::Down(Refusal::Silence);
 }
 
+/// Pairs of hosts whose link is out of order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Pairs {
+    /// All of them.
+    All,
+    /// Those with a host at one end.
+    Of(usize),
+    /// What a host sends.
+    From(usize),
+    /// What a host is sent.
+    To(usize),
+}
+
+impl Pairs {
+    /// Sender and receiver of each, among so many hosts.
+    pub fn among(self, hosts: usize) -> impl Iterator<Item = (usize, usize)> {
+        let pairs = (0..hosts).flat_map(move |from| (0..hosts).map(move |to| (from, to)));
+        pairs.filter(move |(from, to)| {
+            let is_meant = match self {
+                Pairs::All => true,
+                Pairs::Of(host) => *from == host || *to == host,
+                Pairs::From(host) => *from == host,
+                Pairs::To(host) => *to == host,
+            };
+            from != to && is_meant
+        })
+    }
+}
+
 /// Whether a leaving server says so.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum Notice {
@@ -169,6 +220,7 @@
         at += Duration::from_millis(random.random_range(BETWEEN));
     }
     planned.extend(limits(seed, end));
+    planned.extend(pressed(seed, hosts, end));
     planned.sort_by_key(|planned| planned.at);
     planned
 }
@@ -194,6 +246,59 @@
     planned
 }
 
+/// What presses on the retry budget, beside whatever else happens: services that fail, links between hosts that
+/// lose or delay, and hosts that are restarted in series.
+fn pressed(seed: u64, hosts: usize, end: Duration) -> Vec<Planned> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ PRESSED);
+    let mut planned = Vec::new();
+    let mut at = Duration::from_millis(random.random_range(PRESSED_BETWEEN));
+    while at < end {
+        match random.random_range(0..6) {
+            0 => planned.extend(series(&mut random, hosts, at)),
+            1 | 2 => {
+                let lasts = Duration::from_millis(random.random_range(LINKS_LAST));
+                let fault = link(&mut random, hosts);
+                planned.push(Planned { at, lasts: lasts.min(end - at), fault });
+            }
+            _ => {
+                let server = random.random_range(0..SERVERS.len());
+                let grey = GREYS.choose(&mut random).copied().unwrap_or(Grey::Lost);
+                let lasts = Duration::from_millis(random.random_range(FAILING_LASTS));
+                let fault = Fault::AllGrey(server, grey);
+                planned.push(Planned { at, lasts: lasts.min(end - at), fault });
+            }
+        }
+        at += Duration::from_millis(random.random_range(PRESSED_BETWEEN));
+    }
+    planned.retain(|planned| planned.at + planned.lasts <= end);
+    planned
+}
+
+/// Every host is killed and started again, one after the other, a few times.
+fn series(random: &mut ChaCha8Rng, hosts: usize, at: Duration) -> Vec<Planned> {
+    let times = random.random_range(SERIES_TIMES);
+    let between = Duration::from_millis(random.random_range(SERIES_BETWEEN));
+    let lasts = Duration::from_millis(random.random_range(SERIES_AWAY));
+    let kill =
+        |n: usize| Planned { at: at + between * n as u32, lasts, fault: Fault::Kill(n % hosts) };
+    (0..times * hosts).map(kill).collect()
+}
+
+fn link(random: &mut ChaCha8Rng, hosts: usize) -> Fault {
+    let host = random.random_range(0..hosts);
+    let pairs = match random.random_range(0..5) {
+        0 | 1 => Pairs::All,
+        2 => Pairs::Of(host),
+        3 => Pairs::From(host),
+        _ => Pairs::To(host),
+    };
+    let way = match random.random_range(0..3) {
+        0 => Way::Late(Duration::from_millis(random.random_range(LINKS_LATE))),
+        _ => Way::Lost,
+    };
+    Fault::Links(pairs, way)
+}
+
 fn pick(random: &mut ChaCha8Rng, hosts: usize) -> Fault {
     let (host, server) = (random.random_range(0..hosts), random.random_range(0..SERVERS.len()));
     let grey = GREYS.choose(random).copied().unwrap_or(Grey::Lost);
@@ -246,9 +351,12 @@
         | Fault::Grey(server, _)
         | Fault::Dull(server)
         | Fault::Orders(server) => (Thing::Server(server), 2),
-        Fault::Declare | Fault::Burst | Fault::Limited(..) | Fault::AllLimited(..) => {
-            (Thing::Callers, 1)
-        }
+        Fault::Declare
+        | Fault::Burst
+        | Fault::Limited(..)
+        | Fault::AllLimited(..)
+        | Fault::AllGrey(..)
+        | Fault::Links(..) => (Thing::Callers, 1),
     }
 }
 
--- a/crates/standin/tests/soak_judge.rs
+++ b/crates/standin/tests/soak_judge.rs
@@ -9,8 +9,8 @@
     soak::{
         judge::{Promise, judge},
         record::{
-            Answer, Declared, Leave, Life, Order, Outcome, Place, Record, Request, Run, Span,
-            Trouble,
+            Answer, Arrival, Declared, Leave, Life, Order, Outcome, Place, Record, Request, Run,
+            Span, Trouble,
         },
         schedule,
     },
@@ -98,6 +98,21 @@
     record.quotas.push(("app-1".into(), quota));
 }
 
+/// So many requests at a time of host 0 to `app`, each of which arrives so often, once a millisecond.
+fn retried(record: &mut Record, at: u64, requests: usize, arrivals: usize) {
+    for number in 0..requests {
+        let mut request = record.requests[0].clone();
+        (request.id, request.outcome) = (format!("{at}.{number}"), Outcome::Left);
+        request.span = span(at, at + 500);
+        let arrival = |nth| {
+            let (id, service) = (request.id.clone(), "app".into());
+            Arrival { id, service, at: ms(at + nth as u64) }
+        };
+        record.arrivals.extend((0..arrivals).map(arrival));
+        record.requests.push(request);
+    }
+}
+
 fn order(holder: &str, fence: u64, came: u64) -> Order {
     Order { server: "lm-1".into(), holder: holder.into(), fence, came: ms(came) }
 }
@@ -200,6 +215,17 @@
     r.troubles.push(trouble(Place::Host(0), 11_000, 12_500));
 })]
 #[case::recovers(Kind::Idempotent, |r: &mut Record| recovers(r, 9))]
+#[case::as_many_retries_as_are_allowed(Kind::Idempotent, |r: &mut Record| {
+    retried(r, 15_000, 64, 2);
+})]
+#[case::retries_that_requests_of_the_window_before_pay(Kind::Idempotent, |r: &mut Record| {
+    retried(r, 20_000, 100, 1);
+    retried(r, 26_000, 30, 3);
+})]
+#[case::retries_a_window_apart(Kind::Idempotent, |r: &mut Record| {
+    retried(r, 15_000, 50, 2);
+    retried(r, 25_100, 50, 2);
+})]
 fn a_kept_promise_is_left_alone(#[case] kind: Kind, #[case] change: fn(&mut Record)) {
     let mut record = served(kind);
     change(&mut record);
@@ -287,6 +313,24 @@
     }
 })]
 #[case::more_than_its_limit(Kind::Idempotent, Promise::Quota, press)]
+#[case::more_retries_than_are_allowed(Kind::Idempotent, Promise::Retries, |r: &mut Record| {
+    retried(r, 15_000, 66, 2);
+})]
+#[case::more_retries_in_a_window_than_in_its_halves(Kind::Idempotent, Promise::Retries, |r: &mut Record| {
+    retried(r, 15_000, 20, 3);
+    retried(r, 24_500, 20, 3);
+})]
+#[case::retries_that_no_requests_pay(Kind::Idempotent, Promise::Retries, |r: &mut Record| {
+    retried(r, 15_000, 100, 1);
+    retried(r, 36_000, 20, 4);
+})]
+#[case::more_retries_whatever_troubles_the_hosts(Kind::Idempotent, Promise::Retries, |r: &mut Record| {
+    retried(r, 15_000, 66, 2);
+    for host in 0..2 {
+        r.troubles.push(trouble(Place::Host(host), 0, 60_000));
+    }
+    r.troubles.push(trouble(Place::Store, 0, 60_000));
+})]
 #[case::does_not_recover(Kind::Idempotent, Promise::Recover, |r: &mut Record| recovers(r, 11))]
 #[case::ends_by_itself(Kind::Idempotent, Promise::Fault, |r: &mut Record| r.dead.push(1))]
 fn a_broken_promise_is_found(
