Tell what was spent of the retry budgets, and among how many hosts

Cause: no line and no metric said what a host had spent, or how many hosts it took for sharing, so that silence, restarts and late news could not be told apart. Ruled out: a line for each retry; stories have each attempt already.

--- a/crates/observe/src/metrics/routed.rs
+++ b/crates/observe/src/metrics/routed.rs
@@ -49,6 +49,8 @@
     lease: Gauge<u64>,
     term: Gauge<u64>,
     budget: Gauge<f64>,
+    budget_spent: Gauge<u64>,
+    budget_hosts: BoundGauge<u64>,
     wishes: Gauge<u64>,
     demand: Box<[BoundCounter<u64>]>,
     unreadable: BoundCounter<u64>,
@@ -96,6 +98,8 @@
             .f64_gauge("routed_budget")
             .with_description("Further attempts that this host may still make, by service")
             .build();
+        let spent = "Further attempts of this host in the last window, by service";
+        let hosts = "Hosts among which this one shares the retry budgets";
         Routed(Arc::new(Series {
             requests: each(|kind: Kind| {
                 each(|outcome: Outcome| requests.bind(&[kind.pair(), outcome.pair()]))
@@ -117,6 +121,8 @@
             lease: gauge(meter, "routed_lease", "1 while this host holds a lease, else 0, by duty"),
             term: gauge(meter, "routed_term", "Fencing number of the last lease held, by duty"),
             budget,
+            budget_spent: gauge(meter, "routed_budget_spent", spent),
+            budget_hosts: gauge(meter, "routed_budget_hosts", hosts).bind(&[]),
             unreadable: unreadable.bind(&[]),
             demand: each(|origin: Origin| demand.bind(&[origin.pair()])),
             limited: limited.bind(&[]),
@@ -226,6 +232,16 @@
     pub fn budget(&self, service: &service::Id, left: f64) {
         self.0.budget.record(left, &[KeyValue::new("service", Arc::clone(service))]);
     }
+
+    /// Further attempts for a service that were made in the last window.
+    pub fn budget_spent(&self, service: &service::Id, spent: u64) {
+        self.0.budget_spent.record(spent, &[KeyValue::new("service", Arc::clone(service))]);
+    }
+
+    /// Hosts that share the budgets.
+    pub fn budget_hosts(&self, hosts: u32) {
+        self.0.budget_hosts.record(hosts.into());
+    }
 }
 
 /// One of a thing for each value of a label, in the label's order.
--- a/crates/observe/tests/routed.rs
+++ b/crates/observe/tests/routed.rs
@@ -31,6 +31,8 @@
     routed.lease("placement", Some(41));
     routed.lease("placement", None);
     routed.budget(&"chat".into(), 3.5);
+    routed.budget_spent(&"chat".into(), 7);
+    routed.budget_hosts(6);
 }
 
 #[rstest]
@@ -50,6 +52,8 @@
 #[case(r#"lease{duty="placement"}"#, 0.0)]
 #[case(r#"term{duty="placement"}"#, 41.0)]
 #[case(r#"budget{service="chat"}"#, 3.5)]
+#[case(r#"budget_spent{service="chat"}"#, 7.0)]
+#[case("budget_hosts", 6.0)]
 fn each_is_shown_by_its_labels(#[case] series: &str, #[case] expected: f64) {
     let metrics = Metrics::new().unwrap();
     play(&metrics.routed());
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -47,18 +47,13 @@
     ask::{
         Again, Answer, Ask, Cause, Change, End, NotRun, Part, Ticket, Unclear, Unreachable, Verdict,
     },
-    budget::{Hosts, Terms, Used},
+    budget::{Account, Hosts, Terms, Used},
     fleet::Work,
     poison::{Fingerprint, Poison},
     pump::Missing,
     routes::{Routes, split},
 };
-use self::{
-    budget::{Budget, Need},
-    fleet::Fleet,
-    held::Absence,
-    task::Task,
-};
+use self::{budget::Budget, fleet::Fleet, held::Absence, task::Task};
 use crate::{
     quota::Quotas,
     route::hints::{self, Hints},
@@ -270,11 +265,11 @@
         services.map(|service| (service.id.clone(), service.budget.used())).collect()
     }
 
-    /// Retries that this host may still make for each service.
-    pub fn retries_left(&self, now: Moment) -> Vec<(service::Id, f64)> {
+    /// How the retry budget of each service stands on this host.
+    pub fn retry_budgets(&self, now: Moment) -> Vec<(service::Id, Account)> {
         let services = self.fleet.services.iter();
-        let left = |budget: &Budget| budget.left(Need::Great, self.hosts, now).max(0.0);
-        services.map(|service| (service.id.clone(), left(&service.budget))).collect()
+        let account = |budget: &Budget| budget.account(self.hosts, now);
+        services.map(|service| (service.id.clone(), account(&service.budget))).collect()
     }
 
     /// A server holds a model, or an adapter on it.
--- a/crates/policy/src/dispatch/budget.rs
+++ b/crates/policy/src/dispatch/budget.rs
@@ -75,6 +75,21 @@
     pub retries: u64,
 }
 
+/// A budget as one host has it, over the last window.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Account {
+    /// Requests.
+    pub requests: u64,
+    /// Retries that were paid.
+    pub retries: u64,
+    /// Retries that were refused since the host's start.
+    pub refused: u64,
+    /// Retries that may still be made.
+    pub left: f64,
+    /// Hosts that share the budget.
+    pub hosts: u32,
+}
+
 /// The hosts that share a budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Hosts {
@@ -92,6 +107,8 @@
     retries: Series,
     /// What this host has used since its start.
     used: Used,
+    /// Retries that were asked for in vain since its start.
+    refused: u64,
     others: Others,
 }
 
@@ -116,7 +133,7 @@
             told: Used::default(),
             since: None,
         };
-        Budget { terms, requests, retries, used: Used::default(), others }
+        Budget { terms, requests, retries, used: Used::default(), refused: 0, others }
     }
 
     /// A request has come, whatever becomes of it.
@@ -128,6 +145,7 @@
     /// Takes one retry out if there is one left.
     pub fn withdraw(&mut self, need: Need, hosts: Hosts, now: Moment) -> Option<()> {
         if self.left(need, hosts, now) < 1.0 {
+            self.refused += 1;
             return None;
         }
         self.used.retries += 1;
@@ -148,6 +166,17 @@
         }
     }
 
+    /// How it stands.
+    pub fn account(&self, hosts: Hosts, now: Moment) -> Account {
+        Account {
+            requests: self.requests.last(now),
+            retries: self.retries.last(now),
+            refused: self.refused,
+            left: self.left(Need::Great, hosts, now).max(0.0),
+            hosts: hosts.all,
+        }
+    }
+
     /// What this host has used since its start.
     pub fn used(&self) -> Used {
         self.used
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -202,10 +202,9 @@
         let dispatcher = self.dispatcher();
         let at_servers: u32 = dispatcher.work().iter().map(|(_, _, count, _)| *count).sum();
         let waiting = dispatcher.waiting();
-        let left = dispatcher.retries_left(self.now());
         drop(dispatcher);
         self.measure_quotas();
-        left.iter().for_each(|(service, left)| self.meters.budget(service, *left));
+        self.measure_retries();
         self.meters.queue(Queue::Waiting, waiting);
         self.meters.queue(Queue::InFlight, at_servers as usize);
         self.meters.queue(Queue::Open, self.open() as usize);
