Let a host's retries rest on what it knows by itself, and hosts lend each other

Cause: hosts that heard each other used the whole budget, each by the sums that it had from the others, which were taken for at most 0.5 s old. Any word counted as news of the sums, what came late was dated by its arrival, and what a host spent just before its end was never told. Class: a bound over all hosts that rests on news being in time. Callers saw nothing of it; servers got more retries than they bear. Ruled out: a longer time for news (each length has a longer lateness); sums dated by their sender (clocks aren't compared, and dead hosts tell nothing); shares alone, without loans (what one host doesn't need would be of use to nobody). Change: a share of the ratio by the host's own windows, which adds up over hosts whoever is asked when, and an equal part of the extra. Loans: the lender takes them out of its share first and counts them until nothing can arrive any more that they paid. Two tests said that a host may pass its share while others tell that they use little; what they guard, that a budget isn't bound to the host that has it, is now shown by loans: a_host_may_pass_its_share_while_others_lend_theirs, a_host_that_is_short_of_retries_borrows_from_another (real hosts). What peers have used is not used again: what_is_lent_is_not_used_by_the_lender. Windows with hosts that hear each other late: the same property with lost loans, and hosts_keep_the_budget_while_what_they_tell_each_other_is_late. The integration tests were not run yet. Conclusion: no window depends on the lateness of news.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -17,6 +17,7 @@
 mod held;
 mod list;
 mod load;
+mod loans;
 mod pump;
 mod queue;
 mod quota;
@@ -47,13 +48,13 @@
     ask::{
         Again, Answer, Ask, Cause, Change, End, NotRun, Part, Ticket, Unclear, Unreachable, Verdict,
     },
-    budget::{Account, Hosts, Terms, Used},
+    budget::{Account, Terms, Used, loan},
     fleet::Work,
     poison::{Fingerprint, Poison},
     pump::Missing,
     routes::{Routes, split},
 };
-use self::{budget::Budget, fleet::Fleet, held::Absence, task::Task};
+use self::{budget::Budget, fleet::Fleet, held::Absence, loans::Desk, task::Task};
 use crate::{
     quota::Quotas,
     route::hints::{self, Hints},
@@ -92,7 +93,8 @@
 /// All decisions about routed requests on one host.
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
-    hosts: Hosts,
+    /// Hosts that share the servers and the retry budget.
+    hosts: u32,
     /// Fewer hosts that there seem to be, and since when.
     fewer: Option<(u32, Moment)>,
     version: Option<routed::Version>,
@@ -102,6 +104,7 @@
     hints: Hints,
     poison: Poison,
     quotas: Quotas,
+    loans: Desk,
     ticked: Moment,
     looked: Moment,
     /// When what waits for limited servers was last looked at.
@@ -113,7 +116,7 @@
     pub fn new(settings: Settings) -> Dispatcher {
         let bounds = hints::Bounds { generation: HINTS, life: HINT_LIFE, block_tokens: 1 };
         Dispatcher {
-            hosts: Hosts { all: settings.hosts.max(1), heard: 0 },
+            hosts: settings.hosts.max(1),
             fewer: None,
             version: None,
             routes: Routes::default(),
@@ -122,6 +125,7 @@
             hints: Hints::new(bounds),
             poison: Poison::default(),
             quotas: Quotas::new(settings.host, settings.run),
+            loans: Desk::default(),
             ticked: Duration::ZERO,
             looked: Duration::ZERO,
             limits_looked: Duration::ZERO,
@@ -150,22 +154,21 @@
         self.routes.find(host, path)
     }
 
-    /// So many hosts share the retry budget, and so many others were heard lately.
+    /// So many hosts share the retry budget.
     ///
     /// More count at once, fewer only after [`FEWER`]: a host that is cut off sees itself alone, and
     /// the others still use their parts of the extra.
-    pub fn hosts(&mut self, count: u32, heard: u32) {
+    pub fn hosts(&mut self, count: u32) {
         let count = count.max(1);
-        self.hosts.heard = heard;
         self.fewer = match self.fewer {
-            _ if self.hosts.all <= count => None,
+            _ if self.hosts <= count => None,
             Some((other, since)) => Some((other.max(count), since)),
             None => Some((count, self.ticked)),
         };
         match self.fewer {
-            None => self.hosts.all = count,
+            None => self.hosts = count,
             Some((fewer, since)) if since + FEWER <= self.ticked => {
-                self.hosts.all = fewer;
+                self.hosts = fewer;
                 self.fewer = None;
             }
             Some(_) => {}
@@ -248,18 +251,12 @@
     /// All that a peer has in flight, in place of what it told before.
     pub fn peer(&mut self, host: &host::Id, work: &[Work], now: Moment) {
         self.fleet.peer(host, work, now);
-        if SMALL < self.hosts.all {
-            self.fleet.meet(self.hosts.all);
+        if SMALL < self.hosts {
+            self.fleet.meet(self.hosts);
         }
     }
 
-    /// What all other hosts have used of a service's retry budget, by sums that only rise.
-    pub fn others_used(&mut self, service: &service::Id, used: Used, now: Moment) {
-        let service = self.fleet.service(service);
-        self.fleet.services[service as usize].budget.others(used, now);
-    }
-
-    /// What this host has used of each service's retry budget since its start, for peers.
+    /// What this host has used of each service's retry budget since its start.
     pub fn used(&self) -> Vec<(service::Id, Used)> {
         let services = self.fleet.services.iter();
         services.map(|service| (service.id.clone(), service.budget.used())).collect()
--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -274,7 +274,7 @@
             all += server.load.in_flight(self.fleet.peers_at(), now);
         }
         let stats = self.stats(task);
-        let part = (own / all).max(0.5 / f64::from(self.hosts.all));
+        let part = (own / all).max(0.5 / f64::from(self.hosts));
         let slots = if limited.is_some() { slots } else { f64::max(slots, 1.0) };
         let ends = (slots / stats.hold() * part + limited.unwrap_or(0.0)).max(LEAST_ENDS);
         let ahead = f64::from(self.ahead(task)) + 1.0;
--- a/crates/policy/src/dispatch/budget.rs
+++ b/crates/policy/src/dispatch/budget.rs
@@ -1,35 +1,37 @@
 //! The retry budget that all hosts share.
 //!
 //! In any span of one window, the arrivals at a service's servers beyond the first of each request
-//! stay under `ratio` of its requests and `extra`, over all hosts. Hosts tell each other what they
-//! have used, some hundred milliseconds late, and there are two rules.
+//! stay under `ratio` of its requests and `extra`, over all hosts. Each host keeps to a share that
+//! rests on what it knows by itself, so that the sum holds whatever hosts hear of each other.
 //!
-//! A host that does not hear all others, or not for a whole window yet, keeps to a share: a part of
-//! the ratio by its own requests and an equal part of the extra. Such hosts may have spent one
-//! after the other, each by the requests of its own window, and two windows side by side hold twice
-//! the requests of the better one: hence `ALONE`. What others are known to have used makes the
-//! share smaller, so that hosts that stop hearing each other don't spend twice.
+//! Requests pay in the window in which a retry is counted, or in the one before it. A host's share of
+//! the ratio has two parts. The steady one goes by the least of its windows that ended within the last
+//! one: whatever window a retry is counted in, the one before it has at least as many. The recent one
+//! goes by its last window, which may reach over both of these; so its part counts twice. With the sum
+//! of the steady part and twice the recent one at one or less, the hosts' shares add up to no more than
+//! the ratio, also where hosts are asked one after the other.
 //!
-//! A host that hears all others keeps to the whole. What it has spent lately, the others have not
-//! heard, and they may have spent as much meanwhile: that part counts once for each host. The
-//! requests that pay are those of the least window that ended within the last half window, so that
-//! whatever window a retry is counted in, one beside it has as many.
+//! The extra is shared equally. What a host doesn't need of its share it may lend ([`loan`]).
+
+pub mod loan;
 
 mod series;
 
 use types::prelude::*;
 
-use self::series::Series;
+use self::{
+    loan::{LENT, Loans},
+    series::Series,
+};
 
 /// Part of the extra that is used, for hosts that join, leave or count a moment later.
 const MARGIN: f64 = 0.8;
 
-/// Part of the ratio that a host uses by its own requests. Beyond a half, hosts that are asked one
-/// after the other overdraw the budget together.
-const ALONE: f64 = 0.45;
+/// Part of the ratio that a host uses by its least window.
+const STEADY: f64 = 0.45;
 
-/// Part of the whole that hosts use which hear each other.
-const TOGETHER: f64 = 0.85;
+/// Part of the ratio that a host uses by its last window.
+const RECENT: f64 = 0.25;
 
 /// Part of what may be used that is kept for requests which are lost without.
 const RESERVED: f64 = 0.25;
@@ -37,8 +39,18 @@
 /// Parts of a window in which requests are counted.
 const PARTS: u32 = 100;
 
-/// Time in which what one host has used is known to all that hear it.
-pub const KNOWN: Duration = Duration::from_millis(500);
+/// Retries that are left from which on a host borrows others.
+const FEW: f64 = 3.0;
+
+/// How long after it was last asked for a retry a host borrows.
+const WANTED: Duration = Duration::from_millis(250);
+
+/// Part of what is left that a host lends at once.
+const LENDS: f64 = 0.5;
+
+/// Part of a window by which the least one is shortened: callers sent a request that long before it
+/// was counted, and windows begin between two parts.
+const LATE: f64 = 0.05;
 
 /// The budget's terms.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -90,15 +102,6 @@
     pub hosts: u32,
 }
 
-/// The hosts that share a budget.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Hosts {
-    /// All of them, this one among them.
-    pub all: u32,
-    /// Others that were heard lately.
-    pub heard: u32,
-}
-
 /// One service's budget on one host.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -109,17 +112,12 @@
     used: Used,
     /// Retries that were asked for in vain since its start.
     refused: u64,
-    others: Others,
-}
-
-/// What all other hosts have used, as far as it was told.
-#[derive(Clone, Debug)]
-struct Others {
-    requests: Series,
-    retries: Series,
-    told: Used,
-    /// When it was first told.
-    since: Option<Moment>,
+    /// When a retry was last asked for.
+    wanted: Option<Moment>,
+    /// What others have lent to this host.
+    borrowed: Loans,
+    /// What it has lent, until it counts no more.
+    lent: Loans,
 }
 
 impl Budget {
@@ -127,13 +125,16 @@
     pub fn new(terms: Terms) -> Budget {
         let requests = Series::new(terms.window, terms.window / PARTS);
         let retries = Series::new(terms.window, Duration::ZERO);
-        let others = Others {
-            requests: requests.clone(),
-            retries: retries.clone(),
-            told: Used::default(),
-            since: None,
-        };
-        Budget { terms, requests, retries, used: Used::default(), refused: 0, others }
+        Budget {
+            terms,
+            requests,
+            retries,
+            used: Used::default(),
+            refused: 0,
+            wanted: None,
+            borrowed: Loans::default(),
+            lent: Loans::default(),
+        }
     }
 
     /// A request has come, whatever becomes of it.
@@ -143,37 +144,64 @@
     }
 
     /// Takes one retry out if there is one left.
-    pub fn withdraw(&mut self, need: Need, hosts: Hosts, now: Moment) -> Option<()> {
-        if self.left(need, hosts, now) < 1.0 {
-            self.refused += 1;
-            return None;
+    pub fn withdraw(&mut self, need: Need, hosts: u32, now: Moment) -> Option<()> {
+        self.wanted = Some(now);
+        if self.own_left(need, hosts, now) < 1.0 {
+            let borrowed = self.borrowed.take(now);
+            self.refused += u64::from(borrowed.is_none());
+            self.used.retries += u64::from(borrowed.is_some());
+            return borrowed;
         }
         self.used.retries += 1;
         self.retries.add(1, now);
         Some(())
     }
 
-    /// Retries that are left.
-    pub fn left(&self, need: Need, hosts: Hosts, now: Moment) -> f64 {
+    /// Lends so many retries at the most, and returns how many.
+    pub fn lend(&mut self, wanted: u32, hosts: u32, now: Moment) -> u32 {
+        let spare = self.own_left(Need::Usual, hosts, now).max(0.0) * LENDS;
+        let lent = wanted.min(spare as u32);
+        self.lent.expire(now);
+        self.lent.add(lent, now + LENT + self.terms.window);
+        lent
+    }
+
+    /// Takes in what another host lends until a time.
+    pub fn borrow(&mut self, count: u32, until: Moment, now: Moment) {
+        self.borrowed.expire(now);
+        self.borrowed.add(count, until);
+    }
+
+    /// Whether retries are wanted and few are left.
+    pub fn is_short(&self, hosts: u32, now: Moment) -> bool {
+        let is_wanted = self.wanted.is_some_and(|at| now < at + WANTED);
+        is_wanted && self.left(Need::Usual, hosts, now) < FEW
+    }
+
+    /// Retries that are left, borrowed ones among them.
+    pub fn left(&self, need: Need, hosts: u32, now: Moment) -> f64 {
+        let borrowed = f64::from(self.borrowed.count(now));
+        self.own_left(need, hosts, now).max(0.0) + borrowed
+    }
+
+    /// What is left of this host's own share; below none if it has shrunk.
+    fn own_left(&self, need: Need, hosts: u32, now: Moment) -> f64 {
         let kept = match need {
             Need::Usual => 1.0 - RESERVED,
             Need::Great => 1.0,
         };
-        if self.hears_all(hosts, now) {
-            self.left_together(kept, hosts, now)
-        } else {
-            self.left_alone(kept, hosts, now)
-        }
+        let used = self.retries.last(now) as f64 + f64::from(self.lent.count(now));
+        self.share(hosts, now) * kept - used
     }
 
     /// How it stands.
-    pub fn account(&self, hosts: Hosts, now: Moment) -> Account {
+    pub fn account(&self, hosts: u32, now: Moment) -> Account {
         Account {
             requests: self.requests.last(now),
             retries: self.retries.last(now),
             refused: self.refused,
             left: self.left(Need::Great, hosts, now).max(0.0),
-            hosts: hosts.all,
+            hosts,
         }
     }
 
@@ -182,53 +210,23 @@
         self.used
     }
 
-    /// What all other hosts have used together, by sums that only rise.
-    pub fn others(&mut self, used: Used, now: Moment) {
-        let others = &mut self.others;
-        others.since.get_or_insert(now);
-        others.requests.add(used.requests.saturating_sub(others.told.requests), now);
-        others.retries.add(used.retries.saturating_sub(others.told.retries), now);
-        let told = others.told;
-        others.told.requests = told.requests.max(used.requests);
-        others.told.retries = told.retries.max(used.retries);
-    }
-
-    /// Whether what all others have used in the last window is known.
-    fn hears_all(&self, hosts: Hosts, now: Moment) -> bool {
-        let is_long = |since: Moment| since + self.terms.window + KNOWN <= now;
-        hosts.all <= 1 || (hosts.all <= hosts.heard + 1 && self.others.since.is_some_and(is_long))
-    }
-
-    fn left_together(&self, kept: f64, hosts: Hosts, now: Moment) -> f64 {
-        let whole = self.whole(self.least_requests(now));
-        let lately = self.retries.between(now.saturating_sub(KNOWN), now);
-        let before = self.retries.last(now) - lately + self.others.retries.last(now);
-        (whole * kept - before as f64) / f64::from(hosts.all.max(1)) - lately as f64
-    }
-
-    fn left_alone(&self, kept: f64, hosts: Hosts, now: Moment) -> f64 {
-        let extra = self.terms.extra / f64::from(hosts.all.max(1));
-        let own = self.requests.last(now);
-        let share = self.terms.ratio * own as f64 * ALONE + extra * MARGIN;
-        let known = self.others.requests.last(now) + own;
-        let taken = self.others.retries.last(now) as f64 / self.whole(known);
-        share * kept * (1.0 - taken).max(0.0) - self.retries.last(now) as f64
-    }
-
-    /// What hosts that hear each other use for so many requests.
-    fn whole(&self, requests: u64) -> f64 {
-        (self.terms.ratio * requests as f64 + self.terms.extra) * TOGETHER
+    /// What this host may use in a window, of what so many hosts share.
+    fn share(&self, hosts: u32, now: Moment) -> f64 {
+        let steady = STEADY * self.least_requests(now) as f64;
+        let recent = RECENT * self.requests.last(now) as f64;
+        let extra = self.terms.extra * MARGIN / f64::from(hosts.max(1));
+        self.terms.ratio * (steady + recent) + extra
     }
 
-    /// Requests of the least window that ended within the last half window.
+    /// Requests of the least window that ended within the last one.
     fn least_requests(&self, now: Moment) -> u64 {
         let part = self.terms.window / PARTS;
-        let length = self.terms.window.saturating_sub(KNOWN);
-        let windows = (0..=PARTS / 2).map(|parts| {
-            let end = now.saturating_sub(part * parts);
+        let length = self.terms.window.mul_f64(1.0 - LATE);
+        let windows = (0..=PARTS).map(|parts| {
+            let end = now.checked_sub(part * parts)?;
             let from = end.saturating_sub(length);
-            self.requests.between(from, end) + self.others.requests.between(from, end)
+            Some(self.requests.between(from, end.saturating_sub(part)))
         });
-        windows.min().unwrap_or(0)
+        windows.map(Option::unwrap_or_default).min().unwrap_or(0)
     }
 }
--- a/crates/policy/src/dispatch/budget/series.rs
+++ b/crates/policy/src/dispatch/budget/series.rs
@@ -4,8 +4,8 @@
 
 use types::prelude::*;
 
-/// Windows that are remembered: the one that ends now, and more than half of the one before.
-const REMEMBERED: f64 = 1.6;
+/// Windows that are remembered: the one that ends now, and the one before.
+const REMEMBERED: f64 = 2.1;
 
 /// How often something happened, and when.
 #[derive(Clone, Debug)]
--- a/crates/policy/src/dispatch/pump.rs
+++ b/crates/policy/src/dispatch/pump.rs
@@ -54,6 +54,7 @@
             }
         }
         self.tick_quotas(now, &mut changes);
+        self.ask_for_loans(now);
         changes
     }
 
--- a/crates/policy/src/fleet/notice.rs
+++ b/crates/policy/src/fleet/notice.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     demand::Report,
+    dispatch::loan,
     quota::{Message, News},
 };
 
@@ -97,6 +98,8 @@
     },
     /// Asks and grants of quotas; they are sent once.
     Quota(Message),
+    /// Asks and grants of retries; they are sent once.
+    Loan(loan::Message),
     /// What arrives at the sender, for the host that plans; sent once.
     Demand(Report),
     /// The sender holds the lease on orders and plans.
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -146,6 +146,11 @@
         self.servers.is_empty()
     }
 
+    /// Other live hosts.
+    pub fn others(&self) -> impl Iterator<Item = &host::Id> {
+        self.live.iter().filter(|host| **host != self.own)
+    }
+
     /// A server's limit.
     pub fn limit(&self, server: &str) -> Option<Rate> {
         self.book.limit(server)
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -257,8 +257,10 @@
         let mut dispatcher = self.dispatcher();
         let changes = dispatcher.pump(self.now());
         let quotas = dispatcher.quota_outgoing();
+        let loans = dispatcher.loans_outgoing();
         drop(dispatcher);
         self.send_quotas(quotas);
+        self.send_loans(loans);
         for News { ticket, verdict } in changes {
             if let Some(sender) = self.waiting().remove(&ticket) {
                 // One that has gone meanwhile has told the dispatcher.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -12,12 +12,7 @@
     fleet::{Departure, Heard, Lease, Notice, Part, Picture, Reach, Revision, State, Store, To},
 };
 use observe::story::{self, Belief, PeerStanding};
-use policy::{
-    dispatch::{self, Used, budget::KNOWN},
-    fleet::Standing,
-    quota::News,
-    term,
-};
+use policy::{dispatch, fleet::Standing, quota::News, term};
 use tokio::{
     sync::mpsc::{Receiver, UnboundedReceiver, unbounded_channel},
     time::sleep,
@@ -216,12 +211,7 @@
     }
     drop(term);
     let mut dispatcher = shared.dispatcher();
-    let heard = picture.hosts.iter().filter(|seen| seen.heard < KNOWN).count();
-    let count = |hosts| u32::try_from(hosts).unwrap_or(u32::MAX);
-    dispatcher.hosts(count(picture.live), count(heard));
-    for (service, used) in used(picture) {
-        dispatcher.others_used(service, used, now);
-    }
+    dispatcher.hosts(u32::try_from(picture.live).unwrap_or(u32::MAX));
     let marks: Vec<_> =
         picture.poison.iter().map(|(mark, crashes)| (*mark, u32::from(*crashes))).collect();
     dispatcher.mark(&PEERS.into(), &marks, now);
@@ -234,18 +224,6 @@
     }
 }
 
-/// What all others have used of each service's retry budget.
-fn used(picture: &Picture) -> BTreeMap<&service::Id, Used> {
-    let mut sums: BTreeMap<&service::Id, Used> = BTreeMap::new();
-    for (service, requests) in &picture.arrivals {
-        sums.entry(service).or_default().requests += requests;
-    }
-    for (service, retries) in &picture.retries {
-        sums.entry(service).or_default().retries += retries;
-    }
-    sums
-}
-
 /// Tells the planner what runs where.
 fn tell_running(shared: &Shared, picture: &Picture, own: &[dispatch::Work]) {
     let mut running: BTreeMap<(&backend::Id, &model::Id), u32> = BTreeMap::new();
@@ -353,6 +331,11 @@
                     shared.holder_heard(origin, fence);
                 }
             }
+            Notice::Loan(message) => {
+                if let Some(origin) = &heard.origin {
+                    shared.loan_received(origin, &message);
+                }
+            }
             Notice::Quota(message) => {
                 if let Some(origin) = &heard.origin {
                     shared.quota_received(origin, &message);
--- a/crates/relay/src/retries.rs
+++ b/crates/relay/src/retries.rs
@@ -1,8 +1,12 @@
-//! What is told of the retry budgets: metrics, and a line for each that was used or refused a retry.
+//! Retry budgets: loans between hosts, metrics, and a line for each budget that was used or refused a retry.
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use policy::dispatch::Account;
+use exchange::{
+    Exchange,
+    fleet::{Notice, Picture},
+};
+use policy::dispatch::{Account, loan::Message};
 use tokio::time::sleep;
 use types::prelude::*;
 
@@ -12,28 +16,51 @@
 const PAUSE: Duration = Duration::from_secs(5);
 
 /// Tells of the budgets until the process ends.
-pub(crate) async fn run(shared: Arc<Shared>) {
+pub(crate) async fn run(shared: Arc<Shared>, exchange: Arc<Exchange>) {
     let mut refused: BTreeMap<service::Id, u64> = BTreeMap::new();
     loop {
         sleep(PAUSE).await;
+        let others = exchange.fleet();
         for (service, account) in shared.retry_budgets() {
             let before = refused.insert(service.clone(), account.refused).unwrap_or_default();
             if account.retries != 0 || before < account.refused {
-                tell(&service, &account, account.refused - before);
+                tell(&service, &account, account.refused - before, &others);
             }
         }
     }
 }
 
-fn tell(service: &str, account: &Account, refused: u64) {
+fn tell(service: &str, account: &Account, refused: u64, others: &Picture) {
+    let told = |counts: &BTreeMap<service::Id, u64>| counts.get(service).copied().unwrap_or(0);
     log::info!(
         service, requests = account.requests, retries = account.retries, refused,
-        left = account.left, hosts = account.hosts;
+        left = account.left, hosts = account.hosts,
+        others_requests = told(&others.arrivals), others_retries = told(&others.retries);
         "retry budget"
     );
 }
 
 impl Shared {
+    /// Takes in another host's ask or loan.
+    pub(crate) fn loan_received(&self, from: &host::Id, message: &Message) {
+        let (mut dispatcher, now) = (self.dispatcher(), self.now());
+        dispatcher.loan_received(from, message, now);
+        let answers = dispatcher.loans_outgoing();
+        drop(dispatcher);
+        self.send_loans(answers);
+        self.dispatch_wakeup.notify_one();
+    }
+
+    /// Sends asks and loans.
+    pub(crate) fn send_loans(&self, messages: Vec<(host::Id, Message)>) {
+        let Some(exchange) = self.exchange() else { return };
+        for (to, message) in messages {
+            if let Err(error) = exchange.send_once(&to, Notice::Loan(message)) {
+                log::debug!(host = &*self.host.id; "{error}");
+            }
+        }
+    }
+
     /// Shows the retry budgets.
     pub(crate) fn measure_retries(&self) {
         for (service, account) in self.retry_budgets() {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -122,7 +122,7 @@
     tokio::spawn(lease::run(shared.clone()));
     tokio::spawn(planning::run(shared.clone()));
     tokio::spawn(pump(shared.clone()));
-    tokio::spawn(retries::run(shared.clone()));
+    tokio::spawn(retries::run(shared.clone(), exchange.clone()));
     tokio::spawn(sweep(shared.clone()));
     let callers = tokio::spawn(callers::listen(shared.clone(), callers, stop.clone()));
     tokio::spawn(peers::run(shared.clone(), exchange.clone()));
