Count hosts that have fallen silent among those that share the retry budget

Cause: after 20 s of silence a host counted itself alone and used the whole budget, as did each other one. Datagrams that don't pass are enough, for as long as they don't; the store lists all hosts meanwhile. Class: silence taken for absence, in a bound over all hosts. What callers saw: nothing; servers that failed got several times the retries that they bear. Ruled out: counting by the store's list (entries of machines that are gone stay there for good); asking the store each time. Change: the number of hosts is that which quotas go by: silence makes it no smaller, but for hosts that hear four fifths of all after 20 s, whose shares and those of the rest stay within the margin of a fifth; a goodbye does after 20 s. Where no host was ever heard, the store's list counts. a_host_that_sees_itself_alone_keeps_to_its_share_for_a_while stated the fault as wanted (more is granted after 25 s than after 15); in its place stand a_host_that_hears_nobody_keeps_to_its_share (15, 25 and 600 s alike), and what may still raise a share, a goodbye and hosts that hear nearly all. Conclusion: hosts that hear nothing keep the budget. What it costs: a host that outlives more than a fifth of the others for good keeps its part of the extra as it was; its part of the ratio grows with its requests.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -22,6 +22,7 @@
 mod queue;
 mod quota;
 mod server;
+mod sharers;
 mod stats;
 mod task;
 mod watch;
@@ -54,7 +55,9 @@
     pump::Missing,
     routes::{Routes, split},
 };
-use self::{budget::Budget, fleet::Fleet, held::Absence, loans::Desk, task::Task};
+use self::{
+    budget::Budget, fleet::Fleet, held::Absence, loans::Desk, sharers::Sharers, task::Task,
+};
 use crate::{
     quota::Quotas,
     route::hints::{self, Hints},
@@ -69,7 +72,7 @@
 /// How long a server is thought to keep a part of a prompt.
 const HINT_LIFE: Duration = Duration::from_secs(60);
 
-/// How long fewer hosts are seen before they share the retry budget among themselves.
+/// How long fewer hosts are seen before they count.
 const FEWER: Duration = Duration::from_secs(20);
 
 /// Most hosts that hear of each other's requests so soon that they don't crowd a server.
@@ -84,7 +87,7 @@
     pub run: host::Incarnation,
     /// The host's availability zone.
     pub zone: availability::Id,
-    /// Hosts that share the retry budget.
+    /// Hosts that there are until others are known.
     pub hosts: u32,
     /// Terms of the retry budget.
     pub retries: Terms,
@@ -93,8 +96,10 @@
 /// All decisions about routed requests on one host.
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
-    /// Hosts that share the servers and the retry budget.
+    /// Hosts that share the servers.
     hosts: u32,
+    /// Hosts that share the retry budgets.
+    sharers: Sharers,
     /// Fewer hosts that there seem to be, and since when.
     fewer: Option<(u32, Moment)>,
     version: Option<routed::Version>,
@@ -117,6 +122,7 @@
         let bounds = hints::Bounds { generation: HINTS, life: HINT_LIFE, block_tokens: 1 };
         Dispatcher {
             hosts: settings.hosts.max(1),
+            sharers: Sharers::new(settings.hosts),
             fewer: None,
             version: None,
             routes: Routes::default(),
@@ -154,10 +160,7 @@
         self.routes.find(host, path)
     }
 
-    /// So many hosts share the retry budget.
-    ///
-    /// More count at once, fewer only after [`FEWER`]: a host that is cut off sees itself alone, and
-    /// the others still use their parts of the extra.
+    /// So many hosts share the servers. More count at once, fewer only after [`FEWER`].
     pub fn hosts(&mut self, count: u32) {
         let count = count.max(1);
         self.fewer = match self.fewer {
@@ -265,7 +268,7 @@
     /// How the retry budget of each service stands on this host.
     pub fn retry_budgets(&self, now: Moment) -> Vec<(service::Id, Account)> {
         let services = self.fleet.services.iter();
-        let account = |budget: &Budget| budget.account(self.hosts, now);
+        let account = |budget: &Budget| budget.account(self.sharers.count(), now);
         services.map(|service| (service.id.clone(), account(&service.budget))).collect()
     }
 
--- a/crates/policy/src/dispatch/quota.rs
+++ b/crates/policy/src/dispatch/quota.rs
@@ -72,18 +72,20 @@
         self.quotas.outgoing()
     }
 
-    /// Takes in the other hosts that are known, whether each is heard, and which of all take part.
-    pub fn quota_hosts<'a>(
+    /// Takes in the other hosts that are known, whether each is heard, and which of all take part in what
+    /// hosts share: quotas and retry budgets.
+    pub fn share_among<'a>(
         &mut self,
         known: impl Iterator<Item = (&'a host::Id, bool)>,
         live: Vec<host::Id>,
         now: Moment,
     ) {
         self.quotas.hosts(known, live, now);
+        self.sharers.see(self.quotas.sharers(), now);
     }
 
     /// Sets how many hosts the store lists, whether or not they run.
-    pub fn quota_listed(&mut self, hosts: u32) {
+    pub fn share_listed(&mut self, hosts: u32) {
         self.quotas.listed(hosts);
     }
 
--- /dev/null
+++ b/crates/policy/src/dispatch/sharers.rs
@@ -0,0 +1,41 @@
+//! How many hosts share the retry budgets.
+//!
+//! More count at once, fewer only after a while: a host that has left may have spent its share just
+//! before, and that still counts in the windows to come.
+
+use std::collections::VecDeque;
+
+use types::prelude::*;
+
+/// How long fewer hosts are seen before they share the budgets among themselves.
+const FEWER: Duration = Duration::from_secs(20);
+
+/// The largest number of hosts seen lately.
+#[derive(Clone, Debug)]
+pub(super) struct Sharers {
+    /// Falling numbers, and when each was last seen.
+    counts: VecDeque<(Moment, u32)>,
+}
+
+impl Sharers {
+    /// Begins with a number that holds until others are known for a while.
+    pub(super) fn new(count: u32) -> Sharers {
+        Sharers { counts: [(Duration::ZERO, count.max(1))].into() }
+    }
+
+    /// Takes in the number of hosts seen now.
+    pub(super) fn see(&mut self, count: u32, now: Moment) {
+        while self.counts.back().is_some_and(|(_, other)| *other <= count) {
+            self.counts.pop_back();
+        }
+        self.counts.push_back((now, count.max(1)));
+        while self.counts.front().is_some_and(|(seen, _)| *seen + FEWER <= now) {
+            self.counts.pop_front();
+        }
+    }
+
+    /// The number that counts.
+    pub(super) fn count(&self) -> u32 {
+        self.counts.front().map_or(1, |(_, count)| *count)
+    }
+}
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -146,6 +146,12 @@
         self.servers.is_empty()
     }
 
+    /// Hosts that share each quota, this one among them. Silence makes them no fewer, but for hosts that hear nearly
+    /// all others.
+    pub fn sharers(&self) -> u32 {
+        self.members.count()
+    }
+
     /// Other live hosts.
     pub fn others(&self) -> impl Iterator<Item = &host::Id> {
         self.live.iter().filter(|host| **host != self.own)
--- a/crates/policy/tests/dispatch/repeat.rs
+++ b/crates/policy/tests/dispatch/repeat.rs
@@ -4,7 +4,7 @@
     Again, Answer, Ask, Cause, Change, Dispatcher, End, NotRun, Unclear, Unreachable, Verdict,
 };
 use rstest::rstest;
-use types::routed::Kind;
+use types::{host, routed::Kind};
 
 use crate::fixture::{ask, at, generation, host, plain, sent, server};
 
@@ -123,14 +123,27 @@
     assert!(matches!(one(REFUSED), Again::Send(_)));
 }
 
-/// Retries that are granted at once, after so many looks at the fleet of a host that then sees
-/// itself alone.
-fn granted_alone(seconds: u64) -> usize {
+/// What a host is told of the four others in each second.
+#[derive(Clone, Copy)]
+enum Others {
+    /// So many are heard, and the rest is silent.
+    Heard(usize),
+    /// All have said goodbye.
+    Gone,
+}
+
+/// Retries that are granted at once, after so many seconds in which others were heard or not.
+fn granted_after(seconds: u64, others: Others) -> usize {
     let mut host = servers();
-    host.hosts(10);
+    let names: Vec<host::Id> = (1..5).map(|number| format!("h{number}").into()).collect();
+    host.share_among(names.iter().map(|name| (name, true)), names.clone(), at(0));
     for second in 0..=seconds {
-        host.pump(at(second * 1_000));
-        host.hosts(1);
+        let known = names.iter().enumerate();
+        let known = known.filter_map(|(number, name)| match others {
+            Others::Heard(count) => Some((name, number < count)),
+            Others::Gone => None,
+        });
+        host.share_among(known, vec!["a".into()], at(second * 1_000));
     }
     let now = at(seconds * 1_000);
     let granted = (0..60).filter(|ticket| {
@@ -143,8 +156,23 @@
 }
 
 #[rstest]
-fn a_host_that_sees_itself_alone_keeps_to_its_share_for_a_while() {
-    assert!(granted_alone(15) * 2 < granted_alone(25));
+fn a_host_that_hears_nobody_keeps_to_its_share(#[values(15, 25, 600)] seconds: u64) {
+    let share = granted_after(0, Others::Heard(4));
+    assert!(0 < share);
+    assert_eq!(granted_after(seconds, Others::Heard(0)), share);
+    assert_eq!(granted_after(seconds, Others::Heard(2)), share);
+}
+
+#[rstest]
+fn a_host_that_hears_nearly_all_others_shares_with_them_after_a_while() {
+    let share = granted_after(0, Others::Heard(4));
+    assert_eq!(granted_after(35, Others::Heard(3)), share);
+    assert!(share < granted_after(45, Others::Heard(3)));
+}
+
+#[rstest]
+fn the_share_of_a_host_that_has_said_goodbye_is_used_after_a_while() {
+    assert!(granted_after(15, Others::Gone) * 2 < granted_after(25, Others::Gone));
 }
 
 #[rstest]
--- a/crates/policy/tests/dispatch/retries.rs
+++ b/crates/policy/tests/dispatch/retries.rs
@@ -210,7 +210,7 @@
             .collect();
         let dispatcher = &mut self.hosts[host].dispatcher;
         dispatcher.hosts(live.len() as u32);
-        dispatcher.quota_hosts(known, live, now);
+        dispatcher.share_among(known, live, now);
         let arrived = self.messages.remove(&(self.step, host)).unwrap_or_default();
         for (from, message) in arrived.into_iter().filter(|_| !is_deaf) {
             self.hosts[host].dispatcher.loan_received(&name(from), &message, now);
@@ -291,6 +291,17 @@
 /// A service that is little asked for, all of whose requests fail.
 const FAILING: Second = Second { requests: 1, pause: 9, fails: true, ..CALM };
 
+#[rstest]
+#[case::for_15_s(15)]
+#[case::for_25_s(25)]
+#[case::for_60_s(60)]
+fn hosts_that_do_not_hear_each_other_keep_the_budget_together(#[case] cut: usize) {
+    let deaf = Second { is_deaf: true, ..CALM };
+    let failing = Second { is_deaf: true, ..FAILING };
+    let plan = Plan::new(6, [seconds(15, CALM), seconds(cut, deaf), seconds(15, failing)].concat());
+    assert_eq!(World::new(plan).play().excess(), None);
+}
+
 #[rstest]
 fn hosts_keep_the_budget_while_what_they_tell_each_other_is_late(#[values(5, 20, 60)] late: usize) {
     let failing = Second { requests: 2, pause: 0, ..FAILING };
--- a/crates/relay/src/quotas.rs
+++ b/crates/relay/src/quotas.rs
@@ -53,7 +53,7 @@
         let others = picture.hosts.iter().filter(|seen| seen.standing == Standing::Live);
         let own = (!self.is_leaving()).then(|| self.host.id.clone());
         let live = others.map(|seen| seen.member.id.clone()).chain(own).collect();
-        self.dispatcher().quota_hosts(known, live, self.now());
+        self.dispatcher().share_among(known, live, self.now());
         for (server, news) in &picture.limits {
             self.limit_heard(server, *news, &crate::workload::PEERS.into());
         }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -211,7 +211,7 @@
         if let Some(page) = shared.store.list(Kind::Host).await {
             let read = |object: &Object| object.content.as_str()?.parse().ok();
             let listed = u32::try_from(page.objects.len()).unwrap_or(u32::MAX);
-            shared.dispatcher().quota_listed(listed);
+            shared.dispatcher().share_listed(listed);
             exchange.introduce(page.objects.iter().filter_map(read));
             let own = page.objects.iter().find(|object| &*object.name == name);
             let call = match own {
