Give a run of a host its part of the retries' extra once no earlier run's can count

Cause: a host that starts knows neither what its earlier run has spent in the window nor what others have, and had its part of the extra at once. Killed and started in a series, each run spent it. Class: state that a bound needs, lost with the process. Servers got more retries than they bear. Ruled out: telling peers before each retry (a message before each, and the last ones before a kill are still lost); reading what was spent from the store (a write for each window and host); nothing for any new run (hosts that start for the first time had no retries for a window). Change: a run that the store did not know by its name has its part at once; a later one, one window after its start; one that isn't registered, none. Its part of the ratio rests on its own requests and needs no wait. Conclusion: restarts in any series keep the budget.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -93,6 +93,15 @@
     pub retries: Terms,
 }
 
+/// A run of a host, as the store knows its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Run {
+    /// The first under this name.
+    First,
+    /// A later one, which doesn't know what the one before has spent.
+    Later,
+}
+
 /// All decisions about routed requests on one host.
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
@@ -100,6 +109,8 @@
     hosts: u32,
     /// Hosts that share the retry budgets.
     sharers: Sharers,
+    /// Length of the retry budgets' window.
+    window: Duration,
     /// Fewer hosts that there seem to be, and since when.
     fewer: Option<(u32, Moment)>,
     version: Option<routed::Version>,
@@ -123,6 +134,7 @@
         Dispatcher {
             hosts: settings.hosts.max(1),
             sharers: Sharers::new(settings.hosts),
+            window: settings.retries.window,
             fewer: None,
             version: None,
             routes: Routes::default(),
@@ -178,6 +190,15 @@
         }
     }
 
+    /// The store knows this run by its name, so that the next one is a later one. A run that isn't known has no part of
+    /// the retries besides those for its requests.
+    pub fn registered(&mut self, run: Run) {
+        self.sharers.begin(match run {
+            Run::First => Duration::ZERO,
+            Run::Later => self.window,
+        });
+    }
+
     /// What a server says of itself.
     pub fn server(&mut self, server: &routed::Server, now: Moment) {
         let index = self.fleet.put(server, now);
@@ -268,7 +289,7 @@
     /// How the retry budget of each service stands on this host.
     pub fn retry_budgets(&self, now: Moment) -> Vec<(service::Id, Account)> {
         let services = self.fleet.services.iter();
-        let account = |budget: &Budget| budget.account(self.sharers.count(), now);
+        let account = |budget: &Budget| budget.account(self.sharers.part(), now);
         services.map(|service| (service.id.clone(), account(&service.budget))).collect()
     }
 
--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -132,12 +132,12 @@
     /// Whether another attempt is allowed and paid for, or else why not.
     pub(super) fn may_repeat(&mut self, task: &Task, end: End, now: Moment) -> Result<(), Cause> {
         self.is_of_use(task, end, now)?;
-        let (need, hosts) = (task.need(), self.sharers.count());
+        let (need, part) = (task.need(), self.sharers.part());
         let budget = &mut self.fleet.services[task.service as usize].budget;
         match end {
             // No byte reached a server, so nothing arrived beyond the first.
             End::Unreachable(_) => Ok(()),
-            _ => budget.withdraw(need, hosts, now).ok_or(Cause::Budget),
+            _ => budget.withdraw(need, part, now).ok_or(Cause::Budget),
         }
     }
 
--- a/crates/policy/src/dispatch/budget.rs
+++ b/crates/policy/src/dispatch/budget.rs
@@ -11,7 +11,8 @@
 //! of the steady part and twice the recent one at one or less, the hosts' shares add up to no more than
 //! the ratio, also where hosts are asked one after the other.
 //!
-//! The extra is shared equally. What a host doesn't need of its share it may lend ([`loan`]).
+//! The extra is shared equally. An earlier run of a host may have spent its part just before its end, and nobody knows;
+//! so a later run has none for one window. What a host doesn't need of its share it may lend ([`loan`]).
 
 pub mod loan;
 
@@ -102,6 +103,15 @@
     pub hosts: u32,
 }
 
+/// A host's part of the extra.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Hosts that have one.
+    pub hosts: u32,
+    /// From when on this run of the host has its own.
+    pub from: Option<Moment>,
+}
+
 /// One service's budget on one host.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -144,9 +154,9 @@
     }
 
     /// Takes one retry out if there is one left.
-    pub fn withdraw(&mut self, need: Need, hosts: u32, now: Moment) -> Option<()> {
+    pub fn withdraw(&mut self, need: Need, part: Part, now: Moment) -> Option<()> {
         self.wanted = Some(now);
-        if self.own_left(need, hosts, now) < 1.0 {
+        if self.own_left(need, part, now) < 1.0 {
             let borrowed = self.borrowed.take(now);
             self.refused += u64::from(borrowed.is_none());
             self.used.retries += u64::from(borrowed.is_some());
@@ -158,8 +168,8 @@
     }
 
     /// Lends so many retries at the most, and returns how many.
-    pub fn lend(&mut self, wanted: u32, hosts: u32, now: Moment) -> u32 {
-        let spare = self.own_left(Need::Usual, hosts, now).max(0.0) * LENDS;
+    pub fn lend(&mut self, wanted: u32, part: Part, now: Moment) -> u32 {
+        let spare = self.own_left(Need::Usual, part, now).max(0.0) * LENDS;
         let lent = wanted.min(spare as u32);
         self.lent.expire(now);
         self.lent.add(lent, now + LENT + self.terms.window);
@@ -173,35 +183,35 @@
     }
 
     /// Whether retries are wanted and few are left.
-    pub fn is_short(&self, hosts: u32, now: Moment) -> bool {
+    pub fn is_short(&self, part: Part, now: Moment) -> bool {
         let is_wanted = self.wanted.is_some_and(|at| now < at + WANTED);
-        is_wanted && self.left(Need::Usual, hosts, now) < FEW
+        is_wanted && self.left(Need::Usual, part, now) < FEW
     }
 
     /// Retries that are left, borrowed ones among them.
-    pub fn left(&self, need: Need, hosts: u32, now: Moment) -> f64 {
+    pub fn left(&self, need: Need, part: Part, now: Moment) -> f64 {
         let borrowed = f64::from(self.borrowed.count(now));
-        self.own_left(need, hosts, now).max(0.0) + borrowed
+        self.own_left(need, part, now).max(0.0) + borrowed
     }
 
     /// What is left of this host's own share; below none if it has shrunk.
-    fn own_left(&self, need: Need, hosts: u32, now: Moment) -> f64 {
+    fn own_left(&self, need: Need, part: Part, now: Moment) -> f64 {
         let kept = match need {
             Need::Usual => 1.0 - RESERVED,
             Need::Great => 1.0,
         };
         let used = self.retries.last(now) as f64 + f64::from(self.lent.count(now));
-        self.share(hosts, now) * kept - used
+        self.share(part, now) * kept - used
     }
 
     /// How it stands.
-    pub fn account(&self, hosts: u32, now: Moment) -> Account {
+    pub fn account(&self, part: Part, now: Moment) -> Account {
         Account {
             requests: self.requests.last(now),
             retries: self.retries.last(now),
             refused: self.refused,
-            left: self.left(Need::Great, hosts, now).max(0.0),
-            hosts,
+            left: self.left(Need::Great, part, now).max(0.0),
+            hosts: part.hosts,
         }
     }
 
@@ -210,12 +220,13 @@
         self.used
     }
 
-    /// What this host may use in a window, of what so many hosts share.
-    fn share(&self, hosts: u32, now: Moment) -> f64 {
+    /// What this host may use in a window.
+    fn share(&self, part: Part, now: Moment) -> f64 {
         let steady = STEADY * self.least_requests(now) as f64;
         let recent = RECENT * self.requests.last(now) as f64;
-        let extra = self.terms.extra * MARGIN / f64::from(hosts.max(1));
-        self.terms.ratio * (steady + recent) + extra
+        let extra = self.terms.extra * MARGIN / f64::from(part.hosts.max(1));
+        let has_part = part.from.is_some_and(|from| from <= now);
+        self.terms.ratio * (steady + recent) + if has_part { extra } else { 0.0 }
     }
 
     /// Requests of the least window that ended within the last one.
--- a/crates/policy/src/dispatch/loans.rs
+++ b/crates/policy/src/dispatch/loans.rs
@@ -48,9 +48,9 @@
         let service = self.fleet.service(&message.service);
         match message.content {
             Content::Ask(wanted) => {
-                let hosts = self.sharers.count();
+                let part = self.sharers.part();
                 let budget = &mut self.fleet.services[service as usize].budget;
-                let lent = budget.lend(wanted, hosts, now);
+                let lent = budget.lend(wanted, part, now);
                 let answer = Message { content: Content::Grant(lent), ..message.clone() };
                 self.loans.outgoing.push((from.clone(), answer));
             }
@@ -74,9 +74,9 @@
 
     /// Asks the next host for each service that is short of retries.
     pub(super) fn ask_for_loans(&mut self, now: Moment) {
-        let hosts = self.sharers.count();
+        let part = self.sharers.part();
         let services = self.fleet.services.iter().enumerate();
-        let short = services.filter(|(_, service)| service.budget.is_short(hosts, now));
+        let short = services.filter(|(_, service)| service.budget.is_short(part, now));
         let short: Vec<(Index, service::Id)> =
             short.map(|(index, service)| (index as Index, service.id.clone())).collect();
         for (index, service) in short {
--- a/crates/policy/src/dispatch/sharers.rs
+++ b/crates/policy/src/dispatch/sharers.rs
@@ -7,12 +7,16 @@
 
 use types::prelude::*;
 
+use super::budget::Part;
+
 /// How long fewer hosts are seen before they share the budgets among themselves.
 const FEWER: Duration = Duration::from_secs(20);
 
-/// The largest number of hosts seen lately.
+/// The largest number of hosts seen lately, and this run's part of what they share.
 #[derive(Clone, Debug)]
 pub(super) struct Sharers {
+    /// From when on this run has a part.
+    from: Option<Moment>,
     /// Falling numbers, and when each was last seen.
     counts: VecDeque<(Moment, u32)>,
 }
@@ -20,7 +24,7 @@
 impl Sharers {
     /// Begins with a number that holds until others are known for a while.
     pub(super) fn new(count: u32) -> Sharers {
-        Sharers { counts: [(Duration::ZERO, count.max(1))].into() }
+        Sharers { from: None, counts: [(Duration::ZERO, count.max(1))].into() }
     }
 
     /// Takes in the number of hosts seen now.
@@ -34,8 +38,14 @@
         }
     }
 
-    /// The number that counts.
-    pub(super) fn count(&self) -> u32 {
-        self.counts.front().map_or(1, |(_, count)| *count)
+    /// This run has a part from then on.
+    pub(super) fn begin(&mut self, from: Moment) {
+        self.from.get_or_insert(from);
+    }
+
+    /// This host's part of the extra.
+    pub(super) fn part(&self) -> Part {
+        let hosts = self.counts.front().map_or(1, |(_, count)| *count);
+        Part { hosts, from: self.from }
     }
 }
--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -90,7 +90,7 @@
         self.is_of_use(&task, SILENCE, now).ok()?;
         let budget = &self.fleet.services[task.service as usize].budget;
         let Outcome::Send(choice) = self.choose(&task, now) else { return None };
-        (1.0 <= budget.left(task.need(), self.sharers.count(), now)).then_some((task, choice))
+        (1.0 <= budget.left(task.need(), self.sharers.part(), now)).then_some((task, choice))
     }
 
     /// Takes a request from a server that is silent to another one, which it returns. Nothing changes if
--- a/crates/policy/tests/dispatch/budget.rs
+++ b/crates/policy/tests/dispatch/budget.rs
@@ -3,7 +3,7 @@
 use policy::dispatch::{
     Terms,
     budget::{
-        Budget, Need,
+        Budget, Need, Part,
         loan::{PORTION, USABLE},
     },
 };
@@ -15,8 +15,14 @@
 
 const TERMS: Terms = Terms { ratio: 0.2, extra: 50.0, window: Duration::from_secs(10) };
 
+/// A part of a run that has it from its start on.
+fn part(hosts: u32) -> Part {
+    Part { hosts, from: Some(at(0)) }
+}
+
 fn spend(budget: &mut Budget, hosts: u32, now: Moment) -> u32 {
-    (0..1000).take_while(|_| budget.withdraw(Need::Great, hosts, now).is_some()).count() as u32
+    (0..1000).take_while(|_| budget.withdraw(Need::Great, part(hosts), now).is_some()).count()
+        as u32
 }
 
 #[rstest]
@@ -28,7 +34,7 @@
 #[rstest]
 fn a_part_is_kept_for_what_would_be_lost() {
     let mut budget = Budget::new(TERMS);
-    let withdraw = |budget: &mut Budget| budget.withdraw(Need::Usual, 1, at(0));
+    let withdraw = |budget: &mut Budget| budget.withdraw(Need::Usual, part(1), at(0));
     let usual = (0..1000).take_while(|_| withdraw(&mut budget).is_some()).count();
     assert!(0 < usual && 0 < spend(&mut budget, 1, at(0)));
 }
@@ -41,6 +47,21 @@
     assert_eq!(spend(&mut budget, 1, at(10_001)), first);
 }
 
+#[rstest]
+#[case(None, 9_999)]
+#[case(None, 60_000)]
+#[case(Some(10_000), 9_999)]
+fn a_run_that_has_no_part_yet_has_retries_for_its_requests_alone(
+    #[case] from: Option<u64>,
+    #[case] now: u64,
+) {
+    let part = Part { hosts: 1, from: from.map(at) };
+    let mut budget = Budget::new(TERMS);
+    assert_eq!(budget.withdraw(Need::Great, part, at(now)), None);
+    (0..100).for_each(|_| budget.request(at(now)));
+    assert!(budget.withdraw(Need::Great, part, at(now)).is_some());
+}
+
 /// Three idle hosts lend what they have to a fourth, which asks each in turn.
 #[rstest]
 fn a_host_may_pass_its_share_while_others_lend_theirs() {
@@ -51,7 +72,7 @@
         .map(|turn| {
             let now = at(turn * 10);
             for lender in &mut lenders {
-                borrower.borrow(lender.lend(PORTION, 4, now), now + USABLE, now);
+                borrower.borrow(lender.lend(PORTION, part(4), now), now + USABLE, now);
             }
             spend(&mut borrower, 4, now)
         })
@@ -66,7 +87,7 @@
 #[case(12_001, true)]
 fn what_is_lent_is_not_used_by_the_lender(#[case] later: u64, #[case] is_back: bool) {
     let mut lender = Budget::new(TERMS);
-    let lent: u32 = (0..100).map(|_| lender.lend(PORTION, 1, at(0))).sum();
+    let lent: u32 = (0..100).map(|_| lender.lend(PORTION, part(1), at(0))).sum();
     assert!(0 < lent);
     let whole = spend(&mut Budget::new(TERMS), 1, at(0));
     let expected = if is_back { whole } else { whole - lent };
@@ -86,7 +107,7 @@
 fn a_host_that_is_short_lends_nothing() {
     let mut budget = Budget::new(TERMS);
     spend(&mut budget, 4, at(0));
-    assert_eq!(budget.lend(PORTION, 4, at(0)), 0);
+    assert_eq!(budget.lend(PORTION, part(4), at(0)), 0);
 }
 
 /// Requests and retries that are asked for, by host, at steps of 50 ms.
@@ -147,9 +168,9 @@
             let lender = (host + 1 + step % demand_len) % demand_len;
             if let Some(lost) = lost
                 && lender != host
-                && budgets[host].is_short(all, now)
+                && budgets[host].is_short(part(all), now)
             {
-                let lent = budgets[lender].lend(PORTION, all, now);
+                let lent = budgets[lender].lend(PORTION, part(all), now);
                 if !lost[(step + host) % lost.len()] {
                     budgets[host].borrow(lent, now + USABLE, now);
                 }
@@ -158,7 +179,8 @@
             let (arrived, wanted) = demand.get(step).copied().unwrap_or_default();
             (0..arrived).for_each(|_| budget.request(now));
             requests[step] += arrived;
-            let granted = (0..wanted).filter(|_| budget.withdraw(Need::Great, all, now).is_some());
+            let granted =
+                (0..wanted).filter(|_| budget.withdraw(Need::Great, part(all), now).is_some());
             retries[step] += granted.count() as u32;
         }
     }
--- a/crates/policy/tests/dispatch/fixture.rs
+++ b/crates/policy/tests/dispatch/fixture.rs
@@ -1,6 +1,6 @@
 //! A host with a few servers, and requests for them.
 
-use policy::dispatch::{Ask, Dispatcher, Settings, Terms, Ticket, Verdict};
+use policy::dispatch::{Ask, Dispatcher, Run, Settings, Terms, Ticket, Verdict};
 use types::{
     prelude::*,
     routed::{Held, Kind, Report, Route, Server, Share, State},
@@ -14,13 +14,15 @@
 }
 
 pub fn host() -> Dispatcher {
-    Dispatcher::new(Settings {
+    let mut host = Dispatcher::new(Settings {
         host: "a".into(),
         run: 1,
         zone: "a".into(),
         hosts: 1,
         retries: Terms::default(),
-    })
+    });
+    host.registered(Run::First);
+    host
 }
 
 /// One of so many hosts that all hear each other, with these servers.
@@ -33,6 +35,7 @@
         hosts,
         retries: Terms::default(),
     });
+    host.registered(Run::First);
     host.hosts(hosts);
     servers.for_each(|server| host.server(&server, at(0)));
     host
--- a/crates/policy/tests/dispatch/play.rs
+++ b/crates/policy/tests/dispatch/play.rs
@@ -6,7 +6,7 @@
 };
 
 use policy::dispatch::{
-    Again, Ask, Dispatcher, End, NotRun, Settings, Terms, Ticket, Verdict, Work,
+    Again, Ask, Dispatcher, End, NotRun, Run, Settings, Terms, Ticket, Verdict, Work,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -89,6 +89,7 @@
                 hosts,
                 retries: Terms::default(),
             });
+            host.registered(Run::First);
             for n in 0..play.servers {
                 let told = server(&id(n), zones[n % zones.len()], &[]);
                 host.server(&types::routed::Server { slots: SLOTS as u32, ..told }, Duration::ZERO);
--- a/crates/policy/tests/dispatch/retries.rs
+++ b/crates/policy/tests/dispatch/retries.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use policy::dispatch::{
-    Again, Answer, Ask, Cause, Dispatcher, End, Settings, Terms, Ticket, Unclear, Verdict,
+    Again, Answer, Ask, Cause, Dispatcher, End, Run, Settings, Terms, Ticket, Unclear, Verdict,
     loan::Message,
 };
 use rstest::rstest;
@@ -76,14 +76,15 @@
 }
 
 impl Host {
-    fn start(place: usize, hosts: usize, born: Moment) -> Host {
-        let dispatcher = Dispatcher::new(Settings {
+    fn start(place: usize, hosts: usize, born: Moment, run: Run) -> Host {
+        let mut dispatcher = Dispatcher::new(Settings {
             host: name(place),
             run: 1,
             zone: "a".into(),
             hosts: hosts as u32,
             retries: Terms::default(),
         });
+        dispatcher.registered(run);
         Host { dispatcher, born, flights: BTreeMap::new() }
     }
 }
@@ -106,7 +107,9 @@
 
 impl World {
     fn new(plan: Plan) -> World {
-        let hosts = (0..plan.hosts).map(|place| Host::start(place, plan.hosts, at(0))).collect();
+        let hosts = (0..plan.hosts)
+            .map(|place| Host::start(place, plan.hosts, at(0), Run::First))
+            .collect();
         let mut world = World {
             plan,
             hosts,
@@ -191,7 +194,7 @@
     }
 
     fn restart(&mut self, place: usize) {
-        self.hosts[place] = Host::start(place, self.plan.hosts, self.now());
+        self.hosts[place] = Host::start(place, self.plan.hosts, self.now(), Run::Later);
         self.see(place);
     }
 
@@ -302,6 +305,23 @@
     assert_eq!(World::new(plan).play().excess(), None);
 }
 
+/// Hosts that are restarted one after the other, so many times each.
+fn restarted(times: usize, gap: usize) -> Plan {
+    let mut plan =
+        Plan::new(6, [seconds(20, CALM), seconds(20, FAILING), seconds(10, CALM)].concat());
+    let restart = |n: usize| (22 * STEPS_A_SECOND + n * gap, n % 6);
+    plan.restarts = (0..6 * times).map(restart).collect();
+    plan
+}
+
+#[rstest]
+fn hosts_that_are_restarted_keep_the_budget_of_their_earlier_runs(
+    #[values(1, 2, 3)] times: usize,
+    #[values(0, 2, 10)] gap: usize,
+) {
+    assert_eq!(World::new(restarted(times, gap)).play().excess(), None);
+}
+
 #[rstest]
 fn hosts_keep_the_budget_while_what_they_tell_each_other_is_late(#[values(5, 20, 60)] late: usize) {
     let failing = Second { requests: 2, pause: 0, ..FAILING };
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -7,6 +7,7 @@
     Metrics,
     story::{self, Belief, Word},
 };
+use policy::dispatch::Run;
 use settings::process::{Process, Routed};
 use tokio::{net::TcpListener, select, task::JoinHandle, time::sleep};
 use tokio_util::sync::CancellationToken;
@@ -214,8 +215,11 @@
             shared.dispatcher().share_listed(listed);
             exchange.introduce(page.objects.iter().filter_map(read));
             let own = page.objects.iter().find(|object| &*object.name == name);
+            let run = if own.is_some() { Run::Later } else { Run::First };
             let call = match own {
-                Some(object) if object.content == content => return,
+                Some(object) if object.content == content => {
+                    return shared.dispatcher().registered(Run::Later);
+                }
                 Some(object) => {
                     let revision = object.revision;
                     Call::Replace { kind: Kind::Host, name, revision, content: &content }
@@ -223,7 +227,7 @@
                 None => Call::Create { kind: Kind::Host, name, content: &content },
             };
             if let Told::Object(_) = shared.store.call(&call).await {
-                return;
+                return shared.dispatcher().registered(run);
             }
         }
         sleep(INTRODUCE).await;
