Look at the list of hosts again after the start, and each minute

Cause: the store's list was read once, while other hosts had not registered themselves; hosts that start together and never hear each other then counted too few. Ruled out: more hosts by default (a small deployment would have hardly a retry for 20 s). Change: the list is read after 2 s and each minute; hosts that were never heard count by it. An entry that has gone is written again. The stand-in store of relay's tests takes registrations, as the users' does. Conclusion: entries of machines that are gone for good still count until something takes them out; nothing does yet.

--- a/crates/policy/src/dispatch/quota.rs
+++ b/crates/policy/src/dispatch/quota.rs
@@ -87,6 +87,7 @@
     /// Sets how many hosts the store lists, whether or not they run.
     pub fn share_listed(&mut self, hosts: u32) {
         self.quotas.listed(hosts);
+        self.sharers.list(hosts);
     }
 
     fn limit_changed(&mut self, id: &backend::Id, change: quota::Change, now: Moment) {
@@ -207,7 +208,7 @@
             }
         }
         for (service, key, after) in refused {
-            self.take(service, key);
+            self.drop_waiting(service, key);
             let verdict = Verdict::Refuse { cause: Cause::Limit, after };
             changes.push(Change { ticket: key.ticket, verdict });
         }
--- a/crates/policy/src/dispatch/sharers.rs
+++ b/crates/policy/src/dispatch/sharers.rs
@@ -17,6 +17,8 @@
 pub(super) struct Sharers {
     /// From when on this run has a part.
     from: Option<Moment>,
+    /// Hosts that the store lists.
+    listed: u32,
     /// Falling numbers, and when each was last seen.
     counts: VecDeque<(Moment, u32)>,
 }
@@ -24,11 +26,17 @@
 impl Sharers {
     /// Begins with a number that holds until others are known for a while.
     pub(super) fn new(count: u32) -> Sharers {
-        Sharers { from: None, counts: [(Duration::ZERO, count.max(1))].into() }
+        Sharers { from: None, listed: 0, counts: [(Duration::ZERO, count.max(1))].into() }
     }
 
-    /// Takes in the number of hosts seen now.
+    /// Sets how many hosts the store lists, whether or not they run.
+    pub(super) fn list(&mut self, hosts: u32) {
+        self.listed = hosts;
+    }
+
+    /// Takes in the number of hosts known now; those that were never heard count by the store's list.
     pub(super) fn see(&mut self, count: u32, now: Moment) {
+        let count = count.max(self.listed);
         while self.counts.back().is_some_and(|(_, other)| *other <= count) {
             self.counts.pop_back();
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 mod pool;
 mod quotas;
 mod ready;
+mod registration;
 mod retries;
 mod run;
 mod servers;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -7,7 +7,6 @@
     Metrics,
     story::{self, Belief, Word},
 };
-use policy::dispatch::Run;
 use settings::process::{Process, Routed};
 use tokio::{net::TcpListener, select, task::JoinHandle, time::sleep};
 use tokio_util::sync::CancellationToken;
@@ -17,11 +16,11 @@
     callers,
     clock::Clock,
     demand,
-    edge::{Call, Dialect, Kind, Object, Told},
+    edge::Dialect,
     host::Shared,
     lease,
     peers::{self, Answers},
-    planning, ready, retries, watch, workload,
+    planning, ready, registration, retries, watch, workload,
 };
 
 /// Part of the grace after which what is still in flight is given up.
@@ -33,9 +32,6 @@
 /// Time for the balancer to see that this host is not ready.
 const BALANCER: Duration = Duration::from_millis(2500);
 
-/// Pause before the store is asked again for the other hosts.
-const INTRODUCE: Duration = Duration::from_secs(1);
-
 /// Longest pause between looks at the queues.
 const PUMP: Duration = Duration::from_millis(20);
 
@@ -129,7 +125,7 @@
     tokio::spawn(peers::run(shared.clone(), exchange.clone()));
     tokio::spawn(workload::run(shared.clone(), exchange.clone()));
     tokio::spawn(demand::run(shared.clone(), exchange.clone()));
-    tokio::spawn(introduce(shared.clone(), exchange.clone()));
+    tokio::spawn(registration::run(shared.clone(), exchange.clone()));
     Ok(Running { shared, exchange, stop, callers })
 }
 
@@ -204,36 +200,6 @@
     Ok(exchange)
 }
 
-/// Finds the other hosts through the store, and lets them find this one.
-async fn introduce(shared: Arc<Shared>, exchange: Arc<Exchange>) {
-    let (name, address) = (&*shared.host.id, exchange.member().address);
-    let content = serde_json::Value::String(address.to_string());
-    loop {
-        if let Some(page) = shared.store.list(Kind::Host).await {
-            let read = |object: &Object| object.content.as_str()?.parse().ok();
-            let listed = u32::try_from(page.objects.len()).unwrap_or(u32::MAX);
-            shared.dispatcher().share_listed(listed);
-            exchange.introduce(page.objects.iter().filter_map(read));
-            let own = page.objects.iter().find(|object| &*object.name == name);
-            let run = if own.is_some() { Run::Later } else { Run::First };
-            let call = match own {
-                Some(object) if object.content == content => {
-                    return shared.dispatcher().registered(Run::Later);
-                }
-                Some(object) => {
-                    let revision = object.revision;
-                    Call::Replace { kind: Kind::Host, name, revision, content: &content }
-                }
-                None => Call::Create { kind: Kind::Host, name, content: &content },
-            };
-            if let Told::Object(_) = shared.store.call(&call).await {
-                return shared.dispatcher().registered(run);
-            }
-        }
-        sleep(INTRODUCE).await;
-    }
-}
-
 async fn pump(shared: Arc<Shared>) {
     let mut before = shared.now();
     loop {
--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -113,6 +113,11 @@
         match call {
             Call::List { kind, .. } => Told::Page(self.world.page(*kind)),
             Call::Watch { kind, .. } => Told::Seen(self.world.seen(*kind)),
+            Call::Create { kind: relay::edge::Kind::Host, name, content } => {
+                self.world.registered.send_replace(true);
+                let content = (*content).clone();
+                Told::Object(Object { name: (*name).into(), revision: 1, content })
+            }
             _ => Told::Refused,
         }
     }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -71,6 +71,7 @@
             relay::start_by(clock, process(store), routed, dialect).await.expect("a host");
         let stage = Stage { address: running.address(), world, _running: running };
         within(stage.in_force()).await;
+        within(stage.registered()).await;
         stage
     }
 
@@ -83,6 +84,11 @@
         Caller::connect(self.address).await
     }
 
+    async fn registered(&self) {
+        let mut registered = self.world.registered.subscribe();
+        registered.wait_for(|is| *is).await.expect("a store");
+    }
+
     async fn in_force(&self) {
         loop {
             let mut caller = self.caller().await;
--- a/crates/relay/tests/common/store.rs
+++ b/crates/relay/tests/common/store.rs
@@ -19,11 +19,18 @@
     pub declaration: Declaration,
     servers: Mutex<Vec<Server>>,
     revision: watch::Sender<u64>,
+    /// Whether the host has registered itself.
+    pub registered: watch::Sender<bool>,
 }
 
 impl World {
     pub fn new(declaration: Declaration) -> World {
-        World { declaration, servers: Mutex::default(), revision: watch::Sender::new(1) }
+        World {
+            declaration,
+            servers: Mutex::default(),
+            revision: watch::Sender::new(1),
+            registered: watch::Sender::new(false),
+        }
     }
 
     pub fn register(&self, server: Server) {
