Count a retry until it can't arrive any more

Cause: a retry was paid when it was decided and left the account a window later, but arrived when a server, a connection or the thawed host let it: up to 15 s later, so that arrivals of two windows' budgets fell into one. Class: a bound on one event kept by the time of another. Ruled out: paying when it is sent alone (what waits would be decided by hundreds and paid by none); refusing to wait (what callers have begun is lost). Change: a payment stays open until the first byte of the answer or the end of the attempt, and is dated then; what never left is given back, and costs nothing where no connection stood. What waits must still be covered when it is sent: if the share has shrunk meanwhile, it gets its final answer at once. A loan pays only for what leaves at once.

--- a/crates/policy/src/dispatch/account.rs
+++ b/crates/policy/src/dispatch/account.rs
@@ -43,6 +43,7 @@
         if let State::Flying(flight) = &mut task.state {
             flight.phase = Phase::Begun;
         }
+        self.reached(&mut task, now);
         self.tasks.insert(ticket, task);
     }
 
@@ -59,19 +60,31 @@
 
     /// The request is over, at a server or in the queue.
     pub fn ended(&mut self, ticket: Ticket, end: End, now: Moment) {
-        let Some(task) = self.tasks.remove(&ticket) else { return };
-        match &task.state {
+        let Some(mut task) = self.tasks.remove(&ticket) else { return };
+        match std::mem::replace(&mut task.state, State::Idle) {
             State::Idle => {}
             State::Waiting(key, give_up) => {
                 let queue = &mut self.fleet.services[task.service as usize].queue;
-                queue.remove(*key, task.model, *give_up);
+                queue.remove(key, task.model, give_up);
             }
-            State::Flying(flight) => self.settle(&task, flight, end, now),
+            State::Flying(flight) => self.settle(&mut task, &flight, end, now),
+        }
+        self.refund(&mut task);
+    }
+
+    /// The attempt under way has arrived, or is counted so since it may have.
+    fn reached(&mut self, task: &mut Task, now: Moment) {
+        task.has_arrived = true;
+        if let Some(payment) = task.payment.take() {
+            self.fleet.services[task.service as usize].budget.arrived(payment, now);
         }
     }
 
     /// An attempt is over.
-    pub(super) fn settle(&mut self, task: &Task, flight: &Flight, end: End, now: Moment) {
+    pub(super) fn settle(&mut self, task: &mut Task, flight: &Flight, end: End, now: Moment) {
+        if !matches!(end, End::Unreachable(_)) {
+            self.reached(task, now);
+        }
         self.poison_settled(task, flight, end, now);
         let is_new = flight.phase != Phase::Begun;
         if is_new && matches!(end, End::Whole) {
--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -5,6 +5,7 @@
 use super::{
     Dispatcher,
     ask::{Again, Answer, Ask, Cause, End, Ticket, Verdict},
+    budget::Payment,
     choose::{Choice, Outcome},
     poison,
     queue::{Class, Key},
@@ -92,12 +93,14 @@
             let after = after(&task, 0.0);
             return Again::GiveUp(Answer::NotRun { cause: Cause::Late, after });
         };
-        self.settle(&task, &flight, end, now);
+        self.settle(&mut task, &flight, end, now);
         task.tried(&flight.id, end);
-        if let Err(cause) = self.may_repeat(&task, end, now) {
+        let outcome = self.choose(&task, now);
+        if let Err(cause) = self.may_repeat(&mut task, end, &outcome, now) {
+            self.refund(&mut task);
             return Again::GiveUp(self.answer(&task, end, cause, now));
         }
-        match self.choose(&task, now) {
+        match outcome {
             Outcome::Send(choice) => Again::Send(self.send(task, choice, now)),
             Outcome::Full => {
                 self.wait_again(task, Duration::ZERO, now);
@@ -107,6 +110,13 @@
         }
     }
 
+    /// Gives back what was paid for an arrival that is not to come.
+    pub(super) fn refund(&mut self, task: &mut Task) {
+        if let Some(payment) = task.payment.take() {
+            self.fleet.services[task.service as usize].budget.refund(payment);
+        }
+    }
+
     /// Keeps a request that was tried until another server has a place for it: what may have run as
     /// long as its time allows, since all that it could still earn is lost otherwise; what did not
     /// run no longer than a late one, or until then.
@@ -130,15 +140,27 @@
     }
 
     /// Whether another attempt is allowed and paid for, or else why not.
-    pub(super) fn may_repeat(&mut self, task: &Task, end: End, now: Moment) -> Result<(), Cause> {
+    fn may_repeat(
+        &mut self,
+        task: &mut Task,
+        end: End,
+        outcome: &Outcome,
+        now: Moment,
+    ) -> Result<(), Cause> {
         self.is_of_use(task, end, now)?;
+        // A loan pays for what leaves at once, and the time for that is over.
+        task.payment = task.payment.filter(|payment| *payment == Payment::Own);
+        // What has reached no server so far arrives for the first time.
+        if !task.has_arrived || task.payment.is_some() {
+            return Ok(());
+        }
         let (need, part) = (task.need(), self.sharers.part());
         let budget = &mut self.fleet.services[task.service as usize].budget;
-        match end {
-            // No byte reached a server, so nothing arrived beyond the first.
-            End::Unreachable(_) => Ok(()),
-            _ => budget.withdraw(need, part, now).ok_or(Cause::Budget),
-        }
+        task.payment = match outcome {
+            Outcome::Send(_) => budget.pay(need, part, now),
+            Outcome::Full | Outcome::Nobody => budget.reserve(need, part, now),
+        };
+        task.payment.map(|_| ()).ok_or(Cause::Budget)
     }
 
     /// Whether another attempt is allowed, apart from its price, or else why not.
@@ -313,7 +335,12 @@
     /// The refusal of a request that has waited in vain.
     pub(super) fn refusal(&self, task: &Task, now: Moment) -> Verdict {
         let cause = if self.is_held(task) { Cause::Full } else { Cause::NoServer };
-        Verdict::Refuse { cause, after: after(task, self.outlook(task, now).wait) }
+        Verdict::Refuse { cause, after: self.come_back(task, now) }
+    }
+
+    /// When a request that is refused now is to come back.
+    pub(super) fn come_back(&self, task: &Task, now: Moment) -> Duration {
+        after(task, self.outlook(task, now).wait)
     }
 
     /// Until when a request waits that is late from now on.
--- a/crates/policy/src/dispatch/budget.rs
+++ b/crates/policy/src/dispatch/budget.rs
@@ -11,6 +11,9 @@
 //! of the steady part and twice the recent one at one or less, the hosts' shares add up to no more than
 //! the ratio, also where hosts are asked one after the other.
 //!
+//! A retry counts from its payment until it can't arrive any more, and a window from then on, so that one that waits for a
+//! server, a connection, or a host that was frozen is in the account whenever it arrives.
+//!
 //! The extra is shared equally. An earlier run of a host may have spent its part just before its end, and nobody knows;
 //! so a later run has none for one window. What a host doesn't need of its share it may lend ([`loan`]).
 
@@ -93,8 +96,10 @@
 pub struct Account {
     /// Requests.
     pub requests: u64,
-    /// Retries that were paid.
+    /// Retries that have arrived.
     pub retries: u64,
+    /// Retries that were paid and may still arrive.
+    pub open: u64,
     /// Retries that were refused since the host's start.
     pub refused: u64,
     /// Retries that may still be made.
@@ -103,6 +108,15 @@
     pub hosts: u32,
 }
 
+/// How a retry was paid that may still arrive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Payment {
+    /// From the host's own share.
+    Own,
+    /// With a loan, which its lender counts.
+    Borrowed,
+}
+
 /// A host's part of the extra.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Part {
@@ -117,7 +131,10 @@
 pub struct Budget {
     terms: Terms,
     requests: Series,
+    /// Retries that have arrived, or can't any more.
     retries: Series,
+    /// Retries that were paid and may still arrive.
+    open: u64,
     /// What this host has used since its start.
     used: Used,
     /// Retries that were asked for in vain since its start.
@@ -139,6 +156,7 @@
             terms,
             requests,
             retries,
+            open: 0,
             used: Used::default(),
             refused: 0,
             wanted: None,
@@ -153,18 +171,43 @@
         self.requests.add(1, now);
     }
 
-    /// Takes one retry out if there is one left.
-    pub fn withdraw(&mut self, need: Need, part: Part, now: Moment) -> Option<()> {
+    /// Pays for a retry that leaves at once, if there is one left.
+    pub fn pay(&mut self, need: Need, part: Part, now: Moment) -> Option<Payment> {
+        let payment = self.reserve(need, part, now).or_else(|| {
+            self.borrowed.take(now)?;
+            Some(Payment::Borrowed)
+        });
+        self.refused += u64::from(payment.is_none());
+        self.used.retries += u64::from(payment.is_some());
+        payment
+    }
+
+    /// Pays for a retry that waits, from this host's own share.
+    pub fn reserve(&mut self, need: Need, part: Part, now: Moment) -> Option<Payment> {
         self.wanted = Some(now);
-        if self.own_left(need, part, now) < 1.0 {
-            let borrowed = self.borrowed.take(now);
-            self.refused += u64::from(borrowed.is_none());
-            self.used.retries += u64::from(borrowed.is_some());
-            return borrowed;
+        let has_left = 1.0 <= self.own_left(need, part, now);
+        self.open += u64::from(has_left);
+        has_left.then_some(Payment::Own)
+    }
+
+    /// A retry that was paid has arrived, or can't any more.
+    pub fn arrived(&mut self, payment: Payment, now: Moment) {
+        if payment == Payment::Own {
+            self.open = self.open.saturating_sub(1);
+            self.retries.add(1, now);
         }
-        self.used.retries += 1;
-        self.retries.add(1, now);
-        Some(())
+    }
+
+    /// A retry that was paid has not left, and is not going to.
+    pub fn refund(&mut self, payment: Payment) {
+        if payment == Payment::Own {
+            self.open = self.open.saturating_sub(1);
+        }
+    }
+
+    /// Whether what has been paid is within this host's share, which may have shrunk since.
+    pub fn is_covered(&self, part: Part, now: Moment) -> bool {
+        0.0 <= self.own_left(Need::Great, part, now)
     }
 
     /// Lends so many retries at the most, and returns how many.
@@ -200,7 +243,7 @@
             Need::Usual => 1.0 - RESERVED,
             Need::Great => 1.0,
         };
-        let used = self.retries.last(now) as f64 + f64::from(self.lent.count(now));
+        let used = (self.retries.last(now) + self.open) as f64 + f64::from(self.lent.count(now));
         self.share(part, now) * kept - used
     }
 
@@ -209,6 +252,7 @@
         Account {
             requests: self.requests.last(now),
             retries: self.retries.last(now),
+            open: self.open,
             refused: self.refused,
             left: self.left(Need::Great, part, now).max(0.0),
             hosts: part.hosts,
--- a/crates/policy/src/dispatch/pump.rs
+++ b/crates/policy/src/dispatch/pump.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Dispatcher,
-    ask::{Change, LEAST_URGENT, Verdict},
+    ask::{Cause, Change, LEAST_URGENT, Verdict},
     choose::Outcome,
     fleet::Work,
     poison,
@@ -155,7 +155,12 @@
             let is_like_others = task.ask.avoid.is_empty() && !self.is_suspect(task);
             match (verdict, outcome) {
                 (Some(verdict), _) => {
-                    self.take(service, key);
+                    self.drop_waiting(service, key);
+                    changes.push(Change { ticket: key.ticket, verdict });
+                }
+                (None, Outcome::Send(_)) if !self.is_covered(task, now) => {
+                    let verdict = self.unpaid(task, now);
+                    self.drop_waiting(service, key);
                     changes.push(Change { ticket: key.ticket, verdict });
                 }
                 (None, Outcome::Send(choice)) => {
@@ -178,7 +183,8 @@
             else {
                 break;
             };
-            let Some(task) = self.take(service, *key) else { break };
+            let Some(mut task) = self.take(service, *key) else { break };
+            self.refund(&mut task);
             let verdict = match task.runs {
                 0 => self.refusal(&task, now),
                 _ => Verdict::Unclear,
@@ -187,6 +193,27 @@
         }
     }
 
+    /// Whether what was paid for a request's next arrival is still within the budget.
+    fn is_covered(&self, task: &Task, now: Moment) -> bool {
+        let budget = &self.fleet.services[task.service as usize].budget;
+        task.payment.is_none() || budget.is_covered(self.sharers.part(), now)
+    }
+
+    /// What becomes of a request whose payment isn't within the budget any more.
+    fn unpaid(&self, task: &Task, now: Moment) -> Verdict {
+        match task.runs {
+            0 => Verdict::Refuse { cause: Cause::Budget, after: self.come_back(task, now) },
+            _ => Verdict::Unclear,
+        }
+    }
+
+    /// Gives up a request that waits.
+    pub(super) fn drop_waiting(&mut self, service: usize, key: Key) {
+        if let Some(mut task) = self.take(service, key) {
+            self.refund(&mut task);
+        }
+    }
+
     /// Takes a request out of its queue and the tasks.
     pub(super) fn take(&mut self, service: usize, key: Key) -> Option<Task> {
         let task = self.tasks.remove(&key.ticket)?;
--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -4,7 +4,7 @@
 
 use super::{
     ask::{Ask, End, NotRun, Unreachable},
-    budget::Need,
+    budget::{Need, Payment},
     mixed,
     queue::Key,
 };
@@ -87,6 +87,10 @@
     pub due: Moment,
     /// Digests of the beginnings of its prompt, with their length in tokens.
     pub chain: Vec<(u64, u32)>,
+    /// Whether it may have arrived at a server.
+    pub has_arrived: bool,
+    /// How its next arrival was paid, if it was.
+    pub payment: Option<Payment>,
     /// Servers that may have run it.
     pub runs: u32,
     /// Servers that it was sent to.
@@ -101,7 +105,19 @@
         let chain = chain(&ask, model);
         let due = now + ask.goal;
         let state = State::Idle;
-        Task { ask, service, model, arrived: now, due, chain, runs: 0, tries: 0, state }
+        Task {
+            ask,
+            service,
+            model,
+            arrived: now,
+            due,
+            chain,
+            has_arrived: false,
+            payment: None,
+            runs: 0,
+            tries: 0,
+            state,
+        }
     }
 
     /// Prompt tokens.
--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -97,15 +97,18 @@
     /// no other has a place for it or no retry is left: a slow server is better than none, and a request
     /// that was let go of first ended without an answer though its server was at work on it.
     pub fn leave(&mut self, ticket: Ticket, now: Moment) -> Option<backend::Id> {
-        let Some((task, choice)) = self.elsewhere(ticket, now) else {
+        let Some((mut task, choice)) = self.elsewhere(ticket, now) else {
             self.leaving(ticket, Leaving::Sought(now));
             return None;
         };
-        self.may_repeat(&task, SILENCE, now).ok()?;
-        let before = self.tasks.remove(&ticket)?;
-        if let State::Flying(flight) = &before.state {
-            self.settle(&before, flight, SILENCE, now);
+        let part = self.sharers.part();
+        let budget = &mut self.fleet.services[task.service as usize].budget;
+        task.payment = Some(budget.pay(task.need(), part, now)?);
+        let mut before = self.tasks.remove(&ticket)?;
+        if let State::Flying(flight) = before.state.clone() {
+            self.settle(&mut before, &flight, SILENCE, now);
         }
+        task.has_arrived = true;
         Some(self.send(task, choice, now))
     }
 
--- a/crates/relay/src/retries.rs
+++ b/crates/relay/src/retries.rs
@@ -33,7 +33,7 @@
 fn tell(service: &str, account: &Account, refused: u64, others: &Picture) {
     let told = |counts: &BTreeMap<service::Id, u64>| counts.get(service).copied().unwrap_or(0);
     log::info!(
-        service, requests = account.requests, retries = account.retries, refused,
+        service, requests = account.requests, retries = account.retries, open = account.open, refused,
         left = account.left, hosts = account.hosts,
         others_requests = told(&others.arrivals), others_retries = told(&others.retries);
         "retry budget"
