Reset the connection of an attempt that is given up

Cause: such a connection was closed in order, so that the kernel went on sending what a link or a slow reader held up, up to 3 s later: the request arrived at a server that the host had left, beside the one that it had gone to. Ruled out: a reset for every connection's end (whole answers and idle connections end in order as before). Change: from the first byte of a request until its answer is whole, the end of its connection is a reset, which takes unsent bytes with it. Conclusion: holds for what is still in this host; bytes that the server's kernel has can be read after a reset too.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -86,7 +86,9 @@
 
     /// The answer has come whole: its connection can take another request.
     fn finish(mut self, keep_alive: Option<Duration>) {
-        if let Some(connection) = self.connection.take().filter(|_| self.reuse == Reuse::Allowed) {
+        let connection =
+            self.connection.take().inspect(|connection| connection.end_abruptly(false));
+        if let Some(connection) = connection.filter(|_| self.reuse == Reuse::Allowed) {
             let now = self.shared.now();
             let server = &self.server;
             self.shared.pool.put(now, &server.id, server.address, connection, keep_alive);
@@ -122,6 +124,7 @@
     let sent_at = shared.now();
     shared.dispatcher().sent(held.ticket, sent_at);
     let request = request(shared, held, onward);
+    connection.end_abruptly(true);
     let sent = connection.sender.try_send_request(request).await;
     let response = sent.map_err(|mut error| match error.take_message() {
         // A kept connection had ended before a byte of the request left.
--- a/crates/relay/src/connect.rs
+++ b/crates/relay/src/connect.rs
@@ -11,7 +11,7 @@
 use socket2::SockRef;
 use tokio::{net::TcpStream, task::JoinHandle};
 
-use self::wire::{Unwritten, Wire};
+use self::wire::{Abrupt, Unwritten, Wire};
 
 /// Longest time for a new connection.
 const CONNECT: Duration = Duration::from_millis(800);
@@ -24,6 +24,7 @@
 pub(crate) struct Connection {
     pub(crate) sender: http1::SendRequest<Full<Bytes>>,
     unwritten: Unwritten,
+    abrupt: Abrupt,
     driver: JoinHandle<()>,
 }
 
@@ -33,6 +34,11 @@
         !self.unwritten.is_some()
     }
 
+    /// Whether the connection ends with a reset from now on: a request that is given up must not arrive later.
+    pub(crate) fn end_abruptly(&self, is_abrupt: bool) {
+        self.abrupt.set(is_abrupt);
+    }
+
     /// Closes the socket, and returns when it is closed.
     pub(crate) async fn close(mut self) {
         self.driver.abort();
@@ -65,14 +71,14 @@
 }
 
 async fn drive(stream: TcpStream) -> io::Result<Connection> {
-    let (wire, unwritten) = Wire::new(stream);
+    let (wire, unwritten, abrupt) = Wire::new(stream);
     let (sender, connection) =
         http1::Builder::new().handshake(TokioIo::new(wire)).await.map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
         // The request's side hears of the error.
         let _ = connection.await;
     });
-    Ok(Connection { sender, unwritten, driver })
+    Ok(Connection { sender, unwritten, abrupt, driver })
 }
 
 /// Opens a connection whose end is a reset: what is still held up on the way is lost with it.
--- a/crates/relay/src/connect/wire.rs
+++ b/crates/relay/src/connect/wire.rs
@@ -1,4 +1,4 @@
-//! A socket that tells whether something waits to be written to it.
+//! A socket that tells whether something waits to be written to it, and that may end with a reset.
 
 use std::{
     io::{self, IoSlice},
@@ -29,16 +29,37 @@
     }
 }
 
+/// How a socket ends: in order, or with a reset that takes what is still held up on the way with it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Abrupt(Arc<AtomicBool>);
+
+impl Abrupt {
+    pub(super) fn set(&self, is_abrupt: bool) {
+        self.0.store(is_abrupt, Ordering::Relaxed);
+    }
+}
+
 /// A socket. Its writer flushes it only when its own buffers are empty, which is what this rests on.
 pub(super) struct Wire {
     stream: TcpStream,
     unwritten: Unwritten,
+    abrupt: Abrupt,
 }
 
 impl Wire {
-    pub(super) fn new(stream: TcpStream) -> (Wire, Unwritten) {
-        let unwritten = Unwritten::default();
-        (Wire { stream, unwritten: unwritten.clone() }, unwritten)
+    pub(super) fn new(stream: TcpStream) -> (Wire, Unwritten, Abrupt) {
+        let (unwritten, abrupt) = (Unwritten::default(), Abrupt::default());
+        let wire = Wire { stream, unwritten: unwritten.clone(), abrupt: abrupt.clone() };
+        (wire, unwritten, abrupt)
+    }
+}
+
+impl Drop for Wire {
+    fn drop(&mut self) {
+        if self.abrupt.0.load(Ordering::Relaxed) {
+            // A socket that is gone already needs none.
+            let _ = self.stream.set_zero_linger();
+        }
     }
 }
 
--- a/crates/relay/tests/leaving.rs
+++ b/crates/relay/tests/leaving.rs
@@ -37,6 +37,23 @@
     link.closed().await;
 }
 
+/// What a slow link holds up is lost with its request.
+#[tokio::test]
+async fn while_its_server_reads_nothing() {
+    const BODY: usize = 1024 * 1024;
+    let one = Server::listen("one").await;
+    let stage = Stage::start(route(Kind::Idempotent), &[&one]).await;
+    let mut caller = stage.caller().await;
+    let head = format!(
+        "POST /a/q HTTP/1.1\r\nhost: h\r\nrequest-name: q\r\ncontent-length: {BODY}\r\n\r\n"
+    );
+    caller.write(&(head + &"x".repeat(BODY))).await;
+    tokio::time::sleep(NOTICE).await;
+    drop(caller);
+    tokio::time::sleep(NOTICE).await;
+    assert!(one.accept().await.drained().await < BODY);
+}
+
 #[tokio::test]
 async fn in_the_middle_of_an_answer() {
     let one = Server::listen("one").await;
