Talk to other hosts at a port that the platform promises for it

Cause: datagrams between hosts went to the port of listen.control, which the users' page describes as a listener for a role's callers; datagrams between nodes are promised for the ports of port-range alone. Suspected as the users' cause, not shown. Ruled out: leaving control out of what the role serves (seeds name hosts by it, and are needed while the store is away).

--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -96,7 +96,7 @@
 ) -> Result<Running, Error> {
     let callers = bind("callers", &mut settings.host.callers).await?;
     let ready = bind("operators", &mut settings.host.operators).await?;
-    let (seeds, advertised) = (settings.peers.clone(), settings.peers_advertised);
+    let (seeds, advertised) = (seeds(&settings), settings.peers_advertised);
     let metrics = Metrics::new()?;
     metrics.watch_log();
     let start = start_belief(&settings);
@@ -181,6 +181,13 @@
     }
 }
 
+/// Where some other hosts may listen for hosts.
+fn seeds(settings: &Process) -> Vec<SocketAddr> {
+    let port = settings.peers_share_port.then_some(settings.host.peers.port());
+    let address = |peer: &SocketAddr| SocketAddr::new(peer.ip(), port.unwrap_or(peer.port()));
+    settings.peers.iter().map(address).collect()
+}
+
 async fn join(
     shared: &Arc<Shared>,
     seeds: Vec<SocketAddr>,
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -168,6 +168,7 @@
         operators_token: None,
         peers_token: None,
         peers_advertised: None,
+        peers_share_port: false,
         bounds: process::Bounds::default(),
         drain: process::Drain::default(),
         intervals: process::Intervals::default(),
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -64,6 +64,9 @@
     /// Peers' listeners of some other hosts, asked when a host starts while the platform is down.
     #[serde(default)]
     pub peers: Vec<SocketAddr>,
+    /// Whether those hosts listen for others at this host's port, whatever port they are named with.
+    #[serde(default)]
+    pub peers_share_port: bool,
     /// Where other hosts reach this host's listener for them, if addresses are translated between them.
     #[serde(default)]
     pub peers_advertised: Option<SocketAddr>,
--- a/crates/stage/tests/routed/store.rs
+++ b/crates/stage/tests/routed/store.rs
@@ -1,9 +1,10 @@
 //! The store fails in its ways, while requests go on.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use http::StatusCode;
 use rstest::rstest;
+use serde_json::{Value, json};
 use standin::routed::{
     caller::Ask,
     host::Host,
@@ -94,6 +95,24 @@
     serves(&site.hosts[0]).await;
 }
 
+/// The platform names hosts by another port than the one at which they listen for each other.
+#[tokio::test]
+async fn a_host_finds_its_peers_by_the_port_that_they_share_while_the_store_is_away() {
+    let mut site = site(1).await;
+    let known = site.hosts[0].peers().expect("its listener for hosts");
+    let store = &site.backend.store;
+    store.open("host-1").await.expect("a door");
+    store.at("host-1", |mood| mood.refusal = Some(Refusal::Down));
+    let change = |settings: &mut Value| {
+        let callers = settings["host"]["callers"].as_str().and_then(|text| text.parse().ok());
+        let own = SocketAddr::new(callers.map(|it: SocketAddr| it.ip()).unwrap(), known.port());
+        settings["host"]["peers"] = json!(own);
+        settings["peers"] = json!([SocketAddr::new(known.ip(), 1)]);
+        settings["peers_share_port"] = json!(true);
+    };
+    site.add(change).await.expect("a host").ready().await;
+}
+
 /// A slow store is not one that is gone: what it answers late counts.
 #[rstest]
 #[case::a_little(Duration::from_millis(600))]
