Order notices of what servers hold by the servers' orders

Cause: notices that a server holds or drops a model were taken in the order in which they came; one that is sent again until it is acknowledged may come after a later one. Ruled out: ordering by the time of arrival with a guard (the guard is what was overruled); numbers of the telling host (several hosts tell of one server). Change: each notice bears the number of orders that the server had accepted; what is older than a list, or than another notice of the same model or adapter, changes nothing.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -42,7 +42,7 @@
 
 use types::{
     prelude::*,
-    routed::{self, Declaration, Route},
+    routed::{self, Declaration, Route, Sequence},
 };
 
 pub use self::{
@@ -293,29 +293,31 @@
         services.map(|service| (service.id.clone(), account(&service.budget))).collect()
     }
 
-    /// A server holds a model, or an adapter on it.
+    /// A server holds a model, or an adapter on it, after so many orders.
     pub fn holds(
         &mut self,
         id: &backend::Id,
         model: &model::Id,
         adapter: Option<&adapter::Id>,
+        sequence: Sequence,
         now: Moment,
     ) {
         if let Some((index, model)) = self.held(id, model) {
-            self.fleet.hold(index, model, adapter, now);
+            self.fleet.hold(index, model, adapter, sequence, now);
         }
     }
 
-    /// A server is about to drop a model, or an adapter on it.
+    /// A server is about to drop a model, or an adapter on it, after so many orders.
     pub fn drops(
         &mut self,
         id: &backend::Id,
         model: &model::Id,
         adapter: Option<&adapter::Id>,
+        sequence: Sequence,
         now: Moment,
     ) {
         if let Some((index, model)) = self.held(id, model) {
-            self.fleet.drop(index, model, adapter, Absence::Ordered, now);
+            self.fleet.drop(index, model, adapter, Absence::Ordered(sequence), now);
         }
     }
 
--- a/crates/policy/src/dispatch/fleet.rs
+++ b/crates/policy/src/dispatch/fleet.rs
@@ -214,10 +214,20 @@
         self.hold_all(index, &report.models, report.sequence, now);
     }
 
-    /// A server holds this now.
-    pub fn hold(&mut self, index: Index, model: Index, adapter: Option<&adapter::Id>, now: Moment) {
+    /// A server holds this after so many orders.
+    pub fn hold(
+        &mut self,
+        index: Index,
+        model: Index,
+        adapter: Option<&adapter::Id>,
+        sequence: routed::Sequence,
+        now: Moment,
+    ) {
         let Some(server) = self.get_mut(index) else { return };
-        server.held.put(model, adapter, now);
+        if server.held.is_later(model, adapter, sequence) {
+            return;
+        }
+        server.held.put(model, adapter, sequence, now);
         let coming = &mut self.models[model as usize].coming;
         coming.retain(|(at, wanted, _)| *at != index || wanted.as_ref() != adapter);
         self.list(index);
@@ -246,6 +256,11 @@
         now: Moment,
     ) {
         let Some(server) = self.get_mut(index) else { return };
+        if let Absence::Ordered(sequence) = why
+            && server.held.is_later(model, adapter, sequence)
+        {
+            return;
+        }
         server.held.drop(model, adapter, why, now);
         if adapter.is_none() {
             self.models[model as usize].list.remove(index);
--- a/crates/policy/src/dispatch/held.rs
+++ b/crates/policy/src/dispatch/held.rs
@@ -6,6 +6,9 @@
 //! [`ORDERED`]. Registrations come only when something changes, so what one lists meanwhile is kept
 //! and counts after that time. It counts at once where the server has taken an order since: it can
 //! hold again what it refused.
+//!
+//! Notices of other hosts may come late and in any order. Each says after how many orders of the server
+//! it holds, and one that is older than what is known of the same model changes nothing.
 
 use types::{prelude::*, routed};
 
@@ -30,6 +33,8 @@
     model: Index,
     adapter: Option<adapter::Id>,
     fact: Fact,
+    /// Orders that the server had accepted by then, if that is known.
+    sequence: Option<routed::Sequence>,
     /// Until when reports change nothing.
     until: Moment,
 }
@@ -50,8 +55,8 @@
 /// Why something is not there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Absence {
-    /// The server was ordered to drop it.
-    Ordered,
+    /// The server was ordered to drop it, by the last of so many orders.
+    Ordered(routed::Sequence),
     /// The server refused a request for want of it.
     Refused,
 }
@@ -76,11 +81,31 @@
         self.holdings.iter().map(|h| h.model)
     }
 
-    /// It holds this now.
-    pub fn put(&mut self, model: Index, adapter: Option<&adapter::Id>, now: Moment) {
+    /// Whether something later is known of the model, or of the adapter on it, than after so many orders.
+    pub fn is_later(
+        &self,
+        model: Index,
+        adapter: Option<&adapter::Id>,
+        sequence: routed::Sequence,
+    ) -> bool {
+        let is_about = |l: &&Learnt| {
+            l.model == model && (l.adapter.is_none() || l.adapter.as_ref() == adapter)
+        };
+        let mut known = self.learnt.iter().filter(is_about).filter_map(|l| l.sequence);
+        sequence < self.sequence || known.any(|known| sequence < known)
+    }
+
+    /// It holds this after so many orders.
+    pub fn put(
+        &mut self,
+        model: Index,
+        adapter: Option<&adapter::Id>,
+        sequence: routed::Sequence,
+        now: Moment,
+    ) {
         self.unlearn(model, adapter);
         self.learnt.retain(|l| l.model != model || l.adapter.is_some() || l.is_held());
-        self.learn(model, adapter, Fact::Held, now + GUARD);
+        self.learn(model, adapter, Fact::Held, Some(sequence), now + GUARD);
         self.add(model, adapter);
     }
 
@@ -96,11 +121,11 @@
             Some(_) => self.unlearn(model, adapter),
             None => self.learnt.retain(|learnt| learnt.model != model),
         }
-        let time = match why {
-            Absence::Ordered => ORDERED,
-            Absence::Refused => GUARD,
+        let (time, sequence) = match why {
+            Absence::Ordered(sequence) => (ORDERED, Some(sequence)),
+            Absence::Refused => (GUARD, None),
         };
-        self.learn(model, adapter, Fact::Absent { why, listed: None }, now + time);
+        self.learn(model, adapter, Fact::Absent { why, listed: None }, sequence, now + time);
         self.remove(model, adapter);
     }
 
@@ -163,8 +188,15 @@
         }
     }
 
-    fn learn(&mut self, model: Index, adapter: Option<&adapter::Id>, fact: Fact, until: Moment) {
-        self.learnt.push(Learnt { model, adapter: adapter.cloned(), fact, until });
+    fn learn(
+        &mut self,
+        model: Index,
+        adapter: Option<&adapter::Id>,
+        fact: Fact,
+        sequence: Option<routed::Sequence>,
+        until: Moment,
+    ) {
+        self.learnt.push(Learnt { model, adapter: adapter.cloned(), fact, sequence, until });
     }
 
     fn unlearn(&mut self, model: Index, adapter: Option<&adapter::Id>) {
--- a/crates/policy/tests/dispatch/choice.rs
+++ b/crates/policy/tests/dispatch/choice.rs
@@ -4,7 +4,7 @@
 use rstest::rstest;
 use types::{
     prelude::*,
-    routed::{Kind, Server},
+    routed::{Kind, Report, Server},
 };
 
 use crate::fixture::{ask, at, generation, host, plain, report, sent, server};
@@ -67,7 +67,7 @@
     host.coming(&"s1".into(), &"m1".into(), None, at(900));
     assert_eq!(host.arrive(generation(2, "m1", at(5)), at(5)), Verdict::Wait);
     assert_eq!(host.pump(at(800)), []);
-    host.holds(&"s1".into(), &"m1".into(), None, at(900));
+    host.holds(&"s1".into(), &"m1".into(), None, 1, at(900));
     // A report from before the load was done takes nothing back.
     host.report(&"s1".into(), &report(0, &[]), at(950));
     let changes = host.pump(at(950));
@@ -123,7 +123,7 @@
 fn news_of_what_is_being_dropped_count_when_the_order_is_old() {
     let mut host = host();
     host.server(&server("s1", "a", &[("m1", &[])]), at(0));
-    host.drops(&"s1".into(), &"m1".into(), None, at(0));
+    host.drops(&"s1".into(), &"m1".into(), None, 1, at(0));
     host.server(&Server { sequence: 1, ..server("s1", "a", &[("m1", &[])]) }, at(100));
     host.pump(at(2_900));
     let next = host.arrive(generation(1, "m1", at(2_900)), at(2_900));
@@ -135,7 +135,7 @@
 fn a_model_that_is_about_to_be_dropped_is_not_used_while_reports_still_have_it() {
     let mut host = host();
     host.server(&server("s1", "a", &[("m1", &[]), ("m2", &[])]), at(0));
-    host.drops(&"s1".into(), &"m1".into(), None, at(0));
+    host.drops(&"s1".into(), &"m1".into(), None, 1, at(0));
     host.report(&"s1".into(), &report(0, &[("m1", &[]), ("m2", &[])]), at(1_500));
     let next = host.arrive(generation(1, "m1", at(1_500)), at(1_500));
     assert!(matches!(next, Verdict::Missing { .. }));
@@ -250,3 +250,45 @@
     used.dedup();
     assert!(15 < used.len(), "{}", used.len());
 }
+
+/// What a host is told of a model on a server, after so many of the server's orders.
+#[derive(Clone, Copy, Debug)]
+enum Notice {
+    Held(u64),
+    Dropped(u64),
+    /// All that the server holds, with the model or without.
+    Listed(u64, bool),
+}
+
+fn tell(host: &mut Dispatcher, notice: Notice, now: Moment) {
+    let (id, model) = ("s1".into(), "m1".into());
+    match notice {
+        Notice::Held(sequence) => host.holds(&id, &model, None, sequence, now),
+        Notice::Dropped(sequence) => host.drops(&id, &model, None, sequence, now),
+        Notice::Listed(sequence, is_held) => {
+            let models: &[(&str, &[&str])] = if is_held { &[("m1", &[])] } else { &[] };
+            host.report(&id, &Report { sequence, ..report(0, models) }, now);
+        }
+    }
+}
+
+#[rstest]
+#[case::dropped_last([Notice::Held(5), Notice::Dropped(6)], false)]
+#[case::dropped_last_but_told_first([Notice::Dropped(6), Notice::Held(5)], false)]
+#[case::held_last([Notice::Dropped(5), Notice::Held(6)], true)]
+#[case::held_last_but_told_first([Notice::Held(6), Notice::Dropped(5)], true)]
+#[case::an_old_notice_after_a_list_without([Notice::Listed(6, false), Notice::Held(5)], false)]
+#[case::an_old_notice_after_a_list_with([Notice::Listed(6, true), Notice::Dropped(5)], true)]
+#[case::as_old_as_the_list([Notice::Listed(5, false), Notice::Held(5)], true)]
+fn notices_count_by_the_servers_orders_whenever_they_come(
+    #[case] notices: [Notice; 2],
+    #[case] is_held: bool,
+) {
+    let mut host = host();
+    host.server(&server("s1", "a", &[]), at(0));
+    for (place, notice) in (1..).zip(notices) {
+        tell(&mut host, notice, at(place * 10));
+    }
+    let verdict = host.arrive(generation(1, "m1", at(30)), at(30));
+    assert_eq!(matches!(verdict, Verdict::Send(_)), is_held, "{verdict:?}");
+}
--- a/crates/policy/tests/dispatch/queue.rs
+++ b/crates/policy/tests/dispatch/queue.rs
@@ -151,7 +151,7 @@
     host.arrive(generation(2, "m1", at(0)), at(0));
     let tickets: Vec<_> = host.pump(at(0)).into_iter().map(|change| change.ticket).collect();
     assert_eq!(tickets, [2]);
-    host.holds(&"s1".into(), &"m1".into(), Some(&"x".into()), at(30));
+    host.holds(&"s1".into(), &"m1".into(), Some(&"x".into()), 1, at(30));
     assert_eq!(host.pump(at(30)).len(), 1);
 }
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -301,12 +301,14 @@
                 shared.planner().missing(&model, adapter.as_ref(), now);
                 shared.plan_wakeup.notify_one();
             }
-            Notice::Held { server, model, adapter, .. } => {
-                shared.dispatcher().holds(&server, &model, adapter.as_ref(), now);
+            Notice::Held { server, model, adapter, sequence } => {
+                let adapter = adapter.as_ref();
+                shared.dispatcher().holds(&server, &model, adapter, sequence, now);
                 shared.dispatch_wakeup.notify_one();
             }
-            Notice::Dropped { server, model, adapter, .. } => {
-                shared.dispatcher().drops(&server, &model, adapter.as_ref(), now);
+            Notice::Dropped { server, model, adapter, sequence } => {
+                let adapter = adapter.as_ref();
+                shared.dispatcher().drops(&server, &model, adapter, sequence, now);
             }
             Notice::Leaving { server, departure, revision } => {
                 let origin = heard.origin.unwrap_or_else(|| heard.via.to_string().into());
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -360,12 +360,12 @@
         let mut dispatcher = self.dispatcher();
         match order.operation {
             Operation::Unload => {
-                dispatcher.drops(&server, &model, adapter, now);
+                dispatcher.drops(&server, &model, adapter, sequence, now);
                 self.notify(Notice::Dropped { server, model, adapter: adapter.cloned(), sequence });
             }
             // An adapter is there before a request that is sent now.
             Operation::Load if adapter.is_some() => {
-                dispatcher.holds(&server, &model, adapter, now);
+                dispatcher.holds(&server, &model, adapter, sequence, now);
                 self.notify(Notice::Held { server, model, adapter: adapter.cloned(), sequence });
             }
             Operation::Load => dispatcher.coming(&server, &model, adapter, now + LOAD),
