Count retries that wait among those paid, and pace the asks for loans

Cause: a reading of the change: what was reserved was missing from the counts that hosts log, and a host that is lent to asked at each turn of its queue. Ruled out: nothing. Change: one place counts both; 25 ms between two asks.

--- a/crates/policy/src/dispatch/budget.rs
+++ b/crates/policy/src/dispatch/budget.rs
@@ -173,17 +173,27 @@
 
     /// Pays for a retry that leaves at once, if there is one left.
     pub fn pay(&mut self, need: Need, part: Part, now: Moment) -> Option<Payment> {
-        let payment = self.reserve(need, part, now).or_else(|| {
-            self.borrowed.take(now)?;
-            Some(Payment::Borrowed)
-        });
-        self.refused += u64::from(payment.is_none());
-        self.used.retries += u64::from(payment.is_some());
-        payment
+        let own = self.take_own(need, part, now);
+        let payment = own.or_else(|| self.borrowed.take(now).map(|()| Payment::Borrowed));
+        self.note(payment)
     }
 
     /// Pays for a retry that waits, from this host's own share.
     pub fn reserve(&mut self, need: Need, part: Part, now: Moment) -> Option<Payment> {
+        let payment = self.take_own(need, part, now);
+        self.note(payment)
+    }
+
+    /// Counts a retry that was asked for.
+    fn note(&mut self, payment: Option<Payment>) -> Option<Payment> {
+        match payment {
+            Some(_) => self.used.retries += 1,
+            None => self.refused += 1,
+        }
+        payment
+    }
+
+    fn take_own(&mut self, need: Need, part: Part, now: Moment) -> Option<Payment> {
         self.wanted = Some(now);
         let has_left = 1.0 <= self.own_left(need, part, now);
         self.open += u64::from(has_left);
--- a/crates/policy/src/dispatch/loans.rs
+++ b/crates/policy/src/dispatch/loans.rs
@@ -11,6 +11,9 @@
 /// Time after which an ask counts as lost.
 const UNANSWERED: Duration = Duration::from_millis(100);
 
+/// Time between two asks.
+const BETWEEN: Duration = Duration::from_millis(25);
+
 /// Hosts that have nothing to lend, one after the other, after which none is asked for a while.
 const DENIALS: u32 = 4;
 
@@ -64,7 +67,6 @@
             return;
         }
         ask.open = None;
-        ask.next = now;
         ask.denials = if lent == 0 { ask.denials + 1 } else { 0 };
         if ask.denials == DENIALS {
             (ask.denials, ask.next) = (0, now + PAUSE);
@@ -88,6 +90,7 @@
                 continue;
             }
             ask.open = Some(now);
+            ask.next = now + BETWEEN;
             let content = Content::Ask(PORTION);
             outgoing.push((lender, Message { service, asked: now, content }));
             self.loans.turn += 1;
