Test what cuts of the retry budget's mechanisms had left green

Cause: cut out one by one on a copy, five of sixteen mechanisms turned no test red: the second look at what waits, the end of a loan, loans for what waits, answers to other asks, the store's list. Ruled out: more cases of the property test (3,000 random plans pass on the whole code; each cut needs its own). Change: tests of loans between two hosts, of a share that shrinks, and of hosts that are known by the list alone.

--- /dev/null
+++ b/crates/policy/tests/dispatch/loans.rs
@@ -0,0 +1,149 @@
+//! Who lends retries to whom, and what a loan pays for.
+
+use policy::dispatch::{
+    Again, Answer, Ask, Cause, Dispatcher, End, NotRun, Ticket, Unclear, Unreachable, Verdict,
+    budget::loan::{Content, Message},
+};
+use rstest::rstest;
+use types::{prelude::*, routed::Kind};
+
+use crate::fixture::{ask, at, plain, sent, server};
+
+const REFUSED: End = End::Unreachable(Unreachable::Refused);
+
+fn servers() -> Vec<String> {
+    (0..12).map(|number| format!("s{number}")).collect()
+}
+
+/// A host that knows another one, and has used up its retries.
+fn short() -> Dispatcher {
+    let ids = servers();
+    let mut host = plain(&ids.iter().map(String::as_str).collect::<Vec<_>>());
+    host.share_among(std::iter::once((&"b".into(), true)), vec!["a".into(), "b".into()], at(0));
+    while retry(&mut host, at(0)) {}
+    host
+}
+
+/// Whether a request whose first attempt didn't run is sent once more.
+fn retry(host: &mut Dispatcher, now: Moment) -> bool {
+    let ticket = next_ticket(host);
+    sent(host.arrive(ask(ticket, Kind::Idempotent, now), now));
+    let again = host.again(ticket, End::NotRun(NotRun::NotHeld), now);
+    host.ended(ticket, End::Cancelled, now);
+    matches!(again, Again::Send(_))
+}
+
+/// A number that no earlier request of the host has.
+fn next_ticket(host: &Dispatcher) -> Ticket {
+    host.used().iter().map(|(_, used)| used.requests).sum::<u64>() + 1
+}
+
+/// The host's ask for a loan.
+fn asked(host: &mut Dispatcher, now: Moment) -> Message {
+    host.pump(now);
+    let mut outgoing = host.loans_outgoing();
+    assert_eq!(outgoing.len(), 1, "{outgoing:?}");
+    let (to, message) = outgoing.remove(0);
+    assert_eq!((&*to, &*message.service), ("b", "app"));
+    message
+}
+
+fn lends(message: &Message, count: u32) -> Message {
+    Message { content: Content::Grant(count), ..message.clone() }
+}
+
+#[rstest]
+fn a_host_that_is_short_asks_another_and_uses_its_loan() {
+    let mut host = short();
+    let ask = asked(&mut host, at(10));
+    host.loan_received(&"b".into(), &lends(&ask, 2), at(20));
+    assert!(retry(&mut host, at(30)) && retry(&mut host, at(30)));
+    assert!(!retry(&mut host, at(30)));
+}
+
+#[rstest]
+fn a_loan_that_comes_late_is_not_used() {
+    let mut host = short();
+    let ask = asked(&mut host, at(10));
+    host.loan_received(&"b".into(), &lends(&ask, 2), at(510));
+    assert!(!retry(&mut host, at(510)));
+}
+
+#[rstest]
+fn an_answer_that_comes_twice_or_to_an_earlier_ask_lends_nothing() {
+    let mut host = short();
+    let first = asked(&mut host, at(10));
+    let second = asked(&mut host, at(120));
+    host.loan_received(&"b".into(), &lends(&first, 2), at(130));
+    assert!(!retry(&mut host, at(130)));
+    host.loan_received(&"b".into(), &lends(&second, 1), at(140));
+    host.loan_received(&"b".into(), &lends(&second, 1), at(140));
+    assert!(retry(&mut host, at(150)) && !retry(&mut host, at(150)));
+}
+
+#[rstest]
+fn hosts_that_have_nothing_to_lend_are_not_asked_for_a_while() {
+    let mut host = short();
+    let mut asks = 0;
+    for now in (10..1_000).step_by(10).map(at) {
+        retry(&mut host, now);
+        host.pump(now);
+        for (from, message) in host.loans_outgoing() {
+            asks += 1;
+            host.loan_received(&from, &lends(&message, 0), now);
+        }
+    }
+    assert_eq!(asks, 4);
+}
+
+#[rstest]
+fn a_host_lends_what_it_does_not_need_and_says_so() {
+    let mut host = plain(&["s1"]);
+    let ask = Message { service: "app".into(), asked: at(7), content: Content::Ask(8) };
+    host.loan_received(&"b".into(), &ask, at(0));
+    assert_eq!(host.loans_outgoing(), [("b".into(), lends(&ask, 8))]);
+}
+
+/// A loan pays for what leaves at once: what waits may arrive when its lender counts it no more.
+#[rstest]
+fn a_loan_does_not_pay_for_what_waits() {
+    let mut host = short();
+    let ask_for = asked(&mut host, at(10));
+    host.loan_received(&"b".into(), &lends(&ask_for, 2), at(20));
+    let ticket = next_ticket(&host);
+    sent(host.arrive(ask(ticket, Kind::Idempotent, at(30)), at(30)));
+    assert!(matches!(host.again(ticket, End::NotRun(NotRun::NotHeld), at(30)), Again::Send(_)));
+    for id in servers() {
+        host.gone(&id.as_str().into());
+    }
+    let again = host.again(ticket, REFUSED, at(40));
+    assert!(
+        matches!(again, Again::GiveUp(Answer::NotRun { cause: Cause::Budget, .. })),
+        "{again:?}"
+    );
+}
+
+/// Its requests pay for more retries than are left of them a window later.
+#[rstest]
+fn what_waits_is_given_up_at_once_when_the_share_has_shrunk() {
+    let mut host = plain(&["s1"]);
+    host.server(&types::routed::Server { slots: 1_000, ..server("s1", "a", &[]) }, at(0));
+    let tickets: Vec<Ticket> = (1..=400).collect();
+    for ticket in &tickets {
+        let deadline = at(20_000);
+        sent(host.arrive(
+            Ask { deadline, resume: Some(1), ..ask(*ticket, Kind::Idempotent, at(0)) },
+            at(0),
+        ));
+    }
+    host.gone(&"s1".into());
+    let waits =
+        |ticket: &&Ticket| host.again(**ticket, End::Unclear(Unclear::Cut), at(100)) == Again::Wait;
+    let waiting = tickets.iter().filter(waits).count();
+    host.server(&types::routed::Server { slots: 1_000, ..server("s2", "a", &[]) }, at(11_000));
+    let changes = host.pump(at(11_000));
+    let left = changes.iter().filter(|change| matches!(change.verdict, Verdict::Send(_))).count();
+    assert!(0 < left && left < waiting, "{left} of {waiting}");
+    assert!(left <= 40, "{left} arrive where requests pay for none");
+    assert_eq!(changes.len(), waiting, "the others have their final answer");
+}
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -6,6 +6,7 @@
 mod doubt;
 mod fixture;
 mod limits;
+mod loans;
 mod play;
 mod poison;
 mod queue;
--- a/crates/policy/tests/dispatch/repeat.rs
+++ b/crates/policy/tests/dispatch/repeat.rs
@@ -128,6 +128,8 @@
 enum Others {
     /// So many are heard, and the rest is silent.
     Heard(usize),
+    /// So many are heard, and the rest is known from the store's list alone.
+    Listed(usize),
     /// All have said goodbye.
     Gone,
 }
@@ -136,11 +138,17 @@
 fn granted_after(seconds: u64, others: Others) -> usize {
     let mut host = servers();
     let names: Vec<host::Id> = (1..5).map(|number| format!("h{number}").into()).collect();
-    host.share_among(names.iter().map(|name| (name, true)), names.clone(), at(0));
+    match others {
+        Others::Listed(_) => host.share_listed(5),
+        Others::Heard(_) | Others::Gone => {
+            host.share_among(names.iter().map(|name| (name, true)), names.clone(), at(0));
+        }
+    }
     for second in 0..=seconds {
         let known = names.iter().enumerate();
         let known = known.filter_map(|(number, name)| match others {
             Others::Heard(count) => Some((name, number < count)),
+            Others::Listed(count) => (number < count).then_some((name, true)),
             Others::Gone => None,
         });
         host.share_among(known, vec!["a".into()], at(second * 1_000));
@@ -163,6 +171,12 @@
     assert_eq!(granted_after(seconds, Others::Heard(2)), share);
 }
 
+#[rstest]
+fn hosts_that_were_never_heard_count_by_the_list(#[values(0, 1, 3)] heard: usize) {
+    let share = granted_after(0, Others::Heard(4));
+    assert_eq!(granted_after(600, Others::Listed(heard)), share);
+}
+
 #[rstest]
 fn a_host_that_hears_nearly_all_others_shares_with_them_after_a_while() {
     let share = granted_after(0, Others::Heard(4));
--- a/crates/policy/tests/dispatch/retries.rs
+++ b/crates/policy/tests/dispatch/retries.rs
@@ -307,6 +307,15 @@
     assert_eq!(World::new(plan).play().excess(), None);
 }
 
+/// They know of each other by the store's list alone.
+#[rstest]
+fn hosts_that_have_never_heard_each_other_keep_the_budget_together() {
+    let deaf = Second { is_deaf: true, ..CALM };
+    let failing = Second { is_deaf: true, ..FAILING };
+    let plan = Plan::new(6, [seconds(25, deaf), seconds(15, failing)].concat());
+    assert_eq!(World::new(plan).play().excess(), None);
+}
+
 /// Hosts that are restarted one after the other, so many times each.
 fn restarted(times: usize, gap: usize) -> Plan {
     let mut plan =
