Write up the retry budget's incident, and which judge sees which rule

Cause: the incident's page ended with its hypotheses; nothing said which of the users' rules the soak's judge sees, nor by what it was seen red. Change: the postmortem; the design of shares and loans; promises, words, decisions, changes; a table of rules, judges and faults, held to the judge's enum by a test.

--- a/crates/standin/src/routed/soak/judge.rs
+++ b/crates/standin/src/routed/soak/judge.rs
@@ -59,6 +59,26 @@
     Fault,
 }
 
+impl Promise {
+    /// All of them.
+    pub const ALL: [Promise; 14] = [
+        Promise::Twice,
+        Promise::Refused,
+        Promise::Mixed,
+        Promise::Unasked,
+        Promise::Order,
+        Promise::Drain,
+        Promise::One,
+        Promise::Limit,
+        Promise::Quota,
+        Promise::Retries,
+        Promise::Config,
+        Promise::Lost,
+        Promise::Recover,
+        Promise::Fault,
+    ];
+}
+
 /// A broken promise.
 #[derive(Clone, Debug, Serialize)]
 pub struct Breach {
--- a/crates/standin/tests/soak_judge.rs
+++ b/crates/standin/tests/soak_judge.rs
@@ -1,6 +1,9 @@
 //! The judge of a soak: each promise, broken by a made-up record, and kept by its neighbour.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use http::StatusCode;
 use rstest::rstest;
@@ -345,6 +348,20 @@
     assert!(breaches.iter().all(|breach| breach.promise == promise), "{breaches:#?}");
 }
 
+/// The table of rules and judges in the page on promises.
+const PAGE: &str = include_str!("../../../docs/PROMISES.md");
+
+#[test]
+fn the_page_on_promises_names_every_judge_and_no_other() {
+    let (_, table) = PAGE.split_once("## Which judge sees which rule").expect("the table");
+    let table = table.split("\n## ").next().unwrap_or_default();
+    let rows = table.lines().filter(|line| line.starts_with('|')).skip(2);
+    let judges = rows.filter_map(|row| row.split('|').nth(2)).map(str::trim);
+    let named: BTreeSet<&str> = judges.filter(|judge| !judge.starts_with("none")).collect();
+    let names = Promise::ALL.map(|promise| format!("`{promise:?}`"));
+    assert_eq!(named, names.iter().map(String::as_str).collect());
+}
+
 #[test]
 fn a_schedule_is_its_seeds() {
     let draw = |seed| {
