--- a/crates/stage/tests/routed/limits.rs
+++ b/crates/stage/tests/routed/limits.rs
@@ -9,7 +9,7 @@
 use standin::routed::{
     caller::Ask,
     host::Host,
-    server::{Server, Settings, quota},
+    server::{Fault, Server, Settings, quota},
     site::Site,
     until,
 };
@@ -103,6 +103,26 @@
     assert!(failed.is_empty(), "the other server takes the rest: {failed:?}");
 }
 
+/// A server in need may be one that fails, too.
+#[rstest]
+#[case::no_seal(Fault::Unsealed)]
+#[case::another_id(Fault::OtherId)]
+#[tokio::test]
+async fn a_limit_is_kept_that_only_garbled_answers_name(#[case] fault: Fault) {
+    let site = site(3).await;
+    let began = Instant::now();
+    let pressing = press(&site.hosts, page, began + JUDGED);
+    let naming = async {
+        sleep_until(began + Duration::from_millis(300)).await;
+        site.backend.script(|script| script.always = Some(fault));
+        for id in ["app-1", "app-2"] {
+            name_limit(site.backend.server(id), Some("0.3"));
+        }
+    };
+    tokio::join!(pressing, naming);
+    check(&site, &["app-1", "app-2"]);
+}
+
 /// Hosts refuse at once what no server can take in time, and use what the servers take.
 #[rstest]
 #[case::plain(page(), ["app-1", "app-2"])]
