Give each stand-in site loopback addresses of its own

Cause: all sites put their hosts on the same loopback addresses, with ports that the system picks. A host that was killed gave its port up; a host of another site, in the same process or another, got it, bore the same name, and was taken for the first one's next run. Traced by the logs of both sites: one host's order, unload notes/a1 with fence 115 and 7 orders expected, arrived at the other site's server. Change: a network of each store's own; its doors, servers and hosts listen there. Conclusion: a fault of the stand-ins. That hosts of two deployments with the same names would believe each other is a property of the exchange: it has no name of a deployment. Listed as open.

--- a/crates/standin/src/routed.rs
+++ b/crates/standin/src/routed.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod host;
 pub mod links;
+pub mod network;
 pub mod server;
 pub mod site;
 pub mod soak;
--- a/crates/standin/src/routed/links.rs
+++ b/crates/standin/src/routed/links.rs
@@ -19,7 +19,7 @@
     time::sleep,
 };
 
-use super::lock;
+use super::{lock, network::Network};
 use crate::fault::{self, Proxy};
 
 /// Ports that are tried until one is free for datagrams and connections alike.
@@ -28,9 +28,6 @@
 /// Room for a datagram, with some to spare.
 const BUFFER_BYTES: usize = 4_096;
 
-/// Last byte of the first host's loopback address.
-const FIRST: usize = 10;
-
 /// What becomes of datagrams from one host to another.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Way {
@@ -43,20 +40,10 @@
     Late(Duration),
 }
 
-/// A host's loopback address.
-pub fn address(place: usize) -> IpAddr {
-    let last = u8::try_from(FIRST + place).unwrap_or(u8::MAX);
-    Ipv4Addr::new(127, 0, 0, last).into()
-}
-
-fn place(address: IpAddr) -> Option<usize> {
-    let IpAddr::V4(address) = address else { return None };
-    usize::from(address.octets()[3]).checked_sub(FIRST)
-}
-
 /// The links between all hosts.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Links {
+    network: Network,
     relays: Vec<Relay>,
     shared: Arc<Mutex<Shared>>,
 }
@@ -84,6 +71,11 @@
 }
 
 impl Links {
+    /// Links between hosts of a network.
+    pub fn new(network: Network) -> Links {
+        Links { network, relays: Vec::new(), shared: Arc::default() }
+    }
+
     /// Opens the relay of the next host, which is to advertise the address.
     ///
     /// # Errors
@@ -91,7 +83,7 @@
     /// If no port can be bound.
     pub async fn open(&mut self) -> io::Result<SocketAddr> {
         let receiver = self.relays.len();
-        let (listener, socket, address) = bind(address(receiver)).await?;
+        let (listener, socket, address) = bind(self.network.host(receiver)).await?;
         let socket = Arc::new(socket);
         let mut shared = lock(&self.shared);
         shared.sockets.push(socket.clone());
@@ -150,7 +142,7 @@
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
-        let Some(sender) = place(from.ip()) else { continue };
+        let Some(sender) = Network::place(from.ip()) else { continue };
         let (from, to, way) = {
             let shared = lock(&shared);
             let way = shared.ways.get(&(sender, receiver)).copied().unwrap_or_default();
--- a/crates/standin/src/routed/site.rs
+++ b/crates/standin/src/routed/site.rs
@@ -15,7 +15,8 @@
 
 use super::{
     host::Host,
-    links::{self, Links},
+    links::Links,
+    network::Network,
     server::{Script, Server, Settings},
     store::Store,
     until,
@@ -58,7 +59,8 @@
     ///
     /// If its port can't be bound.
     pub async fn add(&mut self, settings: Settings) -> io::Result<&Server> {
-        self.add_at(SocketAddr::from(([127, 0, 0, 1], 0)), settings).await
+        let address = SocketAddr::new(self.store.network().servers(), 0);
+        self.add_at(address, settings).await
     }
 
     /// Starts another server at an address.
@@ -195,7 +197,8 @@
 
     /// Lets the links between hosts that are added from now on pass through relays.
     pub fn relay_links(&mut self) {
-        self.links.get_or_insert_default();
+        let network = self.backend.store.network();
+        self.links.get_or_insert_with(|| Links::new(network));
     }
 
     /// The links between the hosts.
@@ -291,7 +294,7 @@
 /// Settings of a host whose ports the system picks.
 pub fn settings(name: &str, place: usize, store: SocketAddr, peers: &[SocketAddr]) -> Value {
     let zone: availability::Id = ZONES[place % ZONES.len()].into();
-    let any = SocketAddr::new(links::address(place), 0);
+    let any = SocketAddr::new(Network::of(store.ip()).host(place), 0);
     json!({
         "host": {"id": name, "zone": zone, "callers": any, "peers": any, "operators": any},
         "platform": store,
--- a/crates/standin/src/routed/store.rs
+++ b/crates/standin/src/routed/store.rs
@@ -22,6 +22,7 @@
 use self::state::{State, Watched};
 use super::{
     lock,
+    network::Network,
     wire::{Connection, Listener},
 };
 
@@ -83,6 +84,7 @@
 /// A running store.
 #[derive(Clone, Debug)]
 pub struct Store {
+    network: Network,
     shared: Arc<Shared>,
 }
 
@@ -128,7 +130,12 @@
 impl Store {
     /// A store without doors.
     pub fn new() -> Store {
-        Store { shared: Arc::default() }
+        Store { network: Network::unused(), shared: Arc::default() }
+    }
+
+    /// The network of its site.
+    pub fn network(&self) -> Network {
+        self.network
     }
 
     /// Opens a door; its address.
@@ -138,7 +145,8 @@
     /// If no port can be bound.
     pub async fn open(&self, door: &str) -> io::Result<SocketAddr> {
         let (name, shared) = (door.to_owned(), Arc::downgrade(&self.shared));
-        let listener = Listener::start(move |connection| {
+        let address = SocketAddr::new(self.network.store(), 0);
+        let listener = Listener::start_at(address, move |connection| {
             let (name, shared) = (name.clone(), shared.upgrade());
             async move {
                 if let Some(shared) = shared {
--- a/crates/standin/src/routed/wire.rs
+++ b/crates/standin/src/routed/wire.rs
@@ -1,10 +1,6 @@
 //! HTTP/1.1 at the level of bytes, so that a stand-in can also break it.
 
-use std::{
-    io,
-    net::{Ipv4Addr, SocketAddr},
-    time::Duration,
-};
+use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::{Buf, Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header};
@@ -32,15 +28,6 @@
 }
 
 impl Listener {
-    /// Serves each connection by `serve`, at a port that the system picks.
-    pub(super) async fn start<F, S>(serve: S) -> io::Result<Listener>
-    where
-        F: Future<Output = ()> + Send + 'static,
-        S: Fn(Connection) -> F + Send + 'static,
-    {
-        Listener::start_at((Ipv4Addr::LOCALHOST, 0).into(), serve).await
-    }
-
     /// Serves each connection by `serve`, waiting a little for an earlier owner of the address.
     pub(super) async fn start_at<F, S>(address: SocketAddr, serve: S) -> io::Result<Listener>
     where
--- a/crates/standin/tests/routed.rs
+++ b/crates/standin/tests/routed.rs
@@ -1,7 +1,7 @@
 //! Stand-ins of a routed deployment: both sides' codecs agree, and the store and servers keep
 //! their promises to the adapter that the product uses.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -20,6 +20,7 @@
 use standin::routed::{
     caller::{Ask, Caller},
     server::{OrderFault, Overload, Server, Settings},
+    site::{self, Backend},
     store::{Mood, Refusal, Store},
     until,
 };
@@ -406,3 +407,17 @@
         assert_eq!(taken, 2, "one runs and one waits: {statuses:?}");
     }
 }
+
+/// Else a host or a server would be taken for one of another site that had its port before.
+#[tokio::test]
+async fn sites_side_by_side_have_addresses_of_their_own() {
+    let mut addresses = BTreeSet::new();
+    for _ in 0..3 {
+        let backend = Backend::start(vec![Settings::plain("app-1", "app")]).await.unwrap();
+        let door = backend.store.open("host-0").await.unwrap();
+        let settings = site::settings("host-0", 0, door, &[]);
+        let host: SocketAddr = settings["host"]["peers"].as_str().unwrap().parse().unwrap();
+        let server = backend.server("app-1").address();
+        assert!([door, host, server].into_iter().all(|address| addresses.insert(address.ip())));
+    }
+}
