Let an answer that never leaves name no limit

Change: answers that are lost, silent or garbled as a whole name nothing. Conclusion: the rule counts from the first answer that leaves, as the users' does.

--- a/crates/standin/src/routed/server/work.rs
+++ b/crates/standin/src/routed/server/work.rs
@@ -79,10 +79,17 @@
             far::keep_alive(headers, idle);
         }
         far::load(headers, self.shared.load());
-        self.shared.name_limit(headers);
+        if !self.is_withheld() {
+            self.shared.name_limit(headers);
+        }
         response
     }
 
+    /// Whether no byte of the answer's head leaves, so that it names nothing.
+    fn is_withheld(&self) -> bool {
+        matches!(self.fault, Some(Fault::Lost | Fault::Silent | Fault::Garbled))
+    }
+
     fn body(&self) -> Bytes {
         let runs = lock(&self.shared.runs);
         let run = &runs[self.run];
