Name the part of the extra and the asks for loans by what they are

Cause: a reading as a newcomer: two types Part below dispatch, a Desk, functions that tell. Change: Extra, Borrowing, observe, log_budget. Conclusion: nothing that runs has changed.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -56,7 +56,7 @@
     routes::{Routes, split},
 };
 use self::{
-    budget::Budget, fleet::Fleet, held::Absence, loans::Desk, sharers::Sharers, task::Task,
+    budget::Budget, fleet::Fleet, held::Absence, loans::Borrowing, sharers::Sharers, task::Task,
 };
 use crate::{
     quota::Quotas,
@@ -120,7 +120,7 @@
     hints: Hints,
     poison: Poison,
     quotas: Quotas,
-    loans: Desk,
+    loans: Borrowing,
     ticked: Moment,
     looked: Moment,
     /// When what waits for limited servers was last looked at.
@@ -143,7 +143,7 @@
             hints: Hints::new(bounds),
             poison: Poison::default(),
             quotas: Quotas::new(settings.host, settings.run),
-            loans: Desk::default(),
+            loans: Borrowing::default(),
             ticked: Duration::ZERO,
             looked: Duration::ZERO,
             limits_looked: Duration::ZERO,
@@ -289,7 +289,7 @@
     /// How the retry budget of each service stands on this host.
     pub fn retry_budgets(&self, now: Moment) -> Vec<(service::Id, Account)> {
         let services = self.fleet.services.iter();
-        let account = |budget: &Budget| budget.account(self.sharers.part(), now);
+        let account = |budget: &Budget| budget.account(self.sharers.extra(), now);
         services.map(|service| (service.id.clone(), account(&service.budget))).collect()
     }
 
--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -154,11 +154,11 @@
         if !task.has_arrived || task.payment.is_some() {
             return Ok(());
         }
-        let (need, part) = (task.need(), self.sharers.part());
+        let (need, extra) = (task.need(), self.sharers.extra());
         let budget = &mut self.fleet.services[task.service as usize].budget;
         task.payment = match outcome {
-            Outcome::Send(_) => budget.pay(need, part, now),
-            Outcome::Full | Outcome::Nobody => budget.reserve(need, part, now),
+            Outcome::Send(_) => budget.pay(need, extra, now),
+            Outcome::Full | Outcome::Nobody => budget.reserve(need, extra, now),
         };
         task.payment.map(|_| ()).ok_or(Cause::Budget)
     }
--- a/crates/policy/src/dispatch/budget.rs
+++ b/crates/policy/src/dispatch/budget.rs
@@ -119,7 +119,7 @@
 
 /// A host's part of the extra.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Part {
+pub struct Extra {
     /// Hosts that have one.
     pub hosts: u32,
     /// From when on this run of the host has its own.
@@ -172,15 +172,15 @@
     }
 
     /// Pays for a retry that leaves at once, if there is one left.
-    pub fn pay(&mut self, need: Need, part: Part, now: Moment) -> Option<Payment> {
-        let own = self.take_own(need, part, now);
+    pub fn pay(&mut self, need: Need, extra: Extra, now: Moment) -> Option<Payment> {
+        let own = self.take_own(need, extra, now);
         let payment = own.or_else(|| self.borrowed.take(now).map(|()| Payment::Borrowed));
         self.note(payment)
     }
 
     /// Pays for a retry that waits, from this host's own share.
-    pub fn reserve(&mut self, need: Need, part: Part, now: Moment) -> Option<Payment> {
-        let payment = self.take_own(need, part, now);
+    pub fn reserve(&mut self, need: Need, extra: Extra, now: Moment) -> Option<Payment> {
+        let payment = self.take_own(need, extra, now);
         self.note(payment)
     }
 
@@ -193,9 +193,9 @@
         payment
     }
 
-    fn take_own(&mut self, need: Need, part: Part, now: Moment) -> Option<Payment> {
+    fn take_own(&mut self, need: Need, extra: Extra, now: Moment) -> Option<Payment> {
         self.wanted = Some(now);
-        let has_left = 1.0 <= self.own_left(need, part, now);
+        let has_left = 1.0 <= self.own_left(need, extra, now);
         self.open += u64::from(has_left);
         has_left.then_some(Payment::Own)
     }
@@ -216,13 +216,13 @@
     }
 
     /// Whether what has been paid is within this host's share, which may have shrunk since.
-    pub fn is_covered(&self, part: Part, now: Moment) -> bool {
-        0.0 <= self.own_left(Need::Great, part, now)
+    pub fn is_covered(&self, extra: Extra, now: Moment) -> bool {
+        0.0 <= self.own_left(Need::Great, extra, now)
     }
 
     /// Lends so many retries at the most, and returns how many.
-    pub fn lend(&mut self, wanted: u32, part: Part, now: Moment) -> u32 {
-        let spare = self.own_left(Need::Usual, part, now).max(0.0) * LENDS;
+    pub fn lend(&mut self, wanted: u32, extra: Extra, now: Moment) -> u32 {
+        let spare = self.own_left(Need::Usual, extra, now).max(0.0) * LENDS;
         let lent = wanted.min(spare as u32);
         self.lent.expire(now);
         self.lent.add(lent, now + LENT + self.terms.window);
@@ -236,36 +236,36 @@
     }
 
     /// Whether retries are wanted and few are left.
-    pub fn is_short(&self, part: Part, now: Moment) -> bool {
+    pub fn is_short(&self, extra: Extra, now: Moment) -> bool {
         let is_wanted = self.wanted.is_some_and(|at| now < at + WANTED);
-        is_wanted && self.left(Need::Usual, part, now) < FEW
+        is_wanted && self.left(Need::Usual, extra, now) < FEW
     }
 
     /// Retries that are left, borrowed ones among them.
-    pub fn left(&self, need: Need, part: Part, now: Moment) -> f64 {
+    pub fn left(&self, need: Need, extra: Extra, now: Moment) -> f64 {
         let borrowed = f64::from(self.borrowed.count(now));
-        self.own_left(need, part, now).max(0.0) + borrowed
+        self.own_left(need, extra, now).max(0.0) + borrowed
     }
 
     /// What is left of this host's own share; below none if it has shrunk.
-    fn own_left(&self, need: Need, part: Part, now: Moment) -> f64 {
+    fn own_left(&self, need: Need, extra: Extra, now: Moment) -> f64 {
         let kept = match need {
             Need::Usual => 1.0 - RESERVED,
             Need::Great => 1.0,
         };
         let used = (self.retries.last(now) + self.open) as f64 + f64::from(self.lent.count(now));
-        self.share(part, now) * kept - used
+        self.share(extra, now) * kept - used
     }
 
     /// How it stands.
-    pub fn account(&self, part: Part, now: Moment) -> Account {
+    pub fn account(&self, extra: Extra, now: Moment) -> Account {
         Account {
             requests: self.requests.last(now),
             retries: self.retries.last(now),
             open: self.open,
             refused: self.refused,
-            left: self.left(Need::Great, part, now).max(0.0),
-            hosts: part.hosts,
+            left: self.left(Need::Great, extra, now).max(0.0),
+            hosts: extra.hosts,
         }
     }
 
@@ -275,12 +275,12 @@
     }
 
     /// What this host may use in a window.
-    fn share(&self, part: Part, now: Moment) -> f64 {
+    fn share(&self, extra: Extra, now: Moment) -> f64 {
         let steady = STEADY * self.least_requests(now) as f64;
         let recent = RECENT * self.requests.last(now) as f64;
-        let extra = self.terms.extra * MARGIN / f64::from(part.hosts.max(1));
-        let has_part = part.from.is_some_and(|from| from <= now);
-        self.terms.ratio * (steady + recent) + if has_part { extra } else { 0.0 }
+        let is_due = extra.from.is_some_and(|from| from <= now);
+        let part = self.terms.extra * MARGIN / f64::from(extra.hosts.max(1));
+        self.terms.ratio * (steady + recent) + if is_due { part } else { 0.0 }
     }
 
     /// Requests of the least window that ended within the last one.
--- a/crates/policy/src/dispatch/loans.rs
+++ b/crates/policy/src/dispatch/loans.rs
@@ -20,9 +20,9 @@
 /// How long none is asked then.
 const PAUSE: Duration = Duration::from_secs(1);
 
-/// Loans between this host and the others.
+/// Asks of this host for loans, and messages on their way.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Desk {
+pub(super) struct Borrowing {
     asks: Map<Index, Ask>,
     /// Hosts asked so far.
     turn: usize,
@@ -51,9 +51,9 @@
         let service = self.fleet.service(&message.service);
         match message.content {
             Content::Ask(wanted) => {
-                let part = self.sharers.part();
+                let extra = self.sharers.extra();
                 let budget = &mut self.fleet.services[service as usize].budget;
-                let lent = budget.lend(wanted, part, now);
+                let lent = budget.lend(wanted, extra, now);
                 let answer = Message { content: Content::Grant(lent), ..message.clone() };
                 self.loans.outgoing.push((from.clone(), answer));
             }
@@ -76,14 +76,14 @@
 
     /// Asks the next host for each service that is short of retries.
     pub(super) fn ask_for_loans(&mut self, now: Moment) {
-        let part = self.sharers.part();
+        let extra = self.sharers.extra();
         let services = self.fleet.services.iter().enumerate();
-        let short = services.filter(|(_, service)| service.budget.is_short(part, now));
+        let short = services.filter(|(_, service)| service.budget.is_short(extra, now));
         let short: Vec<(Index, service::Id)> =
             short.map(|(index, service)| (index as Index, service.id.clone())).collect();
         for (index, service) in short {
             let Some(lender) = self.next_lender() else { return };
-            let Desk { asks, outgoing, .. } = &mut self.loans;
+            let Borrowing { asks, outgoing, .. } = &mut self.loans;
             let ask = asks.entry(index).or_default();
             let is_open = ask.open.is_some_and(|sent| now < sent + UNANSWERED);
             if is_open || now < ask.next {
--- a/crates/policy/src/dispatch/pump.rs
+++ b/crates/policy/src/dispatch/pump.rs
@@ -196,7 +196,7 @@
     /// Whether what was paid for a request's next arrival is still within the budget.
     fn is_covered(&self, task: &Task, now: Moment) -> bool {
         let budget = &self.fleet.services[task.service as usize].budget;
-        task.payment.is_none() || budget.is_covered(self.sharers.part(), now)
+        task.payment.is_none() || budget.is_covered(self.sharers.extra(), now)
     }
 
     /// What becomes of a request whose payment isn't within the budget any more.
--- a/crates/policy/src/dispatch/quota.rs
+++ b/crates/policy/src/dispatch/quota.rs
@@ -81,7 +81,7 @@
         now: Moment,
     ) {
         self.quotas.hosts(known, live, now);
-        self.sharers.see(self.quotas.sharers(), now);
+        self.sharers.observe(self.quotas.sharers(), now);
     }
 
     /// Sets how many hosts the store lists, whether or not they run.
--- a/crates/policy/src/dispatch/sharers.rs
+++ b/crates/policy/src/dispatch/sharers.rs
@@ -7,7 +7,7 @@
 
 use types::prelude::*;
 
-use super::budget::Part;
+use super::budget::Extra;
 
 /// How long fewer hosts are seen before they share the budgets among themselves.
 const FEWER: Duration = Duration::from_secs(20);
@@ -35,7 +35,7 @@
     }
 
     /// Takes in the number of hosts known now; those that were never heard count by the store's list.
-    pub(super) fn see(&mut self, count: u32, now: Moment) {
+    pub(super) fn observe(&mut self, count: u32, now: Moment) {
         let count = count.max(self.listed);
         while self.counts.back().is_some_and(|(_, other)| *other <= count) {
             self.counts.pop_back();
@@ -51,9 +51,9 @@
         self.from.get_or_insert(from);
     }
 
-    /// This host's part of the extra.
-    pub(super) fn part(&self) -> Part {
+    /// What this host has of the extra.
+    pub(super) fn extra(&self) -> Extra {
         let hosts = self.counts.front().map_or(1, |(_, count)| *count);
-        Part { hosts, from: self.from }
+        Extra { hosts, from: self.from }
     }
 }
--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -90,7 +90,7 @@
         self.is_of_use(&task, SILENCE, now).ok()?;
         let budget = &self.fleet.services[task.service as usize].budget;
         let Outcome::Send(choice) = self.choose(&task, now) else { return None };
-        (1.0 <= budget.left(task.need(), self.sharers.part(), now)).then_some((task, choice))
+        (1.0 <= budget.left(task.need(), self.sharers.extra(), now)).then_some((task, choice))
     }
 
     /// Takes a request from a server that is silent to another one, which it returns. Nothing changes if
@@ -101,9 +101,9 @@
             self.leaving(ticket, Leaving::Sought(now));
             return None;
         };
-        let part = self.sharers.part();
+        let extra = self.sharers.extra();
         let budget = &mut self.fleet.services[task.service as usize].budget;
-        task.payment = Some(budget.pay(task.need(), part, now)?);
+        task.payment = Some(budget.pay(task.need(), extra, now)?);
         let mut before = self.tasks.remove(&ticket)?;
         if let State::Flying(flight) = before.state.clone() {
             self.settle(&mut before, &flight, SILENCE, now);
--- a/crates/policy/tests/dispatch/budget.rs
+++ b/crates/policy/tests/dispatch/budget.rs
@@ -3,7 +3,7 @@
 use policy::dispatch::{
     Terms,
     budget::{
-        Budget, Need, Part,
+        Budget, Extra, Need,
         loan::{PORTION, USABLE},
     },
 };
@@ -16,12 +16,12 @@
 const TERMS: Terms = Terms { ratio: 0.2, extra: 50.0, window: Duration::from_secs(10) };
 
 /// A part of a run that has it from its start on.
-fn part(hosts: u32) -> Part {
-    Part { hosts, from: Some(at(0)) }
+fn part(hosts: u32) -> Extra {
+    Extra { hosts, from: Some(at(0)) }
 }
 
 /// Pays for a retry that arrives at once.
-fn pay(budget: &mut Budget, need: Need, part: Part, now: Moment) -> Option<()> {
+fn pay(budget: &mut Budget, need: Need, part: Extra, now: Moment) -> Option<()> {
     let payment = budget.pay(need, part, now)?;
     budget.arrived(payment, now);
     Some(())
@@ -61,7 +61,7 @@
     #[case] from: Option<u64>,
     #[case] now: u64,
 ) {
-    let part = Part { hosts: 1, from: from.map(at) };
+    let part = Extra { hosts: 1, from: from.map(at) };
     let mut budget = Budget::new(TERMS);
     assert_eq!(pay(&mut budget, Need::Great, part, at(now)), None);
     (0..100).for_each(|_| budget.request(at(now)));
--- a/crates/relay/src/retries.rs
+++ b/crates/relay/src/retries.rs
@@ -15,7 +15,7 @@
 /// Time between two lines on one service's budget.
 const PAUSE: Duration = Duration::from_secs(5);
 
-/// Tells of the budgets until the process ends.
+/// Logs the budgets that are in use until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>, exchange: Arc<Exchange>) {
     let mut refused: BTreeMap<service::Id, u64> = BTreeMap::new();
     loop {
@@ -24,18 +24,18 @@
         for (service, account) in shared.retry_budgets() {
             let before = refused.insert(service.clone(), account.refused).unwrap_or_default();
             if account.retries != 0 || before < account.refused {
-                tell(&service, &account, account.refused - before, &others);
+                log_budget(&service, &account, account.refused - before, &others);
             }
         }
     }
 }
 
-fn tell(service: &str, account: &Account, refused: u64, others: &Picture) {
-    let told = |counts: &BTreeMap<service::Id, u64>| counts.get(service).copied().unwrap_or(0);
+fn log_budget(service: &str, account: &Account, refused: u64, others: &Picture) {
+    let count = |counts: &BTreeMap<service::Id, u64>| counts.get(service).copied().unwrap_or(0);
     log::info!(
         service, requests = account.requests, retries = account.retries, open = account.open, refused,
         left = account.left, hosts = account.hosts,
-        others_requests = told(&others.arrivals), others_retries = told(&others.retries);
+        others_requests = count(&others.arrivals), others_retries = count(&others.retries);
         "retry budget"
     );
 }
