Give the chat interface's test sites addresses of their own too

Cause: their hosts listened at one loopback address with ports that the system picks, under the same names in every site, as the routed ones did. Ruled out: nothing. Change: hosts of each site on a network of its own.

--- a/crates/stage/tests/common/site.rs
+++ b/crates/stage/tests/common/site.rs
@@ -8,6 +8,7 @@
     engine::{self, Engine},
     objects::Platform,
     plain::Plain,
+    routed::network::Network,
 };
 use tempfile::TempDir;
 use types::{
@@ -31,6 +32,7 @@
     listed: Vec<Listed>,
     files: TempDir,
     runs: usize,
+    network: Network,
 }
 
 /// A site that is not yet running.
@@ -103,6 +105,7 @@
             listed: vec![Listed::Live; self.hosts],
             files: tempfile::tempdir().expect("folder for settings"),
             runs: 0,
+            network: Network::unused(),
         };
         if self.is_linked {
             let servers = site.servers().into_iter().map(|s| (s.id, s.address)).collect();
@@ -305,7 +308,7 @@
     }
 
     async fn spawn(&mut self, place: usize) -> Process {
-        let any = "127.0.0.1:0".parse().expect("an address");
+        let any = SocketAddr::new(self.network.host(place), 0);
         let host = Host {
             id: format!("host-{place}").into(),
             zone: ZONES[place % ZONES.len()].into(),
--- a/crates/stage/tests/moves/site.rs
+++ b/crates/stage/tests/moves/site.rs
@@ -17,6 +17,7 @@
     engine::{self, Engine},
     fault::Proxy,
     objects::Platform,
+    routed::network::Network,
 };
 use tempfile::TempDir;
 use types::{
@@ -280,7 +281,7 @@
 
 /// A host whose ports the system picks.
 fn with_any_ports(id: &str) -> Host {
-    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    let any = SocketAddr::new(Network::unused().host(0), 0);
     Host { id: id.into(), zone: "zone".into(), callers: any, peers: any, operators: any }
 }
 
