--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -172,7 +172,7 @@
         self.routes.find(host, path)
     }
 
-    /// So many hosts share the servers. More count at once, fewer only after [`FEWER`].
+    /// Sets how many hosts share the servers. More count at once, fewer only after [`FEWER`].
     pub fn hosts(&mut self, count: u32) {
         let count = count.max(1);
         self.fewer = match self.fewer {
--- a/crates/policy/src/dispatch/held.rs
+++ b/crates/policy/src/dispatch/held.rs
@@ -95,7 +95,7 @@
         sequence < self.sequence || known.any(|known| sequence < known)
     }
 
-    /// It holds this after so many orders.
+    /// Takes in that the server holds a model, or an adapter on it, after so many orders.
     pub fn put(
         &mut self,
         model: Index,
--- a/crates/standin/src/routed/links.rs
+++ b/crates/standin/src/routed/links.rs
@@ -31,12 +31,12 @@
 /// What becomes of datagrams from one host to another.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Way {
-    /// They pass.
+    /// Datagrams pass.
     #[default]
     Passes,
-    /// They are lost.
+    /// Datagrams are lost.
     Lost,
-    /// They pass so much later.
+    /// Datagrams pass so much later.
     Late(Duration),
 }
 
--- a/crates/standin/src/routed/soak/schedule.rs
+++ b/crates/standin/src/routed/soak/schedule.rs
@@ -126,13 +126,13 @@
 /// Pairs of hosts whose link is out of order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum Pairs {
-    /// All of them.
+    /// All pairs.
     All,
-    /// Those with a host at one end.
+    /// Pairs with a host at one end.
     Of(usize),
-    /// What a host sends.
+    /// Links from a host to all others.
     From(usize),
-    /// What a host is sent.
+    /// Links to a host from all others.
     To(usize),
 }
 
