Run a soak of the tests at one place

Cause: a last reading of the change: two tests built the same plan in a folder of their own. Change: one function builds it; the tests' assertions, seeds and lengths are as they were. Conclusion: nothing that is checked has changed.

--- a/crates/stage/tests/soak.rs
+++ b/crates/stage/tests/soak.rs
@@ -8,7 +8,7 @@
     links::Way,
     server::Fault as Grey,
     soak::{
-        Plan, run,
+        Plan, Summary, run,
         schedule::{self, Fault, Pairs, Planned},
     },
 };
@@ -62,6 +62,20 @@
     (0..3 * HOSTS as u32).map(kill).chain(failing(14, 26)).collect()
 }
 
+/// Runs a soak in a folder of its own.
+async fn soak(seed: u64, hosts: usize, length: Duration, schedule: Vec<Planned>) -> Summary {
+    let folder = tempfile::tempdir().expect("a folder");
+    let plan = Plan {
+        program: Path::new(env!("CARGO_BIN_EXE_cyclamenstage")),
+        folder: folder.path(),
+        seed,
+        hosts,
+        length,
+        schedule,
+    };
+    run(&plan).await.expect("a soak")
+}
+
 #[rstest]
 #[case::hosts_that_do_not_hear_each_other(deaf())]
 #[case::hosts_that_are_restarted_in_series(restarted())]
@@ -70,16 +84,7 @@
     let ends = schedule.iter().map(|planned| planned.at + planned.lasts);
     let length = ends.max().unwrap_or_default();
     schedule.sort_by_key(|planned| planned.at);
-    let folder = tempfile::tempdir().expect("a folder");
-    let plan = Plan {
-        program: Path::new(env!("CARGO_BIN_EXE_cyclamenstage")),
-        folder: folder.path(),
-        seed: 1,
-        hosts: HOSTS,
-        length,
-        schedule,
-    };
-    let summary = run(&plan).await.expect("a soak");
+    let summary = soak(1, HOSTS, length, schedule).await;
     assert!(summary.breaches.is_empty(), "{:#?}", summary.breaches);
     assert!(summary.retries.values().any(|part| 0.3 < *part), "{:?}", summary.retries);
 }
@@ -88,20 +93,11 @@
 #[case::short(SHORT)]
 #[case::silent_store(SILENT_STORE)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_soak_breaks_no_promise(#[case] soak: Soak) {
-    let Soak { seed, hosts, length, tail } = soak;
-    let folder = tempfile::tempdir().expect("a folder");
+async fn a_soak_breaks_no_promise(#[case] drawn: Soak) {
+    let Soak { seed, hosts, length, tail } = drawn;
     let schedule = schedule::draw(seed, hosts, length, tail);
     assert!(!schedule.is_empty());
-    let plan = Plan {
-        program: Path::new(env!("CARGO_BIN_EXE_cyclamenstage")),
-        folder: folder.path(),
-        seed,
-        hosts,
-        length,
-        schedule,
-    };
-    let summary = run(&plan).await.expect("a soak");
+    let summary = soak(seed, hosts, length, schedule).await;
     assert!(summary.breaches.is_empty(), "{:#?}", summary.breaches);
     assert!(summary.runs != 0 && summary.orders != 0, "{summary:?}");
 }
