Look for a lender only when an ask is due, and send notices once at one place

Cause: a last reading of the change: while a service is short of retries, each turn of the queue gathered all hosts in a list before it looked whether an ask was due; asks for quotas and for loans were sent by the same loop twice; the time to come back stood beside the function for it; the dispatcher kept the budgets' window for the sharers alone; what is left was cut at none twice. Ruled out: one type for the two counts of hosts that fall late (Dispatcher::hosts and Sharers): their times differ by a tick, so that behaviour would change. Change: Ask::is_due first, Shared::send_once, come_back, the window with the sharers. Conclusion: no decision has changed.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -109,8 +109,6 @@
     hosts: u32,
     /// Hosts that share the retry budgets.
     sharers: Sharers,
-    /// Length of the retry budgets' window.
-    window: Duration,
     /// Fewer hosts that there seem to be, and since when.
     fewer: Option<(u32, Moment)>,
     version: Option<routed::Version>,
@@ -133,8 +131,7 @@
         let bounds = hints::Bounds { generation: HINTS, life: HINT_LIFE, block_tokens: 1 };
         Dispatcher {
             hosts: settings.hosts.max(1),
-            sharers: Sharers::new(settings.hosts),
-            window: settings.retries.window,
+            sharers: Sharers::new(settings.hosts, settings.retries.window),
             fewer: None,
             version: None,
             routes: Routes::default(),
@@ -193,10 +190,7 @@
     /// The store knows this run by its name, so that the next one is a later one. A run that isn't known has no part of
     /// the retries besides those for its requests.
     pub fn registered(&mut self, run: Run) {
-        self.sharers.begin(match run {
-            Run::First => Duration::ZERO,
-            Run::Later => self.window,
-        });
+        self.sharers.begin(run);
     }
 
     /// What a server says of itself.
--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -186,9 +186,7 @@
 
     fn answer(&self, task: &Task, end: End, cause: Cause, now: Moment) -> Answer {
         match end {
-            _ if task.runs == 0 => {
-                Answer::NotRun { cause, after: after(task, self.outlook(task, now).wait) }
-            }
+            _ if task.runs == 0 => Answer::NotRun { cause, after: self.come_back(task, now) },
             End::Whole | End::ServerError => Answer::Server,
             End::NotRun(_) | End::Unreachable(_) | End::Unclear(_) | End::Cancelled => {
                 Answer::Unclear
--- a/crates/policy/src/dispatch/budget.rs
+++ b/crates/policy/src/dispatch/budget.rs
@@ -264,7 +264,7 @@
             retries: self.retries.last(now),
             open: self.open,
             refused: self.refused,
-            left: self.left(Need::Great, extra, now).max(0.0),
+            left: self.left(Need::Great, extra, now),
             hosts: extra.hosts,
         }
     }
--- a/crates/policy/src/dispatch/loans.rs
+++ b/crates/policy/src/dispatch/loans.rs
@@ -40,6 +40,14 @@
     denials: u32,
 }
 
+impl Ask {
+    /// Whether another may be sent.
+    fn is_due(&self, now: Moment) -> bool {
+        let is_open = self.open.is_some_and(|sent| now < sent + UNANSWERED);
+        !is_open && self.next <= now
+    }
+}
+
 impl Dispatcher {
     /// Takes the messages on loans that are to be sent.
     pub fn loans_outgoing(&mut self) -> Vec<(host::Id, Message)> {
@@ -82,13 +90,12 @@
         let short: Vec<(Index, service::Id)> =
             short.map(|(index, service)| (index as Index, service.id.clone())).collect();
         for (index, service) in short {
+            if !self.loans.asks.entry(index).or_default().is_due(now) {
+                continue;
+            }
             let Some(lender) = self.next_lender() else { return };
             let Borrowing { asks, outgoing, .. } = &mut self.loans;
             let ask = asks.entry(index).or_default();
-            let is_open = ask.open.is_some_and(|sent| now < sent + UNANSWERED);
-            if is_open || now < ask.next {
-                continue;
-            }
             ask.open = Some(now);
             ask.next = now + BETWEEN;
             let content = Content::Ask(PORTION);
@@ -99,8 +106,7 @@
 
     /// The live host whose turn it is.
     fn next_lender(&self) -> Option<host::Id> {
-        let others: Vec<&host::Id> = self.quotas.others().collect();
-        let turn = self.loans.turn.checked_rem(others.len())?;
-        others.get(turn).map(|host| (*host).clone())
+        let turn = self.loans.turn.checked_rem(self.quotas.others().count())?;
+        self.quotas.others().nth(turn).cloned()
     }
 }
--- a/crates/policy/src/dispatch/sharers.rs
+++ b/crates/policy/src/dispatch/sharers.rs
@@ -7,7 +7,7 @@
 
 use types::prelude::*;
 
-use super::budget::Extra;
+use super::{Run, budget::Extra};
 
 /// How long fewer hosts are seen before they share the budgets among themselves.
 const FEWER: Duration = Duration::from_secs(20);
@@ -15,6 +15,8 @@
 /// The largest number of hosts seen lately, and this run's part of what they share.
 #[derive(Clone, Debug)]
 pub(super) struct Sharers {
+    /// Length of the budgets' window.
+    window: Duration,
     /// From when on this run has a part.
     from: Option<Moment>,
     /// Hosts that the store lists.
@@ -25,8 +27,8 @@
 
 impl Sharers {
     /// Begins with a number that holds until others are known for a while.
-    pub(super) fn new(count: u32) -> Sharers {
-        Sharers { from: None, listed: 0, counts: [(Duration::ZERO, count.max(1))].into() }
+    pub(super) fn new(count: u32, window: Duration) -> Sharers {
+        Sharers { window, from: None, listed: 0, counts: [(Duration::ZERO, count.max(1))].into() }
     }
 
     /// Sets how many hosts the store lists, whether or not they run.
@@ -46,9 +48,12 @@
         }
     }
 
-    /// This run has a part from then on.
-    pub(super) fn begin(&mut self, from: Moment) {
-        self.from.get_or_insert(from);
+    /// This run has a part: the first at once, a later one when what the one before has spent counts no more.
+    pub(super) fn begin(&mut self, run: Run) {
+        self.from.get_or_insert(match run {
+            Run::First => Duration::ZERO,
+            Run::Later => self.window,
+        });
     }
 
     /// What this host has of the extra.
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -225,6 +225,16 @@
         self.exchange.get()?.upgrade()
     }
 
+    /// Sends notices, each to one host and once.
+    pub(crate) fn send_once(&self, notices: impl Iterator<Item = (host::Id, Notice)>) {
+        let Some(exchange) = self.exchange() else { return };
+        for (to, notice) in notices {
+            if let Err(error) = exchange.send_once(&to, notice) {
+                log::debug!(host = &*self.host.id; "{error}");
+            }
+        }
+    }
+
     /// The planner.
     pub(crate) fn planner(&self) -> MutexGuard<'_, Planner> {
         self.planner.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/relay/src/quotas.rs
+++ b/crates/relay/src/quotas.rs
@@ -61,12 +61,7 @@
 
     /// Sends asks and grants.
     pub(crate) fn send_quotas(&self, messages: Vec<(host::Id, Message)>) {
-        let Some(exchange) = self.exchange() else { return };
-        for (to, message) in messages {
-            if let Err(error) = exchange.send_once(&to, Notice::Quota(message)) {
-                log::debug!(host = &*self.host.id; "{error}");
-            }
-        }
+        self.send_once(messages.into_iter().map(|(to, message)| (to, Notice::Quota(message))));
     }
 
     /// Shows how limits are shared.
--- a/crates/relay/src/retries.rs
+++ b/crates/relay/src/retries.rs
@@ -53,12 +53,7 @@
 
     /// Sends asks and loans.
     pub(crate) fn send_loans(&self, messages: Vec<(host::Id, Message)>) {
-        let Some(exchange) = self.exchange() else { return };
-        for (to, message) in messages {
-            if let Err(error) = exchange.send_once(&to, Notice::Loan(message)) {
-                log::debug!(host = &*self.host.id; "{error}");
-            }
-        }
+        self.send_once(messages.into_iter().map(|(to, message)| (to, Notice::Loan(message))));
     }
 
     /// Shows the retry budgets.
