Reproduce a request that crashes more servers than it may

Callers saw model servers end one after another under one request, and their streams with them.

The bound is what every host knew: three crashes.

--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod orders;
 mod pages;
+mod poison;
 mod restarts;
 mod serving;
 mod silence;
--- a/crates/stage/tests/routed/site.rs
+++ b/crates/stage/tests/routed/site.rs
@@ -119,10 +119,17 @@
     site
 }
 
-/// A site whose hosts have started over a backend as it is.
-pub async fn undeclared(backend: Backend, hosts: usize) -> Site {
+/// A site without hosts over a backend as it is, prepared by `prepare`.
+pub fn undeclared_with(backend: Backend, prepare: impl FnOnce(&mut Site)) -> Site {
     let program = Path::new(env!("CARGO_BIN_EXE_cyclamenstage"));
     let mut site = Site::new(program, backend).expect("a folder");
+    prepare(&mut site);
+    site
+}
+
+/// A site whose hosts have started over a backend as it is.
+pub async fn undeclared(backend: Backend, hosts: usize) -> Site {
+    let mut site = undeclared_with(backend, |_| {});
     for _ in 0..hosts {
         site.add(|_| {}).await.expect("a host");
     }
--- a/crates/standin/src/routed/caller.rs
+++ b/crates/standin/src/routed/caller.rs
@@ -1,7 +1,7 @@
 //! Callers: requests with ids and deadlines over kept connections, never sent twice.
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -16,7 +16,10 @@
 use hyper_util::rt::TokioIo;
 use platform::far::caller as far;
 use relay::edge;
-use tokio::{net::TcpStream, task::AbortHandle};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::AbortHandle,
+};
 
 use super::PATIENCE;
 
@@ -200,6 +203,8 @@
 #[derive(Debug)]
 pub struct Caller {
     address: SocketAddr,
+    /// Where it calls from, if it matters.
+    source: Option<IpAddr>,
     kept: Option<Connection>,
     connections: u32,
 }
@@ -221,7 +226,13 @@
 impl Caller {
     /// A caller of a host; it connects when it first asks.
     pub fn new(address: SocketAddr) -> Caller {
-        Caller { address, kept: None, connections: 0 }
+        Caller { address, source: None, kept: None, connections: 0 }
+    }
+
+    /// Lets it call from an address of its machine.
+    #[must_use]
+    pub fn from(self, source: IpAddr) -> Caller {
+        Caller { source: Some(source), ..self }
     }
 
     /// Connections opened so far.
@@ -259,7 +270,7 @@
 
     async fn try_send(&mut self, request: Request<Full<Bytes>>) -> Result<Opened, Failure> {
         if self.kept.as_ref().is_none_or(|kept| kept.sender.is_closed()) {
-            self.kept = Some(connect(self.address).await.ok_or(Failure::Connect)?);
+            self.kept = Some(connect(self.source, self.address).await.ok_or(Failure::Connect)?);
             self.connections += 1;
         }
         let Some(Connection { sender, .. }) = &mut self.kept else { return Err(Failure::Connect) };
@@ -275,8 +286,15 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<Connection> {
-    let stream = TcpStream::connect(address).await.ok()?;
+async fn connect(source: Option<IpAddr>, address: SocketAddr) -> Option<Connection> {
+    let stream = match source {
+        None => TcpStream::connect(address).await.ok()?,
+        Some(source) => {
+            let socket = TcpSocket::new_v4().ok()?;
+            socket.bind(SocketAddr::new(source, 0)).ok()?;
+            socket.connect(address).await.ok()?
+        }
+    };
     let _ = stream.set_nodelay(true);
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     let driver = tokio::spawn(async move {
