Hold crashes of servers as a set that hosts join and pass on

**Cause**: each host told a count of the crashes that it had seen itself, and a reader kept one sum over all others. Callers lost servers and streams to a request that was known already: the sum fell when a host that told of crashes fell silent or was restarted; a host that started learnt nothing of what others had only heard; the 64 youngest entries pushed out the request that had crashed three; and a trial of another request excused its crash for good.

**Ruled out**: counts with a longer memory, since two hosts that saw one crash count it twice and a clear has no order; the store alone, since it is away when crashes come (it follows for what must outlive all hosts).

**Change**: a crash is (request, run of the server), with who saw it, whether the request ran there as the one suspect, whether it still counts, and its age. Sets join in any order; every host sends on all crashes of suspects, those of innocents only who saw them. A crash is void once that run answers something sent to it later, or the request ends whole; what ended whole within the last 10 s isn't charged; a server that leaves ends by itself; a suspect that ran apart, or a request that is refused and crashed more, explains a crash for what was beside it, on every host, and only as long as it counts. Suspicion lasts 10 minutes, a request that ran apart an hour. Each change is a line of kind poison with all crashes behind it.

**Tests**: poison's own tests take the place of those that read counts, each as strict: marks are crashes now, the life of 120 s is two lives, 'crashes that hosts have seen add up' also says that each counts once.

--- a/crates/observe/src/story.rs
+++ b/crates/observe/src/story.rs
@@ -25,7 +25,7 @@
 
 pub use self::{
     belief::{
-        Answer, Belief, DependencyState, Heard, LeaseState, PeerStanding, PoisonState,
+        Answer, Belief, CrashSeen, DependencyState, Heard, LeaseState, PeerStanding, PoisonState,
         ServerStanding,
     },
     line::{Line, Skipped, Time, What, read},
--- a/crates/observe/src/story/belief.rs
+++ b/crates/observe/src/story/belief.rs
@@ -148,7 +148,7 @@
         /// Whose news it is.
         from: Heard,
     },
-    /// Requests like this are thought to crash servers.
+    /// What is thought of a request that was at servers which crashed.
     Poison {
         /// The fingerprint of such requests.
         fingerprint: Word,
@@ -159,6 +159,9 @@
         /// The server that crashed last.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         server: Option<backend::Id>,
+        /// What is known of each crash.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        evidence: Vec<CrashSeen>,
     },
     /// Something that the process relies on was lost or is back.
     Dependency {
@@ -308,6 +311,24 @@
     Suspected,
     /// So often that it is refused.
     Confirmed,
+    /// Too few of the crashes still count for a doubt.
+    Cleared,
+}
+
+/// A crash of a server that a request was at.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CrashSeen {
+    /// The run of the server.
+    pub server: backend::Id,
+    /// The host that saw it.
+    pub witness: host::Id,
+    /// Whether other requests were there too: a stable word.
+    pub role: Word,
+    /// Whether it counts: not if the server answered later, or the request ended whole.
+    pub counts: bool,
+    /// Time since it was seen.
+    #[serde(rename = "age_ms", with = "types::time::millis")]
+    pub age: Duration,
 }
 
 /// What became of something that the process relies on.
--- a/crates/observe/src/story/tale.rs
+++ b/crates/observe/src/story/tale.rs
@@ -12,7 +12,7 @@
 use types::{adapter, backend, host, model, order::Fence, request, routed::Version};
 
 use super::{
-    belief::{Belief, DependencyState, LeaseState},
+    belief::{Belief, DependencyState, LeaseState, PoisonState},
     line::{Line, Skipped, What, read},
     step::Step,
 };
@@ -280,9 +280,14 @@
                 };
                 self.set(key, index);
             }
-            Belief::Poison { fingerprint, .. } => {
+            Belief::Poison { fingerprint, state, .. } => {
                 let key = Key::Poison(run, fingerprint.clone());
-                self.lost.insert(key.clone());
+                match state {
+                    PoisonState::Suspected | PoisonState::Confirmed => {
+                        self.lost.insert(key.clone())
+                    }
+                    PoisonState::Cleared => self.lost.remove(&key),
+                };
                 self.set(key, index);
             }
             Belief::Placement { server, model, .. } => {
--- a/crates/observe/src/story/teller.rs
+++ b/crates/observe/src/story/teller.rs
@@ -162,6 +162,7 @@
         | Belief::Wish { .. }
         | Belief::Order { answer: Answer::Accepted | Answer::Holds, .. }
         | Belief::Limit { .. }
+        | Belief::Poison { state: PoisonState::Cleared, .. }
         | Belief::Dependency { state: DependencyState::Regained, .. } => Level::Info,
         Belief::Server { standing: ServerStanding::Gone | ServerStanding::Suspected, .. }
         | Belief::Peer { standing: PeerStanding::Silent, .. }
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -138,7 +138,7 @@
             fleet: Fleet::new(settings.zone, settings.retries),
             tasks: Map::default(),
             hints: Hints::new(bounds),
-            poison: Poison::default(),
+            poison: Poison::new(settings.host.clone()),
             quotas: Quotas::new(settings.host, settings.run),
             loans: Borrowing::default(),
             ticked: Duration::ZERO,
@@ -328,14 +328,14 @@
         }
     }
 
-    /// Requests that crash servers, as this host has seen; for peers.
-    pub fn marks(&self, now: Moment) -> Vec<(Fingerprint, u32)> {
-        self.poison.marks(now)
+    /// Requests that crash servers.
+    pub fn poison(&self) -> &Poison {
+        &self.poison
     }
 
-    /// All that a peer has seen of requests that crash servers.
-    pub fn mark(&mut self, host: &host::Id, marks: &[(Fingerprint, u32)], now: Moment) {
-        self.poison.mark(host, marks, now);
+    /// Requests that crash servers, to be changed by what others know of them.
+    pub fn poison_mut(&mut self) -> &mut Poison {
+        &mut self.poison
     }
 
     fn held(&mut self, id: &backend::Id, model: &model::Id) -> Option<(u32, u32)> {
--- a/crates/policy/src/dispatch/account.rs
+++ b/crates/policy/src/dispatch/account.rs
@@ -106,18 +106,27 @@
 
     fn poison_settled(&mut self, task: &Task, flight: &Flight, end: End, now: Moment) {
         let fingerprint = task.ask.fingerprint;
+        let ticket = task.ask.ticket;
+        // A server that leaves ends by itself.
+        let is_leaving =
+            self.fleet.index(&flight.id).is_some_and(|index| self.fleet.is_draining(index));
         match end {
-            End::Whole => self.poison.completed(fingerprint, now),
-            End::Unclear(Unclear::Cut) => {
-                self.poison.crashed(task.ask.ticket, fingerprint, &flight.id, now);
+            End::Whole => {
+                self.poison.completed(fingerprint, now);
+                self.poison.answered(&flight.id, flight.sent, now);
             }
-            End::ServerError
-            | End::NotRun(_)
+            End::ServerError | End::NotRun(NotRun::Full | NotRun::NotHeld) => {
+                self.poison.answered(&flight.id, flight.sent, now);
+            }
+            End::Unclear(Unclear::Cut) if !is_leaving => {
+                self.poison.crashed(ticket, fingerprint, &flight.id, now);
+            }
+            End::NotRun(NotRun::Instance)
             | End::Unreachable(_)
             | End::Unclear(_)
             | End::Cancelled => {}
         }
-        self.poison.ended(task.ask.ticket);
+        self.poison.ended(ticket);
     }
 
     fn server_settled(&mut self, task: &Task, flight: &Flight, end: End, now: Moment) {
@@ -180,6 +189,8 @@
         let Some(server) = self.fleet.same(flight.server, &flight.id) else { return };
         server.heard(now);
         server.load.read(task.ask.ticket);
+        self.poison.answered(&flight.id, flight.sent, now);
+        let Some(server) = self.fleet.same(flight.server, &flight.id) else { return };
         if flight.is_cold {
             return;
         }
--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -210,7 +210,7 @@
         server.doubt.sent(ticket, now);
         let id = server.id.clone();
         if suspect {
-            self.poison.try_out(ticket, &id);
+            self.poison.try_out(ticket, task.ask.fingerprint, &id);
         }
         task.state = State::Flying(Flight {
             server: choice.server,
--- a/crates/policy/src/dispatch/fleet.rs
+++ b/crates/policy/src/dispatch/fleet.rs
@@ -119,6 +119,11 @@
         self.ids.get(id).copied()
     }
 
+    /// Whether a server is known to leave.
+    pub fn is_draining(&self, index: Index) -> bool {
+        self.get(index).is_some_and(|server| server.state == routed::State::Draining)
+    }
+
     /// The server with this number if it is still this one.
     pub fn same(&mut self, index: Index, id: &backend::Id) -> Option<&mut Server> {
         self.get_mut(index).filter(|server| server.id == *id)
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -43,7 +43,7 @@
     wire::{Body, Item, Number, Packet, Run, Scope},
 };
 pub use self::{
-    fact::{Departure, Fingerprint, Lease, Load, Member, Part, Reach, Revision, State, Store},
+    fact::{Departure, Lease, Load, Member, Part, Reach, Revision, State, Store},
     notice::{Notice, To},
     picture::{Picture, Seen, Tier},
     wire::DATAGRAM_BYTES,
@@ -263,11 +263,9 @@
                 let facts = limits.into_iter().map(|(server, news)| Fact::Limit(server, news));
                 replace(board, now, |key| matches!(key, Key::Limit(_)), facts);
             }
-            Part::Poison(marks) => {
-                let facts = marks
-                    .into_iter()
-                    .map(|(fingerprint, crashes)| Fact::Poison(fingerprint, crashes));
-                replace(board, now, |key| matches!(key, Key::Poison(_)), facts);
+            Part::Crashes(crashes) => {
+                let facts = crashes.into_iter().map(Fact::Crash);
+                replace(board, now, |key| matches!(key, Key::Crash(..)), facts);
             }
         }
     }
--- a/crates/policy/src/fleet/board.rs
+++ b/crates/policy/src/fleet/board.rs
@@ -8,6 +8,8 @@
 
 use types::time::Moment;
 
+use crate::dispatch::poison::Crash;
+
 use super::{
     fact::{Fact, Key},
     names::{Name, Names},
@@ -17,6 +19,9 @@
 /// Largest fact; larger ones are not told.
 const FACT_BYTES: usize = 600;
 
+/// Most by which the time of a crash may seem to shift between two readings of it.
+const CRASH_SHIFT: Duration = Duration::from_secs(1);
+
 /// Most by which the time of a lease's renewal may seem to shift between two readings of one.
 const RENEWAL_SHIFT: Duration = Duration::from_millis(100);
 
@@ -198,6 +203,11 @@
                 (&old.holder, old.fence) == (&new.holder, new.fence)
                     && aged.abs_diff(new.age) <= RENEWAL_SHIFT
             }
+            (Some(Fact::Crash(old)), Some(Fact::Crash(new))) => {
+                let aged = old.age + now.saturating_sub(self.noted);
+                Crash { age: new.age, ..old.clone() } == *new
+                    && aged.abs_diff(new.age) <= CRASH_SHIFT
+            }
             (old, new) => old.as_ref() == new,
         }
     }
--- a/crates/policy/src/fleet/fact.rs
+++ b/crates/policy/src/fleet/fact.rs
@@ -6,10 +6,12 @@
 use types::{availability, backend, host, model, routed::Version, service};
 
 use super::wire::Run;
-use crate::{member::rendezvous, quota::News, term};
-
-/// What tells one request that crashes servers from others.
-pub type Fingerprint = u64;
+use crate::{
+    dispatch::poison::{Crash, Fingerprint},
+    member::rendezvous,
+    quota::News,
+    term,
+};
 
 /// Revision of the store.
 pub type Revision = u64;
@@ -126,8 +128,8 @@
     Retries(Vec<(service::Id, u64)>),
     /// Servers known to be going.
     Servers(Vec<(backend::Id, Departure)>),
-    /// Crashes that requests have caused.
-    Poison(Vec<(Fingerprint, u8)>),
+    /// Crashes of servers, with the requests that were there.
+    Crashes(Vec<Crash>),
     /// The last news of the limits of servers.
     Limits(Vec<(backend::Id, News)>),
 }
@@ -143,7 +145,7 @@
     Arrivals(service::Id, u64),
     Retries(service::Id, u64),
     Server(backend::Id, Departure),
-    Poison(Fingerprint, u8),
+    Crash(Crash),
     /// A relay does not hear this run of a host.
     Absent(host::Id, Run),
     Term(term::Stored),
@@ -161,7 +163,7 @@
     Arrivals(service::Id),
     Retries(service::Id),
     Server(backend::Id),
-    Poison(Fingerprint),
+    Crash(Fingerprint, backend::Id),
     Absent(host::Id),
     Term,
     Limit(backend::Id),
@@ -179,7 +181,7 @@
             Fact::Arrivals(service, _) => Key::Arrivals(service.clone()),
             Fact::Retries(service, _) => Key::Retries(service.clone()),
             Fact::Server(server, _) => Key::Server(server.clone()),
-            Fact::Poison(fingerprint, _) => Key::Poison(*fingerprint),
+            Fact::Crash(crash) => Key::Crash(crash.request, crash.server.clone()),
             Fact::Absent(id, _) => Key::Absent(id.clone()),
             Fact::Limit(server, _) => Key::Limit(server.clone()),
         }
@@ -190,7 +192,6 @@
         match self {
             Fact::InFlight(load) => Some((load.requests.into(), load.tokens)),
             Fact::Arrivals(_, count) | Fact::Retries(_, count) => Some((*count, 0)),
-            Fact::Poison(_, crashes) => Some(((*crashes).into(), 0)),
             _ => None,
         }
     }
@@ -203,7 +204,6 @@
                 load.tokens = second;
             }
             Fact::Arrivals(_, count) | Fact::Retries(_, count) => *count = first,
-            Fact::Poison(_, crashes) => *crashes = u8::try_from(first).unwrap_or(u8::MAX),
             _ => return false,
         }
         true
@@ -226,6 +226,7 @@
     pub(super) fn aged(&self, by: Duration) -> Fact {
         match self {
             Fact::Lease(lease) => Fact::Lease(Lease { age: lease.age + by, ..lease.clone() }),
+            Fact::Crash(crash) => Fact::Crash(Crash { age: crash.age + by, ..crash.clone() }),
             fact => fact.clone(),
         }
     }
--- a/crates/policy/src/fleet/picture.rs
+++ b/crates/policy/src/fleet/picture.rs
@@ -4,11 +4,11 @@
 
 use types::{availability, backend, routed::Version, service, time::Moment};
 
-use crate::{quota::News, term};
+use crate::{dispatch::poison::Crash, quota::News, term};
 
 use super::{
     Fleet, Standing,
-    fact::{Departure, Fact, Fingerprint, Key, Lease, Load, Member, Revision, State, Store},
+    fact::{Departure, Fact, Key, Lease, Load, Member, Revision, State, Store},
     fanout::Distance,
     hosts::Peer,
     sums::{Tally, Working, loads},
@@ -60,8 +60,8 @@
     pub retries: BTreeMap<service::Id, u64>,
     /// Servers that others know to be going.
     pub servers: BTreeMap<backend::Id, Departure>,
-    /// Crashes by one request, over all others.
-    pub poison: BTreeMap<Fingerprint, u8>,
+    /// Crashes of servers that others know, with the requests that were there.
+    pub crashes: Vec<Crash>,
     /// The last news of the limits of servers, over all others.
     pub limits: BTreeMap<backend::Id, News>,
     /// The newest belief of others about the lease.
@@ -115,7 +115,7 @@
             live: live + usize::from(self.state(now) != State::Leaving),
             in_flight: busy(tally.in_flight),
             servers: tally.servers,
-            poison: tally.poison,
+            crashes: tally.crashes.into_values().collect(),
             limits: tally.limits,
             lease: tally.lease,
             term: tally.term,
--- a/crates/policy/src/fleet/sums.rs
+++ b/crates/policy/src/fleet/sums.rs
@@ -5,11 +5,15 @@
 
 use types::{backend, host, model, time::Moment};
 
-use crate::{quota::News, term};
+use crate::{
+    dispatch::poison::{Crash, Fingerprint},
+    quota::News,
+    term,
+};
 
 use super::{
     Fleet,
-    fact::{Departure, Fact, Fingerprint, Key, Lease, Load, Store},
+    fact::{Departure, Fact, Key, Lease, Load, Store},
     fanout::{Distance, Plan},
     hosts::Pulse,
     replace, view,
@@ -52,7 +56,7 @@
 pub(super) struct Tally {
     pub(super) in_flight: Working,
     pub(super) servers: BTreeMap<backend::Id, Departure>,
-    pub(super) poison: BTreeMap<Fingerprint, u8>,
+    pub(super) crashes: BTreeMap<(Fingerprint, backend::Id), Crash>,
     pub(super) lease: Option<Lease>,
     pub(super) term: Option<term::Stored>,
     pub(super) store: Option<Store>,
@@ -72,10 +76,14 @@
             Fact::Server(server, departure) => {
                 raise(self.servers.entry(server.clone()), *departure)
             }
-            // Each host counts the crashes that it has seen itself.
-            Fact::Poison(fingerprint, crashes) => {
-                let sum = self.poison.entry(*fingerprint).or_default();
-                *sum = sum.saturating_add(*crashes);
+            Fact::Crash(crash) => {
+                let aged = Crash { age: crash.age + age, ..crash.clone() };
+                let key = (crash.request, crash.server.clone());
+                let joined = match self.crashes.remove(&key) {
+                    Some(known) => known.joined(&aged),
+                    None => aged,
+                };
+                self.crashes.insert(key, joined);
             }
             Fact::Term(stored) => {
                 let held = self.term.as_ref().map_or(0, |(revision, _)| *revision);
@@ -114,14 +122,14 @@
     fn into_facts(self) -> impl Iterator<Item = Fact> {
         let loads = loads(self.in_flight).map(Fact::InFlight);
         let servers = self.servers.into_iter().map(|(id, departure)| Fact::Server(id, departure));
-        let poison = self.poison.into_iter().map(|(mark, crashes)| Fact::Poison(mark, crashes));
+        let crashes = self.crashes.into_values().map(Fact::Crash);
         let lease = self.lease.into_iter().map(Fact::Lease);
         let term = self.term.into_iter().map(Fact::Term);
         let store = self.store.into_iter().map(Fact::Store);
         let absent = self.absent.into_iter().map(|(id, run)| Fact::Absent(id, run));
         let limits = self.limits.into_iter().map(|(server, news)| Fact::Limit(server, news));
         let believed = lease.chain(term).chain(store).chain(absent).chain(limits);
-        loads.chain(servers).chain(poison).chain(believed)
+        loads.chain(servers).chain(crashes).chain(believed)
     }
 }
 
--- a/crates/policy/tests/dispatch/poison.rs
+++ b/crates/policy/tests/dispatch/poison.rs
@@ -2,7 +2,7 @@
 
 use policy::dispatch::{
     Again, Answer, Ask, Change, End, Poison, Unclear, Verdict,
-    poison::{POISON, Standing},
+    poison::{self, Crash, Fingerprint, LIFE, POISON, Role, SUSPICION, Standing},
 };
 use rstest::rstest;
 use types::{prelude::*, routed::Kind};
@@ -11,46 +11,94 @@
 
 const CUT: End = End::Unclear(Unclear::Cut);
 
+fn poison() -> Poison {
+    Poison::new("a".into())
+}
+
 fn crash(poison: &mut Poison, fingerprint: u64, servers: &[&str]) {
     for server in servers {
         poison.crashed(fingerprint, fingerprint, &(*server).into(), at(0));
     }
 }
 
+/// Hosts that know nothing yet.
+fn hosts<const N: usize>() -> [Poison; N] {
+    std::array::from_fn(|place| Poison::new(format!("host-{place}").as_str().into()))
+}
+
+/// Each of these hosts hears what the others send.
+fn exchange(poisons: &mut [Poison], now: Moment) {
+    let sent: Vec<Vec<Crash>> = poisons.iter().map(|poison| poison.crashes(now)).collect();
+    for (to, poison) in poisons.iter_mut().enumerate() {
+        let others = sent.iter().enumerate().filter(|(from, _)| *from != to);
+        others.for_each(|(_, crashes)| poison.learn(crashes, now));
+    }
+}
+
+/// Crashes of one request, as another host sends them.
+fn heard(request: Fingerprint, servers: &[&str], role: Role) -> Vec<Crash> {
+    let crash = |server: &&str| Crash {
+        request,
+        server: (*server).into(),
+        witness: "b".into(),
+        role,
+        verdict: poison::Verdict::Counts,
+        age: Duration::ZERO,
+    };
+    servers.iter().map(crash).collect()
+}
+
 #[rstest]
-fn the_third_crash_is_the_last() {
-    let mut poison = Poison::default();
+#[case::beside_others(Role::Beside, SUSPICION)]
+#[case::apart(Role::Apart, LIFE)]
+fn the_third_crash_is_the_last(#[case] role: Role, #[case] life: Duration) {
+    let mut poison = poison();
     let expected = [Standing::Clear, Standing::Suspect, Standing::Poison];
     for (server, expected) in ["s1", "s2", "s3"].into_iter().zip(expected) {
-        crash(&mut poison, 7, &[server]);
+        poison.learn(&heard(7, &[server], role), at(0));
         assert_eq!(poison.standing(7), expected);
     }
-    poison.expire(at(121_000));
+    poison.expire(life.saturating_sub(at(1)));
+    assert_eq!(poison.standing(7), Standing::Poison);
+    poison.expire(life);
     assert_eq!(poison.standing(7), Standing::Clear);
 }
 
 #[rstest]
 fn copies_on_one_server_are_one_crash() {
-    let mut poison = Poison::default();
+    let mut poison = poison();
     crash(&mut poison, 7, &["s1", "s1", "s1"]);
     assert_eq!(poison.standing(7), Standing::Clear);
 }
 
 #[rstest]
 fn an_answer_that_comes_whole_clears() {
-    let mut poison = Poison::default();
+    let mut poison = poison();
     crash(&mut poison, 7, &["s1", "s2"]);
     poison.completed(7, at(5));
     assert_eq!(poison.standing(7), Standing::Clear);
-    assert_eq!(poison.marks(at(6)), [(7, 0)]);
+    let sent = poison.crashes(at(6));
+    assert_eq!(sent.len(), 2);
+    assert!(sent.iter().all(|crash| crash.verdict == poison::Verdict::Void), "{sent:?}");
+}
+
+#[rstest]
+fn a_request_that_ended_whole_just_before_is_not_charged() {
+    let mut poison = poison();
+    poison.completed(7, at(5));
+    crash(&mut poison, 7, &["s1", "s2", "s3"]);
+    assert_eq!(poison.standing(7), Standing::Clear);
+    poison.crashed(1, 7, &"s4".into(), at(20_000));
+    poison.crashed(2, 7, &"s5".into(), at(20_000));
+    assert_eq!(poison.standing(7), Standing::Suspect, "it was long ago");
 }
 
 #[rstest]
 fn a_crash_in_a_trial_is_explained_by_the_suspect() {
-    let mut poison = Poison::default();
+    let mut poison = poison();
     crash(&mut poison, 7, &["s1", "s2"]);
     crash(&mut poison, 8, &["s1"]);
-    poison.try_out(7, &"s3".into());
+    poison.try_out(7, 7, &"s3".into());
     // In whichever order the connections are found broken.
     crash(&mut poison, 8, &["s3"]);
     crash(&mut poison, 7, &["s3"]);
@@ -58,26 +106,40 @@
     crash(&mut poison, 9, &["s3"]);
     assert_eq!(poison.standing(7), Standing::Poison);
     assert_eq!(poison.standing(8), Standing::Clear);
-    assert_eq!(poison.marks(at(0)).into_iter().find(|(it, _)| *it == 9), None);
+    // What was beside it on another host is explained as well.
+    poison.learn(&heard(10, &["s3", "s4"], Role::Beside), at(1));
+    assert_eq!(poison.standing(10), Standing::Clear);
+}
+
+/// The suspect ends whole, so that what was beside it on the server counts again.
+#[rstest]
+fn a_suspect_that_ends_whole_explains_nothing() {
+    let mut poison = poison();
+    crash(&mut poison, 7, &["s1", "s2"]);
+    poison.try_out(7, 7, &"s3".into());
+    crash(&mut poison, 8, &["s3", "s4", "s5"]);
+    assert_eq!(poison.standing(8), Standing::Suspect);
+    poison.completed(7, at(9));
+    assert_eq!(poison.standing(8), Standing::Poison);
+}
+
+#[rstest]
+fn a_request_that_is_refused_explains_crashes_of_others() {
+    let mut poison = poison();
+    poison.learn(&heard(7, &["s1", "s2", "s3", "s4"], Role::Beside), at(0));
+    poison.learn(&heard(8, &["s1", "s2", "s3"], Role::Beside), at(0));
+    assert_eq!(poison.standing(7), Standing::Poison);
+    assert_eq!(poison.standing(8), Standing::Clear);
 }
 
 #[rstest]
 fn crashes_on_all_hosts_add_up_and_are_cleared_everywhere() {
-    let hosts: [host::Id; 3] = ["a", "b", "c"].map(Into::into);
-    let mut poisons = [Poison::default(), Poison::default(), Poison::default()];
-    let exchange = |poisons: &mut [Poison; 3], now: Moment| {
-        let marks = poisons.each_ref().map(|poison| poison.marks(now));
-        for (to, poison) in poisons.iter_mut().enumerate() {
-            for (from, marks) in marks.iter().enumerate().filter(|(from, _)| *from != to) {
-                poison.mark(&hosts[from], marks, now);
-            }
-        }
-    };
+    let mut poisons = hosts::<3>();
     for (poison, server) in poisons.iter_mut().zip(["s1", "s2", "s3"]) {
         crash(poison, 7, &[server]);
     }
-    for poison in &mut poisons[..2] {
-        crash(poison, 8, &["s9"]);
+    for (poison, server) in poisons.iter_mut().zip(["s8", "s9"]) {
+        crash(poison, 8, &[server]);
     }
     for now in 1..4 {
         exchange(&mut poisons, at(now));
@@ -92,6 +154,98 @@
     assert!(poisons.iter().all(|poison| poison.standing(8) == Standing::Clear));
 }
 
+/// Two hosts that each saw one crash of a server saw the same one.
+#[rstest]
+fn a_crash_that_two_hosts_saw_counts_once() {
+    let mut poisons = hosts::<3>();
+    for poison in &mut poisons[..2] {
+        crash(poison, 8, &["s9"]);
+    }
+    exchange(&mut poisons, at(1));
+    exchange(&mut poisons, at(2));
+    assert!(poisons.iter().all(|poison| poison.standing(8) == Standing::Clear));
+}
+
+#[rstest]
+fn what_hosts_know_stays_known_when_those_that_saw_it_are_gone() {
+    let mut poisons = hosts::<4>();
+    for (poison, server) in poisons.iter_mut().zip(["s1", "s2", "s3"]) {
+        crash(poison, 7, &[server]);
+    }
+    exchange(&mut poisons, at(1));
+    let [_, _, third, fourth] = poisons;
+    let mut left = [third, fourth];
+    exchange(&mut left, at(2));
+    assert!(left.iter().all(|poison| poison.standing(7) == Standing::Poison));
+}
+
+#[rstest]
+fn a_host_that_starts_learns_from_one_that_only_heard() {
+    let mut poisons = hosts::<2>();
+    crash(&mut poisons[0], 7, &["s1", "s2", "s3"]);
+    exchange(&mut poisons, at(1));
+    let [_, heard] = poisons;
+    let mut later = [heard, Poison::new("host-9".into())];
+    exchange(&mut later, at(2));
+    assert_eq!(later[1].standing(7), Standing::Poison);
+}
+
+#[rstest]
+fn younger_crashes_of_innocents_push_out_no_request_that_is_refused() {
+    let mut poisons = hosts::<2>();
+    crash(&mut poisons[0], 7, &["s1", "s2", "s3"]);
+    for innocent in 100..3_000 {
+        poisons[0].crashed(innocent, innocent, &"s4".into(), at(10));
+    }
+    exchange(&mut poisons, at(11));
+    assert!(poisons.iter().all(|poison| poison.standing(7) == Standing::Poison));
+}
+
+#[rstest]
+fn crashes_are_as_old_everywhere_and_end_everywhere() {
+    let mut poisons = hosts::<2>();
+    crash(&mut poisons[0], 7, &["s1", "s2", "s3"]);
+    // Each host sends what it has as long as it has it.
+    for second in 1..700 {
+        let now = Duration::from_secs(second);
+        poisons.iter_mut().for_each(|poison| poison.expire(now));
+        exchange(&mut poisons, now + at(20));
+        poisons.iter_mut().for_each(|poison| poison.expire(now + at(40)));
+    }
+    assert!(poisons.iter().all(|poison| poison.standing(7) == Standing::Clear));
+}
+
+#[rstest]
+fn a_server_that_answers_what_was_sent_later_did_not_crash() {
+    let mut poison = poison();
+    crash(&mut poison, 7, &["s1", "s2", "s3"]);
+    poison.answered(&"s1".into(), at(0), at(5));
+    assert_eq!(poison.standing(7), Standing::Poison, "it was sent before");
+    poison.answered(&"s1".into(), at(3), at(5));
+    assert_eq!(poison.standing(7), Standing::Suspect);
+    let mut peers = [poison, Poison::new("b".into())];
+    crash(&mut peers[1], 7, &["s1"]);
+    exchange(&mut peers, at(6));
+    assert!(peers.iter().all(|poison| poison.standing(7) == Standing::Suspect));
+}
+
+#[rstest]
+fn changes_are_told_once_with_the_crashes_behind_them() {
+    let mut poison = poison();
+    crash(&mut poison, 7, &["s1"]);
+    assert_eq!(poison.news(at(1)), []);
+    crash(&mut poison, 7, &["s2", "s3"]);
+    let news = poison.news(at(2));
+    assert_eq!(news.len(), 1);
+    assert_eq!(
+        (news[0].request, news[0].standing, news[0].crashes.len()),
+        (7, Standing::Poison, 3)
+    );
+    assert_eq!(poison.news(at(3)), []);
+    poison.completed(7, at(4));
+    assert_eq!(poison.news(at(5))[0].standing, Standing::Clear);
+}
+
 #[track_caller]
 fn sent_again(again: Again) {
     assert!(matches!(again, Again::Send(_)), "{again:?}");
@@ -129,10 +283,28 @@
     assert_eq!(host.arrive(poison, at(20_000)), Verdict::Quarantined);
 }
 
+#[rstest]
+fn a_server_that_leaves_ends_by_itself() {
+    let mut host = plain(&[]);
+    for round in 0..4 {
+        let now = at(round * 1_000);
+        let id = format!("s{round}");
+        host.server(&server(&id, "a", &[]), now);
+        let ask = Ask { fingerprint: 7, ..ask(round, Kind::NonIdempotent, now) };
+        sent(host.arrive(ask, now));
+        host.draining(&id.as_str().into());
+        host.ended(round, CUT, now + at(100));
+        host.gone(&id.as_str().into());
+    }
+    assert_eq!(host.poison().standing(7), Standing::Clear);
+}
+
 #[rstest]
 fn suspects_run_one_at_a_time() {
     let mut host = plain(&["s1", "s2", "s3", "s4"]);
-    host.mark(&"b".into(), &[(7, 2), (8, 2)], at(0));
+    for fingerprint in [7, 8] {
+        host.poison_mut().learn(&heard(fingerprint, &["x1", "x2"], Role::Beside), at(0));
+    }
     let suspect = |ticket, fingerprint| Ask { fingerprint, ..ask(ticket, Kind::Stream, at(0)) };
     sent(host.arrive(suspect(1, 7), at(0)));
     assert_eq!(host.arrive(suspect(2, 8), at(0)), Verdict::Wait);
--- a/crates/policy/tests/fleet_facts.rs
+++ b/crates/policy/tests/fleet_facts.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use fleet_net::{Net, ROUGH};
-use policy::fleet::{Departure, Lease, Load, Part, Picture, Reach, Store};
+use policy::{
+    dispatch::poison::{Crash, Role, Verdict},
+    fleet::{Departure, Lease, Load, Part, Picture, Reach, Store},
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -32,6 +35,21 @@
     net.picture(0)
 }
 
+fn crash(request: u64, server: &str) -> Crash {
+    Crash {
+        request,
+        server: server.into(),
+        witness: "host-001".into(),
+        role: Role::Beside,
+        verdict: Verdict::Counts,
+        age: Duration::ZERO,
+    }
+}
+
+fn requests(picture: &Picture) -> Vec<u64> {
+    picture.crashes.iter().map(|crash| crash.request).collect()
+}
+
 #[test]
 fn each_part_arrives() {
     let lease = Lease { holder: "host-001".into(), fence: 8, age: Duration::from_millis(700) };
@@ -43,13 +61,13 @@
         Part::InFlight(vec![load(2, 3), load(1, 5)]),
         Part::Arrivals(vec![(service(1), 10)]),
         Part::Servers(vec![("i-1".into(), Departure::Gone)]),
-        Part::Poison(vec![(99, 2)]),
+        Part::Crashes(vec![crash(99, "s1")]),
     ]);
     assert_eq!(picture.in_flight, [load(1, 5), load(2, 3)]);
     assert_eq!(picture.at("i-00000002"), [load(2, 3)]);
     assert_eq!(picture.at("i-3"), []);
     assert_eq!(picture.servers["i-1"], Departure::Gone);
-    assert_eq!(picture.poison[&99], 2);
+    assert_eq!(requests(&picture), [99]);
     assert_eq!(picture.store, store);
     let ahead = picture.ahead(&"zone-1".into(), 11);
     assert_eq!((ahead.len(), ahead[0].declared), (1, 12));
@@ -65,16 +83,16 @@
     let mut net = Net::settled(3, 1);
     net.publish(1, Part::InFlight(vec![load(1, 5), load(2, 1)]));
     net.publish(1, Part::Servers(vec![("i-1".into(), Departure::Leaving)]));
-    net.publish(1, Part::Poison(vec![(1, 1)]));
+    net.publish(1, Part::Crashes(vec![crash(1, "s1")]));
     net.run_for(STEP * 3);
     net.publish(1, Part::InFlight(vec![load(2, 4)]));
     net.publish(1, Part::Servers(Vec::new()));
-    net.publish(1, Part::Poison(vec![(2, 1)]));
+    net.publish(1, Part::Crashes(vec![crash(2, "s1")]));
     net.run_for(STEP * 3);
     let picture = net.picture(0);
     assert_eq!(picture.in_flight, [load(2, 4)]);
     assert!(picture.servers.is_empty());
-    assert_eq!(picture.poison.into_keys().collect::<Vec<_>>(), [2]);
+    assert_eq!(requests(&picture), [2]);
 }
 
 #[test]
@@ -147,10 +165,10 @@
 #[test]
 fn more_than_a_datagram_holds_goes_in_several() {
     let mut net = Net::settled(3, 1);
-    let poison: Vec<_> = (0..1_000).map(|mark| (mark * 0x1234_5678_9abc, 1)).collect();
-    net.publish(1, Part::Poison(poison.clone()));
+    let many: Vec<u64> = (0..1_000).map(|request| request * 0x1234_5678_9abc).collect();
+    net.publish(1, Part::Crashes(many.iter().map(|request| crash(*request, "s1")).collect()));
     net.run_for(SETTLE);
-    assert_eq!(net.picture(0).poison.into_iter().collect::<Vec<_>>(), poison);
+    assert_eq!(requests(&net.picture(0)), many);
     assert!(net.largest <= policy::fleet::DATAGRAM_BYTES, "{} bytes", net.largest);
 }
 
@@ -222,26 +240,43 @@
 #[test]
 fn a_drop_is_forgotten_once_all_had_time_to_hear_of_it() {
     let mut net = Net::settled(3, 1);
-    net.publish(1, Part::Poison(vec![(1, 1), (2, 1)]));
+    net.publish(1, Part::Crashes(vec![crash(1, "s1"), crash(2, "s1")]));
     net.run_for(STEP * 3);
     // Host 2 hears nothing of the drop before it is forgotten.
     net.cut = vec![2];
-    net.publish(1, Part::Poison(vec![(2, 1)]));
+    net.publish(1, Part::Crashes(vec![crash(2, "s1")]));
     net.run_for(Duration::from_secs(50));
-    net.publish(1, Part::Poison(vec![(2, 2)]));
+    net.publish(1, Part::Crashes(vec![Crash { role: Role::Apart, ..crash(2, "s1") }]));
     net.run_for(Duration::from_secs(15));
     net.cut.clear();
     net.run_for(Duration::from_secs(8));
-    assert_eq!(net.picture(2).poison.into_iter().collect::<Vec<_>>(), [(2, 2)]);
+    let crashes = net.picture(2).crashes;
+    assert_eq!((crashes.len(), crashes[0].request, crashes[0].role), (1, 2, Role::Apart));
+}
+
+#[test]
+fn crashes_that_hosts_have_seen_add_up_and_each_counts_once() {
+    let mut net = Net::settled(3, 1);
+    net.publish(1, Part::Crashes(vec![crash(7, "s1"), crash(7, "s2")]));
+    net.publish(2, Part::Crashes(vec![crash(7, "s2"), crash(7, "s3")]));
+    net.run_for(STEP * 3);
+    let picture = net.picture(0);
+    let servers: Vec<&str> = picture.crashes.iter().map(|crash| &*crash.server).collect();
+    assert_eq!(servers, ["s1", "s2", "s3"]);
 }
 
 #[test]
-fn crashes_that_hosts_have_seen_add_up() {
+fn a_crash_grows_old_on_its_way_and_is_sent_once() {
     let mut net = Net::settled(3, 1);
-    net.publish(1, Part::Poison(vec![(7, 1)]));
-    net.publish(2, Part::Poison(vec![(7, 2)]));
+    let at = |age| Crash { age: Duration::from_secs(age), ..crash(7, "s1") };
+    net.publish(1, Part::Crashes(vec![at(20)]));
+    net.run_for(Duration::from_secs(10));
+    let sent = net.hosts[&1].fleet.counts().sent;
+    net.publish(1, Part::Crashes(vec![at(30)]));
     net.run_for(STEP * 3);
-    assert_eq!(net.picture(0).poison[&7], 3);
+    let age = net.picture(0).crashes[0].age;
+    assert!(age >= Duration::from_secs(30), "{age:?}");
+    assert!(net.hosts[&1].fleet.counts().sent - sent <= 2, "it is no news");
 }
 
 #[test]
--- a/crates/policy/tests/fleet_wire.rs
+++ b/crates/policy/tests/fleet_wire.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use fleet_net::{Net, address, member};
-use policy::fleet::{Fleet, Notice, Part, Settings, To};
+use policy::{
+    dispatch::poison::{Crash, Role, Verdict},
+    fleet::{Fleet, Notice, Part, Settings, To},
+};
 use proptest::{prelude::*, test_runner::RngSeed};
 
 const NOW: Duration = Duration::from_secs(9);
@@ -17,7 +20,15 @@
 /// Datagrams that hosts send each other, of each kind.
 fn genuine() -> Vec<Vec<u8>> {
     let mut net = Net::settled(3, 1);
-    net.publish(1, Part::Poison((0..50).map(|mark| (mark, 1)).collect()));
+    let crash = |request| Crash {
+        request,
+        server: "s1".into(),
+        witness: "host-001".into(),
+        role: Role::Beside,
+        verdict: Verdict::Counts,
+        age: Duration::ZERO,
+    };
+    net.publish(1, Part::Crashes((0..50).map(crash).collect()));
     let now = net.now + Duration::from_secs(1);
     let fleet = net.fleet(1);
     fleet.tick(now);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod peers;
 mod planning;
 mod pool;
+mod quarantine;
 mod quotas;
 mod ready;
 mod registration;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -22,7 +22,7 @@
     routed::{self, Declaration, Version},
 };
 
-use crate::{host::Shared, workload::PEERS};
+use crate::host::Shared;
 
 /// Pause between two rounds of telling and reading.
 const ROUND: Duration = Duration::from_millis(60);
@@ -172,10 +172,8 @@
     let used = shared.dispatcher().used();
     exchange
         .publish(Part::Retries(used.into_iter().map(|(id, used)| (id, used.retries)).collect()));
-    let marks = shared.dispatcher().marks(now);
-    let marks =
-        marks.into_iter().map(|(mark, crashes)| (mark, u8::try_from(crashes).unwrap_or(u8::MAX)));
-    exchange.publish(Part::Poison(marks.collect()));
+    let crashes = shared.dispatcher().poison().crashes(now);
+    exchange.publish(Part::Crashes(crashes));
     let limits = limits(shared);
     let was_told =
         counts(shared, |counts| std::mem::replace(&mut counts.tells_limits, !limits.is_empty()));
@@ -212,9 +210,7 @@
     drop(term);
     let mut dispatcher = shared.dispatcher();
     dispatcher.hosts(u32::try_from(picture.live).unwrap_or(u32::MAX));
-    let marks: Vec<_> =
-        picture.poison.iter().map(|(mark, crashes)| (*mark, u32::from(*crashes))).collect();
-    dispatcher.mark(&PEERS.into(), &marks, now);
+    dispatcher.poison_mut().learn(&picture.crashes, now);
     drop(dispatcher);
     shared.drain(picture.servers.keys());
     shared.quota_hosts(picture);
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -20,7 +20,7 @@
     host::Shared,
     lease,
     peers::{self, Answers},
-    planning, ready, registration, retries, watch, workload,
+    planning, quarantine, ready, registration, retries, watch, workload,
 };
 
 /// Part of the grace after which what is still in flight is given up.
@@ -119,6 +119,7 @@
     tokio::spawn(lease::run(shared.clone()));
     tokio::spawn(planning::run(shared.clone()));
     tokio::spawn(pump(shared.clone()));
+    tokio::spawn(quarantine::run(shared.clone()));
     tokio::spawn(retries::run(shared.clone(), exchange.clone()));
     tokio::spawn(sweep(shared.clone()));
     let callers = tokio::spawn(callers::listen(shared.clone(), callers, stop.clone()));
