Count a crash that isn't seen as a cut connection

**Cause**: only an attempt whose connection broke was charged. One that its caller left first, or that was given up for a silent server, crashed servers without being counted: ten sends, ten servers. And a trial whose crash nobody could see was over, so that the next one began before the end of its server was known.

**Ruled out**: charging silence by itself, since servers are slow and callers leave all the time.

**Change**: such an attempt is kept for 8 s, and counts as a crash if the registration of its server ends in that time without a word that it leaves, whether the store or a peer says so, and nothing sent later was answered. What is still in flight at a server that has answered nothing for long when its registration ends counts too. A suspect whose last run ended so waits until it is clear what became of its server.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -56,11 +56,19 @@
     routes::{Routes, split},
 };
 use self::{
-    budget::Budget, fleet::Fleet, held::Absence, loans::Borrowing, sharers::Sharers, task::Task,
+    budget::Budget,
+    fleet::Fleet,
+    held::Absence,
+    loans::Borrowing,
+    sharers::Sharers,
+    task::{State, Task},
 };
 use crate::{
     quota::Quotas,
-    route::hints::{self, Hints},
+    route::{
+        Index,
+        hints::{self, Hints},
+    },
 };
 
 /// A map without random state; its order never shows.
@@ -225,14 +233,41 @@
     }
 
     /// A server is gone.
-    pub fn gone(&mut self, id: &backend::Id) {
+    pub fn gone(&mut self, id: &backend::Id, now: Moment) {
         self.quotas.forget(id);
         if let Some(index) = self.fleet.index(id) {
+            self.ended_unannounced(index, id, now);
             self.fleet.remove(index);
             self.hints.clear(index);
         }
     }
 
+    /// A server's registration ended though it did not say that it leaves.
+    pub fn unregistered(&mut self, id: &backend::Id, now: Moment) {
+        if let Some(index) = self.fleet.index(id) {
+            self.ended_unannounced(index, id, now);
+        }
+    }
+
+    /// Charges what may have crashed a server that ended without a word.
+    fn ended_unannounced(&mut self, index: Index, id: &backend::Id, now: Moment) {
+        let Some(server) = self.fleet.get(index) else { return };
+        if server.state == routed::State::Draining {
+            return;
+        }
+        // One that still answers may be about to leave.
+        if server.is_dark(now) {
+            let flying = self.tasks.values().filter_map(|task| match &task.state {
+                State::Flying(flight) if flight.id == *id => Some(&task.ask),
+                _ => None,
+            });
+            for ask in flying {
+                self.poison.unclear(ask.ticket, ask.fingerprint, id, now);
+            }
+        }
+        self.poison.gone(id, now);
+    }
+
     /// Where a server listens.
     pub fn address(&self, id: &backend::Id) -> Option<SocketAddr> {
         self.fleet.get(self.fleet.index(id)?).map(|server| server.address)
--- a/crates/policy/src/dispatch/account.rs
+++ b/crates/policy/src/dispatch/account.rs
@@ -121,6 +121,9 @@
             End::Unclear(Unclear::Cut) if !is_leaving => {
                 self.poison.crashed(ticket, fingerprint, &flight.id, now);
             }
+            End::Unclear(Unclear::Silent) | End::Cancelled if !is_leaving => {
+                self.poison.unclear(ticket, fingerprint, &flight.id, now);
+            }
             End::NotRun(NotRun::Instance)
             | End::Unreachable(_)
             | End::Unclear(_)
--- a/crates/policy/src/dispatch/choose.rs
+++ b/crates/policy/src/dispatch/choose.rs
@@ -87,7 +87,7 @@
 impl Dispatcher {
     /// Chooses a server for a request.
     pub(super) fn choose(&self, task: &Task, now: Moment) -> Outcome {
-        if self.poison.is_trying() && self.is_suspect(task) {
+        if self.is_suspect(task) && self.poison.is_held_back(task.ask.fingerprint) {
             return Outcome::Full;
         }
         let owners = self.owners(task, now);
--- a/crates/policy/src/dispatch/poison.rs
+++ b/crates/policy/src/dispatch/poison.rs
@@ -12,7 +12,7 @@
 //! From the second crash on a request is a suspect and runs apart from other suspects: one at a time
 //! on a host, on the server with the least to lose. After the third crash it reaches no server.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
@@ -46,12 +46,19 @@
 /// How long a void crash of a request that is no suspect is sent.
 const VOID_SENT: Duration = Duration::from_secs(10);
 
+/// Time between the end of an attempt and the end of its server's registration within which the
+/// attempt may have crashed the server.
+const UNCLEAR: Duration = Duration::from_secs(8);
+
 /// How long at least a request that ended whole crashes no server, as far as is known.
 const WHOLE: Duration = Duration::from_secs(10);
 
 /// Most requests kept that ended whole, in each of two generations.
 const MOST_WHOLE: usize = 4096;
 
+/// Most attempts kept whose servers may have crashed.
+const MOST_UNCLEAR: usize = 512;
+
 /// What is thought of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Standing {
@@ -172,6 +179,15 @@
     server: backend::Id,
 }
 
+/// An attempt that ended without telling whether its server crashed.
+#[derive(Clone, Debug)]
+struct Unclear {
+    request: Fingerprint,
+    server: backend::Id,
+    role: Role,
+    at: Moment,
+}
+
 /// Requests that ended whole lately: the older generation goes when the younger is full or old.
 #[derive(Clone, Debug, Default)]
 struct Whole {
@@ -203,6 +219,7 @@
     /// Requests by the servers that they were at.
     at_servers: BTreeMap<backend::Id, BTreeSet<Fingerprint>>,
     trial: Option<Trial>,
+    unclear: VecDeque<Unclear>,
     whole: Whole,
     /// Requests about which something was learnt since the last look.
     changed: BTreeSet<Fingerprint>,
@@ -216,6 +233,7 @@
             entries: Map::default(),
             at_servers: BTreeMap::new(),
             trial: None,
+            unclear: VecDeque::new(),
             whole: Whole::default(),
             changed: BTreeSet::new(),
         }
@@ -234,9 +252,11 @@
         }
     }
 
-    /// Whether a suspect runs.
-    pub fn is_trying(&self) -> bool {
-        self.trial.is_some()
+    /// Whether a suspect has to wait: another one runs, or its own last run may yet turn out to be a
+    /// crash.
+    pub fn is_held_back(&self, request: Fingerprint) -> bool {
+        let is_open = |unclear: &Unclear| unclear.request == request && unclear.role == Role::Apart;
+        self.trial.is_some() || self.unclear.iter().any(is_open)
     }
 
     /// A suspect is sent.
@@ -260,8 +280,39 @@
         }
     }
 
+    /// A request's attempt ended without a word of its server, which may crash by it all the same.
+    pub fn unclear(
+        &mut self,
+        ticket: Ticket,
+        request: Fingerprint,
+        server: &backend::Id,
+        now: Moment,
+    ) {
+        let is_trial = self.trial.as_ref().is_some_and(|trial| trial.ticket == ticket);
+        let role = if is_trial { Role::Apart } else { Role::Beside };
+        if self.unclear.len() == MOST_UNCLEAR {
+            self.unclear.pop_front();
+        }
+        self.unclear.push_back(Unclear { request, server: server.clone(), role, at: now });
+    }
+
+    /// A server's registration ended though it did not say that it leaves.
+    pub fn gone(&mut self, server: &backend::Id, now: Moment) {
+        let (of_it, others) = std::mem::take(&mut self.unclear)
+            .into_iter()
+            .partition(|unclear| unclear.server == *server);
+        self.unclear = others;
+        let of_it: VecDeque<Unclear> = of_it;
+        for Unclear { request, role, at, .. } in of_it {
+            if now < at + UNCLEAR {
+                self.note(request, server, role, now);
+            }
+        }
+    }
+
     /// A server answered what was sent to it at a time, so it did not crash before.
     pub fn answered(&mut self, server: &backend::Id, sent: Moment, now: Moment) {
+        self.unclear.retain(|unclear| unclear.server != *server || sent <= unclear.at);
         let Some(requests) = self.at_servers.get(server) else { return };
         for request in requests.clone() {
             self.void(request, now, |at, known| at == server && known.learnt < sent);
@@ -274,6 +325,12 @@
         self.void(request, now, |_, _| true);
     }
 
+    /// Lets a request run again, whatever it did; false if nothing is known of it.
+    pub fn lift(&mut self, request: Fingerprint, now: Moment) -> bool {
+        self.void(request, now, |_, _| true);
+        self.entries.contains_key(&request)
+    }
+
     /// An attempt is over, whatever came of it.
     pub fn ended(&mut self, ticket: Ticket) {
         if self.trial.as_ref().is_some_and(|trial| trial.ticket == ticket) {
@@ -302,6 +359,23 @@
         sent.take(MOST_SENT).collect()
     }
 
+    /// All crashes of the requests that are refused, and whether this host saw one of a request's.
+    pub fn refused(&self, now: Moment) -> Vec<(Vec<Crash>, bool)> {
+        let refused =
+            self.entries.iter().filter(|(request, _)| self.standing(**request) == Standing::Poison);
+        let crashes = |(request, entry): (&Fingerprint, &Entry)| {
+            let is_own = entry.crashes.values().any(|known| known.is_own);
+            (list(*request, entry, now), is_own)
+        };
+        refused.map(crashes).collect()
+    }
+
+    /// What is known of a request's crashes.
+    pub fn known(&self, request: Fingerprint, now: Moment) -> Vec<Crash> {
+        let entry = self.entries.get(&request);
+        entry.map_or_else(Vec::new, |entry| list(request, entry, now))
+    }
+
     /// Joins what other hosts, or the store, know.
     pub fn learn(&mut self, crashes: &[Crash], now: Moment) {
         for crash in crashes {
@@ -338,6 +412,7 @@
 
     /// Drops what is old.
     pub fn expire(&mut self, now: Moment) {
+        self.unclear.retain(|unclear| now < unclear.at + UNCLEAR);
         let old = self.entries.iter().filter(|(_, entry)| entry.until() <= now);
         let old: Vec<Fingerprint> = old.map(|(request, _)| *request).collect();
         old.into_iter().for_each(|request| self.forget(request));
--- a/crates/policy/tests/dispatch/choice.rs
+++ b/crates/policy/tests/dispatch/choice.rs
@@ -210,7 +210,7 @@
 fn servers_that_leave_get_nothing_new() {
     let mut host = plain(&["s1", "s2", "s3"]);
     host.draining(&"s1".into());
-    host.gone(&"s2".into());
+    host.gone(&"s2".into(), at(0));
     // It is ready no more, though a late entry says so.
     host.server(&server("s1", "a", &[]), at(1));
     for n in 0..2 {
--- a/crates/policy/tests/dispatch/loans.rs
+++ b/crates/policy/tests/dispatch/loans.rs
@@ -114,7 +114,7 @@
     sent(host.arrive(ask(ticket, Kind::Idempotent, at(30)), at(30)));
     assert!(matches!(host.again(ticket, End::NotRun(NotRun::NotHeld), at(30)), Again::Send(_)));
     for id in servers() {
-        host.gone(&id.as_str().into());
+        host.gone(&id.as_str().into(), at(0));
     }
     let again = host.again(ticket, REFUSED, at(40));
     assert!(
@@ -136,7 +136,7 @@
             at(0),
         ));
     }
-    host.gone(&"s1".into());
+    host.gone(&"s1".into(), at(0));
     let waits =
         |ticket: &&Ticket| host.again(**ticket, End::Unclear(Unclear::Cut), at(100)) == Again::Wait;
     let waiting = tickets.iter().filter(waits).count();
--- a/crates/policy/tests/dispatch/poison.rs
+++ b/crates/policy/tests/dispatch/poison.rs
@@ -229,6 +229,44 @@
     assert!(peers.iter().all(|poison| poison.standing(7) == Standing::Suspect));
 }
 
+#[rstest]
+#[case::soon(1_000, Standing::Poison)]
+#[case::long_after(20_000, Standing::Clear)]
+fn an_attempt_that_ended_unclear_counts_if_its_server_is_gone_soon(
+    #[case] gone: u64,
+    #[case] expected: Standing,
+) {
+    let mut poison = poison();
+    for server in ["s1", "s2", "s3"] {
+        poison.unclear(1, 7, &server.into(), at(0));
+        poison.gone(&server.into(), at(gone));
+    }
+    assert_eq!(poison.standing(7), expected);
+}
+
+#[rstest]
+fn an_attempt_that_ended_unclear_counts_for_nothing_once_its_server_answers() {
+    let mut poison = poison();
+    for server in ["s1", "s2", "s3"] {
+        poison.unclear(1, 7, &server.into(), at(0));
+        poison.answered(&server.into(), at(5), at(10));
+        poison.gone(&server.into(), at(1_000));
+    }
+    assert_eq!(poison.standing(7), Standing::Clear);
+}
+
+#[rstest]
+fn a_request_that_is_lifted_runs_again_on_every_host() {
+    let mut poisons = hosts::<3>();
+    crash(&mut poisons[0], 7, &["s1", "s2", "s3"]);
+    exchange(&mut poisons, at(1));
+    assert!(poisons[1].lift(7, at(2)));
+    exchange(&mut poisons, at(3));
+    exchange(&mut poisons, at(4));
+    assert!(poisons.iter().all(|poison| poison.standing(7) == Standing::Clear));
+    assert!(!poisons[1].lift(8, at(5)));
+}
+
 #[rstest]
 fn changes_are_told_once_with_the_crashes_behind_them() {
     let mut poison = poison();
@@ -271,7 +309,7 @@
         };
         crashes += 1;
         assert_eq!(host.again(ticket + 1, CUT, now + at(5)), Again::GiveUp(Answer::Unclear));
-        host.gone(&second);
+        host.gone(&second, now + at(5));
         if first == second {
             host.server(&server(&format!("t{round}"), "a", &[]), now + at(4));
             sent_again(host.again(ticket, CUT, now + at(5)));
@@ -283,6 +321,40 @@
     assert_eq!(host.arrive(poison, at(20_000)), Verdict::Quarantined);
 }
 
+/// The crash is seen as silence, or not at all since the caller has left.
+#[rstest]
+fn a_poison_request_whose_crashes_are_not_seen_as_cuts_costs_three_servers(
+    #[values(End::Unclear(Unclear::Silent), End::Cancelled)] end: End,
+) {
+    let mut host = plain(&[]);
+    let mut ended = 0;
+    for round in 0..10 {
+        let now = at(round * 1_000);
+        host.server(&server(&format!("s{round}"), "a", &[]), now);
+        let ticket = round + 1;
+        let poison = Ask { fingerprint: 666, ..ask(ticket, Kind::NonIdempotent, now) };
+        let Verdict::Send(server) = host.arrive(poison, now) else { continue };
+        ended += 1;
+        host.ended(ticket, end, now + at(100));
+        host.gone(&server, now + at(900));
+    }
+    assert_eq!(ended, POISON);
+}
+
+/// Its server's end is seen seconds later.
+#[rstest]
+fn a_suspect_whose_run_ended_unclear_waits_until_that_is_clear() {
+    let mut host = plain(&["s1", "s2"]);
+    host.poison_mut().learn(&heard(7, &["x1", "x2"], Role::Beside), at(0));
+    let suspect = |ticket, now| Ask { fingerprint: 7, ..ask(ticket, Kind::NonIdempotent, now) };
+    let server = sent(host.arrive(suspect(1, at(0)), at(0)));
+    host.ended(1, End::Cancelled, at(100));
+    assert_eq!(host.arrive(suspect(2, at(200)), at(200)), Verdict::Wait);
+    host.gone(&server, at(3_600));
+    let changes = host.pump(at(3_610));
+    assert!(changes.iter().any(|change| change.verdict == Verdict::Quarantined), "{changes:?}");
+}
+
 #[rstest]
 fn a_server_that_leaves_ends_by_itself() {
     let mut host = plain(&[]);
@@ -294,7 +366,7 @@
         sent(host.arrive(ask, now));
         host.draining(&id.as_str().into());
         host.ended(round, CUT, now + at(100));
-        host.gone(&id.as_str().into());
+        host.gone(&id.as_str().into(), now + at(200));
     }
     assert_eq!(host.poison().standing(7), Standing::Clear);
 }
--- a/crates/policy/tests/dispatch/retries.rs
+++ b/crates/policy/tests/dispatch/retries.rs
@@ -188,7 +188,7 @@
         let dispatcher = &mut self.hosts[host].dispatcher;
         for id in SERVERS {
             match is_bare {
-                true => dispatcher.gone(&id.into()),
+                true => dispatcher.gone(&id.into(), now),
                 false => dispatcher
                     .server(&types::routed::Server { slots: SLOTS, ..server(id, "a", &[]) }, now),
             }
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -254,7 +254,11 @@
             Departure::Gone if self.store.is_degraded() => {
                 self.suspect(id, self.lapse(), from);
             }
-            Departure::Leaving | Departure::Gone => self.set_aside(id, revision, from),
+            Departure::Gone => {
+                self.dispatcher().unregistered(id, self.now());
+                self.set_aside(id, revision, from);
+            }
+            Departure::Leaving => self.set_aside(id, revision, from),
         }
     }
 
@@ -300,7 +304,7 @@
     /// A run of a server is over: nothing that was known of it counts for a later one.
     fn ended(&self, id: &backend::Id) {
         self.planner().gone(id, self.now());
-        self.dispatcher().gone(id);
+        self.dispatcher().gone(id, self.now());
         self.dispatch_wakeup.notify_one();
     }
 
