Keep requests that crash servers in the store

**Cause**: what hosts knew of such requests was gone when all of them ended at once, as when they lose power: three more servers each time.

**Ruled out**: one object for all, which hosts would change against each other; writing suspects, which are many and mostly innocent; a watch, since hosts tell each other and need the store only when they start.

**Change**: a request that is refused has an object of its own, named by its fingerprint, with its crashes. A host writes it that saw one of them; the holder of the lease on orders does after 2 s, and removes it once the request is no longer refused. Hosts read the list when they start and each 30 s. An object that can't be read costs none of the others and is logged.

Calls: one list a host and 30 s, one write a refused request and host that saw it.

--- a/crates/relay/src/edge.rs
+++ b/crates/relay/src/edge.rs
@@ -193,6 +193,8 @@
     Host,
     /// Leases of our own.
     Lease,
+    /// Requests that are refused since they crash servers.
+    Quarantine,
 }
 
 /// An object in the store.
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -1,32 +1,162 @@
-//! Requests that crash servers, for the log.
+//! Requests that crash servers, as the store keeps them.
+//!
+//! Hosts tell each other of crashes, which outlives any of them but not all at once. So a request that
+//! is refused has an object in the store, named by its fingerprint, which a host reads when it starts
+//! and now and then. A host writes it that saw one of the crashes; the holder of the lease on orders
+//! makes up for those that ended before they could.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use observe::story::{Belief, CrashSeen, PoisonState, Word};
 use policy::dispatch::{
     Fingerprint,
     poison::{Crash, News, Role, Standing, Verdict},
 };
+use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
+use types::time::Moment;
 
-use crate::host::Shared;
+use crate::{
+    edge::{Call, Kind, Object, Told},
+    host::Shared,
+};
 
 /// Pause between two looks at what is known.
 const LOOK: Duration = Duration::from_millis(100);
 
-/// Logs what is thought of requests until the process ends.
+/// Time between two reads of what is stored.
+const READ: Duration = Duration::from_secs(30);
+
+/// The same after a read or a write that failed.
+const AGAIN: Duration = Duration::from_secs(1);
+
+/// Time that hosts which saw a crash have for the object, before the holder of the lease writes it.
+const OTHERS: Duration = Duration::from_secs(2);
+
+/// Content of an object.
+#[derive(Debug, Deserialize, Serialize)]
+struct Stored {
+    crashes: Vec<Crash>,
+    /// When it was written, in milliseconds of Unix time.
+    written_ms: u64,
+}
+
+/// What this host knows of the store's objects.
+#[derive(Default)]
+struct Book {
+    /// Requests that have an object.
+    stored: BTreeSet<Fingerprint>,
+    next_read: Moment,
+    next_write: Moment,
+}
+
+/// Reads, writes and removes objects until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut book = Book::default();
     loop {
+        if book.next_read <= shared.now() {
+            let is_read = read(&shared, &mut book).await;
+            book.next_read = shared.now() + if is_read { READ } else { AGAIN };
+        }
         log_news(&shared);
+        if book.next_write <= shared.now() && !write(&shared, &mut book).await {
+            book.next_write = shared.now() + AGAIN;
+        }
         sleep(LOOK).await;
     }
 }
 
-/// How a request is called in the log.
-fn name(request: Fingerprint) -> String {
+/// Takes in what is stored; whether it could be read.
+async fn read(shared: &Shared, book: &mut Book) -> bool {
+    let Some(page) = shared.store.list(Kind::Quarantine).await else { return false };
+    book.stored = page.objects.iter().filter_map(|object| parse_name(&object.name)).collect();
+    let crashes: Vec<Crash> = page.objects.iter().filter_map(parse).flatten().collect();
+    shared.dispatcher().poison_mut().learn(&crashes, shared.now());
+    true
+}
+
+/// Brings the store up to date with what is known; whether it took all.
+async fn write(shared: &Shared, book: &mut Book) -> bool {
+    let now = shared.now();
+    let refused = shared.dispatcher().poison().refused(now);
+    let is_holder = shared.term().fence(now).is_some();
+    for (crashes, is_own) in &refused {
+        let Some(request) = crashes.first().map(|crash| crash.request) else { continue };
+        let youngest = crashes.iter().map(|crash| crash.age).min().unwrap_or_default();
+        let is_ours = *is_own || (is_holder && OTHERS <= youngest);
+        if is_ours && !book.stored.contains(&request) {
+            if !create(shared, request, crashes).await {
+                return false;
+            }
+            book.stored.insert(request);
+        }
+    }
+    let is_refused = |request: &Fingerprint| {
+        refused.iter().flat_map(|(crashes, _)| crashes.first()).any(|c| c.request == *request)
+    };
+    let over: Vec<Fingerprint> =
+        book.stored.iter().filter(|request| !is_refused(request)).copied().collect();
+    for request in over.into_iter().filter(|_| is_holder) {
+        if !remove(shared, request).await {
+            return false;
+        }
+        book.stored.remove(&request);
+    }
+    true
+}
+
+async fn create(shared: &Shared, request: Fingerprint, crashes: &[Crash]) -> bool {
+    let stored = Stored { crashes: crashes.to_vec(), written_ms: unix_ms() };
+    let Ok(content) = serde_json::to_value(&stored) else { return true };
+    let name = name(request);
+    let call = Call::Create { kind: Kind::Quarantine, name: &name, content: &content };
+    matches!(shared.store.call(&call).await, Told::Object(_) | Told::Conflict(_))
+}
+
+async fn remove(shared: &Shared, request: Fingerprint) -> bool {
+    let (kind, name) = (Kind::Quarantine, name(request));
+    match shared.store.call(&Call::Get { kind, name: &name }).await {
+        Told::Object(object) => {
+            let call = Call::Delete { kind, name: &name, revision: object.revision };
+            matches!(shared.store.call(&call).await, Told::Absent | Told::Object(_))
+        }
+        Told::Absent => true,
+        _ => false,
+    }
+}
+
+/// Crashes of an object, as old as they are by now. One that can't be read is passed over.
+fn parse(object: &Object) -> Option<Vec<Crash>> {
+    let stored: Stored = serde_json::from_value(object.content.clone())
+        .inspect_err(
+            |error| log::error!(object = &*object.name; "a quarantine can't be read: {error}"),
+        )
+        .ok()?;
+    let since = Duration::from_millis(unix_ms().saturating_sub(stored.written_ms));
+    let aged = |crash: Crash| Crash { age: crash.age.saturating_add(since), ..crash };
+    Some(stored.crashes.into_iter().map(aged).collect())
+}
+
+/// How a request is called in the store, in the log and by operators.
+pub(crate) fn name(request: Fingerprint) -> String {
     format!("{request:016x}")
 }
 
+/// The request of a name.
+pub(crate) fn parse_name(name: &str) -> Option<Fingerprint> {
+    let is_name = name.len() == 16;
+    is_name.then(|| Fingerprint::from_str_radix(name, 16).ok()).flatten()
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Logs what has changed in what is thought of requests, with the crashes behind it.
 fn log_news(shared: &Shared) {
     let news = shared.dispatcher().poison_mut().news(shared.now());
@@ -47,8 +177,8 @@
     }
 }
 
-/// A crash as it is logged.
-fn seen(crash: &Crash) -> CrashSeen {
+/// A crash as it is logged and shown to operators.
+pub(crate) fn seen(crash: &Crash) -> CrashSeen {
     let role = match crash.role {
         Role::Beside => "beside others",
         Role::Apart => "apart",
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -177,7 +177,7 @@
         match kind {
             Kind::Declaration => Some(&self.declaration),
             Kind::Server => Some(&self.servers),
-            Kind::Host | Kind::Lease => None,
+            Kind::Host | Kind::Lease | Kind::Quarantine => None,
         }
     }
 
--- a/crates/relay/tests/common/store.rs
+++ b/crates/relay/tests/common/store.rs
@@ -49,7 +49,7 @@
             Kind::Server => {
                 self.servers.lock().expect("servers").iter().map(|s| s.id.clone()).collect()
             }
-            Kind::Host | Kind::Lease => Vec::new(),
+            Kind::Host | Kind::Lease | Kind::Quarantine => Vec::new(),
         };
         let objects = names.into_iter().map(|name| Object { name, revision, content: Value::Null });
         Page { objects: objects.collect(), more: false, revision }
