Let one suspect run on a server at a time, over all hosts

**Cause**: each host held trials of its own. Two suspects that ran on one server at the same time, from two hosts, were both blamed for its crash: innocent requests were refused for good. And what one host found void overruled the crash that another had seen on the same server, so that a request was cleared by a run that reached nobody.

**Ruled out**: a longer wait before a trial, which costs suspects that are innocent time and is no bound; homes of requests by rendezvous, since a host can't hand a request on.

**Change**: each host writes what it saw itself, by turns, and others may only find a turn void. The run of a suspect is such a fact too, from the moment that it leaves: while it is open no host sends the same request, nor another suspect to that server. Of two that met nevertheless neither is blamed. A server that ends while such a run is open counts against the request, also where the host ended with it.

**Conclusion**: fixed but for the time that the news takes, some 0.1 s, in which two runs may still meet.

--- a/crates/policy/src/dispatch/account.rs
+++ b/crates/policy/src/dispatch/account.rs
@@ -29,6 +29,7 @@
         if let Some(Task { state: State::Flying(flight), .. }) = self.tasks.get_mut(&ticket) {
             flight.sent = now;
         }
+        self.poison.sent(ticket, now);
     }
 
     /// The first byte of its answer's body, or its first event, has come.
@@ -129,7 +130,7 @@
             | End::Unclear(_)
             | End::Cancelled => {}
         }
-        self.poison.ended(ticket);
+        self.poison.ended(ticket, now);
     }
 
     fn server_settled(&mut self, task: &Task, flight: &Flight, end: End, now: Moment) {
--- a/crates/policy/src/dispatch/choose.rs
+++ b/crates/policy/src/dispatch/choose.rs
@@ -87,7 +87,7 @@
 impl Dispatcher {
     /// Chooses a server for a request.
     pub(super) fn choose(&self, task: &Task, now: Moment) -> Outcome {
-        if self.is_suspect(task) && self.poison.is_held_back(task.ask.fingerprint) {
+        if self.is_suspect(task) && self.poison.is_held_back(task.ask.fingerprint, now) {
             return Outcome::Full;
         }
         let owners = self.owners(task, now);
@@ -146,8 +146,13 @@
         now: Moment,
     ) -> Seen {
         let mut seen = Seen::default();
+        let is_suspect = self.is_suspect(task);
         for index in servers {
             let Some(server) = self.fleet.get(index) else { continue };
+            if is_suspect && self.poison.is_tried(&server.id, now) {
+                seen.is_any = true;
+                continue;
+            }
             if server.state == types::routed::State::Draining || !self.is_able(task, server) {
                 continue;
             }
--- a/crates/policy/src/dispatch/poison.rs
+++ b/crates/policy/src/dispatch/poison.rs
@@ -10,9 +10,14 @@
 //! it: one that ran apart on that server, or one that has crashed more servers and is refused.
 //!
 //! From the second crash on a request is a suspect and runs apart from other suspects: one at a time
-//! on a host, on the server with the least to lose. After the third crash it reaches no server.
+//! on a host, on the server with the least to lose. Hosts tell each other of such runs as of crashes,
+//! so that no other host sends the same request, or another suspect to the same server, meanwhile.
+//! After the third crash a request reaches no server.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::{
+    cmp::Ordering,
+    collections::{BTreeMap, BTreeSet, VecDeque, btree_map::Entry as Slot},
+};
 
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
@@ -56,6 +61,9 @@
 /// Most requests kept that ended whole, in each of two generations.
 const MOST_WHOLE: usize = 4096;
 
+/// How long a suspect's run keeps others away, in case that the end of its run is not told.
+const OPEN: Duration = Duration::from_secs(20);
+
 /// Most attempts kept whose servers may have crashed.
 const MOST_UNCLEAR: usize = 512;
 
@@ -82,6 +90,8 @@
 /// Whether a crash counts; the later one overrules the earlier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Verdict {
+    /// The server has not crashed so far: a suspect runs there.
+    Open,
     /// It counts.
     Counts,
     /// The server did not crash, or not by this request.
@@ -89,14 +99,18 @@
 }
 
 /// A request was at a run of a server when that run ended.
+///
+/// Each host writes what it saw itself: it alone begins a turn, and any host may find it void.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
     /// The request.
     pub request: Fingerprint,
     /// The run of the server.
     pub server: backend::Id,
-    /// The host that saw it.
+    /// The host that sent the request there.
     pub witness: host::Id,
+    /// Times that it did before, and nothing came of it; a later turn overrules an earlier one.
+    pub turn: u32,
     /// How the request ran there.
     pub role: Role,
     /// Whether it counts.
@@ -110,8 +124,12 @@
     /// What two hosts know of one crash, together.
     #[must_use]
     pub fn joined(self, other: &Crash) -> Crash {
+        match self.turn.cmp(&other.turn) {
+            Ordering::Less => return other.clone(),
+            Ordering::Equal => {}
+            Ordering::Greater => return self,
+        }
         Crash {
-            witness: self.witness.min(other.witness.clone()),
             role: self.role.max(other.role),
             verdict: self.verdict.max(other.verdict),
             age: self.age.max(other.age),
@@ -133,16 +151,14 @@
 
 #[derive(Clone, Debug)]
 struct Known {
-    witness: host::Id,
+    turn: u32,
     role: Role,
     verdict: Verdict,
     /// Until when it would be known at the most.
     until: Moment,
     /// When this host learnt of it.
     learnt: Moment,
-    /// Whether this host saw the crash.
-    is_own: bool,
-    /// When this host found that it is void.
+    /// When this host last told others that it is void.
     voided: Option<Moment>,
 }
 
@@ -154,15 +170,34 @@
     fn counts(&self) -> bool {
         self.verdict == Verdict::Counts
     }
+
+    fn is_open(&self, now: Moment) -> bool {
+        self.verdict == Verdict::Open && self.age(now) < OPEN
+    }
 }
 
+/// A run of a server, and the host that sent the request there.
+type Place = (backend::Id, host::Id);
+
 #[derive(Clone, Debug, Default)]
 struct Entry {
-    crashes: BTreeMap<backend::Id, Known>,
+    crashes: BTreeMap<Place, Known>,
     reported: Option<Standing>,
 }
 
 impl Entry {
+    /// What hosts know of the request at a server.
+    fn at<'a>(&'a self, server: &'a backend::Id) -> impl Iterator<Item = &'a Known> {
+        let there = self.crashes.iter().filter(move |((at, _), _)| at == server);
+        there.map(|(_, known)| known)
+    }
+
+    /// Servers whose crashes count, but for what another request explains.
+    fn counted(&self) -> BTreeSet<&backend::Id> {
+        let counted = self.crashes.iter().filter(|(_, known)| known.counts());
+        counted.map(|((server, _), _)| server).collect()
+    }
+
     /// When it is forgotten: by its youngest crash, and by whether it ran apart in any.
     fn until(&self) -> Moment {
         let youngest = self.crashes.values().map(|known| known.until).max().unwrap_or_default();
@@ -252,18 +287,33 @@
         }
     }
 
-    /// Whether a suspect has to wait: another one runs, or its own last run may yet turn out to be a
-    /// crash.
-    pub fn is_held_back(&self, request: Fingerprint) -> bool {
-        let is_open = |unclear: &Unclear| unclear.request == request && unclear.role == Role::Apart;
-        self.trial.is_some() || self.unclear.iter().any(is_open)
+    /// Whether a suspect has to wait: another one runs here, or the same request anywhere.
+    pub fn is_held_back(&self, request: Fingerprint, now: Moment) -> bool {
+        let entry = self.entries.get(&request);
+        let runs = || entry.is_some_and(|entry| entry.crashes.values().any(|k| k.is_open(now)));
+        self.trial.is_some() || runs()
+    }
+
+    /// Whether a suspect runs on a server.
+    pub fn is_tried(&self, server: &backend::Id, now: Moment) -> bool {
+        let there = self.at_servers.get(server).into_iter().flatten();
+        let mut there = there.filter_map(|request| self.entries.get(request));
+        there.any(|entry| entry.at(server).any(|known| known.is_open(now)))
     }
 
-    /// A suspect is sent.
+    /// A suspect goes to a server.
     pub fn try_out(&mut self, ticket: Ticket, request: Fingerprint, server: &backend::Id) {
         self.trial = Some(Trial { ticket, request, server: server.clone() });
     }
 
+    /// A request is on its way to its server; before this nothing has left.
+    pub fn sent(&mut self, ticket: Ticket, now: Moment) {
+        let trial = self.trial.as_ref().filter(|trial| trial.ticket == ticket);
+        if let Some(Trial { request, server, .. }) = trial.cloned() {
+            self.note(request, &server, Role::Apart, Verdict::Open, now);
+        }
+    }
+
     /// A request's run was cut off by what looks like a crash of its server.
     pub fn crashed(
         &mut self,
@@ -272,11 +322,11 @@
         server: &backend::Id,
         now: Moment,
     ) {
-        self.note(request, server, Role::Beside, now);
+        self.note(request, server, Role::Beside, Verdict::Counts, now);
         // Whichever connection is found broken first, the suspect explains the crash.
         if let Some(trial) = self.trial.as_ref().filter(|trial| trial.server == *server) {
             let suspect = if trial.ticket == ticket { request } else { trial.request };
-            self.note(suspect, server, Role::Apart, now);
+            self.note(suspect, server, Role::Apart, Verdict::Counts, now);
         }
     }
 
@@ -305,17 +355,31 @@
         let of_it: VecDeque<Unclear> = of_it;
         for Unclear { request, role, at, .. } in of_it {
             if now < at + UNCLEAR {
-                self.note(request, server, role, now);
+                self.note(request, server, role, Verdict::Counts, now);
+            }
+        }
+        let there = self.at_servers.get(server).cloned().unwrap_or_default();
+        for request in there {
+            let entry = self.entries.get(&request);
+            if entry.is_some_and(|entry| entry.at(server).any(|known| known.is_open(now))) {
+                self.note(request, server, Role::Apart, Verdict::Counts, now);
             }
         }
     }
 
     /// A server answered what was sent to it at a time, so it did not crash before.
     pub fn answered(&mut self, server: &backend::Id, sent: Moment, now: Moment) {
-        self.unclear.retain(|unclear| unclear.server != *server || sent <= unclear.at);
+        let is_resolved = |unclear: &Unclear| unclear.server == *server && unclear.at < sent;
+        let resolved: Vec<Fingerprint> =
+            self.unclear.iter().filter(|u| is_resolved(u)).map(|u| u.request).collect();
+        self.unclear.retain(|unclear| !is_resolved(unclear));
+        for request in resolved {
+            self.void(request, now, |at, known| at == server && known.verdict == Verdict::Open);
+        }
         let Some(requests) = self.at_servers.get(server) else { return };
         for request in requests.clone() {
-            self.void(request, now, |at, known| at == server && known.learnt < sent);
+            let is_before = |known: &Known| known.counts() && known.learnt < sent;
+            self.void(request, now, |at, known| at == server && is_before(known));
         }
     }
 
@@ -332,31 +396,37 @@
     }
 
     /// An attempt is over, whatever came of it.
-    pub fn ended(&mut self, ticket: Ticket) {
-        if self.trial.as_ref().is_some_and(|trial| trial.ticket == ticket) {
-            self.trial = None;
+    pub fn ended(&mut self, ticket: Ticket, now: Moment) {
+        let Some(trial) = self.trial.take_if(|trial| trial.ticket == ticket) else { return };
+        let is_same =
+            |unclear: &Unclear| unclear.request == trial.request && unclear.server == trial.server;
+        if !self.unclear.iter().any(is_same) {
+            let is_open = |known: &Known| known.verdict == Verdict::Open;
+            self.void(trial.request, now, |at, known| *at == trial.server && is_open(known));
         }
     }
 
-    /// Crashes for other hosts: all of suspects, and what this host saw or found void of others.
+    /// Crashes for other hosts: those of suspects, what this host saw of others, and for a while what is
+    /// void.
     pub fn crashes(&self, now: Moment) -> Vec<Crash> {
-        let mut requests: Vec<(Standing, Moment, Fingerprint)> = self
-            .entries
-            .iter()
-            .map(|(request, entry)| (self.standing(*request), entry.until(), *request))
-            .collect();
-        requests.sort_unstable_by(|a, b| b.cmp(a));
-        let sent = requests.into_iter().flat_map(|(standing, _, request)| {
-            let is_sent = move |known: &Known| match (standing, known.voided) {
-                (Standing::Suspect | Standing::Poison, _) => true,
-                (Standing::Clear, None) => known.is_own && known.counts(),
-                (Standing::Clear, Some(at)) => now < at + VOID_SENT,
-            };
-            let crashes = &self.entries[&request].crashes;
-            let sent = crashes.iter().filter(move |(_, known)| is_sent(known));
-            sent.map(move |(server, known)| crash(request, server, known, now))
-        });
-        sent.take(MOST_SENT).collect()
+        let mut sent = Vec::new();
+        for (request, entry) in &self.entries {
+            let standing = self.standing(*request);
+            for (place, known) in &entry.crashes {
+                let is_sent = match known.verdict {
+                    Verdict::Void => known.voided.is_some_and(|at| now < at + VOID_SENT),
+                    Verdict::Open | Verdict::Counts => {
+                        Standing::Clear < standing || place.1 == self.host
+                    }
+                };
+                if is_sent {
+                    let rank = (standing, known.verdict != Verdict::Void, known.until, *request);
+                    sent.push((rank, crash(*request, place, known, now)));
+                }
+            }
+        }
+        sent.sort_unstable_by(|(a, _), (b, _)| b.cmp(a));
+        sent.into_iter().take(MOST_SENT).map(|(_, crash)| crash).collect()
     }
 
     /// All crashes of the requests that are refused, and whether this host saw one of a request's.
@@ -364,7 +434,7 @@
         let refused =
             self.entries.iter().filter(|(request, _)| self.standing(**request) == Standing::Poison);
         let crashes = |(request, entry): (&Fingerprint, &Entry)| {
-            let is_own = entry.crashes.values().any(|known| known.is_own);
+            let is_own = entry.crashes.keys().any(|(_, witness)| *witness == self.host);
             (list(*request, entry, now), is_own)
         };
         refused.map(crashes).collect()
@@ -383,7 +453,7 @@
             let is_known = self
                 .entries
                 .get(&crash.request)
-                .is_some_and(|entry| entry.crashes.contains_key(&crash.server));
+                .is_some_and(|entry| entry.crashes.contains_key(&place(crash)));
             let is_ending = match crash.role {
                 Role::Beside => SUSPICION < crash.age + LEAST_LIFE,
                 Role::Apart => left < LEAST_LIFE,
@@ -412,7 +482,13 @@
 
     /// Drops what is old.
     pub fn expire(&mut self, now: Moment) {
-        self.unclear.retain(|unclear| now < unclear.at + UNCLEAR);
+        let (old, kept): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut self.unclear)
+            .into_iter()
+            .partition(|unclear| unclear.at + UNCLEAR <= now);
+        self.unclear = kept;
+        for Unclear { request, server, .. } in old {
+            self.void(request, now, |at, known| *at == server && known.verdict == Verdict::Open);
+        }
         let old = self.entries.iter().filter(|(_, entry)| entry.until() <= now);
         let old: Vec<Fingerprint> = old.map(|(request, _)| *request).collect();
         old.into_iter().for_each(|request| self.forget(request));
@@ -420,34 +496,29 @@
 
     /// Crashes that count, but for those that another request explains.
     fn count(&self, request: Fingerprint, entry: &Entry) -> usize {
-        let counted = entry.crashes.iter().filter(|(_, known)| known.counts());
-        let counted =
-            counted.filter(|(server, known)| !self.is_other_apart(request, server, known));
-        let counted: Vec<&backend::Id> = counted.map(|(server, _)| server).collect();
+        let counted = self.counted(request, entry);
         let own = counted.len();
         counted.iter().filter(|server| !self.is_explained(request, server, own)).count()
     }
 
-    /// Whether another request ran apart on the server, and this one beside it.
-    fn is_other_apart(&self, request: Fingerprint, server: &backend::Id, known: &Known) -> bool {
-        let is_apart = |other: &Entry| {
-            other.crashes.get(server).is_some_and(|at| at.role == Role::Apart && at.counts())
+    /// Servers of the crashes that count, but for those where another request ran apart. Of two that did
+    /// on one server neither explains its crash.
+    fn counted<'a>(&self, request: Fingerprint, entry: &'a Entry) -> Vec<&'a backend::Id> {
+        let is_apart = |server: &backend::Id, other: &Entry| {
+            other.at(server).any(|known| known.role == Role::Apart && known.counts())
         };
-        known.role == Role::Beside && self.others(request, server).any(|(_, other)| is_apart(other))
+        let is_other_apart = |server: &backend::Id| {
+            self.others(request, server).any(|(_, other)| is_apart(server, other))
+        };
+        entry.counted().into_iter().filter(|server| !is_other_apart(server)).collect()
     }
 
     /// Whether another request was there that has crashed enough servers to be refused, and more than
     /// this one, which has crashed so many.
     fn is_explained(&self, request: Fingerprint, server: &backend::Id, own: usize) -> bool {
         self.others(request, server).any(|(fingerprint, other)| {
-            let is_there = other.crashes.get(server).is_some_and(Known::counts);
-            is_there && POISON <= other.crashes.len() && {
-                let counted = other.crashes.iter().filter(|(at, known)| {
-                    known.counts() && !self.is_other_apart(fingerprint, at, known)
-                });
-                let counted = counted.count();
-                POISON <= counted && own < counted
-            }
+            let is_there = other.at(server).any(Known::counts);
+            is_there && own.max(POISON - 1) < self.counted(fingerprint, other).len()
         })
     }
 
@@ -462,13 +533,26 @@
         others.filter_map(|other| Some((*other, self.entries.get(other)?)))
     }
 
-    fn note(&mut self, request: Fingerprint, server: &backend::Id, role: Role, now: Moment) {
+    fn note(
+        &mut self,
+        request: Fingerprint,
+        server: &backend::Id,
+        role: Role,
+        verdict: Verdict,
+        now: Moment,
+    ) {
+        let place = (server.clone(), self.host.clone());
+        let known = self.entries.get(&request).and_then(|entry| entry.crashes.get(&place));
+        let turn = known.map_or(0, |known| {
+            known.turn.saturating_add(u32::from(known.verdict == Verdict::Void))
+        });
         let crash = Crash {
             request,
             server: server.clone(),
             witness: self.host.clone(),
+            turn,
             role,
-            verdict: Verdict::Counts,
+            verdict,
             age: Duration::ZERO,
         };
         self.join(&crash, now + LIFE, now);
@@ -477,34 +561,42 @@
 
     fn join(&mut self, crash: &Crash, until: Moment, now: Moment) {
         let entry = self.entries.entry(crash.request).or_default();
-        let known = entry.crashes.entry(crash.server.clone()).or_insert_with(|| {
-            self.changed.insert(crash.request);
-            Known {
-                witness: crash.witness.clone(),
-                role: crash.role,
-                verdict: crash.verdict,
-                until,
-                learnt: now,
-                is_own: false,
-                voided: None,
-            }
-        });
         let verdict = match self.whole.has(crash.request, now) {
             true => Verdict::Void,
             false => crash.verdict,
         };
-        if known.role < crash.role || known.verdict < verdict {
-            self.changed.insert(crash.request);
-        }
-        if verdict != crash.verdict && known.voided.is_none() {
-            known.voided = Some(now);
-        }
-        known.is_own |= crash.witness == self.host;
-        known.role = known.role.max(crash.role);
-        known.verdict = known.verdict.max(verdict);
-        known.until = known.until.min(until);
-        if crash.witness < known.witness {
-            known.witness = crash.witness.clone();
+        // What is void here is told again to whoever doesn't know it.
+        let voided = (verdict != crash.verdict).then_some(now);
+        let new = Known { turn: crash.turn, role: crash.role, verdict, until, learnt: now, voided };
+        match entry.crashes.entry(place(crash)) {
+            Slot::Vacant(slot) => {
+                slot.insert(new);
+                self.changed.insert(crash.request);
+            }
+            Slot::Occupied(mut slot) => match slot.get().turn.cmp(&crash.turn) {
+                Ordering::Less => {
+                    slot.insert(new);
+                    self.changed.insert(crash.request);
+                }
+                Ordering::Equal => {
+                    let known = slot.get_mut();
+                    if known.role < crash.role || known.verdict < verdict {
+                        self.changed.insert(crash.request);
+                    }
+                    if known.verdict < Verdict::Counts && verdict == Verdict::Counts {
+                        // The crash is later than the begin of the run.
+                        known.learnt = now;
+                    }
+                    let is_void = known.verdict == Verdict::Void;
+                    if is_void && crash.verdict == Verdict::Counts {
+                        known.voided = Some(now);
+                    }
+                    known.role = known.role.max(crash.role);
+                    known.verdict = known.verdict.max(verdict);
+                    known.until = known.until.min(until);
+                }
+                Ordering::Greater => return,
+            },
         }
         let there = self.at_servers.entry(crash.server.clone()).or_default();
         there.insert(crash.request);
@@ -521,8 +613,8 @@
         is_meant: impl Fn(&backend::Id, &Known) -> bool,
     ) {
         let Some(entry) = self.entries.get_mut(&request) else { return };
-        for (server, known) in &mut entry.crashes {
-            if known.counts() && is_meant(server, known) {
+        for ((server, _), known) in &mut entry.crashes {
+            if known.verdict < Verdict::Void && is_meant(server, known) {
                 known.verdict = Verdict::Void;
                 known.voided = Some(now);
                 self.changed.insert(request);
@@ -533,7 +625,7 @@
 
     fn forget(&mut self, request: Fingerprint) {
         let Some(entry) = self.entries.remove(&request) else { return };
-        for server in entry.crashes.keys() {
+        for (server, _) in entry.crashes.keys() {
             let Some(there) = self.at_servers.get_mut(server) else { continue };
             there.remove(&request);
             if there.is_empty() {
@@ -549,8 +641,7 @@
             return;
         }
         let rank = |(request, entry): (&Fingerprint, &Entry)| {
-            let counted = entry.crashes.values().filter(|known| known.counts()).count();
-            (counted, entry.until(), *request)
+            (entry.counted().len(), entry.until(), *request)
         };
         let mut ranked: Vec<_> = self.entries.iter().map(rank).collect();
         ranked.sort_unstable();
@@ -558,15 +649,21 @@
     }
 }
 
+fn place(crash: &Crash) -> Place {
+    (crash.server.clone(), crash.witness.clone())
+}
+
 fn list(request: Fingerprint, entry: &Entry, now: Moment) -> Vec<Crash> {
-    entry.crashes.iter().map(|(server, known)| crash(request, server, known, now)).collect()
+    entry.crashes.iter().map(|(place, known)| crash(request, place, known, now)).collect()
 }
 
-fn crash(request: Fingerprint, server: &backend::Id, known: &Known, now: Moment) -> Crash {
+fn crash(request: Fingerprint, place: &Place, known: &Known, now: Moment) -> Crash {
+    let (server, witness) = place.clone();
     Crash {
         request,
-        server: server.clone(),
-        witness: known.witness.clone(),
+        server,
+        witness,
+        turn: known.turn,
         role: known.role,
         verdict: known.verdict,
         age: known.age(now),
--- a/crates/policy/src/fleet/fact.rs
+++ b/crates/policy/src/fleet/fact.rs
@@ -163,7 +163,7 @@
     Arrivals(service::Id),
     Retries(service::Id),
     Server(backend::Id),
-    Crash(Fingerprint, backend::Id),
+    Crash(Fingerprint, backend::Id, host::Id),
     Absent(host::Id),
     Term,
     Limit(backend::Id),
@@ -181,7 +181,9 @@
             Fact::Arrivals(service, _) => Key::Arrivals(service.clone()),
             Fact::Retries(service, _) => Key::Retries(service.clone()),
             Fact::Server(server, _) => Key::Server(server.clone()),
-            Fact::Crash(crash) => Key::Crash(crash.request, crash.server.clone()),
+            Fact::Crash(crash) => {
+                Key::Crash(crash.request, crash.server.clone(), crash.witness.clone())
+            }
             Fact::Absent(id, _) => Key::Absent(id.clone()),
             Fact::Limit(server, _) => Key::Limit(server.clone()),
         }
--- a/crates/policy/src/fleet/sums.rs
+++ b/crates/policy/src/fleet/sums.rs
@@ -56,7 +56,7 @@
 pub(super) struct Tally {
     pub(super) in_flight: Working,
     pub(super) servers: BTreeMap<backend::Id, Departure>,
-    pub(super) crashes: BTreeMap<(Fingerprint, backend::Id), Crash>,
+    pub(super) crashes: BTreeMap<(Fingerprint, backend::Id, host::Id), Crash>,
     pub(super) lease: Option<Lease>,
     pub(super) term: Option<term::Stored>,
     pub(super) store: Option<Store>,
@@ -78,7 +78,7 @@
             }
             Fact::Crash(crash) => {
                 let aged = Crash { age: crash.age + age, ..crash.clone() };
-                let key = (crash.request, crash.server.clone());
+                let key = (crash.request, crash.server.clone(), crash.witness.clone());
                 let joined = match self.crashes.remove(&key) {
                     Some(known) => known.joined(&aged),
                     None => aged,
--- a/crates/policy/tests/dispatch/poison.rs
+++ b/crates/policy/tests/dispatch/poison.rs
@@ -40,6 +40,7 @@
     let crash = |server: &&str| Crash {
         request,
         server: (*server).into(),
+        turn: 0,
         witness: "b".into(),
         role,
         verdict: poison::Verdict::Counts,
@@ -99,10 +100,11 @@
     crash(&mut poison, 7, &["s1", "s2"]);
     crash(&mut poison, 8, &["s1"]);
     poison.try_out(7, 7, &"s3".into());
+    poison.sent(7, at(0));
     // In whichever order the connections are found broken.
     crash(&mut poison, 8, &["s3"]);
     crash(&mut poison, 7, &["s3"]);
-    poison.ended(7);
+    poison.ended(7, at(0));
     crash(&mut poison, 9, &["s3"]);
     assert_eq!(poison.standing(7), Standing::Poison);
     assert_eq!(poison.standing(8), Standing::Clear);
@@ -117,6 +119,7 @@
     let mut poison = poison();
     crash(&mut poison, 7, &["s1", "s2"]);
     poison.try_out(7, 7, &"s3".into());
+    poison.sent(7, at(0));
     crash(&mut poison, 8, &["s3", "s4", "s5"]);
     assert_eq!(poison.standing(8), Standing::Suspect);
     poison.completed(7, at(9));
@@ -226,6 +229,12 @@
     let mut peers = [poison, Poison::new("b".into())];
     crash(&mut peers[1], 7, &["s1"]);
     exchange(&mut peers, at(6));
+    assert!(
+        peers.iter().all(|poison| poison.standing(7) == Standing::Poison),
+        "another host saw it"
+    );
+    peers[0].answered(&"s1".into(), at(7), at(8));
+    exchange(&mut peers, at(9));
     assert!(peers.iter().all(|poison| poison.standing(7) == Standing::Suspect));
 }
 
@@ -267,6 +276,100 @@
     assert!(!poisons[1].lift(8, at(5)));
 }
 
+#[rstest]
+fn of_two_suspects_that_ran_apart_on_one_server_neither_is_blamed() {
+    let mut poisons = hosts::<2>();
+    for (poison, request) in poisons.iter_mut().zip([7, 8]) {
+        crash(poison, request, &["s1", "s2"]);
+        poison.try_out(1, request, &"s3".into());
+        poison.sent(1, at(0));
+        poison.crashed(1, request, &"s3".into(), at(1));
+        poison.ended(1, at(1));
+    }
+    exchange(&mut poisons, at(2));
+    for request in [7, 8] {
+        assert!(poisons.iter().all(|poison| poison.standing(request) == Standing::Suspect));
+    }
+    // The next run tells which of them it is.
+    poisons[0].try_out(2, 7, &"s4".into());
+    poisons[0].sent(2, at(10));
+    poisons[0].crashed(2, 7, &"s4".into(), at(11));
+    poisons[0].ended(2, at(11));
+    exchange(&mut poisons, at(12));
+    assert!(poisons.iter().all(|poison| poison.standing(7) == Standing::Poison));
+    assert!(poisons.iter().all(|poison| poison.standing(8) == Standing::Clear));
+}
+
+#[rstest]
+fn a_suspect_runs_on_one_host_and_alone_on_its_server() {
+    let mut poisons = hosts::<2>();
+    crash(&mut poisons[0], 7, &["s1", "s2"]);
+    poisons[0].try_out(1, 7, &"s3".into());
+    poisons[0].sent(1, at(0));
+    exchange(&mut poisons, at(1));
+    assert!(poisons[1].is_held_back(7, at(2)));
+    assert!(poisons[1].is_tried(&"s3".into(), at(2)));
+    poisons[0].ended(1, at(3));
+    exchange(&mut poisons, at(4));
+    assert!(!poisons[1].is_held_back(7, at(5)));
+    assert!(!poisons[1].is_tried(&"s3".into(), at(5)));
+}
+
+/// The runs before on the same server were void.
+#[rstest]
+fn a_crash_counts_on_a_server_that_a_request_ran_on_before() {
+    let mut poisons = hosts::<2>();
+    crash(&mut poisons[0], 7, &["s1", "s2"]);
+    poisons[0].try_out(1, 7, &"s3".into());
+    poisons[0].sent(1, at(0));
+    poisons[0].ended(1, at(3));
+    exchange(&mut poisons, at(4));
+    poisons[1].try_out(1, 7, &"s3".into());
+    poisons[1].sent(1, at(5));
+    poisons[1].crashed(1, 7, &"s3".into(), at(6));
+    poisons[1].ended(1, at(6));
+    for now in 7..10 {
+        exchange(&mut poisons, at(now));
+    }
+    assert!(poisons.iter().all(|poison| poison.standing(7) == Standing::Poison));
+}
+
+/// A host that has not heard of the crash finds nobody there.
+#[rstest]
+fn a_run_that_reached_nobody_voids_no_crash() {
+    let mut poisons = hosts::<2>();
+    crash(&mut poisons[0], 7, &["s1", "s2", "s3"]);
+    crash(&mut poisons[1], 7, &["s4", "s5"]);
+    poisons[1].try_out(1, 7, &"s3".into());
+    poisons[1].sent(1, at(1));
+    poisons[1].ended(1, at(2));
+    exchange(&mut poisons, at(3));
+    assert!(poisons.iter().all(|poison| poison.standing(7) == Standing::Poison));
+}
+
+/// Nobody tells of the end of the run.
+#[rstest]
+fn a_suspect_whose_host_ended_with_its_server_is_refused() {
+    let mut poisons = hosts::<2>();
+    crash(&mut poisons[0], 7, &["s1", "s2"]);
+    poisons[0].try_out(1, 7, &"s3".into());
+    poisons[0].sent(1, at(0));
+    exchange(&mut poisons, at(1));
+    let [_, mut other] = poisons;
+    other.gone(&"s3".into(), at(3_000));
+    assert_eq!(other.standing(7), Standing::Poison);
+}
+
+#[rstest]
+fn a_suspect_whose_host_ended_keeps_nobody_away_for_long() {
+    let mut poisons = hosts::<2>();
+    crash(&mut poisons[0], 7, &["s1", "s2"]);
+    poisons[0].try_out(1, 7, &"s3".into());
+    poisons[0].sent(1, at(0));
+    exchange(&mut poisons, at(1));
+    assert!(!poisons[1].is_held_back(7, at(21_000)));
+}
+
 #[rstest]
 fn changes_are_told_once_with_the_crashes_behind_them() {
     let mut poison = poison();
@@ -348,6 +451,7 @@
     host.poison_mut().learn(&heard(7, &["x1", "x2"], Role::Beside), at(0));
     let suspect = |ticket, now| Ask { fingerprint: 7, ..ask(ticket, Kind::NonIdempotent, now) };
     let server = sent(host.arrive(suspect(1, at(0)), at(0)));
+    host.sent(1, at(1));
     host.ended(1, End::Cancelled, at(100));
     assert_eq!(host.arrive(suspect(2, at(200)), at(200)), Verdict::Wait);
     host.gone(&server, at(3_600));
--- a/crates/policy/tests/fleet_facts.rs
+++ b/crates/policy/tests/fleet_facts.rs
@@ -39,6 +39,7 @@
     Crash {
         request,
         server: server.into(),
+        turn: 0,
         witness: "host-001".into(),
         role: Role::Beside,
         verdict: Verdict::Counts,
--- a/crates/policy/tests/fleet_wire.rs
+++ b/crates/policy/tests/fleet_wire.rs
@@ -23,6 +23,7 @@
     let crash = |request| Crash {
         request,
         server: "s1".into(),
+        turn: 0,
         witness: "host-001".into(),
         role: Role::Beside,
         verdict: Verdict::Counts,
