Soak with a request that crashes the servers that run it

**Cause**: no promise of the soak's judge counted crashes by one request and no schedule sent one, so that the users saw it first.

**Change**: a fault sends one such request each 300 ms through all hosts in turn, from an address of its own at each, in one of two seeds; crashed servers come back under other ids; callers ask again for what failed meanwhile. Two promises judge it from what callers and servers saw: few servers once three have ended (Poison), and nothing else refused as if it did (Innocent).

**Conclusion**: schedules of seeds that draw it change by it; the others are as they were.

--- a/crates/stage/tests/soak.rs
+++ b/crates/stage/tests/soak.rs
@@ -62,6 +62,34 @@
     (0..3 * HOSTS as u32).map(kill).chain(failing(14, 26)).collect()
 }
 
+/// A request that crashes servers comes all the time, while hosts are restarted in turn, one hears nothing,
+/// and all end at once.
+fn poisoned() -> Vec<Planned> {
+    let kill = |at: u64, host| Planned {
+        at: Duration::from_millis(at),
+        lasts: Duration::from_millis(100),
+        fault: Fault::Kill(host),
+    };
+    let in_turn = (0..HOSTS).map(|host| kill(7_000 + 300 * host as u64, host));
+    let at_once = (0..HOSTS).map(|host| kill(17_000 + host as u64, host));
+    let others =
+        [planned(2, 22, Fault::Poison), planned(12, 2, Fault::Links(Pairs::Of(1), Way::Lost))];
+    in_turn.chain(at_once).chain(others).collect()
+}
+
+#[rstest]
+#[case::run_once(0)]
+#[case::repeatable(1)]
+#[case::stream(2)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_crashes_servers_costs_few_and_nobody_else(#[case] seed: u64) {
+    let mut schedule = poisoned();
+    schedule.sort_by_key(|planned| planned.at);
+    let summary = soak(seed, HOSTS, Duration::from_secs(25), schedule).await;
+    assert!(summary.breaches.is_empty(), "{:#?}", summary.breaches);
+    assert!(3 <= summary.crashed, "{} servers ended", summary.crashed);
+}
+
 /// Runs a soak in a folder of its own.
 async fn soak(seed: u64, hosts: usize, length: Duration, schedule: Vec<Planned>) -> Summary {
     let folder = tempfile::tempdir().expect("a folder");
--- a/crates/standin/src/routed/server.rs
+++ b/crates/standin/src/routed/server.rs
@@ -170,6 +170,7 @@
     registered: watch::Sender<routed::Server>,
     connections: Mutex<u64>,
     end: Mutex<Option<AbortHandle>>,
+    crashed: Mutex<Option<Instant>>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -294,6 +295,11 @@
     pub fn kill(&self) {
         self.shared.crash();
     }
+
+    /// When it crashed or was killed.
+    pub fn crashed(&self) -> Option<Instant> {
+        *lock(&self.shared.crashed)
+    }
 }
 
 impl Shared {
@@ -327,6 +333,7 @@
             registered: watch::Sender::new(registered),
             connections: Mutex::default(),
             end: Mutex::default(),
+            crashed: Mutex::default(),
         }
     }
 
@@ -357,6 +364,7 @@
 
     /// Ends the server, with every run.
     fn crash(&self) {
+        lock(&self.crashed).get_or_insert_with(Instant::now);
         lock(&self.runs).iter_mut().for_each(|run| run.end(Ending::Crashed));
         if let Some(end) = lock(&self.end).take() {
             end.abort();
--- a/crates/standin/src/routed/server/work.rs
+++ b/crates/standin/src/routed/server/work.rs
@@ -44,15 +44,16 @@
             () = sleep(work) => {}
             () = self.connection.closed() => return (Ending::Left, After::Close),
         }
+        let is_model_server = self.shared.stock().is_model_server();
         if is_poison {
+            if is_model_server {
+                // Its caller has the head of an answer by then.
+                let _ = self.connection.write_raw(&self.opening()).await;
+            }
             self.shared.crash();
             return (Ending::Crashed, After::Reset);
         }
-        let answered = if self.shared.stock().is_model_server() {
-            self.stream().await
-        } else {
-            self.whole(stale).await
-        };
+        let answered = if is_model_server { self.stream().await } else { self.whole(stale).await };
         answered.unwrap_or((Ending::Left, After::Close))
     }
 
@@ -163,11 +164,16 @@
             }
             _ => {}
         }
+        self.connection.write_raw(&self.opening()).await?;
+        self.events().await
+    }
+
+    /// The head of a stream.
+    fn opening(&self) -> Vec<u8> {
         let mut head = self.head();
         far::streams(head.headers_mut());
         far::version(head.headers_mut(), 1);
-        self.connection.write_raw(&wire::opening(&head, Framing::Chunks)).await?;
-        self.events().await
+        wire::opening(&head, Framing::Chunks)
     }
 
     async fn events(&mut self) -> io::Result<(Ending, After)> {
--- a/crates/standin/src/routed/soak.rs
+++ b/crates/standin/src/routed/soak.rs
@@ -10,7 +10,7 @@
 mod site;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     error::Error,
     path::Path,
     sync::{Arc, Mutex, atomic::Ordering},
@@ -19,7 +19,7 @@
 
 use serde::Serialize;
 use serde_json::json;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, timeout};
 
 use self::{
     judge::{Breach, retries},
@@ -73,6 +73,8 @@
     pub orders: usize,
     /// Hosts that gave orders.
     pub holders: usize,
+    /// Servers that ended under requests that crash them.
+    pub crashed: usize,
     /// Each service's worst window of retries, as a part of what is allowed.
     pub retries: BTreeMap<String, f64>,
     /// Broken promises.
@@ -90,8 +92,7 @@
 /// If a host ends before it listens.
 pub async fn run(plan: &Plan<'_>) -> Result<Summary, Box<dyn Error + Send + Sync>> {
     let record = play(plan).await?;
-    let holders: std::collections::BTreeSet<&str> =
-        record.orders.iter().map(|order| &*order.holder).collect();
+    let holders: BTreeSet<&str> = record.orders.iter().map(|order| &*order.holder).collect();
     Ok(Summary {
         seed: plan.seed,
         hosts: plan.hosts,
@@ -101,6 +102,7 @@
         runs: record.runs.len(),
         orders: record.orders.len(),
         holders: holders.len(),
+        crashed: judge::crashed(&record),
         retries: retries::worst(&record)
             .into_iter()
             .map(|(service, window)| (service, window.part()))
@@ -117,6 +119,7 @@
         versions: Mutex::default(),
         requests: Mutex::default(),
         is_burst: false.into(),
+        is_poisoned: false.into(),
         is_over: false.into(),
     });
     let mut player = Player {
@@ -128,6 +131,8 @@
         leaves: Vec::new(),
         troubles: Vec::new(),
         servers: Vec::new(),
+        faulted: BTreeSet::new(),
+        crashed: BTreeMap::new(),
     };
     for place in 0..site::SERVERS.len() {
         player.serve(place).await?;
@@ -144,7 +149,7 @@
     let began = Instant::now();
     let mut callers = load::start(&player.crowd, plan.seed);
     player.play(&plan.schedule, began).await?;
-    sleep_until(began + plan.length).await;
+    player.wait(began + plan.length).await?;
     player.crowd.is_over.store(true, Ordering::Relaxed);
     // Who still waits then is left out.
     let _ = timeout(LAST, async { while callers.join_next().await.is_some() {} }).await;
@@ -215,6 +220,7 @@
             _ => None,
         },
         spoilt: matches!(run.ending, Some(Ending::Spoilt | Ending::Crashed)),
+        crashed: run.ending == Some(Ending::Crashed),
     };
     server.runs().into_iter().map(seen).collect()
 }
--- a/crates/standin/src/routed/soak/judge.rs
+++ b/crates/standin/src/routed/soak/judge.rs
@@ -1,6 +1,7 @@
 //! Judges the record of a soak by the users' promises.
 
 mod declared;
+mod poison;
 pub mod retries;
 
 use std::{collections::BTreeMap, time::Duration};
@@ -47,6 +48,10 @@
     Limit,
     /// No server gets more requests than it says that it takes.
     Quota,
+    /// What has crashed three servers reaches few others.
+    Poison,
+    /// Nothing else is refused as if it crashed servers.
+    Innocent,
     /// No service gets more retries than its budget allows.
     Retries,
     /// Declarations come into force in time and never go back.
@@ -61,7 +66,7 @@
 
 impl Promise {
     /// All of them.
-    pub const ALL: [Promise; 14] = [
+    pub const ALL: [Promise; 16] = [
         Promise::Twice,
         Promise::Refused,
         Promise::Mixed,
@@ -71,6 +76,8 @@
         Promise::One,
         Promise::Limit,
         Promise::Quota,
+        Promise::Poison,
+        Promise::Innocent,
         Promise::Retries,
         Promise::Config,
         Promise::Lost,
@@ -104,6 +111,8 @@
     breaches.extend(judge.declared());
     breaches.extend(judge.lost_by_chance());
     breaches.extend(judge.recovery());
+    breaches.extend(judge.poisoned());
+    breaches.extend(judge.shunned());
     breaches.extend(judge.quotas());
     breaches.extend(judge.retries());
     let limit = |(server, at): &(String, Duration)| Breach {
@@ -396,6 +405,8 @@
     }
 }
 
+pub use poison::crashed;
+
 /// Whether a request's answer is a whole success.
 pub fn is_served(request: &Request) -> bool {
     matches!(&request.outcome, Outcome::Answered(answer) if answer.whole && answer.status.is_success())
--- a/crates/standin/src/routed/soak/load.rs
+++ b/crates/standin/src/routed/soak/load.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -21,7 +21,7 @@
 
 use super::{
     record::{self, Life, Outcome, Request, Span},
-    site::{ADAPTERS, DEADLINE, HOST, MODELS, since},
+    site::{ADAPTERS, DEADLINE, HOST, MODELS, POISON, since},
 };
 use crate::routed::{
     caller::{Answer, Ask, Caller, Failure},
@@ -38,6 +38,9 @@
 /// How long a caller waits beyond the deadline.
 const BEYOND: Duration = Duration::from_secs(1);
 
+/// Between two sends of a request that crashes servers.
+const POISON_PAUSE: Duration = Duration::from_millis(300);
+
 /// Time between the balancer's questions.
 const POLL: Duration = Duration::from_millis(250);
 
@@ -58,6 +61,8 @@
     pub(super) versions: Mutex<Vec<Version>>,
     pub(super) requests: Mutex<Vec<Request>>,
     pub(super) is_burst: AtomicBool,
+    /// Whether a request comes again and again that crashes servers.
+    pub(super) is_poisoned: AtomicBool,
     pub(super) is_over: AtomicBool,
 }
 
@@ -83,6 +88,7 @@
         tasks.spawn(call(crowd.clone(), number, random));
     }
     tasks.spawn(balance(crowd.clone()));
+    tasks.spawn(poison(crowd.clone(), seed));
     tasks
 }
 
@@ -115,12 +121,47 @@
     kind: Kind,
     resumable: bool,
     body: usize,
+    crashes: bool,
+}
+
+/// Sends a request that crashes servers through all hosts in turn, from an address of its own at each.
+async fn poison(crowd: Arc<Crowd>, seed: u64) {
+    let path = ["/tickets/new", "/pages/home", "/draft/2f"][(seed % 3) as usize];
+    let (kind, resumable) = match seed % 3 {
+        0 => (Kind::NonIdempotent, false),
+        1 => (Kind::Idempotent, false),
+        _ => (Kind::Stream, true),
+    };
+    let ask = Ask::to(HOST, path).deadline(Some(DEADLINE));
+    let ask = if kind == Kind::Stream { ask.model(MODELS[0]) } else { ask };
+    let ask = ask.send(Method::POST, POISON);
+    let mut sending = JoinSet::new();
+    for turn in 0.. {
+        sleep(POISON_PAUSE).await;
+        if crowd.is_over.load(Ordering::Relaxed) {
+            break;
+        }
+        if !crowd.is_poisoned.load(Ordering::Relaxed) {
+            continue;
+        }
+        let seats = lock(&crowd.seats).clone();
+        let seat = seats[turn % seats.len()];
+        let source = IpAddr::from([127, 0, 0, seat.life.host as u8 + 2]);
+        let body = POISON.len();
+        let wanted = Wanted { ask: ask.again(), kind, resumable, body, crashes: true };
+        let crowd = crowd.clone();
+        sending.spawn(async move {
+            let mut caller = Caller::new(seat.callers).from(source);
+            send(&crowd, seat, &mut caller, &wanted, None).await;
+        });
+    }
+    while sending.join_next().await.is_some() {}
 }
 
 fn want(random: &mut ChaCha8Rng, versions: &[Version]) -> Wanted {
     let plain = |path: &str, kind| {
         let ask = Ask::to(HOST, path);
-        Wanted { ask, kind, resumable: false, body: 0 }
+        Wanted { ask, kind, resumable: false, body: 0, crashes: false }
     };
     let stream = |path: &str, resumable, random: &mut ChaCha8Rng| {
         // Few models get most of the requests.
@@ -130,7 +171,7 @@
             ask = ask.adapter(&format!("a{}", random.random_range(1..=ADAPTERS)));
         }
         let body = ask.request().body().len();
-        Wanted { ask, kind: Kind::Stream, resumable, body }
+        Wanted { ask, kind: Kind::Stream, resumable, body, crashes: false }
     };
     let mut wanted = match random.random_range(0..100) {
         0..38 => plain("/pages/home?lang=es", Kind::Idempotent),
@@ -155,6 +196,7 @@
 async fn call(crowd: Arc<Crowd>, caller: u64, mut random: ChaCha8Rng) {
     let mut kept: HashMap<Life, Caller> = HashMap::new();
     let mut number = 0_u64;
+    let mut failed: Option<Wanted> = None;
     while !crowd.is_over.load(Ordering::Relaxed) {
         let is_burst = crowd.is_burst.load(Ordering::Relaxed);
         let pause = random.random_range(if is_burst { BURST } else { PAUSE });
@@ -163,43 +205,65 @@
         let mut wanted = want(&mut random, &versions);
         number += 1;
         wanted.ask = wanted.ask.numbered(caller, number);
+        // What failed beside a request that crashes servers is asked for again, as it was.
+        if let Some(again) = failed.take() {
+            wanted = Wanted { ask: again.ask.again(), ..again };
+        }
         let Some(seat) = crowd.seat(&mut random) else { continue };
         let connection = kept.entry(seat.life).or_insert_with(|| Caller::new(seat.callers));
         if random.random_bool(0.1) {
             connection.leave();
         }
         let leaves = random.random_bool(0.03);
-        let stays = match leaves {
-            true => Duration::from_millis(random.random_range(5..300)),
-            false => DEADLINE + BEYOND,
-        };
-        let from = crowd.since(Instant::now());
-        let outcome = match timeout(stays, connection.ask(&wanted.ask)).await {
-            Ok(Ok(answer)) => Outcome::Answered(answered(answer)),
-            Ok(Err(Failure::Connect)) => Outcome::Unreached,
-            Ok(Err(Failure::Closed)) => Outcome::Closed,
-            Ok(Err(Failure::Silence)) => Outcome::Late,
-            Err(_) if leaves => Outcome::Left,
-            Err(_) => Outcome::Late,
-        };
-        if !matches!(outcome, Outcome::Answered(record::Answer { whole: true, .. })) {
-            connection.leave();
+        let stays = leaves.then(|| Duration::from_millis(random.random_range(5..300)));
+        let is_whole = send(&crowd, seat, connection, &wanted, stays).await;
+        if !is_whole && crowd.is_poisoned.load(Ordering::Relaxed) {
+            failed = Some(wanted);
         }
-        let span = Span { from, to: crowd.since(Instant::now()) };
-        lock(&crowd.requests).push(Request {
-            id: wanted.ask.id().to_string(),
-            kind: wanted.kind,
-            resumable: wanted.resumable,
-            path: wanted.ask.ask.path.to_string(),
-            body: wanted.body,
-            life: seat.life,
-            span,
-            deadline: DEADLINE,
-            outcome,
-        });
     }
 }
 
+/// Sends a request, and notes what came of it; whether an answer came whole. A caller that leaves stays for
+/// so long.
+async fn send(
+    crowd: &Crowd,
+    seat: Seat,
+    connection: &mut Caller,
+    wanted: &Wanted,
+    stays: Option<Duration>,
+) -> bool {
+    let from = crowd.since(Instant::now());
+    let asked = timeout(stays.unwrap_or(DEADLINE + BEYOND), connection.ask(&wanted.ask)).await;
+    let outcome = match asked {
+        Ok(Ok(answer)) => Outcome::Answered(answered(answer)),
+        Ok(Err(Failure::Connect)) => Outcome::Unreached,
+        Ok(Err(Failure::Closed)) => Outcome::Closed,
+        Ok(Err(Failure::Silence)) => Outcome::Late,
+        Err(_) if stays.is_some() => Outcome::Left,
+        Err(_) => Outcome::Late,
+    };
+    let is_whole = matches!(outcome, Outcome::Answered(record::Answer { whole: true, .. }));
+    if !is_whole {
+        connection.leave();
+    }
+    let is_served =
+        is_whole && matches!(&outcome, Outcome::Answered(answer) if answer.status.is_success());
+    let span = Span { from, to: crowd.since(Instant::now()) };
+    lock(&crowd.requests).push(Request {
+        id: wanted.ask.id().to_string(),
+        kind: wanted.kind,
+        resumable: wanted.resumable,
+        path: wanted.ask.ask.path.to_string(),
+        body: wanted.body,
+        crashes: wanted.crashes,
+        life: seat.life,
+        span,
+        deadline: DEADLINE,
+        outcome,
+    });
+    is_served
+}
+
 fn answered(answer: Answer) -> record::Answer {
     let Answer { status, told, body, whole, .. } = answer;
     let text = |text: Option<Arc<str>>| text.map(|text| text.to_string());
--- a/crates/standin/src/routed/soak/play.rs
+++ b/crates/standin/src/routed/soak/play.rs
@@ -1,7 +1,7 @@
 //! Makes the faults of a schedule, and notes when each was.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     error::Error,
     sync::{Arc, atomic::Ordering},
     time::Duration,
@@ -39,6 +39,12 @@
 /// How late a late order, or a late write, is carried out.
 const LATE: Duration = Duration::from_millis(900);
 
+/// Pause between looks at which servers have crashed.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// From a server's crash to the start of another one.
+const BACK: Duration = Duration::from_millis(1_500);
+
 /// The entry of a crashed server stays for so long.
 const STALE: Duration = Duration::from_millis(2_000);
 
@@ -56,6 +62,10 @@
     pub(super) troubles: Vec<Trouble>,
     /// The id of the server at each place now, and how many there were before.
     pub(super) servers: Vec<(String, usize)>,
+    /// Places whose server is in a fault of its own.
+    pub(super) faulted: BTreeSet<usize>,
+    /// Places whose server was crashed by a request, and when another one starts there.
+    pub(super) crashed: BTreeMap<usize, Instant>,
 }
 
 /// One end of a fault.
@@ -118,7 +128,7 @@
         // A fault without a length ends after it has begun: the sort is stable.
         steps.sort_by_key(|(at, _)| *at);
         for (at, step) in steps {
-            sleep_until(began + at).await;
+            self.wait(began + at).await?;
             match step {
                 Step::Begin(planned) => {
                     if planned.fault == Fault::SILENCE {
@@ -140,6 +150,41 @@
         Ok(())
     }
 
+    /// Waits, and starts servers anew that a request has crashed.
+    pub(super) async fn wait(&mut self, until: Instant) -> Result<(), Failed> {
+        loop {
+            self.revive().await?;
+            let now = Instant::now();
+            if until <= now {
+                return Ok(());
+            }
+            sleep_until(until.min(now + LOOK)).await;
+        }
+    }
+
+    async fn revive(&mut self) -> Result<(), Failed> {
+        for place in 0..self.servers.len() {
+            if self.faulted.contains(&place) || self.crashed.contains_key(&place) {
+                continue;
+            }
+            if let Some(at) = self.server(place).crashed() {
+                let from = self.crowd.since(at);
+                let span = Span { from, to: from + BACK };
+                let place_of = Place::Server(self.servers[place].0.clone());
+                self.troubles.push(Trouble { place: place_of, what: "crashed".into(), span });
+                self.crashed.insert(place, at + BACK);
+            }
+        }
+        let now = Instant::now();
+        let due: Vec<usize> =
+            self.crashed.iter().filter(|(_, at)| **at <= now).map(|(place, _)| *place).collect();
+        for place in due {
+            self.crashed.remove(&place);
+            self.replace(place).await?;
+        }
+        Ok(())
+    }
+
     fn server(&self, place: usize) -> &Server {
         self.site.backend.server(&self.servers[place].0)
     }
@@ -181,6 +226,7 @@
             Fault::Orders(_)
             | Fault::Declare
             | Fault::Burst
+            | Fault::Poison
             | Fault::Limited(..)
             | Fault::AllLimited(..) => Vec::new(),
         }
@@ -207,8 +253,12 @@
             Fault::TurnAway(host, refusal) => {
                 store.at(&self.site.hosts[host].name, |mood| mood.refusal = Some(refusal));
             }
-            Fault::Crash(server) => self.server(server).kill(),
+            Fault::Crash(server) => {
+                self.faulted.insert(server);
+                self.server(server).kill();
+            }
             Fault::Leave(server, notice) => {
+                self.faulted.insert(server);
                 let id = self.servers[server].0.clone();
                 match notice {
                     Notice::Told => self.server(server).leave(None),
@@ -237,6 +287,7 @@
                 lock(&self.crowd.versions).push(version);
             }
             Fault::Burst => self.crowd.is_burst.store(true, Ordering::Relaxed),
+            Fault::Poison => self.crowd.is_poisoned.store(true, Ordering::Relaxed),
             Fault::Limited(server, limit) => self.limit([server], Some(limit)),
             Fault::AllLimited(server, limit) => self.limit(site::alike(server), Some(limit)),
         }
@@ -295,7 +346,11 @@
                 store.at(&self.site.hosts[host].name, |mood| mood.refusal = None);
                 self.ends(&Place::Door(host));
             }
-            Fault::Crash(server) | Fault::Leave(server, _) => self.replace(server).await?,
+            Fault::Crash(server) | Fault::Leave(server, _) => {
+                self.faulted.remove(&server);
+                self.crashed.remove(&server);
+                self.replace(server).await?;
+            }
             Fault::Grey(server, _) | Fault::Dull(server) => {
                 site::calm(self.server(server), self.bounds.events);
                 self.ends(&Place::Server(self.servers[server].0.clone()));
@@ -307,6 +362,7 @@
             }
             Fault::Links(pairs, _) => self.link(pairs, Way::Passes),
             Fault::Burst => self.crowd.is_burst.store(false, Ordering::Relaxed),
+            Fault::Poison => self.crowd.is_poisoned.store(false, Ordering::Relaxed),
             Fault::Limited(server, _) => self.limit([server], None),
             Fault::AllLimited(server, _) => self.limit(site::alike(server), None),
             Fault::Orders(_) | Fault::Declare => {}
--- a/crates/standin/src/routed/soak/record.rs
+++ b/crates/standin/src/routed/soak/record.rs
@@ -104,6 +104,8 @@
     pub path: String,
     /// Length of its body.
     pub body: usize,
+    /// Whether it crashes the servers that run it.
+    pub crashes: bool,
     /// The host that it was sent to.
     pub life: Life,
     /// From its sending to its end.
@@ -165,6 +167,8 @@
     pub failed: Option<StatusCode>,
     /// Whether the server spoilt it, or crashed.
     pub spoilt: bool,
+    /// Whether the server crashed.
+    pub crashed: bool,
 }
 
 /// An arrival of a request at a server, whatever became of it.
--- a/crates/standin/src/routed/soak/schedule.rs
+++ b/crates/standin/src/routed/soak/schedule.rs
@@ -32,6 +32,12 @@
 /// Draws what presses on the retry budget, apart from all else.
 const PRESSED: u64 = 1 << 61;
 
+/// Draws when a request comes that crashes servers, apart from all else.
+const POISONED: u64 = 1 << 60;
+
+/// How long such a request keeps coming, in ms.
+const POISON_LASTS: std::ops::Range<u64> = 4_000..20_000;
+
 /// Between two such faults, in ms.
 const PRESSED_BETWEEN: std::ops::Range<u64> = 1_500..6_000;
 
@@ -116,6 +122,8 @@
     Declare,
     /// Callers press.
     Burst,
+    /// A request that crashes the servers that run it comes again and again, through all hosts.
+    Poison,
 }
 
 impl Fault {
@@ -221,6 +229,7 @@
     }
     planned.extend(limits(seed, end));
     planned.extend(pressed(seed, hosts, end));
+    planned.extend(poisoned(seed, end));
     planned.sort_by_key(|planned| planned.at);
     planned
 }
@@ -274,6 +283,22 @@
     planned
 }
 
+/// Times in which a request comes that crashes servers, in one of two soaks.
+fn poisoned(seed: u64, end: Duration) -> Vec<Planned> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ POISONED);
+    let mut planned = Vec::new();
+    let mut at = BEFORE.min(end / 4);
+    if random.random_bool(0.5) {
+        return planned;
+    }
+    while at < end {
+        let lasts = Duration::from_millis(random.random_range(POISON_LASTS)).min(end - at);
+        planned.push(Planned { at, lasts, fault: Fault::Poison });
+        at += lasts + Duration::from_millis(random.random_range(POISON_LASTS));
+    }
+    planned
+}
+
 /// Every host is killed and started again, one after the other, a few times.
 fn series(random: &mut ChaCha8Rng, hosts: usize, at: Duration) -> Vec<Planned> {
     let times = random.random_range(SERIES_TIMES);
@@ -353,6 +378,7 @@
         | Fault::Orders(server) => (Thing::Server(server), 2),
         Fault::Declare
         | Fault::Burst
+        | Fault::Poison
         | Fault::Limited(..)
         | Fault::AllLimited(..)
         | Fault::AllGrey(..)
--- a/crates/standin/src/routed/soak/site.rs
+++ b/crates/standin/src/routed/soak/site.rs
@@ -11,6 +11,9 @@
 
 pub(super) const HOST: &str = "desk.example";
 pub(super) const MODELS: [&str; 4] = ["welcome", "desk", "notes", "paper"];
+/// What the body of a request holds that crashes the servers that run it.
+pub(super) const POISON: &str = "poison";
+
 pub(super) const ADAPTERS: u32 = 3;
 
 /// Services of the servers, by place.
@@ -134,6 +137,7 @@
             events,
             pace: Duration::from_millis(20),
             load: Duration::from_millis(300),
+            poison: Some(POISON),
             ..Script::default()
         };
     });
--- a/crates/standin/tests/soak_judge.rs
+++ b/crates/standin/tests/soak_judge.rs
@@ -51,6 +51,7 @@
         resumable: false,
         path: "/pages/x".into(),
         body: 0,
+        crashes: false,
         life: LIFE,
         span: span(10_000, 10_100),
         deadline: ms(4_000),
@@ -77,6 +78,7 @@
         ended: Some(ms(ended)),
         failed: None,
         spoilt: false,
+        crashed: false,
     }
 }
 
@@ -116,6 +118,32 @@
     }
 }
 
+/// One request that crashes servers, sent anew at each of these times.
+fn crashing(record: &mut Record, times: impl IntoIterator<Item = u64>) {
+    for (number, at) in times.into_iter().enumerate() {
+        let id = format!("c{number}");
+        let mut request = record.requests[0].clone();
+        (request.id, request.crashes, request.outcome) = (id.clone(), true, Outcome::Closed);
+        request.span = span(at, at + 20);
+        record.requests.push(request);
+        let server = format!("crashed-{number}");
+        let run = Run { id, spoilt: true, crashed: true, ..run(&server, at + 5, at + 10) };
+        record.runs.push(run);
+    }
+}
+
+/// Requests that are refused as what may have run, at these times.
+fn shunned(record: &mut Record, times: impl IntoIterator<Item = u64>) {
+    for (number, at) in times.into_iter().enumerate() {
+        let mut request = record.requests[0].clone();
+        request.id = format!("s{number}");
+        let Outcome::Answered(answer) = &mut request.outcome else { continue };
+        (answer.status, answer.seal, answer.id) = (StatusCode::BAD_GATEWAY, None, None);
+        request.span = span(at, at + 20);
+        record.requests.push(request);
+    }
+}
+
 fn order(holder: &str, fence: u64, came: u64) -> Order {
     Order { server: "lm-1".into(), holder: holder.into(), fence, came: ms(came) }
 }
@@ -217,6 +245,17 @@
     press(r);
     r.troubles.push(trouble(Place::Host(0), 11_000, 12_500));
 })]
+#[case::crashes_servers_while_that_is_new(Kind::Idempotent, |r: &mut Record| crashing(r, (1..7).map(|turn| turn * 400)))]
+#[case::crashes_servers_thrice_more(Kind::Idempotent, |r: &mut Record| crashing(r, [100, 200, 300, 3_400, 3_500, 3_600]))]
+#[case::crashes_servers_by_a_host_that_has_just_started(Kind::Idempotent, |r: &mut Record| {
+    crashing(r, [100, 200, 300, 3_400, 3_500, 3_600, 3_700, 3_800]);
+    r.troubles.push(trouble(Place::Host(0), 900, 1_000));
+})]
+#[case::refused_as_servers_crash(Kind::Idempotent, |r: &mut Record| {
+    shunned(r, [100, 200, 300, 400]);
+    r.troubles.push(trouble(Place::Server("app-2".into()), 90, 9_000));
+    r.troubles.push(trouble(Place::Server("app-3".into()), 310, 9_000));
+})]
 #[case::recovers(Kind::Idempotent, |r: &mut Record| recovers(r, 9))]
 #[case::as_many_retries_as_are_allowed(Kind::Idempotent, |r: &mut Record| {
     retried(r, 15_000, 64, 2);
@@ -315,6 +354,8 @@
         r.runs.push(Run { id, ..run.clone() });
     }
 })]
+#[case::crashes_servers_again(Kind::Idempotent, Promise::Poison, |r: &mut Record| crashing(r, [100, 200, 300, 3_400, 3_500, 3_600, 3_700]))]
+#[case::refused_without_a_crash(Kind::Idempotent, Promise::Innocent, |r: &mut Record| shunned(r, [100, 200, 300, 400]))]
 #[case::more_than_its_limit(Kind::Idempotent, Promise::Quota, press)]
 #[case::more_retries_than_are_allowed(Kind::Idempotent, Promise::Retries, |r: &mut Record| {
     retried(r, 15_000, 66, 2);
