Remove no object of a refused request that can't be read

**Cause**: the holder of the lease removed every object whose request it doesn't refuse, one that it can't read among them.

**Change**: only objects that were read count as stored. What operators could lift with goes again, since nothing calls it yet.

**Ruled out**: keeping all unknown objects, which would outlive what they are for.

--- a/crates/policy/src/dispatch/poison.rs
+++ b/crates/policy/src/dispatch/poison.rs
@@ -389,12 +389,6 @@
         self.void(request, now, |_, _| true);
     }
 
-    /// Lets a request run again, whatever it did; false if nothing is known of it.
-    pub fn lift(&mut self, request: Fingerprint, now: Moment) -> bool {
-        self.void(request, now, |_, _| true);
-        self.entries.contains_key(&request)
-    }
-
     /// An attempt is over, whatever came of it.
     pub fn ended(&mut self, ticket: Ticket, now: Moment) {
         let Some(trial) = self.trial.take_if(|trial| trial.ticket == ticket) else { return };
@@ -440,12 +434,6 @@
         refused.map(crashes).collect()
     }
 
-    /// What is known of a request's crashes.
-    pub fn known(&self, request: Fingerprint, now: Moment) -> Vec<Crash> {
-        let entry = self.entries.get(&request);
-        entry.map_or_else(Vec::new, |entry| list(request, entry, now))
-    }
-
     /// Joins what other hosts, or the store, know.
     pub fn learn(&mut self, crashes: &[Crash], now: Moment) {
         for crash in crashes {
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -73,8 +73,12 @@
 /// Takes in what is stored; whether it could be read.
 async fn read(shared: &Shared, book: &mut Book) -> bool {
     let Some(page) = shared.store.list(Kind::Quarantine).await else { return false };
-    book.stored = page.objects.iter().filter_map(|object| parse_name(&object.name)).collect();
-    let crashes: Vec<Crash> = page.objects.iter().filter_map(parse).flatten().collect();
+    let readable = |object: &Object| Some((parse_name(&object.name)?, parse(object)?));
+    let objects: Vec<(Fingerprint, Vec<Crash>)> =
+        page.objects.iter().filter_map(readable).collect();
+    // One that can't be read is none that this host may remove.
+    book.stored = objects.iter().map(|(request, _)| *request).collect();
+    let crashes: Vec<Crash> = objects.into_iter().flat_map(|(_, crashes)| crashes).collect();
     shared.dispatcher().poison_mut().learn(&crashes, shared.now());
     true
 }
@@ -141,13 +145,13 @@
     Some(stored.crashes.into_iter().map(aged).collect())
 }
 
-/// How a request is called in the store, in the log and by operators.
-pub(crate) fn name(request: Fingerprint) -> String {
+/// How a request is called in the store and in the log.
+fn name(request: Fingerprint) -> String {
     format!("{request:016x}")
 }
 
 /// The request of a name.
-pub(crate) fn parse_name(name: &str) -> Option<Fingerprint> {
+fn parse_name(name: &str) -> Option<Fingerprint> {
     let is_name = name.len() == 16;
     is_name.then(|| Fingerprint::from_str_radix(name, 16).ok()).flatten()
 }
@@ -177,8 +181,8 @@
     }
 }
 
-/// A crash as it is logged and shown to operators.
-pub(crate) fn seen(crash: &Crash) -> CrashSeen {
+/// A crash as it is logged.
+fn seen(crash: &Crash) -> CrashSeen {
     let role = match crash.role {
         Role::Beside => "beside others",
         Role::Apart => "apart",
