--- a/crates/policy/tests/fleet_wide.rs
+++ b/crates/policy/tests/fleet_wide.rs
@@ -8,12 +8,18 @@
 };
 
 use fleet_net::{Net, ZONES, address, busy_part, member, sent_bytes};
-use policy::fleet::{Load, Notice, Part, Standing, To};
+use policy::{
+    dispatch::poison::{Crash, Role, Verdict},
+    fleet::{Load, Notice, Part, Standing, To},
+};
 use rstest::rstest;
 
 /// From a fact to its place in every host's sums.
 const REACH: Duration = Duration::from_secs(10);
 
+/// Time after which hosts must know of a request that crashes servers.
+const CONTACT: Duration = Duration::from_secs(3);
+
 /// Until all agree again after many died at once.
 const MEND: Duration = Duration::from_secs(30);
 
@@ -221,3 +227,44 @@
         }
     }
 }
+
+#[rstest]
+fn crashes_reach_every_host_within_the_contact_time(#[values(8, 62, 195)] hosts: usize) {
+    assert_crashes_reach_all(hosts);
+}
+
+#[test]
+fn crashes_reach_every_host_of_the_target_within_the_contact_time() {
+    assert_crashes_reach_all(350);
+}
+
+/// Hosts are at work, and the crashes are told beside all else.
+fn assert_crashes_reach_all(hosts: usize) {
+    let mut net = Net::settled(hosts, 1);
+    for step in 0..30 {
+        (0..hosts).for_each(|host| net.publish(host, busy_part(step)));
+        net.run_for(Duration::from_millis(100));
+    }
+    let crash = |server: &str| Crash {
+        request: 7,
+        server: server.into(),
+        witness: "host-003".into(),
+        turn: 0,
+        role: Role::Beside,
+        verdict: Verdict::Counts,
+        age: Duration::ZERO,
+    };
+    net.publish(3, Part::Crashes(["s1", "s2", "s3"].map(crash).into()));
+    let began = net.now;
+    let is_known = |net: &Net| {
+        (0..hosts).filter(|host| *host != 3).all(|host| net.picture(host).crashes.len() == 3)
+    };
+    for step in 30.. {
+        if is_known(&net) {
+            break;
+        }
+        assert!(net.now - began < CONTACT, "some host of {hosts} has not heard in {CONTACT:?}");
+        (0..hosts).for_each(|host| net.publish(host, busy_part(step)));
+        net.run_for(Duration::from_millis(100));
+    }
+}
