Take the head of any answer for a sign that its server runs

**Cause**: only whole answers showed that a server had not crashed. Servers that cut all their answers in the middle for 20 s put what callers asked for again in quarantine after three cuts within 50 ms, and the store kept it over restarts.

**Ruled out**: counting only once a registration ends, some 4 s later, in which a request that does crash servers would reach a dozen.

**Change**: the head of an answer to what was sent after a crash makes the crash void, whatever becomes of the rest.

**Figures**: the policy's test: three cuts, then six cut answers of others: refused before, runs again after.

**Conclusion**: such a request is refused for as long as no host gets the head of another answer from that server.

--- a/crates/policy/src/dispatch/account.rs
+++ b/crates/policy/src/dispatch/account.rs
@@ -32,6 +32,13 @@
         self.poison.sent(ticket, now);
     }
 
+    /// The head of its server's answer has come, whatever becomes of the rest.
+    pub fn answers(&mut self, ticket: Ticket, now: Moment) {
+        if let Some(Task { state: State::Flying(flight), .. }) = self.tasks.get(&ticket) {
+            self.poison.answered(&flight.id, flight.sent, now);
+        }
+    }
+
     /// The first byte of its answer's body, or its first event, has come.
     pub fn first(&mut self, ticket: Ticket, now: Moment) {
         let Some(mut task) = self.tasks.remove(&ticket) else { return };
@@ -112,20 +119,15 @@
         let is_leaving =
             self.fleet.index(&flight.id).is_some_and(|index| self.fleet.is_draining(index));
         match end {
-            End::Whole => {
-                self.poison.completed(fingerprint, now);
-                self.poison.answered(&flight.id, flight.sent, now);
-            }
-            End::ServerError | End::NotRun(NotRun::Full | NotRun::NotHeld) => {
-                self.poison.answered(&flight.id, flight.sent, now);
-            }
+            End::Whole => self.poison.completed(fingerprint, now),
             End::Unclear(Unclear::Cut) if !is_leaving => {
                 self.poison.crashed(ticket, fingerprint, &flight.id, now);
             }
             End::Unclear(Unclear::Silent) | End::Cancelled if !is_leaving => {
                 self.poison.unclear(ticket, fingerprint, &flight.id, now);
             }
-            End::NotRun(NotRun::Instance)
+            End::ServerError
+            | End::NotRun(_)
             | End::Unreachable(_)
             | End::Unclear(_)
             | End::Cancelled => {}
@@ -193,8 +195,6 @@
         let Some(server) = self.fleet.same(flight.server, &flight.id) else { return };
         server.heard(now);
         server.load.read(task.ask.ticket);
-        self.poison.answered(&flight.id, flight.sent, now);
-        let Some(server) = self.fleet.same(flight.server, &flight.id) else { return };
         if flight.is_cold {
             return;
         }
--- a/crates/policy/tests/dispatch/poison.rs
+++ b/crates/policy/tests/dispatch/poison.rs
@@ -447,6 +447,28 @@
     assert!(changes.iter().any(|change| change.verdict == Verdict::Quarantined), "{changes:?}");
 }
 
+/// All connections are cut in the middle of answers, and no server has crashed.
+#[rstest]
+fn servers_that_cut_all_their_answers_quarantine_nothing_for_long() {
+    let mut host = plain(&["s1", "s2", "s3"]);
+    let same = |ticket, now| Ask { fingerprint: 7, ..ask(ticket, Kind::Idempotent, now) };
+    sent(host.arrive(same(1, at(0)), at(0)));
+    for now in [5, 10, 15] {
+        host.answers(1, at(now));
+        host.again(1, CUT, at(now));
+    }
+    assert_eq!(host.poison().standing(7), Standing::Poison);
+    for ticket in 2..8 {
+        let now = at(20 * ticket);
+        let other = Ask { fingerprint: ticket, ..ask(ticket, Kind::Idempotent, now) };
+        sent(host.arrive(other, now));
+        host.sent(ticket, now);
+        host.answers(ticket, now + at(5));
+        host.ended(ticket, CUT, now + at(6));
+    }
+    assert_eq!(host.poison().standing(7), Standing::Clear);
+}
+
 #[rstest]
 fn a_server_that_leaves_ends_by_itself() {
     let mut host = plain(&[]);
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -141,6 +141,7 @@
     }
     let judged = judge(&held.ask, server, &head, &answer);
     if is_from(&judged) {
+        shared.dispatcher().answers(held.ticket, shared.now());
         shared.limit_named(&server.id, answer.limit, sent_at);
     }
     judged?;
