Ask with prompts that no server has read where a test waits for one server

They ask the same thing until it reaches a certain server. Whoever ran it first has its prompt read and gets it each time, and which server that is follows from the digest of the request, which has changed.

**Evidence**: the host's log: 141 of 141 attempts at lm-2, all whole; with the digest of before the first one went to lm-1.

**Change**: each such request has a prompt of its own, so that chance reaches the server. What is asserted is as it was.

**Conclusion**: no fault of the product; the tests no longer hang on a digest.

--- a/crates/stage/tests/routed/streams.rs
+++ b/crates/stage/tests/routed/streams.rs
@@ -28,7 +28,8 @@
     let server = site.backend.server("lm-1");
     server.script(|script| script.faults = [fault].into());
     loop {
-        let answer = site.hosts[0].caller().ask(&ask.again()).await.unwrap();
+        // A prompt that the other server had read would go there each time.
+        let answer = site.hosts[0].caller().ask(&ask.unread()).await.unwrap();
         if !server.runs().is_empty() {
             return answer;
         }
--- a/crates/standin/src/routed/caller.rs
+++ b/crates/standin/src/routed/caller.rs
@@ -119,6 +119,15 @@
         self
     }
 
+    /// The same with a prompt that no server has read, under another id.
+    pub fn unread(&self) -> Ask {
+        let mut again = self.again();
+        let tokens = again.ask.tokens_in;
+        let id = NUMBER.fetch_add(1, Ordering::Relaxed);
+        again.ask.prompt = vec![edge::Part { id, tokens }];
+        again
+    }
+
     /// Going on after an event.
     pub fn resume(mut self, event: u64) -> Ask {
         self.ask.resume = Some(event);
