Let comments on the standing of requests and crashes stand alone

Cause: three doc comments began with a pronoun. Change: comments only. Conclusion: behaviour is as it was.

--- a/crates/policy/src/dispatch/poison.rs
+++ b/crates/policy/src/dispatch/poison.rs
@@ -72,9 +72,9 @@
 pub enum Standing {
     /// Nothing speaks against it.
     Clear,
-    /// It runs apart only.
+    /// The request runs apart from other suspects.
     Suspect,
-    /// It reaches no server.
+    /// The request reaches no server.
     Poison,
 }
 
@@ -92,7 +92,7 @@
 pub enum Verdict {
     /// The server has not crashed so far: a suspect runs there.
     Open,
-    /// It counts.
+    /// The crash counts.
     Counts,
     /// The server did not crash, or not by this request.
     Void,
