--- a/crates/standin/src/routed.rs
+++ b/crates/standin/src/routed.rs
@@ -9,6 +9,7 @@
 pub mod links;
 pub mod network;
 pub mod server;
+pub mod server_links;
 pub mod site;
 pub mod soak;
 pub mod store;
--- a/crates/standin/src/routed/site.rs
+++ b/crates/standin/src/routed/site.rs
@@ -18,6 +18,7 @@
     links::Links,
     network::Network,
     server::{Script, Server, Settings},
+    server_links::ServerLinks,
     store::Store,
     until,
 };
@@ -39,6 +40,8 @@
     /// more than once.
     pub servers: Vec<Server>,
     registering: Vec<AbortHandle>,
+    /// Links between hosts and servers; `None` if hosts connect directly.
+    server_links: Option<ServerLinks>,
 }
 
 impl Backend {
@@ -48,14 +51,33 @@
     ///
     /// If a port can't be bound.
     pub async fn start(servers: Vec<Settings>) -> io::Result<Backend> {
-        let mut backend =
-            Backend { store: Store::new(), servers: Vec::new(), registering: Vec::new() };
+        let mut backend = Backend {
+            store: Store::new(),
+            servers: Vec::new(),
+            registering: Vec::new(),
+            server_links: None,
+        };
         for settings in servers {
             backend.add(settings).await?;
         }
         Ok(backend)
     }
 
+    /// Puts a proxy between each of this many hosts and each server that is started from now on.
+    pub fn link_servers(&mut self, hosts: usize) {
+        let links = ServerLinks::new(self.store.network(), hosts);
+        self.server_links = Some(links);
+    }
+
+    /// The links between hosts and servers.
+    ///
+    /// # Panics
+    ///
+    /// If [`Backend::link_servers`] wasn't called.
+    pub fn server_links(&self) -> &ServerLinks {
+        self.server_links.as_ref().expect("`Backend::link_servers` was called")
+    }
+
     /// Starts and registers another server, at a port that the operating system picks.
     ///
     /// # Errors
@@ -73,6 +95,11 @@
     /// If its address can't be bound.
     pub async fn add_at(&mut self, address: SocketAddr, settings: Settings) -> io::Result<&Server> {
         let server = Server::start_at(address, settings).await?;
+        if let Some(links) = &self.server_links {
+            for (host, address) in links.open(server.address()).await?.into_iter().enumerate() {
+                self.store.set_server_address(&host_name(host), server.address(), address);
+            }
+        }
         self.registering.push(register(&self.store, &server));
         self.servers.push(server);
         Ok(&self.servers[self.servers.len() - 1])
@@ -228,7 +255,7 @@
     /// If the endpoint can't be opened or the process can't be started.
     pub async fn add(&mut self, change: impl FnOnce(&mut Value)) -> io::Result<&Host> {
         let index = self.hosts.len();
-        let name = format!("host-{index}");
+        let name = host_name(index);
         let endpoint = match self.backend.store.address(&name) {
             Some(endpoint) => endpoint,
             None => self.backend.store.open(&name).await?,
@@ -307,6 +334,11 @@
     }
 }
 
+/// Id of the host with this index, which is also the name of its endpoint at the store.
+fn host_name(index: usize) -> String {
+    format!("host-{index}")
+}
+
 /// Settings of the host with this index: ports that the operating system picks, the addresses of
 /// the store's endpoint and of other hosts.
 pub fn settings(name: &str, index: usize, store: SocketAddr, peers: &[SocketAddr]) -> Value {
--- a/crates/standin/src/routed/soak.rs
+++ b/crates/standin/src/routed/soak.rs
@@ -113,7 +113,10 @@
 }
 
 async fn execute(plan: &Plan<'_>) -> Result<Record, Box<dyn Error + Send + Sync>> {
-    let backend = Backend::start(Vec::new()).await?;
+    let mut backend = Backend::start(Vec::new()).await?;
+    if schedule::has_partitions(&plan.schedule) {
+        backend.link_servers(plan.hosts);
+    }
     let load = Arc::new(State {
         started_at: Instant::now(),
         hosts: Mutex::default(),
--- a/crates/standin/src/routed/soak/inject.rs
+++ b/crates/standin/src/routed/soak/inject.rs
@@ -225,6 +225,9 @@
             Fault::Down(_) | Fault::Slow | Fault::Lost(_) | Fault::LateWrite | Fault::Compact => {
                 vec![Component::Store]
             }
+            Fault::Partition(partitioned, _) => {
+                partitioned.among(self.site.hosts.len()).map(Component::ServerLinks).collect()
+            }
             Fault::Orders(_)
             | Fault::Declare
             | Fault::Burst
@@ -301,6 +304,11 @@
             }
             Fault::Burst => self.load.is_burst.store(true, Ordering::Relaxed),
             Fault::Poison => self.load.is_poisoned.store(true, Ordering::Relaxed),
+            Fault::Partition(partitioned, cut) => {
+                let links = self.site.backend.server_links();
+                let hosts = partitioned.among(self.site.hosts.len());
+                hosts.for_each(|host| links.cut(host, cut));
+            }
             Fault::Limited(server, limit) => self.set_limit([server], Some(limit)),
             Fault::AllLimited(server, limit) => {
                 self.set_limit(site::same_service(server), Some(limit))
@@ -382,6 +390,12 @@
             Fault::Links(pairs, _) => self.set_links(pairs, Delivery::Passes),
             Fault::Burst => self.load.is_burst.store(false, Ordering::Relaxed),
             Fault::Poison => self.load.is_poisoned.store(false, Ordering::Relaxed),
+            Fault::Partition(partitioned, _) => {
+                for host in partitioned.among(self.site.hosts.len()) {
+                    self.site.backend.server_links().heal(host);
+                    self.end_disruption(&Component::ServerLinks(host));
+                }
+            }
             Fault::Limited(server, _) => self.set_limit([server], None),
             Fault::AllLimited(server, _) => self.set_limit(site::same_service(server), None),
             Fault::Orders(_) | Fault::Declare => {}
--- a/crates/standin/src/routed/soak/record.rs
+++ b/crates/standin/src/routed/soak/record.rs
@@ -240,6 +240,8 @@
     StoreEndpoint(usize),
     /// A server, by id.
     Server(String),
+    /// The links of a host, by index, to all servers.
+    ServerLinks(usize),
 }
 
 /// Effect of a fault on one component.
@@ -292,10 +294,15 @@
             | Component::HostPlanned(other)
             | Component::StoreEndpoint(other) => *other == host,
             Component::Store => true,
-            Component::Server(_) => false,
+            Component::Server(_) | Component::ServerLinks(_) => false,
         })
     }
 
+    /// Whether a host was partitioned from all servers at any time in a span.
+    pub fn is_partitioned(&self, host: usize, span: Span) -> bool {
+        !self.is_undisturbed(span, |component| *component == Component::ServerLinks(host))
+    }
+
     /// Whether the store was undisturbed for the contact time before a moment.
     pub fn is_store_healthy(&self, at: Duration) -> bool {
         let span = self.extend_by_contact(Span { from: at, to: at });
--- a/crates/standin/src/routed/soak/schedule.rs
+++ b/crates/standin/src/routed/soak/schedule.rs
@@ -8,7 +8,9 @@
 use serde::{Serialize, Serializer};
 
 use super::site::SERVERS;
-use crate::routed::{links::Delivery, server::Fault as ServerFault, store::Refusal};
+use crate::routed::{
+    links::Delivery, server::Fault as ServerFault, server_links::Cut, site::ZONES, store::Refusal,
+};
 
 /// Time before the first fault, if the soak is long enough. Limits and faults that cause retries
 /// may start earlier.
@@ -37,6 +39,12 @@
 /// XORed with the seed for the random stream of the times of poison requests.
 const POISON_SEED_MASK: u64 = 1 << 60;
 
+/// XORed with the seed for the random stream of partitions between hosts and servers.
+const PARTITION_SEED_MASK: u64 = 1 << 59;
+
+/// How long hosts are partitioned from all servers, and how long the pause after it is.
+const PARTITION_DURATION_MS: std::ops::Range<u64> = 5_000..14_000;
+
 /// How long a poison request keeps being sent, and how long the pause after it is.
 const POISON_DURATION_MS: std::ops::Range<u64> = 4_000..20_000;
 
@@ -137,6 +145,8 @@
     /// A poison request, which crashes the servers that run it, is sent repeatedly through all
     /// hosts.
     Poison,
+    /// Hosts are partitioned from all servers.
+    Partition(Partitioned, Cut),
 }
 
 impl Fault {
@@ -173,6 +183,28 @@
     }
 }
 
+/// Hosts that are partitioned from all servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Partitioned {
+    /// One host.
+    One(usize),
+    /// The hosts of the availability zone of a host.
+    Zone(usize),
+    /// All hosts but one.
+    AllBut(usize),
+}
+
+impl Partitioned {
+    /// The partitioned hosts among this number of hosts.
+    pub fn among(self, hosts: usize) -> impl Iterator<Item = usize> {
+        (0..hosts).filter(move |host| match self {
+            Partitioned::One(one) => *host == one,
+            Partitioned::Zone(other) => host % ZONES.len() == other % ZONES.len(),
+            Partitioned::AllBut(other) => *host != other,
+        })
+    }
+}
+
 /// Whether a leaving server announces it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum Notice {
@@ -244,6 +276,7 @@
     planned.extend(limits(seed, end));
     planned.extend(retry_pressure(seed, hosts, end));
     planned.extend(poison(seed, end));
+    planned.extend(partitions(seed, hosts, end));
     planned.sort_by_key(|planned| planned.at);
     planned
 }
@@ -314,6 +347,35 @@
     planned
 }
 
+/// Draws partitions between hosts and all servers, one after the other. Half of all seeds draw none.
+fn partitions(seed: u64, hosts: usize, end: Duration) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ PARTITION_SEED_MASK);
+    let mut planned = Vec::new();
+    let mut at = WARM_UP.min(end / 4);
+    if random.random_bool(0.5) {
+        return planned;
+    }
+    while at < end {
+        let duration = Duration::from_millis(random.random_range(PARTITION_DURATION_MS));
+        let host = random.random_range(0..hosts);
+        let partitioned = match random.random_range(0..3) {
+            0 => Partitioned::One(host),
+            1 => Partitioned::Zone(host),
+            _ => Partitioned::AllBut(host),
+        };
+        let cut = Cut::ALL.choose(&mut random).copied().unwrap_or(Cut::Hang);
+        let fault = Fault::Partition(partitioned, cut);
+        planned.push(PlannedFault { at, duration: duration.min(end - at), fault });
+        at += duration + Duration::from_millis(random.random_range(PARTITION_DURATION_MS));
+    }
+    planned
+}
+
+/// Whether a schedule partitions hosts from servers.
+pub fn has_partitions(schedule: &[PlannedFault]) -> bool {
+    schedule.iter().any(|planned| matches!(planned.fault, Fault::Partition(..)))
+}
+
 /// Kills and restarts the hosts one after the other, for one or more rounds.
 fn restart_series(random: &mut ChaCha8Rng, hosts: usize, at: Duration) -> Vec<PlannedFault> {
     let rounds = random.random_range(SERIES_ROUNDS);
@@ -400,7 +462,8 @@
         | Fault::Limited(..)
         | Fault::AllLimited(..)
         | Fault::AllGrey(..)
-        | Fault::Links(..) => (Target::Callers, 1),
+        | Fault::Links(..)
+        | Fault::Partition(..) => (Target::Callers, 1),
     }
 }
 
--- a/crates/standin/src/routed/store.rs
+++ b/crates/standin/src/routed/store.rs
@@ -16,8 +16,11 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use platform::remote::store::{self as remote, Call, KindId};
-use relay::edge::{Object, Revision};
+use platform::remote::{
+    entry,
+    store::{self as remote, Call, KindId},
+};
+use relay::edge::{Change, Object, ObjectKind, Page, Revision, WatchBatch};
 use serde_json::Value;
 use tokio::{sync::watch, time::Instant};
 
@@ -95,6 +98,9 @@
 struct Shared {
     state: Mutex<State>,
     endpoints: Mutex<HashMap<String, Endpoint>>,
+    /// Addresses that registrations of servers contain at an endpoint, by endpoint and the server's
+    /// own address.
+    server_addresses: Mutex<HashMap<(String, SocketAddr), SocketAddr>>,
     /// Raised whenever objects or faults change, which wakes waiting watches.
     version: watch::Sender<u64>,
 }
@@ -194,6 +200,12 @@
         self.shared.wake_watches();
     }
 
+    /// Replaces the address of a server in the registrations that an endpoint returns, whether or not
+    /// the endpoint is open.
+    pub fn set_server_address(&self, endpoint: &str, server: SocketAddr, address: SocketAddr) {
+        lock(&self.shared.server_addresses).insert((endpoint.to_owned(), server), address);
+    }
+
     /// Numbers of calls at an endpoint so far; zeros if it isn't open.
     pub fn count(&self, endpoint: &str) -> Count {
         lock(&self.shared.endpoints)
@@ -281,6 +293,17 @@
         self.version.send_modify(|version| *version += 1);
     }
 
+    /// Returns an object as the endpoint shows it.
+    fn view(&self, endpoint: &str, kind: &KindId, mut object: Object) -> Object {
+        if *kind == remote::kind(ObjectKind::Server) {
+            let addresses = lock(&self.server_addresses);
+            entry::replace_address(&mut object.content, |server| {
+                addresses.get(&(endpoint.to_owned(), server)).copied()
+            });
+        }
+        object
+    }
+
     fn faults(&self, endpoint: &str) -> Faults {
         lock(&self.endpoints)
             .get(endpoint)
@@ -359,6 +382,12 @@
     match call {
         Call::Watch { kind, since, wait } => watch(shared, endpoint, &kind, since, wait).await,
         call if call.is_write() => write(shared, endpoint, call),
+        Call::List { kind, after } => {
+            let page = lock(&shared.state).list(&kind, after.as_ref());
+            let objects = page.objects.into_iter();
+            let objects = objects.map(|object| shared.view(endpoint, &kind, object)).collect();
+            Reply::Send(remote::page(&Page { objects, ..page }))
+        }
         call => Reply::Send(lock(&shared.state).apply(&call)),
     }
 }
@@ -427,7 +456,12 @@
         match result {
             WatchResult::Compacted => return Reply::Send(remote::compacted()),
             WatchResult::Changes(batch) if !batch.changes.is_empty() || end <= Instant::now() => {
-                return Reply::Send(remote::watch_batch(&batch));
+                let view = |change| match change {
+                    Change::Written(object) => Change::Written(shared.view(endpoint, kind, object)),
+                    Change::Removed { .. } => change,
+                };
+                let changes = batch.changes.into_iter().map(view).collect();
+                return Reply::Send(remote::watch_batch(&WatchBatch { changes, ..batch }));
             }
             WatchResult::Changes(_) => {}
         }
--- a/crates/standin/src/routed/store/state.rs
+++ b/crates/standin/src/routed/store/state.rs
@@ -84,10 +84,9 @@
         WatchResult::Changes(WatchBatch { changes, revision: self.revision })
     }
 
-    /// Applies a call other than a watch; watches, which wait, are answered as invalid.
+    /// Applies a call other than a list or a watch, which are answered as invalid.
     pub(super) fn apply(&mut self, call: &Call) -> Response<Bytes> {
         match call {
-            Call::List { kind, after } => remote::page(&self.list(kind, after.as_ref())),
             Call::Get { kind, name } => {
                 self.object(kind, name).map_or_else(remote::absent, remote::object)
             }
@@ -106,7 +105,7 @@
                     remote::removed()
                 })
             }
-            Call::Watch { .. } => remote::invalid(),
+            Call::List { .. } | Call::Watch { .. } => remote::invalid(),
         }
     }
 
@@ -126,7 +125,7 @@
         }
     }
 
-    fn list(&self, kind: &KindId, after: Option<&Arc<str>>) -> Page {
+    pub(super) fn list(&self, kind: &KindId, after: Option<&Arc<str>>) -> Page {
         let mut rest = self.after(kind, after);
         let objects: Vec<Object> = rest.by_ref().take(self.page_size).cloned().collect();
         Page { objects, more: rest.next().is_some(), revision: self.revision }
--- a/crates/standin/tests/fault.rs
+++ b/crates/standin/tests/fault.rs
@@ -332,3 +332,33 @@
     assert!(stream.read(&mut [0; 1]).await.map_or(true, |length| length == 0));
     echo.until_ended(1).await;
 }
+
+#[tokio::test]
+async fn refused_connections_fail_at_once_and_open_ones_live_on() {
+    let (_echo, proxy, mut open) = connect().await;
+    assert_eq!(echo_text(&mut open, "a").await.unwrap(), "a");
+    proxy.set_new_connections(NewConnections::Refuse);
+    tokio::time::sleep(QUIET_TIME).await;
+    let refused = TcpStream::connect(proxy.address()).await;
+    assert_eq!(refused.unwrap_err().kind(), ErrorKind::ConnectionRefused);
+    assert_eq!(echo_text(&mut open, "b").await.unwrap(), "b");
+    proxy.heal();
+    tokio::time::sleep(QUIET_TIME).await;
+    let mut stream = TcpStream::connect(proxy.address()).await.unwrap();
+    assert_eq!(echo_text(&mut stream, "c").await.unwrap(), "c");
+}
+
+#[tokio::test]
+async fn ignored_connections_hang_until_the_fault_is_removed() {
+    let (_echo, proxy, _open) = connect().await;
+    proxy.set_new_connections(NewConnections::Ignore);
+    tokio::time::sleep(QUIET_TIME).await;
+    for _ in 0..3 {
+        let connecting = TcpStream::connect(proxy.address());
+        assert!(tokio::time::timeout(QUIET_TIME, connecting).await.is_err());
+    }
+    proxy.heal();
+    tokio::time::sleep(QUIET_TIME).await;
+    let mut stream = TcpStream::connect(proxy.address()).await.unwrap();
+    assert_eq!(echo_text(&mut stream, "c").await.unwrap(), "c");
+}
--- a/crates/standin/tests/soak_judge.rs
+++ b/crates/standin/tests/soak_judge.rs
@@ -198,6 +198,32 @@
     }
 }
 
+/// Adds a partition of host 1 from all servers, from second 10 to second 20, with 100 requests at
+/// each of the hosts, sent at `at`. The first `refused` requests at host 1 are refused.
+fn add_partition(record: &mut Record, at: u64, refused: usize) {
+    record.disruptions.push(disruption(Component::ServerLinks(1), 10_000, 20_000));
+    for host in 0..2 {
+        for number in 0..100 {
+            let id = format!("p{host}.{number}");
+            let mut request = record.requests[0].clone();
+            (request.id, request.host_run.host, request.span) =
+                (id.clone(), host, span(at, at + 100));
+            request.outcome = match host == 1 && number < refused {
+                true => answer(StatusCode::SERVICE_UNAVAILABLE, None, ""),
+                false => {
+                    record.runs.push(Run { id: id.clone(), ..run("app-1", at + 10, at + 20) });
+                    let body = format!(r#"{{"request":"{id}","path":"/pages/x","bytes":0}}"#);
+                    answer(StatusCode::OK, Some(&format!("app-1.{id}")), &body)
+                }
+            };
+            if let Outcome::Answered(answer) = &mut request.outcome {
+                answer.id = Some(id);
+            }
+            record.requests.push(request);
+        }
+    }
+}
+
 #[rstest]
 #[case::as_it_should(Kind::Idempotent, |_: &mut Record| {})]
 #[case::once(Kind::NonIdempotent, |_: &mut Record| {})]
@@ -262,6 +288,13 @@
     r.disruptions.push(disruption(Component::Server("app-3".into()), 310, 9_000));
 })]
 #[case::recovers(Kind::Idempotent, |r: &mut Record| add_requests_after_fault(r, 9))]
+#[case::partitioned_and_served_two_thirds(Kind::Idempotent, |r: &mut Record| add_partition(r, 14_000, 33))]
+#[case::partitioned_a_moment_ago(Kind::Idempotent, |r: &mut Record| add_partition(r, 12_900, 100))]
+#[case::partitioned_and_back(Kind::Idempotent, |r: &mut Record| add_partition(r, 20_100, 50))]
+#[case::partitioned_and_restarted(Kind::Idempotent, |r: &mut Record| {
+    add_partition(r, 14_000, 100);
+    r.disruptions.push(disruption(Component::Host(1), 11_000, 11_100));
+})]
 #[case::as_many_retries_as_are_allowed(Kind::Idempotent, |r: &mut Record| {
     add_retries(r, 15_000, 64, 2);
 })]
@@ -381,6 +414,7 @@
     r.disruptions.push(disruption(Component::Store, 0, 60_000));
 })]
 #[case::does_not_recover(Kind::Idempotent, Promise::Recover, |r: &mut Record| add_requests_after_fault(r, 11))]
+#[case::partitioned_and_not_served(Kind::Idempotent, Promise::Partitioned, |r: &mut Record| add_partition(r, 13_100, 34))]
 #[case::ends_by_itself(Kind::Idempotent, Promise::Fault, |r: &mut Record| r.exited.push(1))]
 fn a_broken_promise_is_found(
     #[case] kind: Kind,
