--- a/crates/exchange/examples/cost.rs
+++ b/crates/exchange/examples/cost.rs
@@ -10,11 +10,18 @@
 use std::{error::Error, fs, net::SocketAddr, sync::Arc, time::Duration};
 
 use exchange::{
-    Config, Exchange, ServerListing, Source,
+    Config, Exchange, Refusal, ServerListing, Source,
     fleet::{Load, Publication, Revision, State},
 };
-use tokio::time::{Instant, sleep};
-use types::routed::{Declaration, Kind, Route, Share, Version};
+use futures_util::{FutureExt, future::BoxFuture};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, sleep},
+};
+use types::{
+    backend,
+    routed::{Declaration, Kind, Route, Share, Version},
+};
 
 const ROUTES: usize = 60;
 const SERVERS: u64 = 20;
@@ -33,6 +40,10 @@
     fn follow(&self, above: Revision) -> Option<ServerListing> {
         self.servers(above)
     }
+
+    fn dial(&self, _: backend::Id) -> BoxFuture<'static, Result<TcpStream, Refusal>> {
+        async { Err(Refusal::Declined) }.boxed()
+    }
 }
 
 #[tokio::main(flavor = "current_thread")]
--- a/crates/exchange/src/calls.rs
+++ b/crates/exchange/src/calls.rs
@@ -2,14 +2,18 @@
 
 use std::{sync::Arc, time::Duration};
 
+use futures_util::future::BoxFuture;
 use jsonrpsee::{proc_macros::rpc, types::ErrorObjectOwned};
 use policy::fleet::{Member, Revision};
 use serde::{Deserialize, Serialize};
+use tokio::net::TcpStream;
 use types::{
     backend,
     routed::{Declaration, Server, Version},
 };
 
+use crate::tunnel::Refusal;
+
 /// The servers that the store had at a revision, for a host that knows those of an earlier one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerListing {
@@ -55,6 +59,9 @@
     /// Returns the servers, even if no later revision of the store than `above` is known; `None` if
     /// none is known at all.
     fn follow(&self, above: Revision) -> Option<ServerListing>;
+
+    /// Connects to a server on behalf of another host.
+    fn dial(&self, server: backend::Id) -> BoxFuture<'static, Result<TcpStream, Refusal>>;
 }
 
 /// The calls as jsonrpsee methods.
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -12,12 +12,12 @@
     Settings, Snapshot, State, Tier, UnknownHost,
 };
 use tokio::{
-    net::{TcpListener, UdpSocket},
-    sync::mpsc,
+    net::{TcpListener, TcpStream, UdpSocket},
+    sync::{Semaphore, mpsc},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use types::{
-    availability, host,
+    availability, backend, host,
     routed::{Declaration, Version},
 };
 
@@ -27,6 +27,7 @@
     clock::{self, Clock},
     listener,
     run::{self, Shared},
+    tunnel::{self, Acceptor, MAX_TUNNELS},
 };
 
 /// Default timeout of a call.
@@ -110,6 +111,8 @@
     member: Member,
     bound: SocketAddr,
     notices: Mutex<Option<mpsc::Receiver<Envelope>>>,
+    /// A permit for each further tunnel that this host may carry.
+    tunnels: Arc<Semaphore>,
     tasks: TaskTracker,
     stop: CancellationToken,
 }
@@ -137,14 +140,19 @@
         let (tasks, stop) = (TaskTracker::new(), CancellationToken::new());
         tasks.spawn(run::run(shared.clone(), socket, sender, stop.clone()));
         let members = members(&shared, &member);
-        let methods = Handler { source, members }.into_rpc();
-        tasks.spawn(listener::listen(listener, methods, tasks.clone(), stop.clone()));
+        let methods = Handler { source: source.clone(), members }.into_rpc();
+        let tunnels = Arc::new(Semaphore::new(MAX_TUNNELS));
+        let fleet = Arc::downgrade(&shared);
+        let snapshot = move || fleet.upgrade().map(|shared| shared.snapshot()).unwrap_or_default();
+        let acceptor = Acceptor::new(source, snapshot, tunnels.clone());
+        tasks.spawn(listener::listen(listener, methods, acceptor, tasks.clone(), stop.clone()));
         Ok(Arc::new(Exchange {
             shared,
             client: Client::new(config.call_timeout),
             member,
             bound,
             notices: Mutex::new(Some(receiver)),
+            tunnels,
             tasks,
             stop,
         }))
@@ -287,6 +295,26 @@
         self.client.members(from).await
     }
 
+    /// Opens a connection to a server through the host at `gateway`. Waits as long as that host
+    /// takes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that host can't be reached, refuses, or can't connect to the server.
+    pub async fn tunnel(
+        &self,
+        gateway: SocketAddr,
+        server: &backend::Id,
+    ) -> Result<TcpStream, tunnel::Error> {
+        let own = (&self.member.id, self.member.incarnation);
+        tunnel::open(gateway, own, server).await
+    }
+
+    /// Returns the number of tunnels that this host carries for others.
+    pub fn tunnels(&self) -> usize {
+        MAX_TUNNELS - self.tunnels.available_permits()
+    }
+
     /// Announces the end of this host, closes the listeners and waits for the calls in progress.
     pub async fn leave(&self) {
         self.publish(Publication::State(State::Leaving));
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod listener;
 mod run;
+mod tunnel;
 
 pub use policy::fleet;
 
@@ -19,4 +20,5 @@
     client::Error as CallError,
     clock::{Clock, steady},
     exchange::{Config, Error, Exchange},
+    tunnel::{Error as TunnelError, Refusal},
 };
--- a/crates/exchange/src/listener.rs
+++ b/crates/exchange/src/listener.rs
@@ -1,12 +1,19 @@
-//! The listener for calls that other hosts make to this one.
+//! The listener for calls that other hosts make to this one, and for the tunnels that they open.
 
-use std::{sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
+use futures_util::{FutureExt, TryFutureExt, future::BoxFuture};
+use http::{Method, Request};
+use hyper::body::Incoming;
 use jsonrpsee::server::{
-    RpcModule, Server, ServerConfig, serve_with_graceful_shutdown, stop_channel,
+    HttpBody, HttpResponse, RpcModule, Server, ServerConfig, serve_with_graceful_shutdown,
+    stop_channel,
 };
 use tokio::{net::TcpListener, sync::Semaphore};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use tower::{Service, service_fn};
+
+use crate::tunnel::Acceptor;
 
 /// Maximum size of a request, in bytes. A request has at most one number as its parameter.
 const MAX_REQUEST_BYTES: u32 = 4 * 1024;
@@ -23,10 +30,13 @@
 /// Delay after a failure to accept a connection, such as too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Serves calls until `stop` is cancelled.
+type Answer = BoxFuture<'static, io::Result<HttpResponse>>;
+
+/// Serves calls and opens tunnels until `stop` is cancelled.
 pub(crate) async fn listen<T: Send + Sync + 'static>(
     listener: TcpListener,
     methods: RpcModule<T>,
+    tunnels: Acceptor,
     tasks: TaskTracker,
     stop: CancellationToken,
 ) {
@@ -57,7 +67,18 @@
         };
         // With Nagle's algorithm, a response may wait for the caller's acknowledgement.
         let _ = stream.set_nodelay(true);
-        let service = builder.clone().build(methods.clone(), stopped.clone());
+        let calls = builder.clone().build(methods.clone(), stopped.clone());
+        let tunnels = tunnels.clone();
+        let service = service_fn(move |request: Request<Incoming>| -> Answer {
+            let tunnels = tunnels.clone();
+            match *request.method() {
+                Method::CONNECT => async move { Ok(tunnels.accept(request).await) }.boxed(),
+                _ => {
+                    let answer = calls.clone().call(request.map(HttpBody::new));
+                    answer.map_err(io::Error::other).boxed()
+                }
+            }
+        });
         let served = serve_with_graceful_shutdown(stream, service, stopped.clone().shutdown());
         tasks.spawn(async move {
             let _permit = permit;
--- a/crates/exchange/tests/exchange.rs
+++ b/crates/exchange/tests/exchange.rs
@@ -1,21 +1,27 @@
 //! Exchanges between several hosts over loopback sockets.
 
 use std::{
+    collections::HashMap,
+    io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
 };
 
 use exchange::{
-    Config, Entry, Exchange, ServerListing, Source,
+    Config, Entry, Exchange, Refusal, ServerListing, Source, TunnelError,
     fleet::{Departure, Liveness, Load, Notice, Publication, Recipients, Revision, State},
 };
+use futures_util::{FutureExt, future::BoxFuture};
 use rstest::rstest;
 use tokio::{
-    io::AsyncReadExt,
-    net::{TcpListener, UdpSocket},
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream, UdpSocket},
+};
+use types::{
+    backend,
+    routed::{self, Declaration, Server, Version},
 };
-use types::routed::{self, Declaration, Server, Version};
 
 /// Timeout of each wait; far longer than any of them takes.
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -24,6 +30,7 @@
 struct MemorySource {
     declaration: Mutex<Option<Arc<Declaration>>>,
     registered: Mutex<ServerListing>,
+    addresses: Mutex<HashMap<backend::Id, SocketAddr>>,
 }
 
 impl Source for MemorySource {
@@ -39,6 +46,15 @@
     fn follow(&self, _: Revision) -> Option<ServerListing> {
         Some(self.registered.lock().expect("no panic").clone())
     }
+
+    fn dial(&self, server: backend::Id) -> BoxFuture<'static, Result<TcpStream, Refusal>> {
+        let address = self.addresses.lock().expect("no panic").get(&server).copied();
+        async move {
+            let address = address.ok_or(Refusal::Declined)?;
+            TcpStream::connect(address).await.map_err(|_| Refusal::Unreachable)
+        }
+        .boxed()
+    }
 }
 
 fn loopback() -> SocketAddr {
@@ -283,3 +299,72 @@
         assert_eq!(live_hosts.await.expect("no panic"), 2);
     });
 }
+
+/// Two hosts, of which the second connects to a server with the id `s1` for others; the listener is
+/// the server's.
+async fn hosts_and_server() -> (Arc<Exchange>, Arc<Exchange>, TcpListener) {
+    let listener = TcpListener::bind(loopback()).await.expect("loopback");
+    let source = Arc::new(MemorySource::default());
+    let address = listener.local_addr().expect("it is bound");
+    source.addresses.lock().expect("no panic").insert("s1".into(), address);
+    let first = start(0, Vec::new()).await;
+    let seeds = vec![first.member().address];
+    let second = Exchange::start(config(1, seeds), source).await.expect("loopback");
+    let both = [first.clone(), second.clone()];
+    until(move || both.iter().all(|host| host.fleet().hosts.len() == 1)).await;
+    (first, second, listener)
+}
+
+#[tokio::test]
+async fn a_tunnel_carries_bytes_both_ways_and_an_orderly_end() {
+    let (first, second, listener) = hosts_and_server().await;
+    let mut tunnel = first.tunnel(second.bound(), &"s1".into()).await.expect("it is opened");
+    let (mut server, _) = listener.accept().await.expect("loopback");
+    tunnel.write_all(b"question").await.expect("it is open");
+    let mut question = [0; 8];
+    server.read_exact(&mut question).await.expect("it is open");
+    assert_eq!(&question, b"question");
+    assert_eq!(second.tunnels(), 1);
+    server.write_all(b"answer").await.expect("it is open");
+    drop(server);
+    let mut answer = String::new();
+    tunnel.read_to_string(&mut answer).await.expect("an orderly end");
+    assert_eq!(answer, "answer");
+    drop(tunnel);
+    until(|| second.tunnels() == 0).await;
+}
+
+#[tokio::test]
+async fn a_reset_of_either_end_of_a_tunnel_resets_the_other() {
+    let (first, second, listener) = hosts_and_server().await;
+    for resets_server in [true, false] {
+        let tunnel = first.tunnel(second.bound(), &"s1".into()).await.expect("it is opened");
+        let (server, _) = listener.accept().await.expect("loopback");
+        let (reset, mut other) = if resets_server { (server, tunnel) } else { (tunnel, server) };
+        reset.set_zero_linger().expect("it is open");
+        drop(reset);
+        let read = other.read(&mut [0; 8]).await;
+        assert_eq!(read.expect_err("a reset").kind(), ErrorKind::ConnectionReset);
+    }
+}
+
+#[tokio::test]
+async fn tunnels_are_opened_for_hosts_of_the_deployment_alone() {
+    let (first, second, listener) = hosts_and_server().await;
+    let runs = [("host-0", 1_000 + 7), ("host-9", 1_000)];
+    for (host, run) in runs {
+        let mut stream = TcpStream::connect(second.bound()).await.expect("loopback");
+        let request = format!(
+            "CONNECT a:1 HTTP/1.1\r\nhost-id: {host}\r\nhost-run: {run}\r\nserver-id: s1\r\n\r\n"
+        );
+        stream.write_all(request.as_bytes()).await.expect("it is open");
+        let mut answer = [0; 12];
+        stream.read_exact(&mut answer).await.expect("an answer");
+        assert_eq!(&answer, b"HTTP/1.1 403");
+    }
+    let unknown = first.tunnel(second.bound(), &"s2".into()).await;
+    assert!(matches!(unknown, Err(TunnelError::Refused { refusal: Refusal::Declined, .. })));
+    drop(listener);
+    let ended = first.tunnel(second.bound(), &"s1".into()).await;
+    assert!(matches!(ended, Err(TunnelError::Refused { refusal: Refusal::Unreachable, .. })));
+}
--- a/crates/observe/src/metrics/routed.rs
+++ b/crates/observe/src/metrics/routed.rs
@@ -57,6 +57,8 @@
     wishes: Gauge<u64>,
     demand: Box<[BoundCounter<u64>]>,
     unreadable: BoundCounter<u64>,
+    relayed_servers: BoundGauge<u64>,
+    tunnels: BoundGauge<u64>,
     limited: BoundGauge<u64>,
     shares: BoundGauge<u64>,
     permits: Box<[BoundGauge<u64>]>,
@@ -92,6 +94,16 @@
         );
         let limited =
             gauge(meter, "routed_limited_servers", "Servers that are known to have a rate limit");
+        let relayed_servers = gauge(
+            meter,
+            "routed_relayed_servers",
+            "Servers that this host reaches through other hosts only",
+        );
+        let tunnels = gauge(
+            meter,
+            "routed_tunnels",
+            "Connections to servers that this host carries for others",
+        );
         let shares = gauge(meter, "routed_quota_shares", "Shares of limits that this host grants");
         let permits =
             gauge(meter, "routed_quota_permits", "Permits on this host since its start, by use");
@@ -139,6 +151,8 @@
             budget_hosts: gauge(meter, "routed_budget_hosts", hosts).bind(&[]),
             unreadable: unreadable.bind(&[]),
             demand: each(|origin: Origin| demand.bind(&[origin.key_value()])),
+            relayed_servers: relayed_servers.bind(&[]),
+            tunnels: tunnels.bind(&[]),
             limited: limited.bind(&[]),
             shares: shares.bind(&[]),
             permits: each(|of: Permits| permits.bind(&[of.key_value()])),
@@ -227,6 +241,16 @@
         self.0.unreadable.add(1);
     }
 
+    /// Sets the number of servers that are reached through other hosts.
+    pub fn relayed_servers(&self, servers: usize) {
+        self.0.relayed_servers.record(servers as u64);
+    }
+
+    /// Sets the number of connections that this host carries for others.
+    pub fn tunnels(&self, tunnels: usize) {
+        self.0.tunnels.record(tunnels as u64);
+    }
+
     /// Sets the number of servers known to have a limit, and of shares of limits that this host
     /// grants.
     pub fn limited(&self, servers: usize, shares: u32) {
--- a/crates/observe/src/story.rs
+++ b/crates/observe/src/story.rs
@@ -26,8 +26,8 @@
 
 pub use self::{
     belief::{
-        Answer, Belief, DependencyState, LeaseState, ObservedCrash, PeerStanding, PoisonState,
-        ServerStanding, Source,
+        Answer, Belief, DependencyState, LeaseState, ObservedCrash, PathState, PeerStanding,
+        PoisonState, ServerStanding, Source,
     },
     line::{Content, Line, Skipped, Time, read},
     logger::{Logger, Output},
--- a/crates/observe/src/story/belief.rs
+++ b/crates/observe/src/story/belief.rs
@@ -148,6 +148,16 @@
         /// Where the information was received from.
         from: Source,
     },
+    /// The path to a server changed.
+    Path {
+        /// The server.
+        server: backend::Id,
+        /// The new state.
+        state: PathState,
+        /// The host that connected to the server when this host could not.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        via: Option<host::Id>,
+    },
     /// The state of a request fingerprint in the quarantine for requests that crash servers
     /// changed.
     Poison {
@@ -193,7 +203,8 @@
             Belief::Server { server, .. }
             | Belief::Placement { server, .. }
             | Belief::Order { server, .. }
-            | Belief::Limit { server, .. } => Some(server),
+            | Belief::Limit { server, .. }
+            | Belief::Path { server, .. } => Some(server),
             Belief::Poison { server, .. } => server.as_ref(),
             _ => None,
         }
@@ -216,6 +227,7 @@
             Belief::Server { .. }
             | Belief::Peer { .. }
             | Belief::Limit { .. }
+            | Belief::Path { .. }
             | Belief::Poison { .. }
             | Belief::Dropped { .. } => false,
         }
@@ -263,6 +275,16 @@
     Back,
 }
 
+/// How this host reaches a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PathState {
+    /// By its own connections.
+    Direct,
+    /// Through other hosts, as its own connections fail.
+    Relayed,
+}
+
 /// State of another host, as seen by this host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/observe/src/story/explanation.rs
+++ b/crates/observe/src/story/explanation.rs
@@ -156,6 +156,7 @@
     Declaration(Run),
     Server(Run, backend::Id),
     Limit(Run, backend::Id),
+    Path(Run, backend::Id),
     Dependency(Run, Text),
     Poison(Run, Text),
     Placement(backend::Id, model::Id),
@@ -212,6 +213,7 @@
         self.include(&Key::Declaration(run.clone()));
         match step {
             Step::Attempt(attempt) => self.include_server(run, &attempt.server),
+            Step::Relayed { server, .. } => self.include(&Key::Path(run.clone(), server.clone())),
             Step::Resumed { server, .. } => self.include_server(run, server),
             Step::Queued { .. } | Step::Refused { .. } => self.include_obstacles(run),
             Step::Ended(_) => self.in_use.clear(),
@@ -325,6 +327,7 @@
                 self.update_holder(query, run, *state, *fence);
                 self.set(Key::Lease(*fence), index);
             }
+            Belief::Path { server, .. } => self.set(Key::Path(run, server.clone()), index),
             Belief::Reload { .. }
             | Belief::Stop { .. }
             | Belief::Peer { .. }
--- a/crates/observe/src/story/logger.rs
+++ b/crates/observe/src/story/logger.rs
@@ -13,7 +13,8 @@
 use super::{
     BELIEF, PLAN, REQUEST,
     belief::{
-        Answer, Belief, DependencyState, LeaseState, PeerStanding, PoisonState, ServerStanding,
+        Answer, Belief, DependencyState, LeaseState, PathState, PeerStanding, PoisonState,
+        ServerStanding,
     },
     line::{LineRef, Time},
     request::Request,
@@ -171,6 +172,7 @@
         | Belief::Wish { .. }
         | Belief::Order { answer: Answer::Accepted | Answer::Holds, .. }
         | Belief::Limit { .. }
+        | Belief::Path { state: PathState::Direct, .. }
         | Belief::Poison { state: PoisonState::Cleared, .. }
         | Belief::Dependency { state: DependencyState::Regained, .. } => Level::Info,
         Belief::Server { standing: ServerStanding::Gone | ServerStanding::Suspected, .. }
@@ -182,6 +184,7 @@
             ..
         }
         | Belief::Poison { state: PoisonState::Suspected | PoisonState::Confirmed, .. }
+        | Belief::Path { state: PathState::Relayed, .. }
         | Belief::Dependency { state: DependencyState::Lost, .. }
         | Belief::Dropped { .. } => Level::Warn,
     }
--- a/crates/observe/src/story/request.rs
+++ b/crates/observe/src/story/request.rs
@@ -101,6 +101,7 @@
             }
             Step::Queued { .. }
             | Step::Refused { .. }
+            | Step::Relayed { .. }
             | Step::AttemptEnded { .. }
             | Step::Ended(_) => {}
         }
--- a/crates/observe/src/story/step.rs
+++ b/crates/observe/src/story/step.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use types::{
-    adapter, backend, model,
+    adapter, backend, host, model,
     request::Ran,
     routed::{Kind, RouteId, Version},
 };
@@ -42,6 +42,15 @@
     },
     /// The request is sent to a server.
     Attempt(Attempt),
+    /// The connection for an attempt leads through another host.
+    Relayed {
+        /// Number of the attempt, from one.
+        attempt: u32,
+        /// The server that the request is sent to.
+        server: backend::Id,
+        /// The host that connects to the server.
+        via: host::Id,
+    },
     /// An attempt ended.
     AttemptEnded {
         /// Number of the attempt, from one.
@@ -78,6 +87,7 @@
             Step::Queued { .. }
             | Step::Refused { .. }
             | Step::Attempt(_)
+            | Step::Relayed { .. }
             | Step::AttemptEnded { .. }
             | Step::Resumed { .. } => None,
         }
@@ -89,7 +99,9 @@
             Step::Attempt(attempt) => {
                 attempt.server == *id || attempt.candidates.iter().any(|c| c.server == *id)
             }
-            Step::AttemptEnded { server, .. } | Step::Resumed { server, .. } => server == id,
+            Step::Relayed { server, .. }
+            | Step::AttemptEnded { server, .. }
+            | Step::Resumed { server, .. } => server == id,
             Step::Ended(ended) => ended.server.as_ref() == Some(id),
             Step::Arrived(_) | Step::Queued { .. } | Step::Refused { .. } => false,
         }
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -18,6 +18,7 @@
 mod load;
 mod loaded;
 mod loans;
+mod path;
 mod pump;
 mod queue;
 mod quota;
--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -233,6 +233,8 @@
             is_cold: server.is_cold(now),
             phase: Phase::Pending,
             leaving: Leaving::No,
+            path: None,
+            heard_at: now,
         });
         self.tasks.insert(ticket, task);
         id
--- a/crates/policy/src/dispatch/events.rs
+++ b/crates/policy/src/dispatch/events.rs
@@ -7,12 +7,13 @@
     breaker::Cause,
     loaded::Absence,
     pace::Median,
+    path,
     request::{End, NotRun, Ticket, Unclear, Unreachable},
     server::Server,
     stats::millis,
     task::{Attempt, Phase, State, Task},
 };
-use crate::route::Index;
+use crate::{paths::Path, route::Index};
 
 /// How long a server gets no requests after it refused one as full.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
@@ -28,9 +29,11 @@
 impl Dispatcher {
     /// Records that the first byte of the request is sent, which starts the time of the attempt:
     /// until then the request was waiting for a connection.
-    pub fn sent(&mut self, ticket: Ticket, now: Moment) {
+    pub fn sent(&mut self, ticket: Ticket, path: Path, now: Moment) {
         if let Some(Task { state: State::InFlight(attempt), .. }) = self.tasks.get_mut(&ticket) {
             attempt.sent_at = now;
+            attempt.heard_at = now;
+            attempt.path = Some(path);
         }
         self.poison.sent(ticket, now);
     }
@@ -38,6 +41,7 @@
     /// Records that the head of the server's response was received, whether or not the body
     /// follows.
     pub fn response_started(&mut self, ticket: Ticket, now: Moment) {
+        self.heard(ticket, now);
         if let Some(Task { state: State::InFlight(attempt), .. }) = self.tasks.get(&ticket) {
             self.poison.answered(&attempt.id, attempt.sent_at, now);
         }
@@ -46,6 +50,7 @@
     /// Records the first byte of the response's body, or the first event of its stream.
     pub fn first_byte(&mut self, ticket: Ticket, now: Moment) {
         let Some(mut task) = self.tasks.remove(&ticket) else { return };
+        path::heard(&mut task, now);
         if let State::InFlight(attempt) = &mut task.state
             && attempt.phase != Phase::Responding
         {
@@ -63,6 +68,7 @@
     pub fn delivered(&mut self, ticket: Ticket, event: u64, now: Moment) {
         let Some(task) = self.tasks.get_mut(&ticket) else { return };
         task.spec.resume = Some(event);
+        path::heard(task, now);
         if let State::InFlight(attempt) = &task.state
             && let Some(server) = self.registry.get_same(attempt.server, &attempt.id)
         {
--- a/crates/policy/src/dispatch/server.rs
+++ b/crates/policy/src/dispatch/server.rs
@@ -5,7 +5,7 @@
 use types::{prelude::*, routed};
 
 use super::{breaker::Breaker, list::Locality, load::Load, loaded::LoadedModels, pace::Pace};
-use crate::route::Index;
+use crate::{paths::Path, route::Index};
 
 /// Factor by which a server is assumed to be slower for a while after its start.
 const COLD_START_SLOWDOWN: f64 = 1.6;
@@ -36,6 +36,8 @@
     pub is_limited: bool,
     /// Circuit breaker of this host for the server.
     pub breaker: Breaker,
+    /// How this host reaches the server.
+    pub path: Path,
     /// When the server last sent any response to this host.
     pub answered_at: Moment,
     /// Requests whose response has become overdue since [`answered_at`](Self::answered_at).
@@ -62,6 +64,7 @@
             pace: Pace::default(),
             is_limited: false,
             breaker: Breaker::default(),
+            path: Path::Direct,
             answered_at: now,
             unanswered: 0,
             cold_until: now + registration.cold,
--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -8,7 +8,7 @@
     queue::Key,
     request::{End, NotRun, RequestSpec, Unreachable},
 };
-use crate::route::Index;
+use crate::{paths::Path, route::Index};
 
 /// Number of attempts beyond the limit of the route that a request may make if servers did not run
 /// it.
@@ -45,6 +45,10 @@
     pub is_cold: bool,
     pub phase: Phase,
     pub leaving: Leaving,
+    /// Path of the connection that the request was sent on; `None` before it is sent.
+    pub path: Option<Path>,
+    /// When the request was sent, or something last arrived for it.
+    pub heard_at: Moment,
 }
 
 /// How far the response to an attempt is.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod limit;
 pub mod member;
 pub mod once;
+pub mod paths;
 pub mod place;
 pub mod plan;
 pub mod quarantine;
--- /dev/null
+++ b/crates/policy/src/paths.rs
@@ -0,0 +1,262 @@
+//! Paths from this host to servers: direct connections, or connections through another host.
+//!
+//! A host that can't connect to a server asks other hosts to connect in its place. If one of them
+//! can, the fault is in this host's own links, and the server is reached through other hosts until
+//! a direct connection is established again. If none can, the server itself is at fault and stays
+//! on the direct path, so that a server that is down, or a service that is down for all hosts, is
+//! not taken for a partition.
+
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
+
+use types::prelude::*;
+
+use crate::member::rendezvous;
+
+/// Number of other hosts that are asked for one connection.
+const MAX_GATEWAYS: usize = 3;
+
+/// Time for which a host that could not connect is asked after all others.
+const FAILED_GATEWAY_PAUSE: Duration = Duration::from_secs(2);
+
+/// Time for which no other host is asked for a server that none could connect to.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Interval between direct connection attempts to a server that is reached through other hosts.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time over which hosts spread their direct connections to all servers after a partition.
+const RETURN_SPREAD_MS: u64 = 200;
+
+/// Minimum time between two checks of the path to a silent server.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Age up to which a direct response shows that a server is reached directly.
+const DIRECT_RESPONSE_MAX_AGE: Duration = Duration::from_secs(1);
+
+/// Minimum number of servers reached through other hosts for a partition.
+const MIN_RELAYED_SERVERS: usize = 2;
+
+/// Number of connections through a host of the own zone that cost as much as another zone.
+const OTHER_ZONE_COST: usize = 4;
+
+/// How this host reaches a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Path {
+    /// By its own connections.
+    Direct,
+    /// By connections through another host.
+    Relayed,
+}
+
+/// A change of the path to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The server is reached through other hosts only.
+    Lost,
+    /// The server is reached directly again.
+    Restored,
+}
+
+/// A host that may connect to servers on behalf of this one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Gateway {
+    /// The host's id.
+    pub id: host::Id,
+    /// The host's availability zone.
+    pub zone: availability::Id,
+    /// Address at which the host listens for other hosts.
+    pub address: SocketAddr,
+}
+
+/// What this host knows of its paths to servers.
+#[derive(Clone, Debug)]
+pub struct Paths {
+    host: host::Id,
+    zone: availability::Id,
+    gateways: Vec<Gateway>,
+    /// When each gateway last failed to connect.
+    failed_gateways: BTreeMap<host::Id, Moment>,
+    /// Open connections through each gateway.
+    connections: BTreeMap<host::Id, usize>,
+    /// Servers reached through other hosts, and when a direct connection is attempted next.
+    relayed: BTreeMap<backend::Id, Moment>,
+    /// When no other host could connect to a server either.
+    unreachable: BTreeMap<backend::Id, Moment>,
+    /// When each server last responded on a direct connection.
+    direct_responses: BTreeMap<backend::Id, Moment>,
+    /// When the path to each server was last checked.
+    checks: BTreeMap<backend::Id, Moment>,
+}
+
+impl Paths {
+    /// Creates the paths of a host that reaches all servers directly.
+    pub fn new(host: host::Id, zone: availability::Id) -> Paths {
+        Paths {
+            host,
+            zone,
+            gateways: Vec::new(),
+            failed_gateways: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            relayed: BTreeMap::new(),
+            unreachable: BTreeMap::new(),
+            direct_responses: BTreeMap::new(),
+            checks: BTreeMap::new(),
+        }
+    }
+
+    /// Replaces the hosts that may connect on behalf of this one.
+    pub fn set_gateways(&mut self, gateways: Vec<Gateway>) {
+        self.gateways = gateways;
+    }
+
+    /// Forgets servers that are no longer known.
+    pub fn retain(&mut self, is_known: impl Fn(&backend::Id) -> bool) {
+        self.relayed.retain(|server, _| is_known(server));
+        self.unreachable.retain(|server, _| is_known(server));
+        self.direct_responses.retain(|server, _| is_known(server));
+        self.checks.retain(|server, _| is_known(server));
+    }
+
+    /// How a server is reached now.
+    pub fn path(&self, server: &backend::Id) -> Path {
+        if self.relayed.contains_key(server) { Path::Relayed } else { Path::Direct }
+    }
+
+    /// Number of servers that are reached through other hosts.
+    pub fn relayed(&self) -> usize {
+        self.relayed.len()
+    }
+
+    /// Whether open connections through a host may be used for further requests.
+    pub fn is_usable(&self, gateway: &host::Id) -> bool {
+        self.gateways.iter().any(|known| known.id == *gateway)
+    }
+
+    /// Hosts to ask for a connection to a server, in this order; none shortly after none could
+    /// connect to it.
+    pub fn gateways(&self, server: &backend::Id, now: Moment) -> Vec<Gateway> {
+        let is_unreachable =
+            self.unreachable.get(server).is_some_and(|at| now < *at + UNREACHABLE_PAUSE);
+        if is_unreachable {
+            return Vec::new();
+        }
+        let mut ranked: Vec<&Gateway> = self.gateways.iter().collect();
+        ranked.sort_by_cached_key(|gateway| self.rank(gateway, server, now));
+        let mut chosen: Vec<&Gateway> = Vec::new();
+        while chosen.len() < MAX_GATEWAYS && !ranked.is_empty() {
+            // All hosts of a zone may be cut off together, so each is of another zone if possible.
+            let is_new_zone = |gateway: &&Gateway| {
+                !chosen.iter().any(|chosen: &&Gateway| chosen.zone == gateway.zone)
+            };
+            let next = ranked.iter().position(is_new_zone).unwrap_or(0);
+            chosen.push(ranked.remove(next));
+        }
+        chosen.into_iter().cloned().collect()
+    }
+
+    /// Key by which gateways are sorted: hosts that failed lately come last, hosts with few
+    /// connections of this host and those of its zone come first.
+    fn rank(
+        &self,
+        gateway: &Gateway,
+        server: &backend::Id,
+        now: Moment,
+    ) -> (Option<Moment>, usize, Reverse<u64>) {
+        let failed_at = self.failed_gateways.get(&gateway.id);
+        let failed_at = failed_at.copied().filter(|at| now < *at + FAILED_GATEWAY_PAUSE);
+        let zone = if gateway.zone == self.zone { 0 } else { OTHER_ZONE_COST };
+        let key = format!("{}/{server}", self.host);
+        let score = rendezvous::score(key.as_bytes(), &gateway.id);
+        (failed_at, self.connections(&gateway.id) + zone, Reverse(score))
+    }
+
+    /// Records that a host could not connect to a server that others can connect to, or did not
+    /// answer.
+    pub fn gateway_failed(&mut self, gateway: &host::Id, now: Moment) {
+        self.failed_gateways.insert(gateway.clone(), now);
+    }
+
+    /// Records an open connection through a host.
+    pub fn opened(&mut self, gateway: &host::Id) {
+        *self.connections.entry(gateway.clone()).or_default() += 1;
+    }
+
+    /// Records the end of a connection through a host.
+    pub fn closed(&mut self, gateway: &host::Id) {
+        if let Some(connections) = self.connections.get_mut(gateway) {
+            *connections = connections.saturating_sub(1);
+            if *connections == 0 {
+                self.connections.remove(gateway);
+            }
+        }
+    }
+
+    /// Number of open connections through a host.
+    pub fn connections(&self, gateway: &host::Id) -> usize {
+        self.connections.get(gateway).copied().unwrap_or_default()
+    }
+
+    /// Records that no other host could connect to a server.
+    pub fn unreachable(&mut self, server: &backend::Id, now: Moment) {
+        self.unreachable.insert(server.clone(), now);
+    }
+
+    /// Records that another host connected to a server that this host can't connect to.
+    pub fn relay_connected(&mut self, server: &backend::Id, now: Moment) -> Option<Change> {
+        self.unreachable.remove(server);
+        let is_new = !self.relayed.contains_key(server);
+        self.relayed.entry(server.clone()).or_insert(now + PROBE_INTERVAL);
+        is_new.then_some(Change::Lost)
+    }
+
+    /// Records a direct connection to a server.
+    pub fn connected(&mut self, server: &backend::Id, now: Moment) -> Option<Change> {
+        self.unreachable.remove(server);
+        self.responded(server, now);
+        self.relayed.remove(server)?;
+        for (other, probe_at) in &mut self.relayed {
+            let delay = rendezvous::score(self.host.as_bytes(), other) % RETURN_SPREAD_MS;
+            *probe_at = (*probe_at).min(now + Duration::from_millis(delay));
+        }
+        Some(Change::Restored)
+    }
+
+    /// Records a response of a server on a direct connection.
+    pub fn responded(&mut self, server: &backend::Id, now: Moment) {
+        match self.direct_responses.get_mut(server) {
+            Some(at) => *at = now,
+            None => {
+                self.direct_responses.insert(server.clone(), now);
+            }
+        }
+    }
+
+    /// Whether the path to a silent server is to be checked; if so, counts as checked now.
+    pub fn start_check(&mut self, server: &backend::Id, now: Moment) -> bool {
+        let is_due = self.checks.get(server).is_none_or(|at| *at + CHECK_INTERVAL <= now);
+        let is_direct = self.path(server) == Path::Direct;
+        if is_due && is_direct {
+            self.checks.insert(server.clone(), now);
+        }
+        is_due && is_direct
+    }
+
+    /// Servers reached through other hosts to which a direct connection is to be attempted now.
+    pub fn start_probes(&mut self, now: Moment) -> Vec<backend::Id> {
+        let due = self.relayed.iter_mut().filter(|(_, at)| **at <= now);
+        due.map(|(server, at)| {
+            *at = now + PROBE_INTERVAL;
+            server.clone()
+        })
+        .collect()
+    }
+
+    /// Whether this host is partitioned from most servers while other hosts reach them.
+    pub fn is_partitioned(&self, now: Moment) -> bool {
+        let is_direct = |(server, at): &(&backend::Id, &Moment)| {
+            now < **at + DIRECT_RESPONSE_MAX_AGE && !self.relayed.contains_key(*server)
+        };
+        let direct = self.direct_responses.iter().filter(is_direct).count();
+        MIN_RELAYED_SERVERS.max(direct + 1) <= self.relayed.len()
+    }
+}
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -7,6 +7,7 @@
 mod fixture;
 mod limits;
 mod loans;
+mod partition;
 mod play;
 mod poison;
 mod queue;
--- a/crates/policy/tests/dispatch/poison.rs
+++ b/crates/policy/tests/dispatch/poison.rs
@@ -1,8 +1,11 @@
 //! Tests of requests that crash the servers that run them.
 
-use policy::dispatch::{
-    Answer, Change, End, Poison, RequestSpec, RetryDecision, Unclear, Verdict,
-    poison::{self, Crash, Fingerprint, Isolation, LIFE, POISON, SUSPICION, Standing},
+use policy::{
+    dispatch::{
+        Answer, Change, End, Poison, RequestSpec, RetryDecision, Unclear, Verdict,
+        poison::{self, Crash, Fingerprint, Isolation, LIFE, POISON, SUSPICION, Standing},
+    },
+    paths::Path,
 };
 use rstest::rstest;
 use types::{prelude::*, routed::Kind};
@@ -446,7 +449,7 @@
     let suspect =
         |ticket, now| RequestSpec { fingerprint: 7, ..request(ticket, Kind::NonIdempotent, now) };
     let server = sent(host.arrive(suspect(1, at(0)), at(0)));
-    host.sent(1, at(1));
+    host.sent(1, Path::Direct, at(1));
     host.ended(1, End::Cancelled, at(100));
     assert_eq!(host.arrive(suspect(2, at(200)), at(200)), Verdict::Wait);
     host.gone(&server, at(3_600));
@@ -470,7 +473,7 @@
         let now = at(20 * ticket);
         let other = RequestSpec { fingerprint: ticket, ..request(ticket, Kind::Idempotent, now) };
         sent(host.arrive(other, now));
-        host.sent(ticket, now);
+        host.sent(ticket, Path::Direct, now);
         host.response_started(ticket, now + at(5));
         host.ended(ticket, CUT, now + at(6));
     }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -7,16 +7,20 @@
 use http_body::Body;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use policy::dispatch::{NotRun, Ticket, Unclear, Unreachable};
+use policy::{
+    dispatch::{NotRun, Ticket, Unclear, Unreachable},
+    paths::Path,
+};
 use tokio::{task::yield_now, time::Instant};
-use types::routed::Server;
+use types::{host, routed::Server};
 
 use crate::{
     call::Call,
-    connect::{self, Connection},
+    connect::Connection,
     edge::{Answer, Execution, ForwardOptions, RequestInfo, Seal},
     fields,
     host::Shared,
+    paths,
 };
 
 /// A caller's request, buffered completely so that it can be sent again.
@@ -93,7 +97,13 @@
     fn finish(mut self, keep_alive: Option<Duration>) {
         let connection =
             self.connection.take().inspect(|connection| connection.set_reset_on_close(false));
-        if let Some(connection) = connection.filter(|_| self.reuse == Reuse::Allowed) {
+        // Once the server is reached directly again, connections through other hosts are not kept.
+        let path = self.shared.paths().path(&self.server.id);
+        let is_kept = |connection: &Connection| {
+            self.reuse == Reuse::Allowed
+                && (connection.gateway().is_none() || path == Path::Relayed)
+        };
+        if let Some(connection) = connection.filter(is_kept) {
             let now = self.shared.now();
             let server = &self.server;
             self.shared.pool.put(now, &server.id, server.address, connection, keep_alive);
@@ -123,11 +133,12 @@
     let mut attempt = Attempt::new(shared.clone(), server.clone());
     let mut connection = match idle_connection(shared, server).await {
         Some(connection) => connection,
-        None => connect::open(server.address).await.map_err(|error| unreachable(&error))?,
+        None => paths::open(shared, server).await.map_err(|error| unreachable(&error))?,
     };
-    call.trace.connected(attempt.started_at.elapsed());
+    call.trace.connected(attempt.started_at.elapsed(), server, connection.gateway());
+    let path = connection.path();
     let sent_at = shared.now();
-    shared.dispatcher().sent(buffered.ticket, sent_at);
+    shared.dispatcher().sent(buffered.ticket, path, sent_at);
     let request = request(shared, buffered, options);
     connection.set_reset_on_close(true);
     let sent = connection.sender.try_send_request(request).await;
@@ -138,6 +149,9 @@
         None => AttemptEnd::Unclear(Unclear::Cut),
     })?;
     let (head, body) = response.into_parts();
+    if path == Path::Direct {
+        shared.paths().responded(&server.id, shared.now());
+    }
     attempt.reuse = reuse(&head, &connection);
     attempt.connection = Some(connection);
     let answer = shared.dialect.answer(head.status, &head.headers);
@@ -156,7 +170,10 @@
 
 /// Returns a pooled connection that shows no sign of being closed.
 async fn idle_connection(shared: &Shared, server: &Server) -> Option<Connection> {
-    while let Some(connection) = shared.pool.take(shared.now(), &server.id, server.address) {
+    let is_usable = |gateway: &host::Id| shared.paths().is_usable(gateway);
+    while let Some(connection) =
+        shared.pool.take(shared.now(), &server.id, server.address, is_usable)
+    {
         // Lets the connection's task first read what arrived while the connection was idle: an end
         // of the stream, or bytes that belong to no request.
         yield_now().await;
--- a/crates/relay/src/connect.rs
+++ b/crates/relay/src/connect.rs
@@ -8,10 +8,13 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use policy::paths::Path;
 use socket2::SockRef;
 use tokio::{net::TcpStream, task::JoinHandle};
+use types::host;
 
 use self::wire::{PendingWrite, ResetOnClose, Wire};
+use crate::paths::Relayed;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -25,10 +28,22 @@
     pub(crate) sender: http1::SendRequest<Full<Bytes>>,
     pending_write: PendingWrite,
     reset_on_close: ResetOnClose,
+    /// `None` for a direct connection.
+    relayed: Option<Box<Relayed>>,
     driver: JoinHandle<()>,
 }
 
 impl Connection {
+    /// Returns the host through which the connection leads; `None` if it is direct.
+    pub(crate) fn gateway(&self) -> Option<&host::Id> {
+        self.relayed.as_deref().map(Relayed::gateway)
+    }
+
+    /// Returns the path that the connection takes.
+    pub(crate) fn path(&self) -> Path {
+        if self.relayed.is_some() { Path::Relayed } else { Path::Direct }
+    }
+
     /// Returns whether all bytes sent so far have been handed to the kernel.
     pub(crate) fn is_flushed(&self) -> bool {
         !self.pending_write.is_pending()
@@ -60,10 +75,15 @@
 ///
 /// The connection is refused or not established in time.
 pub(crate) async fn open(address: SocketAddr) -> io::Result<Connection> {
-    drive(connect(address).await?).await
+    drive(connect(address).await?, None).await
 }
 
-async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+/// Establishes a TCP connection.
+///
+/// # Errors
+///
+/// The connection is refused or not established in time.
+pub(crate) async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
@@ -71,7 +91,16 @@
     Ok(stream)
 }
 
-async fn drive(stream: TcpStream) -> io::Result<Connection> {
+/// Starts HTTP/1.1 on an established connection, which leads through another host if `relayed` is
+/// set.
+///
+/// # Errors
+///
+/// The handshake fails.
+pub(crate) async fn drive(
+    stream: TcpStream,
+    relayed: Option<Box<Relayed>>,
+) -> io::Result<Connection> {
     let (wire, pending_write, reset_on_close) = Wire::new(stream);
     let (sender, connection) =
         http1::Builder::new().handshake(TokioIo::new(wire)).await.map_err(io::Error::other)?;
@@ -79,7 +108,7 @@
         // The error is also reported to the sender of the request.
         let _ = connection.await;
     });
-    Ok(Connection { sender, pending_write, reset_on_close, driver })
+    Ok(Connection { sender, pending_write, reset_on_close, relayed, driver })
 }
 
 /// Opens a connection that is always closed with a reset, which drops the bytes that are still in
@@ -91,7 +120,7 @@
 pub(crate) async fn open_with_reset(address: SocketAddr) -> io::Result<Connection> {
     let stream = connect(address).await?;
     let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-    drive(stream).await
+    drive(stream, None).await
 }
 
 /// Sets the socket options that every connection needs. Failures are ignored: the connection works
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -17,6 +17,7 @@
 };
 use policy::{
     dispatch::{self, Change, Dispatcher, RetryBudgetConfig, Ticket, Verdict},
+    paths::Paths,
     place::{self, Planner},
     term::{self, OrderLease},
 };
@@ -73,6 +74,7 @@
     declaration: ArcSwapOption<Declaration>,
     directory: Mutex<Directory>,
     planner: Mutex<Planner>,
+    paths: Mutex<Paths>,
     dispatcher: Mutex<Dispatcher>,
     /// Channels for the next verdicts on requests that wait in the dispatcher or that may be moved
     /// to another server.
@@ -145,6 +147,7 @@
             dispatch_wakeup: Notify::new(),
             plan_wakeup: Notify::new(),
             planner: Mutex::new(Planner::new(rules)),
+            paths: Mutex::new(Paths::new(settings.host.id.clone(), settings.host.zone.clone())),
             dispatcher: Mutex::new(dispatcher),
             waiting: Mutex::default(),
             tickets: AtomicU64::new(0),
@@ -217,6 +220,9 @@
         drop(dispatcher);
         self.update_quota_metrics();
         self.update_retry_metrics();
+        let tunnels = self.exchange().map_or(0, |exchange| exchange.tunnels());
+        self.meters.tunnels(tunnels);
+        self.meters.relayed_servers(self.paths().relayed());
         self.meters.queue(Queue::Waiting, waiting);
         self.meters.queue(Queue::InFlight, at_servers as usize);
         self.meters.queue(Queue::Open, self.open_requests() as usize);
@@ -252,6 +258,11 @@
         self.planner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what is known of the paths to servers. No other lock may be taken meanwhile.
+    pub(crate) fn paths(&self) -> MutexGuard<'_, Paths> {
+        self.paths.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the dispatcher.
     pub(crate) fn dispatcher(&self) -> MutexGuard<'_, Dispatcher> {
         self.dispatcher.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,6 +21,7 @@
 mod lease;
 mod log_limiter;
 mod path;
+mod paths;
 mod peers;
 mod planning;
 mod pool;
--- /dev/null
+++ b/crates/relay/src/paths.rs
@@ -0,0 +1,285 @@
+//! Connections to servers, directly or through another host.
+//!
+//! A direct connection is preferred. If it is refused, or is not established for a while, other
+//! hosts are asked to connect ([`policy::paths`]); the exchange's tunnels carry such connections.
+
+use std::{
+    io,
+    net::SocketAddr,
+    pin::pin,
+    sync::{Arc, Weak},
+    time::Duration,
+};
+
+use exchange::{Exchange, Refusal, TunnelError};
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use observe::story::{Belief, DependencyState, PathState, Text};
+use policy::paths::{Change, Gateway, Path};
+use tokio::{
+    net::TcpStream,
+    select,
+    time::{Instant, sleep, timeout, timeout_at},
+};
+use types::{prelude::*, routed::Server};
+
+use crate::{
+    connect::{self, Connection},
+    host::Shared,
+};
+
+/// Time after which other hosts are asked to connect while a direct connection is not established.
+const HEDGE_DELAY: Duration = Duration::from_millis(100);
+
+/// Time for which a direct connection is preferred to one through another host.
+const DIRECT_PREFERENCE: Duration = Duration::from_millis(250);
+
+/// Time after which a further host is asked to connect while the one before has not answered.
+const GATEWAY_HEDGE_DELAY: Duration = Duration::from_millis(100);
+
+/// Time limit for a connection through another host.
+const GATEWAY_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time limit for a connection on behalf of another host, and for a direct connection to a server
+/// that is reached through other hosts.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Interval between checks for silent servers.
+const CHECK_INTERVAL: Duration = Duration::from_millis(25);
+
+/// The host through which a connection leads, which counts it while it is open.
+#[derive(Debug)]
+pub(crate) struct Relayed {
+    gateway: host::Id,
+    shared: Weak<Shared>,
+}
+
+impl Relayed {
+    fn new(shared: &Arc<Shared>, gateway: host::Id) -> Relayed {
+        shared.paths().opened(&gateway);
+        Relayed { gateway, shared: Arc::downgrade(shared) }
+    }
+
+    pub(crate) fn gateway(&self) -> &host::Id {
+        &self.gateway
+    }
+}
+
+impl Drop for Relayed {
+    fn drop(&mut self) {
+        if let Some(shared) = self.shared.upgrade() {
+            shared.paths().closed(&self.gateway);
+        }
+    }
+}
+
+/// Opens a connection to a server.
+///
+/// # Errors
+///
+/// Neither this host nor another one can connect in time; the error is that of this host.
+pub(crate) async fn open(shared: &Arc<Shared>, server: &Server) -> io::Result<Connection> {
+    if shared.prefers_others(&server.id)
+        && let Some(connection) = open_through_other(shared, server).await
+    {
+        return Ok(connection);
+    }
+    let began = Instant::now();
+    let mut direct = pin!(connect::open(server.address));
+    let opened = select! {
+        opened = &mut direct => Some(opened),
+        () = sleep(HEDGE_DELAY) => None,
+    };
+    match opened {
+        Some(Ok(connection)) => {
+            shared.connected_directly(&server.id);
+            Ok(connection)
+        }
+        Some(Err(error)) => open_through_other(shared, server).await.ok_or(error),
+        None => {
+            let mut through_other = pin!(open_through_other(shared, server));
+            let opened = select! {
+                opened = &mut direct => opened,
+                Some(connection) = &mut through_other => {
+                    match timeout_at(began + DIRECT_PREFERENCE, &mut direct).await {
+                        Ok(Ok(direct)) => Ok(direct),
+                        Ok(Err(_)) | Err(_) => return Ok(connection),
+                    }
+                }
+                else => direct.await,
+            };
+            opened.inspect(|_| shared.connected_directly(&server.id))
+        }
+    }
+}
+
+/// Opens a connection to a server through another host, if one can connect to it.
+async fn open_through_other(shared: &Arc<Shared>, server: &Server) -> Option<Connection> {
+    let exchange = shared.exchange()?;
+    let now = shared.now();
+    let mut gateways = shared.paths().gateways(&server.id, now).into_iter();
+    let mut attempts = FuturesUnordered::new();
+    attempts.push(tunnel(&exchange, gateways.next()?, &server.id));
+    let mut unable = Vec::new();
+    loop {
+        let ended = select! {
+            ended = attempts.next() => ended,
+            () = sleep(GATEWAY_HEDGE_DELAY), if gateways.len() != 0 => {
+                attempts.extend(gateways.next().map(|next| tunnel(&exchange, next, &server.id)));
+                continue;
+            }
+        };
+        match ended {
+            Some((gateway, Ok(stream))) => {
+                // A host that can't connect to a server to which others can is cut off itself.
+                let now = shared.now();
+                unable.iter().for_each(|unable| shared.paths().gateway_failed(unable, now));
+                let relayed = Box::new(Relayed::new(shared, gateway));
+                let connection = connect::drive(stream, Some(relayed)).await.ok()?;
+                shared.connected_through_other(&server.id, &connection);
+                return Some(connection);
+            }
+            Some((gateway, Err(Refusal::Unreachable))) => unable.push(gateway),
+            Some((gateway, Err(Refusal::Declined | Refusal::Forbidden))) => {
+                shared.paths().gateway_failed(&gateway, shared.now());
+            }
+            None => {}
+        }
+        if attempts.is_empty() {
+            let Some(next) = gateways.next() else { break };
+            attempts.push(tunnel(&exchange, next, &server.id));
+        }
+    }
+    shared.paths().unreachable(&server.id, shared.now());
+    None
+}
+
+async fn tunnel(
+    exchange: &Exchange,
+    gateway: Gateway,
+    server: &backend::Id,
+) -> (host::Id, Result<TcpStream, Refusal>) {
+    let opened = timeout(GATEWAY_TIMEOUT, exchange.tunnel(gateway.address, server)).await;
+    let stream = match opened {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(TunnelError::Refused { refusal, .. })) => Err(refusal),
+        Ok(Err(TunnelError::Connection { .. })) | Err(_) => Err(Refusal::Declined),
+    };
+    (gateway.id, stream)
+}
+
+/// Connects to a server on behalf of another host.
+///
+/// # Errors
+///
+/// This host is stopping, doesn't know the server, or can't connect to it.
+pub(crate) async fn dial(shared: &Shared, server: &backend::Id) -> Result<TcpStream, Refusal> {
+    if shared.is_leaving() || shared.prefers_others(server) {
+        return Err(Refusal::Declined);
+    }
+    let server = shared.server(server).ok_or(Refusal::Declined)?;
+    match timeout(DIAL_TIMEOUT, connect::connect(server.address)).await {
+        Ok(Ok(stream)) => {
+            shared.connected_directly(&server.id);
+            Ok(stream)
+        }
+        Ok(Err(_)) | Err(_) => Err(Refusal::Unreachable),
+    }
+}
+
+/// Checks paths to silent servers and returns to direct connections, until the process ends.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut partitioned_since = None;
+    loop {
+        sleep(CHECK_INTERVAL).await;
+        let now = shared.now();
+        let silent = shared.dispatcher().silent_servers(now);
+        for id in silent {
+            if shared.paths().start_check(&id, now) {
+                spawn_for(&shared, &id, check);
+            }
+        }
+        let probes = shared.paths().start_probes(now);
+        probes.iter().for_each(|id| spawn_for(&shared, id, probe));
+        update_partition(&shared, &mut partitioned_since, now);
+    }
+}
+
+fn spawn_for<F: Future<Output = ()> + Send + 'static>(
+    shared: &Arc<Shared>,
+    id: &backend::Id,
+    task: impl FnOnce(Arc<Shared>, Arc<Server>) -> F,
+) {
+    if let Some(server) = shared.server(id) {
+        tokio::spawn(task(shared.clone(), server));
+    }
+}
+
+/// Opens a connection to a silent server, which shows whether its path is sound.
+async fn check(shared: Arc<Shared>, server: Arc<Server>) {
+    if let Ok(connection) = open(&shared, &server).await {
+        shared.pool.put(shared.now(), &server.id, server.address, connection, None);
+    }
+}
+
+/// Attempts a direct connection to a server that is reached through other hosts.
+async fn probe(shared: Arc<Shared>, server: Arc<Server>) {
+    if let Ok(Ok(connection)) = timeout(DIAL_TIMEOUT, connect::open(server.address)).await {
+        shared.connected_directly(&server.id);
+        shared.pool.put(shared.now(), &server.id, server.address, connection, None);
+    }
+}
+
+/// Logs the start and the end of a partition.
+fn update_partition(shared: &Shared, since: &mut Option<Moment>, now: Moment) {
+    let is_partitioned = shared.paths().is_partitioned(now);
+    if is_partitioned != since.is_some() {
+        *since = is_partitioned.then_some(now);
+        if is_partitioned {
+            shared.pool.remove_direct(|_| true);
+        }
+        let (state, why) = match is_partitioned {
+            true => (DependencyState::Lost, "most servers are reached through other hosts only"),
+            false => (DependencyState::Regained, "most servers are reached directly"),
+        };
+        let (name, why) = (Text::Borrowed("servers"), Text::Borrowed(why));
+        shared.logger.belief(Belief::Dependency { name, state, why });
+    }
+}
+
+impl Shared {
+    /// Records a direct connection to a server.
+    pub(crate) fn connected_directly(&self, server: &backend::Id) {
+        let change = self.paths().connected(server, self.now());
+        if change == Some(Change::Restored) {
+            self.dispatcher().path_restored(server);
+            self.report_path(server, PathState::Direct, None);
+        }
+    }
+
+    fn connected_through_other(&self, server: &backend::Id, connection: &Connection) {
+        let change = self.paths().relay_connected(server, self.now());
+        if change == Some(Change::Lost) {
+            self.pool.remove_direct(|id| id == server);
+            self.dispatcher().path_lost(server);
+            self.report_path(server, PathState::Relayed, connection.gateway().cloned());
+        }
+    }
+
+    /// Whether a connection to a server is attempted through other hosts first.
+    fn prefers_others(&self, server: &backend::Id) -> bool {
+        let paths = self.paths();
+        paths.path(server) == Path::Relayed || paths.is_partitioned(self.now())
+    }
+
+    fn report_path(&self, server: &backend::Id, state: PathState, via: Option<host::Id>) {
+        self.logger.belief(Belief::Path { server: server.clone(), state, via });
+        self.dispatch_wakeup.notify_one();
+    }
+
+    /// Replaces the hosts that may connect to servers on behalf of this one.
+    pub(crate) fn set_gateways(&self, gateways: Vec<(host::Id, availability::Id, SocketAddr)>) {
+        let gateways = gateways.into_iter();
+        let gateways = gateways.map(|(id, zone, address)| Gateway { id, zone, address }).collect();
+        self.paths().set_gateways(gateways);
+    }
+}
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -8,15 +8,17 @@
 };
 
 use exchange::{
-    Exchange, ServerListing, Source,
+    Exchange, Refusal, ServerListing, Source,
     fleet::{
         Departure, Envelope, Lease, Notice, Publication, Reachability, Recipients, Revision,
         Snapshot, State, StoreStatus,
     },
 };
+use futures_util::{FutureExt, future::BoxFuture};
 use observe::story::{self, Belief, PeerStanding};
 use policy::{dispatch, fleet::Liveness, quota::Limit, term};
 use tokio::{
+    net::TcpStream,
     sync::mpsc::{Receiver, UnboundedReceiver, unbounded_channel},
     time::sleep,
 };
@@ -25,7 +27,7 @@
     routed::{self, Declaration, Version},
 };
 
-use crate::host::Shared;
+use crate::{host::Shared, paths};
 
 /// Interval between rounds of publishing and reading.
 const ROUND_INTERVAL: Duration = Duration::from_millis(60);
@@ -118,6 +120,11 @@
         let is_known = 0 < directory.revision();
         is_known.then(|| directory.listing_for_peer(above, shared.servers_age(), shared.now()))
     }
+
+    fn dial(&self, server: backend::Id) -> BoxFuture<'static, Result<TcpStream, Refusal>> {
+        let shared = self.0.upgrade();
+        async move { paths::dial(&*shared.ok_or(Refusal::Declined)?, &server).await }.boxed()
+    }
 }
 
 /// Publishes to the peers and applies what they publish, until the process ends.
@@ -232,6 +239,13 @@
     dispatcher.hosts(u32::try_from(snapshot.live).unwrap_or(u32::MAX));
     dispatcher.poison_mut().merge(&snapshot.crashes, now);
     drop(dispatcher);
+    let live = snapshot
+        .hosts
+        .iter()
+        .filter(|status| status.liveness == Liveness::Live && status.member.id != shared.host.id);
+    let gateways = live.map(|status| &status.member);
+    let gateways = gateways.map(|host| (host.id.clone(), host.zone.clone(), host.address));
+    shared.set_gateways(gateways.collect());
     shared.drain(snapshot.servers.keys());
     shared.quota_hosts(snapshot);
     shared.observe_hosts(snapshot);
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -5,6 +5,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Mutex, time::Duration};
 
+use policy::paths::Path;
 use types::prelude::*;
 
 use crate::connect::Connection;
@@ -31,17 +32,20 @@
 }
 
 impl Pool {
-    /// Takes a connection that can be used for a request at `now`.
+    /// Takes a connection that can be used for a request at `now`, if `is_usable` says so of the host
+    /// through which it leads.
     pub(crate) fn take(
         &self,
         now: Moment,
         server: &backend::Id,
         address: SocketAddr,
+        is_usable: impl Fn(&host::Id) -> bool,
     ) -> Option<Connection> {
         let mut idle = self.idle.lock().ok()?;
         let connections = idle.get_mut(&(server.clone(), address))?;
         while let Some(Idle { connection, expires_at }) = connections.pop() {
-            if now < expires_at && connection.sender.is_ready() {
+            let is_usable = connection.gateway().is_none_or(&is_usable);
+            if now < expires_at && is_usable && connection.sender.is_ready() {
                 return Some(connection);
             }
         }
@@ -65,11 +69,29 @@
         }
     }
 
-    /// Closes connections that have been idle for too long or lead to removed servers.
-    pub(crate) fn sweep(&self, now: Moment, is_known: impl Fn(&backend::Id) -> bool) {
+    /// Closes the direct connections to some servers.
+    pub(crate) fn remove_direct(&self, is_affected: impl Fn(&backend::Id) -> bool) {
+        let Ok(mut idle) = self.idle.lock() else { return };
+        let affected = idle.iter_mut().filter(|((id, _), _)| is_affected(id));
+        affected.for_each(|(_, connections)| {
+            connections.retain(|idle| idle.connection.path() == Path::Relayed);
+        });
+    }
+
+    /// Closes connections that have been idle for too long, lead to removed servers, or lead through
+    /// hosts that are no longer usable.
+    pub(crate) fn sweep(
+        &self,
+        now: Moment,
+        is_known: impl Fn(&backend::Id) -> bool,
+        is_usable: impl Fn(&host::Id) -> bool,
+    ) {
         let Ok(mut idle) = self.idle.lock() else { return };
         idle.retain(|(server, _), connections| {
-            connections.retain(|idle| now < idle.expires_at && !idle.connection.sender.is_closed());
+            connections.retain(|Idle { connection, expires_at }| {
+                let is_usable = connection.gateway().is_none_or(&is_usable);
+                now < *expires_at && is_usable && !connection.sender.is_closed()
+            });
             !connections.is_empty() && is_known(server)
         });
     }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -10,7 +10,7 @@
 use settings::process::{Process, RoutedSettings};
 use tokio::{net::TcpListener, select, task::JoinHandle, time::sleep};
 use tokio_util::sync::CancellationToken;
-use types::host::Host;
+use types::{backend, host::Host};
 
 use crate::{
     callers,
@@ -18,7 +18,7 @@
     demand,
     edge::Dialect,
     host::Shared,
-    lease,
+    lease, paths,
     peers::{self, PeerSource},
     planning, quarantine, ready, registration, retries, watch, workload,
 };
@@ -38,6 +38,9 @@
 /// Time between two advances of the queues above which the machine may have been suspended.
 const JUMP_THRESHOLD: Duration = Duration::from_millis(100);
 
+/// Interval at which a planned stop checks whether other hosts still use this one to reach servers.
+const TUNNEL_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Interval between sweeps of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -119,6 +122,7 @@
     tokio::spawn(lease::run(shared.clone()));
     tokio::spawn(planning::run(shared.clone()));
     tokio::spawn(pump(shared.clone()));
+    tokio::spawn(paths::run(shared.clone()));
     tokio::spawn(quarantine::run(shared.clone()));
     tokio::spawn(retries::run(shared.clone(), exchange.clone()));
     tokio::spawn(sweep(shared.clone()));
@@ -179,6 +183,9 @@
         if tokio::time::timeout(left, self.callers).await.is_err() {
             log::error!(open = self.shared.open_requests(); "drain ends with requests in flight");
         }
+        while self.exchange.tunnels() != 0 && self.shared.now() < began + grace {
+            sleep(TUNNEL_POLL_INTERVAL).await;
+        }
         self.shared.stop.cancel();
         self.exchange.leave().await;
         log::info!("host ends");
@@ -232,7 +239,9 @@
         sleep(SWEEP_INTERVAL).await;
         let now = shared.now();
         let directory = shared.directory();
-        shared.pool.sweep(now, |id| directory.get(id).is_some());
+        let is_known = |id: &backend::Id| directory.get(id).is_some();
+        shared.paths().retain(is_known);
+        shared.pool.sweep(now, is_known, |gateway| shared.paths().is_usable(gateway));
         shared.control.sweep(|id| directory.get(id).is_some());
     }
 }
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -16,7 +16,7 @@
 };
 use policy::dispatch::{Cause, NotRun, Unclear, Unreachable};
 use types::{
-    backend,
+    backend, host,
     request::{self, Ran},
     routed::{Kind, Route, Server},
     time::Moment,
@@ -128,9 +128,15 @@
         }
     }
 
-    /// Records the time that it took to get a connection to the server.
-    pub(crate) fn connected(&self, took: Duration) {
-        self.notes().phase(Phase::Connect, took);
+    /// Records the time that it took to get a connection to the server, and the host through which
+    /// the connection leads.
+    pub(crate) fn connected(&self, took: Duration, server: &Server, via: Option<&host::Id>) {
+        let mut notes = self.notes();
+        notes.phase(Phase::Connect, took);
+        if let Some(via) = via.cloned() {
+            let (attempt, server) = (notes.attempts, server.id.clone());
+            notes.record(Step::Relayed { attempt, server, via });
+        }
     }
 
     /// Records the end of the attempt in flight, if there is one.
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -58,6 +58,9 @@
     Delay(Duration),
     /// Bytes and closings are held until another fault is set.
     Hold,
+    /// Like [`Fault::Hold`], except that the bytes of a connection that its sender has reset are lost,
+    /// as on a partitioned network.
+    Partition,
     /// Bytes and closings are discarded. A connection that lost any is reset as soon as another
     /// fault is set.
     Discard,
--- a/crates/standin/src/fault/connection.rs
+++ b/crates/standin/src/fault/connection.rs
@@ -1,6 +1,9 @@
 //! One connection through the proxy: forwards both directions until they end or a fault resets it.
 
-use std::sync::{Arc, Mutex, PoisonError, atomic::Ordering};
+use std::sync::{
+    Arc, Mutex, PoisonError,
+    atomic::{AtomicBool, Ordering},
+};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -91,8 +94,9 @@
         let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
         let settings = self.shared.setting(direction).subscribe();
         let to = to.slice_writes_dyn(Arc::clone(&self.shared.max_write));
-        let read = read(from, settings.clone(), sender);
-        let write = self.write(direction, to, settings, receiver);
+        let is_broken = AtomicBool::new(false);
+        let read = read(from, settings.clone(), sender, &is_broken);
+        let write = self.write(direction, to, settings, receiver, &is_broken);
         tokio::try_join!(read, write).map(|_| ())
     }
 
@@ -102,8 +106,9 @@
         mut to: impl AsyncWriteExt + Unpin,
         mut settings: watch::Receiver<Setting>,
         mut items: mpsc::Receiver<Item>,
+        is_broken: &AtomicBool,
     ) -> Result<(), Reset> {
-        let mut state = FaultState { passed: 0, change: settings.borrow().change };
+        let mut state = FaultState { passed: 0, change: settings.borrow().change, is_broken };
         while let Some(item) = items.recv().await {
             tokio::time::sleep_until(item.due).await;
             if let Event::Data(chunk) = &item.event {
@@ -171,14 +176,16 @@
 }
 
 /// Applies the current fault to one direction of one connection.
-struct FaultState {
+struct FaultState<'a> {
     /// Bytes forwarded since the current fault was set. Counted only for [`Fault::ResetAfter`].
     passed: u64,
     /// Number of the change that set the current fault.
     change: u64,
+    /// Whether the sending end has reset the connection.
+    is_broken: &'a AtomicBool,
 }
 
-impl FaultState {
+impl FaultState<'_> {
     async fn apply(
         &mut self,
         settings: &mut watch::Receiver<Setting>,
@@ -191,6 +198,12 @@
                 Fault::Pass | Fault::Delay(_) => return Ok(event),
                 Fault::ResetAfter(limit) => return self.limit_bytes(event, limit),
                 Fault::Hold => settings.changed().await.map_err(|_| Reset)?,
+                Fault::Partition => {
+                    settings.changed().await.map_err(|_| Reset)?;
+                    if self.is_broken.load(Ordering::Relaxed) {
+                        return Err(Reset);
+                    }
+                }
                 Fault::Discard => {
                     settings.changed().await.map_err(|_| Reset)?;
                     return Err(Reset);
@@ -235,6 +248,7 @@
     mut from: impl AsyncReadExt + Unpin,
     settings: watch::Receiver<Setting>,
     items: mpsc::Sender<Item>,
+    is_broken: &AtomicBool,
 ) -> Result<(), Reset> {
     loop {
         let mut chunk = vec![0; MAX_CHUNK];
@@ -244,7 +258,10 @@
                 chunk.truncate(length);
                 Event::Data(chunk)
             }
-            Err(_) => Event::Broken,
+            Err(_) => {
+                is_broken.store(true, Ordering::Relaxed);
+                Event::Broken
+            }
         };
         let is_last = !matches!(event, Event::Data(_));
         let item = Item { due: due_time(&settings), event };
@@ -257,6 +274,8 @@
 fn due_time(settings: &watch::Receiver<Setting>) -> Instant {
     match settings.borrow().fault {
         Fault::Delay(delay) => Instant::now() + delay,
-        Fault::Pass | Fault::Hold | Fault::Discard | Fault::ResetAfter(_) => Instant::now(),
+        Fault::Pass | Fault::Hold | Fault::Partition | Fault::Discard | Fault::ResetAfter(_) => {
+            Instant::now()
+        }
     }
 }
--- a/crates/standin/src/routed/server_links.rs
+++ b/crates/standin/src/routed/server_links.rs
@@ -35,7 +35,7 @@
         match self {
             Cut::Hang => {
                 proxy.set_new_connections(NewConnections::Ignore);
-                proxy.set_both(Fault::Hold);
+                proxy.set_both(Fault::Partition);
             }
             Cut::Reset => {
                 proxy.set_new_connections(NewConnections::Refuse);
--- a/crates/standin/tests/fault.rs
+++ b/crates/standin/tests/fault.rs
@@ -362,3 +362,23 @@
     let mut stream = TcpStream::connect(proxy.address()).await.unwrap();
     assert_eq!(echo_text(&mut stream, "c").await.unwrap(), "c");
 }
+
+#[rstest]
+#[case::reset_meanwhile(true)]
+#[case::still_open(false)]
+#[tokio::test]
+async fn bytes_behind_a_partition_are_lost_if_their_sender_resets(#[case] is_reset: bool) {
+    let (echo, proxy, mut stream) = connect().await;
+    assert_eq!(echo_text(&mut stream, "a").await.unwrap(), "a");
+    proxy.set_both(Fault::Partition);
+    stream.write_all(b"late").await.unwrap();
+    tokio::time::sleep(QUIET_TIME).await;
+    if is_reset {
+        stream.set_zero_linger().unwrap();
+        drop(stream);
+        tokio::time::sleep(QUIET_TIME).await;
+    }
+    proxy.heal();
+    tokio::time::sleep(QUIET_TIME).await;
+    assert_eq!(echo.bytes(), if is_reset { 1 } else { 5 });
+}
