--- a/crates/policy/src/term.rs
+++ b/crates/policy/src/term.rs
@@ -65,6 +65,7 @@
     /// Latest time at which an order may have been sent.
     last_order: Option<Moment>,
     is_stopping: bool,
+    is_yielding: bool,
 }
 
 /// What an incarnation knows about the lease.
@@ -111,6 +112,7 @@
             idle_until: Moment::ZERO,
             last_order: None,
             is_stopping: false,
+            is_yielding: false,
         }
     }
 
@@ -129,7 +131,7 @@
     pub fn fence(&self, now: Moment) -> Option<Fence> {
         let tenure =
             self.tenure.filter(|tenure| now + self.settings.order_timeout <= tenure.until)?;
-        (!self.is_stopping).then_some(tenure.fence)
+        (!self.is_stopping && !self.is_yielding).then_some(tenure.fence)
     }
 
     /// Returns the holder of the lease, as far as this host knows; `None` if the lease is released,
@@ -155,6 +157,17 @@
         self.is_stopping = true;
     }
 
+    /// Sets whether this host leaves the lease to others, as it can't reach the servers. It then sends
+    /// no orders, and the next steps release the lease.
+    pub fn set_yielding(&mut self, is_yielding: bool) {
+        self.is_yielding = is_yielding;
+    }
+
+    /// Returns whether this host leaves the lease to others.
+    pub fn is_yielding(&self) -> bool {
+        self.is_yielding
+    }
+
     /// Applies the lease as read or as reported by a watch; it may be stale.
     pub fn observe(&mut self, now: Moment, read: Option<StoredLease>) {
         self.record_answer(now);
@@ -222,7 +235,7 @@
         if self.pending_write.is_some() || now < self.idle_until {
             return Step::Idle;
         }
-        if self.is_stopping {
+        if self.is_stopping || self.is_yielding {
             return self.release(now);
         }
         match self.tenure {
--- a/crates/policy/tests/term.rs
+++ b/crates/policy/tests/term.rs
@@ -335,3 +335,19 @@
     assert_eq!(text, r#"{"holder":"other","incarnation":9,"nonce":1,"claim":{"held":1500}}"#);
     assert_eq!(serde_json::from_str::<Lease>(&text).unwrap(), lease);
 }
+
+#[test]
+fn a_holder_that_yields_releases_the_lease_and_contends_again_later() {
+    let mut view = holder();
+    assert_eq!(view.may_order(at(1100)), Some(7));
+    view.set_yielding(true);
+    assert_eq!(view.may_order(at(1200)), None);
+    let released = written(view.step(at(1200)));
+    // Other hosts wait for the last order's flight and the turn.
+    assert_eq!(released.claim, Claim::Released(at(1100 + 300 + 3000 - 1200)));
+    view.write_finished(at(1250), Outcome::Done(8));
+    assert_eq!(view.step(at(9000)), Step::Idle);
+    view.set_yielding(false);
+    view.observe(at(9000), Some((8, released)));
+    assert!(matches!(view.step(at(9000)), Step::Replace(8, _)));
+}
--- a/crates/relay/src/lease.rs
+++ b/crates/relay/src/lease.rs
@@ -38,9 +38,10 @@
     }
     shared.meters.lease(LEASE_NAME, held);
     if let Some(fence) = before {
-        let (state, why) = match shared.is_leaving() {
-            true => (LeaseState::Released, "the host is about to stop"),
-            false => (LeaseState::Lost, "it was not renewed in time"),
+        let (state, why) = match (shared.is_leaving(), shared.term().is_yielding()) {
+            (true, _) => (LeaseState::Released, "the host is about to stop"),
+            (false, true) => (LeaseState::Released, "the host can't reach the servers"),
+            (false, false) => (LeaseState::Lost, "it was not renewed in time"),
         };
         shared.logger.belief(belief(state, fence, why));
     }
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -46,6 +46,9 @@
 /// Interval between checks for silent servers.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Time for which a partition lasts before this host leaves the lease on orders to others.
+const YIELD_DELAY: Duration = Duration::from_millis(500);
+
 /// The host through which a connection leads, which counts it while it is open.
 #[derive(Debug)]
 pub(crate) struct Relayed {
@@ -229,7 +232,7 @@
     }
 }
 
-/// Logs the start and the end of a partition.
+/// Logs the start and the end of a partition, and leaves the lease on orders to others meanwhile.
 fn update_partition(shared: &Shared, since: &mut Option<Moment>, now: Moment) {
     let is_partitioned = shared.paths().is_partitioned(now);
     if is_partitioned != since.is_some() {
@@ -244,6 +247,8 @@
         let (name, why) = (Text::Borrowed("servers"), Text::Borrowed(why));
         shared.logger.belief(Belief::Dependency { name, state, why });
     }
+    let is_yielding = since.is_some_and(|since| since + YIELD_DELAY <= now);
+    shared.term().set_yielding(is_yielding);
 }
 
 impl Shared {
