--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -235,6 +235,7 @@
             leaving: Leaving::No,
             path: None,
             heard_at: now,
+            is_stranded: false,
         });
         self.tasks.insert(ticket, task);
         id
--- a/crates/policy/src/dispatch/events.rs
+++ b/crates/policy/src/dispatch/events.rs
@@ -50,7 +50,7 @@
     /// Records the first byte of the response's body, or the first event of its stream.
     pub fn first_byte(&mut self, ticket: Ticket, now: Moment) {
         let Some(mut task) = self.tasks.remove(&ticket) else { return };
-        path::heard(&mut task, now);
+        path::heard(&mut self.registry, &mut task, now);
         if let State::InFlight(attempt) = &mut task.state
             && attempt.phase != Phase::Responding
         {
@@ -68,7 +68,7 @@
     pub fn delivered(&mut self, ticket: Ticket, event: u64, now: Moment) {
         let Some(task) = self.tasks.get_mut(&ticket) else { return };
         task.spec.resume = Some(event);
-        path::heard(task, now);
+        path::heard(&mut self.registry, task, now);
         if let State::InFlight(attempt) = &task.state
             && let Some(server) = self.registry.get_same(attempt.server, &attempt.id)
         {
@@ -198,6 +198,7 @@
                 server.pace.record_failure(&median, now);
                 server.breaker.trip(Cause::Disconnected, now);
             }
+            End::Unclear(Unclear::Silent) if attempt.is_stranded => {}
             End::Unclear(Unclear::Silent) => {
                 server.pace.record_failure(&median, now);
                 if server.answered_at < attempt.sent_at {
--- a/crates/policy/src/dispatch/path.rs
+++ b/crates/policy/src/dispatch/path.rs
@@ -1,13 +1,14 @@
-//! Paths to servers, and servers that are silent.
+//! Attempts on connections that a partition between this host and a server has broken.
 
 use types::prelude::*;
 
 use super::{
     Dispatcher,
     breaker::Breaker,
+    registry::Registry,
     request::Ticket,
     stats::duration,
-    task::{Attempt, State, Task},
+    task::{Attempt, Phase, State, Task},
 };
 use crate::paths::Path;
 
@@ -17,6 +18,10 @@
 /// Multiple of the expected time for which a server may be silent before the path is checked.
 const SILENCE_TIMES: f64 = 2.0;
 
+/// Silence of a direct connection to a server that is reached through other hosts, after which a
+/// request on it counts as stranded.
+const STRANDED_AFTER: Duration = Duration::from_millis(300);
+
 impl Dispatcher {
     /// Records that a server is reached through other hosts only. Its breaker was tripped by the
     /// fault of this host's links, if at all.
@@ -57,17 +62,46 @@
         silent
     }
 
-    /// Records that something has arrived for a request.
-    pub(super) fn heard(&mut self, ticket: Ticket, now: Moment) {
-        if let Some(task) = self.tasks.get_mut(&ticket) {
-            heard(task, now);
+    /// Marks requests on broken connections, which are no longer work that the server has.
+    pub(super) fn mark_stranded(&mut self, now: Moment) {
+        let Dispatcher { tasks, registry, .. } = self;
+        for (ticket, task) in tasks {
+            let State::InFlight(attempt) = &mut task.state else { continue };
+            if !attempt.is_stranded && is_stranded(attempt, registry, now) {
+                attempt.is_stranded = true;
+                if let Some(server) = registry.get_same(attempt.server, &attempt.id) {
+                    server.load.ended(*ticket);
+                }
+            }
         }
     }
+
+    /// Counts a request as work of its server again, after something has arrived for it.
+    pub(super) fn heard(&mut self, ticket: Ticket, now: Moment) {
+        let Some(task) = self.tasks.get_mut(&ticket) else { return };
+        heard(&mut self.registry, task, now);
+    }
 }
 
-/// Records that something has arrived for a request.
-pub(super) fn heard(task: &mut Task, now: Moment) {
-    if let State::InFlight(attempt) = &mut task.state {
-        attempt.heard_at = now;
+/// Records that something has arrived for a request, which is therefore not stranded.
+pub(super) fn heard(registry: &mut Registry, task: &mut Task, now: Moment) {
+    let memory = task.memory();
+    let State::InFlight(attempt) = &mut task.state else { return };
+    attempt.heard_at = now;
+    if std::mem::take(&mut attempt.is_stranded)
+        && let Some(server) = registry.get_same(attempt.server, &attempt.id)
+    {
+        let prefill = match attempt.phase {
+            Phase::Pending | Phase::Overdue => task.spec.input,
+            Phase::Responding => 0,
+        };
+        server.load.sent(task.spec.ticket, prefill, memory, now);
     }
 }
+
+fn is_stranded(attempt: &Attempt, registry: &Registry, now: Moment) -> bool {
+    let server = registry.get(attempt.server).filter(|server| server.id == attempt.id);
+    attempt.path == Some(Path::Direct)
+        && server.is_some_and(|server| server.path == Path::Relayed)
+        && attempt.heard_at + STRANDED_AFTER < now
+}
--- a/crates/policy/src/dispatch/pump.rs
+++ b/crates/policy/src/dispatch/pump.rs
@@ -71,6 +71,9 @@
         let mut work: BTreeMap<(&backend::Id, &Option<model::Id>), (u32, u64)> = BTreeMap::new();
         for Task { spec, state, .. } in self.tasks.values() {
             let State::InFlight(attempt) = state else { continue };
+            if attempt.is_stranded {
+                continue;
+            }
             let (requests, prefill) = work.entry((&attempt.id, &spec.model)).or_default();
             *requests += 1;
             *prefill += match attempt.phase {
--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -49,6 +49,8 @@
     pub path: Option<Path>,
     /// When the request was sent, or something last arrived for it.
     pub heard_at: Moment,
+    /// Whether the request is on a connection that a partition has broken.
+    pub is_stranded: bool,
 }
 
 /// How far the response to an attempt is.
--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -49,6 +49,7 @@
 impl Dispatcher {
     /// Checks for overdue responses, and for requests that are to be moved from their server.
     pub(super) fn check_overdue(&mut self, now: Moment, changes: &mut Vec<Change>) {
+        self.mark_stranded(now);
         let mut overdue: Vec<(Ticket, Attempt, Index)> = Vec::new();
         let mut leaving: Vec<Ticket> = Vec::new();
         for (ticket, task) in &mut self.tasks {
@@ -59,6 +60,7 @@
             let allowed =
                 attempt.expected_ms * OVERDUE_TIMES + millis(task.spec.goal) * OVERDUE_GOAL;
             if attempt.phase == Phase::Pending
+                && !attempt.is_stranded
                 && allowed < millis(now.saturating_sub(attempt.sent_at))
             {
                 attempt.phase = Phase::Overdue;
@@ -147,6 +149,7 @@
     }
     let Some(server) = registry.get_same(attempt.server, &attempt.id) else { return false };
     match attempt.phase {
+        _ if attempt.is_stranded => true,
         Phase::Responding => task.spec.kind == Kind::Stream && server.answered_at + STALLED < now,
         Phase::Pending | Phase::Overdue => is_lost(task, attempt, server, now),
     }
