--- a/crates/policy/src/paths.rs
+++ b/crates/policy/src/paths.rs
@@ -6,7 +6,11 @@
 //! on the direct path, so that a server that is down, or a service that is down for all hosts, is
 //! not taken for a partition.
 
-use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use types::prelude::*;
 
@@ -33,7 +37,7 @@
 /// Age up to which a direct response shows that a server is reached directly.
 const DIRECT_RESPONSE_MAX_AGE: Duration = Duration::from_secs(1);
 
-/// Minimum number of servers reached through other hosts for a partition.
+/// Minimum number of servers of a service that are reached through other hosts for a partition.
 const MIN_RELAYED_SERVERS: usize = 2;
 
 /// Number of connections through a host of the own zone that cost as much as another zone.
@@ -68,6 +72,14 @@
     pub address: SocketAddr,
 }
 
+/// A server that is reached through other hosts.
+#[derive(Clone, Debug)]
+struct RelayedServer {
+    service: service::Id,
+    /// When a direct connection is attempted next.
+    probe_at: Moment,
+}
+
 /// What this host knows of its paths to servers.
 #[derive(Clone, Debug)]
 pub struct Paths {
@@ -78,12 +90,12 @@
     failed_gateways: BTreeMap<host::Id, Moment>,
     /// Open connections through each gateway.
     connections: BTreeMap<host::Id, usize>,
-    /// Servers reached through other hosts, and when a direct connection is attempted next.
-    relayed: BTreeMap<backend::Id, Moment>,
+    /// Servers reached through other hosts.
+    relayed: BTreeMap<backend::Id, RelayedServer>,
     /// When no other host could connect to a server either.
     unreachable: BTreeMap<backend::Id, Moment>,
-    /// When each server last responded on a direct connection.
-    direct_responses: BTreeMap<backend::Id, Moment>,
+    /// The service of each server that has responded on a direct connection, and when it last did.
+    direct_responses: BTreeMap<backend::Id, (service::Id, Moment)>,
     /// When the path to each server was last checked.
     checks: BTreeMap<backend::Id, Moment>,
 }
@@ -202,31 +214,44 @@
     }
 
     /// Records that another host connected to a server that this host can't connect to.
-    pub fn relay_connected(&mut self, server: &backend::Id, now: Moment) -> Option<Change> {
+    pub fn relay_connected(
+        &mut self,
+        server: &backend::Id,
+        service: &service::Id,
+        now: Moment,
+    ) -> Option<Change> {
         self.unreachable.remove(server);
-        let is_new = !self.relayed.contains_key(server);
-        self.relayed.entry(server.clone()).or_insert(now + PROBE_INTERVAL);
-        is_new.then_some(Change::Lost)
+        if self.relayed.contains_key(server) {
+            return None;
+        }
+        let relayed = RelayedServer { service: service.clone(), probe_at: now + PROBE_INTERVAL };
+        self.relayed.insert(server.clone(), relayed);
+        Some(Change::Lost)
     }
 
     /// Records a direct connection to a server.
-    pub fn connected(&mut self, server: &backend::Id, now: Moment) -> Option<Change> {
+    pub fn connected(
+        &mut self,
+        server: &backend::Id,
+        service: &service::Id,
+        now: Moment,
+    ) -> Option<Change> {
         self.unreachable.remove(server);
-        self.responded(server, now);
+        self.responded(server, service, now);
         self.relayed.remove(server)?;
-        for (other, probe_at) in &mut self.relayed {
+        for (other, relayed) in &mut self.relayed {
             let delay = rendezvous::score(self.host.as_bytes(), other) % RETURN_SPREAD_MS;
-            *probe_at = (*probe_at).min(now + Duration::from_millis(delay));
+            relayed.probe_at = relayed.probe_at.min(now + Duration::from_millis(delay));
         }
         Some(Change::Restored)
     }
 
     /// Records a response of a server on a direct connection.
-    pub fn responded(&mut self, server: &backend::Id, now: Moment) {
+    pub fn responded(&mut self, server: &backend::Id, service: &service::Id, now: Moment) {
         match self.direct_responses.get_mut(server) {
-            Some(at) => *at = now,
+            Some((_, at)) => *at = now,
             None => {
-                self.direct_responses.insert(server.clone(), now);
+                self.direct_responses.insert(server.clone(), (service.clone(), now));
             }
         }
     }
@@ -243,20 +268,33 @@
 
     /// Servers reached through other hosts to which a direct connection is to be attempted now.
     pub fn start_probes(&mut self, now: Moment) -> Vec<backend::Id> {
-        let due = self.relayed.iter_mut().filter(|(_, at)| **at <= now);
-        due.map(|(server, at)| {
-            *at = now + PROBE_INTERVAL;
+        let due = self.relayed.iter_mut().filter(|(_, relayed)| relayed.probe_at <= now);
+        due.map(|(server, relayed)| {
+            relayed.probe_at = now + PROBE_INTERVAL;
             server.clone()
         })
         .collect()
     }
 
-    /// Whether this host is partitioned from most servers while other hosts reach them.
-    pub fn is_partitioned(&self, now: Moment) -> bool {
-        let is_direct = |(server, at): &(&backend::Id, &Moment)| {
-            now < **at + DIRECT_RESPONSE_MAX_AGE && !self.relayed.contains_key(*server)
+    /// Whether this host is partitioned from most servers of a service while other hosts reach them.
+    pub fn is_partitioned(&self, service: &service::Id, now: Moment) -> bool {
+        let relayed = self.relayed.values().filter(|relayed| relayed.service == *service).count();
+        if relayed < MIN_RELAYED_SERVERS {
+            return false;
+        }
+        let is_direct = |(server, (of, at)): &(&backend::Id, &(service::Id, Moment))| {
+            of == service
+                && now < *at + DIRECT_RESPONSE_MAX_AGE
+                && !self.relayed.contains_key(*server)
         };
-        let direct = self.direct_responses.iter().filter(is_direct).count();
-        MIN_RELAYED_SERVERS.max(direct + 1) <= self.relayed.len()
+        self.direct_responses.iter().filter(is_direct).count() < relayed
+    }
+
+    /// Services from most of whose servers this host is partitioned.
+    pub fn partitioned(&self, now: Moment) -> BTreeSet<service::Id> {
+        let services: BTreeSet<&service::Id> =
+            self.relayed.values().map(|relayed| &relayed.service).collect();
+        let partitioned = services.into_iter().filter(|service| self.is_partitioned(service, now));
+        partitioned.cloned().collect()
     }
 }
--- a/crates/policy/tests/paths.rs
+++ b/crates/policy/tests/paths.rs
@@ -24,7 +24,10 @@
 
 fn lose(paths: &mut Paths, servers: &[&str], now: Moment) {
     for server in servers {
-        assert_eq!(paths.relay_connected(&(*server).into(), now), Some(Change::Lost));
+        assert_eq!(
+            paths.relay_connected(&(*server).into(), &"app".into(), now),
+            Some(Change::Lost)
+        );
     }
 }
 
@@ -32,10 +35,10 @@
 fn a_server_is_reached_through_others_until_it_is_reached_directly() {
     let mut paths = paths();
     lose(&mut paths, &["s1"], at(0));
-    assert_eq!(paths.relay_connected(&"s1".into(), at(10)), None);
+    assert_eq!(paths.relay_connected(&"s1".into(), &"app".into(), at(10)), None);
     assert_eq!(paths.path(&"s1".into()), Path::Relayed);
-    assert_eq!(paths.connected(&"s1".into(), at(20)), Some(Change::Restored));
-    assert_eq!(paths.connected(&"s1".into(), at(30)), None);
+    assert_eq!(paths.connected(&"s1".into(), &"app".into(), at(20)), Some(Change::Restored));
+    assert_eq!(paths.connected(&"s1".into(), &"app".into(), at(30)), None);
     assert_eq!(paths.path(&"s1".into()), Path::Direct);
 }
 
@@ -87,7 +90,7 @@
     assert!(paths.start_probes(at(999)).is_empty());
     assert_eq!(paths.start_probes(at(1_000)).len(), 3);
     assert!(paths.start_probes(at(1_100)).is_empty());
-    paths.connected(&"s1".into(), at(1_100));
+    paths.connected(&"s1".into(), &"app".into(), at(1_100));
     assert_eq!(paths.start_probes(at(1_300)).len(), 2);
 }
 
@@ -96,15 +99,18 @@
 #[case::most_servers(&["s1", "s2"], &["s3"], true)]
 #[case::half_of_the_servers(&["s1", "s2"], &["s3", "s4"], false)]
 #[case::no_direct_response(&["s1", "s2"], &[], true)]
-fn a_partition_is_of_most_servers(
+fn a_partition_is_of_most_servers_of_a_service(
     #[case] lost: &[&str],
     #[case] direct: &[&str],
     #[case] is_partitioned: bool,
 ) {
     let mut paths = paths();
     lose(&mut paths, lost, at(0));
-    direct.iter().for_each(|server| paths.responded(&(*server).into(), at(100)));
-    assert_eq!(paths.is_partitioned(at(200)), is_partitioned);
+    direct.iter().for_each(|server| paths.responded(&(*server).into(), &"app".into(), at(100)));
+    paths.responded(&"other-1".into(), &"other".into(), at(100));
+    assert_eq!(paths.is_partitioned(&"app".into(), at(200)), is_partitioned);
+    assert!(!paths.is_partitioned(&"other".into(), at(200)));
+    assert_eq!(paths.partitioned(at(200)).len(), usize::from(is_partitioned));
 }
 
 #[test]
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -150,7 +150,7 @@
     })?;
     let (head, body) = response.into_parts();
     if path == Path::Direct {
-        shared.paths().responded(&server.id, shared.now());
+        shared.paths().responded(&server.id, &server.service, shared.now());
     }
     attempt.reuse = reuse(&head, &connection);
     attempt.connection = Some(connection);
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -4,6 +4,7 @@
 //! hosts are asked to connect ([`policy::paths`]); the exchange's tunnels carry such connections.
 
 use std::{
+    collections::{BTreeMap, BTreeSet, btree_map::Entry},
     io,
     net::SocketAddr,
     pin::pin,
@@ -81,7 +82,7 @@
 ///
 /// Neither this host nor another one can connect in time; the error is that of this host.
 pub(crate) async fn open(shared: &Arc<Shared>, server: &Server) -> io::Result<Connection> {
-    if shared.prefers_others(&server.id)
+    if shared.prefers_others(server)
         && let Some(connection) = open_through_other(shared, server).await
     {
         return Ok(connection);
@@ -94,7 +95,7 @@
     };
     match opened {
         Some(Ok(connection)) => {
-            shared.connected_directly(&server.id);
+            shared.connected_directly(server);
             Ok(connection)
         }
         Some(Err(error)) => open_through_other(shared, server).await.ok_or(error),
@@ -110,7 +111,7 @@
                 }
                 else => direct.await,
             };
-            opened.inspect(|_| shared.connected_directly(&server.id))
+            opened.inspect(|_| shared.connected_directly(server))
         }
     }
 }
@@ -138,7 +139,7 @@
                 unable.iter().for_each(|unable| shared.paths().gateway_failed(unable, now));
                 let relayed = Box::new(Relayed::new(shared, gateway));
                 let connection = connect::drive(stream, Some(relayed)).await.ok()?;
-                shared.connected_through_other(&server.id, &connection);
+                shared.connected_through_other(server, &connection);
                 return Some(connection);
             }
             Some((gateway, Err(Refusal::Unreachable))) => unable.push(gateway),
@@ -176,13 +177,13 @@
 ///
 /// This host is stopping, doesn't know the server, or can't connect to it.
 pub(crate) async fn dial(shared: &Shared, server: &backend::Id) -> Result<TcpStream, Refusal> {
-    if shared.is_leaving() || shared.prefers_others(server) {
+    let server = shared.server(server).ok_or(Refusal::Declined)?;
+    if shared.is_leaving() || shared.prefers_others(&server) {
         return Err(Refusal::Declined);
     }
-    let server = shared.server(server).ok_or(Refusal::Declined)?;
     match timeout(DIAL_TIMEOUT, connect::connect(server.address)).await {
         Ok(Ok(stream)) => {
-            shared.connected_directly(&server.id);
+            shared.connected_directly(&server);
             Ok(stream)
         }
         Ok(Err(_)) | Err(_) => Err(Refusal::Unreachable),
@@ -191,7 +192,7 @@
 
 /// Checks paths to silent servers and returns to direct connections, until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>) {
-    let mut partitioned_since = None;
+    let mut partitions = BTreeMap::new();
     loop {
         sleep(CHECK_INTERVAL).await;
         let now = shared.now();
@@ -203,7 +204,7 @@
         }
         let probes = shared.paths().start_probes(now);
         probes.iter().for_each(|id| spawn_for(&shared, id, probe));
-        update_partition(&shared, &mut partitioned_since, now);
+        update_partitions(&shared, &mut partitions, now);
     }
 }
 
@@ -227,57 +228,90 @@
 /// Attempts a direct connection to a server that is reached through other hosts.
 async fn probe(shared: Arc<Shared>, server: Arc<Server>) {
     if let Ok(Ok(connection)) = timeout(DIAL_TIMEOUT, connect::open(server.address)).await {
-        shared.connected_directly(&server.id);
+        shared.connected_directly(&server);
         shared.pool.put(shared.now(), &server.id, server.address, connection, None);
     }
 }
 
-/// Logs the start and the end of a partition, and leaves the lease on orders to others meanwhile.
-fn update_partition(shared: &Shared, since: &mut Option<Moment>, now: Moment) {
-    let is_partitioned = shared.paths().is_partitioned(now);
-    if is_partitioned != since.is_some() {
-        *since = is_partitioned.then_some(now);
-        if is_partitioned {
-            shared.pool.remove_direct(|_| true);
+/// Logs the start and the end of partitions from services, and leaves the lease on orders to others
+/// while this host is partitioned from model servers.
+fn update_partitions(shared: &Shared, partitions: &mut BTreeMap<service::Id, Moment>, now: Moment) {
+    let services = shared.paths().partitioned(now);
+    partitions.retain(|service, _| {
+        let lasts = services.contains(service);
+        if !lasts {
+            report_partition(shared, service, DependencyState::Regained);
+        }
+        lasts
+    });
+    for service in services {
+        if let Entry::Vacant(entry) = partitions.entry(service) {
+            report_partition(shared, entry.key(), DependencyState::Lost);
+            shared.remove_direct_connections(entry.key());
+            entry.insert(now);
         }
-        let (state, why) = match is_partitioned {
-            true => (DependencyState::Lost, "most servers are reached through other hosts only"),
-            false => (DependencyState::Regained, "most servers are reached directly"),
-        };
-        let (name, why) = (Text::Borrowed("servers"), Text::Borrowed(why));
-        shared.logger.belief(Belief::Dependency { name, state, why });
     }
-    let is_yielding = since.is_some_and(|since| since + YIELD_DELAY <= now);
+    let lasts = |(_, since): &(&service::Id, &Moment)| **since + YIELD_DELAY <= now;
+    let mut lasting = partitions.iter().filter(lasts);
+    let is_yielding = lasting.any(|(service, _)| shared.has_engine(service));
     shared.term().set_yielding(is_yielding);
 }
 
+fn report_partition(shared: &Shared, service: &service::Id, state: DependencyState) {
+    let why = match state {
+        DependencyState::Lost => "most of them are reached through other hosts only",
+        DependencyState::Regained => "most of them are reached directly",
+    };
+    let name = Text::Owned(format!("servers of {service}"));
+    shared.logger.belief(Belief::Dependency { name, state, why: Text::Borrowed(why) });
+}
+
 impl Shared {
     /// Records a direct connection to a server.
-    pub(crate) fn connected_directly(&self, server: &backend::Id) {
-        let change = self.paths().connected(server, self.now());
+    pub(crate) fn connected_directly(&self, server: &Server) {
+        let change = self.paths().connected(&server.id, &server.service, self.now());
         if change == Some(Change::Restored) {
-            self.dispatcher().path_restored(server);
+            self.dispatcher().path_restored(&server.id);
             self.report_path(server, PathState::Direct, None);
         }
     }
 
-    fn connected_through_other(&self, server: &backend::Id, connection: &Connection) {
-        let change = self.paths().relay_connected(server, self.now());
+    fn connected_through_other(&self, server: &Server, connection: &Connection) {
+        let change = self.paths().relay_connected(&server.id, &server.service, self.now());
         if change == Some(Change::Lost) {
-            self.pool.remove_direct(|id| id == server);
-            self.dispatcher().path_lost(server);
+            self.pool.remove_direct(|id| *id == server.id);
+            self.dispatcher().path_lost(&server.id);
             self.report_path(server, PathState::Relayed, connection.gateway().cloned());
         }
     }
 
     /// Whether a connection to a server is attempted through other hosts first.
-    fn prefers_others(&self, server: &backend::Id) -> bool {
+    fn prefers_others(&self, server: &Server) -> bool {
         let paths = self.paths();
-        paths.path(server) == Path::Relayed || paths.is_partitioned(self.now())
+        paths.path(&server.id) == Path::Relayed || paths.is_partitioned(&server.service, self.now())
+    }
+
+    /// Closes the idle direct connections to all servers of a service.
+    fn remove_direct_connections(&self, service: &service::Id) {
+        let servers: BTreeSet<backend::Id> = {
+            let directory = self.directory();
+            let of_service = directory.servers().filter(|server| server.service == *service);
+            of_service.map(|server| server.id.clone()).collect()
+        };
+        self.pool.remove_direct(|id| servers.contains(id));
+    }
+
+    /// Whether the servers of a service run models.
+    fn has_engine(&self, service: &service::Id) -> bool {
+        let declaration = self.declaration();
+        declaration.is_some_and(|declaration| {
+            let mut services = declaration.services.iter();
+            services.any(|declared| declared.name == *service && declared.engine.is_some())
+        })
     }
 
-    fn report_path(&self, server: &backend::Id, state: PathState, via: Option<host::Id>) {
-        self.logger.belief(Belief::Path { server: server.clone(), state, via });
+    fn report_path(&self, server: &Server, state: PathState, via: Option<host::Id>) {
+        self.logger.belief(Belief::Path { server: server.id.clone(), state, via });
         self.dispatch_wakeup.notify_one();
     }
 
