Keep brittle servers from falling over by rejections

cause: servers may state Server-Brittle: N and fall over when they reject more than N requests in a second for want of room; nothing read it. Stand-in, soak fault with callers who send more than fits, promise Brittle.

--- a/crates/observe/src/story/belief.rs
+++ b/crates/observe/src/story/belief.rs
@@ -148,6 +148,15 @@
         /// Where the information was received from.
         from: Source,
     },
+    /// The servers of a service state another number of rejections that they tolerate.
+    Tolerance {
+        /// The service.
+        service: service::Id,
+        /// Rejections in a second, over all hosts, after which a server falls over; `None` if its
+        /// servers state none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        rejections: Option<u32>,
+    },
     /// The path to a server changed.
     Path {
         /// The server.
@@ -228,6 +237,7 @@
             | Belief::Peer { .. }
             | Belief::Limit { .. }
             | Belief::Path { .. }
+            | Belief::Tolerance { .. }
             | Belief::Poison { .. }
             | Belief::Dropped { .. } => false,
         }
--- a/crates/observe/src/story/logger.rs
+++ b/crates/observe/src/story/logger.rs
@@ -172,6 +172,7 @@
         | Belief::Wish { .. }
         | Belief::Order { answer: Answer::Accepted | Answer::Holds, .. }
         | Belief::Limit { .. }
+        | Belief::Tolerance { .. }
         | Belief::Path { state: PathState::Direct, .. }
         | Belief::Poison { state: PoisonState::Cleared, .. }
         | Belief::Dependency { state: DependencyState::Regained, .. } => Level::Info,
--- a/crates/policy/src/dispatch/choose.rs
+++ b/crates/policy/src/dispatch/choose.rs
@@ -196,7 +196,10 @@
         let free = slots + overfill - in_flight;
         let wins_draw = || server.is_limited || self.wins_draw(task, index, free);
         let is_free = !server.load.is_full(now) && 1.0 <= free && has_memory;
-        is_free && self.has_permit(server, now) && wins_draw()
+        is_free
+            && self.has_permit(server, now)
+            && self.has_tolerated_place(server, in_flight, now)
+            && wins_draw()
     }
 
     /// Whether this request may take one of the server's free places, which all contending hosts
--- a/crates/policy/src/dispatch/pump.rs
+++ b/crates/policy/src/dispatch/pump.rs
@@ -43,6 +43,7 @@
             self.ticked_at = now;
             self.registry.tick(now);
             self.poison.expire(now);
+            self.update_ranks();
         }
         if self.overdue_checked_at + OVERDUE_CHECK_INTERVAL <= now {
             self.overdue_checked_at = now;
--- a/crates/policy/src/dispatch/quota.rs
+++ b/crates/policy/src/dispatch/quota.rs
@@ -81,6 +81,7 @@
         live: Vec<host::Id>,
         now: Moment,
     ) {
+        self.set_live_hosts(live.clone());
         self.quotas.update_hosts(known, live, now);
         self.sharers.observe(self.quotas.sharers(), now);
     }
--- a/crates/policy/src/dispatch/registry.rs
+++ b/crates/policy/src/dispatch/registry.rs
@@ -10,6 +10,7 @@
 
 use super::{
     Map,
+    brittle::Tolerance,
     budget::{Budget, RetryBudgetConfig},
     list::{Locality, ServerList},
     load::{LOAD_MAX_AGE, REPORT_LAG},
@@ -37,6 +38,8 @@
     pub median: Median,
     pub budget: Budget,
     pub queue: Queue,
+    /// What its servers state about rejections.
+    pub tolerance: Tolerance,
 }
 
 /// A model of a service.
@@ -109,6 +112,10 @@
         self.servers.iter().flatten()
     }
 
+    pub fn servers_mut(&mut self) -> impl Iterator<Item = &mut Server> {
+        self.servers.iter_mut().flatten()
+    }
+
     pub fn index(&self, id: &str) -> Option<Index> {
         self.ids.get(id).copied()
     }
@@ -135,6 +142,7 @@
             median: Median::default(),
             budget: Budget::new(self.config),
             queue: Queue::default(),
+            tolerance: Tolerance::default(),
         });
         self.service_ids.insert(id.clone(), index);
         index
--- a/crates/policy/src/dispatch/server.rs
+++ b/crates/policy/src/dispatch/server.rs
@@ -36,6 +36,13 @@
     pub is_limited: bool,
     /// Circuit breaker of this host for the server.
     pub breaker: Breaker,
+    /// Number of hosts that come before this one in using the server beyond an equal part; `None` if
+    /// unknown.
+    pub rank: Option<u32>,
+    /// When the server was first registered.
+    pub registered_at: Moment,
+    /// When the server last rejected a request of this host as full.
+    pub rejected_at: Option<Moment>,
     /// How this host reaches the server.
     pub path: Path,
     /// When the server last sent any response to this host.
@@ -64,6 +71,9 @@
             pace: Pace::default(),
             is_limited: false,
             breaker: Breaker::default(),
+            rank: None,
+            registered_at: now,
+            rejected_at: None,
             path: Path::Direct,
             answered_at: now,
             unanswered: 0,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -46,14 +46,15 @@
 pub(crate) struct OpenResponse {
     pub(crate) body: Incoming,
     pub(crate) end: BodyEnd,
-    pub(crate) answer: Answer,
+    /// Time after which the server closes the connection if it is idle.
+    pub(crate) keep_alive: Option<Duration>,
     pub(crate) attempt: Attempt,
 }
 
 impl OpenResponse {
     /// Ends the attempt after the body was received completely.
     pub(crate) fn finish(self) {
-        self.attempt.finish(self.answer.keep_alive);
+        self.attempt.finish(self.keep_alive);
     }
 }
 
@@ -162,10 +163,12 @@
     if is_genuine(&validated) {
         shared.dispatcher().response_started(buffered.ticket, shared.now());
         shared.observe_limit(&server.id, answer.limit, sent_at);
+        shared.observe_tolerance(&server.id, answer.tolerance);
     }
     validated?;
     let end = body_end(&head.headers, &body);
-    Ok(ResponseStart { head, response: OpenResponse { body, end, answer, attempt } })
+    let keep_alive = answer.keep_alive;
+    Ok(ResponseStart { head, response: OpenResponse { body, end, keep_alive, attempt } })
 }
 
 /// Returns a pooled connection that shows no sign of being closed.
--- a/crates/relay/src/edge.rs
+++ b/crates/relay/src/edge.rs
@@ -96,17 +96,20 @@
     pub load: Option<[u32; 3]>,
     /// Time after which the server closes the connection if it is idle.
     pub keep_alive: Option<Duration>,
-    /// The rate limit that the server states.
-    pub limit: StatedLimit,
+    /// The rate at which the server accepts requests from all hosts together.
+    pub limit: Stated<Rate>,
+    /// Number of requests that the server may reject for want of room in a second without falling
+    /// over, over all hosts.
+    pub tolerance: Stated<u32>,
 }
 
-/// The rate at which a server states that it accepts requests from all hosts together.
+/// A limit that a server states in a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StatedLimit {
-    /// The response states no limit.
-    Unstated,
-    /// The response states this rate.
-    Stated(Rate),
+pub enum Stated<T> {
+    /// The response states no such limit.
+    Absent,
+    /// The response states this value.
+    Value(T),
     /// The response states a limit that can't be parsed.
     Unreadable,
 }
--- a/crates/relay/src/quotas.rs
+++ b/crates/relay/src/quotas.rs
@@ -12,15 +12,15 @@
 };
 use types::{prelude::*, routed::Rate};
 
-use crate::{edge::StatedLimit, host::Shared};
+use crate::{edge::Stated, host::Shared};
 
 impl Shared {
     /// Applies the limit that a server's response states, for a request that was sent at `sent`.
-    pub(crate) fn observe_limit(&self, server: &backend::Id, limit: StatedLimit, sent: Moment) {
+    pub(crate) fn observe_limit(&self, server: &backend::Id, limit: Stated<Rate>, sent: Moment) {
         let limit = match limit {
-            StatedLimit::Unstated => None,
-            StatedLimit::Stated(rate) => Some(rate),
-            StatedLimit::Unreadable => return self.reject_limit(server),
+            Stated::Absent => None,
+            Stated::Value(rate) => Some(rate),
+            Stated::Unreadable => return self.report_unreadable_limit(server),
         };
         let change = self.dispatcher().limit_named(server, limit, sent, self.now());
         if let Some(change) = change {
@@ -29,6 +29,19 @@
         }
     }
 
+    /// Applies how many rejections a second a server's response states to tolerate.
+    pub(crate) fn observe_tolerance(&self, server: &backend::Id, tolerance: Stated<u32>) {
+        let rejections = match tolerance {
+            Stated::Absent => None,
+            Stated::Value(rejections) => Some(rejections),
+            Stated::Unreadable => return self.report_unreadable_limit(server),
+        };
+        let change = self.dispatcher().tolerance_stated(server, rejections, self.now());
+        if let Some((service, rejections)) = change {
+            self.logger.belief(Belief::Tolerance { service, rejections });
+        }
+    }
+
     /// Applies a server's limit as another host reports it.
     pub(crate) fn receive_limit(&self, server: &backend::Id, limit: quota::Limit, from: &host::Id) {
         let change = self.dispatcher().limit_received(server, limit, self.now());
@@ -79,7 +92,7 @@
     }
 
     /// Counts and logs a limit that can't be parsed. The known limit stays.
-    fn reject_limit(&self, server: &backend::Id) {
+    fn report_unreadable_limit(&self, server: &backend::Id) {
         self.meters.unreadable_limit();
         if self.unreadable_limits_log.is_due(self.now()) {
             log::error!(server = &**server; "the limit in a server's answer can't be read");
--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, request::Parts};
 use relay::edge::{
     Answer, Dialect, Execution, ForwardOptions, Malformed, Object, Order, OrderReply, OrderStatus,
-    Problem, RequestInfo, Seal, StatedLimit, StoreCall, StoreReply,
+    Problem, RequestInfo, Seal, Stated, StoreCall, StoreReply,
 };
 use types::routed::{Declaration, Report, Server};
 
@@ -83,7 +83,8 @@
             keep_alive: text(headers, "keep-alive")
                 .and_then(|text| text.strip_prefix("timeout=")?.parse().ok())
                 .map(Duration::from_secs),
-            limit: StatedLimit::Unstated,
+            limit: Stated::Absent,
+            tolerance: Stated::Absent,
         }
     }
 
--- a/crates/stage/tests/soak.rs
+++ b/crates/stage/tests/soak.rs
@@ -94,6 +94,18 @@
     assert!(3 <= summary.crashed, "only {} servers crashed", summary.crashed);
 }
 
+#[rstest]
+#[case::two_a_second(2)]
+#[case::as_many_as_hosts(6)]
+#[case::many(20)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn brittle_servers_are_not_overrun(#[case] tolerated: u32) {
+    let schedule = vec![planned(2, 12, Fault::Brittle(0, tolerated))];
+    let summary = soak(1, HOSTS, Duration::from_secs(15), schedule).await;
+    assert!(summary.breaches.is_empty(), "{:#?}", summary.breaches);
+    assert!(500 <= summary.runs, "{summary:?}");
+}
+
 #[rstest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn hosts_partitioned_from_all_servers_serve_requests_like_the_others(
--- a/crates/standin/src/routed/server.rs
+++ b/crates/standin/src/routed/server.rs
@@ -11,6 +11,7 @@
 mod work;
 
 use std::{
+    collections::VecDeque,
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
@@ -37,6 +38,9 @@
 /// Slots and queue length of a server unless a test sets them.
 const SLOTS: u32 = 8;
 
+/// The window in which a brittle server counts its rejections.
+const REJECTION_WINDOW: Duration = Duration::from_secs(1);
+
 /// Settings of a server that stay the same while it runs.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -172,6 +176,26 @@
     connections: Mutex<u64>,
     abort: Mutex<Option<AbortHandle>>,
     crashed_at: Mutex<Option<Instant>>,
+    rejections: Mutex<Rejections>,
+}
+
+/// Rejections of a brittle server.
+#[derive(Debug, Default)]
+struct Rejections {
+    /// When the server first stated to be brittle, unless it no longer is.
+    stated_at: Option<Instant>,
+    /// Request ids and times of the rejections for want of room within [`REJECTION_WINDOW`].
+    recent: VecDeque<(Arc<str>, Instant)>,
+    fall: Option<Fall>,
+}
+
+/// A crash of a brittle server.
+#[derive(Clone, Debug)]
+pub struct Fall {
+    /// When the server crashed.
+    pub at: Instant,
+    /// Ids of the rejected requests that made it crash.
+    pub rejected: Vec<Arc<str>>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -300,6 +324,11 @@
         self.shared.crash();
     }
 
+    /// The crash by too many rejections, if there was one.
+    pub fn fall(&self) -> Option<Fall> {
+        lock(&self.shared.rejections).fall.clone()
+    }
+
     /// When it crashed or was killed, if it was.
     pub fn crashed_at(&self) -> Option<Instant> {
         *lock(&self.shared.crashed_at)
@@ -338,6 +367,7 @@
             connections: Mutex::default(),
             abort: Mutex::default(),
             crashed_at: Mutex::default(),
+            rejections: Mutex::default(),
         }
     }
 
@@ -345,15 +375,46 @@
         lock(&self.inventory)
     }
 
-    /// Adds the script's limit to the head of an answer, and records it.
-    fn add_limit(&self, headers: &mut http::HeaderMap) {
-        let limit = lock(&self.script).limit.clone();
+    /// Adds the script's limits to the head of an answer, and records them.
+    fn add_limits(&self, headers: &mut http::HeaderMap) {
+        let (limit, brittle) = {
+            let script = lock(&self.script);
+            (script.limit.clone(), script.brittle)
+        };
+        let mut rejections = lock(&self.rejections);
+        match brittle {
+            Some(tolerated) => {
+                platform::remote::server::tolerance(headers, &tolerated.to_string());
+                rejections.stated_at.get_or_insert_with(Instant::now);
+            }
+            None => {
+                *rejections = Rejections { fall: rejections.fall.take(), ..Rejections::default() }
+            }
+        }
         if let Some(limit) = &limit {
             platform::remote::server::limit(headers, limit);
         }
         lock(&self.quota).record_limit(limit.as_deref(), self.started_at.elapsed());
     }
 
+    /// Records a rejection for want of room, and crashes a brittle server after too many.
+    fn reject(&self, id: &Arc<str>) {
+        let Some(tolerated) = lock(&self.script).brittle else { return };
+        let mut rejections = lock(&self.rejections);
+        let now = Instant::now();
+        rejections.recent.push_back((id.clone(), now));
+        while rejections.recent.front().is_some_and(|(_, at)| *at + REJECTION_WINDOW < now) {
+            rejections.recent.pop_front();
+        }
+        let is_bound = rejections.stated_at.is_some_and(|at| at + quota::BINDING_DELAY <= now);
+        if is_bound && (tolerated as usize) < rejections.recent.len() {
+            let rejected = rejections.recent.iter().map(|(id, _)| id.clone()).collect();
+            rejections.fall = Some(Fall { at: now, rejected });
+            drop(rejections);
+            self.crash();
+        }
+    }
+
     /// Updates the registration from the inventory.
     fn register(&self) {
         let (models, sequence) = {
--- a/crates/standin/src/routed/server/script.rs
+++ b/crates/standin/src/routed/server/script.rs
@@ -27,6 +27,9 @@
     pub report_age: Duration,
     /// How long the load of a model or adapter takes.
     pub load_time: Duration,
+    /// Rejections for want of room in a second above which the server crashes, as answers state; no
+    /// request waits for a slot then. `None` for a server that is not brittle.
+    pub brittle: Option<u32>,
     /// Text of the rate limit that answers state, valid or not; `None` states no limit.
     pub limit: Option<Arc<str>>,
 }
@@ -43,6 +46,7 @@
             poison: None,
             report_age: Duration::ZERO,
             load_time: Duration::from_millis(50),
+            brittle: None,
             limit: None,
         }
     }
--- a/crates/standin/src/routed/server/serving.rs
+++ b/crates/standin/src/routed/server/serving.rs
@@ -138,7 +138,7 @@
     *response.status_mut() = status;
     remote::not_run(response.headers_mut());
     remote::load(response.headers_mut(), shared.load());
-    shared.add_limit(response.headers_mut());
+    shared.add_limits(response.headers_mut());
     if let Call::Request(incoming) = remote::call(head, &[])
         && let Some(id) = &incoming.id
     {
@@ -157,8 +157,12 @@
     /// Enters the queue; `None` if all slots and the queue are taken.
     fn enqueue(shared: &'a Shared) -> Option<Slot<'a>> {
         let settings = &shared.settings;
+        let is_brittle = lock(&shared.script).brittle.is_some();
         let has_entered = shared.load.send_if_modified(|load| {
-            let is_free = load.running < settings.slots || load.waiting < settings.queue;
+            let is_free = match is_brittle {
+                true => load.running + load.waiting < settings.slots,
+                false => load.running < settings.slots || load.waiting < settings.queue,
+            };
             load.waiting += u32::from(is_free);
             is_free
         });
@@ -215,6 +219,7 @@
         return refuse(shared, connection, &head, status).await;
     }
     let Some(mut slot) = Slot::enqueue(shared) else {
+        shared.reject(&id);
         return refuse(shared, connection, &head, StatusCode::SERVICE_UNAVAILABLE).await;
     };
     tokio::select! {
--- a/crates/standin/src/routed/server/work.rs
+++ b/crates/standin/src/routed/server/work.rs
@@ -83,7 +83,7 @@
         }
         remote::load(headers, self.shared.load());
         if !self.is_head_withheld() {
-            self.shared.add_limit(headers);
+            self.shared.add_limits(headers);
         }
         response
     }
--- a/crates/standin/src/routed/server_links.rs
+++ b/crates/standin/src/routed/server_links.rs
@@ -92,6 +92,17 @@
         shared.of(host).for_each(|proxy| cut.apply(proxy));
     }
 
+    /// Makes a server silent to all hosts: connections stay open and carry nothing until
+    /// [`ServerLinks::resume`].
+    pub fn pause(&self, server: SocketAddr) {
+        lock(&self.shared).to(server).for_each(|proxy| proxy.set_both(Fault::Hold));
+    }
+
+    /// Ends the silence of a server.
+    pub fn resume(&self, server: SocketAddr) {
+        lock(&self.shared).to(server).for_each(|proxy| proxy.set_both(Fault::Pass));
+    }
+
     /// Restores a host's links to all servers.
     pub fn heal(&self, host: usize) {
         let mut shared = lock(&self.shared);
@@ -101,6 +112,11 @@
 }
 
 impl Shared {
+    fn to(&self, server: SocketAddr) -> impl Iterator<Item = &Proxy> {
+        let to_server = self.proxies.iter().filter(move |((_, other), _)| *other == server);
+        to_server.map(|(_, proxy)| proxy)
+    }
+
     fn of(&self, host: usize) -> impl Iterator<Item = &Proxy> {
         let of_host = self.proxies.iter().filter(move |((other, _), _)| *other == host);
         of_host.map(|(_, proxy)| proxy)
--- a/crates/standin/src/routed/soak.rs
+++ b/crates/standin/src/routed/soak.rs
@@ -26,7 +26,7 @@
     inject::Injector,
     judge::{Breach, retries},
     load::State,
-    record::{Arrival, Bounds, Order, Outcome, Record, Run},
+    record::{Arrival, Bounds, Fall, Order, Outcome, Record, Run},
     schedule::PlannedFault,
 };
 use super::{
@@ -124,6 +124,7 @@
         requests: Mutex::default(),
         is_burst: false.into(),
         is_poisoned: false.into(),
+        is_pressed: false.into(),
         is_over: false.into(),
     });
     let mut injector = Injector {
@@ -137,6 +138,8 @@
         servers: Vec::new(),
         faulted: BTreeSet::new(),
         crashed: BTreeMap::new(),
+        brittle: Vec::new(),
+        tolerances: BTreeMap::new(),
     };
     for index in 0..site::SERVERS.len() {
         injector.start_server(index).await?;
@@ -187,6 +190,16 @@
             (server.id().to_string(), quota)
         };
         let quotas = servers.iter().map(quota).collect();
+        let fall = |server: &Server| {
+            let fall = server.fall()?;
+            Some(Fall {
+                server: server.id().to_string(),
+                service: server.service().to_string(),
+                at: load.since(fall.at),
+                rejected: fall.rejected.iter().map(|id| id.to_string()).collect(),
+            })
+        };
+        let falls = servers.iter().filter_map(fall).collect();
         let runs = servers.iter().flat_map(|server| runs(server, load)).collect();
         let arrivals = servers.iter().flat_map(|server| arrivals(server, load)).collect();
         let requests = std::mem::take(&mut *lock(&load.requests));
@@ -204,6 +217,8 @@
             arrivals,
             orders,
             overloads,
+            falls,
+            brittle: self.brittle,
             quotas,
             leaves: self.leaves,
             declared: self.declared,
--- a/crates/standin/src/routed/soak/inject.rs
+++ b/crates/standin/src/routed/soak/inject.rs
@@ -15,7 +15,7 @@
 
 use super::{
     load::{self, HostEntry},
-    record::{Bounds, Component, Declared, Disruption, HostRun, Leave, Span},
+    record::{Bounds, BrittleTime, Component, Declared, Disruption, HostRun, Leave, Span},
     schedule::{Fault, Notice, Pairs, PlannedFault},
     site,
 };
@@ -33,6 +33,9 @@
 /// Under [`Fault::Dull`], a server's time for an answer and between two events of a stream.
 const SLOW_SERVER: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(250));
 
+/// Under [`Fault::Brittle`], a server's time for an answer.
+const BRITTLE_WORK_TIME: Duration = Duration::from_millis(200);
+
 /// Time in which undisturbed hosts receive a new declaration.
 const APPLY_TIME: Duration = Duration::from_millis(200);
 
@@ -68,6 +71,9 @@
     pub(super) faulted: BTreeSet<usize>,
     /// Indices of servers that a request or an order has crashed, and when each is to be replaced.
     pub(super) crashed: BTreeMap<usize, Instant>,
+    pub(super) brittle: Vec<BrittleTime>,
+    /// Rejections in a second that the servers of brittle services tolerate, by service.
+    pub(super) tolerances: BTreeMap<&'static str, u32>,
 }
 
 /// Start or end of a planned fault.
@@ -82,6 +88,7 @@
         let run = self.servers.get(index).map_or(0, |(_, run)| run + 1);
         let server = self.site.backend.add(site::server_settings(index, run)).await?;
         site::reset_script(server, self.bounds.stream_events);
+        set_tolerance(server, self.tolerances.get(site::SERVERS[index]).copied());
         let entry = (server.id().to_string(), run);
         match self.servers.get_mut(index) {
             Some(server) => *server = entry,
@@ -232,6 +239,7 @@
             | Fault::Declare
             | Fault::Burst
             | Fault::Poison
+            | Fault::Brittle(..)
             | Fault::Limited(..)
             | Fault::AllLimited(..) => Vec::new(),
         }
@@ -304,6 +312,15 @@
             }
             Fault::Burst => self.load.is_burst.store(true, Ordering::Relaxed),
             Fault::Poison => self.load.is_poisoned.store(true, Ordering::Relaxed),
+            Fault::Brittle(server, tolerated) => {
+                let (service, from) = (site::SERVERS[server], self.now());
+                self.tolerances.insert(service, tolerated);
+                let servers = site::same_service(server).count();
+                let span = Span { from, to: Duration::MAX };
+                self.brittle.push(BrittleTime { service: service.into(), servers, span });
+                self.set_tolerances(server);
+                self.load.is_pressed.store(true, Ordering::Relaxed);
+            }
             Fault::Partition(partitioned, cut) => {
                 let links = self.site.backend.server_links();
                 let hosts = partitioned.among(self.site.hosts.len());
@@ -317,6 +334,12 @@
         Ok(())
     }
 
+    /// Makes all servers of a server's service brittle, if the service is.
+    fn set_tolerances(&self, server: usize) {
+        let tolerated = self.tolerances.get(site::SERVERS[server]).copied();
+        site::same_service(server).for_each(|index| set_tolerance(self.server(index), tolerated));
+    }
+
     /// Makes servers state a limit, in hundredths of a request per second, or withdraw it.
     fn set_limit(&self, indices: impl IntoIterator<Item = usize>, limit: Option<u32>) {
         let limit = limit.map(|limit| f64::from(limit) / 100.0);
@@ -380,16 +403,27 @@
             }
             Fault::Grey(server, _) | Fault::Dull(server) => {
                 site::reset_script(self.server(server), self.bounds.stream_events);
+                self.set_tolerances(server);
                 self.end_disruption(&Component::Server(self.servers[server].0.clone()));
             }
             Fault::AllGrey(server, _) => {
                 for index in site::same_service(server).collect::<Vec<_>>() {
                     site::reset_script(self.server(index), self.bounds.stream_events);
                 }
+                self.set_tolerances(server);
             }
             Fault::Links(pairs, _) => self.set_links(pairs, Delivery::Passes),
             Fault::Burst => self.load.is_burst.store(false, Ordering::Relaxed),
             Fault::Poison => self.load.is_poisoned.store(false, Ordering::Relaxed),
+            Fault::Brittle(server, _) => {
+                self.tolerances.remove(site::SERVERS[server]);
+                let now = self.now();
+                self.brittle.last_mut().into_iter().for_each(|time| time.span.to = now);
+                self.load.is_pressed.store(false, Ordering::Relaxed);
+                for index in site::same_service(server) {
+                    site::reset_script(self.server(index), self.bounds.stream_events);
+                }
+            }
             Fault::Partition(partitioned, _) => {
                 for host in partitioned.among(self.site.hosts.len()) {
                     self.site.backend.server_links().heal(host);
@@ -447,3 +481,13 @@
         self.start_server(index).await
     }
 }
+
+/// Makes a server brittle, and slow enough that callers can send more than it can serve.
+fn set_tolerance(server: &Server, tolerated: Option<u32>) {
+    if let Some(tolerated) = tolerated {
+        server.script(|script| {
+            script.brittle = Some(tolerated);
+            script.work_time = BRITTLE_WORK_TIME;
+        });
+    }
+}
--- a/crates/standin/src/routed/soak/judge.rs
+++ b/crates/standin/src/routed/soak/judge.rs
@@ -1,5 +1,6 @@
 //! Checks the record of a soak against the promises to users.
 
+mod brittle;
 mod declared;
 mod partition;
 mod poison;
@@ -50,6 +51,8 @@
     Limit,
     /// No server receives more requests than the limit that it states.
     Quota,
+    /// Brittle servers are not made to reject so many requests that they crash.
+    Brittle,
     /// A request that has crashed three servers reaches few others.
     Poison,
     /// No other request is refused as if it crashed servers.
@@ -70,7 +73,7 @@
 
 impl Promise {
     /// All promises that a soak is judged by.
-    pub const ALL: [Promise; 17] = [
+    pub const ALL: [Promise; 18] = [
         Promise::Twice,
         Promise::Refused,
         Promise::Mixed,
@@ -80,6 +83,7 @@
         Promise::One,
         Promise::Limit,
         Promise::Quota,
+        Promise::Brittle,
         Promise::Poison,
         Promise::Innocent,
         Promise::Retries,
@@ -120,6 +124,7 @@
     breaches.extend(judge.check_poison());
     breaches.extend(judge.check_refused_as_poison());
     breaches.extend(judge.check_quotas());
+    breaches.extend(judge.check_brittle());
     breaches.extend(judge.check_retries());
     let limit = |(server, at): &(String, Duration)| Breach {
         promise: Promise::Limit,
--- a/crates/standin/src/routed/soak/load.rs
+++ b/crates/standin/src/routed/soak/load.rs
@@ -35,6 +35,12 @@
 /// a burst.
 const CALLERS: u64 = 16;
 
+/// Number of callers that send more than the servers of one service can serve, while they do.
+const PRESSING_CALLERS: u64 = 40;
+
+/// Pause between two requests of a pressing caller.
+const PRESSING_PAUSE_MS: std::ops::Range<u64> = 20..60;
+
 /// Pause between two requests of one caller, outside bursts.
 const PAUSE_MS: std::ops::Range<u64> = 60..300;
 
@@ -73,6 +79,8 @@
     pub(super) is_burst: AtomicBool,
     /// Whether the poison request is being sent.
     pub(super) is_poisoned: AtomicBool,
+    /// Whether callers send more than the servers of one service can serve.
+    pub(super) is_pressed: AtomicBool,
     pub(super) is_over: AtomicBool,
 }
 
@@ -97,6 +105,10 @@
         let random = ChaCha8Rng::seed_from_u64(seed ^ (number + 1) << 32);
         tasks.spawn(run_caller(state.clone(), number, random));
     }
+    for number in 0..PRESSING_CALLERS {
+        let random = ChaCha8Rng::seed_from_u64(!seed ^ (number + 1) << 32);
+        tasks.spawn(press(state.clone(), CALLERS + number, random));
+    }
     tasks.spawn(poll_readiness(state.clone()));
     tasks.spawn(send_poison(state.clone(), seed));
     tasks
@@ -212,6 +224,32 @@
     next
 }
 
+/// Sends requests to one service at a high rate while the servers are to be overloaded.
+async fn press(state: Arc<State>, caller: u64, mut random: ChaCha8Rng) {
+    let mut connections: HashMap<HostRun, Caller> = HashMap::new();
+    let mut number = 0;
+    while !state.is_over.load(Ordering::Relaxed) {
+        sleep(Duration::from_millis(random.random_range(PRESSING_PAUSE_MS))).await;
+        if !state.is_pressed.load(Ordering::Relaxed) {
+            continue;
+        }
+        let Some(entry) = state.choose_host(&mut random) else { continue };
+        number += 1;
+        let spec = RequestSpec::to(HOST, "/tickets/new").deadline(Some(DEADLINE));
+        let spec = spec.with_body(Method::POST, "x").with_number(caller, number);
+        let next = NextRequest {
+            spec,
+            kind: Kind::NonIdempotent,
+            resumable: false,
+            body_bytes: 1,
+            crashes_servers: false,
+        };
+        let connection =
+            connections.entry(entry.host_run).or_insert_with(|| Caller::new(entry.callers));
+        send(&state, entry, connection, &next, None).await;
+    }
+}
+
 async fn run_caller(state: Arc<State>, caller: u64, mut random: ChaCha8Rng) {
     let mut connections: HashMap<HostRun, Caller> = HashMap::new();
     let mut number = 0_u64;
--- a/crates/standin/src/routed/soak/record.rs
+++ b/crates/standin/src/routed/soak/record.rs
@@ -256,6 +256,30 @@
     pub span: Span,
 }
 
+/// A crash of a brittle server, which rejected too many requests for want of room.
+#[derive(Clone, Debug)]
+pub struct Fall {
+    /// Id of the server.
+    pub server: String,
+    /// Service of the server.
+    pub service: String,
+    /// When it crashed.
+    pub at: Duration,
+    /// Ids of the rejected requests that made it crash.
+    pub rejected: Vec<String>,
+}
+
+/// A time in which the servers of a service are brittle.
+#[derive(Clone, Debug)]
+pub struct BrittleTime {
+    /// The service.
+    pub service: String,
+    /// Number of its servers.
+    pub servers: usize,
+    /// From the start to the end.
+    pub span: Span,
+}
+
 /// All observations of a soak.
 #[derive(Clone, Debug, Default)]
 pub struct Record {
@@ -275,6 +299,10 @@
     pub orders: Vec<Order>,
     /// Servers that were ordered to load more than fits, each with the time of its last order.
     pub overloads: Vec<(String, Duration)>,
+    /// Crashes of brittle servers.
+    pub falls: Vec<Fall>,
+    /// Times in which servers are brittle.
+    pub brittle: Vec<BrittleTime>,
     /// For each server, the arrivals and the limits that it stated.
     pub quotas: Vec<(String, Quota)>,
     /// Planned departures of servers.
--- a/crates/standin/src/routed/soak/schedule.rs
+++ b/crates/standin/src/routed/soak/schedule.rs
@@ -42,6 +42,15 @@
 /// XORed with the seed for the random stream of partitions between hosts and servers.
 const PARTITION_SEED_MASK: u64 = 1 << 59;
 
+/// XORed with the seed for the random stream of times in which servers are brittle.
+const BRITTLE_SEED_MASK: u64 = 1 << 58;
+
+/// How long servers are brittle, and how long the pause after it is.
+const BRITTLE_DURATION_MS: std::ops::Range<u64> = 5_000..14_000;
+
+/// Rejections in a second that brittle servers tolerate.
+const TOLERATED: std::ops::RangeInclusive<u32> = 2..=12;
+
 /// How long hosts are partitioned from all servers, and how long the pause after it is.
 const PARTITION_DURATION_MS: std::ops::Range<u64> = 5_000..14_000;
 
@@ -145,6 +154,9 @@
     /// A poison request, which crashes the servers that run it, is sent repeatedly through all
     /// hosts.
     Poison,
+    /// All servers of the service of a server crash if they reject more than this many requests in a
+    /// second, and callers send more than they can serve.
+    Brittle(usize, u32),
     /// Hosts are partitioned from all servers.
     Partition(Partitioned, Cut),
 }
@@ -277,6 +289,7 @@
     planned.extend(retry_pressure(seed, hosts, end));
     planned.extend(poison(seed, end));
     planned.extend(partitions(seed, hosts, end));
+    planned.extend(brittle_times(seed, end));
     planned.sort_by_key(|planned| planned.at);
     planned
 }
@@ -371,6 +384,23 @@
     planned
 }
 
+/// Draws times in which the plain servers are brittle. Three of four seeds draw none.
+fn brittle_times(seed: u64, end: Duration) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ BRITTLE_SEED_MASK);
+    let mut planned = Vec::new();
+    let mut at = WARM_UP.min(end / 4);
+    if random.random_bool(0.75) {
+        return planned;
+    }
+    while at < end {
+        let duration = Duration::from_millis(random.random_range(BRITTLE_DURATION_MS));
+        let fault = Fault::Brittle(0, random.random_range(TOLERATED));
+        planned.push(PlannedFault { at, duration: duration.min(end - at), fault });
+        at += duration + Duration::from_millis(random.random_range(BRITTLE_DURATION_MS));
+    }
+    planned
+}
+
 /// Whether a schedule partitions hosts from servers.
 pub fn has_partitions(schedule: &[PlannedFault]) -> bool {
     schedule.iter().any(|planned| matches!(planned.fault, Fault::Partition(..)))
@@ -463,6 +493,7 @@
         | Fault::AllLimited(..)
         | Fault::AllGrey(..)
         | Fault::Links(..)
+        | Fault::Brittle(..)
         | Fault::Partition(..) => (Target::Callers, 1),
     }
 }
--- a/crates/standin/tests/soak_judge.rs
+++ b/crates/standin/tests/soak_judge.rs
@@ -13,8 +13,8 @@
     soak::{
         judge::{Promise, judge},
         record::{
-            Answer, Arrival, Component, Declared, Disruption, HostRun, Leave, Order, Outcome,
-            Record, Request, Run, Span,
+            Answer, Arrival, BrittleTime, Component, Declared, Disruption, Fall, HostRun, Leave,
+            Order, Outcome, Record, Request, Run, Span,
         },
         schedule,
     },
@@ -198,6 +198,18 @@
     }
 }
 
+/// Adds a time in which the three servers of `app` are brittle, and this many crashes in it, made by
+/// requests of host 0.
+fn add_falls(record: &mut Record, falls: usize) {
+    let span = span(10_000, 20_000);
+    record.brittle.push(BrittleTime { service: "app".into(), servers: 3, span });
+    for number in 0..falls {
+        let (server, service) = (format!("app-{number}"), "app".into());
+        let rejected = vec!["r1".into(); 4];
+        record.falls.push(Fall { server, service, at: ms(15_000), rejected });
+    }
+}
+
 /// Adds a partition of host 1 from all servers, from second 10 to second 20, with 100 requests at
 /// each of the hosts, sent at `at`. The first `refused` requests at host 1 are refused.
 fn add_partition(record: &mut Record, at: u64, refused: usize) {
@@ -288,6 +300,11 @@
     r.disruptions.push(disruption(Component::Server("app-3".into()), 310, 9_000));
 })]
 #[case::recovers(Kind::Idempotent, |r: &mut Record| add_requests_after_fault(r, 9))]
+#[case::two_falls(Kind::Idempotent, |r: &mut Record| add_falls(r, 2))]
+#[case::falls_by_a_host_out_of_touch(Kind::Idempotent, |r: &mut Record| {
+    add_falls(r, 3);
+    r.disruptions.push(disruption(Component::Host(0), 13_000, 14_000));
+})]
 #[case::partitioned_and_served_two_thirds(Kind::Idempotent, |r: &mut Record| add_partition(r, 14_000, 33))]
 #[case::partitioned_a_moment_ago(Kind::Idempotent, |r: &mut Record| add_partition(r, 12_900, 100))]
 #[case::partitioned_and_back(Kind::Idempotent, |r: &mut Record| add_partition(r, 20_100, 50))]
@@ -414,6 +431,7 @@
     r.disruptions.push(disruption(Component::Store, 0, 60_000));
 })]
 #[case::does_not_recover(Kind::Idempotent, Promise::Recover, |r: &mut Record| add_requests_after_fault(r, 11))]
+#[case::three_falls(Kind::Idempotent, Promise::Brittle, |r: &mut Record| add_falls(r, 3))]
 #[case::partitioned_and_not_served(Kind::Idempotent, Promise::Partitioned, |r: &mut Record| add_partition(r, 13_100, 34))]
 #[case::ends_by_itself(Kind::Idempotent, Promise::Fault, |r: &mut Record| r.exited.push(1))]
 fn a_broken_promise_is_found(
