Check paths after failed orders, and take silence for silence

cause: two findings of new tests. A holder of the lease without callers of a service never noticed that it can't reach its servers, and kept the lease (no order of another host for 30 s).

--- a/crates/policy/src/dispatch/events.rs
+++ b/crates/policy/src/dispatch/events.rs
@@ -173,6 +173,7 @@
             End::NotRun(NotRun::Full) => {
                 server.mark_answered(now);
                 server.load.mark_full(now + FULL_PAUSE);
+                server.rejected_at = Some(now);
                 if in_flight < f64::from(server.slots) * EARLY_REFUSAL_FILL && !server.is_limited {
                     server.pace.record_failure(&median, now);
                 }
@@ -199,12 +200,10 @@
                 server.breaker.trip(Cause::Disconnected, now);
             }
             End::Unclear(Unclear::Silent) if attempt.is_stranded => {}
-            End::Unclear(Unclear::Silent) => {
-                server.pace.record_failure(&median, now);
-                if server.answered_at < attempt.sent_at {
-                    server.breaker.trip(Cause::Timeout, now);
-                }
+            End::Unclear(Unclear::Silent) if server.answered_at < attempt.sent_at => {
+                server.breaker.trip(Cause::Timeout, now);
             }
+            End::Unclear(Unclear::Silent) => server.pace.record_failure(&median, now),
             End::Unclear(Unclear::Garbled) => server.pace.record_failure(&median, now),
             End::Cancelled => {}
         }
--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -126,8 +126,11 @@
     fn record_overdue(&mut self, attempt: &Attempt, service: Index, now: Moment) {
         let median = self.registry.services[service as usize].median;
         let Some(server) = self.registry.get_same(attempt.server, &attempt.id) else { return };
-        let ratio = millis(now.saturating_sub(attempt.sent_at)) / attempt.baseline_ms;
-        server.pace.record_ratio(ratio, &median, now);
+        // A server that has answered nothing since is silent, not slow.
+        if attempt.sent_at < server.answered_at {
+            let ratio = millis(now.saturating_sub(attempt.sent_at)) / attempt.baseline_ms;
+            server.pace.record_ratio(ratio, &median, now);
+        }
         server.unanswered += 1;
         if MAX_UNANSWERED <= server.unanswered {
             server.breaker.trip(Cause::Timeout, now);
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -197,24 +197,20 @@
         sleep(CHECK_INTERVAL).await;
         let now = shared.now();
         let silent = shared.dispatcher().silent_servers(now);
-        for id in silent {
-            if shared.paths().start_check(&id, now) {
-                spawn_for(&shared, &id, check);
-            }
-        }
+        let silent = silent.iter().filter_map(|id| shared.server(id));
+        silent.for_each(|server| check_path(&shared, &server));
         let probes = shared.paths().start_probes(now);
-        probes.iter().for_each(|id| spawn_for(&shared, id, probe));
+        for server in probes.iter().filter_map(|id| shared.server(id)) {
+            tokio::spawn(probe(shared.clone(), server));
+        }
         update_partitions(&shared, &mut partitions, now);
     }
 }
 
-fn spawn_for<F: Future<Output = ()> + Send + 'static>(
-    shared: &Arc<Shared>,
-    id: &backend::Id,
-    task: impl FnOnce(Arc<Shared>, Arc<Server>) -> F,
-) {
-    if let Some(server) = shared.server(id) {
-        tokio::spawn(task(shared.clone(), server));
+/// Checks the path to a server that does not respond, unless that was done shortly before.
+pub(crate) fn check_path(shared: &Arc<Shared>, server: &Arc<Server>) {
+    if shared.paths().start_check(&server.id, shared.now()) {
+        tokio::spawn(check(shared.clone(), server.clone()));
     }
 }
 
--- a/crates/relay/src/planning.rs
+++ b/crates/relay/src/planning.rs
@@ -14,6 +14,7 @@
     control::ControlConnection,
     edge::{self, OrderStatus},
     host::Shared,
+    paths,
     unplaced::{self, UnplacedReporter},
 };
 
@@ -103,6 +104,7 @@
     }
     let slot = shared.control.slot(server);
     let Some(connection) = ControlConnection::open(server, &slot).await else {
+        paths::check_path(shared, server);
         unplaced::report_unsent(shared, order, "not-reached");
         return Outcome::Busy;
     };
@@ -132,6 +134,9 @@
         Some(_) | None => OrderStatus::NotThere,
     };
     report_answer(shared, order, fence, status, began.elapsed());
+    if status == OrderStatus::Unknown {
+        paths::check_path(shared, server);
+    }
     match status {
         OrderStatus::Accepted => Outcome::Accepted,
         OrderStatus::Holds => Outcome::AlreadyHolds,
--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -6,6 +6,8 @@
 mod limits;
 mod orders;
 mod pages;
+mod partition;
+mod pauses;
 mod poison;
 mod restarts;
 mod serving;
--- a/crates/stage/tests/routed/site.rs
+++ b/crates/stage/tests/routed/site.rs
@@ -88,15 +88,32 @@
 }
 
 pub async fn backend() -> Backend {
+    Backend::start(servers()).await.expect("the servers start")
+}
+
+fn servers() -> Vec<Settings> {
     let engine = engine();
-    let servers = vec![
+    vec![
         Settings::plain("app-1", "app"),
         Settings::plain("app-2", "app"),
         Settings::plain("other-1", "other"),
         Settings::model("lm-1", "lm", &engine, &["welcome", "desk"]),
         Settings::model("lm-2", "lm", &engine, &["welcome"]),
-    ];
-    Backend::start(servers).await.expect("the servers start")
+    ]
+}
+
+/// Starts this many hosts, each of which reaches each server through a link that can fail, and waits
+/// until they are ready.
+pub async fn linked_site(hosts: usize) -> Site {
+    let mut backend = Backend::start(Vec::new()).await.expect("the store starts");
+    backend.link_servers(hosts);
+    for server in servers() {
+        backend.add(server).await.expect("the servers start");
+    }
+    backend.declare(&declaration());
+    let site = start_site(backend, hosts).await;
+    site.wait_until_ready().await;
+    site
 }
 
 /// Starts this many hosts with [`declaration`] in force, and waits until they are ready.
