--- a/crates/exchange/tests/exchange.rs
+++ b/crates/exchange/tests/exchange.rs
@@ -14,6 +14,7 @@
 };
 use futures_util::{FutureExt, future::BoxFuture};
 use rstest::rstest;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream, UdpSocket},
@@ -368,3 +369,17 @@
     let ended = first.tunnel(second.bound(), &"s1".into()).await;
     assert!(matches!(ended, Err(TunnelError::Refused { refusal: Refusal::Unreachable, .. })));
 }
+
+/// As on Linux, the user timeout decides when keepalive probes give up, whatever their number.
+#[tokio::test]
+async fn both_ends_of_a_tunnel_notice_a_dead_peer_in_three_seconds() {
+    let (first, second, listener) = hosts_and_server().await;
+    let tunnel = first.tunnel(second.bound(), &"s1".into()).await.expect("it is opened");
+    let (_server, _) = listener.accept().await.expect("loopback");
+    let socket = SockRef::from(&tunnel);
+    let timeout = socket.tcp_user_timeout().expect("it is open");
+    assert_eq!(timeout, Some(Duration::from_secs(3)));
+    assert!(socket.keepalive().expect("it is open"));
+    assert_eq!(socket.tcp_keepalive_time().expect("it is open"), Duration::from_secs(1));
+    assert_eq!(socket.tcp_keepalive_interval().expect("it is open"), Duration::from_secs(1));
+}
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the dispatcher of routed requests.
 
 mod breaker;
+mod brittle;
 mod budget;
 mod choice;
 mod crowd;
