Refuse connections to a crashed server behind links

cause: the soak's proxies accepted connections to a server that had crashed and reset them, where its machine refuses them.

--- a/crates/standin/src/routed/server.rs
+++ b/crates/standin/src/routed/server.rs
@@ -175,7 +175,7 @@
     registration: watch::Sender<routed::Server>,
     connections: Mutex<u64>,
     abort: Mutex<Option<AbortHandle>>,
-    crashed_at: Mutex<Option<Instant>>,
+    crashed_at: watch::Sender<Option<Instant>>,
     rejections: Mutex<Rejections>,
 }
 
@@ -329,9 +329,14 @@
         lock(&self.shared.rejections).fall.clone()
     }
 
+    /// Watches when it crashes or is killed.
+    pub fn watch_crash(&self) -> watch::Receiver<Option<Instant>> {
+        self.shared.crashed_at.subscribe()
+    }
+
     /// When it crashed or was killed, if it was.
     pub fn crashed_at(&self) -> Option<Instant> {
-        *lock(&self.shared.crashed_at)
+        *self.shared.crashed_at.borrow()
     }
 }
 
@@ -366,7 +371,7 @@
             registration: watch::Sender::new(registration),
             connections: Mutex::default(),
             abort: Mutex::default(),
-            crashed_at: Mutex::default(),
+            crashed_at: watch::Sender::default(),
             rejections: Mutex::default(),
         }
     }
@@ -429,7 +434,9 @@
 
     /// Ends the server, with all runs and connections.
     fn crash(&self) {
-        lock(&self.crashed_at).get_or_insert_with(Instant::now);
+        self.crashed_at.send_modify(|at| {
+            at.get_or_insert_with(Instant::now);
+        });
         lock(&self.runs).iter_mut().for_each(|run| run.end(Ending::Crashed));
         if let Some(abort) = lock(&self.abort).take() {
             abort.abort();
--- a/crates/standin/src/routed/server_links.rs
+++ b/crates/standin/src/routed/server_links.rs
@@ -85,6 +85,11 @@
         Ok(addresses)
     }
 
+    /// Closes the links to a server, so that connections to it are refused.
+    pub fn close(&self, server: SocketAddr) {
+        lock(&self.shared).proxies.retain(|(_, other), _| *other != server);
+    }
+
     /// Cuts a host off from all servers.
     pub fn cut(&self, host: usize, cut: Cut) {
         let mut shared = lock(&self.shared);
--- a/crates/standin/src/routed/site.rs
+++ b/crates/standin/src/routed/site.rs
@@ -96,6 +96,7 @@
     pub async fn add_at(&mut self, address: SocketAddr, settings: Settings) -> io::Result<&Server> {
         let server = Server::start_at(address, settings).await?;
         if let Some(links) = &self.server_links {
+            tokio::spawn(close_links_after_crash(links.clone(), &server));
             for (host, address) in links.open(server.address()).await?.into_iter().enumerate() {
                 self.store.set_server_address(&host_name(host), server.address(), address);
             }
@@ -179,6 +180,20 @@
     }
 }
 
+/// Waits until a server has crashed, and closes the links to it, as its machine refuses connections
+/// then.
+fn close_links_after_crash(
+    links: ServerLinks,
+    server: &Server,
+) -> impl Future<Output = ()> + use<> {
+    let (address, mut crash) = (server.address(), server.watch_crash());
+    async move {
+        if crash.wait_for(Option::is_some).await.is_ok() {
+            links.close(address);
+        }
+    }
+}
+
 fn put(store: &Store, server: &types::routed::Server) {
     store.put(&remote::kind(ObjectKind::Server), &server.name, entry::server(server));
 }
