Log from where a host has its servers, and keep lines on departures

Cause: hypotheses 1 and 2 of the late drain can't be told apart in the users' logs: no line says whether a host follows the store or a relay, and lines on leaving servers are dropped like all others on servers. Ruled out: a line for each fetch, which comes every 0.9 s at each host; only changes of the source count. Change: the line server-source (from, age_ms, why), when the source of the servers changes; server lines with leaving or gone are written in the class of plans, whose part of the limit is kept for them. Conclusion: no decision changed.

--- a/crates/observe/src/story/belief.rs
+++ b/crates/observe/src/story/belief.rs
@@ -58,6 +58,16 @@
         /// Evidence for the new state.
         why: Text,
     },
+    /// The source from which this host fetches changes of the servers changed.
+    ServerSource {
+        /// The new source.
+        from: Source,
+        /// Time since the store confirmed the first list from this source.
+        #[serde(rename = "age_ms", with = "types::time::millis")]
+        age: Duration,
+        /// Reason for the change.
+        why: Text,
+    },
     /// The state of another host changed.
     Peer {
         /// The other host.
@@ -219,9 +229,9 @@
         }
     }
 
-    /// Returns whether the belief is logged as a plan, as are starts, declarations, leases, orders
-    /// and changes of dependencies. Plans explain all other lines, and are the last to be dropped
-    /// from the log.
+    /// Returns whether the belief is logged as a plan, as are starts, declarations, leases, orders,
+    /// changes of dependencies and departures of servers. Plans explain all other lines, and are the
+    /// last to be dropped from the log.
     pub fn is_plan(&self) -> bool {
         match self {
             Belief::Start { .. }
@@ -232,6 +242,8 @@
             | Belief::Wish { .. }
             | Belief::Placement { .. }
             | Belief::Order { .. }
+            | Belief::ServerSource { .. }
+            | Belief::Server { standing: ServerStanding::Leaving | ServerStanding::Gone, .. }
             | Belief::Dependency { .. } => true,
             Belief::Server { .. }
             | Belief::Peer { .. }
--- a/crates/observe/src/story/explanation.rs
+++ b/crates/observe/src/story/explanation.rs
@@ -329,6 +329,7 @@
             }
             Belief::Path { server, .. } => self.set(Key::Path(run, server.clone()), index),
             Belief::Reload { .. }
+            | Belief::ServerSource { .. }
             | Belief::Tolerance { .. }
             | Belief::Stop { .. }
             | Belief::Peer { .. }
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -119,8 +119,6 @@
 /// Dispatch state of one host. It makes all decisions on the requests that the host routes.
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
-    /// This host.
-    host: host::Id,
     /// Number of hosts that share the servers.
     hosts: u32,
     /// Number of hosts that share the retry budgets, and this run's share of the extra retries.
@@ -134,8 +132,6 @@
     hints: Hints,
     poison: Poison,
     quotas: Quotas,
-    /// Hosts that share the servers, this one among them unless it is leaving.
-    live_hosts: Vec<host::Id>,
     loans: Borrowing,
     ticked_at: Moment,
     overdue_checked_at: Moment,
@@ -149,7 +145,6 @@
         let bounds =
             hints::Bounds { generation: PREFIX_HINTS, life: PREFIX_HINT_LIFE, block_tokens: 1 };
         Dispatcher {
-            host: settings.host.clone(),
             hosts: settings.hosts.max(1),
             sharers: Sharers::new(settings.hosts, settings.retries.window),
             lower_count: None,
@@ -160,7 +155,6 @@
             hints: Hints::new(bounds),
             poison: Poison::new(settings.host.clone()),
             quotas: Quotas::new(settings.host, settings.run),
-            live_hosts: Vec::new(),
             loans: Borrowing::default(),
             ticked_at: Duration::ZERO,
             overdue_checked_at: Duration::ZERO,
--- a/crates/policy/src/dispatch/brittle.rs
+++ b/crates/policy/src/dispatch/brittle.rs
@@ -65,27 +65,22 @@
         has_changed.then_some(change)
     }
 
-    /// Sets the hosts that share the servers.
-    pub(super) fn set_live_hosts(&mut self, mut live: Vec<host::Id>) {
-        live.sort_unstable();
-        if live != self.live_hosts {
-            self.live_hosts = live;
-            for server in self.registry.servers_mut() {
-                server.rank = None;
-            }
-            self.update_ranks();
-        }
+    /// Computes the ranks of this host anew, after the live hosts have changed.
+    pub(super) fn reset_ranks(&mut self) {
+        self.registry.servers_mut().for_each(|server| server.rank = None);
+        self.update_ranks();
     }
 
     /// Computes the rank of this host at each brittle server whose rank is not known.
     pub(super) fn update_ranks(&mut self) {
         let brittle = |service: &super::registry::Service| service.tolerance.rejections().is_some();
         let is_brittle: Vec<bool> = self.registry.services.iter().map(brittle).collect();
-        let (own, live) = (&self.host, &self.live_hosts);
+        let (own, live) = (self.quotas.own(), self.quotas.live());
         let servers = self.registry.servers_mut();
         let unranked = servers.filter(|server| is_brittle[server.service as usize]);
         for server in unranked.filter(|server| server.rank.is_none()) {
-            server.rank = Some(rank(&server.id, own, live));
+            let rank = rendezvous::rank(server.id.as_bytes(), own, live.iter());
+            server.rank = Some(rank as u32);
         }
     }
 
@@ -94,7 +89,7 @@
     pub(super) fn has_tolerated_place(&self, server: &Server, in_flight: f64, now: Moment) -> bool {
         let tolerance = self.registry.services[server.service as usize].tolerance;
         let Some(rejections) = tolerance.rejections() else { return true };
-        let hosts = (self.live_hosts.len() as u32).max(1);
+        let hosts = (self.quotas.live().len() as u32).max(1);
         let rank = server.rank.unwrap_or(hosts);
         let part = server.slots / hosts + u32::from(rank < server.slots % hosts);
         let slots = f64::from(server.slots);
@@ -108,10 +103,3 @@
         server.load.own() < part || may_exceed
     }
 }
-
-/// Number of hosts that come before this one at a server.
-fn rank(server: &backend::Id, own: &host::Id, live: &[host::Id]) -> u32 {
-    let key = |host: &host::Id| (rendezvous::score(server.as_bytes(), host), host.clone());
-    let own = key(own);
-    live.iter().filter(|host| own < key(host)).count() as u32
-}
--- a/crates/policy/src/dispatch/events.rs
+++ b/crates/policy/src/dispatch/events.rs
@@ -41,8 +41,9 @@
     /// Records that the head of the server's response was received, whether or not the body
     /// follows.
     pub fn response_started(&mut self, ticket: Ticket, now: Moment) {
-        self.heard(ticket, now);
-        if let Some(Task { state: State::InFlight(attempt), .. }) = self.tasks.get(&ticket) {
+        let Some(task) = self.tasks.get_mut(&ticket) else { return };
+        path::heard(&mut self.registry, task, now);
+        if let State::InFlight(attempt) = &task.state {
             self.poison.answered(&attempt.id, attempt.sent_at, now);
         }
     }
--- a/crates/policy/src/dispatch/path.rs
+++ b/crates/policy/src/dispatch/path.rs
@@ -6,7 +6,6 @@
     Dispatcher,
     breaker::Breaker,
     registry::Registry,
-    request::Ticket,
     stats::duration,
     task::{Attempt, Phase, State, Task},
 };
@@ -61,26 +60,17 @@
         silent.dedup();
         silent
     }
+}
 
-    /// Marks requests on broken connections, which are no longer work that the server has.
-    pub(super) fn mark_stranded(&mut self, now: Moment) {
-        let Dispatcher { tasks, registry, .. } = self;
-        for (ticket, task) in tasks {
-            let State::InFlight(attempt) = &mut task.state else { continue };
-            if !attempt.is_stranded && is_stranded(attempt, registry, now) {
-                attempt.is_stranded = true;
-                if let Some(server) = registry.get_same(attempt.server, &attempt.id) {
-                    server.load.ended(*ticket);
-                }
-            }
+/// Marks a request on a broken connection, which is no longer work that its server has.
+pub(super) fn mark_stranded(task: &mut Task, registry: &mut Registry, now: Moment) {
+    let State::InFlight(attempt) = &mut task.state else { return };
+    if !attempt.is_stranded && is_stranded(attempt, registry, now) {
+        attempt.is_stranded = true;
+        if let Some(server) = registry.get_same(attempt.server, &attempt.id) {
+            server.load.ended(task.spec.ticket);
         }
     }
-
-    /// Counts a request as work of its server again, after something has arrived for it.
-    pub(super) fn heard(&mut self, ticket: Ticket, now: Moment) {
-        let Some(task) = self.tasks.get_mut(&ticket) else { return };
-        heard(&mut self.registry, task, now);
-    }
 }
 
 /// Records that something has arrived for a request, which is therefore not stranded.
--- a/crates/policy/src/dispatch/quota.rs
+++ b/crates/policy/src/dispatch/quota.rs
@@ -81,8 +81,11 @@
         live: Vec<host::Id>,
         now: Moment,
     ) {
-        self.set_live_hosts(live.clone());
+        let has_changed = self.quotas.live() != live;
         self.quotas.update_hosts(known, live, now);
+        if has_changed {
+            self.reset_ranks();
+        }
         self.sharers.observe(self.quotas.sharers(), now);
     }
 
--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -137,9 +137,7 @@
 
     /// When the caller leaves if it receives nothing. Callers of streams tolerate a silence that is
     /// much shorter than their deadline: a request that waits longer is answered after its caller
-    /// has left, while a refusal before then lets the caller retry. With waits bounded by the
-    /// deadline alone, 78 of a busy minute's 9,117 requests, at nine hosts with 21 servers, waited
-    /// until their callers had left; with this bound 1 did.
+    /// has left, while a refusal before then lets the caller retry.
     pub fn caller_leaves_at(&self) -> Moment {
         let silence = self.spec.silence.filter(|_| self.spec.resume.is_none());
         let leaves_at = silence.map_or(self.spec.deadline, |silence| self.arrived_at + silence);
--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -11,6 +11,7 @@
     Dispatcher,
     breaker::Cause,
     choose::{Choice, Outcome},
+    path,
     request::{Change, End, Ticket, Unclear, Verdict},
     server::Server,
     stats::{duration, millis},
@@ -49,10 +50,10 @@
 impl Dispatcher {
     /// Checks for overdue responses, and for requests that are to be moved from their server.
     pub(super) fn check_overdue(&mut self, now: Moment, changes: &mut Vec<Change>) {
-        self.mark_stranded(now);
         let mut overdue: Vec<(Ticket, Attempt, Index)> = Vec::new();
         let mut leaving: Vec<Ticket> = Vec::new();
         for (ticket, task) in &mut self.tasks {
+            path::mark_stranded(task, &mut self.registry, now);
             if should_leave(task, &mut self.registry, now) {
                 leaving.push(*ticket);
             }
--- a/crates/policy/src/follow.rs
+++ b/crates/policy/src/follow.rs
@@ -16,8 +16,7 @@
 pub const SCOUTS: usize = 2;
 
 /// Number of hosts that add nothing to the pause. As many hosts as there are scouts make few calls,
-/// however soon they repeat them. In a fleet of nine hosts that each repeated the call after 40 ms,
-/// a minute took 3,094 calls to the store; with this number it took 2,406.
+/// however soon they repeat them.
 pub const UNPACED_HOSTS: usize = 2;
 
 /// Pause for each host beyond [`UNPACED_HOSTS`].
--- a/crates/policy/src/member/rendezvous.rs
+++ b/crates/policy/src/member/rendezvous.rs
@@ -20,9 +20,26 @@
     others: impl Iterator<Item = &'a S>,
     most: usize,
 ) -> bool {
+    before(key, own, others).take(most).count() < most
+}
+
+/// Returns how many others have a higher score than `own` under a key.
+pub fn rank<'a, S: AsRef<str> + 'a>(
+    key: &[u8],
+    own: &str,
+    others: impl Iterator<Item = &'a S>,
+) -> usize {
+    before(key, own, others).count()
+}
+
+/// Returns the candidates with a higher score than `own` under a key.
+fn before<'a, S: AsRef<str> + 'a>(
+    key: &[u8],
+    own: &str,
+    others: impl Iterator<Item = &'a S>,
+) -> impl Iterator<Item = &'a str> {
     let rank = (score(key, own), own);
-    let before = others.map(AsRef::as_ref).filter(|other| rank < (score(key, other), *other));
-    before.take(most).count() < most
+    others.map(AsRef::as_ref).filter(move |other| rank < (score(key, other), *other))
 }
 
 /// Uniform number from a seed and a counter.
--- a/crates/policy/src/paths.rs
+++ b/crates/policy/src/paths.rs
@@ -9,12 +9,11 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
 };
 
 use types::prelude::*;
 
-use crate::member::rendezvous;
+use crate::{fleet::Member, member::rendezvous};
 
 /// Number of other hosts that are asked for one connection.
 const MAX_GATEWAYS: usize = 3;
@@ -61,17 +60,6 @@
     Restored,
 }
 
-/// A host that may connect to servers on behalf of this one.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Gateway {
-    /// The host's id.
-    pub id: host::Id,
-    /// The host's availability zone.
-    pub zone: availability::Id,
-    /// Address at which the host listens for other hosts.
-    pub address: SocketAddr,
-}
-
 /// A server that is reached through other hosts.
 #[derive(Clone, Debug)]
 struct RelayedServer {
@@ -85,7 +73,8 @@
 pub struct Paths {
     host: host::Id,
     zone: availability::Id,
-    gateways: Vec<Gateway>,
+    /// Hosts that may connect to servers on behalf of this one.
+    gateways: Vec<Member>,
     /// When each gateway last failed to connect.
     failed_gateways: BTreeMap<host::Id, Moment>,
     /// Open connections through each gateway.
@@ -117,7 +106,7 @@
     }
 
     /// Replaces the hosts that may connect on behalf of this one.
-    pub fn set_gateways(&mut self, gateways: Vec<Gateway>) {
+    pub fn set_gateways(&mut self, gateways: Vec<Member>) {
         self.gateways = gateways;
     }
 
@@ -146,19 +135,19 @@
 
     /// Hosts to ask for a connection to a server, in this order; none shortly after none could
     /// connect to it.
-    pub fn gateways(&self, server: &backend::Id, now: Moment) -> Vec<Gateway> {
+    pub fn gateways(&self, server: &backend::Id, now: Moment) -> Vec<Member> {
         let is_unreachable =
             self.unreachable.get(server).is_some_and(|at| now < *at + UNREACHABLE_PAUSE);
         if is_unreachable {
             return Vec::new();
         }
-        let mut ranked: Vec<&Gateway> = self.gateways.iter().collect();
+        let mut ranked: Vec<&Member> = self.gateways.iter().collect();
         ranked.sort_by_cached_key(|gateway| self.rank(gateway, server, now));
-        let mut chosen: Vec<&Gateway> = Vec::new();
+        let mut chosen: Vec<&Member> = Vec::new();
         while chosen.len() < MAX_GATEWAYS && !ranked.is_empty() {
             // All hosts of a zone may be cut off together, so each is of another zone if possible.
-            let is_new_zone = |gateway: &&Gateway| {
-                !chosen.iter().any(|chosen: &&Gateway| chosen.zone == gateway.zone)
+            let is_new_zone = |gateway: &&Member| {
+                !chosen.iter().any(|chosen: &&Member| chosen.zone == gateway.zone)
             };
             let next = ranked.iter().position(is_new_zone).unwrap_or(0);
             chosen.push(ranked.remove(next));
@@ -170,7 +159,7 @@
     /// connections of this host and those of its zone come first.
     fn rank(
         &self,
-        gateway: &Gateway,
+        gateway: &Member,
         server: &backend::Id,
         now: Moment,
     ) -> (Option<Moment>, usize, Reverse<u64>) {
--- a/crates/policy/src/place/gain.rs
+++ b/crates/policy/src/place/gain.rs
@@ -233,12 +233,8 @@
 /// Returns for how many seconds a replica that is ready after `delay` seconds is expected to be of
 /// use, if work leaves its model at a constant rate, which is estimated.
 ///
-/// An estimate is used because demand may last longer than loads take: where loads take 3 to 6 s, a
-/// fixed time of 2.2 s beyond the mean load left a busy model at one replica for 6 s and at two for
-/// 8 s more. With nine hosts in front of 18 model servers, over five days with faults and three
-/// seeds each, the estimate, together with the immediate refusal of requests for which a load would
-/// be too late, raised the share of value served from 0.823 to 0.840, and that of the worst kind of
-/// request from 0.755 to 0.793.
+/// An estimate is used because demand may last longer than loads take: a short fixed time leaves a
+/// busy model with too few replicas where loads are slow.
 fn expected_use_s(draft: &Draft, delay: f64) -> f64 {
     let persistence = draft.demand.persistence_s();
     persistence * (-delay / persistence).exp()
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -158,6 +158,16 @@
         self.members.count()
     }
 
+    /// This host.
+    pub fn own(&self) -> &host::Id {
+        &self.own
+    }
+
+    /// Live hosts, including this one unless it is leaving.
+    pub fn live(&self) -> &[host::Id] {
+        &self.live
+    }
+
     /// Live hosts without this one.
     pub fn others(&self) -> impl Iterator<Item = &host::Id> {
         self.live.iter().filter(|host| **host != self.own)
--- a/crates/policy/tests/paths.rs
+++ b/crates/policy/tests/paths.rs
@@ -1,6 +1,9 @@
 //! Paths to servers: when other hosts are asked to connect, and which ones.
 
-use policy::paths::{Change, Gateway, Path, Paths};
+use policy::{
+    fleet::Member,
+    paths::{Change, Path, Paths},
+};
 use rstest::rstest;
 use types::prelude::*;
 
@@ -8,8 +11,9 @@
     Duration::from_millis(millis)
 }
 
-fn gateway(id: &str, zone: &str) -> Gateway {
-    Gateway { id: id.into(), zone: zone.into(), address: "127.0.0.1:1".parse().unwrap() }
+fn gateway(id: &str, zone: &str) -> Member {
+    let address = "127.0.0.1:1".parse().unwrap();
+    Member { id: id.into(), zone: zone.into(), address, incarnation: 1 }
 }
 
 /// Paths of a host in zone `a`, with two hosts in each of four zones besides it.
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -94,6 +94,8 @@
     pub(crate) unreadable_limits_log: LogLimiter,
     /// When the known servers were last confirmed by the store.
     pub(crate) servers_confirmed: Mutex<Moment>,
+    /// The source from which changes of the servers were last fetched.
+    pub(crate) server_source: Mutex<Option<Source>>,
     exchange: OnceLock<Weak<Exchange>>,
     /// Whether a planned stop has begun.
     leaving: AtomicBool,
@@ -158,6 +160,7 @@
             unreadable_servers_log: LogLimiter::default(),
             unreadable_limits_log: LogLimiter::default(),
             servers_confirmed: Mutex::default(),
+            server_source: Mutex::default(),
             exchange: OnceLock::new(),
             incarnation,
             host: settings.host,
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -6,16 +6,15 @@
 use std::{
     collections::{BTreeMap, BTreeSet, btree_map::Entry},
     io,
-    net::SocketAddr,
     pin::pin,
     sync::{Arc, Weak},
     time::Duration,
 };
 
-use exchange::{Exchange, Refusal, TunnelError};
+use exchange::{Exchange, Refusal, TunnelError, fleet::Member};
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use observe::story::{Belief, DependencyState, PathState, Text};
-use policy::paths::{Change, Gateway, Path};
+use policy::paths::{Change, Path};
 use tokio::{
     net::TcpStream,
     select,
@@ -88,34 +87,39 @@
         return Ok(connection);
     }
     let began = Instant::now();
-    let mut direct = pin!(connect::open(server.address));
+    let mut direct = pin!(open_direct(shared, server));
     let opened = select! {
         opened = &mut direct => Some(opened),
         () = sleep(HEDGE_DELAY) => None,
     };
     match opened {
-        Some(Ok(connection)) => {
-            shared.connected_directly(server);
-            Ok(connection)
-        }
+        Some(Ok(connection)) => Ok(connection),
         Some(Err(error)) => open_through_other(shared, server).await.ok_or(error),
         None => {
             let mut through_other = pin!(open_through_other(shared, server));
-            let opened = select! {
+            select! {
                 opened = &mut direct => opened,
                 Some(connection) = &mut through_other => {
                     match timeout_at(began + DIRECT_PREFERENCE, &mut direct).await {
                         Ok(Ok(direct)) => Ok(direct),
-                        Ok(Err(_)) | Err(_) => return Ok(connection),
+                        Ok(Err(_)) | Err(_) => Ok(connection),
                     }
                 }
                 else => direct.await,
-            };
-            opened.inspect(|_| shared.connected_directly(server))
+            }
         }
     }
 }
 
+/// Opens a direct connection to a server.
+///
+/// # Errors
+///
+/// The connection is refused or not established in time.
+async fn open_direct(shared: &Shared, server: &Server) -> io::Result<Connection> {
+    connect::open(server.address).await.inspect(|_| shared.connected_directly(server))
+}
+
 /// Opens a connection to a server through another host, if one can connect to it.
 async fn open_through_other(shared: &Arc<Shared>, server: &Server) -> Option<Connection> {
     let exchange = shared.exchange()?;
@@ -159,7 +163,7 @@
 
 async fn tunnel(
     exchange: &Exchange,
-    gateway: Gateway,
+    gateway: Member,
     server: &backend::Id,
 ) -> (host::Id, Result<TcpStream, Refusal>) {
     let opened = timeout(GATEWAY_TIMEOUT, exchange.tunnel(gateway.address, server)).await;
@@ -223,8 +227,7 @@
 
 /// Attempts a direct connection to a server that is reached through other hosts.
 async fn probe(shared: Arc<Shared>, server: Arc<Server>) {
-    if let Ok(Ok(connection)) = timeout(DIAL_TIMEOUT, connect::open(server.address)).await {
-        shared.connected_directly(&server);
+    if let Ok(Ok(connection)) = timeout(DIAL_TIMEOUT, open_direct(&shared, &server)).await {
         shared.pool.put(shared.now(), &server.id, server.address, connection, None);
     }
 }
@@ -249,7 +252,7 @@
     }
     let lasts = |(_, since): &(&service::Id, &Moment)| **since + YIELD_DELAY <= now;
     let mut lasting = partitions.iter().filter(lasts);
-    let is_yielding = lasting.any(|(service, _)| shared.has_engine(service));
+    let is_yielding = lasting.any(|(service, _)| shared.runs_models(service));
     shared.term().set_yielding(is_yielding);
 }
 
@@ -297,24 +300,8 @@
         self.pool.remove_direct(|id| servers.contains(id));
     }
 
-    /// Whether the servers of a service run models.
-    fn has_engine(&self, service: &service::Id) -> bool {
-        let declaration = self.declaration();
-        declaration.is_some_and(|declaration| {
-            let mut services = declaration.services.iter();
-            services.any(|declared| declared.name == *service && declared.engine.is_some())
-        })
-    }
-
     fn report_path(&self, server: &Server, state: PathState, via: Option<host::Id>) {
         self.logger.belief(Belief::Path { server: server.id.clone(), state, via });
         self.dispatch_wakeup.notify_one();
     }
-
-    /// Replaces the hosts that may connect to servers on behalf of this one.
-    pub(crate) fn set_gateways(&self, gateways: Vec<(host::Id, availability::Id, SocketAddr)>) {
-        let gateways = gateways.into_iter();
-        let gateways = gateways.map(|(id, zone, address)| Gateway { id, zone, address }).collect();
-        self.paths().set_gateways(gateways);
-    }
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -243,9 +243,7 @@
         .hosts
         .iter()
         .filter(|status| status.liveness == Liveness::Live && status.member.id != shared.host.id);
-    let gateways = live.map(|status| &status.member);
-    let gateways = gateways.map(|host| (host.id.clone(), host.zone.clone(), host.address));
-    shared.set_gateways(gateways.collect());
+    shared.paths().set_gateways(live.map(|status| status.member.clone()).collect());
     shared.drain(snapshot.servers.keys());
     shared.quota_hosts(snapshot);
     shared.observe_hosts(snapshot);
--- a/crates/relay/src/planning.rs
+++ b/crates/relay/src/planning.rs
@@ -70,7 +70,7 @@
         let Some(server) = shared.server(&id) else { continue };
         let is_limited = shared.dispatcher().quotas().limit(&id).is_some();
         let pause = if is_limited { LIMITED_REPORT_INTERVAL } else { REPORT_INTERVAL };
-        if shared.runs_models(&server) && shared.report_is_due(&id, now, pause) {
+        if shared.runs_models(&server.service) && shared.report_is_due(&id, now, pause) {
             tokio::spawn(report(shared.clone(), server));
         }
     }
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -101,6 +101,15 @@
         *current = current.max(at);
     }
 
+    /// Logs the source from which changes of the servers were fetched, if it is not the one before.
+    pub(crate) fn report_server_source(&self, from: Source, age: Duration, why: &'static str) {
+        let mut current = self.server_source.lock().unwrap_or_else(PoisonError::into_inner);
+        if current.as_ref() != Some(&from) {
+            *current = Some(from.clone());
+            self.logger.belief(Belief::ServerSource { from, age, why: Text::Borrowed(why) });
+        }
+    }
+
     /// Returns how long ago the store last confirmed the known servers.
     pub(crate) fn servers_age(&self) -> Duration {
         let current = *self.servers_confirmed.lock().unwrap_or_else(PoisonError::into_inner);
@@ -181,7 +190,7 @@
             self.forget_run(&earlier.id);
         }
         let now = self.now();
-        if self.runs_models(&server) {
+        if self.runs_models(&server.service) {
             self.planner().register_server(&server, now);
         }
         let was_used = self.dispatcher().is_ready(&server.id);
@@ -341,8 +350,8 @@
     }
 
     /// Returns whether a server belongs to a service that is declared with an engine.
-    pub(crate) fn runs_models(&self, server: &Server) -> bool {
-        self.declaration().is_some_and(|declaration| has_engine(&declaration, &server.service))
+    pub(crate) fn runs_models(&self, service: &service::Id) -> bool {
+        self.declaration().is_some_and(|declaration| has_engine(&declaration, service))
     }
 
     /// Registers with the planner the servers that were known before their service was declared.
@@ -353,7 +362,7 @@
         let servers: Vec<Arc<Server>> =
             self.directory().servers().filter(|s| !was_known(s)).cloned().collect();
         let now = self.now();
-        for server in servers.iter().filter(|server| self.runs_models(server)) {
+        for server in servers.iter().filter(|server| self.runs_models(&server.service)) {
             self.planner().register_server(server, now);
         }
         self.plan_wakeup.notify_one();
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -77,15 +77,24 @@
     let mut since = since;
     let mut hedge = Hedge::new(shared, kind);
     loop {
-        if kind == ObjectKind::Server && follow_relay(shared).await {
-            since = since.max(shared.revision());
-            continue;
+        let mut why_store = "";
+        if kind == ObjectKind::Server {
+            match follow_relay(shared).await {
+                Ok(()) => {
+                    since = since.max(shared.revision());
+                    continue;
+                }
+                Err(unused) => why_store = unused.as_str(),
+            }
         }
         match hedge.next(since, shared.watch(kind)).await {
             StoreReply::Seen(batch) => {
                 match kind {
                     ObjectKind::Declaration => shared.confirm_declaration(),
-                    _ => shared.confirm_servers(Duration::ZERO),
+                    _ => {
+                        shared.confirm_servers(Duration::ZERO);
+                        shared.report_server_source(Source::Store, Duration::ZERO, why_store);
+                    }
                 }
                 since = since.max(batch.revision);
                 let has_changes = !batch.changes.is_empty();
@@ -100,22 +109,40 @@
     }
 }
 
-/// Fetches changes of the servers from this host's relay instead of the store. Returns whether the
-/// response is recent enough.
-async fn follow_relay(shared: &Arc<Shared>) -> bool {
-    let Some((exchange, relay)) = shared.relay() else { return false };
+/// Why a host does not fetch changes of the servers from a relay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unused {
+    NoRelay,
+    Unanswered,
+    Outdated,
+}
+
+impl Unused {
+    fn as_str(self) -> &'static str {
+        match self {
+            Unused::NoRelay => "this host follows no relay",
+            Unused::Unanswered => "the relay did not answer",
+            Unused::Outdated => "the relay's list is too old",
+        }
+    }
+}
+
+/// Fetches changes of the servers from this host's relay instead of the store.
+async fn follow_relay(shared: &Arc<Shared>) -> Result<(), Unused> {
+    let (exchange, relay) = shared.relay().ok_or(Unused::NoRelay)?;
     sleep(follow::relay_poll_interval(shared.routed.drain)).await;
     let requested_at = shared.now();
     let Ok(Some(list)) = exchange.follow(relay.address, shared.revision()).await else {
-        return false;
+        return Err(Unused::Unanswered);
     };
     let age = list.age + shared.now().saturating_sub(requested_at);
     if !follow::is_recent(age, shared.routed.drain) {
-        return false;
+        return Err(Unused::Outdated);
     }
     shared.confirm_servers(age);
     shared.apply_peer_servers(list, &relay.id);
-    true
+    shared.report_server_source(Source::Peer(relay.id), age, "the relay answered");
+    Ok(())
 }
 
 impl Shared {
--- a/crates/relay/src/workload.rs
+++ b/crates/relay/src/workload.rs
@@ -6,11 +6,6 @@
 //! that together these prompts pause the streams for longer than any of the hosts would have
 //! allowed. Work in flight is therefore published far more often than everything else
 //! ([`peers`](crate::peers)): every [`CHECK_INTERVAL`], if it has changed.
-//!
-//! With nine hosts in front of 18 model servers, over five days with faults and three seeds each,
-//! the share of streams that were in time, for the kind of request with the lowest share, rose from
-//! 0.68 to 0.78, compared with work published every 60 ms and forwarded every 30 ms. A host then
-//! uses 0.06 to 0.07 of a core on average.
 
 use std::sync::Arc;
 
--- a/crates/standin/src/routed/soak/schedule.rs
+++ b/crates/standin/src/routed/soak/schedule.rs
@@ -346,57 +346,52 @@
 
 /// Draws when a poison request is sent. Half of all seeds draw no such time.
 fn poison(seed: u64, end: Duration) -> Vec<PlannedFault> {
-    let mut random = ChaCha8Rng::seed_from_u64(seed ^ POISON_SEED_MASK);
-    let mut planned = Vec::new();
-    let mut at = WARM_UP.min(end / 4);
-    if random.random_bool(0.5) {
-        return planned;
-    }
-    while at < end {
-        let duration = Duration::from_millis(random.random_range(POISON_DURATION_MS)).min(end - at);
-        planned.push(PlannedFault { at, duration, fault: Fault::Poison });
-        at += duration + Duration::from_millis(random.random_range(POISON_DURATION_MS));
-    }
-    planned
+    let random = ChaCha8Rng::seed_from_u64(seed ^ POISON_SEED_MASK);
+    alternate(random, 0.5, POISON_DURATION_MS, end, |_| Fault::Poison)
 }
 
-/// Draws partitions between hosts and all servers, one after the other. Half of all seeds draw none.
+/// Draws partitions between hosts and all servers. Half of all seeds draw none.
 fn partitions(seed: u64, hosts: usize, end: Duration) -> Vec<PlannedFault> {
-    let mut random = ChaCha8Rng::seed_from_u64(seed ^ PARTITION_SEED_MASK);
-    let mut planned = Vec::new();
-    let mut at = WARM_UP.min(end / 4);
-    if random.random_bool(0.5) {
-        return planned;
-    }
-    while at < end {
-        let duration = Duration::from_millis(random.random_range(PARTITION_DURATION_MS));
+    let random = ChaCha8Rng::seed_from_u64(seed ^ PARTITION_SEED_MASK);
+    alternate(random, 0.5, PARTITION_DURATION_MS, end, |random| {
         let host = random.random_range(0..hosts);
         let partitioned = match random.random_range(0..3) {
             0 => Partitioned::One(host),
             1 => Partitioned::Zone(host),
             _ => Partitioned::AllBut(host),
         };
-        let cut = Cut::ALL.choose(&mut random).copied().unwrap_or(Cut::Hang);
-        let fault = Fault::Partition(partitioned, cut);
-        planned.push(PlannedFault { at, duration: duration.min(end - at), fault });
-        at += duration + Duration::from_millis(random.random_range(PARTITION_DURATION_MS));
-    }
-    planned
+        let cut = Cut::ALL.choose(random).copied().unwrap_or(Cut::Hang);
+        Fault::Partition(partitioned, cut)
+    })
 }
 
 /// Draws times in which the plain servers are brittle. Three of four seeds draw none.
 fn brittle_times(seed: u64, end: Duration) -> Vec<PlannedFault> {
-    let mut random = ChaCha8Rng::seed_from_u64(seed ^ BRITTLE_SEED_MASK);
+    let random = ChaCha8Rng::seed_from_u64(seed ^ BRITTLE_SEED_MASK);
+    alternate(random, 0.75, BRITTLE_DURATION_MS, end, |random| {
+        Fault::Brittle(0, random.random_range(TOLERATED))
+    })
+}
+
+/// Draws faults one after the other, with a duration and a pause after each from the same range;
+/// none with the probability `none`.
+fn alternate(
+    mut random: ChaCha8Rng,
+    none: f64,
+    duration_ms: std::ops::Range<u64>,
+    end: Duration,
+    draw: impl Fn(&mut ChaCha8Rng) -> Fault,
+) -> Vec<PlannedFault> {
     let mut planned = Vec::new();
-    let mut at = WARM_UP.min(end / 4);
-    if random.random_bool(0.75) {
+    if random.random_bool(none) {
         return planned;
     }
+    let mut at = WARM_UP.min(end / 4);
     while at < end {
-        let duration = Duration::from_millis(random.random_range(BRITTLE_DURATION_MS));
-        let fault = Fault::Brittle(0, random.random_range(TOLERATED));
-        planned.push(PlannedFault { at, duration: duration.min(end - at), fault });
-        at += duration + Duration::from_millis(random.random_range(BRITTLE_DURATION_MS));
+        let duration =
+            Duration::from_millis(random.random_range(duration_ms.clone())).min(end - at);
+        planned.push(PlannedFault { at, duration, fault: draw(&mut random) });
+        at += duration + Duration::from_millis(random.random_range(duration_ms.clone()));
     }
     planned
 }
