Show that a group whose relay is lost hears of leaving servers too late

Ruled out: that a second fault is needed; a relay that is frozen or cut off is enough. Change: tests only. 24 real hosts, one relay frozen, killed or cut off while 16 servers leave one after the other; notices under virtual time at 17 to 350 hosts whose relays do not respond.

--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -9,6 +9,7 @@
 mod partition;
 mod pauses;
 mod poison;
+mod relays;
 mod restarts;
 mod serving;
 mod silence;
