Send notices around relays that do not respond

Cause: notices enter and leave a group through its relay alone, which is replaced after 6 s of silence, and hosts ask that same relay for news of servers. One host is both ways. Change: a host that doesn't acknowledge two sendings of a notice (150 ms) or doesn't answer a call is set aside by the host that saw it, until packets come from it a second later. The notice goes to the next host of that group, which forwards what comes from outside; an origin whose relay is set aside sends to the other groups itself. A host asks the next of its group for news of servers; one that is next itself follows the store at a relay's pace. The tables and their sums keep their relay. Conclusion: a group has as many ways in as it has hosts. Crashes and limits still wait for the tables.

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -223,6 +223,11 @@
         self.shared.with(|fleet, _| fleet.is_grouped())
     }
 
+    /// Records that a host did not respond to a call.
+    pub fn report_unresponsive(&self, host: &host::Id) {
+        self.shared.with(|fleet, now| fleet.report_unresponsive(now, host));
+    }
+
     /// Returns this host's place in the gossip topology.
     pub fn tier(&self) -> Tier {
         self.shared.with(|fleet, _| fleet.tier())
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -17,6 +17,7 @@
 mod aggregate;
 mod candidates;
 mod fact;
+mod failover;
 mod fanout;
 mod hosts;
 mod link;
@@ -40,7 +41,7 @@
     fanout::{Fanout, Ranks},
     hosts::Hosts,
     local_table::LocalTable,
-    notice::{Outbox, Window},
+    notice::{Audience, Outbox, Window},
     wire::{Body, Item, Number, Packet, Run, Scope},
 };
 pub use self::{
@@ -296,7 +297,7 @@
             Recipients::All => self.multicast(now, &item, None),
             Recipients::Host(id) => {
                 let target = self.locate(&id).ok_or(UnknownHost(id))?;
-                self.outbox.push(now, target, item);
+                self.outbox.push(now, target, item, Audience::One);
             }
         }
         self.flush_notices(now);
--- a/crates/policy/src/fleet/fanout.rs
+++ b/crates/policy/src/fleet/fanout.rs
@@ -8,7 +8,7 @@
 //! and the aggregated table of all other groups to its group. So what a host sends is bounded by
 //! the size of a group and the number of groups, and a fact reaches every host in three steps.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 use types::{availability, host, time::Moment};
 
@@ -53,8 +53,11 @@
     /// Hosts that are not silent, this one among them.
     hosts: usize,
     targets: BTreeMap<host::Id, &'static [Scope]>,
-    /// The relay of this host's group.
-    relay: Option<host::Id>,
+    /// The hosts of this host's group, this one among them, in the order in which they are its
+    /// relay. Empty in a deployment that is not grouped.
+    group: Vec<host::Id>,
+    /// The hosts of each other group, likewise.
+    other_groups: Vec<Vec<host::Id>>,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -82,7 +85,7 @@
     pub(super) fn sources(&self) -> impl Iterator<Item = (&host::Id, Scope, Provenance)> {
         self.targets.iter().flat_map(|(id, scopes)| match (self.role, *scopes) {
             (Role::Equal, _) => vec![(id, Scope::Own, Provenance::Direct)],
-            (Role::Member, [Scope::Own]) if self.relay.as_ref() == Some(id) => {
+            (Role::Member, [Scope::Own]) if self.relay() == Some(id) => {
                 vec![
                     (id, Scope::Own, Provenance::Direct),
                     (id, Scope::Rest, Provenance::Aggregated),
@@ -109,7 +112,22 @@
 
     /// Returns the relay of this host's group, which may be this host.
     pub(super) fn relay(&self) -> Option<&host::Id> {
-        self.relay.as_ref()
+        self.group.first()
+    }
+
+    /// Returns the hosts of this host's group, in the order in which they are its relay.
+    pub(super) fn group(&self) -> &[host::Id] {
+        &self.group
+    }
+
+    /// Returns the hosts of each other group, in the order in which they are its relay.
+    pub(super) fn other_groups(&self) -> impl Iterator<Item = &[host::Id]> {
+        self.other_groups.iter().map(Vec::as_slice)
+    }
+
+    /// Returns the group of a host that is not of this host's group.
+    pub(super) fn group_of(&self, id: &host::Id) -> Option<&[host::Id]> {
+        self.other_groups().find(|group| group.contains(id))
     }
 
     pub(super) fn is_relay(&self) -> bool {
@@ -210,15 +228,18 @@
         let hosts = peers.len() + 1;
         if peers.len() < self.settings.full_mesh_limit {
             let targets = peers.iter().map(|peer| (peer.member.id.clone(), OWN_TABLE));
-            return Fanout { role: Role::Equal, hosts, targets: targets.collect(), relay: None };
+            return Fanout { hosts, targets: targets.collect(), ..Fanout::default() };
         }
         let mut members: Vec<_> = peers.iter().map(|peer| (peer.ranks, &peer.member)).collect();
         members.push((self.ranks, &self.member));
         let groups = groups(&members, self.settings.full_mesh_limit);
         let is_own = |group: &&Vec<Ranked>| group.iter().any(|(_, one)| one.id == self.member.id);
         let (own, others): (Vec<_>, Vec<_>) = groups.iter().partition(is_own);
-        let relay = own.iter().find_map(|group| self.relay(now, group));
-        let role = match &relay {
+        let ranked = |groups: &[&Vec<Ranked>]| -> Vec<_> {
+            groups.iter().map(|group| self.ranked(now, group)).collect()
+        };
+        let (group, other_groups) = (ranked(&own).concat(), ranked(&others));
+        let role = match group.first() {
             Some(id) if *id == self.member.id => Role::Relay,
             _ => Role::Member,
         };
@@ -231,22 +252,24 @@
             senders.map(|peer| (peer.member.id.clone(), NO_TABLES)).collect();
         targets.extend(own.into_iter().flatten().map(|(_, one)| (one.id.clone(), scopes)));
         if role == Role::Relay {
-            let relays = others.iter().filter_map(|group| self.relay(now, group));
+            let relays = other_groups.iter().filter_map(|group| group.first().cloned());
             targets.extend(relays.map(|id| (id, RELAY_TO_RELAY)));
         }
         targets.remove(&self.member.id);
-        Fanout { role, hosts, targets, relay }
+        Fanout { role, hosts, targets, group, other_groups }
     }
 
-    /// Returns the relay of a group: the highest-ranked host, one that is not leaving if there is
-    /// one.
-    fn relay(&self, now: Moment, group: &[Ranked]) -> Option<host::Id> {
+    /// Returns the hosts of a group in the order in which they are its relay: by rank, those that
+    /// are leaving last.
+    fn ranked(&self, now: Moment, group: &[Ranked]) -> Vec<host::Id> {
         let is_leaving = |one: &Member| match self.hosts.get(&one.id) {
             Some(peer) => peer.liveness(now) == Liveness::Leaving,
             None => self.state(now) == State::Leaving,
         };
-        let rank = |(ranks, one): &&Ranked| (!is_leaving(one), ranks.relay);
-        group.iter().max_by_key(rank).map(|(_, one)| one.id.clone())
+        let rank = |(ranks, one): &Ranked| Reverse((!is_leaving(one), ranks.relay));
+        let mut group = group.to_vec();
+        group.sort_by_cached_key(rank);
+        group.into_iter().map(|(_, one)| one.id.clone()).collect()
     }
 }
 
--- a/crates/policy/src/fleet/hosts.rs
+++ b/crates/policy/src/fleet/hosts.rs
@@ -17,6 +17,10 @@
     wire::{Run, Scope},
 };
 
+/// Time after a host did not respond from which a packet shows that it responds again. Packets that
+/// arrive sooner may have been in transit.
+const UNRESPONSIVE_PERIOD: Duration = Duration::from_secs(1);
+
 /// Packets of a replaced run after which it is taken for the current one again.
 const PACKETS_TO_REINSTATE: u32 = 3;
 
@@ -27,6 +31,8 @@
     /// Highest packet count received from the peer's run.
     pub(super) count: u32,
     pub(super) last_received: Moment,
+    /// When the peer last failed to acknowledge a notice or to answer a call.
+    pub(super) unresponsive_at: Option<Moment>,
     /// When the last digest that wants an answer arrived.
     pub(super) last_digest: Option<Moment>,
     /// Since when the peer has been a target of this host's digests.
@@ -47,6 +53,7 @@
             member,
             count,
             last_received: now,
+            unresponsive_at: None,
             last_digest: None,
             target_since: None,
             contact: Contact::default(),
@@ -61,6 +68,13 @@
         self.contact != Contact::Alive
     }
 
+    /// Whether the peer responds, as far as is known. A peer that did not is told from a silent one
+    /// within a fraction of a second, but may respond again any time.
+    pub(super) fn is_responsive(&self) -> bool {
+        let has_returned = |at| at + UNRESPONSIVE_PERIOD <= self.last_received;
+        !self.is_silent() && self.unresponsive_at.is_none_or(has_returned)
+    }
+
     /// Records whether the peer is a target of digests, and marks it silent if no packet arrived
     /// within the timeout.
     pub(super) fn update_contact(&mut self, now: Moment, silence: Duration, exchange: Exchange) {
--- a/crates/policy/src/fleet/notice.rs
+++ b/crates/policy/src/fleet/notice.rs
@@ -29,6 +29,9 @@
 /// Most times that a notice is sent to one host.
 const MAX_SENDS: u32 = 5;
 
+/// Times that a notice is sent to one host before that host counts as unresponsive.
+const SENDS_BEFORE_FAILOVER: u32 = 2;
+
 /// Delay before a notice is sent the second time; doubled with each further sending.
 const FIRST_RESEND_DELAY: Duration = Duration::from_millis(50);
 
@@ -119,10 +122,18 @@
     Host(host::Id),
 }
 
+/// Hosts for which a notice is meant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Audience {
+    One,
+    All,
+}
+
 /// A notice that waits for its acknowledgement.
 #[derive(Debug)]
 struct Waiting {
     item: Item,
+    audience: Audience,
     sends: u32,
     next: Moment,
 }
@@ -152,12 +163,14 @@
     queues: BTreeMap<Target, Queue>,
     /// Number of notices in all queues.
     length: usize,
+    /// Notices for all hosts that a run has not acknowledged in time, and that are sent on.
+    unanswered: Vec<(Run, Item)>,
     /// Notices that were given up after [`MAX_SENDS`], or never queued because the outbox was full.
     pub(super) lost: u64,
 }
 
 impl Outbox {
-    pub(super) fn push(&mut self, now: Moment, target: Target, item: Item) {
+    pub(super) fn push(&mut self, now: Moment, target: Target, item: Item, audience: Audience) {
         if self.length >= MAX_WAITING {
             self.lost += 1;
             return;
@@ -168,7 +181,7 @@
             .entry(target)
             .or_insert_with(|| Queue { waiting: Vec::new(), earliest: now });
         queue.earliest = queue.earliest.min(now);
-        queue.waiting.push(Waiting { item, sends: 0, next: now });
+        queue.waiting.push(Waiting { item, audience, sends: 0, next: now });
     }
 
     /// Returns the time at which the next notice is due.
@@ -198,12 +211,25 @@
             let before = queue.waiting.len();
             queue.waiting.retain(|one| now < one.next || one.sends < MAX_SENDS);
             self.lost += (before - queue.waiting.len()) as u64;
+            let is_unanswered = |one: &&Waiting| {
+                one.next <= now
+                    && one.sends == SENDS_BEFORE_FAILOVER
+                    && one.audience == Audience::All
+            };
+            let unanswered = queue.waiting.iter().filter(is_unanswered);
+            self.unanswered.extend(unanswered.map(|one| (target.run, one.item.clone())));
             batches.extend(pack(queue.due(now)).into_iter().map(|batch| (target.address, batch)));
         }
         self.remove_empty();
         batches
     }
 
+    /// Takes the notices for all hosts that were not acknowledged in time, each with the run that
+    /// did not acknowledge it.
+    pub(super) fn take_unanswered(&mut self) -> Vec<(Run, Item)> {
+        std::mem::take(&mut self.unanswered)
+    }
+
     /// Returns the queues of a run: one for each address at which it was known.
     fn of(&mut self, run: Run) -> impl Iterator<Item = (&Target, &mut Queue)> {
         let first = Target { run, address: MIN_ADDRESS };
--- a/crates/policy/src/fleet/send.rs
+++ b/crates/policy/src/fleet/send.rs
@@ -12,8 +12,8 @@
     hosts::{Exchange, Peer},
     link::PendingAck,
     local_table::SizeLimit,
-    notice::{self, Target},
-    wire::{self, Body, DATAGRAM_BYTES, Digest, HEAD_BYTES, Hello, Item, Reply, Run, Scope},
+    notice,
+    wire::{self, Body, DATAGRAM_BYTES, Digest, HEAD_BYTES, Hello, Reply, Scope},
 };
 
 /// Time between greetings that each name some of the known hosts to one host, in turn.
@@ -293,35 +293,6 @@
         let live = self.hosts.iter().filter(|peer| !peer.is_silent());
         live.map(|peer| peer.member.clone()).collect()
     }
-
-    /// Forwards a notice, if this host is a relay.
-    pub(super) fn forward(&mut self, now: Moment, from: Run, item: &Item) {
-        if self.fanout.is_relay() {
-            self.multicast(now, item, Some(from));
-        }
-    }
-
-    /// Sends a notice to all targets of digests, except to its origin and to the host that
-    /// forwarded it.
-    pub(super) fn multicast(&mut self, now: Moment, item: &Item, except: Option<Run>) {
-        let targets =
-            self.fanout.targets().filter_map(|(id, _)| self.hosts.get(id)).filter(|peer| {
-                let run = peer.member.run();
-                Some(run) != except && run != item.origin
-            });
-        let targets: Vec<_> = targets
-            .map(|peer| Target { run: peer.member.run(), address: peer.member.address })
-            .collect();
-        for target in targets {
-            self.outbox.push(now, target, item.clone());
-        }
-    }
-
-    pub(super) fn flush_notices(&mut self, now: Moment) {
-        for (address, items) in self.outbox.due(now) {
-            self.put(address, Body::Notices(items));
-        }
-    }
 }
 
 /// Returns the pause between greetings to a host that is silent or, as a target of digests, sent
--- a/crates/policy/src/fleet/snapshot.rs
+++ b/crates/policy/src/fleet/snapshot.rs
@@ -36,11 +36,11 @@
 /// A host's position in the exchange of digests.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Tier {
-    /// The deployment is not grouped, or this host's group has no relay that it is in contact with.
+    /// The deployment is not grouped.
     Equal,
-    /// This host is the relay of its group.
+    /// This host is the relay of its group, or takes the place of one that does not respond.
     Relay,
-    /// This host's group has another host as its relay.
+    /// Another host is the relay of this host's group, or takes its place.
     Member(Member),
 }
 
@@ -155,17 +155,6 @@
         self.fanout.is_grouped()
     }
 
-    /// Returns this host's position in the exchange of digests.
-    pub fn tier(&self) -> Tier {
-        let relay = self.fanout.relay().and_then(|id| self.hosts.get(id));
-        match relay {
-            _ if !self.fanout.is_grouped() => Tier::Equal,
-            _ if self.fanout.is_relay() => Tier::Relay,
-            Some(peer) if !peer.is_silent() => Tier::Member(peer.member.clone()),
-            Some(_) | None => Tier::Equal,
-        }
-    }
-
     /// Least time between two digests that a host sends or receives.
     pub fn interval(&self) -> Duration {
         match self.fanout.is_grouped() {
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -161,6 +161,7 @@
         timeout(limit, exchange.follow(relay.address, shared.revision())).await
     else {
         schedule.peer_failed();
+        exchange.report_unresponsive(&relay.id);
         return Err(Unused::Unanswered);
     };
     let now = shared.now();
