Send only notices with a bound around relays that do not respond

Suspected: every notice of loaded and unloaded models went around as well, out of the budget that digests of work in flight share. Change: notices of leaving servers, declarations, limits and the lease take these ways; the others as before.

--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -188,7 +188,8 @@
     Refused,
     /// The connection was not established in time.
     Timeout,
-    /// A pooled connection had been closed, which says nothing about the server.
+    /// A pooled connection had been closed, or the server takes no new requests any more; neither
+    /// is a failure of the server.
     Closed,
 }
 
--- a/crates/policy/src/fleet/failover.rs
+++ b/crates/policy/src/fleet/failover.rs
@@ -10,7 +10,9 @@
 //! - a host asks the next host of its group for news of servers, and the store if it is the next
 //!   one itself.
 //!
-//! Hosts need not agree on who is set aside: a notice that arrives twice counts once.
+//! Hosts need not agree on who is set aside: a notice that arrives twice counts once. Only notices on
+//! which hosts must act within a time take these ways: the others are most of the traffic, and
+//! digests share a budget of bytes with them.
 
 use std::collections::BTreeSet;
 
@@ -51,6 +53,9 @@
             return self.multicast(now, item, Some(from));
         }
         let group = self.fanout.group();
+        if Audience::of(&item.notice) != Audience::All {
+            return;
+        }
         let is_in_group =
             self.hosts.by_run(from).is_none_or(|peer| group.contains(&peer.member.id));
         if !is_in_group {
@@ -65,7 +70,8 @@
         let mut targets: BTreeSet<_> =
             self.fanout.targets().filter_map(|(id, _)| self.target(id)).collect();
         let is_origin = item.origin == self.member.run();
-        if self.fanout.is_relay() || is_origin && !self.has_responsive_relay() {
+        let enters_groups = self.fanout.is_relay() || is_origin && !self.has_responsive_relay();
+        if enters_groups && Audience::of(&item.notice) == Audience::All {
             targets.extend(self.entries());
         }
         self.push_to(now, targets, item, except);
@@ -132,9 +138,10 @@
         item: &Item,
         except: Option<Run>,
     ) {
+        let audience = Audience::of(&item.notice);
         let is_wanted = |run| Some(run) != except && run != item.origin;
         for target in targets.into_iter().filter(|target| is_wanted(target.run)) {
-            self.outbox.push(now, target, item.clone(), Audience::All);
+            self.outbox.push(now, target, item.clone(), audience);
         }
     }
 }
--- a/crates/policy/src/fleet/notice.rs
+++ b/crates/policy/src/fleet/notice.rs
@@ -113,6 +113,25 @@
     },
 }
 
+impl Notice {
+    /// Whether hosts must act on the notice within a time, so that it is sent around hosts that do
+    /// not respond. The others are many, and cost only what a wrong guess costs.
+    fn is_bounded(&self) -> bool {
+        match self {
+            Notice::ServerLeaving { .. }
+            | Notice::DeclarationInForce { .. }
+            | Notice::LimitChanged { .. }
+            | Notice::LeaseAcquired { .. } => true,
+            Notice::LoadRequested { .. }
+            | Notice::Loaded { .. }
+            | Notice::Unloaded { .. }
+            | Notice::Quota(_)
+            | Notice::Loan(_)
+            | Notice::Demand(_) => false,
+        }
+    }
+}
+
 /// Recipients of a notice.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Recipients {
@@ -125,8 +144,19 @@
 /// Hosts for which a notice is meant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Audience {
+    /// One host.
     One,
+    /// All hosts, whichever relays respond.
     All,
+    /// All hosts whose relays respond.
+    Reachable,
+}
+
+impl Audience {
+    /// Returns the audience of a notice to all hosts.
+    pub(super) fn of(notice: &Notice) -> Audience {
+        if notice.is_bounded() { Audience::All } else { Audience::Reachable }
+    }
 }
 
 /// A notice that waits for its acknowledgement.
@@ -163,7 +193,7 @@
     queues: BTreeMap<Target, Queue>,
     /// Number of notices in all queues.
     length: usize,
-    /// Notices for all hosts that a run has not acknowledged in time, and that are sent on.
+    /// Notices that a run has not acknowledged in time, and that are sent around it.
     unanswered: Vec<(Run, Item)>,
     /// Notices that were given up after [`MAX_SENDS`], or never queued because the outbox was full.
     pub(super) lost: u64,
@@ -224,8 +254,7 @@
         batches
     }
 
-    /// Takes the notices for all hosts that were not acknowledged in time, each with the run that
-    /// did not acknowledge it.
+    /// Takes the notices that are to be sent around a host, each with the run of that host.
     pub(super) fn take_unanswered(&mut self) -> Vec<(Run, Item)> {
         std::mem::take(&mut self.unanswered)
     }
