Send no request to a server that left while the connection was made

Cause: a request's server is chosen before its connection is established. A connection through another host takes up to 0.5 s and more, in which this host may hear that the server leaves; nothing looked again. Ruled out: direct connections alone, which end after 0.8 s and are not retried by the kernel within that. Change: the server's state is looked at again before the first byte; the attempt ends as one without a connection, which says nothing about the server. Conclusion: a host that knows does not send.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -137,6 +137,10 @@
         None => paths::open(shared, server).await.map_err(|error| unreachable(&error))?,
     };
     call.trace.connected(attempt.started_at.elapsed(), server, connection.gateway());
+    // A connection may take longer than the news that the server leaves.
+    if !shared.dispatcher().is_ready(&server.id) {
+        return Err(AttemptEnd::Unreachable(Unreachable::Closed));
+    }
     let path = connection.path();
     let sent_at = shared.now();
     shared.dispatcher().sent(buffered.ticket, path, sent_at);
--- a/crates/stage/tests/routed/partition.rs
+++ b/crates/stage/tests/routed/partition.rs
@@ -1,8 +1,9 @@
 //! Hosts that are partitioned from all servers while the store and the other hosts reach them.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use http::StatusCode;
+use nix::sys::signal::Signal;
 use rstest::rstest;
 use serde_json::Value;
 use standin::routed::{caller::RequestSpec, host::Host, server_links::Cut, site::Site, until};
@@ -106,3 +107,29 @@
     .await;
     assert!(cut_at.elapsed() < DETECTION_TIME + 2 * HANDOVER_GAP, "{:?}", cut_at.elapsed());
 }
+
+/// A request's server is chosen before a connection through another host is established.
+#[tokio::test]
+async fn a_server_that_leaves_while_another_host_connects_gets_no_request() {
+    let site = linked_site(2).await;
+    until_served(&site, 0).await;
+    let servers = ["app-1", "app-2"].map(|id| site.backend.server(id));
+    site.backend.server_links().cut(0, Cut::Reset);
+    site.hosts[1].signal(Signal::SIGSTOP);
+    let mut caller = site.hosts[0].caller();
+    let pending =
+        tokio::spawn(async move { caller.fetch(&ticket().deadline(Some(SHORT_DEADLINE))).await });
+    sleep(SHORT_DEADLINE / 10).await;
+    servers.iter().for_each(|server| server.drain(None));
+    let leaving = || {
+        let lines = stories(&site.hosts[0]).filter(|line| line["standing"] == "leaving");
+        lines.map(|line| line["server"].to_string()).collect::<BTreeSet<_>>().len()
+    };
+    until("the host knows that both leave", async || leaving() == servers.len()).await;
+    let arrivals = || servers.iter().map(|server| server.arrivals().len()).sum::<usize>();
+    let before = arrivals();
+    site.hosts[1].signal(Signal::SIGCONT);
+    let answer = pending.await.expect("the caller ends").expect("an answer");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(arrivals(), before);
+}
