Keep a restarted server left alone that a peer said is leaving

Ruled out: entries written after the notice, which prevail as before (second case of the test). Change: the notice's revision is kept by the server's name, and the dispatcher is told with the registration. Figures: a_later_run_of_a_leaving_server_leaves_until_its_entry_is_written, case not_written_since: red before, green after. Conclusion: not shown to be the users' cause.

--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -105,7 +105,8 @@
             return None;
         }
         let server = Arc::new(server);
-        let left_at = self.entries.get(&server.id).and_then(|known| known.left_at);
+        let known = self.runs.get(&server.name).and_then(|run| self.entries.get(run));
+        let left_at = known.and_then(|known| known.left_at);
         let presence = Presence::Registered;
         let entry = Entry { server: server.clone(), written, presence, left_at };
         self.entries.insert(server.id.clone(), entry);
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -195,6 +195,9 @@
         }
         let was_used = self.dispatcher().is_ready(&server.id);
         self.dispatcher().server(&server, now);
+        if self.directory().is_leaving(&server.id) {
+            self.dispatcher().draining(&server.id);
+        }
         if was_leaving && !self.directory().is_leaving(&server.id) {
             self.dispatcher().resume(&server.id);
             let why = "it was registered after a peer said that it leaves";
--- a/crates/relay/tests/directory.rs
+++ b/crates/relay/tests/directory.rs
@@ -207,3 +207,18 @@
     let directory = directory_at(9, Some(7));
     assert_eq!(directory.is_newer(&"s1".into(), removed), is_newer);
 }
+
+#[rstest]
+#[case::not_written_since(5, true)]
+#[case::written_since(8, false)]
+fn a_later_run_of_a_leaving_server_leaves_until_its_entry_is_written(
+    #[case] written: u64,
+    #[case] is_leaving: bool,
+) {
+    let mut directory = Directory::default();
+    directory.put(server(&[]), 5);
+    directory.mark_leaving(&"s1".into(), 7);
+    let run = Server { id: "s1@2".into(), started_at: 2, ..server(&[]) };
+    directory.put(run, written).expect("a later run replaces the known one");
+    assert_eq!(directory.is_leaving(&"s1@2".into()), is_leaving);
+}
