Report crashes by notices, so that all hosts know of them in time

What callers saw: nothing yet; the same class of fault elsewhere: crashes of servers under a request travel in tables alone, which wait for budgets and for a relay that is replaced after 6 s. Ruled out: more bytes for tables, which the target's 7 KB/s a node forbids. Tables carry crashes as before.

--- a/crates/policy/src/dispatch/poison.rs
+++ b/crates/policy/src/dispatch/poison.rs
@@ -81,7 +81,7 @@
 }
 
 /// How a request ran on the server that crashed. In a merge the later variant wins.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Hash)]
 pub enum Isolation {
     /// Together with other requests that are as likely to have crashed the server.
     #[serde(rename = "Beside")]
@@ -92,7 +92,7 @@
 }
 
 /// Whether a crash counts. In a merge the later variant wins.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Hash)]
 pub enum CrashState {
     /// The server has not crashed so far: a suspect runs there.
     #[serde(rename = "Open")]
@@ -107,7 +107,7 @@
 /// States that a request was at a run of a server when that run ended.
 ///
 /// Only the witness starts a new turn; any host may find the crash void.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Hash)]
 pub struct Crash {
     /// The request.
     pub request: Fingerprint,
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -16,6 +16,7 @@
 
 mod aggregate;
 mod candidates;
+mod crashes;
 mod fact;
 mod failover;
 mod fanout;
@@ -37,6 +38,7 @@
 use self::{
     aggregate::Counters,
     candidates::Candidates,
+    crashes::Crashes,
     fact::{Fact, Key},
     fanout::{Fanout, Ranks},
     hosts::Hosts,
@@ -183,6 +185,8 @@
     fanout: Fanout,
     counters: Counters,
     outbox: Outbox,
+    /// Crashes that other hosts reported by notices.
+    crashes: Crashes,
     /// Number of the last notice that this run originated.
     number: Number,
     /// Which notices were received before, by the run that originated them.
@@ -228,6 +232,7 @@
             fanout: Fanout::default(),
             counters: Counters::default(),
             outbox: Outbox::default(),
+            crashes: Crashes::default(),
             number: 0,
             windows: BTreeMap::new(),
             outgoing: Vec::new(),
@@ -254,6 +259,9 @@
 
     /// Replaces one part of the facts that this host advertises.
     pub fn publish(&mut self, now: Moment, publication: Publication) {
+        if let Publication::Crashes(crashes) = &publication {
+            self.report_crashes(now, crashes);
+        }
         let local = &mut self.local_tables[Scope::Own as usize];
         match publication {
             Publication::State(state) => local.set(now, Fact::State(state)),
--- a/crates/policy/src/fleet/local_table.rs
+++ b/crates/policy/src/fleet/local_table.rs
@@ -88,6 +88,11 @@
         self.entries.values().filter_map(move |entry| Some((entry.fact.as_ref()?, age(entry))))
     }
 
+    /// Returns the fact of a key, unless it was removed.
+    pub(super) fn get(&self, key: &Key) -> Option<&Fact> {
+        self.entries.get(self.slots.get(key)?)?.fact.as_ref()
+    }
+
     /// Adds a fact, or replaces the earlier one of its key.
     pub(super) fn set(&mut self, now: Moment, fact: Fact) {
         let key = fact.key();
--- a/crates/policy/src/fleet/notice.rs
+++ b/crates/policy/src/fleet/notice.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     demand::Report,
-    dispatch::loan,
+    dispatch::{loan, poison::Crash},
     quota::{Limit, Message},
 };
 
@@ -111,6 +111,8 @@
         /// The holder's fencing token.
         fence: Fence,
     },
+    /// A server crashed, as the sender saw. Part of the receiver's snapshot.
+    Crash(Crash),
 }
 
 impl Notice {
@@ -121,7 +123,8 @@
             Notice::ServerLeaving { .. }
             | Notice::DeclarationInForce { .. }
             | Notice::LimitChanged { .. }
-            | Notice::LeaseAcquired { .. } => true,
+            | Notice::LeaseAcquired { .. }
+            | Notice::Crash(_) => true,
             Notice::LoadRequested { .. }
             | Notice::Loaded { .. }
             | Notice::Unloaded { .. }
--- a/crates/policy/src/fleet/receive.rs
+++ b/crates/policy/src/fleet/receive.rs
@@ -187,8 +187,12 @@
             if item.origin == self.member.run() || !self.is_first(now, &item) {
                 continue;
             }
-            let origin = self.hosts.by_run(item.origin).map(|peer| peer.member.id.clone());
-            received.push(Envelope { origin, via: from, notice: item.notice.clone() });
+            if let Notice::Crash(crash) = &item.notice {
+                self.crashes.insert(now, crash.clone());
+            } else {
+                let origin = self.hosts.by_run(item.origin).map(|peer| peer.member.id.clone());
+                received.push(Envelope { origin, via: from, notice: item.notice.clone() });
+            }
             self.forward(now, run, &item);
         }
         self.flush_notices(now);
--- a/crates/policy/src/fleet/send.rs
+++ b/crates/policy/src/fleet/send.rs
@@ -105,6 +105,7 @@
             self.candidates.add_temporary(now, member.address);
         }
         let horizon = self.settings.forget_after;
+        self.crashes.expire(now, horizon);
         self.local_tables.iter_mut().for_each(|local| local.expire(now, horizon));
     }
 
--- a/crates/policy/src/fleet/snapshot.rs
+++ b/crates/policy/src/fleet/snapshot.rs
@@ -117,6 +117,7 @@
         let live = hosts.iter().filter(|status| status.liveness == Liveness::Live).count();
         let mut tally = Tally::default();
         self.all_received_facts(now).for_each(|(fact, age)| tally.add(fact, age));
+        self.crashes.facts(now).for_each(|(fact, age)| tally.add(fact, age));
         let mut snapshot = Snapshot {
             hosts,
             live: live + usize::from(self.state(now) != State::Leaving),
--- a/crates/policy/tests/fleet_relays.rs
+++ b/crates/policy/tests/fleet_relays.rs
@@ -1,11 +1,14 @@
-//! Notices in grouped deployments whose relays do not respond.
+//! Notices and crashes in grouped deployments whose relays do not respond.
 
 mod fleet_net;
 
 use std::time::Duration;
 
-use fleet_net::{Net, ZONES};
-use policy::fleet::{Departure, Notice, Recipients, Tier};
+use fleet_net::{Net, ZONES, member};
+use policy::{
+    dispatch::poison::{Crash, CrashState, Isolation},
+    fleet::{Departure, Notice, Publication, Recipients, Tier},
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -13,6 +16,9 @@
 /// Time within which a notice must reach all hosts that respond.
 const NOTICE_TIME: Duration = Duration::from_secs(1);
 
+/// Time within which hosts must know of a request that crashes servers.
+const CRASH_TIME: Duration = Duration::from_secs(3);
+
 fn leaving(server: usize) -> Notice {
     let server = format!("i-{server}").into();
     Notice::ServerLeaving { server, departure: Departure::Leaving, revision: 1 }
@@ -73,3 +79,24 @@
     let twice = net.hosts.values().filter(|host| 1 < host.received.len()).count();
     assert_eq!(twice, 0, "hosts received the notice twice");
 }
+
+#[rstest]
+fn crashes_are_known_in_time_though_relays_do_not_respond(#[values(17, 62, 195)] hosts: usize) {
+    let mut net = Net::settled(hosts, 1);
+    net.cut = cut(&net, Cut::Relays);
+    let witness = (0..hosts).find(|host| !net.cut.contains(host)).expect("a host responds");
+    let crash = Crash {
+        request: 7,
+        server: "s1".into(),
+        witness: member(witness, 0).id,
+        turn: 0,
+        isolation: Isolation::Shared,
+        state: CrashState::Counted,
+        age: Duration::ZERO,
+    };
+    net.publish(witness, Publication::Crashes(vec![crash]));
+    net.run_for(CRASH_TIME);
+    let reachable = (0..hosts).filter(|host| !net.cut.contains(host) && *host != witness);
+    let lacking: Vec<_> = reachable.filter(|host| net.snapshot(*host).crashes.is_empty()).collect();
+    assert_eq!(lacking, Vec::<usize>::new(), "of {hosts} hosts");
+}
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -363,6 +363,8 @@
                     shared.observe_holder(origin, fence);
                 }
             }
+            // Kept by the exchange, which has it in its snapshot.
+            Notice::Crash(_) => {}
             Notice::Loan(message) => {
                 if let Some(origin) = &received.origin {
                     shared.loan_received(origin, &message);
