Keep a relay's list recent enough for those that follow it

Cause: after a change a relay pauses for 0.2 of the bound and then watches for 0.4, so that its list is up to 0.6 of it old between changes. Ruled out: lists that count up to 0.6, for which the sum of the schedule has no room. Change: a relay's watch ends sooner by the age of what it knows, so that its list is 0.4 old at the most.

--- a/crates/policy/src/follow.rs
+++ b/crates/policy/src/follow.rs
@@ -83,6 +83,17 @@
     pub trust: Duration,
 }
 
+impl WatchTimes {
+    /// Returns the times of a watch by a relay whose knowledge is of this age. The watch ends sooner
+    /// by that time, so that the relay's list is never too old for those that follow it.
+    pub fn shortened(self, age: Duration) -> WatchTimes {
+        WatchTimes {
+            wait: self.wait.saturating_sub(age),
+            trust: self.trust.saturating_sub(age.min(self.wait)),
+        }
+    }
+}
+
 /// Times of a watch that starts `up` after the host's start, in a fleet of `hosts`, for changes
 /// that must be known `within` a time after their acknowledgement.
 ///
--- a/crates/policy/tests/follow.rs
+++ b/crates/policy/tests/follow.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use policy::follow::{self, Role};
+use policy::follow::{self, Role, Schedule};
 use rstest::rstest;
 use types::host;
 
@@ -129,3 +129,19 @@
         assert!(Duration::ZERO < grace, "a server is dropped as soon as its entry is removed");
     }
 }
+
+#[rstest]
+fn a_relays_list_is_recent_while_the_store_responds(
+    #[values(17, 82, 350)] count: usize,
+    #[values(Role::Relay, Role::Scout)] role: Role,
+    #[values(0.0, 0.5, 1.0)] paused: f64,
+) {
+    /// Time of the calls to the store and to the relay.
+    const CALL_TIME: Duration = Duration::from_millis(30);
+    let age = settled(role, count).mul_f64(paused);
+    let watch = follow::watch_times(follow::STARTUP_TIME, role, count, DEADLINE).shortened(age);
+    assert!(watch.wait < watch.trust, "{watch:?}");
+    let oldest = age + watch.wait + CALL_TIME;
+    let mut schedule = Schedule::new(Duration::ZERO, DEADLINE);
+    assert!(schedule.peer_responded(DEADLINE, oldest), "{oldest:?}");
+}
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -197,7 +197,11 @@
             _ => self.routed.drain,
         };
         let snapshot = self.exchange().map(|exchange| exchange.fleet()).unwrap_or_default();
-        follow::watch_times(self.now(), self.role(&snapshot), snapshot.live, deadline)
+        let times = follow::watch_times(self.now(), self.role(&snapshot), snapshot.live, deadline);
+        if kind == ObjectKind::Server && self.is_relay() {
+            return times.shortened(self.servers_age());
+        }
+        times
     }
 
     /// Returns how long this host waits after changes of the servers before it asks for more, so
