Read a server's limit in answers that are garbled

Cause: the limit was read after the answer's seal and id had been checked, and only if they were right. Ruled out: answers of another server at the same address (421 with another name), whose limit is not read. Change: the limit is read before those checks.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -164,9 +164,12 @@
         shared.dispatcher().server_load(&server.id, running, waiting, slots, shared.now());
     }
     let validated = validate(&buffered.info, server, &head, &answer);
+    // A server that garbles its answers still counts its requests against the limit that it states.
+    if validated != Err(AttemptEnd::NotRun(NotRun::Instance)) {
+        shared.observe_limit(&server.id, answer.limit, sent_at);
+    }
     if is_genuine(&validated) {
         shared.dispatcher().response_started(buffered.ticket, shared.now());
-        shared.observe_limit(&server.id, answer.limit, sent_at);
         shared.observe_tolerance(&server.id, answer.tolerance);
     }
     validated?;
