--- a/crates/stage/examples/soak.rs
+++ b/crates/stage/examples/soak.rs
@@ -28,7 +28,7 @@
     #[arg(long, default_value_t = 60, value_parser = clap::value_parser!(u64).range(5..=3_600))]
     seconds: u64,
     /// Number of hosts.
-    #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u8).range(1..=16))]
+    #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u8).range(1..=64))]
     hosts: u8,
     /// Executable of the host.
     #[arg(long, default_value = "target/release/cyclamenstage")]
