Show that restarted servers that lose all answers make requests poison

A crash is held against a request unless an answer shows that the server runs; these runs have answered nothing yet. Conclusion: not mended; an accepted connection after the cut would show that the server runs.

--- a/crates/policy/src/fleet/failover.rs
+++ b/crates/policy/src/fleet/failover.rs
@@ -21,7 +21,7 @@
 use super::{
     Fleet, Tier,
     notice::{Audience, Target},
-    wire::{Item, Run},
+    wire::{Body, Item, Run},
 };
 
 impl Fleet {
@@ -81,7 +81,7 @@
     pub(super) fn flush_notices(&mut self, now: Moment) {
         loop {
             for (address, items) in self.outbox.due(now) {
-                self.put(address, super::wire::Body::Notices(items));
+                self.put(address, Body::Notices(items));
             }
             let unanswered = self.outbox.take_unanswered();
             if unanswered.is_empty() {
@@ -96,14 +96,14 @@
         let Some(id) = self.hosts.by_run(run).map(|peer| peer.member.id.clone()) else { return };
         self.report_unresponsive(now, &id);
         let is_origin = item.origin == self.member.run();
-        let targets = match self.fanout.group_of(&id) {
+        let target = match self.fanout.group_of(&id) {
             Some(group) => self.first_responsive(group).and_then(|id| self.target(id)),
             None if is_origin && self.fanout.relay() == Some(&id) => {
                 return self.push_to(now, self.entries(), item, None);
             }
             None => None,
         };
-        self.push_to(now, targets.into_iter().collect(), item, None);
+        self.push_to(now, target.into_iter().collect(), item, None);
     }
 
     /// Returns the hosts through which notices enter the other groups.
@@ -118,7 +118,7 @@
         relay.is_none_or(|peer| peer.is_responsive())
     }
 
-    /// Returns the first host of a ranked group that responds; this host responds.
+    /// Returns the first host of a ranked group that responds; this host counts as responding.
     fn first_responsive<'a>(&self, group: &'a [host::Id]) -> Option<&'a host::Id> {
         let is_responsive = |id: &&host::Id| {
             **id == self.member.id || self.hosts.get(id).is_some_and(|peer| peer.is_responsive())
--- a/crates/policy/src/fleet/hosts.rs
+++ b/crates/policy/src/fleet/hosts.rs
@@ -68,8 +68,8 @@
         self.contact != Contact::Alive
     }
 
-    /// Whether the peer responds, as far as is known. A peer that did not is told from a silent one
-    /// within a fraction of a second, but may respond again any time.
+    /// Whether the peer responds, as far as is known. One missed acknowledgement or call is enough,
+    /// while silence takes a timeout of seconds; the peer may respond again any time.
     pub(super) fn is_responsive(&self) -> bool {
         let has_returned = |at| at + UNRESPONSIVE_PERIOD <= self.last_received;
         !self.is_silent() && self.unresponsive_at.is_none_or(has_returned)
--- a/crates/policy/src/fleet/notice.rs
+++ b/crates/policy/src/fleet/notice.rs
@@ -111,13 +111,14 @@
         /// The holder's fencing token.
         fence: Fence,
     },
-    /// A server crashed, as the sender saw. Part of the receiver's snapshot.
+    /// A server crashed with a request of the sender in flight. Receivers find it in their
+    /// snapshot.
     Crash(Crash),
 }
 
 impl Notice {
     /// Whether hosts must act on the notice within a time, so that it is sent around hosts that do
-    /// not respond. The others are many, and cost only what a wrong guess costs.
+    /// not respond. The others are frequent, and a late one costs a rejected request at the most.
     fn is_bounded(&self) -> bool {
         match self {
             Notice::ServerLeaving { .. }
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -92,14 +92,14 @@
     let mut since = since;
     let mut hedge = Hedge::new(shared, ObjectKind::Server);
     let mut schedule = Schedule::new(shared.now(), shared.routed.drain);
-    let mut why_store = Unused::NoRelay;
+    let mut why_store = Fallback::NoRelay;
     loop {
         let now = shared.now();
         match schedule.next(now, shared.relay().is_some()) {
             Step::Peer { at, timeout } => {
                 sleep(at.saturating_sub(now)).await;
-                if let Err(unused) = follow_relay(shared, &mut schedule, timeout).await {
-                    why_store = unused;
+                if let Err(reason) = follow_relay(shared, &mut schedule, timeout).await {
+                    why_store = reason;
                 }
                 since = since.max(shared.revision());
             }
@@ -110,7 +110,7 @@
                         shared.confirm_servers(Duration::ZERO);
                         let why = why_store.as_str();
                         shared.report_server_source(Source::Store, Duration::ZERO, why);
-                        why_store = Unused::NoRelay;
+                        why_store = Fallback::NoRelay;
                         since = since.max(batch.revision);
                         batch.changes.iter().for_each(|change| shared.change_server(change));
                         let has_changes = !batch.changes.is_empty();
@@ -128,20 +128,20 @@
     }
 }
 
-/// Why a host does not fetch changes of the servers from a relay.
+/// Why a host fetches changes of the servers from the store instead of a relay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Unused {
+enum Fallback {
     NoRelay,
     Unanswered,
     Outdated,
 }
 
-impl Unused {
+impl Fallback {
     fn as_str(self) -> &'static str {
         match self {
-            Unused::NoRelay => "this host follows no relay",
-            Unused::Unanswered => "the relay did not answer",
-            Unused::Outdated => "the relay's list is too old",
+            Fallback::NoRelay => "this host follows no relay",
+            Fallback::Unanswered => "the relay did not answer",
+            Fallback::Outdated => "the relay's list is too old",
         }
     }
 }
@@ -151,10 +151,10 @@
     shared: &Arc<Shared>,
     schedule: &mut Schedule,
     limit: Duration,
-) -> Result<(), Unused> {
+) -> Result<(), Fallback> {
     let Some((exchange, relay)) = shared.relay() else {
         schedule.peer_failed();
-        return Err(Unused::NoRelay);
+        return Err(Fallback::NoRelay);
     };
     let requested_at = shared.now();
     let Ok(Ok(Some(list))) =
@@ -162,12 +162,12 @@
     else {
         schedule.peer_failed();
         exchange.report_unresponsive(&relay.id);
-        return Err(Unused::Unanswered);
+        return Err(Fallback::Unanswered);
     };
     let now = shared.now();
     let age = list.age + now.saturating_sub(requested_at);
     if !schedule.peer_responded(now, age) {
-        return Err(Unused::Outdated);
+        return Err(Fallback::Outdated);
     }
     shared.confirm_servers(age);
     shared.apply_peer_servers(list, &relay.id);
--- a/crates/stage/tests/soak.rs
+++ b/crates/stage/tests/soak.rs
@@ -94,6 +94,19 @@
     assert!(3 <= summary.crashed, "only {} servers crashed", summary.crashed);
 }
 
+/// Restarted servers that lose all answers run, and accept connections: no request crashed them.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarted_servers_that_lose_all_answers_make_no_request_poison(
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let lost = Fault::AllGrey(FIRST_SERVERS[0], ServerFault::Lost);
+    let schedule = vec![planned(2, 9, Fault::Poison), planned(7, 4, lost)];
+    let summary = soak(seed, HOSTS, Duration::from_secs(13), schedule).await;
+    assert!(summary.breaches.is_empty(), "{:#?}", summary.breaches);
+    assert!(200 <= summary.runs, "{summary:?}");
+}
+
 #[rstest]
 #[case::two_a_second(2)]
 #[case::as_many_as_hosts(6)]
