Look up receivers of notices in one place, and reword three comments

Cause: failover's target wrote the fleet's locate again; comments used words of our own. Change: locate serves both; no behaviour changes. Conclusion: found by reading the whole change once more.

--- a/crates/policy/src/fleet/failover.rs
+++ b/crates/policy/src/fleet/failover.rs
@@ -1,14 +1,14 @@
 //! Ways around relays that do not respond.
 //!
 //! A relay counts as absent only after a timeout of seconds, since all hosts have to agree on whose
-//! tables make up their sums. Notices and news of servers can't wait for that. Each host therefore
+//! tables make up their sums. Urgent notices and changes of the servers can't wait for that. Each host therefore
 //! sets a host aside that did not acknowledge a notice or answer a call, and uses the next one of
 //! its group in its place:
 //!
 //! - a notice for a group goes to the next host of that group, which forwards it to the group;
 //! - the origin of a notice sends it to the other groups itself if its own relay does not respond;
-//! - a host asks the next host of its group for news of servers, and the store if it is the next
-//!   one itself.
+//! - a host asks the next host of its group for changes of the servers, and the store if it is the
+//!   next one itself.
 //!
 //! Hosts need not agree on who is set aside: a notice that arrives twice counts once. Only notices on
 //! which hosts must act within a time take these ways: the others are most of the traffic, and
@@ -59,7 +59,7 @@
         let is_in_group =
             self.hosts.by_run(from).is_none_or(|peer| group.contains(&peer.member.id));
         if !is_in_group {
-            let targets = group.iter().filter_map(|id| self.target(id)).collect();
+            let targets = group.iter().filter_map(|id| self.locate(id)).collect();
             self.push_to(now, targets, item, Some(from));
         }
     }
@@ -68,7 +68,7 @@
     /// forwarded it, and to other groups if this host has to.
     pub(super) fn multicast(&mut self, now: Moment, item: &Item, except: Option<Run>) {
         let mut targets: BTreeSet<_> =
-            self.fanout.targets().filter_map(|(id, _)| self.target(id)).collect();
+            self.fanout.targets().filter_map(|(id, _)| self.locate(id)).collect();
         let is_origin = item.origin == self.member.run();
         let enters_groups = self.fanout.is_relay() || is_origin && !self.has_responsive_relay();
         if enters_groups && Audience::of(&item.notice) == Audience::All {
@@ -77,7 +77,8 @@
         self.push_to(now, targets, item, except);
     }
 
-    /// Sends the notices that are due, and those without an acknowledgement on other ways.
+    /// Sends the notices that are due, and sends urgent ones around hosts that did not acknowledge
+    /// them.
     pub(super) fn flush_notices(&mut self, now: Moment) {
         loop {
             for (address, items) in self.outbox.due(now) {
@@ -97,7 +98,7 @@
         self.report_unresponsive(now, &id);
         let is_origin = item.origin == self.member.run();
         let target = match self.fanout.group_of(&id) {
-            Some(group) => self.first_responsive(group).and_then(|id| self.target(id)),
+            Some(group) => self.first_responsive(group).and_then(|id| self.locate(id)),
             None if is_origin && self.fanout.relay() == Some(&id) => {
                 return self.push_to(now, self.entries(), item, None);
             }
@@ -109,7 +110,7 @@
     /// Returns the hosts through which notices enter the other groups.
     fn entries(&self) -> BTreeSet<Target> {
         let firsts = self.fanout.other_groups().filter_map(|group| self.first_responsive(group));
-        firsts.filter_map(|id| self.target(id)).collect()
+        firsts.filter_map(|id| self.locate(id)).collect()
     }
 
     /// Whether this host's group has a relay that responds.
@@ -126,11 +127,6 @@
         group.iter().find(is_responsive)
     }
 
-    fn target(&self, id: &host::Id) -> Option<Target> {
-        let member = &self.hosts.get(id)?.member;
-        Some(Target { run: member.run(), address: member.address })
-    }
-
     fn push_to(
         &mut self,
         now: Moment,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -137,7 +137,7 @@
         None => paths::open(shared, server).await.map_err(|error| unreachable(&error))?,
     };
     call.trace.connected(attempt.started_at.elapsed(), server, connection.gateway());
-    // A connection may take longer than the news that the server leaves.
+    // The server may have started to drain while the connection was established.
     if !shared.dispatcher().is_ready(&server.id) {
         return Err(AttemptEnd::Unreachable(Unreachable::Closed));
     }
