Log why another server is sought for a request

Cause: the log names a move off a silent server only by its end (`silent`). It says neither for how long the server had been silent, nor whether the dispatcher or a timeout of the attempt asked for the move, so the hypotheses on streams that are cut at a silent server can't be told apart. Ruled out: a metric, which can't be joined with the steps of one request. Change: a step `unresponsive` with what found the server unresponsive and the time since it last sent something for the request. Conclusion: a step `unresponsive` with less silence than the dispatcher's bound would show a stale verdict.

--- a/crates/observe/src/story/request.rs
+++ b/crates/observe/src/story/request.rs
@@ -102,6 +102,7 @@
             Step::Queued { .. }
             | Step::Refused { .. }
             | Step::Relayed { .. }
+            | Step::Unresponsive { .. }
             | Step::AttemptEnded { .. }
             | Step::Ended(_) => {}
         }
--- a/crates/observe/src/story/step.rs
+++ b/crates/observe/src/story/step.rs
@@ -51,6 +51,18 @@
         /// The host that connects to the server.
         via: host::Id,
     },
+    /// The server of an attempt counts as unresponsive, and another one is sought.
+    Unresponsive {
+        /// Number of the attempt, from one.
+        attempt: u32,
+        /// The server that the request was sent to.
+        server: backend::Id,
+        /// Stable identifier of what found the server unresponsive.
+        why: Text,
+        /// Time since the server last sent something for the request, or since it was sent.
+        #[serde(with = "millis")]
+        silent: Duration,
+    },
     /// An attempt ended.
     AttemptEnded {
         /// Number of the attempt, from one.
@@ -88,6 +100,7 @@
             | Step::Refused { .. }
             | Step::Attempt(_)
             | Step::Relayed { .. }
+            | Step::Unresponsive { .. }
             | Step::AttemptEnded { .. }
             | Step::Resumed { .. } => None,
         }
@@ -100,6 +113,7 @@
                 attempt.server == *id || attempt.candidates.iter().any(|c| c.server == *id)
             }
             Step::Relayed { server, .. }
+            | Step::Unresponsive { server, .. }
             | Step::AttemptEnded { server, .. }
             | Step::Resumed { server, .. } => server == id,
             Step::Ended(ended) => ended.server.as_ref() == Some(id),
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -25,7 +25,7 @@
     attempt::{self, Attempt, AttemptEnd, BufferedRequest, ResponseStart},
     edge::{ForwardOptions, Problem},
     host::{OpenGuard, Shared},
-    trace::{self, Trace},
+    trace::{self, Trace, Unresponsive},
 };
 
 /// Time after which a caller may retry, at another host, if this one is about to stop.
@@ -154,13 +154,13 @@
         let mut attempt = pin!(attempt);
         let mut pause = silence_timeout;
         loop {
-            select! {
+            let why = select! {
                 biased;
                 ended = &mut attempt => return ended.map_err(AttemptFailure::Failed),
-                Ok(_) = self.handle.leave_signal() => {}
-                () = sleep(pause) => {}
-            }
-            if let Some(server) = self.leave() {
+                Ok(_) = self.handle.leave_signal() => Unresponsive::Dispatcher,
+                () = sleep(pause) => Unresponsive::Timeout,
+            };
+            if let Some(server) = self.leave(why) {
                 return Err(AttemptFailure::Moved(server));
             }
             pause = LEAVE_RETRY_INTERVAL;
@@ -169,8 +169,9 @@
 
     /// Moves the request from a silent server to another one, if one can take it now. Returns the
     /// other server.
-    pub(crate) fn leave(&self) -> Option<backend::Id> {
+    pub(crate) fn leave(&self, why: Unresponsive) -> Option<backend::Id> {
         let server = self.handle.leave_for_another()?;
+        self.trace.unresponsive(why);
         self.trace.attempt_ended(AttemptEnd::Unclear(Unclear::Silent), None);
         Some(server)
     }
@@ -407,8 +408,8 @@
 
 impl Resumer {
     /// Moves the stream from a silent server to another one, if one can take it now.
-    pub(crate) fn leave(&self) -> Option<AttemptFailure> {
-        self.call.leave().map(AttemptFailure::Moved)
+    pub(crate) fn leave(&self, why: Unresponsive) -> Option<AttemptFailure> {
+        self.call.leave(why).map(AttemptFailure::Moved)
     }
 
     /// Returns the time that a server has for its first event.
--- a/crates/relay/src/stream/events.rs
+++ b/crates/relay/src/stream/events.rs
@@ -18,6 +18,7 @@
         StreamError,
         timer::{Alarm, StreamTimer},
     },
+    trace::Unresponsive,
 };
 
 /// Whether a stream may continue at another server.
@@ -185,7 +186,7 @@
         {
             // The signal is sent once. If no other server takes the stream, the timer tries again.
             *leave = self.call.handle.leave_signal();
-            if let Some(state) = self.leave_server() {
+            if let Some(state) = self.leave_server(Unresponsive::Dispatcher) {
                 return Poll::Ready(Step::Next(state));
             }
         }
@@ -194,7 +195,7 @@
                 Alarm::End => {
                     return Poll::Ready(Step::Next(State::Flushing(StreamError::Deadline)));
                 }
-                Alarm::Silence => match self.leave_server() {
+                Alarm::Silence => match self.leave_server(Unresponsive::Timeout) {
                     Some(state) => return Poll::Ready(Step::Next(state)),
                     // No other server can continue the stream, and a slow server is better than
                     // none.
@@ -258,14 +259,14 @@
 
     /// Moves the stream from a silent server to another one, if one can take it now. Returns the
     /// new state.
-    fn leave_server(&mut self) -> Option<State> {
+    fn leave_server(&mut self, why: Unresponsive) -> Option<State> {
         let ResumePolicy::OtherServer(resumer, _) = &self.resume else { return None };
         if self.splitter.point() == ResumePoint::Unknown
             || !matches!(self.state, State::Streaming(_))
         {
             return None;
         }
-        let failure = resumer.leave()?;
+        let failure = resumer.leave(why)?;
         let attempt = match std::mem::replace(&mut self.state, State::Done) {
             State::Streaming(response) => Some(response.attempt),
             _ => None,
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -39,6 +39,8 @@
     refusal: Option<Refusal>,
     /// Server of the attempt in flight.
     current_server: Option<backend::Id>,
+    /// When the attempt in flight was started, or its server last sent something for the caller.
+    heard_at: Moment,
     attempts: u32,
     /// Status of the last response.
     status: Option<u16>,
@@ -51,6 +53,24 @@
     events: u32,
 }
 
+/// What found a server unresponsive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unresponsive {
+    /// The dispatcher, which knows what the server has sent for other requests.
+    Dispatcher,
+    /// The timeout of the attempt.
+    Timeout,
+}
+
+impl Unresponsive {
+    fn as_str(self) -> &'static str {
+        match self {
+            Unresponsive::Dispatcher => "dispatcher",
+            Unresponsive::Timeout => "timeout",
+        }
+    }
+}
+
 /// Kind and latency goals of a route.
 #[derive(Clone, Copy)]
 struct Goals {
@@ -70,6 +90,7 @@
             goals: None,
             refusal: None,
             current_server: None,
+            heard_at: received,
             attempts: 0,
             status: None,
             first_after: None,
@@ -111,6 +132,7 @@
             (_, Some(_)) => notes.meters.resend(Resend::Resume),
         }
         notes.attempts += 1;
+        notes.heard_at = now;
         notes.current_server = Some(server.id.clone());
         let (attempt, id) = (notes.attempts, server.id.clone());
         notes.record(Step::Attempt(story::Attempt {
@@ -139,6 +161,15 @@
         }
     }
 
+    /// Records that the server of the attempt in flight counts as unresponsive.
+    pub(crate) fn unresponsive(&self, why: Unresponsive) {
+        let mut notes = self.notes();
+        let Some(server) = notes.current_server.clone() else { return };
+        let silent = notes.clock.now().saturating_sub(notes.heard_at);
+        let (attempt, why) = (notes.attempts, Text::Borrowed(why.as_str()));
+        notes.record(Step::Unresponsive { attempt, server, why, silent });
+    }
+
     /// Records the end of the attempt in flight, if there is one.
     pub(crate) fn attempt_ended(&self, end: AttemptEnd, status: Option<StatusCode>) {
         self.notes().attempt_ended(end, status);
@@ -238,6 +269,7 @@
 
     fn received_now(&mut self) {
         let now = self.clock.now();
+        self.heard_at = now;
         match self.last_received.replace(now) {
             Some(before) => self.longest_gap = self.longest_gap.max(now.saturating_sub(before)),
             None => self.first_after = Some(now.saturating_sub(self.received)),
