--- a/crates/stage/tests/routed/pauses.rs
+++ b/crates/stage/tests/routed/pauses.rs
@@ -3,13 +3,19 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use standin::routed::{caller::RequestSpec, site::Site, until};
+use rstest::rstest;
+use standin::routed::{
+    caller::RequestSpec,
+    server::{Fault, Script},
+    site::Site,
+    until,
+};
 use tokio::{
     task::JoinSet,
     time::{Instant, sleep},
 };
 
-use crate::site::{chat, linked_site, page, status_of, ticket};
+use crate::site::{chat, declaration, draft, linked_site, linked_site_with, page, status_of, ticket};
 
 const PAUSE: Duration = Duration::from_millis(1_200);
 
@@ -98,3 +104,59 @@
     sleep(RETURN_TIME).await;
     assert_eq!(orders(&site), before);
 }
+
+/// When a silence begins, in a stream of ten events with 100 ms between them.
+#[derive(Clone, Copy)]
+enum Begins {
+    /// Before the first event.
+    BeforeTheHead,
+    /// After the third event.
+    Midway,
+}
+
+#[rstest]
+#[case::before_the_head(Begins::BeforeTheHead, 300, 2)]
+#[case::before_the_head_with_three_attempts(Begins::BeforeTheHead, 300, 3)]
+#[case::midway(Begins::Midway, 1_000, 2)]
+#[case::midway_with_three_attempts(Begins::Midway, 300, 3)]
+#[tokio::test]
+async fn a_stream_at_a_silent_server_goes_on_there_while_others_reject(
+    #[case] begins: Begins,
+    #[case] goal_ms: u64,
+    #[case] attempts: u32,
+) {
+    let mut declared = declaration();
+    for route in &mut declared.routes {
+        (route.goal, route.attempts) = (Duration::from_millis(goal_ms), attempts);
+    }
+    let site = linked_site_with(1, &declared).await;
+    let (server, other) = (site.backend.server("lm-1"), site.backend.server("lm-2"));
+    let work_time = match begins {
+        Begins::BeforeTheHead => Duration::from_millis(900),
+        Begins::Midway => Duration::from_millis(2),
+    };
+    server.script(|script| {
+        let event_interval = Duration::from_millis(100);
+        *script = Script { work_time, events: 10, event_interval, ..Script::default() };
+    });
+    other.script(|script| {
+        script.default_fault = Some(Fault::NotRun(StatusCode::SERVICE_UNAVAILABLE));
+    });
+    let mut caller = site.hosts[0].caller();
+    let silence = async {
+        until("the request is at the server", async || !server.runs().is_empty()).await;
+        if let Begins::Midway = begins {
+            sleep(Duration::from_millis(250)).await;
+        }
+        site.backend.server_links().pause(server.address());
+        sleep(PAUSE).await;
+        site.backend.server_links().resume(server.address());
+    };
+    let request = draft().deadline(Some(Duration::from_secs(10)));
+    let (answer, ()) = tokio::join!(caller.fetch(&request), silence);
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.events(), (1..=10).collect::<Vec<_>>());
+    assert!(answer.is_complete, "the answer is cut");
+    assert_eq!(server.runs().len(), 1);
+}
--- a/crates/stage/tests/routed/site.rs
+++ b/crates/stage/tests/routed/site.rs
@@ -105,12 +105,17 @@
 /// Starts this many hosts, each of which reaches each server through a link that can fail, and waits
 /// until they are ready.
 pub async fn linked_site(hosts: usize) -> Site {
+    linked_site_with(hosts, &declaration()).await
+}
+
+/// [`linked_site`] with another declaration in force.
+pub async fn linked_site_with(hosts: usize, declaration: &Declaration) -> Site {
     let mut backend = Backend::start(Vec::new()).await.expect("the store starts");
     backend.link_servers(hosts);
     for server in servers() {
         backend.add(server).await.expect("the servers start");
     }
-    backend.declare(&declaration());
+    backend.declare(declaration);
     let site = start_site(backend, hosts).await;
     site.wait_until_ready().await;
     site
