--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -62,8 +62,8 @@
     pump::Missing,
     registry::Work,
     request::{
-        Answer, Cause, Change, End, NotRun, Part, RequestSpec, RetryDecision, Ticket, Unclear,
-        Unreachable, Verdict,
+        Answer, Cause, Change, End, NotRun, Part, RequestSpec, RetryDecision, Silence, Ticket,
+        Unclear, Unreachable, Verdict,
     },
     routes::{Routes, split},
 };
--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -10,7 +10,7 @@
     queue::{Class, Key},
     request::{Answer, Cause, End, RequestSpec, RetryDecision, Ticket, Verdict},
     stats::duration,
-    task::{Attempt, Leaving, Phase, State, Task},
+    task::{Attempt, Hedge, Phase, State, Task},
 };
 
 /// A request is queued only if its expected wait, or the wait beyond its due time, is at most one
@@ -89,7 +89,7 @@
     }
 
     /// Decides what follows an attempt that failed. After [`RetryDecision::GiveUp`] the request is
-    /// over.
+    /// over; after [`RetryDecision::InFlight`] only this attempt is.
     pub fn attempt_failed(&mut self, ticket: Ticket, end: End, now: Moment) -> RetryDecision {
         let Some(mut task) = self.tasks.remove(&ticket) else {
             return RetryDecision::GiveUp(Answer::Unclear);
@@ -100,6 +100,11 @@
             return RetryDecision::GiveUp(Answer::NotRun { cause: Cause::Late, after });
         };
         self.attempt_ended(&mut task, &attempt, end, now);
+        if !task.rivals.is_empty() {
+            self.refund(&mut task);
+            self.withdraw(&task, &attempt, end, now);
+            return RetryDecision::InFlight;
+        }
         task.record_attempt(&attempt.id, end);
         let outcome = self.choose(&task, now);
         if let Err(cause) = self.pay_for_retry(&mut task, end, &outcome, now) {
@@ -232,7 +237,7 @@
             expected_ms: choice.expected_ms,
             is_cold: server.is_cold(now),
             phase: Phase::Pending,
-            leaving: Leaving::No,
+            hedge: Hedge::No,
             path: None,
             heard_at: now,
             is_stranded: false,
--- a/crates/policy/src/dispatch/events.rs
+++ b/crates/policy/src/dispatch/events.rs
@@ -87,7 +87,10 @@
                 let queue = &mut self.registry.services[task.service as usize].queue;
                 queue.remove(key, task.model, give_up);
             }
-            State::InFlight(attempt) => self.attempt_ended(&mut task, &attempt, end, now),
+            State::InFlight(attempt) => {
+                self.attempt_ended(&mut task, &attempt, end, now);
+                self.withdraw(&task, &attempt, end, now);
+            }
         }
         self.refund(&mut task);
     }
--- a/crates/policy/src/dispatch/path.rs
+++ b/crates/policy/src/dispatch/path.rs
@@ -7,7 +7,7 @@
     breaker::Breaker,
     registry::Registry,
     stats::duration,
-    task::{Attempt, Phase, State, Task},
+    task::{Attempt, Hedge, Phase, State, Task},
 };
 use crate::paths::Path;
 
@@ -78,6 +78,7 @@
     let memory = task.memory();
     let State::InFlight(attempt) = &mut task.state else { return };
     attempt.heard_at = now;
+    attempt.hedge = Hedge::No;
     if std::mem::take(&mut attempt.is_stranded)
         && let Some(server) = registry.get_same(attempt.server, &attempt.id)
     {
--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -118,9 +118,9 @@
     },
     /// The request crashes servers and must not reach any.
     Quarantined,
-    /// The request is to leave its unresponsive server, if [`leave`](super::Dispatcher::leave)
-    /// finds another one.
-    Leave,
+    /// The request's server is unresponsive, and the request is to be sent to a second one as well,
+    /// by [`hedge`](super::Dispatcher::hedge).
+    Hedge,
     /// The request has ended after an attempt that may have run.
     Unclear,
 }
@@ -218,10 +218,21 @@
         /// The adapter.
         adapter: Option<adapter::Id>,
     },
+    /// Another attempt of the request is still in flight.
+    InFlight,
     /// The request has ended with this answer.
     GiveUp(Answer),
 }
 
+/// Why another server is sought for a request whose server is unresponsive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Silence {
+    /// The dispatcher's [`Verdict::Hedge`], which is void if the server has sent something since.
+    Verdict,
+    /// A timeout of the attempt.
+    Timeout,
+}
+
 /// Final answer to the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -6,7 +6,7 @@
     budget::{Need, Payment},
     mixed,
     queue::Key,
-    request::{End, NotRun, RequestSpec, Unreachable},
+    request::{End, NotRun, RequestSpec, Ticket, Unreachable},
 };
 use crate::{paths::Path, route::Index};
 
@@ -44,7 +44,7 @@
     /// Whether the server had just started when the request was sent.
     pub is_cold: bool,
     pub phase: Phase,
-    pub leaving: Leaving,
+    pub hedge: Hedge,
     /// Path of the connection that the request was sent on; `None` before it is sent.
     pub path: Option<Path>,
     /// When the request was sent, or something last arrived for it.
@@ -64,14 +64,14 @@
     Responding,
 }
 
-/// Whether an attempt is to be moved from its server to another.
+/// Whether another server is to get the request as well.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Leaving {
-    /// The attempt stays with its server.
+pub enum Hedge {
+    /// The server is not considered unresponsive.
     No,
-    /// The attempt is to be moved, but no other server was found at this time.
+    /// Another server is to get the request, but none was found at this time.
     Seeking(Moment),
-    /// The caller of the dispatcher was asked to move the attempt.
+    /// The caller of the dispatcher was asked to hedge the request.
     Requested,
 }
 
@@ -90,6 +90,11 @@
     pub has_arrived: bool,
     /// How the next arrival at a server was paid, if it was.
     pub payment: Option<Payment>,
+    /// Tickets of the request's other attempts in flight, which have tasks of their own.
+    pub rivals: Vec<Ticket>,
+    /// Servers that rejected the request while another attempt was in flight. They are not asked
+    /// again as long as one is.
+    pub declined: Vec<backend::Id>,
     /// Number of ended attempts in which a server may have run the request.
     pub runs: u32,
     /// Number of ended attempts, including those that reached no server.
@@ -111,6 +116,8 @@
             prefixes,
             has_arrived: false,
             payment: None,
+            rivals: Vec::new(),
+            declined: Vec::new(),
             runs: 0,
             tries: 0,
             state,
@@ -161,9 +168,28 @@
         self.runs < self.spec.attempts && self.tries < self.spec.attempts + EXTRA_TRIES
     }
 
-    /// Whether another server may be tried if the current attempt may have run.
+    /// Records that an attempt has ended while this one was in flight.
+    pub fn record_rival(&mut self, ticket: Ticket, server: &backend::Id, end: End) {
+        self.rivals.retain(|rival| *rival != ticket);
+        self.record_attempt(server, end);
+        if let End::NotRun(_) = end {
+            self.declined.push(server.clone());
+        }
+    }
+
+    /// Number of attempts in flight, this one included.
+    pub fn in_flight(&self) -> u32 {
+        1 + self.rivals.len() as u32
+    }
+
+    /// Whether another server may be tried although all attempts in flight may run.
     pub fn has_another_try(&self) -> bool {
-        self.runs + 1 < self.spec.attempts
+        self.runs + self.in_flight() < self.spec.attempts
+    }
+
+    /// Whether no attempt of the request was started later. Only the latest one is hedged.
+    pub fn is_latest(&self) -> bool {
+        self.rivals.iter().all(|rival| *rival < self.spec.ticket)
     }
 
     /// How much depends on a retry of the request.
--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -1,9 +1,14 @@
 //! Overdue responses and unresponsive servers.
 //!
-//! A server that stops responding does not reset its connections, so its requests must be moved to
-//! other servers. Only requests that may run again are moved, and only once something other than
-//! load explains the silence: nothing at all is received from the server, or the server has
-//! answered other requests long after this one was due.
+//! A server that stops responding does not reset its connections, so its requests must be sent to
+//! other servers. Only requests that may run again are, and only once something other than load
+//! explains the silence: nothing at all is received from the server, or the server has answered
+//! other requests long after this one was due.
+//!
+//! A sound server may be silent for a second and go on, and the other server may reject the request
+//! or be silent as well. So a request is hedged: the attempts become rivals, each with a ticket of
+//! its own, until one of them is answered and the others are ended by
+//! [`won`](Dispatcher::won). The attempts in flight count as runs.
 
 use types::{prelude::*, routed::Kind};
 
@@ -12,10 +17,10 @@
     breaker::Cause,
     choose::{Choice, Outcome},
     path,
-    request::{Change, End, Ticket, Unclear, Verdict},
+    request::{Change, End, Silence, Ticket, Unclear, Verdict},
     server::Server,
     stats::{duration, millis},
-    task::{Attempt, Leaving, Phase, State, Task},
+    task::{Attempt, Hedge, Phase, State, Task},
 };
 use crate::route::Index;
 
@@ -27,35 +32,35 @@
 /// is tripped.
 const MAX_UNANSWERED: u32 = 2;
 
-/// Silence of a server after which a request without a response is moved: at least this long, and
+/// Silence of a server after which a request without a response is hedged: at least this long, and
 /// at least these multiples of the goal and of the expected time.
 const MIN_SILENCE: Duration = Duration::from_millis(600);
 const SILENT_GOAL: f64 = 1.5;
 const SILENT_TIMES: f64 = 6.0;
 
-/// Silence of a server after which a stream that has begun is moved.
+/// Silence of a server after which a stream that has begun is hedged.
 const STALLED: Duration = Duration::from_millis(800);
 
-/// Multiples of the goal and of the expected time after which a request is moved from a server that
-/// answers others.
+/// Multiples of the goal and of the expected time after which a request is hedged that is at a server
+/// which answers others.
 const HUNG_GOAL: f64 = 2.5;
 const HUNG_TIMES: f64 = 8.0;
 
-/// Time between two searches of another server for a request that is to be moved.
+/// Time between two searches of another server for a request that is to be hedged.
 const SEEK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// End of an attempt that is moved from its server.
+/// End of an attempt that an attempt at another server has overtaken.
 const SILENCE: End = End::Unclear(Unclear::Silent);
 
 impl Dispatcher {
-    /// Checks for overdue responses, and for requests that are to be moved from their server.
+    /// Checks for overdue responses, and for requests that are to be hedged.
     pub(super) fn check_overdue(&mut self, now: Moment, changes: &mut Vec<Change>) {
         let mut overdue: Vec<(Ticket, Attempt, Index)> = Vec::new();
-        let mut leaving: Vec<Ticket> = Vec::new();
+        let mut silent: Vec<Ticket> = Vec::new();
         for (ticket, task) in &mut self.tasks {
             path::mark_stranded(task, &mut self.registry, now);
-            if should_leave(task, &mut self.registry, now) {
-                leaving.push(*ticket);
+            if should_hedge(task, &mut self.registry, now) {
+                silent.push(*ticket);
             }
             let State::InFlight(attempt) = &mut task.state else { continue };
             let allowed =
@@ -72,58 +77,105 @@
         for (_, attempt, service) in overdue {
             self.record_overdue(&attempt, service, now);
         }
-        leaving.sort_unstable();
-        for ticket in leaving {
+        silent.sort_unstable();
+        for ticket in silent {
             let is_possible = self.find_other_server(ticket, now).is_some();
-            self.set_leaving(
+            self.set_hedge(
                 ticket,
-                if is_possible { Leaving::Requested } else { Leaving::Seeking(now) },
+                if is_possible { Hedge::Requested } else { Hedge::Seeking(now) },
             );
             if is_possible {
-                changes.push(Change { ticket, verdict: Verdict::Leave });
+                changes.push(Change { ticket, verdict: Verdict::Hedge });
             }
         }
     }
 
-    fn set_leaving(&mut self, ticket: Ticket, leaving: Leaving) {
-        if let Some(Task { state: State::InFlight(attempt), .. }) = self.tasks.get_mut(&ticket) {
-            attempt.leaving = leaving;
+    fn set_hedge(&mut self, ticket: Ticket, hedge: Hedge) {
+        if let Some(attempt) = self.attempt_mut(ticket) {
+            attempt.hedge = hedge;
         }
     }
 
-    /// Returns the request in its state after leaving its silent server, with the choice of another
-    /// server; `None` if no other server has a place or no retry is left.
+    fn attempt_mut(&mut self, ticket: Ticket) -> Option<&mut Attempt> {
+        match &mut self.tasks.get_mut(&ticket)?.state {
+            State::InFlight(attempt) => Some(attempt),
+            State::Idle | State::Waiting(..) => None,
+        }
+    }
+
+    /// Returns the request as a second attempt would start it, with the choice of another server;
+    /// `None` if no other server has a place or no retry is left.
     fn find_other_server(&self, ticket: Ticket, now: Moment) -> Option<(Task, Choice)> {
         let before = self.tasks.get(&ticket)?;
         let State::InFlight(attempt) = &before.state else { return None };
-        let mut task = Task { state: State::Idle, ..before.clone() };
-        task.record_attempt(&attempt.id, SILENCE);
-        self.check_retry(&task, SILENCE, now).ok()?;
+        let mut task = Task { state: State::Idle, payment: None, ..before.clone() };
+        task.spec.avoid.push(attempt.id.clone());
+        task.rivals.push(ticket);
+        let mut ended = task.clone();
+        ended.spec.avoid.extend(task.declined.iter().cloned());
+        ended.runs += before.in_flight();
+        ended.tries += before.in_flight();
+        self.check_retry(&ended, SILENCE, now).ok()?;
         let budget = &self.registry.services[task.service as usize].budget;
-        let Outcome::Send(choice) = self.choose(&task, now) else { return None };
+        let Outcome::Send(choice) = self.choose(&ended, now) else { return None };
         (1.0 <= budget.left(task.need(), self.sharers.extra(), now)).then_some((task, choice))
     }
 
-    /// Moves a request from a silent server to another one, which is returned. Nothing changes if
-    /// no other server has a place or no retry is left, since a slow server is better than none: a
-    /// request that left its server before another was found would get no response, even if the
-    /// first server were still working on it.
-    pub fn leave(&mut self, ticket: Ticket, now: Moment) -> Option<backend::Id> {
-        let Some((mut task, choice)) = self.find_other_server(ticket, now) else {
-            self.set_leaving(ticket, Leaving::Seeking(now));
-            return None;
+    /// Starts an attempt at another server, with the new ticket `hedge`, for a request whose server
+    /// is unresponsive; the attempt there goes on. Returns the other server; `None` if it has no
+    /// place, if no retry is left, or if the server has sent something since the verdict.
+    ///
+    /// Of the two attempts, the one that is answered is to be passed to [`won`](Self::won). Tickets
+    /// must grow from attempt to attempt.
+    pub fn hedge(
+        &mut self,
+        ticket: Ticket,
+        hedge: Ticket,
+        silence: Silence,
+        now: Moment,
+    ) -> Option<backend::Id> {
+        let is_due = match silence {
+            Silence::Verdict => self.attempt_mut(ticket)?.hedge == Hedge::Requested,
+            Silence::Timeout => true,
         };
+        if !is_due {
+            return None;
+        }
+        self.set_hedge(ticket, Hedge::Seeking(now));
+        let (mut task, choice) = self.find_other_server(ticket, now)?;
         let extra = self.sharers.extra();
         let budget = &mut self.registry.services[task.service as usize].budget;
         task.payment = Some(budget.pay(task.need(), extra, now)?);
-        let mut before = self.tasks.remove(&ticket)?;
-        if let State::InFlight(attempt) = before.state.clone() {
-            self.attempt_ended(&mut before, &attempt, SILENCE, now);
-        }
+        task.spec.ticket = hedge;
         task.has_arrived = true;
+        for rival in task.rivals.clone() {
+            if let Some(rival) = self.tasks.get_mut(&rival) {
+                rival.rivals.push(hedge);
+            }
+        }
         Some(self.send(task, choice, now))
     }
 
+    /// Records that an attempt is answered, which ends the request's other attempts. Servers that
+    /// were asked before the answering one count as silent.
+    pub fn won(&mut self, ticket: Ticket, now: Moment) {
+        let rivals = self.tasks.get(&ticket).map(|task| task.rivals.clone()).unwrap_or_default();
+        for rival in rivals {
+            self.ended(rival, if rival < ticket { SILENCE } else { End::Cancelled }, now);
+        }
+    }
+
+    /// Removes an attempt that has ended from the request's other attempts.
+    pub(super) fn withdraw(&mut self, task: &Task, attempt: &Attempt, end: End, now: Moment) {
+        for rival in &task.rivals {
+            let Some(rival) = self.tasks.get_mut(rival) else { continue };
+            rival.record_rival(task.spec.ticket, &attempt.id, end);
+            if let State::InFlight(attempt) = &mut rival.state {
+                attempt.hedge = Hedge::Seeking(now);
+            }
+        }
+    }
+
     fn record_overdue(&mut self, attempt: &Attempt, service: Index, now: Moment) {
         let median = self.registry.services[service as usize].median;
         let Some(server) = self.registry.get_same(attempt.server, &attempt.id) else { return };
@@ -140,15 +192,16 @@
     }
 }
 
-/// Whether a request is to be moved from its server.
-fn should_leave(task: &Task, registry: &mut super::registry::Registry, now: Moment) -> bool {
+/// Whether another server is to get the request as well.
+fn should_hedge(task: &Task, registry: &mut super::registry::Registry, now: Moment) -> bool {
     let State::InFlight(attempt) = &task.state else { return false };
-    let is_handled = match attempt.leaving {
-        Leaving::No => false,
-        Leaving::Seeking(at) => now < at + SEEK_INTERVAL,
-        Leaving::Requested => true,
+    let is_handled = match attempt.hedge {
+        Hedge::No => false,
+        Hedge::Seeking(at) => now < at + SEEK_INTERVAL,
+        Hedge::Requested => true,
     };
-    if is_handled || !task.spec.is_repeatable() || !task.has_another_try() {
+    let is_allowed = task.spec.is_repeatable() && task.has_another_try() && task.is_latest();
+    if is_handled || !is_allowed {
         return false;
     }
     let Some(server) = registry.get_same(attempt.server, &attempt.id) else { return false };
--- a/crates/policy/tests/dispatch/retries.rs
+++ b/crates/policy/tests/dispatch/retries.rs
@@ -255,6 +255,7 @@
             match dispatcher.attempt_failed(ticket, end, now) {
                 RetryDecision::Send(_) => self.arrive(host, ticket),
                 RetryDecision::Wait | RetryDecision::Missing { .. } => {}
+                RetryDecision::InFlight => unreachable!("no request is hedged"),
                 RetryDecision::GiveUp(answer) => {
                     let is_refused = matches!(
                         answer,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -77,6 +77,7 @@
 /// An attempt in flight, with its connection to the server.
 pub(crate) struct Attempt {
     shared: Arc<Shared>,
+    pub(crate) ticket: Ticket,
     pub(crate) server: Arc<Server>,
     pub(crate) started_at: Instant,
     connection: Option<Connection>,
@@ -84,9 +85,10 @@
 }
 
 impl Attempt {
-    fn new(shared: Arc<Shared>, server: Arc<Server>) -> Attempt {
+    fn new(shared: Arc<Shared>, ticket: Ticket, server: Arc<Server>) -> Attempt {
         Attempt {
             shared,
+            ticket,
             server,
             started_at: Instant::now(),
             connection: None,
@@ -110,13 +112,6 @@
             self.shared.pool.put(now, &server.id, server.address, connection, keep_alive);
         }
     }
-
-    /// Cancels the attempt, and returns when its connection is closed.
-    pub(crate) async fn close(mut self) {
-        if let Some(connection) = self.connection.take() {
-            connection.close().await;
-        }
-    }
 }
 
 /// Sends a request to a server and waits for the head of the response.
@@ -126,24 +121,25 @@
 /// The attempt failed; the value states whether the request may have been executed.
 pub(crate) async fn begin(
     shared: &Arc<Shared>,
+    ticket: Ticket,
     server: &Arc<Server>,
     call: &Call,
     options: &ForwardOptions<'_>,
 ) -> Result<ResponseStart, AttemptEnd> {
     let buffered = &call.request;
-    let mut attempt = Attempt::new(shared.clone(), server.clone());
+    let mut attempt = Attempt::new(shared.clone(), ticket, server.clone());
     let mut connection = match idle_connection(shared, server).await {
         Some(connection) => connection,
         None => paths::open(shared, server).await.map_err(|error| unreachable(&error))?,
     };
-    call.trace.connected(attempt.started_at.elapsed(), server, connection.gateway());
+    call.trace.connected(ticket, attempt.started_at.elapsed(), connection.gateway());
     // The server may have started to drain while the connection was established.
     if !shared.dispatcher().is_ready(&server.id) {
         return Err(AttemptEnd::Unreachable(Unreachable::Closed));
     }
     let path = connection.path();
     let sent_at = shared.now();
-    shared.dispatcher().sent(buffered.ticket, path, sent_at);
+    shared.dispatcher().sent(ticket, path, sent_at);
     let request = request(shared, buffered, options);
     connection.set_reset_on_close(true);
     let sent = connection.sender.try_send_request(request).await;
@@ -169,7 +165,7 @@
         shared.observe_limit(&server.id, answer.limit, sent_at);
     }
     if is_genuine(&validated) {
-        shared.dispatcher().response_started(buffered.ticket, shared.now());
+        shared.dispatcher().response_started(ticket, shared.now());
         shared.observe_tolerance(&server.id, answer.tolerance);
     }
     validated?;
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -1,40 +1,37 @@
 //! A request in progress, and its state in the dispatcher.
 
 use std::{
-    pin::pin,
     sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, Ordering},
     },
     time::Duration,
 };
 
 use futures_util::{FutureExt, future::BoxFuture};
+use http::StatusCode;
 use observe::{metrics::routed::Refusal, story::Arrival};
 use policy::{
     attempt_timeout,
-    dispatch::{self, Answer, Ticket, Unclear, Verdict},
+    dispatch::{self, Answer, Ticket, Verdict},
 };
-use tokio::{select, sync::oneshot, time::sleep};
+use tokio::{select, sync::oneshot};
 use types::{
     prelude::*,
-    routed::{Kind, Route, Server, Version},
+    routed::{Kind, Route, Version},
 };
 
 use crate::{
-    attempt::{self, Attempt, AttemptEnd, BufferedRequest, ResponseStart},
+    attempt::{self, AttemptEnd, BufferedRequest, ResponseStart},
     edge::{ForwardOptions, Problem},
     host::{OpenGuard, Shared},
+    race::{self, Lost},
     trace::{self, Trace, Unresponsive},
 };
 
 /// Time after which a caller may retry, at another host, if this one is about to stop.
 const RETRY_ELSEWHERE_AFTER: Duration = Duration::from_millis(50);
 
-/// Interval at which another server is sought for a request at a silent server, after none was
-/// found.
-const LEAVE_RETRY_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Priority of all requests at a server. Urgent requests go first in this host's queue only: at a
 /// server they would preempt running requests, whose prompts would have to be processed again.
 const SERVER_PRIORITY: u8 = 5;
@@ -65,12 +62,7 @@
     ) -> Call {
         let timeout =
             request.info.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
-        let handle = DispatchHandle {
-            shared: shared.clone(),
-            ticket: request.ticket,
-            has_ended: AtomicBool::new(true),
-            sent: AtomicBool::new(false),
-        };
+        let handle = DispatchHandle::new(shared.clone());
         Call { request, route, service, received, timeout, fingerprint, handle, trace, _open: open }
     }
 
@@ -111,113 +103,100 @@
     /// # Errors
     ///
     /// The request is refused.
-    pub(crate) async fn first_server(&self, shared: &Shared) -> Result<Arc<Server>, Problem> {
+    pub(crate) async fn first_server(&self, shared: &Shared) -> Result<backend::Id, Problem> {
         let verdict = self.handle.arrive(self.spec());
         self.apply_verdict(shared, verdict).await
     }
 
-    /// Returns the next server after a failed attempt.
+    /// Returns what follows a failed attempt.
     ///
     /// # Errors
     ///
     /// The request has ended with this problem.
-    async fn next_server(&self, shared: &Shared, end: AttemptEnd) -> Result<Arc<Server>, Problem> {
-        self.trace.attempt_ended(end, None);
-        match self.handle.retry(end) {
-            dispatch::RetryDecision::Send(server) => self.server(shared, &server).await,
+    pub(crate) async fn next_server(
+        &self,
+        shared: &Shared,
+        ticket: Ticket,
+        end: AttemptEnd,
+        status: Option<StatusCode>,
+    ) -> Result<Next, Problem> {
+        self.trace.attempt_ended(ticket, end, status);
+        let server = match self.handle.failed(ticket, end) {
+            dispatch::RetryDecision::InFlight => return Ok(Next::InFlight),
+            dispatch::RetryDecision::Send(server) => server,
             dispatch::RetryDecision::Wait => {
                 self.trace.queued("again", self.time_left(shared));
-                self.wait(shared).await
+                self.wait(shared, ticket).await?
             }
             dispatch::RetryDecision::Missing { model, adapter } => {
                 self.trace.queued("missing", self.time_left(shared));
                 shared.request_missing(&self.service, &model, adapter.as_ref());
-                self.wait(shared).await
+                self.wait(shared, ticket).await?
             }
             dispatch::RetryDecision::GiveUp(Answer::NotRun { cause, after }) => {
                 self.trace.refused(trace::refusal(cause), self.time_left(shared), Some(after));
-                Err(Problem::NotRun(after))
+                return Err(Problem::NotRun(after));
             }
             dispatch::RetryDecision::GiveUp(Answer::Server | Answer::Unclear) => {
-                Err(Problem::Unclear)
+                return Err(Problem::Unclear);
             }
-        }
+        };
+        Ok(Next::Server(server))
     }
 
-    /// Runs an attempt. If the server is silent for `silence_timeout`, the request moves to another
-    /// server, but only if one can take it at once.
-    pub(crate) async fn attempt<T>(
-        &self,
-        silence_timeout: Duration,
-        attempt: impl Future<Output = Result<T, AttemptEnd>>,
-    ) -> Result<T, AttemptFailure> {
-        let mut attempt = pin!(attempt);
-        let mut pause = silence_timeout;
-        loop {
-            let why = select! {
-                biased;
-                ended = &mut attempt => return ended.map_err(AttemptFailure::Failed),
-                Ok(_) = self.handle.leave_signal() => Unresponsive::Dispatcher,
-                () = sleep(pause) => Unresponsive::Timeout,
-            };
-            if let Some(server) = self.leave(why) {
-                return Err(AttemptFailure::Moved(server));
-            }
-            pause = LEAVE_RETRY_INTERVAL;
-        }
+    /// Finds another server for a request whose server is unresponsive, if one can take it now.
+    /// Returns it with the ticket of the attempt there.
+    pub(crate) fn hedge(&self, ticket: Ticket, why: Unresponsive) -> Option<(Ticket, backend::Id)> {
+        let hedge = self.handle.hedge(ticket, why)?;
+        self.trace.unresponsive(ticket, why);
+        Some(hedge)
     }
 
-    /// Moves the request from a silent server to another one, if one can take it now. Returns the
-    /// other server.
-    pub(crate) fn leave(&self, why: Unresponsive) -> Option<backend::Id> {
-        let server = self.handle.leave_for_another()?;
-        self.trace.unresponsive(why);
-        self.trace.attempt_ended(AttemptEnd::Unclear(Unclear::Silent), None);
-        Some(server)
+    /// Records that an attempt is answered, and ends all others.
+    pub(crate) fn won(&self, ticket: Ticket) {
+        self.handle.won(ticket);
+        self.trace.won(ticket);
     }
 
-    /// Returns the next server after an attempt without a response.
-    ///
-    /// # Errors
-    ///
-    /// The request has ended with this problem.
-    pub(crate) async fn server_after(
-        &self,
-        shared: &Shared,
-        failure: AttemptFailure,
-    ) -> Result<Arc<Server>, Problem> {
-        match failure {
-            AttemptFailure::Failed(failed) => self.next_server(shared, failed).await,
-            AttemptFailure::Moved(server) => self.server(shared, &server).await,
-        }
+    /// Records that an attempt has failed while another one is in flight.
+    pub(crate) fn fail_beside_hedge(&self, ticket: Ticket, end: AttemptEnd) {
+        self.trace.attempt_ended(ticket, end, None);
+        self.handle.failed(ticket, end);
     }
 
     /// Sends the request to a server and waits for the head of the response.
     pub(crate) async fn send(
         &self,
         shared: &Arc<Shared>,
-        server: &Arc<Server>,
+        ticket: Ticket,
+        server: &backend::Id,
         after: Option<u64>,
     ) -> Result<ResponseStart, AttemptEnd> {
+        // The server may have been removed since it was chosen.
+        let Some(server) = shared.server(server) else {
+            return Err(AttemptEnd::Unreachable(dispatch::Unreachable::Refused));
+        };
+        let age = shared.dispatcher().report_age(&server.id, shared.now());
+        age.into_iter().for_each(|age| shared.meters.report_age(age));
         let left = self.time_left(shared);
-        self.trace.sent(server, after, left);
+        self.trace.sent(ticket, &server, after, left);
         let options = ForwardOptions {
             server: &server.name,
             deadline: left,
             priority: SERVER_PRIORITY,
             resume: after.or(self.request.info.resume),
         };
-        self.handle.sent.store(true, Ordering::Relaxed);
-        let start = attempt::begin(shared, server, self, &options).await;
+        self.handle.may_run.fetch_add(1, Ordering::Relaxed);
+        let start = attempt::begin(shared, ticket, &server, self, &options).await;
         if let Err(AttemptEnd::NotRun(_) | AttemptEnd::Unreachable(_)) = start {
-            self.handle.sent.store(false, Ordering::Relaxed);
+            self.handle.may_run.fetch_sub(1, Ordering::Relaxed);
         }
         start
     }
 
     /// Returns the problem to report after the deadline has passed.
     pub(crate) fn timed_out(&self) -> Problem {
-        if self.handle.sent.load(Ordering::Relaxed) {
+        if 0 < self.handle.may_run.load(Ordering::Relaxed) {
             return Problem::TimedOut;
         }
         self.trace.refused(Refusal::TooLate, Duration::ZERO, Some(RETRY_ELSEWHERE_AFTER));
@@ -228,17 +207,17 @@
         &self,
         shared: &Shared,
         verdict: Verdict,
-    ) -> Result<Arc<Server>, Problem> {
+    ) -> Result<backend::Id, Problem> {
         match verdict {
-            Verdict::Send(server) => self.server(shared, &server).await,
+            Verdict::Send(server) => Ok(server),
             Verdict::Wait => {
                 self.trace.queued("full", self.time_left(shared));
-                self.wait(shared).await
+                self.wait(shared, self.request.ticket).await
             }
             Verdict::Missing { model, adapter } => {
                 self.trace.queued("missing", self.time_left(shared));
                 shared.request_missing(&self.service, &model, adapter.as_ref());
-                self.wait(shared).await
+                self.wait(shared, self.request.ticket).await
             }
             Verdict::Refuse { cause, after } => {
                 self.handle.mark_ended();
@@ -250,8 +229,8 @@
                 self.trace.refused(Refusal::Poison, self.time_left(shared), None);
                 Err(Problem::Unclear)
             }
-            // `Leave` is not expected, as a waiting request has no server.
-            Verdict::Unclear | Verdict::Leave => {
+            // `Hedge` is not expected, as a waiting request has no server.
+            Verdict::Unclear | Verdict::Hedge => {
                 self.handle.mark_ended();
                 Err(Problem::Unclear)
             }
@@ -264,23 +243,8 @@
         Problem::NotRun(RETRY_ELSEWHERE_AFTER)
     }
 
-    /// Returns the chosen server, or another one if the chosen one has been removed meanwhile.
-    async fn server(&self, shared: &Shared, id: &backend::Id) -> Result<Arc<Server>, Problem> {
-        match shared.server(id) {
-            Some(server) => {
-                let age = shared.dispatcher().report_age(id, shared.now());
-                age.into_iter().for_each(|age| shared.meters.report_age(age));
-                Ok(server)
-            }
-            None => {
-                let gone = AttemptEnd::Unreachable(dispatch::Unreachable::Refused);
-                Box::pin(self.next_server(shared, gone)).await
-            }
-        }
-    }
-
-    async fn wait(&self, shared: &Shared) -> Result<Arc<Server>, Problem> {
-        let verdict = shared.wait_for_verdict(self.request.ticket);
+    async fn wait(&self, shared: &Shared, ticket: Ticket) -> Result<backend::Id, Problem> {
+        let verdict = shared.wait_for_verdict(ticket);
         let verdict = select! {
             verdict = verdict => verdict.ok(),
             () = shared.closing.cancelled() => {
@@ -310,44 +274,70 @@
     }
 }
 
-/// Why an attempt yielded no response.
-pub(crate) enum AttemptFailure {
-    /// The attempt ended without a response that can be delivered.
-    Failed(AttemptEnd),
-    /// The server was silent, and the request moves to this other server.
-    Moved(backend::Id),
+/// What follows a failed attempt.
+pub(crate) enum Next {
+    /// The request goes to this server, under the same ticket.
+    Server(backend::Id),
+    /// Another attempt of the request is still in flight.
+    InFlight,
 }
 
 /// A request's handle in the dispatcher. Dropping it ends the request there as cancelled, unless it
 /// has ended before.
 pub(crate) struct DispatchHandle {
     shared: Arc<Shared>,
-    ticket: Ticket,
-    /// Whether the request has ended in the dispatcher, or has not arrived there yet.
-    has_ended: AtomicBool,
-    /// Whether a byte of the request may have reached a server that has not stated that it did not
-    /// execute the request.
-    sent: AtomicBool,
+    /// Tickets of the request in the dispatcher, one for each attempt in flight, in the order in
+    /// which the attempts were started.
+    tickets: Mutex<Vec<Ticket>>,
+    /// Number of attempts that a server may have executed: it has been sent a byte, and has not
+    /// stated that it did not execute the request.
+    may_run: AtomicU32,
 }
 
 impl DispatchHandle {
+    fn new(shared: Arc<Shared>) -> DispatchHandle {
+        DispatchHandle { shared, tickets: Mutex::default(), may_run: AtomicU32::new(0) }
+    }
+
+    /// Returns the ticket of the attempt that was started last.
+    pub(crate) fn latest(&self) -> Ticket {
+        self.tickets().last().copied().unwrap_or_default()
+    }
+
+    /// Reports that an attempt is answered, which ends all others.
+    pub(crate) fn won(&self, ticket: Ticket) {
+        let mut tickets = self.tickets();
+        if *tickets == [ticket] {
+            return;
+        }
+        let others = std::mem::replace(&mut *tickets, vec![ticket]);
+        drop(tickets);
+        self.shared.dispatcher().won(ticket, self.shared.now());
+        for other in others.into_iter().filter(|other| *other != ticket) {
+            self.shared.stop_waiting(other);
+        }
+        self.shared.dispatch_wakeup.notify_one();
+    }
+
     /// Reports that the first byte or event of the response has arrived.
     pub(crate) fn first_byte(&self) {
-        self.shared.dispatcher().first_byte(self.ticket, self.shared.now());
+        self.shared.dispatcher().first_byte(self.latest(), self.shared.now());
         // The prompt has been processed, so the server can take another one.
         self.shared.dispatch_wakeup.notify_one();
     }
 
     /// Reports how the request ended, unless its end is known to the dispatcher.
     pub(crate) fn end(&self, end: AttemptEnd) {
-        if !self.has_ended.swap(true, Ordering::Relaxed) {
-            self.shared.dispatcher().ended(self.ticket, end, self.shared.now());
+        let tickets = std::mem::take(&mut *self.tickets());
+        for ticket in tickets {
+            self.shared.stop_waiting(ticket);
+            self.shared.dispatcher().ended(ticket, end, self.shared.now());
             self.shared.dispatch_wakeup.notify_one();
         }
     }
 
     fn arrive(&self, spec: dispatch::RequestSpec) -> Verdict {
-        self.has_ended.store(false, Ordering::Relaxed);
+        self.tickets().push(spec.ticket);
         let verdict = self.shared.dispatcher().arrive(spec, self.shared.now());
         if matches!(verdict, Verdict::Wait | Verdict::Missing { .. }) {
             self.shared.dispatch_wakeup.notify_one();
@@ -355,82 +345,101 @@
         verdict
     }
 
-    fn retry(&self, end: AttemptEnd) -> dispatch::RetryDecision {
-        let decision = self.shared.dispatcher().attempt_failed(self.ticket, end, self.shared.now());
+    /// Reports that an attempt has failed, and returns what follows.
+    pub(crate) fn failed(&self, ticket: Ticket, end: AttemptEnd) -> dispatch::RetryDecision {
+        let decision = self.shared.dispatcher().attempt_failed(ticket, end, self.shared.now());
         self.shared.dispatch_wakeup.notify_one();
-        if matches!(decision, dispatch::RetryDecision::GiveUp(_)) {
-            self.mark_ended();
+        if let dispatch::RetryDecision::GiveUp(_) | dispatch::RetryDecision::InFlight = decision {
+            self.tickets().retain(|other| *other != ticket);
+            self.shared.stop_waiting(ticket);
         }
         decision
     }
 
     /// Reports the number of the last event that was passed to the caller.
     pub(crate) fn delivered(&self, event: u64) {
-        self.shared.dispatcher().delivered(self.ticket, event, self.shared.now());
+        self.shared.dispatcher().delivered(self.latest(), event, self.shared.now());
     }
 
-    /// Asks the dispatcher for another server that can take the request from a silent one now.
-    fn leave_for_another(&self) -> Option<backend::Id> {
-        let server = self.shared.dispatcher().leave(self.ticket, self.shared.now())?;
+    /// Starts another attempt in the dispatcher. Returns its ticket, and the server that it goes
+    /// to.
+    fn hedge(&self, ticket: Ticket, why: Unresponsive) -> Option<(Ticket, backend::Id)> {
+        let silence = match why {
+            Unresponsive::Dispatcher => dispatch::Silence::Verdict,
+            Unresponsive::Timeout => dispatch::Silence::Timeout,
+        };
+        let hedge = self.shared.next_ticket();
+        let now = self.shared.now();
+        let server = self.shared.dispatcher().hedge(ticket, hedge, silence, now)?;
+        self.tickets().push(hedge);
         self.shared.dispatch_wakeup.notify_one();
-        Some(server)
+        Some((hedge, server))
     }
 
-    /// Returns a future that completes when the request is to leave its server.
-    pub(crate) fn leave_signal(&self) -> LeaveSignal {
-        self.shared.wait_for_verdict(self.ticket)
+    /// Returns a future that completes when the dispatcher asks for another attempt, since the
+    /// server of this one is unresponsive.
+    pub(crate) fn hedge_signal(&self, ticket: Ticket) -> HedgeSignal {
+        self.shared.wait_for_verdict(ticket)
     }
 
     /// Records that the dispatcher has ended the request by itself.
     fn mark_ended(&self) {
-        self.has_ended.store(true, Ordering::Relaxed);
+        for ticket in std::mem::take(&mut *self.tickets()) {
+            self.shared.stop_waiting(ticket);
+        }
+    }
+
+    fn tickets(&self) -> MutexGuard<'_, Vec<Ticket>> {
+        self.tickets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Drop for DispatchHandle {
     fn drop(&mut self) {
-        self.shared.stop_waiting(self.ticket);
         self.end(AttemptEnd::Cancelled);
     }
 }
 
-/// Signal that a request is to leave its server.
-pub(crate) type LeaveSignal = oneshot::Receiver<Verdict>;
+/// Signal that another attempt of a request is to be started.
+pub(crate) type HedgeSignal = oneshot::Receiver<Verdict>;
 
-/// Continues an interrupted stream at another server.
+/// Continues a stream at another server.
 pub(crate) struct Resumer {
     pub(crate) shared: Arc<Shared>,
     pub(crate) call: Arc<Call>,
 }
 
-/// A pending move of a stream to another server.
-pub(crate) type Resuming = BoxFuture<'static, Result<ResponseStart, Problem>>;
+/// Attempts at other servers to continue a stream.
+pub(crate) type Resuming = BoxFuture<'static, Result<ResponseStart, Lost>>;
 
 impl Resumer {
-    /// Moves the stream from a silent server to another one, if one can take it now.
-    pub(crate) fn leave(&self, why: Unresponsive) -> Option<AttemptFailure> {
-        self.call.leave(why).map(AttemptFailure::Moved)
-    }
-
     /// Returns the time that a server has for its first event.
     pub(crate) fn first_event_timeout(&self) -> Duration {
         attempt_timeout::first_event(self.call.route.goal)
     }
 
-    /// Resumes the stream after the event `after`, once the connection to the previous server is
-    /// closed.
-    pub(crate) fn start(
+    /// Starts an attempt to resume a stream after the event `after`, at another server than the
+    /// unresponsive one, if one can take it now. The attempt with this ticket goes on.
+    pub(crate) fn hedge(
         &self,
-        previous: Option<Attempt>,
+        ticket: Ticket,
         after: Option<u64>,
-        failure: AttemptFailure,
-    ) -> Resuming {
+        why: Unresponsive,
+    ) -> Option<Resuming> {
+        let hedge = self.call.hedge(ticket, why)?;
+        let (shared, call) = (self.shared.clone(), self.call.clone());
+        Some(async move { resume(&shared, &call, hedge, after).await }.boxed())
+    }
+
+    /// Resumes the stream after the event `after`, once the attempt with this ticket has failed.
+    pub(crate) fn resume(&self, ticket: Ticket, after: Option<u64>, end: AttemptEnd) -> Resuming {
         let (shared, call) = (self.shared.clone(), self.call.clone());
         async move {
-            if let Some(attempt) = previous {
-                attempt.close().await;
+            let next = call.next_server(&shared, ticket, end, None).await;
+            match next.map_err(Lost::Ended)? {
+                Next::Server(server) => resume(&shared, &call, (ticket, server), after).await,
+                Next::InFlight => Err(Lost::InFlight),
             }
-            resume(&shared, &call, after, failure).await
         }
         .boxed()
     }
@@ -439,17 +448,17 @@
 async fn resume(
     shared: &Arc<Shared>,
     call: &Call,
+    first: (Ticket, backend::Id),
     after: Option<u64>,
-    failure: AttemptFailure,
-) -> Result<ResponseStart, Problem> {
-    let mut failure = failure;
-    let silence_timeout = attempt_timeout::first_event(call.route.goal);
-    loop {
-        let server = call.server_after(shared, failure).await?;
-        failure = match call.attempt(silence_timeout, call.send(shared, &server, after)).await {
-            Ok(start) if start.head.status.is_success() => return Ok(start),
-            Ok(_) => AttemptFailure::Failed(AttemptEnd::ServerError),
-            Err(ended) => ended,
-        };
-    }
+) -> Result<ResponseStart, Lost> {
+    let patience = || attempt_timeout::first_event(call.route.goal);
+    race::run(shared, call, first, patience, async |ticket, server: backend::Id| {
+        let start = call.send(shared, ticket, &server, after).await?;
+        // The caller has the head of the first response, so an error response is of no use.
+        if !start.head.status.is_success() {
+            return Err(AttemptEnd::ServerError.into());
+        }
+        Ok(start)
+    })
+    .await
 }
--- a/crates/relay/src/connect.rs
+++ b/crates/relay/src/connect.rs
@@ -54,12 +54,6 @@
     pub(crate) fn set_reset_on_close(&self, is_reset: bool) {
         self.reset_on_close.set(is_reset);
     }
-
-    /// Closes the socket and waits until it is closed.
-    pub(crate) async fn close(mut self) {
-        self.driver.abort();
-        let _ = (&mut self.driver).await;
-    }
 }
 
 impl Drop for Connection {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod pool;
 mod quarantine;
 mod quotas;
+mod race;
 mod ready;
 mod registration;
 mod retries;
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -8,27 +8,29 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, Response, header};
+use http::{HeaderValue, Method, Request, Response, header, response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use observe::metrics::routed::Refusal;
 use policy::{
     attempt_timeout,
-    dispatch::{self, Unclear},
+    dispatch::{self, Ticket, Unclear},
 };
 use tokio::{select, time::timeout};
 use types::{
-    routed::{Declaration, Kind, Route, Server},
+    backend,
+    routed::{Declaration, Kind, Route},
     service,
 };
 
 use crate::{
     attempt::{AttemptEnd, BufferedRequest, OpenResponse, ResponseStart},
-    call::{AttemptFailure, Call, Resumer},
+    call::{Call, Resumer},
     deadline::Deadline,
     edge::{Problem, RequestInfo},
     fields,
     host::{OpenGuard, Shared},
+    race::{self, Failure, Lost},
     stream::{Events, ResponseBody, ResumePolicy, StreamTimer},
     trace::Trace,
 };
@@ -164,76 +166,85 @@
     }
 }
 
+/// A server's response, as far as it is received before it is delivered.
+enum Reply {
+    Complete(response::Parts, Bytes),
+    Stream(ResponseStart),
+}
+
 async fn attempts(
     shared: &Arc<Shared>,
     call: &Arc<Call>,
 ) -> Result<Response<ResponseBody>, Problem> {
-    let mut server = call.first_server(shared).await?;
-    let mut error_response = None;
-    loop {
-        let failure = match attempt(shared, call, &server).await {
-            Ok(response) if !response.status().is_server_error() => return Ok(response),
-            Ok(response) => {
-                call.trace.attempt_ended(AttemptEnd::ServerError, Some(response.status()));
-                error_response = Some(response);
-                AttemptFailure::Failed(AttemptEnd::ServerError)
-            }
-            Err(ended) => ended,
-        };
-        server = match call.server_after(shared, failure).await {
-            Ok(server) => server,
-            // The server's own error response is more specific than this host's.
-            Err(problem) => return error_response.ok_or(problem),
-        };
+    let server = call.first_server(shared).await?;
+    let first = (call.request.ticket, server);
+    let patience = || patience(shared, call);
+    let reply = race::run(shared, call, first, patience, async |ticket, server: backend::Id| {
+        attempt(shared, call, ticket, &server).await
+    })
+    .await;
+    match reply {
+        Ok(reply) => Ok(deliver(shared, call, reply)),
+        Err(Lost::Ended(problem)) => Err(problem),
+        // Only attempts that this race has started are in flight.
+        Err(Lost::InFlight) => Err(Problem::Unclear),
     }
 }
 
-/// Sends a request to a server and delivers the response. An attempt is abandoned before the server
-/// has responded only if the request may be executed again.
-async fn attempt(
-    shared: &Arc<Shared>,
-    call: &Arc<Call>,
-    server: &Arc<Server>,
-) -> Result<Response<ResponseBody>, AttemptFailure> {
-    let answer = async {
-        let start = call.send(shared, server, None).await?;
-        deliver(shared, call, start).await
-    };
-    if !call.may_repeat() {
-        return answer.await.map_err(AttemptFailure::Failed);
-    }
-    let silence_timeout = match call.route.kind {
+/// Returns the time for which a server may be silent before the request is sent to another one as
+/// well.
+fn patience(shared: &Shared, call: &Call) -> Duration {
+    match call.route.kind {
         Kind::Idempotent | Kind::NonIdempotent => {
             attempt_timeout::response(call.route.goal, call.time_left(shared))
         }
         Kind::Stream => attempt_timeout::first_event(call.route.goal),
-    };
-    call.attempt(silence_timeout, answer).await
+    }
 }
 
-async fn deliver(
+/// Sends a request to a server and receives the response, of a stream only the head.
+async fn attempt(
     shared: &Arc<Shared>,
-    call: &Arc<Call>,
-    start: ResponseStart,
-) -> Result<Response<ResponseBody>, AttemptEnd> {
-    let ResponseStart { mut head, mut response } = start;
-    fields::strip(&mut head.headers);
-    if call.route.kind == Kind::Stream && head.status.is_success() {
-        head.headers.remove(header::CONTENT_LENGTH);
-        let body = ResponseBody::Events(Box::new(events(shared, call, response)));
-        return Ok(Response::from_parts(head, body));
+    call: &Call,
+    ticket: Ticket,
+    server: &backend::Id,
+) -> Result<Reply, Failure<Reply>> {
+    let start = call.send(shared, ticket, server, None).await?;
+    let status = start.head.status;
+    if call.route.kind == Kind::Stream && status.is_success() {
+        return Ok(Reply::Stream(start));
     }
-    call.trace.response_started(Some(head.status));
+    let ResponseStart { head, mut response } = start;
+    call.trace.response_started(Some(status));
     let body = Limited::new(&mut response.body, MAX_BUFFERED_BODY_BYTES).collect().await;
     let body = body.map_err(|_| AttemptEnd::Unclear(Unclear::Cut))?.to_bytes();
     response.finish();
-    if !head.status.is_server_error() {
-        call.handle.end(AttemptEnd::Completed);
+    let reply = Reply::Complete(head, body);
+    if status.is_server_error() {
+        return Err(Failure { end: AttemptEnd::ServerError, answer: Some((status, reply)) });
     }
-    if call.request.method != Method::HEAD {
-        head.headers.remove(header::CONTENT_LENGTH);
+    Ok(reply)
+}
+
+fn deliver(shared: &Arc<Shared>, call: &Arc<Call>, reply: Reply) -> Response<ResponseBody> {
+    match reply {
+        Reply::Stream(ResponseStart { mut head, response }) => {
+            fields::strip(&mut head.headers);
+            head.headers.remove(header::CONTENT_LENGTH);
+            let body = ResponseBody::Events(Box::new(events(shared, call, response)));
+            Response::from_parts(head, body)
+        }
+        Reply::Complete(mut head, body) => {
+            fields::strip(&mut head.headers);
+            if !head.status.is_server_error() {
+                call.handle.end(AttemptEnd::Completed);
+            }
+            if call.request.method != Method::HEAD {
+                head.headers.remove(header::CONTENT_LENGTH);
+            }
+            Response::from_parts(head, ResponseBody::complete(body))
+        }
     }
-    Ok(Response::from_parts(head, ResponseBody::complete(body)))
 }
 
 fn events(shared: &Arc<Shared>, call: &Arc<Call>, response: OpenResponse) -> Events {
@@ -251,6 +262,6 @@
     let resumer = Resumer { shared: shared.clone(), call: call.clone() };
     let first = response.attempt.started_at + resumer.first_event_timeout();
     let timer = StreamTimer::with_timeouts(end, first, attempt_timeout::next_event(call.route.gap));
-    let resume = ResumePolicy::OtherServer(resumer, call.handle.leave_signal());
-    Events::new(response, after, resume, timer, call.clone())
+    let signal = call.handle.hedge_signal(response.attempt.ticket);
+    Events::new(response, after, ResumePolicy::OtherServer(resumer, signal), timer, call.clone())
 }
--- /dev/null
+++ b/crates/relay/src/race.rs
@@ -0,0 +1,113 @@
+//! Attempts of one request at several servers, of which the first to be answered wins.
+//!
+//! A request whose server is unresponsive is also sent to another server. A sound server may be
+//! silent for a moment, and the other server may reject the request, so no attempt is given up
+//! before another one is answered.
+
+use std::{future::Future, sync::Arc, time::Duration};
+
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use http::StatusCode;
+use policy::dispatch::Ticket;
+use tokio::{select, time::sleep};
+use types::backend;
+
+use crate::{
+    attempt::AttemptEnd,
+    call::{Call, Next},
+    edge::Problem,
+    host::Shared,
+    trace::Unresponsive,
+};
+
+/// Interval at which another server is sought for a request at an unresponsive server, after none
+/// was found.
+const SEEK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// An attempt that does not end the request.
+pub(crate) struct Failure<T> {
+    pub(crate) end: AttemptEnd,
+    /// The server's own error response, with its status.
+    pub(crate) answer: Option<(StatusCode, T)>,
+}
+
+impl<T> From<AttemptEnd> for Failure<T> {
+    fn from(end: AttemptEnd) -> Failure<T> {
+        Failure { end, answer: None }
+    }
+}
+
+/// Why a race has no winner.
+pub(crate) enum Lost {
+    /// All of its attempts have failed, and an attempt that was started before is in flight.
+    InFlight,
+    /// The request has ended with this problem.
+    Ended(Problem),
+}
+
+/// Runs attempts, each started by `begin`, until one is answered. The first one has this ticket and
+/// goes to this server; a further one is started whenever the latest server is unresponsive for the
+/// time that `patience` returns, or is so in the view of the dispatcher.
+///
+/// # Errors
+///
+/// No attempt was answered; if a server has sent an error response, that is returned instead.
+pub(crate) async fn run<T, F>(
+    shared: &Arc<Shared>,
+    call: &Call,
+    first: (Ticket, backend::Id),
+    patience: impl Fn() -> Duration,
+    begin: impl Fn(Ticket, backend::Id) -> F,
+) -> Result<T, Lost>
+where
+    F: Future<Output = Result<T, Failure<T>>>,
+{
+    let start = |ticket, server| {
+        let attempt = begin(ticket, server);
+        async move { (ticket, attempt.await) }
+    };
+    let (mut latest, server) = first;
+    let mut attempts = FuturesUnordered::new();
+    attempts.push(start(latest, server));
+    let mut pause = patience();
+    let mut error_answer = None;
+    loop {
+        let why = select! {
+            biased;
+            Some((ticket, ended)) = attempts.next() => {
+                let failure = match ended {
+                    Ok(answer) => {
+                        drop(attempts);
+                        call.won(ticket);
+                        return Ok(answer);
+                    }
+                    Err(failure) => failure,
+                };
+                let status = failure.answer.as_ref().map(|(status, _)| *status);
+                error_answer = failure.answer.map(|(_, answer)| answer).or(error_answer);
+                match call.next_server(shared, ticket, failure.end, status).await {
+                    Ok(Next::Server(server)) => {
+                        attempts.push(start(ticket, server));
+                        (latest, pause) = (ticket, patience());
+                    }
+                    Ok(Next::InFlight) if attempts.is_empty() => return Err(Lost::InFlight),
+                    Ok(Next::InFlight) => {
+                        (latest, pause) = (call.handle.latest(), SEEK_INTERVAL);
+                    }
+                    // The server's own error response is more specific than this host's.
+                    Err(problem) => return error_answer.ok_or(Lost::Ended(problem)),
+                }
+                continue;
+            }
+            Ok(_) = call.handle.hedge_signal(latest) => Unresponsive::Dispatcher,
+            () = sleep(pause) => Unresponsive::Timeout,
+        };
+        match call.hedge(latest, why) {
+            Some((ticket, server)) => {
+                attempts.push(start(ticket, server));
+                (latest, pause) = (ticket, patience());
+            }
+            None => pause = SEEK_INTERVAL,
+        }
+    }
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -32,9 +32,6 @@
     /// An event of the server is malformed or too large, or an event before it is missing.
     #[error("the server's events can't be passed on: {0:?}")]
     Fault(Fault),
-    /// The server sent nothing for too long.
-    #[error("the server has sent nothing for too long")]
-    Silence,
     /// The deadline of the request has passed.
     #[error("the deadline of the request has passed")]
     Deadline,
@@ -47,7 +44,6 @@
             StreamError::Connection(_) => "server-cut",
             StreamError::PartialEvent => "half-an-event",
             StreamError::Fault(_) => "bad-event",
-            StreamError::Silence => "silence",
             StreamError::Deadline => "deadline",
         }
     }
@@ -59,7 +55,6 @@
                 AttemptEnd::Unclear(Unclear::Cut)
             }
             StreamError::Fault(_) => AttemptEnd::Unclear(Unclear::Garbled),
-            StreamError::Silence => AttemptEnd::Unclear(Unclear::Silent),
             // That the deadline passed is no evidence against the server.
             StreamError::Deadline => AttemptEnd::Cancelled,
         }
--- a/crates/relay/src/stream/events.rs
+++ b/crates/relay/src/stream/events.rs
@@ -12,8 +12,8 @@
 use policy::event::{ResumePoint, Splitter};
 
 use crate::{
-    attempt::{AttemptEnd, BodyEnd, OpenResponse},
-    call::{AttemptFailure, Call, LeaveSignal, Resumer, Resuming},
+    attempt::{AttemptEnd, BodyEnd, OpenResponse, ResponseStart},
+    call::{Call, HedgeSignal, Resumer, Resuming},
     stream::{
         StreamError,
         timer::{Alarm, StreamTimer},
@@ -23,9 +23,9 @@
 
 /// Whether a stream may continue at another server.
 pub(crate) enum ResumePolicy {
-    /// Another server may continue the stream, even before the present one has failed. The signal
-    /// completes when the stream is to leave its server.
-    OtherServer(Resumer, LeaveSignal),
+    /// Another server may continue the stream. The signal completes when the present one is
+    /// unresponsive, so that another one is to be asked as well.
+    OtherServer(Resumer, HedgeSignal),
     /// The stream can't be resumed.
     Never,
 }
@@ -35,6 +35,8 @@
     state: State,
     splitter: Splitter,
     resume: ResumePolicy,
+    /// Attempts at other servers while the present one is unresponsive.
+    hedge: Option<Resuming>,
     timer: StreamTimer,
     call: Arc<Call>,
     first_event: FirstEvent,
@@ -84,6 +86,7 @@
             state,
             splitter: Splitter::new(after),
             resume,
+            hedge: None,
             timer,
             call,
             first_event: FirstEvent::Pending,
@@ -148,6 +151,7 @@
         let output = self.splitter.take(chunk);
         if !output.events.is_empty() {
             self.timer.received();
+            self.withdraw_hedge();
             if self.first_event == FirstEvent::Pending {
                 self.first_event = FirstEvent::Received;
                 self.call.handle.first_byte();
@@ -172,6 +176,7 @@
 
     /// Ends the stream after the server has completed it.
     fn finish(&mut self) -> Step {
+        self.withdraw_hedge();
         if let State::Streaming(response) = std::mem::replace(&mut self.state, State::Done) {
             response.finish();
             self.call.handle.end(AttemptEnd::Completed);
@@ -181,99 +186,134 @@
     }
 
     fn poll_timer(&mut self, context: &mut Context<'_>) -> Poll<Step> {
-        if let ResumePolicy::OtherServer(_, leave) = &mut self.resume
-            && let Poll::Ready(_) = Pin::new(&mut *leave).poll(context)
+        if let Some(start) = self.poll_hedge(context) {
+            return Poll::Ready(Step::Next(self.switch_to(start)));
+        }
+        if self.hedge.is_none()
+            && let ResumePolicy::OtherServer(_, signal) = &mut self.resume
+            && let Poll::Ready(received) = Pin::new(signal).poll(context)
         {
-            // The signal is sent once. If no other server takes the stream, the timer tries again.
-            *leave = self.call.handle.leave_signal();
-            if let Some(state) = self.leave_server(Unresponsive::Dispatcher) {
-                return Poll::Ready(Step::Next(state));
+            // The signal is sent once. If no other server can be asked, the timer tries again.
+            self.expect_signal();
+            if received.is_ok() {
+                self.start_hedge(Unresponsive::Dispatcher);
             }
+            context.waker().wake_by_ref();
+            return Poll::Pending;
         }
         loop {
             match ready!(self.timer.poll(context)) {
                 Alarm::End => {
                     return Poll::Ready(Step::Next(State::Flushing(StreamError::Deadline)));
                 }
-                Alarm::Silence => match self.leave_server(Unresponsive::Timeout) {
-                    Some(state) => return Poll::Ready(Step::Next(state)),
-                    // No other server can continue the stream, and a slow server is better than
-                    // none.
-                    None => self.timer.received(),
-                },
+                Alarm::Silence => {
+                    self.timer.received();
+                    if self.hedge.is_none() {
+                        self.start_hedge(Unresponsive::Timeout);
+                        context.waker().wake_by_ref();
+                        return Poll::Pending;
+                    }
+                }
             }
         }
     }
 
+    /// Returns the response of another server that was asked because the present one is
+    /// unresponsive.
+    fn poll_hedge(&mut self, context: &mut Context<'_>) -> Option<ResponseStart> {
+        let Poll::Ready(ended) = self.hedge.as_mut()?.as_mut().poll(context) else { return None };
+        self.hedge = None;
+        // The dispatcher reports again if the present server stays unresponsive.
+        self.expect_signal();
+        context.waker().wake_by_ref();
+        ended.ok()
+    }
+
     fn poll_resuming(&mut self, context: &mut Context<'_>) -> Poll<Step> {
         let State::Resuming(resuming, _) = &mut self.state else {
             return Poll::Ready(Step::Next(State::Done));
         };
-        let start = match resuming.as_mut().poll(context) {
-            Poll::Ready(Ok(start)) => start,
+        match resuming.as_mut().poll(context) {
+            Poll::Ready(Ok(start)) => Poll::Ready(Step::Next(self.switch_to(start))),
             Poll::Ready(Err(_)) => {
                 let State::Resuming(_, error) = std::mem::replace(&mut self.state, State::Done)
                 else {
                     return Poll::Ready(Step::Next(State::Done));
                 };
-                return Poll::Ready(Step::Next(State::Flushing(error)));
+                Poll::Ready(Step::Next(State::Flushing(error)))
             }
             // The attempt under way has its own timeouts, so only the deadline matters here.
             Poll::Pending => {
                 ready!(self.timer.poll_end(context));
-                return Poll::Ready(Step::Next(State::Flushing(StreamError::Deadline)));
+                Poll::Ready(Step::Next(State::Flushing(StreamError::Deadline)))
             }
-        };
-        if let ResumePolicy::OtherServer(resumer, leave) = &mut self.resume {
-            *leave = self.call.handle.leave_signal();
+        }
+    }
+
+    /// Continues with another server's response. The connection to the present server is closed
+    /// with the state that is replaced.
+    fn switch_to(&mut self, start: ResponseStart) -> State {
+        self.splitter.switch();
+        self.first_event = FirstEvent::Pending;
+        self.expect_signal();
+        if let ResumePolicy::OtherServer(resumer, _) = &self.resume {
             self.timer.expect_by(start.response.attempt.started_at + resumer.first_event_timeout());
         }
-        Poll::Ready(Step::Next(State::Streaming(start.response)))
+        State::Streaming(start.response)
+    }
+
+    /// Waits for the dispatcher's next signal that the server is unresponsive.
+    fn expect_signal(&mut self) {
+        if let ResumePolicy::OtherServer(_, signal) = &mut self.resume {
+            *signal = self.call.handle.hedge_signal(self.call.handle.latest());
+        }
     }
 
     /// Continues at another server after a failure, or ends the stream early.
     fn resume_or_end(&mut self, error: StreamError) {
-        let attempt = match std::mem::replace(&mut self.state, State::Done) {
-            State::Streaming(response) => Some(response.attempt),
-            _ => None,
+        let ticket = match std::mem::replace(&mut self.state, State::Done) {
+            State::Streaming(response) => response.attempt.ticket,
+            _ => self.call.handle.latest(),
         };
+        let after = self.last_event();
         self.state = match &self.resume {
             ResumePolicy::OtherServer(resumer, _)
                 if self.splitter.point() != ResumePoint::Unknown =>
             {
-                let resuming = resumer.start(
-                    attempt,
-                    self.last_event(),
-                    AttemptFailure::Failed(error.attempt_end()),
-                );
-                self.switch_server();
+                let resuming = match self.hedge.take() {
+                    Some(hedge) => {
+                        self.call.fail_beside_hedge(ticket, error.attempt_end());
+                        hedge
+                    }
+                    None => resumer.resume(ticket, after, error.attempt_end()),
+                };
                 State::Resuming(resuming, error)
             }
             ResumePolicy::OtherServer(..) | ResumePolicy::Never => {
                 self.call.handle.end(error.attempt_end());
-                self.call.trace.attempt_ended(error.attempt_end(), None);
+                self.call.trace.attempt_ended(ticket, error.attempt_end(), None);
                 State::Flushing(error)
             }
         };
     }
 
-    /// Moves the stream from a silent server to another one, if one can take it now. Returns the
-    /// new state.
-    fn leave_server(&mut self, why: Unresponsive) -> Option<State> {
-        let ResumePolicy::OtherServer(resumer, _) = &self.resume else { return None };
-        if self.splitter.point() == ResumePoint::Unknown
-            || !matches!(self.state, State::Streaming(_))
-        {
-            return None;
+    /// Asks another server to continue the stream, if one can take it now. The attempt at the
+    /// present one goes on.
+    fn start_hedge(&mut self, why: Unresponsive) {
+        let ResumePolicy::OtherServer(resumer, _) = &self.resume else { return };
+        let State::Streaming(response) = &self.state else { return };
+        if self.splitter.point() != ResumePoint::Unknown {
+            self.hedge = resumer.hedge(response.attempt.ticket, self.last_event(), why);
+        }
+    }
+
+    /// Ends the attempts at other servers, since the present one has sent an event.
+    fn withdraw_hedge(&mut self) {
+        let State::Streaming(response) = &self.state else { return };
+        if self.hedge.take().is_some() {
+            self.call.won(response.attempt.ticket);
+            self.expect_signal();
         }
-        let failure = resumer.leave(why)?;
-        let attempt = match std::mem::replace(&mut self.state, State::Done) {
-            State::Streaming(response) => Some(response.attempt),
-            _ => None,
-        };
-        let resuming = resumer.start(attempt, self.last_event(), failure);
-        self.switch_server();
-        Some(State::Resuming(resuming, StreamError::Silence))
     }
 
     /// Returns the number of the last event that the caller has.
@@ -283,10 +323,4 @@
             ResumePoint::Start | ResumePoint::Unknown => None,
         }
     }
-
-    /// Prepares for the events of another server.
-    fn switch_server(&mut self) {
-        self.splitter.switch();
-        self.first_event = FirstEvent::Pending;
-    }
 }
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -14,7 +14,7 @@
     metrics::routed::{AttemptOutcome, Phase, Refusal, Resend, Routed as Meters},
     story::{self, Arrival, End, Input, Outcome, Step, Text},
 };
-use policy::dispatch::{Cause, NotRun, Unclear, Unreachable};
+use policy::dispatch::{Cause, NotRun, Ticket, Unclear, Unreachable};
 use types::{
     backend, host,
     request::{self, Ran},
@@ -37,10 +37,8 @@
     goals: Option<Goals>,
     /// Cause of the last refusal by the dispatcher or by this host.
     refusal: Option<Refusal>,
-    /// Server of the attempt in flight.
-    current_server: Option<backend::Id>,
-    /// When the attempt in flight was started, or its server last sent something for the caller.
-    heard_at: Moment,
+    /// The attempts in flight.
+    open: Vec<OpenAttempt>,
     attempts: u32,
     /// Status of the last response.
     status: Option<u16>,
@@ -53,6 +51,16 @@
     events: u32,
 }
 
+/// An attempt in flight.
+struct OpenAttempt {
+    ticket: Ticket,
+    /// Number of the attempt, from one.
+    attempt: u32,
+    server: backend::Id,
+    /// When the attempt was started, or a part of a response was last received for the request.
+    heard_at: Moment,
+}
+
 /// What found a server unresponsive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Unresponsive {
@@ -89,8 +97,7 @@
             received,
             goals: None,
             refusal: None,
-            current_server: None,
-            heard_at: received,
+            open: Vec::new(),
             attempts: 0,
             status: None,
             first_after: None,
@@ -123,7 +130,7 @@
 
     /// Records that the request is sent to a server; `after` is the last event that the caller has,
     /// if a stream is resumed.
-    pub(crate) fn sent(&self, server: &Server, after: Option<u64>, left: Duration) {
+    pub(crate) fn sent(&self, ticket: Ticket, server: &Server, after: Option<u64>, left: Duration) {
         let mut notes = self.notes();
         let now = notes.clock.now();
         match (notes.attempts, after) {
@@ -132,9 +139,8 @@
             (_, Some(_)) => notes.meters.resend(Resend::Resume),
         }
         notes.attempts += 1;
-        notes.heard_at = now;
-        notes.current_server = Some(server.id.clone());
         let (attempt, id) = (notes.attempts, server.id.clone());
+        notes.open.push(OpenAttempt { ticket, attempt, server: id.clone(), heard_at: now });
         notes.record(Step::Attempt(story::Attempt {
             attempt,
             server: id.clone(),
@@ -152,27 +158,60 @@
 
     /// Records the time that it took to get a connection to the server, and the host through which
     /// the connection leads.
-    pub(crate) fn connected(&self, took: Duration, server: &Server, via: Option<&host::Id>) {
+    pub(crate) fn connected(&self, ticket: Ticket, took: Duration, via: Option<&host::Id>) {
         let mut notes = self.notes();
         notes.phase(Phase::Connect, took);
-        if let Some(via) = via.cloned() {
-            let (attempt, server) = (notes.attempts, server.id.clone());
+        if let Some(via) = via.cloned()
+            && let Some(open) = notes.open.iter().find(|open| open.ticket == ticket)
+        {
+            let (attempt, server) = (open.attempt, open.server.clone());
             notes.record(Step::Relayed { attempt, server, via });
         }
     }
 
-    /// Records that the server of the attempt in flight counts as unresponsive.
-    pub(crate) fn unresponsive(&self, why: Unresponsive) {
+    /// Records that the server of an attempt counts as unresponsive.
+    pub(crate) fn unresponsive(&self, ticket: Ticket, why: Unresponsive) {
         let mut notes = self.notes();
-        let Some(server) = notes.current_server.clone() else { return };
-        let silent = notes.clock.now().saturating_sub(notes.heard_at);
-        let (attempt, why) = (notes.attempts, Text::Borrowed(why.as_str()));
+        let now = notes.clock.now();
+        let Some(open) = notes.open.iter().find(|open| open.ticket == ticket) else { return };
+        let (attempt, server) = (open.attempt, open.server.clone());
+        let silent = now.saturating_sub(open.heard_at);
+        let why = Text::Borrowed(why.as_str());
         notes.record(Step::Unresponsive { attempt, server, why, silent });
     }
 
-    /// Records the end of the attempt in flight, if there is one.
-    pub(crate) fn attempt_ended(&self, end: AttemptEnd, status: Option<StatusCode>) {
-        self.notes().attempt_ended(end, status);
+    /// Records the end of an attempt, if it is in flight.
+    pub(crate) fn attempt_ended(
+        &self,
+        ticket: Ticket,
+        end: AttemptEnd,
+        status: Option<StatusCode>,
+    ) {
+        let mut notes = self.notes();
+        if let Some(at) = notes.open.iter().position(|open| open.ticket == ticket) {
+            let open = notes.open.remove(at);
+            notes.attempt_ended(open, end, status);
+        }
+    }
+
+    /// Records that an attempt is answered, which ends all others. The servers that were asked
+    /// before were silent.
+    pub(crate) fn won(&self, ticket: Ticket) {
+        let mut notes = self.notes();
+        let (won, lost) = std::mem::take(&mut notes.open)
+            .into_iter()
+            .partition(|open: &OpenAttempt| open.ticket == ticket);
+        notes.open = won;
+        let lost: Vec<OpenAttempt> = lost;
+        for open in lost {
+            let is_earlier = open.ticket < ticket;
+            let end = if is_earlier {
+                AttemptEnd::Unclear(Unclear::Silent)
+            } else {
+                AttemptEnd::Cancelled
+            };
+            notes.attempt_ended(open, end, None);
+        }
     }
 
     /// Records the arrival of the head of a response that is no stream.
@@ -197,7 +236,7 @@
     /// Records that a server's response is complete.
     pub(crate) fn completed(&self, status: Option<StatusCode>) {
         let mut notes = self.notes();
-        notes.attempt_ended(AttemptEnd::Completed, status);
+        notes.all_ended(AttemptEnd::Completed, status);
         let status = status.map(|status| status.as_u16()).or(notes.status);
         if status.is_some_and(|status| 500 <= status) {
             return notes.end(Outcome::Failed, status, Some("server-error"));
@@ -218,7 +257,7 @@
             }
             Problem::Unclear => notes.end(Outcome::Unclear, status, Some("may-have-run")),
             Problem::TimedOut => {
-                notes.attempt_ended(AttemptEnd::Unclear(Unclear::Silent), None);
+                notes.all_ended(AttemptEnd::Unclear(Unclear::Silent), None);
                 notes.end(Outcome::Unclear, status, Some("timed-out"));
             }
             Problem::NotRun(_) => {
@@ -234,7 +273,7 @@
     /// Records that a stream ended before it was complete.
     pub(crate) fn stream_failed(&self, error: &StreamError) {
         let mut notes = self.notes();
-        notes.attempt_ended(error.attempt_end(), None);
+        notes.all_ended(error.attempt_end(), None);
         let status = notes.status;
         notes.end(Outcome::Cut, status, Some(error.as_str()));
     }
@@ -257,19 +296,24 @@
         }
     }
 
-    fn attempt_ended(&mut self, end: AttemptEnd, status: Option<StatusCode>) {
-        let Some(server) = self.current_server.take() else { return };
+    fn all_ended(&mut self, end: AttemptEnd, status: Option<StatusCode>) {
+        for open in std::mem::take(&mut self.open) {
+            self.attempt_ended(open, end, status);
+        }
+    }
+
+    fn attempt_ended(&mut self, open: OpenAttempt, end: AttemptEnd, status: Option<StatusCode>) {
+        let OpenAttempt { attempt, server, .. } = open;
         let label = attempt_outcome(end);
         self.meters.attempt(label);
         let outcome = Text::Borrowed(label.as_str());
         let status = status.map(|status| status.as_u16());
-        let attempt = self.attempts;
         self.record(Step::AttemptEnded { attempt, server, outcome, status, ran: ran(end) });
     }
 
     fn received_now(&mut self) {
         let now = self.clock.now();
-        self.heard_at = now;
+        self.open.iter_mut().for_each(|open| open.heard_at = now);
         match self.last_received.replace(now) {
             Some(before) => self.longest_gap = self.longest_gap.max(now.saturating_sub(before)),
             None => self.first_after = Some(now.saturating_sub(self.received)),
@@ -311,7 +355,7 @@
 impl Drop for Notes {
     fn drop(&mut self) {
         if self.story.is_some() {
-            self.attempt_ended(AttemptEnd::Cancelled, None);
+            self.all_ended(AttemptEnd::Cancelled, None);
             let status = self.status;
             self.end(Outcome::Left, status, Some("caller-left"));
         }
--- a/crates/stage/tests/routed/pauses.rs
+++ b/crates/stage/tests/routed/pauses.rs
@@ -15,7 +15,9 @@
     time::{Instant, sleep},
 };
 
-use crate::site::{chat, declaration, draft, linked_site, linked_site_with, page, status_of, ticket};
+use crate::site::{
+    chat, declaration, draft, linked_site, linked_site_with, page, status_of, ticket,
+};
 
 const PAUSE: Duration = Duration::from_millis(1_200);
 
