Hedge no request whose server has just answered, and follow the review of hedges

Cause: a reviewer who had not seen the work found, partly by a failing test: after a head the next check gave the verdict again 20 ms later, since it read when the request was sent and not when something was last received for it; a void verdict was followed by an unconditional timeout 100 ms later; a timer in the past hedged a stream 25 ms after a late head; when the first attempt failed, the second one was hedged after 100 ms. Found while looking again: a server that rejected a hedge was never asked again, so a request at a dark server waited for its deadline while that server had room; an error response was held back while the other server stayed silent. Ruled out: a bound on how long the first server stays open before the second has answered. It would give up a server for another that may still reject the request; a run begins with its first token, so the two work side by side for the time of a head to travel. Change: the checks read when something was last received; a timeout is void as well if that was a moment ago; the latest attempt keeps its own time; a server that rejected a hedge is left alone for 500 ms; an error response is delivered if the other server is silent for another timeout; a hedge that was withdrawn before it was sent is no run; requests that may not be repeated have no timer.

--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -229,7 +229,7 @@
 pub enum Silence {
     /// The dispatcher's [`Verdict::Hedge`], which is void if the server has sent something since.
     Verdict,
-    /// A timeout of the attempt.
+    /// A timeout of the attempt, which is void if the server has just sent something.
     Timeout,
 }
 
--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -92,9 +92,8 @@
     pub payment: Option<Payment>,
     /// Tickets of the request's other attempts in flight, which have tasks of their own.
     pub rivals: Vec<Ticket>,
-    /// Servers that rejected the request while another attempt was in flight. They are not asked
-    /// again as long as one is.
-    pub declined: Vec<backend::Id>,
+    /// Servers that rejected the request while another attempt was in flight, and when.
+    pub declined: Vec<(backend::Id, Moment)>,
     /// Number of ended attempts in which a server may have run the request.
     pub runs: u32,
     /// Number of ended attempts, including those that reached no server.
@@ -169,11 +168,11 @@
     }
 
     /// Records that an attempt has ended while this one was in flight.
-    pub fn record_rival(&mut self, ticket: Ticket, server: &backend::Id, end: End) {
+    pub fn record_rival(&mut self, ticket: Ticket, server: &backend::Id, end: End, now: Moment) {
         self.rivals.retain(|rival| *rival != ticket);
         self.record_attempt(server, end);
         if let End::NotRun(_) = end {
-            self.declined.push(server.clone());
+            self.declined.push((server.clone(), now));
         }
     }
 
--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -17,7 +17,7 @@
     breaker::Cause,
     choose::{Choice, Outcome},
     path,
-    request::{Change, End, Silence, Ticket, Unclear, Verdict},
+    request::{Change, End, Silence, Ticket, Unclear, Unreachable, Verdict},
     server::Server,
     stats::{duration, millis},
     task::{Attempt, Hedge, Phase, State, Task},
@@ -46,6 +46,10 @@
 const HUNG_GOAL: f64 = 2.5;
 const HUNG_TIMES: f64 = 8.0;
 
+/// Time for which a server that rejected a request is not asked again while another attempt is in
+/// flight. Each arrival there counts as a retry.
+const DECLINED_PAUSE: Duration = Duration::from_millis(500);
+
 /// Time between two searches of another server for a request that is to be hedged.
 const SEEK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -106,13 +110,14 @@
     /// Returns the request as a second attempt would start it, with the choice of another server;
     /// `None` if no other server has a place or no retry is left.
     fn find_other_server(&self, ticket: Ticket, now: Moment) -> Option<(Task, Choice)> {
-        let before = self.tasks.get(&ticket)?;
+        let before = self.tasks.get(&ticket).filter(|task| task.has_another_try())?;
         let State::InFlight(attempt) = &before.state else { return None };
         let mut task = Task { state: State::Idle, payment: None, ..before.clone() };
         task.spec.avoid.push(attempt.id.clone());
         task.rivals.push(ticket);
         let mut ended = task.clone();
-        ended.spec.avoid.extend(task.declined.iter().cloned());
+        let declined = task.declined.iter().filter(|(_, at)| now < *at + DECLINED_PAUSE);
+        ended.spec.avoid.extend(declined.map(|(server, _)| server.clone()));
         ended.runs += before.in_flight();
         ended.tries += before.in_flight();
         self.check_retry(&ended, SILENCE, now).ok()?;
@@ -123,7 +128,7 @@
 
     /// Starts an attempt at another server, with the new ticket `hedge`, for a request whose server
     /// is unresponsive; the attempt there goes on. Returns the other server; `None` if it has no
-    /// place, if no retry is left, or if the server has sent something since the verdict.
+    /// place, if no retry is left, or if the server has just sent something.
     ///
     /// Of the two attempts, the one that is answered is to be passed to [`won`](Self::won). Tickets
     /// must grow from attempt to attempt.
@@ -134,9 +139,13 @@
         silence: Silence,
         now: Moment,
     ) -> Option<backend::Id> {
+        let attempt = self.attempt_mut(ticket)?;
         let is_due = match silence {
-            Silence::Verdict => self.attempt_mut(ticket)?.hedge == Hedge::Requested,
-            Silence::Timeout => true,
+            Silence::Verdict => attempt.hedge == Hedge::Requested,
+            Silence::Timeout => {
+                let is_begun = attempt.sent_at < attempt.heard_at;
+                !is_begun || attempt.heard_at + MIN_SILENCE <= now
+            }
         };
         if !is_due {
             return None;
@@ -167,9 +176,11 @@
 
     /// Removes an attempt that has ended from the request's other attempts.
     pub(super) fn withdraw(&mut self, task: &Task, attempt: &Attempt, end: End, now: Moment) {
+        let is_unsent = attempt.path.is_none() && end == End::Cancelled;
+        let end = if is_unsent { End::Unreachable(Unreachable::Closed) } else { end };
         for rival in &task.rivals {
             let Some(rival) = self.tasks.get_mut(rival) else { continue };
-            rival.record_rival(task.spec.ticket, &attempt.id, end);
+            rival.record_rival(task.spec.ticket, &attempt.id, end, now);
             if let State::InFlight(attempt) = &mut rival.state {
                 attempt.hedge = Hedge::Seeking(now);
             }
@@ -219,8 +230,8 @@
     };
     let silent = after(SILENT_GOAL, SILENT_TIMES).max(MIN_SILENCE);
     let hung = after(HUNG_GOAL, HUNG_TIMES);
-    let is_silent = attempt.sent_at.max(server.answered_at) + silent < now;
+    let is_silent = attempt.heard_at.max(server.answered_at) + silent < now;
     let answers_others =
         attempt.sent_at + duration(attempt.expected_ms * OVERDUE_TIMES) < server.answered_at;
-    is_silent || (attempt.sent_at + hung < now && answers_others)
+    is_silent || (attempt.heard_at + hung < now && answers_others)
 }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -300,8 +300,8 @@
     }
 
     /// Returns the ticket of the attempt that was started last.
-    pub(crate) fn latest(&self) -> Ticket {
-        self.tickets().last().copied().unwrap_or_default()
+    pub(crate) fn latest(&self) -> Option<Ticket> {
+        self.tickets().last().copied()
     }
 
     /// Reports that an attempt is answered, which ends all others.
@@ -321,7 +321,8 @@
 
     /// Reports that the first byte or event of the response has arrived.
     pub(crate) fn first_byte(&self) {
-        self.shared.dispatcher().first_byte(self.latest(), self.shared.now());
+        let Some(ticket) = self.latest() else { return };
+        self.shared.dispatcher().first_byte(ticket, self.shared.now());
         // The prompt has been processed, so the server can take another one.
         self.shared.dispatch_wakeup.notify_one();
     }
@@ -358,7 +359,8 @@
 
     /// Reports the number of the last event that was passed to the caller.
     pub(crate) fn delivered(&self, event: u64) {
-        self.shared.dispatcher().delivered(self.latest(), event, self.shared.now());
+        let Some(ticket) = self.latest() else { return };
+        self.shared.dispatcher().delivered(ticket, event, self.shared.now());
     }
 
     /// Starts another attempt in the dispatcher. Returns its ticket, and the server that it goes
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -9,7 +9,10 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::StatusCode;
 use policy::dispatch::Ticket;
-use tokio::{select, time::sleep};
+use tokio::{
+    select,
+    time::{Instant, sleep_until},
+};
 use types::backend;
 
 use crate::{
@@ -66,10 +69,10 @@
         let attempt = begin(ticket, server);
         async move { (ticket, attempt.await) }
     };
-    let (mut latest, server) = first;
+    let mut latest = first.0;
     let mut attempts = FuturesUnordered::new();
-    attempts.push(start(latest, server));
-    let mut pause = patience();
+    attempts.push(start(latest, first.1));
+    let mut seek_at = Instant::now() + patience();
     let mut error_answer = None;
     loop {
         let why = select! {
@@ -88,26 +91,35 @@
                 match call.next_server(shared, ticket, failure.end, status).await {
                     Ok(Next::Server(server)) => {
                         attempts.push(start(ticket, server));
-                        (latest, pause) = (ticket, patience());
+                        (latest, seek_at) = (ticket, Instant::now() + patience());
                     }
                     Ok(Next::InFlight) if attempts.is_empty() => return Err(Lost::InFlight),
-                    Ok(Next::InFlight) => {
-                        (latest, pause) = (call.handle.latest(), SEEK_INTERVAL);
+                    Ok(Next::InFlight) if ticket == latest => {
+                        latest = call.handle.latest().unwrap_or(first.0);
+                        let pause = if error_answer.is_some() { patience() } else { SEEK_INTERVAL };
+                        seek_at = Instant::now() + pause;
                     }
+                    Ok(Next::InFlight) => {}
                     // The server's own error response is more specific than this host's.
                     Err(problem) => return error_answer.ok_or(Lost::Ended(problem)),
                 }
                 continue;
             }
             Ok(_) = call.handle.hedge_signal(latest) => Unresponsive::Dispatcher,
-            () = sleep(pause) => Unresponsive::Timeout,
+            () = sleep_until(seek_at), if call.may_repeat() => Unresponsive::Timeout,
         };
         match call.hedge(latest, why) {
             Some((ticket, server)) => {
                 attempts.push(start(ticket, server));
-                (latest, pause) = (ticket, patience());
+                (latest, seek_at) = (ticket, Instant::now() + patience());
+            }
+            // The only other servers that may run the request are silent.
+            None if why == Unresponsive::Timeout && error_answer.is_some() => {
+                return error_answer.ok_or(Lost::InFlight);
             }
-            None => pause = SEEK_INTERVAL,
+            // The dispatcher gives its verdict again if the server stays unresponsive.
+            None if why == Unresponsive::Dispatcher => {}
+            None => seek_at = Instant::now() + SEEK_INTERVAL,
         }
     }
 }
--- a/crates/relay/src/stream/events.rs
+++ b/crates/relay/src/stream/events.rs
@@ -264,17 +264,21 @@
 
     /// Waits for the dispatcher's next signal that the server is unresponsive.
     fn expect_signal(&mut self) {
-        if let ResumePolicy::OtherServer(_, signal) = &mut self.resume {
-            *signal = self.call.handle.hedge_signal(self.call.handle.latest());
+        if let ResumePolicy::OtherServer(_, signal) = &mut self.resume
+            && let Some(ticket) = self.call.handle.latest()
+        {
+            *signal = self.call.handle.hedge_signal(ticket);
         }
     }
 
     /// Continues at another server after a failure, or ends the stream early.
     fn resume_or_end(&mut self, error: StreamError) {
-        let ticket = match std::mem::replace(&mut self.state, State::Done) {
-            State::Streaming(response) => response.attempt.ticket,
-            _ => self.call.handle.latest(),
+        let State::Streaming(response) = std::mem::replace(&mut self.state, State::Done) else {
+            self.state = State::Flushing(error);
+            return;
         };
+        let ticket = response.attempt.ticket;
+        drop(response);
         let after = self.last_event();
         self.state = match &self.resume {
             ResumePolicy::OtherServer(resumer, _)
--- a/crates/relay/tests/answers.rs
+++ b/crates/relay/tests/answers.rs
@@ -148,6 +148,16 @@
     assert_eq!(&*caller.answer().await.body, "yes");
 }
 
+#[tokio::test]
+async fn an_error_response_is_delivered_if_the_other_server_stays_silent() {
+    let (_host, mut caller, mut first, mut second) = hedged().await;
+    let error = answer("q", "broken").replace("200 OK", "500 Internal Server Error");
+    second.write(&error).await;
+    let got = caller.answer().await;
+    assert_eq!((got.status, &*got.body), (500, "broken"));
+    first.closed().await;
+}
+
 #[tokio::test]
 async fn all_servers_are_left_once_the_caller_leaves() {
     let (_host, caller, mut first, mut second) = hedged().await;
