Show that an error response displaces an answer that has begun

Cause: race::run delivers the error response of one server when Dispatcher::hedge returns nothing, which it also does because the other server has just sent something, or because no attempt is left. Change: a test of the relay.

--- a/crates/relay/tests/answers.rs
+++ b/crates/relay/tests/answers.rs
@@ -200,3 +200,19 @@
     assert_eq!(caller.answer().await.status, 504);
     connection.closed().await;
 }
+
+/// The second server fails, and the first one, silent until then, begins to answer.
+#[tokio::test]
+async fn an_answer_that_has_begun_is_preferred_to_an_error_response() {
+    let (_host, mut caller, mut first, mut second) = hedged().await;
+    let error = answer("q", "broken").replace("200 OK", "500 Internal Server Error");
+    second.write(&error).await;
+    let whole = answer("q", "yes");
+    let (start, rest) = whole.split_at(whole.len() - 2);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    first.write(start).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    first.write(rest).await;
+    let got = caller.answer().await;
+    assert_eq!((got.status, &*got.body), (200, "yes"));
+}
