Prefer an answer that has begun to another server's error response

Ruled out: dropping error responses while the first server is in flight: one that stays silent would hold the caller until its deadline. Change: an error response is delivered only if nothing was received from the other server.

--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -53,6 +53,13 @@
     pub is_stranded: bool,
 }
 
+impl Attempt {
+    /// Whether something was received for the request.
+    pub fn has_begun(&self) -> bool {
+        self.sent_at < self.heard_at
+    }
+}
+
 /// How far the response to an attempt is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -142,10 +142,7 @@
         let attempt = self.attempt_mut(ticket)?;
         let is_due = match silence {
             Silence::Verdict => attempt.hedge == Hedge::Requested,
-            Silence::Timeout => {
-                let is_begun = attempt.sent_at < attempt.heard_at;
-                !is_begun || attempt.heard_at + MIN_SILENCE <= now
-            }
+            Silence::Timeout => !attempt.has_begun() || attempt.heard_at + MIN_SILENCE <= now,
         };
         if !is_due {
             return None;
@@ -165,6 +162,14 @@
         Some(self.send(task, choice, now))
     }
 
+    /// Whether something was received from the server of an attempt in flight.
+    pub fn has_begun(&self, ticket: Ticket) -> bool {
+        self.tasks.get(&ticket).is_some_and(|task| match &task.state {
+            State::InFlight(attempt) => attempt.has_begun(),
+            State::Idle | State::Waiting(..) => false,
+        })
+    }
+
     /// Records that an attempt is answered, which ends the request's other attempts. Servers that
     /// were asked before the answering one count as silent.
     pub fn won(&mut self, ticket: Ticket, now: Moment) {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -304,6 +304,11 @@
         self.tickets().last().copied()
     }
 
+    /// Returns whether something was received from the server of an attempt in flight.
+    pub(crate) fn has_begun(&self, ticket: Ticket) -> bool {
+        self.shared.dispatcher().has_begun(ticket)
+    }
+
     /// Reports that an attempt is answered, which ends all others.
     pub(crate) fn won(&self, ticket: Ticket) {
         let mut tickets = self.tickets();
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -113,8 +113,11 @@
                 attempts.push(start(ticket, server));
                 (latest, seek_at) = (ticket, Instant::now() + patience());
             }
-            // The only other servers that may run the request are silent.
-            None if why == Unresponsive::Timeout && error_answer.is_some() => {
+            // The only other server that may run the request has sent nothing.
+            None if why == Unresponsive::Timeout
+                && error_answer.is_some()
+                && !call.handle.has_begun(latest) =>
+            {
                 return error_answer.ok_or(Lost::InFlight);
             }
             // The dispatcher gives its verdict again if the server stays unresponsive.
