Show that streams hold events of two software versions

Cause: a stream goes on at any server that holds its model, within one answer and when its caller takes it up again: neither the version of a server nor what the caller names is used. Ruled out: streams out of order or unreadable: all streams that were found were joined. Change: a test of real processes, three and five hosts, two versions of one service with two servers each, streams broken at random by servers and by callers, which take them up at any host; in the second case hosts are killed in turn.

--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -18,3 +18,4 @@
 mod store;
 mod stories;
 mod streams;
+mod versions;
