Ask hosts to resume streams that they can not know

Cause: the test of joined streams draws its faults; what a host does with one resumption that it can not or must not serve was not shown. Ruled out: nothing. Change: tests of real processes: a resumption that names a request never sent, an altered, an empty and a very long id, a request that was no stream, or only an event; one that names no event; streams taken up twice; a host that has just started after the only other one was killed, and one that is cut off from the others: both must reject at once with nothing sent to a server, and begin new streams.

--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -11,6 +11,7 @@
 mod poison;
 mod relays;
 mod restarts;
+mod resumptions;
 mod serving;
 mod silence;
 mod site;
--- a/crates/stage/tests/routed/versions.rs
+++ b/crates/stage/tests/routed/versions.rs
@@ -26,7 +26,8 @@
 const SOFTWARE: [&str; 2] = ["7.1", "7.2-rc1"];
 const SERVERS_PER_VERSION: usize = 2;
 
-const EVENTS: u64 = 20;
+/// Events of a whole stream.
+pub const EVENTS: u64 = 20;
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
 
 const READERS: u64 = 8;
@@ -42,7 +43,8 @@
 /// Fewer attempts of a kind say nothing about their share.
 const MIN_ATTEMPTS: usize = 20;
 
-async fn start(hosts: usize, prepare: impl FnOnce(&mut Site)) -> Site {
+/// Starts a site with servers of two versions and this many hosts.
+pub async fn start(hosts: usize, prepare: impl FnOnce(&mut Site)) -> Site {
     let model = |index: usize| Settings {
         software: SOFTWARE[index % SOFTWARE.len()].into(),
         ..Settings::model(&format!("lm-{index}"), "lm", &engine(), &["welcome"])
