Read the software version of servers and what a resumption names

Cause: a stream may go on only at the software version that began it, and a caller that resumes one names in `Resumes` the request whose answer brought its first event. Neither was read. Ruled out: nothing; there was no field for either. Stand-in servers write the version of their settings, stand-in callers what they resume. Nothing depends on either yet.

--- a/crates/exchange/tests/exchange.rs
+++ b/crates/exchange/tests/exchange.rs
@@ -100,6 +100,7 @@
         name: id.into(),
         started_at: 0,
         service: "chat".into(),
+        software: "".into(),
         address: SocketAddr::from(([10, 0, 0, 9], 8_000)),
         zone: "med-a".into(),
         slots: 8,
--- a/crates/policy/tests/dispatch/fixture.rs
+++ b/crates/policy/tests/dispatch/fixture.rs
@@ -82,6 +82,7 @@
         name: id.into(),
         started_at: 0,
         service: "app".into(),
+        software: "".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: zone.into(),
         slots: 2,
--- a/crates/policy/tests/place/machine.rs
+++ b/crates/policy/tests/place/machine.rs
@@ -67,6 +67,7 @@
             name: name.into(),
             started_at,
             service: "lm".into(),
+            software: "".into(),
             address: ([127, 0, 0, 1], 9000 + number as u16).into(),
             zone: format!("z{zone}").into(),
             slots: 64,
--- a/crates/relay/src/edge.rs
+++ b/crates/relay/src/edge.rs
@@ -52,6 +52,9 @@
     /// Number of the last event that the caller has received of an interrupted stream; none if the
     /// caller does not resume a stream.
     pub resume: Option<u64>,
+    /// Id of the request whose answer brought the stream's first event, if the caller resumes a
+    /// stream.
+    pub resumes: Option<Arc<str>>,
 }
 
 /// Reason why a request can't be parsed.
--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -44,6 +44,7 @@
             length_hint: None,
             deadline: number(&head.headers, "time-left").map(Duration::from_millis),
             resume: number(&head.headers, "resume-after"),
+            resumes: text(&head.headers, "resumes-request").map(Arc::from),
         })
     }
 
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -142,6 +142,7 @@
         name: server.id.clone(),
         started_at: 0,
         service: SERVICE.into(),
+        software: "".into(),
         address: server.address,
         zone: "z".into(),
         slots: 8,
--- a/crates/relay/tests/directory.rs
+++ b/crates/relay/tests/directory.rs
@@ -17,6 +17,7 @@
         name: "s1".into(),
         started_at: 0,
         service: "lm".into(),
+        software: "".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: "a".into(),
         slots: 2,
--- a/crates/standin/src/routed/caller.rs
+++ b/crates/standin/src/routed/caller.rs
@@ -58,6 +58,7 @@
             length_hint: None,
             deadline: Some(Duration::from_secs(20)),
             resume: None,
+            resumes: None,
         };
         RequestSpec {
             info,
--- a/crates/standin/src/routed/server.rs
+++ b/crates/standin/src/routed/server.rs
@@ -38,6 +38,9 @@
 /// Slots and queue length of a server unless a test sets them.
 const SLOTS: u32 = 8;
 
+/// Software version of a server unless a test sets another.
+const SOFTWARE: &str = "1";
+
 /// The window in which a brittle server counts its rejections.
 const REJECTION_WINDOW: Duration = Duration::from_secs(1);
 
@@ -50,6 +53,8 @@
     pub started_at: StartTime,
     /// The service that the server belongs to.
     pub service: service::Id,
+    /// Version of its software that it registers.
+    pub software: Arc<str>,
     /// The availability zone that it registers.
     pub zone: availability::Id,
     /// Greatest number of requests that run at once.
@@ -73,6 +78,7 @@
             id: id.into(),
             started_at: 0,
             service: service.into(),
+            software: SOFTWARE.into(),
             zone: "mobile-hall".into(),
             slots: SLOTS,
             queue: SLOTS,
@@ -348,6 +354,7 @@
             name: settings.id.clone(),
             started_at: settings.started_at,
             service: settings.service.clone(),
+            software: settings.software.clone(),
             address,
             zone: settings.zone.clone(),
             slots: settings.slots,
--- a/crates/standin/tests/routed.rs
+++ b/crates/standin/tests/routed.rs
@@ -170,6 +170,7 @@
         name: "lm-1".into(),
         started_at: 1_785_971_202_000,
         service: "lm".into(),
+        software: "3.2-rc1".into(),
         address: "127.0.0.1:4000".parse().unwrap(),
         zone: "mobile-hall".into(),
         slots: 48,
--- a/crates/types/src/routed.rs
+++ b/crates/types/src/routed.rs
@@ -236,6 +236,9 @@
     pub started_at: StartTime,
     /// The service that the server belongs to.
     pub service: service::Id,
+    /// Version of the server's software; empty if it states none.
+    #[serde(default)]
+    pub software: Arc<str>,
     /// The address that it listens on.
     pub address: SocketAddr,
     /// Availability zone that it runs in.
