--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod retry;
 pub mod route;
 pub mod stream;
+pub mod streams;
 pub mod term;
 pub mod traffic;
