Keep a stream that has begun at servers of one version

Cause: servers of several versions of the software serve side by side in one service, and a stream that lost its server went on at any of them. Ruled out: a check by the servers; they make none. Change: a request is pinned to the version of its server, as registered when it was sent, when its first event is about to be passed to the caller; only servers of that version are capable from then on. A run that is known from its own report alone has a version that no other server has: its registration was copied from the run before it, with that run's version. Conclusion: within one answer.

--- a/crates/observe/src/metrics/routed/labels.rs
+++ b/crates/observe/src/metrics/routed/labels.rs
@@ -72,6 +72,12 @@
     Limit,
     /// The host is stopping.
     Stopping,
+    /// No server of the version that began the stream serves any more.
+    NoVersion,
+    /// It is not known which version began the stream.
+    UnknownVersion,
+    /// Streams of several versions began under the id that the caller names.
+    AmbiguousVersion,
 }
 
 /// Host at which the requests that are reported to the planner arrived.
@@ -205,6 +211,9 @@
     Poison = "poison",
     Limit = "limit",
     Stopping = "stopping",
+    NoVersion = "no-version",
+    UnknownVersion = "unknown-version",
+    AmbiguousVersion = "ambiguous-version",
 });
 
 label!(Origin as "origin" {
--- a/crates/observe/src/story/explanation.rs
+++ b/crates/observe/src/story/explanation.rs
@@ -217,7 +217,10 @@
             Step::Resumed { server, .. } => self.include_server(run, server),
             Step::Queued { .. } | Step::Refused { .. } => self.include_obstacles(run),
             Step::Ended(_) => self.in_use.clear(),
-            Step::Arrived(_) | Step::Unresponsive { .. } | Step::AttemptEnded { .. } => {}
+            Step::Arrived(_)
+            | Step::Unresponsive { .. }
+            | Step::AttemptEnded { .. }
+            | Step::Version { .. } => {}
         }
     }
 
--- a/crates/observe/src/story/request.rs
+++ b/crates/observe/src/story/request.rs
@@ -103,6 +103,7 @@
             | Step::Refused { .. }
             | Step::Relayed { .. }
             | Step::Unresponsive { .. }
+            | Step::Version { .. }
             | Step::AttemptEnded { .. }
             | Step::Ended(_) => {}
         }
--- a/crates/observe/src/story/step.rs
+++ b/crates/observe/src/story/step.rs
@@ -86,6 +86,16 @@
         /// Number of the last event that the caller has received.
         after: u64,
     },
+    /// The stream goes on at servers of one version only.
+    Version {
+        /// Version of the software of the servers, or its digest if none of them is known.
+        software: Text,
+        /// Stable identifier of how the version is known.
+        source: Text,
+        /// The host that had the record of the stream, if another one did.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        host: Option<host::Id>,
+    },
     /// The request ended.
     Ended(Ended),
 }
@@ -102,7 +112,8 @@
             | Step::Relayed { .. }
             | Step::Unresponsive { .. }
             | Step::AttemptEnded { .. }
-            | Step::Resumed { .. } => None,
+            | Step::Resumed { .. }
+            | Step::Version { .. } => None,
         }
     }
 
@@ -117,7 +128,10 @@
             | Step::AttemptEnded { server, .. }
             | Step::Resumed { server, .. } => server == id,
             Step::Ended(ended) => ended.server.as_ref() == Some(id),
-            Step::Arrived(_) | Step::Queued { .. } | Step::Refused { .. } => false,
+            Step::Arrived(_)
+            | Step::Queued { .. }
+            | Step::Refused { .. }
+            | Step::Version { .. } => false,
         }
     }
 }
--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -62,6 +62,9 @@
             return Verdict::Quarantined;
         }
         let mut task = Task::new(spec, service, model, now);
+        if self.lacks_software(&task) {
+            return Verdict::Refuse { cause: Cause::Software, after: retry_delay(&task, 0.0) };
+        }
         let ahead = self.ahead(&task);
         self.record_missing_permits(&task, now);
         match self.choose(&task, now) {
@@ -195,6 +198,9 @@
         if task.spec.deadline <= now + serve {
             return Err(Cause::Late);
         }
+        if self.lacks_software(task) {
+            return Err(Cause::Software);
+        }
         Ok(())
     }
 
@@ -230,6 +236,7 @@
         task.state = State::InFlight(Attempt {
             server: choice.server,
             id: id.clone(),
+            software: server.software,
             sent_at: now,
             baseline_ms: choice.baseline_ms,
             work_ms: choice.work_ms,
@@ -273,7 +280,11 @@
         let loading = &self.registry.models[task.model? as usize].loading;
         let is_other = |index| {
             let server = self.registry.get(index);
-            server.is_some_and(|server| !task.spec.avoid.contains(&server.id))
+            let software = task.spec.software;
+            server.is_some_and(|server| {
+                software.is_none_or(|began| server.software == began)
+                    && !task.spec.avoid.contains(&server.id)
+            })
         };
         let wanted = loading
             .iter()
--- a/crates/policy/src/dispatch/choose.rs
+++ b/crates/policy/src/dispatch/choose.rs
@@ -125,11 +125,22 @@
         }
     }
 
-    /// Whether a server could run the request, regardless of its state, breaker and load.
+    /// Whether a server could run the request, regardless of its state, breaker and load. A stream
+    /// that has begun is run by servers of the version that began it only.
     pub(super) fn is_capable(&self, task: &Task, server: &Server) -> bool {
         let adapter = task.spec.adapter.as_ref();
         let is_loaded = task.model.is_none_or(|model| server.models.is_loaded(model, adapter));
-        is_loaded && !task.spec.avoid.contains(&server.id)
+        let is_same_software = task.spec.software.is_none_or(|began| server.software == began);
+        is_loaded && is_same_software && !task.spec.avoid.contains(&server.id)
+    }
+
+    /// Whether the request's stream can't go on, since it must avoid all servers of the version that
+    /// began it, or none serves any more.
+    pub(super) fn lacks_software(&self, task: &Task) -> bool {
+        let Some(software) = task.spec.software else { return false };
+        let list = &self.registry.services[task.service as usize].list;
+        let mut servers = list.all().iter().filter_map(|at| self.registry.get(*at));
+        !servers.any(|server| server.software == software && !task.spec.avoid.contains(&server.id))
     }
 
     /// Whether any server could run the request.
--- a/crates/policy/src/dispatch/events.rs
+++ b/crates/policy/src/dispatch/events.rs
@@ -1,6 +1,6 @@
 //! Events of requests at their servers, and the statistics derived from them.
 
-use types::prelude::*;
+use types::{prelude::*, routed::Kind};
 
 use super::{
     Dispatcher,
@@ -13,7 +13,7 @@
     stats::millis,
     task::{Attempt, Phase, State, Task},
 };
-use crate::{paths::Path, route::Index};
+use crate::{paths::Path, route::Index, streams::SoftwareId};
 
 /// How long a server gets no requests after it refused one as full.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
@@ -48,9 +48,11 @@
         }
     }
 
-    /// Records the first byte of the response's body, or the first event of its stream.
-    pub fn first_byte(&mut self, ticket: Ticket, now: Moment) {
-        let Some(mut task) = self.tasks.remove(&ticket) else { return };
+    /// Records the first byte of the response's body, or the first event of its stream, which is
+    /// about to be passed to the caller. From then on only servers of the same version may continue
+    /// the stream. Returns that version; `None` if the response is no stream.
+    pub fn first_byte(&mut self, ticket: Ticket, now: Moment) -> Option<SoftwareId> {
+        let mut task = self.tasks.remove(&ticket)?;
         path::heard(&mut self.registry, &mut task, now);
         if let State::InFlight(attempt) = &mut task.state
             && attempt.phase != Phase::Responding
@@ -60,9 +62,14 @@
         }
         if let State::InFlight(attempt) = &mut task.state {
             attempt.phase = Phase::Responding;
+            if task.spec.kind == Kind::Stream {
+                task.spec.software.get_or_insert(attempt.software);
+            }
         }
         self.reached(&mut task, now);
+        let software = task.spec.software;
         self.tasks.insert(ticket, task);
+        software
     }
 
     /// Records the last event of the stream that the caller has received.
--- a/crates/policy/src/dispatch/pump.rs
+++ b/crates/policy/src/dispatch/pump.rs
@@ -163,7 +163,9 @@
                 poison::Standing::Clear | poison::Standing::Suspect => None,
             };
             let outcome = self.choose(task, now);
-            let is_like_others = task.spec.avoid.is_empty() && !self.is_suspect(task);
+            let is_like_others = task.spec.avoid.is_empty()
+                && task.spec.software.is_none()
+                && !self.is_suspect(task);
             match (verdict, outcome) {
                 (Some(verdict), _) => {
                     self.drop_waiting(service, key);
--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -7,6 +7,7 @@
 
 pub use super::poison::Fingerprint;
 pub use crate::admit::Ticket;
+use crate::streams::SoftwareId;
 
 /// One part of a prompt: its id, and its length in tokens.
 pub type Part = (u64, u32);
@@ -53,6 +54,8 @@
     pub avoid: Vec<backend::Id>,
     /// The last event that the caller has received; the stream resumes after it.
     pub resume: Option<u64>,
+    /// Version that began the stream; only servers of it may get the request.
+    pub software: Option<SoftwareId>,
 }
 
 impl RequestSpec {
@@ -82,6 +85,7 @@
             deadline,
             avoid: Vec::new(),
             resume: None,
+            software: None,
         }
     }
 
@@ -142,6 +146,8 @@
     Budget,
     /// Requests with this fingerprint crash servers.
     Poison,
+    /// No server of the version that began the stream serves any more.
+    Software,
 }
 
 /// A new verdict on a request that waits or is at a server.
--- a/crates/policy/src/dispatch/server.rs
+++ b/crates/policy/src/dispatch/server.rs
@@ -5,7 +5,11 @@
 use types::{prelude::*, routed};
 
 use super::{breaker::Breaker, list::Locality, load::Load, loaded::LoadedModels, pace::Pace};
-use crate::{paths::Path, route::Index};
+use crate::{
+    paths::Path,
+    route::Index,
+    streams::{self, SoftwareId},
+};
 
 /// Factor by which a server is assumed to be slower for a while after its start.
 const COLD_START_SLOWDOWN: f64 = 1.6;
@@ -20,6 +24,8 @@
     /// Id of this run.
     pub id: backend::Id,
     pub service: Index,
+    /// Version of the server's software.
+    pub software: SoftwareId,
     pub address: SocketAddr,
     pub locality: Locality,
     /// Number of requests that the server runs at the same time.
@@ -62,6 +68,7 @@
         Server {
             id: registration.id.clone(),
             service,
+            software: software(registration),
             address: registration.address,
             locality,
             slots: registration.slots.max(1),
@@ -83,6 +90,7 @@
 
     /// Applies a newer registration. A late registration does not take a server out of draining.
     pub fn update(&mut self, registration: &routed::Server) {
+        self.software = software(registration);
         self.address = registration.address;
         self.slots = registration.slots.max(1);
         if registration.state == routed::State::Draining {
@@ -112,3 +120,7 @@
         if self.is_cold(now) { COLD_START_SLOWDOWN } else { 1.0 }
     }
 }
+
+fn software(registration: &routed::Server) -> SoftwareId {
+    streams::software_id(&registration.service, &registration.software)
+}
--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -8,7 +8,7 @@
     queue::Key,
     request::{End, NotRun, RequestSpec, Ticket, Unreachable},
 };
-use crate::{paths::Path, route::Index};
+use crate::{paths::Path, route::Index, streams::SoftwareId};
 
 /// Number of attempts beyond the limit of the route that a request may make if servers did not run
 /// it.
@@ -31,6 +31,8 @@
     /// The server's index, which may be reused for another server.
     pub server: Index,
     pub id: backend::Id,
+    /// Version of the server's software, as registered when the request was sent.
+    pub software: SoftwareId,
     /// When the request was sent.
     pub sent_at: Moment,
     /// Expected time to the first byte at a server of median speed, in milliseconds.
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -17,4 +17,5 @@
 mod retries;
 mod routes;
 mod rule;
+mod software;
 mod watch;
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -67,6 +67,8 @@
                 models: Vec::new(),
                 resident: Vec::new(),
                 sequence: 0,
+                // The software may have been replaced; the registration will tell.
+                software: unread_software(&id),
                 ..(*known).clone()
             };
             self.apply_registration(run, written, &Source::Itself);
@@ -492,3 +494,9 @@
     let mut services = declaration.services.iter();
     services.any(|declared| declared.name == *service && declared.engine.is_some())
 }
+
+/// Returns what stands for the software of a run whose registration was not read yet: a version that
+/// no other server has.
+fn unread_software(run: &backend::Id) -> Arc<str> {
+    format!("unread/{run}").into()
+}
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -156,6 +156,12 @@
         }
     }
 
+    /// Records that the stream goes on at servers of one version only, and how the version is known.
+    pub(crate) fn version(&self, software: String, source: &'static str, host: Option<host::Id>) {
+        let (software, source) = (Text::Owned(software), Text::Borrowed(source));
+        self.notes().record(Step::Version { software, source, host });
+    }
+
     /// Records the time that it took to get a connection to the server, and the host through which
     /// the connection leads.
     pub(crate) fn connected(&self, ticket: Ticket, took: Duration, via: Option<&host::Id>) {
@@ -393,6 +399,7 @@
         Cause::Attempts => Refusal::Attempts,
         Cause::Budget => Refusal::Budget,
         Cause::Poison => Refusal::Poison,
+        Cause::Software => Refusal::NoVersion,
     }
 }
 
