Take a stream up again only at the version that began it

Ruled out: to take the version from the hosts' own view alone where it knows only one; a list of servers is older than a stream that began elsewhere at a server that registered since. Change: a host sends the record of a new stream with its first event, looks up the version of a stream that is taken up again, and refuses it at once if it finds none; the split of a route follows the request that began the stream.

--- a/crates/policy/src/fleet/notice.rs
+++ b/crates/policy/src/fleet/notice.rs
@@ -19,6 +19,7 @@
     demand::Report,
     dispatch::{loan, poison::Crash},
     quota::{Limit, Message},
+    streams,
 };
 
 use super::{
@@ -114,6 +115,8 @@
     /// A server crashed with a request of the sender in flight. Receivers find it in their
     /// snapshot.
     Crash(Crash),
+    /// Versions of streams; sent once.
+    Streams(streams::Message),
 }
 
 impl Notice {
@@ -131,7 +134,8 @@
             | Notice::Unloaded { .. }
             | Notice::Quota(_)
             | Notice::Loan(_)
-            | Notice::Demand(_) => false,
+            | Notice::Demand(_)
+            | Notice::Streams(_) => false,
         }
     }
 }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -14,6 +14,7 @@
 use policy::{
     attempt_timeout,
     dispatch::{self, Answer, Ticket, Verdict},
+    streams::SoftwareId,
 };
 use tokio::{select, sync::oneshot};
 use types::{
@@ -104,7 +105,9 @@
     ///
     /// The request is refused.
     pub(crate) async fn first_server(&self, shared: &Shared) -> Result<backend::Id, Problem> {
-        let verdict = self.handle.arrive(self.spec());
+        let mut spec = self.spec();
+        spec.software = self.resumed_version(shared).await?;
+        let verdict = self.handle.arrive(spec);
         self.apply_verdict(shared, verdict).await
     }
 
@@ -299,6 +302,10 @@
         DispatchHandle { shared, tickets: Mutex::default(), may_run: AtomicU32::new(0) }
     }
 
+    pub(crate) fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
     /// Returns the ticket of the attempt that was started last.
     pub(crate) fn latest(&self) -> Ticket {
         self.tickets().last().copied().unwrap_or_default()
@@ -320,10 +327,13 @@
     }
 
     /// Reports that the first byte or event of the response has arrived.
-    pub(crate) fn first_byte(&self) {
-        self.shared.dispatcher().first_byte(self.latest(), self.shared.now());
+    /// Returns the version at which a stream may go on.
+    pub(crate) fn first_byte(&self) -> Option<SoftwareId> {
+        let (ticket, now) = (self.latest(), self.shared.now());
+        let software = self.shared.dispatcher().first_byte(ticket, now);
         // The prompt has been processed, so the server can take another one.
         self.shared.dispatch_wakeup.notify_one();
+        software
     }
 
     /// Reports how the request ended, unless its end is known to the dispatcher.
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -19,6 +19,7 @@
     dispatch::{self, Change, Dispatcher, RetryBudgetConfig, Ticket, Verdict},
     paths::Paths,
     place::{self, Planner},
+    streams::Streams,
     term::{self, OrderLease},
 };
 use settings::process::{Process, RoutedSettings};
@@ -76,6 +77,9 @@
     planner: Mutex<Planner>,
     paths: Mutex<Paths>,
     dispatcher: Mutex<Dispatcher>,
+    streams: Mutex<Streams>,
+    /// Notified when other hosts have sent records of streams.
+    pub(crate) streams_received: Notify,
     /// Channels for the next verdicts on requests that wait in the dispatcher or that may be moved
     /// to another server.
     waiting: Mutex<HashMap<Ticket, oneshot::Sender<Verdict>>>,
@@ -151,6 +155,8 @@
             planner: Mutex::new(Planner::new(rules)),
             paths: Mutex::new(Paths::new(settings.host.id.clone(), settings.host.zone.clone())),
             dispatcher: Mutex::new(dispatcher),
+            streams: Mutex::default(),
+            streams_received: Notify::new(),
             waiting: Mutex::default(),
             tickets: AtomicU64::new(0),
             term: Mutex::new(term),
@@ -271,6 +277,11 @@
         self.dispatcher.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the records of streams. No other lock may be taken meanwhile.
+    pub(crate) fn streams(&self) -> MutexGuard<'_, Streams> {
+        self.streams.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns a number that is unique among this run's requests.
     pub(crate) fn next_ticket(&self) -> Ticket {
         self.tickets.fetch_add(1, Ordering::Relaxed)
@@ -297,6 +308,7 @@
         drop(dispatcher);
         self.send_quotas(quotas);
         self.send_loans(loans);
+        self.send_streams();
         for Change { ticket, verdict } in changes {
             if let Some(sender) = self.waiting().remove(&ticket) {
                 // A request that has ended meanwhile has reported its end to the dispatcher.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -35,6 +35,7 @@
 mod servers;
 mod store;
 mod stream;
+mod streams;
 mod trace;
 mod unplaced;
 mod watch;
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -118,7 +118,9 @@
     let route = shared.dispatcher().route(&info.host, &info.path).cloned();
     let route = route.ok_or(Problem::NoRoute)?;
     let body = collect(declaration, body).await?;
-    let service = dispatch::split(&route, hash(&info.id)).cloned().ok_or(Problem::NoRoute)?;
+    // All attempts of a stream go to the service that began it.
+    let id = info.resume.and(info.resumes.as_ref()).unwrap_or(&info.id);
+    let service = dispatch::split(&route, hash(id)).cloned().ok_or(Problem::NoRoute)?;
     Ok((route, service, body))
 }
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -247,6 +247,7 @@
     shared.drain(snapshot.servers.keys());
     shared.quota_hosts(snapshot);
     shared.observe_hosts(snapshot);
+    shared.set_stream_peers(snapshot);
     if shared.term().fence(now).is_some() {
         update_in_flight(shared, snapshot, own);
     }
@@ -370,6 +371,11 @@
                     shared.loan_received(origin, &message);
                 }
             }
+            Notice::Streams(message) => {
+                if let Some(origin) = &received.origin {
+                    shared.stream_message_received(origin, message);
+                }
+            }
             Notice::Quota(message) => {
                 if let Some(origin) = &received.origin {
                     shared.quota_received(origin, &message);
--- a/crates/relay/src/stream/events.rs
+++ b/crates/relay/src/stream/events.rs
@@ -18,6 +18,7 @@
         StreamError,
         timer::{Alarm, StreamTimer},
     },
+    streams::StreamRecord,
     trace::Unresponsive,
 };
 
@@ -40,6 +41,7 @@
     timer: StreamTimer,
     call: Arc<Call>,
     first_event: FirstEvent,
+    record: StreamRecord,
 }
 
 /// Whether the present server has sent an event.
@@ -90,6 +92,7 @@
             timer,
             call,
             first_event: FirstEvent::Pending,
+            record: StreamRecord::default(),
         }
     }
 
@@ -154,8 +157,9 @@
             self.withdraw_hedge();
             if self.first_event == FirstEvent::Pending {
                 self.first_event = FirstEvent::Received;
-                self.call.handle.first_byte();
+                self.started();
             }
+            self.record.renew(&self.call);
             let passed = match (self.splitter.point(), before) {
                 (ResumePoint::After(event), ResumePoint::After(before)) => {
                     event.saturating_sub(before)
@@ -174,6 +178,15 @@
         Step::Pass(output.events)
     }
 
+    /// Reports the first event of the present server, which is about to be passed to the caller.
+    fn started(&mut self) {
+        let State::Streaming(response) = &self.state else { return };
+        let server = &response.attempt.server;
+        if let Some(software) = self.call.handle.first_byte() {
+            self.record.begin(&self.call, software, &server.software);
+        }
+    }
+
     /// Ends the stream after the server has completed it.
     fn finish(&mut self) -> Step {
         self.withdraw_hedge();
