--- a/crates/observe/src/story/explanation.rs
+++ b/crates/observe/src/story/explanation.rs
@@ -220,7 +220,7 @@
             Step::Arrived(_)
             | Step::Unresponsive { .. }
             | Step::AttemptEnded { .. }
-            | Step::Version { .. } => {}
+            | Step::StreamVersion { .. } => {}
         }
     }
 
--- a/crates/observe/src/story/request.rs
+++ b/crates/observe/src/story/request.rs
@@ -103,7 +103,7 @@
             | Step::Refused { .. }
             | Step::Relayed { .. }
             | Step::Unresponsive { .. }
-            | Step::Version { .. }
+            | Step::StreamVersion { .. }
             | Step::AttemptEnded { .. }
             | Step::Ended(_) => {}
         }
--- a/crates/observe/src/story/step.rs
+++ b/crates/observe/src/story/step.rs
@@ -87,7 +87,7 @@
         after: u64,
     },
     /// The stream goes on at servers of one version only.
-    Version {
+    StreamVersion {
         /// Version of the software of the servers, or its digest if none of them is known.
         software: Text,
         /// Stable identifier of how the version is known.
@@ -113,7 +113,7 @@
             | Step::Unresponsive { .. }
             | Step::AttemptEnded { .. }
             | Step::Resumed { .. }
-            | Step::Version { .. } => None,
+            | Step::StreamVersion { .. } => None,
         }
     }
 
@@ -131,7 +131,7 @@
             Step::Arrived(_)
             | Step::Queued { .. }
             | Step::Refused { .. }
-            | Step::Version { .. } => false,
+            | Step::StreamVersion { .. } => false,
         }
     }
 }
--- a/crates/policy/tests/streams_net.rs
+++ b/crates/policy/tests/streams_net.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use fleet_net::{Faults, Net, UNRELIABLE, sent_bytes};
+use fleet_net::{Faults, Net, UNRELIABLE};
 use policy::{
     fleet::{Liveness, Notice, Tier},
     streams::{Lookup, Peer, SoftwareId, StreamId, Streams},
@@ -30,10 +30,9 @@
 }
 
 /// A stream that a host looks up.
-struct Lookups {
+struct LookUp {
     began: Began,
     host: usize,
-    started_at: Moment,
 }
 
 struct World {
@@ -42,10 +41,9 @@
     random: ChaCha8Rng,
     peers_at: Moment,
     began: Vec<Began>,
-    lookups: Vec<Lookups>,
+    lookups: Vec<LookUp>,
     found: u32,
     unknown: u32,
-    slowest: Duration,
     next: StreamId,
 }
 
@@ -61,7 +59,6 @@
             lookups: Vec::new(),
             found: 0,
             unknown: 0,
-            slowest: Duration::ZERO,
             next: 1,
         };
         world.set_peers();
@@ -135,7 +132,7 @@
             self.began.extract_if(.., |began| began.breaks_at <= now).collect();
         for began in broken {
             let host = self.any_host();
-            self.lookups.push(Lookups { began, host, started_at: now });
+            self.lookups.push(LookUp { began, host });
         }
         for lookup in std::mem::take(&mut self.lookups) {
             let Some(streams) = self.streams.get_mut(&lookup.host) else { continue };
@@ -143,7 +140,6 @@
                 Lookup::Found(software, _) => {
                     assert_eq!(software, lookup.began.software, "joined at {now:?}");
                     self.found += 1;
-                    self.slowest = self.slowest.max(now - lookup.started_at);
                 }
                 Lookup::Unknown => self.unknown += 1,
                 Lookup::Ambiguous => panic!("the ids are unique"),
@@ -186,7 +182,6 @@
 ) {
     let mut world = World::new(hosts, seed);
     world.net.faults = faults;
-    let before: u64 = sent_bytes(&world.net).iter().sum();
     for step in 0..2_000 {
         world.begin();
         if step == 700 {
@@ -197,14 +192,6 @@
         }
         world.step();
     }
-    let after: u64 = sent_bytes(&world.net).iter().sum();
-    println!(
-        "{hosts} hosts: {} of {} found, slowest {:?}, {} bytes/s a host",
-        world.found,
-        world.found + world.unknown,
-        world.slowest,
-        after.saturating_sub(before) / 4 / hosts as u64,
-    );
     assert!(least <= world.share(), "{} found, {} unknown", world.found, world.unknown);
     assert!(100 < world.found);
 }
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -88,7 +88,11 @@
         let cause = match found {
             Lookup::Found(software, host) => {
                 let source = if host.is_some() { "host" } else { "own-record" };
-                self.trace.version(shared.software_text(&self.service, software), source, host);
+                self.trace.stream_version(
+                    shared.software_text(&self.service, software),
+                    source,
+                    host,
+                );
                 return Ok(Some(software));
             }
             Lookup::Ambiguous => Refusal::AmbiguousVersion,
@@ -126,7 +130,7 @@
         let now = shared.now();
         self.sent = Some((stream, software, now));
         if call.request.info.resume.is_none() {
-            call.trace.version(text.to_string(), "first-event", None);
+            call.trace.stream_version(text.to_string(), "first-event", None);
             shared.streams().announce(stream, software, now);
             shared.dispatch_wakeup.notify_one();
         }
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -157,9 +157,14 @@
     }
 
     /// Records that the stream goes on at servers of one version only, and how the version is known.
-    pub(crate) fn version(&self, software: String, source: &'static str, host: Option<host::Id>) {
+    pub(crate) fn stream_version(
+        &self,
+        software: String,
+        source: &'static str,
+        host: Option<host::Id>,
+    ) {
         let (software, source) = (Text::Owned(software), Text::Borrowed(source));
-        self.notes().record(Step::Version { software, source, host });
+        self.notes().record(Step::StreamVersion { software, source, host });
     }
 
     /// Records the time that it took to get a connection to the server, and the host through which
