--- a/crates/observe/src/story/request.rs
+++ b/crates/observe/src/story/request.rs
@@ -103,6 +103,7 @@
             | Step::Refused { .. }
             | Step::Relayed { .. }
             | Step::Unresponsive { .. }
+            | Step::StreamVersion { .. }
             | Step::AttemptEnded { .. }
             | Step::Ended(_) => {}
         }
