Judge streams of two software versions in the soak

Cause: the soak had one software version only, no caller that takes a stream up with what it has, and no judge of streams over more than one answer. Ruled out: an additional server of the model service: the draws of all schedules would change. Change: in one of four seeds, from a random stream of its own, the model servers run two versions, a replacement the other one, and six readers take up broken streams at any host. ORDER takes in events of two versions over all attempts of a caller; LOST that taken-up streams go on at least half as often as new ones begin, at hosts in contact, while two servers of their version serve and no model server states a limit. Taken-up streams are left out of RECOVER and PARTITIONED, which count new requests; answers that a caller broke off are no cut-off answers. The periods of faults move to a file of their own. The summary has the counts of LOST.

--- a/crates/stage/tests/soak.rs
+++ b/crates/stage/tests/soak.rs
@@ -131,6 +131,30 @@
     assert!(200 <= summary.runs, "{summary:?}");
 }
 
+/// The model servers run two versions, hosts are killed in turn and one is frozen, one server is
+/// replaced by one of the other version, and streams break.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_of_two_versions_are_kept_apart() {
+    let kills = (0..HOSTS as u64).map(|host| PlannedFault {
+        at: Duration::from_millis(4_000 + 600 * host),
+        duration: Duration::from_millis(200),
+        fault: Fault::Kill(host as usize),
+    });
+    let broken = ServerFault::Broken { events: 3 };
+    let others = [
+        planned(0, 20, Fault::Versions),
+        planned(9, 2, Fault::AllGrey(FIRST_SERVERS[2], broken)),
+        planned(12, 1, Fault::Freeze(1)),
+        planned(14, 1, Fault::Crash(FIRST_SERVERS[2])),
+    ];
+    let mut schedule: Vec<PlannedFault> = kills.chain(others).collect();
+    schedule.sort_by_key(|planned| planned.at);
+    let summary = soak(1, HOSTS, Duration::from_secs(20), schedule).await;
+    assert!(summary.breaches.is_empty(), "{:#?}", summary.breaches);
+    assert!(500 <= summary.runs, "{summary:?}");
+    assert!(100 <= summary.streams.resumed.all, "{summary:?}");
+}
+
 /// Runs a soak with its files in a temporary directory.
 async fn soak(seed: u64, hosts: usize, length: Duration, schedule: Vec<PlannedFault>) -> Summary {
     let folder = tempfile::tempdir().expect("the temporary directory is created");
--- a/crates/standin/src/routed/server.rs
+++ b/crates/standin/src/routed/server.rs
@@ -255,6 +255,11 @@
         &self.shared.settings.service
     }
 
+    /// Version of its software.
+    pub fn software(&self) -> &str {
+        &self.shared.settings.software
+    }
+
     /// The address at which it listens.
     pub fn address(&self) -> SocketAddr {
         self.listener.address
--- a/crates/standin/src/routed/soak.rs
+++ b/crates/standin/src/routed/soak.rs
@@ -6,6 +6,7 @@
 mod inject;
 pub mod judge;
 mod load;
+mod reader;
 pub mod record;
 pub mod schedule;
 mod site;
@@ -26,13 +27,14 @@
     inject::Injector,
     judge::{Breach, retries},
     load::State,
-    record::{Arrival, Bounds, Fall, Order, Outcome, Record, Run},
+    record::{Arrival, Bounds, Fall, Order, Outcome, Record, Run, Span},
     schedule::PlannedFault,
 };
 use super::{
     lock,
     server::{Ending, Fault, Server},
     site::{Backend, Site},
+    stream::judge::Shares,
 };
 
 /// Time limit for outstanding requests after the soak has ended.
@@ -78,6 +80,8 @@
     pub crashed: usize,
     /// For each service, the worst window of retries as a ratio of the retries allowed in it.
     pub retries: BTreeMap<String, f64>,
+    /// Streams that began and that went on when they were taken up, of those that had to.
+    pub streams: Shares,
     /// Promises that were found broken, by time.
     pub breaches: Vec<Breach>,
 }
@@ -108,6 +112,7 @@
             .into_iter()
             .map(|(service, window)| (service, window.ratio()))
             .collect(),
+        streams: judge::shares(&record),
         breaches: judge::judge(&record),
     })
 }
@@ -125,12 +130,15 @@
         is_burst: false.into(),
         is_poisoned: false.into(),
         is_pressed: false.into(),
+        has_readers: false.into(),
+        streams: Mutex::default(),
         is_over: false.into(),
     });
     let mut injector = Injector {
         site: Site::in_folder(plan.program, backend, plan.folder),
         load,
         bounds: Bounds::default(),
+        has_versions: schedule::has_versions(&plan.schedule),
         declaration: site::first_declaration(),
         declared: Vec::new(),
         leaves: Vec::new(),
@@ -155,6 +163,7 @@
     // The times of the schedule and the length of the load count from this moment.
     let load_started_at = Instant::now();
     let mut callers = load::start(&injector.load, plan.seed);
+    reader::start(&mut callers, &injector.load, plan.seed);
     injector.run(&plan.schedule, load_started_at).await?;
     injector.wait(load_started_at + plan.length).await?;
     injector.load.is_over.store(true, Ordering::Relaxed);
@@ -203,6 +212,16 @@
         let runs = servers.iter().flat_map(|server| runs(server, load)).collect();
         let arrivals = servers.iter().flat_map(|server| arrivals(server, load)).collect();
         let requests = std::mem::take(&mut *lock(&load.requests));
+        let streams = std::mem::take(&mut *lock(&load.streams));
+        let software = |server: &Server| {
+            let span = Span {
+                from: load.since(server.started_at()),
+                to: server.crashed_at().map_or(Duration::MAX, |at| load.since(at)),
+            };
+            (server.id().to_string(), server.software().to_string(), span)
+        };
+        let software =
+            servers.iter().filter(|server| **server.service() == *site::LM).map(software).collect();
         let hosts = &mut self.site.hosts;
         let exited = hosts
             .iter_mut()
@@ -213,6 +232,8 @@
             hosts: self.site.hosts.iter().map(|host| host.name.clone()).collect(),
             bounds: self.bounds,
             requests,
+            streams,
+            software,
             runs,
             arrivals,
             orders,
@@ -265,7 +286,7 @@
         };
         let outcome = match &request.outcome {
             Outcome::Unreached => "unreached".into(),
-            Outcome::CallerClosed => "left".into(),
+            Outcome::CallerClosed | Outcome::BrokenOff(_) => "left".into(),
             Outcome::TimedOut => "late".into(),
             Outcome::Closed => "closed".into(),
             Outcome::Answered(answer) if !answer.is_complete => "cut".into(),
--- a/crates/standin/src/routed/soak/inject.rs
+++ b/crates/standin/src/routed/soak/inject.rs
@@ -59,6 +59,8 @@
     pub(super) site: Site,
     pub(super) load: Arc<load::State>,
     pub(super) bounds: Bounds,
+    /// Whether the model servers run two versions of their software.
+    pub(super) has_versions: bool,
     pub(super) declaration: Declaration,
     pub(super) declared: Vec<Declared>,
     pub(super) leaves: Vec<Leave>,
@@ -86,7 +88,8 @@
     /// Starts the server of an index, or the replacement of the one that it had.
     pub(super) async fn start_server(&mut self, index: usize) -> Result<(), BoxError> {
         let run = self.servers.get(index).map_or(0, |(_, run)| run + 1);
-        let server = self.site.backend.add(site::server_settings(index, run)).await?;
+        let settings = site::server_settings(index, run, self.has_versions);
+        let server = self.site.backend.add(settings).await?;
         site::reset_script(server, self.bounds.stream_events);
         set_tolerance(server, self.tolerances.get(site::SERVERS[index]).copied());
         let entry = (server.id().to_string(), run);
@@ -240,6 +243,7 @@
             | Fault::Burst
             | Fault::Poison
             | Fault::Brittle(..)
+            | Fault::Versions
             | Fault::Limited(..)
             | Fault::AllLimited(..) => Vec::new(),
         }
@@ -321,6 +325,7 @@
                 self.set_tolerances(server);
                 self.load.is_pressed.store(true, Ordering::Relaxed);
             }
+            Fault::Versions => self.load.has_readers.store(true, Ordering::Relaxed),
             Fault::Partition(partitioned, cut) => {
                 let links = self.site.backend.server_links();
                 let hosts = partitioned.among(self.site.hosts.len());
@@ -424,6 +429,7 @@
                     site::reset_script(self.server(index), self.bounds.stream_events);
                 }
             }
+            Fault::Versions => self.load.has_readers.store(false, Ordering::Relaxed),
             Fault::Partition(partitioned, _) => {
                 for host in partitioned.among(self.site.hosts.len()) {
                     self.site.backend.server_links().heal(host);
--- a/crates/standin/src/routed/soak/judge.rs
+++ b/crates/standin/src/routed/soak/judge.rs
@@ -42,7 +42,8 @@
     Mixed,
     /// Servers execute only requests that callers sent, with the path and body that they sent.
     Unasked,
-    /// Streams are complete and in order.
+    /// Streams are complete and in order, and of one software version, over all attempts of their
+    /// callers.
     Order,
     /// A leaving server receives no new requests.
     Drain,
@@ -62,7 +63,8 @@
     Retries,
     /// Declarations come into force in time and are never reverted to an older one.
     Config,
-    /// No answer is cut off by a planned stop or a reload, or without any fault.
+    /// No answer is cut off by a planned stop or a reload, or without any fault, and streams that
+    /// callers take up go on.
     Lost,
     /// Requests are served after the last fault.
     Recover,
@@ -127,6 +129,7 @@
     breaches.extend(judge.check_quotas());
     breaches.extend(judge.check_brittle());
     breaches.extend(judge.check_retries());
+    breaches.extend(judge.check_streams());
     let limit = |(server, at): &(String, Duration)| Breach {
         promise: Promise::Limit,
         request: None,
@@ -176,7 +179,7 @@
         let mut breaches = Vec::new();
         breaches.extend(self.check_runs(request));
         breaches.extend(self.check_cut_off(request));
-        if let Outcome::Answered(answer) = &request.outcome {
+        if let Outcome::Answered(answer) | Outcome::BrokenOff(answer) = &request.outcome {
             let found = self.check_answer(request, answer);
             let to_breach = |(promise, what)| breach(promise, request, request.span.to, what);
             breaches.extend(found.map(to_breach));
@@ -260,7 +263,10 @@
         let is_cut = match &request.outcome {
             Outcome::Closed => true,
             Outcome::Answered(answer) => !answer.is_complete,
-            Outcome::Unreached | Outcome::CallerClosed | Outcome::TimedOut => false,
+            Outcome::Unreached
+            | Outcome::CallerClosed
+            | Outcome::BrokenOff(_)
+            | Outcome::TimedOut => false,
         };
         let bounds = &self.record.bounds;
         let took = request.span.to - request.span.from;
@@ -423,7 +429,9 @@
         let last = self.record.disruptions.iter().map(|disruption| disruption.span.to).max()?;
         let from = last + bounds.recovery;
         let after = self.record.requests.iter().filter(|request| {
-            from <= request.span.from && !matches!(request.outcome, Outcome::CallerClosed)
+            from <= request.span.from
+                && request.resume.is_none()
+                && !matches!(request.outcome, Outcome::CallerClosed | Outcome::BrokenOff(_))
         });
         let after: Vec<&Request> = after.collect();
         let served = after.iter().filter(|request| is_served(request)).count();
@@ -435,7 +443,7 @@
     }
 }
 
-pub use poison::crashed;
+pub use self::{poison::crashed, stream::shares};
 
 /// Whether a request got a complete answer with a success status.
 pub fn is_served(request: &Request) -> bool {
--- a/crates/standin/src/routed/soak/judge/partition.rs
+++ b/crates/standin/src/routed/soak/judge/partition.rs
@@ -59,7 +59,8 @@
         let judged = self.record.requests.iter().filter(|request| {
             (from..=partition.to).contains(&request.span.from)
                 && !request.crashes_servers
-                && !matches!(request.outcome, Outcome::CallerClosed)
+                && request.resume.is_none()
+                && !matches!(request.outcome, Outcome::CallerClosed | Outcome::BrokenOff(_))
                 && self.record.is_in_contact(request.host_run.host, request.span)
         });
         for request in judged {
--- a/crates/standin/src/routed/soak/load.rs
+++ b/crates/standin/src/routed/soak/load.rs
@@ -29,6 +29,7 @@
 use crate::routed::{
     caller::{Answer, Caller, Failure, RequestSpec},
     lock,
+    stream::Stream,
 };
 
 /// Number of concurrent callers. With [`PAUSE_MS`] they stay under 200 requests per second, also in
@@ -48,7 +49,7 @@
 const BURST_PAUSE_MS: std::ops::Range<u64> = 40..120;
 
 /// How long after the deadline a caller gives up.
-const TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
+pub(super) const TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
 
 /// Interval between two sends of the poison request.
 const POISON_INTERVAL: Duration = Duration::from_millis(300);
@@ -81,6 +82,10 @@
     pub(super) is_poisoned: AtomicBool,
     /// Whether callers send more than the servers of one service can serve.
     pub(super) is_pressed: AtomicBool,
+    /// Whether readers take up streams that broke.
+    pub(super) has_readers: AtomicBool,
+    /// Streams of the readers.
+    pub(super) streams: Mutex<Vec<Stream>>,
     pub(super) is_over: AtomicBool,
 }
 
@@ -91,7 +96,7 @@
     }
 
     /// Chooses a ready host at random, or any host if none is ready.
-    fn choose_host(&self, random: &mut ChaCha8Rng) -> Option<HostEntry> {
+    pub(super) fn choose_host(&self, random: &mut ChaCha8Rng) -> Option<HostEntry> {
         let hosts = lock(&self.hosts);
         let ready: Vec<&HostEntry> = hosts.iter().filter(|entry| entry.is_ready).collect();
         ready.choose(random).map(|entry| **entry).or_else(|| hosts.choose(random).copied())
@@ -316,6 +321,7 @@
         id: next.spec.id().to_string(),
         kind: next.kind,
         resumable: next.resumable,
+        resume: None,
         path: next.spec.info.path.to_string(),
         body_bytes: next.body_bytes,
         crashes_servers: next.crashes_servers,
@@ -327,7 +333,7 @@
     is_served
 }
 
-fn to_record(answer: Answer) -> record::Answer {
+pub(super) fn to_record(answer: Answer) -> record::Answer {
     let Answer { status, metadata, body, is_complete, .. } = answer;
     let text = |text: Option<Arc<str>>| text.map(|text| text.to_string());
     record::Answer { status, id: text(metadata.id), seal: text(metadata.seal), body, is_complete }
--- a/crates/standin/src/routed/soak/record.rs
+++ b/crates/standin/src/routed/soak/record.rs
@@ -11,7 +11,7 @@
 use http::StatusCode;
 use types::routed::{Kind, Version};
 
-use crate::routed::server::quota::Quota;
+use crate::routed::{server::quota::Quota, stream::Stream};
 
 /// Time limits and quotas that the promises state.
 #[derive(Clone, Debug)]
@@ -104,6 +104,8 @@
     pub kind: Kind,
     /// Whether it is a stream that may be resumed at another server.
     pub resumable: bool,
+    /// Number of the last event that the caller has received before, if it takes a stream up.
+    pub resume: Option<u64>,
     /// Path with the query.
     pub path: String,
     /// Length of the body.
@@ -127,6 +129,8 @@
     Unreached,
     /// The caller closed its connection before the answer was complete.
     CallerClosed,
+    /// The caller closed its connection in the middle of this answer.
+    BrokenOff(Answer),
     /// No complete answer came until well after the deadline.
     TimedOut,
     /// The connection was closed before an answer began.
@@ -291,6 +295,10 @@
     pub hosts: Vec<String>,
     /// Requests whose outcome the callers saw.
     pub requests: Vec<Request>,
+    /// Streams that their callers took up when they broke.
+    pub streams: Vec<Stream>,
+    /// For each model server its id, the version of its software, and its life.
+    pub software: Vec<(String, String, Span)>,
     /// Executions of requests at all servers.
     pub runs: Vec<Run>,
     /// Arrivals of requests at all servers.
--- a/crates/standin/src/routed/soak/schedule.rs
+++ b/crates/standin/src/routed/soak/schedule.rs
@@ -1,5 +1,7 @@
 //! Draws the fault schedule of a soak from its seed.
 
+mod period;
+
 use std::{collections::HashMap, fmt::Debug, hash::Hash, time::Duration};
 
 use http::StatusCode;
@@ -7,6 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::{Serialize, Serializer};
 
+use self::period::{brittle_times, partitions, poison, versions};
 use super::site::SERVERS;
 use crate::routed::{
     links::Delivery, server::Fault as ServerFault, server_links::Cut, site::ZONES, store::Refusal,
@@ -36,27 +39,6 @@
 /// XORed with the seed for the random stream of the faults that cause many retries.
 const PRESSURE_SEED_MASK: u64 = 1 << 61;
 
-/// XORed with the seed for the random stream of the times of poison requests.
-const POISON_SEED_MASK: u64 = 1 << 60;
-
-/// XORed with the seed for the random stream of partitions between hosts and servers.
-const PARTITION_SEED_MASK: u64 = 1 << 59;
-
-/// XORed with the seed for the random stream of times in which servers are brittle.
-const BRITTLE_SEED_MASK: u64 = 1 << 58;
-
-/// How long servers are brittle, and how long the pause after it is.
-const BRITTLE_DURATION_MS: std::ops::Range<u64> = 5_000..14_000;
-
-/// Rejections in a second that brittle servers tolerate.
-const TOLERATED: std::ops::RangeInclusive<u32> = 2..=12;
-
-/// How long hosts are partitioned from all servers, and how long the pause after it is.
-const PARTITION_DURATION_MS: std::ops::Range<u64> = 5_000..14_000;
-
-/// How long a poison request keeps being sent, and how long the pause after it is.
-const POISON_DURATION_MS: std::ops::Range<u64> = 4_000..20_000;
-
 /// Time between the starts of two faults that cause retries.
 const PRESSURE_INTERVAL_MS: std::ops::Range<u64> = 1_500..6_000;
 
@@ -157,6 +139,9 @@
     /// All servers of the service of a server crash if they reject more than this many requests in a
     /// second, and callers send more than they can serve.
     Brittle(usize, u32),
+    /// The model servers run two versions of their software, and some callers take up streams that
+    /// broke. The servers do so during the whole soak.
+    Versions,
     /// Hosts are partitioned from all servers.
     Partition(Partitioned, Cut),
 }
@@ -290,6 +275,7 @@
     planned.extend(poison(seed, end));
     planned.extend(partitions(seed, hosts, end));
     planned.extend(brittle_times(seed, end));
+    planned.extend(versions(seed, end));
     planned.sort_by_key(|planned| planned.at);
     planned
 }
@@ -344,63 +330,16 @@
     planned
 }
 
-/// Draws when a poison request is sent. Half of all seeds draw no such time.
-fn poison(seed: u64, end: Duration) -> Vec<PlannedFault> {
-    let random = ChaCha8Rng::seed_from_u64(seed ^ POISON_SEED_MASK);
-    alternate(random, 0.5, POISON_DURATION_MS, end, |_| Fault::Poison)
-}
-
-/// Draws partitions between hosts and all servers. Half of all seeds draw none.
-fn partitions(seed: u64, hosts: usize, end: Duration) -> Vec<PlannedFault> {
-    let random = ChaCha8Rng::seed_from_u64(seed ^ PARTITION_SEED_MASK);
-    alternate(random, 0.5, PARTITION_DURATION_MS, end, |random| {
-        let host = random.random_range(0..hosts);
-        let partitioned = match random.random_range(0..3) {
-            0 => Partitioned::One(host),
-            1 => Partitioned::Zone(host),
-            _ => Partitioned::AllBut(host),
-        };
-        let cut = Cut::ALL.choose(random).copied().unwrap_or(Cut::Hang);
-        Fault::Partition(partitioned, cut)
-    })
-}
-
-/// Draws times in which the plain servers are brittle. Three of four seeds draw none.
-fn brittle_times(seed: u64, end: Duration) -> Vec<PlannedFault> {
-    let random = ChaCha8Rng::seed_from_u64(seed ^ BRITTLE_SEED_MASK);
-    alternate(random, 0.75, BRITTLE_DURATION_MS, end, |random| {
-        Fault::Brittle(0, random.random_range(TOLERATED))
-    })
-}
-
-/// Draws faults one after the other, with a duration and a pause after each from the same range;
-/// none with the probability `none`.
-fn alternate(
-    mut random: ChaCha8Rng,
-    none: f64,
-    duration_ms: std::ops::Range<u64>,
-    end: Duration,
-    draw: impl Fn(&mut ChaCha8Rng) -> Fault,
-) -> Vec<PlannedFault> {
-    let mut planned = Vec::new();
-    if random.random_bool(none) {
-        return planned;
-    }
-    let mut at = WARM_UP.min(end / 4);
-    while at < end {
-        let duration =
-            Duration::from_millis(random.random_range(duration_ms.clone())).min(end - at);
-        planned.push(PlannedFault { at, duration, fault: draw(&mut random) });
-        at += duration + Duration::from_millis(random.random_range(duration_ms.clone()));
-    }
-    planned
-}
-
 /// Whether a schedule partitions hosts from servers.
 pub fn has_partitions(schedule: &[PlannedFault]) -> bool {
     schedule.iter().any(|planned| matches!(planned.fault, Fault::Partition(..)))
 }
 
+/// Whether the model servers run two versions of their software.
+pub fn has_versions(schedule: &[PlannedFault]) -> bool {
+    schedule.iter().any(|planned| planned.fault == Fault::Versions)
+}
+
 /// Kills and restarts the hosts one after the other, for one or more rounds.
 fn restart_series(random: &mut ChaCha8Rng, hosts: usize, at: Duration) -> Vec<PlannedFault> {
     let rounds = random.random_range(SERIES_ROUNDS);
@@ -489,6 +428,7 @@
         | Fault::AllGrey(..)
         | Fault::Links(..)
         | Fault::Brittle(..)
+        | Fault::Versions
         | Fault::Partition(..) => (Target::Callers, 1),
     }
 }
--- a/crates/standin/src/routed/soak/site.rs
+++ b/crates/standin/src/routed/soak/site.rs
@@ -19,7 +19,10 @@
 /// Service of each server, by index.
 pub const SERVERS: [&str; 8] = ["app", "app", "app", "other", "other", "lm", "lm", "lm"];
 
-const LM: &str = "lm";
+pub(super) const LM: &str = "lm";
+/// Versions of the model servers' software, if they run two.
+const SOFTWARE: [&str; 2] = ["7.1", "7.2-rc1"];
+
 const FIRST_VERSION: Version = 3;
 
 /// Timeout of each route, and deadline of the requests to it.
@@ -121,12 +124,17 @@
     (0..SERVERS.len()).filter(is_same)
 }
 
-/// Settings of the server at `index`; `run` counts its predecessors.
-pub(super) fn server_settings(index: usize, run: usize) -> Settings {
+/// Settings of the server at `index`; `run` counts its predecessors. With `has_versions`, model
+/// servers run two versions of their software, and a replacement runs the other one.
+pub(super) fn server_settings(index: usize, run: usize, has_versions: bool) -> Settings {
     let (service, id) = (SERVERS[index], format!("{}-{index}.{run}", SERVERS[index]));
-    match service {
+    let settings = match service {
         LM => Settings::model(&id, service, &engine(), &[MODELS[0], MODELS[1 + index % 2]]),
-        _ => Settings::plain(&id, service),
+        _ => return Settings::plain(&id, service),
+    };
+    match has_versions {
+        true => Settings { software: SOFTWARE[(index + run) % 2].into(), ..settings },
+        false => settings,
     }
 }
 
--- a/crates/standin/src/routed/stream.rs
+++ b/crates/standin/src/routed/stream.rs
@@ -69,6 +69,27 @@
 }
 
 impl Attempt {
+    /// An attempt that has just ended.
+    pub fn new(
+        spec: &RequestSpec,
+        host: usize,
+        sent_at: Instant,
+        result: &Result<Answer, Failure>,
+    ) -> Attempt {
+        let answer = result.as_ref().ok();
+        let success = answer.filter(|answer| answer.status.is_success());
+        Attempt {
+            id: spec.id(),
+            host,
+            resumed: spec.info.resume,
+            sent_at,
+            ended_at: Instant::now(),
+            status: answer.map(|answer| answer.status),
+            events: success.map_or(Some(Vec::new()), Answer::stream),
+            is_complete: answer.is_some_and(|answer| answer.is_complete),
+        }
+    }
+
     /// Whether it brought an event, or the end of a stream that had all events.
     pub fn goes_on(&self) -> bool {
         let is_success = self.status.is_some_and(|status| status.is_success());
@@ -104,35 +125,33 @@
         mut choose: impl FnMut() -> Target,
     ) -> Stream {
         let mut stream = Stream::default();
-        for _ in 0..attempts {
+        while stream.attempts.len() < attempts && !stream.is_complete() {
             let attempt = stream.attempt(spec, choose()).await;
-            let is_done = attempt.is_complete && attempt.goes_on();
             stream.attempts.push(attempt);
-            if is_done {
-                break;
-            }
         }
         stream
     }
 
     /// Sends the next request of the stream.
     pub async fn attempt(&self, spec: &RequestSpec, mut target: Target) -> Attempt {
-        let mut spec = spec.with_new_id();
-        let resumed = self.begun().map(|(id, last)| {
-            spec = spec.clone().take_up(&id, last);
-            last
-        });
+        let request = self.next_request(spec);
         let sent_at = Instant::now();
-        let answer = fetch(&spec, &mut target, resumed.unwrap_or_default()).await;
-        let (status, events, is_complete) = match answer {
-            Ok(answer) if answer.status.is_success() => {
-                (Some(answer.status), answer.stream(), answer.is_complete)
-            }
-            Ok(answer) => (Some(answer.status), Some(Vec::new()), answer.is_complete),
-            Err(_) => (None, Some(Vec::new()), false),
-        };
-        let (id, host, ended_at) = (spec.id(), target.host, Instant::now());
-        Attempt { id, host, resumed, sent_at, ended_at, status, events, is_complete }
+        let result = fetch(&request, &mut target).await;
+        Attempt::new(&request, target.host, sent_at, &result)
+    }
+
+    /// The next request of the stream of `spec`, which takes it up if it has begun.
+    pub fn next_request(&self, spec: &RequestSpec) -> RequestSpec {
+        let request = spec.with_new_id();
+        match self.begun() {
+            Some((id, last)) => request.take_up(&id, last),
+            None => request,
+        }
+    }
+
+    /// Whether the last attempt brought the end.
+    pub fn is_complete(&self) -> bool {
+        self.attempts.last().is_some_and(|attempt| attempt.is_complete && attempt.goes_on())
     }
 
     /// The request that brought the first event, and the number of the last event received.
@@ -150,8 +169,14 @@
     }
 }
 
-async fn fetch(spec: &RequestSpec, target: &mut Target, received: u64) -> Result<Answer, Failure> {
+/// Sends a request for a stream and receives its events.
+///
+/// # Errors
+///
+/// If no head is received, or nothing for a long time.
+pub async fn fetch(spec: &RequestSpec, target: &mut Target) -> Result<Answer, Failure> {
     let opened = target.caller.open(spec).await?;
+    let received = spec.info.resume.unwrap_or_default();
     match target.break_after {
         Some(events) => opened.finish_at(received + events).await,
         None => opened.finish().await,
--- a/crates/standin/src/routed/stream/judge.rs
+++ b/crates/standin/src/routed/stream/judge.rs
@@ -1,5 +1,7 @@
 //! Checks what callers received of streams that broke and were taken up again.
 
+use serde::Serialize;
+
 use super::{Attempt, Stream};
 
 /// What is wrong with the events of a stream.
@@ -32,7 +34,7 @@
 }
 
 /// How many attempts went on, of those that count.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Share {
     /// Attempts that brought an event.
     pub going_on: usize,
@@ -52,7 +54,7 @@
 }
 
 /// How many new streams began, and how many streams went on when they were taken up.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Shares {
     /// Attempts at new streams.
     pub begun: Share,
--- a/crates/standin/tests/soak_judge.rs
+++ b/crates/standin/tests/soak_judge.rs
@@ -54,6 +54,7 @@
         id: "r1".into(),
         kind,
         resumable: false,
+        resume: None,
         path: "/pages/x".into(),
         body_bytes: 0,
         crashes_servers: false,
