Show what servers do whose answers never end

Cause: servers may send bytes that are no answer without end, in a head or a body, until the caller closes. No test sent such bytes. Ruled out: tests of single parsers alone, which show neither the memory of a host nor whether others are served. Change: a fault `Endless` of the stand-in servers (head, interim responses, body with a length, without one, in chunks of a byte, chunk extension, trailers, comments in a stream), as a flood or piece by piece, and tests of a real host: requests end early or at their deadline with a reason in the log, others are served, the memory of the host stays below 128 MB, and everything ends when the callers leave. Heads and interim responses that drip end only at the deadline (504); a flood of comments cuts a resumable stream; another request took up to 4.4 s beside 128 floods.

--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a routed deployment: real host processes with simulated callers, servers and store.
 
 mod declared;
+mod endless;
 mod faults;
 mod ingress;
 mod limits;
--- a/crates/standin/src/routed/server.rs
+++ b/crates/standin/src/routed/server.rs
@@ -5,6 +5,7 @@
 
 pub mod quota;
 
+mod endless;
 mod inventory;
 mod script;
 mod serving;
@@ -31,6 +32,7 @@
 use super::{lock, wire::Listener};
 
 pub use self::{
+    endless::Endless,
     inventory::{OrderRecord, Overload},
     script::{Fault, OrderFault, Script},
 };
--- a/crates/standin/src/routed/server/script.rs
+++ b/crates/standin/src/routed/server/script.rs
@@ -4,6 +4,8 @@
 
 use http::StatusCode;
 
+use super::endless::Endless;
+
 /// The behaviour of a server, which tests may change while it runs.
 #[derive(Clone, Debug)]
 pub struct Script {
@@ -94,6 +96,13 @@
     Encoded,
     /// The answer has `Connection: close`, and the connection is closed after it.
     Closing,
+    /// The answer never ends; the connection stays open until the caller closes it.
+    Endless {
+        /// The part that never ends.
+        part: Endless,
+        /// Time between two pieces of it; zero sends as fast as the connection takes.
+        pause: Duration,
+    },
     /// The connection is closed in the middle of a stream's event.
     Broken {
         /// Complete events sent before the connection is closed.
--- a/crates/standin/src/routed/server/work.rs
+++ b/crates/standin/src/routed/server/work.rs
@@ -46,6 +46,15 @@
             () = self.connection.closed() => return (Ending::CallerClosed, After::Close),
         }
         let is_model_server = self.shared.inventory().is_model_server();
+        if let Some(Fault::Endless { part, pause }) = self.fault {
+            let mut head = self.head();
+            if is_model_server {
+                remote::event_stream(head.headers_mut());
+                remote::version(head.headers_mut(), 1);
+            }
+            let _ = part.send(self.connection, &head, pause).await;
+            return (Ending::CallerClosed, After::Close);
+        }
         if is_poison {
             if is_model_server {
                 // The caller gets the head of an answer before the crash.
@@ -90,7 +99,11 @@
 
     /// Whether no byte of the answer's head is sent, so that it can't state a limit.
     fn is_head_withheld(&self) -> bool {
-        matches!(self.fault, Some(Fault::Lost | Fault::Silent | Fault::Garbled))
+        match self.fault {
+            Some(Fault::Lost | Fault::Silent | Fault::Garbled) => true,
+            Some(Fault::Endless { part, .. }) => part.is_before_head_end(),
+            _ => false,
+        }
     }
 
     fn body(&self) -> Bytes {
--- a/crates/standin/src/routed/wire.rs
+++ b/crates/standin/src/routed/wire.rs
@@ -103,6 +103,8 @@
     Chunks,
     /// By the end of the connection (`Connection: close`).
     End,
+    /// By the header fields that the answer has itself.
+    Given,
 }
 
 impl Connection {
@@ -235,6 +237,7 @@
         Framing::Length(length) => Some((header::CONTENT_LENGTH, HeaderValue::from(length))),
         Framing::Chunks => Some((header::TRANSFER_ENCODING, HeaderValue::from_static("chunked"))),
         Framing::End => Some((header::CONNECTION, HeaderValue::from_static("close"))),
+        Framing::Given => None,
     };
     let own = response.headers().iter().map(|(name, value)| (name.clone(), value.clone()));
     for (name, value) in own.chain(framing_field) {
