End responses that never end, by size and by time

Cause: the head of a response was bounded only by hyper's buffer, not in time, and interim responses not at all. Bodies were held in the pieces in which they came, each of which kept a buffer alive, and a body over its limit counted as cut, so as a crash of the server, for which a caller's request was suspected. A partial event was copied and searched anew with each chunk. Comments counted as progress of a stream, so that a server that sends nothing else was never left. Ruled out: ending a slow body before its deadline, which a sound but slow server would meet as well. Change: a connection bounds each awaited head, with its interim responses, to 64 KiB and 2 s from its first byte. Bodies are copied into one buffer, to at most 1 MiB and 16 Ki pieces; of those over 64 KiB, 16 of each service are received at a time. The splitter holds a partial event in one buffer, in at most 4096 chunks, and limits comments and repeated events between two new events. `Unclear::Endless` is a new end of an attempt and a label of the metrics; invalid framing is `garbled`. Conclusion: no response holds memory or a slot without bound; a body that drips ends at the request's deadline and is logged as timed out.

--- a/crates/observe/src/metrics/routed/labels.rs
+++ b/crates/observe/src/metrics/routed/labels.rs
@@ -108,6 +108,8 @@
     Silent,
     /// Possibly executed: the response was invalid.
     Garbled,
+    /// Possibly executed: the response exceeded a limit, or its head was not complete in time.
+    Endless,
     /// The caller closed the connection.
     Left,
 }
@@ -224,6 +226,7 @@
     Cut = "cut",
     Silent = "silent",
     Garbled = "garbled",
+    Endless = "endless",
     Left = "left",
 });
 
--- a/crates/policy/src/dispatch/events.rs
+++ b/crates/policy/src/dispatch/events.rs
@@ -208,7 +208,9 @@
                 server.breaker.trip(Cause::Timeout, now);
             }
             End::Unclear(Unclear::Silent) => server.pace.record_failure(&median, now),
-            End::Unclear(Unclear::Garbled) => server.pace.record_failure(&median, now),
+            End::Unclear(Unclear::Garbled | Unclear::Endless) => {
+                server.pace.record_failure(&median, now)
+            }
             End::Cancelled => {}
         }
         if let Some(server) = self.registry.get_same(attempt.server, &attempt.id) {
--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -202,6 +202,8 @@
     Silent,
     /// What was received is not a valid response.
     Garbled,
+    /// The response exceeded a limit, or its head was not complete in time.
+    Endless,
 }
 
 /// What follows a failed attempt.
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -16,6 +16,15 @@
 /// Most bytes of a partial event that are held back.
 const MAX_PARTIAL_BYTES: usize = 256 * 1024;
 
+/// Most chunks that a partial event is made of; each costs time, however small it is.
+const MAX_PARTIAL_CHUNKS: usize = 4096;
+
+/// Most bytes of comments between two new events.
+const MAX_COMMENT_BYTES: usize = 64 * 1024;
+
+/// Most bytes of repeated events between two new events.
+const MAX_REPEATED_BYTES: usize = 1024 * 1024;
+
 /// Why a server's stream can't be used any further.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -23,8 +32,10 @@
     Gap,
     /// The bytes are not an event.
     Garbage,
-    /// More than 256 KiB arrived without the end of an event.
+    /// More than 256 KiB, or 4096 chunks, arrived without the end of an event.
     TooLarge,
+    /// More than 64 KiB of comments, or 1 MiB of repeated events, arrived without a new event.
+    Unproductive,
 }
 
 /// Where a broken stream can resume.
@@ -43,6 +54,8 @@
 pub struct Output {
     /// Complete events to pass on; may be empty.
     pub events: Bytes,
+    /// Whether a new event is among them; comments are no events.
+    pub has_event: bool,
     /// Fault found after those events, if any.
     pub fault: Option<Fault>,
 }
@@ -50,12 +63,31 @@
 /// Splits a server's stream into events, and checks their order.
 #[derive(Clone, Debug)]
 pub struct Splitter {
-    partial: Bytes,
+    partial: BytesMut,
+    /// Start of the last line of the partial event, which has no end yet.
+    last_line: usize,
+    /// Chunks that the partial event was received in.
+    partial_chunks: usize,
+    unproductive: Unproductive,
     last: Option<Id>,
     point: ResumePoint,
     alignment: Alignment,
 }
 
+/// Bytes received since the last new event.
+#[derive(Clone, Copy, Debug, Default)]
+struct Unproductive {
+    comments: usize,
+    repeated: usize,
+}
+
+impl Unproductive {
+    fn fault(self) -> Option<Fault> {
+        let is_excessive = MAX_COMMENT_BYTES < self.comments || MAX_REPEATED_BYTES < self.repeated;
+        is_excessive.then_some(Fault::Unproductive)
+    }
+}
+
 /// Whether the server's next numbered event is known to follow the last one that was passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Alignment {
@@ -76,6 +108,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Verdict {
     Pass,
+    /// Passes, but is no event.
+    Comment,
     Drop,
     Break(Fault),
 }
@@ -85,33 +119,81 @@
     /// starts at its first event.
     pub fn new(after: Option<Id>) -> Splitter {
         let alignment = if after.is_some() { Alignment::Replaying } else { Alignment::Aligned };
-        Splitter { partial: Bytes::new(), last: after, point: ResumePoint::Start, alignment }
+        Splitter {
+            partial: BytesMut::new(),
+            last_line: 0,
+            partial_chunks: 0,
+            unproductive: Unproductive::default(),
+            last: after,
+            point: ResumePoint::Start,
+            alignment,
+        }
     }
 
     /// Takes the next chunk of the stream.
     pub fn take(&mut self, chunk: Bytes) -> Output {
-        let buffer = self.join(chunk);
+        let (buffer, mut end) = match self.partial.is_empty() {
+            true => {
+                let end = end_of_event(&chunk, 0, 0);
+                (chunk, end)
+            }
+            false => {
+                let searched = self.partial.len();
+                self.partial.extend_from_slice(&chunk);
+                let end = end_of_event(&self.partial, self.last_line, searched);
+                if let Scan::Incomplete { line } = end {
+                    self.last_line = line;
+                    return self.hold();
+                }
+                (std::mem::take(&mut self.partial).freeze(), end)
+            }
+        };
         let mut passed = PassedEvents::default();
         let mut start = 0;
-        while let Some(end) = end_of_event(&buffer, start) {
-            match self.classify(&buffer[start..end]) {
-                Verdict::Pass => passed.push(&buffer, start, end),
-                Verdict::Drop => {}
-                Verdict::Break(fault) => {
-                    return Output { events: passed.finish(&buffer), fault: Some(fault) };
+        while let Scan::Complete { end: event_end } = end {
+            match self.classify(&buffer[start..event_end]) {
+                Verdict::Pass => {
+                    passed.push(&buffer, start, event_end);
+                    passed.has_event = true;
                 }
+                Verdict::Comment => {
+                    passed.push(&buffer, start, event_end);
+                    self.unproductive.comments += event_end - start;
+                }
+                Verdict::Drop => self.unproductive.repeated += event_end - start,
+                Verdict::Break(fault) => return passed.finish(&buffer, Some(fault)),
             }
-            start = end;
+            start = event_end;
+            end = end_of_event(&buffer, start, start);
+        }
+        if let Scan::Incomplete { line } = end {
+            self.last_line = line - start;
+        }
+        self.partial.extend_from_slice(&buffer[start..]);
+        self.partial_chunks = 0;
+        let held = self.hold();
+        passed.finish(&buffer, held.fault.or(self.unproductive.fault()))
+    }
+
+    /// Holds back the partial event, unless it is too large.
+    fn hold(&mut self) -> Output {
+        self.partial_chunks += 1;
+        let is_too_large =
+            MAX_PARTIAL_BYTES < self.partial.len() || MAX_PARTIAL_CHUNKS < self.partial_chunks;
+        if is_too_large {
+            self.partial = BytesMut::new();
+        }
+        Output {
+            events: Bytes::new(),
+            has_event: false,
+            fault: is_too_large.then_some(Fault::TooLarge),
         }
-        let fault = (MAX_PARTIAL_BYTES < buffer.len() - start).then_some(Fault::TooLarge);
-        self.partial = if fault.is_none() { buffer.slice(start..) } else { Bytes::new() };
-        Output { events: passed.finish(&buffer), fault }
     }
 
     /// Takes the partial event that is held back, for a stream that is known to have ended
     /// properly.
     pub fn take_remainder(&mut self) -> Bytes {
-        std::mem::take(&mut self.partial)
+        std::mem::take(&mut self.partial).freeze()
     }
 
     /// Whether a partial event is held back.
@@ -126,29 +208,19 @@
 
     /// Continues with another server's stream. The former server's partial event is dropped.
     pub fn switch(&mut self) {
-        self.partial = Bytes::new();
+        (self.partial, self.unproductive) = (BytesMut::new(), Unproductive::default());
         self.alignment =
             if self.last.is_some() { Alignment::Replaying } else { Alignment::Aligned };
     }
 
-    fn join(&mut self, chunk: Bytes) -> Bytes {
-        if self.partial.is_empty() {
-            return chunk;
-        }
-        let partial = std::mem::take(&mut self.partial);
-        let mut joined = BytesMut::with_capacity(partial.len() + chunk.len());
-        joined.extend_from_slice(&partial);
-        joined.extend_from_slice(&chunk);
-        joined.freeze()
-    }
-
     fn classify(&mut self, event: &[u8]) -> Verdict {
         match read(event) {
             None => Verdict::Break(Fault::Garbage),
-            Some(Event::Comment) => Verdict::Pass,
+            Some(Event::Comment) => Verdict::Comment,
             Some(Event::Unnumbered) if self.alignment == Alignment::Replaying => Verdict::Drop,
             Some(Event::Unnumbered) => {
                 self.point = ResumePoint::Unknown;
+                self.unproductive = Unproductive::default();
                 Verdict::Pass
             }
             Some(Event::Numbered(id)) => self.check_id(id),
@@ -164,6 +236,7 @@
         self.last = Some(id);
         self.point = ResumePoint::After(id);
         self.alignment = Alignment::Aligned;
+        self.unproductive = Unproductive::default();
         Verdict::Pass
     }
 }
@@ -172,6 +245,7 @@
 /// lie between.
 #[derive(Default)]
 struct PassedEvents {
+    has_event: bool,
     copied: BytesMut,
     start: usize,
     end: usize,
@@ -186,26 +260,37 @@
         self.end = end;
     }
 
-    fn finish(mut self, buffer: &Bytes) -> Bytes {
+    fn finish(mut self, buffer: &Bytes, fault: Option<Fault>) -> Output {
+        let has_event = self.has_event;
         if self.copied.is_empty() {
-            return buffer.slice(self.start..self.end);
+            return Output { events: buffer.slice(self.start..self.end), has_event, fault };
         }
         self.copied.extend_from_slice(&buffer[self.start..self.end]);
-        self.copied.freeze()
+        Output { events: self.copied.freeze(), has_event, fault }
     }
 }
 
-/// Returns the end of the event that starts at `start`, which is after its blank line.
-fn end_of_event(buffer: &[u8], start: usize) -> Option<usize> {
-    let mut line = start;
-    loop {
-        let end = line + memchr(b'\n', &buffer[line..])?;
+/// Result of looking for the end of an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Scan {
+    /// The event ends here, which is after its blank line.
+    Complete { end: usize },
+    /// The end is missing; the last line, which may be partial, starts here.
+    Incomplete { line: usize },
+}
+
+/// Looks for the end of an event, from the start of one of its lines, which does not end before
+/// `from`.
+fn end_of_event(buffer: &[u8], mut line: usize, mut from: usize) -> Scan {
+    while let Some(length) = memchr(b'\n', &buffer[from..]) {
+        let end = from + length;
         let is_blank = matches!(&buffer[line..end], [] | [b'\r']);
-        line = end + 1;
+        (line, from) = (end + 1, end + 1);
         if is_blank {
-            return Some(line);
+            return Scan::Complete { end: line };
         }
     }
+    Scan::Incomplete { line }
 }
 
 /// Parses an event; none if the bytes are not an event.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -142,10 +142,12 @@
     shared.dispatcher().sent(ticket, path, sent_at);
     let request = request(shared, buffered, options);
     connection.set_reset_on_close(true);
-    let sent = connection.sender.try_send_request(request).await;
+    let sent = connection.send(request).await;
     let response = sent.map_err(|mut error| match error.take_message() {
         // A pooled connection had been closed before a byte of the request was sent.
         Some(_) => AttemptEnd::Unreachable(Unreachable::Closed),
+        None if connection.is_head_endless() => AttemptEnd::Unclear(Unclear::Endless),
+        None if error.error().is_parse_too_large() => AttemptEnd::Unclear(Unclear::Endless),
         None if error.error().is_parse() => AttemptEnd::Unclear(Unclear::Garbled),
         None => AttemptEnd::Unclear(Unclear::Cut),
     })?;
--- a/crates/relay/src/connect.rs
+++ b/crates/relay/src/connect.rs
@@ -5,15 +5,19 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use http::{Request, Response};
 use http_body_util::Full;
-use hyper::client::conn::http1;
+use hyper::{
+    body::Incoming,
+    client::conn::{TrySendError, http1},
+};
 use hyper_util::rt::TokioIo;
 use policy::paths::Path;
 use socket2::SockRef;
 use tokio::{net::TcpStream, task::JoinHandle};
 use types::host;
 
-use self::wire::{PendingWrite, ResetOnClose, Wire};
+use self::wire::{AwaitedHead, MAX_HEAD_BYTES, PendingWrite, ResetOnClose, Wire};
 use crate::paths::Relayed;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -28,6 +32,7 @@
     pub(crate) sender: http1::SendRequest<Full<Bytes>>,
     pending_write: PendingWrite,
     reset_on_close: ResetOnClose,
+    awaited_head: AwaitedHead,
     /// `None` for a direct connection.
     relayed: Option<Box<Relayed>>,
     driver: JoinHandle<()>,
@@ -54,6 +59,22 @@
     pub(crate) fn set_reset_on_close(&self, is_reset: bool) {
         self.reset_on_close.set(is_reset);
     }
+
+    /// Sends a request and waits for the head of the response, which is bounded in size and time.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.awaited_head.start();
+        let response = self.sender.try_send_request(request).await;
+        self.awaited_head.end();
+        response
+    }
+
+    /// Returns whether the last response's head exceeded its bounds.
+    pub(crate) fn is_head_endless(&self) -> bool {
+        self.awaited_head.is_endless()
+    }
 }
 
 impl Drop for Connection {
@@ -95,14 +116,16 @@
     stream: TcpStream,
     relayed: Option<Box<Relayed>>,
 ) -> io::Result<Connection> {
-    let (wire, pending_write, reset_on_close) = Wire::new(stream);
-    let (sender, connection) =
-        http1::Builder::new().handshake(TokioIo::new(wire)).await.map_err(io::Error::other)?;
+    let (wire, pending_write, reset_on_close, awaited_head) = Wire::new(stream);
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    let handshake = builder.handshake(TokioIo::new(wire)).await;
+    let (sender, connection) = handshake.map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
         // The error is also reported to the sender of the request.
         let _ = connection.await;
     });
-    Ok(Connection { sender, pending_write, reset_on_close, relayed, driver })
+    Ok(Connection { sender, pending_write, reset_on_close, awaited_head, relayed, driver })
 }
 
 /// Opens a connection that is always closed with a reset, which drops the bytes that are still in
--- a/crates/relay/src/connect/wire.rs
+++ b/crates/relay/src/connect/wire.rs
@@ -1,20 +1,30 @@
-//! A socket that records whether data waits to be written, and that can be closed with a reset.
+//! A socket that records whether data waits to be written, that can be closed with a reset, and
+//! that bounds the heads of responses.
 
 use std::{
+    future::Future,
     io::{self, IoSlice},
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    time::{Sleep, sleep},
 };
 
+/// Maximum size of a response's head together with the interim responses before it, in bytes.
+pub(super) const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Time from the first byte of a response to the end of its head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Shared flag that is set while data waits to be written to the socket.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PendingWrite(Arc<AtomicBool>);
@@ -40,23 +50,94 @@
     }
 }
 
+/// Shared state of the response's head that a connection waits for.
+#[derive(Clone, Debug, Default)]
+pub(super) struct AwaitedHead(Arc<HeadState>);
+
+#[derive(Debug, Default)]
+struct HeadState {
+    /// Number of times that the wait has started or ended; odd while a head is awaited.
+    changes: AtomicU32,
+    is_endless: AtomicBool,
+}
+
+impl AwaitedHead {
+    pub(super) fn start(&self) {
+        self.0.is_endless.store(false, Ordering::Relaxed);
+        self.0.changes.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn end(&self) {
+        self.0.changes.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn is_endless(&self) -> bool {
+        self.0.is_endless.load(Ordering::Relaxed)
+    }
+}
+
+/// Checks the part of a response's head that has been received.
+#[derive(Debug, Default)]
+struct HeadBound {
+    awaited: AwaitedHead,
+    /// Value of `changes` that the other fields belong to.
+    changes: u32,
+    received: usize,
+    /// `None` until some bytes have been received, but not the complete head.
+    timeout: Option<Pin<Box<Sleep>>>,
+}
+
+impl HeadBound {
+    /// Returns whether a head is awaited.
+    fn is_awaited(&mut self) -> bool {
+        let changes = self.awaited.0.changes.load(Ordering::Relaxed);
+        if self.changes != changes {
+            (self.changes, self.received, self.timeout) = (changes, 0, None);
+        }
+        changes % 2 == 1
+    }
+
+    fn receive(&mut self, bytes: usize) -> io::Result<()> {
+        self.received += bytes;
+        if self.received <= MAX_HEAD_BYTES { Ok(()) } else { Err(self.fail()) }
+    }
+
+    fn poll_timeout(&mut self, context: &mut Context<'_>) -> Poll<io::Error> {
+        if self.received == 0 {
+            return Poll::Pending;
+        }
+        let timeout = self.timeout.get_or_insert_with(|| Box::pin(sleep(HEAD_TIMEOUT)));
+        ready!(timeout.as_mut().poll(context));
+        Poll::Ready(self.fail())
+    }
+
+    fn fail(&self) -> io::Error {
+        self.awaited.0.is_endless.store(true, Ordering::Relaxed);
+        io::Error::new(io::ErrorKind::InvalidData, "the head of the response does not end")
+    }
+}
+
 /// A TCP stream with a [`PendingWrite`] and a [`ResetOnClose`] flag. The pending-write flag relies
 /// on hyper flushing the stream only when its own buffers are empty.
 pub(super) struct Wire {
     stream: TcpStream,
     pending_write: PendingWrite,
     reset_on_close: ResetOnClose,
+    head: HeadBound,
 }
 
 impl Wire {
-    pub(super) fn new(stream: TcpStream) -> (Wire, PendingWrite, ResetOnClose) {
+    pub(super) fn new(stream: TcpStream) -> (Wire, PendingWrite, ResetOnClose, AwaitedHead) {
         let (pending_write, reset_on_close) = (PendingWrite::default(), ResetOnClose::default());
+        let head = HeadBound::default();
+        let awaited_head = head.awaited.clone();
         let wire = Wire {
             stream,
             pending_write: pending_write.clone(),
             reset_on_close: reset_on_close.clone(),
+            head,
         };
-        (wire, pending_write, reset_on_close)
+        (wire, pending_write, reset_on_close, awaited_head)
     }
 }
 
@@ -75,7 +156,17 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_read(context, buffer)
+        let wire = self.get_mut();
+        if !wire.head.is_awaited() {
+            return Pin::new(&mut wire.stream).poll_read(context, buffer);
+        }
+        let before = buffer.filled().len();
+        // What has arrived is read first, since this process may not have been scheduled.
+        match Pin::new(&mut wire.stream).poll_read(context, buffer) {
+            Poll::Ready(Ok(())) => Poll::Ready(wire.head.receive(buffer.filled().len() - before)),
+            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Pending => wire.head.poll_timeout(context).map(Err),
+        }
     }
 }
 
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -27,8 +27,8 @@
 use types::{prelude::*, routed::Declaration};
 
 use crate::{
-    clock::Clock, control::Control, demand::Demand, directory::Directory, edge::Dialect,
-    log_limiter::LogLimiter, peers::Counts, planning, pool::Pool, store::Store,
+    body::LargeBodies, clock::Clock, control::Control, demand::Demand, directory::Directory,
+    edge::Dialect, log_limiter::LogLimiter, peers::Counts, planning, pool::Pool, store::Store,
 };
 
 /// Difference between the delays with which hosts attempt to take a lease, so that they don't all
@@ -60,6 +60,7 @@
     pub(crate) declaration_confirmed: Mutex<Moment>,
     pub(crate) store: Store,
     pub(crate) pool: Pool,
+    pub(crate) large_bodies: LargeBodies,
     pub(crate) control: Control,
     /// Timeout of an order.
     pub(crate) order_timeout: Duration,
@@ -169,6 +170,7 @@
             clock,
             clock_jumped: Arc::default(),
             pool: Pool::default(),
+            large_bodies: LargeBodies::default(),
             closing: CancellationToken::new(),
             stop: CancellationToken::new(),
             declaration: ArcSwapOption::empty(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod host;
 
 mod attempt;
+mod body;
 mod call;
 mod callers;
 mod connect;
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -14,7 +14,7 @@
 use observe::metrics::routed::Refusal;
 use policy::{
     attempt_timeout,
-    dispatch::{self, Ticket, Unclear},
+    dispatch::{self, Ticket},
 };
 use tokio::{select, time::timeout};
 use types::{
@@ -41,10 +41,6 @@
 /// Timeout for receiving a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Maximum size of a response that is buffered before delivery, in bytes. Only streams of events
-/// are delivered piece by piece.
-const MAX_BUFFERED_BODY_BYTES: usize = 1024 * 1024;
-
 /// Handles a caller's request.
 pub(crate) async fn answer(
     shared: Arc<Shared>,
@@ -216,8 +212,8 @@
     }
     let ResponseStart { head, mut response } = start;
     call.trace.response_started(Some(status));
-    let body = Limited::new(&mut response.body, MAX_BUFFERED_BODY_BYTES).collect().await;
-    let body = body.map_err(|_| AttemptEnd::Unclear(Unclear::Cut))?.to_bytes();
+    let body = shared.large_bodies.receive(&call.service, &mut response.body).await;
+    let body = body.map_err(AttemptEnd::Unclear)?;
     response.finish();
     let reply = Reply::Complete(head, body);
     if status.is_server_error() {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -13,7 +13,7 @@
 use http_body_util::Full;
 use policy::{dispatch::Unclear, event::Fault};
 
-use crate::attempt::AttemptEnd;
+use crate::{attempt::AttemptEnd, body};
 
 pub(crate) use self::{
     events::{Events, ResumePolicy},
@@ -43,7 +43,8 @@
         match self {
             StreamError::Connection(_) => "server-cut",
             StreamError::PartialEvent => "half-an-event",
-            StreamError::Fault(_) => "bad-event",
+            StreamError::Fault(Fault::TooLarge | Fault::Unproductive) => "endless",
+            StreamError::Fault(Fault::Gap | Fault::Garbage) => "bad-event",
             StreamError::Deadline => "deadline",
         }
     }
@@ -51,10 +52,14 @@
     /// Returns how the attempt ends that fails with this error.
     pub(crate) fn attempt_end(&self) -> AttemptEnd {
         match self {
-            StreamError::Connection(_) | StreamError::PartialEvent => {
-                AttemptEnd::Unclear(Unclear::Cut)
+            StreamError::Connection(error) => AttemptEnd::Unclear(body::failure(error)),
+            StreamError::PartialEvent => AttemptEnd::Unclear(Unclear::Cut),
+            StreamError::Fault(Fault::TooLarge | Fault::Unproductive) => {
+                AttemptEnd::Unclear(Unclear::Endless)
+            }
+            StreamError::Fault(Fault::Gap | Fault::Garbage) => {
+                AttemptEnd::Unclear(Unclear::Garbled)
             }
-            StreamError::Fault(_) => AttemptEnd::Unclear(Unclear::Garbled),
             // That the deadline passed is no evidence against the server.
             StreamError::Deadline => AttemptEnd::Cancelled,
         }
--- a/crates/relay/src/stream/events.rs
+++ b/crates/relay/src/stream/events.rs
@@ -149,7 +149,7 @@
     fn receive(&mut self, chunk: Bytes) -> Step {
         let before = self.splitter.point();
         let output = self.splitter.take(chunk);
-        if !output.events.is_empty() {
+        if output.has_event {
             self.timer.received();
             self.withdraw_hedge();
             if self.first_event == FirstEvent::Pending {
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -379,6 +379,7 @@
         AttemptEnd::Unclear(Unclear::Cut) => AttemptOutcome::Cut,
         AttemptEnd::Unclear(Unclear::Silent) => AttemptOutcome::Silent,
         AttemptEnd::Unclear(Unclear::Garbled) => AttemptOutcome::Garbled,
+        AttemptEnd::Unclear(Unclear::Endless) => AttemptOutcome::Endless,
         AttemptEnd::Cancelled => AttemptOutcome::Left,
     }
 }
