Check the lease on orders in the write of their bytes

**Cause** The lease was checked before an order was handed to its connection, whose own task writes it. A host that was frozen in between wrote the order once it went on, after the next holder's first one.

**Ruled out** A second check before the hand-over: the connection's task still runs later. The time limit of an order: it ends the wait, but the task may run first after a freeze.

**Change** A connection takes a guard that is asked in each write to the socket; for an order it checks the lease and its fence. A refused first write sent nothing, so the order counts as not sent and the connection is reset.

**Conclusion** The gap that the trace showed is closed by design.

--- a/crates/policy/src/term.rs
+++ b/crates/policy/src/term.rs
@@ -17,8 +17,8 @@
 //! Obligations of the caller:
 //!
 //! - the time is read from a clock that counts suspension and never jumps, right before each call;
-//! - [`OrderLease::may_order`] is called right before an order's bytes are sent, with no await in
-//!   between;
+//! - [`OrderLease::may_order`] is called right before each write of an order's bytes, with nothing
+//!   but the system call after it;
 //! - an order is abandoned, with its connection reset, once it has been in flight for
 //!   [`Settings::order_timeout`];
 //! - the incarnation is unique for all time;
--- a/crates/relay/src/connect.rs
+++ b/crates/relay/src/connect.rs
@@ -1,8 +1,9 @@
 //! Connections to servers and to the store.
 
+mod guard;
 mod wire;
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -13,7 +14,8 @@
 use tokio::{net::TcpStream, task::JoinHandle};
 use types::host;
 
-use self::wire::{PendingWrite, ResetOnClose, Wire};
+pub(crate) use self::guard::WriteGuard;
+use self::wire::{Controls, Wire};
 use crate::paths::Relayed;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -26,8 +28,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: http1::SendRequest<Full<Bytes>>,
-    pending_write: PendingWrite,
-    reset_on_close: ResetOnClose,
+    controls: Controls,
     /// `None` for a direct connection.
     relayed: Option<Box<Relayed>>,
     driver: JoinHandle<()>,
@@ -46,13 +47,18 @@
 
     /// Returns whether all bytes sent so far have been handed to the kernel.
     pub(crate) fn is_flushed(&self) -> bool {
-        !self.pending_write.is_pending()
+        !self.controls.pending_write.is_pending()
     }
 
     /// Sets whether the socket is closed with a reset, which drops the bytes that are still in
     /// transit. An abandoned request must not arrive later.
     pub(crate) fn set_reset_on_close(&self, is_reset: bool) {
-        self.reset_on_close.set(is_reset);
+        self.controls.reset_on_close.set(is_reset);
+    }
+
+    /// Sets the guard of all writes from now on; `None` permits them all.
+    pub(crate) fn set_write_guard(&self, guard: Option<Arc<WriteGuard>>) {
+        self.controls.guard.set(guard);
     }
 }
 
@@ -95,14 +101,14 @@
     stream: TcpStream,
     relayed: Option<Box<Relayed>>,
 ) -> io::Result<Connection> {
-    let (wire, pending_write, reset_on_close) = Wire::new(stream);
+    let (wire, controls) = Wire::new(stream);
     let (sender, connection) =
         http1::Builder::new().handshake(TokioIo::new(wire)).await.map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
         // The error is also reported to the sender of the request.
         let _ = connection.await;
     });
-    Ok(Connection { sender, pending_write, reset_on_close, relayed, driver })
+    Ok(Connection { sender, controls, relayed, driver })
 }
 
 /// Opens a connection that is always closed with a reset, which drops the bytes that are still in
--- a/crates/relay/src/connect/wire.rs
+++ b/crates/relay/src/connect/wire.rs
@@ -1,4 +1,5 @@
-//! A socket that records whether data waits to be written, and that can be closed with a reset.
+//! A socket that records whether data waits to be written, that can refuse writes, and that can be
+//! closed with a reset.
 
 use std::{
     io::{self, IoSlice},
@@ -10,11 +11,14 @@
     task::{Context, Poll},
 };
 
+use arc_swap::ArcSwapOption;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
 
+use super::guard::WriteGuard;
+
 /// Shared flag that is set while data waits to be written to the socket.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PendingWrite(Arc<AtomicBool>);
@@ -40,29 +44,45 @@
     }
 }
 
-/// A TCP stream with a [`PendingWrite`] and a [`ResetOnClose`] flag. The pending-write flag relies
+/// Shared slot for the guard of the request that is being written.
+#[derive(Clone, Debug, Default)]
+pub(super) struct GuardSlot(Arc<ArcSwapOption<WriteGuard>>);
+
+impl GuardSlot {
+    pub(super) fn set(&self, guard: Option<Arc<WriteGuard>>) {
+        self.0.store(guard);
+    }
+
+    fn check(&self) -> io::Result<()> {
+        self.0.load().as_ref().map_or(Ok(()), |guard| guard.check())
+    }
+}
+
+/// Handles to the state that a [`Wire`] shares with its connection.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Controls {
+    pub(super) pending_write: PendingWrite,
+    pub(super) reset_on_close: ResetOnClose,
+    pub(super) guard: GuardSlot,
+}
+
+/// A TCP stream with its [`Controls`]. The pending-write flag relies
 /// on hyper flushing the stream only when its own buffers are empty.
 pub(super) struct Wire {
     stream: TcpStream,
-    pending_write: PendingWrite,
-    reset_on_close: ResetOnClose,
+    controls: Controls,
 }
 
 impl Wire {
-    pub(super) fn new(stream: TcpStream) -> (Wire, PendingWrite, ResetOnClose) {
-        let (pending_write, reset_on_close) = (PendingWrite::default(), ResetOnClose::default());
-        let wire = Wire {
-            stream,
-            pending_write: pending_write.clone(),
-            reset_on_close: reset_on_close.clone(),
-        };
-        (wire, pending_write, reset_on_close)
+    pub(super) fn new(stream: TcpStream) -> (Wire, Controls) {
+        let controls = Controls::default();
+        (Wire { stream, controls: controls.clone() }, controls)
     }
 }
 
 impl Drop for Wire {
     fn drop(&mut self) {
-        if self.reset_on_close.0.load(Ordering::Relaxed) {
+        if self.controls.reset_on_close.0.load(Ordering::Relaxed) {
             // This fails only if the socket is closed already.
             let _ = self.stream.set_zero_linger();
         }
@@ -86,7 +106,8 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let wire = self.get_mut();
-        wire.pending_write.set(true);
+        wire.controls.pending_write.set(true);
+        wire.controls.guard.check()?;
         Pin::new(&mut wire.stream).poll_write(context, bytes)
     }
 
@@ -96,7 +117,8 @@
         parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let wire = self.get_mut();
-        wire.pending_write.set(true);
+        wire.controls.pending_write.set(true);
+        wire.controls.guard.check()?;
         Pin::new(&mut wire.stream).poll_write_vectored(context, parts)
     }
 
@@ -106,7 +128,7 @@
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let wire = self.get_mut();
-        wire.pending_write.set(false);
+        wire.controls.pending_write.set(false);
         Pin::new(&mut wire.stream).poll_flush(context)
     }
 
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::{
-    connect::{self, Connection},
+    connect::{self, Connection, WriteGuard},
     edge::{Dialect, Order, OrderReply, OrderStatus},
 };
 
@@ -61,7 +61,7 @@
         let slot = self.slot(server);
         let response = tokio::time::timeout(REPORT_TIMEOUT, async {
             let connection = ControlConnection::open(server, &slot).await?;
-            connection.exchange(server, dialect.report_call()).await
+            connection.exchange(server, dialect.report_call(), None).await
         })
         .await
         .ok()
@@ -83,15 +83,16 @@
     }
 
     /// Sends an order and waits for the response. The outcome is unknown if none arrives within
-    /// `timeout`.
+    /// `timeout`, also if `guard` refuses a write.
     pub(crate) async fn order(
         self,
         dialect: &dyn Dialect,
         server: &Server,
         order: &Order,
+        guard: Arc<WriteGuard>,
         timeout: Duration,
     ) -> OrderReply {
-        let call = self.exchange(server, dialect.order_call(order));
+        let call = self.exchange(server, dialect.order_call(order), Some(guard));
         match tokio::time::timeout(timeout, call).await {
             Ok(Some(response)) => dialect.order_reply(&response),
             Ok(None) | Err(_) => OrderReply { status: OrderStatus::Unknown, started_at: 0 },
@@ -102,10 +103,12 @@
         mut self,
         server: &Server,
         request: Request<Bytes>,
+        guard: Option<Arc<WriteGuard>>,
     ) -> Option<Response<Bytes>> {
         let mut request = request.map(Full::new);
         let host = HeaderValue::from_str(&server.address.to_string()).ok()?;
         request.headers_mut().insert(header::HOST, host);
+        self.connection.set_write_guard(guard);
         let response = self.connection.sender.send_request(request).await.ok()?;
         let (head, body) = response.into_parts();
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await.ok()?.to_bytes();
--- a/crates/relay/src/planning.rs
+++ b/crates/relay/src/planning.rs
@@ -11,6 +11,7 @@
 use types::{order::Fence, prelude::*, routed::Server};
 
 use crate::{
+    connect::WriteGuard,
     control::ControlConnection,
     edge::{self, OrderStatus},
     host::Shared,
@@ -108,9 +109,8 @@
         unplaced::report_unsent(shared, order, "not-reached");
         return Outcome::Busy;
     };
-    // The lease is checked directly before the order is sent, since opening the connection may have
-    // taken long.
-    let Some(fence) = shared.term().may_order(shared.now()) else {
+    // Opening the connection may have taken long.
+    let Some(fence) = shared.term().fence(shared.now()) else {
         unplaced::report_unsent(shared, order, "no-lease");
         return Outcome::Busy;
     };
@@ -127,7 +127,14 @@
         holder: shared.host.id.clone(),
         fence,
     };
-    let reply = connection.order(&*shared.dialect, server, &edge_order, shared.order_timeout).await;
+    let guard = Arc::new(lease_guard(shared, fence));
+    let reply = connection
+        .order(&*shared.dialect, server, &edge_order, guard.clone(), shared.order_timeout)
+        .await;
+    if guard.is_unsent() {
+        unplaced::report_unsent(shared, order, "no-lease");
+        return Outcome::Busy;
+    }
     let status = match shared.current_run(server, reply.started_at) {
         Some(run) if run.id == server.id => reply.status,
         // Another run of the server has received the order; a report will show what that run did.
@@ -146,6 +153,14 @@
     }
 }
 
+/// Permits writes while this host holds the lease under `fence`.
+fn lease_guard(shared: &Arc<Shared>, fence: Fence) -> WriteGuard {
+    let shared = Arc::downgrade(shared);
+    WriteGuard::new(move || {
+        shared.upgrade().is_some_and(|shared| shared.term().may_order(shared.now()) == Some(fence))
+    })
+}
+
 fn report_answer(
     shared: &Shared,
     order: &place::Order,
--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, request::Parts};
 use relay::edge::{
-    Answer, Dialect, Execution, ForwardOptions, Malformed, Object, Order, OrderReply, OrderStatus,
-    Problem, RequestInfo, Seal, Stated, StoreCall, StoreReply,
+    Answer, Dialect, Execution, ForwardOptions, Malformed, Object, ObjectKind, Order, OrderReply,
+    OrderStatus, Problem, RequestInfo, Seal, Stated, StoreCall, StoreReply,
 };
 use types::routed::{Declaration, Report, Server};
 
@@ -16,6 +16,8 @@
 /// store's responses.
 pub struct NeutralDialect {
     pub objects: Arc<StoreObjects>,
+    /// Called with each order, right before it is handed to its connection.
+    pub on_order: fn(&Order),
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
@@ -93,11 +95,12 @@
     }
 
     fn report(&self, _: &[u8]) -> Option<Report> {
-        None
+        Some(Report::default())
     }
 
-    fn order_call(&self, _: &Order) -> Request<Bytes> {
-        Request::new(Bytes::new())
+    fn order_call(&self, order: &Order) -> Request<Bytes> {
+        (self.on_order)(order);
+        Request::post(format!("/order/{}", order.fence)).body(Bytes::new()).expect("a call")
     }
 
     fn order_reply(&self, _: &Response<Bytes>) -> OrderReply {
@@ -116,11 +119,20 @@
         match call {
             StoreCall::List { kind, .. } => StoreReply::Page(self.objects.page(*kind)),
             StoreCall::Watch { kind, .. } => StoreReply::Seen(self.objects.changes(*kind)),
-            StoreCall::Create { kind: relay::edge::ObjectKind::Host, name, content } => {
+            StoreCall::Create { kind: ObjectKind::Host, name, content } => {
                 self.objects.registered.send_replace(true);
                 let content = (*content).clone();
                 StoreReply::Object(Object { name: (*name).into(), revision: 1, content })
             }
+            StoreCall::Get { kind: ObjectKind::Lease, .. } => {
+                self.objects.lease().map_or(StoreReply::Absent, StoreReply::Object)
+            }
+            StoreCall::Create { kind: ObjectKind::Lease, name, content } => {
+                self.objects.write_lease(None, name, content)
+            }
+            StoreCall::Replace { kind: ObjectKind::Lease, name, revision, content } => {
+                self.objects.write_lease(Some(*revision), name, content)
+            }
             _ => StoreReply::Refused,
         }
     }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -9,12 +9,12 @@
 
 use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
-use relay::{Running, clock::Clock};
+use relay::{Running, clock::Clock, edge::Order};
 use settings::process::{self, Process, Retry, RoutedSettings};
 use tokio::time::timeout;
 use types::{
     host::Host,
-    routed::{Declaration, Kind, Limits, Route, Share, State},
+    routed::{Declaration, Engine, Kind, Limits, Route, Service, Share, State},
 };
 
 use self::{caller::Caller, dialect::NeutralDialect, server::Server, store::StoreObjects};
@@ -48,6 +48,30 @@
         TestHost::start_with(clock, routed(), route, servers).await
     }
 
+    /// Starts a host as [`TestHost::start_with_clock`] does, which sends orders to its servers.
+    pub async fn start_with_orders(
+        clock: Clock,
+        engine: Engine,
+        servers: &[&Server],
+        on_order: fn(&Order),
+    ) -> TestHost {
+        let service = Service {
+            name: SERVICE.into(),
+            health: "/health".into(),
+            connections: 8,
+            engine: Some(engine),
+        };
+        let route = route(Kind::Idempotent);
+        TestHost::start_declared(
+            clock,
+            routed(),
+            declaration(route, vec![service]),
+            servers,
+            on_order,
+        )
+        .await
+    }
+
     /// Starts a host as [`TestHost::start`] does, with an empty retry budget.
     pub async fn without_retries(route: Route, servers: &[&Server]) -> TestHost {
         let retry = Retry { ratio: 0.0, extra: 0.0, window: TIMEOUT };
@@ -61,18 +85,23 @@
         route: Route,
         servers: &[&Server],
     ) -> TestHost {
-        let declaration = Declaration {
-            version: 1,
-            routes: vec![route],
-            services: Vec::new(),
-            limits: Limits::default(),
-        };
+        TestHost::start_declared(clock, routed, declaration(route, Vec::new()), servers, |_| ())
+            .await
+    }
+
+    async fn start_declared(
+        clock: Clock,
+        routed: RoutedSettings,
+        declaration: Declaration,
+        servers: &[&Server],
+        on_order: fn(&Order),
+    ) -> TestHost {
         let objects = Arc::new(StoreObjects::new(declaration));
         for server in servers {
             objects.register(registration(server));
         }
         let store = store::listen(objects.clone()).await;
-        let dialect = Arc::new(NeutralDialect { objects: objects.clone() });
+        let dialect = Arc::new(NeutralDialect { objects: objects.clone(), on_order });
         let running =
             relay::start_with_clock(clock, process(store), routed, dialect).await.expect("a host");
         let host = TestHost { address: running.address(), objects, _running: running };
@@ -136,6 +165,10 @@
     format!("POST /a/x HTTP/1.1\r\nhost: h\r\nrequest-name: {name}\r\ncontent-length: 2\r\n\r\nhi")
 }
 
+fn declaration(route: Route, services: Vec<Service>) -> Declaration {
+    Declaration { version: 1, routes: vec![route], services, limits: Limits::default() }
+}
+
 fn registration(server: &Server) -> types::routed::Server {
     types::routed::Server {
         id: server.id.clone(),
--- a/crates/relay/tests/common/server.rs
+++ b/crates/relay/tests/common/server.rs
@@ -69,11 +69,16 @@
 impl Connection {
     /// Reads the head of a request.
     pub async fn head(&mut self) -> String {
+        self.try_head().await.expect("a head")
+    }
+
+    /// Reads the head of a request; `None` if the connection is closed before its end.
+    pub async fn try_head(&mut self) -> Option<String> {
         let mut head = Vec::new();
         while !head.ends_with(b"\r\n\r\n") {
-            head.push(within(self.stream.read_u8()).await.expect("a head"));
+            head.push(within(self.stream.read_u8()).await.ok()?);
         }
-        String::from_utf8(head).expect("text")
+        Some(String::from_utf8(head).expect("text"))
     }
 
     /// Reads a request with its body.
--- a/crates/relay/tests/common/store.rs
+++ b/crates/relay/tests/common/store.rs
@@ -5,7 +5,7 @@
     sync::{Arc, Mutex},
 };
 
-use relay::edge::{Change, Object, ObjectKind, Page, WatchBatch};
+use relay::edge::{Change, Object, ObjectKind, Page, StoreReply, WatchBatch};
 use serde_json::Value;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -14,10 +14,11 @@
 };
 use types::routed::{Declaration, Server};
 
-/// The store's objects: the declaration and the registered servers.
+/// The store's objects: the declaration, the registered servers and the lease on orders.
 pub struct StoreObjects {
     pub declaration: Declaration,
     servers: Mutex<Vec<Server>>,
+    lease: Mutex<Option<Object>>,
     revision: watch::Sender<u64>,
     /// Whether the host has registered itself.
     pub registered: watch::Sender<bool>,
@@ -28,6 +29,7 @@
         StoreObjects {
             declaration,
             servers: Mutex::default(),
+            lease: Mutex::default(),
             revision: watch::Sender::new(1),
             registered: watch::Sender::new(false),
         }
@@ -42,6 +44,23 @@
         self.servers.lock().expect("servers").iter().find(|server| &*server.id == name).cloned()
     }
 
+    pub fn lease(&self) -> Option<Object> {
+        self.lease.lock().expect("the lease").clone()
+    }
+
+    /// Writes the lease, unless it has changed since `on`.
+    pub fn write_lease(&self, on: Option<u64>, name: &str, content: &Value) -> StoreReply {
+        let mut lease = self.lease.lock().expect("the lease");
+        let known = lease.as_ref().map(|lease| lease.revision);
+        if known != on {
+            return StoreReply::Conflict(lease.clone());
+        }
+        let revision = known.unwrap_or_default() + 1;
+        let written = Object { name: name.into(), revision, content: content.clone() };
+        *lease = Some(written.clone());
+        StoreReply::Object(written)
+    }
+
     pub fn page(&self, kind: ObjectKind) -> Page {
         let revision = *self.revision.borrow();
         let names: Vec<Arc<str>> = match kind {
