Refuse a request only after its crashes had time to prove void

**Cause** A cut connection counted as a crash of its server until the server answered something. Restarted servers that run but cut everything answer nothing, so three cuts within 17 ms made a common request poison, and every host refused it until the fault ended, some 3 s later.

**Ruled out** Taking a connection that the server accepts after the cut as proof that it runs: what stands before a server (a proxy, a supervisor's socket) accepts too. Voiding all but the latest cut of a run by its time alone: a host that notices an old cut late would void the crash that others saw. Sending on while it is unclear: a request that does crash servers would reach a fourth.

**Change** A run ends once, so an attempt that was sent over 0.1 s after a cut and is cut as well voids that cut. A request with three crashes reaches no server, but waits; it is refused once three of them are settled: the server's registration ended, or nothing voided the crash for 1 s. If one is void it goes on as a suspect, apart. No message changes.

**Conclusion** Innocents wait for a second at most where they were refused for seconds; a request that crashes servers costs three as before and its callers learn of the refusal up to a second later. Open: a proxy that accepts and cuts for a server that is gone, and a service without other requests in that second.

--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -58,7 +58,7 @@
         let service = self.registry.service(&spec.service);
         let model = spec.model.as_ref().map(|model| self.registry.model(service, model));
         self.registry.services[service as usize].budget.request(now);
-        if self.poison.standing(spec.fingerprint) == poison::Standing::Poison {
+        if self.poison.is_refused(spec.fingerprint, now) {
             return Verdict::Quarantined;
         }
         let mut task = Task::new(spec, service, model, now);
--- a/crates/policy/src/dispatch/choose.rs
+++ b/crates/policy/src/dispatch/choose.rs
@@ -138,8 +138,9 @@
         servers.into_iter().any(|server| self.is_capable(task, server))
     }
 
+    /// Whether a request runs isolated from others like it, or waits as it may be poison.
     pub(super) fn is_suspect(&self, task: &Task) -> bool {
-        self.poison.standing(task.spec.fingerprint) == poison::Standing::Suspect
+        poison::Standing::Clear < self.poison.standing(task.spec.fingerprint)
     }
 
     fn search(
--- a/crates/policy/src/dispatch/events.rs
+++ b/crates/policy/src/dispatch/events.rs
@@ -143,7 +143,7 @@
         match end {
             End::Completed => self.poison.completed(fingerprint, now),
             End::Unclear(Unclear::Cut) if !is_draining => {
-                self.poison.crashed(ticket, fingerprint, &attempt.id, now);
+                self.poison.crashed(ticket, fingerprint, &attempt.id, attempt.sent_at, now);
             }
             End::Unclear(Unclear::Silent) | End::Cancelled if !is_draining => {
                 self.poison.unclear(ticket, fingerprint, &attempt.id, now);
--- a/crates/policy/src/dispatch/poison.rs
+++ b/crates/policy/src/dispatch/poison.rs
@@ -12,7 +12,13 @@
 //! From the second crash on a request is a suspect and runs isolated from other suspects: one at a
 //! time on a host, preferably on the server with the fewest requests in flight. Hosts advertise
 //! such runs like crashes, so that no other host sends the same request, or another suspect to the
-//! same server, in the meantime. After the third crash the request is refused by all hosts.
+//! same server, in the meantime. After the third crash the request is poison: it reaches no server
+//! any more.
+//!
+//! A cut connection is no proof of a crash. A run ends only once, so it outlived the cut if
+//! something that was sent to it later is answered, or cut as well. Poison therefore waits, and is
+//! refused only once three of its crashes are settled: the registration of the server has ended, or
+//! nothing has voided the crash for [`SETTLE_TIME`].
 
 use std::{
     cmp::Ordering,
@@ -40,6 +46,13 @@
 /// requests in all of its crashes.
 pub const SUSPICION: Duration = Duration::from_secs(600);
 
+/// Time for which requests wait for evidence that the servers of their crashes still run.
+pub const SETTLE_TIME: Duration = Duration::from_secs(1);
+
+/// Time after a cut within which a request may still be sent on a connection whose end has not
+/// been noticed.
+const NOTICE_TIME: Duration = Duration::from_millis(100);
+
 /// Remaining life below which a received crash is not added again.
 const MIN_REMAINING_LIFE: Duration = Duration::from_secs(5);
 
@@ -76,7 +89,7 @@
     Clear,
     /// The request runs isolated from other suspects.
     Suspect,
-    /// The request is refused.
+    /// The request reaches no server, and is refused once its crashes are settled.
     Poison,
 }
 
@@ -167,6 +180,8 @@
     expires_at: Moment,
     /// When this host added the record, or when the run of a suspect was first recorded as a crash.
     seen_at: Moment,
+    /// When the crash is settled, unless it is void by then.
+    settled_at: Moment,
     /// When this host last found the crash void; it sends the void crash to others for
     /// [`VOID_SEND_TIME`] from then on.
     voided_at: Option<Moment>,
@@ -202,12 +217,22 @@
         there.map(|(_, record)| record)
     }
 
+    /// Whether the crash of a server is settled.
+    fn is_settled(&self, server: &backend::Id, now: Moment) -> bool {
+        self.records_at(server).any(|record| record.is_counted() && record.settled_at <= now)
+    }
+
     /// Servers whose crashes count, regardless of whether another request explains them.
     fn counted(&self) -> BTreeSet<&backend::Id> {
         let counted = self.crashes.iter().filter(|(_, record)| record.is_counted());
         counted.map(|((server, _), _)| server).collect()
     }
 
+    fn settle(&mut self, server: &backend::Id, now: Moment) {
+        let there = self.crashes.iter_mut().filter(|((other, _), _)| other == server);
+        there.for_each(|(_, record)| record.settled_at = record.settled_at.min(now));
+    }
+
     /// When the request is forgotten, which depends on its newest crash and on whether it ran
     /// isolated in any.
     fn expires_at(&self) -> Moment {
@@ -294,19 +319,29 @@
         if entry.crashes.len() < SUSPECT {
             return Standing::Clear;
         }
-        match self.count(request, entry) {
+        match self.unexplained(request, entry).len() {
             POISON.. => Standing::Poison,
             SUSPECT.. => Standing::Suspect,
             _ => Standing::Clear,
         }
     }
 
-    /// Whether a suspect has to wait, because another one runs on this host or the same request
-    /// anywhere.
+    /// Whether a request is refused: it is poison, and enough of its crashes are settled.
+    pub fn is_refused(&self, request: Fingerprint, now: Moment) -> bool {
+        let Some(entry) = self.entries.get(&request) else { return false };
+        if entry.crashes.len() < POISON {
+            return false;
+        }
+        let servers = self.unexplained(request, entry);
+        POISON <= servers.into_iter().filter(|server| entry.is_settled(server, now)).count()
+    }
+
+    /// Whether a request that is not clear has to wait, because it is poison, another suspect runs
+    /// on this host, or the same request runs anywhere.
     pub fn must_wait(&self, request: Fingerprint, now: Moment) -> bool {
         let entry = self.entries.get(&request);
         let runs = || entry.is_some_and(|entry| entry.crashes.values().any(|k| k.is_running(now)));
-        self.trial.is_some() || runs()
+        self.standing(request) == Standing::Poison || self.trial.is_some() || runs()
     }
 
     /// Whether a suspect runs on a server.
@@ -329,14 +364,18 @@
         }
     }
 
-    /// Records that a request's run was cut off by what looks like a crash of its server.
+    /// Records that a request's run, which began when it was sent at `sent`, was cut off by what
+    /// looks like a crash of its server.
     pub fn crashed(
         &mut self,
         ticket: Ticket,
         request: Fingerprint,
         server: &backend::Id,
+        sent: Moment,
         now: Moment,
     ) {
+        // The run that was cut off now had not ended in an earlier crash.
+        self.answered(server, sent.saturating_sub(NOTICE_TIME), now);
         self.record(request, server, Isolation::Shared, CrashState::Counted, now);
         // The suspect explains the crash regardless of which broken connection is found first.
         if let Some(trial) = self.trial.as_ref().filter(|trial| trial.server == *server) {
@@ -387,6 +426,9 @@
             {
                 self.record(request, server, Isolation::Isolated, CrashState::Counted, now);
             }
+            if let Some(entry) = self.entries.get_mut(&request) {
+                entry.settle(server, now);
+            }
         }
     }
 
@@ -461,7 +503,7 @@
         sent.into_iter().take(MAX_SENT).map(|(_, crash)| crash).collect()
     }
 
-    /// Returns all crashes of each request that is refused, and whether this host is the witness of
+    /// Returns all crashes of each request that is poison, and whether this host is the witness of
     /// one of them.
     pub fn refused(&self, now: Moment) -> Vec<(Vec<Crash>, bool)> {
         let refused =
@@ -523,11 +565,12 @@
         old.into_iter().for_each(|request| self.forget(request));
     }
 
-    /// Number of crashes that count and that no other request explains.
-    fn count(&self, request: Fingerprint, entry: &Entry) -> usize {
-        let counted = self.counted(request, entry);
+    /// Servers of the crashes that count and that no other request explains.
+    fn unexplained<'a>(&self, request: Fingerprint, entry: &'a Entry) -> Vec<&'a backend::Id> {
+        let mut counted = self.counted(request, entry);
         let own = counted.len();
-        counted.iter().filter(|server| !self.is_explained(request, server, own)).count()
+        counted.retain(|server| !self.is_explained(request, server, own));
+        counted
     }
 
     /// Servers of the crashes that count, except those where another request ran isolated. Of two
@@ -604,6 +647,10 @@
             state,
             expires_at,
             seen_at: now,
+            settled_at: match crash.age < MAX_RUN {
+                true => now + SETTLE_TIME,
+                false => now,
+            },
             voided_at,
         };
         match entry.crashes.entry(key(crash)) {
@@ -624,6 +671,7 @@
                     if record.state < CrashState::Counted && state == CrashState::Counted {
                         // The crash is later than the start of the run.
                         record.seen_at = now;
+                        record.settled_at = new.settled_at;
                     }
                     let is_void = record.state == CrashState::Void;
                     if is_void && crash.state == CrashState::Counted {
--- a/crates/policy/src/dispatch/pump.rs
+++ b/crates/policy/src/dispatch/pump.rs
@@ -7,7 +7,6 @@
 use super::{
     Dispatcher,
     choose::Outcome,
-    poison,
     queue::{Class, Key},
     registry::Work,
     request::{Cause, Change, LEAST_URGENT, Verdict},
@@ -158,9 +157,9 @@
             if task.spec.deadline <= now + duration(self.stats(task).base()) {
                 continue;
             }
-            let verdict = match self.poison.standing(task.spec.fingerprint) {
-                poison::Standing::Poison => Some(Verdict::Quarantined),
-                poison::Standing::Clear | poison::Standing::Suspect => None,
+            let verdict = match self.poison.is_refused(task.spec.fingerprint, now) {
+                true => Some(Verdict::Quarantined),
+                false => None,
             };
             let outcome = self.choose(task, now);
             let is_like_others = task.spec.avoid.is_empty() && !self.is_suspect(task);
--- a/crates/policy/tests/dispatch/poison.rs
+++ b/crates/policy/tests/dispatch/poison.rs
@@ -3,7 +3,9 @@
 use policy::{
     dispatch::{
         Answer, Change, End, Poison, RequestSpec, RetryDecision, Unclear, Verdict,
-        poison::{self, Crash, Fingerprint, Isolation, LIFE, POISON, SUSPICION, Standing},
+        poison::{
+            self, Crash, Fingerprint, Isolation, LIFE, POISON, SETTLE_TIME, SUSPICION, Standing,
+        },
     },
     paths::Path,
 };
@@ -20,7 +22,7 @@
 
 fn crash(poison: &mut Poison, fingerprint: u64, servers: &[&str]) {
     for server in servers {
-        poison.crashed(fingerprint, fingerprint, &(*server).into(), at(0));
+        poison.crashed(fingerprint, fingerprint, &(*server).into(), at(0), at(0));
     }
 }
 
@@ -92,8 +94,8 @@
     poison.completed(7, at(5));
     crash(&mut poison, 7, &["s1", "s2", "s3"]);
     assert_eq!(poison.standing(7), Standing::Clear);
-    poison.crashed(1, 7, &"s4".into(), at(20_000));
-    poison.crashed(2, 7, &"s5".into(), at(20_000));
+    poison.crashed(1, 7, &"s4".into(), at(20_000), at(20_000));
+    poison.crashed(2, 7, &"s5".into(), at(20_000), at(20_000));
     assert_eq!(poison.standing(7), Standing::Suspect, "completed long ago");
 }
 
@@ -201,7 +203,7 @@
     let mut poisons = hosts::<2>();
     crash(&mut poisons[0], 7, &["s1", "s2", "s3"]);
     for innocent in 100..3_000 {
-        poisons[0].crashed(innocent, innocent, &"s4".into(), at(10));
+        poisons[0].crashed(innocent, innocent, &"s4".into(), at(10), at(10));
     }
     exchange(&mut poisons, at(11));
     assert!(poisons.iter().all(|poison| poison.standing(7) == Standing::Poison));
@@ -274,7 +276,7 @@
         crash(poison, request, &["s1", "s2"]);
         poison.start_trial(1, request, &"s3".into());
         poison.sent(1, at(0));
-        poison.crashed(1, request, &"s3".into(), at(1));
+        poison.crashed(1, request, &"s3".into(), at(1), at(1));
         poison.ended(1, at(1));
     }
     exchange(&mut poisons, at(2));
@@ -284,7 +286,7 @@
     // The next trial shows which of the two crashes servers.
     poisons[0].start_trial(2, 7, &"s4".into());
     poisons[0].sent(2, at(10));
-    poisons[0].crashed(2, 7, &"s4".into(), at(11));
+    poisons[0].crashed(2, 7, &"s4".into(), at(11), at(11));
     poisons[0].ended(2, at(11));
     exchange(&mut poisons, at(12));
     assert!(poisons.iter().all(|poison| poison.standing(7) == Standing::Poison));
@@ -318,7 +320,7 @@
     exchange(&mut poisons, at(4));
     poisons[1].start_trial(1, 7, &"s3".into());
     poisons[1].sent(1, at(5));
-    poisons[1].crashed(1, 7, &"s3".into(), at(6));
+    poisons[1].crashed(1, 7, &"s3".into(), at(6), at(6));
     poisons[1].ended(1, at(6));
     for now in 7..10 {
         exchange(&mut poisons, at(now));
@@ -480,6 +482,59 @@
     assert_eq!(host.poison().standing(7), Standing::Clear);
 }
 
+/// Three restarted servers, which have not answered anything yet, cut the same request at once.
+/// `later` is the time at which another request is sent to each of them, and cut as well.
+#[rstest]
+#[case::servers_that_run(Some(200), Standing::Clear)]
+#[case::connections_that_ended_unnoticed(Some(60), Standing::Poison)]
+#[case::no_other_request(None, Standing::Poison)]
+fn a_request_that_was_cut_three_times_is_refused_unless_its_servers_run(
+    #[case] later: Option<u64>,
+    #[case] expected: Standing,
+) {
+    let mut host = plain(&["s1", "s2", "s3"]);
+    let same =
+        |ticket, now| RequestSpec { fingerprint: 7, ..request(ticket, Kind::Idempotent, now) };
+    sent(host.arrive(same(1, at(0)), at(0)));
+    for now in [5, 10, 15] {
+        host.attempt_failed(1, CUT, at(now));
+    }
+    assert_eq!(host.poison().standing(7), Standing::Poison);
+    assert_eq!(host.arrive(same(2, at(16)), at(16)), Verdict::Wait);
+    assert_eq!(host.pump(at(17)), []);
+    if let Some(later) = later {
+        for (ticket, server) in (10..).zip(["s1", "s2", "s3"]) {
+            let poison = host.poison_mut();
+            poison.crashed(ticket, ticket, &server.into(), at(later), at(later + 10));
+        }
+    }
+    assert_eq!(host.poison().standing(7), expected);
+    let settled = at(15) + SETTLE_TIME;
+    let changes = host.pump(settled);
+    let is_refused = expected == Standing::Poison;
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].verdict == Verdict::Quarantined, is_refused, "{changes:?}");
+    let next = host.arrive(same(3, settled), settled);
+    assert_eq!(next == Verdict::Quarantined, is_refused, "{next:?}");
+}
+
+/// The end of the registrations shows that the servers crashed.
+#[rstest]
+fn a_request_is_refused_at_once_if_its_servers_are_gone() {
+    let mut host = plain(&["s1", "s2", "s3", "s4"]);
+    host.poison_mut().merge(&received(7, &["s1", "s2", "s3"], Isolation::Shared), at(0));
+    let same =
+        |ticket, now| RequestSpec { fingerprint: 7, ..request(ticket, Kind::Idempotent, now) };
+    for server in ["s1", "s2"] {
+        host.gone(&server.into(), at(10));
+    }
+    assert_eq!(host.arrive(same(1, at(10)), at(10)), Verdict::Wait);
+    host.gone(&"s3".into(), at(20));
+    assert_eq!(host.arrive(same(2, at(20)), at(20)), Verdict::Quarantined);
+    let changes = host.pump(at(20));
+    assert!(matches!(changes[..], [Change { ticket: 1, verdict: Verdict::Quarantined }]));
+}
+
 #[rstest]
 fn a_server_that_leaves_ends_by_itself() {
     let mut host = plain(&[]);
