--- a/crates/relay/src/connect/wire.rs
+++ b/crates/relay/src/connect/wire.rs
@@ -1,5 +1,5 @@
-//! A socket that records whether data waits to be written, that can be closed with a reset, and
-//! that bounds the heads of responses.
+//! A socket that records whether data waits to be written, that can refuse writes, that can be
+//! closed with a reset, and that bounds the heads of responses.
 
 use std::{
     future::Future,
@@ -13,12 +13,15 @@
     time::Duration,
 };
 
+use arc_swap::ArcSwapOption;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
     time::{Sleep, sleep},
 };
 
+use super::guard::WriteGuard;
+
 /// Maximum size of a response's head together with the interim responses before it, in bytes.
 pub(super) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -117,33 +120,48 @@
     }
 }
 
-/// A TCP stream with a [`PendingWrite`] and a [`ResetOnClose`] flag. The pending-write flag relies
+/// Shared slot for the guard of the request that is being written.
+#[derive(Clone, Debug, Default)]
+pub(super) struct GuardSlot(Arc<ArcSwapOption<WriteGuard>>);
+
+impl GuardSlot {
+    pub(super) fn set(&self, guard: Option<Arc<WriteGuard>>) {
+        self.0.store(guard);
+    }
+
+    fn check(&self) -> io::Result<()> {
+        self.0.load().as_ref().map_or(Ok(()), |guard| guard.check())
+    }
+}
+
+/// Handles to the state that a [`Wire`] shares with its connection.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Controls {
+    pub(super) pending_write: PendingWrite,
+    pub(super) reset_on_close: ResetOnClose,
+    pub(super) guard: GuardSlot,
+    pub(super) awaited_head: AwaitedHead,
+}
+
+/// A TCP stream with its [`Controls`]. The pending-write flag relies
 /// on hyper flushing the stream only when its own buffers are empty.
 pub(super) struct Wire {
     stream: TcpStream,
-    pending_write: PendingWrite,
-    reset_on_close: ResetOnClose,
+    controls: Controls,
     head: HeadBound,
 }
 
 impl Wire {
-    pub(super) fn new(stream: TcpStream) -> (Wire, PendingWrite, ResetOnClose, AwaitedHead) {
-        let (pending_write, reset_on_close) = (PendingWrite::default(), ResetOnClose::default());
-        let head = HeadBound::default();
-        let awaited_head = head.awaited.clone();
-        let wire = Wire {
-            stream,
-            pending_write: pending_write.clone(),
-            reset_on_close: reset_on_close.clone(),
-            head,
-        };
-        (wire, pending_write, reset_on_close, awaited_head)
+    pub(super) fn new(stream: TcpStream) -> (Wire, Controls) {
+        let controls = Controls::default();
+        let head = HeadBound { awaited: controls.awaited_head.clone(), ..HeadBound::default() };
+        (Wire { stream, controls: controls.clone(), head }, controls)
     }
 }
 
 impl Drop for Wire {
     fn drop(&mut self) {
-        if self.reset_on_close.0.load(Ordering::Relaxed) {
+        if self.controls.reset_on_close.0.load(Ordering::Relaxed) {
             // This fails only if the socket is closed already.
             let _ = self.stream.set_zero_linger();
         }
@@ -177,7 +195,8 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let wire = self.get_mut();
-        wire.pending_write.set(true);
+        wire.controls.pending_write.set(true);
+        wire.controls.guard.check()?;
         Pin::new(&mut wire.stream).poll_write(context, bytes)
     }
 
@@ -187,7 +206,8 @@
         parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let wire = self.get_mut();
-        wire.pending_write.set(true);
+        wire.controls.pending_write.set(true);
+        wire.controls.guard.check()?;
         Pin::new(&mut wire.stream).poll_write_vectored(context, parts)
     }
 
@@ -197,7 +217,7 @@
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let wire = self.get_mut();
-        wire.pending_write.set(false);
+        wire.controls.pending_write.set(false);
         Pin::new(&mut wire.stream).poll_flush(context)
     }
 
