--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -27,7 +27,7 @@
     directory::Delta,
     edge::{Change, Object, Page, Revision},
     host::Shared,
-    peers,
+    peers, streams,
 };
 
 /// Expected duration of loading a model.
@@ -68,7 +68,7 @@
                 resident: Vec::new(),
                 sequence: 0,
                 // The software may have been replaced; the registration will tell.
-                software: unread_software(&id),
+                software: streams::unread_software(&id),
                 ..(*known).clone()
             };
             self.apply_registration(run, written, &Source::Itself);
@@ -494,9 +494,3 @@
     let mut services = declaration.services.iter();
     services.any(|declared| declared.name == *service && declared.engine.is_some())
 }
-
-/// Returns what stands for the software of a run whose registration was not read yet: a version that
-/// no other server has.
-fn unread_software(run: &backend::Id) -> Arc<str> {
-    format!("unread/{run}").into()
-}
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -148,3 +148,9 @@
         }
     }
 }
+
+/// Returns what stands for the software of a run whose registration was not read yet: a version that
+/// no other server has.
+pub(crate) fn unread_software(run: &backend::Id) -> Arc<str> {
+    format!("unread/{run}").into()
+}
