Split the record of crashes by job

**Ruled out** Nothing.

**Change** Moved without a change of logic: crashes as they are sent, records, completed requests, which crashes count, and the exchange with other hosts have a file each.

--- a/crates/policy/src/dispatch/poison.rs
+++ b/crates/policy/src/dispatch/poison.rs
@@ -20,14 +20,24 @@
 //! refused only once three of its crashes are settled: the registration of the server has ended, or
 //! nothing has voided the crash for [`SETTLE_TIME`].
 
-use std::{
-    cmp::Ordering,
-    collections::{BTreeMap, BTreeSet, VecDeque, btree_map::Entry as Slot},
-};
+mod blame;
+mod completed;
+mod crash;
+mod record;
+mod sharing;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use serde::{Deserialize, Serialize};
 use types::prelude::*;
 
+use self::{
+    completed::CompletedRequests,
+    record::{CrashRecord, Entry, crashes_of},
+};
+pub use self::{
+    crash::{Crash, CrashState, Isolation},
+    sharing::SETTLE_TIME,
+};
 use super::{Map, request::Ticket};
 
 /// Identifies a request: a digest of its path and body, which are what a server sees.
@@ -46,39 +56,17 @@
 /// requests in all of its crashes.
 pub const SUSPICION: Duration = Duration::from_secs(600);
 
-/// Time for which requests wait for evidence that the servers of their crashes still run.
-pub const SETTLE_TIME: Duration = Duration::from_secs(1);
-
 /// Time after a cut within which a request may still be sent on a connection whose end has not
 /// been noticed.
 const NOTICE_TIME: Duration = Duration::from_millis(100);
 
-/// Remaining life below which a received crash is not added again.
-const MIN_REMAINING_LIFE: Duration = Duration::from_secs(5);
-
 /// Most requests remembered; those with the fewest crashes are evicted first.
 const MAX_REQUESTS: usize = 1024;
 
-/// Most crashes sent to other hosts; those of requests with the most crashes are sent first.
-const MAX_SENT: usize = 128;
-
-/// How long a host sends a crash to others after it found the crash void.
-const VOID_SEND_TIME: Duration = Duration::from_secs(10);
-
 /// Time between the end of an attempt and the end of its server's registration within which the
 /// attempt may have crashed the server.
 const UNRESOLVED_LIFE: Duration = Duration::from_secs(8);
 
-/// Length of a generation of completed requests. A completed request is assumed to crash no server
-/// for at most two generations.
-const COMPLETED_LIFE: Duration = Duration::from_secs(10);
-
-/// Most completed requests remembered in each of two generations.
-const MAX_COMPLETED: usize = 4096;
-
-/// How long a suspect's run keeps other suspects away if the end of the run is not reported.
-const MAX_RUN: Duration = Duration::from_secs(20);
-
 /// Most attempts remembered whose servers may have crashed.
 const MAX_UNRESOLVED: usize = 512;
 
@@ -93,73 +81,6 @@
     Poison,
 }
 
-/// How a request ran on the server that crashed. In a merge the later variant wins.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Hash)]
-pub enum Isolation {
-    /// Together with other requests that are as likely to have crashed the server.
-    #[serde(rename = "Beside")]
-    Shared,
-    /// As the only suspect on the server.
-    #[serde(rename = "Apart")]
-    Isolated,
-}
-
-/// Whether a crash counts. In a merge the later variant wins.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Hash)]
-pub enum CrashState {
-    /// The server has not crashed so far: a suspect runs there.
-    #[serde(rename = "Open")]
-    Running,
-    /// The crash counts.
-    #[serde(rename = "Counts")]
-    Counted,
-    /// The server did not crash, or not by this request.
-    Void,
-}
-
-/// States that a request was at a run of a server when that run ended.
-///
-/// Only the witness starts a new turn; any host may find the crash void.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Hash)]
-pub struct Crash {
-    /// The request.
-    pub request: Fingerprint,
-    /// The run of the server.
-    pub server: backend::Id,
-    /// The host that sent the request there.
-    pub witness: host::Id,
-    /// Number of earlier runs of the request on the server whose crash was void. In a merge the
-    /// higher turn wins.
-    pub turn: u32,
-    /// How the request ran there.
-    #[serde(rename = "role")]
-    pub isolation: Isolation,
-    /// Whether the crash counts.
-    #[serde(rename = "verdict")]
-    pub state: CrashState,
-    /// Time since the crash was seen.
-    #[serde(with = "types::time::millis")]
-    pub age: Duration,
-}
-
-impl Crash {
-    /// Merges what two hosts know of one crash.
-    #[must_use]
-    pub fn joined(self, other: &Crash) -> Crash {
-        match self.turn.cmp(&other.turn) {
-            Ordering::Less => return other.clone(),
-            Ordering::Equal => {}
-            Ordering::Greater => return self,
-        }
-        Crash {
-            isolation: self.isolation.max(other.isolation),
-            state: self.state.max(other.state),
-            age: self.age.max(other.age),
-            ..self
-        }
-    }
-}
-
 /// A change of a request's standing, with the crashes behind it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StandingChange {
@@ -171,79 +92,6 @@
     pub crashes: Vec<Crash>,
 }
 
-#[derive(Clone, Debug)]
-struct CrashRecord {
-    turn: u32,
-    isolation: Isolation,
-    state: CrashState,
-    /// When the crash expires at the latest.
-    expires_at: Moment,
-    /// When this host added the record, or when the run of a suspect was first recorded as a crash.
-    seen_at: Moment,
-    /// When the crash is settled, unless it is void by then.
-    settled_at: Moment,
-    /// When this host last found the crash void; it sends the void crash to others for
-    /// [`VOID_SEND_TIME`] from then on.
-    voided_at: Option<Moment>,
-}
-
-impl CrashRecord {
-    fn age(&self, now: Moment) -> Duration {
-        LIFE.saturating_sub(self.expires_at.saturating_sub(now))
-    }
-
-    fn is_counted(&self) -> bool {
-        self.state == CrashState::Counted
-    }
-
-    fn is_running(&self, now: Moment) -> bool {
-        self.state == CrashState::Running && self.age(now) < MAX_RUN
-    }
-}
-
-/// The run of a server, and the host that sent the request there.
-type CrashKey = (backend::Id, host::Id);
-
-#[derive(Clone, Debug, Default)]
-struct Entry {
-    crashes: BTreeMap<CrashKey, CrashRecord>,
-    reported: Option<Standing>,
-}
-
-impl Entry {
-    /// Records of the request at a server, by all hosts.
-    fn records_at<'a>(&'a self, server: &'a backend::Id) -> impl Iterator<Item = &'a CrashRecord> {
-        let there = self.crashes.iter().filter(move |((other, _), _)| other == server);
-        there.map(|(_, record)| record)
-    }
-
-    /// Whether the crash of a server is settled.
-    fn is_settled(&self, server: &backend::Id, now: Moment) -> bool {
-        self.records_at(server).any(|record| record.is_counted() && record.settled_at <= now)
-    }
-
-    /// Servers whose crashes count, regardless of whether another request explains them.
-    fn counted(&self) -> BTreeSet<&backend::Id> {
-        let counted = self.crashes.iter().filter(|(_, record)| record.is_counted());
-        counted.map(|((server, _), _)| server).collect()
-    }
-
-    fn settle(&mut self, server: &backend::Id, now: Moment) {
-        let there = self.crashes.iter_mut().filter(|((other, _), _)| other == server);
-        there.for_each(|(_, record)| record.settled_at = record.settled_at.min(now));
-    }
-
-    /// When the request is forgotten, which depends on its newest crash and on whether it ran
-    /// isolated in any.
-    fn expires_at(&self) -> Moment {
-        let youngest =
-            self.crashes.values().map(|record| record.expires_at).max().unwrap_or_default();
-        let was_isolated =
-            self.crashes.values().any(|record| record.isolation == Isolation::Isolated);
-        if was_isolated { youngest } else { youngest.saturating_sub(LIFE - SUSPICION) }
-    }
-}
-
 /// The isolated run of a suspect.
 #[derive(Clone, Debug)]
 struct Trial {
@@ -261,30 +109,6 @@
     ended_at: Moment,
 }
 
-/// Requests that completed lately, in two generations. The previous one is dropped when the current
-/// one is full or [`COMPLETED_LIFE`] old.
-#[derive(Clone, Debug, Default)]
-struct CompletedRequests {
-    current: BTreeSet<Fingerprint>,
-    previous: BTreeSet<Fingerprint>,
-    since: Moment,
-}
-
-impl CompletedRequests {
-    fn add(&mut self, request: Fingerprint, now: Moment) {
-        if self.since + COMPLETED_LIFE <= now || MAX_COMPLETED <= self.current.len() {
-            self.previous = std::mem::take(&mut self.current);
-            self.since = now;
-        }
-        self.current.insert(request);
-    }
-
-    fn has(&self, request: Fingerprint, now: Moment) -> bool {
-        let is_recent = now < self.since + COMPLETED_LIFE;
-        is_recent && (self.current.contains(&request) || self.previous.contains(&request))
-    }
-}
-
 /// Crashes by request, as one host knows them.
 #[derive(Clone, Debug)]
 pub struct Poison {
@@ -477,63 +301,6 @@
         }
     }
 
-    /// Returns the crashes to be sent to other hosts: those of suspects and refused requests, those
-    /// of other requests that this host witnessed, and void ones for [`VOID_SEND_TIME`].
-    pub fn crashes(&self, now: Moment) -> Vec<Crash> {
-        let mut sent = Vec::new();
-        for (request, entry) in &self.entries {
-            let standing = self.standing(*request);
-            for (key, record) in &entry.crashes {
-                let is_sent = match record.state {
-                    CrashState::Void => {
-                        record.voided_at.is_some_and(|at| now < at + VOID_SEND_TIME)
-                    }
-                    CrashState::Running | CrashState::Counted => {
-                        Standing::Clear < standing || key.1 == self.host
-                    }
-                };
-                if is_sent {
-                    let rank =
-                        (standing, record.state != CrashState::Void, record.expires_at, *request);
-                    sent.push((rank, crash(*request, key, record, now)));
-                }
-            }
-        }
-        sent.sort_unstable_by(|(a, _), (b, _)| b.cmp(a));
-        sent.into_iter().take(MAX_SENT).map(|(_, crash)| crash).collect()
-    }
-
-    /// Returns all crashes of each request that is poison, and whether this host is the witness of
-    /// one of them.
-    pub fn refused(&self, now: Moment) -> Vec<(Vec<Crash>, bool)> {
-        let refused =
-            self.entries.iter().filter(|(request, _)| self.standing(**request) == Standing::Poison);
-        let crashes = |(request, entry): (&Fingerprint, &Entry)| {
-            let is_own = entry.crashes.keys().any(|(_, witness)| *witness == self.host);
-            (crashes_of(*request, entry, now), is_own)
-        };
-        refused.map(crashes).collect()
-    }
-
-    /// Merges crashes received from other hosts or read from the store.
-    pub fn merge(&mut self, crashes: &[Crash], now: Moment) {
-        for crash in crashes {
-            let Some(left) = LIFE.checked_sub(crash.age) else { continue };
-            let is_known = self
-                .entries
-                .get(&crash.request)
-                .is_some_and(|entry| entry.crashes.contains_key(&key(crash)));
-            let is_ending = match crash.isolation {
-                Isolation::Shared => SUSPICION < crash.age + MIN_REMAINING_LIFE,
-                Isolation::Isolated => left < MIN_REMAINING_LIFE,
-            };
-            if is_known || !is_ending {
-                self.join(crash, now + left, now);
-            }
-        }
-        self.keep_within_bounds();
-    }
-
     /// Returns the changes of standings since the last call.
     pub fn take_changes(&mut self, now: Moment) -> Vec<StandingChange> {
         let mut changes = Vec::new();
@@ -565,133 +332,6 @@
         old.into_iter().for_each(|request| self.forget(request));
     }
 
-    /// Servers of the crashes that count and that no other request explains.
-    fn unexplained<'a>(&self, request: Fingerprint, entry: &'a Entry) -> Vec<&'a backend::Id> {
-        let mut counted = self.counted(request, entry);
-        let own = counted.len();
-        counted.retain(|server| !self.is_explained(request, server, own));
-        counted
-    }
-
-    /// Servers of the crashes that count, except those where another request ran isolated. Of two
-    /// requests that ran isolated on one server neither explains its crash.
-    fn counted<'a>(&self, request: Fingerprint, entry: &'a Entry) -> Vec<&'a backend::Id> {
-        let ran_isolated = |server: &backend::Id, other: &Entry| {
-            other
-                .records_at(server)
-                .any(|record| record.isolation == Isolation::Isolated && record.is_counted())
-        };
-        let other_ran_isolated = |server: &backend::Id| {
-            self.others(request, server).any(|(_, other)| ran_isolated(server, other))
-        };
-        entry.counted().into_iter().filter(|server| !other_ran_isolated(server)).collect()
-    }
-
-    /// Whether a crash is explained by another request at the server that has crashed enough
-    /// servers to be refused, and more than this request, which has crashed `own`.
-    fn is_explained(&self, request: Fingerprint, server: &backend::Id, own: usize) -> bool {
-        self.others(request, server).any(|(fingerprint, other)| {
-            let is_there = other.records_at(server).any(CrashRecord::is_counted);
-            is_there && own.max(POISON - 1) < self.counted(fingerprint, other).len()
-        })
-    }
-
-    /// Other requests that were at a server.
-    fn others<'a>(
-        &'a self,
-        request: Fingerprint,
-        server: &backend::Id,
-    ) -> impl Iterator<Item = (Fingerprint, &'a Entry)> {
-        let there = self.at_servers.get(server).into_iter().flatten();
-        let others = there.filter(move |other| **other != request);
-        others.filter_map(|other| Some((*other, self.entries.get(other)?)))
-    }
-
-    fn record(
-        &mut self,
-        request: Fingerprint,
-        server: &backend::Id,
-        isolation: Isolation,
-        state: CrashState,
-        now: Moment,
-    ) {
-        let key = (server.clone(), self.host.clone());
-        let record = self.entries.get(&request).and_then(|entry| entry.crashes.get(&key));
-        let turn = record.map_or(0, |record| {
-            record.turn.saturating_add(u32::from(record.state == CrashState::Void))
-        });
-        let crash = Crash {
-            request,
-            server: server.clone(),
-            witness: self.host.clone(),
-            turn,
-            isolation,
-            state,
-            age: Duration::ZERO,
-        };
-        self.join(&crash, now + LIFE, now);
-        self.keep_within_bounds();
-    }
-
-    fn join(&mut self, crash: &Crash, expires_at: Moment, now: Moment) {
-        let entry = self.entries.entry(crash.request).or_default();
-        let state = match self.completed.has(crash.request, now) {
-            true => CrashState::Void,
-            false => crash.state,
-        };
-        // If only this host knows that the crash is void, it sends that to others.
-        let voided_at = (state != crash.state).then_some(now);
-        let new = CrashRecord {
-            turn: crash.turn,
-            isolation: crash.isolation,
-            state,
-            expires_at,
-            seen_at: now,
-            settled_at: match crash.age < MAX_RUN {
-                true => now + SETTLE_TIME,
-                false => now,
-            },
-            voided_at,
-        };
-        match entry.crashes.entry(key(crash)) {
-            Slot::Vacant(slot) => {
-                slot.insert(new);
-                self.changed.insert(crash.request);
-            }
-            Slot::Occupied(mut slot) => match slot.get().turn.cmp(&crash.turn) {
-                Ordering::Less => {
-                    slot.insert(new);
-                    self.changed.insert(crash.request);
-                }
-                Ordering::Equal => {
-                    let record = slot.get_mut();
-                    if record.isolation < crash.isolation || record.state < state {
-                        self.changed.insert(crash.request);
-                    }
-                    if record.state < CrashState::Counted && state == CrashState::Counted {
-                        // The crash is later than the start of the run.
-                        record.seen_at = now;
-                        record.settled_at = new.settled_at;
-                    }
-                    let is_void = record.state == CrashState::Void;
-                    if is_void && crash.state == CrashState::Counted {
-                        record.voided_at = Some(now);
-                    }
-                    record.isolation = record.isolation.max(crash.isolation);
-                    record.state = record.state.max(state);
-                    record.expires_at = record.expires_at.min(expires_at);
-                }
-                Ordering::Greater => return,
-            },
-        }
-        let there = self.at_servers.entry(crash.server.clone()).or_default();
-        there.insert(crash.request);
-        // The standings of requests whose crashes this one explains change too.
-        if 1 < there.len() && self.changed.contains(&crash.request) {
-            self.changed.extend(there.iter().copied());
-        }
-    }
-
     fn void(
         &mut self,
         request: Fingerprint,
@@ -735,24 +375,3 @@
         ranked.into_iter().take(excess).for_each(|(_, _, request)| self.forget(request));
     }
 }
-
-fn key(crash: &Crash) -> CrashKey {
-    (crash.server.clone(), crash.witness.clone())
-}
-
-fn crashes_of(request: Fingerprint, entry: &Entry, now: Moment) -> Vec<Crash> {
-    entry.crashes.iter().map(|(key, record)| crash(request, key, record, now)).collect()
-}
-
-fn crash(request: Fingerprint, key: &CrashKey, record: &CrashRecord, now: Moment) -> Crash {
-    let (server, witness) = key.clone();
-    Crash {
-        request,
-        server,
-        witness,
-        turn: record.turn,
-        isolation: record.isolation,
-        state: record.state,
-        age: record.age(now),
-    }
-}
--- /dev/null
+++ b/crates/policy/src/dispatch/poison/record.rs
@@ -0,0 +1,112 @@
+//! Crashes, as one host remembers them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use types::prelude::*;
+
+use super::{Crash, CrashState, Fingerprint, Isolation, LIFE, SUSPICION, Standing};
+
+/// How long a suspect's run keeps other suspects away if the end of the run is not reported.
+pub(super) const MAX_RUN: Duration = Duration::from_secs(20);
+
+#[derive(Clone, Debug)]
+pub(super) struct CrashRecord {
+    pub(super) turn: u32,
+    pub(super) isolation: Isolation,
+    pub(super) state: CrashState,
+    /// When the crash expires at the latest.
+    pub(super) expires_at: Moment,
+    /// When this host added the record, or when the run of a suspect was first recorded as a crash.
+    pub(super) seen_at: Moment,
+    /// When the crash is settled, unless it is void by then.
+    pub(super) settled_at: Moment,
+    /// When this host last found the crash void; it sends the void crash to others for
+    /// [`VOID_SEND_TIME`] from then on.
+    pub(super) voided_at: Option<Moment>,
+}
+
+impl CrashRecord {
+    pub(super) fn age(&self, now: Moment) -> Duration {
+        LIFE.saturating_sub(self.expires_at.saturating_sub(now))
+    }
+
+    pub(super) fn is_counted(&self) -> bool {
+        self.state == CrashState::Counted
+    }
+
+    pub(super) fn is_running(&self, now: Moment) -> bool {
+        self.state == CrashState::Running && self.age(now) < MAX_RUN
+    }
+}
+
+/// The run of a server, and the host that sent the request there.
+pub(super) type CrashKey = (backend::Id, host::Id);
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Entry {
+    pub(super) crashes: BTreeMap<CrashKey, CrashRecord>,
+    pub(super) reported: Option<Standing>,
+}
+
+impl Entry {
+    /// Records of the request at a server, by all hosts.
+    pub(super) fn records_at<'a>(
+        &'a self,
+        server: &'a backend::Id,
+    ) -> impl Iterator<Item = &'a CrashRecord> {
+        let there = self.crashes.iter().filter(move |((other, _), _)| other == server);
+        there.map(|(_, record)| record)
+    }
+
+    /// Whether the crash of a server is settled.
+    pub(super) fn is_settled(&self, server: &backend::Id, now: Moment) -> bool {
+        self.records_at(server).any(|record| record.is_counted() && record.settled_at <= now)
+    }
+
+    /// Servers whose crashes count, regardless of whether another request explains them.
+    pub(super) fn counted(&self) -> BTreeSet<&backend::Id> {
+        let counted = self.crashes.iter().filter(|(_, record)| record.is_counted());
+        counted.map(|((server, _), _)| server).collect()
+    }
+
+    pub(super) fn settle(&mut self, server: &backend::Id, now: Moment) {
+        let there = self.crashes.iter_mut().filter(|((other, _), _)| other == server);
+        there.for_each(|(_, record)| record.settled_at = record.settled_at.min(now));
+    }
+
+    /// When the request is forgotten, which depends on its newest crash and on whether it ran
+    /// isolated in any.
+    pub(super) fn expires_at(&self) -> Moment {
+        let youngest =
+            self.crashes.values().map(|record| record.expires_at).max().unwrap_or_default();
+        let was_isolated =
+            self.crashes.values().any(|record| record.isolation == Isolation::Isolated);
+        if was_isolated { youngest } else { youngest.saturating_sub(LIFE - SUSPICION) }
+    }
+}
+
+pub(super) fn key(crash: &Crash) -> CrashKey {
+    (crash.server.clone(), crash.witness.clone())
+}
+
+pub(super) fn crashes_of(request: Fingerprint, entry: &Entry, now: Moment) -> Vec<Crash> {
+    entry.crashes.iter().map(|(key, record)| crash(request, key, record, now)).collect()
+}
+
+pub(super) fn crash(
+    request: Fingerprint,
+    key: &CrashKey,
+    record: &CrashRecord,
+    now: Moment,
+) -> Crash {
+    let (server, witness) = key.clone();
+    Crash {
+        request,
+        server,
+        witness,
+        turn: record.turn,
+        isolation: record.isolation,
+        state: record.state,
+        age: record.age(now),
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/poison/sharing.rs
@@ -0,0 +1,166 @@
+//! Exchange of crashes with other hosts: what is sent, and how what is received is merged.
+
+use std::{cmp::Ordering, collections::btree_map::Entry as Slot};
+
+use types::prelude::*;
+
+use super::{
+    Crash, CrashState, Fingerprint, Isolation, LIFE, Poison, SUSPICION, Standing,
+    record::{CrashRecord, Entry, MAX_RUN, crash, crashes_of, key},
+};
+
+/// Time for which requests wait for evidence that the servers of their crashes still run.
+pub const SETTLE_TIME: Duration = Duration::from_secs(1);
+
+/// Remaining life below which a received crash is not added again.
+const MIN_REMAINING_LIFE: Duration = Duration::from_secs(5);
+
+/// Most crashes sent to other hosts; those of requests with the most crashes are sent first.
+const MAX_SENT: usize = 128;
+
+/// How long a host sends a crash to others after it found the crash void.
+const VOID_SEND_TIME: Duration = Duration::from_secs(10);
+
+impl Poison {
+    /// Returns the crashes to be sent to other hosts: those of suspects and refused requests, those
+    /// of other requests that this host witnessed, and void ones for [`VOID_SEND_TIME`].
+    pub fn crashes(&self, now: Moment) -> Vec<Crash> {
+        let mut sent = Vec::new();
+        for (request, entry) in &self.entries {
+            let standing = self.standing(*request);
+            for (key, record) in &entry.crashes {
+                let is_sent = match record.state {
+                    CrashState::Void => {
+                        record.voided_at.is_some_and(|at| now < at + VOID_SEND_TIME)
+                    }
+                    CrashState::Running | CrashState::Counted => {
+                        Standing::Clear < standing || key.1 == self.host
+                    }
+                };
+                if is_sent {
+                    let rank =
+                        (standing, record.state != CrashState::Void, record.expires_at, *request);
+                    sent.push((rank, crash(*request, key, record, now)));
+                }
+            }
+        }
+        sent.sort_unstable_by(|(a, _), (b, _)| b.cmp(a));
+        sent.into_iter().take(MAX_SENT).map(|(_, crash)| crash).collect()
+    }
+
+    /// Returns all crashes of each request that is poison, and whether this host is the witness of
+    /// one of them.
+    pub fn refused(&self, now: Moment) -> Vec<(Vec<Crash>, bool)> {
+        let refused =
+            self.entries.iter().filter(|(request, _)| self.standing(**request) == Standing::Poison);
+        let crashes = |(request, entry): (&Fingerprint, &Entry)| {
+            let is_own = entry.crashes.keys().any(|(_, witness)| *witness == self.host);
+            (crashes_of(*request, entry, now), is_own)
+        };
+        refused.map(crashes).collect()
+    }
+
+    /// Merges crashes received from other hosts or read from the store.
+    pub fn merge(&mut self, crashes: &[Crash], now: Moment) {
+        for crash in crashes {
+            let Some(left) = LIFE.checked_sub(crash.age) else { continue };
+            let is_known = self
+                .entries
+                .get(&crash.request)
+                .is_some_and(|entry| entry.crashes.contains_key(&key(crash)));
+            let is_ending = match crash.isolation {
+                Isolation::Shared => SUSPICION < crash.age + MIN_REMAINING_LIFE,
+                Isolation::Isolated => left < MIN_REMAINING_LIFE,
+            };
+            if is_known || !is_ending {
+                self.join(crash, now + left, now);
+            }
+        }
+        self.keep_within_bounds();
+    }
+
+    pub(super) fn record(
+        &mut self,
+        request: Fingerprint,
+        server: &backend::Id,
+        isolation: Isolation,
+        state: CrashState,
+        now: Moment,
+    ) {
+        let key = (server.clone(), self.host.clone());
+        let record = self.entries.get(&request).and_then(|entry| entry.crashes.get(&key));
+        let turn = record.map_or(0, |record| {
+            record.turn.saturating_add(u32::from(record.state == CrashState::Void))
+        });
+        let crash = Crash {
+            request,
+            server: server.clone(),
+            witness: self.host.clone(),
+            turn,
+            isolation,
+            state,
+            age: Duration::ZERO,
+        };
+        self.join(&crash, now + LIFE, now);
+        self.keep_within_bounds();
+    }
+
+    pub(super) fn join(&mut self, crash: &Crash, expires_at: Moment, now: Moment) {
+        let entry = self.entries.entry(crash.request).or_default();
+        let state = match self.completed.has(crash.request, now) {
+            true => CrashState::Void,
+            false => crash.state,
+        };
+        // If only this host knows that the crash is void, it sends that to others.
+        let voided_at = (state != crash.state).then_some(now);
+        let new = CrashRecord {
+            turn: crash.turn,
+            isolation: crash.isolation,
+            state,
+            expires_at,
+            seen_at: now,
+            settled_at: match crash.age < MAX_RUN {
+                true => now + SETTLE_TIME,
+                false => now,
+            },
+            voided_at,
+        };
+        match entry.crashes.entry(key(crash)) {
+            Slot::Vacant(slot) => {
+                slot.insert(new);
+                self.changed.insert(crash.request);
+            }
+            Slot::Occupied(mut slot) => match slot.get().turn.cmp(&crash.turn) {
+                Ordering::Less => {
+                    slot.insert(new);
+                    self.changed.insert(crash.request);
+                }
+                Ordering::Equal => {
+                    let record = slot.get_mut();
+                    if record.isolation < crash.isolation || record.state < state {
+                        self.changed.insert(crash.request);
+                    }
+                    if record.state < CrashState::Counted && state == CrashState::Counted {
+                        // The crash is later than the start of the run.
+                        record.seen_at = now;
+                        record.settled_at = new.settled_at;
+                    }
+                    let is_void = record.state == CrashState::Void;
+                    if is_void && crash.state == CrashState::Counted {
+                        record.voided_at = Some(now);
+                    }
+                    record.isolation = record.isolation.max(crash.isolation);
+                    record.state = record.state.max(state);
+                    record.expires_at = record.expires_at.min(expires_at);
+                }
+                Ordering::Greater => return,
+            },
+        }
+        let there = self.at_servers.entry(crash.server.clone()).or_default();
+        there.insert(crash.request);
+        // The standings of requests whose crashes this one explains change too.
+        if 1 < there.len() && self.changed.contains(&crash.request) {
+            self.changed.extend(there.iter().copied());
+        }
+    }
+}
