Set the script of a soak's server before it is registered

**Cause** The soak started and registered a server and only then gave it its script. Until then its streams had the five events of the default, where the judge expects ten: "5 events instead of 10" (ORDER) for each stream that reached it in between. A busy machine widens the gap.

**Ruled out** The hosts: the streams that were judged were complete as the server sent them.

**Change** The script is set before the server is registered. The judge is as strict as before.

**Conclusion** A fault of the stand-ins, not of the hosts.

--- a/crates/standin/src/routed/site.rs
+++ b/crates/standin/src/routed/site.rs
@@ -84,8 +84,23 @@
     ///
     /// If its port can't be bound.
     pub async fn add(&mut self, settings: Settings) -> io::Result<&Server> {
+        self.add_with_script(settings, |_| ()).await
+    }
+
+    /// Starts another server as [`Backend::add`] does, and registers it once its script is changed.
+    ///
+    /// # Errors
+    ///
+    /// If its port can't be bound.
+    pub async fn add_with_script(
+        &mut self,
+        settings: Settings,
+        change: impl FnOnce(&mut Script),
+    ) -> io::Result<&Server> {
         let address = SocketAddr::new(self.store.network().servers(), 0);
-        self.add_at(address, settings).await
+        let server = Server::start_at(address, settings).await?;
+        server.script(change);
+        self.register(server).await
     }
 
     /// Starts and registers another server at `address`.
@@ -95,6 +110,10 @@
     /// If its address can't be bound.
     pub async fn add_at(&mut self, address: SocketAddr, settings: Settings) -> io::Result<&Server> {
         let server = Server::start_at(address, settings).await?;
+        self.register(server).await
+    }
+
+    async fn register(&mut self, server: Server) -> io::Result<&Server> {
         if let Some(links) = &self.server_links {
             tokio::spawn(close_links_after_crash(links.clone(), &server));
             for (host, address) in links.open(server.address()).await?.into_iter().enumerate() {
--- a/crates/standin/src/routed/soak/inject.rs
+++ b/crates/standin/src/routed/soak/inject.rs
@@ -22,7 +22,7 @@
 use crate::routed::{
     links::Delivery,
     lock,
-    server::{OrderFault, Server},
+    server::{OrderFault, Script, Server},
     site::Site,
     store::Faults,
 };
@@ -86,9 +86,13 @@
     /// Starts the server of an index, or the replacement of the one that it had.
     pub(super) async fn start_server(&mut self, index: usize) -> Result<(), BoxError> {
         let run = self.servers.get(index).map_or(0, |(_, run)| run + 1);
-        let server = self.site.backend.add(site::server_settings(index, run)).await?;
-        site::reset_script(server, self.bounds.stream_events);
-        set_tolerance(server, self.tolerances.get(site::SERVERS[index]).copied());
+        let tolerance = self.tolerances.get(site::SERVERS[index]).copied();
+        let script = |script: &mut Script| {
+            *script = site::script(self.bounds.stream_events);
+            set_tolerance(script, tolerance);
+        };
+        let settings = site::server_settings(index, run);
+        let server = self.site.backend.add_with_script(settings, script).await?;
         let entry = (server.id().to_string(), run);
         match self.servers.get_mut(index) {
             Some(server) => *server = entry,
@@ -337,7 +341,9 @@
     /// Makes all servers of a server's service brittle, if the service is.
     fn set_tolerances(&self, server: usize) {
         let tolerated = self.tolerances.get(site::SERVERS[server]).copied();
-        site::same_service(server).for_each(|index| set_tolerance(self.server(index), tolerated));
+        for index in site::same_service(server) {
+            self.server(index).script(|script| set_tolerance(script, tolerated));
+        }
     }
 
     /// Makes servers state a limit, in hundredths of a request per second, or withdraw it.
@@ -483,11 +489,9 @@
 }
 
 /// Makes a server brittle, and slow enough that callers can send more than it can serve.
-fn set_tolerance(server: &Server, tolerated: Option<u32>) {
+fn set_tolerance(script: &mut Script, tolerated: Option<u32>) {
     if let Some(tolerated) = tolerated {
-        server.script(|script| {
-            script.brittle = Some(tolerated);
-            script.work_time = BRITTLE_WORK_TIME;
-        });
+        script.brittle = Some(tolerated);
+        script.work_time = BRITTLE_WORK_TIME;
     }
 }
--- a/crates/standin/src/routed/soak/site.rs
+++ b/crates/standin/src/routed/soak/site.rs
@@ -132,14 +132,17 @@
 
 /// Makes a server behave normally, without faults.
 pub(super) fn reset_script(server: &Server, events: u64) {
-    server.script(|script| {
-        *script = Script {
-            work_time: Duration::from_millis(15),
-            events,
-            event_interval: Duration::from_millis(20),
-            load_time: Duration::from_millis(300),
-            poison: Some(POISON),
-            ..Script::default()
-        };
-    });
+    server.script(|current| *current = script(events));
+}
+
+/// The script of a server that behaves normally, without faults.
+pub(super) fn script(events: u64) -> Script {
+    Script {
+        work_time: Duration::from_millis(15),
+        events,
+        event_interval: Duration::from_millis(20),
+        load_time: Duration::from_millis(300),
+        poison: Some(POISON),
+        ..Script::default()
+    }
 }
