Let the soak silence sound servers while others reject, and judge who is cut

Ruled out: silences as a disruption of the server, which would excuse all that happens at it. LOST is broken by a request that ends without an answer before half of its time, ran at the silent server, which neither failed nor broke off, and met no disruption of its host, of the host's links or of a server of the service. A host can't end a run at a server that is silent, so TWICE does not count such an overlap. Brittle times moved to a file of their own.

--- a/crates/standin/src/routed/server_links.rs
+++ b/crates/standin/src/routed/server_links.rs
@@ -100,12 +100,12 @@
     /// Makes a server silent to all hosts: connections stay open and carry nothing until
     /// [`ServerLinks::resume`].
     pub fn pause(&self, server: SocketAddr) {
-        lock(&self.shared).to(server).for_each(|proxy| proxy.set_both(Fault::Hold));
+        lock(&self.shared).uncut_to(server).for_each(|proxy| proxy.set_both(Fault::Hold));
     }
 
     /// Ends the silence of a server.
     pub fn resume(&self, server: SocketAddr) {
-        lock(&self.shared).to(server).for_each(|proxy| proxy.set_both(Fault::Pass));
+        lock(&self.shared).uncut_to(server).for_each(|proxy| proxy.set_both(Fault::Pass));
     }
 
     /// Restores a host's links to all servers.
@@ -117,9 +117,13 @@
 }
 
 impl Shared {
-    fn to(&self, server: SocketAddr) -> impl Iterator<Item = &Proxy> {
-        let to_server = self.proxies.iter().filter(move |((_, other), _)| *other == server);
-        to_server.map(|(_, proxy)| proxy)
+    /// The links to a server of all hosts that are not cut off.
+    fn uncut_to(&self, server: SocketAddr) -> impl Iterator<Item = &Proxy> {
+        let is_uncut = move |(host, other): &(usize, SocketAddr)| {
+            *other == server && !self.cuts.contains_key(host)
+        };
+        let links = self.proxies.iter().filter(move |(link, _)| is_uncut(link));
+        links.map(|(_, proxy)| proxy)
     }
 
     fn of(&self, host: usize) -> impl Iterator<Item = &Proxy> {
--- a/crates/standin/src/routed/soak.rs
+++ b/crates/standin/src/routed/soak.rs
@@ -114,7 +114,7 @@
 
 async fn execute(plan: &Plan<'_>) -> Result<Record, Box<dyn Error + Send + Sync>> {
     let mut backend = Backend::start(Vec::new()).await?;
-    if schedule::has_partitions(&plan.schedule) {
+    if schedule::disturbs_links(&plan.schedule) {
         backend.link_servers(plan.hosts);
     }
     let load = Arc::new(State {
@@ -135,6 +135,7 @@
         declared: Vec::new(),
         leaves: Vec::new(),
         disruptions: Vec::new(),
+        silences: Vec::new(),
         servers: Vec::new(),
         faulted: BTreeSet::new(),
         crashed: BTreeMap::new(),
@@ -223,6 +224,7 @@
             leaves: self.leaves,
             declared: self.declared,
             disruptions: self.disruptions,
+            silences: self.silences,
         }
     }
 }
--- a/crates/standin/src/routed/soak/inject.rs
+++ b/crates/standin/src/routed/soak/inject.rs
@@ -1,5 +1,7 @@
 //! Injects the faults of a schedule, and records what each one disrupted and when.
 
+mod silences;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     error::Error,
@@ -15,7 +17,7 @@
 
 use super::{
     load::{self, HostEntry},
-    record::{Bounds, BrittleTime, Component, Declared, Disruption, HostRun, Leave, Span},
+    record::{Bounds, BrittleTime, Component, Declared, Disruption, HostRun, Leave, Silence, Span},
     schedule::{Fault, Notice, Pairs, PlannedFault},
     site,
 };
@@ -63,6 +65,7 @@
     pub(super) declared: Vec<Declared>,
     pub(super) leaves: Vec<Leave>,
     pub(super) disruptions: Vec<Disruption>,
+    pub(super) silences: Vec<Silence>,
     /// For each index of [`site::SERVERS`], the current server's id and the number of its
     /// predecessors.
     pub(super) servers: Vec<(String, usize)>,
@@ -140,7 +143,7 @@
             self.wait(load_started_at + at).await?;
             match step {
                 Step::Begin(planned) => {
-                    if planned.fault == Fault::SILENCE {
+                    if planned.fault == Fault::STORE_SILENCE {
                         self.align_watches().await?;
                     }
                     self.begin(planned)?;
@@ -240,6 +243,7 @@
             | Fault::Burst
             | Fault::Poison
             | Fault::Brittle(..)
+            | Fault::Silence(_)
             | Fault::Limited(..)
             | Fault::AllLimited(..) => Vec::new(),
         }
@@ -312,6 +316,7 @@
             }
             Fault::Burst => self.load.is_burst.store(true, Ordering::Relaxed),
             Fault::Poison => self.load.is_poisoned.store(true, Ordering::Relaxed),
+            Fault::Silence(server) => self.begin_silence(server),
             Fault::Brittle(server, tolerated) => {
                 let (service, from) = (site::SERVERS[server], self.now());
                 self.tolerances.insert(service, tolerated);
@@ -388,7 +393,7 @@
                     }
                 });
                 self.end_disruption(&Component::Store);
-                if planned.fault == Fault::SILENCE {
+                if planned.fault == Fault::STORE_SILENCE {
                     self.apply(Fault::Declare)?;
                 }
             }
@@ -415,6 +420,7 @@
             Fault::Links(pairs, _) => self.set_links(pairs, Delivery::Passes),
             Fault::Burst => self.load.is_burst.store(false, Ordering::Relaxed),
             Fault::Poison => self.load.is_poisoned.store(false, Ordering::Relaxed),
+            Fault::Silence(server) => self.end_silence(server),
             Fault::Brittle(server, _) => {
                 self.tolerances.remove(site::SERVERS[server]);
                 let now = self.now();
--- a/crates/standin/src/routed/soak/judge.rs
+++ b/crates/standin/src/routed/soak/judge.rs
@@ -5,6 +5,7 @@
 mod partition;
 mod poison;
 pub mod retries;
+mod silences;
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -119,6 +120,7 @@
     breaches.extend(judge.check_orders());
     breaches.extend(judge.check_declarations());
     breaches.extend(judge.check_unexplained_losses());
+    breaches.extend(judge.check_silences());
     breaches.extend(judge.check_recovery());
     breaches.extend(judge.check_partitions());
     breaches.extend(judge.check_poison());
@@ -194,10 +196,11 @@
             let [before, after] = pair else { continue };
             let latest_end = after.arrived_at + MAX_OVERLAP;
             let span = Span { from: after.arrived_at, to: latest_end };
-            // A host that is partitioned from a server can't end an execution there.
+            // A host that is partitioned from a server, or before a silent one, can't end an execution there.
             let overlaps = before.ended_at.is_none_or(|ended| latest_end < ended)
                 && self.record.is_in_contact(request.host_run.host, span)
-                && !self.record.is_partitioned(request.host_run.host, request.span);
+                && !self.record.is_partitioned(request.host_run.host, request.span)
+                && !self.record.is_silent(&before.server, request.span);
             if runs_once || overlaps {
                 let what = format!("executed by {}, then by {}", before.server, after.server);
                 return Some(breach(Promise::Twice, request, after.arrived_at, what));
--- a/crates/standin/src/routed/soak/record.rs
+++ b/crates/standin/src/routed/soak/record.rs
@@ -4,6 +4,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -256,6 +257,19 @@
     pub span: Span,
 }
 
+/// A silence of a sound server, in which the other servers of its service were full.
+#[derive(Clone, Debug)]
+pub struct Silence {
+    /// Id of the server.
+    pub server: String,
+    /// Service of the server.
+    pub service: String,
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// From the start to the end.
+    pub span: Span,
+}
+
 /// A crash of a brittle server, which rejected too many requests for want of room.
 #[derive(Clone, Debug)]
 pub struct Fall {
@@ -311,6 +325,8 @@
     pub declared: Vec<Declared>,
     /// Disruptions, in the order in which they were recorded.
     pub disruptions: Vec<Disruption>,
+    /// Silences of sound servers, which are no disruptions.
+    pub silences: Vec<Silence>,
 }
 
 impl Record {
@@ -331,6 +347,12 @@
         !self.is_undisturbed(span, |component| *component == Component::ServerLinks(host))
     }
 
+    /// Whether a server was silent at any time in a span.
+    pub fn is_silent(&self, server: &str, span: Span) -> bool {
+        let mut silences = self.silences.iter();
+        silences.any(|silence| silence.server == server && silence.span.overlaps(span))
+    }
+
     /// Whether the store was undisturbed for the contact time before a moment.
     pub fn is_store_healthy(&self, at: Duration) -> bool {
         let span = self.extend_by_contact(Span { from: at, to: at });
--- a/crates/standin/src/routed/soak/schedule.rs
+++ b/crates/standin/src/routed/soak/schedule.rs
@@ -1,5 +1,8 @@
 //! Draws the fault schedule of a soak from its seed.
 
+mod brittle;
+mod silences;
+
 use std::{collections::HashMap, fmt::Debug, hash::Hash, time::Duration};
 
 use http::StatusCode;
@@ -42,15 +45,6 @@
 /// XORed with the seed for the random stream of partitions between hosts and servers.
 const PARTITION_SEED_MASK: u64 = 1 << 59;
 
-/// XORed with the seed for the random stream of times in which servers are brittle.
-const BRITTLE_SEED_MASK: u64 = 1 << 58;
-
-/// How long servers are brittle, and how long the pause after it is.
-const BRITTLE_DURATION_MS: std::ops::Range<u64> = 5_000..14_000;
-
-/// Rejections in a second that brittle servers tolerate.
-const TOLERATED: std::ops::RangeInclusive<u32> = 2..=12;
-
 /// How long hosts are partitioned from all servers, and how long the pause after it is.
 const PARTITION_DURATION_MS: std::ops::Range<u64> = 5_000..14_000;
 
@@ -157,13 +151,15 @@
     /// All servers of the service of a server crash if they reject more than this many requests in a
     /// second, and callers send more than they can serve.
     Brittle(usize, u32),
+    /// A sound server is silent, and goes on afterwards. The others of its service are full.
+    Silence(usize),
     /// Hosts are partitioned from all servers.
     Partition(Partitioned, Cut),
 }
 
 impl Fault {
     /// The store accepts requests of all hosts and does not answer.
-    pub const SILENCE: Fault = Fault::Down(Refusal::Silence);
+    pub const STORE_SILENCE: Fault = Fault::Down(Refusal::Silence);
 }
 
 /// Pairs of hosts whose link is disturbed.
@@ -289,7 +285,8 @@
     planned.extend(retry_pressure(seed, hosts, end));
     planned.extend(poison(seed, end));
     planned.extend(partitions(seed, hosts, end));
-    planned.extend(brittle_times(seed, end));
+    planned.extend(brittle::draw(seed, end));
+    planned.extend(silences::draw(seed, end));
     planned.sort_by_key(|planned| planned.at);
     planned
 }
@@ -365,14 +362,6 @@
     })
 }
 
-/// Draws times in which the plain servers are brittle. Three of four seeds draw none.
-fn brittle_times(seed: u64, end: Duration) -> Vec<PlannedFault> {
-    let random = ChaCha8Rng::seed_from_u64(seed ^ BRITTLE_SEED_MASK);
-    alternate(random, 0.75, BRITTLE_DURATION_MS, end, |random| {
-        Fault::Brittle(0, random.random_range(TOLERATED))
-    })
-}
-
 /// Draws faults one after the other, with a duration and a pause after each from the same range;
 /// none with the probability `none`.
 fn alternate(
@@ -396,9 +385,10 @@
     planned
 }
 
-/// Whether a schedule partitions hosts from servers.
-pub fn has_partitions(schedule: &[PlannedFault]) -> bool {
-    schedule.iter().any(|planned| matches!(planned.fault, Fault::Partition(..)))
+/// Whether a schedule disturbs the links between hosts and servers.
+pub fn disturbs_links(schedule: &[PlannedFault]) -> bool {
+    let disturbs = |fault| matches!(fault, Fault::Partition(..) | Fault::Silence(_));
+    schedule.iter().any(|planned| disturbs(planned.fault))
 }
 
 /// Kills and restarts the hosts one after the other, for one or more rounds.
@@ -489,6 +479,7 @@
         | Fault::AllGrey(..)
         | Fault::Links(..)
         | Fault::Brittle(..)
+        | Fault::Silence(_)
         | Fault::Partition(..) => (Target::Callers, 1),
     }
 }
