--- a/crates/standin/src/routed/soak/schedule.rs
+++ b/crates/standin/src/routed/soak/schedule.rs
@@ -1,6 +1,7 @@
 //! Draws the fault schedule of a soak from its seed.
 
 mod period;
+mod silences;
 
 use std::{collections::HashMap, fmt::Debug, hash::Hash, time::Duration};
 
@@ -142,13 +143,15 @@
     /// The model servers run two versions of their software, and some callers take up streams that
     /// broke. The servers do so during the whole soak.
     Versions,
+    /// A sound server is silent, and goes on afterwards. The others of its service are full.
+    Silence(usize),
     /// Hosts are partitioned from all servers.
     Partition(Partitioned, Cut),
 }
 
 impl Fault {
     /// The store accepts requests of all hosts and does not answer.
-    pub const SILENCE: Fault = Fault::Down(Refusal::Silence);
+    pub const STORE_SILENCE: Fault = Fault::Down(Refusal::Silence);
 }
 
 /// Pairs of hosts whose link is disturbed.
@@ -276,6 +279,7 @@
     planned.extend(partitions(seed, hosts, end));
     planned.extend(brittle_times(seed, end));
     planned.extend(versions(seed, end));
+    planned.extend(silences::draw(seed, end));
     planned.sort_by_key(|planned| planned.at);
     planned
 }
@@ -330,9 +334,10 @@
     planned
 }
 
-/// Whether a schedule partitions hosts from servers.
-pub fn has_partitions(schedule: &[PlannedFault]) -> bool {
-    schedule.iter().any(|planned| matches!(planned.fault, Fault::Partition(..)))
+/// Whether a schedule disturbs the links between hosts and servers.
+pub fn disturbs_links(schedule: &[PlannedFault]) -> bool {
+    let disturbs = |fault| matches!(fault, Fault::Partition(..) | Fault::Silence(_));
+    schedule.iter().any(|planned| disturbs(planned.fault))
 }
 
 /// Whether the model servers run two versions of their software.
@@ -429,6 +434,7 @@
         | Fault::Links(..)
         | Fault::Brittle(..)
         | Fault::Versions
+        | Fault::Silence(_)
         | Fault::Partition(..) => (Target::Callers, 1),
     }
 }
