Test the judge of silent servers

Cause: the soak's judge of requests that end early at a silent server had no test. Ruled out: none. Change: records of a request that ends early, late, with a rejection, and beside a crash. Conclusion: the judge is red only for what the rule names.

--- a/crates/standin/tests/soak_judge.rs
+++ b/crates/standin/tests/soak_judge.rs
@@ -14,7 +14,7 @@
         judge::{Promise, judge},
         record::{
             Answer, Arrival, BrittleTime, Component, Declared, Disruption, Fall, HostRun, Leave,
-            Order, Outcome, Record, Request, Run, Span,
+            Order, Outcome, Record, Request, Run, Silence, Span,
         },
         schedule,
     },
@@ -471,3 +471,39 @@
     assert_eq!(draw(7), draw(7));
     assert_ne!(draw(7), draw(8));
 }
+
+/// Record of a request that ended with an error while its server was silent.
+fn record_with_silence(ended_at: u64, status: StatusCode) -> Record {
+    let mut record = served_record(Kind::Idempotent);
+    record.requests[0].span = span(10_000, ended_at);
+    record.requests[0].outcome = answer(status, None, "");
+    record.runs = vec![run("app-1", 10_010, ended_at)];
+    record.silences = vec![Silence {
+        server: "app-1".into(),
+        service: "app".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        span: span(10_020, 11_200),
+    }];
+    record
+}
+
+#[rstest]
+#[case::early(record_with_silence(11_000, StatusCode::BAD_GATEWAY), true)]
+#[case::little_time_left(record_with_silence(13_900, StatusCode::BAD_GATEWAY), false)]
+#[case::rejected(record_with_silence(11_000, StatusCode::SERVICE_UNAVAILABLE), false)]
+fn a_request_that_ends_early_at_a_silent_server_is_lost(
+    #[case] record: Record,
+    #[case] is_lost: bool,
+) {
+    let has_lost = judge(&record).iter().any(|breach| breach.promise == Promise::Lost);
+    assert_eq!(has_lost, is_lost);
+}
+
+#[test]
+fn a_request_that_met_a_crash_in_a_silence_is_not_judged() {
+    let mut record = record_with_silence(11_000, StatusCode::BAD_GATEWAY);
+    let component = Component::Server("app-2.0".into());
+    let crash = Disruption { component, what: "crashed".into(), span: span(10_500, 12_000) };
+    record.disruptions.push(crash);
+    assert!(judge(&record).iter().all(|breach| breach.promise != Promise::Lost));
+}
