End the attempts before a hedge once its server is at work on a stream

Cause: the server before stayed open until the other one had sent a head, however long that took. Change: a server that was sent a hedged stream and has not rejected it for 250 ms counts as at work on it; the attempts before it are ended as silent then. Plain requests are not bound by this.

--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -50,6 +50,10 @@
 /// flight. Each arrival there counts as a retry.
 const DECLINED_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time after which a server that was sent a hedged stream, and has not rejected it, counts as at work
+/// on it. The servers that were asked before must not go on working beside it.
+const ACCEPTED_AFTER: Duration = Duration::from_millis(250);
+
 /// Time between two searches of another server for a request that is to be hedged.
 const SEEK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -170,6 +174,19 @@
         })
     }
 
+    /// Whether the server of a stream's latest attempt counts as at work on it, so that the attempts
+    /// before it are to be ended.
+    pub fn is_accepted(&self, ticket: Ticket, now: Moment) -> bool {
+        self.tasks.get(&ticket).is_some_and(|task| match &task.state {
+            State::InFlight(attempt) => {
+                task.spec.kind == Kind::Stream
+                    && attempt.path.is_some()
+                    && attempt.sent_at + ACCEPTED_AFTER <= now
+            }
+            State::Idle | State::Waiting(..) => false,
+        })
+    }
+
     /// Records that an attempt is answered, which ends the request's other attempts. Servers that
     /// were asked before the answering one count as silent.
     pub fn won(&mut self, ticket: Ticket, now: Moment) {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -316,6 +316,11 @@
         self.shared.dispatcher().has_begun(ticket)
     }
 
+    /// Returns whether the server of a stream's latest attempt counts as at work on it.
+    pub(crate) fn is_accepted(&self, ticket: Ticket) -> bool {
+        self.shared.dispatcher().is_accepted(ticket, self.shared.now())
+    }
+
     /// Reports that an attempt is answered, which ends all others.
     pub(crate) fn won(&self, ticket: Ticket) {
         let mut tickets = self.tickets();
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -2,17 +2,19 @@
 //!
 //! A request whose server is unresponsive is also sent to another server. A sound server may be
 //! silent for a moment, and the other server may reject the request, so no attempt is given up
-//! before another one is answered.
+//! before another one is answered, or before the other server has had a stream for so long that it
+//! must be taken for at work on it: two servers must not generate one stream side by side.
 
 use std::{future::Future, sync::Arc, time::Duration};
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::StatusCode;
-use policy::dispatch::Ticket;
+use policy::dispatch::{Ticket, Unclear};
 use tokio::{
     select,
-    time::{Instant, sleep_until},
+    time::{Instant, sleep, sleep_until},
 };
+use tokio_util::sync::CancellationToken;
 use types::backend;
 
 use crate::{
@@ -27,6 +29,9 @@
 /// was found.
 const SEEK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval at which is checked whether the latest attempt takes the place of those before it.
+pub(crate) const ACCEPTANCE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// An attempt that does not end the request.
 pub(crate) struct Failure<T> {
     pub(crate) end: AttemptEnd,
@@ -65,15 +70,26 @@
 where
     F: Future<Output = Result<T, Failure<T>>>,
 {
-    let start = |ticket, server| {
+    let start = |ticket, server, ended: CancellationToken| {
         let attempt = begin(ticket, server);
-        async move { (ticket, attempt.await) }
+        async move {
+            let end = select! {
+                biased;
+                end = attempt => end,
+                () = ended.cancelled() => Err(AttemptEnd::Unclear(Unclear::Silent).into()),
+            };
+            (ticket, end)
+        }
     };
     let mut latest = first.0;
     let mut attempts = FuturesUnordered::new();
-    attempts.push(start(latest, first.1));
+    // Cancelled when the latest attempt takes the place of those before it.
+    let mut superseded = CancellationToken::new();
+    attempts.push(start(latest, first.1, superseded.clone()));
     let mut seek_at = Instant::now() + patience();
     let mut error_answer = None;
+    // Ends the attempts before the latest one.
+    let mut earlier: Option<CancellationToken> = None;
     loop {
         let why = select! {
             biased;
@@ -90,11 +106,13 @@
                 error_answer = failure.answer.map(|(_, answer)| answer).or(error_answer);
                 match call.next_server(shared, ticket, failure.end, status).await {
                     Ok(Next::Server(server)) => {
-                        attempts.push(start(ticket, server));
+                        attempts.push(start(ticket, server, superseded.clone()));
                         (latest, seek_at) = (ticket, Instant::now() + patience());
                     }
                     Ok(Next::InFlight) if attempts.is_empty() => return Err(Lost::InFlight),
                     Ok(Next::InFlight) if ticket == latest => {
+                        // The attempts before go on, and the next one may take their place.
+                        superseded = earlier.take().unwrap_or(superseded);
                         latest = call.handle.latest().unwrap_or(first.0);
                         let pause = if error_answer.is_some() { patience() } else { SEEK_INTERVAL };
                         seek_at = Instant::now() + pause;
@@ -106,11 +124,18 @@
                 continue;
             }
             Ok(_) = call.handle.hedge_signal(latest) => Unresponsive::Dispatcher,
+            () = sleep(ACCEPTANCE_CHECK_INTERVAL), if earlier.is_some() => {
+                if call.handle.is_accepted(latest) {
+                    earlier.take().iter().for_each(CancellationToken::cancel);
+                }
+                continue;
+            }
             () = sleep_until(seek_at), if call.may_repeat() => Unresponsive::Timeout,
         };
         match call.hedge(latest, why) {
             Some((ticket, server)) => {
-                attempts.push(start(ticket, server));
+                earlier = Some(std::mem::take(&mut superseded));
+                attempts.push(start(ticket, server, superseded.clone()));
                 (latest, seek_at) = (ticket, Instant::now() + patience());
             }
             // The only other server that may run the request has sent nothing.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -32,6 +32,9 @@
     /// An event of the server is malformed or too large, or an event before it is missing.
     #[error("the server's events can't be passed on: {0:?}")]
     Fault(Fault),
+    /// The server sent nothing for too long, and another one is at work on the stream.
+    #[error("the server has sent nothing for too long")]
+    Silence,
     /// The deadline of the request has passed.
     #[error("the deadline of the request has passed")]
     Deadline,
@@ -45,6 +48,7 @@
             StreamError::PartialEvent => "half-an-event",
             StreamError::Fault(Fault::TooLarge | Fault::Unproductive) => "endless",
             StreamError::Fault(Fault::Gap | Fault::Garbage) => "bad-event",
+            StreamError::Silence => "silence",
             StreamError::Deadline => "deadline",
         }
     }
@@ -60,6 +64,7 @@
             StreamError::Fault(Fault::Gap | Fault::Garbage) => {
                 AttemptEnd::Unclear(Unclear::Garbled)
             }
+            StreamError::Silence => AttemptEnd::Unclear(Unclear::Silent),
             // That the deadline passed is no evidence against the server.
             StreamError::Deadline => AttemptEnd::Cancelled,
         }
--- a/crates/relay/src/stream/events.rs
+++ b/crates/relay/src/stream/events.rs
@@ -10,10 +10,12 @@
 use bytes::Bytes;
 use http_body::{Body, Frame};
 use policy::event::{ResumePoint, Splitter};
+use tokio::time::{Interval, interval};
 
 use crate::{
     attempt::{AttemptEnd, BodyEnd, OpenResponse, ResponseStart},
     call::{Call, HedgeSignal, Resumer, Resuming},
+    race::ACCEPTANCE_CHECK_INTERVAL,
     stream::{
         StreamError,
         timer::{Alarm, StreamTimer},
@@ -37,13 +39,20 @@
     splitter: Splitter,
     resume: ResumePolicy,
     /// Attempts at other servers while the present one is unresponsive.
-    hedge: Option<Resuming>,
+    hedge: Option<Hedge>,
     timer: StreamTimer,
     call: Arc<Call>,
     first_event: FirstEvent,
     record: StreamRecord,
 }
 
+/// Attempts at other servers while the present one goes on.
+struct Hedge {
+    attempts: Resuming,
+    /// Ticks when to check whether another server has accepted the stream.
+    check: Interval,
+}
+
 /// Whether the present server has sent an event.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum FirstEvent {
@@ -202,6 +211,9 @@
         if let Some(start) = self.poll_hedge(context) {
             return Poll::Ready(Step::Next(self.switch_to(start)));
         }
+        if self.poll_acceptance(context).is_ready() {
+            return Poll::Ready(Step::Failed(StreamError::Silence));
+        }
         if self.hedge.is_none()
             && let ResumePolicy::OtherServer(_, signal) = &mut self.resume
             && let Poll::Ready(received) = Pin::new(signal).poll(context)
@@ -231,10 +243,24 @@
         }
     }
 
+    /// Waits until the server that was asked as well counts as at work on the stream, so that the
+    /// present one is to be left.
+    fn poll_acceptance(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let Some(hedge) = self.hedge.as_mut() else { return Poll::Pending };
+        loop {
+            ready!(hedge.check.poll_tick(context));
+            if self.call.handle.latest().is_some_and(|latest| self.call.handle.is_accepted(latest))
+            {
+                return Poll::Ready(());
+            }
+        }
+    }
+
     /// Returns the response of another server that was asked because the present one is
     /// unresponsive.
     fn poll_hedge(&mut self, context: &mut Context<'_>) -> Option<ResponseStart> {
-        let Poll::Ready(ended) = self.hedge.as_mut()?.as_mut().poll(context) else { return None };
+        let attempts = &mut self.hedge.as_mut()?.attempts;
+        let Poll::Ready(ended) = attempts.as_mut().poll(context) else { return None };
         self.hedge = None;
         // The dispatcher reports again if the present server stays unresponsive.
         self.expect_signal();
@@ -300,7 +326,7 @@
                 let resuming = match self.hedge.take() {
                     Some(hedge) => {
                         self.call.fail_beside_hedge(ticket, error.attempt_end());
-                        hedge
+                        hedge.attempts
                     }
                     None => resumer.resume(ticket, after, error.attempt_end()),
                 };
@@ -320,7 +346,9 @@
         let ResumePolicy::OtherServer(resumer, _) = &self.resume else { return };
         let State::Streaming(response) = &self.state else { return };
         if self.splitter.point() != ResumePoint::Unknown {
-            self.hedge = resumer.hedge(response.attempt.ticket, self.last_event(), why);
+            let attempts = resumer.hedge(response.attempt.ticket, self.last_event(), why);
+            let check = || interval(ACCEPTANCE_CHECK_INTERVAL);
+            self.hedge = attempts.map(|attempts| Hedge { attempts, check: check() });
         }
     }
 
