--- a/crates/relay/src/connect.rs
+++ b/crates/relay/src/connect.rs
@@ -1,19 +1,25 @@
 //! Connections to servers and to the store.
 
+mod guard;
 mod wire;
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use http::{Request, Response};
 use http_body_util::Full;
-use hyper::client::conn::http1;
+use hyper::{
+    body::Incoming,
+    client::conn::{TrySendError, http1},
+};
 use hyper_util::rt::TokioIo;
 use policy::paths::Path;
 use socket2::SockRef;
 use tokio::{net::TcpStream, task::JoinHandle};
 use types::host;
 
-use self::wire::{PendingWrite, ResetOnClose, Wire};
+pub(crate) use self::guard::WriteGuard;
+use self::wire::{Controls, MAX_HEAD_BYTES, Wire};
 use crate::paths::Relayed;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -26,8 +32,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: http1::SendRequest<Full<Bytes>>,
-    pending_write: PendingWrite,
-    reset_on_close: ResetOnClose,
+    controls: Controls,
     /// `None` for a direct connection.
     relayed: Option<Box<Relayed>>,
     driver: JoinHandle<()>,
@@ -46,13 +51,34 @@
 
     /// Returns whether all bytes sent so far have been handed to the kernel.
     pub(crate) fn is_flushed(&self) -> bool {
-        !self.pending_write.is_pending()
+        !self.controls.pending_write.is_pending()
     }
 
     /// Sets whether the socket is closed with a reset, which drops the bytes that are still in
     /// transit. An abandoned request must not arrive later.
     pub(crate) fn set_reset_on_close(&self, is_reset: bool) {
-        self.reset_on_close.set(is_reset);
+        self.controls.reset_on_close.set(is_reset);
+    }
+
+    /// Sets the guard of all writes from now on; `None` permits them all.
+    pub(crate) fn set_write_guard(&self, guard: Option<Arc<WriteGuard>>) {
+        self.controls.guard.set(guard);
+    }
+
+    /// Sends a request and waits for the head of the response, which is bounded in size and time.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.controls.awaited_head.start();
+        let response = self.sender.try_send_request(request).await;
+        self.controls.awaited_head.end();
+        response
+    }
+
+    /// Returns whether the last response's head exceeded its bounds.
+    pub(crate) fn is_head_endless(&self) -> bool {
+        self.controls.awaited_head.is_endless()
     }
 }
 
@@ -95,14 +121,16 @@
     stream: TcpStream,
     relayed: Option<Box<Relayed>>,
 ) -> io::Result<Connection> {
-    let (wire, pending_write, reset_on_close) = Wire::new(stream);
-    let (sender, connection) =
-        http1::Builder::new().handshake(TokioIo::new(wire)).await.map_err(io::Error::other)?;
+    let (wire, controls) = Wire::new(stream);
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    let handshake = builder.handshake(TokioIo::new(wire)).await;
+    let (sender, connection) = handshake.map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
         // The error is also reported to the sender of the request.
         let _ = connection.await;
     });
-    Ok(Connection { sender, pending_write, reset_on_close, relayed, driver })
+    Ok(Connection { sender, controls, relayed, driver })
 }
 
 /// Opens a connection that is always closed with a reset, which drops the bytes that are still in
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod host;
 
 mod attempt;
+mod body;
 mod call;
 mod callers;
 mod connect;
@@ -35,6 +36,7 @@
 mod servers;
 mod store;
 mod stream;
+mod streams;
 mod trace;
 mod unplaced;
 mod watch;
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -27,7 +27,7 @@
     directory::Delta,
     edge::{Change, Object, Page, Revision},
     host::Shared,
-    peers,
+    peers, streams,
 };
 
 /// Expected duration of loading a model.
@@ -67,6 +67,8 @@
                 models: Vec::new(),
                 resident: Vec::new(),
                 sequence: 0,
+                // The software may have been replaced; the registration will tell.
+                software: streams::unread_software(&id),
                 ..(*known).clone()
             };
             self.apply_registration(run, written, &Source::Itself);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -13,7 +13,7 @@
 use http_body_util::Full;
 use policy::{dispatch::Unclear, event::Fault};
 
-use crate::attempt::AttemptEnd;
+use crate::{attempt::AttemptEnd, body};
 
 pub(crate) use self::{
     events::{Events, ResumePolicy},
@@ -32,6 +32,9 @@
     /// An event of the server is malformed or too large, or an event before it is missing.
     #[error("the server's events can't be passed on: {0:?}")]
     Fault(Fault),
+    /// The server sent nothing for too long, and another one is at work on the stream.
+    #[error("the server has sent nothing for too long")]
+    Silence,
     /// The deadline of the request has passed.
     #[error("the deadline of the request has passed")]
     Deadline,
@@ -43,7 +46,9 @@
         match self {
             StreamError::Connection(_) => "server-cut",
             StreamError::PartialEvent => "half-an-event",
-            StreamError::Fault(_) => "bad-event",
+            StreamError::Fault(Fault::TooLarge | Fault::Unproductive) => "endless",
+            StreamError::Fault(Fault::Gap | Fault::Garbage) => "bad-event",
+            StreamError::Silence => "silence",
             StreamError::Deadline => "deadline",
         }
     }
@@ -51,10 +56,15 @@
     /// Returns how the attempt ends that fails with this error.
     pub(crate) fn attempt_end(&self) -> AttemptEnd {
         match self {
-            StreamError::Connection(_) | StreamError::PartialEvent => {
-                AttemptEnd::Unclear(Unclear::Cut)
+            StreamError::Connection(error) => AttemptEnd::Unclear(body::failure(error)),
+            StreamError::PartialEvent => AttemptEnd::Unclear(Unclear::Cut),
+            StreamError::Fault(Fault::TooLarge | Fault::Unproductive) => {
+                AttemptEnd::Unclear(Unclear::Endless)
             }
-            StreamError::Fault(_) => AttemptEnd::Unclear(Unclear::Garbled),
+            StreamError::Fault(Fault::Gap | Fault::Garbage) => {
+                AttemptEnd::Unclear(Unclear::Garbled)
+            }
+            StreamError::Silence => AttemptEnd::Unclear(Unclear::Silent),
             // That the deadline passed is no evidence against the server.
             StreamError::Deadline => AttemptEnd::Cancelled,
         }
--- a/crates/relay/src/stream/events.rs
+++ b/crates/relay/src/stream/events.rs
@@ -10,14 +10,17 @@
 use bytes::Bytes;
 use http_body::{Body, Frame};
 use policy::event::{ResumePoint, Splitter};
+use tokio::time::{Interval, interval};
 
 use crate::{
     attempt::{AttemptEnd, BodyEnd, OpenResponse, ResponseStart},
     call::{Call, HedgeSignal, Resumer, Resuming},
+    race::ACCEPTANCE_CHECK_INTERVAL,
     stream::{
         StreamError,
         timer::{Alarm, StreamTimer},
     },
+    streams::StreamRecord,
     trace::Unresponsive,
 };
 
@@ -36,10 +39,18 @@
     splitter: Splitter,
     resume: ResumePolicy,
     /// Attempts at other servers while the present one is unresponsive.
-    hedge: Option<Resuming>,
+    hedge: Option<Hedge>,
     timer: StreamTimer,
     call: Arc<Call>,
     first_event: FirstEvent,
+    record: StreamRecord,
+}
+
+/// Attempts at other servers while the present one goes on.
+struct Hedge {
+    attempts: Resuming,
+    /// Ticks when to check whether another server has accepted the stream.
+    check: Interval,
 }
 
 /// Whether the present server has sent an event.
@@ -90,6 +101,7 @@
             timer,
             call,
             first_event: FirstEvent::Pending,
+            record: StreamRecord::default(),
         }
     }
 
@@ -149,13 +161,14 @@
     fn receive(&mut self, chunk: Bytes) -> Step {
         let before = self.splitter.point();
         let output = self.splitter.take(chunk);
-        if !output.events.is_empty() {
+        if output.has_event {
             self.timer.received();
             self.withdraw_hedge();
             if self.first_event == FirstEvent::Pending {
                 self.first_event = FirstEvent::Received;
-                self.call.handle.first_byte();
+                self.started();
             }
+            self.record.renew(&self.call);
             let passed = match (self.splitter.point(), before) {
                 (ResumePoint::After(event), ResumePoint::After(before)) => {
                     event.saturating_sub(before)
@@ -174,6 +187,15 @@
         Step::Pass(output.events)
     }
 
+    /// Reports the first event of the present server, which is about to be passed to the caller.
+    fn started(&mut self) {
+        let State::Streaming(response) = &self.state else { return };
+        let server = &response.attempt.server;
+        if let Some(software) = self.call.handle.first_byte() {
+            self.record.begin(&self.call, software, &server.software);
+        }
+    }
+
     /// Ends the stream after the server has completed it.
     fn finish(&mut self) -> Step {
         self.withdraw_hedge();
@@ -189,6 +211,9 @@
         if let Some(start) = self.poll_hedge(context) {
             return Poll::Ready(Step::Next(self.switch_to(start)));
         }
+        if self.poll_acceptance(context).is_ready() {
+            return Poll::Ready(Step::Failed(StreamError::Silence));
+        }
         if self.hedge.is_none()
             && let ResumePolicy::OtherServer(_, signal) = &mut self.resume
             && let Poll::Ready(received) = Pin::new(signal).poll(context)
@@ -218,10 +243,24 @@
         }
     }
 
+    /// Waits until the server that was asked as well counts as at work on the stream, so that the
+    /// present one is to be left.
+    fn poll_acceptance(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let Some(hedge) = self.hedge.as_mut() else { return Poll::Pending };
+        loop {
+            ready!(hedge.check.poll_tick(context));
+            if self.call.handle.latest().is_some_and(|latest| self.call.handle.is_accepted(latest))
+            {
+                return Poll::Ready(());
+            }
+        }
+    }
+
     /// Returns the response of another server that was asked because the present one is
     /// unresponsive.
     fn poll_hedge(&mut self, context: &mut Context<'_>) -> Option<ResponseStart> {
-        let Poll::Ready(ended) = self.hedge.as_mut()?.as_mut().poll(context) else { return None };
+        let attempts = &mut self.hedge.as_mut()?.attempts;
+        let Poll::Ready(ended) = attempts.as_mut().poll(context) else { return None };
         self.hedge = None;
         // The dispatcher reports again if the present server stays unresponsive.
         self.expect_signal();
@@ -287,7 +326,7 @@
                 let resuming = match self.hedge.take() {
                     Some(hedge) => {
                         self.call.fail_beside_hedge(ticket, error.attempt_end());
-                        hedge
+                        hedge.attempts
                     }
                     None => resumer.resume(ticket, after, error.attempt_end()),
                 };
@@ -307,7 +346,9 @@
         let ResumePolicy::OtherServer(resumer, _) = &self.resume else { return };
         let State::Streaming(response) = &self.state else { return };
         if self.splitter.point() != ResumePoint::Unknown {
-            self.hedge = resumer.hedge(response.attempt.ticket, self.last_event(), why);
+            let attempts = resumer.hedge(response.attempt.ticket, self.last_event(), why);
+            let check = || interval(ACCEPTANCE_CHECK_INTERVAL);
+            self.hedge = attempts.map(|attempts| Hedge { attempts, check: check() });
         }
     }
 
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -156,6 +156,17 @@
         }
     }
 
+    /// Records that the stream goes on at servers of one version only, and how the version is known.
+    pub(crate) fn stream_version(
+        &self,
+        software: String,
+        source: &'static str,
+        host: Option<host::Id>,
+    ) {
+        let (software, source) = (Text::Owned(software), Text::Borrowed(source));
+        self.notes().record(Step::StreamVersion { software, source, host });
+    }
+
     /// Records the time that it took to get a connection to the server, and the host through which
     /// the connection leads.
     pub(crate) fn connected(&self, ticket: Ticket, took: Duration, via: Option<&host::Id>) {
@@ -379,6 +390,7 @@
         AttemptEnd::Unclear(Unclear::Cut) => AttemptOutcome::Cut,
         AttemptEnd::Unclear(Unclear::Silent) => AttemptOutcome::Silent,
         AttemptEnd::Unclear(Unclear::Garbled) => AttemptOutcome::Garbled,
+        AttemptEnd::Unclear(Unclear::Endless) => AttemptOutcome::Endless,
         AttemptEnd::Cancelled => AttemptOutcome::Left,
     }
 }
@@ -393,6 +405,7 @@
         Cause::Attempts => Refusal::Attempts,
         Cause::Budget => Refusal::Budget,
         Cause::Poison => Refusal::Poison,
+        Cause::Software => Refusal::NoVersion,
     }
 }
 
--- a/crates/relay/tests/streams.rs
+++ b/crates/relay/tests/streams.rs
@@ -176,7 +176,15 @@
     let (one, two) = servers().await;
     let host = TestHost::start(resumable(), &[&one, &two]).await;
     let mut caller = host.caller().await;
-    caller.write(&request("q").replace("\r\n\r\n", "\r\nresume-after: 12\r\n\r\n")).await;
+    caller.write(&request("p")).await;
+    let (mut connection, _) = accept_first(&one, &two).await;
+    connection.receive().await;
+    connection.write(&(stream("p") + &events(1..13))).await;
+    assert_eq!(caller.head().await.status, 200);
+    assert_eq!(caller.chunk().await, Some(body(1..13)));
+    drop((caller, connection));
+    let mut caller = host.caller().await;
+    caller.write(&taking_up("p", "q")).await;
     let (mut connection, other) = accept_first(&one, &two).await;
     assert_eq!(connection.receive().await.header("resume-after"), Some("12"));
     connection.write(&stream("q")).await;
@@ -188,6 +196,28 @@
     assert_eq!(caller.chunk().await, Some(body([13, 14])));
 }
 
+#[rstest]
+#[case::of_an_unknown_request(taking_up("p", "q"))]
+#[case::of_no_request(taking_up("p", "q").replace("resumes-request: p\r\n", ""))]
+#[tokio::test]
+async fn a_stream_of_an_unknown_version_is_refused_at_once(#[case] request: String) {
+    let (one, two) = servers().await;
+    let host = TestHost::start(resumable(), &[&one, &two]).await;
+    let mut caller = host.caller().await;
+    caller.write(&request).await;
+    let got = tokio::select! {
+        got = caller.answer() => got,
+        _ = accept_first(&one, &two) => panic!("the request is sent to a server"),
+    };
+    assert_eq!(got.status, 503);
+}
+
+/// Returns a request that takes the stream of another one up after its event 12.
+fn taking_up(began: &str, id: &str) -> String {
+    let fields = format!("\r\nresumes-request: {began}\r\nresume-after: 12\r\n\r\n");
+    request(id).replace("\r\n\r\n", &fields)
+}
+
 #[tokio::test]
 async fn a_stream_goes_to_no_more_servers_than_its_route_allows() {
     let (one, two, three) =
@@ -288,7 +318,7 @@
     first.write(sent).await;
     let mut second = other.accept().await;
     second.receive().await;
-    let closed = tokio::time::timeout(Duration::from_millis(200), first.closed()).await;
+    let closed = tokio::time::timeout(Duration::from_millis(50), first.closed()).await;
     assert!(closed.is_err(), "the silent server is left before another has answered");
     (host, caller, first, second)
 }
@@ -395,8 +425,23 @@
     let (one, two) = servers().await;
     let (_host, caller, mut connection, _) = begin(route(Kind::Stream), &one, &two).await;
     connection.write(&stream("q")).await;
-    let comment = chunk(&format!(":{}\n\n", "x".repeat(60_000)));
-    let written = connection.flood(&comment).await;
+    let large = |id: u64| chunk(&format!("id: {id}\ndata: {}\n\n", "x".repeat(60_000)));
+    let written = connection.flood(&(1..500).map(large).collect::<String>()).await;
     assert!(written < MAX_BUFFERED_BYTES, "{written} bytes written");
     drop(caller);
 }
+
+#[rstest]
+#[case::before_the_head("")]
+#[case::after_an_event(&(stream("q") + &events([1])))]
+#[tokio::test]
+async fn two_servers_do_not_work_on_a_stream_for_long(#[case] sent: &str) {
+    let (_host, mut caller, mut first, mut second) = hedged(sent).await;
+    let longest = Duration::from_millis(400);
+    let closed = tokio::time::timeout(longest, first.closed()).await;
+    assert!(closed.is_ok(), "both servers work on the stream");
+    let rest = if sent.is_empty() { events([1, 2]) } else { events([2]) };
+    second.write(&(stream("q") + &rest + END)).await;
+    let got = caller.answer().await;
+    assert_eq!((got.body, got.end), (body([1, 2]), End::Complete));
+}
--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a routed deployment: real host processes with simulated callers, servers and store.
 
 mod declared;
+mod endless;
 mod faults;
 mod ingress;
 mod limits;
@@ -11,6 +12,7 @@
 mod poison;
 mod relays;
 mod restarts;
+mod resumptions;
 mod serving;
 mod silence;
 mod site;
@@ -18,3 +20,4 @@
 mod store;
 mod stories;
 mod streams;
+mod versions;
--- a/crates/standin/src/routed/server.rs
+++ b/crates/standin/src/routed/server.rs
@@ -5,6 +5,7 @@
 
 pub mod quota;
 
+mod endless;
 mod inventory;
 mod script;
 mod serving;
@@ -31,6 +32,7 @@
 use super::{lock, wire::Listener};
 
 pub use self::{
+    endless::Endless,
     inventory::{OrderRecord, Overload},
     script::{Fault, OrderFault, Script},
 };
@@ -38,6 +40,9 @@
 /// Slots and queue length of a server unless a test sets them.
 const SLOTS: u32 = 8;
 
+/// Software version of a server unless a test sets another.
+const SOFTWARE: &str = "1";
+
 /// The window in which a brittle server counts its rejections.
 const REJECTION_WINDOW: Duration = Duration::from_secs(1);
 
@@ -50,6 +55,8 @@
     pub started_at: StartTime,
     /// The service that the server belongs to.
     pub service: service::Id,
+    /// Version of its software that it registers.
+    pub software: Arc<str>,
     /// The availability zone that it registers.
     pub zone: availability::Id,
     /// Greatest number of requests that run at once.
@@ -73,6 +80,7 @@
             id: id.into(),
             started_at: 0,
             service: service.into(),
+            software: SOFTWARE.into(),
             zone: "mobile-hall".into(),
             slots: SLOTS,
             queue: SLOTS,
@@ -249,6 +257,11 @@
         &self.shared.settings.service
     }
 
+    /// Version of its software.
+    pub fn software(&self) -> &str {
+        &self.shared.settings.software
+    }
+
     /// The address at which it listens.
     pub fn address(&self) -> SocketAddr {
         self.listener.address
@@ -348,6 +361,7 @@
             name: settings.id.clone(),
             started_at: settings.started_at,
             service: settings.service.clone(),
+            software: settings.software.clone(),
             address,
             zone: settings.zone.clone(),
             slots: settings.slots,
--- a/crates/standin/src/routed/server/work.rs
+++ b/crates/standin/src/routed/server/work.rs
@@ -14,6 +14,7 @@
 };
 use crate::routed::{
     lock,
+    stream::Event,
     wire::{self, Connection, Framing},
 };
 
@@ -46,6 +47,15 @@
             () = self.connection.closed() => return (Ending::CallerClosed, After::Close),
         }
         let is_model_server = self.shared.inventory().is_model_server();
+        if let Some(Fault::Endless { part, pause }) = self.fault {
+            let mut head = self.head();
+            if is_model_server {
+                remote::event_stream(head.headers_mut());
+                remote::version(head.headers_mut(), 1);
+            }
+            let _ = part.send(self.connection, &head, pause).await;
+            return (Ending::CallerClosed, After::Close);
+        }
         if is_poison {
             if is_model_server {
                 // The caller gets the head of an answer before the crash.
@@ -90,7 +100,11 @@
 
     /// Whether no byte of the answer's head is sent, so that it can't state a limit.
     fn is_head_withheld(&self) -> bool {
-        matches!(self.fault, Some(Fault::Lost | Fault::Silent | Fault::Garbled))
+        match self.fault {
+            Some(Fault::Lost | Fault::Silent | Fault::Garbled) => true,
+            Some(Fault::Endless { part, .. }) => part.is_before_head_end(),
+            _ => false,
+        }
     }
 
     fn body(&self) -> Bytes {
@@ -184,8 +198,14 @@
             (script.events, script.event_interval)
         };
         let resume = lock(&self.shared.runs)[self.run].request.resume.unwrap_or_default();
+        let writer = Event {
+            number: resume,
+            software: self.shared.settings.software.clone(),
+            run: self.shared.registration.borrow().id.clone(),
+        };
         for number in resume + 1..=events {
-            let event = remote::event(number, &format!("token {number}"));
+            let event = Event { number, ..writer.clone() };
+            let event = remote::event(number, &event.data());
             let sent = number - 1 - resume;
             match self.fault {
                 Some(Fault::Broken { events }) if events == sent => {
--- a/crates/standin/src/routed/soak/inject.rs
+++ b/crates/standin/src/routed/soak/inject.rs
@@ -1,5 +1,7 @@
 //! Injects the faults of a schedule, and records what each one disrupted and when.
 
+mod silences;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     error::Error,
@@ -15,14 +17,14 @@
 
 use super::{
     load::{self, HostEntry},
-    record::{Bounds, BrittleTime, Component, Declared, Disruption, HostRun, Leave, Span},
+    record::{Bounds, BrittleTime, Component, Declared, Disruption, HostRun, Leave, Silence, Span},
     schedule::{Fault, Notice, Pairs, PlannedFault},
     site,
 };
 use crate::routed::{
     links::Delivery,
     lock,
-    server::{OrderFault, Server},
+    server::{OrderFault, Script, Server},
     site::Site,
     store::Faults,
 };
@@ -59,10 +61,13 @@
     pub(super) site: Site,
     pub(super) load: Arc<load::State>,
     pub(super) bounds: Bounds,
+    /// Whether the model servers run two versions of their software.
+    pub(super) has_versions: bool,
     pub(super) declaration: Declaration,
     pub(super) declared: Vec<Declared>,
     pub(super) leaves: Vec<Leave>,
     pub(super) disruptions: Vec<Disruption>,
+    pub(super) silences: Vec<Silence>,
     /// For each index of [`site::SERVERS`], the current server's id and the number of its
     /// predecessors.
     pub(super) servers: Vec<(String, usize)>,
@@ -86,9 +91,13 @@
     /// Starts the server of an index, or the replacement of the one that it had.
     pub(super) async fn start_server(&mut self, index: usize) -> Result<(), BoxError> {
         let run = self.servers.get(index).map_or(0, |(_, run)| run + 1);
-        let server = self.site.backend.add(site::server_settings(index, run)).await?;
-        site::reset_script(server, self.bounds.stream_events);
-        set_tolerance(server, self.tolerances.get(site::SERVERS[index]).copied());
+        let tolerance = self.tolerances.get(site::SERVERS[index]).copied();
+        let script = |script: &mut Script| {
+            *script = site::script(self.bounds.stream_events);
+            set_tolerance(script, tolerance);
+        };
+        let settings = site::server_settings(index, run, self.has_versions);
+        let server = self.site.backend.add_with_script(settings, script).await?;
         let entry = (server.id().to_string(), run);
         match self.servers.get_mut(index) {
             Some(server) => *server = entry,
@@ -140,7 +149,7 @@
             self.wait(load_started_at + at).await?;
             match step {
                 Step::Begin(planned) => {
-                    if planned.fault == Fault::SILENCE {
+                    if planned.fault == Fault::STORE_SILENCE {
                         self.align_watches().await?;
                     }
                     self.begin(planned)?;
@@ -240,6 +249,8 @@
             | Fault::Burst
             | Fault::Poison
             | Fault::Brittle(..)
+            | Fault::Versions
+            | Fault::Silence(_)
             | Fault::Limited(..)
             | Fault::AllLimited(..) => Vec::new(),
         }
@@ -312,6 +323,7 @@
             }
             Fault::Burst => self.load.is_burst.store(true, Ordering::Relaxed),
             Fault::Poison => self.load.is_poisoned.store(true, Ordering::Relaxed),
+            Fault::Silence(server) => self.begin_silence(server),
             Fault::Brittle(server, tolerated) => {
                 let (service, from) = (site::SERVERS[server], self.now());
                 self.tolerances.insert(service, tolerated);
@@ -321,6 +333,7 @@
                 self.set_tolerances(server);
                 self.load.is_pressed.store(true, Ordering::Relaxed);
             }
+            Fault::Versions => self.load.has_readers.store(true, Ordering::Relaxed),
             Fault::Partition(partitioned, cut) => {
                 let links = self.site.backend.server_links();
                 let hosts = partitioned.among(self.site.hosts.len());
@@ -337,7 +350,9 @@
     /// Makes all servers of a server's service brittle, if the service is.
     fn set_tolerances(&self, server: usize) {
         let tolerated = self.tolerances.get(site::SERVERS[server]).copied();
-        site::same_service(server).for_each(|index| set_tolerance(self.server(index), tolerated));
+        for index in site::same_service(server) {
+            self.server(index).script(|script| set_tolerance(script, tolerated));
+        }
     }
 
     /// Makes servers state a limit, in hundredths of a request per second, or withdraw it.
@@ -388,7 +403,7 @@
                     }
                 });
                 self.end_disruption(&Component::Store);
-                if planned.fault == Fault::SILENCE {
+                if planned.fault == Fault::STORE_SILENCE {
                     self.apply(Fault::Declare)?;
                 }
             }
@@ -415,6 +430,7 @@
             Fault::Links(pairs, _) => self.set_links(pairs, Delivery::Passes),
             Fault::Burst => self.load.is_burst.store(false, Ordering::Relaxed),
             Fault::Poison => self.load.is_poisoned.store(false, Ordering::Relaxed),
+            Fault::Silence(server) => self.end_silence(server),
             Fault::Brittle(server, _) => {
                 self.tolerances.remove(site::SERVERS[server]);
                 let now = self.now();
@@ -424,6 +440,7 @@
                     site::reset_script(self.server(index), self.bounds.stream_events);
                 }
             }
+            Fault::Versions => self.load.has_readers.store(false, Ordering::Relaxed),
             Fault::Partition(partitioned, _) => {
                 for host in partitioned.among(self.site.hosts.len()) {
                     self.site.backend.server_links().heal(host);
@@ -483,11 +500,9 @@
 }
 
 /// Makes a server brittle, and slow enough that callers can send more than it can serve.
-fn set_tolerance(server: &Server, tolerated: Option<u32>) {
+fn set_tolerance(script: &mut Script, tolerated: Option<u32>) {
     if let Some(tolerated) = tolerated {
-        server.script(|script| {
-            script.brittle = Some(tolerated);
-            script.work_time = BRITTLE_WORK_TIME;
-        });
+        script.brittle = Some(tolerated);
+        script.work_time = BRITTLE_WORK_TIME;
     }
 }
--- a/crates/standin/src/routed/soak/judge.rs
+++ b/crates/standin/src/routed/soak/judge.rs
@@ -5,6 +5,8 @@
 mod partition;
 mod poison;
 pub mod retries;
+mod silences;
+mod stream;
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -41,7 +43,8 @@
     Mixed,
     /// Servers execute only requests that callers sent, with the path and body that they sent.
     Unasked,
-    /// Streams are complete and in order.
+    /// Streams are complete and in order, and of one software version, over all attempts of their
+    /// callers.
     Order,
     /// A leaving server receives no new requests.
     Drain,
@@ -61,7 +64,8 @@
     Retries,
     /// Declarations come into force in time and are never reverted to an older one.
     Config,
-    /// No answer is cut off by a planned stop or a reload, or without any fault.
+    /// No answer is cut off by a planned stop or a reload, or without any fault, and streams that
+    /// callers take up go on.
     Lost,
     /// Requests are served after the last fault.
     Recover,
@@ -119,6 +123,7 @@
     breaches.extend(judge.check_orders());
     breaches.extend(judge.check_declarations());
     breaches.extend(judge.check_unexplained_losses());
+    breaches.extend(judge.check_silences());
     breaches.extend(judge.check_recovery());
     breaches.extend(judge.check_partitions());
     breaches.extend(judge.check_poison());
@@ -126,6 +131,7 @@
     breaches.extend(judge.check_quotas());
     breaches.extend(judge.check_brittle());
     breaches.extend(judge.check_retries());
+    breaches.extend(judge.check_streams());
     let limit = |(server, at): &(String, Duration)| Breach {
         promise: Promise::Limit,
         request: None,
@@ -175,7 +181,7 @@
         let mut breaches = Vec::new();
         breaches.extend(self.check_runs(request));
         breaches.extend(self.check_cut_off(request));
-        if let Outcome::Answered(answer) = &request.outcome {
+        if let Outcome::Answered(answer) | Outcome::BrokenOff(answer) = &request.outcome {
             let found = self.check_answer(request, answer);
             let to_breach = |(promise, what)| breach(promise, request, request.span.to, what);
             breaches.extend(found.map(to_breach));
@@ -194,10 +200,11 @@
             let [before, after] = pair else { continue };
             let latest_end = after.arrived_at + MAX_OVERLAP;
             let span = Span { from: after.arrived_at, to: latest_end };
-            // A host that is partitioned from a server can't end an execution there.
+            // A host that is partitioned from a server, or before a silent one, can't end an execution there.
             let overlaps = before.ended_at.is_none_or(|ended| latest_end < ended)
                 && self.record.is_in_contact(request.host_run.host, span)
-                && !self.record.is_partitioned(request.host_run.host, request.span);
+                && !self.record.is_partitioned(request.host_run.host, request.span)
+                && !self.record.is_silent(&before.server, request.span);
             if runs_once || overlaps {
                 let what = format!("executed by {}, then by {}", before.server, after.server);
                 return Some(breach(Promise::Twice, request, after.arrived_at, what));
@@ -248,36 +255,21 @@
             Some(Some(_)) => {}
         }
         match request.kind {
-            Kind::Stream => self.check_stream(answer),
+            Kind::Stream => self.check_stream(request, answer),
             _ if !answer.is_complete => None,
             _ => check_plain_body(request, answer),
         }
     }
 
-    /// Checks that a stream holds consecutive events from the first on, and all of them if it ended
-    /// as complete.
-    fn check_stream(&self, answer: &Answer) -> Option<(Promise, String)> {
-        let text = String::from_utf8_lossy(&answer.body);
-        let mut expected = String::new();
-        let mut number = 0;
-        while expected.len() < text.len() {
-            number += 1;
-            expected += &format!("id: {number}\ndata: token {number}\n\n");
-        }
-        let last = self.record.bounds.stream_events;
-        if expected != text && (answer.is_complete || !expected.starts_with(&*text)) {
-            return Some((Promise::Order, format!("the stream is {text:?}")));
-        }
-        (answer.is_complete && number != last || last < number)
-            .then(|| (Promise::Order, format!("{number} events instead of {last}")))
-    }
-
     /// Checks that no planned stop or reload cut the request off, unless another cause is possible.
     fn check_cut_off(&self, request: &Request) -> Option<Breach> {
         let is_cut = match &request.outcome {
             Outcome::Closed => true,
             Outcome::Answered(answer) => !answer.is_complete,
-            Outcome::Unreached | Outcome::CallerClosed | Outcome::TimedOut => false,
+            Outcome::Unreached
+            | Outcome::CallerClosed
+            | Outcome::BrokenOff(_)
+            | Outcome::TimedOut => false,
         };
         let bounds = &self.record.bounds;
         let took = request.span.to - request.span.from;
@@ -440,7 +432,9 @@
         let last = self.record.disruptions.iter().map(|disruption| disruption.span.to).max()?;
         let from = last + bounds.recovery;
         let after = self.record.requests.iter().filter(|request| {
-            from <= request.span.from && !matches!(request.outcome, Outcome::CallerClosed)
+            from <= request.span.from
+                && request.resume.is_none()
+                && !matches!(request.outcome, Outcome::CallerClosed | Outcome::BrokenOff(_))
         });
         let after: Vec<&Request> = after.collect();
         let served = after.iter().filter(|request| is_served(request)).count();
@@ -452,7 +446,7 @@
     }
 }
 
-pub use poison::crashed;
+pub use self::{poison::crashed, stream::shares};
 
 /// Whether a request got a complete answer with a success status.
 pub fn is_served(request: &Request) -> bool {
--- a/crates/standin/src/routed/soak/record.rs
+++ b/crates/standin/src/routed/soak/record.rs
@@ -4,6 +4,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -11,7 +12,7 @@
 use http::StatusCode;
 use types::routed::{Kind, Version};
 
-use crate::routed::server::quota::Quota;
+use crate::routed::{server::quota::Quota, stream::Stream};
 
 /// Time limits and quotas that the promises state.
 #[derive(Clone, Debug)]
@@ -104,6 +105,8 @@
     pub kind: Kind,
     /// Whether it is a stream that may be resumed at another server.
     pub resumable: bool,
+    /// Number of the last event that the caller has received before, if it takes a stream up.
+    pub resume: Option<u64>,
     /// Path with the query.
     pub path: String,
     /// Length of the body.
@@ -127,6 +130,8 @@
     Unreached,
     /// The caller closed its connection before the answer was complete.
     CallerClosed,
+    /// The caller closed its connection in the middle of this answer.
+    BrokenOff(Answer),
     /// No complete answer came until well after the deadline.
     TimedOut,
     /// The connection was closed before an answer began.
@@ -256,6 +261,19 @@
     pub span: Span,
 }
 
+/// A silence of a sound server, in which the other servers of its service were full.
+#[derive(Clone, Debug)]
+pub struct Silence {
+    /// Id of the server.
+    pub server: String,
+    /// Service of the server.
+    pub service: String,
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// From the start to the end.
+    pub span: Span,
+}
+
 /// A crash of a brittle server, which rejected too many requests for want of room.
 #[derive(Clone, Debug)]
 pub struct Fall {
@@ -291,6 +309,10 @@
     pub hosts: Vec<String>,
     /// Requests whose outcome the callers saw.
     pub requests: Vec<Request>,
+    /// Streams that their callers took up when they broke.
+    pub streams: Vec<Stream>,
+    /// For each model server its id, the version of its software, and its life.
+    pub software: Vec<(String, String, Span)>,
     /// Executions of requests at all servers.
     pub runs: Vec<Run>,
     /// Arrivals of requests at all servers.
@@ -311,6 +333,8 @@
     pub declared: Vec<Declared>,
     /// Disruptions, in the order in which they were recorded.
     pub disruptions: Vec<Disruption>,
+    /// Silences of sound servers, which are no disruptions.
+    pub silences: Vec<Silence>,
 }
 
 impl Record {
@@ -331,6 +355,12 @@
         !self.is_undisturbed(span, |component| *component == Component::ServerLinks(host))
     }
 
+    /// Whether a server was silent at any time in a span.
+    pub fn is_silent(&self, server: &str, span: Span) -> bool {
+        let mut silences = self.silences.iter();
+        silences.any(|silence| silence.server == server && silence.span.overlaps(span))
+    }
+
     /// Whether the store was undisturbed for the contact time before a moment.
     pub fn is_store_healthy(&self, at: Duration) -> bool {
         let span = self.extend_by_contact(Span { from: at, to: at });
