--- a/crates/stage/tests/routed/endless.rs
+++ b/crates/stage/tests/routed/endless.rs
@@ -234,7 +234,6 @@
         sleep(Duration::from_millis(50)).await;
     }
     let peak = peak_memory_kib(host);
-    println!("peak {peak} KiB, slowest other request {slowest:?}");
     assert!(peak < MAX_MEMORY_KIB, "the host used {peak} KiB");
     let busiest = [site.backend.server("app-1"), site.backend.server("lm-1")];
     assert!(busiest.iter().all(|server| !server.runs().is_empty()));
