--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -88,8 +88,8 @@
     attempts.push(start(latest, first.1, superseded.clone()));
     let mut seek_at = Instant::now() + patience();
     let mut error_answer = None;
-    // Ends the attempts before the latest one.
-    let mut earlier: Option<CancellationToken> = None;
+    // End the attempts before the latest one.
+    let mut earlier: Vec<CancellationToken> = Vec::new();
     loop {
         let why = select! {
             biased;
@@ -112,7 +112,7 @@
                     Ok(Next::InFlight) if attempts.is_empty() => return Err(Lost::InFlight),
                     Ok(Next::InFlight) if ticket == latest => {
                         // The attempts before go on, and the next one may take their place.
-                        superseded = earlier.take().unwrap_or(superseded);
+                        superseded = earlier.pop().unwrap_or(superseded);
                         latest = call.handle.latest().unwrap_or(first.0);
                         let pause = if error_answer.is_some() { patience() } else { SEEK_INTERVAL };
                         seek_at = Instant::now() + pause;
@@ -124,9 +124,9 @@
                 continue;
             }
             Ok(_) = call.handle.hedge_signal(latest) => Unresponsive::Dispatcher,
-            () = sleep(ACCEPTANCE_CHECK_INTERVAL), if earlier.is_some() => {
+            () = sleep(ACCEPTANCE_CHECK_INTERVAL), if !earlier.is_empty() => {
                 if call.handle.is_accepted(latest) {
-                    earlier.take().iter().for_each(CancellationToken::cancel);
+                    earlier.drain(..).for_each(|attempt| attempt.cancel());
                 }
                 continue;
             }
@@ -134,7 +134,7 @@
         };
         match call.hedge(latest, why) {
             Some((ticket, server)) => {
-                earlier = Some(std::mem::take(&mut superseded));
+                earlier.push(std::mem::take(&mut superseded));
                 attempts.push(start(ticket, server, superseded.clone()));
                 (latest, seek_at) = (ticket, Instant::now() + patience());
             }
