--- a/crates/observe/src/metrics/routed/labels.rs
+++ b/crates/observe/src/metrics/routed/labels.rs
@@ -74,7 +74,7 @@
     Stopping,
     /// No server of the version that began the stream serves any more.
     NoVersion,
-    /// It is not known which version began the stream.
+    /// No reachable host has a record of the version that began the stream.
     UnknownVersion,
     /// Streams of several versions began under the id that the caller names.
     AmbiguousVersion,
--- a/crates/policy/src/streams/query.rs
+++ b/crates/policy/src/streams/query.rs
@@ -34,7 +34,7 @@
 /// What follows in a query.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Step {
-    /// These hosts are asked; the next step is due at this time.
+    /// The query goes to these hosts; the next step is due at this time.
     Ask(Vec<host::Id>, Moment),
     /// The next step is due at this time.
     Wait(Moment),
