--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -10,6 +10,7 @@
 mod partition;
 mod pauses;
 mod poison;
+mod poison_parts;
 mod relays;
 mod restarts;
 mod resumptions;
--- a/crates/standin/src/routed/server/script.rs
+++ b/crates/standin/src/routed/server/script.rs
@@ -25,6 +25,9 @@
     pub order_faults: VecDeque<OrderFault>,
     /// A request whose body contains this text crashes the server.
     pub poison: Option<&'static str>,
+    /// A request crashes the server that begins to answer it if this is the id of a part of its prompt
+    /// other than the last.
+    pub poison_part: Option<u64>,
     /// How old the state is that load reports show.
     pub report_age: Duration,
     /// How long the load of a model or adapter takes.
@@ -46,6 +49,7 @@
             default_fault: None,
             order_faults: VecDeque::new(),
             poison: None,
+            poison_part: None,
             report_age: Duration::ZERO,
             load_time: Duration::from_millis(50),
             brittle: None,
--- a/crates/standin/src/routed/server/work.rs
+++ b/crates/standin/src/routed/server/work.rs
@@ -36,12 +36,8 @@
 
 impl Work<'_> {
     pub(super) async fn answer(mut self, duplicate: &mut Duplicate) -> (Ending, After) {
-        let (work_time, is_poison) = {
-            let script = lock(&self.shared.script);
-            let body = lock(&self.shared.runs)[self.run].body.clone();
-            let body = String::from_utf8_lossy(&body).into_owned();
-            (script.work_time, script.poison.is_some_and(|poison| body.contains(poison)))
-        };
+        let work_time = lock(&self.shared.script).work_time;
+        let is_poison = self.is_poison();
         tokio::select! {
             () = sleep(work_time) => {}
             () = self.connection.closed() => return (Ending::CallerClosed, After::Close),
@@ -69,6 +65,19 @@
         outcome.unwrap_or((Ending::CallerClosed, After::Close))
     }
 
+    /// Whether the script has the request crash the server.
+    fn is_poison(&self) -> bool {
+        let script = lock(&self.shared.script);
+        let runs = lock(&self.shared.runs);
+        let run = &runs[self.run];
+        let body = String::from_utf8_lossy(&run.body);
+        let shared_parts = run.request.prompt.split_last().map_or(&[][..], |(_, shared)| shared);
+        script.poison.is_some_and(|poison| body.contains(poison))
+            || script
+                .poison_part
+                .is_some_and(|poison| shared_parts.iter().any(|part| part.id == poison))
+    }
+
     /// The head of the answer, changed as the fault requires.
     fn head(&self) -> Response<Bytes> {
         let mut response = Response::new(Bytes::new());
