--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -272,7 +272,9 @@
                 _ => None,
             });
             for spec in in_flight {
-                self.poison.unclear(spec.ticket, spec.fingerprint, id, now);
+                for subject in spec.subjects() {
+                    self.poison.unclear(spec.ticket, subject, id, now);
+                }
             }
         }
         self.poison.gone(id, now);
@@ -383,7 +385,15 @@
         }
     }
 
-    /// Requests that crash servers.
+    /// Whether a request at a server has become poison since it was assigned there, so that it must
+    /// not be sent.
+    pub fn is_poison(&self, ticket: Ticket) -> bool {
+        self.tasks
+            .get(&ticket)
+            .is_some_and(|task| self.standing(&task.spec) == poison::Standing::Poison)
+    }
+
+    /// Requests and parts of prompts that crash servers.
     pub fn poison(&self) -> &Poison {
         &self.poison
     }
--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -58,7 +58,7 @@
         let service = self.registry.service(&spec.service);
         let model = spec.model.as_ref().map(|model| self.registry.model(service, model));
         self.registry.services[service as usize].budget.request(now);
-        if self.poison.is_refused(spec.fingerprint, now) {
+        if self.is_quarantined(&spec, now) {
             return Verdict::Quarantined;
         }
         let mut task = Task::new(spec, service, model, now);
@@ -183,12 +183,12 @@
     /// Checks that another attempt is allowed, regardless of the retry budget.
     pub(super) fn check_retry(&self, task: &Task, end: End, now: Moment) -> Result<(), Cause> {
         let is_allowed = match end {
-            End::Completed | End::Cancelled => false,
+            End::Completed | End::Closed | End::Cancelled => false,
             End::NotRun(_) | End::Unreachable(_) => true,
             End::ServerError | End::Unclear(_) => task.spec.is_repeatable(),
         };
         let serve = duration(self.stats(task).base());
-        let is_poison = self.poison.standing(task.spec.fingerprint) == poison::Standing::Poison;
+        let is_poison = self.standing(&task.spec) == poison::Standing::Poison;
         if !is_allowed || !task.has_tries() {
             return Err(Cause::Attempts);
         }
@@ -207,7 +207,7 @@
     fn answer(&self, task: &Task, end: End, cause: Cause, now: Moment) -> Answer {
         match end {
             _ if task.runs == 0 => Answer::NotRun { cause, after: self.retry_after(task, now) },
-            End::Completed | End::ServerError => Answer::Server,
+            End::Completed | End::Closed | End::ServerError => Answer::Server,
             End::NotRun(_) | End::Unreachable(_) | End::Unclear(_) | End::Cancelled => {
                 Answer::Unclear
             }
@@ -218,7 +218,7 @@
     /// id.
     pub(super) fn send(&mut self, mut task: Task, choice: Choice, now: Moment) -> backend::Id {
         let ticket = task.spec.ticket;
-        let suspect = self.is_suspect(&task);
+        let suspects: Vec<poison::Subject> = self.suspects(&task.spec).collect();
         for (digest, _) in &task.prefixes {
             self.hints.add(*digest, choice.server, now);
         }
@@ -230,8 +230,8 @@
         server.load.sent(ticket, choice.prefill, memory, now);
         server.breaker.sent(ticket, now);
         let id = server.id.clone();
-        if suspect {
-            self.poison.start_trial(ticket, task.spec.fingerprint, &id);
+        for suspect in suspects {
+            self.poison.start_trial(ticket, suspect, &id);
         }
         task.state = State::InFlight(Attempt {
             server: choice.server,
@@ -244,6 +244,8 @@
             expected_ms: choice.expected_ms,
             is_cold: server.is_cold(now),
             phase: Phase::Pending,
+            began_at: now,
+            is_sustained: false,
             hedge: Hedge::No,
             path: None,
             heard_at: now,
--- a/crates/policy/src/dispatch/choose.rs
+++ b/crates/policy/src/dispatch/choose.rs
@@ -7,7 +7,9 @@
     Dispatcher,
     breaker::State,
     list::{Locality, MAX_SAMPLE, ServerList},
-    mixed, poison,
+    mixed,
+    poison::{Standing, Subject},
+    request::RequestSpec,
     server::Server,
     stats::{Stats, millis},
     task::Task,
@@ -91,7 +93,7 @@
 impl Dispatcher {
     /// Chooses a server for a request.
     pub(super) fn choose(&self, task: &Task, now: Moment) -> Outcome {
-        if self.is_suspect(task) && self.poison.must_wait(task.spec.fingerprint, now) {
+        if self.suspects(&task.spec).any(|suspect| self.poison.must_wait(suspect, now)) {
             return Outcome::Full;
         }
         let holders = self.holders(task, now);
@@ -149,9 +151,26 @@
         servers.into_iter().any(|server| self.is_capable(task, server))
     }
 
+    /// What of a request is suspected to crash servers, so that the request runs isolated or waits.
+    pub(super) fn suspects(&self, spec: &RequestSpec) -> impl Iterator<Item = Subject> {
+        let is_suspect = |subject: &Subject| Standing::Clear < self.poison.standing(*subject);
+        spec.subjects().filter(is_suspect)
+    }
+
+    /// How a request is treated: like the worst of what may crash its servers.
+    pub(super) fn standing(&self, spec: &RequestSpec) -> Standing {
+        let standings = spec.subjects().map(|subject| self.poison.standing(subject));
+        standings.max().unwrap_or(Standing::Clear)
+    }
+
     /// Whether a request runs isolated from others like it, or waits as it may be poison.
     pub(super) fn is_suspect(&self, task: &Task) -> bool {
-        poison::Standing::Clear < self.poison.standing(task.spec.fingerprint)
+        Standing::Clear < self.standing(&task.spec)
+    }
+
+    /// Whether a request is refused since it crashes servers.
+    pub(super) fn is_quarantined(&self, spec: &RequestSpec, now: Moment) -> bool {
+        spec.subjects().any(|subject| self.poison.is_refused(subject, now))
     }
 
     fn search(
--- a/crates/policy/src/dispatch/events.rs
+++ b/crates/policy/src/dispatch/events.rs
@@ -8,7 +8,7 @@
     loaded::Absence,
     pace::Median,
     path,
-    request::{End, NotRun, Ticket, Unclear, Unreachable},
+    request::{End, NotRun, Subject, Ticket, Unclear, Unreachable},
     server::Server,
     stats::millis,
     task::{Attempt, Phase, State, Task},
@@ -22,6 +22,10 @@
 /// failure.
 const EARLY_REFUSAL_FILL: f64 = 0.5;
 
+/// Time from the first event of a stream after which its answer is beyond its beginning. A part of a
+/// prompt that crashes servers does so before.
+const ANSWER_BEGINNING: Duration = Duration::from_millis(300);
+
 /// Slowness relative to the median above which a server's times are excluded from the statistics of
 /// its service or model.
 const EXCLUDED_SLOWNESS: f64 = 2.0;
@@ -61,6 +65,9 @@
             self.record_first_byte(&task, &attempt, now);
         }
         if let State::InFlight(attempt) = &mut task.state {
+            if attempt.phase != Phase::Responding {
+                attempt.began_at = now;
+            }
             attempt.phase = Phase::Responding;
             if task.spec.kind == Kind::Stream {
                 task.spec.software.get_or_insert(attempt.software);
@@ -77,11 +84,16 @@
         let Some(task) = self.tasks.get_mut(&ticket) else { return };
         task.spec.resume = Some(event);
         path::heard(&mut self.registry, task, now);
-        if let State::InFlight(attempt) = &task.state
-            && let Some(server) = self.registry.get_same(attempt.server, &attempt.id)
-        {
+        let State::InFlight(attempt) = &mut task.state else { return };
+        if let Some(server) = self.registry.get_same(attempt.server, &attempt.id) {
             server.mark_answered(now);
         }
+        let is_sustained =
+            attempt.phase == Phase::Responding && attempt.began_at + ANSWER_BEGINNING <= now;
+        if is_sustained && !attempt.is_sustained {
+            attempt.is_sustained = true;
+            self.poison.parts_served(task.spec.shared_parts(), now);
+        }
     }
 
     /// Records that the request has ended, at a server or in the queue, and gives back an unused
@@ -124,13 +136,13 @@
         }
         self.update_poison(task, attempt, end, now);
         let is_first_byte = attempt.phase != Phase::Responding;
-        if is_first_byte && matches!(end, End::Completed) {
+        if is_first_byte && matches!(end, End::Completed | End::Closed) {
             self.record_first_byte(task, attempt, now);
         }
         let median = self.registry.services[task.service as usize].median;
         let server = self.registry.get_same(attempt.server, &attempt.id);
         let is_excluded = server.is_none_or(|server| is_excluded(server, &median, now));
-        if matches!(end, End::Completed) && !is_excluded {
+        if matches!(end, End::Completed | End::Closed) && !is_excluded {
             let stats = match task.model {
                 Some(model) => &mut self.registry.models[model as usize].stats,
                 None => &mut self.registry.services[task.service as usize].stats,
@@ -142,20 +154,32 @@
     }
 
     fn update_poison(&mut self, task: &Task, attempt: &Attempt, end: End, now: Moment) {
-        let fingerprint = task.spec.fingerprint;
         let ticket = task.spec.ticket;
+        // An answer that went on beyond its beginning shows that no part of the prompt crashes servers.
+        let subjects = task.spec.subjects().filter(|subject| match subject {
+            Subject::Request(_) => true,
+            Subject::Part(_) => !attempt.is_sustained,
+        });
         // A draining server exits on its own, so a broken connection does not indicate a crash.
         let is_draining =
             self.registry.index(&attempt.id).is_some_and(|index| self.registry.is_draining(index));
         match end {
-            End::Completed => self.poison.completed(fingerprint, now),
+            End::Completed => {
+                self.poison.completed(task.spec.fingerprint, now);
+                self.poison.parts_served(task.spec.shared_parts(), now);
+            }
             End::Unclear(Unclear::Cut) if !is_draining => {
-                self.poison.crashed(ticket, fingerprint, &attempt.id, attempt.sent_at, now);
+                for subject in subjects {
+                    self.poison.crashed(subject, &attempt.id, attempt.sent_at, now);
+                }
             }
             End::Unclear(Unclear::Silent) | End::Cancelled if !is_draining => {
-                self.poison.unclear(ticket, fingerprint, &attempt.id, now);
+                for subject in subjects {
+                    self.poison.unclear(ticket, subject, &attempt.id, now);
+                }
             }
-            End::ServerError
+            End::Closed
+            | End::ServerError
             | End::NotRun(_)
             | End::Unreachable(_)
             | End::Unclear(_)
@@ -172,7 +196,7 @@
         server.load.ended(ticket);
         let in_flight = server.load.in_flight(peers_at, now);
         match end {
-            End::Completed => {
+            End::Completed | End::Closed => {
                 server.mark_answered(now);
                 server.pace.record_success(&median, now);
                 server.breaker.succeeded(ticket);
--- a/crates/policy/src/dispatch/poison/blame.rs
+++ b/crates/policy/src/dispatch/poison/blame.rs
@@ -1,65 +1,60 @@
-//! Which crashes of a request count, and which are explained by another request.
+//! Which crashes of a subject count, and which are explained by another one.
 
 use types::prelude::*;
 
 use super::{
-    Fingerprint, Isolation, POISON, Poison,
+    POISON, Poison, Subject,
     record::{CrashRecord, Entry},
 };
 
 impl Poison {
-    /// Servers of the crashes that count and that no other request explains.
+    /// Servers of the crashes that count and that no other subject explains.
     pub(super) fn unexplained<'a>(
         &self,
-        request: Fingerprint,
+        subject: Subject,
         entry: &'a Entry,
     ) -> Vec<&'a backend::Id> {
-        let mut counted = self.counted(request, entry);
+        let mut counted = self.counted(subject, entry);
         let own = counted.len();
-        counted.retain(|server| !self.is_explained(request, server, own));
+        counted.retain(|server| !self.is_explained(subject, server, own));
         counted
     }
 
-    /// Servers of the crashes that count, except those where another request ran isolated. Of two
-    /// requests that ran isolated on one server neither explains its crash.
-    pub(super) fn counted<'a>(
-        &self,
-        request: Fingerprint,
-        entry: &'a Entry,
-    ) -> Vec<&'a backend::Id> {
-        let ran_isolated = |server: &backend::Id, other: &Entry| {
-            other
-                .records_at(server)
-                .any(|record| record.isolation == Isolation::Isolated && record.is_counted())
+    /// Servers of the crashes that count, except those where another subject ran isolated. Of two
+    /// requests that ran isolated on one server neither explains its crash. Parts that ran isolated
+    /// on one server may be of one request, so each of them counts.
+    pub(super) fn counted<'a>(&self, subject: Subject, entry: &'a Entry) -> Vec<&'a backend::Id> {
+        let is_exempt = |server: &backend::Id| match subject {
+            Subject::Request(_) => false,
+            Subject::Part(_) => entry.ran_isolated(server),
         };
         let other_ran_isolated = |server: &backend::Id| {
-            self.others(request, server).any(|(_, other)| ran_isolated(server, other))
+            self.others(subject, server).any(|(_, other)| other.ran_isolated(server))
         };
-        entry.counted().into_iter().filter(|server| !other_ran_isolated(server)).collect()
+        let counted = entry.counted().into_iter();
+        counted.filter(|server| is_exempt(server) || !other_ran_isolated(server)).collect()
     }
 
-    /// Whether a crash is explained by another request at the server that has crashed enough
-    /// servers to be refused, and more than this request, which has crashed `own`.
-    pub(super) fn is_explained(
-        &self,
-        request: Fingerprint,
-        server: &backend::Id,
-        own: usize,
-    ) -> bool {
-        self.others(request, server).any(|(fingerprint, other)| {
-            let is_there = other.records_at(server).any(CrashRecord::is_counted);
-            is_there && own.max(POISON - 1) < self.counted(fingerprint, other).len()
+    /// Whether a crash is explained by another subject at the server that has crashed enough servers
+    /// to be refused, and more than this one, which has crashed `own`. A request explains as many
+    /// crashes of a part: the part may be in no other request that crashed a server.
+    pub(super) fn is_explained(&self, subject: Subject, server: &backend::Id, own: usize) -> bool {
+        self.others(subject, server).any(|(other, entry)| {
+            let is_there = entry.records_at(server).any(CrashRecord::is_counted);
+            let is_tie_enough = matches!((subject, other), (Subject::Part(_), Subject::Request(_)));
+            let enough = POISON.max(if is_tie_enough { own } else { own + 1 });
+            is_there && enough <= self.counted(other, entry).len()
         })
     }
 
-    /// Other requests that were at a server.
+    /// Other subjects that were at a server.
     pub(super) fn others<'a>(
         &'a self,
-        request: Fingerprint,
+        subject: Subject,
         server: &backend::Id,
-    ) -> impl Iterator<Item = (Fingerprint, &'a Entry)> {
+    ) -> impl Iterator<Item = (Subject, &'a Entry)> {
         let there = self.at_servers.get(server).into_iter().flatten();
-        let others = there.filter(move |other| **other != request);
+        let others = there.filter(move |other| **other != subject);
         others.filter_map(|other| Some((*other, self.entries.get(other)?)))
     }
 }
--- a/crates/policy/src/dispatch/poison/crash.rs
+++ b/crates/policy/src/dispatch/poison/crash.rs
@@ -5,9 +5,9 @@
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 
-use super::Fingerprint;
+use super::Subject;
 
-/// How a request ran on the server that crashed. In a merge the later variant wins.
+/// How a subject ran on the server that crashed. In a merge the later variant wins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Hash)]
 pub enum Isolation {
     /// Together with other requests that are as likely to have crashed the server.
@@ -27,25 +27,29 @@
     /// The crash counts.
     #[serde(rename = "Counts")]
     Counted,
-    /// The server did not crash, or not by this request.
+    /// The subject is a part that was served before, so that another part at the server explains the
+    /// crash.
+    Excused,
+    /// The server did not crash, or not by this subject.
     Void,
 }
 
-/// States that a request was at a run of a server when that run ended.
+/// States that a subject was at a run of a server when that run ended.
 ///
 /// Only the witness starts a new turn; any host may find the crash void.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Hash)]
 pub struct Crash {
-    /// The request.
-    pub request: Fingerprint,
+    /// The request, or the part of its prompt.
+    #[serde(rename = "request")]
+    pub subject: Subject,
     /// The run of the server.
     pub server: backend::Id,
     /// The host that sent the request there.
     pub witness: host::Id,
-    /// Number of earlier runs of the request on the server whose crash was void. In a merge the
+    /// Number of earlier runs of the subject on the server whose crash was void. In a merge the
     /// higher turn wins.
     pub turn: u32,
-    /// How the request ran there.
+    /// How the subject ran there.
     #[serde(rename = "role")]
     pub isolation: Isolation,
     /// Whether the crash counts.
--- /dev/null
+++ b/crates/policy/src/dispatch/poison/recent.rs
@@ -0,0 +1,42 @@
+//! What was served lately, and is therefore assumed to crash no server.
+
+use std::collections::BTreeSet;
+
+use types::prelude::*;
+
+/// A set that forgets. Its keys are in two generations; the previous one is dropped when the current
+/// one is full or its life is over, so that a key is remembered for at most two lives.
+#[derive(Clone, Debug)]
+pub(super) struct RecentSet<K> {
+    life: Duration,
+    max_keys: usize,
+    current: BTreeSet<K>,
+    previous: BTreeSet<K>,
+    since: Moment,
+}
+
+impl<K: Ord> RecentSet<K> {
+    /// Creates a set with this life and at most this many keys in a generation.
+    pub(super) fn new(life: Duration, max_keys: usize) -> RecentSet<K> {
+        RecentSet {
+            life,
+            max_keys,
+            current: BTreeSet::new(),
+            previous: BTreeSet::new(),
+            since: Duration::ZERO,
+        }
+    }
+
+    pub(super) fn add(&mut self, key: K, now: Moment) {
+        if self.since + self.life <= now || self.max_keys <= self.current.len() {
+            self.previous = std::mem::take(&mut self.current);
+            self.since = now;
+        }
+        self.current.insert(key);
+    }
+
+    pub(super) fn has(&self, key: &K, now: Moment) -> bool {
+        let is_recent = now < self.since + self.life;
+        is_recent && (self.current.contains(key) || self.previous.contains(key))
+    }
+}
--- a/crates/policy/src/dispatch/poison/record.rs
+++ b/crates/policy/src/dispatch/poison/record.rs
@@ -4,7 +4,7 @@
 
 use types::prelude::*;
 
-use super::{Crash, CrashState, Fingerprint, Isolation, LIFE, SUSPICION, Standing};
+use super::{Crash, CrashState, Isolation, LIFE, SUSPICION, Standing, Subject};
 
 /// How long a suspect's run keeps other suspects away if the end of the run is not reported.
 pub(super) const MAX_RUN: Duration = Duration::from_secs(20);
@@ -20,8 +20,8 @@
     pub(super) seen_at: Moment,
     /// When the crash is settled, unless it is void by then.
     pub(super) settled_at: Moment,
-    /// When this host last found the crash void; it sends the void crash to others for
-    /// [`VOID_SEND_TIME`] from then on.
+    /// When this host last found the crash void or excused; it sends it to others for
+    /// [`VOID_SEND_TIME`](super::sharing::VOID_SEND_TIME) from then on.
     pub(super) voided_at: Option<Moment>,
 }
 
@@ -34,12 +34,16 @@
         self.state == CrashState::Counted
     }
 
+    pub(super) fn is_excused(&self) -> bool {
+        self.state == CrashState::Excused
+    }
+
     pub(super) fn is_running(&self, now: Moment) -> bool {
         self.state == CrashState::Running && self.age(now) < MAX_RUN
     }
 }
 
-/// The run of a server, and the host that sent the request there.
+/// The run of a server, and the host that sent the subject there.
 pub(super) type CrashKey = (backend::Id, host::Id);
 
 #[derive(Clone, Debug, Default)]
@@ -49,7 +53,7 @@
 }
 
 impl Entry {
-    /// Records of the request at a server, by all hosts.
+    /// Records of the subject at a server, by all hosts.
     pub(super) fn records_at<'a>(
         &'a self,
         server: &'a backend::Id,
@@ -63,7 +67,13 @@
         self.records_at(server).any(|record| record.is_counted() && record.settled_at <= now)
     }
 
-    /// Servers whose crashes count, regardless of whether another request explains them.
+    /// Whether the subject ran isolated on a server that then crashed.
+    pub(super) fn ran_isolated(&self, server: &backend::Id) -> bool {
+        self.records_at(server)
+            .any(|record| record.isolation == Isolation::Isolated && record.is_counted())
+    }
+
+    /// Servers whose crashes count, regardless of whether another subject explains them.
     pub(super) fn counted(&self) -> BTreeSet<&backend::Id> {
         let counted = self.crashes.iter().filter(|(_, record)| record.is_counted());
         counted.map(|((server, _), _)| server).collect()
@@ -74,7 +84,7 @@
         there.for_each(|(_, record)| record.settled_at = record.settled_at.min(now));
     }
 
-    /// When the request is forgotten, which depends on its newest crash and on whether it ran
+    /// When the subject is forgotten, which depends on its newest crash and on whether it ran
     /// isolated in any.
     pub(super) fn expires_at(&self) -> Moment {
         let youngest =
@@ -89,19 +99,14 @@
     (crash.server.clone(), crash.witness.clone())
 }
 
-pub(super) fn crashes_of(request: Fingerprint, entry: &Entry, now: Moment) -> Vec<Crash> {
-    entry.crashes.iter().map(|(key, record)| crash(request, key, record, now)).collect()
+pub(super) fn crashes_of(subject: Subject, entry: &Entry, now: Moment) -> Vec<Crash> {
+    entry.crashes.iter().map(|(key, record)| crash(subject, key, record, now)).collect()
 }
 
-pub(super) fn crash(
-    request: Fingerprint,
-    key: &CrashKey,
-    record: &CrashRecord,
-    now: Moment,
-) -> Crash {
+pub(super) fn crash(subject: Subject, key: &CrashKey, record: &CrashRecord, now: Moment) -> Crash {
     let (server, witness) = key.clone();
     Crash {
-        request,
+        subject,
         server,
         witness,
         turn: record.turn,
--- a/crates/policy/src/dispatch/poison/sharing.rs
+++ b/crates/policy/src/dispatch/poison/sharing.rs
@@ -5,7 +5,7 @@
 use types::prelude::*;
 
 use super::{
-    Crash, CrashState, Fingerprint, Isolation, LIFE, Poison, SUSPICION, Standing,
+    Crash, CrashState, Isolation, LIFE, Poison, SUSPICION, Standing, Subject,
     record::{CrashRecord, Entry, MAX_RUN, crash, crashes_of, key},
 };
 
@@ -18,29 +18,31 @@
 /// Most crashes sent to other hosts; those of requests with the most crashes are sent first.
 const MAX_SENT: usize = 128;
 
-/// How long a host sends a crash to others after it found the crash void.
-const VOID_SEND_TIME: Duration = Duration::from_secs(10);
+/// How long a host sends a crash to others after it found the crash void or excused.
+pub(super) const VOID_SEND_TIME: Duration = Duration::from_secs(10);
 
 impl Poison {
-    /// Returns the crashes to be sent to other hosts: those of suspects and refused requests, those
-    /// of other requests that this host witnessed, and void ones for [`VOID_SEND_TIME`].
+    /// Returns the crashes to be sent to other hosts: those of suspects and poison, those of other
+    /// subjects that this host witnessed, and those that it found void or excused for
+    /// [`VOID_SEND_TIME`].
     pub fn crashes(&self, now: Moment) -> Vec<Crash> {
         let mut sent = Vec::new();
-        for (request, entry) in &self.entries {
-            let standing = self.standing(*request);
+        for (subject, entry) in &self.entries {
+            let standing = self.standing(*subject);
             for (key, record) in &entry.crashes {
+                let is_voided = record.voided_at.is_some_and(|at| now < at + VOID_SEND_TIME);
                 let is_sent = match record.state {
-                    CrashState::Void => {
-                        record.voided_at.is_some_and(|at| now < at + VOID_SEND_TIME)
-                    }
-                    CrashState::Running | CrashState::Counted => {
-                        Standing::Clear < standing || key.1 == self.host
+                    CrashState::Void => is_voided,
+                    CrashState::Running | CrashState::Counted | CrashState::Excused => {
+                        is_voided || Standing::Clear < standing || key.1 == self.host
                     }
                 };
                 if is_sent {
-                    let rank =
-                        (standing, record.state != CrashState::Void, record.expires_at, *request);
-                    sent.push((rank, crash(*request, key, record, now)));
+                    // A part explains the crashes of many requests.
+                    let is_part = matches!(subject, Subject::Part(_));
+                    let is_valid = record.state != CrashState::Void;
+                    let rank = (standing, is_part, is_valid, record.expires_at, *subject);
+                    sent.push((rank, crash(*subject, key, record, now)));
                 }
             }
         }
@@ -48,14 +50,14 @@
         sent.into_iter().take(MAX_SENT).map(|(_, crash)| crash).collect()
     }
 
-    /// Returns all crashes of each request that is poison, and whether this host is the witness of
+    /// Returns all crashes of each subject that is poison, and whether this host is the witness of
     /// one of them.
     pub fn refused(&self, now: Moment) -> Vec<(Vec<Crash>, bool)> {
         let refused =
-            self.entries.iter().filter(|(request, _)| self.standing(**request) == Standing::Poison);
-        let crashes = |(request, entry): (&Fingerprint, &Entry)| {
+            self.entries.iter().filter(|(subject, _)| self.standing(**subject) == Standing::Poison);
+        let crashes = |(subject, entry): (&Subject, &Entry)| {
             let is_own = entry.crashes.keys().any(|(_, witness)| *witness == self.host);
-            (crashes_of(*request, entry, now), is_own)
+            (crashes_of(*subject, entry, now), is_own)
         };
         refused.map(crashes).collect()
     }
@@ -66,7 +68,7 @@
             let Some(left) = LIFE.checked_sub(crash.age) else { continue };
             let is_known = self
                 .entries
-                .get(&crash.request)
+                .get(&crash.subject)
                 .is_some_and(|entry| entry.crashes.contains_key(&key(crash)));
             let is_ending = match crash.isolation {
                 Isolation::Shared => SUSPICION < crash.age + MIN_REMAINING_LIFE,
@@ -81,19 +83,19 @@
 
     pub(super) fn record(
         &mut self,
-        request: Fingerprint,
+        subject: Subject,
         server: &backend::Id,
         isolation: Isolation,
         state: CrashState,
         now: Moment,
     ) {
         let key = (server.clone(), self.host.clone());
-        let record = self.entries.get(&request).and_then(|entry| entry.crashes.get(&key));
+        let record = self.entries.get(&subject).and_then(|entry| entry.crashes.get(&key));
         let turn = record.map_or(0, |record| {
             record.turn.saturating_add(u32::from(record.state == CrashState::Void))
         });
         let crash = Crash {
-            request,
+            subject,
             server: server.clone(),
             witness: self.host.clone(),
             turn,
@@ -106,13 +108,10 @@
     }
 
     pub(super) fn join(&mut self, crash: &Crash, expires_at: Moment, now: Moment) {
-        let entry = self.entries.entry(crash.request).or_default();
-        let state = match self.completed.has(crash.request, now) {
-            true => CrashState::Void,
-            false => crash.state,
-        };
-        // If only this host knows that the crash is void, it sends that to others.
+        let state = self.judge(crash, now);
+        // If only this host knows that the crash doesn't count, it sends that to others.
         let voided_at = (state != crash.state).then_some(now);
+        let entry = self.entries.entry(crash.subject).or_default();
         let new = CrashRecord {
             turn: crash.turn,
             isolation: crash.isolation,
@@ -128,39 +127,54 @@
         match entry.crashes.entry(key(crash)) {
             Slot::Vacant(slot) => {
                 slot.insert(new);
-                self.changed.insert(crash.request);
+                self.changed.insert(crash.subject);
             }
             Slot::Occupied(mut slot) => match slot.get().turn.cmp(&crash.turn) {
                 Ordering::Less => {
                     slot.insert(new);
-                    self.changed.insert(crash.request);
+                    self.changed.insert(crash.subject);
                 }
                 Ordering::Equal => {
                     let record = slot.get_mut();
                     if record.isolation < crash.isolation || record.state < state {
-                        self.changed.insert(crash.request);
+                        self.changed.insert(crash.subject);
                     }
-                    if record.state < CrashState::Counted && state == CrashState::Counted {
+                    let is_crash = matches!(state, CrashState::Counted | CrashState::Excused);
+                    if record.state < CrashState::Counted && is_crash {
                         // The crash is later than the start of the run.
                         record.seen_at = now;
                         record.settled_at = new.settled_at;
                     }
-                    let is_void = record.state == CrashState::Void;
-                    if is_void && crash.state == CrashState::Counted {
+                    let known = record.state.max(state);
+                    if CrashState::Counted < known && crash.state == CrashState::Counted {
                         record.voided_at = Some(now);
                     }
                     record.isolation = record.isolation.max(crash.isolation);
-                    record.state = record.state.max(state);
+                    record.state = known;
                     record.expires_at = record.expires_at.min(expires_at);
                 }
                 Ordering::Greater => return,
             },
         }
         let there = self.at_servers.entry(crash.server.clone()).or_default();
-        there.insert(crash.request);
-        // The standings of requests whose crashes this one explains change too.
-        if 1 < there.len() && self.changed.contains(&crash.request) {
+        there.insert(crash.subject);
+        // The standings of subjects whose crashes this one explains change too.
+        if 1 < there.len() && self.changed.contains(&crash.subject) {
             self.changed.extend(there.iter().copied());
         }
     }
+
+    /// State of a crash by what this host knows of the subject.
+    fn judge(&self, crash: &Crash, now: Moment) -> CrashState {
+        let state = crash.state;
+        match crash.subject {
+            Subject::Request(request) if self.completed.has(&request, now) => CrashState::Void,
+            Subject::Part(part) if self.parts.is_being_served(part, now) => CrashState::Void,
+            Subject::Part(part) if self.parts.was_served(part, now) => match state {
+                CrashState::Counted => CrashState::Excused,
+                CrashState::Running | CrashState::Excused | CrashState::Void => state,
+            },
+            Subject::Request(_) | Subject::Part(_) => state,
+        }
+    }
 }
--- a/crates/policy/src/dispatch/pump.rs
+++ b/crates/policy/src/dispatch/pump.rs
@@ -157,7 +157,7 @@
             if task.spec.deadline <= now + duration(self.stats(task).base()) {
                 continue;
             }
-            let verdict = match self.poison.is_refused(task.spec.fingerprint, now) {
+            let verdict = match self.is_quarantined(&task.spec, now) {
                 true => Some(Verdict::Quarantined),
                 false => None,
             };
--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -5,7 +5,7 @@
     routed::{Kind, Route},
 };
 
-pub use super::poison::Fingerprint;
+pub use super::poison::{Fingerprint, Subject};
 pub use crate::admit::Ticket;
 use crate::streams::SoftwareId;
 
@@ -89,6 +89,19 @@
         }
     }
 
+    /// Ids of the parts of the prompt that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> impl Iterator<Item = u64> {
+        let shared = self.prompt.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|(id, _)| *id)
+    }
+
+    /// What may crash the servers that run the request: the request itself, and the shared parts of
+    /// its prompt.
+    pub fn subjects(&self) -> impl Iterator<Item = Subject> {
+        let parts = self.shared_parts().map(Subject::Part);
+        std::iter::once(Subject::Request(self.fingerprint)).chain(parts)
+    }
+
     /// Whether more than one server may run the request.
     pub fn is_repeatable(&self) -> bool {
         match self.kind {
@@ -144,7 +157,7 @@
     Attempts,
     /// The retry budget is used up.
     Budget,
-    /// Requests with this fingerprint crash servers.
+    /// Requests with this fingerprint, or with a part of this prompt, crash servers.
     Poison,
     /// No server of the version that began the stream serves any more.
     Software,
@@ -164,6 +177,9 @@
 pub enum End {
     /// The response was received completely.
     Completed,
+    /// The response, which has no length, was received until the server closed the connection. Its end
+    /// can't be told from a failure of the server.
+    Closed,
     /// The server answered with a failure of its own; the request ran.
     ServerError,
     /// The server reports that the request did not run.
--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -46,6 +46,10 @@
     /// Whether the server had just started when the request was sent.
     pub is_cold: bool,
     pub phase: Phase,
+    /// When the first byte was received; valid in [`Phase::Responding`].
+    pub began_at: Moment,
+    /// Whether the answer went on beyond its beginning.
+    pub is_sustained: bool,
     pub hedge: Hedge,
     /// Path of the connection that the request was sent on; `None` before it is sent.
     pub path: Option<Path>,
@@ -164,7 +168,7 @@
         self.tries += 1;
         self.runs += match end {
             End::NotRun(_) | End::Unreachable(_) => 0,
-            End::Completed | End::ServerError | End::Unclear(_) | End::Cancelled => 1,
+            End::Completed | End::Closed | End::ServerError | End::Unclear(_) | End::Cancelled => 1,
         };
         if !matches!(end, End::NotRun(NotRun::Full) | End::Unreachable(Unreachable::Closed)) {
             self.spec.avoid.push(server.clone());
--- a/crates/policy/src/fleet/aggregate.rs
+++ b/crates/policy/src/fleet/aggregate.rs
@@ -6,7 +6,7 @@
 use types::{backend, host, model, time::Moment};
 
 use crate::{
-    dispatch::poison::{Crash, Fingerprint},
+    dispatch::poison::{Crash, Subject},
     quota::Limit,
     term,
 };
@@ -61,7 +61,7 @@
 pub(super) struct Tally {
     pub(super) in_flight: LoadSums,
     pub(super) servers: BTreeMap<backend::Id, Departure>,
-    pub(super) crashes: BTreeMap<(Fingerprint, backend::Id, host::Id), Crash>,
+    pub(super) crashes: BTreeMap<(Subject, backend::Id, host::Id), Crash>,
     pub(super) lease: Option<Lease>,
     pub(super) term: Option<term::StoredLease>,
     pub(super) store: Option<StoreStatus>,
@@ -83,7 +83,7 @@
             }
             Fact::Crash(crash) => {
                 let aged = Crash { age: crash.age + age, ..crash.clone() };
-                let key = (crash.request, crash.server.clone(), crash.witness.clone());
+                let key = (crash.subject, crash.server.clone(), crash.witness.clone());
                 let joined = match self.crashes.remove(&key) {
                     Some(known) => known.joined(&aged),
                     None => aged,
--- a/crates/policy/src/fleet/fact.rs
+++ b/crates/policy/src/fleet/fact.rs
@@ -7,7 +7,7 @@
 
 use super::wire::Run;
 use crate::{
-    dispatch::poison::{Crash, Fingerprint},
+    dispatch::poison::{Crash, Subject},
     member::rendezvous,
     quota::Limit,
     term,
@@ -166,7 +166,7 @@
     Arrivals(service::Id),
     Retries(service::Id),
     Server(backend::Id),
-    Crash(Fingerprint, backend::Id, host::Id),
+    Crash(Subject, backend::Id, host::Id),
     Absent(host::Id),
     Term,
     Limit(backend::Id),
@@ -185,7 +185,7 @@
             Fact::Retries(service, _) => Key::Retries(service.clone()),
             Fact::Server(server, _) => Key::Server(server.clone()),
             Fact::Crash(crash) => {
-                Key::Crash(crash.request, crash.server.clone(), crash.witness.clone())
+                Key::Crash(crash.subject, crash.server.clone(), crash.witness.clone())
             }
             Fact::Absent(id, _) => Key::Absent(id.clone()),
             Fact::Limit(server, _) => Key::Limit(server.clone()),
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -11,6 +11,7 @@
 mod partition;
 mod play;
 mod poison;
+mod poison_parts;
 mod queue;
 mod reading;
 mod repeat;
--- a/crates/policy/tests/dispatch/poison.rs
+++ b/crates/policy/tests/dispatch/poison.rs
@@ -22,7 +22,7 @@
 
 fn crash(poison: &mut Poison, fingerprint: u64, servers: &[&str]) {
     for server in servers {
-        poison.crashed(fingerprint, fingerprint, &(*server).into(), at(0), at(0));
+        poison.crashed(fingerprint, &(*server).into(), at(0), at(0));
     }
 }
 
@@ -43,7 +43,7 @@
 /// Crashes of one request, as another host sends them.
 fn received(request: Fingerprint, servers: &[&str], isolation: Isolation) -> Vec<Crash> {
     let crash = |server: &&str| Crash {
-        request,
+        subject: request.into(),
         server: (*server).into(),
         turn: 0,
         witness: "b".into(),
@@ -94,8 +94,8 @@
     poison.completed(7, at(5));
     crash(&mut poison, 7, &["s1", "s2", "s3"]);
     assert_eq!(poison.standing(7), Standing::Clear);
-    poison.crashed(1, 7, &"s4".into(), at(20_000), at(20_000));
-    poison.crashed(2, 7, &"s5".into(), at(20_000), at(20_000));
+    poison.crashed(7, &"s4".into(), at(20_000), at(20_000));
+    poison.crashed(7, &"s5".into(), at(20_000), at(20_000));
     assert_eq!(poison.standing(7), Standing::Suspect, "completed long ago");
 }
 
@@ -203,7 +203,7 @@
     let mut poisons = hosts::<2>();
     crash(&mut poisons[0], 7, &["s1", "s2", "s3"]);
     for innocent in 100..3_000 {
-        poisons[0].crashed(innocent, innocent, &"s4".into(), at(10), at(10));
+        poisons[0].crashed(innocent, &"s4".into(), at(10), at(10));
     }
     exchange(&mut poisons, at(11));
     assert!(poisons.iter().all(|poison| poison.standing(7) == Standing::Poison));
@@ -276,7 +276,7 @@
         crash(poison, request, &["s1", "s2"]);
         poison.start_trial(1, request, &"s3".into());
         poison.sent(1, at(0));
-        poison.crashed(1, request, &"s3".into(), at(1), at(1));
+        poison.crashed(request, &"s3".into(), at(1), at(1));
         poison.ended(1, at(1));
     }
     exchange(&mut poisons, at(2));
@@ -286,7 +286,7 @@
     // The next trial shows which of the two crashes servers.
     poisons[0].start_trial(2, 7, &"s4".into());
     poisons[0].sent(2, at(10));
-    poisons[0].crashed(2, 7, &"s4".into(), at(11), at(11));
+    poisons[0].crashed(7, &"s4".into(), at(11), at(11));
     poisons[0].ended(2, at(11));
     exchange(&mut poisons, at(12));
     assert!(poisons.iter().all(|poison| poison.standing(7) == Standing::Poison));
@@ -320,7 +320,7 @@
     exchange(&mut poisons, at(4));
     poisons[1].start_trial(1, 7, &"s3".into());
     poisons[1].sent(1, at(5));
-    poisons[1].crashed(1, 7, &"s3".into(), at(6), at(6));
+    poisons[1].crashed(7, &"s3".into(), at(6), at(6));
     poisons[1].ended(1, at(6));
     for now in 7..10 {
         exchange(&mut poisons, at(now));
@@ -374,8 +374,8 @@
     let changes = poison.take_changes(at(2));
     assert_eq!(changes.len(), 1);
     assert_eq!(
-        (changes[0].request, changes[0].standing, changes[0].crashes.len()),
-        (7, Standing::Poison, 3)
+        (changes[0].subject, changes[0].standing, changes[0].crashes.len()),
+        (7.into(), Standing::Poison, 3)
     );
     assert_eq!(poison.take_changes(at(3)), []);
     poison.completed(7, at(4));
@@ -505,7 +505,7 @@
     if let Some(later) = later {
         for (ticket, server) in (10..).zip(["s1", "s2", "s3"]) {
             let poison = host.poison_mut();
-            poison.crashed(ticket, ticket, &server.into(), at(later), at(later + 10));
+            poison.crashed(ticket, &server.into(), at(later), at(later + 10));
         }
     }
     assert_eq!(host.poison().standing(7), expected);
--- /dev/null
+++ b/crates/policy/tests/dispatch/poison_parts.rs
@@ -0,0 +1,291 @@
+//! Tests of parts of prompts that crash the servers that answer them.
+
+use policy::{
+    dispatch::{
+        Answer, Cause, Dispatcher, End, Part, Poison, RequestSpec, RetryDecision, Ticket, Unclear,
+        Verdict,
+        poison::{Crash, Isolation, SETTLE_TIME, SUSPICION, Standing, Subject},
+    },
+    paths::Path,
+};
+use rstest::rstest;
+use types::{prelude::*, routed::Kind};
+
+use crate::fixture::{at, plain, request};
+
+const CUT: End = End::Unclear(Unclear::Cut);
+
+/// Parts of prompts: one that crashes servers, one that all requests begin with, and one that the
+/// requests of a caller share.
+const BAD: u64 = 0xbad;
+const FIRST: u64 = 0xf1;
+const CALLER: u64 = 0xca;
+
+fn part(id: u64) -> Subject {
+    Subject::Part(id)
+}
+
+fn poison() -> Poison {
+    Poison::new("a".into())
+}
+
+/// Charges a crash to these parts, of a request that no other one is like.
+fn crash(poison: &mut Poison, request: u64, server: &str, parts: &[u64], now: Moment) {
+    let parts = parts.iter().map(|id| part(*id));
+    for subject in std::iter::once(Subject::Request(request)).chain(parts) {
+        poison.crashed(subject, &server.into(), now, now);
+    }
+}
+
+fn serve(poison: &mut Poison, parts: &[u64], now: Moment) {
+    poison.parts_served(parts.iter().copied(), now);
+}
+
+/// A request for streams that ends with a part of its own.
+fn with_parts(ticket: Ticket, shared: &[u64], now: Moment) -> RequestSpec {
+    let own = 1_000_000 + ticket;
+    let prompt: Vec<Part> = shared.iter().chain([&own]).map(|id| (*id, 10)).collect();
+    RequestSpec { fingerprint: ticket, prompt, ..request(ticket, Kind::Stream, now) }
+}
+
+/// Serves a stream until its answer is beyond its beginning, if its server is found.
+fn serve_stream(host: &mut Dispatcher, spec: RequestSpec, now: Moment) -> Verdict {
+    let ticket = spec.ticket;
+    let verdict = host.arrive(spec, now);
+    if let Verdict::Send(_) = verdict {
+        host.sent(ticket, Path::Direct, now);
+        host.response_started(ticket, now + at(10));
+        host.first_byte(ticket, now + at(10));
+        host.delivered(ticket, 5, now + at(400));
+        host.ended(ticket, End::Completed, now + at(401));
+    }
+    verdict
+}
+
+/// Sends a stream whose server is cut off when its answer begins. Returns the server.
+fn crash_server(host: &mut Dispatcher, spec: RequestSpec, now: Moment) -> Option<backend::Id> {
+    let ticket = spec.ticket;
+    let Verdict::Send(server) = host.arrive(spec, now) else { return None };
+    host.sent(ticket, Path::Direct, now);
+    host.response_started(ticket, now + at(5));
+    let _ = host.attempt_failed(ticket, CUT, now + at(10));
+    Some(server)
+}
+
+#[rstest]
+fn the_part_that_no_served_request_has_is_to_blame() {
+    let mut poison = poison();
+    for (number, server) in ["s1", "s2", "s3"].into_iter().enumerate() {
+        let now = at(100 * number as u64);
+        serve(&mut poison, &[FIRST, CALLER], now);
+        crash(&mut poison, number as u64, server, &[FIRST, BAD, CALLER], now + at(50));
+        // Sound requests lose the same server.
+        crash(&mut poison, 10 + number as u64 / 2, server, &[FIRST, CALLER], now + at(51));
+    }
+    assert_eq!(poison.standing(part(BAD)), Standing::Poison);
+    for innocent in [part(FIRST), part(CALLER), Subject::Request(10)] {
+        let standing = poison.standing(innocent);
+        let is_unharmed = standing == Standing::Clear || !poison.is_refused(innocent, at(260));
+        assert!(is_unharmed, "{innocent} is {standing:?}");
+    }
+    serve(&mut poison, &[FIRST, CALLER], at(300));
+    assert_eq!(poison.standing(part(FIRST)), Standing::Clear);
+    assert_eq!(poison.standing(part(CALLER)), Standing::Clear);
+    assert!(poison.is_refused(part(BAD), at(250) + SETTLE_TIME));
+}
+
+/// A request that was cut off with its server as often as the part crashed servers is not blamed
+/// for it once the part has crashed one more.
+#[rstest]
+fn the_part_explains_the_crashes_of_whole_requests() {
+    let mut poison = poison();
+    for (number, server) in ["s1", "s2", "s3", "s4"].into_iter().enumerate() {
+        crash(&mut poison, number as u64, server, &[BAD], at(0));
+    }
+    for server in ["s1", "s2", "s3"] {
+        crash(&mut poison, 10, server, &[], at(1));
+    }
+    assert_eq!(poison.standing(10), Standing::Clear);
+    assert_eq!(poison.standing(part(BAD)), Standing::Poison);
+}
+
+/// A whole request that crashes servers is blamed rather than the parts of its prompt.
+#[rstest]
+fn a_request_that_crashes_servers_puts_no_blame_on_its_parts() {
+    let mut poison = poison();
+    for server in ["s1", "s2", "s3"] {
+        crash(&mut poison, 7, server, &[CALLER], at(0));
+    }
+    assert_eq!(poison.standing(7), Standing::Poison);
+    assert_eq!(poison.standing(part(CALLER)), Standing::Clear);
+}
+
+#[rstest]
+fn a_part_that_was_served_is_not_blamed_beside_one_that_was_not() {
+    let mut poison = poison();
+    serve(&mut poison, &[CALLER], at(0));
+    // Long after the part was served, it is in nothing but requests that crash servers.
+    for (number, server) in ["s1", "s2", "s3"].into_iter().enumerate() {
+        crash(&mut poison, number as u64, server, &[BAD, CALLER], at(20_000));
+    }
+    assert_eq!(poison.standing(part(BAD)), Standing::Poison);
+    assert_eq!(poison.standing(part(CALLER)), Standing::Clear);
+}
+
+#[rstest]
+fn what_one_host_served_clears_a_part_at_all_hosts() {
+    let mut poisons = ["a", "b", "c"].map(|host| Poison::new(host.into()));
+    for (number, server) in ["s1", "s2", "s3"].into_iter().enumerate() {
+        crash(&mut poisons[number], number as u64, server, &[BAD, CALLER], at(0));
+    }
+    serve(&mut poisons[2], &[CALLER], at(1));
+    for now in [at(100), at(200)] {
+        let sent: Vec<Crash> = poisons.iter().flat_map(|poison| poison.crashes(now)).collect();
+        poisons.iter_mut().for_each(|poison| poison.merge(&sent, now));
+    }
+    for poison in &poisons {
+        assert_eq!(poison.standing(part(BAD)), Standing::Poison);
+        assert_eq!(poison.standing(part(CALLER)), Standing::Clear);
+    }
+}
+
+#[rstest]
+fn a_part_is_remembered_by_hosts_that_only_received_its_crashes() {
+    let mut poison = poison();
+    for (number, server) in ["s1", "s2", "s3"].into_iter().enumerate() {
+        crash(&mut poison, number as u64, server, &[BAD], at(0));
+    }
+    let mut restarted = Poison::new("b".into());
+    restarted.merge(&poison.crashes(at(0)), at(0));
+    let mut third = Poison::new("c".into());
+    third.merge(&restarted.crashes(at(0)), at(0));
+    assert_eq!(third.standing(part(BAD)), Standing::Poison);
+    third.expire(SUSPICION);
+    assert_eq!(third.standing(part(BAD)), Standing::Clear);
+}
+
+/// Streams of many sound requests are cut off when their servers end by themselves at once.
+#[rstest]
+fn servers_that_end_by_themselves_put_no_blame_on_what_was_being_served() {
+    let servers = ["s1", "s2", "s3", "s4", "s5", "s6"];
+    let mut host = plain(&servers);
+    for ticket in 1..=20 {
+        serve_stream(&mut host, with_parts(ticket, &[FIRST, CALLER], at(0)), at(10 * ticket));
+    }
+    let mut cut = 0;
+    for ticket in 100..130 {
+        let spec = with_parts(ticket, &[FIRST, CALLER], at(700));
+        cut += usize::from(crash_server(&mut host, spec, at(700)).is_some());
+    }
+    assert!(6 <= cut, "{cut} streams were cut off");
+    for id in &servers[..5] {
+        host.gone(&(*id).into(), at(720));
+    }
+    host.pump(at(2_000));
+    let verdict = host.arrive(with_parts(200, &[FIRST, CALLER], at(2_000)), at(2_000));
+    assert!(!matches!(verdict, Verdict::Quarantined), "{verdict:?}");
+    assert_eq!(host.poison().standing(part(FIRST)), Standing::Clear);
+}
+
+#[rstest]
+fn a_request_with_a_part_that_crashed_three_servers_reaches_no_other() {
+    let mut host = plain(&["s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8"]);
+    let mut crashed = 0;
+    for ticket in 0..40 {
+        let now = at(1_000 + 100 * ticket);
+        host.pump(now);
+        serve_stream(&mut host, with_parts(1_000 + ticket, &[FIRST, CALLER], now), now);
+        let spec = with_parts(ticket, &[FIRST, BAD, CALLER], now + at(50));
+        if let Some(server) = crash_server(&mut host, spec, now + at(50)) {
+            crashed += 1;
+            host.gone(&server, now + at(61));
+        }
+    }
+    assert_eq!(crashed, 3, "number of servers that ended");
+    let spec = with_parts(100, &[FIRST, BAD, CALLER], at(9_000));
+    assert_eq!(host.arrive(spec, at(9_000)), Verdict::Quarantined);
+    let sound = serve_stream(&mut host, with_parts(101, &[FIRST, CALLER], at(9_000)), at(9_000));
+    assert!(matches!(sound, Verdict::Send(_)), "{sound:?}");
+}
+
+/// A stream without length or chunks that is closed looks complete, so it shows nothing of its
+/// parts.
+#[rstest]
+#[case::without_framing(End::Closed, Standing::Suspect)]
+#[case::with_framing(End::Completed, Standing::Clear)]
+fn only_a_framed_end_clears_a_part(#[case] end: End, #[case] expected: Standing) {
+    let mut host = plain(&["s1", "s2", "s3"]);
+    for (number, server) in ["x1", "x2"].into_iter().enumerate() {
+        crash(host.poison_mut(), 50 + number as u64, server, &[BAD], at(0));
+    }
+    let Verdict::Send(_) = host.arrive(with_parts(1, &[BAD], at(0)), at(1)) else {
+        panic!("the suspect isn't sent")
+    };
+    host.sent(1, Path::Direct, at(1));
+    host.response_started(1, at(10));
+    host.first_byte(1, at(11));
+    host.ended(1, end, at(12));
+    assert_eq!(host.poison().standing(part(BAD)), expected);
+}
+
+#[rstest]
+fn a_retry_of_a_request_whose_part_has_become_poison_is_not_sent() {
+    let mut host = plain(&["s1", "s2", "s3", "s4", "s5"]);
+    let spec = RequestSpec { resumable: true, ..with_parts(1, &[BAD], at(0)) };
+    let Verdict::Send(_) = host.arrive(spec, at(0)) else { panic!("the request isn't sent") };
+    for (number, server) in ["x1", "x2", "x3"].into_iter().enumerate() {
+        crash(host.poison_mut(), 50 + number as u64, server, &[BAD], at(1));
+    }
+    assert!(host.is_poison(1), "the request must not be sent any more");
+    let decision =
+        host.attempt_failed(1, End::Unreachable(policy::dispatch::Unreachable::Closed), at(2));
+    let RetryDecision::GiveUp(Answer::NotRun { cause, .. }) = decision else {
+        panic!("{decision:?}")
+    };
+    assert_eq!(cause, Cause::Poison);
+}
+
+#[rstest]
+fn requests_with_a_suspected_part_run_one_at_a_time_over_all_hosts() {
+    let mut hosts = [plain(&["s1", "s2", "s3", "s4"]), plain(&["s1", "s2", "s3", "s4"])];
+    for host in &mut hosts {
+        for (number, server) in ["x1", "x2"].into_iter().enumerate() {
+            crash(host.poison_mut(), 50 + number as u64, server, &[BAD], at(0));
+        }
+    }
+    let [one, other] = &mut hosts;
+    let first = one.arrive(with_parts(1, &[BAD], at(1)), at(1));
+    assert!(matches!(first, Verdict::Send(_)), "{first:?}");
+    one.sent(1, Path::Direct, at(1));
+    assert_eq!(one.arrive(with_parts(2, &[BAD], at(2)), at(2)), Verdict::Wait);
+    let mut running = one.poison().crashes(at(3));
+    running.iter_mut().for_each(|crash| crash.witness = "b".into());
+    assert!(running.iter().any(|crash| crash.isolation == Isolation::Isolated));
+    other.poison_mut().merge(&running, at(3));
+    assert_eq!(other.arrive(with_parts(3, &[BAD], at(4)), at(4)), Verdict::Wait);
+    // Others are not held back, and the first one shows that the part crashes no server.
+    assert_eq!(other.arrive(with_parts(4, &[CALLER], at(4)), at(4)), Verdict::Wait);
+    let sent = other.pump(at(5));
+    assert_eq!(sent.iter().map(|change| change.ticket).collect::<Vec<_>>(), [4]);
+    one.first_byte(1, at(10));
+    one.delivered(1, 3, at(500));
+    assert_eq!(one.poison().standing(part(BAD)), Standing::Clear);
+    let changes = one.pump(at(501));
+    assert!(changes.iter().any(|change| matches!(change.verdict, Verdict::Send(_))), "{changes:?}");
+}
+
+#[rstest]
+#[case::request(Subject::Request(7), "0000000000000007", "7")]
+#[case::part(Subject::Part(0xbad), "part-0000000000000bad", "\"part-0000000000000bad\"")]
+fn a_subject_is_read_as_it_is_written(
+    #[case] subject: Subject,
+    #[case] name: &str,
+    #[case] json: &str,
+) {
+    assert_eq!(subject.to_string(), name);
+    assert_eq!(name.parse(), Ok(subject));
+    assert_eq!(serde_json::to_string(&subject).expect("it is written"), json);
+    assert_eq!(serde_json::from_str::<Subject>(json).expect("it is read"), subject);
+    let bytes = postcard::to_allocvec(&subject).expect("it is written");
+    assert_eq!(postcard::from_bytes::<Subject>(&bytes).expect("it is read"), subject);
+}
--- a/crates/policy/tests/fleet_facts.rs
+++ b/crates/policy/tests/fleet_facts.rs
@@ -6,7 +6,7 @@
 
 use fleet_net::{Net, UNRELIABLE};
 use policy::{
-    dispatch::poison::{Crash, CrashState, Isolation},
+    dispatch::poison::{Crash, CrashState, Isolation, Subject},
     fleet::{Departure, Lease, Load, Publication, Reachability, Snapshot, StoreStatus},
 };
 use rand::{RngExt, SeedableRng};
@@ -37,7 +37,7 @@
 
 fn crash(request: u64, server: &str) -> Crash {
     Crash {
-        request,
+        subject: request.into(),
         server: server.into(),
         turn: 0,
         witness: "host-001".into(),
@@ -48,7 +48,11 @@
 }
 
 fn requests(snapshot: &Snapshot) -> Vec<u64> {
-    snapshot.crashes.iter().map(|crash| crash.request).collect()
+    let request = |crash: &Crash| match crash.subject {
+        Subject::Request(request) => request,
+        Subject::Part(part) => panic!("part {part:x} crashed a server"),
+    };
+    snapshot.crashes.iter().map(request).collect()
 }
 
 #[test]
@@ -270,8 +274,8 @@
     net.run_for(Duration::from_secs(8));
     let crashes = net.snapshot(2).crashes;
     assert_eq!(
-        (crashes.len(), crashes[0].request, crashes[0].isolation),
-        (1, 2, Isolation::Isolated)
+        (crashes.len(), crashes[0].subject, crashes[0].isolation),
+        (1, 2.into(), Isolation::Isolated)
     );
 }
 
--- a/crates/policy/tests/fleet_relays.rs
+++ b/crates/policy/tests/fleet_relays.rs
@@ -86,7 +86,7 @@
     net.cut = cut(&net, Cut::Relays);
     let witness = (0..hosts).find(|host| !net.cut.contains(host)).expect("a host responds");
     let crash = Crash {
-        request: 7,
+        subject: 7.into(),
         server: "s1".into(),
         witness: member(witness, 0).id,
         turn: 0,
--- a/crates/policy/tests/fleet_wide.rs
+++ b/crates/policy/tests/fleet_wide.rs
@@ -270,7 +270,7 @@
         net.run_for(Duration::from_millis(100));
     }
     let crash = |server: &str| Crash {
-        request: 7,
+        subject: 7.into(),
         server: server.into(),
         witness: "host-003".into(),
         turn: 0,
--- a/crates/policy/tests/fleet_wire.rs
+++ b/crates/policy/tests/fleet_wire.rs
@@ -21,7 +21,7 @@
 fn genuine() -> Vec<Vec<u8>> {
     let mut net = Net::settled(3, 1);
     let crash = |request| Crash {
-        request,
+        subject: u64::into(request),
         server: "s1".into(),
         turn: 0,
         witness: "host-001".into(),
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -51,6 +51,16 @@
     pub(crate) attempt: Attempt,
 }
 
+impl BodyEnd {
+    /// Returns how an attempt ended whose body was received up to its end.
+    pub(crate) fn attempt_end(self) -> AttemptEnd {
+        match self {
+            BodyEnd::Framed => AttemptEnd::Completed,
+            BodyEnd::Close => AttemptEnd::Closed,
+        }
+    }
+}
+
 impl OpenResponse {
     /// Ends the attempt after the body was received completely.
     pub(crate) fn finish(self) {
@@ -133,8 +143,13 @@
         None => paths::open(shared, server).await.map_err(|error| unreachable(&error))?,
     };
     call.trace.connected(ticket, attempt.started_at.elapsed(), connection.gateway());
-    // The server may have started to drain while the connection was established.
-    if !shared.dispatcher().is_ready(&server.id) {
+    // The server may have started to drain, and the request may have become poison, while the
+    // connection was established.
+    let may_send = {
+        let dispatcher = shared.dispatcher();
+        dispatcher.is_ready(&server.id) && !dispatcher.is_poison(ticket)
+    };
+    if !may_send {
         return Err(AttemptEnd::Unreachable(Unreachable::Closed));
     }
     let path = connection.path();
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -24,7 +24,7 @@
 };
 
 use crate::{
-    attempt::{AttemptEnd, BufferedRequest, OpenResponse, ResponseStart},
+    attempt::{AttemptEnd, BodyEnd, BufferedRequest, OpenResponse, ResponseStart},
     call::{Call, Resumer},
     deadline::Deadline,
     edge::{Problem, RequestInfo},
@@ -166,7 +166,7 @@
 
 /// A server's response, as far as it is received before it is delivered.
 enum Reply {
-    Complete(response::Parts, Bytes),
+    Complete(response::Parts, Bytes, BodyEnd),
     Stream(ResponseStart),
 }
 
@@ -216,8 +216,9 @@
     call.trace.response_started(Some(status));
     let body = shared.large_bodies.receive(&call.service, &mut response.body).await;
     let body = body.map_err(AttemptEnd::Unclear)?;
+    let end = response.end;
     response.finish();
-    let reply = Reply::Complete(head, body);
+    let reply = Reply::Complete(head, body, end);
     if status.is_server_error() {
         return Err(Failure { end: AttemptEnd::ServerError, answer: Some((status, reply)) });
     }
@@ -232,10 +233,10 @@
             let body = ResponseBody::Events(Box::new(events(shared, call, response)));
             Response::from_parts(head, body)
         }
-        Reply::Complete(mut head, body) => {
+        Reply::Complete(mut head, body, end) => {
             fields::strip(&mut head.headers);
             if !head.status.is_server_error() {
-                call.handle.end(AttemptEnd::Completed);
+                call.handle.end(end.attempt_end());
             }
             if call.request.method != Method::HEAD {
                 head.headers.remove(header::CONTENT_LENGTH);
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -1,10 +1,10 @@
-//! Storage of the requests that crash servers.
+//! Storage of the requests, and parts of prompts, that crash servers.
 //!
 //! Hosts send each other their records of crashes, so the records survive the loss of any host but
-//! not of all at once. Each refused request therefore also has an object in the store, named by the
-//! request's fingerprint, which hosts read when they start and at intervals. The object is written
-//! by a host that saw one of the crashes; the holder of the lease on orders writes it for hosts
-//! that ended before they could.
+//! not of all at once. Each refused subject therefore also has an object in the store, named by it,
+//! which hosts read when they start and at intervals. The object is written by a host that saw one
+//! of the crashes; the holder of the lease on orders writes it for hosts that ended before they
+//! could.
 
 use std::{
     collections::BTreeSet,
@@ -13,10 +13,7 @@
 };
 
 use observe::story::{Belief, ObservedCrash, PoisonState, Text};
-use policy::dispatch::{
-    Fingerprint,
-    poison::{Crash, CrashState, Isolation, Standing, StandingChange},
-};
+use policy::dispatch::poison::{Crash, CrashState, Isolation, Standing, StandingChange, Subject};
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 use types::time::Moment;
@@ -39,7 +36,7 @@
 /// writes it.
 const WITNESS_GRACE: Duration = Duration::from_secs(2);
 
-/// Content of a stored object: the crashes that one request caused.
+/// Content of a stored object: the crashes of one subject.
 #[derive(Debug, Deserialize, Serialize)]
 struct StoredCrashes {
     crashes: Vec<Crash>,
@@ -50,8 +47,8 @@
 /// This host's view of the stored objects.
 #[derive(Default)]
 struct StoreView {
-    /// Requests that have an object in the store.
-    stored: BTreeSet<Fingerprint>,
+    /// Subjects that have an object in the store.
+    stored: BTreeSet<Subject>,
     next_read: Moment,
     next_write: Moment,
 }
@@ -76,10 +73,10 @@
 async fn read(shared: &Shared, view: &mut StoreView) -> bool {
     let Some(page) = shared.store.list(ObjectKind::Quarantine).await else { return false };
     let parsed = |object: &Object| Some((parse_name(&object.name)?, parse(object)?));
-    let objects: Vec<(Fingerprint, Vec<Crash>)> = page.objects.iter().filter_map(parsed).collect();
+    let objects: Vec<(Subject, Vec<Crash>)> = page.objects.iter().filter_map(parsed).collect();
     // An object that can't be parsed is not recorded as stored, so that this host does not remove
     // it.
-    view.stored = objects.iter().map(|(request, _)| *request).collect();
+    view.stored = objects.iter().map(|(subject, _)| *subject).collect();
     let crashes: Vec<Crash> = objects.into_iter().flat_map(|(_, crashes)| crashes).collect();
     shared.dispatcher().poison_mut().merge(&crashes, shared.now());
     true
@@ -92,40 +89,40 @@
     let refused = shared.dispatcher().poison().refused(now);
     let is_holder = shared.term().fence(now).is_some();
     for (crashes, is_own) in &refused {
-        let Some(request) = crashes.first().map(|crash| crash.request) else { continue };
+        let Some(subject) = crashes.first().map(|crash| crash.subject) else { continue };
         let youngest = crashes.iter().map(|crash| crash.age).min().unwrap_or_default();
         let must_write = *is_own || (is_holder && WITNESS_GRACE <= youngest);
-        if must_write && !view.stored.contains(&request) {
-            if !create(shared, request, crashes).await {
+        if must_write && !view.stored.contains(&subject) {
+            if !create(shared, subject, crashes).await {
                 return false;
             }
-            view.stored.insert(request);
+            view.stored.insert(subject);
         }
     }
-    let is_refused = |request: &Fingerprint| {
-        refused.iter().flat_map(|(crashes, _)| crashes.first()).any(|c| c.request == *request)
+    let is_refused = |subject: &Subject| {
+        refused.iter().flat_map(|(crashes, _)| crashes.first()).any(|c| c.subject == *subject)
     };
-    let obsolete: Vec<Fingerprint> =
-        view.stored.iter().filter(|request| !is_refused(request)).copied().collect();
-    for request in obsolete.into_iter().filter(|_| is_holder) {
-        if !remove(shared, request).await {
+    let obsolete: Vec<Subject> =
+        view.stored.iter().filter(|subject| !is_refused(subject)).copied().collect();
+    for subject in obsolete.into_iter().filter(|_| is_holder) {
+        if !remove(shared, subject).await {
             return false;
         }
-        view.stored.remove(&request);
+        view.stored.remove(&subject);
     }
     true
 }
 
-async fn create(shared: &Shared, request: Fingerprint, crashes: &[Crash]) -> bool {
+async fn create(shared: &Shared, subject: Subject, crashes: &[Crash]) -> bool {
     let stored = StoredCrashes { crashes: crashes.to_vec(), written_ms: unix_ms() };
     let Ok(content) = serde_json::to_value(&stored) else { return true };
-    let name = name(request);
+    let name = subject.to_string();
     let call = StoreCall::Create { kind: ObjectKind::Quarantine, name: &name, content: &content };
     matches!(shared.store.call(&call).await, StoreReply::Object(_) | StoreReply::Conflict(_))
 }
 
-async fn remove(shared: &Shared, request: Fingerprint) -> bool {
-    let (kind, name) = (ObjectKind::Quarantine, name(request));
+async fn remove(shared: &Shared, subject: Subject) -> bool {
+    let (kind, name) = (ObjectKind::Quarantine, subject.to_string());
     match shared.store.call(&StoreCall::Get { kind, name: &name }).await {
         StoreReply::Object(object) => {
             let call = StoreCall::Delete { kind, name: &name, revision: object.revision };
@@ -149,15 +146,10 @@
     Some(stored.crashes.into_iter().map(aged).collect())
 }
 
-/// Returns the name of a request in the store and in the log.
-fn name(request: Fingerprint) -> String {
-    format!("{request:016x}")
-}
-
-/// Returns the request whose object has this name; `None` if no request's object has it.
-fn parse_name(name: &str) -> Option<Fingerprint> {
-    let is_name = name.len() == 16;
-    is_name.then(|| Fingerprint::from_str_radix(name, 16).ok()).flatten()
+/// Returns the subject whose object has this name; `None` if no subject's object has it.
+fn parse_name(name: &str) -> Option<Subject> {
+    let subject: Subject = name.parse().ok()?;
+    (subject.to_string() == name).then_some(subject)
 }
 
 fn unix_ms() -> u64 {
@@ -165,10 +157,11 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Logs changes in the standing of requests, with the crashes that caused them.
+/// Logs changes in the standing of requests and of parts of prompts, with the crashes that caused
+/// them.
 fn log_changes(shared: &Shared) {
     let changes = shared.dispatcher().poison_mut().take_changes(shared.now());
-    for StandingChange { request, standing, crashes } in changes {
+    for StandingChange { subject, standing, crashes } in changes {
         let state = match standing {
             Standing::Clear => PoisonState::Cleared,
             Standing::Suspect => PoisonState::Suspected,
@@ -176,7 +169,7 @@
         };
         let last = crashes.iter().min_by_key(|crash| crash.age);
         shared.logger.belief(Belief::Poison {
-            fingerprint: Text::Owned(name(request)),
+            fingerprint: Text::Owned(subject.to_string()),
             state,
             crashes: u32::try_from(crashes.len()).unwrap_or(u32::MAX),
             server: last.map(|crash| crash.server.clone()),
--- a/crates/relay/src/stream/events.rs
+++ b/crates/relay/src/stream/events.rs
@@ -148,8 +148,11 @@
                 Poll::Ready(self.receive(chunk))
             }
             Poll::Ready(Some(Err(error))) => Poll::Ready(Step::Failed(error.into())),
+            // A server that fails may also close the connection before its first event.
             Poll::Ready(None)
-                if response.end == BodyEnd::Close && self.splitter.has_partial_event() =>
+                if response.end == BodyEnd::Close
+                    && (self.splitter.has_partial_event()
+                        || self.first_event == FirstEvent::Pending) =>
             {
                 Poll::Ready(Step::Failed(StreamError::PartialEvent))
             }
@@ -200,8 +203,9 @@
     fn finish(&mut self) -> Step {
         self.withdraw_hedge();
         if let State::Streaming(response) = std::mem::replace(&mut self.state, State::Done) {
+            let end = response.end.attempt_end();
             response.finish();
-            self.call.handle.end(AttemptEnd::Completed);
+            self.call.handle.end(end);
             self.call.trace.completed(None);
         }
         Step::Pass(self.splitter.take_remainder())
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -379,7 +379,7 @@
 
 fn attempt_outcome(end: AttemptEnd) -> AttemptOutcome {
     match end {
-        AttemptEnd::Completed => AttemptOutcome::Whole,
+        AttemptEnd::Completed | AttemptEnd::Closed => AttemptOutcome::Whole,
         AttemptEnd::ServerError => AttemptOutcome::ServerError,
         AttemptEnd::NotRun(NotRun::Full) => AttemptOutcome::Full,
         AttemptEnd::NotRun(NotRun::NotHeld) => AttemptOutcome::NotHeld,
@@ -411,7 +411,7 @@
 
 fn ran(end: AttemptEnd) -> Ran {
     match end {
-        AttemptEnd::Completed | AttemptEnd::ServerError => Ran::Ran,
+        AttemptEnd::Completed | AttemptEnd::Closed | AttemptEnd::ServerError => Ran::Ran,
         AttemptEnd::NotRun(_) | AttemptEnd::Unreachable(_) => Ran::DidNotRun,
         AttemptEnd::Unclear(_) | AttemptEnd::Cancelled => Ran::MayHaveRun,
     }
--- a/crates/stage/tests/routed/poison_parts.rs
+++ b/crates/stage/tests/routed/poison_parts.rs
@@ -15,7 +15,7 @@
 };
 use tokio::{
     task::JoinSet,
-    time::{Instant, interval, timeout},
+    time::{Instant, interval, interval_at, timeout},
 };
 use types::backend;
 
@@ -167,7 +167,8 @@
     let mut replacements =
         Replacements { crashed: BTreeSet::new(), due: VecDeque::new(), newest: SERVERS };
     let (mut sound, mut poison) = (JoinSet::new(), JoinSet::new());
-    let (mut sound_due, mut poison_due) = (interval(SOUND_INTERVAL), interval(POISON_INTERVAL));
+    let mut sound_due = interval(SOUND_INTERVAL);
+    let mut poison_due = interval_at(start + CALM, POISON_INTERVAL);
     for number in 0_u64.. {
         if LENGTH <= start.elapsed() {
             break;
@@ -178,7 +179,7 @@
                 let spec = request(path, number, &[FIRST_PART, CALLER_PART]);
                 sound.spawn(async move { (at, is_served(&mut caller, &spec).await) });
             }
-            _ = poison_due.tick(), if CALM <= start.elapsed() => {
+            _ = poison_due.tick() => {
                 let spec = poison_request(path, number, position);
                 poison.spawn(async move { is_served(&mut caller, &spec).await });
             }
