--- a/crates/relay/src/stream/events.rs
+++ b/crates/relay/src/stream/events.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Interval, interval};
 
 use crate::{
-    attempt::{AttemptEnd, BodyEnd, OpenResponse, ResponseStart},
+    attempt::{BodyEnd, OpenResponse, ResponseStart},
     call::{Call, HedgeSignal, Resumer, Resuming},
     race::ACCEPTANCE_CHECK_INTERVAL,
     stream::{
