--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -1,6 +1,8 @@
 //! Tests of a routed deployment: real host processes with simulated callers, servers and store.
 
+mod back_off;
 mod declared;
+mod drain_notices;
 mod endless;
 mod faults;
 mod ingress;
--- a/crates/stage/tests/routed/poison_parts.rs
+++ b/crates/stage/tests/routed/poison_parts.rs
@@ -229,7 +229,8 @@
     let (observed, start) = observe(path, position).await;
     let calm = observed.served(start, start + CALM - Duration::from_secs(1));
     assert!(0.9 <= calm, "served before: {calm}");
-    let last = observed.crashes.iter().take(CRASHES_TO_DETECT).next_back().expect("servers crashed");
+    let last =
+        observed.crashes.iter().take(CRASHES_TO_DETECT).next_back().expect("servers crashed");
     let late = observed.sends.iter().filter(|at| *last + CONTACT < **at).count();
     let crashed = observed.crashes.len();
     assert!(
--- a/crates/standin/src/routed/server.rs
+++ b/crates/standin/src/routed/server.rs
@@ -394,10 +394,14 @@
         lock(&self.inventory)
     }
 
-    /// Adds the script's limits to the head of an answer, and records them.
+    /// Adds the script's limits, and whether the server is leaving, to the head of an answer, and
+    /// records the limits.
     fn add_limits(&self, headers: &mut http::HeaderMap) {
         let (limit, brittle) = {
             let script = lock(&self.script);
+            if script.is_leaving {
+                platform::remote::server::leaving(headers);
+            }
             (script.limit.clone(), script.brittle)
         };
         let mut rejections = lock(&self.rejections);
--- a/crates/standin/src/routed/server/script.rs
+++ b/crates/standin/src/routed/server/script.rs
@@ -37,6 +37,11 @@
     pub brittle: Option<u32>,
     /// Text of the rate limit that answers state, valid or not; `None` states no limit.
     pub limit: Option<Arc<str>>,
+    /// Whether answers state that the server is leaving.
+    pub is_leaving: bool,
+    /// Text of the back-off time that answers with status 503 state, valid or not; `None` states
+    /// none.
+    pub back_off: Option<Arc<str>>,
 }
 
 impl Default for Script {
@@ -54,6 +59,8 @@
             load_time: Duration::from_millis(50),
             brittle: None,
             limit: None,
+            is_leaving: false,
+            back_off: None,
         }
     }
 }
--- a/crates/standin/src/routed/server/serving.rs
+++ b/crates/standin/src/routed/server/serving.rs
@@ -139,6 +139,11 @@
     remote::not_run(response.headers_mut());
     remote::load(response.headers_mut(), shared.load());
     shared.add_limits(response.headers_mut());
+    if status == StatusCode::SERVICE_UNAVAILABLE
+        && let Some(back_off) = lock(&shared.script).back_off.clone()
+    {
+        remote::retry_after(response.headers_mut(), &back_off);
+    }
     if let Call::Request(incoming) = remote::call(head, &[])
         && let Some(id) = &incoming.id
     {
