Read from answers that a server is leaving

Callers saw: requests reached a server for seconds after it had said in its answers that it leaves. Cause: answers weren't read for it. Only the store's entry counted, which was confirmed 11.5 s later, as the store was away. Evidence: the users' record: no line of any host on the server before the store's word; arrivals go on at an even rate. Ruled out: requests under way (arrivals for 5 s). Change: a genuine answer that names this request and says that its server leaves takes the server's run out of service for good: no earlier or later entry takes that back, nor one that is written again after it was removed. The directory keeps such runs as draining, so the planner, lists for peers and the departures that this host advertises have them too; a notice goes to all hosts. A later run of the server serves again; before, one that peers had listed as draining did not. Not read: load reports and orders, whose answers say so too. All servers of a service that leave at once get nothing more, though they would serve for the drain time.

--- a/crates/policy/src/fleet/notice.rs
+++ b/crates/policy/src/fleet/notice.rs
@@ -85,7 +85,8 @@
         server: backend::Id,
         /// Whether the server's entry says that it is leaving, or was removed.
         departure: Departure,
-        /// The store's revision of that change; an entry written at a later revision prevails.
+        /// The store's revision of that change; an entry written at a later revision prevails. The
+        /// highest revision if the server said so itself, which is final.
         revision: Revision,
     },
     /// A declaration is in force at the sender.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -17,7 +17,7 @@
 use crate::{
     call::Call,
     connect::Connection,
-    edge::{Answer, Execution, ForwardOptions, RequestInfo, Seal},
+    edge::{Answer, Departure, Execution, ForwardOptions, RequestInfo, Seal},
     fields,
     host::Shared,
     paths,
@@ -184,6 +184,10 @@
     if is_genuine(&validated) {
         shared.dispatcher().response_started(ticket, shared.now());
         shared.observe_tolerance(&server.id, answer.tolerance);
+        // A rejection may name no request, and then anything may have sent it.
+        if answer.departure == Departure::Leaving && answer.id.is_some() {
+            shared.server_leaves(&server.id);
+        }
     }
     validated?;
     let end = body_end(&head.headers, &body);
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -25,9 +25,15 @@
     entries: HashMap<backend::Id, Entry>,
     /// The current run of each server name.
     runs: HashMap<Arc<str>, backend::Id>,
+    /// Runs that leave for good, whatever the store says. A run stays here after its entry is removed,
+    /// as the entry may be written again.
+    left: HashSet<backend::Id>,
     revision: Revision,
 }
 
+/// Most runs that are remembered as leaving for good.
+const MAX_LEFT: usize = 4096;
+
 /// A server in use.
 #[derive(Debug)]
 struct Entry {
@@ -104,6 +110,10 @@
         if is_older || self.is_superseded(&server) {
             return None;
         }
+        let mut server = server;
+        if self.left.contains(&server.id) {
+            server.state = State::Draining;
+        }
         let server = Arc::new(server);
         let known = self.runs.get(&server.name).and_then(|run| self.entries.get(run));
         let left_at = known.and_then(|known| known.left_at);
@@ -137,6 +147,19 @@
         }
     }
 
+    /// Records that a server's run leaves for good: neither an earlier nor a later entry takes that
+    /// back. Returns the server if that is new; `None` if it was leaving or isn't known.
+    pub fn mark_left(&mut self, id: &backend::Id) -> Option<Arc<Server>> {
+        if MAX_LEFT <= self.left.len() {
+            self.left.retain(|id| self.entries.contains_key(id));
+        }
+        let is_new = self.left.insert(id.clone());
+        let entry = self.entries.get_mut(id)?;
+        let was_draining = entry.server.state == State::Draining;
+        Arc::make_mut(&mut entry.server).state = State::Draining;
+        (is_new && !was_draining).then(|| entry.server.clone())
+    }
+
     /// Returns whether a server accepts no new requests: its entry says that it is draining, or a
     /// peer has reported that it is leaving and the entry was not rewritten since.
     pub fn is_leaving(&self, id: &backend::Id) -> bool {
--- a/crates/relay/src/edge.rs
+++ b/crates/relay/src/edge.rs
@@ -104,6 +104,8 @@
     /// Number of requests that the server may reject for want of room in a second without falling
     /// over, over all hosts.
     pub tolerance: Stated<u32>,
+    /// Whether the server states that it is leaving.
+    pub departure: Departure,
 }
 
 /// A limit that a server states in a response.
@@ -126,6 +128,15 @@
     Missing,
 }
 
+/// What a server states about its departure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Departure {
+    /// The server is leaving and wants no new requests. This is final for the server's run.
+    Leaving,
+    /// Nothing is stated.
+    Unstated,
+}
+
 /// What a server states about the execution of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Execution {
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -269,7 +269,8 @@
         self.directory().suspected_for(id, self.now())
     }
 
-    /// Applies a peer's notice that a server is leaving, which the peer has from the store.
+    /// Applies a peer's notice that a server is leaving, which the peer has from the store, or from the
+    /// server itself if the revision is the highest one.
     ///
     /// If a server's entry expires during an outage of the store, a peer that did not notice the
     /// outage reports that the server leaves. A host that did notice the outage treats the notice
@@ -292,6 +293,12 @@
                 self.dispatcher().unregistered(id, self.now());
                 self.stop_sending(id, revision, from);
             }
+            Departure::Leaving if revision == Revision::MAX => {
+                if let Some(server) = self.leave_for_good(id) {
+                    let why = "a peer says that it leaves";
+                    self.report_standing(&server, ServerStanding::Leaving, from, why);
+                }
+            }
             Departure::Leaving => self.stop_sending(id, revision, from),
         }
     }
@@ -312,14 +319,32 @@
         self.dispatcher().draining(id);
     }
 
-    /// Sends no new requests to servers whose entries, as known to a peer, state that they drain,
-    /// which is final.
+    /// Sends no new requests to servers that leave for good, as peers state.
     pub(crate) fn drain<'a>(&self, ids: impl Iterator<Item = &'a backend::Id>) {
-        let (mut directory, mut dispatcher) = (self.directory(), self.dispatcher());
-        for id in ids {
-            directory.mark_leaving(id, Revision::MAX);
-            dispatcher.draining(id);
+        ids.for_each(|id| {
+            self.leave_for_good(id);
+        });
+    }
+
+    /// Sends no new requests to a server whose answer states that it leaves, and notifies the peers.
+    pub(crate) fn server_leaves(&self, id: &backend::Id) {
+        let Some(server) = self.leave_for_good(id) else { return };
+        let why = "its answers say that it leaves";
+        self.report_standing(&server, ServerStanding::Leaving, &Source::Itself, why);
+        let (server, departure) = (server.id.clone(), Departure::Leaving);
+        self.notify(Notice::ServerLeaving { server, departure, revision: Revision::MAX });
+    }
+
+    /// Sends no new requests to a server's run, whatever the store says of it. Returns the server if
+    /// it was not leaving before.
+    fn leave_for_good(&self, id: &backend::Id) -> Option<Arc<Server>> {
+        let server = self.directory().mark_left(id)?;
+        self.dispatcher().draining(id);
+        if self.runs_models(&server.service) {
+            self.planner().register_server(&server, self.now());
+            self.plan_wakeup.notify_one();
         }
+        Some(server)
     }
 
     fn report_standing(
--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, request::Parts};
 use relay::edge::{
-    Answer, Dialect, Execution, ForwardOptions, Malformed, Object, ObjectKind, Order, OrderReply,
-    OrderStatus, Problem, RequestInfo, Seal, Stated, StoreCall, StoreReply,
+    Answer, Departure, Dialect, Execution, ForwardOptions, Malformed, Object, ObjectKind, Order,
+    OrderReply, OrderStatus, Problem, RequestInfo, Seal, Stated, StoreCall, StoreReply,
 };
 use types::routed::{Declaration, Report, Server};
 
@@ -88,6 +88,7 @@
                 .map(Duration::from_secs),
             limit: Stated::Absent,
             tolerance: Stated::Absent,
+            departure: Departure::Unstated,
         }
     }
 
--- a/crates/relay/tests/directory.rs
+++ b/crates/relay/tests/directory.rs
@@ -223,3 +223,24 @@
     directory.put(run, written).expect("a later run replaces the known one");
     assert_eq!(directory.is_leaving(&"s1@2".into()), is_leaving);
 }
+
+/// A heartbeat that was written before the server left may be acknowledged, and read, after that.
+#[rstest]
+fn a_run_that_left_by_its_own_word_is_not_taken_back_by_its_entry() {
+    let mut directory = Directory::default();
+    directory.put(server(&[]), 5);
+    assert!(directory.mark_left(&"s1".into()).is_some());
+    assert!(directory.mark_left(&"s1".into()).is_none(), "it is known");
+    directory.put(server(&[]), 9);
+    assert!(directory.is_leaving(&"s1".into()));
+    directory.remove(&"s1".into());
+    directory.put(server(&[]), 11);
+    assert!(directory.is_leaving(&"s1".into()), "its entry is written again");
+    assert_eq!(
+        directory.servers().map(|server| server.state).collect::<Vec<_>>(),
+        [State::Draining]
+    );
+    let run = Server { id: "s1@2".into(), started_at: 2, ..server(&[]) };
+    directory.put(run, 12).expect("a later run replaces the known one");
+    assert!(!directory.is_leaving(&"s1@2".into()), "a later run serves");
+}
