Leave servers alone for the time that their rejections ask for

Callers saw: servers that had asked a host for 3 s without requests got up to ten more from it in that time, and rejected them; requests were rejected that other servers could have taken, or that could have been rejected at once. Cause: the time in a rejection wasn't read. Such a server was passed over for 60 ms, and then looked the emptiest. Change: a rejection that names this request and states a time closes the server to this host until then: 60 s at the most, the later end of two counts, and a request looks again before its first byte. Orders and queries for loads wait too. Afterwards one request goes, and one more each 250 ms, until one is accepted. A request that no server wants in time is rejected at once. Such a rejection is no failure for the breaker.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -12,6 +12,7 @@
 //! are in `docs/design/dispatch.md`.
 
 mod arrive;
+mod back_off;
 mod brittle;
 mod choose;
 mod events;
@@ -385,12 +386,30 @@
         }
     }
 
-    /// Whether a request at a server has become poison since it was assigned there, so that it must
-    /// not be sent.
-    pub fn is_poison(&self, ticket: Ticket) -> bool {
-        self.tasks
-            .get(&ticket)
-            .is_some_and(|task| self.standing(&task.spec) == poison::Standing::Poison)
+    /// Whether a request may still be sent to the server that it was assigned to: the server takes
+    /// requests, and the request has not become poison since.
+    pub fn may_send(&self, ticket: Ticket, now: Moment) -> bool {
+        let Some(task) = self.tasks.get(&ticket) else { return false };
+        let State::InFlight(attempt) = &task.state else { return false };
+        let server = self.registry.get(attempt.server).filter(|server| server.id == attempt.id);
+        let is_open = server.is_some_and(|server| {
+            server.state == routed::State::Ready && !server.back_off.is_active(now)
+        });
+        is_open && self.standing(&task.spec) != poison::Standing::Poison
+    }
+
+    /// Records that a server wants no requests from this host for a time.
+    pub fn back_off(&mut self, id: &backend::Id, time: Duration, now: Moment) {
+        let Some(index) = self.registry.index(id) else { return };
+        if let Some(server) = self.registry.get_mut(index) {
+            server.back_off.extend(time, now);
+        }
+    }
+
+    /// Whether a server wants nothing from this host now.
+    pub fn backs_off(&self, id: &backend::Id, now: Moment) -> bool {
+        let server = self.registry.index(id).and_then(|index| self.registry.get(index));
+        server.is_some_and(|server| server.back_off.is_active(now))
     }
 
     /// Requests and parts of prompts that crash servers.
--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -9,7 +9,7 @@
     poison,
     queue::{Class, Key},
     request::{Answer, Cause, End, RequestSpec, RetryDecision, Ticket, Verdict},
-    stats::duration,
+    stats::{duration, millis},
     task::{Attempt, Hedge, Phase, State, Task},
 };
 
@@ -116,14 +116,29 @@
         }
         match outcome {
             Outcome::Send(choice) => RetryDecision::Send(self.send(task, choice, now)),
-            Outcome::Full => {
-                self.requeue(task, Duration::ZERO, now);
-                RetryDecision::Wait
-            }
+            Outcome::Full => match self.retry_after_back_off(&task, now) {
+                Some(after) => {
+                    self.refund(&mut task);
+                    RetryDecision::GiveUp(Answer::NotRun { cause: Cause::Full, after })
+                }
+                None => {
+                    self.requeue(task, Duration::ZERO, now);
+                    RetryDecision::Wait
+                }
+            },
             Outcome::NoServer => self.wait_for_another(task, now),
         }
     }
 
+    /// Returns the delay after which the caller should retry a request that did not run, if no server
+    /// wants requests before it is too late.
+    fn retry_after_back_off(&self, task: &Task, now: Moment) -> Option<Duration> {
+        if task.runs > 0 || self.closed_for(task, now).is_none() {
+            return None;
+        }
+        self.retry_after_if_futile(task, &self.estimate_wait(task, now), now)
+    }
+
     /// Returns the payment for an arrival that will not take place.
     pub(super) fn refund(&mut self, task: &mut Task) {
         if let Some(payment) = task.payment.take() {
@@ -229,6 +244,7 @@
         }
         server.load.sent(ticket, choice.prefill, memory, now);
         server.breaker.sent(ticket, now);
+        server.back_off.sent();
         let id = server.id.clone();
         for suspect in suspects {
             self.poison.start_trial(ticket, suspect, &id);
@@ -332,7 +348,16 @@
         let slots = if limited.is_some() { slots } else { f64::max(slots, 1.0) };
         let starts = (slots / stats.hold() * part + limited.unwrap_or(0.0)).max(MIN_STARTS_PER_MS);
         let ahead = f64::from(self.ahead(task)) + 1.0;
-        Estimate { wait: ahead / starts, serve: self.serve(task) }
+        let closed = self.closed_for(task, now).map_or(0.0, millis);
+        Estimate { wait: closed + ahead / starts, serve: self.serve(task) }
+    }
+
+    /// Time until a server that could run the request wants requests again; `None` if one does now.
+    fn closed_for(&self, task: &Task, now: Moment) -> Option<Duration> {
+        let servers = self.list(task).sample(task.seed()).filter_map(|at| self.registry.get(at));
+        let capable = servers.filter(|server| self.is_capable(task, server));
+        let left = capable.map(|server| server.back_off.left(now));
+        left.min().filter(|left| !left.is_zero())
     }
 
     /// Time from a request's start to its first byte, in milliseconds.
--- a/crates/policy/src/dispatch/choose.rs
+++ b/crates/policy/src/dispatch/choose.rs
@@ -226,7 +226,8 @@
         let has_memory = memory.is_none_or(|used| used < MEMORY_HARD) || in_flight < 1.0;
         let free = slots + overfill - in_flight;
         let wins_draw = || server.is_limited || self.wins_draw(task, index, free);
-        let is_free = !server.load.is_full(now) && 1.0 <= free && has_memory;
+        let is_free =
+            !server.load.is_full(now) && server.back_off.has_room(now) && 1.0 <= free && has_memory;
         is_free
             && self.has_permit(server, now)
             && self.has_tolerated_place(server, in_flight, now)
--- a/crates/policy/src/dispatch/events.rs
+++ b/crates/policy/src/dispatch/events.rs
@@ -209,7 +209,8 @@
                 server.mark_answered(now);
                 server.load.mark_full(now + FULL_PAUSE);
                 server.rejected_at = Some(now);
-                if in_flight < f64::from(server.slots) * EARLY_REFUSAL_FILL && !server.is_limited {
+                let is_early = in_flight < f64::from(server.slots) * EARLY_REFUSAL_FILL;
+                if is_early && !server.is_limited && !server.back_off.is_active(now) {
                     server.pace.record_failure(&median, now);
                 }
             }
@@ -256,6 +257,7 @@
         let median = self.registry.services[task.service as usize].median;
         let Some(server) = self.registry.get_same(attempt.server, &attempt.id) else { return };
         server.mark_answered(now);
+        server.back_off.accepted(attempt.sent_at);
         server.load.prefilled(task.spec.ticket);
         if attempt.is_cold {
             return;
--- a/crates/policy/src/dispatch/server.rs
+++ b/crates/policy/src/dispatch/server.rs
@@ -4,7 +4,10 @@
 
 use types::{prelude::*, routed};
 
-use super::{breaker::Breaker, list::Locality, load::Load, loaded::LoadedModels, pace::Pace};
+use super::{
+    back_off::BackOff, breaker::Breaker, list::Locality, load::Load, loaded::LoadedModels,
+    pace::Pace,
+};
 use crate::{
     paths::Path,
     route::Index,
@@ -42,6 +45,8 @@
     pub is_limited: bool,
     /// Circuit breaker of this host for the server.
     pub breaker: Breaker,
+    /// Time for which the server wants no requests from this host.
+    pub back_off: BackOff,
     /// Number of hosts that come before this one in using the server beyond an equal part; `None` if
     /// unknown.
     pub rank: Option<u32>,
@@ -78,6 +83,7 @@
             pace: Pace::default(),
             is_limited: false,
             breaker: Breaker::default(),
+            back_off: BackOff::default(),
             rank: None,
             registered_at: now,
             rejected_at: None,
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatcher of routed requests.
 
+mod back_off;
 mod breaker;
 mod brittle;
 mod budget;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -143,13 +143,9 @@
         None => paths::open(shared, server).await.map_err(|error| unreachable(&error))?,
     };
     call.trace.connected(ticket, attempt.started_at.elapsed(), connection.gateway());
-    // The server may have started to drain, and the request may have become poison, while the
-    // connection was established.
-    let may_send = {
-        let dispatcher = shared.dispatcher();
-        dispatcher.is_ready(&server.id) && !dispatcher.is_poison(ticket)
-    };
-    if !may_send {
+    // The server may have started to drain or to back off, and the request may have become poison,
+    // while the connection was established.
+    if !shared.dispatcher().may_send(ticket, shared.now()) {
         return Err(AttemptEnd::Unreachable(Unreachable::Closed));
     }
     let path = connection.path();
@@ -181,11 +177,15 @@
     if validated != Err(AttemptEnd::NotRun(NotRun::Instance)) {
         shared.observe_limit(&server.id, answer.limit, sent_at);
     }
+    // A rejection counts without a seal, and whether or not it states that the request did not run.
+    if let Some(back_off) = answer.back_off.filter(|_| names_request(&buffered.info, &answer)) {
+        shared.dispatcher().back_off(&server.id, back_off, shared.now());
+    }
     if is_genuine(&validated) {
         shared.dispatcher().response_started(ticket, shared.now());
         shared.observe_tolerance(&server.id, answer.tolerance);
         // A rejection may name no request, and then anything may have sent it.
-        if answer.departure == Departure::Leaving && answer.id.is_some() {
+        if answer.departure == Departure::Leaving && names_request(&buffered.info, &answer) {
             shared.server_leaves(&server.id);
         }
     }
@@ -267,6 +267,11 @@
     Ok(())
 }
 
+/// Returns whether a response states that it answers this request.
+fn names_request(info: &RequestInfo, answer: &Answer) -> bool {
+    answer.id.as_ref() == Some(&info.id)
+}
+
 /// Returns whether the server itself made the response to this request, by the result of
 /// [`validate`].
 fn is_genuine(validated: &Result<(), AttemptEnd>) -> bool {
--- a/crates/relay/src/edge.rs
+++ b/crates/relay/src/edge.rs
@@ -106,6 +106,8 @@
     pub tolerance: Stated<u32>,
     /// Whether the server states that it is leaving.
     pub departure: Departure,
+    /// Time for which the server wants no requests from this host, in a rejection that states one.
+    pub back_off: Option<Duration>,
 }
 
 /// A limit that a server states in a response.
--- a/crates/relay/src/planning.rs
+++ b/crates/relay/src/planning.rs
@@ -69,6 +69,9 @@
     drop(planner);
     for id in unsettled {
         let Some(server) = shared.server(&id) else { continue };
+        if shared.dispatcher().backs_off(&id, now) {
+            continue;
+        }
         let is_limited = shared.dispatcher().quotas().limit(&id).is_some();
         let pause = if is_limited { LIMITED_REPORT_INTERVAL } else { REPORT_INTERVAL };
         if shared.runs_models(&server.service) && shared.report_is_due(&id, now, pause) {
@@ -99,6 +102,10 @@
 }
 
 async fn send(shared: &Arc<Shared>, server: &Arc<Server>, order: &place::Order) -> Outcome {
+    if shared.dispatcher().backs_off(&server.id, shared.now()) {
+        unplaced::report_unsent(shared, order, "back-off");
+        return Outcome::Busy;
+    }
     if !shared.dispatcher().take_permit(&server.id, shared.now()) {
         unplaced::report_unsent(shared, order, "limit");
         return Outcome::Busy;
--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -89,6 +89,7 @@
             limit: Stated::Absent,
             tolerance: Stated::Absent,
             departure: Departure::Unstated,
+            back_off: None,
         }
     }
 
