Test streams without a length or chunks

Cause: a new line of the users: an answer, a stream too, may end with its connection. Stand-ins had it for plain answers only. Ruled out: nothing was looked for; the tests of broken and resumed streams run with both framings now. Change: stand-in model servers can leave out framing. Tests: whole streams, streams cut inside an event, closed before the first, silent, resumed, and a prompt part that crashes servers whose streams have no framing. A stream that is closed between two later events can't be told from a whole one; the users' rules say the same.

--- a/crates/stage/tests/routed/poison_parts.rs
+++ b/crates/stage/tests/routed/poison_parts.rs
@@ -84,10 +84,10 @@
     request(path, number, &shared)
 }
 
-async fn site() -> Site {
+async fn site(configure: fn(&mut Script)) -> Site {
     let mut backend = site::backend().await;
     for number in 3..=SERVERS {
-        start_server(&mut backend, number).await;
+        start_server(&mut backend, number, configure).await;
     }
     backend.script(configure);
     backend.declare(&declaration());
@@ -103,7 +103,12 @@
     script.event_interval = Duration::from_millis(20);
 }
 
-async fn start_server(backend: &mut Backend, number: usize) {
+fn configure_unframed(script: &mut Script) {
+    configure(script);
+    script.is_unframed = true;
+}
+
+async fn start_server(backend: &mut Backend, number: usize, configure: fn(&mut Script)) {
     let settings = Settings::model(&format!("lm-{number}"), "lm", &engine(), &["welcome"]);
     backend.add_with_script(settings, configure).await.expect("the server starts");
 }
@@ -139,6 +144,7 @@
     due: VecDeque<Instant>,
     /// Number in the id of the newest server.
     newest: usize,
+    configure: fn(&mut Script),
 }
 
 impl Replacements {
@@ -155,18 +161,22 @@
         while self.due.front().is_some_and(|due| *due <= Instant::now()) {
             self.due.pop_front();
             self.newest += 1;
-            start_server(backend, self.newest).await;
+            start_server(backend, self.newest, self.configure).await;
         }
     }
 }
 
 /// Sends sound requests, and from [`CALM`] on requests with the part that crashes servers, through
 /// all hosts in turn. Returns what was seen, and when the first request was sent.
-async fn observe(path: &'static str, position: Position) -> (Observed, Instant) {
-    let mut site = site().await;
+async fn observe(
+    path: &'static str,
+    position: Position,
+    configure: fn(&mut Script),
+) -> (Observed, Instant) {
+    let mut site = site(configure).await;
     let start = Instant::now();
     let mut replacements =
-        Replacements { crashed: BTreeSet::new(), due: VecDeque::new(), newest: SERVERS };
+        Replacements { crashed: BTreeSet::new(), due: VecDeque::new(), newest: SERVERS, configure };
     let (mut sound, mut poison) = (JoinSet::new(), JoinSet::new());
     let mut sound_due = interval(SOUND_INTERVAL);
     let mut poison_due = interval_at(start + CALM, POISON_INTERVAL);
@@ -217,16 +227,18 @@
 }
 
 #[rstest]
-#[case::of_streams("/chat/", Position::Middle)]
-#[case::of_streams_that_resume("/draft/", Position::Middle)]
-#[case::at_the_start("/chat/", Position::First)]
-#[case::just_before_the_last("/chat/", Position::LastButOne)]
+#[case::of_streams("/chat/", Position::Middle, configure)]
+#[case::of_streams_that_resume("/draft/", Position::Middle, configure)]
+#[case::at_the_start("/chat/", Position::First, configure)]
+#[case::just_before_the_last("/chat/", Position::LastButOne, configure)]
+#[case::of_streams_without_framing("/draft/", Position::Middle, configure_unframed)]
 #[tokio::test]
 async fn a_prompt_part_that_crashes_servers_is_stopped_and_others_are_served(
     #[case] path: &'static str,
     #[case] position: Position,
+    #[case] configure: fn(&mut Script),
 ) {
-    let (observed, start) = observe(path, position).await;
+    let (observed, start) = observe(path, position, configure).await;
     let calm = observed.served(start, start + CALM - Duration::from_secs(1));
     assert!(0.9 <= calm, "served before: {calm}");
     let last =
--- a/crates/stage/tests/routed/streams.rs
+++ b/crates/stage/tests/routed/streams.rs
@@ -23,6 +23,21 @@
     runs
 }
 
+/// Whether streams end with their connections, without a length or chunks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamEnd {
+    Chunks,
+    Close,
+}
+
+async fn site_with(end: StreamEnd) -> Site {
+    let site = site(1).await;
+    for server in model_servers(&site) {
+        server.script(|script| script.is_unframed = end == StreamEnd::Close);
+    }
+    site
+}
+
 /// Makes the first stream at server `lm-1` fail, and sends requests until that server gets one.
 /// Returns the answer to that request.
 async fn ask_until_fault(site: &Site, fault: Fault, request: &RequestSpec) -> Answer {
@@ -38,12 +53,16 @@
 }
 
 #[rstest]
-#[case::before_the_first_event(0)]
-#[case::in_the_middle(2)]
+#[case::before_the_first_event(Fault::Broken { events: 0 }, 0)]
+#[case::in_the_middle(Fault::Broken { events: 2 }, 2)]
 #[tokio::test]
-async fn a_broken_stream_that_may_not_run_again_looks_broken(#[case] events: u64) {
-    let site = site(1).await;
-    let answer = ask_until_fault(&site, Fault::Broken { events }, &chat()).await;
+async fn a_broken_stream_that_may_not_run_again_looks_broken(
+    #[case] fault: Fault,
+    #[case] events: u64,
+    #[values(StreamEnd::Chunks, StreamEnd::Close)] end: StreamEnd,
+) {
+    let site = site_with(end).await;
+    let answer = ask_until_fault(&site, fault, &chat()).await;
     assert!(!answer.is_complete || !answer.status.is_success(), "a broken stream looks complete");
     assert_eq!(answer.events(), (1..=events).collect::<Vec<_>>());
     let text = String::from_utf8(answer.body.to_vec()).unwrap();
@@ -59,8 +78,12 @@
 #[case::broken_later(Fault::Broken { events: 3 }, Some(3))]
 #[case::silent_later(Fault::Stalled { events: 3 }, Some(3))]
 #[tokio::test]
-async fn a_resumable_stream_goes_on_elsewhere(#[case] fault: Fault, #[case] after: Option<u64>) {
-    let site = site(1).await;
+async fn a_resumable_stream_goes_on_elsewhere(
+    #[case] fault: Fault,
+    #[case] after: Option<u64>,
+    #[values(StreamEnd::Chunks, StreamEnd::Close)] end: StreamEnd,
+) {
+    let site = site_with(end).await;
     let answer = ask_until_fault(&site, fault, &draft()).await;
     assert_eq!((answer.status, answer.is_complete), (StatusCode::OK, true));
     assert_eq!(answer.events(), vec![1, 2, 3, 4, 5]);
@@ -79,6 +102,38 @@
     assert_eq!((second.ending, site.backend.runs_of(&id)), (Some(Ending::Answered), 2));
 }
 
+/// A server that fails may also close the connection right after the head.
+#[tokio::test]
+async fn a_stream_that_is_closed_before_its_first_event_is_no_complete_answer() {
+    let site = site_with(StreamEnd::Close).await;
+    let answer = ask_until_fault(&site, Fault::Short { events: 0 }, &chat()).await;
+    assert!(!answer.is_complete || !answer.status.is_success(), "an empty stream looks complete");
+    let site = site_with(StreamEnd::Close).await;
+    let answer = ask_until_fault(&site, Fault::Short { events: 0 }, &draft()).await;
+    assert_eq!((answer.status, answer.is_complete), (StatusCode::OK, true));
+    assert_eq!(answer.events(), vec![1, 2, 3, 4, 5]);
+}
+
+/// Each answer ends its connection, so that more connections are opened than there are servers.
+#[rstest]
+#[case::that_may_not_run_again(chat())]
+#[case::that_resume(draft())]
+#[tokio::test]
+async fn streams_that_end_with_their_connections_are_served_whole(#[case] request: RequestSpec) {
+    const STREAMS: u64 = 40;
+    let site = site_with(StreamEnd::Close).await;
+    let mut caller = site.hosts[0].caller();
+    for _ in 0..STREAMS {
+        let answer = caller.fetch(&request.with_new_id()).await.unwrap();
+        assert_eq!((answer.status, answer.is_complete), (StatusCode::OK, true));
+        assert_eq!(answer.events(), vec![1, 2, 3, 4, 5]);
+    }
+    assert_eq!(caller.connections(), 1, "the caller's connection was closed");
+    assert_eq!(runs(&site).len() as u64, STREAMS);
+    let connections: u64 = model_servers(&site).map(|server| server.connections()).sum();
+    assert!(STREAMS <= connections, "{connections} connections for {STREAMS} streams");
+}
+
 #[tokio::test]
 async fn a_caller_that_leaves_a_stream_ends_it_at_the_server() {
     let site = site(1).await;
--- a/crates/standin/src/routed/server/script.rs
+++ b/crates/standin/src/routed/server/script.rs
@@ -16,6 +16,8 @@
     pub events: u64,
     /// Time between the events of a stream.
     pub event_interval: Duration,
+    /// Whether streams have neither a length nor chunks, and end with their connections.
+    pub is_unframed: bool,
     /// Faults of the next requests, one per request.
     pub faults: VecDeque<Fault>,
     /// The fault of every request after `faults` is used up; `None` serves them without a
@@ -50,6 +52,7 @@
             work_time: Duration::from_millis(2),
             events: 5,
             event_interval: Duration::from_millis(5),
+            is_unframed: false,
             faults: VecDeque::new(),
             default_fault: None,
             order_faults: VecDeque::new(),
@@ -124,7 +127,7 @@
         /// Events sent before the stream stops.
         events: u64,
     },
-    /// The stream ends early, framed as if it were complete.
+    /// The stream ends early between two events, framed as if it were complete.
     Short {
         /// Events sent before the stream ends.
         events: u64,
--- a/crates/standin/src/routed/server/work.rs
+++ b/crates/standin/src/routed/server/work.rs
@@ -189,8 +189,9 @@
             }
             _ => {}
         }
+        let framing = if self.is_unframed() { Framing::End } else { Framing::Chunks };
         self.connection.write_raw(&self.stream_head()).await?;
-        self.events().await
+        self.events(framing).await
     }
 
     /// The bytes of the head of a stream.
@@ -198,10 +199,25 @@
         let mut head = self.head();
         remote::event_stream(head.headers_mut());
         remote::version(head.headers_mut(), 1);
-        wire::encode_head(&head, Framing::Chunks)
+        wire::encode_head(&head, if self.is_unframed() { Framing::End } else { Framing::Chunks })
     }
 
-    async fn events(&mut self) -> io::Result<(Ending, After)> {
+    /// Whether streams end with their connections.
+    fn is_unframed(&self) -> bool {
+        lock(&self.shared.script).is_unframed
+    }
+
+    /// Writes a part of a stream.
+    async fn write_part(&mut self, part: &[u8], framing: Framing) -> io::Result<()> {
+        match framing {
+            Framing::Chunks => self.connection.write_chunk(part).await,
+            Framing::Length(_) | Framing::End | Framing::Given => {
+                self.connection.write_raw(part).await
+            }
+        }
+    }
+
+    async fn events(&mut self, framing: Framing) -> io::Result<(Ending, After)> {
         let (events, interval) = {
             let script = lock(&self.shared.script);
             (script.events, script.event_interval)
@@ -218,7 +234,7 @@
             let sent = number - 1 - resume;
             match self.fault {
                 Some(Fault::Broken { events }) if events == sent => {
-                    self.connection.write_chunk(&event[..event.len() / 2]).await?;
+                    self.write_part(&event[..event.len() / 2], framing).await?;
                     return Ok((Ending::Corrupted, After::Close));
                 }
                 Some(Fault::Stalled { events }) if events == sent => {
@@ -226,13 +242,16 @@
                     return Ok((Ending::CallerClosed, After::Close));
                 }
                 Some(Fault::Short { events }) if events == sent => break,
-                _ => self.connection.write_chunk(&event).await?,
+                _ => self.write_part(&event, framing).await?,
             }
             tokio::select! {
                 () = sleep(interval) => {}
                 () = self.connection.closed() => return Ok((Ending::CallerClosed, After::Close)),
             }
         }
+        if framing == Framing::End {
+            return Ok((Ending::Answered, After::Close));
+        }
         self.connection.write_raw(LAST_CHUNK).await?;
         let after = if self.fault == Some(Fault::Closing) { After::Close } else { After::Keep };
         Ok((Ending::Answered, after))
