Let a host's first run lend its shares of limits at once

Callers saw: in the first 5.5 s after a deployment starts, servers that state limits take next to nothing: 0 of all requests in the test of connections that come to one host, at less than half of the limits. Cause: a host that starts lends its share of a limit only after the longest lease, as an earlier run may have lent it. That holds for the first run under a name too. Ruled out: the servers (no limit was near), the messages between hosts (without the wait all is served). Change: a run whose registration created the store's entry under its name lends at once. Only the first registration of a run counts, so a run that finds its own entry changes nothing. Not covered: an earlier run that never registered, lent, ended, and was replaced within 5.5 s; then one share counts twice for that time.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -206,9 +206,10 @@
 
     /// Records that this run is registered in the store, so that the next start is a
     /// [`HostStart::Restart`]. A run that isn't registered has no share of the extra retries, only
-    /// those that its own requests pay for.
+    /// those that its own requests pay for, and lends no share of a server's quota for a while.
     pub fn registered(&mut self, start: HostStart) {
         self.sharers.start(start);
+        self.quotas.registered(start == HostStart::First);
     }
 
     /// Applies a server's registration.
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -99,6 +99,8 @@
     outgoing: Vec<(host::Id, Message)>,
     clock: Clock,
     counts: Counts,
+    /// Whether an earlier run of this host may have lent shares; `None` until this run is registered.
+    has_earlier_run: Option<bool>,
 }
 
 /// A server that names a limit, or did until a short time ago.
@@ -128,9 +130,31 @@
             outgoing: Vec::new(),
             clock: 0,
             counts: Counts::default(),
+            has_earlier_run: None,
         }
     }
 
+    /// Records that this run is registered, and whether it is the first one under its name, so that no
+    /// earlier one has lent a share. Only the first call counts.
+    pub fn registered(&mut self, is_first: bool) {
+        if *self.has_earlier_run.get_or_insert(!is_first) {
+            return;
+        }
+        self.servers.values_mut().for_each(|server| server.client.share.release());
+    }
+
+    /// Returns the state of a limited server, which is added if it is new.
+    fn server(&mut self, id: &backend::Id) -> &mut Server {
+        let is_first_run = self.has_earlier_run == Some(false);
+        self.servers.entry(id.clone()).or_insert_with(|| {
+            let mut server = Server::default();
+            if is_first_run {
+                server.client.share.release();
+            }
+            server
+        })
+    }
+
     /// Limits of all servers as this host knows them.
     pub fn limits(&self) -> &Limits {
         &self.limits
@@ -236,7 +260,7 @@
         sent_before: u32,
         now: Moment,
     ) {
-        let known = self.servers.entry(server.clone()).or_default();
+        let known = self.server(server);
         known.owner.limit_changed();
         let is_lower = change
             .current
@@ -329,7 +353,7 @@
     ) {
         self.unanswered.insert(from.clone());
         let Some(limit) = self.limits.limit(server) else { return };
-        let known = self.servers.entry(server.clone()).or_default();
+        let known = self.server(server);
         known.owner.on_request(from, request, echo, limit, now);
     }
 
--- a/crates/policy/src/quota/lease.rs
+++ b/crates/policy/src/quota/lease.rs
@@ -42,6 +42,11 @@
         Share { free_from, lease: None }
     }
 
+    /// Lets the share be lent from now on: there was no earlier run of this host.
+    pub fn release(&mut self) {
+        self.free_from = Duration::ZERO;
+    }
+
     /// Host that holds the lease of the share now; `None` if this host may lend it.
     pub fn borrower(&self, now: Moment) -> Option<&host::Id> {
         self.lease.as_ref().filter(|lease| now < lease.until).map(|lease| &lease.borrower)
--- a/crates/policy/tests/quota/permits.rs
+++ b/crates/policy/tests/quota/permits.rs
@@ -182,3 +182,37 @@
     quotas.tick(ms(13_000));
     assert_eq!(quotas.shares(ms(13_000)), 1);
 }
+
+/// An earlier run of a host may have lent its share for up to 5.5 s.
+#[test]
+fn only_the_first_run_of_a_host_lends_its_share_at_once() {
+    let server: backend::Id = "s1".into();
+    let shares = |calls: &[bool], now: Duration| {
+        let mut quotas = Quotas::new(id("a"), 1);
+        calls.iter().for_each(|is_first| quotas.registered(*is_first));
+        let change = quotas.observe_limit(&server, Some(limit()), ms(0), ms(10)).expect("a limit");
+        quotas.limit_changed(&server, change, 0, ms(10));
+        quotas.tick(now);
+        quotas.shares(now)
+    };
+    assert_eq!(shares(&[], ms(20)), 0, "it isn't known whether there was an earlier run");
+    assert_eq!(shares(&[false], ms(20)), 0);
+    assert_eq!(shares(&[false, true], ms(20)), 0, "only the first registration tells");
+    assert_eq!(shares(&[true], ms(20)), 1);
+    assert_eq!(shares(&[true, false], ms(20)), 1, "the run finds its own entry");
+    assert_eq!(shares(&[false], ms(5_600)), 1);
+}
+
+/// The limit may be known before the run is registered.
+#[test]
+fn a_share_can_be_lent_once_the_first_run_is_registered() {
+    let server: backend::Id = "s1".into();
+    let mut quotas = Quotas::new(id("a"), 1);
+    let change = quotas.observe_limit(&server, Some(limit()), ms(0), ms(10)).expect("a limit");
+    quotas.limit_changed(&server, change, 0, ms(10));
+    quotas.tick(ms(20));
+    assert_eq!(quotas.shares(ms(20)), 0);
+    quotas.registered(true);
+    quotas.tick(ms(30));
+    assert_eq!(quotas.shares(ms(30)), 1);
+}
--- a/crates/policy/tests/quota/play.rs
+++ b/crates/policy/tests/quota/play.rs
@@ -448,11 +448,8 @@
 
 impl Host {
     fn new(index: usize, run: host::Incarnation, started_at: Moment) -> Host {
-        Host {
-            quotas: Quotas::new(name(index), run),
-            started_at,
-            queue: VecDeque::new(),
-            last_heard: BTreeMap::new(),
-        }
+        let mut quotas = Quotas::new(name(index), run);
+        quotas.registered(started_at.is_zero());
+        Host { quotas, started_at, queue: VecDeque::new(), last_heard: BTreeMap::new() }
     }
 }
