Test connections that come to one host of eight

Cause: a new line of the users: for some seconds most new connections may be handed to one host, then to another. Ruled out: with 50 requests a second, that one host's share of the retry budget, of limits or of servers' load, or the end of that host, keeps callers from being served. Change: a test: nine of ten connections to one host, then to another as the first is stopped or killed; servers without a limit, with limits of which under half is used, and with one server in six that rejects or fails everything.

--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -19,6 +19,7 @@
 mod serving;
 mod silence;
 mod site;
+mod skew;
 mod stops;
 mod store;
 mod stories;
