Send prompt parts that crash servers in the soak, and judge what becomes of them

Change: prompts of the soak's streams have a part that all share, one that some callers share, and their own. A fault sends requests with a bad part each 0.2 s through all hosts. The judge allows three sends by hosts in contact later than the contact time after the fifth crash; requests that are refused in their place are judged as before. A quarter of the seeds draw it.

--- a/crates/stage/tests/soak.rs
+++ b/crates/stage/tests/soak.rs
@@ -12,6 +12,7 @@
         Plan, Summary, run,
         schedule::{self, Fault, Pairs, Partitioned, PlannedFault},
     },
+    store::Refusal,
 };
 
 const HOSTS: usize = 6;
@@ -94,6 +95,23 @@
     assert!(3 <= summary.crashed, "only {} servers crashed", summary.crashed);
 }
 
+/// Requests with a part that crashes servers are sent all the time, while hosts are restarted in turn,
+/// one host receives no datagrams, the store is away, and all hosts are killed at once.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_prompt_part_that_crashes_servers_costs_few_and_nobody_else(#[values(1, 2)] seed: u64) {
+    let part = |planned: PlannedFault| match planned.fault {
+        Fault::Poison => PlannedFault { fault: Fault::PoisonPart, ..planned },
+        _ => planned,
+    };
+    let mut schedule: Vec<PlannedFault> = poison_schedule().into_iter().map(part).collect();
+    schedule.push(planned(4, 9, Fault::Down(Refusal::Silence)));
+    schedule.sort_by_key(|planned| planned.at);
+    let summary = soak(seed, HOSTS, Duration::from_secs(25), schedule).await;
+    assert!(summary.breaches.is_empty(), "{:#?}", summary.breaches);
+    assert!(3 <= summary.crashed, "only {} servers crashed", summary.crashed);
+}
+
 /// Restarted servers that lose all answers run, and accept connections: no request crashed them.
 #[rstest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/standin/src/routed/soak.rs
+++ b/crates/standin/src/routed/soak.rs
@@ -129,6 +129,7 @@
         requests: Mutex::default(),
         is_burst: false.into(),
         is_poisoned: false.into(),
+        is_part_poisoned: false.into(),
         is_pressed: false.into(),
         has_readers: false.into(),
         streams: Mutex::default(),
--- a/crates/standin/src/routed/soak/inject.rs
+++ b/crates/standin/src/routed/soak/inject.rs
@@ -248,6 +248,7 @@
             | Fault::Declare
             | Fault::Burst
             | Fault::Poison
+            | Fault::PoisonPart
             | Fault::Brittle(..)
             | Fault::Versions
             | Fault::Silence(_)
@@ -323,6 +324,7 @@
             }
             Fault::Burst => self.load.is_burst.store(true, Ordering::Relaxed),
             Fault::Poison => self.load.is_poisoned.store(true, Ordering::Relaxed),
+            Fault::PoisonPart => self.load.is_part_poisoned.store(true, Ordering::Relaxed),
             Fault::Silence(server) => self.begin_silence(server),
             Fault::Brittle(server, tolerated) => {
                 let (service, from) = (site::SERVERS[server], self.now());
@@ -430,6 +432,7 @@
             Fault::Links(pairs, _) => self.set_links(pairs, Delivery::Passes),
             Fault::Burst => self.load.is_burst.store(false, Ordering::Relaxed),
             Fault::Poison => self.load.is_poisoned.store(false, Ordering::Relaxed),
+            Fault::PoisonPart => self.load.is_part_poisoned.store(false, Ordering::Relaxed),
             Fault::Silence(server) => self.end_silence(server),
             Fault::Brittle(server, _) => {
                 self.tolerances.remove(site::SERVERS[server]);
--- a/crates/standin/src/routed/soak/judge.rs
+++ b/crates/standin/src/routed/soak/judge.rs
@@ -15,7 +15,7 @@
 use serde_json::Value;
 use types::routed::Kind;
 
-use super::record::{Answer, Component, Order, Outcome, Record, Request, Run, Span};
+use super::record::{Answer, Component, Order, Outcome, Poison, Record, Request, Run, Span};
 use crate::routed::server::quota::{Excess, Quota};
 
 /// How long an execution may continue after its request has reached another server.
@@ -56,7 +56,7 @@
     Quota,
     /// Brittle servers are not made to reject so many requests that they crash.
     Brittle,
-    /// A request that has crashed three servers reaches few others.
+    /// A request that has crashed three servers, and a part that has crashed five, reach few others.
     Poison,
     /// No other request is refused as if it crashed servers.
     Innocent,
@@ -126,7 +126,8 @@
     breaches.extend(judge.check_silences());
     breaches.extend(judge.check_recovery());
     breaches.extend(judge.check_partitions());
-    breaches.extend(judge.check_poison());
+    breaches.extend(judge.check_poison(Poison::Request));
+    breaches.extend(judge.check_poison(Poison::Part));
     breaches.extend(judge.check_refused_as_poison());
     breaches.extend(judge.check_quotas());
     breaches.extend(judge.check_brittle());
--- a/crates/standin/src/routed/soak/judge/partition.rs
+++ b/crates/standin/src/routed/soak/judge/partition.rs
@@ -58,7 +58,7 @@
         let (mut partitioned, mut others) = (Tally::default(), Tally::default());
         let judged = self.record.requests.iter().filter(|request| {
             (from..=partition.to).contains(&request.span.from)
-                && !request.crashes_servers
+                && request.poison.is_none()
                 && request.resume.is_none()
                 && !matches!(request.outcome, Outcome::CallerClosed | Outcome::BrokenOff(_))
                 && self.record.is_in_contact(request.host_run.host, request.span)
--- a/crates/standin/src/routed/soak/judge/silences.rs
+++ b/crates/standin/src/routed/soak/judge/silences.rs
@@ -39,7 +39,7 @@
             .iter()
             .any(|run| run.server == silence.server && !run.is_corrupted && run.failure.is_none());
         let span = Span { to: silence.span.to.saturating_add(AFTERMATH), ..silence.span };
-        if !is_at_server || !span.overlaps(request.span) || request.crashes_servers {
+        if !is_at_server || !span.overlaps(request.span) || request.poison.is_some() {
             return false;
         }
         let from = request.span.from.saturating_sub(self.record.bounds.contact);
--- a/crates/standin/src/routed/soak/load.rs
+++ b/crates/standin/src/routed/soak/load.rs
@@ -16,6 +16,7 @@
 use http::{Method, StatusCode};
 use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
+use relay::edge::Part;
 use tokio::{
     task::JoinSet,
     time::{Instant, sleep, timeout},
@@ -23,8 +24,8 @@
 use types::routed::{Kind, Version};
 
 use super::{
-    record::{self, HostRun, Outcome, Request, Span},
-    site::{ADAPTERS, DEADLINE, HOST, MODELS, POISON, added_route},
+    record::{self, HostRun, Outcome, Poison, Request, Span},
+    site::{ADAPTERS, DEADLINE, HOST, MODELS, POISON, POISON_PART, added_route},
 };
 use crate::routed::{
     caller::{Answer, Caller, Failure, RequestSpec},
@@ -54,6 +55,15 @@
 /// Interval between two sends of the poison request.
 const POISON_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Interval between two requests with the part that crashes servers.
+const POISON_PART_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Id of the part that all prompts begin with.
+const FIRST_PART: u64 = 0x5c1e;
+
+/// Number of parts that the prompts of a third of the callers each have after the first one.
+const CALLER_PARTS: u64 = 3;
+
 /// Interval between readiness checks, and the time limit of each.
 const READINESS_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -80,6 +90,8 @@
     pub(super) is_burst: AtomicBool,
     /// Whether the poison request is being sent.
     pub(super) is_poisoned: AtomicBool,
+    /// Whether requests with the part that crashes servers are being sent.
+    pub(super) is_part_poisoned: AtomicBool,
     /// Whether callers send more than the servers of one service can serve.
     pub(super) is_pressed: AtomicBool,
     /// Whether readers take up streams that broke.
@@ -116,6 +128,7 @@
     }
     tasks.spawn(poll_readiness(state.clone()));
     tasks.spawn(send_poison(state.clone(), seed));
+    tasks.spawn(send_poison_part(state.clone()));
     tasks
 }
 
@@ -150,7 +163,7 @@
     kind: Kind,
     resumable: bool,
     body_bytes: usize,
-    crashes_servers: bool,
+    poison: Option<Poison>,
 }
 
 /// Sends the poison request through all hosts in turn, from a different source address for each.
@@ -182,7 +195,7 @@
             kind,
             resumable,
             body_bytes,
-            crashes_servers: true,
+            poison: Some(Poison::Request),
         };
         let state = state.clone();
         sending.spawn(async move {
@@ -193,10 +206,51 @@
     while sending.join_next().await.is_some() {}
 }
 
+/// Sends requests that have nothing in common with each other but the part that crashes servers, and
+/// their other shared parts with sound ones, through all hosts in turn.
+async fn send_poison_part(state: Arc<State>) {
+    let mut sending = JoinSet::new();
+    for turn in 0_u64.. {
+        sleep(POISON_PART_INTERVAL).await;
+        if state.is_over.load(Ordering::Relaxed) {
+            break;
+        }
+        if !state.is_part_poisoned.load(Ordering::Relaxed) {
+            continue;
+        }
+        let hosts = lock(&state.hosts).clone();
+        let entry = hosts[turn as usize % hosts.len()];
+        let (path, resumable) = [("/chat/2f", false), ("/draft/2f", true)][turn as usize % 2];
+        let spec = RequestSpec::to(HOST, path).model(MODELS[0]).with_number(CALLERS, turn);
+        let mut spec = spec.deadline(Some(DEADLINE));
+        spec.info.prompt = prompt(CALLERS, turn);
+        spec.info.prompt.insert(1, part(POISON_PART));
+        let body_bytes = spec.request().body().len();
+        let (kind, poison) = (Kind::Stream, Some(Poison::Part));
+        let next = NextRequest { spec, kind, resumable, body_bytes, poison };
+        let state = state.clone();
+        sending.spawn(async move {
+            send(&state, entry, &mut Caller::new(entry.callers), &next, None).await;
+        });
+    }
+    while sending.join_next().await.is_some() {}
+}
+
+fn part(id: u64) -> Part {
+    Part { id, tokens: 30 }
+}
+
+/// The prompt of a caller's request: a part that all requests share, one that some callers share, and
+/// one of its own.
+fn prompt(caller: u64, number: u64) -> Vec<Part> {
+    let own = (caller + 1) << 32 | number;
+    [FIRST_PART, FIRST_PART + 1 + caller % CALLER_PARTS, own].map(part).into()
+}
+
 fn draw_request(random: &mut ChaCha8Rng, versions: &[Version]) -> NextRequest {
     let plain = |path: &str, kind| {
         let spec = RequestSpec::to(HOST, path);
-        NextRequest { spec, kind, resumable: false, body_bytes: 0, crashes_servers: false }
+        NextRequest { spec, kind, resumable: false, body_bytes: 0, poison: None }
     };
     let stream = |path: &str, resumable, random: &mut ChaCha8Rng| {
         // The minimum of two draws skews the load towards few models.
@@ -206,7 +260,7 @@
             spec = spec.adapter(&format!("a{}", random.random_range(1..=ADAPTERS)));
         }
         let body_bytes = spec.request().body().len();
-        NextRequest { spec, kind: Kind::Stream, resumable, body_bytes, crashes_servers: false }
+        NextRequest { spec, kind: Kind::Stream, resumable, body_bytes, poison: None }
     };
     let mut next = match random.random_range(0..100) {
         0..38 => plain("/pages/home?lang=es", Kind::Idempotent),
@@ -247,7 +301,7 @@
             kind: Kind::NonIdempotent,
             resumable: false,
             body_bytes: 1,
-            crashes_servers: false,
+            poison: None,
         };
         let connection =
             connections.entry(entry.host_run).or_insert_with(|| Caller::new(entry.callers));
@@ -267,6 +321,9 @@
         let mut next = draw_request(&mut random, &versions);
         number += 1;
         next.spec = next.spec.with_number(caller, number);
+        if next.kind == Kind::Stream {
+            next.spec.info.prompt = prompt(caller, number);
+        }
         // A request that failed while poison was sent is retried unchanged by its caller.
         if let Some(again) = failed.take() {
             next = NextRequest { spec: again.spec.with_new_id(), ..again };
@@ -324,7 +381,7 @@
         resume: None,
         path: next.spec.info.path.to_string(),
         body_bytes: next.body_bytes,
-        crashes_servers: next.crashes_servers,
+        poison: next.poison,
         host_run: entry.host_run,
         span,
         deadline: DEADLINE,
--- a/crates/standin/src/routed/soak/reader.rs
+++ b/crates/standin/src/routed/soak/reader.rs
@@ -101,7 +101,7 @@
         resume: spec.info.resume,
         path: spec.info.path.to_string(),
         body_bytes: spec.request().body().len(),
-        crashes_servers: false,
+        poison: None,
         host_run: entry.host_run,
         span: Span { from: state.since(sent_at), to: state.since(Instant::now()) },
         deadline: DEADLINE,
--- a/crates/standin/src/routed/soak/record.rs
+++ b/crates/standin/src/routed/soak/record.rs
@@ -111,8 +111,8 @@
     pub path: String,
     /// Length of the body.
     pub body_bytes: usize,
-    /// Whether it is a poison request, which crashes the servers that run it.
-    pub crashes_servers: bool,
+    /// What of it crashes the servers that run it; `None` for a sound request.
+    pub poison: Option<Poison>,
     /// The host process that it was sent to.
     pub host_run: HostRun,
     /// From when it was sent until its caller saw the outcome.
@@ -123,6 +123,15 @@
     pub outcome: Outcome,
 }
 
+/// What of a request crashes the servers that run it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Poison {
+    /// The whole request.
+    Request,
+    /// A part of its prompt, which it shares with other requests.
+    Part,
+}
+
 /// How a request ended for its caller.
 #[derive(Clone, Debug)]
 pub enum Outcome {
--- a/crates/standin/src/routed/soak/schedule.rs
+++ b/crates/standin/src/routed/soak/schedule.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::{Serialize, Serializer};
 
-use self::period::{brittle_times, partitions, poison, versions};
+use self::period::{brittle_times, partitions, poison, poison_parts, versions};
 use super::site::SERVERS;
 use crate::routed::{
     links::Delivery, server::Fault as ServerFault, server_links::Cut, site::ZONES, store::Refusal,
@@ -137,6 +137,9 @@
     /// A poison request, which crashes the servers that run it, is sent repeatedly through all
     /// hosts.
     Poison,
+    /// Requests with a part of their prompts that crashes servers, no two alike, are sent through all
+    /// hosts.
+    PoisonPart,
     /// All servers of the service of a server crash if they reject more than this many requests in a
     /// second, and callers send more than they can serve.
     Brittle(usize, u32),
@@ -276,6 +279,7 @@
     planned.extend(limits(seed, end));
     planned.extend(retry_pressure(seed, hosts, end));
     planned.extend(poison(seed, end));
+    planned.extend(poison_parts(seed, end));
     planned.extend(partitions(seed, hosts, end));
     planned.extend(brittle_times(seed, end));
     planned.extend(versions(seed, end));
@@ -428,6 +432,7 @@
         Fault::Declare
         | Fault::Burst
         | Fault::Poison
+        | Fault::PoisonPart
         | Fault::Limited(..)
         | Fault::AllLimited(..)
         | Fault::AllGrey(..)
--- a/crates/standin/src/routed/soak/schedule/period.rs
+++ b/crates/standin/src/routed/soak/schedule/period.rs
@@ -11,6 +11,9 @@
 /// XORed with the seed for the random stream of the times of poison requests.
 const POISON_SEED_MASK: u64 = 1 << 60;
 
+/// XORed with the seed for the random stream of the times of parts that crash servers.
+const POISON_PART_SEED_MASK: u64 = 1 << 55;
+
 /// XORed with the seed for the random stream of partitions between hosts and servers.
 const PARTITION_SEED_MASK: u64 = 1 << 59;
 
@@ -38,6 +41,12 @@
     alternate(random, 0.5, POISON_DURATION_MS, end, |_| Fault::Poison)
 }
 
+/// Draws when requests with a part that crashes servers are sent. Three of four seeds draw no such time.
+pub(super) fn poison_parts(seed: u64, end: Duration) -> Vec<PlannedFault> {
+    let random = ChaCha8Rng::seed_from_u64(seed ^ POISON_PART_SEED_MASK);
+    alternate(random, 0.75, POISON_DURATION_MS, end, |_| Fault::PoisonPart)
+}
+
 /// Draws partitions between hosts and all servers. Half of all seeds draw none.
 pub(super) fn partitions(seed: u64, hosts: usize, end: Duration) -> Vec<PlannedFault> {
     let random = ChaCha8Rng::seed_from_u64(seed ^ PARTITION_SEED_MASK);
--- a/crates/standin/src/routed/soak/site.rs
+++ b/crates/standin/src/routed/soak/site.rs
@@ -13,6 +13,8 @@
 pub(super) const MODELS: [&str; 4] = ["welcome", "desk", "notes", "paper"];
 /// Text in the body of a poison request, which crashes the servers that run it.
 pub(super) const POISON: &str = "poison";
+/// Part of prompts that crashes the servers that begin to answer them.
+pub(super) const POISON_PART: u64 = 0xbad;
 
 pub(super) const ADAPTERS: u32 = 3;
 
@@ -151,6 +153,7 @@
         event_interval: Duration::from_millis(20),
         load_time: Duration::from_millis(300),
         poison: Some(POISON),
+        poison_part: Some(POISON_PART),
         ..Script::default()
     }
 }
--- a/crates/standin/tests/soak_judge.rs
+++ b/crates/standin/tests/soak_judge.rs
@@ -14,7 +14,7 @@
         judge::{Promise, judge},
         record::{
             Answer, Arrival, BrittleTime, Component, Declared, Disruption, Fall, HostRun, Leave,
-            Order, Outcome, Record, Request, Run, Silence, Span,
+            Order, Outcome, Poison, Record, Request, Run, Silence, Span,
         },
         schedule,
     },
@@ -57,7 +57,7 @@
         resume: None,
         path: "/pages/x".into(),
         body_bytes: 0,
-        crashes_servers: false,
+        poison: None,
         host_run: HOST_RUN,
         span: span(10_000, 10_100),
         deadline: ms(4_000),
@@ -125,13 +125,12 @@
     }
 }
 
-/// Adds a poison request that is sent at each of these times and crashes a server each time.
-fn add_crashes(record: &mut Record, times: impl IntoIterator<Item = u64>) {
+/// Adds poison requests that are sent at each of these times and crash a server each time.
+fn add_crashes(record: &mut Record, poison: Poison, times: impl IntoIterator<Item = u64>) {
     for (number, at) in times.into_iter().enumerate() {
         let id = format!("c{number}");
         let mut request = record.requests[0].clone();
-        (request.id, request.crashes_servers, request.outcome) =
-            (id.clone(), true, Outcome::Closed);
+        (request.id, request.poison, request.outcome) = (id.clone(), Some(poison), Outcome::Closed);
         request.span = span(at, at + 20);
         record.requests.push(request);
         let server = format!("crashed-{number}");
@@ -293,12 +292,16 @@
     exceed_limit(r);
     r.disruptions.push(disruption(Component::Host(0), 11_000, 12_500));
 })]
-#[case::crashes_servers_while_that_is_new(Kind::Idempotent, |r: &mut Record| add_crashes(r, (1..7).map(|turn| turn * 400)))]
-#[case::crashes_servers_thrice_more(Kind::Idempotent, |r: &mut Record| add_crashes(r, [100, 200, 300, 3_400, 3_500, 3_600]))]
+#[case::crashes_servers_while_that_is_new(Kind::Idempotent, |r: &mut Record| add_crashes(r, Poison::Request, (1..7).map(|turn| turn * 400)))]
+#[case::crashes_servers_thrice_more(Kind::Idempotent, |r: &mut Record| add_crashes(r, Poison::Request, [100, 200, 300, 3_400, 3_500, 3_600]))]
 #[case::crashes_servers_by_a_host_that_has_just_started(Kind::Idempotent, |r: &mut Record| {
-    add_crashes(r, [100, 200, 300, 3_400, 3_500, 3_600, 3_700, 3_800]);
+    add_crashes(r, Poison::Request, [100, 200, 300, 3_400, 3_500, 3_600, 3_700, 3_800]);
     r.disruptions.push(disruption(Component::Host(0), 900, 1_000));
 })]
+#[case::crashes_servers_by_a_part_while_that_is_new(Kind::Idempotent, |r: &mut Record| add_crashes(r, Poison::Part, (1..12).map(|turn| turn * 300)))]
+#[case::crashes_servers_by_a_part_thrice_more(Kind::Idempotent, |r: &mut Record| {
+    add_crashes(r, Poison::Part, [100, 200, 300, 400, 500, 3_600, 3_700, 3_800]);
+})]
 #[case::refused_as_servers_crash(Kind::Idempotent, |r: &mut Record| {
     add_refusals(r, [100, 200, 300, 400]);
     r.disruptions.push(disruption(Component::Server("app-2".into()), 90, 9_000));
@@ -432,7 +435,10 @@
         r.runs.push(Run { id, ..run.clone() });
     }
 })]
-#[case::crashes_servers_again(Kind::Idempotent, Promise::Poison, |r: &mut Record| add_crashes(r, [100, 200, 300, 3_400, 3_500, 3_600, 3_700]))]
+#[case::crashes_servers_by_a_part_again(Kind::Idempotent, Promise::Poison, |r: &mut Record| {
+    add_crashes(r, Poison::Part, [100, 200, 300, 400, 500, 3_600, 3_700, 3_800, 3_900]);
+})]
+#[case::crashes_servers_again(Kind::Idempotent, Promise::Poison, |r: &mut Record| add_crashes(r, Poison::Request, [100, 200, 300, 3_400, 3_500, 3_600, 3_700]))]
 #[case::refused_without_a_crash(Kind::Idempotent, Promise::Innocent, |r: &mut Record| add_refusals(r, [100, 200, 300, 400]))]
 #[case::more_than_its_limit(Kind::Idempotent, Promise::Quota, exceed_limit)]
 #[case::more_retries_than_are_allowed(Kind::Idempotent, Promise::Retries, |r: &mut Record| {
