Remember served parts for one to two lives, and send nothing of them

Cause: by reading. A crash of a part that was served lately was recorded as excused, which never counted, and sent to all hosts, one a cut request and part; in a site of 85 hosts each crash of a server would have cost each host some hundred facts. And what was served last was forgotten with the generation, so a host that serves nothing for a moment forgot within 0 to 30 s: then an outage of all servers could charge parts that all requests share. Ruled out: that the excuse is needed: no crash that it held counted anywhere. Change: a part that was served in the last 30 to 60 s is charged with nothing, and no fact is written of it; `Excused` is gone. A generation's keys last two lives, those before it one. A part that turns bad is found 30 to 60 s after it was last served.

--- a/crates/policy/src/dispatch/poison.rs
+++ b/crates/policy/src/dispatch/poison.rs
@@ -23,7 +23,6 @@
 
 mod blame;
 mod crash;
-mod parts;
 mod recent;
 mod record;
 mod sharing;
@@ -39,7 +38,6 @@
     subject::Subject,
 };
 use self::{
-    parts::ServedParts,
     recent::RecentSet,
     record::{CrashRecord, Entry, crashes_of},
 };
@@ -75,6 +73,14 @@
 /// Most completed requests remembered in each generation.
 const MAX_COMPLETED: usize = 4096;
 
+/// Length of a generation of served parts. A part that was served is assumed to crash no server for
+/// at most two generations. Requests for a part that is wrongly refused can't show that it is sound,
+/// so this is long enough for parts that are rarely requested.
+const SERVED_PART_LIFE: Duration = Duration::from_secs(30);
+
+/// Most served parts remembered in each generation.
+const MAX_SERVED_PARTS: usize = 4096;
+
 /// Time between the end of an attempt and the end of its server's registration within which the
 /// attempt may have crashed the server.
 const UNRESOLVED_LIFE: Duration = Duration::from_secs(8);
@@ -132,7 +138,8 @@
     trials: Vec<Trial>,
     unresolved: VecDeque<UnresolvedAttempt>,
     completed: RecentSet<Fingerprint>,
-    parts: ServedParts,
+    /// Parts of prompts that were served lately.
+    served_parts: RecentSet<u64>,
     /// Subjects whose records have changed since the last call of [`Poison::take_changes`].
     changed: BTreeSet<Subject>,
 }
@@ -147,7 +154,7 @@
             trials: Vec::new(),
             unresolved: VecDeque::new(),
             completed: RecentSet::new(COMPLETED_LIFE, MAX_COMPLETED),
-            parts: ServedParts::default(),
+            served_parts: RecentSet::new(SERVED_PART_LIFE, MAX_SERVED_PARTS),
             changed: BTreeSet::new(),
         }
     }
@@ -309,9 +316,7 @@
         }
         let Some(subjects) = self.at_servers.get(server) else { return };
         for subject in subjects.clone() {
-            let is_before = |record: &CrashRecord| {
-                (record.is_counted() || record.is_excused()) && record.seen_at < sent
-            };
+            let is_before = |record: &CrashRecord| record.is_counted() && record.seen_at < sent;
             self.void(subject, now, |other, record| other == server && is_before(record));
         }
     }
@@ -322,6 +327,17 @@
         self.void(request.into(), now, |_, _| true);
     }
 
+    /// Records that the answer to a prompt with these parts went on beyond its beginning. A part that
+    /// crashes servers does so when the answer begins, so none of these does.
+    pub fn parts_served(&mut self, parts: impl Iterator<Item = u64>, now: Moment) {
+        for part in parts {
+            self.served_parts.add(part, now);
+            let subject = Subject::Part(part);
+            self.void(subject, now, |_, _| true);
+            self.trials.retain(|trial| trial.subject != subject);
+        }
+    }
+
     /// Records that an attempt has ended, with any outcome. It ends the attempt's trials, and voids
     /// their records unless the attempt is unresolved.
     pub fn ended(&mut self, ticket: Ticket, now: Moment) {
--- a/crates/policy/src/dispatch/poison/crash.rs
+++ b/crates/policy/src/dispatch/poison/crash.rs
@@ -27,9 +27,6 @@
     /// The crash counts.
     #[serde(rename = "Counts")]
     Counted,
-    /// The subject is a part that was served before, so that another part at the server explains the
-    /// crash.
-    Excused,
     /// The server did not crash, or not by this subject.
     Void,
 }
--- a/crates/policy/src/dispatch/poison/recent.rs
+++ b/crates/policy/src/dispatch/poison/recent.rs
@@ -5,7 +5,7 @@
 use types::prelude::*;
 
 /// A set that forgets. Its keys are in two generations; the previous one is dropped when the current
-/// one is full or its life is over, so that a key is remembered for at most two lives.
+/// one is full or its life is over, so that a key is remembered for one to two lives.
 #[derive(Clone, Debug)]
 pub(super) struct RecentSet<K> {
     life: Duration,
@@ -36,7 +36,8 @@
     }
 
     pub(super) fn has(&self, key: &K, now: Moment) -> bool {
-        let is_recent = now < self.since + self.life;
-        is_recent && (self.current.contains(key) || self.previous.contains(key))
+        let is_within = |lives: u32| now < self.since + self.life * lives;
+        (is_within(2) && self.current.contains(key))
+            || (is_within(1) && self.previous.contains(key))
     }
 }
--- a/crates/policy/src/dispatch/poison/record.rs
+++ b/crates/policy/src/dispatch/poison/record.rs
@@ -20,7 +20,7 @@
     pub(super) seen_at: Moment,
     /// When the crash is settled, unless it is void by then.
     pub(super) settled_at: Moment,
-    /// When this host last found the crash void or excused; it sends it to others for
+    /// When this host last found the crash void; it sends the void crash to others for
     /// [`VOID_SEND_TIME`](super::sharing::VOID_SEND_TIME) from then on.
     pub(super) voided_at: Option<Moment>,
 }
@@ -34,10 +34,6 @@
         self.state == CrashState::Counted
     }
 
-    pub(super) fn is_excused(&self) -> bool {
-        self.state == CrashState::Excused
-    }
-
     pub(super) fn is_running(&self, now: Moment) -> bool {
         self.state == CrashState::Running && self.age(now) < MAX_RUN
     }
--- a/crates/policy/src/dispatch/poison/sharing.rs
+++ b/crates/policy/src/dispatch/poison/sharing.rs
@@ -5,7 +5,7 @@
 use types::prelude::*;
 
 use super::{
-    Crash, CrashState, Isolation, LIFE, Poison, SUSPICION, Standing, Subject,
+    Crash, CrashState, Isolation, LIFE, Poison, SUSPICION, Standing, Subject, is_request,
     record::{CrashRecord, Entry, MAX_RUN, crash, crashes_of, key},
 };
 
@@ -18,23 +18,24 @@
 /// Most crashes sent to other hosts; those of requests with the most crashes are sent first.
 const MAX_SENT: usize = 128;
 
-/// How long a host sends a crash to others after it found the crash void or excused.
+/// How long a host sends a crash to others after it found the crash void.
 pub(super) const VOID_SEND_TIME: Duration = Duration::from_secs(10);
 
 impl Poison {
     /// Returns the crashes to be sent to other hosts: those of suspects and poison, those of other
-    /// subjects that this host witnessed, and those that it found void or excused for
+    /// subjects that this host witnessed, and those that it found void for
     /// [`VOID_SEND_TIME`].
     pub fn crashes(&self, now: Moment) -> Vec<Crash> {
         let mut sent = Vec::new();
         for (subject, entry) in &self.entries {
             let standing = self.standing(*subject);
             for (key, record) in &entry.crashes {
-                let is_voided = record.voided_at.is_some_and(|at| now < at + VOID_SEND_TIME);
                 let is_sent = match record.state {
-                    CrashState::Void => is_voided,
-                    CrashState::Running | CrashState::Counted | CrashState::Excused => {
-                        is_voided || Standing::Clear < standing || key.1 == self.host
+                    CrashState::Void => {
+                        record.voided_at.is_some_and(|at| now < at + VOID_SEND_TIME)
+                    }
+                    CrashState::Running | CrashState::Counted => {
+                        Standing::Clear < standing || key.1 == self.host
                     }
                 };
                 if is_sent {
@@ -89,6 +90,10 @@
         state: CrashState,
         now: Moment,
     ) {
+        // Each request that is cut off charges its parts, most of which other requests are served with.
+        if !is_request(subject) && self.was_served(subject, now) {
+            return;
+        }
         let key = (server.clone(), self.host.clone());
         let record = self.entries.get(&subject).and_then(|entry| entry.crashes.get(&key));
         let turn = record.map_or(0, |record| {
@@ -108,8 +113,9 @@
     }
 
     pub(super) fn join(&mut self, crash: &Crash, expires_at: Moment, now: Moment) {
-        let state = self.judge(crash, now);
-        // If only this host knows that the crash doesn't count, it sends that to others.
+        let state =
+            if self.was_served(crash.subject, now) { CrashState::Void } else { crash.state };
+        // If only this host knows that the crash is void, it sends that to others.
         let voided_at = (state != crash.state).then_some(now);
         let entry = self.entries.entry(crash.subject).or_default();
         let new = CrashRecord {
@@ -139,18 +145,17 @@
                     if record.isolation < crash.isolation || record.state < state {
                         self.changed.insert(crash.subject);
                     }
-                    let is_crash = matches!(state, CrashState::Counted | CrashState::Excused);
-                    if record.state < CrashState::Counted && is_crash {
+                    if record.state < CrashState::Counted && state == CrashState::Counted {
                         // The crash is later than the start of the run.
                         record.seen_at = now;
                         record.settled_at = new.settled_at;
                     }
-                    let known = record.state.max(state);
-                    if CrashState::Counted < known && crash.state == CrashState::Counted {
+                    let is_void = record.state == CrashState::Void;
+                    if is_void && crash.state == CrashState::Counted {
                         record.voided_at = Some(now);
                     }
                     record.isolation = record.isolation.max(crash.isolation);
-                    record.state = known;
+                    record.state = record.state.max(state);
                     record.expires_at = record.expires_at.min(expires_at);
                 }
                 Ordering::Greater => return,
@@ -164,17 +169,11 @@
         }
     }
 
-    /// State of a crash by what this host knows of the subject.
-    fn judge(&self, crash: &Crash, now: Moment) -> CrashState {
-        let state = crash.state;
-        match crash.subject {
-            Subject::Request(request) if self.completed.has(&request, now) => CrashState::Void,
-            Subject::Part(part) if self.parts.is_being_served(part, now) => CrashState::Void,
-            Subject::Part(part) if self.parts.was_served(part, now) => match state {
-                CrashState::Counted => CrashState::Excused,
-                CrashState::Running | CrashState::Excused | CrashState::Void => state,
-            },
-            Subject::Request(_) | Subject::Part(_) => state,
+    /// Whether the subject was served lately, so that it crashes no server.
+    fn was_served(&self, subject: Subject, now: Moment) -> bool {
+        match subject {
+            Subject::Request(request) => self.completed.has(&request, now),
+            Subject::Part(part) => self.served_parts.has(&part, now),
         }
     }
 }
--- a/crates/policy/tests/dispatch/poison_parts.rs
+++ b/crates/policy/tests/dispatch/poison_parts.rs
@@ -120,13 +120,20 @@
     assert_eq!(poison.standing(part(CALLER)), Standing::Clear);
 }
 
+/// Long after the part was served, it is in nothing but requests that crash servers.
 #[rstest]
-fn a_part_that_was_served_is_not_blamed_beside_one_that_was_not() {
+#[case::early_in_a_generation(0, 20_000)]
+#[case::late_in_a_generation(29_000, 31_000)]
+#[case::late_in_a_generation_and_long_ago(29_000, 50_000)]
+fn a_part_that_was_served_is_not_blamed_beside_one_that_was_not(
+    #[case] served: u64,
+    #[case] crashed: u64,
+) {
     let mut poison = poison();
-    serve(&mut poison, &[CALLER], at(0));
-    // Long after the part was served, it is in nothing but requests that crash servers.
+    serve(&mut poison, &[FIRST], at(0));
+    serve(&mut poison, &[CALLER], at(served));
     for (number, server) in ["s1", "s2", "s3"].into_iter().enumerate() {
-        crash(&mut poison, number as u64, server, &[BAD, CALLER], at(20_000));
+        crash(&mut poison, number as u64, server, &[BAD, CALLER], at(crashed));
     }
     assert_eq!(poison.standing(part(BAD)), Standing::Poison);
     assert_eq!(poison.standing(part(CALLER)), Standing::Clear);
