Have leaving servers of the soak say so in answers, and pause listeners that can't accept

Change: each server that leaves in the soak states it in its answers. The judge looks for requests that a host sends there later than the drain time after it passed such an answer on, whatever the store did. Both listeners pause for 10 ms after a failed accept.

--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -4,7 +4,10 @@
 
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{connect, host::Shared, path};
@@ -13,6 +16,9 @@
 /// connections must outlive the declared idle limit, which may change while they are open.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(300);
 
+/// Delay after a connection could not be accepted.
+pub(crate) const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Maximum size of a head that is read, in bytes. The declared limit is checked afterwards.
 const MAX_HEAD_BYTES: usize = 128 * 1024;
 
@@ -24,7 +30,11 @@
             accepted = listener.accept() => accepted,
             () = stop.cancelled() => break,
         };
-        let Ok((stream, _)) = accepted else { continue };
+        let Ok((stream, _)) = accepted else {
+            // Without a pause, a lack of descriptors would take all of the processor.
+            sleep(ACCEPT_RETRY_INTERVAL).await;
+            continue;
+        };
         connections.spawn(serve(shared.clone(), stream, stop.clone()));
     }
     drop(listener);
--- a/crates/relay/src/ready.rs
+++ b/crates/relay/src/ready.rs
@@ -8,16 +8,19 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use observe::metrics::CONTENT_TYPE;
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, time::sleep};
 
-use crate::{connect, host::Shared};
+use crate::{callers, connect, host::Shared};
 
 const METRICS_PATH: &str = "/metrics";
 
 /// Serves readiness probes and metrics until the process ends.
 pub(crate) async fn listen(shared: Arc<Shared>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(callers::ACCEPT_RETRY_INTERVAL).await;
+            continue;
+        };
         connect::prepare(&stream);
         let shared = shared.clone();
         tokio::spawn(async move {
--- a/crates/stage/tests/soak.rs
+++ b/crates/stage/tests/soak.rs
@@ -10,7 +10,7 @@
     server_links::Cut,
     soak::{
         Plan, Summary, run,
-        schedule::{self, Fault, Pairs, Partitioned, PlannedFault},
+        schedule::{self, Fault, Notice, Pairs, Partitioned, PlannedFault},
     },
     store::Refusal,
 };
@@ -125,6 +125,18 @@
     assert!(200 <= summary.runs, "{summary:?}");
 }
 
+/// Servers leave while the store is silent, so that only their answers say so.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn servers_that_leave_while_the_store_is_silent_get_nothing_new(#[values(1, 2)] seed: u64) {
+    let leave = |at, server| planned(at, 6, Fault::Leave(server, Notice::Told));
+    let mut schedule = vec![planned(2, 9, Fault::Down(Refusal::Silence))];
+    schedule.extend([leave(3, 0), leave(4, 5), leave(5, 3)]);
+    let summary = soak(seed, HOSTS, Duration::from_secs(13), schedule).await;
+    assert!(summary.breaches.is_empty(), "{:#?}", summary.breaches);
+    assert!(200 <= summary.runs, "{summary:?}");
+}
+
 #[rstest]
 #[case::two_a_second(2)]
 #[case::as_many_as_hosts(6)]
--- a/crates/standin/src/routed/soak/inject.rs
+++ b/crates/standin/src/routed/soak/inject.rs
@@ -295,6 +295,7 @@
             Fault::Leave(server, notice) => {
                 self.faulted.insert(server);
                 let id = self.servers[server].0.clone();
+                self.server(server).script(|script| script.is_leaving = true);
                 match notice {
                     Notice::Told => self.server(server).drain(None),
                     Notice::Untold => self.site.backend.deregister(&id),
--- a/crates/standin/src/routed/soak/judge.rs
+++ b/crates/standin/src/routed/soak/judge.rs
@@ -2,6 +2,7 @@
 
 mod brittle;
 mod declared;
+mod departures;
 mod partition;
 mod poison;
 pub mod retries;
@@ -129,6 +130,7 @@
     breaches.extend(judge.check_poison(Poison::Request));
     breaches.extend(judge.check_poison(Poison::Part));
     breaches.extend(judge.check_refused_as_poison());
+    breaches.extend(judge.check_departures());
     breaches.extend(judge.check_quotas());
     breaches.extend(judge.check_brittle());
     breaches.extend(judge.check_retries());
--- a/crates/standin/src/routed/soak/record.rs
+++ b/crates/standin/src/routed/soak/record.rs
@@ -385,7 +385,7 @@
     }
 
     /// Whether no disruption of the selected components overlaps a span.
-    fn is_undisturbed(&self, span: Span, is_affecting: impl Fn(&Component) -> bool) -> bool {
+    pub fn is_undisturbed(&self, span: Span, is_affecting: impl Fn(&Component) -> bool) -> bool {
         !self
             .disruptions
             .iter()
--- a/crates/standin/tests/soak_judge.rs
+++ b/crates/standin/tests/soak_judge.rs
@@ -180,6 +180,18 @@
     record.leaves.push(Leave { server: "app-1".into(), at: ms(at) });
 }
 
+/// Adds a departure of `app-1` while the store is away, and a second request to it, sent at `at`,
+/// after the first one was answered at 10.1 s.
+fn add_sent_after_notice(record: &mut Record, at: u64) {
+    record.disruptions.push(disruption(Component::Store, 9_000, 14_000));
+    add_leave(record, 9_500);
+    let mut request = record.requests[0].clone();
+    (request.id, request.outcome, request.span) =
+        ("r2".into(), Outcome::CallerClosed, span(at, at + 100));
+    record.requests.push(request);
+    record.runs.push(Run { id: "r2".into(), ..run("app-1", at + 10, at + 90) });
+}
+
 /// Adds a fault and 100 requests long after it, the first `refused` of which are refused.
 fn add_requests_after_fault(record: &mut Record, refused: usize) {
     record.disruptions.push(disruption(Component::Host(1), 1_000, 2_000));
@@ -260,6 +272,11 @@
 #[case::cut_and_looks_so(Kind::Stream, |r: &mut Record| change_answer(r, |answer| {
     (answer.body, answer.is_complete) = (events(4).into(), false);
 }))]
+#[case::within_the_drain_time_of_a_notice(Kind::Idempotent, |r: &mut Record| add_sent_after_notice(r, 11_900))]
+#[case::frozen_after_a_notice(Kind::Idempotent, |r: &mut Record| {
+    add_sent_after_notice(r, 12_500);
+    r.disruptions.push(disruption(Component::Host(0), 10_500, 12_000));
+})]
 #[case::within_the_drain_time(Kind::Idempotent, |r: &mut Record| add_leave(r, 8_500))]
 #[case::left_by_a_host_out_of_touch(Kind::Idempotent, |r: &mut Record| {
     add_leave(r, 4_000);
@@ -386,6 +403,7 @@
 #[case::events_of_two_versions(Kind::Stream, Promise::Order, |r: &mut Record| change_answer(r, |answer| {
     answer.body = events(10).replace(&event(10, "app-1", "1"), &event(10, "app-1", "2")).into();
 }))]
+#[case::after_the_drain_time_of_a_notice(Kind::Idempotent, Promise::Drain, |r: &mut Record| add_sent_after_notice(r, 12_500))]
 #[case::after_the_drain_time(Kind::Idempotent, Promise::Drain, |r: &mut Record| add_leave(r, 7_800))]
 #[case::after_the_drain_time_and_an_outage(Kind::Idempotent, Promise::Drain, |r: &mut Record| {
     add_leave(r, 4_000);
