Refuse a part of prompts only once the servers that it crashed are gone

Cause: all model servers ran and cut every connection for 18 s, hosts were killed in series and forgot what they had served, and the part that all streams share had three crashes at servers that went on running. A refused part can't be served, so it stayed. Evidence: the hosts' logs: `part-…5c1e` confirmed with lm-5.0, lm-6.0 and lm-7.0, which never left the store. Change: a crash of a part is settled once the server's registration has ended; that fact is sent on with the crash (`Ended`). From the third crash on requests wait for it.

--- a/crates/policy/src/dispatch/poison.rs
+++ b/crates/policy/src/dispatch/poison.rs
@@ -19,7 +19,8 @@
 //! A cut connection is no proof of a crash. A run ends only once, so it outlived the cut if
 //! something that was sent to it later is answered, or cut as well. Poison therefore waits, and is
 //! refused only once three of its crashes are settled: the registration of the server has ended, or
-//! nothing has voided the crash for [`SETTLE_TIME`].
+//! nothing has voided the crash for [`SETTLE_TIME`]. The crash of a part is settled only once the
+//! registration has ended, and counts no longer if it hasn't for long.
 
 mod blame;
 mod crash;
@@ -88,6 +89,10 @@
 /// Most attempts remembered whose servers may have crashed.
 const MAX_UNRESOLVED: usize = 512;
 
+/// Length of a generation of servers that are gone, and most of them in a generation.
+const GONE_LIFE: Duration = Duration::from_secs(60);
+const MAX_GONE: usize = 1024;
+
 /// How a subject, or a request for it, is treated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Standing {
@@ -140,6 +145,8 @@
     completed: RecentSet<Fingerprint>,
     /// Parts of prompts that were served lately.
     served_parts: RecentSet<u64>,
+    /// Servers whose registrations ended lately, without draining.
+    gone: RecentSet<backend::Id>,
     /// Subjects whose records have changed since the last call of [`Poison::take_changes`].
     changed: BTreeSet<Subject>,
 }
@@ -155,6 +162,7 @@
             unresolved: VecDeque::new(),
             completed: RecentSet::new(COMPLETED_LIFE, MAX_COMPLETED),
             served_parts: RecentSet::new(SERVED_PART_LIFE, MAX_SERVED_PARTS),
+            gone: RecentSet::new(GONE_LIFE, MAX_GONE),
             changed: BTreeSet::new(),
         }
     }
@@ -181,8 +189,14 @@
         if entry.crashes.len() < POISON {
             return false;
         }
-        let servers = self.unexplained(subject, entry);
-        POISON <= servers.into_iter().filter(|server| entry.is_settled(server, now)).count()
+        let servers = self.unexplained(subject, entry).into_iter();
+        let is_settled = |server: &&backend::Id| match subject {
+            Subject::Request(_) => entry.is_settled(server, now),
+            // Servers that cut all their connections may run nevertheless, and refusing a part that all
+            // requests share would leave none to show that.
+            Subject::Part(_) => entry.has_ended(server, now),
+        };
+        POISON <= servers.filter(is_settled).count()
     }
 
     /// Whether a request for a subject that is not clear has to wait, because the subject is poison
@@ -272,6 +286,7 @@
 
     /// Records that a server's registration ended without draining.
     pub fn gone(&mut self, server: &backend::Id, now: Moment) {
+        self.gone.add(server.clone(), now);
         let (of_server, others) = std::mem::take(&mut self.unresolved)
             .into_iter()
             .partition(|attempt| attempt.server == *server);
@@ -290,9 +305,11 @@
             {
                 self.record(subject, server, Isolation::Isolated, CrashState::Counted, now);
             }
-            // Other hosts may have served a part, whether or not the server has ended.
-            if let Some(entry) = self.entries.get_mut(&subject).filter(|_| is_request(subject)) {
-                entry.settle(server, now);
+            let Some(entry) = self.entries.get_mut(&subject) else { continue };
+            match subject {
+                Subject::Request(_) => entry.settle(server, now),
+                // Other hosts may have served the part, whether or not the server has ended.
+                Subject::Part(_) => entry.end(server),
             }
         }
     }
@@ -382,6 +399,11 @@
                 *other == server && record.state == CrashState::Running
             });
         }
+        for (subject, entry) in &mut self.entries {
+            if !is_request(*subject) && entry.mark_overdue(UNRESOLVED_LIFE, now) {
+                self.changed.insert(*subject);
+            }
+        }
         let old = self.entries.iter().filter(|(_, entry)| entry.expires_at() <= now);
         let old: Vec<Subject> = old.map(|(subject, _)| *subject).collect();
         old.into_iter().for_each(|subject| self.forget(subject));
--- a/crates/policy/src/dispatch/poison/crash.rs
+++ b/crates/policy/src/dispatch/poison/crash.rs
@@ -27,6 +27,8 @@
     /// The crash counts.
     #[serde(rename = "Counts")]
     Counted,
+    /// The crash counts, and the registration of the server has ended. Used for parts only.
+    Ended,
     /// The server did not crash, or not by this subject.
     Void,
 }
--- a/crates/policy/src/dispatch/poison/record.rs
+++ b/crates/policy/src/dispatch/poison/record.rs
@@ -23,6 +23,8 @@
     /// When this host last found the crash void; it sends the void crash to others for
     /// [`VOID_SEND_TIME`](super::sharing::VOID_SEND_TIME) from then on.
     pub(super) voided_at: Option<Moment>,
+    /// Whether the server is still registered long after the crash of a part, so that it runs.
+    pub(super) is_overdue: bool,
 }
 
 impl CrashRecord {
@@ -31,7 +33,11 @@
     }
 
     pub(super) fn is_counted(&self) -> bool {
-        self.state == CrashState::Counted
+        match self.state {
+            CrashState::Counted => !self.is_overdue,
+            CrashState::Ended => true,
+            CrashState::Running | CrashState::Void => false,
+        }
     }
 
     pub(super) fn is_running(&self, now: Moment) -> bool {
@@ -63,6 +69,28 @@
         self.records_at(server).any(|record| record.is_counted() && record.settled_at <= now)
     }
 
+    /// Whether the crash of a server is settled, and its registration has ended.
+    pub(super) fn has_ended(&self, server: &backend::Id, now: Moment) -> bool {
+        self.records_at(server)
+            .any(|record| record.state == CrashState::Ended && record.settled_at <= now)
+    }
+
+    /// Records that the registration of a server has ended.
+    pub(super) fn end(&mut self, server: &backend::Id) {
+        let there = self.crashes.iter_mut().filter(|((other, _), _)| other == server);
+        for (_, record) in there.filter(|(_, record)| record.state == CrashState::Counted) {
+            record.state = CrashState::Ended;
+        }
+    }
+
+    /// Marks crashes that were seen this long ago, and whose servers are still registered.
+    pub(super) fn mark_overdue(&mut self, life: Duration, now: Moment) -> bool {
+        let overdue = self.crashes.values_mut().filter(|record| {
+            record.state == CrashState::Counted && !record.is_overdue && life <= record.age(now)
+        });
+        overdue.map(|record| record.is_overdue = true).count() != 0
+    }
+
     /// Whether the subject ran isolated on a server that then crashed.
     pub(super) fn ran_isolated(&self, server: &backend::Id) -> bool {
         self.records_at(server)
--- a/crates/policy/src/dispatch/poison/sharing.rs
+++ b/crates/policy/src/dispatch/poison/sharing.rs
@@ -34,7 +34,7 @@
                     CrashState::Void => {
                         record.voided_at.is_some_and(|at| now < at + VOID_SEND_TIME)
                     }
-                    CrashState::Running | CrashState::Counted => {
+                    CrashState::Running | CrashState::Counted | CrashState::Ended => {
                         Standing::Clear < standing || key.1 == self.host
                     }
                 };
@@ -113,10 +113,10 @@
     }
 
     pub(super) fn join(&mut self, crash: &Crash, expires_at: Moment, now: Moment) {
-        let state =
-            if self.was_served(crash.subject, now) { CrashState::Void } else { crash.state };
+        let state = self.judge(crash, now);
         // If only this host knows that the crash is void, it sends that to others.
-        let voided_at = (state != crash.state).then_some(now);
+        let is_voided = state == CrashState::Void && crash.state != CrashState::Void;
+        let voided_at = is_voided.then_some(now);
         let entry = self.entries.entry(crash.subject).or_default();
         let new = CrashRecord {
             turn: crash.turn,
@@ -129,6 +129,7 @@
                 false => now,
             },
             voided_at,
+            is_overdue: false,
         };
         match entry.crashes.entry(key(crash)) {
             Slot::Vacant(slot) => {
@@ -145,13 +146,14 @@
                     if record.isolation < crash.isolation || record.state < state {
                         self.changed.insert(crash.subject);
                     }
-                    if record.state < CrashState::Counted && state == CrashState::Counted {
+                    let is_crash = matches!(state, CrashState::Counted | CrashState::Ended);
+                    if record.state < CrashState::Counted && is_crash {
                         // The crash is later than the start of the run.
                         record.seen_at = now;
                         record.settled_at = new.settled_at;
                     }
                     let is_void = record.state == CrashState::Void;
-                    if is_void && crash.state == CrashState::Counted {
+                    if is_void && matches!(crash.state, CrashState::Counted | CrashState::Ended) {
                         record.voided_at = Some(now);
                     }
                     record.isolation = record.isolation.max(crash.isolation);
@@ -169,6 +171,16 @@
         }
     }
 
+    /// State of a crash by what this host knows of the subject and of the server.
+    fn judge(&self, crash: &Crash, now: Moment) -> CrashState {
+        let has_ended = || !is_request(crash.subject) && self.gone.has(&crash.server, now);
+        match crash.state {
+            _ if self.was_served(crash.subject, now) => CrashState::Void,
+            CrashState::Counted if has_ended() => CrashState::Ended,
+            state => state,
+        }
+    }
+
     /// Whether the subject was served lately, so that it crashes no server.
     fn was_served(&self, subject: Subject, now: Moment) -> bool {
         match subject {
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -188,7 +188,7 @@
         server: crash.server.clone(),
         witness: crash.witness.clone(),
         role: Text::Borrowed(role),
-        counts: crash.state == CrashState::Counted,
+        counts: matches!(crash.state, CrashState::Counted | CrashState::Ended),
         age: crash.age,
     }
 }
