Identify callers by the keys of the declared customers

Cause: keys were passed on to servers, and requests with unknown or revoked keys ran. Ruled out: nothing in the relay knew customers. Change: the declaration has customers with digests of their keys; a request on a route that is not public needs a known key, otherwise it is answered 401; servers get the customer's name and never the key; the customer's priority precedes the route's. A declaration in which customers share a key or a name is refused.

--- a/crates/exchange/examples/cost.rs
+++ b/crates/exchange/examples/cost.rs
@@ -124,6 +124,7 @@
         attempts: 3,
         priority: 1,
         split: vec![Share { service: format!("service-{n}").into(), weight: 1 }],
+        public: false,
     };
     Declaration { version: 1, routes: (0..ROUTES).map(route).collect(), ..Declaration::default() }
 }
--- a/crates/observe/src/metrics/routed/labels.rs
+++ b/crates/observe/src/metrics/routed/labels.rs
@@ -52,6 +52,10 @@
     Malformed,
     /// The head or body exceeds its limit.
     TooLarge,
+    /// The caller's key is missing, malformed or unknown.
+    Unauthorized,
+    /// The request exceeds its customer's quota.
+    Quota,
     /// No route matches the request.
     NoRoute,
     /// The host has received no declaration yet.
@@ -203,6 +207,8 @@
 label!(Refusal as "cause" {
     Malformed = "malformed",
     TooLarge = "too-large",
+    Unauthorized = "unauthorized",
+    Quota = "quota",
     NoRoute = "no-route",
     NoDeclaration = "no-declaration",
     NoServer = "no-server",
--- a/crates/policy/tests/dispatch/fixture.rs
+++ b/crates/policy/tests/dispatch/fixture.rs
@@ -58,6 +58,7 @@
         attempts: 3,
         priority: 2,
         split: vec![Share { service: "app".into(), weight: 1 }],
+        public: false,
     }
 }
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -19,12 +19,12 @@
 use tokio::{select, sync::oneshot};
 use types::{
     prelude::*,
-    routed::{Kind, Route, Version},
+    routed::{Customer, Kind, Route, Version},
 };
 
 use crate::{
     attempt::{self, AttemptEnd, BufferedRequest, ResponseStart},
-    edge::{ForwardOptions, Problem},
+    edge::{ForwardOptions, Identity, Problem},
     host::{OpenGuard, Shared},
     race::{self, Lost},
     trace::{self, Trace, Unresponsive},
@@ -37,11 +37,41 @@
 /// server they would preempt running requests, whose prompts would have to be processed again.
 const SERVER_PRIORITY: u8 = 5;
 
+/// On whose behalf a request is sent.
+pub(crate) enum Caller {
+    /// Callers are not identified.
+    Unmanaged,
+    /// A caller without a known key, on a public route.
+    Anonymous,
+    /// A caller that presented a key of this customer.
+    Customer(Arc<Customer>),
+}
+
+impl Caller {
+    /// Returns what servers are told of the caller.
+    fn identity(&self) -> Identity<'_> {
+        match self {
+            Caller::Unmanaged => Identity::Unmanaged,
+            Caller::Anonymous => Identity::Anonymous,
+            Caller::Customer(customer) => Identity::Customer(&customer.name),
+        }
+    }
+
+    /// Returns the priority that takes precedence over the route's, if the caller has one.
+    fn priority(&self) -> Option<u8> {
+        match self {
+            Caller::Unmanaged | Caller::Anonymous => None,
+            Caller::Customer(customer) => customer.priority,
+        }
+    }
+}
+
 /// A request that was parsed and matched to a route.
 pub(crate) struct Call {
     pub(crate) request: BufferedRequest,
     pub(crate) route: Route,
     pub(crate) service: service::Id,
+    pub(crate) caller: Caller,
     pub(crate) received: Moment,
     /// Time from the arrival of the request to its deadline.
     pub(crate) timeout: Duration,
@@ -55,7 +85,7 @@
     pub(crate) fn new(
         shared: &Arc<Shared>,
         request: BufferedRequest,
-        (route, service): (Route, service::Id),
+        (route, service, caller): (Route, service::Id, Caller),
         fingerprint: dispatch::Fingerprint,
         received: Moment,
         open: OpenGuard,
@@ -64,7 +94,18 @@
         let timeout =
             request.info.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
         let handle = DispatchHandle::new(shared.clone());
-        Call { request, route, service, received, timeout, fingerprint, handle, trace, _open: open }
+        Call {
+            request,
+            route,
+            service,
+            caller,
+            received,
+            timeout,
+            fingerprint,
+            handle,
+            trace,
+            _open: open,
+        }
     }
 
     /// Returns the request's deadline.
@@ -186,6 +227,7 @@
         let options = ForwardOptions {
             server: &server.name,
             deadline: left,
+            identity: self.caller.identity(),
             priority: SERVER_PRIORITY,
             resume: after.or(self.request.info.resume),
         };
@@ -266,6 +308,9 @@
         let deadline = self.received + self.timeout;
         let mut spec =
             dispatch::RequestSpec::new(self.request.ticket, &self.route, &self.service, deadline);
+        if let Some(priority) = self.caller.priority() {
+            spec.priority = priority.min(dispatch::request::LEAST_URGENT);
+        }
         spec.fingerprint = self.fingerprint;
         spec.model = info.model.clone();
         spec.adapter = info.adapter.clone();
--- a/crates/relay/src/edge.rs
+++ b/crates/relay/src/edge.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, request::Parts};
 use types::{
+    customer::KeyDigest,
     prelude::*,
     routed::{Declaration, Rate, Report, Sequence, Server, StartTime},
 };
@@ -25,6 +26,28 @@
     pub tokens: u32,
 }
 
+/// The key that a caller presents to be identified.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Credential {
+    /// The request carries no key.
+    Missing,
+    /// The request carries something that can't be a key, or several keys.
+    Malformed,
+    /// The digest of the key.
+    Key(KeyDigest),
+}
+
+/// What servers are told of the caller of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Identity<'a> {
+    /// The declaration names no customers: the caller's headers are passed on as they are.
+    Unmanaged,
+    /// The route is public, and the caller presented no known key.
+    Anonymous,
+    /// The customer that holds the caller's key.
+    Customer(&'a str),
+}
+
 /// The properties of a caller's request that admission and routing use.
 #[derive(Clone, Debug)]
 pub struct RequestInfo {
@@ -34,6 +57,8 @@
     pub host: Arc<str>,
     /// Path that the request names.
     pub path: Arc<str>,
+    /// The caller's key.
+    pub credential: Credential,
     /// Requested model.
     pub model: Option<model::Id>,
     /// Requested adapter of that model.
@@ -78,6 +103,8 @@
     pub server: &'a str,
     /// Time left until the request's deadline.
     pub deadline: Duration,
+    /// The caller, as far as servers are told.
+    pub identity: Identity<'a>,
     /// Priority at the server; 0 is the highest.
     pub priority: u8,
     /// Number of the event after which the stream is to resume; none for a complete response.
@@ -349,6 +376,11 @@
 pub enum Problem {
     /// The request can't be parsed.
     Malformed,
+    /// The caller's key is missing, malformed or unknown.
+    Unauthorized,
+    /// The request exceeds its customer's quota and was not executed; the caller may retry after
+    /// this time.
+    OverQuota(Duration),
     /// No route matches the request.
     NoRoute,
     /// The body exceeds the declared limit.
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -16,6 +16,7 @@
     story::{Belief, Logger, Output, Source},
 };
 use policy::{
+    customer,
     dispatch::{self, Change, Dispatcher, RetryBudgetConfig, Ticket, Verdict},
     paths::Paths,
     place::{self, Planner},
@@ -25,7 +26,10 @@
 use settings::process::{Process, RoutedSettings};
 use tokio::sync::{Notify, oneshot};
 use tokio_util::sync::CancellationToken;
-use types::{prelude::*, routed::Declaration};
+use types::{
+    prelude::*,
+    routed::{Declaration, Version},
+};
 
 use crate::{
     body::LargeBodies, clock::Clock, control::Control, demand::Demand, directory::Directory,
@@ -74,6 +78,8 @@
     /// Cancelled during a planned stop, when callers' connections have ended or their time is over.
     pub(crate) stop: CancellationToken,
     declaration: ArcSwapOption<Declaration>,
+    /// Customers of the declaration in force; none if callers are not identified.
+    customers: ArcSwapOption<customer::Directory>,
     directory: Mutex<Directory>,
     planner: Mutex<Planner>,
     paths: Mutex<Paths>,
@@ -180,6 +186,7 @@
             closing: CancellationToken::new(),
             stop: CancellationToken::new(),
             declaration: ArcSwapOption::empty(),
+            customers: ArcSwapOption::empty(),
             directory: Mutex::default(),
             leaving: AtomicBool::new(false),
             open_requests: AtomicU32::new(0),
@@ -204,15 +211,26 @@
             return;
         }
         let version = declaration.version;
+        let customers = match declaration.customers.as_deref().map(customer::Directory::new) {
+            Some(Err(conflicts)) => return report_conflicts(version, &conflicts),
+            Some(Ok(customers)) => Some(Arc::new(customers)),
+            None => None,
+        };
         self.logger.belief(Belief::Declaration { version, from });
         self.confirm_declaration();
         planning::declare(&mut self.planner(), &declaration, self.now());
+        self.customers.store(customers);
         self.dispatcher().declare(&declaration);
         self.notify(Notice::DeclarationInForce { version });
         self.declaration.store(Some(Arc::new(declaration)));
         self.register_known(before.as_deref());
     }
 
+    /// Returns the customers of the declaration in force; `None` if callers are not identified.
+    pub(crate) fn customers(&self) -> Option<Arc<customer::Directory>> {
+        self.customers.load_full()
+    }
+
     /// Records that the declaration in force is the newest at this moment.
     pub(crate) fn confirm_declaration(&self) {
         *self.declaration_confirmed.lock().unwrap_or_else(PoisonError::into_inner) = self.now();
@@ -355,6 +373,13 @@
     }
 }
 
+/// Logs why a declaration is not put in force.
+fn report_conflicts(version: Version, conflicts: &[customer::Conflict]) {
+    for conflict in conflicts {
+        log::error!(version = version; "the declaration is refused: {conflict}");
+    }
+}
+
 /// Counts one open request while it exists.
 pub(crate) struct OpenGuard(Arc<Shared>);
 
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -25,9 +25,9 @@
 
 use crate::{
     attempt::{AttemptEnd, BodyEnd, BufferedRequest, OpenResponse, ResponseStart},
-    call::{Call, Resumer},
+    call::{Call, Caller, Resumer},
     deadline::Deadline,
-    edge::{Problem, RequestInfo},
+    edge::{Credential, Problem, RequestInfo},
     fields,
     host::{OpenGuard, Shared},
     race::{self, Failure, Lost},
@@ -88,7 +88,8 @@
         return Err(fail(shared, &trace, Problem::NotRun(NOT_READY_RETRY_AFTER)));
     };
     let found = find_route(shared, &declaration, &info, body).await;
-    let (route, service, body) = found.map_err(|problem| fail(shared, &trace, problem))?;
+    let Destination { route, service, caller, body } =
+        found.map_err(|problem| fail(shared, &trace, problem))?;
     let fingerprint = hash(&(&info.host, &info.path, &body));
     let buffered = BufferedRequest {
         info,
@@ -98,26 +99,49 @@
         headers: head.headers,
         body,
     };
-    let destination = (route, service);
+    let destination = (route, service, caller);
     let call = Call::new(shared, buffered, destination, fingerprint, received, open, trace);
     call.trace_arrival(declaration.version);
     Ok(call)
 }
 
-/// Returns the route of a request, the service that it goes to, and its body.
+/// Where a request goes, and on whose behalf.
+struct Destination {
+    route: Route,
+    service: service::Id,
+    caller: Caller,
+    body: Bytes,
+}
+
+/// Finds the route of a request, identifies its caller, and receives its body.
 async fn find_route(
     shared: &Shared,
     declaration: &Declaration,
     info: &RequestInfo,
     body: Incoming,
-) -> Result<(Route, service::Id, Bytes), Problem> {
+) -> Result<Destination, Problem> {
     let route = shared.dispatcher().route(&info.host, &info.path).cloned();
     let route = route.ok_or(Problem::NoRoute)?;
+    let caller = identify(shared, &route, info.credential)?;
     let body = collect(declaration, body).await?;
     // All attempts of a stream go to the service that began it.
     let id = info.resume.and(info.resumes.as_ref()).unwrap_or(&info.id);
     let service = dispatch::split(&route, hash(id)).cloned().ok_or(Problem::NoRoute)?;
-    Ok((route, service, body))
+    Ok(Destination { route, service, caller, body })
+}
+
+/// Identifies the caller of a request on a route.
+fn identify(shared: &Shared, route: &Route, credential: Credential) -> Result<Caller, Problem> {
+    let Some(customers) = shared.customers() else { return Ok(Caller::Unmanaged) };
+    let customer = match credential {
+        Credential::Key(key) => customers.identify(key).cloned(),
+        Credential::Missing | Credential::Malformed => None,
+    };
+    match customer {
+        Some(customer) => Ok(Caller::Customer(customer)),
+        None if route.public => Ok(Caller::Anonymous),
+        None => Err(Problem::Unauthorized),
+    }
 }
 
 /// Ends a request with this host's own response.
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -277,6 +277,8 @@
             }
             Problem::Malformed => notes.refuse(Refusal::Malformed, status),
             Problem::TooLarge => notes.refuse(Refusal::TooLarge, status),
+            Problem::Unauthorized => notes.refuse(Refusal::Unauthorized, status),
+            Problem::OverQuota(_) => notes.refuse(Refusal::Quota, status),
             Problem::NoRoute => notes.refuse(Refusal::NoRoute, status),
         }
     }
--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -5,8 +5,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, request::Parts};
 use relay::edge::{
-    Answer, Departure, Dialect, Execution, ForwardOptions, Malformed, Object, ObjectKind, Order,
-    OrderReply, OrderStatus, Problem, RequestInfo, Seal, Stated, StoreCall, StoreReply,
+    Answer, Credential, Departure, Dialect, Execution, ForwardOptions, Malformed, Object,
+    ObjectKind, Order, OrderReply, OrderStatus, Problem, RequestInfo, Seal, Stated, StoreCall,
+    StoreReply,
 };
 use types::routed::{Declaration, Report, Server};
 
@@ -38,6 +39,7 @@
             id: text(&head.headers, "request-name").ok_or(Malformed::NoId)?.into(),
             host: text(&head.headers, "host").ok_or(Malformed::NoHost)?.into(),
             path: head.uri.path().into(),
+            credential: Credential::Missing,
             model: None,
             adapter: None,
             prompt: Vec::new(),
@@ -53,6 +55,8 @@
     fn refuse(&self, problem: Problem) -> Response<Bytes> {
         let status = match problem {
             Problem::Malformed => StatusCode::BAD_REQUEST,
+            Problem::Unauthorized => StatusCode::UNAUTHORIZED,
+            Problem::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             Problem::NoRoute => StatusCode::NOT_FOUND,
             Problem::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Problem::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -152,6 +152,7 @@
         attempts: 2,
         priority: 0,
         split: vec![Share { service: SERVICE.into(), weight: 1 }],
+        public: false,
     }
 }
 
@@ -166,7 +167,13 @@
 }
 
 fn declaration(route: Route, services: Vec<Service>) -> Declaration {
-    Declaration { version: 1, routes: vec![route], services, limits: Limits::default() }
+    Declaration {
+        version: 1,
+        routes: vec![route],
+        services,
+        limits: Limits::default(),
+        customers: None,
+    }
 }
 
 fn registration(server: &Server) -> types::routed::Server {
--- a/crates/stage/examples/demo/routed.rs
+++ b/crates/stage/examples/demo/routed.rs
@@ -142,6 +142,7 @@
         ],
         services: vec![service("portal-lm", Some(engine)), service("portal-app", None)],
         limits: Limits::default(),
+        customers: None,
     }
 }
 
@@ -160,5 +161,6 @@
         attempts: 3,
         priority: 0,
         split: vec![Share { service: to.into(), weight: 1 }],
+        public: false,
     }
 }
--- a/crates/stage/tests/routed/site.rs
+++ b/crates/stage/tests/routed/site.rs
@@ -39,6 +39,7 @@
         attempts: 3,
         priority: 1,
         split: services.iter().map(share).collect(),
+        public: false,
     }
 }
 
@@ -84,6 +85,7 @@
         ],
         services: vec![service("app", None), service("other", None), service("lm", Some(engine()))],
         limits: Limits::default(),
+        customers: None,
     }
 }
 
--- a/crates/standin/src/routed/caller.rs
+++ b/crates/standin/src/routed/caller.rs
@@ -50,6 +50,7 @@
             id: next_id(),
             host: host.into(),
             path: path.into(),
+            credential: edge::Credential::Missing,
             model: None,
             adapter: None,
             prompt: Vec::new(),
--- a/crates/standin/src/routed/soak/site.rs
+++ b/crates/standin/src/routed/soak/site.rs
@@ -45,6 +45,7 @@
         attempts: 3,
         priority: 1,
         split: vec![Share { service: service.into(), weight: 1 }],
+        public: false,
     }
 }
 
@@ -92,6 +93,7 @@
         ],
         services: ["app", "other", LM].map(service).into(),
         limits: Limits::default(),
+        customers: None,
     }
 }
 
--- a/crates/standin/tests/routed.rs
+++ b/crates/standin/tests/routed.rs
@@ -113,6 +113,7 @@
         attempts: 3,
         priority: 2,
         split: vec![share("lm", 3), share("lm-next", 1)],
+        public: false,
     };
     let plain = Route {
         kind: Kind::NonIdempotent,
@@ -132,6 +133,7 @@
         routes: vec![route, plain],
         services: vec![service("lm", Some(engine())), service("app", None)],
         limits: Limits::default(),
+        customers: None,
     }
 }
 
--- a/crates/types/src/routed.rs
+++ b/crates/types/src/routed.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{adapter, availability, backend, memory::Mebibytes, model, service};
+use crate::{adapter, availability, backend, customer, memory::Mebibytes, model, service};
 
 /// Number of a declaration; a later declaration has a higher one.
 pub type Version = u64;
@@ -66,6 +66,24 @@
     pub services: Vec<Service>,
     /// Limits on requests and connections of callers.
     pub limits: Limits,
+    /// Customers, by whose keys callers are identified; `None` if callers are not identified.
+    #[serde(default)]
+    pub customers: Option<Vec<Customer>>,
+}
+
+/// A customer of routed services.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Customer {
+    /// The customer's name.
+    pub name: customer::Id,
+    /// Digests of the keys that its callers present.
+    pub keys: Vec<customer::KeyDigest>,
+    /// Priority of its requests, in place of their routes'; 0 is served first.
+    pub priority: Option<u8>,
+    /// Weight relative to other customers while requests queue; positive.
+    pub weight: u32,
+    /// Limit on its requests; `None` if they are not limited.
+    pub quota: Option<customer::Quota>,
 }
 
 /// Limits on requests and connections of callers.
@@ -134,6 +152,9 @@
     pub priority: u8,
     /// Services that share its requests, by weight.
     pub split: Vec<Share>,
+    /// Whether its requests need no key where callers are identified.
+    #[serde(default)]
+    pub public: bool,
 }
 
 /// A service's share of a route.
