Keep parts that were at the same crashes suspects up to the fifth

Ruled out: clearing by other hosts alone, since all model servers had ended before a stream was served again. Change: two parts at the same crashes stay suspects, so requests with them run one at a time over all hosts; the first one served clears its parts; at the fifth crash both are refused.

--- a/crates/policy/src/dispatch/poison.rs
+++ b/crates/policy/src/dispatch/poison.rs
@@ -14,7 +14,8 @@
 //! on the server with the fewest requests in flight: one request at a time on a host, and one with
 //! the same part. Hosts advertise such runs like crashes, so that no other host sends the same
 //! subject, or another suspect to the same server, in the meantime. After the third crash the
-//! subject is poison: it reaches no server any more.
+//! subject is poison: it reaches no server any more. Two parts that were at the same crashes can't be
+//! told apart by them, so such parts stay suspects up to the fifth crash.
 //!
 //! A cut connection is no proof of a crash. A run ends only once, so it outlived the cut if
 //! something that was sent to it later is answered, or cut as well. Poison therefore waits, and is
@@ -53,6 +54,11 @@
 /// Number of crashes from which on a subject is refused.
 pub const POISON: usize = 3;
 
+/// Number of crashes from which on a part is refused that was at the same crashes as another part,
+/// so that either may be to blame. Until then requests with it run one at a time, and the first that
+/// is served clears the parts that it has.
+pub const TIED_POISON: usize = 5;
+
 /// How long a subject is remembered after its last crash, if it ran isolated in one of its crashes.
 pub const LIFE: Duration = Duration::from_secs(3600);
 
@@ -174,8 +180,9 @@
         if entry.crashes.len() < SUSPECT {
             return Standing::Clear;
         }
-        match self.unexplained(subject, entry).len() {
-            POISON.. => Standing::Poison,
+        let servers = self.unexplained(subject, entry);
+        match servers.len() {
+            crashes if self.poison_threshold(subject, &servers) <= crashes => Standing::Poison,
             SUSPECT.. => Standing::Suspect,
             _ => Standing::Clear,
         }
@@ -189,14 +196,15 @@
         if entry.crashes.len() < POISON {
             return false;
         }
-        let servers = self.unexplained(subject, entry).into_iter();
-        let is_settled = |server: &&backend::Id| match subject {
+        let servers = self.unexplained(subject, entry);
+        let threshold = self.poison_threshold(subject, &servers);
+        let is_settled = |server: &backend::Id| match subject {
             Subject::Request(_) => entry.is_settled(server, now),
             // Servers that cut all their connections may run nevertheless, and refusing a part that all
             // requests share would leave none to show that.
             Subject::Part(_) => entry.has_ended(server, now),
         };
-        POISON <= servers.filter(is_settled).count()
+        threshold <= servers.iter().filter(|server| is_settled(server)).count()
     }
 
     /// Whether a request for a subject that is not clear has to wait, because the subject is poison
--- a/crates/policy/src/dispatch/poison/blame.rs
+++ b/crates/policy/src/dispatch/poison/blame.rs
@@ -3,7 +3,7 @@
 use types::prelude::*;
 
 use super::{
-    POISON, Poison, Subject,
+    POISON, Poison, Subject, TIED_POISON,
     record::{CrashRecord, Entry},
 };
 
@@ -20,6 +20,19 @@
         counted
     }
 
+    /// Number of crashes from which on a subject is poison, given the servers of those that no other
+    /// subject explains.
+    pub(super) fn poison_threshold(&self, subject: Subject, servers: &[&backend::Id]) -> usize {
+        let is_part = |subject: &Subject| matches!(subject, Subject::Part(_));
+        let Some(first) = servers.first().filter(|_| is_part(&subject)) else { return POISON };
+        let was_there =
+            |entry: &Entry, server| entry.records_at(server).any(CrashRecord::is_counted);
+        let mut others = self.others(subject, first).filter(|(other, _)| is_part(other));
+        let is_tied =
+            others.any(|(_, entry)| servers.iter().all(|server| was_there(entry, server)));
+        if is_tied { TIED_POISON } else { POISON }
+    }
+
     /// Servers of the crashes that count, except those where another subject ran isolated. Of two
     /// requests that ran isolated on one server neither explains its crash. Parts that ran isolated
     /// on one server may be of one request, so each of them counts.
