Check requests against the customers in force before each attempt

Cause: a request was identified once, when it arrived, so that a request that waited or was tried again ran with a key that had been removed or had moved meanwhile; the operators' side of the stand-ins had no customers. Ruled out: checking in the dispatcher, which has no keys and would need each declaration's directory. Change: a request is identified again while it waits and right before it is sent; `routed.revocation` ends running requests of a removed key; the entries of organisations are read field by field and an error names the entry, never a value; stand-ins write organisations with keys, send keys and record what servers are told. Soaks draw customers and changes of their keys, and a judge (not run yet).

--- a/crates/policy/src/customer.rs
+++ b/crates/policy/src/customer.rs
@@ -1,7 +1,12 @@
 //! Customers of routed services: whose key a caller presents.
 //!
 //! Only digests of keys are kept. A [`Directory`] is built from each declaration; looking up a key
-//! costs one hash lookup however many keys there are.
+//! costs one hash lookup however many keys there are. A host that can't reach the store keeps to the
+//! last declaration that it has: it goes on serving the keys of that declaration, and learns of
+//! added and removed keys once it reaches the store again.
+
+mod caller;
+mod change;
 
 use std::{
     collections::HashMap,
@@ -11,9 +16,11 @@
 
 use types::{
     customer::{self, KeyDigest},
-    routed::Customer,
+    routed::{Customer, Declaration, Version},
 };
 
+pub use self::{caller::Caller, change::Change};
+
 /// A map with a fixed hasher seed. Its iteration order never affects a decision.
 type Map<K, V> = HashMap<K, V, BuildHasherDefault<DefaultHasher>>;
 
@@ -34,6 +41,32 @@
     Key(customer::Id, customer::Id),
 }
 
+/// Why a declaration is not put in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Rejection {
+    /// The declaration in force is the same one or a later one.
+    Outdated,
+    /// The customers of the declaration can't be told apart.
+    Conflicts(Vec<Conflict>),
+}
+
+/// Returns the customers of a declaration that comes into force after the one of version `current`;
+/// `None` if it identifies nobody.
+///
+/// # Errors
+///
+/// The declaration is not put in force.
+pub fn accept(
+    current: Option<Version>,
+    declaration: &Declaration,
+) -> Result<Option<Directory>, Rejection> {
+    if current.is_some_and(|current| declaration.version <= current) {
+        return Err(Rejection::Outdated);
+    }
+    let customers = declaration.customers.as_deref().map(Directory::new).transpose();
+    customers.map_err(Rejection::Conflicts)
+}
+
 impl Directory {
     /// Indexes the customers of a declaration.
     ///
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -134,7 +134,8 @@
     ticket: Ticket,
     server: &Arc<Server>,
     call: &Call,
-    options: &ForwardOptions<'_>,
+    left: Duration,
+    after: Option<u64>,
 ) -> Result<ResponseStart, AttemptEnd> {
     let buffered = &call.request;
     let mut attempt = Attempt::new(shared.clone(), ticket, server.clone());
@@ -148,10 +149,15 @@
     if !shared.dispatcher().may_send(ticket, shared.now()) {
         return Err(AttemptEnd::Unreachable(Unreachable::Closed));
     }
+    // So may the caller's key have been removed or moved to another customer.
+    let Some(caller) = call.renew_caller(shared) else {
+        return Err(AttemptEnd::Unreachable(Unreachable::Closed));
+    };
     let path = connection.path();
     let sent_at = shared.now();
     shared.dispatcher().sent(ticket, path, sent_at);
-    let request = request(shared, buffered, options);
+    let options = call.forward_options(server, &caller, left, after);
+    let request = request(shared, buffered, &options);
     connection.set_reset_on_close(true);
     let sent = connection.send(request).await;
     let response = sent.map_err(|mut error| match error.take_message() {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -12,19 +12,20 @@
 use http::StatusCode;
 use observe::{metrics::routed::Refusal, story::Arrival};
 use policy::{
-    attempt_timeout,
+    attempt_timeout, customer,
     dispatch::{self, Answer, Ticket, Verdict},
     streams::SoftwareId,
 };
 use tokio::{select, sync::oneshot};
 use types::{
     prelude::*,
-    routed::{Customer, Kind, Route, Version},
+    routed::{Kind, Route, Server, Version},
 };
 
 use crate::{
     attempt::{self, AttemptEnd, BufferedRequest, ResponseStart},
-    edge::{ForwardOptions, Identity, Problem},
+    caller::{self, Caller},
+    edge::{ForwardOptions, Problem},
     host::{OpenGuard, Shared},
     race::{self, Lost},
     trace::{self, Trace, Unresponsive},
@@ -37,35 +38,6 @@
 /// server they would preempt running requests, whose prompts would have to be processed again.
 const SERVER_PRIORITY: u8 = 5;
 
-/// On whose behalf a request is sent.
-pub(crate) enum Caller {
-    /// Callers are not identified.
-    Unmanaged,
-    /// A caller without a known key, on a public route.
-    Anonymous,
-    /// A caller that presented a key of this customer.
-    Customer(Arc<Customer>),
-}
-
-impl Caller {
-    /// Returns what servers are told of the caller.
-    fn identity(&self) -> Identity<'_> {
-        match self {
-            Caller::Unmanaged => Identity::Unmanaged,
-            Caller::Anonymous => Identity::Anonymous,
-            Caller::Customer(customer) => Identity::Customer(&customer.name),
-        }
-    }
-
-    /// Returns the priority that takes precedence over the route's, if the caller has one.
-    fn priority(&self) -> Option<u8> {
-        match self {
-            Caller::Unmanaged | Caller::Anonymous => None,
-            Caller::Customer(customer) => customer.priority,
-        }
-    }
-}
-
 /// A request that was parsed and matched to a route.
 pub(crate) struct Call {
     pub(crate) request: BufferedRequest,
@@ -165,7 +137,11 @@
         status: Option<StatusCode>,
     ) -> Result<Next, Problem> {
         self.trace.attempt_ended(ticket, end, status);
-        let server = match self.handle.failed(ticket, end) {
+        let decision = self.handle.failed(ticket, end);
+        if decision != dispatch::RetryDecision::InFlight {
+            self.authorize(shared)?;
+        }
+        let server = match decision {
             dispatch::RetryDecision::InFlight => return Ok(Next::InFlight),
             dispatch::RetryDecision::Send(server) => server,
             dispatch::RetryDecision::Wait => {
@@ -191,6 +167,8 @@
     /// Finds another server for a request whose server is unresponsive, if one can take it now.
     /// Returns it with the ticket of the attempt there.
     pub(crate) fn hedge(&self, ticket: Ticket, why: Unresponsive) -> Option<(Ticket, backend::Id)> {
+        // A running request outlives its key, but is sent to no other server.
+        self.renew_caller(self.handle.shared())?;
         let hedge = self.handle.hedge(ticket, why)?;
         self.trace.unresponsive(ticket, why);
         Some(hedge)
@@ -224,21 +202,32 @@
         age.into_iter().for_each(|age| shared.meters.report_age(age));
         let left = self.time_left(shared);
         self.trace.sent(ticket, &server, after, left);
-        let options = ForwardOptions {
-            server: &server.name,
-            deadline: left,
-            identity: self.caller.identity(),
-            priority: SERVER_PRIORITY,
-            resume: after.or(self.request.info.resume),
-        };
         self.handle.may_run.fetch_add(1, Ordering::Relaxed);
-        let start = attempt::begin(shared, ticket, &server, self, &options).await;
+        let start = attempt::begin(shared, ticket, &server, self, left, after).await;
         if let Err(AttemptEnd::NotRun(_) | AttemptEnd::Unreachable(_)) = start {
             self.handle.may_run.fetch_sub(1, Ordering::Relaxed);
         }
         start
     }
 
+    /// Returns what the request carries to a server in addition to the caller's headers. `after` is
+    /// the last event that the caller has, if a stream is resumed.
+    pub(crate) fn forward_options<'a>(
+        &self,
+        server: &'a Server,
+        caller: &'a customer::Caller,
+        left: Duration,
+        after: Option<u64>,
+    ) -> ForwardOptions<'a> {
+        ForwardOptions {
+            server: &server.name,
+            deadline: left,
+            identity: caller::identity(caller),
+            priority: SERVER_PRIORITY,
+            resume: after.or(self.request.info.resume),
+        }
+    }
+
     /// Returns the problem to report after the deadline has passed.
     pub(crate) fn timed_out(&self) -> Problem {
         if 0 < self.handle.may_run.load(Ordering::Relaxed) {
@@ -296,6 +285,7 @@
                 self.handle.end(AttemptEnd::Cancelled);
                 None
             }
+            () = self.revoked(shared) => return Err(self.end_revoked()),
         };
         match verdict {
             Some(verdict) => Box::pin(self.apply_verdict(shared, verdict)).await,
@@ -308,7 +298,7 @@
         let deadline = self.received + self.timeout;
         let mut spec =
             dispatch::RequestSpec::new(self.request.ticket, &self.route, &self.service, deadline);
-        if let Some(priority) = self.caller.priority() {
+        if let Some(priority) = self.caller.current().priority() {
             spec.priority = priority.min(dispatch::request::LEAST_URGENT);
         }
         spec.fingerprint = self.fingerprint;
@@ -339,7 +329,7 @@
     tickets: Mutex<Vec<Ticket>>,
     /// Number of attempts that a server may have executed: it has been sent a byte, and has not
     /// stated that it did not execute the request.
-    may_run: AtomicU32,
+    pub(crate) may_run: AtomicU32,
 }
 
 impl DispatchHandle {
--- a/crates/relay/src/edge.rs
+++ b/crates/relay/src/edge.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, request::Parts};
 use types::{
-    customer::KeyDigest,
+    customer::{self, KeyDigest},
     prelude::*,
     routed::{Declaration, Rate, Report, Sequence, Server, StartTime},
 };
@@ -96,6 +96,25 @@
     Field(&'static str),
 }
 
+/// Reason why a declaration can't be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unreadable {
+    /// The declaration as a whole is malformed.
+    #[error("it is malformed")]
+    Malformed,
+    /// The entry of a customer is invalid. The values of the entry are left out, since they may be
+    /// keys.
+    #[error("customer {entry:?}: {field} {expected}")]
+    Customer {
+        /// Name of the customer, or the number of its entry if it has no valid name.
+        entry: customer::Id,
+        /// The invalid field.
+        field: &'static str,
+        /// What the field must be.
+        expected: &'static str,
+    },
+}
+
 /// What a forwarded request carries in addition to the caller's headers.
 #[derive(Clone, Debug)]
 pub struct ForwardOptions<'a> {
@@ -436,8 +455,12 @@
     /// Name of the object that holds the declaration.
     fn declaration_name(&self) -> &str;
 
-    /// Parses the declaration; `None` if it is malformed.
-    fn declaration(&self, object: &Object) -> Option<Declaration>;
+    /// Parses the declaration.
+    ///
+    /// # Errors
+    ///
+    /// The declaration is malformed, or a part of it is invalid.
+    fn declaration(&self, object: &Object) -> Result<Declaration, Unreadable>;
 
     /// Parses a server's registration; `None` if it is malformed.
     fn server(&self, object: &Object) -> Option<Server>;
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -80,6 +80,8 @@
     declaration: ArcSwapOption<Declaration>,
     /// Customers of the declaration in force; none if callers are not identified.
     customers: ArcSwapOption<customer::Directory>,
+    /// Notified when other customers have come into force.
+    pub(crate) customers_changed: Notify,
     directory: Mutex<Directory>,
     planner: Mutex<Planner>,
     paths: Mutex<Paths>,
@@ -187,6 +189,7 @@
             stop: CancellationToken::new(),
             declaration: ArcSwapOption::empty(),
             customers: ArcSwapOption::empty(),
+            customers_changed: Notify::new(),
             directory: Mutex::default(),
             leaving: AtomicBool::new(false),
             open_requests: AtomicU32::new(0),
@@ -207,19 +210,20 @@
     /// version.
     pub(crate) fn declare(&self, declaration: Declaration, from: Source) {
         let before = self.declaration();
-        if before.as_ref().is_some_and(|current| declaration.version <= current.version) {
-            return;
-        }
         let version = declaration.version;
-        let customers = match declaration.customers.as_deref().map(customer::Directory::new) {
-            Some(Err(conflicts)) => return report_conflicts(version, &conflicts),
-            Some(Ok(customers)) => Some(Arc::new(customers)),
-            None => None,
+        let current = before.as_ref().map(|before| before.version);
+        let customers = match customer::accept(current, &declaration) {
+            Ok(customers) => customers.map(Arc::new),
+            Err(customer::Rejection::Outdated) => return,
+            Err(customer::Rejection::Conflicts(conflicts)) => {
+                return report_conflicts(version, &conflicts);
+            }
         };
         self.logger.belief(Belief::Declaration { version, from });
         self.confirm_declaration();
         planning::declare(&mut self.planner(), &declaration, self.now());
         self.customers.store(customers);
+        self.customers_changed.notify_waiters();
         self.dispatcher().declare(&declaration);
         self.notify(Notice::DeclarationInForce { version });
         self.declaration.store(Some(Arc::new(declaration)));
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod attempt;
 mod body;
 mod call;
+mod caller;
 mod callers;
 mod connect;
 mod control;
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -25,9 +25,10 @@
 
 use crate::{
     attempt::{AttemptEnd, BodyEnd, BufferedRequest, OpenResponse, ResponseStart},
-    call::{Call, Caller, Resumer},
+    call::{Call, Resumer},
+    caller::Caller,
     deadline::Deadline,
-    edge::{Credential, Problem, RequestInfo},
+    edge::{Problem, RequestInfo},
     fields,
     host::{OpenGuard, Shared},
     race::{self, Failure, Lost},
@@ -122,7 +123,7 @@
 ) -> Result<Destination, Problem> {
     let route = shared.dispatcher().route(&info.host, &info.path).cloned();
     let route = route.ok_or(Problem::NoRoute)?;
-    let caller = identify(shared, &route, info.credential)?;
+    let caller = Caller::identify(shared, &route, info.credential)?;
     let body = collect(declaration, body).await?;
     // All attempts of a stream go to the service that began it.
     let id = info.resume.and(info.resumes.as_ref()).unwrap_or(&info.id);
@@ -130,20 +131,6 @@
     Ok(Destination { route, service, caller, body })
 }
 
-/// Identifies the caller of a request on a route.
-fn identify(shared: &Shared, route: &Route, credential: Credential) -> Result<Caller, Problem> {
-    let Some(customers) = shared.customers() else { return Ok(Caller::Unmanaged) };
-    let customer = match credential {
-        Credential::Key(key) => customers.identify(key).cloned(),
-        Credential::Missing | Credential::Malformed => None,
-    };
-    match customer {
-        Some(customer) => Ok(Caller::Customer(customer)),
-        None if route.public => Ok(Caller::Anonymous),
-        None => Err(Problem::Unauthorized),
-    }
-}
-
 /// Ends a request with this host's own response.
 fn fail(shared: &Shared, trace: &Trace, problem: Problem) -> Response<ResponseBody> {
     let response = refuse(shared, problem);
@@ -174,6 +161,7 @@
         biased;
         ended = attempts(shared, call) => ended,
         () = Deadline::at(shared, call.deadline()) => Err(call.timed_out()),
+        () = call.clone().revoked_strictly() => Err(call.end_revoked()),
     };
     match ended {
         Ok(response) => {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -38,6 +38,9 @@
     /// The deadline of the request has passed.
     #[error("the deadline of the request has passed")]
     Deadline,
+    /// The caller's key has been removed, and running requests don't outlive their keys.
+    #[error("the caller's key has been removed")]
+    Revoked,
 }
 
 impl StreamError {
@@ -50,6 +53,7 @@
             StreamError::Fault(Fault::Gap | Fault::Garbage) => "bad-event",
             StreamError::Silence => "silence",
             StreamError::Deadline => "deadline",
+            StreamError::Revoked => "revoked",
         }
     }
 
@@ -65,8 +69,8 @@
                 AttemptEnd::Unclear(Unclear::Garbled)
             }
             StreamError::Silence => AttemptEnd::Unclear(Unclear::Silent),
-            // That the deadline passed is no evidence against the server.
-            StreamError::Deadline => AttemptEnd::Cancelled,
+            // Neither a deadline nor a removed key is evidence against the server.
+            StreamError::Deadline | StreamError::Revoked => AttemptEnd::Cancelled,
         }
     }
 }
--- a/crates/relay/src/stream/events.rs
+++ b/crates/relay/src/stream/events.rs
@@ -8,6 +8,7 @@
 };
 
 use bytes::Bytes;
+use futures_util::{FutureExt, future::BoxFuture};
 use http_body::{Body, Frame};
 use policy::event::{ResumePoint, Splitter};
 use tokio::time::{Interval, interval};
@@ -41,6 +42,8 @@
     /// Attempts at other servers while the present one is unresponsive.
     hedge: Option<Hedge>,
     timer: StreamTimer,
+    /// Completes when the stream is to end because the caller's key has been removed.
+    revoked: BoxFuture<'static, ()>,
     call: Arc<Call>,
     first_event: FirstEvent,
     record: StreamRecord,
@@ -99,6 +102,7 @@
             resume,
             hedge: None,
             timer,
+            revoked: call.clone().revoked_strictly().boxed(),
             call,
             first_event: FirstEvent::Pending,
             record: StreamRecord::default(),
@@ -110,6 +114,12 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
         loop {
+            if matches!(self.state, State::Streaming(_) | State::Resuming(..))
+                && self.revoked.as_mut().poll(context).is_ready()
+            {
+                self.hedge = None;
+                self.state = State::Flushing(StreamError::Revoked);
+            }
             let step = match &mut self.state {
                 State::Streaming(_) => ready!(self.poll_server(context)),
                 State::Resuming(..) => ready!(self.poll_resuming(context)),
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -225,6 +225,11 @@
         }
     }
 
+    /// Records that this host ended all attempts in flight.
+    pub(crate) fn cancelled(&self) {
+        self.notes().all_ended(AttemptEnd::Cancelled, None);
+    }
+
     /// Records the arrival of the head of a response that is no stream.
     pub(crate) fn response_started(&self, status: Option<StatusCode>) {
         let mut notes = self.notes();
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -59,8 +59,11 @@
         return;
     }
     match shared.dialect.declaration(object) {
-        Some(declaration) => shared.declare(declaration, Source::Store),
-        None => log::error!(revision = object.revision; "a declaration can't be read"),
+        Ok(declaration) => shared.declare(declaration, Source::Store),
+        Err(error) => {
+            let revision = object.revision;
+            log::error!(revision = revision, reason:% = error; "a declaration can't be read");
+        }
     }
 }
 
--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -7,7 +7,7 @@
 use relay::edge::{
     Answer, Credential, Departure, Dialect, Execution, ForwardOptions, Malformed, Object,
     ObjectKind, Order, OrderReply, OrderStatus, Problem, RequestInfo, Seal, Stated, StoreCall,
-    StoreReply,
+    StoreReply, Unreadable,
 };
 use types::routed::{Declaration, Report, Server};
 
@@ -148,8 +148,8 @@
         "declaration"
     }
 
-    fn declaration(&self, _: &Object) -> Option<Declaration> {
-        Some(self.objects.declaration.clone())
+    fn declaration(&self, _: &Object) -> Result<Declaration, Unreadable> {
+        Ok(self.objects.declaration.clone())
     }
 
     fn server(&self, object: &Object) -> Option<Server> {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -235,5 +235,6 @@
         turn: TIMEOUT,
         retry: Retry { ratio: 1.0, extra: 100.0, window: TIMEOUT },
         metrics_port: None,
+        revocation: process::Revocation::default(),
     }
 }
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -24,7 +24,7 @@
 
 pub use self::{
     planning::Planning,
-    routed::{Dialect, Retry, RoutedSettings},
+    routed::{Dialect, Retry, Revocation, RoutedSettings},
 };
 
 /// Reads a process's settings from a file.
--- a/crates/settings/src/process/check.rs
+++ b/crates/settings/src/process/check.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use super::{Process, RoutedSettings};
+use super::{Process, Revocation, RoutedSettings};
 
 const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 
@@ -165,6 +165,7 @@
         ("/routed/grace_s", routed.grace),
         ("/routed/turn_ms", routed.turn),
         ("/routed/retry/window_s", routed.retry.window),
+        ("/routed/revocation/within_ms", routed.revocation.within),
     ];
     let zeros = times.into_iter().filter(|(_, time)| *time == Duration::ZERO);
     problems.extend(zeros.map(|(path, _)| Problem::new(path, "must be positive")));
@@ -172,4 +173,11 @@
         [("/routed/retry/ratio", routed.retry.ratio), ("/routed/retry/extra", routed.retry.extra)];
     let negative = values.into_iter().filter(|(_, value)| !(value.is_finite() && 0.0 <= *value));
     problems.extend(negative.map(|(path, _)| Problem::new(path, "must not be negative")));
+    let Revocation { strict, within } = routed.revocation;
+    // A host may learn of a removal as late as of any other change of the declaration.
+    if strict && within != Duration::ZERO && within < routed.apply {
+        let message = "shorter than the time after which a declaration must be in force";
+        let problem = Problem::new("/routed/revocation/within_ms", message);
+        problems.push(problem.with_path("/routed/apply_ms"));
+    }
 }
--- a/crates/settings/src/process/routed.rs
+++ b/crates/settings/src/process/routed.rs
@@ -30,6 +30,31 @@
     /// none, only the operators' listener serves them.
     #[serde(default)]
     pub metrics_port: Option<u16>,
+    /// What the removal of a caller's key means for running requests.
+    #[serde(default)]
+    pub revocation: Revocation,
+}
+
+/// What the removal of a caller's key means for running requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Revocation {
+    /// Whether requests that run when their key is removed are ended.
+    #[serde(default)]
+    pub strict: bool,
+    /// Time after the removal within which they must have ended; milliseconds in JSON.
+    #[serde(rename = "within_ms", with = "millis", default = "default_within")]
+    pub within: Duration,
+}
+
+impl Default for Revocation {
+    fn default() -> Revocation {
+        Revocation { strict: false, within: default_within() }
+    }
+}
+
+fn default_within() -> Duration {
+    Duration::from_secs(5)
 }
 
 /// Protocol of callers, servers and the store.
--- a/crates/stage/tests/soak.rs
+++ b/crates/stage/tests/soak.rs
@@ -161,6 +161,32 @@
     assert!(200 <= summary.runs, "{summary:?}");
 }
 
+/// Declarations add, move and remove keys while hosts are killed and frozen, services fail, and the
+/// store is silent for longer than a declaration may take to come into force.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_served_for_the_holder_of_their_key(#[values(1, 2)] seed: u64) {
+    let changes = (0..36).map(|number| PlannedFault {
+        at: Duration::from_millis(400 * number),
+        duration: Duration::ZERO,
+        fault: Fault::Keys(seed << 32 | number),
+    });
+    let others = [
+        planned(0, 15, Fault::Customers),
+        planned(2, 1, Fault::Kill(0)),
+        planned(3, 1, Fault::Freeze(1)),
+        planned(4, 2, Fault::AllGrey(FIRST_SERVERS[0], ServerFault::Lost)),
+        planned(7, 4, Fault::Down(Refusal::Silence)),
+    ];
+    let mut schedule: Vec<PlannedFault> = others.into_iter().chain(changes).collect();
+    schedule.sort_by_key(|planned| planned.at);
+    let summary = soak(seed, 4, Duration::from_secs(16), schedule).await;
+    assert!(summary.breaches.is_empty(), "{:#?}", summary.breaches);
+    assert!(200 <= summary.runs, "{summary:?}");
+    let refused = summary.requests.values().filter_map(|outcomes| outcomes.get("401"));
+    assert!(10 <= refused.sum::<usize>(), "{summary:?}");
+}
+
 /// Number of streams taken up from which on the soak judges their share.
 const MIN_RESUMED: usize = 20;
 
--- a/crates/standin/src/routed/caller.rs
+++ b/crates/standin/src/routed/caller.rs
@@ -12,7 +12,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Method, Request, StatusCode, header, response::Parts};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header, response::Parts};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -40,6 +40,8 @@
     method: Method,
     body: Bytes,
     headers: HeaderMap,
+    keys: Vec<HeaderValue>,
+    claimed: Vec<HeaderValue>,
     has_reserved_headers: bool,
 }
 
@@ -66,6 +68,8 @@
             method: Method::GET,
             body: Bytes::new(),
             headers: HeaderMap::new(),
+            keys: Vec::new(),
+            claimed: Vec::new(),
             has_reserved_headers: false,
         }
     }
@@ -159,6 +163,30 @@
         self
     }
 
+    /// Adds a key that identifies the caller, in a header of its own.
+    ///
+    /// # Panics
+    ///
+    /// If no header can have this value.
+    pub fn key(mut self, key: impl AsRef<[u8]>) -> RequestSpec {
+        let key = HeaderValue::from_bytes(key.as_ref()).expect("the key is a header value");
+        self.keys.push(key);
+        self
+    }
+
+    /// Replaces the keys.
+    pub fn with_key(mut self, key: &str) -> RequestSpec {
+        self.keys.clear();
+        self.key(key)
+    }
+
+    /// Adds the header by which hosts name the caller's customer to servers, as an untrusted caller
+    /// might.
+    pub fn claims(mut self, customer: &'static str) -> RequestSpec {
+        self.claimed.push(HeaderValue::from_static(customer));
+        self
+    }
+
     /// Adds all headers that only the system may set, as an untrusted caller might.
     pub fn with_reserved_headers(mut self) -> RequestSpec {
         self.has_reserved_headers = true;
@@ -169,6 +197,12 @@
     pub fn request(&self) -> Request<Bytes> {
         let mut request = remote::request(self.method.clone(), &self.info, self.body.clone());
         request.headers_mut().extend(self.headers.clone());
+        for key in &self.keys {
+            remote::add_key(request.headers_mut(), key.clone());
+        }
+        for name in &self.claimed {
+            remote::add_customer(request.headers_mut(), name.clone());
+        }
         if self.has_reserved_headers {
             remote::set_reserved(request.headers_mut());
         }
--- a/crates/standin/src/routed/server.rs
+++ b/crates/standin/src/routed/server.rs
@@ -148,6 +148,10 @@
     pub id: Arc<str>,
     /// When the server received it.
     pub at: Instant,
+    /// Names of the customer on whose behalf it was sent, one for each header that states it.
+    pub customers: Vec<String>,
+    /// Whether a caller's key was passed on.
+    pub has_key: bool,
 }
 
 /// How a run ended.
--- a/crates/standin/src/routed/server/serving.rs
+++ b/crates/standin/src/routed/server/serving.rs
@@ -83,7 +83,8 @@
         && let Call::Request(incoming) = remote::call(head, body)
         && let Some(id) = incoming.id
     {
-        lock(&shared.arrivals).push(Arrival { id, at: Instant::now() });
+        let IncomingRequest { customers, has_key, .. } = *incoming;
+        lock(&shared.arrivals).push(Arrival { id, at: Instant::now(), customers, has_key });
     }
 }
 
--- a/crates/standin/src/routed/site.rs
+++ b/crates/standin/src/routed/site.rs
@@ -23,6 +23,8 @@
     until,
 };
 
+pub use platform::remote::entry::Customer;
+
 /// Availability zones, assigned to hosts in turn; the first is that of all servers unless set
 /// otherwise.
 pub const ZONES: [&str; 4] = ["mobile-hall", "biloxi-hall", "gulfport-hall", "pensacola-hall"];
@@ -148,6 +150,13 @@
         self.store.put(&remote::kind(ObjectKind::Declaration), DECLARATION, content);
     }
 
+    /// Writes `declaration` with these customers to the store, as an operator would, in place of the
+    /// previous one.
+    pub fn declare_with(&self, declaration: &Declaration, customers: &[Customer]) {
+        let content = entry::declaration_with(declaration, customers);
+        self.store.put(&remote::kind(ObjectKind::Declaration), DECLARATION, content);
+    }
+
     /// The server with this id; after a restart the last one started.
     ///
     /// # Panics
--- a/crates/standin/src/routed/soak.rs
+++ b/crates/standin/src/routed/soak.rs
@@ -3,6 +3,7 @@
 //! The faults and the load are drawn from a seed. [`judge`] checks the result against the promises
 //! to users, from observations of callers, servers and the fault injector alone.
 
+pub mod customers;
 mod inject;
 pub mod judge;
 mod load;
@@ -24,6 +25,7 @@
 use tokio::time::{Instant, timeout};
 
 use self::{
+    customers::Holders,
     inject::Injector,
     judge::{Breach, retries},
     load::State,
@@ -127,6 +129,7 @@
         hosts: Mutex::default(),
         versions: Mutex::default(),
         requests: Mutex::default(),
+        holders: Mutex::default(),
         is_burst: false.into(),
         is_poisoned: false.into(),
         is_part_poisoned: false.into(),
@@ -140,6 +143,7 @@
         load,
         bounds: Bounds::default(),
         has_versions: schedule::has_versions(&plan.schedule),
+        holders: schedule::has_customers(&plan.schedule).then(Holders::first),
         declaration: site::first_declaration(),
         declared: Vec::new(),
         leaves: Vec::new(),
@@ -275,6 +279,8 @@
         id: arrival.id.to_string(),
         service: server.service().to_string(),
         at: load.since(arrival.at),
+        customers: arrival.customers,
+        has_key: arrival.has_key,
     };
     server.arrivals().into_iter().map(to_record).collect()
 }
--- a/crates/standin/src/routed/soak/inject.rs
+++ b/crates/standin/src/routed/soak/inject.rs
@@ -16,6 +16,7 @@
 use types::routed::Declaration;
 
 use super::{
+    customers::Holders,
     load::{self, HostEntry},
     record::{Bounds, BrittleTime, Component, Declared, Disruption, HostRun, Leave, Silence, Span},
     schedule::{Fault, Notice, Pairs, PlannedFault},
@@ -64,6 +65,8 @@
     /// Whether the model servers run two versions of their software.
     pub(super) has_versions: bool,
     pub(super) declaration: Declaration,
+    /// The holders of keys; `None` if callers are not identified.
+    pub(super) holders: Option<Holders>,
     pub(super) declared: Vec<Declared>,
     pub(super) leaves: Vec<Leave>,
     pub(super) disruptions: Vec<Disruption>,
@@ -123,8 +126,13 @@
     /// Writes a declaration to the store and records when.
     pub(super) fn declare(&mut self, declaration: Declaration) {
         let (version, services) = (declaration.version, site::services(&declaration));
-        self.site.backend.declare(&declaration);
-        self.declared.push(Declared { version, at: self.now(), services });
+        match &self.holders {
+            Some(holders) => self.site.backend.declare_with(&declaration, &holders.customers()),
+            None => self.site.backend.declare(&declaration),
+        }
+        let holders = self.holders.clone();
+        lock(&self.load.holders).clone_from(&holders);
+        self.declared.push(Declared { version, at: self.now(), services, holders });
         self.declaration = declaration;
     }
 
@@ -246,6 +254,8 @@
             }
             Fault::Orders(_)
             | Fault::Declare
+            | Fault::Customers
+            | Fault::Keys(_)
             | Fault::Burst
             | Fault::Poison
             | Fault::PoisonPart
@@ -323,6 +333,13 @@
                 self.declare(next);
                 lock(&self.load.versions).push(version);
             }
+            Fault::Customers => {}
+            Fault::Keys(seed) => {
+                self.holders.iter_mut().for_each(|holders| holders.change(seed));
+                let mut next = self.declaration.clone();
+                next.version += 1;
+                self.declare(next);
+            }
             Fault::Burst => self.load.is_burst.store(true, Ordering::Relaxed),
             Fault::Poison => self.load.is_poisoned.store(true, Ordering::Relaxed),
             Fault::PoisonPart => self.load.is_part_poisoned.store(true, Ordering::Relaxed),
@@ -453,7 +470,7 @@
             }
             Fault::Limited(server, _) => self.set_limit([server], None),
             Fault::AllLimited(server, _) => self.set_limit(site::same_service(server), None),
-            Fault::Orders(_) | Fault::Declare => {}
+            Fault::Orders(_) | Fault::Declare | Fault::Customers | Fault::Keys(_) => {}
         }
         Ok(())
     }
--- a/crates/standin/src/routed/soak/judge.rs
+++ b/crates/standin/src/routed/soak/judge.rs
@@ -1,6 +1,7 @@
 //! Checks the record of a soak against the promises to users.
 
 mod brittle;
+mod customers;
 mod declared;
 mod departures;
 mod partition;
@@ -68,6 +69,9 @@
     /// No answer is cut off by a planned stop or a reload, or without any fault, and streams that
     /// callers take up go on.
     Lost,
+    /// Requests are served on behalf of the customer that holds their key, only with a held key, and
+    /// servers get no key.
+    Identity,
     /// Requests are served after the last fault.
     Recover,
     /// Hosts that are partitioned from all servers serve requests like the others.
@@ -78,7 +82,7 @@
 
 impl Promise {
     /// All promises that a soak is judged by.
-    pub const ALL: [Promise; 18] = [
+    pub const ALL: [Promise; 19] = [
         Promise::Twice,
         Promise::Refused,
         Promise::Mixed,
@@ -94,6 +98,7 @@
         Promise::Retries,
         Promise::Config,
         Promise::Lost,
+        Promise::Identity,
         Promise::Recover,
         Promise::Partitioned,
         Promise::Fault,
@@ -135,6 +140,7 @@
     breaches.extend(judge.check_brittle());
     breaches.extend(judge.check_retries());
     breaches.extend(judge.check_streams());
+    breaches.extend(judge.check_customers());
     let limit = |(server, at): &(String, Duration)| Breach {
         promise: Promise::Limit,
         request: None,
@@ -437,6 +443,7 @@
         let after = self.record.requests.iter().filter(|request| {
             from <= request.span.from
                 && request.resume.is_none()
+                && !is_unauthorized(request)
                 && !matches!(request.outcome, Outcome::CallerClosed | Outcome::BrokenOff(_))
         });
         let after: Vec<&Request> = after.collect();
@@ -456,6 +463,11 @@
     matches!(&request.outcome, Outcome::Answered(answer) if answer.is_complete && answer.status.is_success())
 }
 
+/// Whether a request was refused for its key, which [`Promise::Identity`] judges.
+fn is_unauthorized(request: &Request) -> bool {
+    matches!(&request.outcome, Outcome::Answered(answer) if answer.status == StatusCode::UNAUTHORIZED)
+}
+
 /// Checks the body of a plain server, which names the request, the path and the length it received.
 fn check_plain_body(request: &Request, answer: &Answer) -> Option<(Promise, String)> {
     let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
--- a/crates/standin/src/routed/soak/judge/partition.rs
+++ b/crates/standin/src/routed/soak/judge/partition.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::{Breach, Judge, Promise, is_served};
+use super::{Breach, Judge, Promise, is_served, is_unauthorized};
 use crate::routed::soak::record::{Component, Outcome, Request, Span};
 
 /// Requests that may fail at partitioned hosts: this many, and one in so many of all requests.
@@ -60,6 +60,7 @@
             (from..=partition.to).contains(&request.span.from)
                 && request.poison.is_none()
                 && request.resume.is_none()
+                && !is_unauthorized(request)
                 && !matches!(request.outcome, Outcome::CallerClosed | Outcome::BrokenOff(_))
                 && self.record.is_in_contact(request.host_run.host, request.span)
         });
--- a/crates/standin/src/routed/soak/load.rs
+++ b/crates/standin/src/routed/soak/load.rs
@@ -24,6 +24,7 @@
 use types::routed::{Kind, Version};
 
 use super::{
+    customers::{self, Holders},
     record::{self, HostRun, Outcome, Poison, Request, Span},
     site::{ADAPTERS, DEADLINE, HOST, MODELS, POISON, POISON_PART, added_route},
 };
@@ -87,6 +88,8 @@
     /// use.
     pub(super) versions: Mutex<Vec<Version>>,
     pub(super) requests: Mutex<Vec<Request>>,
+    /// The holders of keys under the last declaration; `None` if callers are not identified.
+    pub(super) holders: Mutex<Option<Holders>>,
     pub(super) is_burst: AtomicBool,
     /// Whether the poison request is being sent.
     pub(super) is_poisoned: AtomicBool,
@@ -107,6 +110,11 @@
         at.duration_since(self.started_at)
     }
 
+    /// The key that is held during the whole soak, if callers are identified.
+    pub(super) fn steady_key(&self) -> Option<String> {
+        customers::steady_key(lock(&self.holders).as_ref())
+    }
+
     /// Chooses a ready host at random, or any host if none is ready.
     pub(super) fn choose_host(&self, random: &mut ChaCha8Rng) -> Option<HostEntry> {
         let hosts = lock(&self.hosts);
@@ -163,9 +171,21 @@
     kind: Kind,
     resumable: bool,
     body_bytes: usize,
+    key: Option<String>,
     poison: Option<Poison>,
 }
 
+impl NextRequest {
+    /// Sets the key that the caller presents.
+    fn with_key(self, key: Option<String>) -> NextRequest {
+        let spec = match &key {
+            Some(key) => self.spec.with_key(key),
+            None => self.spec,
+        };
+        NextRequest { spec, key, ..self }
+    }
+}
+
 /// Sends the poison request through all hosts in turn, from a different source address for each.
 async fn send_poison(state: Arc<State>, seed: u64) {
     let path = ["/tickets/new", "/pages/home", "/draft/2f"][(seed % 3) as usize];
@@ -195,8 +215,10 @@
             kind,
             resumable,
             body_bytes,
+            key: None,
             poison: Some(Poison::Request),
         };
+        let next = next.with_key(state.steady_key());
         let state = state.clone();
         sending.spawn(async move {
             let mut caller = Caller::new(entry.callers).from(source);
@@ -227,7 +249,8 @@
         spec.info.prompt.insert(1, part(POISON_PART));
         let body_bytes = spec.request().body().len();
         let (kind, poison) = (Kind::Stream, Some(Poison::Part));
-        let next = NextRequest { spec, kind, resumable, body_bytes, poison };
+        let next = NextRequest { spec, kind, resumable, body_bytes, key: None, poison };
+        let next = next.with_key(state.steady_key());
         let state = state.clone();
         sending.spawn(async move {
             send(&state, entry, &mut Caller::new(entry.callers), &next, None).await;
@@ -250,7 +273,7 @@
 fn draw_request(random: &mut ChaCha8Rng, versions: &[Version]) -> NextRequest {
     let plain = |path: &str, kind| {
         let spec = RequestSpec::to(HOST, path);
-        NextRequest { spec, kind, resumable: false, body_bytes: 0, poison: None }
+        NextRequest { spec, kind, resumable: false, body_bytes: 0, key: None, poison: None }
     };
     let stream = |path: &str, resumable, random: &mut ChaCha8Rng| {
         // The minimum of two draws skews the load towards few models.
@@ -260,7 +283,7 @@
             spec = spec.adapter(&format!("a{}", random.random_range(1..=ADAPTERS)));
         }
         let body_bytes = spec.request().body().len();
-        NextRequest { spec, kind: Kind::Stream, resumable, body_bytes, poison: None }
+        NextRequest { spec, kind: Kind::Stream, resumable, body_bytes, key: None, poison: None }
     };
     let mut next = match random.random_range(0..100) {
         0..38 => plain("/pages/home?lang=es", Kind::Idempotent),
@@ -301,8 +324,10 @@
             kind: Kind::NonIdempotent,
             resumable: false,
             body_bytes: 1,
+            key: None,
             poison: None,
         };
+        let next = next.with_key(state.steady_key());
         let connection =
             connections.entry(entry.host_run).or_insert_with(|| Caller::new(entry.callers));
         send(&state, entry, connection, &next, None).await;
@@ -319,6 +344,8 @@
         sleep(Duration::from_millis(pause)).await;
         let versions = lock(&state.versions).clone();
         let mut next = draw_request(&mut random, &versions);
+        let key = customers::draw_key(lock(&state.holders).as_ref(), &mut random);
+        next = next.with_key(key);
         number += 1;
         next.spec = next.spec.with_number(caller, number);
         if next.kind == Kind::Stream {
@@ -381,6 +408,7 @@
         resume: None,
         path: next.spec.info.path.to_string(),
         body_bytes: next.body_bytes,
+        key: next.key.clone(),
         poison: next.poison,
         host_run: entry.host_run,
         span,
--- a/crates/standin/src/routed/soak/reader.rs
+++ b/crates/standin/src/routed/soak/reader.rs
@@ -49,6 +49,8 @@
         }
         let spec = RequestSpec::to(HOST, "/draft/2f").model(MODELS[0]).with_new_prompt();
         let spec = spec.with_body(Method::POST, "read").deadline(Some(DEADLINE));
+        let key = state.steady_key();
+        let spec = key.iter().fold(spec, |spec, key| spec.with_key(key));
         let stream = receive(&state, &spec, &mut random).await;
         lock(&state.streams).push(stream);
     }
@@ -101,6 +103,7 @@
         resume: spec.info.resume,
         path: spec.info.path.to_string(),
         body_bytes: spec.request().body().len(),
+        key: state.steady_key(),
         poison: None,
         host_run: entry.host_run,
         span: Span { from: state.since(sent_at), to: state.since(Instant::now()) },
--- a/crates/standin/src/routed/soak/record.rs
+++ b/crates/standin/src/routed/soak/record.rs
@@ -12,6 +12,7 @@
 use http::StatusCode;
 use types::routed::{Kind, Version};
 
+use super::customers::Holders;
 use crate::routed::{server::quota::Quota, stream::Stream};
 
 /// Time limits and quotas that the promises state.
@@ -111,6 +112,8 @@
     pub path: String,
     /// Length of the body.
     pub body_bytes: usize,
+    /// The key that the caller presented.
+    pub key: Option<String>,
     /// What of it crashes the servers that run it; `None` for a sound request.
     pub poison: Option<Poison>,
     /// The host process that it was sent to.
@@ -198,6 +201,10 @@
     pub service: String,
     /// When the request reached the server.
     pub at: Duration,
+    /// Names of the customer on whose behalf it was sent, one for each header that states it.
+    pub customers: Vec<String>,
+    /// Whether the caller's key was passed on.
+    pub has_key: bool,
 }
 
 /// An order that a server received.
@@ -231,9 +238,16 @@
     pub at: Duration,
     /// Services that each path prefix is routed to.
     pub services: BTreeMap<String, BTreeSet<String>>,
+    /// The holders of keys; `None` if callers are not identified.
+    pub holders: Option<Holders>,
 }
 
 impl Declared {
+    /// Name of the customer that holds a key.
+    pub fn holder(&self, key: Option<&str>) -> Option<&str> {
+        self.holders.as_ref()?.holder(key?)
+    }
+
     /// Services that a path is routed to, by its longest prefix; `None` if no route matches.
     pub fn services_for(&self, path: &str) -> Option<&BTreeSet<String>> {
         let matching = self.services.iter().filter(|(prefix, _)| path.starts_with(*prefix));
--- a/crates/standin/src/routed/soak/schedule.rs
+++ b/crates/standin/src/routed/soak/schedule.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::{Serialize, Serializer};
 
-use self::period::{brittle_times, partitions, poison, poison_parts, versions};
+use self::period::{brittle_times, customers, partitions, poison, poison_parts, versions};
 use super::site::SERVERS;
 use crate::routed::{
     links::Delivery, server::Fault as ServerFault, server_links::Cut, site::ZONES, store::Refusal,
@@ -146,6 +146,10 @@
     /// The model servers run two versions of their software, and some callers take up streams that
     /// broke. The servers do so during the whole soak.
     Versions,
+    /// Callers are identified by the keys of customers. They are so during the whole soak.
+    Customers,
+    /// A declaration that adds, moves or removes a key, as drawn from this seed.
+    Keys(u64),
     /// A sound server is silent, and goes on afterwards. The others of its service are full.
     Silence(usize),
     /// Hosts are partitioned from all servers.
@@ -284,6 +288,7 @@
     planned.extend(brittle_times(seed, end));
     planned.extend(versions(seed, end));
     planned.extend(silences::draw(seed, end));
+    planned.extend(customers(seed, end));
     planned.sort_by_key(|planned| planned.at);
     planned
 }
@@ -349,6 +354,11 @@
     schedule.iter().any(|planned| planned.fault == Fault::Versions)
 }
 
+/// Whether callers are identified by the keys of customers.
+pub fn has_customers(schedule: &[PlannedFault]) -> bool {
+    schedule.iter().any(|planned| planned.fault == Fault::Customers)
+}
+
 /// Kills and restarts the hosts one after the other, for one or more rounds.
 fn restart_series(random: &mut ChaCha8Rng, hosts: usize, at: Duration) -> Vec<PlannedFault> {
     let rounds = random.random_range(SERIES_ROUNDS);
@@ -439,6 +449,8 @@
         | Fault::Links(..)
         | Fault::Brittle(..)
         | Fault::Versions
+        | Fault::Customers
+        | Fault::Keys(_)
         | Fault::Silence(_)
         | Fault::Partition(..) => (Target::Callers, 1),
     }
--- a/crates/standin/src/routed/soak/schedule/period.rs
+++ b/crates/standin/src/routed/soak/schedule/period.rs
@@ -23,6 +23,12 @@
 /// XORed with the seed for the random stream of times in which servers run two versions.
 const VERSIONS_SEED_MASK: u64 = 1 << 56;
 
+/// XORed with the seed for the random stream of customers and of changes of their keys.
+const CUSTOMERS_SEED_MASK: u64 = 1 << 54;
+
+/// Time between two changes of keys.
+const KEYS_INTERVAL_MS: std::ops::Range<u64> = 300..3_500;
+
 /// How long servers are brittle, and how long the pause after it is.
 const BRITTLE_DURATION_MS: std::ops::Range<u64> = 5_000..14_000;
 
@@ -77,6 +83,24 @@
     random.random_bool(0.25).then_some(PlannedFault { at, duration: end, fault })
 }
 
+/// Draws whether callers are identified, and changes of their keys. Half of all seeds draw none.
+pub(super) fn customers(seed: u64, end: Duration) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ CUSTOMERS_SEED_MASK);
+    if random.random_bool(0.5) {
+        return Vec::new();
+    }
+    let identified =
+        PlannedFault { at: Duration::ZERO, duration: Duration::ZERO, fault: Fault::Customers };
+    let mut planned = vec![identified];
+    let mut at = Duration::from_millis(random.random_range(KEYS_INTERVAL_MS));
+    while at < end {
+        let fault = Fault::Keys(random.random());
+        planned.push(PlannedFault { at, duration: Duration::ZERO, fault });
+        at += Duration::from_millis(random.random_range(KEYS_INTERVAL_MS));
+    }
+    planned
+}
+
 /// Draws faults one after the other, with a duration and a pause after each from the same range;
 /// none with the probability `none`.
 fn alternate(
--- a/crates/standin/tests/routed.rs
+++ b/crates/standin/tests/routed.rs
@@ -144,7 +144,7 @@
 #[test]
 fn a_declaration_is_read_as_it_was_written() {
     let content = entry::declaration(&declaration());
-    assert_eq!(Platform.declaration(&object("main", content)), Some(declaration()));
+    assert_eq!(Platform.declaration(&object("main", content)), Ok(declaration()));
 }
 
 /// A stream may be silent for the longest of two seconds, four latency objectives and eight gaps.
--- a/crates/standin/tests/soak_judge.rs
+++ b/crates/standin/tests/soak_judge.rs
@@ -57,6 +57,7 @@
         resume: None,
         path: "/pages/x".into(),
         body_bytes: 0,
+        key: None,
         poison: None,
         host_run: HOST_RUN,
         span: span(10_000, 10_100),
@@ -68,7 +69,7 @@
         hosts: vec!["host-0".into(), "host-1".into()],
         requests: vec![request],
         runs: vec![run("app-1", 10_010, 10_090)],
-        declared: vec![Declared { version: 3, at: ms(0), services }],
+        declared: vec![Declared { version: 3, at: ms(0), services, holders: None }],
         ..Record::default()
     }
 }
@@ -118,7 +119,8 @@
         request.span = span(at, at + 500);
         let arrival = |nth| {
             let (id, service) = (request.id.clone(), "app".into());
-            Arrival { id, service, at: ms(at + nth as u64) }
+            let at = ms(at + nth as u64);
+            Arrival { id, service, at, customers: Vec::new(), has_key: false }
         };
         record.arrivals.extend((0..arrivals).map(arrival));
         record.requests.push(request);
@@ -164,7 +166,7 @@
 /// Adds a second declaration, which routes `/pages/` to another service.
 fn move_route(record: &mut Record, at: u64) {
     let services = BTreeMap::from([("/pages/".to_owned(), ["other".to_owned()].into())]);
-    record.declared.push(Declared { version: 5, at: ms(at), services });
+    record.declared.push(Declared { version: 5, at: ms(at), services, holders: None });
 }
 
 /// Adds an earlier request at the same host that was routed by the second declaration.
--- a/crates/standin/tests/soak_streams.rs
+++ b/crates/standin/tests/soak_streams.rs
@@ -36,6 +36,7 @@
         resume,
         path: PATH.into(),
         body_bytes: 0,
+        key: None,
         poison: None,
         host_run: HostRun { host: 0, start: 0 },
         span: span(10_000, 10_100),
