Set whether requests that run outlive their removed key

Cause: the platform may demand that running requests of a removed key end. Ruled out: a required setting, since platforms without these bounds leave them out. A time that is shorter than a declaration may take to arrive is a finding if it has an effect.

--- a/crates/settings/tests/process.rs
+++ b/crates/settings/tests/process.rs
@@ -151,6 +151,24 @@
     assert_eq!(findings(&open), Vec::<String>::new(), "a routed host needs no tokens off loopback");
 }
 
+/// A host may learn of a removed key as late as `apply_ms` after it.
+#[rstest]
+#[case::as_long_as_a_declaration_may_take(r#"{ "strict": true, "within_ms": 2000 }"#, 0)]
+#[case::shorter(r#"{ "strict": true, "within_ms": 1999 }"#, 1)]
+#[case::shorter_without_effect(r#"{ "strict": false, "within_ms": 1999 }"#, 0)]
+#[case::by_default(r#"{ "strict": true }"#, 0)]
+#[case::unknown_field(r#"{ "strict": true, "after_ms": 1 }"#, 1)]
+#[case::no_flag(r#"{ "strict": "yes" }"#, 1)]
+fn the_time_to_end_requests_of_a_removed_key_is_checked(
+    #[case] revocation: &str,
+    #[case] number: usize,
+) {
+    let with = format!("\"turn_ms\": 3000, \"revocation\": {revocation}");
+    let found = findings(&ROUTED.replace("\"turn_ms\": 3000", &with));
+    assert_eq!(found.len(), number, "{found:#?}");
+    assert!(found.iter().all(|found| found.contains("/routed/revocation/")), "{found:#?}");
+}
+
 #[test]
 fn all_findings_of_routed_settings_come_together() {
     let text = r#"{
@@ -194,6 +212,11 @@
 #[rstest]
 #[case::no_turn("\"turn_ms\": 3000", "\"turn_ms\": 0", "/routed/turn_ms")]
 #[case::no_grace("\"grace_s\": 8", "\"grace_s\": 0", "/routed/grace_s")]
+#[case::no_time_to_revoke(
+    "\"turn_ms\": 3000",
+    "\"turn_ms\": 3000, \"revocation\": { \"strict\": true, \"within_ms\": 0 }",
+    "/routed/revocation/within_ms"
+)]
 #[case::no_adapters_under_way(
     "\"routed\": {",
     "\"planning\": { \"adapters_at_once\": 0 }, \"routed\": {",
