Log changes of customers, and name a request's customer in its trace

Cause: a request's organisation could be found by its key only, and nothing told which declaration changed keys. Ruled out: logging digests, from which short keys could be guessed. Change: a log line for each declaration that changes customers, keys or limits, with names and counts; the customer in the steps `arrived` and `ended`.

--- a/crates/observe/benches/story.rs
+++ b/crates/observe/benches/story.rs
@@ -27,6 +27,7 @@
         version: 12,
         model: Some("carta".into()),
         adapter: None,
+        customer: None,
         repeat: Kind::Stream,
         deadline: Duration::from_secs(12),
     }));
--- a/crates/observe/src/story/belief.rs
+++ b/crates/observe/src/story/belief.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use types::{
-    adapter, backend, host, model,
+    adapter, backend, customer, host, model,
     order::Fence,
     routed::{Sequence, Version},
     service,
@@ -41,6 +41,25 @@
         /// Where the declaration was received from.
         from: Source,
     },
+    /// A declaration has changed the customers, or their keys or limits. Neither the keys nor their
+    /// digests are logged.
+    Customers {
+        /// Number of the declaration.
+        version: Version,
+        /// Names of the customers that were added.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        added: Vec<customer::Id>,
+        /// Names of the customers that were removed.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        removed: Vec<customer::Id>,
+        /// Number of keys that a customer holds and did not hold before.
+        keys_added: u32,
+        /// Number of keys that a customer held before. A key that has moved counts in both numbers.
+        keys_removed: u32,
+        /// Names of the customers whose quota, priority or weight has changed.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        limits_changed: Vec<customer::Id>,
+    },
     /// The state of a server changed.
     Server {
         /// The run of the server's process.
@@ -238,6 +257,7 @@
             | Belief::Reload { .. }
             | Belief::Stop { .. }
             | Belief::Declaration { .. }
+            | Belief::Customers { .. }
             | Belief::Lease { .. }
             | Belief::Wish { .. }
             | Belief::Placement { .. }
--- a/crates/observe/src/story/explanation.rs
+++ b/crates/observe/src/story/explanation.rs
@@ -332,6 +332,7 @@
             }
             Belief::Path { server, .. } => self.set(Key::Path(run, server.clone()), index),
             Belief::Reload { .. }
+            | Belief::Customers { .. }
             | Belief::ServerSource { .. }
             | Belief::Tolerance { .. }
             | Belief::Stop { .. }
--- a/crates/observe/src/story/logger.rs
+++ b/crates/observe/src/story/logger.rs
@@ -162,6 +162,7 @@
         | Belief::Reload { .. }
         | Belief::Stop { .. }
         | Belief::Declaration { .. }
+        | Belief::Customers { .. }
         | Belief::ServerSource { .. }
         | Belief::Server {
             standing: ServerStanding::Seen | ServerStanding::Leaving | ServerStanding::Back,
--- a/crates/observe/src/story/request.rs
+++ b/crates/observe/src/story/request.rs
@@ -166,9 +166,9 @@
 
     fn ended(&mut self, end: End, weight: u32) -> Ended {
         let End { outcome, status, why, first, events, duration } = end;
-        let (route, version, model, adapter) = match self.arrival.take() {
-            Some(a) => (Some(a.route), Some(a.version), a.model, a.adapter),
-            None => (None, None, None, None),
+        let (route, version, model, adapter, customer) = match self.arrival.take() {
+            Some(a) => (Some(a.route), Some(a.version), a.model, a.adapter, a.customer),
+            None => (None, None, None, None, None),
         };
         let server = self.server.take();
         let (attempts, dropped_steps) = (self.attempts, self.dropped_steps);
@@ -180,6 +180,7 @@
             version,
             model,
             adapter,
+            customer,
             server,
             attempts,
             first,
--- a/crates/observe/src/story/step.rs
+++ b/crates/observe/src/story/step.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use types::{
-    adapter, backend, host, model,
+    adapter, backend, customer, host, model,
     request::Ran,
     routed::{Kind, RouteId, Version},
 };
@@ -149,6 +149,9 @@
     /// The requested adapter.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub adapter: Option<adapter::Id>,
+    /// The customer on whose behalf the request was sent, if its caller was identified.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customer: Option<customer::Id>,
     /// Whether the request may be executed more than once.
     pub repeat: Kind,
     /// Time until the request's deadline.
@@ -260,6 +263,9 @@
     /// The requested adapter.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub adapter: Option<adapter::Id>,
+    /// The customer on whose behalf the request was sent, if its caller was identified.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customer: Option<customer::Id>,
     /// The last server that the request was sent to.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub server: Option<backend::Id>,
--- a/crates/observe/tests/common/mod.rs
+++ b/crates/observe/tests/common/mod.rs
@@ -48,6 +48,7 @@
         version: 3,
         model: Some("carta".into()),
         adapter: None,
+        customer: Some("harbour".into()),
         repeat: Kind::Stream,
         deadline: Duration::from_secs(4),
     }
--- a/crates/observe/tests/story.rs
+++ b/crates/observe/tests/story.rs
@@ -127,6 +127,7 @@
 
 #[rstest]
 #[case(Belief::Declaration { version: 12, from: Source::Peer("host-2".into()) }, Info)]
+#[case(Belief::Customers { version: 12, added: vec!["mill".into()], removed: vec!["quarry".into()], keys_added: 2, keys_removed: 1, limits_changed: vec!["harbour".into()] }, Info)]
 #[case(Belief::Dependency { name: "store".into(), state: DependencyState::Lost, why: "503".into() }, Warn)]
 #[case(Belief::Start { program: "0.1.0".into(), settings: serde_json::json!({"log": {"level": "info"}}) }, Info)]
 fn beliefs_are_told_at_their_level_and_read_back(
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -106,6 +106,7 @@
             version,
             model: info.model.clone(),
             adapter: info.adapter.clone(),
+            customer: self.caller.current().customer().map(|customer| customer.name.clone()),
             repeat: self.route.kind,
             deadline: self.timeout,
         };
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -220,6 +220,7 @@
             }
         };
         self.logger.belief(Belief::Declaration { version, from });
+        self.log_customers(before.as_deref(), &declaration);
         self.confirm_declaration();
         planning::declare(&mut self.planner(), &declaration, self.now());
         self.customers.store(customers);
@@ -230,6 +231,25 @@
         self.register_known(before.as_deref());
     }
 
+    /// Logs what a declaration changes about customers, if anything.
+    fn log_customers(&self, before: Option<&Declaration>, declaration: &Declaration) {
+        let before = before.and_then(|before| before.customers.as_deref()).unwrap_or_default();
+        let after = declaration.customers.as_deref().unwrap_or_default();
+        let change = customer::Change::between(before, after);
+        if change.is_empty() {
+            return;
+        }
+        let customer::Change { added, removed, keys_added, keys_removed, limits_changed } = change;
+        self.logger.belief(Belief::Customers {
+            version: declaration.version,
+            added,
+            removed,
+            keys_added,
+            keys_removed,
+            limits_changed,
+        });
+    }
+
     /// Returns the customers of the declaration in force; `None` if callers are not identified.
     pub(crate) fn customers(&self) -> Option<Arc<customer::Directory>> {
         self.customers.load_full()
