End running requests of a removed key even if their callers don't read

Cause: a stream is polled only while its caller reads, so a caller that had stopped kept its attempt at a server. Ruled out: a shorter deadline, which would cut other streams. Change: with strict revocation, the caller's connection is closed 0.5 s after the key was removed if the stream is still there.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     call::Call,
+    callers::Closer,
     connect::Connection,
     edge::{Answer, Departure, Execution, ForwardOptions, RequestInfo, Seal},
     fields,
@@ -27,6 +28,8 @@
 pub(crate) struct BufferedRequest {
     pub(crate) info: RequestInfo,
     pub(crate) ticket: Ticket,
+    /// Closes the caller's connection.
+    pub(crate) closer: Closer,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -4,9 +4,14 @@
 //! and before each attempt. Where `routed.revocation.strict` is set, it is also checked whenever the
 //! customers change, and ends if its key has been removed.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
+    time::Duration,
+};
 
 use policy::customer;
+use tokio::time::sleep;
+use tokio_util::task::AbortOnDropHandle;
 use types::{customer::KeyDigest, routed::Route};
 
 use crate::{
@@ -16,6 +21,10 @@
     host::Shared,
 };
 
+/// Time in which a stream of a removed key may end regularly, before its connection is closed. A
+/// stream is only polled while its caller reads.
+const FLUSH_TIME: Duration = Duration::from_millis(500);
+
 /// The caller of a request, identified anew before each attempt.
 pub(crate) struct Caller {
     key: Option<KeyDigest>,
@@ -108,6 +117,20 @@
         }
     }
 
+    /// Closes the caller's connection if the caller's key has been removed and the stream has not
+    /// ended a little later, as when the caller has stopped reading; does nothing if running requests
+    /// outlive their keys. Dropping the handle ends the task.
+    pub(crate) fn close_once_revoked(self: &Arc<Call>) -> Option<AbortOnDropHandle<()>> {
+        let strict = self.handle.shared().routed.revocation.strict;
+        let (call, closer) = (self.clone(), self.request.closer.clone());
+        let closing = async move {
+            call.revoked_strictly().await;
+            sleep(FLUSH_TIME).await;
+            closer.close();
+        };
+        strict.then(|| AbortOnDropHandle::new(tokio::spawn(closing)))
+    }
+
     /// Waits until the request is to end because the caller's key has been removed; without end if
     /// running requests outlive their keys.
     pub(crate) async fn revoked_strictly(self: Arc<Call>) {
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -22,6 +22,17 @@
 /// Maximum size of a head that is read, in bytes. The declared limit is checked afterwards.
 const MAX_HEAD_BYTES: usize = 128 * 1024;
 
+/// Closes the connection on which a request arrived, with all that is in flight on it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Closer(CancellationToken);
+
+impl Closer {
+    /// Closes the connection.
+    pub(crate) fn close(&self) {
+        self.0.cancel();
+    }
+}
+
 /// Serves callers until `stop` is cancelled, and returns once the last connection has ended.
 pub(crate) async fn listen(shared: Arc<Shared>, listener: TcpListener, stop: CancellationToken) {
     let connections = TaskTracker::new();
@@ -44,8 +55,11 @@
 
 async fn serve(shared: Arc<Shared>, stream: TcpStream, stop: CancellationToken) {
     connect::prepare(&stream);
-    let service = service_fn(move |request| {
+    let close = CancellationToken::new();
+    let closer = Closer(close.clone());
+    let service = service_fn(move |mut request| {
         let shared = shared.clone();
+        request.extensions_mut().insert(closer.clone());
         async move { Ok::<_, Infallible>(path::answer(shared, request).await) }
     });
     let connection = http1::Builder::new()
@@ -54,13 +68,19 @@
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = stop.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let serving = async {
+        tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = stop.cancelled() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
     };
+    let ended = tokio::select! {
+        ended = serving => ended,
+        () = close.cancelled() => return,
+    };
     if let Err(error) = ended {
         log::debug!("a caller's connection failed: {error}");
     }
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -27,6 +27,7 @@
     attempt::{AttemptEnd, BodyEnd, BufferedRequest, OpenResponse, ResponseStart},
     call::{Call, Resumer},
     caller::Caller,
+    callers::Closer,
     deadline::Deadline,
     edge::{Problem, RequestInfo},
     fields,
@@ -95,6 +96,7 @@
     let buffered = BufferedRequest {
         info,
         ticket: shared.next_ticket(),
+        closer: head.extensions.get::<Closer>().cloned().unwrap_or_default(),
         method: head.method,
         uri: head.uri,
         headers: head.headers,
--- a/crates/relay/src/stream/events.rs
+++ b/crates/relay/src/stream/events.rs
@@ -12,6 +12,7 @@
 use http_body::{Body, Frame};
 use policy::event::{ResumePoint, Splitter};
 use tokio::time::{Interval, interval};
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
     attempt::{BodyEnd, OpenResponse, ResponseStart},
@@ -44,6 +45,8 @@
     timer: StreamTimer,
     /// Completes when the stream is to end because the caller's key has been removed.
     revoked: BoxFuture<'static, ()>,
+    /// Closes the caller's connection if the caller doesn't read when the stream is to end.
+    _closing: Option<AbortOnDropHandle<()>>,
     call: Arc<Call>,
     first_event: FirstEvent,
     record: StreamRecord,
@@ -103,6 +106,7 @@
             hedge: None,
             timer,
             revoked: call.clone().revoked_strictly().boxed(),
+            _closing: call.close_once_revoked(),
             call,
             first_event: FirstEvent::Pending,
             record: StreamRecord::default(),
