--- a/crates/standin/src/routed/soak/customers.rs
+++ b/crates/standin/src/routed/soak/customers.rs
@@ -75,7 +75,10 @@
         let names = NAMES.into_iter().chain([STEADY]);
         let customer = |name: &str| {
             let held = self.0.iter().filter(|(_, holder)| **holder == *name);
-            Customer { keys: held.map(|(key, _)| key.clone()).collect(), ..Customer::new(name, &[]) }
+            Customer {
+                keys: held.map(|(key, _)| key.clone()).collect(),
+                ..Customer::new(name, &[])
+            }
         };
         names.map(customer).collect()
     }
