--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -6,6 +6,7 @@
 mod endless;
 mod faults;
 mod ingress;
+mod key_changes;
 mod limits;
 mod orders;
 mod organisations;
