--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     call::Call,
+    callers::Closer,
     connect::Connection,
     edge::{Answer, Departure, Execution, ForwardOptions, RequestInfo, Seal},
     fields,
@@ -27,6 +28,8 @@
 pub(crate) struct BufferedRequest {
     pub(crate) info: RequestInfo,
     pub(crate) ticket: Ticket,
+    /// Closes the caller's connection.
+    pub(crate) closer: Closer,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
@@ -134,7 +137,8 @@
     ticket: Ticket,
     server: &Arc<Server>,
     call: &Call,
-    options: &ForwardOptions<'_>,
+    left: Duration,
+    after: Option<u64>,
 ) -> Result<ResponseStart, AttemptEnd> {
     let buffered = &call.request;
     let mut attempt = Attempt::new(shared.clone(), ticket, server.clone());
@@ -148,10 +152,15 @@
     if !shared.dispatcher().may_send(ticket, shared.now()) {
         return Err(AttemptEnd::Unreachable(Unreachable::Closed));
     }
+    // So may the caller's key have been removed or moved to another customer.
+    let Some(caller) = call.renew_caller(shared) else {
+        return Err(AttemptEnd::Unreachable(Unreachable::Closed));
+    };
     let path = connection.path();
     let sent_at = shared.now();
     shared.dispatcher().sent(ticket, path, sent_at);
-    let request = request(shared, buffered, options);
+    let options = call.forward_options(server, &caller, left, after);
+    let request = request(shared, buffered, &options);
     connection.set_reset_on_close(true);
     let sent = connection.send(request).await;
     let response = sent.map_err(|mut error| match error.take_message() {
--- a/crates/relay/src/stream/events.rs
+++ b/crates/relay/src/stream/events.rs
@@ -8,9 +8,11 @@
 };
 
 use bytes::Bytes;
+use futures_util::{FutureExt, future::BoxFuture};
 use http_body::{Body, Frame};
 use policy::event::{ResumePoint, Splitter};
 use tokio::time::{Interval, interval};
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
     attempt::{BodyEnd, OpenResponse, ResponseStart},
@@ -41,6 +43,10 @@
     /// Attempts at other servers while the present one is unresponsive.
     hedge: Option<Hedge>,
     timer: StreamTimer,
+    /// Completes when the stream is to end because the caller's key has been removed.
+    revoked: BoxFuture<'static, ()>,
+    /// Closes the caller's connection if the caller doesn't read when the stream is to end.
+    _closing: Option<AbortOnDropHandle<()>>,
     call: Arc<Call>,
     first_event: FirstEvent,
     record: StreamRecord,
@@ -99,6 +105,8 @@
             resume,
             hedge: None,
             timer,
+            revoked: call.clone().revoked_strictly().boxed(),
+            _closing: call.close_once_revoked(),
             call,
             first_event: FirstEvent::Pending,
             record: StreamRecord::default(),
@@ -110,6 +118,12 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
         loop {
+            if matches!(self.state, State::Streaming(_) | State::Resuming(..))
+                && self.revoked.as_mut().poll(context).is_ready()
+            {
+                self.hedge = None;
+                self.state = State::Flushing(StreamError::Revoked);
+            }
             let step = match &mut self.state {
                 State::Streaming(_) => ready!(self.poll_server(context)),
                 State::Resuming(..) => ready!(self.poll_resuming(context)),
