--- a/crates/observe/src/metrics/routed.rs
+++ b/crates/observe/src/metrics/routed.rs
@@ -1,6 +1,6 @@
 //! Metrics of the routed path.
 //!
-//! All labels except the service, the duty and the reason of a wish have closed sets of values. The
+//! All labels except the service, the customer, the duty and the reason of a wish have closed sets of values. The
 //! series of these sets are created once, and an update of one costs an index and an atomic
 //! operation or, for a histogram, a lock.
 
@@ -13,6 +13,7 @@
     metrics::{BoundCounter, BoundGauge, BoundHistogram, Gauge, Meter},
 };
 use types::{
+    customer,
     order::Fence,
     routed::{Kind, Version},
     service,
@@ -20,7 +21,7 @@
 
 use self::labels::Label;
 pub use self::labels::{
-    AttemptOutcome, Call, CallResult, Origin, Permits, Phase, Queue, Refusal, Resend,
+    Admissions, AttemptOutcome, Call, CallResult, Origin, Permits, Phase, Queue, Refusal, Resend,
 };
 use super::build::{counter, gauge, seconds};
 use crate::story::{Answer, Outcome};
@@ -63,6 +64,11 @@
     shares: BoundGauge<u64>,
     permits: Box<[BoundGauge<u64>]>,
     unreadable_limits: BoundCounter<u64>,
+    admissions: Box<[BoundGauge<u64>]>,
+    transferred: BoundGauge<f64>,
+    customer_balance: BoundGauge<f64>,
+    customers_over: BoundGauge<u64>,
+    customer_rate: Gauge<f64>,
 }
 
 impl Routed {
@@ -112,6 +118,29 @@
             "routed_unreadable_limits",
             "Responses of servers whose rate limit could not be parsed",
         );
+        let admissions = gauge(
+            meter,
+            "routed_customer_requests",
+            "Requests under quotas of customers since the start of the host, by decision",
+        );
+        let customers_over = gauge(
+            meter,
+            "routed_customers_over",
+            "Customers of which this host denied requests within the last seconds",
+        );
+        let real = |name, description| meter.f64_gauge(name).with_description(description).build();
+        let transferred = real(
+            "routed_customer_transferred",
+            "Units of quotas that this host has transferred to coordinators since its start",
+        );
+        let customer_balance = real(
+            "routed_customer_balance",
+            "Units of quotas that this host holds as a coordinator; negative for a debt",
+        );
+        let customer_rate = real(
+            "routed_customer_rate",
+            "Units of quota a second that this host admits, for the largest customers",
+        );
         let declaration_age = meter
             .f64_gauge("routed_declaration_age")
             .with_unit("s")
@@ -157,6 +186,11 @@
             shares: shares.bind(&[]),
             permits: each(|of: Permits| permits.bind(&[of.key_value()])),
             unreadable_limits: unreadable_limits.bind(&[]),
+            admissions: each(|of: Admissions| admissions.bind(&[of.key_value()])),
+            transferred: transferred.bind(&[]),
+            customer_balance: customer_balance.bind(&[]),
+            customers_over: customers_over.bind(&[]),
+            customer_rate,
             wishes: gauge(
                 meter,
                 "routed_wishes",
@@ -268,6 +302,24 @@
         self.0.unreadable_limits.add(1);
     }
 
+    /// Sets the number of requests under quotas of customers since the start of the process.
+    pub fn admissions(&self, decision: Admissions, count: u64) {
+        self.0.admissions[decision.index()].record(count);
+    }
+
+    /// Sets the units of quotas transferred since the start of the process and held as a
+    /// coordinator, and the number of customers that are over their quotas.
+    pub fn customer_tokens(&self, transferred: f64, balance: f64, over: usize) {
+        self.0.transferred.record(transferred);
+        self.0.customer_balance.record(balance);
+        self.0.customers_over.record(over as u64);
+    }
+
+    /// Sets the units of quota a second that this host admits for a customer.
+    pub fn customer_rate(&self, customer: &customer::Id, rate: f64) {
+        self.0.customer_rate.record(rate, &[KeyValue::new("customer", Arc::clone(customer))]);
+    }
+
     /// Sets the number of further attempts that this host may still make for a service.
     pub fn budget(&self, service: &service::Id, left: f64) {
         self.0.budget.record(left, &[KeyValue::new("service", Arc::clone(service))]);
--- a/crates/observe/src/metrics/routed/labels.rs
+++ b/crates/observe/src/metrics/routed/labels.rs
@@ -170,6 +170,17 @@
     Lapsed,
 }
 
+/// Decision on a request under its customer's quota.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Admissions {
+    /// The request was admitted.
+    Granted,
+    /// The quota was used up.
+    Denied,
+    /// No quota coordinator answered.
+    Unanswered,
+}
+
 /// Kind of call to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Call {
@@ -224,6 +235,12 @@
     AmbiguousVersion = "ambiguous-version",
 });
 
+label!(Admissions as "decision" {
+    Granted = "granted",
+    Denied = "denied",
+    Unanswered = "unanswered",
+});
+
 label!(Origin as "origin" {
     Own = "own",
     Others = "others",
--- a/crates/policy/src/customer.rs
+++ b/crates/policy/src/customer.rs
@@ -3,6 +3,8 @@
 //! Only digests of keys are kept. A [`Directory`] is built from each declaration; looking up a key
 //! costs one hash lookup however many keys there are.
 
+pub mod quota;
+
 use std::{
     collections::HashMap,
     hash::{BuildHasherDefault, DefaultHasher},
--- a/crates/policy/src/fleet/notice.rs
+++ b/crates/policy/src/fleet/notice.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::{
+    customer,
     demand::Report,
     dispatch::{loan, poison::Crash},
     quota::{Limit, Message},
@@ -104,6 +105,8 @@
     },
     /// Requests and grants of quota permits; sent once.
     Quota(Message),
+    /// Transfers, token requests and grants under quotas of customers; sent once.
+    CustomerQuota(customer::quota::Message),
     /// Requests and grants of retries from the retry budget; sent once.
     Loan(loan::Message),
     /// Demand that arrived at the sender, for the host that plans; sent once.
@@ -134,6 +137,7 @@
             | Notice::Loaded { .. }
             | Notice::Unloaded { .. }
             | Notice::Quota(_)
+            | Notice::CustomerQuota(_)
             | Notice::Loan(_)
             | Notice::Demand(_)
             | Notice::Streams(_) => false,
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -19,7 +19,7 @@
 pub mod message;
 pub mod owner;
 
-mod peer;
+pub(crate) mod peer;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/policy/src/quota/peer.rs
+++ b/crates/policy/src/quota/peer.rs
@@ -16,7 +16,7 @@
 
 /// State that is kept of another host.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Peer {
+pub(crate) struct Peer {
     run: host::Incarnation,
     /// Latest clock of the host that was read; 0 before the first. `read_at` is when it was read.
     clock: Clock,
@@ -31,7 +31,7 @@
 
 /// Order of a message among those received before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Arrival {
+pub(crate) enum Arrival {
     /// Latest message so far.
     Newest,
     /// A later message was received first.
@@ -41,7 +41,7 @@
 impl Peer {
     /// Records the clock of a message; `None` if the message was received before, or is older than
     /// [`MAX_REORDERING`].
-    pub(super) fn receive(
+    pub(crate) fn receive(
         &mut self,
         run: host::Incarnation,
         clock: Clock,
@@ -63,7 +63,7 @@
     }
 
     /// Records a permit request to the host.
-    pub(super) fn record_request(&mut self, now: Moment) {
+    pub(crate) fn record_request(&mut self, now: Moment) {
         let since = *self.unanswered_since.get_or_insert(now);
         if since + ANSWER_TIMEOUT <= now {
             self.avoided_until = now + AVOID_FOR;
@@ -72,22 +72,22 @@
     }
 
     /// Whether permits are requested from other hosts instead of this one.
-    pub(super) fn is_avoided(&self, now: Moment) -> bool {
+    pub(crate) fn is_avoided(&self, now: Moment) -> bool {
         now < self.avoided_until
     }
 
     /// Incarnation of the host's process, if a message of it was read.
-    pub(super) fn run(&self) -> Option<host::Incarnation> {
+    pub(crate) fn run(&self) -> Option<host::Incarnation> {
         (0 < self.clock).then_some(self.run)
     }
 
     /// Latest clock of the host that was read; 0 before the first.
-    pub(super) fn clock(&self) -> Clock {
+    pub(crate) fn clock(&self) -> Clock {
         self.clock
     }
 
     /// When the latest clock of the host was read; `None` before the first.
-    pub(super) fn read_at(&self) -> Option<Moment> {
+    pub(crate) fn read_at(&self) -> Option<Moment> {
         (0 < self.clock).then_some(self.read_at)
     }
 }
--- /dev/null
+++ b/crates/policy/tests/customer_quota/main.rs
@@ -0,0 +1,6 @@
+//! Quotas of customers, shared by all hosts.
+
+mod bound;
+mod decisions;
+mod net;
+mod usable;
--- /dev/null
+++ b/crates/policy/tests/customer_quota/usable.rs
@@ -0,0 +1,34 @@
+//! Fraction of a quota that callers can use.
+
+use rstest::rstest;
+
+use crate::net::{Plan, Simulation, Spread};
+
+/// Fraction of the rate that must be used while demand exceeds it.
+const USABLE: f64 = 0.9;
+
+fn usable(simulation: &Simulation, rate: f64, from: f64, to: f64) -> f64 {
+    simulation.admitted(from, to) / (rate * (to - from))
+}
+
+#[rstest]
+fn a_quota_is_kept_and_used(
+    #[values(8, 77, 195, 350)] hosts: usize,
+    #[values(1_900.0, 20_000.0, 400_000.0)] rate: f64,
+    #[values(0.5, 2.0)] burst: f64,
+    #[values(Spread::Even, Spread::One, Spread::Skewed)] spread: Spread,
+) {
+    let quota = (rate, burst * rate);
+    let simulation = Simulation::new(Plan::steady(hosts, quota, 2.0, spread)).run();
+    let (excess, at) = simulation.excess(quota);
+    let used = usable(&simulation, rate, 10.0, 30.0);
+    let per_host = 30.0 * hosts as f64;
+    println!(
+        "{hosts} hosts, {rate}, {burst}, {spread:?}: used {used:.3}, {:.1} messages, {:.0} bytes a second and host, {:.0} messages in all",
+        simulation.messages as f64 / per_host,
+        simulation.bytes as f64 / per_host,
+        simulation.messages as f64 / 30.0,
+    );
+    assert!(excess <= 0.0, "{excess} above the bound at {at:?}");
+    assert!(USABLE <= used, "{used:.3} of the rate is used");
+}
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -32,8 +32,9 @@
 };
 
 use crate::{
-    body::LargeBodies, clock::Clock, control::Control, demand::Demand, directory::Directory,
-    edge::Dialect, log_limiter::LogLimiter, peers::Counts, planning, pool::Pool, store::Store,
+    body::LargeBodies, clock::Clock, control::Control, customers::CustomerQuotas, demand::Demand,
+    directory::Directory, edge::Dialect, log_limiter::LogLimiter, peers::Counts, planning,
+    pool::Pool, store::Store,
 };
 
 /// Difference between the delays with which hosts attempt to take a lease, so that they don't all
@@ -80,6 +81,8 @@
     declaration: ArcSwapOption<Declaration>,
     /// Customers of the declaration in force; none if callers are not identified.
     customers: ArcSwapOption<customer::Directory>,
+    /// Quotas of customers, with the requests that wait for their decisions.
+    pub(crate) customer_quotas: CustomerQuotas,
     directory: Mutex<Directory>,
     planner: Mutex<Planner>,
     paths: Mutex<Paths>,
@@ -175,6 +178,7 @@
             servers_confirmed: Mutex::default(),
             server_source: Mutex::default(),
             exchange: OnceLock::new(),
+            customer_quotas: CustomerQuotas::new(settings.host.id.clone(), incarnation),
             incarnation,
             host: settings.host,
             routed,
@@ -220,6 +224,8 @@
         self.confirm_declaration();
         planning::declare(&mut self.planner(), &declaration, self.now());
         self.customers.store(customers);
+        let declared = declaration.customers.as_deref().unwrap_or_default();
+        self.customer_quotas().declare(declared, self.now());
         self.dispatcher().declare(&declaration);
         self.notify(Notice::DeclarationInForce { version });
         self.declaration.store(Some(Arc::new(declaration)));
@@ -248,6 +254,7 @@
         let waiting = dispatcher.waiting();
         drop(dispatcher);
         self.update_quota_metrics();
+        self.update_customer_metrics();
         self.update_retry_metrics();
         let tunnels = self.exchange().map_or(0, |exchange| exchange.tunnels());
         self.meters.tunnels(tunnels);
@@ -329,6 +336,7 @@
         self.send_quotas(quotas);
         self.send_loans(loans);
         self.send_streams();
+        self.pump_customer_quotas();
         for Change { ticket, verdict } in changes {
             if let Some(sender) = self.waiting().remove(&ticket) {
                 // A request that has ended meanwhile has reported its end to the dispatcher.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 mod callers;
 mod connect;
 mod control;
+mod customers;
 mod deadline;
 mod demand;
 mod fields;
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -26,6 +26,7 @@
 use crate::{
     attempt::{AttemptEnd, BodyEnd, BufferedRequest, OpenResponse, ResponseStart},
     call::{Call, Caller, Resumer},
+    customers,
     deadline::Deadline,
     edge::{Credential, Problem, RequestInfo},
     fields,
@@ -198,6 +199,7 @@
     shared: &Arc<Shared>,
     call: &Arc<Call>,
 ) -> Result<Response<ResponseBody>, Problem> {
+    customers::admit(shared, call).await?;
     let server = call.first_server(shared).await?;
     let first = (call.request.ticket, server);
     let patience = || patience(shared, call);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -376,6 +376,11 @@
                     shared.stream_message_received(origin, message);
                 }
             }
+            Notice::CustomerQuota(message) => {
+                if let Some(origin) = &received.origin {
+                    shared.customer_quota_received(origin, &message);
+                }
+            }
             Notice::Quota(message) => {
                 if let Some(origin) = &received.origin {
                     shared.quota_received(origin, &message);
--- a/crates/relay/src/quotas.rs
+++ b/crates/relay/src/quotas.rs
@@ -66,7 +66,8 @@
             snapshot.hosts.iter().map(|peer| (&peer.member.id, is_reachable(peer.liveness)));
         let others = snapshot.hosts.iter().filter(|peer| peer.liveness == Liveness::Live);
         let own = (!self.is_leaving()).then(|| self.host.id.clone());
-        let live = others.map(|peer| peer.member.id.clone()).chain(own).collect();
+        let live: Vec<host::Id> = others.map(|peer| peer.member.id.clone()).chain(own).collect();
+        self.customer_quota_hosts(known.clone(), Vec::clone(&live));
         self.dispatcher().share_among(known, live, self.now());
         for (server, limit) in &snapshot.limits {
             self.receive_limit(server, *limit, &crate::workload::PEERS_ID.into());
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -46,6 +46,7 @@
 fn apply(shared: &Shared, exchange: &Exchange, page: &Page) {
     let listed = u32::try_from(page.objects.len()).unwrap_or(u32::MAX);
     shared.dispatcher().share_listed(listed);
+    shared.customer_quotas().set_listed(listed);
     let address = |object: &Object| object.content.as_str()?.parse().ok();
     exchange.introduce(page.objects.iter().filter_map(address));
 }
