--- a/crates/ctl/tests/incident/mod.rs
+++ b/crates/ctl/tests/incident/mod.rs
@@ -206,7 +206,8 @@
 
 fn arrival(route: &str, repeat: Kind, model: Option<&str>, deadline: Duration) -> Arrival {
     let model = model.map(Into::into);
-    Arrival { route: route.into(), version: 12, model, adapter: None, repeat, deadline }
+    let route = route.into();
+    Arrival { route, version: 12, model, adapter: None, customer: None, repeat, deadline }
 }
 
 fn attempt(attempt: u32, server: &str, sent: &'static str, why: &'static str) -> Attempt {
--- a/crates/policy/src/customer.rs
+++ b/crates/policy/src/customer.rs
@@ -8,6 +8,8 @@
 mod caller;
 mod change;
 
+pub mod quota;
+
 use std::{
     collections::HashMap,
     hash::{BuildHasherDefault, DefaultHasher},
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -32,8 +32,9 @@
 };
 
 use crate::{
-    body::LargeBodies, clock::Clock, control::Control, demand::Demand, directory::Directory,
-    edge::Dialect, log_limiter::LogLimiter, peers::Counts, planning, pool::Pool, store::Store,
+    body::LargeBodies, clock::Clock, control::Control, customers::CustomerQuotas, demand::Demand,
+    directory::Directory, edge::Dialect, log_limiter::LogLimiter, peers::Counts, planning,
+    pool::Pool, store::Store,
 };
 
 /// Difference between the delays with which hosts attempt to take a lease, so that they don't all
@@ -82,6 +83,8 @@
     customers: ArcSwapOption<customer::Directory>,
     /// Notified when other customers have come into force.
     pub(crate) customers_changed: Notify,
+    /// Quotas of customers, with the requests that wait for their decisions.
+    pub(crate) customer_quotas: CustomerQuotas,
     directory: Mutex<Directory>,
     planner: Mutex<Planner>,
     paths: Mutex<Paths>,
@@ -177,6 +180,7 @@
             servers_confirmed: Mutex::default(),
             server_source: Mutex::default(),
             exchange: OnceLock::new(),
+            customer_quotas: CustomerQuotas::new(settings.host.id.clone(), incarnation),
             incarnation,
             host: settings.host,
             routed,
@@ -225,6 +229,8 @@
         planning::declare(&mut self.planner(), &declaration, self.now());
         self.customers.store(customers);
         self.customers_changed.notify_waiters();
+        let declared = declaration.customers.as_deref().unwrap_or_default();
+        self.customer_quotas().declare(declared, self.now());
         self.dispatcher().declare(&declaration);
         self.notify(Notice::DeclarationInForce { version });
         self.declaration.store(Some(Arc::new(declaration)));
@@ -272,6 +278,7 @@
         let waiting = dispatcher.waiting();
         drop(dispatcher);
         self.update_quota_metrics();
+        self.update_customer_metrics();
         self.update_retry_metrics();
         let tunnels = self.exchange().map_or(0, |exchange| exchange.tunnels());
         self.meters.tunnels(tunnels);
@@ -353,6 +360,7 @@
         self.send_quotas(quotas);
         self.send_loans(loans);
         self.send_streams();
+        self.pump_customer_quotas();
         for Change { ticket, verdict } in changes {
             if let Some(sender) = self.waiting().remove(&ticket) {
                 // A request that has ended meanwhile has reported its end to the dispatcher.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod callers;
 mod connect;
 mod control;
+mod customers;
 mod deadline;
 mod demand;
 mod fields;
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -28,6 +28,7 @@
     call::{Call, Resumer},
     caller::Caller,
     callers::Closer,
+    customers,
     deadline::Deadline,
     edge::{Problem, RequestInfo},
     fields,
@@ -158,7 +159,6 @@
 }
 
 async fn serve(shared: &Arc<Shared>, call: &Arc<Call>) -> Response<ResponseBody> {
-    shared.record_request(call);
     let ended = select! {
         biased;
         ended = attempts(shared, call) => ended,
@@ -188,6 +188,8 @@
     shared: &Arc<Shared>,
     call: &Arc<Call>,
 ) -> Result<Response<ResponseBody>, Problem> {
+    customers::admit(shared, call).await?;
+    shared.record_request(call);
     let server = call.first_server(shared).await?;
     let first = (call.request.ticket, server);
     let patience = || patience(shared, call);
