Test the end of a stream whose caller doesn't read with a stream that stalls

Cause: the test passed with the closing of the caller's connection switched off: the stand-in sent 900 events a second, so nothing stalled; then the system's own limit on unacknowledged bytes ended the connection. Ruled out: a longer pause, which that limit hides. Change: streams without an interval are written without a timer; the test expects the end within 2 s, before the limit.

--- a/crates/stage/tests/routed/key_changes.rs
+++ b/crates/stage/tests/routed/key_changes.rs
@@ -12,7 +12,7 @@
     site::{Customer, Site},
     until,
 };
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::{
     organisations::{
@@ -28,6 +28,13 @@
 /// Time within which running requests of a removed key must have ended, if they are to end.
 const REVOCATION_TIME: Duration = Duration::from_secs(5);
 
+/// Time in which a stream fills the sockets on its way to a caller that doesn't read.
+const STALL_TIME: Duration = Duration::from_secs(1);
+
+/// Time within which a stream of a removed key has ended though its caller doesn't read. The system
+/// closes such a connection 3 s after the last progress, which is later.
+const STALLED_END_TIME: Duration = Duration::from_secs(2);
+
 /// Time that a server works on a request while the declaration changes.
 const WORK_TIME: Duration = Duration::from_millis(700);
 
@@ -250,18 +257,19 @@
 #[tokio::test]
 async fn a_running_stream_of_a_removed_key_is_ended_though_its_caller_does_not_read() {
     let site = site_with(&customers(&[HARBOUR_KEY]), Revocation::Strict).await;
-    // More than the sockets between server and caller can hold.
+    // More than the sockets between server and caller can hold, so that they are full after a time.
     site.backend
         .script(|script| (script.events, script.event_interval) = (5_000_000, Duration::ZERO));
     let mut caller = site.hosts[0].caller();
     let mut stream = caller.open(&chat().key(HARBOUR_KEY)).await.expect("the stream begins");
     assert!(stream.event(3).await);
+    sleep(STALL_TIME).await;
     site.backend.declare_with(&declaration_of(4), &customers(&[]));
     let changed_at = Instant::now();
     until("the server's run has ended", async || {
         runs(&site).iter().all(|run| run.ending == Some(Ending::CallerClosed))
     })
     .await;
-    assert!(changed_at.elapsed() < REVOCATION_TIME, "ended after {:?}", changed_at.elapsed());
+    assert!(changed_at.elapsed() < STALLED_END_TIME, "ended after {:?}", changed_at.elapsed());
     drop(stream);
 }
--- a/crates/standin/src/routed/server/work.rs
+++ b/crates/standin/src/routed/server/work.rs
@@ -1,6 +1,6 @@
 //! Execution of a request, and its answer with the faults of the script.
 
-use std::{io, sync::Arc};
+use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Response, header};
@@ -245,7 +245,7 @@
                 _ => self.write_part(&event, framing).await?,
             }
             tokio::select! {
-                () = sleep(interval) => {}
+                () = pause(interval) => {}
                 () = self.connection.closed() => return Ok((Ending::CallerClosed, After::Close)),
             }
         }
@@ -257,3 +257,10 @@
         Ok((Ending::Answered, after))
     }
 }
+
+/// Waits for an interval. A zero interval takes no time, while a timer has a resolution of 1 ms.
+async fn pause(interval: Duration) {
+    if !interval.is_zero() {
+        sleep(interval).await;
+    }
+}
