Test that explain names a request's organisation

Cause: only the log's lines were tested. Change: the test asks `cyclamenctl explain` for a request by its id and finds the organisation in the steps `arrived` and `ended`.

--- a/crates/stage/tests/routed/organisations.rs
+++ b/crates/stage/tests/routed/organisations.rs
@@ -14,8 +14,9 @@
 use tokio::time::Instant;
 use types::routed::{Declaration, Kind, Route};
 
-use crate::site::{
-    HOST, backend, chat, declaration, draft, page, route, start_site, status_of, ticket,
+use crate::{
+    site::{HOST, backend, chat, declaration, draft, page, route, start_site, status_of, ticket},
+    stories::report,
 };
 
 pub const HARBOUR: &str = "harbour";
@@ -219,9 +220,14 @@
     let site = site().await;
     let spec = page().key(HARBOUR_KEY);
     assert_eq!(status_of(&site.hosts[0], &spec).await, Some(StatusCode::OK));
-    let is_named = |line: &Value| line["request"] == *spec.id() && line["customer"] == HARBOUR;
+    let is_named = |line: &Value| line["kind"] == "ended" && line["customer"] == HARBOUR;
     until("the trace names the organisation", async || site.hosts[0].log().iter().any(is_named))
         .await;
+    let lines = report(&site, &spec.id()).await.json["lines"].clone();
+    let kinds: Vec<&Value> = lines.as_array().into_iter().flatten().collect();
+    let named =
+        |kind: &str| kinds.iter().any(|line| line["kind"] == kind && line["customer"] == HARBOUR);
+    assert!(named("arrived") && named("ended"), "{lines:#}");
 }
 
 /// Guards against a queue that goes by the priorities of routes, which are all alike here.
