--- a/crates/policy/src/customer/quota/account.rs
+++ b/crates/policy/src/customer/quota/account.rs
@@ -15,7 +15,7 @@
 const REPEAT_AFTER: Duration = Duration::from_millis(100);
 
 /// Least interval between two reports to a coordinator whose balance is full.
-const FULL_INTERVAL: Duration = Duration::from_secs(1);
+const FULL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Seconds of its own demand that a host keeps instead of transferring it, but no more than it refills
 /// in that time, so that there is room for what it refills between two transfers.
@@ -242,7 +242,8 @@
     /// Takes what the host does not need itself from the local balance.
     fn take_surplus(&mut self, now: Moment) -> f64 {
         let refilled = self.sizes.rate / self.sizes.hosts;
-        let kept = KEPT_SECONDS * self.demand.per_second(now).min(refilled);
+        let kept = KEPT_SECONDS * self.demand.per_second(now).min(refilled)
+            + EXTRA_SECONDS * self.admitted.per_second(now);
         let surplus = (self.local - kept).max(0.0);
         self.local -= surplus;
         surplus
--- a/crates/policy/src/customer/quota/coordinator.rs
+++ b/crates/policy/src/customer/quota/coordinator.rs
@@ -18,7 +18,7 @@
 /// Time for which a majority must have reported before the balance may become negative. Together with
 /// the least time in which another coordinator may get a majority, it is as long as the window of a
 /// quota, so that a debt that is lost in a crash is followed by no other one in the same window.
-const MATURITY: Duration = Duration::from_secs(6);
+const MATURITY: Duration = Duration::from_millis(6_500);
 
 /// Time for which the answer to a token request is kept, for repeated requests.
 const ANSWER_RETENTION: Duration = Duration::from_secs(3);
--- a/crates/policy/src/customer/quota/pending.rs
+++ b/crates/policy/src/customer/quota/pending.rs
@@ -8,7 +8,7 @@
 use crate::dispatch::Ticket;
 
 /// Time after which a token request is sent again.
-const RESEND_AFTER: Duration = Duration::from_millis(60);
+const RESEND_AFTER: Duration = Duration::from_millis(50);
 
 /// Time without an answer after which another coordinator is tried.
 const NEXT_AFTER: Duration = Duration::from_millis(150);
--- a/crates/policy/src/customer/quota/sharers.rs
+++ b/crates/policy/src/customer/quota/sharers.rs
@@ -25,7 +25,7 @@
 const ISOLATED_AFTER: Duration = Duration::from_secs(15);
 
 /// Fraction of its part that an isolated host refills.
-const ISOLATED_FRACTION: f64 = 0.25;
+const ISOLATED_FRACTION: f64 = 0.125;
 
 /// Hosts that share quotas.
 #[derive(Clone, Debug, Default)]
--- a/crates/policy/src/customer/quota/silence.rs
+++ b/crates/policy/src/customer/quota/silence.rs
@@ -8,7 +8,13 @@
 const TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Messages without an answer before a host is skipped, since datagrams may be lost.
-const MIN_SENT: u32 = 3;
+const MIN_SENT: u32 = 4;
+
+/// Time for which the answer to the last message is awaited.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
+
+/// Least time between two messages that count apart: a loss may concern several at once.
+const COUNT_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Interval between two messages to a host that does not answer, or whose run is not known.
 const GREETING_INTERVAL: Duration = Duration::from_millis(100);
@@ -23,6 +29,7 @@
 struct Unanswered {
     since: Moment,
     last: Moment,
+    counted_at: Moment,
     sent: u32,
     is_avoided: bool,
 }
@@ -30,10 +37,12 @@
 impl Silence {
     /// Records a message that a host must answer.
     pub(super) fn record_sent(&mut self, to: &host::Id, now: Moment) {
-        let first = Unanswered { since: now, last: now, sent: 0, is_avoided: false };
+        let first =
+            Unanswered { since: now, last: now, counted_at: now, sent: 0, is_avoided: false };
         let known = self.unanswered.entry(to.clone()).or_insert(first);
-        if known.sent == 0 || known.last < now {
+        if known.sent == 0 || known.counted_at + COUNT_INTERVAL <= now {
             known.sent += 1;
+            known.counted_at = now;
         }
         known.last = now;
     }
@@ -51,7 +60,8 @@
     /// Returns whether a host is skipped now, until it answers.
     pub(super) fn check(&mut self, host: &host::Id, now: Moment) -> bool {
         let Some(known) = self.unanswered.get_mut(host) else { return false };
-        known.is_avoided |= MIN_SENT <= known.sent && known.since + TIMEOUT <= now;
+        let is_unanswered = MIN_SENT <= known.sent && known.counted_at + ANSWER_TIMEOUT <= now;
+        known.is_avoided |= is_unanswered && known.since + TIMEOUT <= now;
         known.is_avoided
     }
 
--- a/crates/policy/src/customer/quota/sizes.rs
+++ b/crates/policy/src/customer/quota/sizes.rs
@@ -18,7 +18,7 @@
 
 /// Seconds of the rate that a coordinator may store for hosts that reported to another one
 /// recently.
-const UNCONFIRMED_SECONDS: f64 = 0.05;
+const UNCONFIRMED_SECONDS: f64 = 0.25;
 
 /// Interval between two transfers, for each host that shares the quota; clamped to [`MIN_INTERVAL`]
 /// and [`MAX_INTERVAL`].
@@ -36,7 +36,7 @@
 
 /// Time for which a coordinator counts a host after its report: this at least, and three transfer
 /// intervals.
-const MIN_WINDOW: Duration = Duration::from_secs(3);
+const MIN_WINDOW: Duration = Duration::from_secs(2);
 const WINDOW_INTERVALS: u32 = 3;
 
 /// Bounds and intervals of a quota among a number of hosts.
