Answer greetings of hosts that were skipped, and release what was transferred to them

Hosts also stopped transferring to a coordinator that had just taken over. Change: greetings name no receiver; unacknowledged transfers to others are released; a coordinator is full only with a majority; an interval is at most a quarter of what may be stored.

--- a/crates/policy/src/customer/quota.rs
+++ b/crates/policy/src/customer/quota.rs
@@ -172,12 +172,13 @@
             self.counts.granted += 1;
             return Admission::Granted;
         }
-        if let Some(retry_at) = account.retry_at(cost, now) {
+        let coordinator = self.coordinator(customer, now);
+        let Some(account) = self.accounts.get_mut(customer) else { return Admission::Granted };
+        if let Some(retry_at) = account.retry_at(cost, &coordinator, now) {
             account.record_denial(now);
             self.counts.denied += 1;
             return Admission::Denied { after: self.spread(retry_at.saturating_sub(now), ticket) };
         }
-        let coordinator = self.coordinator(customer, now);
         if coordinator == self.own {
             return self.decide(customer, cost, ticket, now);
         }
@@ -362,7 +363,10 @@
         let mut messages = Vec::new();
         for (host, entries) in std::mem::take(&mut self.entries) {
             let peer = self.peers.entry(host.clone()).or_default();
-            let (to, echo) = (peer.run(), peer.clock());
+            // A message that names no receiver is always answered.
+            let is_greeting = entries.is_empty() && self.silence.is_avoided(&host);
+            let to = peer.run().filter(|_| !is_greeting);
+            let echo = peer.clock();
             let chunks: Vec<&[Entry]> = match &entries[..] {
                 [] => vec![&[]],
                 entries => entries.chunks(MAX_ENTRIES).collect(),
--- a/crates/policy/src/customer/quota/account.rs
+++ b/crates/policy/src/customer/quota/account.rs
@@ -63,8 +63,9 @@
 }
 
 /// What is known of a coordinator that denied a request.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Empty {
+    coordinator: host::Id,
     until: Moment,
     retry_at: Moment,
     /// Least cost that was denied.
@@ -146,18 +147,31 @@
 
     /// When a denied caller should retry, if the coordinator is known to have nothing for its
     /// request.
-    pub(super) fn retry_at(&self, cost: f64, now: Moment) -> Option<Moment> {
-        let empty = self.empty.filter(|empty| now < empty.until && empty.cost <= cost)?;
-        Some(empty.retry_at)
+    pub(super) fn retry_at(
+        &self,
+        cost: f64,
+        coordinator: &host::Id,
+        now: Moment,
+    ) -> Option<Moment> {
+        let empty = self.empty.as_ref().filter(|empty| empty.coordinator == *coordinator)?;
+        (now < empty.until && empty.cost <= cost).then_some(empty.retry_at)
     }
 
     /// Records that the coordinator denied a request. `fraction` spreads the next token requests of
     /// hosts.
-    pub(super) fn set_empty(&mut self, cost: f64, denial: Denial, fraction: f64, now: Moment) {
+    pub(super) fn set_empty(
+        &mut self,
+        coordinator: &host::Id,
+        cost: f64,
+        denial: Denial,
+        fraction: f64,
+        now: Moment,
+    ) {
         let until = now + denial.empty + denial.spread.mul_f64(fraction);
-        let known = self.empty.filter(|empty| now < empty.until);
-        let cost = known.map_or(cost, |empty| empty.cost.min(cost));
-        self.empty = Some(Empty { until, retry_at: now + denial.after, cost });
+        let is_same = |empty: &&Empty| empty.coordinator == *coordinator && now < empty.until;
+        let cost = self.empty.as_ref().filter(is_same).map_or(cost, |empty| empty.cost.min(cost));
+        let coordinator = coordinator.clone();
+        self.empty = Some(Empty { coordinator, until, retry_at: now + denial.after, cost });
     }
 
     /// Records that the coordinator granted a request.
@@ -184,6 +198,7 @@
     pub(super) fn transfer_to_self(&mut self, own: &host::Id, now: Moment) {
         let is_confirmed = self.is_confirmed(own, now);
         self.links.entry(own.clone()).or_default().sent_at = Some(now);
+        self.forget_unacknowledged(own);
         self.coordinator.report(own, is_confirmed, now, self.sizes.window);
         self.coordinator.update(&self.sizes, now);
         if !self.coordinator.is_full() {
--- a/crates/policy/src/customer/quota/coordinator.rs
+++ b/crates/policy/src/customer/quota/coordinator.rs
@@ -78,9 +78,10 @@
         self.balance
     }
 
-    /// Whether the balance has no room for more.
+    /// Whether the balance has no room for more. Without a majority it stores too little for hosts to
+    /// stop transferring.
     pub(super) fn is_full(&self) -> bool {
-        0.0 < self.cap && FULL * self.cap <= self.balance
+        self.majority_since.is_some() && FULL * self.cap <= self.balance
     }
 
     /// Updates the bound of the balance if that is due.
--- a/crates/policy/src/customer/quota/receive.rs
+++ b/crates/policy/src/customer/quota/receive.rs
@@ -183,6 +183,6 @@
         if 0.0 < pending.extra {
             account.extra_answered();
         }
-        account.set_empty(pending.cost, denial, fraction, now);
+        account.set_empty(from, pending.cost, denial, fraction, now);
     }
 }
--- a/crates/policy/src/customer/quota/sizes.rs
+++ b/crates/policy/src/customer/quota/sizes.rs
@@ -28,7 +28,7 @@
 
 /// Fraction of the storable tokens that may gather at hosts in a transfer interval, and fraction
 /// that hosts may hold in all.
-const INTERVAL_FRACTION: f64 = 0.4;
+const INTERVAL_FRACTION: f64 = 0.25;
 const HOSTS_FRACTION: f64 = 0.6;
 
 /// Time in which a lost transfer is repeated, in seconds; hosts hold what they refill meanwhile.
--- a/crates/policy/tests/customer_quota/net.rs
+++ b/crates/policy/tests/customer_quota/net.rs
@@ -239,6 +239,25 @@
         during.count()
     }
 
+    /// Number of requests refused after a moment, in seconds, although the customer is below its
+    /// quota: a bucket of nine tenths of the rate and burst, charged with the admitted ones, covers
+    /// them.
+    pub fn refused_below(&self, (rate, burst): (f64, f64), from: f64) -> usize {
+        let (rate, burst) = (0.9 * rate, 0.9 * burst);
+        let (mut level, mut at, mut refused) = (burst, Moment::ZERO, 0);
+        for outcome in &self.outcomes {
+            level = (level + rate * (outcome.at - at).as_secs_f64()).min(burst);
+            at = outcome.at;
+            let cost = f64::from(outcome.cost);
+            if outcome.is_admitted {
+                level -= cost;
+            } else if cost <= level && from <= at.as_secs_f64() {
+                refused += 1;
+            }
+        }
+        refused
+    }
+
     fn start(&self, index: usize) -> Host {
         let run = self.now.as_millis() as u64 + 1;
         let mut quotas = Quotas::new(name(index), run);
