--- a/crates/policy/src/customer/quota/coordinator.rs
+++ b/crates/policy/src/customer/quota/coordinator.rs
@@ -18,7 +18,7 @@
 /// Time for which a majority must have reported before the balance may become negative. Together with
 /// the least time in which another coordinator may get a majority, it is as long as the window of a
 /// quota, so that a debt that is lost in a crash is followed by no other one in the same window.
-const MATURITY: Duration = Duration::from_secs(6);
+const MATURITY: Duration = Duration::from_millis(6_500);
 
 /// Time for which the answer to a token request is kept, for repeated requests.
 const ANSWER_RETENTION: Duration = Duration::from_secs(3);
@@ -78,9 +78,10 @@
         self.balance
     }
 
-    /// Whether the balance has no room for more.
+    /// Whether the balance has no room for more. Without a majority it stores too little for hosts to
+    /// stop transferring.
     pub(super) fn is_full(&self) -> bool {
-        0.0 < self.cap && FULL * self.cap <= self.balance
+        self.majority_since.is_some() && FULL * self.cap <= self.balance
     }
 
     /// Updates the bound of the balance if that is due.
