--- a/crates/stage/examples/cost.rs
+++ b/crates/stage/examples/cost.rs
@@ -7,6 +7,9 @@
 
 #![allow(clippy::print_stdout, reason = "prints its results")]
 
+#[path = "cost/routed.rs"]
+mod routed;
+
 use std::{
     error::Error,
     fs,
@@ -59,6 +62,13 @@
     /// Measured duration of each run, in seconds.
     #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u64).range(1..=60))]
     seconds: u64,
+    /// Numbers of hosts of a routed deployment. If given, one run for each of these and each rate of
+    /// `requests`, and no others.
+    #[arg(long, value_delimiter = ',')]
+    routed: Vec<usize>,
+    /// Requests a second over all hosts of a routed deployment.
+    #[arg(long, value_delimiter = ',', default_value = "0")]
+    requests: Vec<u64>,
 }
 
 /// A child process, killed when dropped.
@@ -75,6 +85,17 @@
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn Error>> {
     let flags = Flags::parse();
+    if !flags.routed.is_empty() {
+        println!("{}", routed::TABLE_HEAD);
+    }
+    for (hosts, rate) in
+        flags.routed.iter().flat_map(|n| flags.requests.iter().map(move |r| (n, r)))
+    {
+        routed::run(&flags.binary, *hosts, *rate, Duration::from_secs(flags.seconds)).await?;
+    }
+    if !flags.routed.is_empty() {
+        return Ok(());
+    }
     println!(
         "| servers | hosts | tokens/s | processor, % of a core | resident, MiB | received, KB/s | \
          sent, KB/s | object API calls/s |"
