Share sums of response times between hosts

Cause: with 77 hosts and 112 servers, one host alone has too few samples of each server to tell how fast it is.

Ruled out: sending each sum as soon as it changes; replacing aggregated sums at each change of a member.

Change: Publication::Speeds and a fact per server, added up by relays, which keep an aggregated sum until its mean or count has changed notably. A sum counts as at most its number of samples. A log line and a gauge show the fastest and the slowest server of each service.

--- a/crates/observe/src/metrics/routed.rs
+++ b/crates/observe/src/metrics/routed.rs
@@ -63,6 +63,7 @@
     shares: BoundGauge<u64>,
     permits: Box<[BoundGauge<u64>]>,
     unreadable_limits: BoundCounter<u64>,
+    server_speed: Gauge<f64>,
 }
 
 impl Routed {
@@ -124,6 +125,13 @@
             .f64_gauge("routed_budget")
             .with_description("Further attempts that this host may still make, by service")
             .build();
+        let server_speed = meter
+            .f64_gauge("routed_server_speed")
+            .with_description(
+                "Processing time of the fastest and the slowest server relative to the median, by \
+                 service",
+            )
+            .build();
         let spent = "Further attempts of this host in the last window, by service";
         let hosts = "Hosts that share the retry budgets";
         Routed(Arc::new(Series {
@@ -157,6 +165,7 @@
             shares: shares.bind(&[]),
             permits: each(|of: Permits| permits.bind(&[of.key_value()])),
             unreadable_limits: unreadable_limits.bind(&[]),
+            server_speed,
             wishes: gauge(
                 meter,
                 "routed_wishes",
@@ -278,6 +287,15 @@
         self.0.budget_spent.record(spent, &[KeyValue::new("service", Arc::clone(service))]);
     }
 
+    /// Sets the processing times of a service's fastest and slowest server, relative to the median.
+    pub fn server_speed(&self, service: &service::Id, least: f64, most: f64) {
+        for (server, factor) in [("fastest", least), ("slowest", most)] {
+            let labels =
+                [KeyValue::new("service", Arc::clone(service)), KeyValue::new("server", server)];
+            self.0.server_speed.record(factor, &labels);
+        }
+    }
+
     /// Sets the number of hosts that share the retry budgets.
     pub fn budget_hosts(&self, hosts: u32) {
         self.0.budget_hosts.record(hosts.into());
--- a/crates/observe/src/story/belief.rs
+++ b/crates/observe/src/story/belief.rs
@@ -167,6 +167,15 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         rejections: Option<u32>,
     },
+    /// The servers of a service differ in speed, or differ more or less than before.
+    Speeds {
+        /// The service.
+        service: service::Id,
+        /// Processing time of the fastest server, relative to the median.
+        least: f64,
+        /// Processing time of the slowest server, relative to the median.
+        most: f64,
+    },
     /// The path to a server changed.
     Path {
         /// The server.
@@ -250,6 +259,7 @@
             | Belief::Limit { .. }
             | Belief::Path { .. }
             | Belief::Tolerance { .. }
+            | Belief::Speeds { .. }
             | Belief::Poison { .. }
             | Belief::Dropped { .. } => false,
         }
--- a/crates/observe/src/story/explanation.rs
+++ b/crates/observe/src/story/explanation.rs
@@ -334,6 +334,7 @@
             Belief::Reload { .. }
             | Belief::ServerSource { .. }
             | Belief::Tolerance { .. }
+            | Belief::Speeds { .. }
             | Belief::Stop { .. }
             | Belief::Peer { .. }
             | Belief::Dropped { .. } => {}
--- a/crates/observe/src/story/logger.rs
+++ b/crates/observe/src/story/logger.rs
@@ -174,6 +174,7 @@
         | Belief::Order { answer: Answer::Accepted | Answer::Holds, .. }
         | Belief::Limit { .. }
         | Belief::Tolerance { .. }
+        | Belief::Speeds { .. }
         | Belief::Path { state: PathState::Direct, .. }
         | Belief::Poison { state: PoisonState::Cleared, .. }
         | Belief::Dependency { state: DependencyState::Regained, .. } => Level::Info,
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -39,7 +39,7 @@
     aggregate::Counters,
     candidates::Candidates,
     crashes::Crashes,
-    fact::{Fact, Key},
+    fact::{Fact, Key, ResponseTimes},
     fanout::{Fanout, Ranks},
     hosts::Hosts,
     local_table::LocalTable,
@@ -286,6 +286,12 @@
                 let facts = limits.into_iter().map(|(server, limit)| Fact::Limit(server, limit));
                 replace(local, now, |key| matches!(key, Key::Limit(_)), facts);
             }
+            Publication::Speeds(sums) => {
+                let facts = sums
+                    .into_iter()
+                    .map(|(server, sum)| Fact::Speed(server, ResponseTimes::new(sum)));
+                replace(local, now, |key| matches!(key, Key::Speed(_)), facts);
+            }
             Publication::Crashes(crashes) => {
                 let facts = crashes.into_iter().map(Fact::Crash);
                 replace(local, now, |key| matches!(key, Key::Crash(..)), facts);
--- a/crates/policy/src/fleet/aggregate.rs
+++ b/crates/policy/src/fleet/aggregate.rs
@@ -13,9 +13,10 @@
 
 use super::{
     Fleet,
-    fact::{Departure, Fact, Key, Lease, Load, StoreStatus},
+    fact::{Departure, Fact, Key, Lease, Load, ResponseTimes, StoreStatus},
     fanout::{Fanout, Provenance},
     hosts::Contact,
+    local_table::LocalTable,
     remote_table, replace,
     wire::{Run, Scope},
 };
@@ -67,6 +68,7 @@
     pub(super) store: Option<StoreStatus>,
     pub(super) absent: BTreeMap<host::Id, Run>,
     pub(super) limits: BTreeMap<backend::Id, Limit>,
+    pub(super) speeds: BTreeMap<backend::Id, ResponseTimes>,
 }
 
 impl Tally {
@@ -110,6 +112,9 @@
                 let known = self.limits.entry(server.clone()).or_insert(*limit);
                 *known = known.merge(*limit);
             }
+            Fact::Speed(server, times) => {
+                self.speeds.entry(server.clone()).or_default().add(*times);
+            }
             Fact::State(_) | Fact::Declared(_) | Fact::Arrivals(..) | Fact::Retries(..) => {}
         }
     }
@@ -135,7 +140,8 @@
         let store = self.store.into_iter().map(Fact::Store);
         let absent = self.absent.into_iter().map(|(id, run)| Fact::Absent(id, run));
         let limits = self.limits.into_iter().map(|(server, limit)| Fact::Limit(server, limit));
-        let others = lease.chain(term).chain(store).chain(absent).chain(limits);
+        let speeds = self.speeds.into_iter().map(|(server, times)| Fact::Speed(server, times));
+        let others = lease.chain(term).chain(store).chain(absent).chain(limits).chain(speeds);
         loads.chain(servers).chain(crashes).chain(others)
     }
 }
@@ -195,8 +201,21 @@
         let group: Vec<_> = group.into_facts().chain(counter_facts(&totals)).collect();
         let rest: Vec<_> =
             rest.into_facts().chain(counter_facts(&self.counters.aggregated)).collect();
-        replace(&mut self.local_tables[Scope::Group as usize], now, |_| true, group.into_iter());
-        replace(&mut self.local_tables[Scope::Rest as usize], now, |_| true, rest.into_iter());
+        for (scope, facts) in [(Scope::Group, group), (Scope::Rest, rest)] {
+            let table = &mut self.local_tables[scope as usize];
+            let facts: Vec<_> = facts.into_iter().map(|fact| steady(table, fact)).collect();
+            replace(table, now, |_| true, facts.into_iter());
+        }
+    }
+}
+
+/// Returns the fact of the table instead, if it is of response times that are much the same.
+fn steady(table: &LocalTable, fact: Fact) -> Fact {
+    match (&fact, table.get(&fact.key())) {
+        (Fact::Speed(_, new), Some(Fact::Speed(server, old))) if new.is_like(*old) => {
+            Fact::Speed(server.clone(), *old)
+        }
+        _ => fact,
     }
 }
 
--- a/crates/policy/src/fleet/fact.rs
+++ b/crates/policy/src/fleet/fact.rs
@@ -7,12 +7,26 @@
 
 use super::wire::Run;
 use crate::{
-    dispatch::poison::{Crash, Subject},
+    dispatch::{
+        poison::{Crash, Subject},
+        speed::Sum,
+    },
     member::rendezvous,
     quota::Limit,
     term,
 };
 
+/// Units of a sum of logarithms, on the wire.
+const TOTAL_UNITS: f64 = 100.0;
+
+/// Bounds of the number of samples that a host or a group may state, and of their mean in units.
+const MAX_COUNT: u64 = 1 << 24;
+const MAX_MEAN: i64 = 250;
+
+/// Difference of two means, and ratio of two counts, up to which an aggregated sum is not sent again.
+const LIKE_MEAN: f64 = 0.03;
+const LIKE_COUNT: f64 = 1.3;
+
 /// Revision of the store.
 pub type Revision = u64;
 
@@ -135,6 +149,8 @@
     Crashes(Vec<Crash>),
     /// The latest limit that the host knows for each server.
     Limits(Vec<(backend::Id, Limit)>),
+    /// Sums over the host's response times, by server; what is left out has none.
+    Speeds(Vec<(backend::Id, Sum)>),
 }
 
 /// One row of the table that a host advertises.
@@ -153,6 +169,44 @@
     Absent(host::Id, Run),
     Term(term::StoredLease),
     Limit(backend::Id, Limit),
+    Speed(backend::Id, ResponseTimes),
+}
+
+/// Logarithms of response times at a server relative to a median one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct ResponseTimes {
+    /// Number of samples.
+    pub(super) count: u64,
+    /// Sum of the logarithms, in hundredths.
+    pub(super) total: i64,
+}
+
+impl ResponseTimes {
+    pub(super) fn new(sum: Sum) -> ResponseTimes {
+        ResponseTimes {
+            count: sum.count.round() as u64,
+            total: (sum.total * TOTAL_UNITS).round() as i64,
+        }
+    }
+
+    pub(super) fn sum(self) -> Sum {
+        Sum { total: self.total as f64 / TOTAL_UNITS, count: self.count as f64 }
+    }
+
+    /// Whether these differ so little from others that the others need not be replaced.
+    pub(super) fn is_like(self, other: ResponseTimes) -> bool {
+        let counts = (self.count.min(other.count), self.count.max(other.count));
+        let is_close = (self.sum().mean() - other.sum().mean()).abs() <= LIKE_MEAN;
+        is_close && counts.1 as f64 <= counts.0 as f64 * LIKE_COUNT
+    }
+
+    /// Adds another host's, within the bounds of true ones.
+    pub(super) fn add(&mut self, other: ResponseTimes) {
+        let count = other.count.min(MAX_COUNT);
+        let bound = count as i64 * MAX_MEAN;
+        self.count = self.count.saturating_add(count);
+        self.total = self.total.saturating_add(other.total.clamp(-bound, bound));
+    }
 }
 
 /// Key of a fact; a later fact of the same key replaces the earlier one.
@@ -170,6 +224,7 @@
     Absent(host::Id),
     Term,
     Limit(backend::Id),
+    Speed(backend::Id),
 }
 
 impl Fact {
@@ -189,6 +244,7 @@
             }
             Fact::Absent(id, _) => Key::Absent(id.clone()),
             Fact::Limit(server, _) => Key::Limit(server.clone()),
+            Fact::Speed(server, _) => Key::Speed(server.clone()),
         }
     }
 
@@ -197,6 +253,7 @@
         match self {
             Fact::InFlight(load) => Some((load.requests.into(), load.tokens)),
             Fact::Arrivals(_, count) | Fact::Retries(_, count) => Some((*count, 0)),
+            Fact::Speed(_, times) => Some((times.count, zigzag(times.total))),
             _ => None,
         }
     }
@@ -209,6 +266,9 @@
                 load.tokens = second;
             }
             Fact::Arrivals(_, count) | Fact::Retries(_, count) => *count = first,
+            Fact::Speed(_, times) => {
+                *times = ResponseTimes { count: first, total: unzigzag(second) };
+            }
             _ => return false,
         }
         true
@@ -236,3 +296,12 @@
         }
     }
 }
+
+/// Maps small numbers of either sign to small numbers.
+fn zigzag(number: i64) -> u64 {
+    ((number << 1) ^ (number >> (i64::BITS - 1))) as u64
+}
+
+fn unzigzag(number: u64) -> i64 {
+    (number >> 1) as i64 ^ -((number & 1) as i64)
+}
--- a/crates/policy/src/fleet/snapshot.rs
+++ b/crates/policy/src/fleet/snapshot.rs
@@ -4,7 +4,11 @@
 
 use types::{availability, backend, routed::Version, service, time::Moment};
 
-use crate::{dispatch::poison::Crash, quota::Limit, term};
+use crate::{
+    dispatch::{poison::Crash, speed::Sum},
+    quota::Limit,
+    term,
+};
 
 use super::{
     Fleet, Liveness,
@@ -65,6 +69,8 @@
     pub crashes: Vec<Crash>,
     /// The latest limit of each server that any other knows.
     pub limits: BTreeMap<backend::Id, Limit>,
+    /// Sums over the response times of others, by server.
+    pub speeds: BTreeMap<backend::Id, Sum>,
     /// The newest belief of others about the planner's lease.
     pub lease: Option<Lease>,
     /// The newest stored lease object that any other has seen.
@@ -125,6 +131,7 @@
             servers: tally.servers,
             crashes: tally.crashes.into_values().collect(),
             limits: tally.limits,
+            speeds: tally.speeds.into_iter().map(|(id, times)| (id, times.sum())).collect(),
             lease: tally.lease,
             term: tally.term,
             store: tally.store.unwrap_or_default(),
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -249,6 +249,7 @@
         drop(dispatcher);
         self.update_quota_metrics();
         self.update_retry_metrics();
+        self.update_speed_metrics();
         let tunnels = self.exchange().map_or(0, |exchange| exchange.tunnels());
         self.meters.tunnels(tunnels);
         self.meters.relayed_servers(self.paths().relayed());
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,6 +34,7 @@
 mod retries;
 mod run;
 mod servers;
+mod speeds;
 mod store;
 mod stream;
 mod streams;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -27,7 +27,7 @@
     routed::{self, Declaration, Version},
 };
 
-use crate::{host::Shared, paths};
+use crate::{host::Shared, paths, speeds::Speeds};
 
 /// Interval between rounds of publishing and reading.
 const ROUND_INTERVAL: Duration = Duration::from_millis(60);
@@ -132,14 +132,16 @@
     if let Some(notices) = exchange.notices() {
         tokio::spawn(listen(shared.clone(), exchange.clone(), notices));
     }
-    let mut standings = BTreeMap::new();
+    let (mut standings, mut speeds) = (BTreeMap::new(), Speeds::default());
     loop {
         let work = shared.dispatcher().work();
         publish(&shared, &exchange);
+        speeds.publish(&shared, &exchange);
         let snapshot = exchange.fleet();
         report_liveness(&shared, &snapshot, &mut standings);
         apply(&shared, &snapshot, &work);
         report_missing(&shared);
+        speeds.report(&shared);
         catch_up(&shared, &exchange, &snapshot).await;
         sleep(ROUND_INTERVAL.max(exchange.interval())).await;
     }
@@ -246,6 +248,7 @@
     shared.paths().set_gateways(live.map(|status| status.member.clone()).collect());
     shared.drain(snapshot.servers.keys());
     shared.quota_hosts(snapshot);
+    shared.dispatcher().set_speed_sums(&snapshot.speeds);
     shared.observe_hosts(snapshot);
     shared.set_stream_peers(snapshot);
     if shared.term().fence(now).is_some() {
