Plan placement by the speed of servers

Cause: the planner took each server for one of median speed, so that a busy model got as many replicas on slow servers as on fast ones.

Ruled out: placing idle models on slow servers on purpose; they carry little work, and their replicas are evicted where a busy model needs the room.

Change: water-filling, late work and the overrun of a model's replicas count servers by capacity, from the long-term factors at the host that plans; the targets of a busy model are ordered by the utilization that they would have.

Equal factors give the same orders as none.

Conclusion: busy models go to fast servers first. The estimate of what a model loses by an eviction still counts replicas as equal.

--- a/crates/policy/src/place/draft.rs
+++ b/crates/policy/src/place/draft.rs
@@ -143,7 +143,13 @@
             target.view.limit.map_or(0.0, |limit| lost_capacity(limit, request_s))
         };
         let base = self.targets.iter().map(lost).collect();
-        self.balance = LoadBalance::new(&self.work, &self.replicas, base);
+        let capacities = self.targets.iter().map(|target| 1.0 / target.view.scale).collect();
+        self.balance = LoadBalance::new(&self.work, &self.replicas, base, capacities);
+    }
+
+    /// Returns the capacity of these targets together, in servers of median speed.
+    pub(super) fn capacity(&self, targets: &[usize]) -> f64 {
+        targets.iter().map(|&target| 1.0 / self.targets[target].view.scale).sum()
     }
 
     /// Returns a target's expected utilization; 1.0 is fully utilized.
--- a/crates/policy/src/place/gain.rs
+++ b/crates/policy/src/place/gain.rs
@@ -162,12 +162,12 @@
         }
         _ => 0.0,
     };
-    let overrun = late_work(draft.peak_work / replicas.len() as f64);
+    let overrun = late_work(draft.peak_work / draft.capacity(replicas));
     safety + draft.peak_chances[model] * draft.rules.prices.server_second * OVERRUN_S * overrun
 }
 
 /// Returns the targets to evaluate for a model, with the replicas to evict there: fast sources and
-/// free memory first, then the least utilized.
+/// free memory first, then those that the model's work would utilize least.
 fn shortlist<'a>(
     draft: &Draft,
     store: &mut Allowance,
@@ -186,8 +186,12 @@
             targets.push((source == Source::Store, !free, target));
         }
     }
+    let share = draft.work[model] / (draft.replicas[model].len() + 1) as f64;
+    let utilization = |target: usize| {
+        draft.utilization(target) + share * (draft.targets[target].view.scale - 1.0)
+    };
     targets.sort_by(|a, b| {
-        (a.0, a.1).cmp(&(b.0, b.1)).then(draft.utilization(a.2).total_cmp(&draft.utilization(b.2)))
+        (a.0, a.1).cmp(&(b.0, b.1)).then(utilization(a.2).total_cmp(&utilization(b.2)))
     });
     let fits = |target: usize| {
         Some((target, eviction::victims(draft, model, target, &evictable[target])?))
--- a/crates/policy/src/place/planner.rs
+++ b/crates/policy/src/place/planner.rs
@@ -149,6 +149,14 @@
         }
     }
 
+    /// Replaces the servers' long-term factors of processing time; those left out are of median
+    /// speed.
+    pub fn set_speeds(&mut self, factors: &BTreeMap<backend::Id, f64>) {
+        for (id, view) in &mut self.servers {
+            view.scale = factors.get(id).copied().unwrap_or(1.0);
+        }
+    }
+
     /// Returns the orders to send now. The outcome of each must be passed to
     /// [`Planner::record_outcome`].
     pub fn plan(&mut self, now: Moment) -> Vec<Order> {
--- a/crates/policy/src/place/server_view.rs
+++ b/crates/policy/src/place/server_view.rs
@@ -134,6 +134,8 @@
     pub(super) is_unresponsive: bool,
     /// Rate limit that the server has set, in requests per second.
     pub(super) limit: Option<f64>,
+    /// Processing time relative to the median server.
+    pub(super) scale: f64,
     /// Consecutive refusals while an order of this planner was in progress.
     refusals: u32,
     /// Whether a report is still needed to show that the refusals counted in `refusals` had no
@@ -175,6 +177,7 @@
             unanswered: 0,
             is_unresponsive: false,
             limit: None,
+            scale: 1.0,
             refusals: 0,
             is_refusal_unexplained: false,
             resident: BTreeSet::new(),
--- a/crates/policy/src/place/utilization.rs
+++ b/crates/policy/src/place/utilization.rs
@@ -1,7 +1,8 @@
 //! Expected utilization of servers when routing evens out the work over each model's replicas.
 //!
 //! Routing sends a request to the replica with the shortest wait. Each model's work is therefore
-//! distributed by water-filling, the least utilized server first, in a few sweeps over all models.
+//! distributed by water-filling, the least utilized server first, in a few sweeps over all models. A
+//! slow server is as a narrow column: the same work raises its utilization more.
 
 /// Number of sweeps after which the result hardly changes.
 const SWEEPS: usize = 4;
@@ -23,25 +24,32 @@
 pub(super) struct LoadBalance {
     /// Utilization of each server; 1.0 is fully utilized.
     pub(super) utilization: Vec<f64>,
-    /// Per model: the work that each of its servers carries.
+    /// Work that each server can do, in servers of median speed.
+    capacities: Vec<f64>,
+    /// Per model: the utilization of each of its servers by its work.
     shares: Vec<Vec<f64>>,
 }
 
 impl LoadBalance {
     /// Distributes each model's work over its replicas, given each server's utilization without any
-    /// work.
-    pub(super) fn new(work: &[f64], replicas: &[Vec<usize>], base: Vec<f64>) -> LoadBalance {
+    /// work and its capacity.
+    pub(super) fn new(
+        work: &[f64],
+        replicas: &[Vec<usize>],
+        base: Vec<f64>,
+        capacities: Vec<f64>,
+    ) -> LoadBalance {
         let mut utilization = base;
         let mut shares: Vec<Vec<f64>> =
             replicas.iter().map(|holders| vec![0.0; holders.len()]).collect();
         for _ in 0..SWEEPS {
             for ((&amount, holders), share) in work.iter().zip(replicas).zip(&mut shares) {
                 if 0.0 < amount {
-                    water_fill(amount, holders, share, &mut utilization);
+                    water_fill(amount, holders, share, &mut utilization, &capacities);
                 }
             }
         }
-        LoadBalance { utilization, shares }
+        LoadBalance { utilization, capacities, shares }
     }
 
     /// Returns by how much the late and lost work falls if the models in `moves` had the replicas
@@ -54,7 +62,7 @@
         moves: &[(usize, Vec<usize>)],
     ) -> f64 {
         let mut utilization = self.utilization.clone();
-        let mut reduction: f64 = self.utilization.iter().copied().map(late_work).sum();
+        let mut reduction: f64 = self.late_work(&self.utilization);
         let mut affected = vec![false; utilization.len()];
         let mut distributions: Vec<Distribution> = Vec::new();
         for (model, holders) in moves {
@@ -79,10 +87,16 @@
         }
         for _ in 0..REBALANCE_SWEEPS {
             for Distribution { amount, holders, share } in &mut distributions {
-                water_fill(*amount, holders, share, &mut utilization);
+                water_fill(*amount, holders, share, &mut utilization, &self.capacities);
             }
         }
-        reduction - utilization.into_iter().map(late_work).sum::<f64>()
+        reduction - self.late_work(&utilization)
+    }
+
+    /// Late work of all servers at these utilizations, in servers of median speed.
+    fn late_work(&self, utilization: &[f64]) -> f64 {
+        let servers = utilization.iter().zip(&self.capacities);
+        servers.map(|(utilization, capacity)| late_work(*utilization) * capacity).sum()
     }
 }
 
@@ -94,26 +108,36 @@
 }
 
 /// Redistributes one model's work by water-filling.
-fn water_fill(amount: f64, holders: &[usize], share: &mut [f64], utilization: &mut [f64]) {
+fn water_fill(
+    amount: f64,
+    holders: &[usize],
+    share: &mut [f64],
+    utilization: &mut [f64],
+    capacities: &[f64],
+) {
     holders.iter().zip(&*share).for_each(|(&server, share)| utilization[server] -= share);
-    let level = fill_level(amount, holders.iter().map(|&server| utilization[server]).collect());
+    let level = fill_level(
+        amount,
+        holders.iter().map(|&server| (utilization[server], capacities[server])).collect(),
+    );
     for (&server, share) in holders.iter().zip(share) {
         *share = (level - utilization[server]).max(0.0);
         utilization[server] += *share;
     }
 }
 
-/// Returns the level to which `amount` fills columns of these heights.
-fn fill_level(amount: f64, mut base: Vec<f64>) -> f64 {
-    base.sort_unstable_by(f64::total_cmp);
-    let mut sum = 0.0;
+/// Returns the level to which `amount` fills columns of these heights and widths.
+fn fill_level(amount: f64, mut base: Vec<(f64, f64)>) -> f64 {
+    base.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+    let (mut sum, mut widths) = (0.0, 0.0);
     let mut level = 0.0;
-    for (index, height) in base.iter().enumerate() {
+    for (index, (height, width)) in base.iter().enumerate() {
         if 0 < index && level <= *height {
             break;
         }
-        sum += height;
-        level = (amount + sum) / (index + 1) as f64;
+        sum += height * width;
+        widths += width;
+        level = (amount + sum) / widths;
     }
     level
 }
--- a/crates/policy/tests/place/main.rs
+++ b/crates/policy/tests/place/main.rs
@@ -5,5 +5,6 @@
 mod models;
 mod random;
 mod server_view;
+mod speeds;
 mod unplaced;
 mod world;
--- a/crates/relay/src/planning.rs
+++ b/crates/relay/src/planning.rs
@@ -58,9 +58,11 @@
     let limited = dispatcher.quotas().limits().limited();
     let limits =
         limited.filter_map(|(id, limit)| Some((id.clone(), limit.rate?.as_f64()))).collect();
+    let speeds = dispatcher.speed_factors();
     drop(dispatcher);
     let mut planner = shared.planner();
     planner.set_unresponsive(&unresponsive);
+    planner.set_speeds(&speeds);
     planner.set_rate_limits(&limits);
     for order in planner.plan(now) {
         tokio::spawn(carry_out(shared.clone(), order));
