--- a/crates/observe/src/story/explanation.rs
+++ b/crates/observe/src/story/explanation.rs
@@ -335,6 +335,7 @@
             | Belief::Customers { .. }
             | Belief::ServerSource { .. }
             | Belief::Tolerance { .. }
+            | Belief::Speeds { .. }
             | Belief::Stop { .. }
             | Belief::Peer { .. }
             | Belief::Dropped { .. } => {}
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -280,6 +280,7 @@
         self.update_quota_metrics();
         self.update_customer_metrics();
         self.update_retry_metrics();
+        self.update_speed_metrics();
         let tunnels = self.exchange().map_or(0, |exchange| exchange.tunnels());
         self.meters.tunnels(tunnels);
         self.meters.relayed_servers(self.paths().relayed());
