Defer requests with slack in favour of urgent ones

Cause: a request that can wait 6 s took the last slot of a server as readily as one with a goal of 250 ms. Since the places beyond the slots are derived from the goal, it was even sent to wait in servers' queues, in front of urgent ones.

Change: policy::defer computes a reserve for each service from the peak of its urgent use in the last 4 s. Requests with a slack of 2 s or more leave it free, in a part that falls to zero with the slack, and are not sent to wait at servers while urgent requests use the service. They don't count as ahead of an urgent arrival, and do not block one in the queue. Their Retry-After is the time at which the reserve falls, at most a third of the time that is left. Dispatcher::deferrable and peer_deferrable are the hosts' news; nothing sends them yet.

With many hosts, urgent requests still wait in overfilled servers' queues.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -25,6 +25,7 @@
 mod queue;
 mod quota;
 mod registry;
+mod reserve;
 mod server;
 mod sharers;
 mod stats;
@@ -66,6 +67,7 @@
         Answer, Cause, Change, End, NotRun, Part, RequestSpec, RetryDecision, Silence, Ticket,
         Unclear, Unreachable, Verdict,
     },
+    reserve::Deferrable,
     routes::{Routes, split},
 };
 use crate::{
@@ -134,6 +136,8 @@
     poison: Poison,
     quotas: Quotas,
     loans: Borrowing,
+    /// When the deferrable requests of other hosts were last updated.
+    peer_deferrable_at: Option<Moment>,
     ticked_at: Moment,
     overdue_checked_at: Moment,
     /// When the requests that wait for limited servers were last checked.
@@ -157,6 +161,7 @@
             poison: Poison::new(settings.host.clone()),
             quotas: Quotas::new(settings.host, settings.run),
             loans: Borrowing::default(),
+            peer_deferrable_at: None,
             ticked_at: Duration::ZERO,
             overdue_checked_at: Duration::ZERO,
             limits_checked_at: Duration::ZERO,
--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -35,11 +35,11 @@
 
 /// Divisors of the caller's timeout that give the shortest and the longest delay after which a
 /// refused request may be retried. Callers wait at most a third of the time they have left.
-const RETRY_AFTER_MIN_DIVISOR: u32 = 12;
+pub(super) const RETRY_AFTER_MIN_DIVISOR: u32 = 12;
 const RETRY_AFTER_MAX_DIVISOR: u32 = 5;
 
 /// Callers wait at most one part in this many of the time they have left before they retry.
-const CALLER_WAIT_DIVISOR: u32 = 3;
+pub(super) const CALLER_WAIT_DIVISOR: u32 = 3;
 
 /// Lower bound of the estimated rate at which requests start, so that estimated waits stay finite.
 const MIN_STARTS_PER_MS: f64 = 1e-7;
@@ -65,6 +65,10 @@
         if self.lacks_software(&task) {
             return Verdict::Refuse { cause: Cause::Software, after: retry_delay(&task, 0.0) };
         }
+        task.deferral = self.deferral(&task, now);
+        if task.deferral.is_none() && task.model.is_some() {
+            self.record_prompt(&task);
+        }
         let ahead = self.ahead(&task);
         self.record_missing_permits(&task, now);
         match self.choose(&task, now) {
@@ -311,19 +315,24 @@
     }
 
     pub(super) fn enqueue(&mut self, task: &mut Task, class: Class, give_up: Moment, now: Moment) {
-        let serve = duration(self.stats(task).base()) + task.spec.goal.mul_f64(ON_TIME_SLACK);
         let send_by = match class {
             Class::Retried => now,
-            Class::OnTime | Class::Late => task.due.saturating_sub(serve),
+            Class::OnTime | Class::Late => self.send_by(task),
         };
         let key = Key { priority: task.spec.priority, class, send_by, ticket: task.spec.ticket };
         task.state = State::Waiting(key, give_up);
-        self.registry.services[task.service as usize].queue.add(key, task.model, give_up);
+        self.registry.services[task.service as usize].queue.add(key, task.flow(), give_up);
+    }
+
+    /// When the request must be sent to be on time, even under overload.
+    pub(super) fn send_by(&self, task: &Task) -> Moment {
+        let serve = duration(self.stats(task).base()) + task.spec.goal.mul_f64(ON_TIME_SLACK);
+        task.due.saturating_sub(serve)
     }
 
     fn ahead(&self, task: &Task) -> u32 {
         let queue = &self.registry.services[task.service as usize].queue;
-        queue.ahead(task.model, task.spec.priority)
+        queue.ahead(task.flow(), task.spec.priority)
     }
 
     /// Estimates the times of a request that is queued now, from the rate at which slots become
@@ -361,7 +370,7 @@
     }
 
     /// Time from a request's start to its first byte, in milliseconds.
-    fn serve(&self, task: &Task) -> f64 {
+    pub(super) fn serve(&self, task: &Task) -> f64 {
         let reading = f64::from(task.input()) / super::choose::PREFILL_TOKENS_PER_MS;
         let reading = if task.model.is_some() { reading } else { 0.0 };
         self.stats(task).base() + reading
@@ -379,7 +388,7 @@
         let served = start + duration(estimate.serve);
         let most = task.due.max(now) + task.caller_timeout() / MAX_WAIT_DIVISOR;
         let is_lost = task.caller_leaves_at() < served || most < start;
-        is_lost.then(|| retry_delay(task, estimate.wait))
+        is_lost.then(|| self.retry_delay(task, estimate.wait, now))
     }
 
     /// Returns the delay after which the caller should retry, if the request can't be served in
@@ -404,7 +413,14 @@
 
     /// Delay before a retry of a request that is refused now.
     pub(super) fn retry_after(&self, task: &Task, now: Moment) -> Duration {
-        retry_delay(task, self.estimate_wait(task, now).wait)
+        self.retry_delay(task, self.estimate_wait(task, now).wait, now)
+    }
+
+    fn retry_delay(&self, task: &Task, wait: f64, now: Moment) -> Duration {
+        match task.deferral {
+            Some(_) => self.deferred_retry_delay(task, wait, now),
+            None => retry_delay(task, wait),
+        }
     }
 
     /// Until when a request that has just become late waits; `None` if its expected wait is too
@@ -449,11 +465,16 @@
 }
 
 /// Delay after which a refused request may be retried: about the time until the requests ahead have
-/// started, plus a random part of up to half of it, so that requests refused together are not
-/// retried together.
+/// started, spread.
 fn retry_delay(task: &Task, wait: f64) -> Duration {
     let caller_timeout = task.caller_timeout();
     let base = duration(wait)
         .clamp(caller_timeout / RETRY_AFTER_MIN_DIVISOR, caller_timeout / RETRY_AFTER_MAX_DIVISOR);
-    base + base / 2 * (task.seed() % 256) as u32 / 256
+    spread(task, base)
+}
+
+/// Adds a random part of up to half of the delay, so that requests refused together are not retried
+/// together.
+pub(super) fn spread(task: &Task, delay: Duration) -> Duration {
+    delay + delay / 2 * (task.seed() % 256) as u32 / 256
 }
--- a/crates/policy/src/dispatch/choose.rs
+++ b/crates/policy/src/dispatch/choose.rs
@@ -182,6 +182,7 @@
     ) -> Candidates {
         let mut found = Candidates::default();
         let is_suspect = self.is_suspect(task);
+        let prompt_reserve = self.prompt_reserve(task, now);
         for index in servers {
             let Some(server) = self.registry.get(index) else { continue };
             if is_suspect && self.poison.runs_suspect(&server.id, now) {
@@ -203,7 +204,7 @@
             found.has_usable |= state == State::Closed && self.has_permit(server, now);
             let prefill = task.input() - cached_tokens(task, holders, index);
             if !self.has_place(task, index, server, now)
-                || !keeps_stream_pauses(task, server, prefill)
+                || !keeps_stream_pauses(task, server, prefill, prompt_reserve)
             {
                 continue;
             }
@@ -224,8 +225,9 @@
         let in_flight = server.load.in_flight(self.registry.peers_at(), now);
         let memory = server.load.memory_used(task.memory());
         let has_memory = memory.is_none_or(|used| used < MEMORY_HARD) || in_flight < 1.0;
-        let free = slots + overfill - in_flight;
-        let wins_draw = || server.is_limited || self.wins_draw(task, index, free);
+        let held_back = self.held_back(task, server, overfill, now);
+        let free = slots + overfill - held_back - in_flight;
+        let wins_draw = || server.is_limited || self.wins_draw(task, index, free, now);
         let is_free =
             !server.load.is_full(now) && server.back_off.has_room(now) && 1.0 <= free && has_memory;
         is_free
@@ -235,11 +237,12 @@
     }
 
     /// Whether this request may take one of the server's free places, which all contending hosts
-    /// see at the same time. If there are more contenders than free places, a random draw decides,
+    /// see at the same time, or all waiting deferrable requests. If there are more contenders than free places, a random draw decides,
     /// with their ratio as the probability. Each request draws anew when new digests of peers have
     /// arrived.
-    fn wins_draw(&self, task: &Task, index: Index, free: f64) -> bool {
-        let contenders = self.registry.get(index).map_or(1.0, |server| server.load.contenders());
+    fn wins_draw(&self, task: &Task, index: Index, free: f64, now: Moment) -> bool {
+        let hosts = self.registry.get(index).map_or(1.0, |server| server.load.contenders());
+        let contenders = hosts.max(self.deferred_contenders(task, now));
         let round = self.registry.peers_at().map_or(0, |at| at.as_millis() as u64);
         let draw = mixed(mixed(task.seed() ^ round) ^ u64::from(index)) % 1024;
         contenders <= free || (draw as f64) * contenders < free * 1024.0
@@ -295,11 +298,11 @@
     }
 }
 
-/// Whether a server that also prefills this prompt can still emit the events of its streams without
+/// Whether a server that also prefills this prompt, and `reserve` tokens of others, can still emit the events of its streams without
 /// too long a pause.
-fn keeps_stream_pauses(task: &Task, server: &Server, prefill: u32) -> bool {
+fn keeps_stream_pauses(task: &Task, server: &Server, prefill: u32, reserve: f64) -> bool {
     let waiting = server.load.prefill();
-    let prefill_ms = (waiting as f64 + f64::from(prefill)) / PREFILL_TOKENS_PER_MS;
+    let prefill_ms = (waiting as f64 + f64::from(prefill) + reserve) / PREFILL_TOKENS_PER_MS;
     let pause = task.spec.pause.filter(|_| task.model.is_some());
     waiting == 0 || pause.is_none_or(|pause| prefill_ms <= millis(pause) * PREFILL_IN_PAUSE)
 }
--- a/crates/policy/src/dispatch/events.rs
+++ b/crates/policy/src/dispatch/events.rs
@@ -104,7 +104,7 @@
             State::Idle => {}
             State::Waiting(key, give_up) => {
                 let queue = &mut self.registry.services[task.service as usize].queue;
-                queue.remove(key, task.model, give_up);
+                queue.remove(key, task.flow(), give_up);
             }
             State::InFlight(attempt) => {
                 self.attempt_ended(&mut task, &attempt, end, now);
--- a/crates/policy/src/dispatch/pump.rs
+++ b/crates/policy/src/dispatch/pump.rs
@@ -10,6 +10,7 @@
     queue::{Class, Key},
     registry::Work,
     request::{Cause, Change, LEAST_URGENT, Verdict},
+    reserve::deferred_part,
     stats::duration,
     task::{Phase, State, Task},
 };
@@ -25,8 +26,9 @@
 /// Largest number of waiting requests examined in one call, for each service.
 pub(super) const SCAN_LIMIT: usize = 256;
 
-/// A model and adapter for which no server has a place.
-type Blocked = (Option<Index>, Option<adapter::Id>);
+/// A model and adapter for which no server has a place, and the part of the reserve that the request
+/// would have left free.
+type Blocked = (Option<Index>, Option<adapter::Id>, f64);
 
 /// A model or adapter that no server has loaded: the service, the model, the adapter, and the
 /// number of requests that wait for it.
@@ -43,6 +45,7 @@
             self.registry.tick(now);
             self.poison.expire(now);
             self.update_ranks();
+            self.update_reserves(now);
         }
         if self.overdue_checked_at + OVERDUE_CHECK_INTERVAL <= now {
             self.overdue_checked_at = now;
@@ -150,7 +153,10 @@
         for key in keys {
             let Some(task) = self.tasks.get(&key.ticket) else { continue };
             let wants = (task.model, &task.spec.adapter);
-            if blocked.iter().any(|(model, adapter)| (*model, adapter) == wants) {
+            let part = deferred_part(task, now);
+            let is_blocked =
+                |(model, adapter, least): &Blocked| (*model, adapter) == wants && *least <= part;
+            if blocked.iter().any(is_blocked) {
                 continue;
             }
             // A request with too little time left is not sent; it is given up when it expires.
@@ -181,7 +187,7 @@
                     changes.push(Change { ticket: key.ticket, verdict });
                 }
                 (None, Outcome::Full | Outcome::NoServer) if is_like_others => {
-                    blocked.push((task.model, task.spec.adapter.clone()));
+                    blocked.push((task.model, task.spec.adapter.clone(), part));
                 }
                 (None, Outcome::Full | Outcome::NoServer) => {}
             }
@@ -231,7 +237,7 @@
     pub(super) fn take(&mut self, service: usize, key: Key) -> Option<Task> {
         let task = self.tasks.remove(&key.ticket)?;
         if let State::Waiting(key, give_up) = &task.state {
-            self.registry.services[service].queue.remove(*key, task.model, *give_up);
+            self.registry.services[service].queue.remove(*key, task.flow(), *give_up);
         }
         Some(task)
     }
--- a/crates/policy/src/dispatch/queue.rs
+++ b/crates/policy/src/dispatch/queue.rs
@@ -5,14 +5,11 @@
 //! then late ones. If late requests kept their position instead, they would, under overload, make
 //! each request behind them late too.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use types::prelude::*;
 
-use super::{
-    Map,
-    request::{LEAST_URGENT, Ticket},
-};
+use super::request::{LEAST_URGENT, Ticket};
 use crate::route::Index;
 
 /// Number of priorities.
@@ -41,11 +38,25 @@
     pub ticket: Ticket,
 }
 
+/// Whether a request can be deferred in favour of others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Haste {
+    Urgent,
+    Deferrable,
+}
+
+/// Requests that are counted together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Flow {
+    pub model: Option<Index>,
+    pub haste: Haste,
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     order: BTreeSet<Key>,
     expiries: BTreeSet<(Moment, Ticket)>,
-    counts: Map<Option<Index>, [u32; PRIORITIES]>,
+    counts: BTreeMap<Flow, [u32; PRIORITIES]>,
 }
 
 impl Queue {
@@ -57,36 +68,56 @@
         self.order.is_empty()
     }
 
-    /// Adds a request for this model, which is given up at `give_up`.
-    pub fn add(&mut self, key: Key, model: Option<Index>, give_up: Moment) {
+    /// Adds a request of this flow, which is given up at `give_up`.
+    pub fn add(&mut self, key: Key, flow: Flow, give_up: Moment) {
         self.order.insert(key);
         self.expiries.insert((give_up, key.ticket));
-        self.counts.entry(model).or_default()[usize::from(key.priority)] += 1;
+        self.counts.entry(flow).or_default()[usize::from(key.priority)] += 1;
     }
 
-    pub fn remove(&mut self, key: Key, model: Option<Index>, give_up: Moment) {
+    pub fn remove(&mut self, key: Key, flow: Flow, give_up: Moment) {
         if !self.order.remove(&key) {
             return;
         }
         self.expiries.remove(&(give_up, key.ticket));
-        if let Some(counts) = self.counts.get_mut(&model) {
+        if let Some(counts) = self.counts.get_mut(&flow) {
             let count = &mut counts[usize::from(key.priority)];
             *count = count.saturating_sub(1);
             if *counts == [0; PRIORITIES] {
-                self.counts.remove(&model);
+                self.counts.remove(&flow);
             }
         }
     }
 
-    /// Number of requests for this model that are served before a new one of this priority.
-    pub fn ahead(&self, model: Option<Index>, priority: u8) -> u32 {
-        let counts = self.counts.get(&model);
-        counts.map_or(0, |counts| counts[..=usize::from(priority)].iter().sum())
+    /// Number of requests for the same model that are served before a new one of this flow and
+    /// priority. Deferrable requests of its own priority are not served before an urgent one.
+    pub fn ahead(&self, flow: Flow, priority: u8) -> u32 {
+        let of = |haste, priorities: usize| -> u32 {
+            let counts = self.counts.get(&Flow { haste, ..flow });
+            counts.map_or(0, |counts| counts[..priorities].iter().sum())
+        };
+        let priority = usize::from(priority);
+        match flow.haste {
+            Haste::Urgent => of(Haste::Urgent, priority + 1) + of(Haste::Deferrable, priority),
+            Haste::Deferrable => {
+                of(Haste::Urgent, priority + 1) + of(Haste::Deferrable, priority + 1)
+            }
+        }
+    }
+
+    /// Number of deferrable requests.
+    pub fn deferrable(&self) -> u32 {
+        let flows = self.counts.iter().filter(|(flow, _)| flow.haste == Haste::Deferrable);
+        flows.map(|(_, counts)| counts.iter().sum::<u32>()).sum()
     }
 
     /// Models that requests wait for, with the number of requests.
     pub fn wanted(&self) -> impl Iterator<Item = (Option<Index>, u32)> {
-        self.counts.iter().map(|(model, counts)| (*model, counts.iter().sum()))
+        let mut wanted: BTreeMap<Option<Index>, u32> = BTreeMap::new();
+        for (flow, counts) in &self.counts {
+            *wanted.entry(flow.model).or_default() += counts.iter().sum::<u32>();
+        }
+        wanted.into_iter()
     }
 
     /// Returns the next request to be given up, if its time has come.
--- a/crates/policy/src/dispatch/registry.rs
+++ b/crates/policy/src/dispatch/registry.rs
@@ -17,6 +17,7 @@
     loaded::Absence,
     pace::Median,
     queue::Queue,
+    reserve::Urgency,
     server::Server,
     stats::Stats,
 };
@@ -38,6 +39,8 @@
     pub median: Median,
     pub budget: Budget,
     pub queue: Queue,
+    /// Use by urgent requests, from which the slots that deferrable ones leave free are derived.
+    pub urgency: Urgency,
     /// What its servers state about rejections.
     pub tolerance: Tolerance,
 }
@@ -142,6 +145,7 @@
             median: Median::default(),
             budget: Budget::new(self.config),
             queue: Queue::default(),
+            urgency: Urgency::default(),
             tolerance: Tolerance::default(),
         });
         self.service_ids.insert(id.clone(), index);
--- a/crates/policy/src/dispatch/server.rs
+++ b/crates/policy/src/dispatch/server.rs
@@ -9,6 +9,7 @@
     pace::Pace,
 };
 use crate::{
+    member::rendezvous,
     paths::Path,
     route::Index,
     streams::{self, SoftwareId},
@@ -60,6 +61,8 @@
     pub answered_at: Moment,
     /// Requests whose response has become overdue since [`answered_at`](Self::answered_at).
     pub unanswered: u32,
+    /// A number from 0 to 1, the same on all hosts.
+    pub draw: f64,
     cold_until: Moment,
 }
 
@@ -90,6 +93,7 @@
             path: Path::Direct,
             answered_at: now,
             unanswered: 0,
+            draw: draw(&registration.id),
             cold_until: now + registration.cold,
         }
     }
@@ -104,6 +108,11 @@
         }
     }
 
+    /// Whether the server takes no new requests.
+    pub fn is_draining(&self) -> bool {
+        self.state == routed::State::Draining
+    }
+
     /// Records that any response was received from the server.
     pub fn mark_answered(&mut self, now: Moment) {
         self.answered_at = now;
@@ -130,3 +139,7 @@
 fn software(registration: &routed::Server) -> SoftwareId {
     streams::software_id(&registration.service, &registration.software)
 }
+
+fn draw(id: &backend::Id) -> f64 {
+    (rendezvous::score(b"reserve", id) >> 32) as f64 / f64::from(u32::MAX)
+}
--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -5,10 +5,10 @@
 use super::{
     budget::{Need, Payment},
     mixed,
-    queue::Key,
+    queue::{Flow, Haste, Key},
     request::{End, NotRun, RequestSpec, Ticket, Unreachable},
 };
-use crate::{paths::Path, route::Index, streams::SoftwareId};
+use crate::{defer::Deferral, paths::Path, route::Index, streams::SoftwareId};
 
 /// Number of attempts beyond the limit of the route that a request may make if servers did not run
 /// it.
@@ -105,6 +105,8 @@
     pub payment: Option<Payment>,
     /// Tickets of the request's other attempts in flight, which have tasks of their own.
     pub rivals: Vec<Ticket>,
+    /// How the request may be deferred; `None` if it is urgent.
+    pub deferral: Option<Deferral>,
     /// Servers that rejected the request while another attempt was in flight, and when.
     pub declined: Vec<(backend::Id, Moment)>,
     /// Number of ended attempts in which a server may have run the request.
@@ -129,6 +131,7 @@
             has_arrived: false,
             payment: None,
             rivals: Vec::new(),
+            deferral: None,
             declined: Vec::new(),
             runs: 0,
             tries: 0,
@@ -136,6 +139,12 @@
         }
     }
 
+    /// What the request waits for, and whether it is deferrable.
+    pub fn flow(&self) -> Flow {
+        let haste = if self.deferral.is_some() { Haste::Deferrable } else { Haste::Urgent };
+        Flow { model: self.model, haste }
+    }
+
     /// Length of the prompt in tokens.
     pub fn input(&self) -> u32 {
         self.spec.input.max(self.prefixes.last().map_or(0, |(_, tokens)| *tokens))
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempt_timeout;
 pub mod config;
 pub mod customer;
+pub mod defer;
 pub mod demand;
 pub mod dispatch;
 pub mod event;
