Share servers fairly among customers

Cause: requests that wait were served by time alone, so a customer at six times its usual load took the others' places, and others' arrivals were refused because its requests filled the queue.

Change: policy::share keeps virtual times over the cost of requests, for the dispatcher's queues and for admit::queue. Within a priority and class, customers take turns; the expected wait counts a turn for each of them. An arrival of a customer below its share displaces a request of the customer that is most above its share (cause share) instead of being refused. Requests of a customer with more than 1.5 times its share in flight leave a quarter of each server's slots free, are not sent to wait at servers, and contend as if all hosts had them.

--- a/crates/observe/src/metrics/routed/labels.rs
+++ b/crates/observe/src/metrics/routed/labels.rs
@@ -74,6 +74,8 @@
     Poison,
     /// The servers that could run the request are at their rate limit.
     Limit,
+    /// A request of a customer below its share took the place in the queue.
+    Share,
     /// The host is stopping.
     Stopping,
     /// No server of the version that began the stream serves any more.
@@ -218,6 +220,7 @@
     Budget = "budget",
     Poison = "poison",
     Limit = "limit",
+    Share = "share",
     Stopping = "stopping",
     NoVersion = "no-version",
     UnknownVersion = "unknown-version",
--- a/crates/policy/src/admit/queue.rs
+++ b/crates/policy/src/admit/queue.rs
@@ -10,10 +10,13 @@
 use types::prelude::*;
 
 use super::{LOWER_EVERY, Outlook, Request, Ticket};
-use crate::route::DestinationIndex;
+use crate::{
+    route::DestinationIndex,
+    share::{Cost, VirtualTime},
+};
 
-/// Advance in virtual time of one start at a share of one.
-const START_COST: u64 = 1 << 20;
+/// Cost of one start.
+const START_COST: Cost = 1;
 
 /// Window of the moving average of each class's share of the starts, in starts.
 const STARTS_WINDOW: f64 = 64.0;
@@ -21,7 +24,7 @@
 /// Waiting requests of one service for the same destination, by due time.
 #[derive(Clone, Debug, Default)]
 struct Flow {
-    virtual_time: u64,
+    virtual_time: VirtualTime,
     share: u32,
     waiting: BTreeMap<(Moment, Ticket), Request>,
 }
@@ -29,7 +32,7 @@
 /// Flows of one customer.
 #[derive(Clone, Debug, Default)]
 struct Account {
-    virtual_time: u64,
+    virtual_time: VirtualTime,
     share: u32,
     flows: BTreeMap<(service::Id, DestinationIndex), Flow>,
 }
@@ -175,7 +178,7 @@
             self.accounts.values().filter(|a| a.is_waiting()).map(|a| a.virtual_time).min();
         let account = self.accounts.entry(request.customer.clone()).or_default();
         if !account.is_waiting() {
-            account.virtual_time = account.virtual_time.max(min_virtual_time.unwrap_or(0));
+            account.virtual_time.join(min_virtual_time);
         }
         account.share = request.customer_share.max(1);
         account.push(request);
@@ -190,13 +193,13 @@
                 account.flows.iter().any(|((_, wanted), flow)| flow.has_room(*wanted, &room))
             })
             .min_by_key(|account| account.virtual_time)?;
-        account.virtual_time += START_COST / u64::from(account.share);
+        account.virtual_time.charge(START_COST, account.share);
         let ((_, _), flow) = account
             .flows
             .iter_mut()
             .filter(|((_, wanted), flow)| flow.has_room(*wanted, &room))
             .min_by_key(|(_, flow)| flow.virtual_time)?;
-        flow.virtual_time += START_COST / u64::from(flow.share);
+        flow.virtual_time.charge(START_COST, flow.share);
         let (_, request) = flow.waiting.pop_first()?;
         self.waiting -= 1;
         Some(request)
@@ -253,7 +256,7 @@
         let min_virtual_time = waiting.map(|flow| flow.virtual_time).min();
         let flow = self.flows.entry((request.service.clone(), request.wanted)).or_default();
         if flow.waiting.is_empty() {
-            flow.virtual_time = flow.virtual_time.max(min_virtual_time.unwrap_or(0));
+            flow.virtual_time.join(min_virtual_time);
         }
         flow.share = request.service_share.max(1);
         flow.waiting.insert((request.due, request.ticket), request);
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -15,6 +15,7 @@
 mod back_off;
 mod brittle;
 mod choose;
+mod displace;
 mod events;
 mod list;
 mod load;
@@ -40,7 +41,7 @@
 pub mod routes;
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     hash::{BuildHasherDefault, DefaultHasher},
     net::SocketAddr,
 };
@@ -60,6 +61,7 @@
 };
 pub use self::{
     budget::{RetryBudgetConfig, RetryBudgetStatus, RetryTotals, loan},
+    displace::CustomerWork,
     poison::{Fingerprint, Poison},
     pump::Missing,
     registry::Work,
@@ -76,6 +78,7 @@
         Index,
         hints::{self, Hints},
     },
+    share,
 };
 
 /// A map with a fixed hasher seed. Its iteration order never affects a decision.
@@ -138,6 +141,13 @@
     loans: Borrowing,
     /// When the deferrable requests of other hosts were last updated.
     peer_deferrable_at: Option<Moment>,
+    /// Customers' work on other hosts, and when it was last updated.
+    peer_customers: BTreeMap<customer::Id, (share::Cost, share::Cost)>,
+    peer_customers_at: Moment,
+    /// Customers that have more in flight than their share.
+    above_share: Vec<share::Group>,
+    /// Verdicts on displaced requests that the next pump returns.
+    displaced: Vec<Change>,
     ticked_at: Moment,
     overdue_checked_at: Moment,
     /// When the requests that wait for limited servers were last checked.
@@ -162,6 +172,10 @@
             quotas: Quotas::new(settings.host, settings.run),
             loans: Borrowing::default(),
             peer_deferrable_at: None,
+            peer_customers: BTreeMap::new(),
+            peer_customers_at: Duration::ZERO,
+            above_share: Vec::new(),
+            displaced: Vec::new(),
             ticked_at: Duration::ZERO,
             overdue_checked_at: Duration::ZERO,
             limits_checked_at: Duration::ZERO,
--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -79,8 +79,9 @@
                 // While a server has a place, the requests that wait need another one, and the next
                 // pump of the queue sends this request.
                 let is_full = matches!(outcome, Outcome::Full);
-                if let Some(after) =
-                    self.retry_after_if_futile(&task, &estimate, now).filter(|_| is_full)
+                let futile = self.retry_after_if_futile(&task, &estimate, now);
+                if let Some(after) = futile.filter(|_| is_full)
+                    && !self.displace(&task, now)
                 {
                     let is_limited = self.limited_rate(&task, now).is_some();
                     let cause = if is_limited { Cause::Limit } else { Cause::Full };
@@ -241,6 +242,8 @@
         for (digest, _) in &task.prefixes {
             self.hints.add(*digest, choice.server, now);
         }
+        let queue = &mut self.registry.services[task.service as usize].queue;
+        queue.started(task.spec.priority, &task.spec.customer, task.charge());
         let memory = task.memory();
         let server = self.registry.get_mut(choice.server).expect("a chosen server is there");
         if server.is_limited {
@@ -321,7 +324,12 @@
         };
         let key = Key { priority: task.spec.priority, class, send_by, ticket: task.spec.ticket };
         task.state = State::Waiting(key, give_up);
-        self.registry.services[task.service as usize].queue.add(key, task.flow(), give_up);
+        self.registry.services[task.service as usize].queue.add(
+            key,
+            task.flow(),
+            task.charge(),
+            give_up,
+        );
     }
 
     /// When the request must be sent to be on time, even under overload.
@@ -332,7 +340,7 @@
 
     fn ahead(&self, task: &Task) -> u32 {
         let queue = &self.registry.services[task.service as usize].queue;
-        queue.ahead(task.flow(), task.spec.priority)
+        queue.ahead(&task.flow(), task.spec.priority, task.spec.weight)
     }
 
     /// Estimates the times of a request that is queued now, from the rate at which slots become
--- a/crates/policy/src/dispatch/choose.rs
+++ b/crates/policy/src/dispatch/choose.rs
@@ -225,7 +225,9 @@
         let in_flight = server.load.in_flight(self.registry.peers_at(), now);
         let memory = server.load.memory_used(task.memory());
         let has_memory = memory.is_none_or(|used| used < MEMORY_HARD) || in_flight < 1.0;
-        let held_back = self.held_back(task, server, overfill, now);
+        let held_back = self
+            .held_back(task, server, overfill, now)
+            .max(self.held_for_others(task, server, overfill));
         let free = slots + overfill - held_back - in_flight;
         let wins_draw = || server.is_limited || self.wins_draw(task, index, free, now);
         let is_free =
@@ -242,7 +244,8 @@
     /// arrived.
     fn wins_draw(&self, task: &Task, index: Index, free: f64, now: Moment) -> bool {
         let hosts = self.registry.get(index).map_or(1.0, |server| server.load.contenders());
-        let contenders = hosts.max(self.deferred_contenders(task, now));
+        let contenders =
+            hosts.max(self.deferred_contenders(task, now)).max(self.contenders_above_share(task));
         let round = self.registry.peers_at().map_or(0, |at| at.as_millis() as u64);
         let draw = mixed(mixed(task.seed() ^ round) ^ u64::from(index)) % 1024;
         contenders <= free || (draw as f64) * contenders < free * 1024.0
--- a/crates/policy/src/dispatch/pump.rs
+++ b/crates/policy/src/dispatch/pump.rs
@@ -27,8 +27,8 @@
 pub(super) const SCAN_LIMIT: usize = 256;
 
 /// A model and adapter for which no server has a place, and the part of the reserve that the request
-/// would have left free.
-type Blocked = (Option<Index>, Option<adapter::Id>, f64);
+/// would have left free; whether its customer is above its share.
+type Blocked = (Option<Index>, Option<adapter::Id>, f64, bool);
 
 /// A model or adapter that no server has loaded: the service, the model, the adapter, and the
 /// number of requests that wait for it.
@@ -38,7 +38,7 @@
     /// Advances the queues, and returns the new verdicts on requests. To be called after any
     /// change, including an arrival that has to wait, and every few milliseconds.
     pub fn pump(&mut self, now: Moment) -> Vec<Change> {
-        let mut changes = Vec::new();
+        let mut changes = std::mem::take(&mut self.displaced);
         self.registry.apply_deferred(now);
         if self.ticked_at + TICK_INTERVAL <= now {
             self.ticked_at = now;
@@ -46,6 +46,7 @@
             self.poison.expire(now);
             self.update_ranks();
             self.update_reserves(now);
+            self.update_above_share(now);
         }
         if self.overdue_checked_at + OVERDUE_CHECK_INTERVAL <= now {
             self.overdue_checked_at = now;
@@ -94,7 +95,8 @@
     /// Models and adapters that requests wait for and no server has loaded, with the number of
     /// requests.
     pub fn missing(&self) -> Vec<Missing> {
-        let waiting = self.registry.services.iter().flat_map(|service| service.queue.iter());
+        let waiting =
+            self.registry.services.iter().flat_map(|service| service.queue.first(usize::MAX));
         let tasks = waiting.filter_map(|key| self.tasks.get(&key.ticket));
         let mut missing: Vec<Missing> = Vec::new();
         for task in tasks.filter(|task| task.model.is_some()) {
@@ -147,15 +149,16 @@
 
     /// Sends the requests for which a server has a place, in the order of service.
     fn dispatch_waiting(&mut self, service: usize, now: Moment, changes: &mut Vec<Change>) {
-        let keys: Vec<Key> =
-            self.registry.services[service].queue.iter().take(SCAN_LIMIT).collect();
+        let keys = self.registry.services[service].queue.first(SCAN_LIMIT);
         let mut blocked: Vec<Blocked> = Vec::new();
         for key in keys {
             let Some(task) = self.tasks.get(&key.ticket) else { continue };
             let wants = (task.model, &task.spec.adapter);
             let part = deferred_part(task, now);
-            let is_blocked =
-                |(model, adapter, least): &Blocked| (*model, adapter) == wants && *least <= part;
+            let is_above = self.above_share.contains(&task.spec.customer);
+            let is_blocked = |(model, adapter, least, was_above): &Blocked| {
+                (*model, adapter) == wants && *least <= part && *was_above <= is_above
+            };
             if blocked.iter().any(is_blocked) {
                 continue;
             }
@@ -187,7 +190,7 @@
                     changes.push(Change { ticket: key.ticket, verdict });
                 }
                 (None, Outcome::Full | Outcome::NoServer) if is_like_others => {
-                    blocked.push((task.model, task.spec.adapter.clone(), part));
+                    blocked.push((task.model, task.spec.adapter.clone(), part, is_above));
                 }
                 (None, Outcome::Full | Outcome::NoServer) => {}
             }
--- a/crates/policy/src/dispatch/quota.rs
+++ b/crates/policy/src/dispatch/quota.rs
@@ -164,7 +164,7 @@
         for (id, server) in self.limited() {
             let Some(demand) = demands.get_mut(id) else { continue };
             let queue = &self.registry.services[server.service as usize].queue;
-            let tasks = queue.iter().take(SCAN_LIMIT);
+            let tasks = queue.first(SCAN_LIMIT).into_iter();
             for task in tasks.filter_map(|key| self.tasks.get(&key.ticket)) {
                 if self.is_capable(task, server) {
                     demand.permits += 1;
@@ -201,7 +201,7 @@
         let mut refused: Vec<(usize, Key, Duration)> = Vec::new();
         for (service, known) in self.registry.services.iter().enumerate() {
             let mut ahead: BTreeMap<Option<Index>, u32> = BTreeMap::new();
-            for key in known.queue.iter().take(SCAN_LIMIT) {
+            for key in known.queue.first(SCAN_LIMIT) {
                 let Some(task) = self.tasks.get(&key.ticket) else { continue };
                 let position = ahead.entry(task.model).or_default();
                 let Some(rate) = self.limited_rate(task, now) else { continue };
--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -34,6 +34,10 @@
     pub input: u32,
     /// Largest number of tokens that the response may have.
     pub output: u32,
+    /// The customer for whose caller the request runs; requests without one share as one customer.
+    pub customer: Option<customer::Id>,
+    /// Weight of the customer relative to others; positive.
+    pub weight: u32,
     /// Priority from the route; 0 is served first, [`LEAST_URGENT`] last.
     pub priority: u8,
     /// Whether the request may be repeated, and whether it is a stream.
@@ -75,6 +79,8 @@
             prompt: Vec::new(),
             input: 0,
             output: 0,
+            customer: None,
+            weight: 1,
             priority: route.priority.min(LEAST_URGENT),
             kind: route.kind,
             resumable: route.resumable,
@@ -151,6 +157,8 @@
     Full,
     /// The servers that could run the request are rate limited, and it can't be served in time.
     Limit,
+    /// A request of a customer below its share took the place in the queue.
+    Share,
     /// Too little time is left until the request's deadline.
     Late,
     /// No further attempt is allowed.
--- a/crates/policy/src/dispatch/reserve.rs
+++ b/crates/policy/src/dispatch/reserve.rs
@@ -26,7 +26,7 @@
 
 /// Rounds of digests for which a request that was sent is unknown to other hosts, so that the same
 /// free place is contended for again.
-const CONTENTION_ROUNDS: u32 = 3;
+pub const CONTENTION_ROUNDS: u32 = 3;
 
 /// Weight of a new prompt in the mean length of urgent prompts.
 const PROMPT_WEIGHT: f64 = 0.1;
--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -5,7 +5,7 @@
 use super::{
     budget::{Need, Payment},
     mixed,
-    queue::{Flow, Haste, Key},
+    queue::{Charge, Flow, Haste, Key},
     request::{End, NotRun, RequestSpec, Ticket, Unreachable},
 };
 use crate::{defer::Deferral, paths::Path, route::Index, streams::SoftwareId};
@@ -142,7 +142,14 @@
     /// What the request waits for, and whether it is deferrable.
     pub fn flow(&self) -> Flow {
         let haste = if self.deferral.is_some() { Haste::Deferrable } else { Haste::Urgent };
-        Flow { model: self.model, haste }
+        Flow { model: self.model, group: self.spec.customer.clone(), haste }
+    }
+
+    /// What the request takes of its customer's share.
+    pub fn charge(&self) -> Charge {
+        let tokens = u64::from(self.input()) + u64::from(self.spec.output);
+        let cost = if self.model.is_some() { tokens.max(1) } else { 1 };
+        Charge { cost, weight: self.spec.weight.max(1) }
     }
 
     /// Length of the prompt in tokens.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod quota;
 pub mod retry;
 pub mod route;
+pub mod share;
 pub mod stream;
 pub mod streams;
 pub mod term;
--- a/crates/policy/tests/contention/city.rs
+++ b/crates/policy/tests/contention/city.rs
@@ -31,6 +31,7 @@
 /// Requests of one kind.
 #[derive(Clone, Copy)]
 pub struct Source {
+    pub customer: Option<&'static str>,
     pub goal: Duration,
     pub deadline: Duration,
     /// Load at a time in seconds, as a part of what the servers can do.
@@ -96,6 +97,7 @@
 struct Digest {
     work: BTreeMap<backend::Id, u32>,
     deferrable: BTreeMap<service::Id, (u32, u32)>,
+    customers: BTreeMap<customer::Id, (u64, u64)>,
 }
 
 struct City<'a> {
@@ -190,6 +192,7 @@
         let spec = RequestSpec {
             goal: source.goal,
             deadline: self.now + source.deadline,
+            customer: source.customer.map(Into::into),
             ..request(ticket, Kind::NonIdempotent, self.now)
         };
         let host = self.host_of(ticket);
@@ -286,6 +289,11 @@
                 .into_iter()
                 .map(|(id, n, waiting)| (id, (n, waiting)))
                 .collect(),
+            customers: host
+                .customer_work()
+                .into_iter()
+                .map(|(id, n, waiting)| (id, (n, waiting)))
+                .collect(),
         };
         self.digests.push_front(self.hosts.iter().map(own).collect());
         self.digests.truncate(DIGESTS_LATE + 1);
@@ -298,6 +306,10 @@
                 *sum = (sum.0 + n, sum.1 + waiting);
             }
         }
+        for (customer, (n, waiting)) in late.iter().flat_map(|digest| &digest.customers) {
+            let sum = all.customers.entry(customer.clone()).or_default();
+            *sum = (sum.0 + n, sum.1 + waiting);
+        }
         for (host, own) in self.hosts.iter_mut().zip(late) {
             let others = all.work.iter().map(|(id, n)| (id, n - own.work.get(id).unwrap_or(&0)));
             let work: Vec<Work> = others.map(|(id, n)| (id.clone(), None, n, 0)).collect();
@@ -309,6 +321,11 @@
             let deferrable: Vec<Deferrable> = deferrable.collect();
             if self.size.news == News::Exchanged {
                 host.peer_deferrable(&deferrable, self.now);
+                let customers = all.customers.iter().map(|(id, sum)| {
+                    let own = own.customers.get(id).copied().unwrap_or_default();
+                    (id.clone(), sum.0 - own.0, sum.1 - own.1)
+                });
+                host.peer_customer_work(&customers.collect::<Vec<_>>(), self.now);
             }
         }
         self.after(DIGEST, Event::Digest);
--- a/crates/policy/tests/contention/deferrable.rs
+++ b/crates/policy/tests/contention/deferrable.rs
@@ -13,13 +13,18 @@
     Size { hosts: 8, servers: 24, span: Duration::from_secs(24), news: News::Exchanged };
 
 const URGENT: Source = Source {
+    customer: None,
     goal: Duration::from_millis(250),
     deadline: Duration::from_secs(4),
     load: |at| 0.5 * (1.0 + 0.27 * (at * std::f64::consts::TAU / 11.0).sin()),
 };
 
-const DEFERRABLE: Source =
-    Source { goal: Duration::from_secs(6), deadline: Duration::from_secs(20), load: |_| 0.2 };
+const DEFERRABLE: Source = Source {
+    customer: None,
+    goal: Duration::from_secs(6),
+    deadline: Duration::from_secs(20),
+    load: |_| 0.2,
+};
 
 /// Deferrable requests with a burst by a factor of four.
 const BURST: Source =
--- a/crates/policy/tests/contention/main.rs
+++ b/crates/policy/tests/contention/main.rs
@@ -5,3 +5,4 @@
 #[path = "../dispatch/fixture.rs"]
 #[allow(dead_code)]
 mod fixture;
+mod shares;
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -311,6 +311,10 @@
         if let Some(priority) = self.caller.priority() {
             spec.priority = priority.min(dispatch::request::LEAST_URGENT);
         }
+        if let Caller::Customer(customer) = &self.caller {
+            spec.customer = Some(customer.name.clone());
+            spec.weight = customer.weight;
+        }
         spec.fingerprint = self.fingerprint;
         spec.model = info.model.clone();
         spec.adapter = info.adapter.clone();
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -403,6 +403,7 @@
         Cause::NoServer => Refusal::NoServer,
         Cause::Full => Refusal::Full,
         Cause::Limit => Refusal::Limit,
+        Cause::Share => Refusal::Share,
         Cause::Late => Refusal::TooLate,
         Cause::Attempts => Refusal::Attempts,
         Cause::Budget => Refusal::Budget,
