Tell hosts of each other's customers and deferrable requests

Change: the facts CustomerWork and Deferrable, summed by relays, with numbers that are sent as other counts are; only customers and services with such work are listed, so deployments without either send nothing more.

Ruled out: an age per sum. Facts of silent hosts are left out already, and the sums of relays have no single age.

Traffic was not measured, nor was a process run.

Conclusion: shares and reserves go by all hosts' work.

--- a/crates/observe/src/metrics/routed/labels.rs
+++ b/crates/observe/src/metrics/routed/labels.rs
@@ -157,6 +157,8 @@
     Open,
     /// Requests that wait for a server.
     Waiting,
+    /// Waiting requests that leave slots free for urgent ones.
+    Deferred,
     /// Requests that are sent to a server.
     InFlight,
 }
@@ -264,6 +266,7 @@
 label!(Queue as "queue" {
     Open = "open",
     Waiting = "waiting",
+    Deferred = "deferred",
     InFlight = "in-flight",
 });
 
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -286,6 +286,18 @@
                 let facts = limits.into_iter().map(|(server, limit)| Fact::Limit(server, limit));
                 replace(local, now, |key| matches!(key, Key::Limit(_)), facts);
             }
+            Publication::CustomerWork(work) => {
+                let facts = work
+                    .into_iter()
+                    .map(|(id, in_flight, waiting)| Fact::CustomerWork(id, in_flight, waiting));
+                replace(local, now, |key| matches!(key, Key::CustomerWork(_)), facts);
+            }
+            Publication::Deferrable(deferrable) => {
+                let facts = deferrable
+                    .into_iter()
+                    .map(|(id, in_flight, waiting)| Fact::Deferrable(id, in_flight, waiting));
+                replace(local, now, |key| matches!(key, Key::Deferrable(_)), facts);
+            }
             Publication::Crashes(crashes) => {
                 let facts = crashes.into_iter().map(Fact::Crash);
                 replace(local, now, |key| matches!(key, Key::Crash(..)), facts);
--- a/crates/policy/src/fleet/aggregate.rs
+++ b/crates/policy/src/fleet/aggregate.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, btree_map::Entry};
 use std::time::Duration;
 
-use types::{backend, host, model, time::Moment};
+use types::{backend, customer, host, model, service, time::Moment};
 
 use crate::{
     dispatch::poison::{Crash, Subject},
@@ -67,6 +67,8 @@
     pub(super) store: Option<StoreStatus>,
     pub(super) absent: BTreeMap<host::Id, Run>,
     pub(super) limits: BTreeMap<backend::Id, Limit>,
+    pub(super) customers: BTreeMap<customer::Id, (u64, u64)>,
+    pub(super) deferrable: BTreeMap<service::Id, (u32, u32)>,
 }
 
 impl Tally {
@@ -110,6 +112,14 @@
                 let known = self.limits.entry(server.clone()).or_insert(*limit);
                 *known = known.merge(*limit);
             }
+            Fact::CustomerWork(customer, in_flight, waiting) => {
+                let sum = self.customers.entry(customer.clone()).or_default();
+                *sum = (sum.0.saturating_add(*in_flight), sum.1.saturating_add(*waiting));
+            }
+            Fact::Deferrable(service, in_flight, waiting) => {
+                let sum = self.deferrable.entry(service.clone()).or_default();
+                *sum = (sum.0.saturating_add(*in_flight), sum.1.saturating_add(*waiting));
+            }
             Fact::State(_) | Fact::Declared(_) | Fact::Arrivals(..) | Fact::Retries(..) => {}
         }
     }
@@ -135,8 +145,15 @@
         let store = self.store.into_iter().map(Fact::Store);
         let absent = self.absent.into_iter().map(|(id, run)| Fact::Absent(id, run));
         let limits = self.limits.into_iter().map(|(server, limit)| Fact::Limit(server, limit));
+        let customers = self.customers.into_iter();
+        let customers =
+            customers.map(|(id, (in_flight, waiting))| Fact::CustomerWork(id, in_flight, waiting));
+        let deferrable = self.deferrable.into_iter();
+        let deferrable =
+            deferrable.map(|(id, (in_flight, waiting))| Fact::Deferrable(id, in_flight, waiting));
+        let sums = customers.chain(deferrable);
         let others = lease.chain(term).chain(store).chain(absent).chain(limits);
-        loads.chain(servers).chain(crashes).chain(others)
+        loads.chain(servers).chain(crashes).chain(others).chain(sums)
     }
 }
 
--- a/crates/policy/src/fleet/fact.rs
+++ b/crates/policy/src/fleet/fact.rs
@@ -3,11 +3,14 @@
 use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use types::{availability, backend, host, model, routed::Version, service};
+use types::{availability, backend, customer, host, model, routed::Version, service};
 
 use super::wire::Run;
 use crate::{
-    dispatch::poison::{Crash, Subject},
+    dispatch::{
+        CustomerWork, Deferrable,
+        poison::{Crash, Subject},
+    },
     member::rendezvous,
     quota::Limit,
     term,
@@ -135,6 +138,10 @@
     Crashes(Vec<Crash>),
     /// The latest limit that the host knows for each server.
     Limits(Vec<(backend::Id, Limit)>),
+    /// Cost of each customer's requests, in flight and waiting; what is left out has none.
+    CustomerWork(Vec<CustomerWork>),
+    /// Deferrable requests of each service, in flight and waiting; what is left out has none.
+    Deferrable(Vec<Deferrable>),
 }
 
 /// One row of the table that a host advertises.
@@ -153,6 +160,8 @@
     Absent(host::Id, Run),
     Term(term::StoredLease),
     Limit(backend::Id, Limit),
+    CustomerWork(customer::Id, u64, u64),
+    Deferrable(service::Id, u32, u32),
 }
 
 /// Key of a fact; a later fact of the same key replaces the earlier one.
@@ -170,6 +179,8 @@
     Absent(host::Id),
     Term,
     Limit(backend::Id),
+    CustomerWork(customer::Id),
+    Deferrable(service::Id),
 }
 
 impl Fact {
@@ -189,6 +200,8 @@
             }
             Fact::Absent(id, _) => Key::Absent(id.clone()),
             Fact::Limit(server, _) => Key::Limit(server.clone()),
+            Fact::CustomerWork(customer, ..) => Key::CustomerWork(customer.clone()),
+            Fact::Deferrable(service, ..) => Key::Deferrable(service.clone()),
         }
     }
 
@@ -197,6 +210,10 @@
         match self {
             Fact::InFlight(load) => Some((load.requests.into(), load.tokens)),
             Fact::Arrivals(_, count) | Fact::Retries(_, count) => Some((*count, 0)),
+            Fact::CustomerWork(_, in_flight, waiting) => Some((*in_flight, *waiting)),
+            Fact::Deferrable(_, in_flight, waiting) => {
+                Some(((*in_flight).into(), (*waiting).into()))
+            }
             _ => None,
         }
     }
@@ -209,6 +226,11 @@
                 load.tokens = second;
             }
             Fact::Arrivals(_, count) | Fact::Retries(_, count) => *count = first,
+            Fact::CustomerWork(_, in_flight, waiting) => (*in_flight, *waiting) = (first, second),
+            Fact::Deferrable(_, in_flight, waiting) => {
+                *in_flight = u32::try_from(first).unwrap_or(u32::MAX);
+                *waiting = u32::try_from(second).unwrap_or(u32::MAX);
+            }
             _ => return false,
         }
         true
--- a/crates/policy/src/fleet/snapshot.rs
+++ b/crates/policy/src/fleet/snapshot.rs
@@ -4,7 +4,11 @@
 
 use types::{availability, backend, routed::Version, service, time::Moment};
 
-use crate::{dispatch::poison::Crash, quota::Limit, term};
+use crate::{
+    dispatch::{CustomerWork, Deferrable, poison::Crash},
+    quota::Limit,
+    term,
+};
 
 use super::{
     Fleet, Liveness,
@@ -65,6 +69,10 @@
     pub crashes: Vec<Crash>,
     /// The latest limit of each server that any other knows.
     pub limits: BTreeMap<backend::Id, Limit>,
+    /// Sum of all others' work of each customer.
+    pub customers: Vec<CustomerWork>,
+    /// Sum of all others' deferrable requests of each service.
+    pub deferrable: Vec<Deferrable>,
     /// The newest belief of others about the planner's lease.
     pub lease: Option<Lease>,
     /// The newest stored lease object that any other has seen.
@@ -125,6 +133,8 @@
             servers: tally.servers,
             crashes: tally.crashes.into_values().collect(),
             limits: tally.limits,
+            customers: tally.customers.into_iter().map(|(id, sum)| (id, sum.0, sum.1)).collect(),
+            deferrable: tally.deferrable.into_iter().map(|(id, sum)| (id, sum.0, sum.1)).collect(),
             lease: tally.lease,
             term: tally.term,
             store: tally.store.unwrap_or_default(),
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -246,6 +246,7 @@
         let dispatcher = self.dispatcher();
         let at_servers: u32 = dispatcher.work().iter().map(|(_, _, count, _)| *count).sum();
         let waiting = dispatcher.waiting();
+        let deferred = dispatcher.deferred(self.now());
         drop(dispatcher);
         self.update_quota_metrics();
         self.update_retry_metrics();
@@ -253,6 +254,7 @@
         self.meters.tunnels(tunnels);
         self.meters.relayed_servers(self.paths().relayed());
         self.meters.queue(Queue::Waiting, waiting);
+        self.meters.queue(Queue::Deferred, deferred);
         self.meters.queue(Queue::InFlight, at_servers as usize);
         self.meters.queue(Queue::Open, self.open_requests() as usize);
     }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -198,6 +198,12 @@
     exchange.publish(Publication::Retries(
         used.into_iter().map(|(id, used)| (id, used.retries)).collect(),
     ));
+    let (customers, deferrable) = {
+        let dispatcher = shared.dispatcher();
+        (dispatcher.customer_work(), dispatcher.deferrable())
+    };
+    exchange.publish(Publication::CustomerWork(customers));
+    exchange.publish(Publication::Deferrable(deferrable));
     let crashes = shared.dispatcher().poison().crashes(now);
     exchange.publish(Publication::Crashes(crashes));
     let limits = limits(shared);
@@ -238,6 +244,10 @@
     let mut dispatcher = shared.dispatcher();
     dispatcher.hosts(u32::try_from(snapshot.live).unwrap_or(u32::MAX));
     dispatcher.poison_mut().merge(&snapshot.crashes, now);
+    if snapshot.hosts.iter().any(|status| status.liveness != Liveness::Silent) {
+        dispatcher.peer_customer_work(&snapshot.customers, now);
+        dispatcher.peer_deferrable(&snapshot.deferrable, now);
+    }
     drop(dispatcher);
     let live = snapshot
         .hosts
