--- a/crates/observe/src/metrics/routed/labels.rs
+++ b/crates/observe/src/metrics/routed/labels.rs
@@ -74,6 +74,8 @@
     Poison,
     /// The servers that could run the request are at their rate limit.
     Limit,
+    /// A request of a customer below its share took the place in the queue.
+    Share,
     /// The host is stopping.
     Stopping,
     /// No server of the version that began the stream serves any more.
@@ -155,6 +157,8 @@
     Open,
     /// Requests that wait for a server.
     Waiting,
+    /// Waiting requests that leave slots free for urgent ones.
+    Deferred,
     /// Requests that are sent to a server.
     InFlight,
 }
@@ -229,6 +233,7 @@
     Budget = "budget",
     Poison = "poison",
     Limit = "limit",
+    Share = "share",
     Stopping = "stopping",
     NoVersion = "no-version",
     UnknownVersion = "unknown-version",
@@ -278,6 +283,7 @@
 label!(Queue as "queue" {
     Open = "open",
     Waiting = "waiting",
+    Deferred = "deferred",
     InFlight = "in-flight",
 });
 
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -15,6 +15,7 @@
 mod back_off;
 mod brittle;
 mod choose;
+mod displace;
 mod events;
 mod list;
 mod load;
@@ -25,6 +26,7 @@
 mod queue;
 mod quota;
 mod registry;
+mod reserve;
 mod server;
 mod sharers;
 mod stats;
@@ -40,7 +42,7 @@
 pub mod speed;
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     hash::{BuildHasherDefault, DefaultHasher},
     net::SocketAddr,
 };
@@ -60,6 +62,7 @@
 };
 pub use self::{
     budget::{RetryBudgetConfig, RetryBudgetStatus, RetryTotals, loan},
+    displace::CustomerWork,
     poison::{Fingerprint, Poison},
     pump::Missing,
     registry::Work,
@@ -67,6 +70,7 @@
         Answer, Cause, Change, End, NotRun, Part, RequestSpec, RetryDecision, Silence, Ticket,
         Unclear, Unreachable, Verdict,
     },
+    reserve::Deferrable,
     routes::{Routes, split},
 };
 use crate::{
@@ -75,6 +79,7 @@
         Index,
         hints::{self, Hints},
     },
+    share,
 };
 
 /// A map with a fixed hasher seed. Its iteration order never affects a decision.
@@ -135,6 +140,15 @@
     poison: Poison,
     quotas: Quotas,
     loans: Borrowing,
+    /// When the deferrable requests of other hosts were last updated.
+    peer_deferrable_at: Option<Moment>,
+    /// Customers' work on other hosts, and when it was last updated.
+    peer_customers: BTreeMap<customer::Id, (share::Cost, share::Cost)>,
+    peer_customers_at: Moment,
+    /// Customers that have more in flight than their share.
+    above_share: Vec<share::Group>,
+    /// Verdicts on displaced requests that the next pump returns.
+    displaced: Vec<Change>,
     ticked_at: Moment,
     overdue_checked_at: Moment,
     /// When sums of response times were last sent to other hosts.
@@ -160,6 +174,11 @@
             poison: Poison::new(settings.host.clone()),
             quotas: Quotas::new(settings.host, settings.run),
             loans: Borrowing::default(),
+            peer_deferrable_at: None,
+            peer_customers: BTreeMap::new(),
+            peer_customers_at: Duration::ZERO,
+            above_share: Vec::new(),
+            displaced: Vec::new(),
             ticked_at: Duration::ZERO,
             overdue_checked_at: Duration::ZERO,
             speeds_sent_at: None,
--- a/crates/policy/src/dispatch/registry.rs
+++ b/crates/policy/src/dispatch/registry.rs
@@ -17,6 +17,7 @@
     loaded::Absence,
     pace::Median,
     queue::Queue,
+    reserve::Urgency,
     server::Server,
     speed::Spread,
     stats::Stats,
@@ -41,6 +42,8 @@
     pub spread: Spread,
     pub budget: Budget,
     pub queue: Queue,
+    /// Use by urgent requests, from which the slots that deferrable ones leave free are derived.
+    pub urgency: Urgency,
     /// What its servers state about rejections.
     pub tolerance: Tolerance,
 }
@@ -146,6 +149,7 @@
             spread: Spread::default(),
             budget: Budget::new(self.config),
             queue: Queue::default(),
+            urgency: Urgency::default(),
             tolerance: Tolerance::default(),
         });
         self.service_ids.insert(id.clone(), index);
--- a/crates/policy/src/dispatch/server.rs
+++ b/crates/policy/src/dispatch/server.rs
@@ -14,6 +14,7 @@
     speed::{Speed, Spread},
 };
 use crate::{
+    member::rendezvous,
     paths::Path,
     route::Index,
     streams::{self, SoftwareId},
@@ -68,6 +69,8 @@
     /// Requests whose response has become overdue since [`answered_at`](Self::answered_at).
     pub unanswered: u32,
     started_at: routed::StartTime,
+    /// A number from 0 to 1, the same on all hosts.
+    pub draw: f64,
     cold_until: Moment,
 }
 
@@ -100,6 +103,7 @@
             answered_at: now,
             unanswered: 0,
             started_at: registration.started_at,
+            draw: draw(&registration.id),
             cold_until: now + registration.cold,
         }
     }
@@ -118,6 +122,11 @@
         }
     }
 
+    /// Whether the server takes no new requests.
+    pub fn is_draining(&self) -> bool {
+        self.state == routed::State::Draining
+    }
+
     /// Records that any response was received from the server.
     pub fn mark_answered(&mut self, now: Moment) {
         self.answered_at = now;
@@ -150,3 +159,7 @@
 fn software(registration: &routed::Server) -> SoftwareId {
     streams::software_id(&registration.service, &registration.software)
 }
+
+fn draw(id: &backend::Id) -> f64 {
+    (rendezvous::score(b"reserve", id) >> 32) as f64 / f64::from(u32::MAX)
+}
--- a/crates/policy/src/fleet/aggregate.rs
+++ b/crates/policy/src/fleet/aggregate.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, btree_map::Entry};
 use std::time::Duration;
 
-use types::{backend, host, model, time::Moment};
+use types::{backend, customer, host, model, service, time::Moment};
 
 use crate::{
     dispatch::poison::{Crash, Subject},
@@ -69,6 +69,8 @@
     pub(super) absent: BTreeMap<host::Id, Run>,
     pub(super) limits: BTreeMap<backend::Id, Limit>,
     pub(super) speeds: BTreeMap<backend::Id, ResponseTimes>,
+    pub(super) customers: BTreeMap<customer::Id, (u64, u64)>,
+    pub(super) deferrable: BTreeMap<service::Id, (u32, u32)>,
 }
 
 impl Tally {
@@ -115,6 +117,14 @@
             Fact::Speed(server, times) => {
                 self.speeds.entry(server.clone()).or_default().add(*times);
             }
+            Fact::CustomerWork(customer, in_flight, waiting) => {
+                let sum = self.customers.entry(customer.clone()).or_default();
+                *sum = (sum.0.saturating_add(*in_flight), sum.1.saturating_add(*waiting));
+            }
+            Fact::Deferrable(service, in_flight, waiting) => {
+                let sum = self.deferrable.entry(service.clone()).or_default();
+                *sum = (sum.0.saturating_add(*in_flight), sum.1.saturating_add(*waiting));
+            }
             Fact::State(_) | Fact::Declared(_) | Fact::Arrivals(..) | Fact::Retries(..) => {}
         }
     }
@@ -141,8 +151,15 @@
         let absent = self.absent.into_iter().map(|(id, run)| Fact::Absent(id, run));
         let limits = self.limits.into_iter().map(|(server, limit)| Fact::Limit(server, limit));
         let speeds = self.speeds.into_iter().map(|(server, times)| Fact::Speed(server, times));
-        let others = lease.chain(term).chain(store).chain(absent).chain(limits).chain(speeds);
-        loads.chain(servers).chain(crashes).chain(others)
+        let customers = self.customers.into_iter();
+        let customers =
+            customers.map(|(id, (in_flight, waiting))| Fact::CustomerWork(id, in_flight, waiting));
+        let deferrable = self.deferrable.into_iter();
+        let deferrable =
+            deferrable.map(|(id, (in_flight, waiting))| Fact::Deferrable(id, in_flight, waiting));
+        let sums = speeds.chain(customers).chain(deferrable);
+        let others = lease.chain(term).chain(store).chain(absent).chain(limits);
+        loads.chain(servers).chain(crashes).chain(others).chain(sums)
     }
 }
 
--- a/crates/policy/src/fleet/fact.rs
+++ b/crates/policy/src/fleet/fact.rs
@@ -3,11 +3,12 @@
 use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use types::{availability, backend, host, model, routed::Version, service};
+use types::{availability, backend, customer, host, model, routed::Version, service};
 
 use super::wire::Run;
 use crate::{
     dispatch::{
+        CustomerWork, Deferrable,
         poison::{Crash, Subject},
         speed::Sum,
     },
@@ -151,6 +152,10 @@
     Limits(Vec<(backend::Id, Limit)>),
     /// Sums over the host's response times, by server; what is left out has none.
     Speeds(Vec<(backend::Id, Sum)>),
+    /// Cost of each customer's requests, in flight and waiting; what is left out has none.
+    CustomerWork(Vec<CustomerWork>),
+    /// Deferrable requests of each service, in flight and waiting; what is left out has none.
+    Deferrable(Vec<Deferrable>),
 }
 
 /// One row of the table that a host advertises.
@@ -170,6 +175,8 @@
     Term(term::StoredLease),
     Limit(backend::Id, Limit),
     Speed(backend::Id, ResponseTimes),
+    CustomerWork(customer::Id, u64, u64),
+    Deferrable(service::Id, u32, u32),
 }
 
 /// Logarithms of response times at a server relative to a median one.
@@ -225,6 +232,8 @@
     Term,
     Limit(backend::Id),
     Speed(backend::Id),
+    CustomerWork(customer::Id),
+    Deferrable(service::Id),
 }
 
 impl Fact {
@@ -245,6 +254,8 @@
             Fact::Absent(id, _) => Key::Absent(id.clone()),
             Fact::Limit(server, _) => Key::Limit(server.clone()),
             Fact::Speed(server, _) => Key::Speed(server.clone()),
+            Fact::CustomerWork(customer, ..) => Key::CustomerWork(customer.clone()),
+            Fact::Deferrable(service, ..) => Key::Deferrable(service.clone()),
         }
     }
 
@@ -254,6 +265,10 @@
             Fact::InFlight(load) => Some((load.requests.into(), load.tokens)),
             Fact::Arrivals(_, count) | Fact::Retries(_, count) => Some((*count, 0)),
             Fact::Speed(_, times) => Some((times.count, zigzag(times.total))),
+            Fact::CustomerWork(_, in_flight, waiting) => Some((*in_flight, *waiting)),
+            Fact::Deferrable(_, in_flight, waiting) => {
+                Some(((*in_flight).into(), (*waiting).into()))
+            }
             _ => None,
         }
     }
@@ -269,6 +284,11 @@
             Fact::Speed(_, times) => {
                 *times = ResponseTimes { count: first, total: unzigzag(second) };
             }
+            Fact::CustomerWork(_, in_flight, waiting) => (*in_flight, *waiting) = (first, second),
+            Fact::Deferrable(_, in_flight, waiting) => {
+                *in_flight = u32::try_from(first).unwrap_or(u32::MAX);
+                *waiting = u32::try_from(second).unwrap_or(u32::MAX);
+            }
             _ => return false,
         }
         true
--- a/crates/policy/src/fleet/snapshot.rs
+++ b/crates/policy/src/fleet/snapshot.rs
@@ -5,7 +5,7 @@
 use types::{availability, backend, routed::Version, service, time::Moment};
 
 use crate::{
-    dispatch::{poison::Crash, speed::Sum},
+    dispatch::{CustomerWork, Deferrable, poison::Crash, speed::Sum},
     quota::Limit,
     term,
 };
@@ -71,6 +71,10 @@
     pub limits: BTreeMap<backend::Id, Limit>,
     /// Sums over the response times of others, by server.
     pub speeds: BTreeMap<backend::Id, Sum>,
+    /// Sum of all others' work of each customer.
+    pub customers: Vec<CustomerWork>,
+    /// Sum of all others' deferrable requests of each service.
+    pub deferrable: Vec<Deferrable>,
     /// The newest belief of others about the planner's lease.
     pub lease: Option<Lease>,
     /// The newest stored lease object that any other has seen.
@@ -132,6 +136,8 @@
             crashes: tally.crashes.into_values().collect(),
             limits: tally.limits,
             speeds: tally.speeds.into_iter().map(|(id, times)| (id, times.sum())).collect(),
+            customers: tally.customers.into_iter().map(|(id, sum)| (id, sum.0, sum.1)).collect(),
+            deferrable: tally.deferrable.into_iter().map(|(id, sum)| (id, sum.0, sum.1)).collect(),
             lease: tally.lease,
             term: tally.term,
             store: tally.store.unwrap_or_default(),
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -302,6 +302,10 @@
         if let Some(priority) = self.caller.current().priority() {
             spec.priority = priority.min(dispatch::request::LEAST_URGENT);
         }
+        if let Some(customer) = self.caller.current().customer() {
+            spec.customer = Some(customer.name.clone());
+            spec.weight = customer.weight;
+        }
         spec.fingerprint = self.fingerprint;
         spec.model = info.model.clone();
         spec.adapter = info.adapter.clone();
