--- a/crates/policy/src/customer/quota/sizes.rs
+++ b/crates/policy/src/customer/quota/sizes.rs
@@ -6,9 +6,10 @@
 
 use std::time::Duration;
 
-use types::customer::Quota;
+use types::customer::{Quota, Unit};
 
-/// Seconds of the rate, and tokens, that may be stored in addition to the burst. The tokens are within
+/// Seconds of the rate, and tokens (none if requests are counted), that may be stored in addition to
+/// the burst. The tokens are within
 /// the slack of a quota's bound, of which a request beyond the balance uses the rest.
 const STORED_SECONDS: f64 = 0.3;
 const STORED_TOKENS: f64 = 3_000.0;
@@ -62,7 +63,11 @@
     pub(super) fn new(quota: &Quota, hosts: u32) -> Sizes {
         let rate = quota.rate.as_f64().max(f64::MIN_POSITIVE);
         let hosts = f64::from(hosts.max(1));
-        let stored = (quota.burst + STORED_TOKENS) / rate + STORED_SECONDS;
+        let tokens = match quota.unit {
+            Unit::Tokens { .. } => STORED_TOKENS,
+            Unit::Requests => 0.0,
+        };
+        let stored = (quota.burst + tokens) / rate + STORED_SECONDS;
         let most = (INTERVAL_FRACTION * stored).clamp(MIN_INTERVAL, MAX_INTERVAL);
         let interval = (INTERVAL_PER_HOST * hosts).clamp(MIN_INTERVAL, most);
         let held = (interval + REPEAT_SECONDS).min(HOSTS_FRACTION * stored);
--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -8,6 +8,7 @@
 mod ingress;
 mod limits;
 mod orders;
+mod organisations;
 mod pages;
 mod partition;
 mod pauses;
--- a/crates/standin/src/routed/caller.rs
+++ b/crates/standin/src/routed/caller.rs
@@ -159,6 +159,12 @@
         self
     }
 
+    /// Presents a customer's key.
+    pub fn key(mut self, key: &str) -> RequestSpec {
+        remote::set_key(&mut self.headers, key);
+        self
+    }
+
     /// Adds all headers that only the system may set, as an untrusted caller might.
     pub fn with_reserved_headers(mut self) -> RequestSpec {
         self.has_reserved_headers = true;
--- a/crates/standin/src/routed/site.rs
+++ b/crates/standin/src/routed/site.rs
@@ -148,6 +148,12 @@
         self.store.put(&remote::kind(ObjectKind::Declaration), DECLARATION, content);
     }
 
+    /// Writes a declaration with customers into the store.
+    pub fn declare_tenants(&self, declaration: &Declaration, tenants: &[entry::Tenant]) {
+        let content = entry::declaration_with_tenants(declaration, tenants);
+        self.store.put(&remote::kind(ObjectKind::Declaration), DECLARATION, content);
+    }
+
     /// The server with this id; after a restart the last one started.
     ///
     /// # Panics
