--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -9,6 +9,7 @@
 mod key_changes;
 mod limits;
 mod orders;
+mod organisation_quotas;
 mod organisations;
 mod pages;
 mod partition;
