--- a/crates/policy/tests/customer_quota/usable.rs
+++ b/crates/policy/tests/customer_quota/usable.rs
@@ -29,13 +29,6 @@
     let simulation = Simulation::new(plan).run();
     let (excess, at) = simulation.excess(quota);
     let used = usable(&simulation, rate, 14.0, length);
-    let per_host = length * hosts as f64;
-    println!(
-        "{hosts} hosts, {rate}, {burst}, {spread:?}: used {used:.3}, {:.1} messages, {:.0} bytes a second and host, {:.0} messages in all",
-        simulation.messages as f64 / per_host,
-        simulation.bytes as f64 / per_host,
-        simulation.messages as f64 / length,
-    );
     assert!(excess <= 0.0, "{excess} above the bound at {at:?}");
     assert!(USABLE <= used, "{used:.3} of the rate is used");
 }
