--- a/crates/stage/examples/cost/routed.rs
+++ b/crates/stage/examples/cost/routed.rs
@@ -139,14 +139,14 @@
 
 /// Two thirds of the requests are for streams, a quarter of these for adapters.
 fn request(number: u64) -> RequestSpec {
-    if number % 3 == 0 {
+    if number.is_multiple_of(3) {
         return RequestSpec::to(HOST, PAGES);
     }
     // The product of two draws skews the load towards few models.
     let draw = |factor: u64| (number.wrapping_mul(factor) >> 7) % MODELS;
     let model = draw(0x9e37_79b9) * draw(0x85eb_ca6b) / MODELS;
     let spec = RequestSpec::to(HOST, CHAT).model(&model_name(model)).with_new_prompt();
-    if number % 4 == 0 { spec.adapter(&format!("a{}", 1 + number % 3)) } else { spec }
+    if number.is_multiple_of(4) { spec.adapter(&format!("a{}", 1 + number % 3)) } else { spec }
 }
 
 fn model_name(number: u64) -> String {
