Rank hosts under a key in one place

Cause: the quotas of servers and those of customers had the same sort by rendezvous score each. Ruled out: sharing the messages of both as well; their entries differ, and the wire format of one would change. Change: member::rendezvous::ranking serves both; a comment before an attempt is sent stands alone. Behaviour is the same.

--- a/crates/policy/src/customer/quota.rs
+++ b/crates/policy/src/customer/quota.rs
@@ -415,7 +415,8 @@
         }
         self.hosts = hosts;
         let buckets = hosts.div_ceil(HOSTS_PER_BUCKET).max(1);
-        self.rankings = (0..buckets).map(|bucket| ranking(&self.live, bucket)).collect();
+        let ranking = |bucket: u32| rendezvous::ranking(&bucket.to_le_bytes(), &self.live);
+        self.rankings = (0..buckets).map(ranking).collect();
         for (customer, account) in &mut self.accounts {
             account.sizes = Sizes::new(&account.quota, hosts);
             account.bucket = bucket(customer, buckets);
@@ -460,16 +461,6 @@
     }
 }
 
-/// Ranks hosts as coordinators of a hash bucket, with the same result on every host.
-fn ranking(live: &[host::Id], bucket: u32) -> Vec<host::Id> {
-    let key = bucket.to_le_bytes();
-    let mut hosts = live.to_vec();
-    hosts.sort_by_cached_key(|host| {
-        std::cmp::Reverse((rendezvous::score(&key, host), host.clone()))
-    });
-    hosts
-}
-
 /// Returns the hash bucket of a customer.
 fn bucket(customer: &customer::Id, buckets: u32) -> usize {
     (rendezvous::score(b"customer quota", customer) % u64::from(buckets)) as usize
--- a/crates/policy/src/member/rendezvous.rs
+++ b/crates/policy/src/member/rendezvous.rs
@@ -4,6 +4,10 @@
 //! Every host computes the same winners; when a candidate leaves, only its own share moves. Draws
 //! from a seed differ from host to host.
 
+use std::cmp::Reverse;
+
+use types::host;
+
 /// Score of a candidate under a key: uniform, and the same on every host.
 pub fn score(key: &[u8], candidate: &str) -> u64 {
     let mut hasher = blake3::Hasher::new();
@@ -42,6 +46,13 @@
     others.map(AsRef::as_ref).filter(move |other| rank < (score(key, other), *other))
 }
 
+/// Ranks candidates under a key, the highest score first, with the same result on every host.
+pub fn ranking(key: &[u8], candidates: &[host::Id]) -> Vec<host::Id> {
+    let mut ranked = candidates.to_vec();
+    ranked.sort_by_cached_key(|candidate| Reverse((score(key, candidate), candidate.clone())));
+    ranked
+}
+
 /// Uniform number from a seed and a counter.
 pub fn draw(seed: u64, counter: u64) -> u64 {
     let mut input = [0; 16];
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -409,7 +409,7 @@
         };
         server.unlimited_since = None;
         if server.ranking.is_empty() {
-            server.ranking = ranking(&self.live, id);
+            server.ranking = rendezvous::ranking(id.as_bytes(), &self.live);
         }
         self.counts.lapsed += u64::from(server.client.expire(now));
         server.owner.expire(now);
@@ -529,12 +529,3 @@
         }
     }
 }
-
-/// Ranks hosts as owners of a server's quota, with the same result on every host.
-fn ranking(live: &[host::Id], server: &str) -> Vec<host::Id> {
-    let mut hosts = live.to_vec();
-    hosts.sort_by_cached_key(|host| {
-        std::cmp::Reverse((rendezvous::score(server.as_bytes(), host), host.clone()))
-    });
-    hosts
-}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -152,7 +152,8 @@
     if !shared.dispatcher().may_send(ticket, shared.now()) {
         return Err(AttemptEnd::Unreachable(Unreachable::Closed));
     }
-    // So may the caller's key have been removed or moved to another customer.
+    // The caller's key may have been removed or moved to another customer since the server was
+    // chosen.
     let Some(caller) = call.renew_caller(shared) else {
         return Err(AttemptEnd::Unreachable(Unreachable::Closed));
     };
