Show which servers and replicas a plan could work with

Cause: a wish says `no-room` whether servers take no orders, replicas are the last of their models, or their work can't be taken by others. In the incident of too little served, 16 wishes a second, as many as are logged, say `no-room` while the weight store is idle, and the log can't tell why.

Ruled out: a longer list of reasons for each wish: a wish looks at one model, and the question is what all servers hold.

Change: `place::Headroom` counts servers and replicas when a plan is finished; the holder of the lease logs it each second and shows the replicas as `routed_replicas`. The reasons for which a replica stays become `eviction::Keep`; which replicas stay is unchanged.

--- a/crates/observe/src/metrics/routed.rs
+++ b/crates/observe/src/metrics/routed.rs
@@ -56,6 +56,7 @@
     budget_spent: Gauge<u64>,
     budget_hosts: BoundGauge<u64>,
     wishes: Gauge<u64>,
+    replicas: Gauge<u64>,
     demand: Box<[BoundCounter<u64>]>,
     unreadable: BoundCounter<u64>,
     relayed_servers: BoundGauge<u64>,
@@ -205,6 +206,11 @@
                 "routed_wishes",
                 "Models and adapters that the planner wants to load but can't order, by reason",
             ),
+            replicas: gauge(
+                meter,
+                "routed_replicas",
+                "Replicas of models as the planner sees them, by whether they may make way",
+            ),
         }))
     }
 
@@ -274,6 +280,11 @@
         self.0.wishes.record(wishes as u64, &[KeyValue::new("why", why)]);
     }
 
+    /// Sets the number of replicas of models that may make way for others, or stay for one reason.
+    pub fn replicas(&self, state: &'static str, replicas: usize) {
+        self.0.replicas.record(replicas as u64, &[KeyValue::new("state", state)]);
+    }
+
     /// Counts requests for models that are reported to the planner.
     pub fn demand(&self, origin: Origin, requests: u64) {
         self.0.demand[origin.index()].add(requests);
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -21,6 +21,7 @@
 mod draft;
 mod eviction;
 mod gain;
+mod headroom;
 mod persistence;
 mod planner;
 mod rate;
@@ -33,6 +34,7 @@
 
 pub use self::{
     demand::Work,
+    headroom::Headroom,
     planner::Planner,
     unplaced::{Obstacle, ReportLimiter, Unplaced},
 };
--- a/crates/policy/src/place/eviction.rs
+++ b/crates/policy/src/place/eviction.rs
@@ -83,20 +83,41 @@
     Some(chosen)
 }
 
-/// Returns the cost of evicting a replica; `None` if it must stay.
-fn eviction_cost(draft: &Draft, held: &model::Id, target: usize) -> Option<f64> {
-    let Some(index) = draft.index(held) else { return Some(0.0) };
-    let view = draft.targets[target].view;
+/// Why a replica must stay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Keep {
+    /// No other replica of its model is certain to stay.
+    Last,
+    /// The other replicas of its model can't take its work.
+    Needed,
+    /// It was loaded a moment ago.
+    New,
+}
+
+/// Returns why a replica on the target must stay; `None` if it may be evicted.
+pub(super) fn keep(draft: &Draft, held: &model::Id, target: usize) -> Option<Keep> {
+    let index = draft.index(held)?;
     let others = draft.confirmed[index].iter().filter(|&&other| other != target).count();
     let remaining = draft.remaining_work[index];
-    let elsewhere = 0 < others && remaining <= MAX_UTILIZATION_LEFT * others as f64;
-    let settled = view
+    let is_settled = draft.targets[target]
+        .view
         .held_since
         .get(held)
         .is_none_or(|&since| since.is_zero() || since + MIN_REPLICA_AGE <= draft.now);
-    if !elsewhere || !settled {
+    match () {
+        () if others == 0 => Some(Keep::Last),
+        () if MAX_UTILIZATION_LEFT * (others as f64) < remaining => Some(Keep::Needed),
+        () if !is_settled => Some(Keep::New),
+        () => None,
+    }
+}
+
+/// Returns the cost of evicting a replica; `None` if it must stay.
+fn eviction_cost(draft: &Draft, held: &model::Id, target: usize) -> Option<f64> {
+    if keep(draft, held, target).is_some() {
         return None;
     }
+    let Some(index) = draft.index(held) else { return Some(0.0) };
     Some(replica_loss(draft, index, target) + BLOCKED_COST_PER_S * until_idle(draft, held, target))
 }
 
--- a/crates/policy/src/place/planner.rs
+++ b/crates/policy/src/place/planner.rs
@@ -12,6 +12,7 @@
     demand::{Demand, Work},
     draft::{Decision, Draft, store_loads},
     gain,
+    headroom::Headroom,
     server_view::{SentOrder, ServerView, Source},
     store::{self, Allowance, Bucket},
     unplaced::{self, Unplaced},
@@ -36,13 +37,14 @@
     unresolved: BTreeMap<Arc<str>, Vec<SentOrder>>,
     demand: Demand,
     unplaced: Vec<Unplaced>,
+    headroom: Headroom,
 }
 
 impl Planner {
     /// Creates a planner without services, servers or demand.
     pub fn new(rules: Rules) -> Planner {
-        let (services, servers, unresolved, unplaced) = Default::default();
-        Planner { rules, services, servers, unresolved, demand: Demand::default(), unplaced }
+        let (services, servers, unresolved, demand, unplaced, headroom) = Default::default();
+        Planner { rules, services, servers, unresolved, demand, unplaced, headroom }
     }
 
     /// Adds a service, or replaces its declaration.
@@ -164,6 +166,7 @@
         self.unresolved
             .retain(|_, unresolved| unresolved.iter().any(|sent| sent.may_take_effect(now)));
         self.unplaced.clear();
+        self.headroom = Headroom::default();
         let names: Vec<service::Id> = self.services.keys().cloned().collect();
         names.iter().flat_map(|service| self.plan_service(service, now)).collect()
     }
@@ -173,6 +176,11 @@
         &self.unplaced
     }
 
+    /// Returns what the last plan could work with, over all services.
+    pub fn headroom(&self) -> Headroom {
+        self.headroom
+    }
+
     fn plan_service(&mut self, name: &service::Id, now: Moment) -> Vec<Order> {
         let Some(service) = self.services.get_mut(name) else { return Vec::new() };
         let own = || self.servers.iter().filter(|(_, view)| view.service == *name);
@@ -198,6 +206,7 @@
         gain::plan(&mut draft, &mut store);
         adapters::plan(&mut draft);
         self.unplaced.extend(unplaced::unplaced(&draft, &mut store));
+        self.headroom.add(&draft);
         let decisions = draft.decisions;
         decisions.into_iter().map(|decision| self.send(decision, now)).collect()
     }
--- a/crates/relay/src/unplaced.rs
+++ b/crates/relay/src/unplaced.rs
@@ -4,14 +4,19 @@
 use std::time::Duration;
 
 use observe::story::{Belief, Text};
-use policy::place::{Obstacle, Order, ReportLimiter};
+use policy::place::{Headroom, Obstacle, Order, ReportLimiter};
 use types::prelude::*;
 
 use crate::{host::Shared, planning};
 
+/// Interval at which the headroom of plans is logged.
+const HEADROOM_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Reports the unplaced entries of this host's plans.
 #[derive(Debug, Default)]
 pub(crate) struct UnplacedReporter {
+    /// When the headroom was last logged.
+    headroom_at: Option<Moment>,
     limiter: ReportLimiter,
     /// Whether the metrics hold counts of this host's plans.
     has_metrics: bool,
@@ -26,6 +31,7 @@
             shared.meters.wishes(obstacle.label(), waiting);
         }
         self.has_metrics = true;
+        self.report_headroom(shared, now);
         for (entry, lasted) in self.limiter.due(&unplaced, now) {
             shared.logger.belief(Belief::Wish {
                 model: entry.model,
@@ -37,6 +43,23 @@
         }
     }
 
+    fn report_headroom(&mut self, shared: &Shared, now: Moment) {
+        let headroom = shared.planner().headroom();
+        replicas(&headroom).for_each(|(label, count)| shared.meters.replicas(label, count));
+        if self.headroom_at.is_some_and(|at| now < at + HEADROOM_INTERVAL) {
+            return;
+        }
+        self.headroom_at = Some(now);
+        log::info!(
+            open = headroom.open, occupied = headroom.occupied,
+            unresponsive = headroom.unresponsive, unsettled = headroom.unsettled,
+            evictable = headroom.evictable, last = headroom.last, needed = headroom.needed,
+            new = headroom.new, busy_models = headroom.busy_models,
+            missing_models = headroom.missing_models;
+            "headroom of the last plan"
+        );
+    }
+
     /// Resets the metrics when this host no longer plans.
     pub(crate) fn end(&mut self, shared: &Shared) {
         if !std::mem::take(&mut self.has_metrics) {
@@ -44,9 +67,21 @@
         }
         self.limiter = ReportLimiter::default();
         Obstacle::ALL.iter().for_each(|obstacle| shared.meters.wishes(obstacle.label(), 0));
+        replicas(&Headroom::default()).for_each(|(label, _)| shared.meters.replicas(label, 0));
     }
 }
 
+/// Replicas by whether they may make way, with the labels of the metric.
+fn replicas(headroom: &Headroom) -> impl Iterator<Item = (&'static str, usize)> {
+    let counts = [
+        ("evictable", headroom.evictable),
+        ("last", headroom.last),
+        ("needed", headroom.needed),
+        ("new", headroom.new),
+    ];
+    counts.into_iter()
+}
+
 /// Reports an order that was decided but not sent.
 pub(crate) fn report_unsent(shared: &Shared, order: &Order, why: &'static str) {
     shared.logger.belief(Belief::Wish {
