Load a lost model however many wait for it

Callers saw: a model that lost its last replica was refused for seconds, the longer the more of them asked.

Cause: a load of a model without replicas was charged for each second that its requests wait until it is done, by their number. Without the load they wait longer still, so the charge is no reason against it; from some work on, it was larger than the worth of the load, and the model was never loaded. The class: an unavoidable cost that counts against the remedy.

Ruled out: a charge that is bounded: it still grows with the need.

Change: only the time that a faster target saves counts, as a gain.

--- a/crates/policy/src/place/eviction.rs
+++ b/crates/policy/src/place/eviction.rs
@@ -12,7 +12,7 @@
 const CACHE_LOSS: f64 = 5.0;
 
 /// Seconds until the last of very many running requests is likely to end.
-const LAST_RUN_END_S: f64 = 1.8;
+pub(super) const LAST_RUN_END_S: f64 = 1.8;
 
 /// Cost per second in which a server waits for requests to end before an unload and can take no
 /// other order.
--- a/crates/policy/src/place/gain.rs
+++ b/crates/policy/src/place/gain.rs
@@ -19,7 +19,7 @@
 /// Loss while a model has no replica.
 const UNREACHABLE_COST: f64 = 300.0;
 
-/// Cost per second until a model without replicas is loaded.
+/// Value of each second by which a model without replicas is loaded sooner.
 const LOAD_WAIT_COST_PER_S: f64 = 20.0;
 
 /// Value of a second replica, which survives the crash of a server.
@@ -218,7 +218,9 @@
         + fragmentation_cost(draft, declared, target, freed);
     let replicas = &draft.replicas[model];
     if replicas.is_empty() {
-        cost += delay * (LOAD_WAIT_COST_PER_S + prices.server_second * draft.work[model]);
+        // Requests wait without the load as well, so only the time saved on other targets counts.
+        let saved = slowest_load_s(declared) - delay;
+        cost -= saved.max(0.0) * (LOAD_WAIT_COST_PER_S + prices.server_second * draft.work[model]);
     }
     let mut with = replicas.clone();
     with.push(target);
@@ -234,6 +236,12 @@
     Step { model, target, victims, source, gain }
 }
 
+/// Returns how long a load takes where the weights come from the store and a busy model makes way,
+/// in seconds.
+fn slowest_load_s(declared: &Model) -> f64 {
+    load_time(declared, Source::Store).as_secs_f64() + UNLOAD_S + eviction::LAST_RUN_END_S
+}
+
 /// Returns for how many seconds a replica that is ready after `delay` seconds is expected to be of
 /// use, if work leaves its model at a constant rate, which is estimated.
 ///
--- a/crates/policy/tests/place/models.rs
+++ b/crates/policy/tests/place/models.rs
@@ -289,6 +289,25 @@
     assert!(5 <= replicas, "{replicas} replicas");
 }
 
+/// Guards against a model that is loaded nowhere because many wait for it: the time that they wait
+/// is no reason to leave them waiting.
+#[rstest]
+fn a_lost_model_is_loaded_however_many_wait_for_it(#[values(0.1, 1.0, 3.0, 8.0)] work: f64) {
+    let mut engine = engine(83_000, 8, &[(34_300, 0); 6]);
+    engine.models.iter_mut().for_each(|model| model.load = Duration::from_millis(4200));
+    let mut world = World::new(engine, 9, 3, 1);
+    for round in 0..12 {
+        let busy = ["m01", "m02", "m03", "m04"][round % 4];
+        offer_work(&mut world, &[(busy, 1.0)], SECOND);
+    }
+    for holder in world.holders("m00").into_iter().rev() {
+        let machine = world.machines.remove(holder);
+        world.planner.remove_server(&machine.server.id, world.now);
+    }
+    offer_work(&mut world, &[("m00", work)], 6 * SECOND);
+    assert!(!world.holders("m00").is_empty());
+}
+
 /// If the store serves many loads per second, room is made for more loads than may start at once.
 #[test]
 fn room_is_made_for_as_many_loads_as_the_store_serves_meanwhile() {
