--- a/crates/policy/tests/place/models.rs
+++ b/crates/policy/tests/place/models.rs
@@ -289,6 +289,38 @@
     assert!(5 <= replicas, "{replicas} replicas");
 }
 
+/// 24 servers with room for two models each. Twelve models with some work stand three times, twelve
+/// without work once.
+fn crowded() -> World {
+    let mut engine = engine(83_000, 8, &[(34_300, 0); 24]);
+    engine.loads_per_s = 10.0;
+    let mut world = World::new(engine.clone(), 24, 4, 1);
+    for (number, machine) in world.machines.iter_mut().enumerate() {
+        machine.hold(&engine, &format!("m{:02}", (number + 7) % 12).into());
+        world.planner.register_server(&machine.registration(), world.now);
+    }
+    world
+}
+
+/// Guards against a model whose servers are overrun many times over while the replicas of others,
+/// with a fraction of its work, stay because each of them is in use.
+#[rstest]
+#[case::little(0.7)]
+#[case::more(1.2)]
+fn an_overrun_model_takes_room_of_models_with_a_fraction_of_its_work(#[case] work: f64) {
+    let mut world = crowded();
+    let others: Vec<String> = (0..12).map(|number| format!("m{number:02}")).collect();
+    let others = || others.iter().map(|name| (name.as_str(), work));
+    offer_work(&mut world, &others().collect::<Vec<_>>(), 6 * SECOND);
+    let shifted: Vec<(&str, f64)> = others().chain([("m23", 6.0)]).collect();
+    offer_work(&mut world, &shifted, 8 * SECOND);
+    let replicas = world.holders("m23").len();
+    assert!(5 <= replicas, "{replicas} replicas");
+    let left = others().map(|(name, _)| world.holders(name).len());
+    assert!(left.min() >= Some(1), "a last replica made way");
+    assert_eq!(world.unreachable.len(), 0);
+}
+
 /// Guards against a model that is loaded nowhere because many wait for it: the time that they wait
 /// is no reason to leave them waiting.
 #[rstest]
