Make room for models that are asked for and stand nowhere

Cause: room was made only where a model's other replicas stay utilized by less than 0.3, and never by a last replica. When most models are in use, nothing makes way for a model without a replica; when not all models fit, those that nobody asks for keep their places for good. The class: a promise to each member of a group (every model resident) that is kept for members without need at the cost of those in need when it can't be kept for all.

Turns among models that are all asked for, as adapters take them: not built.

Change: replicas make way in scopes: spare ones for any model; for a model that is asked for and has no replica also needed ones that aren't the last, and then the last ones of models without a request for 5 s. The loss of an idle model's last replica counts a third of that of one that is asked for.

Conclusion: no last replica of a model that is asked for makes way, as before.

--- a/crates/policy/src/place/demand.rs
+++ b/crates/policy/src/place/demand.rs
@@ -70,6 +70,7 @@
     fast: Rate,
     requests: Rate,
     recent: Rate,
+    last_arrival: Moment,
 }
 
 impl ModelDemand {
@@ -78,6 +79,7 @@
         self.fast.add(rules.rise_time_constant, seconds, now);
         self.requests.add(rules.rise_time_constant, f64::from(requests), now);
         self.recent.add(RECENT_TIME_CONSTANT, seconds, now);
+        self.last_arrival = self.last_arrival.max(now);
     }
 
     /// Returns the lower and upper bound of the latest rate, allowing for random variation of the
@@ -240,6 +242,11 @@
         self.waits.get(model).is_some_and(|at| now < *at + WAIT_VALIDITY)
     }
 
+    /// Returns when a model was last requested.
+    pub(super) fn last_model_arrival(&self, model: &model::Id) -> Option<Moment> {
+        self.work.get(model).map(|demand| demand.last_arrival)
+    }
+
     /// Returns when an adapter was last requested.
     pub(super) fn last_arrival(&self, adapter_key: &AdapterKey) -> Option<Moment> {
         self.adapters.get(adapter_key).map(|entry| entry.last_arrival)
--- a/crates/policy/src/place/eviction.rs
+++ b/crates/policy/src/place/eviction.rs
@@ -2,11 +2,17 @@
 
 use types::{prelude::*, routed::Model};
 
-use super::{draft::Draft, gain::replica_deficit};
+use super::{
+    draft::Draft,
+    gain::{IDLE_WORK, replica_deficit},
+};
 
-/// Highest mean utilization, by the model's own work, that evicting a replica may leave on the
-/// model's other replicas.
-const MAX_UTILIZATION_LEFT: f64 = 0.3;
+/// Mean utilization, by a model's own work, up to which any other model may take one of its
+/// replicas.
+const SPARE_UTILIZATION: f64 = 0.3;
+
+/// Time without a request after which a model counts as idle.
+const IDLE_AFTER: Duration = Duration::from_secs(5);
 
 /// Cost of moving one fully utilized server's work to replicas without cached prompts.
 const CACHE_LOSS: f64 = 5.0;
@@ -32,9 +38,33 @@
     pub(super) size: Mebibytes,
     /// Seconds until the model's requests on the server are likely to have ended.
     pub(super) until_idle: f64,
+    /// The narrowest scope in which the replica may make way.
+    scope: Scope,
+}
+
+/// Which replicas may make way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Scope {
+    /// Those that their models hardly need.
+    Spare,
+    /// All that are not the last ones of their models.
+    Needed,
+    /// Also the last ones of idle models.
+    Last,
 }
 
-/// Returns the replicas that may be evicted from a target, the cheapest first.
+impl Scope {
+    /// Scopes from which a model may take room, to be tried in this order.
+    pub(super) fn of(draft: &Draft, model: usize) -> &'static [Scope] {
+        let is_missed = draft.replicas[model].is_empty() && 0.0 < draft.work[model];
+        match is_missed {
+            true => &[Scope::Spare, Scope::Needed, Scope::Last],
+            false => &[Scope::Spare],
+        }
+    }
+}
+
+/// Returns the replicas that some model may take from a target, the cheapest first.
 pub(super) fn evictable(draft: &Draft, target: usize) -> Vec<Evictable> {
     let held = draft.targets[target].view.held.keys();
     let mut evictable: Vec<Evictable> = held
@@ -42,9 +72,10 @@
             Some(Evictable {
                 model: held.clone(),
                 index: draft.index(held),
-                cost: eviction_cost(draft, held, target)?,
+                cost: eviction_cost(draft, held, target),
                 size: replica_memory(draft, held, target),
                 until_idle: until_idle(draft, held, target),
+                scope: scope(draft, held, target)?,
             })
         })
         .collect();
@@ -58,13 +89,16 @@
     draft: &Draft,
     model: usize,
     target: usize,
+    scope: Scope,
     evictable: &'a [Evictable],
 ) -> Option<Vec<&'a Evictable>> {
     let declared = &draft.engine.models[model];
     let wanted = declared.weights;
     let mut room = draft.targets[target].room?;
     let mut chosen = Vec::new();
-    for victim in evictable.iter().filter(|candidate| candidate.model != declared.name) {
+    let may_go =
+        |candidate: &&Evictable| candidate.model != declared.name && candidate.scope <= scope;
+    for victim in evictable.iter().filter(may_go) {
         if wanted <= room {
             break;
         }
@@ -83,7 +117,27 @@
     Some(chosen)
 }
 
-/// Why a replica must stay.
+/// Whether nobody has asked for a model for a while, as far as is known.
+fn is_idle(draft: &Draft, model: usize) -> bool {
+    let last = draft.demand.last_model_arrival(&draft.engine.models[model].name);
+    draft.demand.is_established(draft.now)
+        && last.is_none_or(|last| last + IDLE_AFTER <= draft.now)
+        && draft.work[model] <= IDLE_WORK
+}
+
+/// Returns the mean utilization of a model's other replicas by its work if the replica on the target
+/// is evicted.
+fn utilization_left(draft: &Draft, held: &model::Id, target: usize) -> f64 {
+    let Some(index) = draft.index(held) else { return 0.0 };
+    draft.remaining_work[index] / others(draft, index, target) as f64
+}
+
+/// Returns the number of a model's other replicas that are certain to stay.
+fn others(draft: &Draft, model: usize, target: usize) -> usize {
+    draft.confirmed[model].iter().filter(|&&other| other != target).count()
+}
+
+/// Why a replica stays, unless a model that is asked for has none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Keep {
     /// No other replica of its model is certain to stay.
@@ -94,31 +148,38 @@
     New,
 }
 
-/// Returns why a replica on the target must stay; `None` if it may be evicted.
+/// Returns why a replica on the target stays; `None` if any model may take its room.
 pub(super) fn keep(draft: &Draft, held: &model::Id, target: usize) -> Option<Keep> {
     let index = draft.index(held)?;
-    let others = draft.confirmed[index].iter().filter(|&&other| other != target).count();
-    let remaining = draft.remaining_work[index];
     let is_settled = draft.targets[target]
         .view
         .held_since
         .get(held)
         .is_none_or(|&since| since.is_zero() || since + MIN_REPLICA_AGE <= draft.now);
     match () {
-        () if others == 0 => Some(Keep::Last),
-        () if MAX_UTILIZATION_LEFT * (others as f64) < remaining => Some(Keep::Needed),
+        () if others(draft, index, target) == 0 => Some(Keep::Last),
         () if !is_settled => Some(Keep::New),
+        () if SPARE_UTILIZATION < utilization_left(draft, held, target) => Some(Keep::Needed),
         () => None,
     }
 }
 
-/// Returns the cost of evicting a replica; `None` if it must stay.
-fn eviction_cost(draft: &Draft, held: &model::Id, target: usize) -> Option<f64> {
-    if keep(draft, held, target).is_some() {
-        return None;
+/// Returns the narrowest scope in which a replica may make way; `None` if it must stay.
+fn scope(draft: &Draft, held: &model::Id, target: usize) -> Option<Scope> {
+    match keep(draft, held, target) {
+        None => Some(Scope::Spare),
+        Some(Keep::Needed) => Some(Scope::Needed),
+        Some(Keep::Last) => {
+            draft.index(held).filter(|&index| is_idle(draft, index)).map(|_| Scope::Last)
+        }
+        Some(Keep::New) => None,
     }
-    let Some(index) = draft.index(held) else { return Some(0.0) };
-    Some(replica_loss(draft, index, target) + BLOCKED_COST_PER_S * until_idle(draft, held, target))
+}
+
+/// Returns the cost of evicting a replica.
+fn eviction_cost(draft: &Draft, held: &model::Id, target: usize) -> f64 {
+    let Some(index) = draft.index(held) else { return 0.0 };
+    replica_loss(draft, index, target) + BLOCKED_COST_PER_S * until_idle(draft, held, target)
 }
 
 /// Returns after how many seconds the model's requests on the target are likely to have ended.
--- a/crates/policy/src/place/gain.rs
+++ b/crates/policy/src/place/gain.rs
@@ -10,15 +10,18 @@
 use super::{
     Cause, Operation,
     draft::Draft,
-    eviction::{self, BLOCKED_COST_PER_S, Evictable, replica_loss},
+    eviction::{self, BLOCKED_COST_PER_S, Evictable, Scope, replica_loss},
     server_view::Source,
     store::{Allowance, Urgency},
     utilization::late_work,
 };
 
-/// Loss while a model has no replica.
+/// Loss while a model that is asked for has no replica.
 const UNREACHABLE_COST: f64 = 300.0;
 
+/// Loss while a model that nobody asks for has no replica.
+const IDLE_UNREACHABLE_COST: f64 = 100.0;
+
 /// Value of each second by which a model without replicas is loaded sooner.
 const LOAD_WAIT_COST_PER_S: f64 = 20.0;
 
@@ -44,7 +47,7 @@
 const MIN_GAIN: f64 = 0.3;
 
 /// Work up to which a model counts as idle, in fully utilized servers.
-const IDLE_WORK: f64 = 0.02;
+pub(super) const IDLE_WORK: f64 = 0.02;
 
 /// Utilization of a model's busiest server above which further replicas are considered.
 const BUSY_UTILIZATION: f64 = 0.1;
@@ -101,11 +104,13 @@
         }
         let source = at.view.source(name);
         let evictable = eviction::evictable(draft, target);
-        let victims = eviction::victims(draft, model, target, &evictable);
+        draft.replicas[model].retain(|&other| other != target);
+        let mut scopes = Scope::of(draft, model).iter();
+        let victims =
+            scopes.find_map(|scope| eviction::victims(draft, model, target, *scope, &evictable));
         let victims: Option<Vec<model::Id>> =
             victims.map(|all| all.into_iter().map(|victim| victim.model.clone()).collect());
         let allowed = store.allows(at.id, source, Urgency::Urgent);
-        draft.replicas[model].retain(|&other| other != target);
         match victims {
             Some(victims) if allowed => {
                 commit(draft, store, Step { model, target, victims, source, gain: 0.0 });
@@ -155,6 +160,7 @@
 pub(super) fn replica_deficit(draft: &Draft, model: usize, replicas: &[usize]) -> f64 {
     let zone = |target: usize| &draft.targets[target].view.zone;
     let safety = match replicas {
+        [] if draft.work[model] == 0.0 => return IDLE_UNREACHABLE_COST,
         [] => return UNREACHABLE_COST,
         [_] => SECOND_REPLICA_WORTH + SECOND_ZONE_WORTH,
         [first, rest @ ..] if rest.iter().all(|&target| zone(target) == zone(*first)) => {
@@ -167,7 +173,9 @@
 }
 
 /// Returns the targets to evaluate for a model, with the replicas to evict there: fast sources and
-/// free memory first, then those that the model's work would utilize least.
+/// free memory first, then those that the model's work would utilize least. Replicas that their
+/// models need are evicted only if no others can be, and last ones of idle models only for a model
+/// that is asked for and has none.
 fn shortlist<'a>(
     draft: &Draft,
     store: &mut Allowance,
@@ -193,10 +201,15 @@
     targets.sort_by(|a, b| {
         (a.0, a.1).cmp(&(b.0, b.1)).then(utilization(a.2).total_cmp(&utilization(b.2)))
     });
-    let fits = |target: usize| {
-        Some((target, eviction::victims(draft, model, target, &evictable[target])?))
+    let shortlist = |scope: Scope| -> Vec<(usize, Vec<&'a Evictable>)> {
+        let fits = |&(.., target): &(bool, bool, usize)| {
+            let victims = eviction::victims(draft, model, target, scope, &evictable[target]);
+            Some((target, victims?))
+        };
+        targets.iter().filter_map(fits).take(MAX_TARGETS).collect()
     };
-    targets.into_iter().filter_map(|(.., target)| fits(target)).take(MAX_TARGETS).collect()
+    let mut shortlists = Scope::of(draft, model).iter().map(|scope| shortlist(*scope));
+    shortlists.find(|shortlist| !shortlist.is_empty()).unwrap_or_default()
 }
 
 /// Evaluates loading a model on a target.
--- a/crates/policy/tests/place/models.rs
+++ b/crates/policy/tests/place/models.rs
@@ -321,6 +321,24 @@
     assert_eq!(world.unreachable.len(), 0);
 }
 
+/// Guards against a model without a replica that finds no room, while others with replicas to spare
+/// are in use.
+#[test]
+fn a_model_without_a_replica_takes_room_of_busy_models_that_stand_several_times() {
+    let mut world = crowded();
+    let names: Vec<String> = (0..24).map(|number| format!("m{number:02}")).collect();
+    let work = |number| if number < 12 { 1.0 } else { 0.4 };
+    let shares: Vec<(&str, f64)> =
+        names.iter().enumerate().map(|(number, name)| (name.as_str(), work(number))).collect();
+    offer_work(&mut world, &shares, 6 * SECOND);
+    for lost in world.holders("m23").into_iter().rev() {
+        let machine = world.machines.remove(lost);
+        world.planner.remove_server(&machine.server.id, world.now);
+    }
+    offer_work(&mut world, &shares, 3 * SECOND);
+    assert!(!world.holders("m23").is_empty());
+}
+
 /// Guards against a model that is loaded nowhere because many wait for it: the time that they wait
 /// is no reason to leave them waiting.
 #[rstest]
@@ -340,6 +358,24 @@
     assert!(!world.holders("m00").is_empty());
 }
 
+/// Guards against models that are asked for and never served while idle ones fill all servers.
+#[test]
+fn a_model_that_is_asked_for_takes_the_place_of_an_idle_one_when_not_all_fit() {
+    let mut world = World::new(engine(83_000, 8, &[(34_300, 0); 12]), 6, 3, 1);
+    let asked: Vec<(&str, f64)> =
+        ["m00", "m01", "m02", "m03", "m04", "m05"].into_iter().map(|name| (name, 0.4)).collect();
+    offer_work(&mut world, &asked, 6 * SECOND);
+    for _ in 0..2 {
+        let number = world.holders("m00")[0];
+        let machine = world.machines.remove(number);
+        world.planner.remove_server(&machine.server.id, world.now);
+        offer_work(&mut world, &asked, 8 * SECOND);
+        for (name, _) in &asked {
+            assert!(!world.holders(name).is_empty(), "{name}");
+        }
+    }
+}
+
 /// If the store serves many loads per second, room is made for more loads than may start at once.
 #[test]
 fn room_is_made_for_as_many_loads_as_the_store_serves_meanwhile() {
