Weight customers' shares by their quotas

Callers saw: on the site with organisations, nearly all of 9,931 requests that were refused as full without an attempt were of its two large organisations, while half of the servers completed nothing in a given second.

Cause: all customers had the weight 1, so a large one at its usual load counts as above its share, leaves a quarter of each server's slots free and contends with all hosts for the rest. A peer's customers of which a host has no requests had the weight 1 whatever was declared.

Change: `share::weights`: the declared weight times the customer's quota, if all have one in one unit, else the declared weight alone. The dispatcher takes the weights from the declaration, its own requests' and peers' alike.

--- a/crates/policy/src/dispatch/displace.rs
+++ b/crates/policy/src/dispatch/displace.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Weight of a declared customer.
+    pub(super) fn weight(&self, customer: Option<&customer::Id>) -> Option<u32> {
+        self.customer_weights.get(customer?).copied()
+    }
+
     /// Refuses a waiting request of the customer that is most above its share, to make room for an
     /// arrival of a customer below its share; false if there is none.
     pub(super) fn displace(&mut self, arrival: &Task, now: Moment) -> bool {
@@ -148,8 +153,9 @@
         }
         if now < self.peer_customers_at + LOAD_MAX_AGE {
             for (customer, work) in &self.peer_customers {
+                let weight = f64::from(self.weight(Some(customer)).unwrap_or(1));
                 let use_of = by_group.entry(Some(customer.clone()));
-                use_of.or_insert((0.0, 1.0)).0 += sum(work) as f64;
+                use_of.or_insert((0.0, weight)).0 += sum(work) as f64;
             }
         }
         let (cost, weight) = by_group
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -8,7 +8,10 @@
 
 use std::collections::BTreeMap;
 
-use types::customer;
+use types::{
+    customer::{self, Unit},
+    routed::Customer,
+};
 
 /// Advance in virtual time of a cost of one at a weight of one.
 const UNIT: u64 = 1 << 20;
@@ -16,6 +19,9 @@
 /// Number of groups beyond which those without an advance are forgotten.
 const MAX_GROUPS: usize = 256;
 
+/// Weight of a customer with the smallest quota, so that larger ones are told apart by less than that.
+const SMALLEST_QUOTA_WEIGHT: f64 = 16.0;
+
 /// Requests that take turns with those of other groups; requests without a customer are one group.
 pub type Group = Option<customer::Id>;
 
@@ -72,3 +78,28 @@
         self.groups.insert(group.clone(), time);
     }
 }
+
+/// Returns the customers' weights: the declared weight times the quota, so that customers that use
+/// equal parts of their quotas have equal parts of their shares, whatever their sizes. If a customer
+/// has no quota, or quotas count different units, the declared weights alone.
+#[must_use]
+pub fn weights(customers: &[Customer]) -> BTreeMap<customer::Id, u32> {
+    let rates: Option<Vec<f64>> = customers.iter().map(rate).collect();
+    let is_one_unit =
+        customers.windows(2).all(|two| counts_tokens(&two[0]) == counts_tokens(&two[1]));
+    let rates = rates.filter(|_| is_one_unit).unwrap_or_else(|| vec![1.0; customers.len()]);
+    let smallest = rates.iter().copied().fold(f64::INFINITY, f64::min);
+    let weight = |(customer, rate): (&Customer, f64)| {
+        let weight = f64::from(customer.weight) * rate / smallest * SMALLEST_QUOTA_WEIGHT;
+        (customer.name.clone(), (weight as u32).max(1))
+    };
+    customers.iter().zip(rates).map(weight).collect()
+}
+
+fn rate(customer: &Customer) -> Option<f64> {
+    customer.quota.map(|quota| quota.rate.as_f64())
+}
+
+fn counts_tokens(customer: &Customer) -> bool {
+    customer.quota.is_some_and(|quota| matches!(quota.unit, Unit::Tokens { .. }))
+}
--- a/crates/policy/tests/contention/shares.rs
+++ b/crates/policy/tests/contention/shares.rs
@@ -1,16 +1,20 @@
 //! Tests of how customers share servers.
 
 use policy::{
-    dispatch::{Cause, RequestSpec, Verdict},
+    dispatch::{Cause, End, RequestSpec, Verdict},
     share::Shares,
 };
 use proptest::prelude::*;
 use rstest::rstest;
-use types::{prelude::*, routed::Kind};
+use types::{
+    customer::{Quota, Unit},
+    prelude::*,
+    routed::{Customer, Declaration, Kind, Rate, Server},
+};
 
 use crate::{
     city::{News, Outcomes, Size, Source, play},
-    fixture::{at, plain, request},
+    fixture::{among, at, load, plain, request, server},
 };
 
 const SIZE: Size =
@@ -89,6 +93,36 @@
     assert_eq!(causes.collect::<Vec<_>>(), [(1_000, Cause::Share)]);
 }
 
+/// Guards against a large customer that counts as above its share at its usual load.
+#[rstest]
+#[case::within_its_quota(8_000, true)]
+#[case::far_beyond_it(80_000, false)]
+fn a_large_customer_within_its_quota_takes_the_last_free_slot(
+    #[case] used: u64,
+    #[case] is_sent: bool,
+) {
+    let mut host = among(24, [Server { slots: 12, ..server("s1", "a", &[]) }].into_iter());
+    let small: Vec<String> = (0..7).map(|number| format!("small{number}")).collect();
+    let customer = |name: &str, rate: f64| Customer {
+        name: name.into(),
+        keys: vec![],
+        priority: None,
+        weight: 1,
+        quota: Rate::per_second(rate).map(|rate| Quota { rate, burst: 0.0, unit: Unit::Requests }),
+    };
+    let customers = small.iter().map(|name| customer(name, 10.0)).chain([customer("large", 80.0)]);
+    let customers = Some(customers.collect());
+    host.declare(&Declaration { version: 1, customers, ..Declaration::default() });
+    let work = small.iter().map(|name| (name.as_str(), 1_000)).chain([("large", used)]);
+    let work: Vec<_> = work.map(|(name, used)| (name.into(), used, 0)).collect();
+    host.peer_customer_work(&work, at(0));
+    host.server_load(&"s1".into(), load(11, 0, 12), at(0));
+    let spec =
+        RequestSpec { customer: Some("large".into()), ..request(1, Kind::NonIdempotent, at(0)) };
+    let verdict = host.arrive(spec, at(0));
+    assert_eq!(matches!(verdict, Verdict::Send(_)), is_sent, "{verdict:?}");
+}
+
 /// Customers take turns whatever the order in which their requests arrived.
 #[test]
 fn customers_take_turns_by_weight() {
@@ -103,7 +137,7 @@
     (10..14).for_each(|n| assert_eq!(host.arrive(of(n, "b", 2), at(0)), Verdict::Wait));
     let mut order = Vec::new();
     for ended in 0..taken {
-        host.ended(ended, policy::dispatch::End::Completed, at(30));
+        host.ended(ended, End::Completed, at(30));
         order.extend(host.pump(at(30)).into_iter().map(|change| change.ticket));
     }
     let of_b = order.iter().filter(|ticket| **ticket >= 10).count();
