Leave slots only to waiting requests that could use them

Callers saw: requests of a customer above its share refused as full although a server of their model had free slots.

Cause: such a request draws against three requests of each host for a free place as soon as any request of the service waits on its host, also for a model that the server doesn't hold.

Change: it draws only while a request waits on its host that the server could run.

Conclusion: the reserve of a quarter of the slots still binds whoever waits; open in docs/design/shares.md.

--- a/crates/policy/src/dispatch/choose.rs
+++ b/crates/policy/src/dispatch/choose.rs
@@ -230,7 +230,7 @@
             .held_back(task, server, overfill, now)
             .max(self.held_for_others(task, server, overfill));
         let free = slots + overfill - held_back - in_flight;
-        let wins_draw = || server.is_limited || self.wins_draw(task, index, free, now);
+        let wins_draw = || server.is_limited || self.wins_draw(task, index, server, free, now);
         let is_free =
             !server.load.is_full(now) && server.back_off.has_room(now) && 1.0 <= free && has_memory;
         is_free
@@ -243,10 +243,19 @@
     /// see at the same time, or all waiting deferrable requests. If there are more contenders than free places, a random draw decides,
     /// with their ratio as the probability. Each request draws anew when new digests of peers have
     /// arrived.
-    fn wins_draw(&self, task: &Task, index: Index, free: f64, now: Moment) -> bool {
-        let hosts = self.registry.get(index).map_or(1.0, |server| server.load.contenders());
-        let contenders =
-            hosts.max(self.deferred_contenders(task, now)).max(self.contenders_above_share(task));
+    fn wins_draw(
+        &self,
+        task: &Task,
+        index: Index,
+        server: &Server,
+        free: f64,
+        now: Moment,
+    ) -> bool {
+        let contenders = server
+            .load
+            .contenders()
+            .max(self.deferred_contenders(task, now))
+            .max(self.contenders_above_share(task, server));
         let round = self.registry.peers_at().map_or(0, |at| at.as_millis() as u64);
         let draw = mixed(mixed(task.seed() ^ round) ^ u64::from(index)) % 1024;
         contenders <= free || (draw as f64) * contenders < free * 1024.0
--- a/crates/policy/src/dispatch/displace.rs
+++ b/crates/policy/src/dispatch/displace.rs
@@ -10,7 +10,7 @@
 use super::{
     Dispatcher,
     load::LOAD_MAX_AGE,
-    queue::{Class, Key},
+    queue::{Class, Flow, Key},
     request::{Cause, Change, Ticket, Verdict},
     reserve::CONTENTION_ROUNDS,
     server::Server,
@@ -84,11 +84,14 @@
         }
     }
 
-    /// Estimated number of requests that contend for the free places that a request of a customer
-    /// above its share wants; 0 for other requests.
-    pub(super) fn contenders_above_share(&self, task: &Task) -> f64 {
+    /// Estimated number of requests that contend for the free places at a server that a request of a
+    /// customer above its share wants; 0 for other requests, and if no request waits here that the
+    /// server could run.
+    pub(super) fn contenders_above_share(&self, task: &Task, server: &Server) -> f64 {
         let queue = &self.registry.services[task.service as usize].queue;
-        match self.above_share.contains(&task.spec.customer) && !queue.is_empty() {
+        let can_run =
+            |flow: &Flow| flow.model.is_none_or(|model| server.models.is_loaded(model, None));
+        match self.above_share.contains(&task.spec.customer) && queue.flows().any(can_run) {
             true => f64::from(CONTENTION_ROUNDS * self.hosts),
             false => 0.0,
         }
--- a/crates/policy/src/dispatch/queue.rs
+++ b/crates/policy/src/dispatch/queue.rs
@@ -162,6 +162,11 @@
         flows.map(|(_, counts)| counts.iter().sum::<u32>()).sum()
     }
 
+    /// Flows with waiting requests.
+    pub fn flows(&self) -> impl Iterator<Item = &Flow> {
+        self.counts.keys()
+    }
+
     /// Models that requests wait for, with the number of requests.
     pub fn wanted(&self) -> impl Iterator<Item = (Option<Index>, u32)> {
         let mut wanted: BTreeMap<Option<Index>, u32> = BTreeMap::new();
--- a/crates/policy/tests/contention/shares.rs
+++ b/crates/policy/tests/contention/shares.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     city::{News, Outcomes, Size, Source, play},
-    fixture::{among, at, load, plain, request, server},
+    fixture::{among, at, generation, load, plain, request, server},
 };
 
 const SIZE: Size =
@@ -123,6 +123,36 @@
     assert_eq!(matches!(verdict, Verdict::Send(_)), is_sent, "{verdict:?}");
 }
 
+/// Guards against slots that stay free for requests that wait for another model.
+#[rstest]
+#[case::of_another_model("m2", 100)]
+#[case::of_the_same_model("m1", 0)]
+fn a_request_above_its_share_leaves_slots_to_those_that_could_use_them(
+    #[case] waited_for: &str,
+    #[case] sent: usize,
+) {
+    let registration =
+        |id, slots, models: &[(&str, &[&str])]| Server { slots, ..server(id, "a", models) };
+    let servers = [registration("s1", 12, &[("m1", &[])]), registration("s2", 12, &[("m2", &[])])];
+    let mut host = among(24, servers.into_iter());
+    let of = |ticket, name: &str, model| RequestSpec {
+        customer: Some(name.into()),
+        ..generation(ticket, model, at(0))
+    };
+    let is_waiting =
+        |ticket: &u64| host.arrive(of(*ticket, "small", waited_for), at(0)) == Verdict::Wait;
+    let waiting = (1_000..1_100).find(is_waiting).expect("a full server");
+    (1_000..waiting).for_each(|ticket| host.ended(ticket, End::Completed, at(1)));
+    host.peer_customer_work(&[("large".into(), 90_000, 0), ("small".into(), 1, 0)], at(1));
+    let is_sent = |ticket: &u64| {
+        let is_sent = matches!(host.arrive(of(*ticket, "large", "m1"), at(1)), Verdict::Send(_));
+        host.ended(*ticket, End::Cancelled, at(1));
+        is_sent
+    };
+    let found = (0..100).filter(is_sent).count();
+    assert_eq!(found, sent);
+}
+
 /// Customers take turns whatever the order in which their requests arrived.
 #[test]
 fn customers_take_turns_by_weight() {
