Leave needed replicas to busy models after a crash

Cause, suspected: after the crash many models have no replica at once; each takes one that is in use, which blocks a server for seconds and leaves a busy model with fewer, while the crashed servers come back.

Change: a model that is asked for and has no replica takes only what others can spare, and the last replicas of idle models, which nobody uses.

--- a/crates/policy/src/place/eviction.rs
+++ b/crates/policy/src/place/eviction.rs
@@ -47,10 +47,8 @@
 pub(super) enum Scope {
     /// Those that their models hardly need.
     Spare,
-    /// All that are not the last ones of their models.
-    Needed,
     /// Also the last ones of idle models.
-    Last,
+    Idle,
 }
 
 impl Scope {
@@ -58,7 +56,7 @@
     pub(super) fn of(draft: &Draft, model: usize) -> &'static [Scope] {
         let is_missed = draft.replicas[model].is_empty() && 0.0 < draft.work[model];
         match is_missed {
-            true => &[Scope::Spare, Scope::Needed, Scope::Last],
+            true => &[Scope::Spare, Scope::Idle],
             false => &[Scope::Spare],
         }
     }
@@ -137,7 +135,7 @@
     draft.confirmed[model].iter().filter(|&&other| other != target).count()
 }
 
-/// Why a replica stays, unless a model that is asked for has none.
+/// Why a replica stays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Keep {
     /// No other replica of its model is certain to stay.
@@ -148,7 +146,8 @@
     New,
 }
 
-/// Returns why a replica on the target stays; `None` if any model may take its room.
+/// Returns why a replica on the target stays; `None` if any model may take its room. The last one of
+/// an idle model gives way to a model that is asked for and has none.
 pub(super) fn keep(draft: &Draft, held: &model::Id, target: usize) -> Option<Keep> {
     let index = draft.index(held)?;
     let is_settled = draft.targets[target]
@@ -168,11 +167,10 @@
 fn scope(draft: &Draft, held: &model::Id, target: usize) -> Option<Scope> {
     match keep(draft, held, target) {
         None => Some(Scope::Spare),
-        Some(Keep::Needed) => Some(Scope::Needed),
         Some(Keep::Last) => {
-            draft.index(held).filter(|&index| is_idle(draft, index)).map(|_| Scope::Last)
+            draft.index(held).filter(|&index| is_idle(draft, index)).map(|_| Scope::Idle)
         }
-        Some(Keep::New) => None,
+        Some(Keep::Needed | Keep::New) => None,
     }
 }
 
--- a/crates/policy/src/place/gain.rs
+++ b/crates/policy/src/place/gain.rs
@@ -173,9 +173,8 @@
 }
 
 /// Returns the targets to evaluate for a model, with the replicas to evict there: fast sources and
-/// free memory first, then those that the model's work would utilize least. Replicas that their
-/// models need are evicted only if no others can be, and last ones of idle models only for a model
-/// that is asked for and has none.
+/// free memory first, then those that the model's work would utilize least. Last replicas of idle
+/// models are evicted only if no others can be, for a model that is asked for and has none.
 fn shortlist<'a>(
     draft: &Draft,
     store: &mut Allowance,
