Give requests without a customer the smallest customer's weight

Cause: declared customers have weights of 16 and more since shares are weighted by quotas, and requests without a customer kept 1, so that they would get a sixteenth of what the smallest customer gets. Ruled out: weights as fractions; virtual times are whole numbers. Change: such requests have the weight of the smallest customer, as equal weights gave them before. Conclusion: no test covers a mix of both kinds of requests.

--- a/crates/policy/src/dispatch/displace.rs
+++ b/crates/policy/src/dispatch/displace.rs
@@ -97,9 +97,12 @@
         }
     }
 
-    /// Weight of a declared customer.
+    /// Weight of a declared customer; for requests without one, that of the smallest customer.
     pub(super) fn weight(&self, customer: Option<&customer::Id>) -> Option<u32> {
-        self.customer_weights.get(customer?).copied()
+        match customer {
+            Some(customer) => self.customer_weights.get(customer).copied(),
+            None => self.customer_weights.values().min().copied(),
+        }
     }
 
     /// Refuses a waiting request of the customer that is most above its share, to make room for an
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -19,7 +19,7 @@
 /// Number of groups beyond which those without an advance are forgotten.
 const MAX_GROUPS: usize = 256;
 
-/// Weight of a customer with the smallest quota, so that larger ones are told apart by less than that.
+/// Weight of a customer with the smallest quota; quotas are told apart by a fraction of it.
 const SMALLEST_QUOTA_WEIGHT: f64 = 16.0;
 
 /// Requests that take turns with those of other groups; requests without a customer are one group.
