Compute the headroom of plans when it is reported

Cause: each plan, every 3 to 50 ms, counted all servers and replicas for a line that is written once a second, and set four gauges each round; the planner kept the result as state. Servers that the plan had just given an order counted as unsettled, since the count was made before the order was recorded.

Ruled out: counting every n-th plan: the same state, and a second clock.

Change: `Planner::headroom` counts when it is called, once a second; the gauges are set with the line. Servers with an order without an answer count as occupied. The line is now `headroom of plans`.

Conclusion: no work is left in the plan itself.

--- a/crates/policy/src/place/headroom.rs
+++ b/crates/policy/src/place/headroom.rs
@@ -1,7 +1,8 @@
-//! What a plan could work with: the servers that took model orders, and the replicas that could
-//! have made way.
+//! What a plan can work with: the servers that accept model orders, and the replicas that may be
+//! evicted.
 //!
-//! A wish says that a model found no room; the headroom tells the reasons apart, over all servers.
+//! An unplaced model names one obstacle. If that is a lack of room, the headroom shows the reasons
+//! over all servers.
 
 use super::{
     draft::{Draft, Target},
@@ -9,24 +10,24 @@
     server_view::CurrentOrder,
 };
 
-/// Numbers of servers and replicas when a plan was finished.
+/// Numbers of servers and replicas by what a plan can do with them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Headroom {
-    /// Servers that could take a model order.
+    /// Servers that accept a model order.
     pub open: usize,
-    /// Servers that were carrying out a model order, or had one on its way.
+    /// Servers that are carrying out a model order, or were sent an order that has no answer yet.
     pub occupied: usize,
     /// Servers that answer no host.
     pub unresponsive: usize,
-    /// Servers in an unknown state, or that orders pause for.
+    /// Servers in an unknown state, and servers to which orders are paused.
     pub unsettled: usize,
-    /// Replicas that could have made way for others.
+    /// Replicas that any model may take the room of.
     pub evictable: usize,
     /// Replicas without another one that is certain to stay.
     pub last: usize,
     /// Replicas whose work the others of their model can't take.
     pub needed: usize,
-    /// Replicas that were loaded a moment ago.
+    /// Replicas that are too new to be evicted.
     pub new: usize,
     /// Models with work.
     pub busy_models: usize,
@@ -35,7 +36,7 @@
 }
 
 impl Headroom {
-    /// Adds the numbers of a finished plan for one service.
+    /// Adds the numbers of one service, whose plan has no orders yet.
     pub(super) fn add(&mut self, draft: &Draft) {
         for (index, target) in draft.targets.iter().enumerate() {
             *self.servers(target) += 1;
@@ -43,11 +44,8 @@
                 *self.replicas(eviction::keep(draft, held, index)) += 1;
             }
         }
-        let models = draft.replicas.iter().zip(&draft.work);
-        for (replicas, work) in models {
-            self.busy_models += usize::from(0.0 < *work);
-            self.missing_models += usize::from(replicas.is_empty());
-        }
+        self.busy_models += draft.work.iter().filter(|work| 0.0 < **work).count();
+        self.missing_models += draft.replicas.iter().filter(|replicas| replicas.is_empty()).count();
     }
 
     fn servers(&mut self, target: &Target) -> &mut usize {
--- a/crates/policy/src/place/planner.rs
+++ b/crates/policy/src/place/planner.rs
@@ -37,14 +37,13 @@
     unresolved: BTreeMap<Arc<str>, Vec<SentOrder>>,
     demand: Demand,
     unplaced: Vec<Unplaced>,
-    headroom: Headroom,
 }
 
 impl Planner {
     /// Creates a planner without services, servers or demand.
     pub fn new(rules: Rules) -> Planner {
-        let (services, servers, unresolved, demand, unplaced, headroom) = Default::default();
-        Planner { rules, services, servers, unresolved, demand, unplaced, headroom }
+        let (services, servers, unresolved, unplaced) = Default::default();
+        Planner { rules, services, servers, unresolved, demand: Demand::default(), unplaced }
     }
 
     /// Adds a service, or replaces its declaration.
@@ -166,7 +165,6 @@
         self.unresolved
             .retain(|_, unresolved| unresolved.iter().any(|sent| sent.may_take_effect(now)));
         self.unplaced.clear();
-        self.headroom = Headroom::default();
         let names: Vec<service::Id> = self.services.keys().cloned().collect();
         names.iter().flat_map(|service| self.plan_service(service, now)).collect()
     }
@@ -176,9 +174,14 @@
         &self.unplaced
     }
 
-    /// Returns what the last plan could work with, over all services.
-    pub fn headroom(&self) -> Headroom {
-        self.headroom
+    /// Returns what a plan can work with now, over all services.
+    pub fn headroom(&self, now: Moment) -> Headroom {
+        let mut headroom = Headroom::default();
+        for (name, Service { engine, sizes, .. }) in &self.services {
+            let own = self.servers.iter().filter(|(_, view)| view.service == *name);
+            headroom.add(&Draft::new(&self.rules, engine, sizes, &self.demand, own, now));
+        }
+        headroom
     }
 
     fn plan_service(&mut self, name: &service::Id, now: Moment) -> Vec<Order> {
@@ -206,7 +209,6 @@
         gain::plan(&mut draft, &mut store);
         adapters::plan(&mut draft);
         self.unplaced.extend(unplaced::unplaced(&draft, &mut store));
-        self.headroom.add(&draft);
         let decisions = draft.decisions;
         decisions.into_iter().map(|decision| self.send(decision, now)).collect()
     }
--- a/crates/relay/src/unplaced.rs
+++ b/crates/relay/src/unplaced.rs
@@ -9,13 +9,13 @@
 
 use crate::{host::Shared, planning};
 
-/// Interval at which the headroom of plans is logged.
+/// Interval at which the headroom of plans is logged and measured.
 const HEADROOM_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Reports the unplaced entries of this host's plans.
 #[derive(Debug, Default)]
 pub(crate) struct UnplacedReporter {
-    /// When the headroom was last logged.
+    /// When the headroom was last reported.
     headroom_at: Option<Moment>,
     limiter: ReportLimiter,
     /// Whether the metrics hold counts of this host's plans.
@@ -44,19 +44,19 @@
     }
 
     fn report_headroom(&mut self, shared: &Shared, now: Moment) {
-        let headroom = shared.planner().headroom();
-        replicas(&headroom).for_each(|(label, count)| shared.meters.replicas(label, count));
         if self.headroom_at.is_some_and(|at| now < at + HEADROOM_INTERVAL) {
             return;
         }
         self.headroom_at = Some(now);
+        let headroom = shared.planner().headroom(now);
+        replicas(&headroom).for_each(|(label, count)| shared.meters.replicas(label, count));
         log::info!(
             open = headroom.open, occupied = headroom.occupied,
             unresponsive = headroom.unresponsive, unsettled = headroom.unsettled,
             evictable = headroom.evictable, last = headroom.last, needed = headroom.needed,
             new = headroom.new, busy_models = headroom.busy_models,
             missing_models = headroom.missing_models;
-            "headroom of the last plan"
+            "headroom of plans"
         );
     }
 
