Decide where a replica may make way before its cost is computed

Cause: the cost of an eviction, with two sums over replicas, was computed for each replica, also for the many that must stay, at each step of each plan; before the scopes it was not.

Change: the scope comes first; `eviction::victims` goes through the scopes, for reservations and for obstacles; `victims_in` looks at one, for the shortlist.

Plans are the same; time of a plan: not measured.

--- a/crates/policy/src/place/eviction.rs
+++ b/crates/policy/src/place/eviction.rs
@@ -7,9 +7,9 @@
     gain::{IDLE_WORK, replica_deficit},
 };
 
-/// Mean utilization, by a model's own work, up to which any other model may take one of its
-/// replicas.
-const SPARE_UTILIZATION: f64 = 0.3;
+/// Highest mean utilization, by the model's own work, that evicting a replica may leave on the
+/// model's other replicas.
+const MAX_UTILIZATION_LEFT: f64 = 0.3;
 
 /// Time without a request after which a model counts as idle.
 const IDLE_AFTER: Duration = Duration::from_secs(5);
@@ -45,9 +45,9 @@
 /// Which replicas may make way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Scope {
-    /// Those that their models hardly need.
+    /// Replicas whose work the other replicas of the model can take.
     Spare,
-    /// Also the last ones of idle models.
+    /// Spare replicas, and the last replicas of idle models.
     Idle,
 }
 
@@ -67,13 +67,14 @@
     let held = draft.targets[target].view.held.keys();
     let mut evictable: Vec<Evictable> = held
         .filter_map(|held| {
+            let scope = scope(draft, held, target)?;
             Some(Evictable {
                 model: held.clone(),
                 index: draft.index(held),
                 cost: eviction_cost(draft, held, target),
                 size: replica_memory(draft, held, target),
                 until_idle: until_idle(draft, held, target),
-                scope: scope(draft, held, target)?,
+                scope,
             })
         })
         .collect();
@@ -81,9 +82,21 @@
     evictable
 }
 
-/// Returns the replicas to evict from a target so that `model` fits, the cheapest first; `None` if
-/// it can't fit.
+/// Returns the replicas to evict from a target so that `model` fits, from the narrowest scope in
+/// which it does; `None` if it can't fit.
 pub(super) fn victims<'a>(
+    draft: &Draft,
+    model: usize,
+    target: usize,
+    evictable: &'a [Evictable],
+) -> Option<Vec<&'a Evictable>> {
+    let mut scopes = Scope::of(draft, model).iter();
+    scopes.find_map(|&scope| victims_in(draft, model, target, scope, evictable))
+}
+
+/// Returns the replicas of a scope to evict from a target so that `model` fits, the cheapest first;
+/// `None` if it can't fit.
+pub(super) fn victims_in<'a>(
     draft: &Draft,
     model: usize,
     target: usize,
@@ -123,18 +136,6 @@
         && draft.work[model] <= IDLE_WORK
 }
 
-/// Returns the mean utilization of a model's other replicas by its work if the replica on the target
-/// is evicted.
-fn utilization_left(draft: &Draft, held: &model::Id, target: usize) -> f64 {
-    let Some(index) = draft.index(held) else { return 0.0 };
-    draft.remaining_work[index] / others(draft, index, target) as f64
-}
-
-/// Returns the number of a model's other replicas that are certain to stay.
-fn others(draft: &Draft, model: usize, target: usize) -> usize {
-    draft.confirmed[model].iter().filter(|&&other| other != target).count()
-}
-
 /// Why a replica stays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Keep {
@@ -142,7 +143,7 @@
     Last,
     /// The other replicas of its model can't take its work.
     Needed,
-    /// It was loaded a moment ago.
+    /// The replica is too new.
     New,
 }
 
@@ -150,15 +151,18 @@
 /// an idle model gives way to a model that is asked for and has none.
 pub(super) fn keep(draft: &Draft, held: &model::Id, target: usize) -> Option<Keep> {
     let index = draft.index(held)?;
+    let others = draft.confirmed[index].iter().filter(|&&other| other != target).count();
     let is_settled = draft.targets[target]
         .view
         .held_since
         .get(held)
         .is_none_or(|&since| since.is_zero() || since + MIN_REPLICA_AGE <= draft.now);
     match () {
-        () if others(draft, index, target) == 0 => Some(Keep::Last),
+        () if others == 0 => Some(Keep::Last),
         () if !is_settled => Some(Keep::New),
-        () if SPARE_UTILIZATION < utilization_left(draft, held, target) => Some(Keep::Needed),
+        () if MAX_UTILIZATION_LEFT * (others as f64) < draft.remaining_work[index] => {
+            Some(Keep::Needed)
+        }
         () => None,
     }
 }
--- a/crates/policy/src/place/gain.rs
+++ b/crates/policy/src/place/gain.rs
@@ -105,9 +105,7 @@
         let source = at.view.source(name);
         let evictable = eviction::evictable(draft, target);
         draft.replicas[model].retain(|&other| other != target);
-        let mut scopes = Scope::of(draft, model).iter();
-        let victims =
-            scopes.find_map(|scope| eviction::victims(draft, model, target, *scope, &evictable));
+        let victims = eviction::victims(draft, model, target, &evictable);
         let victims: Option<Vec<model::Id>> =
             victims.map(|all| all.into_iter().map(|victim| victim.model.clone()).collect());
         let allowed = store.allows(at.id, source, Urgency::Urgent);
@@ -202,7 +200,7 @@
     });
     let shortlist = |scope: Scope| -> Vec<(usize, Vec<&'a Evictable>)> {
         let fits = |&(.., target): &(bool, bool, usize)| {
-            let victims = eviction::victims(draft, model, target, scope, &evictable[target]);
+            let victims = eviction::victims_in(draft, model, target, scope, &evictable[target]);
             Some((target, victims?))
         };
         targets.iter().filter_map(fits).take(MAX_TARGETS).collect()
--- a/crates/policy/src/place/unplaced.rs
+++ b/crates/policy/src/place/unplaced.rs
@@ -8,7 +8,7 @@
 use super::{
     Operation,
     draft::{Draft, Target},
-    eviction::{self, Scope},
+    eviction,
     store::{Allowance, Urgency},
 };
 
@@ -112,10 +112,9 @@
     if targets.is_empty() {
         return Obstacle::Busy;
     }
-    let widest = *Scope::of(draft, model).last().expect("a model has a scope");
     let can_make_room = |target| {
         let evictable = eviction::evictable(draft, target);
-        eviction::victims(draft, model, target, widest, &evictable).is_some()
+        eviction::victims(draft, model, target, &evictable).is_some()
     };
     targets.retain(|&target| can_make_room(target));
     if targets.is_empty() {
