Derive customers' weights in one place

Cause: the weight of a request was set by the relay from the declared customer, and replaced by the dispatcher on arrival; for each request without a customer the dispatcher searched all weights for the smallest.

Change: `share::Weights` is computed with the declaration and knows the smallest weight; the dispatcher asks it, and the relay sets none.

Conclusion: behaviour as before.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -145,8 +145,7 @@
     /// Customers' work on other hosts, and when it was last updated.
     peer_customers: BTreeMap<customer::Id, (share::Cost, share::Cost)>,
     peer_customers_at: Moment,
-    /// Weights of the declared customers.
-    customer_weights: BTreeMap<customer::Id, u32>,
+    weights: share::Weights,
     /// Customers that have more in flight than their share.
     above_share: Vec<share::Group>,
     /// Verdicts on displaced requests that the next pump returns.
@@ -179,7 +178,7 @@
             peer_deferrable_at: None,
             peer_customers: BTreeMap::new(),
             peer_customers_at: Duration::ZERO,
-            customer_weights: BTreeMap::new(),
+            weights: share::Weights::default(),
             above_share: Vec::new(),
             displaced: Vec::new(),
             ticked_at: Duration::ZERO,
@@ -196,8 +195,7 @@
         }
         self.version = Some(declaration.version);
         self.routes = Routes::new(&declaration.routes);
-        self.customer_weights =
-            share::weights(declaration.customers.as_deref().unwrap_or_default());
+        self.weights = share::Weights::new(declaration.customers.as_deref().unwrap_or_default());
         for service in &declaration.services {
             self.registry.service(&service.name);
         }
--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -55,7 +55,7 @@
 impl Dispatcher {
     /// Decides whether a request that has arrived is sent to a server, queued or refused.
     pub fn arrive(&mut self, mut spec: RequestSpec, now: Moment) -> Verdict {
-        spec.weight = self.weight(spec.customer.as_ref()).unwrap_or(spec.weight);
+        spec.weight = self.weights.of(&spec.customer).unwrap_or(spec.weight);
         let service = self.registry.service(&spec.service);
         let model = spec.model.as_ref().map(|model| self.registry.model(service, model));
         self.registry.services[service as usize].budget.request(now);
--- a/crates/policy/src/dispatch/displace.rs
+++ b/crates/policy/src/dispatch/displace.rs
@@ -97,14 +97,6 @@
         }
     }
 
-    /// Weight of a declared customer; for requests without one, that of the smallest customer.
-    pub(super) fn weight(&self, customer: Option<&customer::Id>) -> Option<u32> {
-        match customer {
-            Some(customer) => self.customer_weights.get(customer).copied(),
-            None => self.customer_weights.values().min().copied(),
-        }
-    }
-
     /// Refuses a waiting request of the customer that is most above its share, to make room for an
     /// arrival of a customer below its share; false if there is none.
     pub(super) fn displace(&mut self, arrival: &Task, now: Moment) -> bool {
@@ -159,9 +151,9 @@
         }
         if now < self.peer_customers_at + LOAD_MAX_AGE {
             for (customer, work) in &self.peer_customers {
-                let weight = f64::from(self.weight(Some(customer)).unwrap_or(1));
-                let use_of = by_group.entry(Some(customer.clone()));
-                use_of.or_insert((0.0, weight)).0 += sum(work) as f64;
+                let group = Some(customer.clone());
+                let weight = f64::from(self.weights.of(&group).unwrap_or(1));
+                by_group.entry(group).or_insert((0.0, weight)).0 += sum(work) as f64;
             }
         }
         let (cost, weight) = by_group
--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -36,7 +36,8 @@
     pub output: u32,
     /// The customer for whose caller the request runs; requests without one share as one customer.
     pub customer: Option<customer::Id>,
-    /// Weight of the customer relative to others; positive.
+    /// Weight of the customer relative to others; positive. The weight of a declared customer replaces
+    /// it on arrival.
     pub weight: u32,
     /// Priority from the route; 0 is served first, [`LEAST_URGENT`] last.
     pub priority: u8,
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -19,7 +19,8 @@
 /// Number of groups beyond which those without an advance are forgotten.
 const MAX_GROUPS: usize = 256;
 
-/// Weight of a customer with the smallest quota; quotas are told apart by a fraction of it.
+/// Weight of the customer with the smallest quota. Weights are whole numbers; the larger this one is,
+/// the less they are rounded.
 const SMALLEST_QUOTA_WEIGHT: f64 = 16.0;
 
 /// Requests that take turns with those of other groups; requests without a customer are one group.
@@ -79,21 +80,43 @@
     }
 }
 
-/// Returns the customers' weights: the declared weight times the quota, so that customers that use
-/// equal parts of their quotas have equal parts of their shares, whatever their sizes. If a customer
-/// has no quota, or quotas count different units, the declared weights alone.
-#[must_use]
-pub fn weights(customers: &[Customer]) -> BTreeMap<customer::Id, u32> {
-    let rates: Option<Vec<f64>> = customers.iter().map(rate).collect();
-    let is_one_unit =
-        customers.windows(2).all(|two| counts_tokens(&two[0]) == counts_tokens(&two[1]));
-    let rates = rates.filter(|_| is_one_unit).unwrap_or_else(|| vec![1.0; customers.len()]);
-    let smallest = rates.iter().copied().fold(f64::INFINITY, f64::min);
-    let weight = |(customer, rate): (&Customer, f64)| {
-        let weight = f64::from(customer.weight) * rate / smallest * SMALLEST_QUOTA_WEIGHT;
-        (customer.name.clone(), (weight as u32).max(1))
-    };
-    customers.iter().zip(rates).map(weight).collect()
+/// Weights of declared customers.
+///
+/// A weight is the declared one times the customer's quota, so that customers that use equal parts
+/// of their quotas have equal parts of their shares, whatever their sizes. If a customer has no
+/// quota, or quotas count different units, it is the declared one alone.
+#[derive(Clone, Debug, Default)]
+pub struct Weights {
+    by_customer: BTreeMap<customer::Id, u32>,
+    smallest: Option<u32>,
+}
+
+impl Weights {
+    /// Computes the weights of the customers of a declaration.
+    #[must_use]
+    pub fn new(customers: &[Customer]) -> Weights {
+        let rates: Option<Vec<f64>> = customers.iter().map(rate).collect();
+        let is_one_unit =
+            customers.windows(2).all(|two| counts_tokens(&two[0]) == counts_tokens(&two[1]));
+        let rates = rates.filter(|_| is_one_unit).unwrap_or_else(|| vec![1.0; customers.len()]);
+        let smallest = rates.iter().copied().fold(f64::INFINITY, f64::min);
+        let weight = |(customer, rate): (&Customer, f64)| {
+            let weight = f64::from(customer.weight) * rate / smallest * SMALLEST_QUOTA_WEIGHT;
+            (customer.name.clone(), (weight as u32).max(1))
+        };
+        let by_customer: BTreeMap<_, _> = customers.iter().zip(rates).map(weight).collect();
+        Weights { smallest: by_customer.values().min().copied(), by_customer }
+    }
+
+    /// Weight of a group; `None` if its customer is not declared. Requests without a customer have
+    /// the weight of the smallest one.
+    #[must_use]
+    pub fn of(&self, group: &Group) -> Option<u32> {
+        match group {
+            Some(customer) => self.by_customer.get(customer).copied(),
+            None => self.smallest,
+        }
+    }
 }
 
 fn rate(customer: &Customer) -> Option<f64> {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -304,7 +304,6 @@
         }
         if let Some(customer) = self.caller.current().customer() {
             spec.customer = Some(customer.name.clone());
-            spec.weight = customer.weight;
         }
         spec.fingerprint = self.fingerprint;
         spec.model = info.model.clone();
