--- a/review/rig/src/bin/poison.rs
+++ b/review/rig/src/bin/poison.rs
@@ -127,6 +127,13 @@
         }
         sleep(Duration::from_millis(4)).await;
     }
+    // What becomes of a sound request for the same path.
+    for host in &site.hosts {
+        let spec = RequestSpec::to(HOST, "/pages/guest?room=99").deadline(Some(CONTACT));
+        let answer = host.caller().fetch(&spec).await;
+        let status = answer.map(|answer| answer.status.as_u16());
+        record.line(format!("{}: a request for another room is answered {status:?}", host.name));
+    }
     let mut broken = Vec::new();
     let all = crashes(&site);
     record.line(format!("{sent} attempts of the request; it began to run {} times", all.len()));
