--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,7 +5,7 @@
 cd "$here/../.."
 folder="$(mktemp -d)"
 trap 'rm -rf "$folder"' EXIT
-FOLDER="$folder" RECORD="$here/record.txt" timeout -k 2 118 target/review/release/versions
+FOLDER="$folder" RECORD="$here/record.txt" timeout -k 2 118 target/review/release/yields
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
