Know a request that crashes servers by its query, method and caller too

Cause: the fingerprint left out query, method and caller. A whole answer to any other request with the path voided the crashes, and assumed for 10 to 20 s that the request crashes nothing.

Ruled out: the address that was called, which once split one request into a count a zone; it has no part, nor have the id and the deadline, which change with each attempt. A caller's other headers neither: a host can't tell which of them servers depend on, and some change with each attempt.

Change: the digest is of host, method, path with query, caller and body, each with its length, by a keyed hash that is the same in every build (the former one was the standard library's, whose algorithm may change). The caller is the declared customer, by name, since its keys may change; or the key where no customers are declared and servers see it.

A body was told apart before.

Of 100,000 requests in a minute that differ in their queries, 3,840 cut off: the suspect among them is kept, and no more than 1,024 subjects are.

--- a/crates/policy/src/dispatch/poison.rs
+++ b/crates/policy/src/dispatch/poison.rs
@@ -25,6 +25,7 @@
 
 mod blame;
 mod crash;
+pub mod fingerprint;
 mod recent;
 mod record;
 mod sharing;
@@ -36,6 +37,7 @@
 
 pub use self::{
     crash::{Crash, CrashState, Isolation},
+    fingerprint::Fingerprint,
     sharing::SETTLE_TIME,
     subject::Subject,
 };
@@ -45,9 +47,6 @@
 };
 use super::{Map, request::Ticket};
 
-/// Identifies a request: a digest of its path and body, which are what a server sees.
-pub type Fingerprint = u64;
-
 /// Number of crashes from which on a subject is a suspect.
 pub const SUSPECT: usize = 2;
 
@@ -71,7 +70,7 @@
 const NOTICE_TIME: Duration = Duration::from_millis(100);
 
 /// Most subjects remembered; those with the fewest crashes are evicted first.
-const MAX_SUBJECTS: usize = 1024;
+pub const MAX_SUBJECTS: usize = 1024;
 
 /// Length of a generation of completed requests. A completed request is assumed to crash no server
 /// for at most two generations.
@@ -173,6 +172,11 @@
         }
     }
 
+    /// Number of subjects with known crashes, void ones included.
+    pub fn subjects(&self) -> usize {
+        self.entries.len()
+    }
+
     /// How requests for a subject are to be treated.
     pub fn standing(&self, subject: impl Into<Subject>) -> Standing {
         let subject = subject.into();
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod choice;
 mod crowd;
+mod fingerprint;
 mod fixture;
 mod limits;
 mod loans;
--- a/crates/policy/tests/dispatch/poison.rs
+++ b/crates/policy/tests/dispatch/poison.rs
@@ -4,7 +4,8 @@
     dispatch::{
         Answer, Change, End, Poison, RequestSpec, RetryDecision, Unclear, Verdict,
         poison::{
-            self, Crash, Fingerprint, Isolation, LIFE, POISON, SETTLE_TIME, SUSPICION, Standing,
+            self, Crash, Fingerprint, Isolation, LIFE, MAX_SUBJECTS, POISON, SETTLE_TIME,
+            SUSPICION, Standing,
         },
     },
     paths::Path,
@@ -209,6 +210,29 @@
     assert!(poisons.iter().all(|poison| poison.standing(7) == Standing::Poison));
 }
 
+/// Many sound requests that differ in their queries, of which a server crash a second cuts some off.
+#[rstest]
+fn many_requests_push_out_no_suspect() {
+    let (suspect, per_second, cut_off) = (7, 1_667, 64);
+    let mut poison = poison();
+    crash(&mut poison, suspect, &["x1", "x2"]);
+    for second in 0..60 {
+        let (now, server) = (Duration::from_secs(second), format!("s{second}"));
+        for number in 0..per_second {
+            let request = 1_000 + second * per_second + number;
+            match number < cut_off {
+                true => poison.crashed(request, &server.as_str().into(), now, now),
+                false => poison.completed(request, now),
+            }
+        }
+        poison.expire(now);
+        assert!(poison.subjects() <= MAX_SUBJECTS, "{} subjects", poison.subjects());
+    }
+    assert_eq!(poison.standing(suspect), Standing::Suspect);
+    poison.crashed(suspect, &"x3".into(), at(60_000), at(60_000));
+    assert_eq!(poison.standing(suspect), Standing::Poison);
+}
+
 #[rstest]
 fn crashes_are_as_old_everywhere_and_end_everywhere() {
     let mut poisons = hosts::<2>();
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use policy::customer;
+use policy::{customer, dispatch::poison::fingerprint};
 use tokio::time::sleep;
 use tokio_util::task::AbortOnDropHandle;
 use types::{customer::KeyDigest, routed::Route};
@@ -57,6 +57,21 @@
         self.lock().clone()
     }
 
+    /// Returns what servers can tell this caller from others by, given the caller as it was identified
+    /// last.
+    pub(crate) fn named<'a>(&self, current: &'a customer::Caller) -> fingerprint::Caller<'a> {
+        match (current, self.key) {
+            (customer::Caller::Customer(customer), _) => {
+                fingerprint::Caller::Customer(&customer.name)
+            }
+            // The key is passed on to servers.
+            (customer::Caller::Unmanaged, Some(key)) => fingerprint::Caller::Key(key),
+            (customer::Caller::Unmanaged, None) | (customer::Caller::Anonymous, _) => {
+                fingerprint::Caller::Unnamed
+            }
+        }
+    }
+
     /// Identifies the caller by the customers in force; `None` if its key has been removed.
     fn renew(&self, shared: &Shared, route: &Route) -> Option<customer::Caller> {
         let customers = shared.customers();
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -8,13 +8,16 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, Response, header, response};
+use http::{HeaderValue, Method, Request, Response, header, request::Parts, response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use observe::metrics::routed::Refusal;
 use policy::{
     attempt_timeout,
-    dispatch::{self, Ticket, Unclear},
+    dispatch::{
+        self, Ticket, Unclear,
+        poison::fingerprint::{Content, Fingerprint},
+    },
 };
 use tokio::{select, time::timeout};
 use types::{
@@ -93,7 +96,7 @@
     let found = find_route(shared, &declaration, &info, body).await;
     let Destination { route, service, caller, body } =
         found.map_err(|problem| fail(shared, &trace, problem))?;
-    let fingerprint = hash(&(&info.host, &info.path, &body));
+    let fingerprint = fingerprint(&head, &info, &caller, &body);
     let buffered = BufferedRequest {
         info,
         ticket: shared.next_ticket(),
@@ -109,6 +112,14 @@
     Ok(call)
 }
 
+/// Returns the digest by which the request is known at every host.
+fn fingerprint(head: &Parts, info: &RequestInfo, caller: &Caller, body: &Bytes) -> Fingerprint {
+    let current = caller.current();
+    let target = head.uri.path_and_query().map_or(&*info.path, |target| target.as_str());
+    let caller = caller.named(&current);
+    Content { host: &info.host, method: head.method.as_str(), target, caller, body }.fingerprint()
+}
+
 /// Where a request goes, and on whose behalf.
 struct Destination {
     route: Route,
--- a/crates/stage/tests/routed/poison.rs
+++ b/crates/stage/tests/routed/poison.rs
@@ -8,11 +8,14 @@
     caller::RequestSpec,
     links::Delivery,
     server::{Ending, Server, Settings},
-    site::Site,
+    site::{Customer, Site},
 };
 use tokio::time::{sleep, timeout};
 
-use crate::site::{HOST, backend, declaration, new_site, page, status_of};
+use crate::{
+    organisations::{HARBOUR, HARBOUR_KEY, MILL, MILL_KEY},
+    site::{HOST, backend, declaration, new_site, page, status_of},
+};
 
 const HOSTS: usize = 4;
 
@@ -49,6 +52,11 @@
 }
 
 async fn site() -> Site {
+    site_with(&[]).await
+}
+
+/// Starts a site with these organisations; with none, its callers need no key.
+async fn site_with(customers: &[Customer]) -> Site {
     let mut backend = backend().await;
     for number in 3..SERVERS {
         backend
@@ -57,7 +65,10 @@
             .expect("the server starts");
     }
     backend.script(|script| script.poison = Some("poison"));
-    backend.declare(&declaration());
+    match customers {
+        [] => backend.declare(&declaration()),
+        customers => backend.declare_with(&declaration(), customers),
+    }
     let mut site = new_site(backend, Site::relay_links);
     for _ in 0..HOSTS {
         site.add(|_| {}).await.expect("the host starts");
@@ -171,3 +182,62 @@
     let mut site = site().await;
     crash_until_refused(&mut site, Source::AddressPerHost).await;
 }
+
+/// The page of a room; that of the room `poison` crashes servers.
+fn room(name: &str) -> RequestSpec {
+    RequestSpec::to(HOST, &format!("/pages/guest?room={name}")).deadline(Some(TIMEOUT))
+}
+
+/// Sound requests with the path of a crashing one clear nothing but themselves.
+#[tokio::test]
+async fn a_request_that_crashes_servers_is_refused_beside_sound_ones_with_its_path() {
+    let mut site = site().await;
+    for host in &site.hosts {
+        let mut caller = host.caller();
+        tokio::spawn(async move {
+            for number in 0.. {
+                let _ = timeout(TIMEOUT, caller.fetch(&room(&number.to_string()))).await;
+                sleep(Duration::from_millis(20)).await;
+            }
+        });
+    }
+    for index in (0..HOSTS).cycle().take(3 * HOSTS) {
+        let _ = timeout(TIMEOUT, site.hosts[index].caller().fetch(&room("poison"))).await;
+        deregister_crashed(&mut site);
+        sleep(Duration::from_millis(150)).await;
+    }
+    assert_eq!(crashed(&site), MAX_CRASHES, "number of servers crashed");
+}
+
+fn order(body: &'static str) -> RequestSpec {
+    RequestSpec::to(HOST, "/pages/order?kind=poison").with_body(Method::POST, body)
+}
+
+/// Once a request is refused, the requests that share all but one of its properties still run.
+#[rstest]
+#[case::query(|_: &RequestSpec| {
+    RequestSpec::to(HOST, "/pages/order?kind=other").with_body(Method::POST, "one").key(HARBOUR_KEY)
+})]
+#[case::method(|_: &RequestSpec| order("one").with_body(Method::PUT, "one").key(HARBOUR_KEY))]
+#[case::body(|_: &RequestSpec| order("two").key(HARBOUR_KEY))]
+#[case::caller(|refused: &RequestSpec| refused.clone().with_key(MILL_KEY))]
+#[tokio::test]
+async fn a_request_that_differs_from_a_refused_one_runs(
+    #[case] change: fn(&RequestSpec) -> RequestSpec,
+) {
+    let customers = [Customer::new(HARBOUR, &[HARBOUR_KEY]), Customer::new(MILL, &[MILL_KEY])];
+    let mut site = site_with(&customers).await;
+    let refused = order("one").key(HARBOUR_KEY).deadline(Some(TIMEOUT));
+    for index in (0..HOSTS).cycle().take(2 * HOSTS) {
+        let _ = timeout(TIMEOUT, site.hosts[index].caller().fetch(&refused.with_new_id())).await;
+        deregister_crashed(&mut site);
+        sleep(Duration::from_millis(150)).await;
+    }
+    assert_eq!(crashed(&site), MAX_CRASHES, "number of servers crashed");
+    site.backend.script(|script| script.poison = None);
+    for host in &site.hosts {
+        assert_eq!(status_of(host, &refused.with_new_id()).await, Some(StatusCode::BAD_GATEWAY));
+        let other = change(&refused).with_new_id();
+        assert_eq!(status_of(host, &other).await, Some(StatusCode::OK), "{}", host.name);
+    }
+}
--- a/crates/standin/src/routed/server/script.rs
+++ b/crates/standin/src/routed/server/script.rs
@@ -25,7 +25,7 @@
     pub default_fault: Option<Fault>,
     /// Faults of the next orders, one per order.
     pub order_faults: VecDeque<OrderFault>,
-    /// A request whose body contains this text crashes the server.
+    /// A request whose path, query or body contains this text crashes the server.
     pub poison: Option<&'static str>,
     /// A request crashes the server that begins to answer it if this is the id of a part of its prompt
     /// other than the last.
--- a/crates/standin/src/routed/server/work.rs
+++ b/crates/standin/src/routed/server/work.rs
@@ -107,7 +107,7 @@
         let run = &runs[self.run];
         let body = String::from_utf8_lossy(&run.body);
         let shared_parts = run.request.prompt.split_last().map_or(&[][..], |(_, shared)| shared);
-        script.poison.is_some_and(|poison| body.contains(poison))
+        script.poison.is_some_and(|poison| body.contains(poison) || run.path.contains(poison))
             || script
                 .poison_part
                 .is_some_and(|poison| shared_parts.iter().any(|part| part.id == poison))
