List the versions at which streams may have begun in the store

Cause: which version began a stream is known to hosts' memory alone, and a host that has just started can conclude nothing from its list of servers: the list may be older than a server at which the stream began.

Ruled out: the entries of servers alone. They are gone with their servers, and one that was away while the store was down comes back younger.

Change: the store has a list of the versions of each service. Resumable streams begin at listed versions only, so a list that is read after the request arrived, and names one version, proves that it began the stream. It is read only if this host has started or a peer was lost within the life of a record, once for all requests that wait. Where no server of a service has a listed version, streams begin anywhere: none could go on at a listed one then.

--- a/crates/policy/examples/stream_traffic.rs
+++ b/crates/policy/examples/stream_traffic.rs
@@ -55,10 +55,11 @@
         let members = snapshot.hosts.iter().map(|peer| &peer.member);
         let peer = |member: &policy::fleet::Member| Peer {
             id: member.id.clone(),
+            incarnation: member.incarnation,
             zone: member.zone.clone(),
             is_live: true,
         };
-        streams.entry(*host).or_default().set_peers(members.map(peer).collect());
+        streams.entry(*host).or_default().set_peers(members.map(peer).collect(), net.now);
     }
     let datagrams = |net: &Net| net.hosts.values().map(|h| h.fleet.counts().sent).sum::<u64>();
     let (bytes, sent): (u64, u64) = (sent_bytes(net).iter().sum(), datagrams(net));
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -43,7 +43,7 @@
 pub mod speed;
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     hash::{BuildHasherDefault, DefaultHasher},
     net::SocketAddr,
 };
@@ -82,6 +82,7 @@
     },
     share,
     slots::{MAX_UNCONTENDED_HOSTS, Slots, Want},
+    streams::SoftwareId,
 };
 
 /// A map with a fixed hasher seed. Its iteration order never affects a decision.
@@ -261,6 +262,13 @@
         }
     }
 
+    /// Sets the versions of a service at which streams that may be resumed may begin. While no server
+    /// of the service that takes requests has any of them, streams begin at all.
+    pub fn set_listed(&mut self, service: &service::Id, listed: BTreeSet<SoftwareId>) {
+        let service = self.registry.service(service);
+        self.registry.set_listed(service, listed);
+    }
+
     /// Whether a server is known and not draining.
     pub fn is_ready(&self, id: &backend::Id) -> bool {
         let server = self.registry.index(id).and_then(|index| self.registry.get(index));
--- a/crates/policy/src/dispatch/choose.rs
+++ b/crates/policy/src/dispatch/choose.rs
@@ -155,12 +155,15 @@
     }
 
     /// Whether a server could run the request, regardless of its state, breaker and load. A stream
-    /// that has begun is run by servers of the version that began it only.
+    /// that has begun is run by servers of the version that began it only, and one that may be resumed
+    /// begins at a listed version.
     pub(super) fn is_capable(&self, task: &Task, server: &Server) -> bool {
         let adapter = task.spec.adapter.as_ref();
         let is_loaded = task.model.is_none_or(|model| server.models.is_loaded(model, adapter));
         let is_same_software = task.spec.software.is_none_or(|began| server.software == began);
-        is_loaded && is_same_software && !task.spec.avoid.contains(&server.id)
+        let may_begin =
+            server.may_begin || task.spec.software.is_some() || !task.spec.is_resumable_stream();
+        is_loaded && is_same_software && may_begin && !task.spec.avoid.contains(&server.id)
     }
 
     /// Whether the request's stream can't go on, since it must avoid all servers of the version that
--- a/crates/policy/src/dispatch/registry.rs
+++ b/crates/policy/src/dispatch/registry.rs
@@ -4,7 +4,7 @@
 //! over vectors. The index of a removed server is reused, so whatever outlives a call and refers to
 //! a server by index also stores its id.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use types::{prelude::*, routed};
 
@@ -22,7 +22,7 @@
     speed::Spread,
     stats::Stats,
 };
-use crate::route::Index;
+use crate::{route::Index, streams::SoftwareId};
 
 /// Requests that a host has at a server: the server, the model, the number of requests, and the
 /// prompt tokens to prefill.
@@ -48,6 +48,8 @@
     pub goal: Option<Duration>,
     /// What its servers state about rejections.
     pub tolerance: Tolerance,
+    /// Versions at which streams that may be resumed may begin; `None` if unknown.
+    listed: Option<BTreeSet<SoftwareId>>,
 }
 
 /// A model of a service.
@@ -154,6 +156,7 @@
             urgency: Urgency::default(),
             goal: None,
             tolerance: Tolerance::default(),
+            listed: None,
         });
         self.service_ids.insert(id.clone(), index);
         index
@@ -194,6 +197,7 @@
             None => self.add(registration, service, now),
         };
         self.apply_models(index, &registration.models, registration.sequence, now);
+        self.update_listed(index);
         index
     }
 
@@ -202,6 +206,7 @@
         let Some(server) = self.get_mut(index) else { return };
         server.state = routed::State::Draining;
         self.remove_from_lists(index);
+        self.update_listed(index);
     }
 
     /// Lists a server again as one that takes new requests.
@@ -209,10 +214,27 @@
         let Some(server) = self.get_mut(index) else { return };
         server.state = routed::State::Ready;
         self.add_to_lists(index);
+        self.update_listed(index);
+    }
+
+    /// Sets the versions of a service at which streams that may be resumed may begin.
+    pub fn set_listed(&mut self, service: Index, listed: BTreeSet<SoftwareId>) {
+        let service = &mut self.services[service as usize];
+        if service.listed.as_ref() != Some(&listed) {
+            service.listed = Some(listed);
+            update_listed(service, &mut self.servers);
+        }
+    }
+
+    /// Updates at which servers streams may begin, after a change of a server.
+    fn update_listed(&mut self, server: Index) {
+        let Some(service) = self.get(server).map(|server| server.service) else { return };
+        update_listed(&mut self.services[service as usize], &mut self.servers);
     }
 
     pub fn remove(&mut self, index: Index) {
         self.remove_from_lists(index);
+        self.update_listed(index);
         for peer in self.peers.values_mut() {
             peer.work.retain(|(server, ..)| *server != index);
         }
@@ -422,6 +444,20 @@
     }
 }
 
+/// Updates at which servers of a service streams that may be resumed may begin.
+fn update_listed(service: &Service, servers: &mut [Option<Server>]) {
+    let Some(listed) = &service.listed else { return };
+    let is_listed = |at: &Index| {
+        let server = servers[*at as usize].as_ref();
+        server.is_some_and(|server| listed.contains(&server.software))
+    };
+    let is_any_listed = service.list.all().iter().any(is_listed);
+    for at in service.list.all() {
+        let Some(server) = servers[*at as usize].as_mut() else { continue };
+        server.may_begin = !is_any_listed || listed.contains(&server.software);
+    }
+}
+
 /// Recomputes the long-term factors of a service's servers.
 fn update_speeds(service: &mut Service, servers: &mut [Option<Server>]) {
     let known = || service.list.all().iter().filter_map(|at| servers[*at as usize].as_ref());
--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -109,6 +109,11 @@
         std::iter::once(Subject::Request(self.fingerprint)).chain(parts)
     }
 
+    /// Whether the request is a stream that another server may resume.
+    pub fn is_resumable_stream(&self) -> bool {
+        self.kind == Kind::Stream && self.resumable
+    }
+
     /// Whether more than one server may run the request.
     pub fn is_repeatable(&self) -> bool {
         match self.kind {
--- a/crates/policy/src/dispatch/server.rs
+++ b/crates/policy/src/dispatch/server.rs
@@ -35,6 +35,8 @@
     pub service: Index,
     /// Version of the server's software.
     pub software: SoftwareId,
+    /// Whether streams that may be resumed may begin there.
+    pub may_begin: bool,
     pub address: SocketAddr,
     pub locality: Locality,
     /// Number of requests that the server runs at the same time.
@@ -85,6 +87,7 @@
             id: registration.id.clone(),
             service,
             software: software(registration),
+            may_begin: true,
             address: registration.address,
             locality,
             slots: registration.slots.max(1),
--- a/crates/policy/src/streams.rs
+++ b/crates/policy/src/streams.rs
@@ -5,8 +5,9 @@
 //! request that brought the stream's first event. So a host that passes the first event of a stream
 //! on keeps a [record](records::Records) of the stream's version, and sends it to a few other hosts,
 //! drawn by rendezvous hashing from the stream's id. A host that lacks the record of a stream asks
-//! the hosts that it would have drawn. If none of them has it, the version is unknown, and the stream
-//! can't go on here.
+//! the hosts that it would have drawn. If none of them has it, and hosts that had it may be lost, the
+//! list of [versions](versions::Versions) may still prove which one it was. Otherwise the version is
+//! unknown, and the stream can't go on here.
 //!
 //! [`Streams`] does no I/O: it takes messages and the current time, and returns messages to send.
 //! Messages may be lost, late or duplicated.
@@ -14,6 +15,7 @@
 mod draw;
 mod query;
 pub mod records;
+pub mod versions;
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -109,6 +111,9 @@
 #[derive(Clone, Debug)]
 pub struct Streams {
     peers: Vec<Peer>,
+    /// When a host with records was last lost; the start of this host counts, as it may have replaced
+    /// another.
+    lost_at: Moment,
     records: Records,
     queries: BTreeMap<StreamId, Query>,
     began: BTreeMap<host::Id, Vec<Began>>,
@@ -119,6 +124,7 @@
     fn default() -> Streams {
         Streams {
             peers: Vec::new(),
+            lost_at: Moment::ZERO,
             records: Records::new(MAX_RECORDS, RECORD_LIFE),
             queries: BTreeMap::new(),
             began: BTreeMap::new(),
@@ -129,10 +135,25 @@
 
 impl Streams {
     /// Sets the other hosts from which packets arrive.
-    pub fn set_peers(&mut self, peers: Vec<Peer>) {
+    pub fn set_peers(&mut self, peers: Vec<Peer>, now: Moment) {
+        let is_there = |before: &Peer| {
+            peers
+                .iter()
+                .any(|peer| (&peer.id, peer.incarnation) == (&before.id, before.incarnation))
+        };
+        if !self.peers.iter().all(is_there) {
+            self.lost_at = now;
+        }
         self.peers = peers;
     }
 
+    /// Returns whether hosts that had the record of a stream may have been lost since the stream was
+    /// last in use.
+    #[must_use]
+    pub fn may_have_lost_records(&self, now: Moment) -> bool {
+        now < self.lost_at + RECORD_LIFE
+    }
+
     /// Records that the first event of a stream was passed on, or that the stream is still running,
     /// and sends the record to other hosts.
     pub fn announce(&mut self, stream: StreamId, software: SoftwareId, now: Moment) {
--- a/crates/policy/src/streams/draw.rs
+++ b/crates/policy/src/streams/draw.rs
@@ -12,6 +12,8 @@
 pub struct Peer {
     /// The host.
     pub id: host::Id,
+    /// Incarnation of its process.
+    pub incarnation: host::Incarnation,
     /// Its availability zone.
     pub zone: availability::Id,
     /// Whether the host is not about to stop.
--- a/crates/policy/tests/dispatch/software.rs
+++ b/crates/policy/tests/dispatch/software.rs
@@ -144,3 +144,51 @@
     };
     assert_eq!(cause, Cause::Software);
 }
+
+/// The servers that streams and pages get, sent one after the other.
+fn servers_of(host: &mut Dispatcher, kind: Kind) -> Vec<backend::Id> {
+    let spec = |ticket| RequestSpec { kind, ..stream(ticket) };
+    let mut servers: Vec<_> =
+        (100..102).map(|ticket| sent(host.arrive(spec(ticket), at(1)))).collect();
+    servers.sort();
+    servers.dedup();
+    servers
+}
+
+/// A stream that begins at a version which the store doesn't list could not be told from one of
+/// another version, once all records of it are lost.
+#[rstest]
+#[case::streams(Kind::Stream, &["s1"])]
+#[case::others(Kind::Idempotent, &["s1", "s2"])]
+fn streams_begin_at_listed_versions(#[case] kind: Kind, #[case] expected: &[&str]) {
+    let mut host = host(&[("s1", "v1")]);
+    host.set_listed(&service(), [software_id(&service(), "v1")].into());
+    host.server(&versioned("s2", "v2"), at(0));
+    assert_eq!(servers_of(&mut host, kind).iter().map(|id| &**id).collect::<Vec<_>>(), expected);
+}
+
+#[rstest]
+#[case::not_read_yet(None, &["s1", "s2"])]
+#[case::both_listed(Some(&["v1", "v2"][..]), &["s1", "s2"])]
+#[case::none_listed(Some(&["v0"][..]), &["s1", "s2"])]
+fn streams_begin_at_any_version_if_none_is_listed(
+    #[case] listed: Option<&[&str]>,
+    #[case] expected: &[&str],
+) {
+    let mut host = host(&[("s1", "v1"), ("s2", "v2")]);
+    if let Some(listed) = listed {
+        let listed = listed.iter().map(|software| software_id(&service(), software)).collect();
+        host.set_listed(&service(), listed);
+    }
+    let servers = servers_of(&mut host, Kind::Stream);
+    assert_eq!(servers.iter().map(|id| &**id).collect::<Vec<_>>(), expected);
+}
+
+/// The last server of the listed version drains.
+#[rstest]
+fn streams_begin_at_an_unlisted_version_once_no_other_takes_requests() {
+    let mut host = host(&[("s1", "v1"), ("s2", "v2")]);
+    host.set_listed(&service(), [software_id(&service(), "v1")].into());
+    host.draining(&"s1".into());
+    assert_eq!(sent(host.arrive(stream(1), at(1))), "s2".into());
+}
--- a/crates/policy/tests/streams.rs
+++ b/crates/policy/tests/streams.rs
@@ -19,6 +19,7 @@
 fn peers(hosts: std::ops::Range<usize>, zones: usize) -> Vec<Peer> {
     let peer = |n: usize| Peer {
         id: format!("host-{n}").into(),
+        incarnation: 1,
         zone: format!("zone-{}", n % zones).into(),
         is_live: true,
     };
@@ -27,7 +28,7 @@
 
 fn among(hosts: usize) -> Streams {
     let mut streams = Streams::default();
-    streams.set_peers(peers(1..hosts, 3));
+    streams.set_peers(peers(1..hosts, 3), at(0));
     streams
 }
 
@@ -121,7 +122,7 @@
     let mut streams = Streams::default();
     let mut two = peers(1..3, 3);
     two[0].is_live = false;
-    streams.set_peers(two);
+    streams.set_peers(two, at(0));
     streams.announce(1, V1, at(0));
     assert_eq!(receivers(&streams.outgoing()), ["host-2".into()]);
 }
@@ -134,7 +135,7 @@
     assert_eq!(holders.len(), 3);
     let mut streams = Streams::default();
     // The host that asks knows the one where the stream began, too.
-    streams.set_peers(peers(1..8, 3));
+    streams.set_peers(peers(1..8, 3), at(0));
     assert_eq!(streams.look_up(7, at(100)), Lookup::Pending(at(115)));
     let mut asked = receivers(&streams.outgoing());
     asked.sort_unstable();
--- a/crates/policy/tests/streams_net.rs
+++ b/crates/policy/tests/streams_net.rs
@@ -71,10 +71,11 @@
             let others = snapshot.hosts.iter().filter(|peer| peer.liveness != Liveness::Silent);
             let peer = |peer: &policy::fleet::PeerStatus| Peer {
                 id: peer.member.id.clone(),
+                incarnation: peer.member.incarnation,
                 zone: peer.member.zone.clone(),
                 is_live: peer.liveness == Liveness::Live,
             };
-            streams.set_peers(others.map(peer).collect());
+            streams.set_peers(others.map(peer).collect(), self.net.now);
         }
         self.peers_at = self.net.now;
     }
--- a/crates/relay/src/edge.rs
+++ b/crates/relay/src/edge.rs
@@ -264,6 +264,8 @@
     Lease,
     /// A request that is refused because it crashed servers.
     Quarantine,
+    /// The versions of servers at which streams may have begun.
+    Versions,
 }
 
 /// An object in the store.
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -20,11 +20,11 @@
     dispatch::{self, Change, Dispatcher, RetryBudgetConfig, Ticket, Verdict},
     paths::Paths,
     place::{self, Planner},
-    streams::Streams,
+    streams::{Streams, versions::Versions},
     term::{self, OrderLease},
 };
 use settings::process::{Process, RoutedSettings};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Mutex as AsyncMutex, Notify, oneshot};
 use tokio_util::sync::CancellationToken;
 use types::{
     prelude::*,
@@ -34,7 +34,7 @@
 use crate::{
     body::LargeBodies, clock::Clock, control::Control, customers::CustomerQuotas, demand::Demand,
     directory::Directory, edge::Dialect, log_limiter::LogLimiter, peers::Counts, planning,
-    pool::Pool, store::Store,
+    pool::Pool, store::Store, versions::LastRead,
 };
 
 /// Difference between the delays with which hosts attempt to take a lease, so that they don't all
@@ -90,6 +90,9 @@
     paths: Mutex<Paths>,
     dispatcher: Mutex<Dispatcher>,
     streams: Mutex<Streams>,
+    versions: Mutex<Versions>,
+    /// The store's list of versions, as it was read last for a stream without a record.
+    pub(crate) listing_read: AsyncMutex<LastRead>,
     /// Notified when other hosts have sent records of streams.
     pub(crate) streams_received: Notify,
     /// Channels for the next verdicts on requests that wait in the dispatcher or that may be moved
@@ -168,6 +171,8 @@
             paths: Mutex::new(Paths::new(settings.host.id.clone(), settings.host.zone.clone())),
             dispatcher: Mutex::new(dispatcher),
             streams: Mutex::default(),
+            versions: Mutex::new(Versions::new(&settings.host.id, clock.now())),
+            listing_read: AsyncMutex::default(),
             streams_received: Notify::new(),
             waiting: Mutex::default(),
             tickets: AtomicU64::new(0),
@@ -338,6 +343,11 @@
         self.streams.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the list of versions. No other lock may be taken meanwhile.
+    pub(crate) fn versions(&self) -> MutexGuard<'_, Versions> {
+        self.versions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns a number that is unique among this run's requests.
     pub(crate) fn next_ticket(&self) -> Ticket {
         self.tickets.fetch_add(1, Ordering::Relaxed)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -44,6 +44,7 @@
 mod task;
 mod trace;
 mod unplaced;
+mod versions;
 mod watch;
 mod workload;
 
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -21,7 +21,7 @@
     host::Shared,
     lease, paths,
     peers::{self, PeerSource},
-    planning, quarantine, ready, registration, retries, slots, task, watch, workload,
+    planning, quarantine, ready, registration, retries, slots, task, versions, watch, workload,
 };
 
 /// Fraction of a planned stop's grace period after which requests in flight are abandoned.
@@ -133,6 +133,7 @@
     task::spawn(shared, "paths", paths::run);
     task::spawn(shared, "quarantine", quarantine::run);
     task::spawn(shared, "slots", slots::run);
+    task::spawn(shared, "versions", versions::run);
     task::spawn(shared, "sweep", sweep);
     peers::spawn_listener(shared, exchange);
     let spawn = |name, run: fn(Arc<Shared>, Arc<Exchange>) -> BoxFuture<'static, ()>| {
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -186,7 +186,10 @@
         match kind {
             ObjectKind::Declaration => Some(&self.declaration),
             ObjectKind::Server => Some(&self.servers),
-            ObjectKind::Host | ObjectKind::Lease | ObjectKind::Quarantine => None,
+            ObjectKind::Host
+            | ObjectKind::Lease
+            | ObjectKind::Quarantine
+            | ObjectKind::Versions => None,
         }
     }
 
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -15,6 +15,9 @@
 /// version began the stream.
 const RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Prefix of what stands for the software of a run whose registration was not read yet.
+const UNREAD_PREFIX: &str = "unread/";
+
 impl Shared {
     /// Sets the hosts that keep records of streams.
     pub(crate) fn set_stream_peers(&self, snapshot: &Snapshot) {
@@ -23,10 +26,11 @@
         });
         let peer = |status: &exchange::fleet::PeerStatus| Peer {
             id: status.member.id.clone(),
+            incarnation: status.member.incarnation,
             zone: status.member.zone.clone(),
             is_live: status.liveness == Liveness::Live,
         };
-        self.streams().set_peers(others.map(peer).collect());
+        self.streams().set_peers(others.map(peer).collect(), self.now());
     }
 
     /// Applies another host's message about streams.
@@ -96,12 +100,31 @@
                 return Ok(Some(software));
             }
             Lookup::Ambiguous => Refusal::AmbiguousVersion,
-            Lookup::Unknown | Lookup::Pending(_) => Refusal::UnknownVersion,
+            Lookup::Unknown | Lookup::Pending(_) => {
+                if let Some(software) = self.proven_version(shared).await {
+                    return Ok(Some(software));
+                }
+                Refusal::UnknownVersion
+            }
         };
         self.trace.refused(cause, self.time_left(shared), Some(RETRY_AFTER));
         Err(Problem::NotRun(RETRY_AFTER))
     }
 
+    /// Returns the version that began a stream without a record, if the hosts that had the record may
+    /// be lost and the store's list of versions proves it, and records it.
+    async fn proven_version(&self, shared: &Shared) -> Option<SoftwareId> {
+        let stream = self.stream_id()?;
+        if !shared.streams().may_have_lost_records(shared.now()) {
+            return None;
+        }
+        let software = shared.sole_version(&self.service).await?;
+        self.trace.stream_version(shared.software_text(&self.service, software), "store", None);
+        shared.streams().announce(stream, software, shared.now());
+        shared.dispatch_wakeup.notify_one();
+        Some(software)
+    }
+
     /// Returns the id under which the version of the request's stream is recorded; `None` if the
     /// stream can't be taken up again.
     fn stream_id(&self) -> Option<StreamId> {
@@ -152,5 +175,10 @@
 /// Returns what stands for the software of a run whose registration was not read yet: a version that
 /// no other server has.
 pub(crate) fn unread_software(run: &backend::Id) -> Arc<str> {
-    format!("unread/{run}").into()
+    format!("{UNREAD_PREFIX}{run}").into()
+}
+
+/// Returns whether this stands for the software of a run whose registration was not read yet.
+pub(crate) fn is_unread(software: &str) -> bool {
+    software.starts_with(UNREAD_PREFIX)
 }
--- a/crates/stage/tests/routed/resumptions.rs
+++ b/crates/stage/tests/routed/resumptions.rs
@@ -9,14 +9,16 @@
     caller::RequestSpec,
     host::Host,
     links::Delivery,
+    server::Settings,
     site::Site,
+    store::Refusal,
     stream::{Stream, Target, judge},
 };
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::{
-    site::{draft, page},
-    versions::{EVENTS, start},
+    site::{draft, engine, page},
+    versions::{EVENTS, start, start_with},
 };
 
 /// Time within which a resumption that can't be served is rejected.
@@ -157,3 +159,114 @@
     let shares = judge::Shares::of(&streams, |_, _| true);
     assert!(shares.are_fair(), "{shares:?}");
 }
+
+/// How hosts are lost.
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    AllAtOnce,
+    /// Half of them, and the others once these are up again.
+    InHalves,
+    AllButOne,
+}
+
+/// Time in which hosts that have started learn what they need to.
+const CONTACT_TIME: Duration = Duration::from_millis(3_300);
+
+async fn lose(site: &mut Site, loss: Loss) {
+    let hosts = site.hosts.len();
+    let rounds = match loss {
+        Loss::AllAtOnce => vec![0..hosts],
+        Loss::InHalves => vec![0..hosts / 2, hosts / 2..hosts],
+        Loss::AllButOne => vec![1..hosts],
+    };
+    for lost in rounds {
+        lost.clone().for_each(|host| site.hosts[host].kill());
+        sleep(Duration::from_millis(500)).await;
+        for host in lost {
+            site.restart(host).await.expect("the host starts");
+        }
+    }
+    site.wait_until_ready().await;
+    sleep(CONTACT_TIME).await;
+}
+
+/// Takes the streams up, each at the host after the one of its last attempt.
+async fn take_up(site: &Site, streams: &mut [Stream], break_after: Option<u64>) {
+    for stream in streams {
+        let last = stream.attempts.last().expect("an attempt").host;
+        let host = (last + 1) % site.hosts.len();
+        let target = target(site, host, break_after);
+        let attempt = stream.attempt(&draft().with_new_prompt(), target).await;
+        stream.attempts.push(attempt);
+    }
+}
+
+/// No host that had the record of a stream is left.
+#[rstest]
+#[case::all_at_once(Loss::AllAtOnce)]
+#[case::in_halves(Loss::InHalves)]
+#[case::all_but_one(Loss::AllButOne)]
+#[tokio::test]
+async fn streams_of_the_only_version_go_on_after_hosts_were_lost(#[case] loss: Loss) {
+    let mut site = start_with(&["7.1"], 4, |_| {}).await;
+    let mut streams = join_all((0..STREAMS).map(|number| begin(&site, number % 4))).await;
+    lose(&mut site, loss).await;
+    take_up(&site, &mut streams, Some(RECEIVED)).await;
+    take_up(&site, &mut streams, None).await;
+    let breaches: Vec<_> = streams.iter().filter_map(judge::check).collect();
+    assert!(breaches.is_empty(), "{} of {STREAMS}: {breaches:#?}", breaches.len());
+    let is_whole = |stream: &Stream| stream.events().count() as u64 == EVENTS;
+    let whole = streams.iter().filter(|stream| is_whole(stream)).count();
+    assert_eq!(whole, STREAMS, "streams that were received whole");
+}
+
+/// Which of the versions began a stream is unknown, and no stream may be of two.
+#[tokio::test]
+async fn streams_of_several_versions_are_rejected_after_all_hosts_were_lost() {
+    let mut site = start(4, |_| {}).await;
+    let streams = begin_some(&site, 0).await;
+    lose(&mut site, Loss::AllAtOnce).await;
+    for stream in &streams {
+        let request = draft().with_new_prompt().take_up(&stream.attempts[0].id, RECEIVED);
+        assert_rejected(&site, &site.hosts[1], &request).await;
+    }
+}
+
+#[tokio::test]
+async fn streams_without_records_are_rejected_while_the_store_is_away() {
+    let mut site = start_with(&["7.1"], 2, |_| {}).await;
+    let mut streams = join_all((0..STREAMS).map(|_| begin(&site, 0))).await;
+    lose(&mut site, Loss::AllAtOnce).await;
+    site.backend.store.set_faults_everywhere(|faults| faults.refusal = Some(Refusal::Down));
+    for stream in &streams {
+        let request = draft().with_new_prompt().take_up(&stream.attempts[0].id, RECEIVED);
+        assert_rejected(&site, &site.hosts[1], &request).await;
+    }
+    site.backend.store.set_faults_everywhere(|faults| faults.refusal = None);
+    take_up(&site, &mut streams, None).await;
+    let is_whole = |stream: &Stream| stream.events().count() as u64 == EVENTS;
+    assert!(streams.iter().all(is_whole), "{streams:#?}");
+}
+
+/// Streams may begin at a version only once the store lists it; until then, others serve.
+#[tokio::test]
+async fn streams_begin_at_a_new_version_once_it_is_listed() {
+    let mut site = start_with(&["7.1"], 2, |_| {}).await;
+    sleep(Duration::from_secs(2)).await;
+    let engine = engine();
+    let added = Settings {
+        software: "7.2".into(),
+        ..Settings::model("lm-new", "lm", &engine, &["welcome"])
+    };
+    site.backend.add(added).await.expect("the server starts");
+    sleep(Duration::from_secs(3)).await;
+    let streams = join_all((0..4 * STREAMS).map(|number| begin(&site, number % 2))).await;
+    let software = |stream: &Stream| stream.events().next().map(|event| event.software.clone());
+    let new = streams.iter().filter(|stream| software(stream).as_deref() == Some("7.2")).count();
+    assert!(0 < new, "no stream began at the new version");
+    lose(&mut site, Loss::AllAtOnce).await;
+    for stream in &streams {
+        let request = draft().with_new_prompt().take_up(&stream.attempts[0].id, RECEIVED);
+        assert_rejected(&site, &site.hosts[0], &request).await;
+    }
+}
--- a/crates/stage/tests/routed/versions.rs
+++ b/crates/stage/tests/routed/versions.rs
@@ -45,11 +45,16 @@
 
 /// Starts a site with servers of two versions and this many hosts.
 pub async fn start(hosts: usize, prepare: impl FnOnce(&mut Site)) -> Site {
+    start_with(&SOFTWARE, hosts, prepare).await
+}
+
+/// Starts a site with servers of these versions and this many hosts.
+pub async fn start_with(software: &[&str], hosts: usize, prepare: impl FnOnce(&mut Site)) -> Site {
     let model = |index: usize| Settings {
-        software: SOFTWARE[index % SOFTWARE.len()].into(),
+        software: software[index % software.len()].into(),
         ..Settings::model(&format!("lm-{index}"), "lm", &engine(), &["welcome"])
     };
-    let servers = (0..SOFTWARE.len() * SERVERS_PER_VERSION).map(model);
+    let servers = (0..software.len() * SERVERS_PER_VERSION).map(model);
     let backend = Backend::start(servers.collect()).await.expect("the servers start");
     backend.script(|script| {
         (script.events, script.event_interval) = (EVENTS, EVENT_INTERVAL);
