Refuse what can't end within a planned stop, before it is sent

What callers lost (reported by another operator; it could happen here): requests that came late in the grace period of a planned stop were passed on and cut at its end, among them some that may not be repeated.

Cause: the host accepts for 2.5 s whatever the grace period is, and looks at no request's time.

Change: the time for the load balancer is at most a third of the grace period. A request whose server would need, by twice the usual time, longer than is left is refused as not run, when it arrives and when it gets a server after a wait.

Ruled out: refusing all whose deadline lies after the stop. Deadlines are 10 s and more, so that would refuse most of what ends in time.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -59,6 +59,7 @@
     loans::Borrowing,
     registry::Registry,
     sharers::Sharers,
+    stats::duration,
     task::{State, Task},
 };
 pub use self::{
@@ -85,6 +86,9 @@
     streams::SoftwareId,
 };
 
+/// Multiple of the usual time at a server within which a request is expected to end.
+const HOLD_MARGIN: f64 = 2.0;
+
 /// A map with a fixed hasher seed. Its iteration order never affects a decision.
 type Map<K, V> = HashMap<K, V, BuildHasherDefault<DefaultHasher>>;
 
@@ -269,6 +273,12 @@
         self.registry.set_listed(service, listed);
     }
 
+    /// Whether a request that was assigned to a server can be expected to end there by a time.
+    pub fn can_end_by(&self, ticket: Ticket, end: Moment, now: Moment) -> bool {
+        let Some(task) = self.tasks.get(&ticket) else { return true };
+        now + duration(self.stats(task).hold() * HOLD_MARGIN) <= end
+    }
+
     /// Whether a server is known and not draining.
     pub fn is_ready(&self, id: &backend::Id) -> bool {
         let server = self.registry.index(id).and_then(|index| self.registry.get(index));
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -244,6 +244,10 @@
         verdict: Verdict,
     ) -> Result<backend::Id, Problem> {
         match verdict {
+            Verdict::Send(_) if !self.can_end(shared) => {
+                self.handle.end(AttemptEnd::Unreachable(dispatch::Unreachable::Closed));
+                Err(self.refuse_stopping(shared))
+            }
             Verdict::Send(server) => Ok(server),
             Verdict::Wait => {
                 self.trace.queued("full", self.time_left(shared));
@@ -272,6 +276,12 @@
         }
     }
 
+    /// Whether the request can be expected to end before this host stops, if it is about to.
+    fn can_end(&self, shared: &Shared) -> bool {
+        let Some(end) = shared.finish_by() else { return true };
+        shared.dispatcher().can_end_by(self.request.ticket, end, shared.now())
+    }
+
     /// Refuses the request because this host is about to stop.
     fn refuse_stopping(&self, shared: &Shared) -> Problem {
         self.trace.refused(Refusal::Stopping, self.time_left(shared), Some(RETRY_ELSEWHERE_AFTER));
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak,
-        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
 };
 
@@ -117,7 +117,8 @@
     pub(crate) server_source: Mutex<Option<Source>>,
     exchange: OnceLock<Weak<Exchange>>,
     /// Whether a planned stop has begun.
-    leaving: AtomicBool,
+    /// When a planned stop abandons the requests in flight, once it has begun.
+    finish_by: OnceLock<Moment>,
     /// Number of requests that have arrived and not ended.
     open_requests: AtomicU32,
 }
@@ -200,7 +201,7 @@
             customers: ArcSwapOption::empty(),
             customers_changed: Notify::new(),
             directory: Mutex::default(),
-            leaving: AtomicBool::new(false),
+            finish_by: OnceLock::new(),
             open_requests: AtomicU32::new(0),
         }
     }
@@ -402,12 +403,17 @@
 
     /// Returns whether a planned stop has begun.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.finish_by().is_some()
     }
 
-    /// Marks the beginning of a planned stop.
-    pub(crate) fn leave(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
+    /// Returns when a planned stop abandons the requests in flight, once it has begun.
+    pub(crate) fn finish_by(&self) -> Option<Moment> {
+        self.finish_by.get().copied()
+    }
+
+    /// Marks the beginning of a planned stop, which abandons the requests in flight at `finish_by`.
+    pub(crate) fn leave(&self, finish_by: Moment) {
+        let _ = self.finish_by.set(finish_by);
     }
 
     /// Counts a request as open until the guard is dropped.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -33,6 +33,9 @@
 /// Time that the load balancer has to notice that this host is not ready.
 const BALANCER_DELAY: Duration = Duration::from_millis(2500);
 
+/// The greatest part of the grace period that is spent on that.
+const BALANCER_DIVISOR: u32 = 3;
+
 /// Maximum interval at which the dispatcher's queues are advanced.
 pub(crate) const PUMP_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -178,15 +181,15 @@
     /// then waits until the requests in flight have ended or the grace period is over.
     pub async fn drain(self) {
         let began = self.shared.now();
-        let grace = self.shared.routed.grace.mul_f64(FINISH_FRACTION);
+        let given = self.shared.routed.grace;
+        let grace = given.mul_f64(FINISH_FRACTION);
         log::info!(host = &*self.shared.host.id; "drain begins");
         self.shared.logger.belief(Belief::Stop { why: Text::Borrowed("it was asked for") });
-        self.shared.leave();
+        self.shared.leave(began + grace);
         self.shared.term().stop();
-        sleep(BALANCER_DELAY).await;
+        sleep(BALANCER_DELAY.min(given / BALANCER_DIVISOR)).await;
         self.stop.cancel();
-        let wait = (began + self.shared.routed.grace.mul_f64(WAIT_FRACTION))
-            .saturating_sub(self.shared.now());
+        let wait = (began + given.mul_f64(WAIT_FRACTION)).saturating_sub(self.shared.now());
         let closing = self.shared.closing.clone();
         tokio::spawn(async move {
             sleep(wait).await;
--- a/crates/stage/tests/routed/pauses.rs
+++ b/crates/stage/tests/routed/pauses.rs
@@ -15,8 +15,10 @@
     time::{Instant, sleep},
 };
 
+use types::routed::Kind;
+
 use crate::site::{
-    chat, declaration, draft, linked_site, linked_site_with, page, status_of, ticket,
+    chat, declaration, draft, linked_site, linked_site_with, page, route, status_of, ticket,
 };
 
 const PAUSE: Duration = Duration::from_millis(1_200);
@@ -213,3 +215,80 @@
     assert_eq!(answer.events(), (1..=10).collect::<Vec<_>>());
     assert!(answer.is_complete, "the answer is cut");
 }
+
+/// What callers got of streams.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Ends {
+    whole: usize,
+    refused: usize,
+    /// Neither an answer nor a refusal: cut, or ended by the host with an unclear status.
+    cut: usize,
+}
+
+/// Sends streams to a server that falls silent again and again, while the other one rejects what it
+/// gets, and lets `change` do something between two of them.
+async fn stream_beside(site: &Site, mut change: impl FnMut(u32)) -> Ends {
+    const ROUNDS: u32 = 6;
+    let (server, links) = (site.backend.server("lm-1"), site.backend.server_links());
+    let mut sending = JoinSet::new();
+    for round in 0..ROUNDS {
+        for turn in 0..24 {
+            let mut caller = site.hosts[turn % site.hosts.len()].caller();
+            let spec = draft().with_new_prompt().deadline(Some(Duration::from_secs(4)));
+            sending.spawn(async move { caller.fetch(&spec).await });
+            match turn {
+                6 => links.pause(server.address()),
+                21 => links.resume(server.address()),
+                _ => {}
+            }
+            if turn % 5 == 0 {
+                change(round * 24 + turn as u32);
+            }
+            sleep(Duration::from_millis(60)).await;
+        }
+    }
+    let mut ends = Ends::default();
+    for answer in sending.join_all().await {
+        match answer {
+            Ok(answer) if answer.status == StatusCode::OK && answer.is_complete => ends.whole += 1,
+            Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => ends.refused += 1,
+            Ok(_) | Err(_) => ends.cut += 1,
+        }
+    }
+    ends
+}
+
+/// Requests were cut beside a change of the configuration while their server was silent.
+#[tokio::test]
+async fn changes_of_the_declaration_cut_no_streams_at_silent_servers() {
+    let declared = declaration();
+    let site = linked_site_with(3, &declared).await;
+    site.backend.server("lm-1").script(|script| {
+        (script.events, script.event_interval) = (5, Duration::from_millis(40));
+        script.work_time = Duration::from_millis(100);
+    });
+    site.backend.server("lm-2").script(|script| {
+        script.default_fault = Some(Fault::NotRun(StatusCode::SERVICE_UNAVAILABLE));
+    });
+    let without = stream_beside(&site, |_| {}).await;
+    let beside = stream_beside(&site, |step| {
+        let mut declared = declared.clone();
+        declared.version = 4 + u64::from(step * step);
+        for (number, route) in declared.routes.iter_mut().enumerate() {
+            let wave = u64::from(step) * 7 + number as u64;
+            route.timeout = Duration::from_secs(5 + wave % 7);
+            route.goal = Duration::from_millis(300 + 100 * (wave % 9));
+            route.attempts = 2 + (wave % 3) as u32;
+            route.priority = (wave % 4) as u8;
+        }
+        let prefix = format!("/pages/step-{step}/");
+        declared.routes.push(route(&prefix, Kind::Idempotent, &[("other", 1)]));
+        site.backend.declare(&declared);
+    })
+    .await;
+    assert!(
+        0 < without.whole && 0 < beside.whole,
+        "{without:?} without, {beside:?} beside changes"
+    );
+    assert_eq!((without.cut, beside.cut), (0, 0), "{without:?} without, {beside:?} beside changes");
+}
--- a/crates/stage/tests/routed/stops.rs
+++ b/crates/stage/tests/routed/stops.rs
@@ -2,13 +2,17 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use http::StatusCode;
 use nix::sys::signal::Signal;
 use rstest::rstest;
-use standin::routed::{caller::RequestSpec, until};
-use tokio::{task::JoinSet, time::sleep};
+use standin::routed::{caller::RequestSpec, site::Site, until};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, timeout},
+};
 
-use crate::site::{chat, page, site, status_of, ticket};
+use crate::site::{backend, chat, declaration, page, site, start_site, status_of, ticket};
 
 const SLOW: Duration = Duration::from_millis(900);
 
@@ -121,3 +125,76 @@
     let answered = answers.iter().filter(|answer| matches!(answer, Ok(StatusCode::OK)));
     assert_eq!(answered.count(), answers.len(), "{answers:?}");
 }
+
+/// A host with this many seconds from SIGTERM to SIGKILL.
+async fn site_with_grace(seconds: u64) -> Site {
+    let backend = backend().await;
+    backend.declare(&declaration());
+    let mut site = start_site(backend, 0).await;
+    let grace = serde_json::json!(seconds);
+    site.add(|settings| settings["routed"]["grace_s"] = grace).await.expect("the host starts");
+    site.wait_until_ready().await;
+    site
+}
+
+/// Stops the host as the platform does, while callers keep using their connections until the process
+/// is gone. Returns the number of tickets that had been passed on and got neither an answer nor a
+/// refusal, and the number of all.
+async fn stop_beside_tickets(site: &mut Site, grace: Duration) -> (usize, usize) {
+    const CALLERS: u32 = 20;
+    let connected = (0..CALLERS).map(async |_| {
+        let mut caller = site.hosts[0].caller();
+        let page = page().deadline(Some(Duration::from_secs(60)));
+        let _ = caller.fetch(&page).await.expect("an answer");
+        caller
+    });
+    let mut sending = JoinSet::new();
+    for (number, mut caller) in (0..).zip(join_all(connected).await) {
+        sending.spawn(async move {
+            sleep(grace * number / CALLERS).await;
+            let mut sent = Vec::new();
+            loop {
+                let spec = ticket().deadline(Some(Duration::from_secs(10)));
+                let answer = caller.fetch(&spec).await;
+                let is_over = answer.is_err();
+                sent.push((spec.id(), answer.is_ok_and(|answer| answer.is_complete)));
+                if is_over {
+                    return sent;
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        });
+    }
+    let began = Instant::now();
+    site.hosts[0].signal(Signal::SIGTERM);
+    let ended = timeout(grace, site.hosts[0].wait_for_exit()).await;
+    assert!(ended.is_ok(), "the process still runs {:?} after SIGTERM", began.elapsed());
+    let sent = sending.join_all().await.concat();
+    let unanswered = sent.iter().filter(|(_, is_answered)| !is_answered);
+    let lost = unanswered.filter(|(id, _)| site.backend.runs_of(id) != 0);
+    (lost.count(), sent.len())
+}
+
+/// Tickets that came late in the grace period were passed on, and cut at its end.
+#[rstest]
+#[case::short_grace(2, 300)]
+#[case::long_tickets(4, 1_500)]
+#[case::long_tickets_and_a_usual_grace(8, 5_200)]
+#[tokio::test]
+async fn tickets_are_not_cut_at_the_end_of_a_planned_stop(
+    #[case] grace: u64,
+    #[case] work_ms: u64,
+) {
+    let mut site = site_with_grace(grace).await;
+    site.backend.script(|script| script.work_time = Duration::from_millis(work_ms));
+    // The host learns how long tickets take.
+    let warm = (0..8).map(|_| site.hosts[0].caller());
+    let warm: JoinSet<_> = warm
+        .map(|mut caller| async move { caller.fetch(&ticket()).await.map(|a| a.status) })
+        .collect();
+    for answer in warm.join_all().await {
+        assert_eq!(answer.unwrap(), StatusCode::OK);
+    }
+    let (lost, sent) = stop_beside_tickets(&mut site, Duration::from_secs(grace)).await;
+    assert_eq!(lost, 0, "of {sent} tickets");
+}
