Compare the peers of streams only if they have changed; pass the lints

Cause: each round compared all peers with all before, to see whether one was lost: hosts squared, on every host. Found by reading the change, not measured. Now a list that is the same is not looked at.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -267,7 +267,7 @@
     }
 
     /// Sets the versions of a service at which streams that may be resumed may begin. While no server
-    /// of the service that takes requests has any of them, streams begin at all.
+    /// of the service that takes requests has any of them, streams begin at all servers.
     pub fn set_listed(&mut self, service: &service::Id, listed: BTreeSet<SoftwareId>) {
         let service = self.registry.service(service);
         self.registry.set_listed(service, listed);
--- a/crates/policy/src/dispatch/registry.rs
+++ b/crates/policy/src/dispatch/registry.rs
@@ -229,7 +229,7 @@
     /// Updates at which servers streams may begin, after a change of a server.
     fn update_listed(&mut self, server: Index) {
         let Some(service) = self.get(server).map(|server| server.service) else { return };
-        update_listed(&mut self.services[service as usize], &mut self.servers);
+        update_listed(&self.services[service as usize], &mut self.servers);
     }
 
     pub fn remove(&mut self, index: Index) {
--- a/crates/policy/src/streams.rs
+++ b/crates/policy/src/streams.rs
@@ -136,6 +136,9 @@
 impl Streams {
     /// Sets the other hosts from which packets arrive.
     pub fn set_peers(&mut self, peers: Vec<Peer>, now: Moment) {
+        if self.peers == peers {
+            return;
+        }
         let is_there = |before: &Peer| {
             peers
                 .iter()
--- a/crates/relay/tests/common/store.rs
+++ b/crates/relay/tests/common/store.rs
@@ -85,7 +85,10 @@
             ObjectKind::Server => {
                 self.servers.lock().expect("servers").iter().map(|s| s.id.clone()).collect()
             }
-            ObjectKind::Host | ObjectKind::Lease | ObjectKind::Quarantine => Vec::new(),
+            ObjectKind::Host
+            | ObjectKind::Lease
+            | ObjectKind::Quarantine
+            | ObjectKind::Versions => Vec::new(),
         };
         let objects = names.into_iter().map(|name| Object { name, revision, content: Value::Null });
         Page { objects: objects.collect(), more: false, revision }
--- a/crates/stage/tests/routed/resumptions.rs
+++ b/crates/stage/tests/routed/resumptions.rs
@@ -173,17 +173,17 @@
 const CONTACT_TIME: Duration = Duration::from_millis(3_300);
 
 async fn lose(site: &mut Site, loss: Loss) {
-    let hosts = site.hosts.len();
-    let rounds = match loss {
-        Loss::AllAtOnce => vec![0..hosts],
-        Loss::InHalves => vec![0..hosts / 2, hosts / 2..hosts],
-        Loss::AllButOne => vec![1..hosts],
+    let hosts: Vec<usize> = (0..site.hosts.len()).collect();
+    let rounds: Vec<&[usize]> = match loss {
+        Loss::AllAtOnce => vec![&hosts],
+        Loss::InHalves => hosts.chunks(hosts.len() / 2).collect(),
+        Loss::AllButOne => vec![&hosts[1..]],
     };
     for lost in rounds {
-        lost.clone().for_each(|host| site.hosts[host].kill());
+        lost.iter().for_each(|host| site.hosts[*host].kill());
         sleep(Duration::from_millis(500)).await;
         for host in lost {
-            site.restart(host).await.expect("the host starts");
+            site.restart(*host).await.expect("the host starts");
         }
     }
     site.wait_until_ready().await;
