Take the version of a server as unknown until its registration is read

Cause: since answers clear crashes at servers of their own version only, each crash at a server that had started again, and had answered before its registration was read, stood at a version that no other server has. So no answer cleared a part that all requests share.

Change: such a server has no known version. Its crashes are cleared by any answer, as all were before.

New test of the dispatcher: a_part_that_is_served_is_cleared_of_crashes_at_servers_of_unknown_version.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -83,7 +83,7 @@
     },
     share,
     slots::{MAX_UNCONTENDED_HOSTS, Slots, Want},
-    streams::SoftwareId,
+    streams::{self, SoftwareId},
 };
 
 /// Multiple of the usual time at a server within which a request is expected to end.
@@ -259,7 +259,9 @@
         let index = self.registry.register(server, now);
         if let Some(known) = self.registry.get_mut(index) {
             known.is_limited = self.quotas.limit(&known.id).is_some();
-            self.poison.registered(&known.id, known.software);
+            if !streams::is_unread(&server.software) {
+                self.poison.registered(&known.id, known.software);
+            }
         }
         if server.state == routed::State::Draining {
             self.registry.drain(index);
--- a/crates/policy/src/streams.rs
+++ b/crates/policy/src/streams.rs
@@ -17,10 +17,10 @@
 pub mod records;
 pub mod versions;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use types::{host, service, time::Moment};
+use types::{backend, host, service, time::Moment};
 
 pub use self::{draw::Peer, records::Origin};
 use self::{
@@ -42,6 +42,9 @@
 /// Interval at which the record of a stream that is still running is sent again.
 pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(20);
 
+/// Prefix of what stands for the software of a run whose registration was not read yet.
+const UNREAD_PREFIX: &str = "unread/";
+
 /// Most records that a host keeps.
 const MAX_RECORDS: usize = 100_000;
 
@@ -66,6 +69,17 @@
     rendezvous::score(format!("software/{service}").as_bytes(), software)
 }
 
+/// Returns what stands for the software of a run whose registration was not read yet: a version that
+/// no other server has.
+pub fn unread_software(run: &backend::Id) -> Arc<str> {
+    format!("{UNREAD_PREFIX}{run}").into()
+}
+
+/// Returns whether this stands for the software of a run whose registration was not read yet.
+pub fn is_unread(software: &str) -> bool {
+    software.starts_with(UNREAD_PREFIX)
+}
+
 /// A message between hosts about the versions of streams.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Message {
--- a/crates/policy/tests/dispatch/poison_parts.rs
+++ b/crates/policy/tests/dispatch/poison_parts.rs
@@ -9,12 +9,15 @@
         },
     },
     paths::Path,
-    streams::SoftwareId,
+    streams::{self, SoftwareId},
 };
 use rstest::rstest;
-use types::{prelude::*, routed::Kind};
+use types::{
+    prelude::*,
+    routed::{self, Kind},
+};
 
-use crate::fixture::{at, plain, request};
+use crate::fixture::{at, plain, request, server};
 
 const CUT: End = End::Unclear(Unclear::Cut);
 
@@ -173,6 +176,24 @@
     assert_eq!(poison.standing(part(CALLER)), Standing::Clear);
 }
 
+/// Servers that start again answer before their registrations are read, so that their versions are
+/// unknown; a part that all requests have was refused for their crashes.
+#[rstest]
+fn a_part_that_is_served_is_cleared_of_crashes_at_servers_of_unknown_version() {
+    let mut host = plain(&[]);
+    for (number, id) in ["s1", "s2", "s3"].into_iter().enumerate() {
+        let now = at(1_000 * number as u64);
+        let software = streams::unread_software(&id.into());
+        host.server(&routed::Server { software, ..server(id, "a", &[]) }, now);
+        let crashed = crash_server(&mut host, with_parts(number as u64, &[FIRST], now), now);
+        assert_eq!(crashed.as_deref(), Some(id));
+        host.gone(&id.into(), now + at(500));
+    }
+    assert_eq!(host.poison().standing(part(FIRST)), Standing::Poison);
+    host.poison_mut().parts_served([FIRST].into_iter(), SOFTWARE, at(4_000));
+    assert_eq!(host.poison().standing(part(FIRST)), Standing::Clear);
+}
+
 #[rstest]
 fn what_one_host_served_clears_a_part_at_all_hosts() {
     let mut poisons = ["a", "b", "c"].map(|host| Poison::new(host.into()));
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -16,6 +16,7 @@
     demand::Subject,
     follow,
     place::{self, Operation, Outcome, Planner, Work},
+    streams,
 };
 use types::{
     prelude::*,
@@ -27,7 +28,7 @@
     directory::Delta,
     edge::{Change, Object, Page, Revision},
     host::Shared,
-    peers, streams,
+    peers,
 };
 
 /// Expected duration of loading a model.
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -15,9 +15,6 @@
 /// version began the stream.
 const RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// Prefix of what stands for the software of a run whose registration was not read yet.
-const UNREAD_PREFIX: &str = "unread/";
-
 impl Shared {
     /// Sets the hosts that keep records of streams.
     pub(crate) fn set_stream_peers(&self, snapshot: &Snapshot) {
@@ -171,14 +168,3 @@
         }
     }
 }
-
-/// Returns what stands for the software of a run whose registration was not read yet: a version that
-/// no other server has.
-pub(crate) fn unread_software(run: &backend::Id) -> Arc<str> {
-    format!("{UNREAD_PREFIX}{run}").into()
-}
-
-/// Returns whether this stands for the software of a run whose registration was not read yet.
-pub(crate) fn is_unread(software: &str) -> bool {
-    software.starts_with(UNREAD_PREFIX)
-}
--- a/crates/relay/src/versions.rs
+++ b/crates/relay/src/versions.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use policy::streams::{
-    SoftwareId,
+    self, SoftwareId,
     versions::{Duty, Listing, Step, Text},
 };
 use tokio::time::{sleep, timeout};
@@ -13,7 +13,6 @@
 use crate::{
     edge::{Object, ObjectKind, Revision, StoreCall, StoreReply},
     host::Shared,
-    streams,
 };
 
 const KIND: ObjectKind = ObjectKind::Versions;
