Read the list of versions again before a write, once a version is back

Found by reading the change. A host that sees a version again after a long absence takes it out of its copy of the list, so that no stream begins there until the list is read. If the version's server was gone again before that, and another version was to be listed, the host wrote its copy: the store's list lost a version without retiring it, and could then prove the wrong one for its streams.

Change: such a copy is stale, so the list is read before anything is written. No call more, but in the moment in which a version comes back.

a_version_that_comes_back_for_a_moment_stays_listed: red before (the write left 1.0 out), green after; the other twelve tests of the list are green.

--- a/crates/policy/src/streams/versions.rs
+++ b/crates/policy/src/streams/versions.rs
@@ -240,7 +240,8 @@
             if let Some((_, listing)) = self.stored.as_mut().filter(|_| was_absent && is_old)
                 && let Some(versions) = listing.services.get_mut(&version.0)
             {
-                versions.remove(&version.1);
+                // A write must not drop what the store lists.
+                self.is_stale |= versions.remove(&version.1).is_some();
             }
         }
     }
--- a/crates/policy/tests/streams_versions.rs
+++ b/crates/policy/tests/streams_versions.rs
@@ -126,6 +126,22 @@
     assert_eq!(versions.listed(&service()), Some(ids(&["1.1"])));
 }
 
+/// Its server is gone again before it is listed anew, and another version is listed then.
+#[rstest]
+fn a_version_that_comes_back_for_a_moment_stays_listed() {
+    let mut versions = Versions::new(&"a".into(), secs(0));
+    versions.read(Some((5, listing(&["1.0", "1.1"]))), secs(0));
+    serve(&mut versions, &["1.0", "1.1"], secs(0), secs(1));
+    serve(&mut versions, &["1.1"], secs(1), secs(1) + RECORD_LIFE);
+    let now = secs(1) + RECORD_LIFE;
+    versions.set_served(served(&["1.0", "1.1"]), now);
+    versions.set_served(served(&["1.1", "1.2"]), now);
+    assert_eq!(versions.step(Duty::Maintain, now), Step::Read);
+    versions.read(Some((5, listing(&["1.0", "1.1"]))), now);
+    let expected = Step::Replace(5, listing(&["1.0", "1.1", "1.2"]));
+    assert_eq!(versions.step(Duty::Maintain, now), expected);
+}
+
 fn peers(incarnations: &[u64]) -> Vec<Peer> {
     let peer = |(number, incarnation): (usize, &u64)| Peer {
         id: format!("host-{number}").into(),
