Measure rounds of planning and how late a host's tasks run

Cause: logs and metrics could not tell whether the host that plans, its other duties, or all hosts are late: nothing said how long a round of planning takes, how far rounds lie apart, or how late tasks run. Ruled out: nothing yet. Change: routed_plan_seconds (round, interval, delay since the first request) and the line 'rounds of planning' each second on the host that plans; routed_lateness_seconds and the line 'the host ran late' on every host. The time of the first request for a round is kept with the wake-up.

--- a/crates/observe/src/metrics/routed.rs
+++ b/crates/observe/src/metrics/routed.rs
@@ -21,8 +21,8 @@
 
 use self::labels::Label;
 pub use self::labels::{
-    Admissions, AttemptOutcome, Call, CallResult, Grants, Origin, Permits, Phase, Queue, Refusal,
-    Resend,
+    Admissions, AttemptOutcome, Call, CallResult, Grants, Origin, Permits, Phase, PlanTime, Queue,
+    Refusal, Resend,
 };
 use super::build::{counter, gauge, seconds};
 use crate::story::{Answer, Outcome};
@@ -34,6 +34,10 @@
 /// Upper bounds of the histogram buckets for ages of reports, in seconds.
 const AGE_BOUNDS: [f64; 10] = [0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 5.0, 10.0];
 
+/// Upper bounds of the histogram buckets for rounds of planning and for late tasks, in seconds.
+const ROUND_BOUNDS: [f64; 12] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
+
 /// The routed path's metrics; clones update the same series.
 #[derive(Clone, Debug)]
 pub struct Routed(Arc<Series>);
@@ -46,6 +50,8 @@
     resends: Box<[BoundCounter<u64>]>,
     phases: Box<[Box<[BoundHistogram<f64>]>]>,
     report_age: BoundHistogram<f64>,
+    plan_rounds: Box<[BoundHistogram<f64>]>,
+    lateness: BoundHistogram<f64>,
     declaration_age: BoundGauge<f64>,
     declaration: BoundGauge<u64>,
     queues: Box<[BoundGauge<u64>]>,
@@ -99,6 +105,14 @@
             seconds(meter, "routed_phase", "Time in a phase of a request, by kind", &PHASE_BOUNDS);
         let ages = "Age of the report that a decision is based on";
         let report_age = seconds(meter, "routed_report_age", ages, &AGE_BOUNDS).bind(&[]);
+        let plan_rounds = seconds(
+            meter,
+            "routed_plan",
+            "Times of rounds of planning, on the host that plans",
+            &ROUND_BOUNDS,
+        );
+        let lateness = "Time by which the task that advances the queues runs later than it was due";
+        let lateness = seconds(meter, "routed_lateness", lateness, &ROUND_BOUNDS).bind(&[]);
         let queues = gauge(meter, "routed_queue", "Length of a queue");
         let declaration = gauge(meter, "routed_declaration", "Number of the declaration in force");
         let unreadable = counter(
@@ -185,6 +199,8 @@
                 each(|phase: Phase| phases.bind(&[kind.key_value(), phase.key_value()]))
             }),
             report_age,
+            plan_rounds: each(|time: PlanTime| plan_rounds.bind(&[time.key_value()])),
+            lateness,
             declaration_age,
             declaration: declaration.bind(&[]),
             queues: each(|queue: Queue| queues.bind(&[queue.key_value()])),
@@ -268,6 +284,16 @@
         self.0.report_age.record(age.as_secs_f64());
     }
 
+    /// Records a time of a round of planning.
+    pub fn plan_round(&self, of: PlanTime, time: Duration) {
+        self.0.plan_rounds[of.index()].record(time.as_secs_f64());
+    }
+
+    /// Records by how much the task that advances the queues runs later than it was due.
+    pub fn lateness(&self, time: Duration) {
+        self.0.lateness.record(time.as_secs_f64());
+    }
+
     /// Sets the declaration in force and the time since it was last confirmed as the newest.
     pub fn declaration(&self, version: Version, age: Duration) {
         self.0.declaration.record(version);
--- a/crates/observe/src/metrics/routed/labels.rs
+++ b/crates/observe/src/metrics/routed/labels.rs
@@ -95,6 +95,17 @@
     Others,
 }
 
+/// A time of a round of planning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum PlanTime {
+    /// From its beginning to its end.
+    Round,
+    /// From the end of the round before to its end.
+    Interval,
+    /// From the first request for the round to its end.
+    Delay,
+}
+
 /// How an attempt at a server ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum AttemptOutcome {
@@ -266,6 +277,12 @@
     Others = "others",
 });
 
+label!(PlanTime as "of" {
+    Round = "round",
+    Interval = "interval",
+    Delay = "delay",
+});
+
 label!(AttemptOutcome as "end" {
     Whole = "whole",
     ServerError = "server-error",
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -34,7 +34,7 @@
 use crate::{
     body::LargeBodies, clock::Clock, control::Control, customers::CustomerQuotas, demand::Demand,
     directory::Directory, edge::Dialect, log_limiter::LogLimiter, peers::Counts, planning,
-    pool::Pool, store::Store, versions::LastRead,
+    pool::Pool, store::Store, versions::LastRead, wakeup::Wakeup,
 };
 
 /// Difference between the delays with which hosts attempt to take a lease, so that they don't all
@@ -73,7 +73,7 @@
     /// Wakes the task that pumps the queues before its next round.
     pub(crate) dispatch_wakeup: Notify,
     /// Wakes the planner before its next round.
-    pub(crate) plan_wakeup: Notify,
+    pub(crate) plan_wakeup: Wakeup,
     /// Cancelled when requests that still wait for a server are to be refused.
     pub(crate) closing: CancellationToken,
     /// Cancelled during a planned stop, when callers' connections have ended or their time is over.
@@ -167,7 +167,7 @@
             control: Control::default(),
             order_timeout: times.order_timeout,
             dispatch_wakeup: Notify::new(),
-            plan_wakeup: Notify::new(),
+            plan_wakeup: Wakeup::default(),
             planner: Mutex::new(Planner::new(rules)),
             paths: Mutex::new(Paths::new(settings.host.id.clone(), settings.host.zone.clone())),
             dispatcher: Mutex::new(dispatcher),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -45,6 +45,7 @@
 mod trace;
 mod unplaced;
 mod versions;
+mod wakeup;
 mod watch;
 mod workload;
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -359,7 +359,7 @@
         match received.notice {
             Notice::LoadRequested { model, adapter, .. } => {
                 shared.planner().record_waiting(&model, adapter.as_ref(), now);
-                shared.plan_wakeup.notify_one();
+                shared.wake_planner();
             }
             Notice::Loaded { server, model, adapter, sequence } => {
                 let adapter = adapter.as_ref();
--- a/crates/relay/src/planning.rs
+++ b/crates/relay/src/planning.rs
@@ -1,5 +1,7 @@
 //! Sends the planner's orders to the model servers while this host holds the lease.
 
+mod rounds;
+
 use std::{sync::Arc, time::Duration};
 
 use observe::story::{Answer, Belief, Text};
@@ -19,6 +21,8 @@
     unplaced::{self, UnplacedReporter},
 };
 
+use self::rounds::Rounds;
+
 /// Maximum time between two rounds of planning.
 const MAX_ROUND_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -35,23 +39,34 @@
 /// Plans whenever this host holds the lease, until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let mut unplaced = UnplacedReporter::default();
+    let mut rounds = Rounds::default();
     loop {
         select! {
             () = sleep(MAX_ROUND_INTERVAL) => {}
-            () = shared.plan_wakeup.notified() => sleep(MIN_ROUND_INTERVAL).await,
+            () = shared.plan_wakeup.requested() => sleep(MIN_ROUND_INTERVAL).await,
         }
         let now = shared.now();
+        let requested = shared.plan_wakeup.take();
         if shared.term().fence(now).is_some() {
             round(&shared, now);
             unplaced.report(&shared, now);
             shared.log_demand(now);
+            rounds.record(&shared, requested, now);
         } else {
             unplaced.end(&shared);
             shared.reset_demand_log();
+            rounds = Rounds::default();
         }
     }
 }
 
+impl Shared {
+    /// Requests a round of planning.
+    pub(crate) fn wake_planner(&self) {
+        self.plan_wakeup.request(self.now());
+    }
+}
+
 fn round(shared: &Arc<Shared>, now: Moment) {
     let dispatcher = shared.dispatcher();
     let unresponsive = dispatcher.unresponsive(now);
@@ -88,7 +103,7 @@
     let Some(server) = shared.current_run(&server, report.started_at) else { return };
     shared.planner().report(&server.id, &report, now);
     shared.apply_report(&server, &report);
-    shared.plan_wakeup.notify_one();
+    shared.wake_planner();
 }
 
 async fn carry_out(shared: Arc<Shared>, order: place::Order) {
@@ -100,7 +115,7 @@
     let now = shared.now();
     shared.planner().record_outcome(&order, outcome, now);
     shared.apply_order(&order, outcome);
-    shared.plan_wakeup.notify_one();
+    shared.wake_planner();
 }
 
 async fn send(shared: &Arc<Shared>, server: &Arc<Server>, order: &place::Order) -> Outcome {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -11,7 +11,7 @@
 use settings::process::{Process, RoutedSettings};
 use tokio::{net::TcpListener, select, task::JoinHandle, time::sleep};
 use tokio_util::sync::CancellationToken;
-use types::{backend, host::Host};
+use types::{backend, host::Host, time::Moment};
 
 use crate::{
     callers,
@@ -39,6 +39,9 @@
 /// Maximum interval at which the dispatcher's queues are advanced.
 pub(crate) const PUMP_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Interval at which the longest lateness of the pump is logged, if it is notable.
+const LATE_LOG_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Time between two advances of the queues above which the machine may have been suspended.
 const JUMP_THRESHOLD: Duration = Duration::from_millis(100);
 
@@ -236,12 +239,18 @@
 
 async fn pump(shared: Arc<Shared>) {
     let mut before = shared.now();
+    let mut late = Late::default();
     loop {
-        select! {
-            () = sleep(shared.until_pump()) => {}
-            () = shared.dispatch_wakeup.notified() => {}
-        }
+        let wait = shared.until_pump();
+        let due = shared.now() + wait;
+        let is_due = select! {
+            () = sleep(wait) => true,
+            () = shared.dispatch_wakeup.notified() => false,
+        };
         let now = shared.now();
+        if is_due {
+            late.record(&shared, now.saturating_sub(due), now);
+        }
         if before + JUMP_THRESHOLD < now {
             shared.clock_jumped.notify_waiters();
         }
@@ -250,6 +259,29 @@
     }
 }
 
+/// The longest time by which the pump was late in a period.
+#[derive(Debug, Default)]
+struct Late {
+    since: Moment,
+    longest: Duration,
+}
+
+impl Late {
+    /// Records by how much the pump is late, and logs the longest time once a period.
+    fn record(&mut self, shared: &Shared, late: Duration, now: Moment) {
+        shared.meters.lateness(late);
+        self.longest = self.longest.max(late);
+        if now < self.since + LATE_LOG_INTERVAL {
+            return;
+        }
+        if JUMP_THRESHOLD <= self.longest {
+            let longest_ms = self.longest.as_secs_f64() * 1e3;
+            log::info!(longest_ms; "the host ran late");
+        }
+        *self = Late { since: now, longest: Duration::ZERO };
+    }
+}
+
 async fn sweep(shared: Arc<Shared>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -147,7 +147,7 @@
             .into_iter()
             .for_each(|entry| self.apply_registration(entry.server, entry.written, from));
         self.directory().advance(revision);
-        self.plan_wakeup.notify_one();
+        self.wake_planner();
         self.dispatch_wakeup.notify_one();
     }
 
@@ -178,7 +178,7 @@
                 id.iter().for_each(|id| self.apply_removal(id, removed, &Source::Store));
             }
         }
-        self.plan_wakeup.notify_one();
+        self.wake_planner();
         self.dispatch_wakeup.notify_one();
     }
 
@@ -343,7 +343,7 @@
         self.dispatcher().draining(id);
         if self.runs_models(&server.service) {
             self.planner().register_server(&server, self.now());
-            self.plan_wakeup.notify_one();
+            self.wake_planner();
         }
         Some(server)
     }
@@ -396,7 +396,7 @@
         for server in servers.iter().filter(|server| self.runs_models(&server.service)) {
             self.planner().register_server(server, now);
         }
-        self.plan_wakeup.notify_one();
+        self.wake_planner();
     }
 
     /// Returns whether no report was requested from a server within the last `pause`, and if so
@@ -480,7 +480,7 @@
         let now = self.now();
         if self.term().fence(now).is_some() {
             self.planner().record_waiting(model, adapter, now);
-            self.plan_wakeup.notify_one();
+            self.wake_planner();
             return;
         }
         let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
