--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -19,6 +19,7 @@
 mod adapters;
 mod demand;
 mod draft;
+mod effort;
 mod eviction;
 mod gain;
 mod headroom;
@@ -27,6 +28,7 @@
 mod rate;
 mod server_view;
 mod store;
+mod survey;
 mod unplaced;
 mod utilization;
 
@@ -34,8 +36,10 @@
 
 pub use self::{
     demand::Work,
+    effort::Effort,
     headroom::Headroom,
     planner::Planner,
+    survey::Survey,
     unplaced::{Obstacle, ReportLimiter, Unplaced},
 };
 
--- a/crates/policy/src/place/adapters.rs
+++ b/crates/policy/src/place/adapters.rs
@@ -5,7 +5,7 @@
 //! from the least recently requested. If more adapters are in use than there are slots, they take
 //! turns: an adapter that has been waited for long replaces the one with the lowest request rate.
 
-use types::{prelude::*, routed::Model};
+use types::prelude::*;
 
 use super::{
     Cause, Operation,
@@ -60,7 +60,7 @@
     let mut under_way: usize =
         draft.targets.iter().map(|target| target.view.adapters_in_flight(draft.now)).sum();
     let mut wanted: Vec<Wanted> =
-        draft.engine.models.iter().flat_map(|m| wanted(draft, m)).collect();
+        (0..draft.engine.models.len()).flat_map(|model| wanted(draft, model)).collect();
     wanted.retain(|wanted| wanted.holders < wanted.copies);
     wanted.sort_by(|a, b| {
         let key = |wanted: &Wanted| {
@@ -78,12 +78,10 @@
 }
 
 /// Returns a model's recently requested adapters.
-fn wanted(draft: &Draft, model: &Model) -> Vec<Wanted> {
-    let is_ready = |target: &usize| {
-        let view = draft.targets[*target].view;
-        !view.is_unresponsive && view.is_ready(&model.name)
-    };
-    let ready: Vec<usize> = (0..draft.targets.len()).filter(is_ready).collect();
+fn wanted(draft: &Draft, index: usize) -> Vec<Wanted> {
+    let model = &draft.engine.models[index];
+    let is_responsive = |target: &usize| !draft.targets[*target].view.is_unresponsive;
+    let ready: Vec<usize> = draft.ready[index].iter().copied().filter(is_responsive).collect();
     let first = (model.name.clone(), adapter::Id::from(""));
     let demand = draft.demand.adapters.range(first..);
     let demand = demand.take_while(|((name, _), _)| *name == model.name);
@@ -150,7 +148,7 @@
 }
 
 fn is_free(draft: &Draft, wanted: &Wanted, target: &Target) -> bool {
-    let has_slot = target.view.reserved_adapters().len() < draft.engine.adapter_slots as usize;
+    let has_slot = target.view.reserved_adapters() < draft.engine.adapter_slots as usize;
     has_slot && target.room.is_some_and(|room| wanted.weights <= room)
 }
 
@@ -196,11 +194,7 @@
     let views = targets.iter().map(|&target| (target, draft.targets[target].view));
     let settled = views.filter(|(_, view)| view.adapters_unloading.is_empty());
     settled.flat_map(|(target, view)| {
-        let adapter_keys = view
-            .adapters()
-            .into_iter()
-            .filter(|adapter_key| !view.adapters_loading.contains_key(adapter_key));
-        adapter_keys.map(move |adapter_key| (target, adapter_key))
+        view.settled_adapters().map(move |adapter_key| (target, adapter_key))
     })
 }
 
@@ -214,7 +208,17 @@
 
 /// Whether an adapter has more copies than its request rate needs.
 fn is_surplus(draft: &Draft, adapter_key: &AdapterKey) -> bool {
-    let ready = draft.targets.iter().filter(|target| target.view.is_ready(&adapter_key.0));
-    let holders = ready.filter(|target| target.view.has_adapter(adapter_key)).count();
+    let has_adapter = |target: &Target| target.view.has_adapter(adapter_key);
+    let holders = match draft.index(&adapter_key.0) {
+        Some(model) => {
+            let ready = draft.ready[model].iter();
+            ready.filter(|target| has_adapter(&draft.targets[**target])).count()
+        }
+        None => {
+            let is_ready = |target: &&Target| target.view.is_ready(&adapter_key.0);
+            let ready = draft.targets.iter().filter(is_ready);
+            ready.filter(|target| has_adapter(target)).count()
+        }
+    };
     copies(rate(draft, adapter_key)) < holders
 }
--- a/crates/policy/src/place/draft.rs
+++ b/crates/policy/src/place/draft.rs
@@ -1,6 +1,6 @@
 //! The plan in progress for one service: servers, demand, and the orders decided so far.
 
-use std::collections::BTreeMap;
+use std::{cell::Cell, collections::BTreeMap};
 
 use types::{
     prelude::*,
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    Cause, Operation, Order, Rules,
+    Cause, Effort, Operation, Order, Rules,
     demand::Demand,
     server_view::{CurrentOrder, Presence, ServerView, Source},
     utilization::LoadBalance,
@@ -27,6 +27,33 @@
 /// Lower bound assumed for the work of the busiest model.
 const MIN_PEAK_WORK: f64 = 1.0;
 
+/// The models of a service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Models {
+    /// All models declared so far: servers may still hold one that is no longer declared.
+    pub(super) sizes: BTreeMap<model::Id, Model>,
+    /// Positions of the declared models in their declaration.
+    pub(super) indexes: BTreeMap<model::Id, usize>,
+}
+
+impl Models {
+    /// Replaces the declared models.
+    pub(super) fn declare(&mut self, engine: &Engine) {
+        self.sizes.extend(engine.models.iter().map(|m| (m.name.clone(), m.clone())));
+        let indexed = engine.models.iter().enumerate();
+        self.indexes = indexed.map(|(index, m)| (m.name.clone(), index)).collect();
+    }
+}
+
+/// A model that a target holds.
+pub(super) struct Held<'a> {
+    pub(super) name: &'a model::Id,
+    /// Index of the model; `None` if it is no longer declared.
+    pub(super) index: Option<usize>,
+    /// Memory that it takes, adapters included; zero if its size is unknown.
+    pub(super) memory: Mebibytes,
+}
+
 /// A server that models and adapters can be placed on.
 pub(super) struct Target<'a> {
     pub(super) id: &'a backend::Id,
@@ -35,9 +62,49 @@
     pub(super) room: Option<Mebibytes>,
     /// Whether an order of this plan may go to the server.
     pub(super) accepts_orders: bool,
+    pub(super) held: Vec<Held<'a>>,
+    /// Models that have a copy on the server from which they load faster than from the store.
+    copies: Vec<(usize, Source)>,
 }
 
-impl Target<'_> {
+impl<'a> Target<'a> {
+    fn new(
+        id: &'a backend::Id,
+        view: &'a ServerView,
+        engine: &Engine,
+        models: &Models,
+        now: Moment,
+    ) -> Target<'a> {
+        let index = |model: &model::Id| models.indexes.get(model).copied();
+        let held = view.held.iter().map(|(name, adapters)| {
+            let size =
+                |model: &Model| model.weights + model.adapter_weights * adapters.len() as Mebibytes;
+            Held { name, index: index(name), memory: models.sizes.get(name).map_or(0, size) }
+        });
+        let copies = view.copies().filter_map(|(model, source)| Some((index(model)?, source)));
+        Target {
+            id,
+            view,
+            room: view
+                .memory_taken(&models.sizes)
+                .map(|taken| engine.weights.saturating_sub(taken)),
+            accepts_orders: view.accepts_orders(now),
+            held: held.collect(),
+            copies: copies.collect(),
+        }
+    }
+
+    /// Whether the server holds a model.
+    pub(super) fn holds(&self, model: usize) -> bool {
+        self.held.iter().any(|held| held.index == Some(model))
+    }
+
+    /// Returns where the server would load the model from.
+    pub(super) fn source(&self, model: usize) -> Source {
+        let copies = self.copies.iter().filter(|(copied, _)| *copied == model);
+        copies.map(|(_, source)| *source).min().unwrap_or(Source::Store)
+    }
+
     /// Whether a model order may go to the server; a server carries out one at a time.
     pub(super) fn accepts_model_order(&self) -> bool {
         self.accepts_orders && self.view.current.is_none()
@@ -59,10 +126,12 @@
 pub(super) struct Draft<'a> {
     pub(super) rules: &'a Rules,
     pub(super) engine: &'a Engine,
-    pub(super) sizes: &'a BTreeMap<model::Id, Model>,
+    pub(super) models: &'a Models,
     pub(super) demand: &'a Demand,
     pub(super) now: Moment,
     pub(super) targets: Vec<Target<'a>>,
+    /// Per model: the targets that can serve it, unresponsive ones included.
+    pub(super) ready: Vec<Vec<usize>>,
     /// Per model: the targets on which it is ready or expected.
     pub(super) replicas: Vec<Vec<usize>>,
     /// Per model: the targets on which it is ready and no unresolved order may unload it.
@@ -78,47 +147,36 @@
     /// Distribution of the work over the targets, with all decisions of the plan applied.
     pub(super) balance: LoadBalance,
     pub(super) decisions: Vec<Decision>,
-    indexes: BTreeMap<&'a model::Id, usize>,
+    /// Memory of the largest declared model.
+    pub(super) largest: Mebibytes,
+    effort: Cell<Effort>,
 }
 
 impl<'a> Draft<'a> {
     pub(super) fn new(
         rules: &'a Rules,
         engine: &'a Engine,
-        sizes: &'a BTreeMap<model::Id, Model>,
+        models: &'a Models,
         demand: &'a Demand,
         servers: impl Iterator<Item = (&'a backend::Id, &'a ServerView)>,
         now: Moment,
     ) -> Draft<'a> {
         let here = servers.filter(|(_, view)| view.presence == Presence::Present);
-        let targets: Vec<Target> = here
-            .map(|(id, view)| Target {
-                id,
-                view,
-                room: view.memory_taken(sizes).map(|taken| engine.weights.saturating_sub(taken)),
-                accepts_orders: view.accepts_orders(now),
-            })
-            .collect();
-        let at = |fits: &dyn Fn(&ServerView, &model::Id) -> bool| -> Vec<Vec<usize>> {
-            let of = |model: &Model| {
-                let responsive = (0..targets.len()).filter(|&s| !targets[s].view.is_unresponsive);
-                responsive.filter(|&s| fits(targets[s].view, &model.name)).collect()
-            };
-            engine.models.iter().map(of).collect()
-        };
-        let replicas = at(&|view, model| view.is_ready(model) || view.is_expected(model));
-        let confirmed = at(&|view, model| view.is_confirmed_ready(model, now));
+        let targets: Vec<Target> =
+            here.map(|(id, view)| Target::new(id, view, engine, models, now)).collect();
+        let Replicas { ready, expected, confirmed } = Replicas::new(engine, models, &targets, now);
         let work: Vec<f64> =
             engine.models.iter().map(|m| work(rules, demand, &m.name, now)).collect();
         let peak_work = work.iter().copied().fold(MIN_PEAK_WORK, f64::max);
         let mut draft = Draft {
             rules,
             engine,
-            sizes,
+            models,
             demand,
             now,
             targets,
-            replicas,
+            ready,
+            replicas: expected,
             confirmed,
             work,
             peak_chances: peak_chances(demand, engine, now),
@@ -129,8 +187,9 @@
                 .map(|m| demand.remaining_work(rules, &m.name, now))
                 .collect(),
             balance: LoadBalance::default(),
-            indexes: engine.models.iter().enumerate().map(|(n, m)| (&m.name, n)).collect(),
             decisions: Vec::new(),
+            largest: engine.models.iter().map(|model| model.weights).max().unwrap_or(0),
+            effort: Cell::default(),
         };
         draft.rebalance();
         draft
@@ -157,9 +216,19 @@
         self.balance.utilization[target]
     }
 
+    /// Returns the work done for the plan so far.
+    pub(super) fn effort(&self) -> Effort {
+        self.effort.get()
+    }
+
+    /// Adds to the work done for the plan.
+    pub(super) fn count(&self, effort: Effort) {
+        self.effort.set(self.effort.get().plus(effort));
+    }
+
     /// Returns the index of a declared model.
     pub(super) fn index(&self, model: &model::Id) -> Option<usize> {
-        self.indexes.get(model).copied()
+        self.models.indexes.get(model).copied()
     }
 
     /// Adds an order to the plan, which then gives no other order to the same target.
@@ -190,6 +259,50 @@
     }
 }
 
+/// Targets of each model, by what they have of it.
+struct Replicas {
+    ready: Vec<Vec<usize>>,
+    /// Ready or expected, on responsive targets.
+    expected: Vec<Vec<usize>>,
+    /// Ready for certain, on responsive targets.
+    confirmed: Vec<Vec<usize>>,
+}
+
+impl Replicas {
+    fn new(engine: &Engine, models: &Models, targets: &[Target], now: Moment) -> Replicas {
+        let none = || vec![Vec::new(); engine.models.len()];
+        let mut replicas = Replicas { ready: none(), expected: none(), confirmed: none() };
+        for (index, target) in targets.iter().enumerate() {
+            replicas.add(models, index, target, now);
+        }
+        replicas
+    }
+
+    fn add(&mut self, models: &Models, index: usize, target: &Target, now: Moment) {
+        let view = target.view;
+        let held = target.held.iter().filter_map(|held| Some((held.name, held.index?)));
+        for (name, model) in held.filter(|(name, _)| view.is_ready(name)) {
+            self.ready[model].push(index);
+            if view.is_unresponsive {
+                continue;
+            }
+            self.expected[model].push(index);
+            if view.is_confirmed_ready(name, now) {
+                self.confirmed[model].push(index);
+            }
+        }
+        if view.is_unresponsive {
+            return;
+        }
+        let expected = view.expected_models().filter_map(|model| models.indexes.get(model));
+        for &model in expected {
+            if self.expected[model].last() != Some(&index) {
+                self.expected[model].push(index);
+            }
+        }
+    }
+}
+
 /// Returns the fraction of a server that its rate limit takes away, where each request keeps the
 /// server fully utilized for `request_s` seconds.
 fn lost_capacity(limit: f64, request_s: f64) -> f64 {
--- a/crates/policy/src/place/eviction.rs
+++ b/crates/policy/src/place/eviction.rs
@@ -1,9 +1,10 @@
 //! Replicas that may be evicted, and the cost of doing so.
 
-use types::{prelude::*, routed::Model};
+use types::prelude::*;
 
 use super::{
-    draft::Draft,
+    Effort,
+    draft::{Draft, Held},
     gain::{IDLE_WORK, replica_deficit},
 };
 
@@ -62,24 +63,45 @@
     }
 }
 
-/// Returns the replicas that some model may take from a target, the cheapest first.
-pub(super) fn evictable(draft: &Draft, target: usize) -> Vec<Evictable> {
-    let held = draft.targets[target].view.held.keys();
-    let mut evictable: Vec<Evictable> = held
-        .filter_map(|held| {
-            let scope = scope(draft, held, target)?;
+/// The replicas that some model may take from a target.
+#[derive(Default)]
+pub(super) struct Offer {
+    /// The cheapest first.
+    replicas: Vec<Evictable>,
+    /// Memory that is free once all of them have made way, for each scope; `None` if the free memory
+    /// is unknown.
+    room: Option<[Mebibytes; 2]>,
+}
+
+impl Offer {
+    /// Returns what a target offers.
+    pub(super) fn new(draft: &Draft, target: usize) -> Offer {
+        draft.count(Effort { evictions: 1, ..Effort::default() });
+        let at = &draft.targets[target];
+        let evictable = |held: &Held| {
             Some(Evictable {
-                model: held.clone(),
-                index: draft.index(held),
+                scope: scope(draft, held, target)?,
+                model: held.name.clone(),
+                index: held.index,
                 cost: eviction_cost(draft, held, target),
-                size: replica_memory(draft, held, target),
+                size: held.memory,
                 until_idle: until_idle(draft, held, target),
-                scope,
             })
-        })
-        .collect();
-    evictable.sort_by(|a, b| a.cost.total_cmp(&b.cost));
-    evictable
+        };
+        let mut replicas: Vec<Evictable> = at.held.iter().filter_map(evictable).collect();
+        replicas.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        let freed = |most: Scope| -> Mebibytes {
+            replicas.iter().filter(|other| other.scope <= most).map(|other| other.size).sum()
+        };
+        let room = at.room.map(|room| [Scope::Spare, Scope::Idle].map(|most| room + freed(most)));
+        Offer { replicas, room }
+    }
+
+    /// Returns the memory that is free once all replicas of a scope have made way; `None` if the free
+    /// memory is unknown.
+    pub(super) fn room(&self, scope: Scope) -> Option<Mebibytes> {
+        self.room.map(|room| room[scope as usize])
+    }
 }
 
 /// Returns the replicas to evict from a target so that `model` fits, from the narrowest scope in
@@ -88,10 +110,10 @@
     draft: &Draft,
     model: usize,
     target: usize,
-    evictable: &'a [Evictable],
+    offer: &'a Offer,
 ) -> Option<Vec<&'a Evictable>> {
     let mut scopes = Scope::of(draft, model).iter();
-    scopes.find_map(|&scope| victims_in(draft, model, target, scope, evictable))
+    scopes.find_map(|&scope| victims_in(draft, model, target, scope, offer))
 }
 
 /// Returns the replicas of a scope to evict from a target so that `model` fits, the cheapest first;
@@ -101,7 +123,7 @@
     model: usize,
     target: usize,
     scope: Scope,
-    evictable: &'a [Evictable],
+    offer: &'a Offer,
 ) -> Option<Vec<&'a Evictable>> {
     let declared = &draft.engine.models[model];
     let wanted = declared.weights;
@@ -109,7 +131,7 @@
     let mut chosen = Vec::new();
     let may_go =
         |candidate: &&Evictable| candidate.model != declared.name && candidate.scope <= scope;
-    for victim in evictable.iter().filter(may_go) {
+    for victim in offer.replicas.iter().filter(may_go) {
         if wanted <= room {
             break;
         }
@@ -149,13 +171,13 @@
 
 /// Returns why a replica on the target stays; `None` if any model may take its room. The last one of
 /// an idle model gives way to a model that is asked for and has none.
-pub(super) fn keep(draft: &Draft, held: &model::Id, target: usize) -> Option<Keep> {
-    let index = draft.index(held)?;
+pub(super) fn keep(draft: &Draft, held: &Held, target: usize) -> Option<Keep> {
+    let index = held.index?;
     let others = draft.confirmed[index].iter().filter(|&&other| other != target).count();
     let is_settled = draft.targets[target]
         .view
         .held_since
-        .get(held)
+        .get(held.name)
         .is_none_or(|&since| since.is_zero() || since + MIN_REPLICA_AGE <= draft.now);
     match () {
         () if others == 0 => Some(Keep::Last),
@@ -168,25 +190,24 @@
 }
 
 /// Returns the narrowest scope in which a replica may make way; `None` if it must stay.
-fn scope(draft: &Draft, held: &model::Id, target: usize) -> Option<Scope> {
+fn scope(draft: &Draft, held: &Held, target: usize) -> Option<Scope> {
     match keep(draft, held, target) {
         None => Some(Scope::Spare),
-        Some(Keep::Last) => {
-            draft.index(held).filter(|&index| is_idle(draft, index)).map(|_| Scope::Idle)
-        }
+        Some(Keep::Last) => held.index.filter(|&index| is_idle(draft, index)).map(|_| Scope::Idle),
         Some(Keep::Needed | Keep::New) => None,
     }
 }
 
 /// Returns the cost of evicting a replica.
-fn eviction_cost(draft: &Draft, held: &model::Id, target: usize) -> f64 {
-    let Some(index) = draft.index(held) else { return 0.0 };
+fn eviction_cost(draft: &Draft, held: &Held, target: usize) -> f64 {
+    let Some(index) = held.index else { return 0.0 };
     replica_loss(draft, index, target) + BLOCKED_COST_PER_S * until_idle(draft, held, target)
 }
 
 /// Returns after how many seconds the model's requests on the target are likely to have ended.
-fn until_idle(draft: &Draft, held: &model::Id, target: usize) -> f64 {
-    let requests = draft.targets[target].view.requests_in_flight.get(held).copied().unwrap_or(0);
+fn until_idle(draft: &Draft, held: &Held, target: usize) -> f64 {
+    let in_flight = &draft.targets[target].view.requests_in_flight;
+    let requests = in_flight.get(held.name).copied().unwrap_or(0);
     LAST_RUN_END_S * f64::from(requests) / (f64::from(requests) + 1.0)
 }
 
@@ -199,10 +220,3 @@
     replica_deficit(draft, model, &rest) - replica_deficit(draft, model, replicas)
         + CACHE_LOSS * share
 }
-
-/// Returns the memory that a model takes on the target, adapters included.
-pub(super) fn replica_memory(draft: &Draft, held: &model::Id, target: usize) -> Mebibytes {
-    let adapters = draft.targets[target].view.held.get(held).map_or(0, |adapters| adapters.len());
-    let size = |model: &Model| model.weights + model.adapter_weights * adapters as Mebibytes;
-    draft.sizes.get(held).map_or(0, size)
-}
--- a/crates/policy/src/place/gain.rs
+++ b/crates/policy/src/place/gain.rs
@@ -8,9 +8,9 @@
 use types::{prelude::*, routed::Model};
 
 use super::{
-    Cause, Operation,
+    Cause, Effort, Operation,
     draft::Draft,
-    eviction::{self, BLOCKED_COST_PER_S, Evictable, Scope, replica_loss},
+    eviction::{self, BLOCKED_COST_PER_S, Evictable, Offer, Scope, replica_loss},
     server_view::Source,
     store::{Allowance, Urgency},
     utilization::late_work,
@@ -74,9 +74,29 @@
 pub(super) fn plan(draft: &mut Draft, store: &mut Allowance) {
     unload_unknown_models(draft);
     continue_reservations(draft, store);
+    let mut offers: Vec<Offer> =
+        (0..draft.targets.len()).map(|target| offer(draft, target)).collect();
     for _ in 0..MAX_STEPS {
-        let Some(step) = best_step(draft, store) else { return };
+        let Some(step) = best_step(draft, store, &offers) else { return };
+        let model = step.model;
+        let victims: Vec<usize> =
+            step.victims.iter().filter_map(|victim| draft.index(victim)).collect();
         commit(draft, store, step);
+        // What other targets offer depends only on the models that they hold.
+        for (target, offered) in offers.iter_mut().enumerate() {
+            let at = &draft.targets[target];
+            if at.holds(model) || victims.iter().any(|&victim| at.holds(victim)) {
+                *offered = offer(draft, target);
+            }
+        }
+    }
+}
+
+/// Returns what a target offers to a model order of this plan; nothing if it accepts none.
+fn offer(draft: &Draft, target: usize) -> Offer {
+    match draft.targets[target].accepts_model_order() {
+        true => Offer::new(draft, target),
+        false => Offer::default(),
     }
 }
 
@@ -85,8 +105,9 @@
 fn unload_unknown_models(draft: &mut Draft) {
     for target in 0..draft.targets.len() {
         let at = &draft.targets[target];
-        let unknown = at.view.held.keys().find(|model| !draft.sizes.contains_key(*model));
-        let Some(model) = unknown.filter(|_| at.accepts_model_order()).cloned() else { continue };
+        let is_unknown = |model: &&model::Id| !draft.models.sizes.contains_key(*model);
+        let mut held = at.held.iter().map(|held| held.name).filter(|_| at.accepts_model_order());
+        let Some(model) = held.find(is_unknown).cloned() else { continue };
         draft.decide(target, Operation::Unload, &model, None, Cause::Room);
     }
 }
@@ -94,18 +115,19 @@
 /// Continues with the loads for which memory was reserved, and keeps it reserved until the weight
 /// store can serve the load.
 fn continue_reservations(draft: &mut Draft, store: &mut Allowance) {
+    let mut has_changed = false;
     for target in 0..draft.targets.len() {
         let at = &draft.targets[target];
         let reservation = at.view.reservation.as_ref().filter(|_| at.accepts_model_order());
         let Some(model) = reservation.and_then(|(model, _)| draft.index(model)) else { continue };
-        let name = &draft.engine.models[model].name;
-        if at.view.held.contains_key(name) {
+        if at.holds(model) {
             continue;
         }
-        let source = at.view.source(name);
-        let evictable = eviction::evictable(draft, target);
+        has_changed = true;
+        let source = at.source(model);
+        let offer = Offer::new(draft, target);
         draft.replicas[model].retain(|&other| other != target);
-        let victims = eviction::victims(draft, model, target, &evictable);
+        let victims = eviction::victims(draft, model, target, &offer);
         let victims: Option<Vec<model::Id>> =
             victims.map(|all| all.into_iter().map(|victim| victim.model.clone()).collect());
         let allowed = store.allows(at.id, source, Urgency::Urgent);
@@ -120,17 +142,45 @@
             None => {}
         }
     }
-    draft.rebalance();
+    if has_changed {
+        draft.rebalance();
+    }
+}
+
+/// The targets that accept a model order in this step.
+struct Open {
+    targets: Vec<usize>,
+    /// For each of them, whether it may load from the weight store for an urgent need.
+    may_use_store: Vec<bool>,
+    /// Most memory that one of them can free, for each scope.
+    largest_room: [Mebibytes; 2],
 }
 
-fn best_step(draft: &Draft, store: &mut Allowance) -> Option<Step> {
-    let open = |target: usize| draft.targets[target].accepts_model_order();
-    let evictable: Vec<Vec<Evictable>> = (0..draft.targets.len())
-        .map(|target| if open(target) { eviction::evictable(draft, target) } else { Vec::new() })
-        .collect();
+impl Open {
+    fn new(draft: &Draft, store: &mut Allowance, offers: &[Offer]) -> Open {
+        let targets = 0..draft.targets.len();
+        let targets: Vec<usize> =
+            targets.filter(|&target| draft.targets[target].accepts_model_order()).collect();
+        let may_use_store = targets
+            .iter()
+            .map(|&target| store.allows(draft.targets[target].id, Source::Store, Urgency::Urgent));
+        let largest = |scope: Scope| {
+            let rooms = targets.iter().filter_map(|&target| offers[target].room(scope));
+            rooms.max().unwrap_or(0)
+        };
+        Open {
+            may_use_store: may_use_store.collect(),
+            largest_room: [Scope::Spare, Scope::Idle].map(largest),
+            targets,
+        }
+    }
+}
+
+fn best_step(draft: &Draft, store: &mut Allowance, offers: &[Offer]) -> Option<Step> {
+    let open = Open::new(draft, store, offers);
     let mut best: Option<Step> = None;
     for model in (0..draft.replicas.len()).filter(|&model| may_need_replica(draft, model)) {
-        for (target, victims) in shortlist(draft, store, model, &evictable) {
+        for (target, victims) in shortlist(draft, model, &open, offers) {
             let least = best.as_ref().map_or(MIN_GAIN, |step| step.gain);
             let step = Some(evaluate(draft, model, target, victims));
             best = step.filter(|s| least < s.gain && allows(draft, store, s)).or(best);
@@ -175,45 +225,65 @@
 /// models are evicted only if no others can be, for a model that is asked for and has none.
 fn shortlist<'a>(
     draft: &Draft,
-    store: &mut Allowance,
     model: usize,
-    evictable: &'a [Vec<Evictable>],
+    open: &Open,
+    offers: &'a [Offer],
 ) -> Vec<(usize, Vec<&'a Evictable>)> {
-    let declared = &draft.engine.models[model];
-    let mut targets: Vec<(bool, bool, usize)> = Vec::new();
-    for (target, at) in draft.targets.iter().enumerate().filter(|(_, at)| at.accepts_model_order())
-    {
-        let source = at.view.source(&declared.name);
-        let new = !at.view.held.contains_key(&declared.name);
-        let fits = new && !draft.replicas[model].contains(&target);
-        if fits && store.allows(at.id, source, Urgency::Urgent) {
-            let free = at.room.is_some_and(|room| declared.weights <= room);
-            targets.push((source == Source::Store, !free, target));
-        }
-    }
-    let share = draft.work[model] / (draft.replicas[model].len() + 1) as f64;
-    let utilization = |target: usize| {
-        draft.utilization(target) + share * (draft.targets[target].view.scale - 1.0)
-    };
-    targets.sort_by(|a, b| {
-        (a.0, a.1).cmp(&(b.0, b.1)).then(utilization(a.2).total_cmp(&utilization(b.2)))
-    });
-    let shortlist = |scope: Scope| -> Vec<(usize, Vec<&'a Evictable>)> {
-        let fits = |&(.., target): &(bool, bool, usize)| {
-            let victims = eviction::victims_in(draft, model, target, scope, &evictable[target]);
+    let mut shortlists = Scope::of(draft, model).iter().map(|&scope| {
+        let targets = shortlist_in(draft, model, scope, open, offers);
+        let victims = |target: usize| {
+            let victims = eviction::victims_in(draft, model, target, scope, &offers[target]);
             Some((target, victims?))
         };
-        targets.iter().filter_map(fits).take(MAX_TARGETS).collect()
-    };
-    let mut shortlists = Scope::of(draft, model).iter().map(|scope| shortlist(*scope));
+        targets.into_iter().filter_map(victims).collect::<Vec<_>>()
+    });
     shortlists.find(|shortlist| !shortlist.is_empty()).unwrap_or_default()
 }
 
+/// Returns the targets to evaluate on which a model fits once replicas of a scope have made way.
+fn shortlist_in(
+    draft: &Draft,
+    model: usize,
+    scope: Scope,
+    open: &Open,
+    offers: &[Offer],
+) -> Vec<usize> {
+    let wanted = draft.engine.models[model].weights;
+    if open.largest_room[scope as usize] < wanted {
+        return Vec::new();
+    }
+    let share = draft.work[model] / (draft.replicas[model].len() + 1) as f64;
+    let mut targets: Vec<(bool, bool, f64, usize)> = Vec::new();
+    for (&target, &may_use_store) in open.targets.iter().zip(&open.may_use_store) {
+        let at = &draft.targets[target];
+        let fits = offers[target].room(scope).is_some_and(|room| wanted <= room);
+        if !fits || at.holds(model) || draft.replicas[model].contains(&target) {
+            continue;
+        }
+        let from_store = at.source(model) == Source::Store;
+        if may_use_store || !from_store {
+            let free = at.room.is_some_and(|room| wanted <= room);
+            let utilization = draft.utilization(target) + share * (at.view.scale - 1.0);
+            targets.push((from_store, !free, utilization, target));
+        }
+    }
+    let by_preference = |a: &(bool, bool, f64, usize), b: &(bool, bool, f64, usize)| {
+        (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)).then(a.3.cmp(&b.3))
+    };
+    if MAX_TARGETS < targets.len() {
+        targets.select_nth_unstable_by(MAX_TARGETS, by_preference);
+        targets.truncate(MAX_TARGETS);
+    }
+    targets.sort_unstable_by(by_preference);
+    targets.into_iter().map(|(.., target)| target).collect()
+}
+
 /// Evaluates loading a model on a target.
 fn evaluate(draft: &Draft, model: usize, target: usize, victims: Vec<&Evictable>) -> Step {
+    draft.count(Effort { evaluations: 1, ..Effort::default() });
     let at = &draft.targets[target];
     let declared = &draft.engine.models[model];
-    let source = at.view.source(&declared.name);
+    let source = at.source(model);
     let prices = &draft.rules.prices;
     let blocked: f64 = victims.iter().map(|victim| victim.until_idle).sum();
     let unloads = UNLOAD_S * victims.len() as f64 + blocked;
@@ -284,7 +354,7 @@
 
 /// Returns the cost of a small model taking room in which a model of the largest size would fit.
 fn fragmentation_cost(draft: &Draft, declared: &Model, target: usize, freed: Mebibytes) -> f64 {
-    let largest = draft.engine.models.iter().map(|model| model.weights).max().unwrap_or(0);
+    let largest = draft.largest;
     if largest < 2 * declared.weights || largest == 0 {
         return 0.0;
     }
--- a/crates/policy/src/place/headroom.rs
+++ b/crates/policy/src/place/headroom.rs
@@ -40,7 +40,7 @@
     pub(super) fn add(&mut self, draft: &Draft) {
         for (index, target) in draft.targets.iter().enumerate() {
             *self.servers(target) += 1;
-            for held in target.view.held.keys() {
+            for held in &target.held {
                 *self.replicas(eviction::keep(draft, held, index)) += 1;
             }
         }
--- a/crates/policy/src/place/planner.rs
+++ b/crates/policy/src/place/planner.rs
@@ -1,6 +1,9 @@
 //! The planner: takes events and returns orders.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use types::{
     prelude::*,
@@ -8,22 +11,21 @@
 };
 
 use super::{
-    Order, Outcome, Rules, adapters,
+    Effort, Order, Outcome, Rules, adapters,
     demand::{Demand, Work},
-    draft::{Decision, Draft, store_loads},
+    draft::{Decision, Draft, Models, store_loads},
     gain,
-    headroom::Headroom,
     server_view::{SentOrder, ServerView, Source},
     store::{self, Allowance, Bucket},
-    unplaced::{self, Unplaced},
+    survey::Survey,
+    unplaced,
 };
 
 /// A service with model servers.
 #[derive(Clone, Debug)]
 struct Service {
     engine: Engine,
-    /// All models declared so far: servers may still hold one that is no longer declared.
-    sizes: BTreeMap<model::Id, routed::Model>,
+    models: Models,
     bucket: Bucket,
 }
 
@@ -36,14 +38,16 @@
     /// Unresolved orders to ended runs, by the server's name: a later run may still carry them out.
     unresolved: BTreeMap<Arc<str>, Vec<SentOrder>>,
     demand: Demand,
-    unplaced: Vec<Unplaced>,
+    /// Work of the last plan.
+    effort: Effort,
 }
 
 impl Planner {
     /// Creates a planner without services, servers or demand.
     pub fn new(rules: Rules) -> Planner {
-        let (services, servers, unresolved, unplaced) = Default::default();
-        Planner { rules, services, servers, unresolved, demand: Demand::default(), unplaced }
+        let (services, servers, unresolved) = Default::default();
+        let (demand, effort) = Default::default();
+        Planner { rules, services, servers, unresolved, demand, effort }
     }
 
     /// Adds a service, or replaces its declaration.
@@ -51,12 +55,12 @@
         let rules = &self.rules;
         let entry = self.services.entry(service.clone()).or_insert_with(|| Service {
             engine: engine.clone(),
-            sizes: BTreeMap::new(),
+            models: Models::default(),
             bucket: Bucket::new(rules, engine.loads_per_s, now),
         });
         entry.bucket.set_rate(rules, engine.loads_per_s);
         entry.engine = engine.clone();
-        entry.sizes.extend(engine.models.iter().map(|m| (m.name.clone(), m.clone())));
+        entry.models.declare(engine);
     }
 
     /// Removes a service that is no longer declared.
@@ -137,8 +141,9 @@
     /// Replaces the set of servers that answer no host. Replicas there count as lost until the
     /// servers answer again.
     pub fn set_unresponsive(&mut self, servers: &[backend::Id]) {
+        let unresponsive: BTreeSet<&backend::Id> = servers.iter().collect();
         for (id, view) in &mut self.servers {
-            view.is_unresponsive = servers.contains(id);
+            view.is_unresponsive = unresponsive.contains(id);
         }
     }
 
@@ -164,52 +169,84 @@
         self.servers.values_mut().for_each(|view| view.expire(&self.rules, now));
         self.unresolved
             .retain(|_, unresolved| unresolved.iter().any(|sent| sent.may_take_effect(now)));
-        self.unplaced.clear();
+        self.effort = Effort::default();
         let names: Vec<service::Id> = self.services.keys().cloned().collect();
         names.iter().flat_map(|service| self.plan_service(service, now)).collect()
     }
 
-    /// Returns the models and adapters that the last plan wanted and could not order.
-    pub fn unplaced(&self) -> &[Unplaced] {
-        &self.unplaced
+    /// Returns how much work the last plan took.
+    pub fn effort(&self) -> Effort {
+        self.effort
     }
 
-    /// Returns what a plan can work with now, over all services.
-    pub fn headroom(&self, now: Moment) -> Headroom {
-        let mut headroom = Headroom::default();
-        for (name, Service { engine, sizes, .. }) in &self.services {
-            let own = self.servers.iter().filter(|(_, view)| view.service == *name);
-            headroom.add(&Draft::new(&self.rules, engine, sizes, &self.demand, own, now));
+    /// Returns what a plan can work with now, over all services, and the models and adapters that are
+    /// wanted and have no order under way. This takes about as long as a plan, so it is not part of
+    /// one.
+    pub fn survey(&self, now: Moment) -> Survey {
+        let mut survey = Survey::default();
+        for (name, service) in &self.services {
+            let draft = self.draft(name, service, now);
+            let mut bucket = service.bucket;
+            let mut store = self.allowance(name, service, &mut bucket, now);
+            survey.headroom.add(&draft);
+            survey.unplaced.extend(unplaced::unplaced(&draft, &mut store));
+            survey.effort = survey.effort.plus(draft.effort());
         }
-        headroom
+        survey
     }
 
-    fn plan_service(&mut self, name: &service::Id, now: Moment) -> Vec<Order> {
-        let Some(service) = self.services.get_mut(name) else { return Vec::new() };
-        let own = || self.servers.iter().filter(|(_, view)| view.service == *name);
-        let unresolved =
+    /// Returns the servers of a service.
+    fn own<'a>(
+        &'a self,
+        service: &service::Id,
+    ) -> impl Iterator<Item = (&'a backend::Id, &'a ServerView)> + Clone {
+        self.servers.iter().filter(move |(_, view)| view.service == *service)
+    }
+
+    fn draft<'a>(&'a self, name: &service::Id, service: &'a Service, now: Moment) -> Draft<'a> {
+        let Service { engine, models, .. } = service;
+        Draft::new(&self.rules, engine, models, &self.demand, self.own(name), now)
+    }
+
+    /// Returns the loads that the service's weight store can still serve.
+    fn allowance<'a>(
+        &self,
+        name: &service::Id,
+        service: &Service,
+        bucket: &'a mut Bucket,
+        now: Moment,
+    ) -> Allowance<'a> {
+        let is_unresolved =
             |view: &ServerView| view.unresolved.iter().any(|sent| sent.source == Source::Store);
-        let reserved = |view: &ServerView| {
+        let is_reserved = |view: &ServerView| {
             let reservation = view.reservation.as_ref();
             reservation.is_some_and(|(model, _)| view.source(model) == Source::Store)
         };
         let servers = |fits: &dyn Fn(&ServerView) -> bool| {
-            own().filter(|(_, view)| fits(view)).map(|(id, _)| id.clone()).collect()
+            self.own(name).filter(|(_, view)| fits(view)).map(|(id, _)| id.clone()).collect()
         };
-        let mut store = Allowance {
-            unresolved: servers(&unresolved),
-            reserved: servers(&reserved),
-            loads_running: store_loads(own().map(|(_, view)| view)),
+        Allowance {
+            bucket,
+            unresolved: servers(&is_unresolved),
+            reserved: servers(&is_reserved),
+            loads_running: store_loads(self.own(name).map(|(_, view)| view)),
             max_concurrent_loads: store::max_concurrent_loads(&service.engine),
-            bucket: &mut service.bucket,
             now,
-        };
-        let (engine, sizes) = (&service.engine, &service.sizes);
-        let mut draft = Draft::new(&self.rules, engine, sizes, &self.demand, own(), now);
+        }
+    }
+
+    fn plan_service(&mut self, name: &service::Id, now: Moment) -> Vec<Order> {
+        let Some(service) = self.services.get(name) else { return Vec::new() };
+        let mut bucket = service.bucket;
+        let mut store = self.allowance(name, service, &mut bucket, now);
+        let mut draft = self.draft(name, service, now);
         gain::plan(&mut draft, &mut store);
         adapters::plan(&mut draft);
-        self.unplaced.extend(unplaced::unplaced(&draft, &mut store));
-        let decisions = draft.decisions;
+        let (effort, decisions) = (draft.effort(), draft.decisions);
+        self.effort = self.effort.plus(effort);
+        if let Some(service) = self.services.get_mut(name) {
+            service.bucket = bucket;
+        }
         decisions.into_iter().map(|decision| self.send(decision, now)).collect()
     }
 
@@ -224,7 +261,7 @@
     pub fn record_outcome(&mut self, order: &Order, outcome: Outcome, now: Moment) {
         let Some(view) = self.servers.get_mut(&order.server) else { return };
         let service = self.services.get_mut(&view.service);
-        let declared = service.as_ref().and_then(|service| service.sizes.get(&order.model));
+        let declared = service.as_ref().and_then(|service| service.models.sizes.get(&order.model));
         let source = view.source(&order.model);
         let load = declared.map_or(Duration::ZERO, |model| gain::load_time(model, source));
         let Some(sent) = view.record_outcome(&self.rules, order, outcome, load, now) else {
@@ -245,12 +282,11 @@
     /// Returns the concurrent requests per server of a declared model's service; `None` if the
     /// model or the adapter isn't declared.
     fn slots(&self, model: &model::Id, adapter: Option<&adapter::Id>) -> Option<u32> {
-        let engines = self.services.values().map(|service| &service.engine);
-        let find = |engine: &Engine| {
-            let declared = engine.models.iter().find(|declared| declared.name == *model)?;
+        let find = |Service { engine, models, .. }: &Service| {
+            let declared = &engine.models[*models.indexes.get(model)?];
             adapter.is_none_or(|adapter| is_declared(declared, adapter)).then_some(engine.slots)
         };
-        engines.filter_map(find).next()
+        self.services.values().find_map(find)
     }
 }
 
--- a/crates/policy/src/place/server_view.rs
+++ b/crates/policy/src/place/server_view.rs
@@ -256,18 +256,19 @@
         self.is_ready(model) && !may_unload && self.foreign_until <= now
     }
 
-    /// Whether a model is being loaded or ordered here, or memory is being freed for it.
-    pub(super) fn is_expected(&self, model: &model::Id) -> bool {
-        if self.presence != Presence::Present {
-            return false;
-        }
-        let is_in_flight = self
-            .in_flight_order
-            .as_ref()
-            .is_some_and(|sent| sent.is_model_order(Operation::Load, model));
-        self.is_loading(model)
-            || is_in_flight
-            || self.reservation.as_ref().is_some_and(|(reserved, _)| reserved == model)
+    /// Returns the models that are being loaded or ordered here, or for which memory is being freed. A
+    /// model may be listed several times.
+    pub(super) fn expected_models(&self) -> impl Iterator<Item = &model::Id> {
+        let loading = match &self.current {
+            Some(CurrentOrder::Load { model, .. }) => Some(model),
+            _ => None,
+        };
+        let sent = self.in_flight_order.as_ref().map(|sent| &sent.order);
+        let sent =
+            sent.filter(|order| order.operation == Operation::Load && order.adapter.is_none());
+        let reserved = self.reservation.as_ref().map(|(model, _)| model);
+        let all = loading.into_iter().chain(sent.map(|order| &order.model)).chain(reserved);
+        all.filter(|_| self.presence == Presence::Present)
     }
 
     /// Whether a load of the model is in progress.
@@ -283,18 +284,33 @@
             && !self.adapters_unloading.contains(adapter_key)
     }
 
-    /// Returns the adapters that occupy a slot: loaded, being loaded or being unloaded.
-    pub(super) fn adapters(&self) -> BTreeSet<AdapterKey> {
-        let pairs = |(model, adapters): (&model::Id, &BTreeSet<adapter::Id>)| {
-            adapters.iter().map(|adapter| (model.clone(), adapter.clone())).collect::<Vec<_>>()
-        };
-        self.held.iter().flat_map(pairs).chain(self.adapters_loading.keys().cloned()).collect()
+    /// Returns the adapters that are loaded or being unloaded, and then those being loaded that are not
+    /// among them.
+    fn adapters(&self) -> impl Iterator<Item = (&model::Id, &adapter::Id)> {
+        let held = self.held.iter();
+        let held = held.flat_map(|(model, all)| all.iter().map(move |adapter| (model, adapter)));
+        let loading = self.adapters_loading.keys().map(|(model, adapter)| (model, adapter));
+        held.chain(loading.filter(|(model, adapter)| {
+            !self.held.get(*model).is_some_and(|all| all.contains(*adapter))
+        }))
+    }
+
+    /// Returns the adapters that no order moves and that are not being loaded.
+    pub(super) fn settled_adapters(&self) -> impl Iterator<Item = AdapterKey> {
+        let pairs = self.adapters().map(|(model, adapter)| (model.clone(), adapter.clone()));
+        pairs.filter(|adapter_key| !self.adapters_loading.contains_key(adapter_key))
+    }
+
+    /// Returns the adapters of inherited loads that occupy no slot yet.
+    fn inherited_adapters(&self) -> BTreeSet<(&model::Id, &adapter::Id)> {
+        let orders = self.inherited_loads();
+        let inherited = orders.filter_map(|order| Some((&order.model, order.adapter.as_ref()?)));
+        inherited.filter(|inherited| !self.adapters().any(|other| other == *inherited)).collect()
     }
 
-    /// Returns the adapters that occupy a slot or may still come to occupy one.
-    pub(super) fn reserved_adapters(&self) -> BTreeSet<AdapterKey> {
-        let adapter_key = |order: &Order| Some((order.model.clone(), order.adapter.clone()?));
-        self.adapters().into_iter().chain(self.inherited_loads().filter_map(adapter_key)).collect()
+    /// Returns the number of adapters that occupy a slot or may still come to occupy one.
+    pub(super) fn reserved_adapters(&self) -> usize {
+        self.adapters().count() + self.inherited_adapters().len()
     }
 
     /// Returns how many adapter loads are still in progress.
@@ -319,9 +335,8 @@
         let loads: BTreeSet<&model::Id> = coming.into_iter().chain(inherited).collect();
         let weights =
             self.held.keys().chain(loads).map(|model| sizes.get(model).map(|m| m.weights));
-        let adapter_keys = self.reserved_adapters();
-        let adapters =
-            adapter_keys.iter().map(|(model, _)| sizes.get(model).map(|m| m.adapter_weights));
+        let adapters = self.adapters().chain(self.inherited_adapters());
+        let adapters = adapters.map(|(model, _)| sizes.get(model).map(|m| m.adapter_weights));
         weights.chain(adapters).sum()
     }
 
@@ -334,6 +349,13 @@
         }
     }
 
+    /// Returns the models of which the server has a copy from which it loads them faster than from the
+    /// store.
+    pub(super) fn copies(&self) -> impl Iterator<Item = (&model::Id, Source)> {
+        let resident = self.resident.iter().map(|model| (model, Source::Memory));
+        resident.chain(self.on_disk.iter().map(|model| (model, Source::Disk)))
+    }
+
     /// Records an order that is sent now.
     pub(super) fn record_sent(&mut self, decision: &Decision, now: Moment) {
         let Decision { order, source, charged, reservation } = decision;
--- a/crates/policy/src/place/unplaced.rs
+++ b/crates/policy/src/place/unplaced.rs
@@ -7,8 +7,9 @@
 
 use super::{
     Operation,
+    demand::AdapterKey,
     draft::{Draft, Target},
-    eviction,
+    eviction::{self, Offer},
     store::{Allowance, Urgency},
 };
 
@@ -69,17 +70,18 @@
     }
 }
 
-/// Returns what a finished plan leaves unplaced.
+/// Returns what is wanted and has no order under way.
 pub(super) fn unplaced(draft: &Draft, store: &mut Allowance) -> Vec<Unplaced> {
     let models = 0..draft.engine.models.len();
     let wanted = models.filter(|&model| is_wanted(draft, model)).collect::<Vec<_>>();
+    let mut offers: Vec<Option<Offer>> = draft.targets.iter().map(|_| None).collect();
     let mut unplaced: Vec<Unplaced> = wanted
         .into_iter()
         .map(|model| Unplaced {
             model: draft.engine.models[model].name.clone(),
             adapter: None,
             replicas: draft.replicas[model].len(),
-            obstacle: find_obstacle(draft, store, model),
+            obstacle: find_obstacle(draft, store, model, &mut offers),
         })
         .collect();
     unplaced.extend(adapters(draft));
@@ -99,10 +101,16 @@
     }
 }
 
-fn find_obstacle(draft: &Draft, store: &mut Allowance, model: usize) -> Obstacle {
-    let name = &draft.engine.models[model].name;
+/// Returns the obstacle to a load of a model. `offers` holds what targets offer, as far as it was
+/// determined.
+fn find_obstacle(
+    draft: &Draft,
+    store: &mut Allowance,
+    model: usize,
+    offers: &mut [Option<Offer>],
+) -> Obstacle {
     let mut targets: Vec<usize> = (0..draft.targets.len())
-        .filter(|&target| !draft.targets[target].view.held.contains_key(name))
+        .filter(|&target| !draft.targets[target].holds(model))
         .filter(|target| !draft.replicas[model].contains(target))
         .collect();
     if targets.is_empty() {
@@ -112,39 +120,34 @@
     if targets.is_empty() {
         return Obstacle::Busy;
     }
-    let can_make_room = |target| {
-        let evictable = eviction::evictable(draft, target);
-        eviction::victims(draft, model, target, &evictable).is_some()
-    };
-    targets.retain(|&target| can_make_room(target));
+    targets.retain(|&target| {
+        let offer = offers[target].get_or_insert_with(|| Offer::new(draft, target));
+        eviction::victims(draft, model, target, offer).is_some()
+    });
     if targets.is_empty() {
         return Obstacle::NoRoom;
     }
     let allows = |target: &usize| {
         let at = &draft.targets[*target];
-        store.allows(at.id, at.view.source(name), Urgency::Urgent)
+        store.allows(at.id, at.source(model), Urgency::Urgent)
     };
     if !targets.iter().any(allows) { Obstacle::StoreRate } else { Obstacle::NoGain }
 }
 
-/// Returns the adapters that requests wait for, that no server has and that the plan doesn't load.
+/// Returns the adapters that requests wait for, that no server has and that no order loads.
 fn adapters(draft: &Draft) -> Vec<Unplaced> {
     let mut unplaced = Vec::new();
     let demand = draft.demand.adapters.iter();
     for (adapter_key, _) in demand.filter(|(_, demand)| demand.waiting_since(draft.now).is_some()) {
         let (model, adapter) = adapter_key;
-        let Some(declared) = draft.engine.models.iter().find(|m| m.name == *model) else {
-            continue;
-        };
-        let is_base =
-            |target: &&Target| !target.view.is_unresponsive && target.view.is_ready(model);
-        let mut targets: Vec<&Target> = draft.targets.iter().filter(is_base).collect();
-        let ordered = draft.decisions.iter().any(|decision| {
-            let order = &decision.order;
-            order.operation == Operation::Load
-                && (&order.model, order.adapter.as_ref()) == (model, Some(adapter))
-        });
-        if ordered || targets.iter().any(|target| target.view.has_adapter(adapter_key)) {
+        let Some(index) = draft.index(model) else { continue };
+        let declared = &draft.engine.models[index];
+        let ready = draft.ready[index].iter().map(|&target| &draft.targets[target]);
+        let mut targets: Vec<&Target> =
+            ready.filter(|target| !target.view.is_unresponsive).collect();
+        let is_under_way =
+            |target: &&Target| target.view.has_adapter(adapter_key) || loads(target, adapter_key);
+        if targets.iter().any(is_under_way) {
             continue;
         }
         let has_base = !targets.is_empty();
@@ -152,8 +155,7 @@
             targets.iter().map(|target| target.view.adapters_in_flight(draft.now)).sum();
         targets.retain(|target| target.accepts_orders);
         let is_free = |target: &&Target| {
-            let has_slot =
-                target.view.reserved_adapters().len() < draft.engine.adapter_slots as usize;
+            let has_slot = target.view.reserved_adapters() < draft.engine.adapter_slots as usize;
             has_slot && target.room.is_some_and(|room| declared.adapter_weights <= room)
         };
         let obstacle = match () {
@@ -169,6 +171,15 @@
     unplaced
 }
 
+/// Whether an order to load an adapter was sent to a target and has no answer yet.
+fn loads(target: &Target, adapter_key: &AdapterKey) -> bool {
+    target.view.in_flight_order.as_ref().is_some_and(|sent| {
+        let order = &sent.order;
+        order.operation == Operation::Load
+            && (&order.model, order.adapter.as_ref()) == (&adapter_key.0, Some(&adapter_key.1))
+    })
+}
+
 /// Minimum time that an entry has lasted when it is reported, and between two reports of it with
 /// different obstacles.
 const MIN_DURATION: Duration = Duration::from_millis(300);
--- a/crates/policy/src/place/utilization.rs
+++ b/crates/policy/src/place/utilization.rs
@@ -28,6 +28,8 @@
     capacities: Vec<f64>,
     /// Per model: the utilization of each of its servers by its work.
     shares: Vec<Vec<f64>>,
+    /// Per server: the models with work that stand there and elsewhere, in ascending order.
+    shared: Vec<Vec<usize>>,
 }
 
 impl LoadBalance {
@@ -49,7 +51,13 @@
                 }
             }
         }
-        LoadBalance { utilization, capacities, shares }
+        let mut shared = vec![Vec::new(); utilization.len()];
+        for (model, holders) in replicas.iter().enumerate() {
+            if 1 < holders.len() && 0.0 < work[model] {
+                holders.iter().for_each(|&server| shared[server].push(model));
+            }
+        }
+        LoadBalance { utilization, capacities, shares, shared }
     }
 
     /// Returns by how much the late and lost work falls if the models in `moves` had the replicas
@@ -62,41 +70,47 @@
         moves: &[(usize, Vec<usize>)],
     ) -> f64 {
         let mut utilization = self.utilization.clone();
-        let mut reduction: f64 = self.late_work(&self.utilization);
-        let mut affected = vec![false; utilization.len()];
+        let mut reduction = 0.0;
+        let mut affected: Vec<usize> = Vec::new();
         let mut distributions: Vec<Distribution> = Vec::new();
         for (model, holders) in moves {
             let lifted = replicas[*model].iter().zip(&self.shares[*model]);
             lifted.for_each(|(&server, share)| utilization[server] -= share);
             reduction +=
                 if replicas[*model].is_empty() { work[*model] * LOST_WORK_WEIGHT } else { 0.0 };
-            holders.iter().chain(&replicas[*model]).for_each(|&server| affected[server] = true);
+            affected.extend(holders.iter().chain(&replicas[*model]));
             distributions.push(Distribution {
                 amount: work[*model],
                 holders,
                 share: vec![0.0; holders.len()],
             });
         }
-        for (model, holders) in replicas.iter().enumerate().filter(|(_, holders)| 1 < holders.len())
-        {
-            let moved = moves.iter().any(|(moved, _)| *moved == model);
-            if !moved && holders.iter().any(|&server| affected[server]) && 0.0 < work[model] {
-                let share = self.shares[model].clone();
-                distributions.push(Distribution { amount: work[model], holders, share });
-            }
-        }
+        let is_moved = |model: &usize| moves.iter().any(|(moved, _)| moved == model);
+        let neighbors = affected.iter().flat_map(|&server| &self.shared[server]).copied();
+        let mut neighbors: Vec<usize> = neighbors.filter(|model| !is_moved(model)).collect();
+        neighbors.sort_unstable();
+        neighbors.dedup();
+        distributions.extend(neighbors.into_iter().map(|model| Distribution {
+            amount: work[model],
+            holders: &replicas[model],
+            share: self.shares[model].clone(),
+        }));
         for _ in 0..REBALANCE_SWEEPS {
             for Distribution { amount, holders, share } in &mut distributions {
                 water_fill(*amount, holders, share, &mut utilization, &self.capacities);
             }
         }
-        reduction - self.late_work(&utilization)
+        reduction + self.late_work_reduction(&utilization)
     }
 
-    /// Late work of all servers at these utilizations, in servers of median speed.
-    fn late_work(&self, utilization: &[f64]) -> f64 {
-        let servers = utilization.iter().zip(&self.capacities);
-        servers.map(|(utilization, capacity)| late_work(*utilization) * capacity).sum()
+    /// Returns by how much the late work of all servers falls at these utilizations, in servers of
+    /// median speed.
+    fn late_work_reduction(&self, utilization: &[f64]) -> f64 {
+        let servers = self.utilization.iter().zip(utilization).zip(&self.capacities);
+        let changed = servers.filter(|((before, after), _)| before != after);
+        changed
+            .map(|((before, after), capacity)| (late_work(*before) - late_work(*after)) * capacity)
+            .sum()
     }
 }
 
--- a/crates/policy/tests/place/main.rs
+++ b/crates/policy/tests/place/main.rs
@@ -1,6 +1,7 @@
 //! Tests of placement by conditional orders.
 
 mod adapters;
+mod effort;
 mod machine;
 mod models;
 mod random;
--- a/crates/policy/tests/place/unplaced.rs
+++ b/crates/policy/tests/place/unplaced.rs
@@ -16,7 +16,8 @@
 }
 
 fn obstacles(world: &World, model: &str) -> Vec<Obstacle> {
-    let of_model = world.planner.unplaced().iter().filter(|entry| &*entry.model == model);
+    let unplaced = world.planner.survey(world.now).unplaced;
+    let of_model = unplaced.iter().filter(|entry| &*entry.model == model);
     of_model.map(|entry| entry.obstacle).collect()
 }
 
@@ -24,7 +25,7 @@
 fn nothing_is_unplaced_without_demand() {
     let mut world = World::new(engine(83_000, 8, &[(34_300, 0); 6]), 6, 3, 1);
     world.run(10 * SECOND);
-    assert_eq!(world.planner.unplaced(), []);
+    assert_eq!(world.planner.survey(world.now).unplaced, []);
 }
 
 /// Two servers and two models: each server is full with a model's last replica.
@@ -74,8 +75,9 @@
             world.planner.record_waiting(&"m00".into(), Some(&adapter.into()), world.now);
         }
         world.step();
-        let unplaced = world.planner.unplaced().iter().filter(|entry| entry.adapter.is_some());
-        found.extend(unplaced.map(|entry| entry.obstacle));
+        let unplaced = world.planner.survey(world.now).unplaced;
+        let of_adapters = unplaced.iter().filter(|entry| entry.adapter.is_some());
+        found.extend(of_adapters.map(|entry| entry.obstacle));
     }
     assert!(found.contains(&Obstacle::NoRoom), "{found:?}");
 }
--- a/crates/relay/src/unplaced.rs
+++ b/crates/relay/src/unplaced.rs
@@ -4,34 +4,43 @@
 use std::time::Duration;
 
 use observe::story::{Belief, Text};
-use policy::place::{Headroom, Obstacle, Order, ReportLimiter};
+use policy::place::{Headroom, Obstacle, Order, ReportLimiter, Survey};
 use types::prelude::*;
 
 use crate::{host::Shared, planning};
 
-/// Interval at which the headroom of plans is logged and measured.
-const HEADROOM_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which plans are surveyed. A survey takes as long as a plan.
+const SURVEY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Interval at which the headroom of plans is logged.
+const HEADROOM_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Reports the unplaced entries of this host's plans.
 #[derive(Debug, Default)]
 pub(crate) struct UnplacedReporter {
-    /// When the headroom was last reported.
-    headroom_at: Option<Moment>,
+    /// When plans were last surveyed.
+    surveyed_at: Option<Moment>,
+    /// When the headroom was last logged.
+    headroom_logged_at: Option<Moment>,
     limiter: ReportLimiter,
     /// Whether the metrics hold counts of this host's plans.
     has_metrics: bool,
 }
 
 impl UnplacedReporter {
-    /// Counts the unplaced entries of the last plan, and reports those that are due.
+    /// Surveys plans if that is due, counts the unplaced entries, and reports those that are due.
     pub(crate) fn report(&mut self, shared: &Shared, now: Moment) {
-        let unplaced = shared.planner().unplaced().to_vec();
+        if self.surveyed_at.is_some_and(|at| now < at + SURVEY_INTERVAL) {
+            return;
+        }
+        self.surveyed_at = Some(now);
+        let Survey { headroom, unplaced, .. } = shared.planner().survey(now);
         for obstacle in Obstacle::ALL {
             let waiting = unplaced.iter().filter(|entry| entry.obstacle == obstacle).count();
             shared.meters.wishes(obstacle.label(), waiting);
         }
         self.has_metrics = true;
-        self.report_headroom(shared, now);
+        self.report_headroom(shared, &headroom, now);
         for (entry, lasted) in self.limiter.due(&unplaced, now) {
             shared.logger.belief(Belief::Wish {
                 model: entry.model,
@@ -43,13 +52,12 @@
         }
     }
 
-    fn report_headroom(&mut self, shared: &Shared, now: Moment) {
-        if self.headroom_at.is_some_and(|at| now < at + HEADROOM_INTERVAL) {
+    fn report_headroom(&mut self, shared: &Shared, headroom: &Headroom, now: Moment) {
+        replicas(headroom).for_each(|(label, count)| shared.meters.replicas(label, count));
+        if self.headroom_logged_at.is_some_and(|at| now < at + HEADROOM_LOG_INTERVAL) {
             return;
         }
-        self.headroom_at = Some(now);
-        let headroom = shared.planner().headroom(now);
-        replicas(&headroom).for_each(|(label, count)| shared.meters.replicas(label, count));
+        self.headroom_logged_at = Some(now);
         log::info!(
             open = headroom.open, occupied = headroom.occupied,
             unresponsive = headroom.unresponsive, unsettled = headroom.unsettled,
