Pace rounds of planning by what they take

Cause: a round began 3 ms after any change, however long the last one took, so planning could take nearly all of a small host's time. Change: policy::place::Pace. A round is followed by a pause of seven times its length, two if requests have begun to wait for a model or adapter that no server holds. A host without the lease looks for it four times a second instead of 20, and plans as soon as it has it. A ready task runs before the next round. Conclusion: planning leaves its host most of its time; rounds of over 100 ms are not counted in full yet.

--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -23,6 +23,7 @@
 mod eviction;
 mod gain;
 mod headroom;
+mod pace;
 mod persistence;
 mod planner;
 mod rate;
@@ -38,6 +39,7 @@
     demand::Work,
     effort::Effort,
     headroom::Headroom,
+    pace::{Pace, Urgency},
     planner::Planner,
     survey::Survey,
     unplaced::{Obstacle, ReportLimiter, Unplaced},
--- a/crates/policy/src/place/demand.rs
+++ b/crates/policy/src/place/demand.rs
@@ -181,21 +181,23 @@
         if requests == 0.0 { 0.0 } else { self.seconds.value(RECENT_TIME_CONSTANT, now) / requests }
     }
 
-    /// Records that a request is waiting now.
+    /// Records that a request is waiting now. Returns whether none was before.
     pub(super) fn record_waiting(
         &mut self,
         model: &model::Id,
         adapter: Option<&adapter::Id>,
         now: Moment,
-    ) {
+    ) -> bool {
         let Some(adapter) = adapter else {
+            let was_waited_for = self.is_waited_for(model, now);
             self.waits.insert(model.clone(), now);
-            return;
+            return !was_waited_for;
         };
         let entry = self.adapters.entry((model.clone(), adapter.clone())).or_default();
-        let since = entry.waiting_since(now).unwrap_or(now);
-        entry.wait = Some(Wait { since, last: now });
+        let before = entry.waiting_since(now);
+        entry.wait = Some(Wait { since: before.unwrap_or(now), last: now });
         entry.last_arrival = entry.last_arrival.max(now);
+        before.is_none()
     }
 
     /// Returns how long demand stays with a model, in seconds.
--- a/crates/policy/src/place/planner.rs
+++ b/crates/policy/src/place/planner.rs
@@ -15,6 +15,7 @@
     demand::{Demand, Work},
     draft::{Decision, Draft, Models, store_loads},
     gain,
+    pace::Urgency,
     server_view::{SentOrder, ServerView, Source},
     store::{self, Allowance, Bucket},
     survey::Survey,
@@ -120,14 +121,17 @@
     }
 
     /// Records that a request is waiting now for a model or adapter. Undeclared ones are ignored.
+    /// Returns how soon a round is needed: once requests begin to wait, at once.
     pub fn record_waiting(
         &mut self,
         model: &model::Id,
         adapter: Option<&adapter::Id>,
         now: Moment,
-    ) {
-        if self.slots(model, adapter).is_some() {
-            self.demand.record_waiting(model, adapter, now);
+    ) -> Urgency {
+        let is_declared = self.slots(model, adapter).is_some();
+        match is_declared && self.demand.record_waiting(model, adapter, now) {
+            true => Urgency::Urgent,
+            false => Urgency::Normal,
         }
     }
 
--- a/crates/policy/tests/place/main.rs
+++ b/crates/policy/tests/place/main.rs
@@ -4,6 +4,7 @@
 mod effort;
 mod machine;
 mod models;
+mod pace;
 mod random;
 mod server_view;
 mod speeds;
--- a/crates/relay/src/lease.rs
+++ b/crates/relay/src/lease.rs
@@ -3,7 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use observe::story::{Belief, LeaseState, Text};
-use policy::term::{Lease, Outcome, Step, StoredLease};
+use policy::{
+    place::Urgency,
+    term::{Lease, Outcome, Step, StoredLease},
+};
 use tokio::time::sleep;
 use types::order::Fence;
 
@@ -46,6 +49,7 @@
         shared.logger.belief(belief(state, fence, why));
     }
     if let Some(fence) = held {
+        shared.wake_planner(Urgency::Normal);
         shared.logger.belief(belief(LeaseState::Gained, fence, "a write was carried out"));
     }
     held
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -358,8 +358,8 @@
         let now = shared.now();
         match received.notice {
             Notice::LoadRequested { model, adapter, .. } => {
-                shared.planner().record_waiting(&model, adapter.as_ref(), now);
-                shared.wake_planner();
+                let urgency = shared.planner().record_waiting(&model, adapter.as_ref(), now);
+                shared.wake_planner(urgency);
             }
             Notice::Loaded { server, model, adapter, sequence } => {
                 let adapter = adapter.as_ref();
--- a/crates/relay/src/planning.rs
+++ b/crates/relay/src/planning.rs
@@ -5,9 +5,10 @@
 use std::{sync::Arc, time::Duration};
 
 use observe::story::{Answer, Belief, Text};
-use policy::place::{self, Outcome, Planner};
+use policy::place::{self, Outcome, Pace, Planner, Urgency};
 use tokio::{
     select,
+    task::yield_now,
     time::{Instant, sleep},
 };
 use types::{order::Fence, prelude::*, routed::Server};
@@ -23,11 +24,8 @@
 
 use self::rounds::Rounds;
 
-/// Maximum time between two rounds of planning.
-const MAX_ROUND_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Minimum time between two rounds of planning.
-const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(3);
+/// Interval at which a host that does not plan looks for the lease.
+const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Minimum time between two requests for a report to one server.
 const REPORT_INTERVAL: Duration = Duration::from_millis(120);
@@ -40,30 +38,55 @@
 pub(crate) async fn run(shared: Arc<Shared>) {
     let mut unplaced = UnplacedReporter::default();
     let mut rounds = Rounds::default();
+    let mut pace = Pace::default();
     loop {
-        select! {
-            () = sleep(MAX_ROUND_INTERVAL) => {}
-            () = shared.plan_wakeup.requested() => sleep(MIN_ROUND_INTERVAL).await,
-        }
-        let now = shared.now();
-        let requested = shared.plan_wakeup.take();
-        if shared.term().fence(now).is_some() {
-            round(&shared, now);
-            unplaced.report(&shared, now);
-            shared.log_demand(now);
-            rounds.record(&shared, requested, now);
-        } else {
+        if shared.term().fence(shared.now()).is_none() {
             unplaced.end(&shared);
             shared.reset_demand_log();
-            rounds = Rounds::default();
+            (rounds, pace) = Default::default();
+            shared.plan_wakeup.take();
+            select! {
+                () = sleep(LEASE_CHECK_INTERVAL) => {}
+                () = shared.plan_wakeup.requested() => {}
+            }
+            continue;
+        }
+        wait_for_round(&shared, &pace).await;
+        let now = shared.now();
+        let request = shared.plan_wakeup.take();
+        if shared.term().fence(now).is_none() {
+            continue;
+        }
+        round(&shared, now);
+        unplaced.report(&shared, now);
+        shared.log_demand(now);
+        pace.record(now, shared.now());
+        rounds.record(&shared, request.map(|request| request.since), now);
+    }
+}
+
+/// Waits until the next round of planning is due.
+async fn wait_for_round(shared: &Shared, pace: &Pace) {
+    loop {
+        let request = shared.plan_wakeup.pending();
+        let due = request.map_or(pace.next_unrequested(), |request| pace.next(request.urgency));
+        let left = due.saturating_sub(shared.now());
+        if left.is_zero() {
+            // Lets the tasks run that became ready during the last round.
+            yield_now().await;
+            return;
+        }
+        select! {
+            () = sleep(left) => {}
+            () = shared.plan_wakeup.requested() => {}
         }
     }
 }
 
 impl Shared {
     /// Requests a round of planning.
-    pub(crate) fn wake_planner(&self) {
-        self.plan_wakeup.request(self.now());
+    pub(crate) fn wake_planner(&self, urgency: Urgency) {
+        self.plan_wakeup.request(urgency, self.now());
     }
 }
 
@@ -103,7 +126,7 @@
     let Some(server) = shared.current_run(&server, report.started_at) else { return };
     shared.planner().report(&server.id, &report, now);
     shared.apply_report(&server, &report);
-    shared.wake_planner();
+    shared.wake_planner(Urgency::Normal);
 }
 
 async fn carry_out(shared: Arc<Shared>, order: place::Order) {
@@ -115,7 +138,7 @@
     let now = shared.now();
     shared.planner().record_outcome(&order, outcome, now);
     shared.apply_order(&order, outcome);
-    shared.wake_planner();
+    shared.wake_planner(Urgency::Normal);
 }
 
 async fn send(shared: &Arc<Shared>, server: &Arc<Server>, order: &place::Order) -> Outcome {
--- a/crates/relay/src/wakeup.rs
+++ b/crates/relay/src/wakeup.rs
@@ -1,31 +1,53 @@
-//! Requests to run a task, with the time of the first one that it has not taken up.
+//! Requests for a round of planning.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use policy::place::Urgency;
 use tokio::sync::Notify;
 use types::prelude::*;
 
-/// Requests to run a task.
+/// Requests for a round that no round has taken up.
 #[derive(Debug, Default)]
 pub(crate) struct Wakeup {
     notify: Notify,
-    since: Mutex<Option<Moment>>,
+    request: Mutex<Option<Request>>,
+}
+
+/// Several requests for a round.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Request {
+    /// Time of the first one.
+    pub(crate) since: Moment,
+    /// The highest urgency.
+    pub(crate) urgency: Urgency,
 }
 
 impl Wakeup {
-    /// Requests that the task runs.
-    pub(crate) fn request(&self, now: Moment) {
-        self.since.lock().unwrap_or_else(PoisonError::into_inner).get_or_insert(now);
+    /// Requests a round.
+    pub(crate) fn request(&self, urgency: Urgency, now: Moment) {
+        let mut request = self.lock();
+        let before = request.unwrap_or(Request { since: now, urgency });
+        *request = Some(Request { urgency: before.urgency.max(urgency), ..before });
+        drop(request);
         self.notify.notify_one();
     }
 
-    /// Waits until a run is requested.
+    /// Waits until a round is requested, or until the present request has become more urgent.
     pub(crate) async fn requested(&self) {
         self.notify.notified().await;
     }
 
-    /// Takes up all requests, and returns the time of the first one.
-    pub(crate) fn take(&self) -> Option<Moment> {
-        self.since.lock().unwrap_or_else(PoisonError::into_inner).take()
+    /// Returns the request that the next round takes up.
+    pub(crate) fn pending(&self) -> Option<Request> {
+        *self.lock()
+    }
+
+    /// Takes up all requests.
+    pub(crate) fn take(&self) -> Option<Request> {
+        self.lock().take()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Request>> {
+        self.request.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
