Evaluate loads again only for models whose last gain is the highest

Ruled out: fewer targets a model, as that changes where models are placed. Change: candidates by their last gain; a step evaluates the best anew until none that is not up to date is better. Models whose replicas the last step has changed are evaluated anew in any case. The first step of a plan is the same as before. The test of the work of a plan allows 2 x 8 x models evaluations instead of 16 x 8 x models, and a survey one look at each server; green. Conclusion: the work of a plan grows with servers and models.

--- a/crates/policy/src/place/gain.rs
+++ b/crates/policy/src/place/gain.rs
@@ -5,6 +5,8 @@
 //! replicas. It costs its orders and what the evicted models lose. All values are in the unit of
 //! [`Prices`](super::Prices).
 
+mod candidates;
+
 use types::{prelude::*, routed::Model};
 
 use super::{
@@ -16,6 +18,8 @@
     utilization::late_work,
 };
 
+use self::candidates::{Candidate, Candidates};
+
 /// Loss while a model that is asked for has no replica.
 const UNREACHABLE_COST: f64 = 300.0;
 
@@ -70,22 +74,29 @@
     gain: f64,
 }
 
+impl Step {
+    fn candidate(&self) -> Candidate {
+        Candidate { gain: self.gain, model: self.model }
+    }
+}
+
 /// Decides all model orders of a plan.
 pub(super) fn plan(draft: &mut Draft, store: &mut Allowance) {
     unload_unknown_models(draft);
     continue_reservations(draft, store);
     let mut offers: Vec<Offer> =
         (0..draft.targets.len()).map(|target| offer(draft, target)).collect();
+    let mut candidates = Candidates::new(draft.replicas.len());
     for _ in 0..MAX_STEPS {
-        let Some(step) = best_step(draft, store, &offers) else { return };
-        let model = step.model;
-        let victims: Vec<usize> =
-            step.victims.iter().filter_map(|victim| draft.index(victim)).collect();
+        let Some(step) = candidates.best_step(draft, store, &offers) else { return };
+        let victims = step.victims.iter().filter_map(|victim| draft.index(victim));
+        let changed: Vec<usize> = victims.chain([step.model]).collect();
         commit(draft, store, step);
+        candidates.reset(&changed);
         // What other targets offer depends only on the models that they hold.
         for (target, offered) in offers.iter_mut().enumerate() {
             let at = &draft.targets[target];
-            if at.holds(model) || victims.iter().any(|&victim| at.holds(victim)) {
+            if changed.iter().any(|&model| at.holds(model)) {
                 *offered = offer(draft, target);
             }
         }
@@ -176,15 +187,22 @@
     }
 }
 
-fn best_step(draft: &Draft, store: &mut Allowance, offers: &[Offer]) -> Option<Step> {
-    let open = Open::new(draft, store, offers);
+/// Returns the step with the highest gain for a model.
+fn best_step_for(
+    draft: &Draft,
+    store: &mut Allowance,
+    model: usize,
+    open: &Open,
+    offers: &[Offer],
+) -> Option<Step> {
+    if !may_need_replica(draft, model) {
+        return None;
+    }
     let mut best: Option<Step> = None;
-    for model in (0..draft.replicas.len()).filter(|&model| may_need_replica(draft, model)) {
-        for (target, victims) in shortlist(draft, model, &open, offers) {
-            let least = best.as_ref().map_or(MIN_GAIN, |step| step.gain);
-            let step = Some(evaluate(draft, model, target, victims));
-            best = step.filter(|s| least < s.gain && allows(draft, store, s)).or(best);
-        }
+    for (target, victims) in shortlist(draft, model, open, offers) {
+        let least = best.as_ref().map_or(MIN_GAIN, |step| step.gain);
+        let step = Some(evaluate(draft, model, target, victims));
+        best = step.filter(|s| least < s.gain && allows(draft, store, s)).or(best);
     }
     best
 }
--- a/crates/policy/tests/place/effort.rs
+++ b/crates/policy/tests/place/effort.rs
@@ -35,7 +35,7 @@
 }
 
 /// Each plan determines once for each server which replicas may make way, and once more for those that
-/// hold a model whose replicas the plan has changed.
+/// hold a model whose replicas the plan has changed. A survey does so once for each server.
 #[rstest]
 #[case::of_25_servers(25, 54)]
 #[case::of_112_servers(112, 242)]
@@ -53,9 +53,12 @@
         let effort = world.planner.effort();
         let changed = (orders + unloads) * world.engine.models.len().div_ceil(servers) * 8;
         assert!(effort.evictions <= servers + changed, "{effort:?} with {orders} orders");
+        let survey = world.planner.survey(world.now);
+        assert!(survey.effort.evictions <= servers, "{:?} of a survey", survey.effort);
         worst.evictions = worst.evictions.max(effort.evictions);
         worst.evaluations = worst.evaluations.max(effort.evaluations);
     }
-    assert!(worst.evaluations <= 16 * 8 * models, "{worst:?}");
+    // Each model on eight servers, and once more for some of them.
+    assert!(worst.evaluations <= 2 * 8 * models, "{worst:?}");
     assert!(0 < worst.evictions, "no plan looked for room");
 }
