Keep planning bounded when rounds are long, and soon while room is made

Cause: a round counted 100 ms at most, so rounds of 500 ms took 0.42 of the host's time and 0.71 if urgent (by reckoning); only the beginning of a wait was urgent, so the load that an unload made room for waited for a pause of up to 700 ms; the survey ran before the orders were sent and lengthened the pause; the lateness of a host was not recorded if something else had woken the task. Ruled out: a lost wake-up, a panic by index (the reviewer, by reading). Change: a round counts up to twice the one before, or 100 ms, so that only a sudden length is taken for a suspension. Outcomes of orders for missing models and of unloads, and reports of servers with room reserved, are urgent. The survey comes after the orders, outside of the pace, and takes a 32nd of the time at most. Lateness is recorded whatever has woken the task. RoundUrgency, as the weight store has an Urgency of its own. Conclusion: planning takes an eighth of the time, a third if urgent, at any length of rounds but the first that is much longer than the one before.

--- a/crates/observe/src/metrics/routed/labels.rs
+++ b/crates/observe/src/metrics/routed/labels.rs
@@ -98,11 +98,11 @@
 /// A time of a round of planning.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum PlanTime {
-    /// From its beginning to its end.
+    /// From the beginning to the end of a round.
     Round,
-    /// From the end of the round before to its end.
+    /// From the end of a round to the end of the next.
     Interval,
-    /// From the first request for the round to its end.
+    /// From the first request for a round to the end of the round.
     Delay,
 }
 
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -39,7 +39,7 @@
     demand::Work,
     effort::Effort,
     headroom::Headroom,
-    pace::{Pace, Urgency},
+    pace::{Pace, RoundUrgency},
     planner::Planner,
     survey::Survey,
     unplaced::{Obstacle, ReportLimiter, Unplaced},
--- a/crates/policy/src/place/eviction.rs
+++ b/crates/policy/src/place/eviction.rs
@@ -66,10 +66,10 @@
 /// The replicas that some model may take from a target.
 #[derive(Default)]
 pub(super) struct Offer {
-    /// The cheapest first.
+    /// Replicas that may be evicted, the cheapest first.
     replicas: Vec<Evictable>,
-    /// Memory that is free once all of them have made way, for each scope; `None` if the free memory
-    /// is unknown.
+    /// Memory that is free once all replicas of a scope have made way; `None` if the free memory is
+    /// unknown.
     room: Option<[Mebibytes; 2]>,
 }
 
--- a/crates/policy/src/place/gain.rs
+++ b/crates/policy/src/place/gain.rs
@@ -161,9 +161,9 @@
 /// The targets that accept a model order in this step.
 struct Open {
     targets: Vec<usize>,
-    /// For each of them, whether it may load from the weight store for an urgent need.
+    /// Per open target: whether it may load from the weight store for an urgent need.
     may_use_store: Vec<bool>,
-    /// Most memory that one of them can free, for each scope.
+    /// Per scope: the most memory that an open target can free.
     largest_room: [Mebibytes; 2],
 }
 
--- a/crates/policy/src/place/pace.rs
+++ b/crates/policy/src/place/pace.rs
@@ -13,22 +13,25 @@
 /// Maximum time between two rounds while a round is cheap.
 const MAX_PAUSE: Duration = Duration::from_millis(50);
 
-/// Pause after a round, in units of the time that the round took.
+/// Pause after a round in units of its time, so that planning takes an eighth of the host's time.
 const PAUSE_PER_ROUND: u32 = 7;
 
-/// Like `PAUSE_PER_ROUND`, if an urgent round was requested.
+/// Pause after a round in units of its time if the next one is urgent: a third of the host's time.
 const URGENT_PAUSE_PER_ROUND: u32 = 2;
 
-/// Longest time of a round that is taken into account: a host that was suspended meanwhile must not
-/// stop planning.
-const MAX_ROUND: Duration = Duration::from_millis(100);
+/// Time up to which a round counts in full, even if the one before was much shorter.
+const MAX_SUDDEN_ROUND: Duration = Duration::from_millis(100);
+
+/// Factor by which a longer round may exceed the one before. What goes beyond is taken for time in
+/// which the host was suspended, after which planning must go on.
+const MAX_GROWTH: u32 = 2;
 
 /// How soon a round is needed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Urgency {
+pub enum RoundUrgency {
     /// Something has changed.
     Normal,
-    /// Requests wait for a model or adapter that no server holds.
+    /// Requests have begun to wait for a model or adapter, or room was made for a load.
     Urgent,
 }
 
@@ -39,26 +42,29 @@
     ended: Moment,
     /// Time that the last round took.
     took: Duration,
+    /// Time of the last round that counts.
+    counted: Duration,
 }
 
 impl Pace {
     /// Records a round that began at `began` and ended at `ended`.
     pub fn record(&mut self, began: Moment, ended: Moment) {
-        self.took = ended.saturating_sub(began).min(MAX_ROUND);
-        self.ended = ended;
+        let took = ended.saturating_sub(began);
+        self.counted = took.min(MAX_SUDDEN_ROUND.max(self.took * MAX_GROWTH));
+        (self.took, self.ended) = (took, ended);
     }
 
     /// Returns when a round that is requested now may start.
-    pub fn next(&self, urgency: Urgency) -> Moment {
+    pub fn next(&self, urgency: RoundUrgency) -> Moment {
         let pauses = match urgency {
-            Urgency::Normal => PAUSE_PER_ROUND,
-            Urgency::Urgent => URGENT_PAUSE_PER_ROUND,
+            RoundUrgency::Normal => PAUSE_PER_ROUND,
+            RoundUrgency::Urgent => URGENT_PAUSE_PER_ROUND,
         };
-        self.ended + MIN_PAUSE.max(self.took * pauses)
+        self.ended + MIN_PAUSE.max(self.counted * pauses)
     }
 
     /// Returns when a round starts that nothing has requested.
     pub fn next_unrequested(&self) -> Moment {
-        self.next(Urgency::Normal).max(self.ended + MAX_PAUSE)
+        self.next(RoundUrgency::Normal).max(self.ended + MAX_PAUSE)
     }
 }
--- a/crates/policy/src/place/planner.rs
+++ b/crates/policy/src/place/planner.rs
@@ -15,7 +15,7 @@
     demand::{Demand, Work},
     draft::{Decision, Draft, Models, store_loads},
     gain,
-    pace::Urgency,
+    pace::RoundUrgency,
     server_view::{SentOrder, ServerView, Source},
     store::{self, Allowance, Bucket},
     survey::Survey,
@@ -92,13 +92,18 @@
         }
     }
 
-    /// Applies a server's report, unless it is older than the planner's view.
-    pub fn report(&mut self, server: &backend::Id, report: &Report, now: Moment) {
-        let Some(view) = self.servers.get_mut(server) else { return };
+    /// Applies a server's report, unless it is older than the planner's view. Returns how soon a
+    /// round is needed: at once if room was made for a load.
+    pub fn report(&mut self, server: &backend::Id, report: &Report, now: Moment) -> RoundUrgency {
+        let Some(view) = self.servers.get_mut(server) else { return RoundUrgency::Normal };
         let begun = view.apply_report(report, now);
         if let Some(service) = self.services.get_mut(&view.service) {
             (0..begun).for_each(|_| service.bucket.charge());
         }
+        match view.reservation {
+            Some(_) if view.accepts_orders(now) => RoundUrgency::Urgent,
+            Some(_) | None => RoundUrgency::Normal,
+        }
     }
 
     /// Begins a lease term with empty demand, since another host received the demand reports until
@@ -121,17 +126,17 @@
     }
 
     /// Records that a request is waiting now for a model or adapter. Undeclared ones are ignored.
-    /// Returns how soon a round is needed: once requests begin to wait, at once.
+    /// Returns how soon a round is needed: at once if none was waiting before.
     pub fn record_waiting(
         &mut self,
         model: &model::Id,
         adapter: Option<&adapter::Id>,
         now: Moment,
-    ) -> Urgency {
+    ) -> RoundUrgency {
         let is_declared = self.slots(model, adapter).is_some();
         match is_declared && self.demand.record_waiting(model, adapter, now) {
-            true => Urgency::Urgent,
-            false => Urgency::Normal,
+            true => RoundUrgency::Urgent,
+            false => RoundUrgency::Normal,
         }
     }
 
--- a/crates/relay/src/lease.rs
+++ b/crates/relay/src/lease.rs
@@ -4,7 +4,7 @@
 
 use observe::story::{Belief, LeaseState, Text};
 use policy::{
-    place::Urgency,
+    place::RoundUrgency,
     term::{Lease, Outcome, Step, StoredLease},
 };
 use tokio::time::sleep;
@@ -49,7 +49,7 @@
         shared.logger.belief(belief(state, fence, why));
     }
     if let Some(fence) = held {
-        shared.wake_planner(Urgency::Normal);
+        shared.wake_planner(RoundUrgency::Normal);
         shared.logger.belief(belief(LeaseState::Gained, fence, "a write was carried out"));
     }
     held
--- a/crates/relay/src/planning.rs
+++ b/crates/relay/src/planning.rs
@@ -5,7 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use observe::story::{Answer, Belief, Text};
-use policy::place::{self, Outcome, Pace, Planner, Urgency};
+use policy::place::{self, Outcome, Pace, Planner, RoundUrgency};
 use tokio::{
     select,
     task::yield_now,
@@ -58,10 +58,12 @@
             continue;
         }
         round(&shared, now);
-        unplaced.report(&shared, now);
-        shared.log_demand(now);
         pace.record(now, shared.now());
         rounds.record(&shared, request.map(|request| request.since), now);
+        // Lets the orders be sent before the survey.
+        yield_now().await;
+        unplaced.report(&shared, shared.now());
+        shared.log_demand(now);
     }
 }
 
@@ -85,7 +87,7 @@
 
 impl Shared {
     /// Requests a round of planning.
-    pub(crate) fn wake_planner(&self, urgency: Urgency) {
+    pub(crate) fn wake_planner(&self, urgency: RoundUrgency) {
         self.plan_wakeup.request(urgency, self.now());
     }
 }
@@ -124,9 +126,9 @@
     let Some(report) = shared.control.report(&*shared.dialect, &server).await else { return };
     let now = shared.now();
     let Some(server) = shared.current_run(&server, report.started_at) else { return };
-    shared.planner().report(&server.id, &report, now);
+    let urgency = shared.planner().report(&server.id, &report, now);
     shared.apply_report(&server, &report);
-    shared.wake_planner(Urgency::Normal);
+    shared.wake_planner(urgency);
 }
 
 async fn carry_out(shared: Arc<Shared>, order: place::Order) {
@@ -138,7 +140,10 @@
     let now = shared.now();
     shared.planner().record_outcome(&order, outcome, now);
     shared.apply_order(&order, outcome);
-    shared.wake_planner(Urgency::Normal);
+    shared.wake_planner(match order.cause {
+        place::Cause::Missing | place::Cause::Room => RoundUrgency::Urgent,
+        place::Cause::Spread | place::Cause::Demand => RoundUrgency::Normal,
+    });
 }
 
 async fn send(shared: &Arc<Shared>, server: &Arc<Server>, order: &place::Order) -> Outcome {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -243,12 +243,12 @@
     loop {
         let wait = shared.until_pump();
         let due = shared.now() + wait;
-        let is_due = select! {
-            () = sleep(wait) => true,
-            () = shared.dispatch_wakeup.notified() => false,
-        };
+        select! {
+            () = sleep(wait) => {}
+            () = shared.dispatch_wakeup.notified() => {}
+        }
         let now = shared.now();
-        if is_due {
+        if due <= now {
             late.record(&shared, now.saturating_sub(due), now);
         }
         if before + JUMP_THRESHOLD < now {
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -15,7 +15,7 @@
 use policy::{
     demand::Subject,
     follow,
-    place::{self, Operation, Outcome, Planner, Urgency, Work},
+    place::{self, Operation, Outcome, Planner, RoundUrgency, Work},
     streams,
 };
 use types::{
@@ -147,7 +147,7 @@
             .into_iter()
             .for_each(|entry| self.apply_registration(entry.server, entry.written, from));
         self.directory().advance(revision);
-        self.wake_planner(Urgency::Normal);
+        self.wake_planner(RoundUrgency::Normal);
         self.dispatch_wakeup.notify_one();
     }
 
@@ -178,7 +178,7 @@
                 id.iter().for_each(|id| self.apply_removal(id, removed, &Source::Store));
             }
         }
-        self.wake_planner(Urgency::Normal);
+        self.wake_planner(RoundUrgency::Normal);
         self.dispatch_wakeup.notify_one();
     }
 
@@ -343,7 +343,7 @@
         self.dispatcher().draining(id);
         if self.runs_models(&server.service) {
             self.planner().register_server(&server, self.now());
-            self.wake_planner(Urgency::Normal);
+            self.wake_planner(RoundUrgency::Normal);
         }
         Some(server)
     }
@@ -396,7 +396,7 @@
         for server in servers.iter().filter(|server| self.runs_models(&server.service)) {
             self.planner().register_server(server, now);
         }
-        self.wake_planner(Urgency::Normal);
+        self.wake_planner(RoundUrgency::Normal);
     }
 
     /// Returns whether no report was requested from a server within the last `pause`, and if so
--- a/crates/relay/src/unplaced.rs
+++ b/crates/relay/src/unplaced.rs
@@ -9,17 +9,21 @@
 
 use crate::{host::Shared, planning};
 
-/// Interval at which plans are surveyed. A survey takes as long as a plan.
+/// Minimum interval at which plans are surveyed.
 const SURVEY_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval from a survey to the next in units of its time, so that surveys take a small part of the
+/// host's time.
+const INTERVAL_PER_SURVEY: u32 = 32;
+
 /// Interval at which the headroom of plans is logged.
 const HEADROOM_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Reports the unplaced entries of this host's plans.
 #[derive(Debug, Default)]
 pub(crate) struct UnplacedReporter {
-    /// When plans were last surveyed.
-    surveyed_at: Option<Moment>,
+    /// When plans are to be surveyed next.
+    survey_at: Moment,
     /// When the headroom was last logged.
     headroom_logged_at: Option<Moment>,
     limiter: ReportLimiter,
@@ -30,11 +34,12 @@
 impl UnplacedReporter {
     /// Surveys plans if that is due, counts the unplaced entries, and reports those that are due.
     pub(crate) fn report(&mut self, shared: &Shared, now: Moment) {
-        if self.surveyed_at.is_some_and(|at| now < at + SURVEY_INTERVAL) {
+        if now < self.survey_at {
             return;
         }
-        self.surveyed_at = Some(now);
         let Survey { headroom, unplaced, .. } = shared.planner().survey(now);
+        let took = shared.now().saturating_sub(now);
+        self.survey_at = now + SURVEY_INTERVAL.max(took.min(SURVEY_INTERVAL) * INTERVAL_PER_SURVEY);
         for obstacle in Obstacle::ALL {
             let waiting = unplaced.iter().filter(|entry| entry.obstacle == obstacle).count();
             shared.meters.wishes(obstacle.label(), waiting);
--- a/crates/relay/src/wakeup.rs
+++ b/crates/relay/src/wakeup.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use policy::place::Urgency;
+use policy::place::RoundUrgency;
 use tokio::sync::Notify;
 use types::prelude::*;
 
@@ -13,18 +13,18 @@
     request: Mutex<Option<Request>>,
 }
 
-/// Several requests for a round.
+/// Requests for a round, merged into one.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Request {
-    /// Time of the first one.
+    /// Time of the first request.
     pub(crate) since: Moment,
-    /// The highest urgency.
-    pub(crate) urgency: Urgency,
+    /// Highest urgency of the requests.
+    pub(crate) urgency: RoundUrgency,
 }
 
 impl Wakeup {
     /// Requests a round.
-    pub(crate) fn request(&self, urgency: Urgency, now: Moment) {
+    pub(crate) fn request(&self, urgency: RoundUrgency, now: Moment) {
         let mut request = self.lock();
         let before = request.unwrap_or(Request { since: now, urgency });
         *request = Some(Request { urgency: before.urgency.max(urgency), ..before });
