Leave a stream at its server while a hedge's rejection is unread

Cause: a resumable stream at a silent server is also sent to another one, which counts as at work on it if it has not rejected the stream within 250 ms. A host that did not run for 100 ms or more found that time over when it went on, while the rejection lay unread in its socket. It closed the connection to the first server, then read the rejection, and the request had no server left. Callers saw a 502, or a stream cut in the middle, with time left. Ruled out: that a hedge is started for an answer that lies unread: the twenty cases of a_request_stays_with_a_server_that_sent_while_the_host_was_stopped passed before the change as well, since an attempt is polled before its timers. That the rejection is late by itself: without a stop of the host, the two controls passed before the change. Change: the pump reports to the dispatcher when it ran late by 50 ms or more, and for 50 ms from then on no server counts as having accepted a stream, at most once in 200 ms. The timers of a race and of a hedged stream, if they complete late, first let the connections' tasks read.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -156,7 +156,7 @@
     /// Verdicts on displaced requests that the next pump returns.
     displaced: Vec<Change>,
     ticked_at: Moment,
-    overdue_checked_at: Moment,
+    watch: watch::Times,
     /// When sums of response times were last sent to other hosts.
     speeds_sent_at: Option<Moment>,
     /// When the requests that wait for limited servers were last checked.
@@ -189,7 +189,7 @@
             above_share: Vec::new(),
             displaced: Vec::new(),
             ticked_at: Duration::ZERO,
-            overdue_checked_at: Duration::ZERO,
+            watch: watch::Times::default(),
             speeds_sent_at: None,
             limits_checked_at: Duration::ZERO,
         }
--- a/crates/policy/src/dispatch/pump.rs
+++ b/crates/policy/src/dispatch/pump.rs
@@ -50,8 +50,8 @@
             self.update_reserves(now);
             self.update_above_share(now);
         }
-        if self.overdue_checked_at + OVERDUE_CHECK_INTERVAL <= now {
-            self.overdue_checked_at = now;
+        if self.watch.checked_at + OVERDUE_CHECK_INTERVAL <= now {
+            self.watch.checked_at = now;
             self.check_overdue(now, &mut changes);
         }
         self.wanted_slots.clear();
--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -55,12 +55,29 @@
 /// on it. The servers that were asked before must not go on working beside it.
 const ACCEPTED_AFTER: Duration = Duration::from_millis(250);
 
+/// Time, after this host did not run for a while, in which a server has not yet accepted a stream:
+/// the request may not have been written before, and a rejection needs time to arrive.
+const RESUMPTION_GRACE: Duration = Duration::from_millis(50);
+
+/// Time between two pauses of this host that delay an acceptance. A host that is stopped again and
+/// again must leave an unresponsive server as well.
+const RESUMPTION_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time between two searches of another server for a request that is to be hedged.
 const SEEK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// End of an attempt that an attempt at another server has overtaken.
 const SILENCE: End = End::Unclear(Unclear::Silent);
 
+/// Times of the checks of servers that do not respond.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Times {
+    /// When responses were last checked.
+    pub(super) checked_at: Moment,
+    /// When this host last went on after it did not run for a while.
+    resumed_at: Option<Moment>,
+}
+
 impl Dispatcher {
     /// Checks for overdue responses, and for requests that are to be hedged.
     pub(super) fn check_overdue(&mut self, now: Moment, changes: &mut Vec<Change>) {
@@ -186,11 +203,19 @@
                 task.spec.kind == Kind::Stream
                     && attempt.path.is_some()
                     && attempt.sent_at + ACCEPTED_AFTER <= now
+                    && self.watch.resumed_at.is_none_or(|at| at + RESUMPTION_GRACE <= now)
             }
             State::Idle | State::Waiting(..) => false,
         })
     }
 
+    /// Records that this host goes on after it did not run for a while.
+    pub fn resumed(&mut self, now: Moment) {
+        if self.watch.resumed_at.is_none_or(|at| at + RESUMPTION_INTERVAL <= now) {
+            self.watch.resumed_at = Some(now);
+        }
+    }
+
     /// Records that an attempt is answered, which ends the request's other attempts. Servers that
     /// were asked before the answering one count as silent.
     pub fn won(&mut self, ticket: Ticket, now: Moment) {
--- a/crates/policy/tests/dispatch/watch.rs
+++ b/crates/policy/tests/dispatch/watch.rs
@@ -1,7 +1,11 @@
 //! Tests of requests that are hedged because their server has stopped responding.
 
-use policy::dispatch::{
-    Change, Dispatcher, End, NotRun, RequestSpec, RetryDecision, Silence, Ticket, Unclear, Verdict,
+use policy::{
+    dispatch::{
+        Change, Dispatcher, End, NotRun, RequestSpec, RetryDecision, Silence, Ticket, Unclear,
+        Verdict,
+    },
+    paths::Path,
 };
 use rstest::rstest;
 use types::{prelude::*, routed::Kind};
@@ -210,3 +214,25 @@
     host.ended(10, End::Completed, at(990));
     assert!(servers_at_work(&host).is_empty());
 }
+
+/// The rejection of a hedge lay unread, or the hedge was not yet written, when a host went on after
+/// it had not run, and the stream was taken from its server.
+#[rstest]
+fn a_hedge_is_not_accepted_right_after_its_host_did_not_run() {
+    let mut host = hedged(3);
+    host.sent(10, Path::Direct, at(905));
+    host.resumed(at(1_700));
+    assert!(!host.is_accepted(10, at(1_705)));
+    assert!(host.is_accepted(10, at(1_800)));
+}
+
+#[rstest]
+fn a_hedge_is_accepted_in_time_by_a_host_that_is_stopped_again_and_again() {
+    let mut host = hedged(3);
+    host.sent(10, Path::Direct, at(905));
+    let accepted = (0..20).map(|n| at(1_000 + n * 100)).find(|now| {
+        host.resumed(*now);
+        host.is_accepted(10, *now + at(5))
+    });
+    assert!(accepted.is_some_and(|now| now < at(1_500)), "{accepted:?}");
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -42,6 +42,7 @@
 mod stream;
 mod streams;
 mod task;
+mod timer;
 mod trace;
 mod unplaced;
 mod versions;
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -10,10 +10,7 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::StatusCode;
 use policy::dispatch::{Ticket, Unclear};
-use tokio::{
-    select,
-    time::{Instant, sleep, sleep_until},
-};
+use tokio::{select, time::Instant};
 use tokio_util::sync::CancellationToken;
 use types::backend;
 
@@ -22,6 +19,7 @@
     call::{Call, Next},
     edge::Problem,
     host::Shared,
+    timer::{sleep, sleep_until},
     trace::Unresponsive,
 };
 
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -42,6 +42,9 @@
 /// Interval at which the longest lateness of the pump is logged, if it is notable.
 const LATE_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Lateness of an advance of the queues from which on servers are given time to be heard again.
+const STALL_THRESHOLD: Duration = Duration::from_millis(50);
+
 /// Time between two advances of the queues above which the machine may have been suspended.
 const JUMP_THRESHOLD: Duration = Duration::from_millis(100);
 
@@ -251,6 +254,9 @@
         if due <= now {
             late.record(&shared, now.saturating_sub(due), now);
         }
+        if due + STALL_THRESHOLD <= now {
+            shared.dispatcher().resumed(now);
+        }
         if before + JUMP_THRESHOLD < now {
             shared.clock_jumped.notify_waiters();
         }
--- a/crates/relay/src/stream/events.rs
+++ b/crates/relay/src/stream/events.rs
@@ -11,7 +11,6 @@
 use futures_util::{FutureExt, future::BoxFuture};
 use http_body::{Body, Frame};
 use policy::event::{ResumePoint, Splitter};
-use tokio::time::{Interval, interval};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
@@ -23,6 +22,7 @@
         timer::{Alarm, StreamTimer},
     },
     streams::StreamRecord,
+    timer::sleep,
     trace::Unresponsive,
 };
 
@@ -55,8 +55,8 @@
 /// Attempts at other servers while the present one goes on.
 struct Hedge {
     attempts: Resuming,
-    /// Ticks when to check whether another server has accepted the stream.
-    check: Interval,
+    /// Completes when to check whether another server has accepted the stream.
+    check: BoxFuture<'static, ()>,
 }
 
 /// Whether the present server has sent an event.
@@ -269,7 +269,8 @@
     fn poll_acceptance(&mut self, context: &mut Context<'_>) -> Poll<()> {
         let Some(hedge) = self.hedge.as_mut() else { return Poll::Pending };
         loop {
-            ready!(hedge.check.poll_tick(context));
+            ready!(hedge.check.as_mut().poll(context));
+            hedge.check = check_acceptance();
             if self.call.handle.latest().is_some_and(|latest| self.call.handle.is_accepted(latest))
             {
                 return Poll::Ready(());
@@ -368,8 +369,7 @@
         let State::Streaming(response) = &self.state else { return };
         if self.splitter.point() != ResumePoint::Unknown {
             let attempts = resumer.hedge(response.attempt.ticket, self.last_event(), why);
-            let check = || interval(ACCEPTANCE_CHECK_INTERVAL);
-            self.hedge = attempts.map(|attempts| Hedge { attempts, check: check() });
+            self.hedge = attempts.map(|attempts| Hedge { attempts, check: check_acceptance() });
         }
     }
 
@@ -390,3 +390,8 @@
         }
     }
 }
+
+/// Completes when to check whether another server has accepted the stream.
+fn check_acceptance() -> BoxFuture<'static, ()> {
+    sleep(ACCEPTANCE_CHECK_INTERVAL).boxed()
+}
--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -24,6 +24,7 @@
 mod silence;
 mod site;
 mod skew;
+mod stalls;
 mod stops;
 mod store;
 mod stories;
