Test that requests end whose callers left while their host did not run

Ruled out: that a stop of 100, 300, 600 or 900 ms is enough for it, with sixty streams of which some run at two servers and the others wait for a place. Conclusion: half a second after the host goes on, no run goes on and nothing was sent. A request that waits for a granted slot or has just been sent by one is not covered: slots are granted among more hosts than the test has.

--- a/crates/stage/tests/routed/stalls.rs
+++ b/crates/stage/tests/routed/stalls.rs
@@ -14,7 +14,7 @@
     site::Site,
     until,
 };
-use tokio::time::sleep;
+use tokio::{task::JoinSet, time::sleep};
 
 use crate::site::{chat, declaration, draft, linked_site_with, page};
 
@@ -29,6 +29,12 @@
 
 const EVENTS: u64 = 6;
 
+/// More requests than two servers have places for.
+const REQUESTS: usize = 60;
+
+/// Time after a caller has left within which nothing may be at work on its request.
+const CLOSE_TIME: Duration = Duration::from_millis(500);
+
 const REJECTION: Option<Fault> = Some(Fault::NotRun(StatusCode::SERVICE_UNAVAILABLE));
 
 /// What a host misses while it is stopped.
@@ -47,7 +53,7 @@
 }
 
 /// Waits until one of two servers runs a request, and returns it and then the other one.
-async fn until_run<'a>(servers: [&'a Server; 2]) -> (&'a Server, &'a Server) {
+async fn until_run(servers: [&Server; 2]) -> (&Server, &Server) {
     until("a server runs the request", async || {
         servers.iter().any(|server| !server.runs().is_empty())
     })
@@ -160,3 +166,41 @@
     assert_eq!(answer.events(), (1..=EVENTS).collect::<Vec<_>>());
     assert_eq!(server.runs().len(), 1);
 }
+
+/// Requests of callers that have left went on, or were sent to servers, after their host had not
+/// run. Some are at servers and the others wait for a place there.
+#[rstest]
+#[tokio::test]
+async fn requests_end_whose_callers_left_while_the_host_was_stopped(
+    #[values(100, 300, 600, 900)] stall_ms: u64,
+) {
+    let mut declared = declaration();
+    declared.routes.iter_mut().for_each(|route| route.goal = Duration::from_secs(8));
+    let site = linked_site_with(1, &declared).await;
+    let servers = ["lm-1", "lm-2"].map(|id| site.backend.server(id));
+    let work_time = Duration::from_secs(3);
+    servers.iter().for_each(|server| server.script(|script| script.work_time = work_time));
+    let mut sending = JoinSet::new();
+    for _ in 0..REQUESTS {
+        let mut caller = site.hosts[0].caller();
+        let spec = chat().with_new_prompt().deadline(Some(Duration::from_secs(9)));
+        sending.spawn(async move { caller.fetch(&spec).await });
+    }
+    let runs = || servers.iter().flat_map(|server| server.runs()).collect::<Vec<_>>();
+    let arrivals = || servers.iter().map(|server| server.arrivals().len()).sum::<usize>();
+    sleep(Duration::from_secs(1)).await;
+    assert!(!runs().is_empty(), "no request runs");
+    assert_eq!(sending.len(), REQUESTS);
+    assert!(sending.try_join_next().is_none(), "a request was answered");
+    assert!(arrivals() < REQUESTS, "no request waits at the host");
+    let leaving = async {
+        sleep(Duration::from_millis(stall_ms / 2)).await;
+        sending.shutdown().await;
+    };
+    tokio::join!(stop_host(&site, Duration::from_millis(stall_ms)), leaving);
+    let before = arrivals();
+    sleep(CLOSE_TIME).await;
+    let running = runs().iter().filter(|run| run.ended_at.is_none()).count();
+    assert_eq!(running, 0, "runs go on after their callers have left");
+    assert_eq!(arrivals(), before, "a request was sent after its caller had left");
+}
