Advance only servers whose slots have changed or are due

Cause: each pump advanced every server of which slots are used, wanted or granted, although most have neither changed nor a deadline that has passed. With a request at each of 770 servers, 20 ticks of one interval of 400 ms advanced 15,400 servers for 80 changes. For each of them the use and the capacity were computed again, by the mean time over the server's models.

Ruled out: an interval between advances, as a slot that becomes free must go to a waiting host at once. Keeping the computed capacity, as it changes with the statistics of models, which belong to many servers: it matters only while somebody waits, and then the server is advanced each pump.

Change: a schedule holds the servers that are due at once and the next deadline of the others. Due at once are servers with a change of use, want, grant or capacity, with an unused grant, with a host that waits or is to be answered, and with a question that is not answered. Deadlines are those of the client (what is told again) and of the ledger (grants not acknowledged, use not told again). The registry records servers whose requests of this host change. Use and capacity are set for servers that are due only, so that the mean over models is not computed for the others. One difference: a host that owns a server records its own unchanged use there each 400 ms, before with each pump. All grants and answers still follow a fresh record, in the same advance. If such a server turns ready again, its own use may be missing from the ledger for up to 400 ms while nobody asks for a slot; a statement of the server in this time can count these requests twice for 200 ms.

Conclusion: an advance costs what has changed.

--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -251,6 +251,7 @@
         queue.started(task.spec.priority, &task.spec.customer, task.charge());
         let memory = task.memory();
         self.use_slot(choice.server);
+        self.registry.changed_loads.push(choice.server);
         let server = self.registry.get_mut(choice.server).expect("a chosen server is there");
         if server.is_limited {
             self.quotas.use_permit(&server.id, now);
--- a/crates/policy/src/dispatch/events.rs
+++ b/crates/policy/src/dispatch/events.rs
@@ -195,6 +195,7 @@
         let peers_at = self.registry.peers_at();
         let median = self.registry.services[task.service as usize].median;
         let ticket = task.spec.ticket;
+        self.registry.changed_loads.push(attempt.server);
         let Some(server) = self.registry.get_same(attempt.server, &attempt.id) else { return };
         server.load.ended(ticket);
         server.speed.end(ticket);
@@ -262,6 +263,7 @@
         let took = millis(now.saturating_sub(attempt.sent_at)).max(0.1);
         let median = self.registry.services[task.service as usize].median;
         let is_warm = self.stats(task).is_warm();
+        self.registry.changed_loads.push(attempt.server);
         let Some(server) = self.registry.get_same(attempt.server, &attempt.id) else { return };
         server.mark_answered(now);
         server.back_off.accepted(attempt.sent_at);
--- a/crates/policy/src/dispatch/path.rs
+++ b/crates/policy/src/dispatch/path.rs
@@ -69,6 +69,7 @@
         attempt.is_stranded = true;
         if let Some(server) = registry.get_same(attempt.server, &attempt.id) {
             server.load.ended(task.spec.ticket);
+            registry.changed_loads.push(attempt.server);
         }
     }
 }
@@ -87,6 +88,7 @@
             Phase::Responding => 0,
         };
         server.load.sent(task.spec.ticket, prefill, memory, now);
+        registry.changed_loads.push(attempt.server);
     }
 }
 
--- a/crates/policy/src/dispatch/registry.rs
+++ b/crates/policy/src/dispatch/registry.rs
@@ -89,6 +89,8 @@
     peers_at: Option<Moment>,
     /// When the next deferred part of a server's report is to be applied.
     deferred_at: Option<Moment>,
+    /// Servers whose requests of this host have changed since slots were last advanced.
+    pub changed_loads: Vec<Index>,
 }
 
 impl Registry {
@@ -107,6 +109,7 @@
             peers: BTreeMap::new(),
             peers_at: None,
             deferred_at: None,
+            changed_loads: Vec::new(),
         }
     }
 
--- a/crates/policy/src/dispatch/slots.rs
+++ b/crates/policy/src/dispatch/slots.rs
@@ -195,17 +195,22 @@
     /// Tells owners what this host uses and wants, and grants slots. What this host was granted by
     /// itself is used at once.
     pub(super) fn tick_slots(&mut self, now: Moment, changes: &mut Vec<Change>) {
+        for index in std::mem::take(&mut self.registry.changed_loads) {
+            if let Some(server) = self.registry.get(index) {
+                self.slots.mark(&server.id);
+            }
+        }
         if self.slots.is_idle() && self.wanted_slots.is_empty() {
             return;
         }
-        let ids: Vec<backend::Id> = self.slots.servers().cloned().collect();
+        let ids = self.slots.due_servers(now);
         for id in ids.iter().filter(|id| !self.wanted_slots.contains_key(*id)) {
             self.slots.set_wanted(id, Want::default(), now);
         }
         for (id, want) in &self.wanted_slots {
             self.slots.set_wanted(id, *want, now);
         }
-        let ids: Vec<backend::Id> = self.slots.servers().cloned().collect();
+        let ids = self.slots.due_servers(now);
         ids.iter().for_each(|id| self.update_slots(id, now));
         if self.slots.tick(now) {
             self.wanted_slots.clear();
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -11,11 +11,13 @@
 //! regard themselves as the owner cause some rejections.
 //!
 //! [`Slots`] does no I/O: it takes messages and the current time, and returns messages to send.
-//! What hosts tell is absolute, so messages may be lost, late or duplicated.
+//! What hosts tell is absolute, so messages may be lost, late or duplicated. An advance touches only
+//! servers that have changed or whose next deadline has passed, as most have neither.
 
 pub mod client;
 pub mod ledger;
 pub mod message;
+mod schedule;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -28,6 +30,7 @@
     client::Client,
     ledger::Ledger,
     message::{Content, Entry, Grant, Use},
+    schedule::Schedule,
 };
 pub use self::{
     client::{ANSWER_TIMEOUT, Access, Want},
@@ -66,6 +69,8 @@
     pub waits: u64,
     /// The sum of these times.
     pub waited: Duration,
+    /// Servers whose use was compared with what the owner knows, and whose free slots were granted.
+    pub advanced: u64,
 }
 
 impl Counts {
@@ -83,6 +88,7 @@
     /// Live hosts, including this one unless it is leaving.
     live: BTreeSet<host::Id>,
     servers: BTreeMap<backend::Id, Server>,
+    schedule: Schedule,
     peers: BTreeMap<host::Id, Peer>,
     /// Hosts that have not answered a question, and may run anew.
     unsure: BTreeSet<host::Id>,
@@ -120,6 +126,7 @@
             own,
             run,
             servers: BTreeMap::new(),
+            schedule: Schedule::default(),
             peers: BTreeMap::new(),
             unsure: BTreeSet::new(),
             outgoing: Vec::new(),
@@ -149,12 +156,16 @@
             return;
         }
         self.live = live.iter().cloned().collect();
-        self.servers.values_mut().for_each(|server| server.owner = None);
+        for (id, server) in &mut self.servers {
+            server.owner = None;
+            self.schedule.mark(id);
+        }
         let live = &self.live;
         self.peers.retain(|host, _| live.contains(host));
         self.unsure.retain(|host| live.contains(host));
         if !self.is_in_force() {
             self.servers.clear();
+            self.schedule.clear();
         }
     }
 
@@ -178,28 +189,45 @@
     /// Sets the requests of this host in flight to a server, and their prompt tokens that wait to be
     /// prefilled, if its slots are used, wanted or granted.
     pub fn set_use(&mut self, server: &str, in_flight: u32, prefill: u32) {
-        if let Some(known) = self.servers.get_mut(server) {
+        if let Some(known) = self.servers.get_mut(server)
+            && !known.client.has_use(in_flight, prefill)
+        {
             known.client.set_use(in_flight, prefill);
+            self.mark(server);
         }
     }
 
     /// Sets what waiting requests want of a server.
     pub fn set_wanted(&mut self, server: &backend::Id, want: Want, now: Moment) {
         if 0 < want.slots || self.servers.contains_key(server) {
-            self.server(server).client.set_wanted(want, now);
+            let client = &mut self.servers.entry(server.clone()).or_default().client;
+            if !client.has_want(&want) {
+                self.schedule.mark(server);
+            }
+            client.set_wanted(want, now);
         }
     }
 
-    /// Servers of which this host uses, wants or grants slots.
-    pub fn servers(&self) -> impl Iterator<Item = &backend::Id> {
-        self.servers.keys()
+    /// Servers that the next [`tick`](Self::tick) advances.
+    pub fn due_servers(&self, now: Moment) -> Vec<backend::Id> {
+        self.schedule.due(now)
+    }
+
+    /// Lets the next [`tick`](Self::tick) advance a server if its slots are used, wanted or granted.
+    pub fn mark(&mut self, server: &str) {
+        if let Some((id, _)) = self.servers.get_key_value(server) {
+            self.schedule.mark(id);
+        }
     }
 
     /// Sets how many requests a server is to have at most, over all hosts; `None` if this host does
     /// not know the server, and so can't grant its slots.
     pub fn set_capacity(&mut self, server: &str, capacity: Option<u32>) {
-        if let Some(known) = self.servers.get_mut(server) {
+        if let Some(known) = self.servers.get_mut(server)
+            && known.capacity != capacity
+        {
             known.capacity = capacity;
+            self.mark(server);
         }
     }
 
@@ -213,6 +241,7 @@
     /// Forgets a server that is gone.
     pub fn forget(&mut self, server: &str) {
         self.servers.remove(server);
+        self.schedule.forget(server);
     }
 
     /// Processes a message. One to an earlier run of this host, or one that was received before, is
@@ -226,7 +255,10 @@
         let Some(arrival) = peer.receive(message.from, message.clock, now) else { return };
         self.unsure.remove(from);
         if has_restarted {
-            self.servers.values_mut().for_each(|server| server.ledger.forget(from));
+            for (id, server) in &mut self.servers {
+                server.ledger.forget(from);
+                self.schedule.mark(id);
+            }
         }
         // A sender that doesn't know this run has read none of its grants.
         let echo = if message.to.is_some() { message.echo } else { 0 };
@@ -247,10 +279,11 @@
     }
 
     /// Returns the slots granted to this host that were not used until now, tells owners what this
-    /// host uses and wants, and grants the slots that are free at the servers that it owns. Returns
-    /// whether this host was granted slots by itself.
+    /// host uses and wants, and grants the slots that are free at the servers that it owns, for each
+    /// server that has changed or has a deadline that passed. Returns whether this host was granted
+    /// slots by itself.
     pub fn tick(&mut self, now: Moment) -> bool {
-        let ids: Vec<backend::Id> = self.servers.keys().cloned().collect();
+        let ids = self.due_servers(now);
         self.advance(&ids, Unused::Return, now)
     }
 
@@ -261,7 +294,9 @@
 
     /// When the first owner that has not answered is passed over; `None` if none was asked.
     pub fn due(&self) -> Option<Moment> {
-        self.servers.values().filter_map(|server| server.client.due_at()).min()
+        // A server whose owner was asked and has not answered stays pending.
+        let pending = self.schedule.pending().filter_map(|id| self.servers.get(id));
+        pending.filter_map(|server| server.client.due_at()).min()
     }
 
     /// Drains the messages to send, with their recipients.
@@ -269,7 +304,9 @@
         std::mem::take(&mut self.outgoing)
     }
 
+    /// Returns a server that is about to change.
     fn server(&mut self, id: &backend::Id) -> &mut Server {
+        self.schedule.mark(id);
         self.servers.entry(id.clone()).or_default()
     }
 
@@ -298,6 +335,7 @@
         now: Moment,
     ) -> bool {
         let Some(mut server) = self.servers.remove(id) else { return false };
+        self.counts.advanced += 1;
         let mut add = |host: &host::Id, content| {
             let entry = Entry { server: id.clone(), content };
             entries.entry(host.clone()).or_default().push(entry);
@@ -327,12 +365,31 @@
                 self.counts.record_wait(server.client.on_grant(grant, now));
             }
         }
-        if !(server.client.is_idle() && server.ledger.is_empty()) {
-            self.servers.insert(id.clone(), server);
+        if server.client.is_idle() && server.ledger.is_empty() {
+            self.schedule.forget(id);
+            return has_own;
         }
+        let next_at = self.next_at(id, &mut server, now);
+        self.schedule.set(id, next_at, now);
+        self.servers.insert(id.clone(), server);
         has_own
     }
 
+    /// When a server is to be advanced again if nothing changes until then.
+    fn next_at(&self, id: &backend::Id, server: &mut Server, now: Moment) -> Option<Moment> {
+        let has_waiting = 0 < server.ledger.waiting() || !server.asked.is_empty();
+        // A wait ends with any change of the capacity or of the requests that the server reports.
+        if has_waiting || server.client.is_active() {
+            return Some(now);
+        }
+        let owner = self.owner(id, server);
+        let tell_at = match owner == self.own {
+            true => server.client.record_at(now),
+            false => server.client.tell_at(&owner, now),
+        };
+        tell_at.into_iter().chain(server.ledger.expires_at()).min()
+    }
+
     /// Returns what is to be told to the owner; tells it to this host's own ledger.
     fn tell_owner(&mut self, id: &backend::Id, server: &mut Server, now: Moment) -> Option<Use> {
         let owner = self.owner(id, server);
--- a/crates/policy/src/slots/client.rs
+++ b/crates/policy/src/slots/client.rs
@@ -178,10 +178,15 @@
 
     /// Returns what is to be told to this owner now; `None` if it knows, or may learn it later.
     pub fn due(&self, owner: &host::Id, now: Moment) -> Option<Use> {
+        self.tell_at(owner, now).filter(|at| *at <= now).map(|_| self.content(now))
+    }
+
+    /// When this owner is to be told, if nothing changes until then; `None` if it knows all.
+    pub fn tell_at(&self, owner: &host::Id, now: Moment) -> Option<Moment> {
         let content = self.content(now);
         let is_idle = content.taken == 0 && content.wanted == 0;
         let Some(told) = self.told.as_ref().filter(|told| told.owner == *owner) else {
-            return (!is_idle).then_some(content);
+            return (!is_idle).then_some(now);
         };
         // What the owner counts: what it was told, and what it has granted since.
         let taken = told.content.taken.saturating_add(told.granted);
@@ -198,8 +203,37 @@
             () => REFRESH_INTERVAL,
         };
         // That nothing is used any more is told twice, in case the first message is lost.
-        let is_due = !(is_idle && told.is_repeated) && told.at + interval <= now;
-        (is_urgent || is_due).then_some(content)
+        match is_idle && told.is_repeated {
+            _ if is_urgent => Some(now),
+            true => None,
+            false => Some(told.at + interval),
+        }
+    }
+
+    /// When this host's own ledger is to be told, as its owner; `None` if nothing is used.
+    pub fn record_at(&self, now: Moment) -> Option<Moment> {
+        let is_idle = self.in_flight == 0 && self.grants == 0 && self.want.slots == 0;
+        match is_idle {
+            true if self.is_idle() => None,
+            true => Some(now),
+            false => Some(now + REFRESH_INTERVAL),
+        }
+    }
+
+    /// Whether it changes with time alone: a granted slot is returned, and a wanted one is asked for
+    /// until the owner answers.
+    pub fn is_active(&self) -> bool {
+        0 < self.grants || 0 < self.want.slots || self.unanswered_since.is_some()
+    }
+
+    /// Whether this many requests and prompt tokens were set last.
+    pub fn has_use(&self, in_flight: u32, prefill: u32) -> bool {
+        (self.in_flight, self.prefill) == (in_flight, prefill)
+    }
+
+    /// Whether this was set as wanted last.
+    pub fn has_want(&self, want: &Want) -> bool {
+        self.want == *want
     }
 
     /// Records what was told to an owner. It answers what wants a slot.
--- a/crates/policy/src/slots/ledger.rs
+++ b/crates/policy/src/slots/ledger.rs
@@ -79,6 +79,12 @@
         (rank, self.start_by, self.turn)
     }
 
+    /// When its oldest unread slot, or all of it, is out of date.
+    fn expires_at(&self) -> Moment {
+        let lost_at = self.unread.front().map(|unread| unread.at + GRANT_LIFETIME);
+        lost_at.into_iter().fold(self.told_at + USE_LIFETIME, Moment::min)
+    }
+
     fn is_empty(&self) -> bool {
         self.told.taken == 0 && self.told.wanted == 0 && self.unread.is_empty()
     }
@@ -121,6 +127,12 @@
         self.excess = self.excess.filter(|(at, _)| now < *at + EXCESS_LIFETIME);
     }
 
+    /// When what hosts told is next out of date; `None` if nothing is held.
+    pub fn expires_at(&self) -> Option<Moment> {
+        let accounts = self.hosts.values().map(Account::expires_at);
+        accounts.min()
+    }
+
     /// Whether no host uses or wants a slot.
     pub fn is_empty(&self) -> bool {
         self.hosts.is_empty()
--- a/crates/policy/tests/slots/requests.rs
+++ b/crates/policy/tests/slots/requests.rs
@@ -7,7 +7,7 @@
         Change, Dispatcher, End, HostStart, NotRun, RequestSpec, RetryBudgetConfig, RetryDecision,
         Settings, Ticket, Verdict,
     },
-    slots::Message,
+    slots::{Message, message::Content},
 };
 use types::{
     prelude::*,
@@ -173,3 +173,48 @@
     assert!(rejected * 100 <= arrivals, "{rejected} of {arrivals}");
     assert!(able * 19 / 20 <= done, "{done} of {able}");
 }
+
+/// Prompt tokens that the owner of the server is told of, if it is told anything.
+fn told_prefill(host: &mut Dispatcher) -> Option<u32> {
+    let messages = host.slots_outgoing();
+    let entries = messages.iter().flat_map(|(_, message)| &message.entries);
+    let mut told = entries.filter_map(|entry| match entry.content {
+        Content::Use(told) => Some(told.prefill),
+        Content::Grant(_) => None,
+    });
+    told.next_back()
+}
+
+/// A prompt that is counted after it was read keeps other hosts from a server that is free.
+#[test]
+fn owners_are_told_once_a_prompt_is_read() {
+    // One of the hosts is the owner, and tells nobody.
+    let others = names().len() - 1;
+    let mut read = 0;
+    for id in names() {
+        let mut host = Dispatcher::new(Settings {
+            host: id,
+            run: 1,
+            zone: "a".into(),
+            hosts: 1,
+            retries: RetryBudgetConfig::default(),
+        });
+        host.registered(HostStart::First);
+        host.server(&server(), at(0));
+        let spec = RequestSpec::new(1, &route(), &"app".into(), at(2_000));
+        let verdict = host.arrive(RequestSpec { fingerprint: 1, input: 300, ..spec }, at(0));
+        assert!(matches!(verdict, Verdict::Send(_)));
+        host.share_among(std::iter::empty(), names(), at(0));
+        host.pump(at(0));
+        let Some(prefill) = told_prefill(&mut host) else { continue };
+        assert_eq!(prefill, 300);
+        host.first_byte(1, at(10));
+        let mut told = None;
+        for tick in 1..=10 {
+            host.pump(at(10 + tick * 10));
+            told = told_prefill(&mut host).or(told);
+        }
+        read += usize::from(told == Some(0));
+    }
+    assert_eq!(read, others);
+}
