--- a/crates/policy/src/place/draft.rs
+++ b/crates/policy/src/place/draft.rs
@@ -50,7 +50,7 @@
     pub(super) name: &'a model::Id,
     /// Index of the model; `None` if it is no longer declared.
     pub(super) index: Option<usize>,
-    /// Memory that it takes, adapters included; zero if its size is unknown.
+    /// Memory of the model and its adapters; zero if the size is unknown.
     pub(super) memory: Mebibytes,
 }
 
--- a/crates/policy/src/slots/client.rs
+++ b/crates/policy/src/slots/client.rs
@@ -181,7 +181,8 @@
         self.tell_at(owner, now).filter(|at| *at <= now).map(|_| self.content(now))
     }
 
-    /// When this owner is to be told, if nothing changes until then; `None` if it knows all.
+    /// When the owner is to be sent this host's use, if nothing changes until then; `None` if the owner
+    /// has it.
     pub fn tell_at(&self, owner: &host::Id, now: Moment) -> Option<Moment> {
         let content = self.content(now);
         let is_idle = content.taken == 0 && content.wanted == 0;
@@ -210,7 +211,7 @@
         }
     }
 
-    /// When this host's own ledger is to be told, as its owner; `None` if nothing is used.
+    /// When this host's use is to be recorded in its own ledger, as the owner; `None` if nothing is used.
     pub fn record_at(&self, now: Moment) -> Option<Moment> {
         let is_idle = self.in_flight == 0 && self.grants == 0 && self.want.slots == 0;
         match is_idle {
--- a/crates/policy/src/slots/ledger.rs
+++ b/crates/policy/src/slots/ledger.rs
@@ -127,7 +127,7 @@
         self.excess = self.excess.filter(|(at, _)| now < *at + EXCESS_LIFETIME);
     }
 
-    /// When what hosts told is next out of date; `None` if nothing is held.
+    /// When the next account or unread grant is out of date; `None` without accounts.
     pub fn expires_at(&self) -> Option<Moment> {
         let accounts = self.hosts.values().map(Account::expires_at);
         accounts.min()
