Simplify the choice of a step, and read the clock once a round

The second best step of a plan was kept by three arms of a match where a comparison and a replace do; a round's end was read from the clock twice; two comments named what does not exist; a bound of the test of a plan's work had a factor without its reason. Ruled out: a shared fixture for the benches and the tests, which are crates apart. Change: as above. The test also asserts what its factor rests on, that no model stands on more than eight servers. Behaviour is the same. Conclusion: less to read, nothing else.

--- a/crates/policy/src/place/gain/candidates.rs
+++ b/crates/policy/src/place/gain/candidates.rs
@@ -65,21 +65,11 @@
                 self.0.push(candidate);
                 break;
             }
-            let step = best_step_for(draft, store, candidate.model, &open, offers);
-            let second = match (best.take(), step) {
-                (Some(before), Some(step)) if before.candidate() < step.candidate() => {
-                    best = Some(step);
-                    Some(before)
-                }
-                (Some(before), step) => {
-                    best = Some(before);
-                    step
-                }
-                (None, step) => {
-                    best = step;
-                    None
-                }
+            let Some(step) = best_step_for(draft, store, candidate.model, &open, offers) else {
+                continue;
             };
+            let is_better = best.as_ref().is_none_or(|best| best.candidate() < step.candidate());
+            let second = if is_better { best.replace(step) } else { Some(step) };
             self.0.extend(second.map(|step| step.candidate()));
         }
         best
--- a/crates/policy/tests/place/effort.rs
+++ b/crates/policy/tests/place/effort.rs
@@ -8,8 +8,7 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-/// Servers that hold `per_server` of `models` models each and are full, and work that overruns all of
-/// the models' replicas.
+/// Servers that are full of replicas of `models` models, and work that overruns all of these replicas.
 fn crowded(servers: usize, models: usize) -> World {
     let mut engine =
         engine(80_000 * models.div_ceil(servers) as u64, 8, &vec![(75_000, 2); models]);
@@ -51,10 +50,14 @@
             (all + 1, unloads + usize::from(order.operation == Operation::Unload))
         });
         let effort = world.planner.effort();
+        // A load changes one model, an unload also the models that it makes way for; each stands on
+        // eight servers at most.
         let changed = (orders + unloads) * world.engine.models.len().div_ceil(servers) * 8;
         assert!(effort.evictions <= servers + changed, "{effort:?} with {orders} orders");
         let survey = world.planner.survey(world.now);
         assert!(survey.effort.evictions <= servers, "{:?} of a survey", survey.effort);
+        let most = world.engine.models.iter().map(|model| world.holders(&model.name).len()).max();
+        assert!(most <= Some(8), "{most:?} replicas of a model");
         worst.evictions = worst.evictions.max(effort.evictions);
         worst.evaluations = worst.evaluations.max(effort.evaluations);
     }
--- a/crates/relay/src/planning.rs
+++ b/crates/relay/src/planning.rs
@@ -58,8 +58,9 @@
             continue;
         }
         round(&shared, now);
-        pace.record(now, shared.now());
-        rounds.record(&shared, request.map(|request| request.since), now);
+        let ended = shared.now();
+        pace.record(now, ended);
+        rounds.record(&shared, request.map(|request| request.since), now, ended);
         // Lets the orders be sent before the survey.
         yield_now().await;
         unplaced.report(&shared, shared.now());
--- a/crates/relay/src/planning/rounds.rs
+++ b/crates/relay/src/planning/rounds.rs
@@ -31,10 +31,14 @@
 }
 
 impl Rounds {
-    /// Records a round that began at `began` and has just ended. `requested` is the time of the first
-    /// request that it took up.
-    pub(super) fn record(&mut self, shared: &Shared, requested: Option<Moment>, began: Moment) {
-        let now = shared.now();
+    /// Records a round. `requested` is the time of the first request that the round took up.
+    pub(super) fn record(
+        &mut self,
+        shared: &Shared,
+        requested: Option<Moment>,
+        began: Moment,
+        now: Moment,
+    ) {
         let took = now.saturating_sub(began);
         shared.meters.plan_round(PlanTime::Round, took);
         let times = &mut self.times;
--- a/crates/relay/src/wakeup.rs
+++ b/crates/relay/src/wakeup.rs
@@ -32,7 +32,7 @@
         self.notify.notify_one();
     }
 
-    /// Waits until a round is requested, or until the present request has become more urgent.
+    /// Waits for a further request.
     pub(crate) async fn requested(&self) {
         self.notify.notified().await;
     }
