Count what hosts send each other, by content and origin

Cause: nothing counted datagrams, bytes or notices, so that a link filled by notices of declarations looked like one filled by digests or by callers. Ruled out: a line in the log each few seconds; metrics are read on demand and cost nothing until then. Change: routed_exchange_datagrams, _bytes, _messages, _message_bytes and _lost; notices are counted one by one, by what they are about and by whether the sender is their origin.

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -9,7 +9,7 @@
 
 use policy::fleet::{
     Counts, Envelope, Fleet, Liveness, Load, Member, Notice, Publication, Recipients, Revision,
-    Settings, Snapshot, State, Tier, UnknownHost,
+    Settings, Snapshot, State, Tier, Traffic, UnknownHost,
 };
 use tokio::{
     net::{TcpListener, TcpStream, UdpSocket},
@@ -244,6 +244,11 @@
         self.shared.with(|fleet, _| fleet.counts())
     }
 
+    /// Returns what this host has sent in datagrams since the start, by content.
+    pub fn traffic(&self) -> Traffic {
+        self.shared.with(|fleet, _| fleet.traffic().clone())
+    }
+
     /// Returns the number of received notices that were dropped because the reader of
     /// [`Exchange::notices`] was too slow.
     pub fn dropped_notices(&self) -> u64 {
--- a/crates/observe/src/metrics/routed/labels.rs
+++ b/crates/observe/src/metrics/routed/labels.rs
@@ -228,6 +228,15 @@
     Delete,
 }
 
+/// Direction of datagrams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Direction {
+    /// From this host to others.
+    Sent,
+    /// From other hosts to this one.
+    Received,
+}
+
 /// Result of a call to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum CallResult {
@@ -277,6 +286,11 @@
     Others = "others",
 });
 
+label!(Direction as "direction" {
+    Sent = "sent",
+    Received = "received",
+});
+
 label!(PlanTime as "of" {
     Round = "round",
     Interval = "interval",
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -29,6 +29,7 @@
 mod remote_table;
 mod send;
 mod snapshot;
+mod traffic;
 mod wire;
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
@@ -52,6 +53,7 @@
     },
     notice::{Notice, Recipients},
     snapshot::{PeerStatus, Snapshot, Tier},
+    traffic::{Content, Origin, Traffic, Volume},
     wire::DATAGRAM_BYTES,
 };
 
@@ -195,6 +197,7 @@
     /// Whether [`Fleet::announce_exit`] was called; nothing but goodbyes is sent then.
     has_left: bool,
     counts: Counts,
+    traffic: Traffic,
     digest_bucket: send::TokenBucket,
     greeting_bucket: send::TokenBucket,
     answer_bucket: send::TokenBucket,
@@ -238,6 +241,7 @@
             outgoing: Vec::new(),
             has_left: false,
             counts: Counts::default(),
+            traffic: Traffic::default(),
             next_tick: now,
             next_store: now,
             next_aggregation: now,
@@ -366,6 +370,11 @@
         Counts { lost_notices: self.outbox.lost, ..self.counts }
     }
 
+    /// Returns what this host has sent since its start, by content.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
     /// The state that this host advertises.
     fn state(&self, now: Moment) -> State {
         let advertised =
@@ -408,6 +417,7 @@
         self.count += 1;
         let packet = Packet { run: self.member.run(), count: self.count, body };
         let bytes = wire::encode(&packet);
+        self.traffic.record(packet.run, &packet.body, bytes.len());
         self.counts.sent += 1;
         self.counts.sent_bytes += bytes.len() as u64;
         self.digest_bucket.spend(bytes.len());
--- a/crates/policy/tests/fleet_notices.rs
+++ b/crates/policy/tests/fleet_notices.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fleet_net::{Faults, Net, address, member};
-use policy::fleet::{Departure, Notice, Recipients, UnknownHost};
+use policy::fleet::{Content, Departure, Notice, Origin, Recipients, UnknownHost};
 use rstest::rstest;
 
 fn leaving(server: usize) -> Notice {
@@ -112,3 +112,29 @@
     }
     assert_eq!(received(&net, 0).len(), 3);
 }
+
+#[test]
+fn messages_are_counted_by_content_and_origin() {
+    let mut net = Net::settled(24, 1);
+    let now = net.now;
+    net.fleet(2)
+        .send(now, Recipients::All, leaving(1))
+        .expect("a notice to all hosts needs no known host");
+    net.run_for(Duration::from_millis(40));
+    let sent = |origin| {
+        let volumes = net.hosts.values().map(|host| {
+            let volume = host.fleet.traffic().of(Content::ServerLeaving, origin);
+            (volume.messages, volume.bytes)
+        });
+        volumes.fold((0, 0), |sum, volume| (sum.0 + volume.0, sum.1 + volume.1))
+    };
+    let ((own, own_bytes), (forwarded, forwarded_bytes)) =
+        (sent(Origin::Own), sent(Origin::Forwarded));
+    // Members of the sender's group get the notice from their relay as well.
+    assert!((23..=46).contains(&(own + forwarded)), "{own} own, {forwarded} forwarded");
+    assert!(0 < own && own < forwarded, "{own} own, {forwarded} forwarded");
+    assert_eq!(own_bytes * forwarded, forwarded_bytes * own, "all are of the same size");
+    let counts = net.hosts[&2].fleet.counts();
+    let messages: u64 = net.hosts[&2].fleet.traffic().iter().map(|(.., sent)| sent.messages).sum();
+    assert_eq!(counts.sent, messages, "each datagram of this host had one message");
+}
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -12,7 +12,7 @@
 use exchange::{Exchange, fleet::Notice};
 use observe::{
     Metrics,
-    metrics::routed::{Queue, Routed as Meters},
+    metrics::routed::{Direction, Queue, Routed as Meters},
     story::{Belief, Logger, Output, Source},
 };
 use policy::{
@@ -291,7 +291,7 @@
         self.update_speed_metrics();
         let tunnels = self.exchange().map_or(0, |exchange| exchange.tunnels());
         self.meters.tunnels(tunnels);
-        self.meters.exchange_panics(self.exchange().map_or(0, |exchange| exchange.panics()));
+        self.update_exchange_metrics();
         self.meters.relayed_servers(self.paths().relayed());
         self.meters.queue(Queue::Waiting, waiting);
         self.meters.queue(Queue::Deferred, deferred);
@@ -299,6 +299,19 @@
         self.meters.queue(Queue::Open, self.open_requests() as usize);
     }
 
+    fn update_exchange_metrics(&self) {
+        let Some(exchange) = self.exchange() else { return };
+        let counts = exchange.counts();
+        self.meters.exchange_panics(exchange.panics());
+        self.meters.exchange(Direction::Sent, counts.sent, counts.sent_bytes);
+        self.meters.exchange(Direction::Received, counts.received, counts.received_bytes);
+        self.meters.exchange_lost(counts.lost_notices);
+        for (content, origin, sent) in exchange.traffic().iter() {
+            let (content, origin) = (content.as_str(), origin.as_str());
+            self.meters.exchange_messages(content, origin, sent.messages, sent.bytes);
+        }
+    }
+
     /// Locks the directory of servers.
     pub(crate) fn directory(&self) -> MutexGuard<'_, Directory> {
         self.directory.lock().unwrap_or_else(PoisonError::into_inner)
