--- a/crates/policy/tests/fleet_net/mod.rs
+++ b/crates/policy/tests/fleet_net/mod.rs
@@ -36,7 +36,39 @@
     pub received: Vec<Envelope>,
 }
 
-type Arrival = Reverse<(Moment, u64, SocketAddr, SocketAddr, Vec<u8>)>;
+/// Bytes of the network's headers around a datagram.
+const HEADERS: usize = 28;
+
+/// Longest time that a datagram may wait in a link's queue before it is dropped.
+const MAX_QUEUE_TIME: Duration = Duration::from_secs(1);
+
+/// What a host's link and processor bear.
+#[derive(Clone, Copy, Debug)]
+pub struct Capacity {
+    /// Bytes a second in each direction.
+    pub link: u32,
+    /// Processor time of a datagram that is sent or received.
+    pub datagram: Duration,
+}
+
+/// When a host's link and processor have done all that they were given.
+#[derive(Clone, Copy, Debug, Default)]
+struct Busy {
+    up: Moment,
+    down: Moment,
+    processor: Moment,
+}
+
+/// How far a datagram has got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    /// At the receiver's link.
+    Link,
+    /// At the receiver's process.
+    Process,
+}
+
+type Arrival = Reverse<(Moment, u64, Stage, SocketAddr, SocketAddr, Vec<u8>)>;
 
 pub struct Net {
     pub now: Moment,
@@ -48,6 +80,11 @@
     pub cut: Vec<usize>,
     /// Bytes of the largest datagram sent.
     pub largest: usize,
+    /// Limited hosts; the links and processors of all others take no time.
+    pub capacities: BTreeMap<usize, Capacity>,
+    /// Datagrams that were dropped since a link's queue was full.
+    pub dropped: u64,
+    busy: BTreeMap<usize, Busy>,
     /// Datagrams from each host to each address, since a test last cleared the map.
     pub flows: BTreeMap<(usize, SocketAddr), u64>,
     in_transit: BinaryHeap<Arrival>,
@@ -84,9 +121,8 @@
 
 /// Returns the bytes that each host has sent, with the network's headers.
 pub fn sent_bytes(net: &Net) -> Vec<u64> {
-    const HEADERS: u64 = 28;
     let counts = net.hosts.values().map(|host| host.fleet.counts());
-    counts.map(|counts| counts.sent_bytes + HEADERS * counts.sent).collect()
+    counts.map(|counts| counts.sent_bytes + HEADERS as u64 * counts.sent).collect()
 }
 
 impl Net {
@@ -98,6 +134,9 @@
             hosts: BTreeMap::new(),
             cut: Vec::new(),
             largest: 0,
+            capacities: BTreeMap::new(),
+            dropped: 0,
+            busy: BTreeMap::new(),
             flows: BTreeMap::new(),
             in_transit: BinaryHeap::new(),
             ticks: BTreeSet::new(),
@@ -215,23 +254,80 @@
             if self.cut.contains(&number) || self.random.random_bool(self.faults.loss) {
                 continue;
             }
+            let processed = self.process(number, 1);
+            let Some(left) = self.upload(number, processed, datagram.bytes.len() + HEADERS) else {
+                self.dropped += 1;
+                continue;
+            };
             let copies = 1 + usize::from(self.random.random_bool(self.faults.repeat));
             for _ in 0..copies {
                 let extra = self.faults.jitter.mul_f64(self.random.random::<f64>());
-                let at = self.now + Duration::from_millis(1) + extra;
-                self.sequence += 1;
-                let (to, bytes) = (datagram.to, datagram.bytes.clone());
-                self.in_transit.push(Reverse((at, self.sequence, to, from, bytes)));
+                let at = left + Duration::from_millis(1) + extra;
+                self.transmit(at, Stage::Link, datagram.to, from, datagram.bytes.clone());
             }
         }
     }
 
+    fn transmit(
+        &mut self,
+        at: Moment,
+        stage: Stage,
+        to: SocketAddr,
+        from: SocketAddr,
+        bytes: Vec<u8>,
+    ) {
+        self.sequence += 1;
+        self.in_transit.push(Reverse((at, self.sequence, stage, to, from, bytes)));
+    }
+
+    /// Has a host spend the processor time of some datagrams, and returns when that is done.
+    pub fn process(&mut self, host: usize, datagrams: u32) -> Moment {
+        let Some(capacity) = self.capacities.get(&host) else { return self.now };
+        let busy = self.busy.entry(host).or_default();
+        busy.processor = busy.processor.max(self.now) + capacity.datagram * datagrams;
+        busy.processor
+    }
+
+    /// Sends bytes through a host's link from `ready` on, and returns when the last one has left;
+    /// none if the queue is full.
+    pub fn upload(&mut self, host: usize, ready: Moment, bytes: usize) -> Option<Moment> {
+        let Some(capacity) = self.capacities.get(&host) else { return Some(ready) };
+        let busy = self.busy.entry(host).or_default();
+        busy.up = transfer(busy.up, ready, bytes, capacity.link)?;
+        Some(busy.up)
+    }
+
+    /// Receives bytes through a host's link from `ready` on, and returns when the last one has
+    /// arrived; none if the queue is full.
+    pub fn download(&mut self, host: usize, ready: Moment, bytes: usize) -> Option<Moment> {
+        let Some(capacity) = self.capacities.get(&host) else { return Some(ready) };
+        let busy = self.busy.entry(host).or_default();
+        busy.down = transfer(busy.down, ready, bytes, capacity.link)?;
+        Some(busy.down)
+    }
+
     fn deliver(&mut self) {
-        let Some(Reverse((_, _, to, from, bytes))) = self.in_transit.pop() else { return };
+        let Some(Reverse((_, _, stage, to, from, bytes))) = self.in_transit.pop() else { return };
         let Some(&number) = self.hosts_by_address.get(&to) else { return };
+        if stage == Stage::Link && self.capacities.contains_key(&number) {
+            let Some(arrived) = self.download(number, self.now, bytes.len() + HEADERS) else {
+                self.dropped += 1;
+                return;
+            };
+            let processed = self.process(number, 1).max(arrived);
+            return self.transmit(processed, Stage::Process, to, from, bytes);
+        }
         if !self.cut.contains(&number) {
             self.inject(number, from, &bytes);
             self.settle(number);
         }
     }
 }
+
+/// Returns when a link that is busy until `busy` has carried bytes that are ready at `ready`; none if
+/// they would wait too long.
+fn transfer(busy: Moment, ready: Moment, bytes: usize, link: u32) -> Option<Moment> {
+    let start = busy.max(ready);
+    let is_queued = start <= ready + MAX_QUEUE_TIME;
+    is_queued.then(|| start + Duration::from_secs_f64(bytes as f64 / f64::from(link)))
+}
