Test that a host without the store refuses nothing for good

Cause: a host answers 404 and 401 by a declaration of any age as if it were the newest. Ruled out: nothing. Change: a test of a route and of a key that are added while the store answers nothing.

--- a/crates/stage/tests/routed/silence.rs
+++ b/crates/stage/tests/routed/silence.rs
@@ -19,8 +19,12 @@
     until,
 };
 use tokio::time::{Instant, sleep};
+use types::routed::Kind;
 
-use crate::site::{HOST, declare_route, site, status_of, ticket};
+use crate::{
+    organisations::{HARBOUR_KEY, SPARE_KEY, customers},
+    site::{HOST, declaration, declare_route, page, route, site, status_of, ticket},
+};
 
 /// Time after an outage within which hosts have to know the current state of the store. It covers
 /// the limits that hold without an outage: 2 s until a declaration is in force, and 2 s until a
@@ -112,6 +116,53 @@
     }
 }
 
+/// What a host lacks that can't reach the store.
+#[derive(Clone, Copy)]
+enum Lacking {
+    Route,
+    Key,
+}
+
+#[rstest]
+#[case::route(Lacking::Route, StatusCode::NOT_FOUND)]
+#[case::key(Lacking::Key, StatusCode::UNAUTHORIZED)]
+#[tokio::test]
+async fn nothing_is_refused_for_good_by_a_declaration_that_may_be_outdated(
+    #[case] lacking: Lacking,
+    #[case] refusal: StatusCode,
+) {
+    let site = site(1).await;
+    let mut declared = declaration();
+    declared.version = 10;
+    site.backend.declare_with(&declared, &customers(&[HARBOUR_KEY]));
+    let host = &site.hosts[0];
+    let request = match lacking {
+        Lacking::Route => RequestSpec::to(HOST, "/new/x").key(HARBOUR_KEY),
+        Lacking::Key => page().key(SPARE_KEY),
+    };
+    until("the host refuses what is not declared", async || {
+        status_of(host, &request.with_new_id()).await == Some(refusal)
+    })
+    .await;
+    let store = &site.backend.store;
+    store.set_faults_everywhere(|faults| faults.refusal = Some(Refusal::Silence));
+    declared.version = 11;
+    declared.routes.push(route("/new/", Kind::Idempotent, &[("app", 1)]));
+    site.backend.declare_with(&declared, &customers(&[HARBOUR_KEY, SPARE_KEY]));
+    sleep(RECOVERY_TIME).await;
+    let answer = host.caller().fetch(&request.with_new_id()).await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.metadata.retry_after.is_some());
+
+    store.set_faults_everywhere(|faults| *faults = Faults::default());
+    until("the new declaration is in force", async || {
+        status_of(host, &request.with_new_id()).await == Some(StatusCode::OK)
+    })
+    .await;
+    let unknown = RequestSpec::to(HOST, "/nowhere/x").key(HARBOUR_KEY);
+    assert_eq!(status_of(host, &unknown).await, Some(StatusCode::NOT_FOUND));
+}
+
 /// The registrations of healthy servers expire during an outage and are back a little later. A host
 /// that knows of the outage goes on using such a server; one that doesn't would remove it.
 #[tokio::test]
