Announce a declaration by one host instead of by all

Callers saw 404 on routes that had been confirmed over 3 s before, at hosts with links of 10 Mb/s that are relays of their groups. Cause: each host that put a version in force told all others, whoever it had it from; hosts all watch the store, so a version cost hosts times hosts notices, nearly all through relays, whose own watches and callers queued behind them. A choice of the announcer by link or processor: hosts take turns instead, so one that is late is passed over. Change: hosts announce in the order in which they are scouts, 100 ms after each other, unless an announcement of the version or a later one has arrived; only the first announcement of a version is forwarded, and a later version replaces an earlier one that waits for its acknowledgement. One host of 6, 17, 76 and 350 announces a version that all learn of; with 5 and 12 first hosts down all others know within 2 s.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -15,6 +15,7 @@
 //! is only a hint for shares of limits and for routing; no safety property may depend on it.
 
 mod aggregate;
+mod announcements;
 mod candidates;
 mod crashes;
 mod fact;
@@ -38,6 +39,7 @@
 
 use self::{
     aggregate::Counters,
+    announcements::Announcements,
     candidates::Candidates,
     crashes::Crashes,
     fact::{Fact, Key, ResponseTimes},
@@ -187,6 +189,7 @@
     fanout: Fanout,
     counters: Counters,
     outbox: Outbox,
+    announcements: Announcements,
     /// Crashes that other hosts reported by notices.
     crashes: Crashes,
     /// Number of the last notice that this run originated.
@@ -235,6 +238,7 @@
             fanout: Fanout::default(),
             counters: Counters::default(),
             outbox: Outbox::default(),
+            announcements: Announcements::default(),
             crashes: Crashes::default(),
             number: 0,
             windows: BTreeMap::new(),
@@ -315,14 +319,18 @@
         }
     }
 
-    /// Sends a notice until it is acknowledged, a few times at the most.
+    /// Sends a notice until it is acknowledged, a few times at the most. Hosts announce a declaration
+    /// in turn, and not at all if another host has announced it or a later one.
     ///
     /// # Errors
     ///
     /// If the notice is for one host and that host is not known.
     pub fn send(&mut self, now: Moment, to: Recipients, notice: Notice) -> Result<(), UnknownHost> {
-        self.number += 1;
-        let item = Item { origin: self.member.run(), number: self.number, notice };
+        if let (Recipients::All, Notice::DeclarationInForce { version }) = (&to, &notice) {
+            self.announce(now, *version);
+            return Ok(());
+        }
+        let item = Item { origin: self.member.run(), number: self.next_number(), notice };
         match to {
             Recipients::All => self.multicast(now, &item, None),
             Recipients::Host(id) => {
@@ -362,7 +370,8 @@
 
     /// Returns the time at which [`Fleet::tick`] is due.
     pub fn next(&self) -> Moment {
-        self.outbox.next().map_or(self.next_tick, |next| next.min(self.next_tick))
+        let notices = self.outbox.next().into_iter().chain(self.announcements.next());
+        notices.chain([self.next_tick]).min().unwrap_or(self.next_tick)
     }
 
     /// Returns the traffic counts since this host's start.
--- a/crates/policy/src/fleet/notice.rs
+++ b/crates/policy/src/fleet/notice.rs
@@ -126,6 +126,17 @@
 }
 
 impl Notice {
+    /// Whether the notice leaves nothing to be learned from another one.
+    fn supersedes(&self, other: &Notice) -> bool {
+        match (self, other) {
+            (
+                Notice::DeclarationInForce { version },
+                Notice::DeclarationInForce { version: earlier },
+            ) => earlier < version,
+            _ => false,
+        }
+    }
+
     /// Whether hosts must act on the notice within a time, so that it is sent around hosts that do
     /// not respond. The others are frequent, and a late one costs a rejected request at the most.
     fn is_bounded(&self) -> bool {
@@ -217,6 +228,11 @@
 
 impl Outbox {
     pub(super) fn push(&mut self, now: Moment, target: Target, item: Item, audience: Audience) {
+        if let Some(queue) = self.queues.get_mut(&target) {
+            let before = queue.waiting.len();
+            queue.waiting.retain(|one| !item.notice.supersedes(&one.item.notice));
+            self.length -= before - queue.waiting.len();
+        }
         if self.length >= MAX_WAITING {
             self.lost += 1;
             return;
--- a/crates/policy/src/fleet/receive.rs
+++ b/crates/policy/src/fleet/receive.rs
@@ -187,13 +187,22 @@
             if item.origin == self.member.run() || !self.is_first(now, &item) {
                 continue;
             }
+            let mut is_news = true;
+            if let Notice::DeclarationInForce { version } = item.notice {
+                if version < self.announcements.newest() {
+                    continue;
+                }
+                is_news = self.announcements.observe(version);
+            }
             if let Notice::Crash(crash) = &item.notice {
                 self.crashes.insert(now, crash.clone());
             } else {
                 let origin = self.hosts.by_run(item.origin).map(|peer| peer.member.id.clone());
                 received.push(Envelope { origin, via: from, notice: item.notice.clone() });
             }
-            self.forward(now, run, &item);
+            if is_news {
+                self.forward(now, run, &item);
+            }
         }
         self.flush_notices(now);
         received
--- a/crates/policy/src/fleet/send.rs
+++ b/crates/policy/src/fleet/send.rs
@@ -96,6 +96,7 @@
             self.fanout = fanout;
             self.introduce_in_turn(now);
         }
+        self.flush_announcement(now);
         self.flush_notices(now);
     }
 
--- a/crates/policy/src/follow.rs
+++ b/crates/policy/src/follow.rs
@@ -122,6 +122,11 @@
     if rendezvous::is_among(KEY, own, others, SCOUTS) { Role::Scout } else { Role::Follower }
 }
 
+/// Position of a host in the order in which hosts become scouts, among other hosts.
+pub fn scout_rank<'a>(own: &host::Id, others: impl Iterator<Item = &'a host::Id>) -> usize {
+    rendezvous::rank(KEY, own, others)
+}
+
 /// Pause after an answer that comes `up` after the host's start, in a fleet of `hosts`, for changes
 /// that each host must know `within` a time after their acknowledgement.
 pub fn pause(up: Moment, role: Role, hosts: usize, within: Duration) -> Duration {
--- a/crates/policy/tests/fleet_relays.rs
+++ b/crates/policy/tests/fleet_relays.rs
@@ -7,7 +7,8 @@
 use fleet_net::{Net, ZONES, member};
 use policy::{
     dispatch::poison::{Crash, CrashState, Isolation},
-    fleet::{Departure, Notice, Publication, Recipients, Tier},
+    fleet::{Content, Departure, Fleet, Notice, Origin, Publication, Recipients, Tier},
+    follow,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -16,6 +17,9 @@
 /// Time within which a notice must reach all hosts that respond.
 const NOTICE_TIME: Duration = Duration::from_secs(1);
 
+/// Time within which a version must be announced to all hosts that respond.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(2);
+
 /// Time within which hosts must know of a request that crashes servers.
 const CRASH_TIME: Duration = Duration::from_secs(3);
 
@@ -80,6 +84,56 @@
     assert_eq!(twice, 0, "hosts received the notice twice");
 }
 
+/// Has each host that responds put a version in force at the same moment, and returns those that
+/// announce it.
+fn announcers(net: &mut Net, version: u64) -> Vec<usize> {
+    let before: Vec<_> = net.hosts.values().map(|host| announcements(&host.fleet)).collect();
+    let hosts: Vec<_> = net.hosts.keys().copied().filter(|host| !net.cut.contains(host)).collect();
+    let (now, notice) = (net.now, Notice::DeclarationInForce { version });
+    for host in &hosts {
+        net.fleet(*host)
+            .send(now, Recipients::All, notice.clone())
+            .expect("a notice to all hosts needs no known host");
+    }
+    net.run_for(ANNOUNCEMENT_TIME);
+    let has_announced = |host: &usize| before[*host] < announcements(&net.hosts[host].fleet);
+    hosts.into_iter().filter(has_announced).collect()
+}
+
+fn announcements(fleet: &Fleet) -> u64 {
+    fleet.traffic().of(Content::Declaration, Origin::Own).messages
+}
+
+#[rstest]
+fn one_host_announces_a_version_that_all_learn_of(#[values(6, 17, 76, 350)] hosts: usize) {
+    let mut net = Net::settled(hosts, 1);
+    for version in 1..=3 {
+        assert_eq!(announcers(&mut net, version).len(), 1, "of {hosts} hosts");
+    }
+}
+
+#[rstest]
+#[case::with_turns(5)]
+#[case::all_with_turns(12)]
+fn a_version_is_announced_though_the_first_hosts_in_turn_do_not_respond(
+    #[values(17, 76)] hosts: usize,
+    #[case] lost: usize,
+) {
+    let mut net = Net::settled(hosts, 1);
+    let ids: Vec<_> = (0..hosts).map(|host| member(host, 0).id).collect();
+    let rank = |host: &usize| {
+        let others = ids.iter().filter(|id| **id != ids[*host]);
+        follow::scout_rank(&ids[*host], others)
+    };
+    net.cut = (0..hosts).filter(|host| rank(host) < lost).collect();
+    let announcers = announcers(&mut net, 1);
+    assert!(!announcers.is_empty());
+    let notice = Notice::DeclarationInForce { version: 1 };
+    let mut lacking = lacking(&net, announcers[0], &notice);
+    lacking.retain(|host| !announcers.contains(host));
+    assert_eq!(lacking, Vec::<usize>::new(), "of {hosts} hosts, {announcers:?} announce");
+}
+
 #[rstest]
 fn crashes_are_known_in_time_though_relays_do_not_respond(#[values(17, 62, 195)] hosts: usize) {
     let mut net = Net::settled(hosts, 1);
