Fetch a declaration from a peer only if the store is late with it

Cause: a host that was told of a version fetched it from the host that passed the notice on, while the store's answer was on its way; so each version crossed most links twice or more, and relays sent it to their groups. Old versions queued before new ones, a fetch that failed was not tried elsewhere, and each version of a batch was put in force in turn though only the last counts. Ruled out: no fetches from peers; a host whose watch stalls needs them. Change: one task fetches the newest version that was announced, if the store has not delivered it after a tenth of the time within which it must be in force (at once while the store is degraded), from the announcing host and then from two others; rounds with the peers don't wait for it. Of a batch only the newest declaration that can be read is put in force.

--- a/crates/relay/src/edge.rs
+++ b/crates/relay/src/edge.rs
@@ -313,6 +313,16 @@
     pub revision: Revision,
 }
 
+impl WatchBatch {
+    /// Returns the objects that were written, in the order in which they were.
+    pub(crate) fn written(&self) -> impl DoubleEndedIterator<Item = &Object> {
+        self.changes.iter().filter_map(|change| match change {
+            Change::Written(object) => Some(object),
+            Change::Removed { .. } => None,
+        })
+    }
+}
+
 /// A request to the store.
 #[derive(Clone, Debug)]
 pub enum StoreCall<'a> {
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -32,9 +32,10 @@
 };
 
 use crate::{
-    body::LargeBodies, clock::Clock, control::Control, customers::CustomerQuotas, demand::Demand,
-    directory::Directory, edge::Dialect, log_limiter::LogLimiter, peers::Counts, planning,
-    pool::Pool, store::Store, versions::LastRead, wakeup::Wakeup,
+    announced::Announced, body::LargeBodies, clock::Clock, control::Control,
+    customers::CustomerQuotas, demand::Demand, directory::Directory, edge::Dialect,
+    log_limiter::LogLimiter, peers::Counts, planning, pool::Pool, store::Store, versions::LastRead,
+    wakeup::Wakeup,
 };
 
 /// Difference between the delays with which hosts attempt to take a lease, so that they don't all
@@ -79,6 +80,8 @@
     /// Cancelled during a planned stop, when callers' connections have ended or their time is over.
     pub(crate) stop: CancellationToken,
     declaration: ArcSwapOption<Declaration>,
+    /// The highest version that another host is known to have in force.
+    pub(crate) announced: Announced,
     /// Customers of the declaration in force; none if callers are not identified.
     customers: ArcSwapOption<customer::Directory>,
     /// Notified when other customers have come into force.
@@ -198,6 +201,7 @@
             closing: CancellationToken::new(),
             stop: CancellationToken::new(),
             declaration: ArcSwapOption::empty(),
+            announced: Announced::default(),
             customers: ArcSwapOption::empty(),
             customers_changed: Notify::new(),
             directory: Mutex::default(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod edge;
 pub mod host;
 
+mod announced;
 mod attempt;
 mod body;
 mod call;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    net::SocketAddr,
     sync::{Arc, Mutex, PoisonError, Weak},
     time::Duration,
 };
@@ -19,10 +18,7 @@
 use policy::{dispatch, fleet::Liveness, quota::Limit, term};
 use tokio::{
     net::TcpStream,
-    sync::{
-        Mutex as AsyncMutex,
-        mpsc::{Receiver, UnboundedReceiver, UnboundedSender, unbounded_channel},
-    },
+    sync::{Mutex as AsyncMutex, mpsc::Receiver},
     time::sleep,
 };
 use types::{
@@ -30,7 +26,7 @@
     routed::{self, Declaration, Version},
 };
 
-use crate::{host::Shared, paths, speeds::Speeds, task};
+use crate::{announced, host::Shared, paths, speeds::Speeds, task};
 
 /// Interval between rounds of publishing and reading.
 const ROUND_INTERVAL: Duration = Duration::from_millis(60);
@@ -133,14 +129,10 @@
 /// Starts the tasks that apply the notices of peers, until the process ends.
 pub(crate) fn spawn_listener(shared: &Arc<Shared>, exchange: &Arc<Exchange>) {
     let Some(notices) = exchange.notices() else { return };
-    // A fetch may take as long as its timeout, and must not delay other notices.
-    let (declared, versions) = unbounded_channel();
     let notices = Arc::new(AsyncMutex::new(notices));
-    task::spawn(shared, "notices", move |shared| listen(shared, notices.clone(), declared.clone()));
-    let (exchange, versions) = (exchange.clone(), Arc::new(AsyncMutex::new(versions)));
-    task::spawn(shared, "declared", move |shared| {
-        fetch_declared(shared, exchange.clone(), versions.clone())
-    });
+    task::spawn(shared, "notices", move |shared| listen(shared, notices.clone()));
+    let exchange = exchange.clone();
+    task::spawn(shared, "announced", move |shared| announced::fetch(shared, exchange.clone()));
 }
 
 /// Publishes to the peers and applies what they publish, until the process ends.
@@ -300,11 +292,10 @@
     }
 }
 
-/// Fetches the declaration and the servers from peers that have later ones.
+/// Notes which peer has a later declaration, and fetches the servers from one that has later ones.
 async fn catch_up(shared: &Arc<Shared>, exchange: &Exchange, snapshot: &Snapshot) {
-    let version = shared.declaration().map_or(0, |declaration| declaration.version);
-    if let Some(ahead) = snapshot.ahead(&shared.host.zone, version).first() {
-        fetch_declaration(shared, exchange, ahead.member.address, &ahead.member.id, version).await;
+    if let Some(ahead) = snapshot.ahead(&shared.host.zone, shared.version()).first() {
+        shared.announced.record(ahead.declared, ahead.member.address);
     }
     // While the store responds, this host fetches several changes at once and is behind its peers
     // until then.
@@ -324,35 +315,7 @@
     }
 }
 
-async fn fetch_declaration(
-    shared: &Shared,
-    exchange: &Exchange,
-    from: SocketAddr,
-    peer: &host::Id,
-    above: Version,
-) {
-    match exchange.fetch_declaration(from, above).await {
-        Ok(Some(declaration)) => {
-            shared.declare((*declaration).clone(), story::Source::Peer(peer.clone()));
-        }
-        Ok(None) => {}
-        Err(error) => log::debug!(from:% = from; "a declaration can't be fetched: {error}"),
-    }
-}
-
-/// Returns the id of the host that listens at an address, or the address itself while the host is
-/// unknown.
-fn peer_at(exchange: &Exchange, address: SocketAddr) -> host::Id {
-    let snapshot = exchange.fleet();
-    let known = snapshot.hosts.iter().find(|status| status.member.address == address);
-    known.map_or_else(|| address.to_string().into(), |status| status.member.id.clone())
-}
-
-async fn listen(
-    shared: Arc<Shared>,
-    notices: Arc<AsyncMutex<Receiver<Envelope>>>,
-    declared: UnboundedSender<(Version, SocketAddr)>,
-) {
+async fn listen(shared: Arc<Shared>, notices: Arc<AsyncMutex<Receiver<Envelope>>>) {
     let mut notices = notices.lock().await;
     while let Some(received) = notices.recv().await {
         let now = shared.now();
@@ -376,8 +339,7 @@
                 shared.apply_departure(&server, departure, revision, &from);
             }
             Notice::DeclarationInForce { version } => {
-                // Never fails, as the receiver lives until the process ends.
-                let _ = declared.send((version, received.via));
+                shared.announced.record(version, received.via);
             }
             Notice::LimitChanged { server, limit } => {
                 let origin = received.origin.unwrap_or_else(|| received.via.to_string().into());
@@ -424,22 +386,6 @@
     }
 }
 
-/// Fetches the declarations that peers have announced.
-async fn fetch_declared(
-    shared: Arc<Shared>,
-    exchange: Arc<Exchange>,
-    declared: Arc<AsyncMutex<UnboundedReceiver<(Version, SocketAddr)>>>,
-) {
-    let mut declared = declared.lock().await;
-    while let Some((version, via)) = declared.recv().await {
-        let known = shared.declaration().map_or(0, |declaration| declaration.version);
-        if known < version {
-            let peer = peer_at(&exchange, via);
-            fetch_declaration(&shared, &exchange, via, &peer, known).await;
-        }
-    }
-}
-
 /// Notifies the holder of the lease that a request waits for a model or adapter.
 pub(crate) fn request_load(
     shared: &Shared,
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -17,7 +17,7 @@
 
 use self::hedge::Hedge;
 use crate::{
-    edge::{Change, Object, ObjectKind, Revision, StoreReply},
+    edge::{Object, ObjectKind, Revision, StoreReply},
     host::Shared,
 };
 
@@ -47,22 +47,29 @@
 
 async fn read_declaration(shared: &Shared) -> Option<Revision> {
     let page = shared.store.list(ObjectKind::Declaration).await?;
-    let name = shared.dialect.declaration_name();
-    if let Some(object) = page.objects.iter().find(|object| &*object.name == name) {
-        declare(shared, object);
-    }
+    declare_newest(shared, page.objects.iter().rev());
     Some(page.revision)
 }
 
-fn declare(shared: &Shared, object: &Object) {
-    if &*object.name != shared.dialect.declaration_name() {
-        return;
-    }
+/// Puts the first declaration in force that can be, of objects that are given newest first.
+fn declare_newest<'a>(shared: &Shared, objects: impl Iterator<Item = &'a Object>) {
+    let name = shared.dialect.declaration_name();
+    let mut declarations = objects.filter(|object| &*object.name == name);
+    declarations.find(|object| declare(shared, object));
+}
+
+/// Returns whether the declaration, or a later one, is in force from now on.
+fn declare(shared: &Shared, object: &Object) -> bool {
     match shared.dialect.declaration(object) {
-        Ok(declaration) => shared.declare(declaration, Source::Store),
+        Ok(declaration) => {
+            let version = declaration.version;
+            shared.declare(declaration, Source::Store);
+            shared.declaration().is_some_and(|declaration| version <= declaration.version)
+        }
         Err(error) => {
             let revision = object.revision;
             log::error!(revision = revision, reason:% = error; "a declaration can't be read");
+            false
         }
     }
 }
@@ -77,11 +84,7 @@
             StoreReply::Seen(batch) => {
                 shared.confirm_declaration();
                 since = since.max(batch.revision);
-                for change in batch.changes {
-                    if let Change::Written(object) = change {
-                        declare(shared, &object);
-                    }
-                }
+                declare_newest(shared, batch.written().rev());
             }
             StoreReply::Compacted => return,
             _ => sleep(RETRY_INTERVAL).await,
