Refuse no request for good by a declaration that may be outdated

Callers saw 404 on a route whose version had been confirmed 3.1 s before: the host was late and didn't know it. Cause: a host had no notion of how old its declaration is. Its metric of the age was set by each answer that arrived, however long that had waited on the host's link, and by peers' declarations of any age. Ruled out: refusals as not run by age alone: a follower's watch waits for up to 20 s, so most would be wrong. Frequent calls by all hosts: each is priced. Change: a host knows up to which time it has all changes, counted from the call or from the end of a wait in which nothing changed. Before it refuses a request with 404 or 401 by a declaration that may have been replaced for longer than a change may take, it asks the store, once for all such requests; a later declaration is put in force and the request looked up again, and without an answer within 300 ms the request is refused as not run, with Retry-After and the cause 'unconfirmed'.

--- a/crates/observe/src/metrics/routed/labels.rs
+++ b/crates/observe/src/metrics/routed/labels.rs
@@ -60,6 +60,8 @@
     NoRoute,
     /// The host has received no declaration yet.
     NoDeclaration,
+    /// A later declaration may allow the request, and the store does not answer.
+    Unconfirmed,
     /// No reachable server could run the request.
     NoServer,
     /// All servers are full, and the request can't be served in time.
@@ -261,6 +263,7 @@
     Quota = "quota",
     NoRoute = "no-route",
     NoDeclaration = "no-declaration",
+    Unconfirmed = "unconfirmed",
     NoServer = "no-server",
     Full = "full",
     TooLate = "too-late",
--- a/crates/relay/src/edge.rs
+++ b/crates/relay/src/edge.rs
@@ -425,6 +425,21 @@
     TimedOut,
 }
 
+impl Problem {
+    /// Whether a later declaration may allow the request.
+    pub(crate) fn depends_on_declaration(self) -> bool {
+        match self {
+            Problem::Unauthorized | Problem::NoRoute => true,
+            Problem::Malformed
+            | Problem::OverQuota(_)
+            | Problem::TooLarge
+            | Problem::NotRun(_)
+            | Problem::Unclear
+            | Problem::TimedOut => false,
+        }
+    }
+}
+
 /// Translation between a deployment's protocols and the types of this module.
 pub trait Dialect: Send + Sync + 'static {
     /// Path of the readiness probe that the load balancer sends to this host.
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -32,7 +32,7 @@
 };
 
 use crate::{
-    announced::Announced, body::LargeBodies, clock::Clock, control::Control,
+    announced::Announced, body::LargeBodies, clock::Clock, confirm::Confirmation, control::Control,
     customers::CustomerQuotas, demand::Demand, directory::Directory, edge::Dialect,
     log_limiter::LogLimiter, peers::Counts, planning, pool::Pool, store::Store, versions::LastRead,
     wakeup::Wakeup,
@@ -63,8 +63,10 @@
     pub(crate) metrics: Metrics,
     /// Metrics of the request path.
     pub(crate) meters: Meters,
-    /// When the declaration in force was last confirmed to be the newest.
-    pub(crate) declaration_confirmed: Mutex<Moment>,
+    /// What the store last said of the declaration.
+    pub(crate) declaration_confirmed: Mutex<Confirmation>,
+    /// Held while the store is asked whether the declaration in force is the newest.
+    pub(crate) confirming: AsyncMutex<()>,
     pub(crate) store: Store,
     pub(crate) pool: Pool,
     pub(crate) large_bodies: LargeBodies,
@@ -167,6 +169,7 @@
             metrics,
             meters,
             declaration_confirmed: Mutex::default(),
+            confirming: AsyncMutex::default(),
             control: Control::default(),
             order_timeout: times.order_timeout,
             dispatch_wakeup: Notify::new(),
@@ -235,7 +238,6 @@
         };
         self.logger.belief(Belief::Declaration { version, from });
         self.log_customers(before.as_deref(), &declaration);
-        self.confirm_declaration();
         planning::declare(&mut self.planner(), &declaration, self.now());
         self.customers.store(customers);
         self.customers_changed.notify_waiters();
@@ -271,17 +273,11 @@
         self.customers.load_full()
     }
 
-    /// Records that the declaration in force is the newest at this moment.
-    pub(crate) fn confirm_declaration(&self) {
-        *self.declaration_confirmed.lock().unwrap_or_else(PoisonError::into_inner) = self.now();
-    }
-
     /// Updates the metrics that are computed when they are read, rather than at each change.
     pub(crate) fn update_metrics(&self) {
         if let Some(declaration) = self.declaration() {
-            let confirmed_at =
-                *self.declaration_confirmed.lock().unwrap_or_else(PoisonError::into_inner);
-            self.meters.declaration(declaration.version, self.now().saturating_sub(confirmed_at));
+            let age = self.now().saturating_sub(self.declaration_confirmed_at());
+            self.meters.declaration(declaration.version, age);
         }
         let dispatcher = self.dispatcher();
         let at_servers: u32 = dispatcher.work().iter().map(|(_, _, count, _)| *count).sum();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 mod call;
 mod caller;
 mod callers;
+mod confirm;
 mod connect;
 mod control;
 mod customers;
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -93,9 +93,19 @@
         trace.refused(Refusal::NoDeclaration, BODY_TIMEOUT, Some(NOT_READY_RETRY_AFTER));
         return Err(fail(shared, &trace, Problem::NotRun(NOT_READY_RETRY_AFTER)));
     };
-    let found = find_route(shared, &declaration, &info, body).await;
-    let Destination { route, service, caller, body } =
-        found.map_err(|problem| fail(shared, &trace, problem))?;
+    let mut destination = find_destination(shared, &info);
+    if destination.as_ref().is_err_and(|problem| problem.depends_on_declaration()) {
+        if !shared.confirm_for(received).await {
+            trace.refused(Refusal::Unconfirmed, BODY_TIMEOUT, Some(NOT_READY_RETRY_AFTER));
+            return Err(fail(shared, &trace, Problem::NotRun(NOT_READY_RETRY_AFTER)));
+        }
+        destination = find_destination(shared, &info);
+    }
+    let declaration = shared.declaration().unwrap_or(declaration);
+    let destination = destination.map_err(|problem| fail(shared, &trace, problem))?;
+    let body = collect(&declaration, body).await;
+    let body = body.map_err(|problem| fail(shared, &trace, problem))?;
+    let Destination { route, service, caller } = destination;
     let fingerprint = fingerprint(&head, &info, &caller, &body);
     let buffered = BufferedRequest {
         info,
@@ -125,24 +135,17 @@
     route: Route,
     service: service::Id,
     caller: Caller,
-    body: Bytes,
 }
 
-/// Finds the route of a request, identifies its caller, and receives its body.
-async fn find_route(
-    shared: &Shared,
-    declaration: &Declaration,
-    info: &RequestInfo,
-    body: Incoming,
-) -> Result<Destination, Problem> {
+/// Finds the route of a request and identifies its caller.
+fn find_destination(shared: &Shared, info: &RequestInfo) -> Result<Destination, Problem> {
     let route = shared.dispatcher().route(&info.host, &info.path).cloned();
     let route = route.ok_or(Problem::NoRoute)?;
     let caller = Caller::identify(shared, &route, info.credential)?;
-    let body = collect(declaration, body).await?;
     // All attempts of a stream go to the service that began it.
     let id = info.resume.and(info.resumes.as_ref()).unwrap_or(&info.id);
     let service = dispatch::split(&route, hash(id)).cloned().ok_or(Problem::NoRoute)?;
-    Ok(Destination { route, service, caller, body })
+    Ok(Destination { route, service, caller })
 }
 
 /// Ends a request with this host's own response.
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -46,13 +46,15 @@
 }
 
 async fn read_declaration(shared: &Shared) -> Option<Revision> {
+    let began = shared.now();
     let page = shared.store.list(ObjectKind::Declaration).await?;
     declare_newest(shared, page.objects.iter().rev());
+    shared.confirm_declaration(page.revision, began);
     Some(page.revision)
 }
 
 /// Puts the first declaration in force that can be, of objects that are given newest first.
-fn declare_newest<'a>(shared: &Shared, objects: impl Iterator<Item = &'a Object>) {
+pub(crate) fn declare_newest<'a>(shared: &Shared, objects: impl Iterator<Item = &'a Object>) {
     let name = shared.dialect.declaration_name();
     let mut declarations = objects.filter(|object| &*object.name == name);
     declarations.find(|object| declare(shared, object));
@@ -80,11 +82,17 @@
     let mut since = since;
     let mut hedge = Hedge::new(shared, ObjectKind::Declaration);
     loop {
-        match hedge.next(since, shared.watch(ObjectKind::Declaration)).await {
+        let (began, watch) = (shared.now(), shared.watch(ObjectKind::Declaration));
+        match hedge.next(since, watch).await {
             StoreReply::Seen(batch) => {
-                shared.confirm_declaration();
                 since = since.max(batch.revision);
                 declare_newest(shared, batch.written().rev());
+                // The response may have waited on this host's link: it is known to be as recent as
+                // the end of the wait only if nothing has changed, and as the call otherwise.
+                let waited = shared.now().saturating_sub(began);
+                let is_waited_out = batch.changes.is_empty() && watch.wait <= waited;
+                let known = if is_waited_out { began + watch.wait } else { began };
+                shared.confirm_declaration(since, known);
             }
             StoreReply::Compacted => return,
             _ => sleep(RETRY_INTERVAL).await,
