--- a/crates/policy/examples/fleet_traffic.rs
+++ b/crates/policy/examples/fleet_traffic.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use fleet_net::{Net, busy_publication, sent_bytes};
-use policy::fleet::{Load, Notice, Publication, Recipients};
+use policy::fleet::{Content, Fleet, Load, Notice, Origin, Publication, Recipients};
 
 const SIZES: [usize; 5] = [6, 8, 16, 82, 350];
 const SPAN: u64 = 20;
@@ -22,7 +22,8 @@
 
 fn main() {
     println!("hosts, idle B/s mean, idle B/s most, busy B/s mean, busy B/s most, datagrams/s busy");
-    println!("  and ms until a load is in all sums and until all have a notice: p50, most");
+    println!("  ms until a load is in all sums and until all have a notice: p50, most");
+    println!("  and notices of a version that all hosts learn of: of all hosts, most of one host");
     let sizes: Vec<usize> = std::env::args().skip(1).filter_map(|n| n.parse().ok()).collect();
     for hosts in if sizes.is_empty() { SIZES.to_vec() } else { sizes } {
         let mut net = Net::started(hosts, 1);
@@ -31,12 +32,13 @@
         let (idle_mean, idle_most, _) = rates(&mut net, |_, _| {});
         let loads = spread(&mut net, load_everywhere);
         let notices = spread(&mut net, notice_everywhere);
+        let announcements = announcements(&mut net);
         let (busy_mean, busy_most, datagrams) = rates(&mut net, |net, step| {
             (0..net.hosts.len()).for_each(|host| net.publish(host, busy_publication(step)));
         });
         println!(
-            "| {hosts} | {idle_mean} | {idle_most} | {busy_mean} | {busy_most} | {datagrams} | {} | {} | {} | {} |",
-            loads.0, loads.1, notices.0, notices.1
+            "| {hosts} | {idle_mean} | {idle_most} | {busy_mean} | {busy_most} | {datagrams} | {} | {} | {} | {} | {} | {} |",
+            loads.0, loads.1, notices.0, notices.1, announcements.0, announcements.1
         );
     }
 }
@@ -82,7 +84,7 @@
     let sender = round * 7 % net.hosts.len();
     let before: Vec<_> = net.hosts.values().map(|host| host.received.len()).collect();
     let (now, start) = (net.now, net.now);
-    let notice = Notice::DeclarationInForce { version: round as u64 };
+    let notice = Notice::LeaseAcquired { fence: round as u64 };
     net.fleet(sender).send(now, Recipients::All, notice).unwrap_or_default();
     let has_received = |net: &Net| {
         let reached = net.hosts.values().zip(&before).filter(|(host, n)| host.received.len() > **n);
@@ -94,6 +96,25 @@
     took
 }
 
+/// Returns how many notices of a version are sent that all hosts learn of at the same moment: by all
+/// hosts and most by one host.
+fn announcements(net: &mut Net) -> (u64, u64) {
+    let sent = |net: &Net| -> Vec<u64> {
+        let of = |fleet: &Fleet, origin| fleet.traffic().of(Content::Declaration, origin).messages;
+        let hosts = net.hosts.values().map(|host| &host.fleet);
+        hosts.map(|fleet| of(fleet, Origin::Own) + of(fleet, Origin::Forwarded)).collect()
+    };
+    let (now, before) = (net.now, sent(net));
+    for host in net.hosts.keys().copied().collect::<Vec<_>>() {
+        let notice = Notice::DeclarationInForce { version: 1 };
+        net.fleet(host).send(now, Recipients::All, notice).unwrap_or_default();
+    }
+    net.run_for(Duration::from_secs(3));
+    let after = sent(net);
+    let sent: Vec<_> = after.iter().zip(&before).map(|(after, before)| after - before).collect();
+    (sent.iter().sum(), sent.iter().max().copied().unwrap_or(0))
+}
+
 /// Runs until the condition holds, for a minute at the most.
 fn wait(net: &mut Net, holds: impl Fn(&Net) -> bool) {
     let end = net.now + Duration::from_secs(60);
