--- a/crates/policy/src/fleet/traffic.rs
+++ b/crates/policy/src/fleet/traffic.rs
@@ -62,7 +62,7 @@
             Content::LoadRequested => "load-requested",
             Content::Loaded => "loaded",
             Content::Unloaded => "unloaded",
-            Content::ServerLeaving => "server-leaving",
+            Content::ServerLeaving => "departure",
             Content::Declaration => "declaration",
             Content::Limit => "limit",
             Content::Quota => "quota",
