Say what announcements and confirmations do in the field's words

Cause: the last read of the diff: comments leaned on 'told' and 'says so', and one reason was hard to follow. Ruled out: nothing. Change: comments and one description of a metric. Behaviour is the same. Figures: none. Conclusion: less to stumble over.

--- a/crates/observe/src/metrics/routed.rs
+++ b/crates/observe/src/metrics/routed.rs
@@ -258,7 +258,7 @@
             exchange_lost: gauge(
                 meter,
                 "routed_exchange_lost",
-                "Notices that other hosts did not acknowledge, or that this host had no room for",
+                "Notices that were not acknowledged, or not queued because the outbox was full",
             )
             .bind(&[]),
             demand: each(|origin: Origin| demand.bind(&[origin.key_value()])),
--- a/crates/policy/src/fleet/announcements.rs
+++ b/crates/policy/src/fleet/announcements.rs
@@ -1,10 +1,10 @@
 //! Announcements of the declaration in force.
 //!
-//! All hosts watch the store and learn of a version at about the same time. If each one told all
-//! others, a version would cost as many notices as the square of the number of hosts. So hosts take
-//! turns, in the order in which they are scouts of the store, and a host that has received an
-//! announcement of the version or a later one makes none. A host that is late, or down and not yet
-//! found to be so, is passed over by the next one.
+//! All hosts watch the store and receive a version at about the same time. If each one notified all
+//! others, the notices of a version would grow with the square of the number of hosts. Hosts
+//! therefore take turns, in the order in which they become scouts of the store, and a host that has
+//! received an announcement of the same version or a later one sends none. If a host is slow or
+//! down, the next one in turn takes its place, whether or not its failure has been detected.
 
 use std::time::Duration;
 
@@ -47,7 +47,7 @@
 }
 
 impl Announcements {
-    /// Records an announcement. Returns whether its version is higher than that of all before.
+    /// Records an announcement. Returns whether its version is higher than all announced before.
     pub(super) fn observe(&mut self, version: Version) -> bool {
         let is_newer = self.newest < version;
         if is_newer {
@@ -81,7 +81,7 @@
 }
 
 impl Fleet {
-    /// Announces a declaration when it is this host's turn, unless another host has by then.
+    /// Announces a declaration at this host's turn, unless another host does so before.
     pub(super) fn announce(&mut self, now: Moment, version: Version) {
         let live = self.hosts.iter().filter(|peer| !peer.is_silent());
         let others: Vec<_> = live.map(|peer| &peer.member.id).collect();
--- a/crates/policy/src/fleet/notice.rs
+++ b/crates/policy/src/fleet/notice.rs
@@ -126,7 +126,7 @@
 }
 
 impl Notice {
-    /// Whether the notice leaves nothing to be learned from another one.
+    /// Whether the notice makes another one obsolete.
     fn supersedes(&self, other: &Notice) -> bool {
         match (self, other) {
             (
--- a/crates/relay/src/announced.rs
+++ b/crates/relay/src/announced.rs
@@ -1,8 +1,8 @@
 //! Fetches of declarations that other hosts have in force.
 //!
-//! All hosts watch the store, so a host that is told of a version mostly has it from the store a
-//! moment later. Fetching it from a peer at once would carry it twice over this host's link, and
-//! have the host that passes announcements on send it to its whole group.
+//! All hosts watch the store, so a host that is notified of a version usually receives it from the
+//! store a moment later. If it were fetched from a peer at once, it would cross this host's link
+//! twice, and the relay that forwards notices would send it to its whole group.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -24,7 +24,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Announcement {
     version: Version,
-    /// The host that said so.
+    /// Address of the host that sent or forwarded the announcement.
     from: SocketAddr,
 }
 
--- a/crates/relay/src/confirm.rs
+++ b/crates/relay/src/confirm.rs
@@ -1,9 +1,9 @@
 //! Whether the declaration in force is the newest one.
 //!
-//! A host may be late with changes without knowing, as when its link or processor has a backlog. It
-//! then still serves by the declaration that it has, but refuses nothing for good by one that may
-//! have been replaced for longer than a change may take: the store is asked first, and a request
-//! whose refusal can't be confirmed is refused as not run.
+//! A host may lag behind the store without noticing, for example when its link or processor has a
+//! backlog. It goes on serving by the declaration in force. But before it refuses a request for good
+//! by a declaration that may be outdated, it asks the store. If the store doesn't answer in time, the
+//! request is refused as not run, so that the caller may retry.
 
 use std::{sync::PoisonError, time::Duration};
 
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -53,7 +53,7 @@
     Some(page.revision)
 }
 
-/// Puts the first declaration in force that can be, of objects that are given newest first.
+/// Puts the newest declaration that can be read in force. The objects are given newest first.
 pub(crate) fn declare_newest<'a>(shared: &Shared, objects: impl Iterator<Item = &'a Object>) {
     let name = shared.dialect.declaration_name();
     let mut declarations = objects.filter(|object| &*object.name == name);
@@ -87,8 +87,9 @@
             StoreReply::Seen(batch) => {
                 since = since.max(batch.revision);
                 declare_newest(shared, batch.written().rev());
-                // The response may have waited on this host's link: it is known to be as recent as
-                // the end of the wait only if nothing has changed, and as the call otherwise.
+                // The response may have been queued at this host's link, so its arrival proves
+                // nothing. The store evaluated the call when it was made or, if nothing changed, when
+                // its wait ended.
                 let waited = shared.now().saturating_sub(began);
                 let is_waited_out = batch.changes.is_empty() && watch.wait <= waited;
                 let known = if is_waited_out { began + watch.wait } else { began };
