Look for earlier declarations in a queue only when one is queued

Cause: each notice that was queued for a host looked at all that wait for it, to drop declarations that it makes obsolete; only notices of declarations can. Change: the queue is searched for declarations alone. Behaviour is the same. Conclusion: no work for the frequent notices.

--- a/crates/policy/src/fleet/notice.rs
+++ b/crates/policy/src/fleet/notice.rs
@@ -126,17 +126,6 @@
 }
 
 impl Notice {
-    /// Whether the notice makes another one obsolete.
-    fn supersedes(&self, other: &Notice) -> bool {
-        match (self, other) {
-            (
-                Notice::DeclarationInForce { version },
-                Notice::DeclarationInForce { version: earlier },
-            ) => earlier < version,
-            _ => false,
-        }
-    }
-
     /// Whether hosts must act on the notice within a time, so that it is sent around hosts that do
     /// not respond. The others are frequent, and a late one costs a rejected request at the most.
     fn is_bounded(&self) -> bool {
@@ -228,10 +217,8 @@
 
 impl Outbox {
     pub(super) fn push(&mut self, now: Moment, target: Target, item: Item, audience: Audience) {
-        if let Some(queue) = self.queues.get_mut(&target) {
-            let before = queue.waiting.len();
-            queue.waiting.retain(|one| !item.notice.supersedes(&one.item.notice));
-            self.length -= before - queue.waiting.len();
+        if let Notice::DeclarationInForce { version } = item.notice {
+            self.remove_earlier_declarations(target, version);
         }
         if self.length >= MAX_WAITING {
             self.lost += 1;
@@ -246,6 +233,17 @@
         queue.waiting.push(Waiting { item, audience, sends: 0, next: now });
     }
 
+    /// Removes a receiver's notices of declarations with a lower version, which are obsolete.
+    fn remove_earlier_declarations(&mut self, target: Target, version: Version) {
+        let Some(queue) = self.queues.get_mut(&target) else { return };
+        let before = queue.waiting.len();
+        queue.waiting.retain(|one| match one.item.notice {
+            Notice::DeclarationInForce { version: earlier } => version <= earlier,
+            _ => true,
+        });
+        self.length -= before - queue.waiting.len();
+    }
+
     /// Returns the time at which the next notice is due.
     pub(super) fn next(&self) -> Option<Moment> {
         self.queues.values().map(|queue| queue.earliest).min()
