Build a notice of this host's own in one place

Cause: Fleet::send and the announcement of a declaration each numbered a notice and set its origin, and the numbering stood in the module of announcements; the delay of a turn had two branches of one sum. Ruled out: a method of its own in place of send for declarations: it has one caller, and the tests of notices go through send. Change: Fleet::new_item beside send; the delay as one sum. Behaviour is the same. Conclusion: one place to change.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -330,7 +330,7 @@
             self.announce(now, *version);
             return Ok(());
         }
-        let item = Item { origin: self.member.run(), number: self.next_number(), notice };
+        let item = self.new_item(notice);
         match to {
             Recipients::All => self.multicast(now, &item, None),
             Recipients::Host(id) => {
@@ -384,6 +384,12 @@
         &self.traffic
     }
 
+    /// Returns a notice that this host originates, with the next number.
+    fn new_item(&mut self, notice: Notice) -> Item {
+        self.number += 1;
+        Item { origin: self.member.run(), number: self.number, notice }
+    }
+
     /// The state that this host advertises.
     fn state(&self, now: Moment) -> State {
         let advertised =
--- a/crates/policy/src/fleet/announcements.rs
+++ b/crates/policy/src/fleet/announcements.rs
@@ -10,11 +10,7 @@
 
 use types::{routed::Version, time::Moment};
 
-use super::{
-    Fleet,
-    notice::Notice,
-    wire::{Item, Number},
-};
+use super::{Fleet, notice::Notice};
 use crate::follow;
 
 /// Time from one host's turn to the next one's, in which a notice reaches all hosts.
@@ -28,13 +24,9 @@
 
 /// Delay of a host's announcement, for the host at `rank` of all.
 fn delay(rank: usize, hosts: usize) -> Duration {
-    match rank.checked_sub(TURNS) {
-        None => TURN * u32::try_from(rank).unwrap_or(u32::MAX),
-        Some(rest) => {
-            let others = hosts.saturating_sub(TURNS).max(1);
-            TURN * TURNS as u32 + LAST_TURNS.mul_f64(rest as f64 / others as f64)
-        }
-    }
+    let (own, last) = (rank.min(TURNS), rank.saturating_sub(TURNS));
+    let others = hosts.saturating_sub(TURNS).max(1);
+    TURN * own as u32 + LAST_TURNS.mul_f64(last as f64 / others as f64)
 }
 
 /// What is announced, by this host or others.
@@ -95,14 +87,8 @@
     pub(super) fn flush_announcement(&mut self, now: Moment) {
         let Some(version) = self.announcements.take_due(now) else { return };
         self.announcements.observe(version);
-        let notice = Notice::DeclarationInForce { version };
-        let item = Item { origin: self.member.run(), number: self.next_number(), notice };
+        let item = self.new_item(Notice::DeclarationInForce { version });
         self.multicast(now, &item, None);
         self.flush_notices(now);
     }
-
-    pub(super) fn next_number(&mut self) -> Number {
-        self.number += 1;
-        self.number
-    }
 }
