Load the declaration again only for a request that had to be confirmed

Cause: each request loaded the declaration a second time after its route was found, which only one whose refusal was confirmed needs; and the answer to a watch of the declaration was applied in two places, by the watch and by the confirmation of a refusal. Ruled out: nothing. Change: the second load stands where the declaration may have changed; watch::apply_declarations serves both. Behaviour is the same. Conclusion: less on the path of each request, one way to apply an answer.

--- a/crates/relay/src/confirm.rs
+++ b/crates/relay/src/confirm.rs
@@ -77,8 +77,7 @@
         let kind = ObjectKind::Declaration;
         let call = StoreCall::Watch { kind, since, wait: SHORTEST_WAIT };
         if let StoreReply::Seen(batch) = self.store.call(&call).await {
-            watch::declare_newest(self, batch.written().rev());
-            self.confirm_declaration(batch.revision, began);
+            watch::apply_declarations(self, &batch, began);
         }
     }
 }
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -89,7 +89,7 @@
         return Err(refuse(shared, problem));
     };
     let trace = Trace::begin(shared, &info.id, received);
-    let Some(declaration) = declaration else {
+    let Some(mut declaration) = declaration else {
         trace.refused(Refusal::NoDeclaration, BODY_TIMEOUT, Some(NOT_READY_RETRY_AFTER));
         return Err(fail(shared, &trace, Problem::NotRun(NOT_READY_RETRY_AFTER)));
     };
@@ -100,8 +100,8 @@
             return Err(fail(shared, &trace, Problem::NotRun(NOT_READY_RETRY_AFTER)));
         }
         destination = find_destination(shared, &info);
+        declaration = shared.declaration().unwrap_or(declaration);
     }
-    let declaration = shared.declaration().unwrap_or(declaration);
     let destination = destination.map_err(|problem| fail(shared, &trace, problem))?;
     let body = collect(&declaration, body).await;
     let body = body.map_err(|problem| fail(shared, &trace, problem))?;
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -14,10 +14,11 @@
     follow::{self, Role, Schedule, Step},
 };
 use tokio::time::{sleep, timeout};
+use types::time::Moment;
 
 use self::hedge::Hedge;
 use crate::{
-    edge::{Object, ObjectKind, Revision, StoreReply},
+    edge::{Object, ObjectKind, Revision, StoreReply, WatchBatch},
     host::Shared,
 };
 
@@ -53,8 +54,14 @@
     Some(page.revision)
 }
 
+/// Applies the answer to a watch of the declaration, with which all changes up to `known` are known.
+pub(crate) fn apply_declarations(shared: &Shared, batch: &WatchBatch, known: Moment) {
+    declare_newest(shared, batch.written().rev());
+    shared.confirm_declaration(batch.revision, known);
+}
+
 /// Puts the newest declaration that can be read in force. The objects are given newest first.
-pub(crate) fn declare_newest<'a>(shared: &Shared, objects: impl Iterator<Item = &'a Object>) {
+fn declare_newest<'a>(shared: &Shared, objects: impl Iterator<Item = &'a Object>) {
     let name = shared.dialect.declaration_name();
     let mut declarations = objects.filter(|object| &*object.name == name);
     declarations.find(|object| declare(shared, object));
@@ -86,14 +93,13 @@
         match hedge.next(since, watch).await {
             StoreReply::Seen(batch) => {
                 since = since.max(batch.revision);
-                declare_newest(shared, batch.written().rev());
                 // The response may have been queued at this host's link, so its arrival proves
                 // nothing. The store evaluated the call when it was made or, if nothing changed, when
                 // its wait ended.
                 let waited = shared.now().saturating_sub(began);
                 let is_waited_out = batch.changes.is_empty() && watch.wait <= waited;
                 let known = if is_waited_out { began + watch.wait } else { began };
-                shared.confirm_declaration(since, known);
+                apply_declarations(shared, &batch, known);
             }
             StoreReply::Compacted => return,
             _ => sleep(RETRY_INTERVAL).await,
