Move the metrics of the exchange to a module of their own

Ruled out: a split of the whole file by job, which is more than this change owes. Change: routed/exchange.rs has the instruments and setters of the exchange, the panics among them. Names, labels and values are the same. Conclusion: one job a file.

--- a/crates/observe/src/metrics/routed.rs
+++ b/crates/observe/src/metrics/routed.rs
@@ -4,6 +4,7 @@
 //! series of these sets are created once, and an update of one costs an index and an atomic
 //! operation or, for a histogram, a lock.
 
+mod exchange;
 mod labels;
 
 use std::{sync::Arc, time::Duration};
@@ -19,11 +20,11 @@
     service,
 };
 
-use self::labels::Label;
 pub use self::labels::{
     Admissions, AttemptOutcome, Call, CallResult, Direction, Grants, Origin, Permits, Phase,
     PlanTime, Queue, Refusal, Resend,
 };
+use self::{exchange::Exchange, labels::Label};
 use super::build::{counter, gauge, seconds};
 use crate::story::{Answer, Outcome};
 
@@ -67,12 +68,7 @@
     demand: Box<[BoundCounter<u64>]>,
     unreadable: BoundCounter<u64>,
     task_panics: Counter<u64>,
-    exchange_panics: BoundGauge<u64>,
-    exchange_datagrams: Box<[BoundGauge<u64>]>,
-    exchange_bytes: Box<[BoundGauge<u64>]>,
-    exchange_messages: Gauge<u64>,
-    exchange_message_bytes: Gauge<u64>,
-    exchange_lost: BoundGauge<u64>,
+    exchange: Exchange,
     relayed_servers: BoundGauge<u64>,
     tunnels: BoundGauge<u64>,
     limited: BoundGauge<u64>,
@@ -191,16 +187,6 @@
                  service",
             )
             .build();
-        let datagrams = gauge(
-            meter,
-            "routed_exchange_datagrams",
-            "Datagrams exchanged with other hosts since the start of the host",
-        );
-        let bytes = gauge(
-            meter,
-            "routed_exchange_bytes",
-            "Payload bytes of datagrams exchanged with other hosts since the start of the host",
-        );
         let spent = "Further attempts of this host in the last window, by service";
         let hosts = "Hosts that share the retry budgets";
         Routed(Arc::new(Series {
@@ -234,33 +220,7 @@
                 "routed_task_panics",
                 "Panics of tasks that were started again, by task",
             ),
-            exchange_panics: gauge(
-                meter,
-                "routed_exchange_panics",
-                "Panics in the exchange with the other hosts since the start of the host",
-            )
-            .bind(&[]),
-            exchange_datagrams: each(|direction: Direction| {
-                datagrams.bind(&[direction.key_value()])
-            }),
-            exchange_bytes: each(|direction: Direction| bytes.bind(&[direction.key_value()])),
-            exchange_messages: gauge(
-                meter,
-                "routed_exchange_messages",
-                "Messages sent to other hosts since the start of the host, by content and origin",
-            ),
-            exchange_message_bytes: gauge(
-                meter,
-                "routed_exchange_message_bytes",
-                "Bytes of messages sent to other hosts since the start of the host, by content and \
-                 origin",
-            ),
-            exchange_lost: gauge(
-                meter,
-                "routed_exchange_lost",
-                "Notices that were not acknowledged, or not queued because the outbox was full",
-            )
-            .bind(&[]),
+            exchange: Exchange::new(meter),
             demand: each(|origin: Origin| demand.bind(&[origin.key_value()])),
             relayed_servers: relayed_servers.bind(&[]),
             tunnels: tunnels.bind(&[]),
@@ -386,37 +346,6 @@
         self.0.task_panics.add(1, &[KeyValue::new("task", task)]);
     }
 
-    /// Sets the number of panics in the exchange with the other hosts since the start of the process.
-    pub fn exchange_panics(&self, panics: u64) {
-        self.0.exchange_panics.record(panics);
-    }
-
-    /// Sets the number of datagrams of a direction since the start of the process, and of their
-    /// payload bytes.
-    pub fn exchange(&self, direction: Direction, datagrams: u64, bytes: u64) {
-        self.0.exchange_datagrams[direction.index()].record(datagrams);
-        self.0.exchange_bytes[direction.index()].record(bytes);
-    }
-
-    /// Sets the number of messages of a content and origin that were sent to other hosts since the
-    /// start of the process, and of their bytes.
-    pub fn exchange_messages(
-        &self,
-        content: &'static str,
-        origin: &'static str,
-        messages: u64,
-        bytes: u64,
-    ) {
-        let labels = [KeyValue::new("content", content), KeyValue::new("origin", origin)];
-        self.0.exchange_messages.record(messages, &labels);
-        self.0.exchange_message_bytes.record(bytes, &labels);
-    }
-
-    /// Sets the number of notices that were given up since the start of the process.
-    pub fn exchange_lost(&self, notices: u64) {
-        self.0.exchange_lost.record(notices);
-    }
-
     /// Sets the number of servers that are reached through other hosts.
     pub fn relayed_servers(&self, servers: usize) {
         self.0.relayed_servers.record(servers as u64);
