--- a/crates/policy/examples/fleet_traffic.rs
+++ b/crates/policy/examples/fleet_traffic.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use fleet_net::{Net, busy_publication, sent_bytes};
-use policy::fleet::{Content, Fleet, Load, Notice, Origin, Publication, Recipients};
+use policy::fleet::{Content, Fleet, Load, Notice, Origin, Publication};
 
 const SIZES: [usize; 5] = [6, 8, 16, 82, 350];
 const SPAN: u64 = 20;
@@ -83,9 +83,8 @@
 fn notice_everywhere(net: &mut Net, round: usize) -> Duration {
     let sender = round * 7 % net.hosts.len();
     let before: Vec<_> = net.hosts.values().map(|host| host.received.len()).collect();
-    let (now, start) = (net.now, net.now);
-    let notice = Notice::LeaseAcquired { fence: round as u64 };
-    net.fleet(sender).send(now, Recipients::All, notice).unwrap_or_default();
+    let start = net.now;
+    net.notify_all(sender, Notice::LeaseAcquired { fence: round as u64 });
     let has_received = |net: &Net| {
         let reached = net.hosts.values().zip(&before).filter(|(host, n)| host.received.len() > **n);
         reached.count() == net.hosts.len() - 1
@@ -104,10 +103,9 @@
         let hosts = net.hosts.values().map(|host| &host.fleet);
         hosts.map(|fleet| of(fleet, Origin::Own) + of(fleet, Origin::Forwarded)).collect()
     };
-    let (now, before) = (net.now, sent(net));
+    let before = sent(net);
     for host in net.hosts.keys().copied().collect::<Vec<_>>() {
-        let notice = Notice::DeclarationInForce { version: 1 };
-        net.fleet(host).send(now, Recipients::All, notice).unwrap_or_default();
+        net.notify_all(host, Notice::DeclarationInForce { version: 1 });
     }
     net.run_for(Duration::from_secs(3));
     let after = sent(net);
--- a/crates/policy/tests/fleet_links.rs
+++ b/crates/policy/tests/fleet_links.rs
@@ -5,7 +5,7 @@
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use fleet_net::{Capacity, Net, busy_publication};
-use policy::fleet::{Notice, Recipients};
+use policy::fleet::Notice;
 use rstest::rstest;
 use types::{routed::Version, time::Moment};
 
@@ -54,8 +54,8 @@
     Peer,
 }
 
-/// Hosts that watch the store for the declaration, tell each other of each version, and fetch from
-/// each other what they are told of.
+/// Hosts that watch the store for the declaration, and fetch from each other the versions that are
+/// announced.
 struct Site {
     net: Net,
     /// When each version was acknowledged, the first one first.
@@ -113,7 +113,7 @@
         self.reads.push(Reverse((arrived.max(processed), host, version, source)));
     }
 
-    /// Fetches the version that a host was told of, from the host that told it.
+    /// Fetches the newest version that was announced to a host, from the sender of the notice.
     fn follow_notices(&mut self, host: usize) {
         let received = &self.net.hosts[&host].received[self.read[host]..];
         let announced = received.iter().filter_map(|received| match received.notice {
@@ -126,14 +126,14 @@
         else {
             return;
         };
-        let teller = (0..self.hosts()).find(|other| fleet_net::address(*other) == via);
-        let Some(teller) = teller.filter(|_| !self.fetching[host]) else { return };
-        if self.in_force[teller] < version {
+        let sender = (0..self.hosts()).find(|other| fleet_net::address(*other) == via);
+        let Some(sender) = sender.filter(|_| !self.fetching[host]) else { return };
+        if self.in_force[sender] < version {
             return;
         }
         let now = self.net.now;
-        let version = self.in_force[teller];
-        let Some(left) = self.net.upload(teller, now, DECLARATION_BYTES) else { return };
+        let version = self.in_force[sender];
+        let Some(left) = self.net.upload(sender, now, DECLARATION_BYTES) else { return };
         let Some(arrived) = self.net.download(host, left, DECLARATION_BYTES) else { return };
         self.fetching[host] = true;
         self.schedule(arrived, host, version, Source::Peer);
@@ -156,11 +156,7 @@
             let lacking = self.written[self.in_force[host] as usize];
             self.longest = self.longest.max(self.net.now - lacking);
             self.in_force[host] = version;
-            let (now, notice) = (self.net.now, Notice::DeclarationInForce { version });
-            self.net
-                .fleet(host)
-                .send(now, Recipients::All, notice)
-                .expect("a notice to all hosts needs no known host");
+            self.net.notify_all(host, Notice::DeclarationInForce { version });
         }
     }
 
--- a/crates/policy/tests/fleet_net/mod.rs
+++ b/crates/policy/tests/fleet_net/mod.rs
@@ -10,7 +10,9 @@
     time::Duration,
 };
 
-use policy::fleet::{Envelope, Fleet, Load, Member, Publication, Settings, State};
+use policy::fleet::{
+    Envelope, Fleet, Load, Member, Notice, Publication, Recipients, Settings, State,
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use types::time::Moment;
@@ -184,6 +186,14 @@
         &mut self.hosts.get_mut(&host).expect("the host runs").fleet
     }
 
+    /// Has a host send a notice to all others.
+    pub fn notify_all(&mut self, host: usize, notice: Notice) {
+        let now = self.now;
+        self.fleet(host)
+            .send(now, Recipients::All, notice)
+            .expect("a notice to all hosts needs no known host");
+    }
+
     pub fn snapshot(&self, host: usize) -> policy::fleet::Snapshot {
         self.hosts[&host].fleet.snapshot(self.now)
     }
--- a/crates/policy/tests/fleet_notices.rs
+++ b/crates/policy/tests/fleet_notices.rs
@@ -20,10 +20,7 @@
 #[test]
 fn a_notice_to_all_reaches_each_host_at_once() {
     let mut net = Net::settled(6, 1);
-    let now = net.now;
-    net.fleet(2)
-        .send(now, Recipients::All, leaving(1))
-        .expect("a notice to all hosts needs no known host");
+    net.notify_all(2, leaving(1));
     net.run_for(Duration::from_millis(5));
     for host in [0, 1, 3, 4, 5] {
         let [received] = &net.hosts[&host].received[..] else {
@@ -60,10 +57,7 @@
     let mut net = Net::settled(4, seed);
     net.faults = Faults { loss: 0.1, repeat: 0.3, jitter: Duration::from_millis(100) };
     for server in 0..100 {
-        let now = net.now;
-        net.fleet(1)
-            .send(now, Recipients::All, leaving(server))
-            .expect("a notice to all hosts needs no known host");
+        net.notify_all(1, leaving(server));
         net.run_for(Duration::from_millis(30));
     }
     net.run_for(Duration::from_secs(3));
@@ -104,10 +98,7 @@
     for incarnation in [50, 40, 60] {
         net.start(2, incarnation);
         net.run_for(Duration::from_secs(1));
-        let now = net.now;
-        net.fleet(2)
-            .send(now, Recipients::All, leaving(1))
-            .expect("a notice to all hosts needs no known host");
+        net.notify_all(2, leaving(1));
         net.run_for(Duration::from_millis(50));
     }
     assert_eq!(received(&net, 0).len(), 3);
@@ -116,10 +107,7 @@
 #[test]
 fn messages_are_counted_by_content_and_origin() {
     let mut net = Net::settled(24, 1);
-    let now = net.now;
-    net.fleet(2)
-        .send(now, Recipients::All, leaving(1))
-        .expect("a notice to all hosts needs no known host");
+    net.notify_all(2, leaving(1));
     net.run_for(Duration::from_millis(40));
     let sent = |origin| {
         let volumes = net.hosts.values().map(|host| {
--- a/crates/policy/tests/fleet_relays.rs
+++ b/crates/policy/tests/fleet_relays.rs
@@ -7,7 +7,7 @@
 use fleet_net::{Net, ZONES, member};
 use policy::{
     dispatch::poison::{Crash, CrashState, Isolation},
-    fleet::{Content, Departure, Fleet, Notice, Origin, Publication, Recipients, Tier},
+    fleet::{Content, Departure, Fleet, Notice, Origin, Publication, Tier},
     follow,
 };
 use rand::{RngExt, SeedableRng};
@@ -74,10 +74,8 @@
     net.cut = cut(&net, lost);
     net.run_for(Duration::from_millis(after_ms));
     let sender = (0..hosts).find(|host| !net.cut.contains(host)).expect("a host responds");
-    let (now, notice) = (net.now, leaving(1));
-    net.fleet(sender)
-        .send(now, Recipients::All, notice.clone())
-        .expect("a notice to all hosts needs no known host");
+    let notice = leaving(1);
+    net.notify_all(sender, notice.clone());
     net.run_for(NOTICE_TIME);
     assert_eq!(lacking(&net, sender, &notice), Vec::<usize>::new(), "of {hosts} hosts");
     let twice = net.hosts.values().filter(|host| 1 < host.received.len()).count();
@@ -89,11 +87,9 @@
 fn announcers(net: &mut Net, version: u64) -> Vec<usize> {
     let before: Vec<_> = net.hosts.values().map(|host| announcements(&host.fleet)).collect();
     let hosts: Vec<_> = net.hosts.keys().copied().filter(|host| !net.cut.contains(host)).collect();
-    let (now, notice) = (net.now, Notice::DeclarationInForce { version });
+    let notice = Notice::DeclarationInForce { version };
     for host in &hosts {
-        net.fleet(*host)
-            .send(now, Recipients::All, notice.clone())
-            .expect("a notice to all hosts needs no known host");
+        net.notify_all(*host, notice.clone());
     }
     net.run_for(ANNOUNCEMENT_TIME);
     let has_announced = |host: &usize| before[*host] < announcements(&net.hosts[host].fleet);
--- a/crates/policy/tests/fleet_wide.rs
+++ b/crates/policy/tests/fleet_wide.rs
@@ -69,10 +69,7 @@
 
 fn assert_notice_reaches_all_once(net: &mut Net) {
     const SENDER: usize = 9;
-    let now = net.now;
-    net.fleet(SENDER)
-        .send(now, Recipients::All, Notice::DeclarationInForce { version: 4 })
-        .expect("a notice to all hosts needs no known host");
+    net.notify_all(SENDER, Notice::DeclarationInForce { version: 4 });
     net.run_for(Duration::from_secs(2));
     for (number, host) in &net.hosts {
         assert_eq!(host.received.len(), usize::from(*number != SENDER), "notices at host {number}");
