Test that a request is not written late

A host checks that a request may be sent after it has connected; the bytes leave later, once the connection's task has a turn. The tests stall the host between the two, by its clock: beyond the request's deadline, and beyond the time within which a leaving server must be left alone.

--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -19,6 +19,8 @@
     pub objects: Arc<StoreObjects>,
     /// Called with each order, right before it is handed to its connection.
     pub on_order: fn(&Order),
+    /// Called with each request to a server, right before it is handed to its connection.
+    pub on_forward: fn(),
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
@@ -69,6 +71,7 @@
     }
 
     fn forward_headers(&self, headers: &mut HeaderMap, options: &ForwardOptions<'_>) {
+        (self.on_forward)();
         let server = HeaderValue::from_str(options.server).expect("a valid header value");
         headers.insert("run-of", server);
         let left =
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -38,6 +38,18 @@
     timeout(TIMEOUT, future).await.expect("completion within the timeout")
 }
 
+/// What a host calls right before it hands something to a connection.
+struct Hooks {
+    on_order: fn(&Order),
+    on_forward: fn(),
+}
+
+impl Default for Hooks {
+    fn default() -> Hooks {
+        Hooks { on_order: |_| (), on_forward: || () }
+    }
+}
+
 /// A running host with its store.
 pub struct TestHost {
     pub address: SocketAddr,
@@ -56,6 +68,19 @@
         TestHost::start_with(clock, routed(), route, servers).await
     }
 
+    /// Starts a host as [`TestHost::start_with_clock`] does, which calls `on_forward` right before
+    /// it hands a request to its connection.
+    pub async fn start_with_forwards(
+        clock: Clock,
+        route: Route,
+        servers: &[&Server],
+        on_forward: fn(),
+    ) -> TestHost {
+        let objects = Arc::new(StoreObjects::new(declaration(route, Vec::new())));
+        let hooks = Hooks { on_forward, ..Hooks::default() };
+        TestHost::start_on(clock, routed(), objects, servers, hooks).await
+    }
+
     /// Starts a host as [`TestHost::start_with_clock`] does, which sends orders to its servers.
     pub async fn start_with_orders(
         clock: Clock,
@@ -105,7 +130,8 @@
         on_order: fn(&Order),
     ) -> TestHost {
         let objects = Arc::new(StoreObjects::new(declaration));
-        TestHost::start_on(clock, routed, objects, servers, on_order).await
+        let hooks = Hooks { on_order, ..Hooks::default() };
+        TestHost::start_on(clock, routed, objects, servers, hooks).await
     }
 
     /// Starts a host whose store's parsers panic once for each of these kinds.
@@ -113,7 +139,7 @@
         let declaration = declaration(route(Kind::Idempotent), Vec::new());
         let objects = Arc::new(StoreObjects::new(declaration));
         kinds.iter().for_each(|kind| objects.plant(*kind));
-        TestHost::start_on(Clock::start(), routed(), objects, servers, |_| ()).await
+        TestHost::start_on(Clock::start(), routed(), objects, servers, Hooks::default()).await
     }
 
     async fn start_on(
@@ -121,13 +147,14 @@
         routed: RoutedSettings,
         objects: Arc<StoreObjects>,
         servers: &[&Server],
-        on_order: fn(&Order),
+        hooks: Hooks,
     ) -> TestHost {
         for server in servers {
             objects.register(registration(server));
         }
         let store = store::listen(objects.clone()).await;
-        let dialect = Arc::new(NeutralDialect { objects: objects.clone(), on_order });
+        let Hooks { on_order, on_forward } = hooks;
+        let dialect = Arc::new(NeutralDialect { objects: objects.clone(), on_order, on_forward });
         let running =
             relay::start_with_clock(clock, process(store), routed, dialect).await.expect("a host");
         let host = TestHost { address: running.address(), objects, running };
--- /dev/null
+++ b/crates/relay/tests/unsent.rs
@@ -0,0 +1,103 @@
+//! Requests that are prepared and can't be written before something has changed that forbids them.
+
+mod common;
+
+use std::{cell::Cell, time::Duration};
+
+use common::{
+    TIMEOUT, TestHost, request, resumable, route,
+    server::{Server, answer},
+    within,
+};
+use relay::clock::{self, Clock};
+use rstest::rstest;
+use types::routed::{Kind, Route};
+
+/// Timeout of each request, so long that only a simulated stall reaches it.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(3600);
+
+thread_local! {
+    /// Total time for which the test has simulated a stall.
+    static STALLED: Cell<Duration> = const { Cell::new(Duration::ZERO) };
+
+    /// Time for which the host stalls after it has prepared the next request.
+    static NEXT_STALL: Cell<Duration> = const { Cell::new(Duration::ZERO) };
+}
+
+fn stall() {
+    STALLED.set(STALLED.get() + NEXT_STALL.take());
+}
+
+fn with_timeout(route: Route) -> Route {
+    Route { timeout: REQUEST_TIMEOUT, ..route }
+}
+
+async fn start_host(route: Route, server: &Server) -> TestHost {
+    let clock = Clock::from_fn(|| clock::boot_time() + STALLED.get());
+    TestHost::start_with_forwards(clock, route, &[server], stall).await
+}
+
+/// Guards against requests that reach a server after their callers have given up.
+#[rstest]
+#[case::idempotent(with_timeout(route(Kind::Idempotent)))]
+#[case::non_idempotent(with_timeout(route(Kind::NonIdempotent)))]
+#[case::stream(with_timeout(resumable()))]
+#[tokio::test]
+async fn a_request_is_not_written_after_its_deadline(#[case] route: Route) {
+    let one = Server::listen("one").await;
+    let host = start_host(route, &one).await;
+    NEXT_STALL.set(REQUEST_TIMEOUT);
+    let mut caller = host.caller().await;
+    caller.write(&request("q")).await;
+    assert_eq!(caller.answer().await.status, 503);
+    drop(caller);
+    assert_eq!(one.accept().await.drain().await, 0);
+}
+
+/// Guards against requests to a server that may have left while its host could not hear of it.
+#[rstest]
+#[case::idempotent(with_timeout(route(Kind::Idempotent)))]
+#[case::non_idempotent(with_timeout(route(Kind::NonIdempotent)))]
+#[case::stream(with_timeout(resumable()))]
+#[tokio::test]
+async fn a_request_is_not_written_once_its_server_may_have_left(#[case] route: Route) {
+    let one = Server::listen("one").await;
+    let host = start_host(route, &one).await;
+    // The time within which a server that leaves must be left alone.
+    NEXT_STALL.set(TIMEOUT);
+    let mut caller = host.caller().await;
+    caller.write(&request("q")).await;
+    assert_eq!(caller.answer().await.status, 503);
+    drop(caller);
+    assert_eq!(one.accept().await.drain().await, 0);
+}
+
+/// Guards against a host that goes on refusing requests once the store has answered again.
+#[tokio::test]
+async fn requests_are_written_again_once_the_servers_are_known() {
+    let (one, two) = (Server::listen("one").await, Server::listen("two").await);
+    let host = start_host(with_timeout(route(Kind::Idempotent)), &one).await;
+    NEXT_STALL.set(TIMEOUT);
+    let mut caller = host.caller().await;
+    caller.write(&request("q1")).await;
+    assert_eq!(caller.answer().await.status, 503);
+    // The store answers the watch that waits.
+    host.register(&two);
+    let served = async {
+        for attempt in 2.. {
+            let name = format!("q{attempt}");
+            caller.write(&request(&name)).await;
+            tokio::select! {
+                (mut connection, _) = common::server::accept_first(&one, &two) => {
+                    if connection.try_head().await.is_some() {
+                        connection.write(&answer(&name, "yes")).await;
+                        return caller.answer().await.status;
+                    }
+                }
+                answer = caller.answer() => assert_eq!(answer.status, 503),
+            }
+        }
+        unreachable!()
+    };
+    assert_eq!(within(served).await, 200);
+}
