Measure the time from a request's arrival to its sending

Change: routed_begin_seconds with the parts decision, wait and connect, of the first attempt, with four bounds; it sorts before routed_budget. The write itself is not covered.

--- a/crates/observe/src/metrics/routed.rs
+++ b/crates/observe/src/metrics/routed.rs
@@ -21,8 +21,8 @@
 };
 
 pub use self::labels::{
-    Admissions, AttemptOutcome, Call, CallResult, Direction, Grants, Origin, Permits, Phase,
-    PlanTime, Queue, Refusal, Resend,
+    Admissions, AttemptOutcome, BeginPart, Call, CallResult, Direction, Grants, Origin, Permits,
+    Phase, PlanTime, Queue, Refusal, Resend,
 };
 use self::{exchange::Exchange, labels::Label};
 use super::build::{counter, gauge, seconds};
@@ -32,6 +32,10 @@
 const PHASE_BOUNDS: [f64; 16] =
     [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.75, 1.5, 3.0, 6.0, 12.0, 30.0];
 
+/// Upper bounds of the histogram buckets for the parts of the time until a request is sent, in
+/// seconds. Few, since operators' collectors may truncate the exported text.
+const BEGIN_BOUNDS: [f64; 4] = [0.02, 0.1, 0.3, 1.0];
+
 /// Upper bounds of the histogram buckets for ages of reports, in seconds.
 const AGE_BOUNDS: [f64; 10] = [0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 5.0, 10.0];
 
@@ -50,6 +54,7 @@
     attempts: Box<[BoundCounter<u64>]>,
     resends: Box<[BoundCounter<u64>]>,
     phases: Box<[Box<[BoundHistogram<f64>]>]>,
+    begin: Box<[BoundHistogram<f64>]>,
     report_age: BoundHistogram<f64>,
     plan_rounds: Box<[BoundHistogram<f64>]>,
     lateness: BoundHistogram<f64>,
@@ -105,6 +110,12 @@
         );
         let phases =
             seconds(meter, "routed_phase", "Time in a phase of a request, by kind", &PHASE_BOUNDS);
+        let begin = seconds(
+            meter,
+            "routed_begin",
+            "Time from a request's arrival until it is sent to a server, by part",
+            &BEGIN_BOUNDS,
+        );
         let ages = "Age of the report that a decision is based on";
         let report_age = seconds(meter, "routed_report_age", ages, &AGE_BOUNDS).bind(&[]);
         let plan_rounds = seconds(
@@ -206,6 +217,7 @@
             phases: each(|kind: Kind| {
                 each(|phase: Phase| phases.bind(&[kind.key_value(), phase.key_value()]))
             }),
+            begin: each(|part: BeginPart| begin.bind(&[part.key_value()])),
             report_age,
             plan_rounds: each(|time: PlanTime| plan_rounds.bind(&[time.key_value()])),
             lateness,
@@ -283,6 +295,11 @@
         self.0.phases[kind.index()][phase.index()].record(time.as_secs_f64());
     }
 
+    /// Records a part of the time from a request's arrival until it is sent to its first server.
+    pub fn begin(&self, part: BeginPart, time: Duration) {
+        self.0.begin[part.index()].record(time.as_secs_f64());
+    }
+
     /// Records the age of a report that a decision is based on.
     pub fn report_age(&self, age: Duration) {
         self.0.report_age.record(age.as_secs_f64());
--- a/crates/observe/src/metrics/routed/labels.rs
+++ b/crates/observe/src/metrics/routed/labels.rs
@@ -165,6 +165,17 @@
     Whole,
 }
 
+/// Part of the time from a request's arrival until it is handed to a connection to its first server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum BeginPart {
+    /// From the request's head until the request is assigned, queued or refused.
+    Decision,
+    /// From that decision until the request has a server.
+    Wait,
+    /// From then until a connection to the server is ready to send.
+    Connect,
+}
+
 /// Set of requests whose size is exported as the length of a queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Queue {
@@ -332,6 +343,12 @@
     Whole = "whole",
 });
 
+label!(BeginPart as "part" {
+    Decision = "decision",
+    Wait = "wait",
+    Connect = "connect",
+});
+
 label!(Queue as "queue" {
     Open = "open",
     Waiting = "waiting",
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -122,6 +122,7 @@
         let mut spec = self.spec();
         spec.software = self.resumed_version(shared).await?;
         let verdict = self.handle.arrive(spec);
+        self.trace.decided();
         self.apply_verdict(shared, verdict).await
     }
 
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -11,7 +11,7 @@
 
 use http::StatusCode;
 use observe::{
-    metrics::routed::{AttemptOutcome, Phase, Refusal, Resend, Routed as Meters},
+    metrics::routed::{AttemptOutcome, BeginPart, Phase, Refusal, Resend, Routed as Meters},
     story::{self, Arrival, End, Input, Outcome, Step, Text},
 };
 use policy::dispatch::{Cause, NotRun, Ticket, Unclear, Unreachable};
@@ -33,6 +33,8 @@
     meters: Meters,
     clock: Clock,
     received: Moment,
+    /// When the dispatcher first decided on the request.
+    decided: Option<Moment>,
     /// `None` until the request's route is found.
     goals: Option<Goals>,
     /// Cause of the last refusal by the dispatcher or by this host.
@@ -95,6 +97,7 @@
             meters: shared.meters.clone(),
             clock: shared.clock,
             received,
+            decided: None,
             goals: None,
             refusal: None,
             open: Vec::new(),
@@ -114,6 +117,14 @@
         notes.record(Step::Arrived(arrival));
     }
 
+    /// Records that the dispatcher has decided whether the request is sent, queued or refused.
+    pub(crate) fn decided(&self) {
+        let mut notes = self.notes();
+        let now = notes.clock.now();
+        notes.decided = Some(now);
+        notes.meters.begin(BeginPart::Decision, now.saturating_sub(notes.received));
+    }
+
     /// Records that the request is queued.
     pub(crate) fn queued(&self, why: &'static str, left: Duration) {
         let inputs = vec![left_input(left)];
@@ -134,7 +145,11 @@
         let mut notes = self.notes();
         let now = notes.clock.now();
         match (notes.attempts, after) {
-            (0, _) => notes.phase(Phase::Wait, now.saturating_sub(notes.received)),
+            (0, _) => {
+                notes.phase(Phase::Wait, now.saturating_sub(notes.received));
+                let decided = notes.decided.unwrap_or(now);
+                notes.meters.begin(BeginPart::Wait, now.saturating_sub(decided));
+            }
             (_, None) => notes.meters.resend(Resend::Retry),
             (_, Some(_)) => notes.meters.resend(Resend::Resume),
         }
@@ -172,6 +187,9 @@
     pub(crate) fn connected(&self, ticket: Ticket, took: Duration, via: Option<&host::Id>) {
         let mut notes = self.notes();
         notes.phase(Phase::Connect, took);
+        if notes.attempts == 1 {
+            notes.meters.begin(BeginPart::Connect, took);
+        }
         if let Some(via) = via.cloned()
             && let Some(open) = notes.open.iter().find(|open| open.ticket == ticket)
         {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -172,14 +172,20 @@
         Caller::connect(self.address).await
     }
 
-    /// Returns the panics of the host's tasks, by task.
-    pub async fn task_panics(&self) -> BTreeMap<String, u64> {
+    /// Returns the text of the host's metrics.
+    pub async fn metrics(&self) -> String {
         let mut stream =
             TcpStream::connect(self.running.host().operators).await.expect("a connection");
         let call = "GET /metrics HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
         stream.write_all(call.as_bytes()).await.expect("a request");
         let mut text = String::new();
         stream.read_to_string(&mut text).await.expect("a response");
+        text
+    }
+
+    /// Returns the panics of the host's tasks, by task.
+    pub async fn task_panics(&self) -> BTreeMap<String, u64> {
+        let text = self.metrics().await;
         let panics = text.lines().filter_map(|line| {
             let (task, rest) =
                 line.split_once("routed_task_panics_total{task=\"")?.1.split_once('"')?;
