Refuse what a late host can't serve by its deadline

Cause: Dispatcher::arrive and check_retry count the expected service, but not the time for which the host's own tasks are late. A host on time sends brief requests as before. Change: set_lateness; an arrival or a further attempt that would end beyond its deadline by now + lateness + service ends with Cause::Late. Nothing sets it yet. Requests that wait in a queue (pump.rs) are not checked against it.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -155,6 +155,8 @@
     above_share: Vec<share::Group>,
     /// Verdicts on displaced requests that the next pump returns.
     displaced: Vec<Change>,
+    /// How late this host's tasks run; zero while they are on time.
+    lateness: Duration,
     ticked_at: Moment,
     watch: watch::Times,
     /// When sums of response times were last sent to other hosts.
@@ -188,6 +190,7 @@
             weights: share::Weights::default(),
             above_share: Vec::new(),
             displaced: Vec::new(),
+            lateness: Duration::ZERO,
             ticked_at: Duration::ZERO,
             watch: watch::Times::default(),
             speeds_sent_at: None,
@@ -246,6 +249,11 @@
         }
     }
 
+    /// Sets how late this host's tasks run, which delays each request before it is sent.
+    pub fn set_lateness(&mut self, lateness: Duration) {
+        self.lateness = lateness;
+    }
+
     /// Records that this run is registered in the store, so that the next start is a
     /// [`HostStart::Restart`]. A run that isn't registered has no share of the extra retries, only
     /// those that its own requests pay for, and lends no share of a server's quota for a while.
--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -68,6 +68,9 @@
         if self.lacks_software(&task) {
             return Verdict::Refuse { cause: Cause::Software, after: retry_delay(&task, 0.0) };
         }
+        if self.is_lost_to_lateness(&task, now) {
+            return Verdict::Refuse { cause: Cause::Late, after: self.retry_after(&task, now) };
+        }
         task.deferral = self.deferral(&task, now);
         if task.deferral.is_none() && task.model.is_some() {
             self.record_prompt(&task);
@@ -220,7 +223,7 @@
         if is_poison {
             return Err(Cause::Poison);
         }
-        if task.spec.deadline <= now + serve {
+        if task.spec.deadline <= now + self.lateness + serve {
             return Err(Cause::Late);
         }
         if self.lacks_software(task) {
@@ -229,6 +232,14 @@
         Ok(())
     }
 
+    /// Whether this host's tasks run so late that the request can't be served by its deadline. While
+    /// they are on time, a request with little time left is still sent: its service may be faster
+    /// than expected.
+    fn is_lost_to_lateness(&self, task: &Task, now: Moment) -> bool {
+        let serve = duration(self.stats(task).base());
+        !self.lateness.is_zero() && task.spec.deadline <= now + self.lateness + serve
+    }
+
     fn answer(&self, task: &Task, end: End, cause: Cause, now: Moment) -> Answer {
         match end {
             _ if task.runs == 0 => Answer::NotRun { cause, after: self.retry_after(task, now) },
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -8,6 +8,7 @@
 mod crowd;
 mod fingerprint;
 mod fixture;
+mod lateness;
 mod limits;
 mod loans;
 mod odd_values;
