Count the host's own lateness before a request is taken in

Cause: nothing passed on to the dispatcher how late the tasks run, so a late host took in requests that end after their deadline. Ruled out: the maximum of the last half second, which refuses for that long after one pause of the process (test: stopped once, green); the existing sample of the pump, which is taken only if no event wakes the pump before its interval is over, so a busy host has few. Change: lateness.rs observes each 20 ms how late the pump runs; the lesser of two observations in a row counts, below the interval nothing.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod deadline;
 mod demand;
 mod fields;
+mod lateness;
 mod lease;
 mod log_limiter;
 mod path;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -19,6 +19,7 @@
     demand,
     edge::Dialect,
     host::Shared,
+    lateness::Lateness,
     lease, paths,
     peers::{self, PeerSource},
     planning, quarantine, ready, registration, retries, slots, task, versions, watch, workload,
@@ -243,8 +244,9 @@
 async fn pump(shared: Arc<Shared>) {
     let mut before = shared.now();
     let mut late = Late::default();
+    let mut lateness = Lateness::default();
     loop {
-        let wait = shared.until_pump();
+        let wait = shared.until_pump().min(lateness.until_due(shared.now()));
         let due = shared.now() + wait;
         select! {
             () = sleep(wait) => {}
@@ -254,6 +256,9 @@
         if due <= now {
             late.record(&shared, now.saturating_sub(due), now);
         }
+        if let Some(lateness) = lateness.observe(now) {
+            shared.dispatcher().set_lateness(lateness);
+        }
         if due + STALL_THRESHOLD <= now {
             shared.dispatcher().resumed(now);
         }
