Show that a host that did not run takes sound servers for silent

Cause, by reading: pump calls check_overdue and the paths' task calls silent_servers before the tasks of the requests are polled. Answers that lie in the sockets then count as overdue: two at one server trip its breaker, requests that may run again are hedged, the path is checked, and after a second without an answer the server counts as unresponsive. Ruled out: that resumed() covers it; it delays acceptances only.

--- a/crates/policy/tests/dispatch/watch.rs
+++ b/crates/policy/tests/dispatch/watch.rs
@@ -8,7 +8,10 @@
     paths::Path,
 };
 use rstest::rstest;
-use types::{prelude::*, routed::Kind};
+use types::{
+    prelude::*,
+    routed::{Kind, Server},
+};
 
 use crate::fixture::{at, plain, request, sent};
 
@@ -236,3 +239,81 @@
     });
     assert!(accepted.is_some_and(|now| now < at(1_500)), "{accepted:?}");
 }
+
+/// A host with two requests of this kind written to `s1`, which has room for more, and with `s2` in
+/// another zone. The host has run until 100 ms.
+fn waiting_for_answers(kind: Kind) -> Dispatcher {
+    let mut host = plain(&[]);
+    host.server(&Server { slots: 8, ..crate::fixture::server("s1", "a", &[]) }, at(0));
+    for ticket in 0..2 {
+        let server = sent(host.arrive(request(ticket, kind, at(0)), at(0)));
+        assert_eq!(&*server, "s1");
+        host.sent(ticket, Path::Direct, at(1));
+    }
+    host.server(&Server { slots: 8, ..crate::fixture::server("s2", "b", &[]) }, at(1));
+    (1..=5).for_each(|n| assert_eq!(host.pump(at(n * 20)), []));
+    host
+}
+
+/// Pumps a host every 20 ms that goes on at `from` after it did not run.
+fn go_on(host: &mut Dispatcher, from: Moment, pumps: u64) -> Vec<Change> {
+    host.resumed(from);
+    (0..pumps).flat_map(|n| host.pump(from + at(n * 20))).collect()
+}
+
+/// Answers that lay unread in the sockets of a host that did not run counted as overdue, which
+/// tripped the breakers of sound servers.
+#[rstest]
+fn answers_that_a_host_could_not_read_are_not_overdue(
+    #[values(300, 600, 900, 2_000)] stall_ms: u64,
+    #[values(Kind::NonIdempotent, Kind::Idempotent, Kind::Stream)] kind: Kind,
+) {
+    let mut host = waiting_for_answers(kind);
+    let resumed_at = at(100 + stall_ms);
+    assert_eq!(go_on(&mut host, resumed_at, 2), []);
+    assert!(host.unresponsive(resumed_at).is_empty(), "{:?}", host.unresponsive(resumed_at));
+    assert!(host.silent_servers(resumed_at + at(20)).is_empty());
+    let now = resumed_at + at(25);
+    (0..2).for_each(|ticket| drop(host.first_byte(ticket, now)));
+    let next = sent(host.arrive(request(5, Kind::NonIdempotent, now), now));
+    assert_eq!(&*next, "s1", "the server's breaker is open");
+}
+
+/// A request that a host had chosen a server for, but not yet written, counted as unanswered for
+/// the time in which the host did not run.
+#[rstest]
+fn a_request_that_is_written_after_its_host_did_not_run_is_not_overdue(
+    #[values(600, 2_000)] stall_ms: u64,
+) {
+    let mut host = waiting_for_answers(Kind::Idempotent);
+    let resumed_at = at(100 + stall_ms);
+    assert_eq!(go_on(&mut host, resumed_at, 6), []);
+    let now = resumed_at + at(105);
+    assert!(host.silent_servers(now).is_empty());
+    let next = sent(host.arrive(request(5, Kind::NonIdempotent, now), now));
+    assert_eq!(&*next, "s1", "the server's breaker is open");
+}
+
+#[rstest]
+fn a_server_that_is_silent_after_its_host_went_on_is_left(#[values(100, 900)] stall_ms: u64) {
+    let mut host = waiting_for_answers(Kind::Idempotent);
+    let resumed_at = at(100 + stall_ms);
+    let changes = go_on(&mut host, resumed_at, 50);
+    assert_eq!(changes.len(), 2, "{changes:?}");
+    let now = resumed_at + at(1_000);
+    assert_eq!(host.silent_servers(now), ["s1".into()]);
+    assert_eq!(&*sent(host.arrive(request(5, Kind::NonIdempotent, now), now)), "s2");
+}
+
+#[rstest]
+fn a_host_that_is_stopped_again_and_again_leaves_a_silent_server() {
+    let mut host = waiting_for_answers(Kind::Idempotent);
+    let mut changes = Vec::new();
+    for now in (2..12).map(|n| at(n * 100)) {
+        host.resumed(now);
+        changes.extend(host.pump(now));
+    }
+    assert_eq!(changes.len(), 2, "{changes:?}");
+    let now = at(1_200);
+    assert_eq!(&*sent(host.arrive(request(5, Kind::NonIdempotent, now), now)), "s2");
+}
