Judge servers only once a host that did not run has read their answers

Cause: overdue responses, hedges, stranded requests and silent paths were judged right after a pause of this host, by time in which it did not run. Ruled out: leaving out the sum of all pauses; a request and its answer are each delayed by one pause, and a host that is often late would keep a silent server for several times as long. Change: no verdict for 50 ms after the host goes on (at most once in 200 ms), and the longest pause that overlaps an attempt is left out.

--- a/crates/policy/src/dispatch/path.rs
+++ b/crates/policy/src/dispatch/path.rs
@@ -8,6 +8,7 @@
     registry::Registry,
     stats::duration,
     task::{Attempt, Hedge, Phase, State, Task},
+    watch::Times,
 };
 use crate::paths::Path;
 
@@ -45,11 +46,14 @@
     /// Servers that have sent nothing since a request was sent to them directly, for longer than
     /// their load explains.
     pub fn silent_servers(&self, now: Moment) -> Vec<backend::Id> {
+        if self.watch.is_catching_up(now) {
+            return Vec::new();
+        }
         let is_silent = |attempt: &Attempt| {
             let allowed = duration(attempt.expected_ms * SILENCE_TIMES).max(MIN_SILENCE);
             let server = self.registry.get(attempt.server).filter(|server| server.id == attempt.id);
             let heard_at = server.map_or(now, |server| server.answered_at.max(attempt.heard_at));
-            attempt.path == Some(Path::Direct) && heard_at + allowed < now
+            attempt.path == Some(Path::Direct) && allowed < self.watch.since(heard_at, now)
         };
         let attempts = self.tasks.values().filter_map(|task| match &task.state {
             State::InFlight(attempt) if is_silent(attempt) => Some(attempt.id.clone()),
@@ -63,9 +67,9 @@
 }
 
 /// Marks a request on a broken connection, which is no longer work that its server has.
-pub(super) fn mark_stranded(task: &mut Task, registry: &mut Registry, now: Moment) {
+pub(super) fn mark_stranded(task: &mut Task, registry: &mut Registry, times: &Times, now: Moment) {
     let State::InFlight(attempt) = &mut task.state else { return };
-    if !attempt.is_stranded && is_stranded(attempt, registry, now) {
+    if !attempt.is_stranded && is_stranded(attempt, registry, times, now) {
         attempt.is_stranded = true;
         if let Some(server) = registry.get_same(attempt.server, &attempt.id) {
             server.load.ended(task.spec.ticket);
@@ -92,9 +96,9 @@
     }
 }
 
-fn is_stranded(attempt: &Attempt, registry: &Registry, now: Moment) -> bool {
+fn is_stranded(attempt: &Attempt, registry: &Registry, times: &Times, now: Moment) -> bool {
     let server = registry.get(attempt.server).filter(|server| server.id == attempt.id);
     attempt.path == Some(Path::Direct)
         && server.is_some_and(|server| server.path == Path::Relayed)
-        && attempt.heard_at + STRANDED_AFTER < now
+        && STRANDED_AFTER < times.since(attempt.heard_at, now)
 }
--- a/crates/policy/src/dispatch/pump.rs
+++ b/crates/policy/src/dispatch/pump.rs
@@ -22,7 +22,7 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Interval of the checks for overdue responses.
-const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+pub(super) const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Largest number of waiting requests examined in one call, for each service.
 pub(super) const SCAN_LIMIT: usize = 256;
@@ -50,7 +50,9 @@
             self.update_reserves(now);
             self.update_above_share(now);
         }
-        if self.watch.checked_at + OVERDUE_CHECK_INTERVAL <= now {
+        self.watch.pumped_at = now;
+        let is_due = self.watch.checked_at + OVERDUE_CHECK_INTERVAL <= now;
+        if is_due && !self.watch.is_catching_up(now) {
             self.watch.checked_at = now;
             self.check_overdue(now, &mut changes);
         }
--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -9,6 +9,12 @@
 //! or be silent as well. So a request is hedged: the attempts become rivals, each with a ticket of
 //! its own, until one of them is answered and the others are ended by
 //! [`won`](Dispatcher::won). The attempts in flight count as runs.
+//!
+//! A host that did not run for a while finds all its timers over while answers lie unread in its
+//! sockets. No server is judged until they can be read, and the longest pause that overlaps an
+//! attempt does not count against its server: the request may have been written only afterwards.
+
+use std::collections::VecDeque;
 
 use types::{prelude::*, routed::Kind};
 
@@ -17,6 +23,7 @@
     breaker::Cause,
     choose::{Choice, Outcome},
     path,
+    pump::OVERDUE_CHECK_INTERVAL,
     request::{Change, End, Silence, Ticket, Unclear, Unreachable, Verdict},
     server::Server,
     slots::Wait,
@@ -55,14 +62,18 @@
 /// on it. The servers that were asked before must not go on working beside it.
 const ACCEPTED_AFTER: Duration = Duration::from_millis(250);
 
-/// Time, after this host did not run for a while, in which a server has not yet accepted a stream:
-/// the request may not have been written before, and a rejection needs time to arrive.
+/// Time, after this host did not run for a while, in which no server is judged and none has accepted
+/// a stream: answers lie unread, the request may not have been written before, and a rejection needs
+/// time to arrive.
 const RESUMPTION_GRACE: Duration = Duration::from_millis(50);
 
-/// Time between two pauses of this host that delay an acceptance. A host that is stopped again and
-/// again must leave an unresponsive server as well.
+/// Time between two pauses of this host that delay an acceptance or a verdict. A host that is stopped
+/// again and again must leave an unresponsive server as well.
 const RESUMPTION_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Age from which on a pause of this host is forgotten.
+const PAUSE_MAX_AGE: Duration = Duration::from_secs(30);
+
 /// Time between two searches of another server for a request that is to be hedged.
 const SEEK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -76,6 +87,64 @@
     pub(super) checked_at: Moment,
     /// When this host last went on after it did not run for a while.
     resumed_at: Option<Moment>,
+    /// When the queues were last advanced.
+    pub(super) pumped_at: Moment,
+    /// Pauses of this host, each longer than all later ones.
+    pauses: VecDeque<Pause>,
+}
+
+/// A time in which this host did not run.
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    from: Moment,
+    to: Moment,
+}
+
+impl Pause {
+    /// Length of the part that lies after `since`.
+    fn length_after(self, since: Moment) -> Duration {
+        self.to.saturating_sub(self.from.max(since))
+    }
+}
+
+impl Times {
+    /// Records that this host goes on after it did not run for a while.
+    fn resumed(&mut self, now: Moment) {
+        if self.resumed_at.is_none_or(|at| at + RESUMPTION_INTERVAL <= now) {
+            self.resumed_at = Some(now);
+        }
+        let pause = Pause { from: self.pumped_at + OVERDUE_CHECK_INTERVAL, to: now };
+        if pause.to <= pause.from {
+            return;
+        }
+        let length = pause.length_after(Duration::ZERO);
+        while self.pauses.back().is_some_and(|last| last.length_after(Duration::ZERO) <= length) {
+            self.pauses.pop_back();
+        }
+        self.pauses.push_back(pause);
+        while self.pauses.front().is_some_and(|first| first.to + PAUSE_MAX_AGE <= now) {
+            self.pauses.pop_front();
+        }
+    }
+
+    /// Whether this host has just gone on, and may not have read all answers.
+    pub(super) fn is_catching_up(&self, now: Moment) -> bool {
+        self.resumed_at.is_some_and(|at| now < at + RESUMPTION_GRACE)
+    }
+
+    /// Time for which a server could have answered since then: without the longest pause of this
+    /// host, as a request or an answer is delayed by one pause only.
+    pub(super) fn since(&self, since: Moment, now: Moment) -> Duration {
+        now.saturating_sub(since).saturating_sub(self.longest_pause(since))
+    }
+
+    /// Length of the longest pause of this host after `since`.
+    pub(super) fn longest_pause(&self, since: Moment) -> Duration {
+        let first = self.pauses.partition_point(|pause| pause.to <= since);
+        // The first one may overlap in part, and the second one is the longest of the others.
+        let overlapping = self.pauses.range(first..).take(2);
+        overlapping.map(|pause| pause.length_after(since)).max().unwrap_or_default()
+    }
 }
 
 impl Dispatcher {
@@ -84,8 +153,8 @@
         let mut overdue: Vec<(Ticket, Attempt, Index)> = Vec::new();
         let mut silent: Vec<Ticket> = Vec::new();
         for (ticket, task) in &mut self.tasks {
-            path::mark_stranded(task, &mut self.registry, now);
-            if should_hedge(task, &mut self.registry, now) {
+            path::mark_stranded(task, &mut self.registry, &self.watch, now);
+            if should_hedge(task, &mut self.registry, &self.watch, now) {
                 silent.push(*ticket);
             }
             let State::InFlight(attempt) = &mut task.state else { continue };
@@ -94,7 +163,7 @@
             let allowed = expected_ms * OVERDUE_TIMES + millis(task.spec.goal) * OVERDUE_GOAL;
             if attempt.phase == Phase::Pending
                 && !attempt.is_stranded
-                && allowed < millis(now.saturating_sub(attempt.sent_at))
+                && allowed < millis(self.watch.since(attempt.sent_at, now))
             {
                 attempt.phase = Phase::Overdue;
                 overdue.push((*ticket, attempt.clone(), task.service));
@@ -203,7 +272,7 @@
                 task.spec.kind == Kind::Stream
                     && attempt.path.is_some()
                     && attempt.sent_at + ACCEPTED_AFTER <= now
-                    && self.watch.resumed_at.is_none_or(|at| at + RESUMPTION_GRACE <= now)
+                    && !self.watch.is_catching_up(now)
             }
             State::Idle | State::Waiting(..) => false,
         })
@@ -211,9 +280,7 @@
 
     /// Records that this host goes on after it did not run for a while.
     pub fn resumed(&mut self, now: Moment) {
-        if self.watch.resumed_at.is_none_or(|at| at + RESUMPTION_INTERVAL <= now) {
-            self.watch.resumed_at = Some(now);
-        }
+        self.watch.resumed(now);
     }
 
     /// Records that an attempt is answered, which ends the request's other attempts. Servers that
@@ -244,7 +311,8 @@
         // A server that has answered nothing since is silent, not slow.
         if attempt.sent_at < server.answered_at {
             let scale = server.speed.scale(now).max(attempt.scale);
-            let ratio = millis(now.saturating_sub(attempt.sent_at)) / attempt.baseline_ms / scale;
+            let ratio =
+                millis(self.watch.since(attempt.sent_at, now)) / attempt.baseline_ms / scale;
             server.pace.record_ratio(ratio, &median, now);
         }
         server.unanswered += 1;
@@ -256,7 +324,12 @@
 }
 
 /// Whether another server is to get the request as well.
-fn should_hedge(task: &Task, registry: &mut super::registry::Registry, now: Moment) -> bool {
+fn should_hedge(
+    task: &Task,
+    registry: &mut super::registry::Registry,
+    times: &Times,
+    now: Moment,
+) -> bool {
     let State::InFlight(attempt) = &task.state else { return false };
     let is_handled = match attempt.hedge {
         Hedge::No => false,
@@ -268,6 +341,7 @@
         return false;
     }
     let Some(server) = registry.get_same(attempt.server, &attempt.id) else { return false };
+    let now = now.saturating_sub(times.longest_pause(attempt.heard_at));
     match attempt.phase {
         _ if attempt.is_stranded => true,
         Phase::Responding => task.spec.kind == Kind::Stream && server.answered_at + STALLED < now,
