Show that servers seem slow after their host did not run

Cause: the time to the first byte and the time in a slot include the time in which the host did not run, in the server's pace and in the estimates.

--- a/crates/policy/tests/dispatch/watch.rs
+++ b/crates/policy/tests/dispatch/watch.rs
@@ -291,6 +291,41 @@
     assert_eq!(&*next, "s1", "the server's breaker is open");
 }
 
+/// The time in which a host did not run counted as the time that its servers took to answer, so that
+/// they seemed slow and requests went to other zones.
+#[rstest]
+fn a_server_is_not_slow_because_its_host_did_not_run(
+    #[values(300, 600, 900, 2_000)] stall_ms: u64,
+    #[values(Kind::NonIdempotent, Kind::Idempotent, Kind::Stream)] kind: Kind,
+) {
+    let mut host = waiting_for_answers(kind);
+    let resumed_at = at(100 + stall_ms);
+    assert_eq!(go_on(&mut host, resumed_at, 2), []);
+    let now = resumed_at + at(25);
+    for ticket in 0..2 {
+        host.first_byte(ticket, now);
+        host.ended(ticket, End::Completed, now);
+    }
+    for ticket in 5..10 {
+        let server = sent(host.arrive(request(ticket, Kind::NonIdempotent, now), now));
+        assert_eq!(&*server, "s1");
+        host.sent(ticket, Path::Direct, now);
+        host.first_byte(ticket, now + at(10));
+        host.ended(ticket, End::Completed, now + at(10));
+    }
+}
+
+/// Servers that are slow for a host that runs are slow.
+#[rstest]
+fn a_server_is_slow_if_it_answers_long_after_a_pause() {
+    let mut host = waiting_for_answers(Kind::NonIdempotent);
+    go_on(&mut host, at(200), 2);
+    let now = at(1_200);
+    (0..2).for_each(|ticket| host.ended(ticket, End::Completed, now));
+    let server = sent(host.arrive(request(5, Kind::NonIdempotent, now), now));
+    assert_eq!(&*server, "s2");
+}
+
 #[rstest]
 fn a_server_that_is_silent_after_its_host_went_on_is_left(#[values(100, 900)] stall_ms: u64) {
     let mut host = waiting_for_answers(Kind::Idempotent);
