Leave pauses of the host out of what servers' times are learnt from

Cause: answers that lay unread while the host did not run entered the server's pace, the service's base time and the time in a slot at their full age; one such sample sends requests to other zones. Ruled out: subtracting the pause, which would take a server that answers at the end of it for one that answers at once. Change: a time of which a single pause is more than half is not recorded.

--- a/crates/policy/src/dispatch/events.rs
+++ b/crates/policy/src/dispatch/events.rs
@@ -143,7 +143,8 @@
         let server = self.registry.get_same(attempt.server, &attempt.id);
         let long_term = server.as_ref().map_or(1.0, |server| server.speed.long_term());
         let is_excluded = server.is_none_or(|server| is_excluded(server, &median, now));
-        if matches!(end, End::Completed | End::Closed) && !is_excluded {
+        let is_measured = self.watch.is_measured(attempt.sent_at, now);
+        if matches!(end, End::Completed | End::Closed) && !is_excluded && is_measured {
             let stats = match task.model {
                 Some(model) => &mut self.registry.models[model as usize].stats,
                 None => &mut self.registry.services[task.service as usize].stats,
@@ -268,7 +269,7 @@
         server.mark_answered(now);
         server.back_off.accepted(attempt.sent_at);
         server.load.prefilled(task.spec.ticket);
-        if attempt.is_cold {
+        if attempt.is_cold || !self.watch.is_measured(attempt.sent_at, now) {
             return;
         }
         // The server's machine may have changed while the request ran.
--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -138,6 +138,12 @@
         now.saturating_sub(since).saturating_sub(self.longest_pause(since))
     }
 
+    /// Whether the time since then is mostly a server's, so that it shows how fast the server is. An
+    /// answer that arrived while this host did not run is read at an unknown time after.
+    pub(super) fn is_measured(&self, since: Moment, now: Moment) -> bool {
+        self.longest_pause(since) * 2 <= now.saturating_sub(since)
+    }
+
     /// Length of the longest pause of this host after `since`.
     pub(super) fn longest_pause(&self, since: Moment) -> Duration {
         let first = self.pauses.partition_point(|pause| pause.to <= since);
