Hand servers the time that is left when the request is written

Cause: the time left was taken before the connection was established, and written after it. Ruled out: taking it in the loop over the attempts; it is taken for each attempt already, before the connection of that attempt. Change: it is taken right before the request's headers are made. The log keeps the time left at the choice of the server. What passes between the headers and the write itself, and before the host reads the request, is still not deducted.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -159,7 +159,6 @@
     ticket: Ticket,
     server: &Arc<Server>,
     call: &Call,
-    left: Duration,
     after: Option<u64>,
 ) -> Result<ResponseStart, AttemptEnd> {
     let buffered = &call.request;
@@ -182,6 +181,8 @@
     let path = connection.path();
     let sent_at = shared.now();
     shared.dispatcher().sent(ticket, path, sent_at);
+    // Taken here, as connecting may take most of a second.
+    let left = call.time_left(shared);
     let options = call.forward_options(server, &caller, left, after);
     let request = request(shared, buffered, &options);
     connection.set_reset_on_close(true);
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -205,10 +205,9 @@
         };
         let age = shared.dispatcher().report_age(&server.id, shared.now());
         age.into_iter().for_each(|age| shared.meters.report_age(age));
-        let left = self.time_left(shared);
-        self.trace.sent(ticket, &server, after, left);
+        self.trace.sent(ticket, &server, after, self.time_left(shared));
         self.handle.may_run.fetch_add(1, Ordering::Relaxed);
-        let start = attempt::begin(shared, ticket, &server, self, left, after).await;
+        let start = attempt::begin(shared, ticket, &server, self, after).await;
         if let Err(AttemptEnd::NotRun(_) | AttemptEnd::Unreachable(_)) = start {
             self.handle.may_run.fetch_sub(1, Ordering::Relaxed);
         }
