Treat answers of no final class as garbled

Cause: a server's status outside of 200 to 599 was no success, so it needed no seal, and was passed to the caller, with its body. A mark that the request was not run was believed beside such a status, and beside 101. Ruled out: the HTTP client's parser, which refuses statuses below 100 and accepts 600 to 999; a check where answers are delivered, as a status is kept to be sent on at three places. Change: the class of the status is checked first, at the one place that all answers pass. Conclusion: callers get 200 to 599 of servers, and nothing else.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -292,8 +292,8 @@
     }
 }
 
-/// Checks that a response belongs to this request, that the server itself made it, and that it does
-/// not state that the request was not executed.
+/// Checks that a response is a final one, that it belongs to this request, that the server itself
+/// made it, and that it does not state that the request was not executed.
 fn validate(
     info: &RequestInfo,
     server: &Server,
@@ -301,6 +301,10 @@
     answer: &Answer,
 ) -> Result<(), AttemptEnd> {
     const GARBLED: AttemptEnd = AttemptEnd::Unclear(Unclear::Garbled);
+    // Checked before the marks, which are not believed beside such a status.
+    if !is_final(head.status) {
+        return Err(GARBLED);
+    }
     match (&answer.id, answer.execution) {
         (Some(id), _) if *id != info.id => return Err(GARBLED),
         (_, Execution::NotRun) => {
@@ -313,13 +317,18 @@
     let is_unsealed = must_be_sealed && answer.seal == Seal::Missing;
     // No encoding was requested, so a server's own response has none.
     let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
-    let is_interim = head.status.is_informational();
-    if is_unsealed || is_encoded || is_interim || implies_not_run(head.status) {
+    if is_unsealed || is_encoded || implies_not_run(head.status) {
         return Err(GARBLED);
     }
     Ok(())
 }
 
+/// Returns whether HTTP defines a class of final responses for a status. The HTTP client accepts
+/// statuses up to 999.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns whether a response states that it answers this request.
 fn names_request(info: &RequestInfo, answer: &Answer) -> bool {
     answer.id.as_ref() == Some(&info.id)
