Refuse notices that cannot be taken over, and hand over bounded ones first

Cause: the exchange let the fleet acknowledge a notice, and then dropped it when the channel to its reader was full. A departure or a version was lost for good at a host whose reader was late, behind 1,024 notices that no bound depends on.

Ruled out: a larger channel only delays the loss, and keeps the order of arrival. A socket that is not read while the reader is late would hold back digests and acknowledgements, too.

Change: received notices wait in an inbox, those with a bound apart, and reach the reader through a channel as large as what tokio lets a task receive at a time. From 1,024 waiting notices on, a datagram whose notices have no bound is refused before the fleet sees it, from 2,048 on each datagram with notices. What is refused is not acknowledged, so its sender sends it again or counts it as lost. Other datagrams are received as before.

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -25,6 +25,7 @@
     calls::{Handler, RpcServer, ServerListing, Source},
     client::{self, Client},
     clock::{self, Clock},
+    inbox::MAX_HANDED_OVER,
     listener,
     run::{self, Shared},
     tunnel::{self, Acceptor, MAX_TUNNELS},
@@ -33,10 +34,6 @@
 /// Default timeout of a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Maximum number of received notices that wait for the reader of [`Exchange::notices`]; further
-/// ones are dropped.
-const MAX_PENDING_NOTICES: usize = 1_024;
-
 /// Maximum number of ports that are tried until one is free for both datagrams and calls.
 const MAX_PORT_ATTEMPTS: usize = 16;
 
@@ -136,7 +133,7 @@
         let now = (config.clock)();
         let fleet = Fleet::new(now, config.settings, member.clone(), config.seeds);
         let shared = Arc::new(Shared::new(config.clock, fleet));
-        let (sender, receiver) = mpsc::channel(MAX_PENDING_NOTICES);
+        let (sender, receiver) = mpsc::channel(MAX_HANDED_OVER);
         let (tasks, stop) = (TaskTracker::new(), CancellationToken::new());
         tasks.spawn(run::run(shared.clone(), socket, sender, stop.clone()));
         let members = members(&shared, &member);
@@ -201,7 +198,9 @@
         result
     }
 
-    /// Returns the receiver of notices from other hosts; `None` after the first call.
+    /// Returns the receiver of notices from other hosts; `None` after the first call. Notices with a
+    /// bound precede others that wait. Until the receiver reads or is dropped, notices are refused
+    /// once 1,024 wait, those with a bound once 2,048 wait.
     pub fn notices(&self) -> Option<mpsc::Receiver<Envelope>> {
         self.notices.lock().unwrap_or_else(PoisonError::into_inner).take()
     }
@@ -249,8 +248,9 @@
         self.shared.with(|fleet, _| fleet.traffic().clone())
     }
 
-    /// Returns the number of received notices that were dropped because the reader of
-    /// [`Exchange::notices`] was too slow.
+    /// Returns the number of notices that were refused because the reader of [`Exchange::notices`]
+    /// was too slow. They are not acknowledged; one that is sent again and refused again counts each
+    /// time.
     pub fn dropped_notices(&self) -> u64 {
         self.shared.dropped_notices.load(Ordering::Relaxed)
     }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -9,6 +9,7 @@
 mod client;
 mod clock;
 mod exchange;
+mod inbox;
 mod listener;
 mod run;
 mod tunnel;
--- a/crates/exchange/src/run.rs
+++ b/crates/exchange/src/run.rs
@@ -19,7 +19,7 @@
 use tokio_util::sync::CancellationToken;
 use types::time::Moment;
 
-use crate::clock::Clock;
+use crate::{clock::Clock, inbox::Inbox};
 
 /// Size of the receive buffer, larger than the longest valid datagram, so that longer ones can be
 /// recognized.
@@ -40,7 +40,7 @@
     pub(crate) clock: Clock,
     /// Wakes the task to send what the fleet has queued.
     pub(crate) wake: Notify,
-    /// Number of received notices that were dropped because their reader was too slow.
+    /// Number of notices that were refused because their reader was too slow.
     pub(crate) dropped_notices: AtomicU64,
     /// Number of panics of the task.
     pub(crate) panics: AtomicU64,
@@ -95,11 +95,12 @@
 pub(crate) async fn run(
     shared: Arc<Shared>,
     socket: UdpSocket,
-    notices: mpsc::Sender<Envelope>,
+    reader: mpsc::Sender<Envelope>,
     stop: CancellationToken,
 ) {
+    let mut inbox = Inbox::default();
     loop {
-        let rounds = AssertUnwindSafe(run_rounds(&shared, &socket, &notices, &stop));
+        let rounds = AssertUnwindSafe(run_rounds(&shared, &socket, &reader, &mut inbox, &stop));
         if rounds.catch_unwind().await.is_ok() {
             return;
         }
@@ -112,7 +113,8 @@
 async fn run_rounds(
     shared: &Shared,
     socket: &UdpSocket,
-    notices: &mpsc::Sender<Envelope>,
+    reader: &mpsc::Sender<Envelope>,
+    inbox: &mut Inbox,
     stop: &CancellationToken,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
@@ -122,32 +124,35 @@
             () = stop.cancelled() => break,
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((length, from)) = received {
-                    receive(shared, notices, from, &buffer[..length]);
-                    drain(shared, socket, notices, &mut buffer);
+                    receive(shared, inbox, from, &buffer[..length]);
+                    drain(shared, socket, inbox, &mut buffer);
                 }
             }
             () = tokio::time::sleep(wait) => shared.with(|fleet, now| fleet.tick(now)),
             () = shared.wake.notified() => {}
+            // The permit is released at once; `hand_over` takes it again.
+            _ = reader.reserve(), if !inbox.is_empty() => {}
         }
+        inbox.hand_over(reader);
         flush(shared, socket).await;
     }
     flush(shared, socket).await;
 }
 
-fn drain(shared: &Shared, socket: &UdpSocket, notices: &mpsc::Sender<Envelope>, buffer: &mut [u8]) {
+fn drain(shared: &Shared, socket: &UdpSocket, inbox: &mut Inbox, buffer: &mut [u8]) {
     for _ in 1..MAX_DATAGRAMS_PER_WAKEUP {
         let Ok((length, from)) = socket.try_recv_from(buffer) else { return };
-        receive(shared, notices, from, &buffer[..length]);
+        receive(shared, inbox, from, &buffer[..length]);
     }
 }
 
-fn receive(shared: &Shared, notices: &mpsc::Sender<Envelope>, from: SocketAddr, bytes: &[u8]) {
-    let received = shared.with(|fleet, now| fleet.receive(now, from, bytes));
-    for notice in received {
-        if notices.try_send(notice).is_err() {
-            shared.dropped_notices.fetch_add(1, Ordering::Relaxed);
-        }
+fn receive(shared: &Shared, inbox: &mut Inbox, from: SocketAddr, bytes: &[u8]) {
+    if let Err(refused) = inbox.check_room(bytes) {
+        shared.dropped_notices.fetch_add(refused as u64, Ordering::Relaxed);
+        return;
     }
+    let received = shared.with(|fleet, now| fleet.receive(now, from, bytes));
+    received.into_iter().for_each(|envelope| inbox.push(envelope));
 }
 
 async fn flush(shared: &Shared, socket: &UdpSocket) {
--- a/crates/policy/src/fleet/notice.rs
+++ b/crates/policy/src/fleet/notice.rs
@@ -25,7 +25,7 @@
 
 use super::{
     fact::{Departure, Revision},
-    wire::{self, Item, Number, Run},
+    wire::{self, Body, Item, Number, Run},
 };
 
 /// Most times that a notice is sent to one host.
@@ -128,7 +128,7 @@
 impl Notice {
     /// Whether hosts must act on the notice within a time, so that it is sent around hosts that do
     /// not respond. The others are frequent, and a late one costs a rejected request at the most.
-    fn is_bounded(&self) -> bool {
+    pub fn is_bounded(&self) -> bool {
         match self {
             Notice::ServerLeaving { .. }
             | Notice::DeclarationInForce { .. }
@@ -146,6 +146,15 @@
             | Notice::Slots(_) => false,
         }
     }
+
+    /// Returns the notices in a datagram, without receiving them.
+    pub fn in_datagram(bytes: &[u8]) -> Vec<Notice> {
+        match wire::decode(bytes).map(|packet| packet.body) {
+            Some(Body::Notices(items)) => items.into_iter().map(|item| item.notice).collect(),
+            Some(Body::OneShot(notice)) => vec![notice],
+            _ => Vec::new(),
+        }
+    }
 }
 
 /// Recipients of a notice.
