Let the store of the relay's tests end watches when their wait is over

It answered a watch only once an object had changed, whatever wait was asked for, so that a host which asks the store for what it may have missed got no answer.

--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -119,7 +119,7 @@
 
     fn store_call(&self, call: &StoreCall<'_>) -> Request<Bytes> {
         let path = match call {
-            StoreCall::Watch { since, .. } => format!("/watch/{since}"),
+            StoreCall::Watch { since, wait, .. } => format!("/watch/{since}/{}", wait.as_millis()),
             _ => "/list".into(),
         };
         Request::get(path).body(Bytes::new()).expect("a call")
@@ -133,7 +133,9 @@
                 }
                 StoreReply::Page(self.objects.page(*kind))
             }
-            StoreCall::Watch { kind, .. } => StoreReply::Seen(self.objects.changes(*kind)),
+            StoreCall::Watch { kind, since, .. } => {
+                StoreReply::Seen(self.objects.changes(*kind, *since))
+            }
             StoreCall::Create { kind: ObjectKind::Host, name, content } => {
                 self.objects.registered.send_replace(true);
                 let content = (*content).clone();
--- a/crates/relay/tests/common/store.rs
+++ b/crates/relay/tests/common/store.rs
@@ -1,8 +1,13 @@
-//! A store that responds to list calls at once and to watch calls when an object has changed.
+//! A store that responds to list calls at once, and to watch calls when an object has changed or
+//! their wait is over.
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use relay::edge::{Change, Object, ObjectKind, Page, StoreReply, WatchBatch};
@@ -11,6 +16,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::watch,
+    time::timeout,
 };
 use types::routed::{Declaration, Server};
 
@@ -22,6 +28,8 @@
     /// Kinds of which the next object or list that is parsed makes the parser panic.
     planted: Mutex<Vec<ObjectKind>>,
     revision: watch::Sender<u64>,
+    /// Whether watches get no response.
+    is_silent: AtomicBool,
     /// Whether the host has registered itself.
     pub registered: watch::Sender<bool>,
 }
@@ -34,6 +42,7 @@
             lease: Mutex::default(),
             planted: Mutex::default(),
             revision: watch::Sender::new(1),
+            is_silent: AtomicBool::new(false),
             registered: watch::Sender::new(false),
         }
     }
@@ -43,6 +52,11 @@
         self.revision.send_modify(|revision| *revision += 1);
     }
 
+    /// Sets whether watches that are sent from now on get no response.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::Relaxed);
+    }
+
     pub fn server(&self, name: &str) -> Option<Server> {
         self.servers.lock().expect("servers").iter().find(|server| &*server.id == name).cloned()
     }
@@ -94,10 +108,10 @@
         Page { objects: objects.collect(), more: false, revision }
     }
 
-    pub fn changes(&self, kind: ObjectKind) -> WatchBatch {
+    pub fn changes(&self, kind: ObjectKind, since: u64) -> WatchBatch {
         let page = self.page(kind);
-        let changes = page.objects.into_iter().map(Change::Written).collect();
-        WatchBatch { changes, revision: page.revision }
+        let written = page.objects.into_iter().filter(|_| since < page.revision);
+        WatchBatch { changes: written.map(Change::Written).collect(), revision: page.revision }
     }
 }
 
@@ -113,7 +127,8 @@
     address
 }
 
-/// Answers calls with empty bodies; `GET /watch/N` waits for a revision above N.
+/// Answers calls with empty bodies; `GET /watch/N/MS` waits for a revision above N, but no longer than
+/// that many milliseconds.
 async fn serve(objects: Arc<StoreObjects>, mut stream: TcpStream) {
     let mut revisions = objects.revision.subscribe();
     let (mut head, mut byte) = (Vec::new(), [0]);
@@ -123,12 +138,21 @@
             continue;
         }
         let text = String::from_utf8(std::mem::take(&mut head)).expect("a head");
-        let since = text.split_once("/watch/").and_then(|(_, rest)| rest.split_once(' '));
-        if let Some(since) = since.and_then(|(since, _)| since.parse::<u64>().ok()) {
-            let _ = revisions.wait_for(|revision| since < *revision).await;
+        if let Some((since, wait)) = watch_times(&text) {
+            if objects.is_silent.load(Ordering::Relaxed) {
+                continue;
+            }
+            let _ = timeout(wait, revisions.wait_for(|revision| since < *revision)).await;
         }
         if stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await.is_err() {
             return;
         }
     }
 }
+
+/// Returns the revision and the wait in the head of a watch call.
+fn watch_times(head: &str) -> Option<(u64, Duration)> {
+    let (_, rest) = head.split_once("/watch/")?;
+    let (since, wait) = rest.split_once(' ')?.0.split_once('/')?;
+    Some((since.parse().ok()?, Duration::from_millis(wait.parse().ok()?)))
+}
--- a/crates/relay/tests/unsent.rs
+++ b/crates/relay/tests/unsent.rs
@@ -63,6 +63,7 @@
 async fn a_request_is_not_written_once_its_server_may_have_left(#[case] route: Route) {
     let one = Server::listen("one").await;
     let host = start_host(route, &one).await;
+    host.objects.set_silent(true);
     // The time within which a server that leaves must be left alone.
     NEXT_STALL.set(TIMEOUT);
     let mut caller = host.caller().await;
@@ -89,6 +90,7 @@
 async fn requests_are_written_again_once_the_servers_are_known() {
     let (one, two) = (Server::listen("one").await, Server::listen("two").await);
     let host = start_host(with_timeout(route(Kind::Idempotent)), &one).await;
+    host.objects.set_silent(true);
     NEXT_STALL.set(TIMEOUT);
     let status = async || {
         let mut caller = host.caller().await;
@@ -96,7 +98,7 @@
         caller.answer().await.status
     };
     assert_eq!(status().await, 503);
-    // The store answers the watch that waits.
+    host.objects.set_silent(false);
     host.register(&two);
     tokio::spawn(answer_all(one));
     tokio::spawn(answer_all(two));
