--- a/crates/exchange/tests/notices.rs
+++ b/crates/exchange/tests/notices.rs
@@ -1,7 +1,7 @@
 //! Notices for a host whose reader of [`Exchange::notices`] is slower than they arrive.
 
 use std::{
-    collections::BTreeSet,
+    collections::HashSet,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -29,8 +29,12 @@
 /// Time in which a notice is acknowledged, or given up by its sender.
 const RESEND_TIME: Duration = Duration::from_secs(2);
 
-/// Number of notices without a bound; far more than a host keeps for its reader.
-const FLOOD: Sequence = 3_000;
+/// Number of notices; far more than a host keeps for its reader.
+const FLOOD: u64 = 3_000;
+
+/// Most notices that a host keeps for its reader: 2,048 that wait, those of one more datagram, and
+/// 128 that are handed over.
+const MAX_KEPT: usize = 2_300;
 
 /// Most notices without a bound that may be read before one with a bound.
 const MAX_AHEAD: usize = 256;
@@ -78,13 +82,23 @@
     (sender, slow, reader)
 }
 
-/// Sends notices without a bound until each is acknowledged or given up.
-async fn flood(sender: &Exchange) {
-    for sequence in 1..=FLOOD {
-        let notice =
-            Notice::Loaded { server: "i-1".into(), model: "sage".into(), adapter: None, sequence };
-        sender.send(Recipients::All, notice).expect("all hosts");
-        if sequence % 50 == 0 {
+fn loaded(sequence: Sequence) -> Notice {
+    Notice::Loaded { server: "i-1".into(), model: "sage".into(), adapter: None, sequence }
+}
+
+fn departure(number: u64) -> Notice {
+    Notice::ServerLeaving {
+        server: format!("i-{number}").into(),
+        departure: Departure::Leaving,
+        revision: number,
+    }
+}
+
+/// Sends notices until each is acknowledged or given up.
+async fn flood(sender: &Exchange, notice: fn(u64) -> Notice) {
+    for number in 1..=FLOOD {
+        sender.send(Recipients::All, notice(number)).expect("all hosts");
+        if number % 50 == 0 {
             sleep(Duration::from_millis(2)).await;
         }
     }
@@ -105,16 +119,12 @@
 /// Guards against a departure or a version that is acknowledged and then dropped, or that waits
 /// behind what has no bound.
 #[rstest]
-#[case::departure(Notice::ServerLeaving {
-    server: "i-2".into(),
-    departure: Departure::Leaving,
-    revision: 7,
-})]
+#[case::departure(departure(7))]
 #[case::declaration(Notice::DeclarationInForce { version: 7 })]
 #[tokio::test]
 async fn a_notice_with_a_bound_precedes_a_flood_of_others(#[case] bounded: Notice) {
     let (sender, _slow, mut reader) = sender_and_reader().await;
-    flood(&sender).await;
+    flood(&sender, loaded).await;
     sender.send(Recipients::Host("host-1".into()), bounded.clone()).expect("known");
     sleep(RESEND_TIME).await;
     let notices = read(&mut reader).await;
@@ -127,19 +137,17 @@
 }
 
 /// Guards against a notice that is acknowledged and then dropped: its sender does not know that it is
-/// lost.
+/// lost. What is kept for the reader is limited, whatever the notices say.
+#[rstest]
+#[case::loaded(loaded)]
+#[case::departures(departure)]
 #[tokio::test]
-async fn each_notice_is_read_or_counted_as_lost_by_its_sender() {
+async fn each_notice_is_read_or_counted_as_lost_by_its_sender(#[case] notice: fn(u64) -> Notice) {
     let (sender, slow, mut reader) = sender_and_reader().await;
-    flood(&sender).await;
+    flood(&sender, notice).await;
     let notices = read(&mut reader).await;
-    let read: BTreeSet<_> = notices
-        .iter()
-        .filter_map(|notice| match notice {
-            Notice::Loaded { sequence, .. } => Some(*sequence),
-            _ => None,
-        })
-        .collect();
+    assert!(notices.len() < MAX_KEPT, "{} kept", notices.len());
+    let read: HashSet<_> = notices.into_iter().collect();
     let lost = sender.counts().lost_notices;
     assert!(
         FLOOD <= read.len() as u64 + lost,
@@ -148,3 +156,14 @@
         slow.dropped_notices()
     );
 }
+
+/// Guards against a socket that is not read while the reader of notices is late.
+#[tokio::test]
+async fn hosts_stay_live_while_the_reader_of_notices_is_late() {
+    let (sender, slow, _reader) = sender_and_reader().await;
+    flood(&sender, departure).await;
+    // Longer than the time without a packet after which a host is silent.
+    sleep(Duration::from_secs(4)).await;
+    assert!(0 < slow.dropped_notices());
+    assert_eq!((sender.fleet().live, slow.fleet().live), (2, 2));
+}
