Let the stand-in store delay its answers

A slow link delays a call in both directions. The stand-in delayed a call only before it was carried out, so that no test could have a host read what the store had said long before. Nothing uses the new delay yet; the default is none.

--- a/crates/standin/src/routed/store.rs
+++ b/crates/standin/src/routed/store.rs
@@ -41,6 +41,8 @@
     pub unanswered: Option<CallKind>,
     /// How long each call waits before it is served or refused.
     pub delay: Duration,
+    /// How long each answer waits before it is sent; the call takes effect before that.
+    pub reply_delay: Duration,
     /// For how many more writes the connection is closed instead of an answer; they take effect.
     pub lost_replies: u32,
     /// Never answers the next write, and applies it after this time, if its condition holds by
@@ -347,8 +349,13 @@
 
 async fn serve(shared: Arc<Shared>, endpoint: &str, mut connection: Connection) {
     while let Ok(Some(request)) = connection.read().await {
+        let late_answer = async {
+            let reply = answer(&shared, endpoint, &request).await;
+            tokio::time::sleep(shared.faults(endpoint).reply_delay).await;
+            reply
+        };
         let reply = tokio::select! {
-            reply = answer(&shared, endpoint, &request) => reply,
+            reply = late_answer => reply,
             () = connection.closed() => return,
         };
         match reply {
