Show that a late host uses removed servers beyond the bound

Cause: a host whose own calls to the store time out holds the store for degraded for 8 s. A peer's notice that the store has removed a server's entry then starts the grace of a degraded store, counted from the arrival of the notice at this host. The age of the notice and the grace add up to more than the bound.

Ruled out, by the cases that are green: late calls to the store alone (the notice is in time, so the grace ends in time), late datagrams alone (the store counts as sound, so there is no grace), and the same lateness with servers that are registered as draining (there is no grace). No other host of the group of a late relay uses a server late.

The tests: 24 real processes in groups, a store that answers all hosts at once but one, whose calls and answers take 1.2 s each way, as do its datagrams; bound 1.5 s.

Conclusion: neither lateness breaks the bound alone, their sum does.

--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -4,6 +4,7 @@
 mod crossings;
 mod cuts;
 mod declared;
+mod doubts;
 mod drain_notices;
 mod endless;
 mod faults;
