Tell the dispatcher of a pause before paths are checked

Cause: the task that checks paths may wake before the pump, which is the one that records that the host goes on. Change: the paths' task records its own lateness as the pump does.

--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -46,6 +46,9 @@
 /// Interval between checks for silent servers.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Lateness of a check from which on answers of servers may lie unread.
+const STALL_THRESHOLD: Duration = Duration::from_millis(50);
+
 /// Time for which a partition lasts before this host leaves the lease on orders to others.
 const YIELD_DELAY: Duration = Duration::from_millis(500);
 
@@ -198,8 +201,13 @@
 pub(crate) async fn run(shared: Arc<Shared>) {
     let mut partitions = BTreeMap::new();
     loop {
+        let due = shared.now() + CHECK_INTERVAL;
         sleep(CHECK_INTERVAL).await;
         let now = shared.now();
+        // The pump may not have run yet since this host went on.
+        if due + STALL_THRESHOLD <= now {
+            shared.dispatcher().resumed(now);
+        }
         let silent = shared.dispatcher().silent_servers(now);
         let silent = silent.iter().filter_map(|id| shared.server(id));
         silent.for_each(|server| check_path(&shared, &server));
