Send after the pause is observed in the test of a stopped host

Cause: the request was decided on before the pump had observed the pause, so the test passed also if the longer of two observations counted. Change: the request is sent 5 ms after the pause. Figures: with max instead of min in lateness.rs the test fails (1 of 1), before it passed (1 of 1); unchanged 3 of 3 green. Conclusion: the test guards against refusals after a single pause.

--- a/crates/relay/tests/late.rs
+++ b/crates/relay/tests/late.rs
@@ -103,6 +103,8 @@
 async fn a_host_that_was_stopped_once_serves_at_once() {
     let (_host, _server, mut caller, mut connection) = begin().await;
     std::thread::sleep(NOTICE_TIME);
+    // The host has observed the pause, but nothing since.
+    tokio::time::sleep(Duration::from_millis(5)).await;
     caller.write(&brief("q2")).await;
     assert_eq!(connection.receive().await.header("request-name"), Some("q2"));
     connection.write(&answer("q2", "yes")).await;
