Take removals for an outage only if no host reaches the store

Cause: a host whose own calls time out held the store for degraded for 8 s, and gave servers whose entries went a grace that counts from when it reads of it. A busy processor or link is enough for that. It also gave up its relay for that time, and followed the store that did not answer it.

Ruled out: doubting nothing.

Change: a host advertises that it reaches the store only if the store has answered it again and again for 8 s, at intervals below the pause that changes may take. While any other host advertises that, this host's own failures are no outage: removals count, and the relay is asked.

Conclusion: one's own time-outs are no evidence against the store while others are answered.

--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -18,7 +18,7 @@
 use policy::{
     customer,
     dispatch::{self, Change, Dispatcher, RetryBudgetConfig, Ticket, Verdict},
-    follow::Knowledge,
+    follow::{self, Knowledge},
     paths::Paths,
     place::{self, Planner},
     streams::{Streams, versions::Versions},
@@ -169,6 +169,7 @@
                 logger.clone(),
                 meters.clone(),
                 clock,
+                routed.drain.mul_f64(follow::MAX_PAUSE_SHARE),
             ),
             logger,
             metrics,
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -190,10 +190,9 @@
         exchange.publish(Publication::Term(stored));
     }
     exchange.publish(Publication::Lease(lease));
-    let reachability = if shared.store.is_degraded() {
-        Reachability::Unreachable
-    } else {
-        Reachability::Reachable
+    let reachability = match shared.store.is_sound() {
+        true => Reachability::Reachable,
+        false => Reachability::Unreachable,
     };
     exchange.publish(Publication::Store(StoreStatus { reachability, revision: shared.revision() }));
     let arrivals = counts(shared, |counts| {
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -208,7 +208,7 @@
         }
     }
 
-    /// Applies the removal of a server's entry. While the store is degraded, entries of healthy
+    /// Applies the removal of a server's entry. In an outage of the store, entries of healthy
     /// servers are removed and written again; such a server stays in use for the time that
     /// [`Shared::removal_grace`] returns, less than the time for which a leaving server may be
     /// used.
@@ -217,7 +217,7 @@
         // A peer's list names those unlisted servers whose entries may be written again.
         let is_from_peer = matches!(from, Source::Peer(_));
         if is_ready && !is_from_peer {
-            if self.store.is_degraded() {
+            if self.is_store_out() {
                 return self.suspect(id, self.removal_grace(), from);
             }
             if self.dispatcher().is_ready(id) {
@@ -240,7 +240,7 @@
             return;
         };
         self.directory().mark_suspect(id, self.now().saturating_add(left));
-        let why = "its entry went while the store was degraded";
+        let why = "its entry went in an outage of the store";
         self.report_standing(&server, ServerStanding::Suspected, from, why);
         let (shared, id, from) = (self.clone(), id.clone(), from.clone());
         tokio::spawn(async move {
@@ -274,7 +274,7 @@
             return;
         }
         match departure {
-            Departure::Gone if self.store.is_degraded() => {
+            Departure::Gone if self.is_store_out() => {
                 self.suspect(id, self.removal_grace(), from);
             }
             Departure::Gone => {
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -7,7 +7,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex as SyncMutex, PoisonError,
+        Arc, Mutex as SyncMutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -67,10 +67,21 @@
     /// Number of outages that have ended.
     outages: watch::Sender<u64>,
     clock: Clock,
+    /// Longest time between two answers that show that the store answered between them.
+    contact_interval: Duration,
     /// When a call of this host last failed.
     failed_at: SyncMutex<Option<Moment>>,
     /// Whether the store turned the last call away, or its connection failed.
     is_refusing: AtomicBool,
+    /// When the store answered this host.
+    contact: SyncMutex<Contact>,
+}
+
+/// A time in which the store has answered a host again and again.
+#[derive(Clone, Copy, Debug, Default)]
+struct Contact {
+    since: Moment,
+    last: Moment,
 }
 
 /// Whether the last call of a kind got a response.
@@ -98,6 +109,7 @@
         logger: Logger,
         meters: Meters,
         clock: Clock,
+        contact_interval: Duration,
     ) -> Store {
         Store {
             dialect,
@@ -110,8 +122,10 @@
             servers: CallHealth::new("watch of servers"),
             outages: watch::Sender::default(),
             clock,
+            contact_interval,
             failed_at: SyncMutex::default(),
             is_refusing: AtomicBool::new(false),
+            contact: SyncMutex::default(),
         }
     }
 
@@ -131,6 +145,30 @@
         failed_at.is_some_and(|at| self.clock.now() < at + DEGRADED_PERIOD)
     }
 
+    /// Returns whether the store has answered this host again and again for as long as an outage
+    /// counts. A host that calls the store rarely may not notice an outage.
+    pub(crate) fn is_sound(&self) -> bool {
+        let now = self.clock.now();
+        let contact = *self.contact();
+        now <= contact.last + self.contact_interval
+            && contact.since + DEGRADED_PERIOD <= now
+            && !self.is_degraded()
+    }
+
+    /// Records an answer of the store.
+    fn record_contact(&self) {
+        let now = self.clock.now();
+        let mut contact = self.contact();
+        if contact.last + self.contact_interval < now {
+            contact.since = now;
+        }
+        contact.last = now;
+    }
+
+    fn contact(&self) -> MutexGuard<'_, Contact> {
+        self.contact.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether the store turned the last call of this host away. A call that times out does
     /// not show that: this host may be late itself.
     pub(crate) fn is_refusing(&self) -> bool {
@@ -245,6 +283,8 @@
         // removal of entries that expired in it.
         if matches!(reply, StoreReply::Unclear | StoreReply::Refused) {
             self.record_failure();
+        } else {
+            self.record_contact();
         }
         let state = match reply {
             StoreReply::Unclear => DependencyState::Lost,
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -213,11 +213,11 @@
 
 impl Shared {
     /// Returns the relay: the host from which this one fetches changes of the servers instead of
-    /// calling the store. There is none while the store is degraded, since a removed entry may then
-    /// be written again, which only the store reports.
+    /// calling the store. There is none in an outage of the store, since a removed entry may then be
+    /// written again, which only the store reports.
     fn relay(&self) -> Option<(Arc<Exchange>, Member)> {
         let exchange = self.exchange()?;
-        let is_settled = follow::STARTUP_TIME <= self.now() && !self.store.is_degraded();
+        let is_settled = follow::STARTUP_TIME <= self.now() && !self.is_store_out();
         match exchange.tier() {
             Tier::Member(relay) if is_settled && self.role(&exchange.fleet()) == Role::Follower => {
                 Some((exchange, relay))
