Ask a host that reaches the store for the servers, and refuse only then

A host that the store turned away, or whose connection to it was reset, was exempt from the check until its next answer: one 429 was enough. A host that only the store does not answer, in a fleet without relays, refused all requests once its watch was no longer trusted, though the other hosts know the servers.

Change: no exemption but an outage that all hosts see. A host that holds the store for degraded asks a host that reaches it, in its zone if there is one. The knowledge is looked at before a request takes a place at a server, too. What a watch had shown before a pause of the host is kept. A watch is suspected only after unread answers, and nothing is concluded from a second watch that has failed.

--- a/crates/policy/src/fleet/snapshot.rs
+++ b/crates/policy/src/fleet/snapshot.rs
@@ -13,7 +13,7 @@
 use super::{
     Fleet, Liveness,
     aggregate::{LoadSums, Tally, loads},
-    fact::{Departure, Fact, Key, Lease, Load, Member, Revision, State, StoreStatus},
+    fact::{Departure, Fact, Key, Lease, Load, Member, Reachability, Revision, State, StoreStatus},
     fanout::Provenance,
     hosts::Peer,
     wire::Scope,
@@ -115,6 +115,13 @@
         hosts
     }
 
+    /// A host that is not silent and reaches the store, one in this zone if there is any.
+    pub fn reaching_store(&self, zone: &availability::Id) -> Option<&PeerStatus> {
+        let reaching =
+            self.not_silent().filter(|status| status.store.reachability == Reachability::Reachable);
+        reaching.min_by_key(|status| status.member.zone != *zone)
+    }
+
     fn not_silent(&self) -> impl Iterator<Item = &PeerStatus> {
         self.hosts.iter().filter(|status| status.liveness != Liveness::Silent)
     }
--- a/crates/policy/src/follow.rs
+++ b/crates/policy/src/follow.rs
@@ -147,7 +147,7 @@
 }
 
 /// Time for which a host that lets changes gather for `gather` may still use a server whose entry
-/// was removed while the store was degraded.
+/// was removed in an outage of the store.
 ///
 /// The entry may have been removed as long ago as `gather`, and both times together have to end
 /// `within` a time. Without this bound a host in a fleet of 82 could use such a server for 1.2
--- a/crates/policy/src/follow/knowledge.rs
+++ b/crates/policy/src/follow/knowledge.rs
@@ -10,8 +10,9 @@
 
 use super::MAX_KNOWN_AGE_SHARE;
 
-/// Time that an answer may be on its way, as a share of the deadline for changes.
-const TRANSIT_SHARE: f64 = 0.1;
+/// Time that an answer may be on its way, as a share of the deadline for changes. As much is left of
+/// the deadline for what follows.
+const TRANSIT_SHARE: f64 = 1.0 - MAX_KNOWN_AGE_SHARE;
 
 /// A watch that waits at the store.
 #[derive(Clone, Copy, Debug)]
@@ -50,6 +51,7 @@
     /// Records that the host reads its sockets.
     pub fn read(&mut self, now: Moment) {
         if self.read_at + self.transit() < now {
+            self.confirm(self.known_at(now));
             self.resumed_at = now;
         }
         self.read_at = now;
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -121,6 +121,10 @@
     pub(crate) async fn first_server(&self, shared: &Arc<Shared>) -> Result<backend::Id, Problem> {
         let mut spec = self.spec();
         spec.software = self.resumed_version(shared).await?;
+        // Before the request takes a place at a server.
+        if shared.confirm_servers().await {
+            return Err(self.refuse_outdated(shared));
+        }
         let verdict = self.handle.arrive(spec);
         self.trace.decided();
         self.apply_verdict(shared, verdict).await
--- a/crates/relay/src/confirm.rs
+++ b/crates/relay/src/confirm.rs
@@ -107,11 +107,11 @@
     /// in use.
     pub(crate) fn are_servers_outdated(&self) -> bool {
         let is_outdated = self.servers_known().is_outdated(self.now());
-        is_outdated && !self.is_store_out() && !self.store.is_refusing()
+        is_outdated && !self.is_store_out()
     }
 
-    /// Fetches changes of the servers from the store if this host's knowledge is outdated. Returns
-    /// whether it still is.
+    /// Fetches changes of the servers if this host's knowledge is outdated. Returns whether it still
+    /// is.
     pub(crate) async fn confirm_servers(self: &Arc<Self>) -> bool {
         if self.are_servers_outdated() {
             // Without an answer in time, the servers stay unconfirmed.
@@ -120,13 +120,16 @@
         self.are_servers_outdated()
     }
 
-    /// Fetches changes of the servers from the store, unless another request has done so by the time
-    /// that it is this one's turn.
+    /// Fetches changes of the servers from the store, or from a host that reaches the store if this
+    /// one does not, unless another request has done so by the time that it is this one's turn.
     async fn ask_for_servers(self: &Arc<Self>) {
         let _turn = self.confirming_servers.lock().await;
         if !self.are_servers_outdated() {
             return;
         }
+        if self.store.is_degraded() && self.ask_peer_for_servers().await.is_some() {
+            return;
+        }
         let (began, since) = (self.now(), self.revision());
         let kind = ObjectKind::Server;
         let call = StoreCall::Watch { kind, since, wait: SHORTEST_WAIT };
@@ -136,6 +139,19 @@
         }
     }
 
+    /// Fetches the servers from a host that reaches the store; `None` if there is none or it does not
+    /// answer.
+    async fn ask_peer_for_servers(self: &Arc<Self>) -> Option<()> {
+        let exchange = self.exchange()?;
+        let snapshot = exchange.fleet();
+        let peer = snapshot.reaching_store(&self.host.zone)?;
+        let requested_at = self.now();
+        let list = exchange.follow(peer.member.address, self.revision()).await.ok().flatten()?;
+        self.servers_known().confirm(requested_at.saturating_sub(list.age));
+        self.apply_peer_servers(list, &peer.member.id);
+        Some(())
+    }
+
     /// Returns whether the store is out for all hosts, so that entries of healthy servers may have
     /// expired. Failures of this host's own calls alone may be due to its own link or processor.
     pub(crate) fn is_store_out(&self) -> bool {
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -240,7 +240,7 @@
             return;
         };
         self.directory().mark_suspect(id, self.now().saturating_add(left));
-        let why = "its entry went in an outage of the store";
+        let why = "its registration was deleted in an outage of the store";
         self.report_standing(&server, ServerStanding::Suspected, from, why);
         let (shared, id, from) = (self.clone(), id.clone(), from.clone());
         tokio::spawn(async move {
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -71,8 +71,6 @@
     contact_interval: Duration,
     /// When a call of this host last failed.
     failed_at: SyncMutex<Option<Moment>>,
-    /// Whether the store turned the last call away, or its connection failed.
-    is_refusing: AtomicBool,
     /// When the store answered this host.
     contact: SyncMutex<Contact>,
 }
@@ -124,7 +122,6 @@
             clock,
             contact_interval,
             failed_at: SyncMutex::default(),
-            is_refusing: AtomicBool::new(false),
             contact: SyncMutex::default(),
         }
     }
@@ -169,12 +166,6 @@
         self.contact.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns whether the store turned the last call of this host away. A call that times out does
-    /// not show that: this host may be late itself.
-    pub(crate) fn is_refusing(&self) -> bool {
-        self.is_refusing.load(Ordering::Relaxed)
-    }
-
     /// Returns a counter that changes when a call gets a response after calls without one. Calls
     /// made before that may never get a response: a store that did not respond for a time loses its
     /// pending watches.
@@ -272,11 +263,6 @@
     ) -> (StoreReply, Option<Connection>) {
         let began = Instant::now();
         let result = timeout_at(end, self.try_exchange(call, connection)).await;
-        if let Ok(result) = &result {
-            let is_refused =
-                result.as_ref().is_none_or(|(reply, _)| matches!(reply, StoreReply::Refused));
-            self.is_refusing.store(is_refused, Ordering::Relaxed);
-        }
         let (reply, connection) = result.ok().flatten().unwrap_or((StoreReply::Unclear, None));
         self.meters.call(call_label(call), call_result(&reply));
         // Failures of all calls count: a watch may wait through a whole outage and then report the
--- a/crates/relay/src/watch/hedge.rs
+++ b/crates/relay/src/watch/hedge.rs
@@ -73,7 +73,9 @@
         let mut newest: Option<Pending<'a>> = None;
         let mut trusted_until = Instant::now() + watch.trust;
         loop {
+            // After a time in which this host did not run, answers are read before a watch is suspected.
             select! {
+                biased;
                 (reply, connection) = &mut oldest.watch => match newest.take() {
                     Some(other) if !is_answer(&reply) => {
                         self.log_failure(&reply);
@@ -87,6 +89,9 @@
                     }
                     self.log_failure(&reply);
                     newest = None;
+                    if self.kind == ObjectKind::Server {
+                        self.shared.servers_known().watch_failed();
+                    }
                 }
                 cause = self.suspicion(trusted_until) => {
                     if cause == Cause::Silence {
--- a/crates/stage/tests/routed/silence.rs
+++ b/crates/stage/tests/routed/silence.rs
@@ -31,6 +31,9 @@
 /// leaving server gets no more requests.
 const RECOVERY_TIME: Duration = Duration::from_secs(3);
 
+/// Time for which hosts hold the store for degraded after a failure.
+const DEGRADED_TIME: Duration = Duration::from_secs(8);
+
 /// More than one host, and each outage affects all of them: a host whose watches work would inform
 /// the others.
 const HOSTS: usize = 3;
@@ -163,6 +166,31 @@
     assert_eq!(status_of(host, &unknown).await, Some(StatusCode::NOT_FOUND));
 }
 
+/// Guards against a host that refuses requests because the store does not answer it, although other
+/// hosts know the servers.
+#[rstest]
+#[case::silence(Refusal::Silence)]
+#[case::down(Refusal::Down)]
+#[tokio::test]
+async fn a_host_that_only_the_store_does_not_answer_serves_all_requests(#[case] refusal: Refusal) {
+    // Longer than a watch is trusted and a departure may take.
+    const OUTAGE: Duration = Duration::from_secs(12);
+    let site = site(HOSTS).await;
+    site.wait_until_observed().await;
+    // Until hosts know that the others reach the store.
+    sleep(DEGRADED_TIME).await;
+    let host = &site.hosts[0];
+    site.backend.store.set_faults(&host.name, |faults| faults.refusal = Some(refusal));
+    let end = Instant::now() + OUTAGE;
+    let mut statuses = Vec::new();
+    while Instant::now() < end {
+        statuses.push(status_of(host, &page()).await);
+        sleep(Duration::from_millis(50)).await;
+    }
+    let served = statuses.iter().filter(|status| **status == Some(StatusCode::OK)).count();
+    assert_eq!(served, statuses.len(), "{statuses:?}");
+}
+
 /// The registrations of healthy servers expire during an outage and are back a little later. A host
 /// that knows of the outage goes on using such a server; one that doesn't would remove it.
 #[tokio::test]
