--- a/crates/stage/tests/routed/doubts.rs
+++ b/crates/stage/tests/routed/doubts.rs
@@ -15,12 +15,10 @@
 
 use http::StatusCode;
 use rstest::rstest;
-use serde_json::{Value, json};
+use serde_json::Value;
 use standin::routed::{
-    host::Host,
     links::Delivery,
-    server::Settings,
-    site::{Backend, Site, ZONES, server_kind},
+    site::{Site, server_kind},
     store::{Faults, Refusal},
     until,
 };
@@ -29,10 +27,10 @@
     time::{Instant, sleep},
 };
 
-use crate::site::{self, declaration, page};
-
-/// More hosts than exchange digests without groups: one group in each of the four zones.
-const HOSTS: usize = 24;
+use crate::{
+    relays::{HOSTS, change_servers, grouped_site, relay_with_followers},
+    site::page,
+};
 
 /// Servers of the service that is called.
 const SERVERS: usize = 8;
@@ -81,60 +79,6 @@
     StoreAndHosts,
 }
 
-async fn grouped_site(drain_time: Duration) -> Site {
-    let apps = (1..=SERVERS).map(|number| Settings::plain(&format!("app-{number}"), "app"));
-    let backend = Backend::start(apps.collect()).await.expect("the servers start");
-    backend.declare(&declaration());
-    let mut site = site::new_site(backend, Site::relay_links);
-    for _ in 0..HOSTS {
-        let change = |settings: &mut Value| {
-            settings["routed"]["drain_ms"] = json!(drain_time.as_millis());
-            // Lines on what a host believes are whole lines of standard output only.
-            settings["log"] = json!({"level": "info"});
-        };
-        site.add(change).await.expect("the host starts");
-    }
-    site.wait_until_ready().await;
-    site
-}
-
-/// Returns the host from which another one fetches changes of the servers, by its log.
-fn relay_of(host: &Host) -> Option<String> {
-    let log = host.log();
-    let last = log.iter().rfind(|line| line["kind"] == "server-source")?;
-    last["from"]["peer"].as_str().map(str::to_owned)
-}
-
-/// Writes an object among the servers that describes none.
-fn change_servers(site: &Site) {
-    let store = &site.backend.store;
-    store.put(&server_kind(), "mark", json!({"mark": store.revision()}));
-}
-
-/// Waits until all other hosts of some group follow its relay. Returns the indices of the relay and
-/// of these hosts.
-async fn relay_with_followers(site: &Site) -> (usize, Vec<usize>) {
-    /// All hosts of a zone but its relay. The scouts and the holder of the lease are in three of the
-    /// four zones at the most.
-    const FOLLOWERS: usize = HOSTS / ZONES.len() - 1;
-    let mut found = None;
-    until("hosts follow a relay", async || {
-        // A watch ends with a change; only then does a host turn to its relay.
-        change_servers(site);
-        let mut groups = BTreeMap::<String, Vec<usize>>::new();
-        for (index, host) in site.hosts.iter().enumerate() {
-            groups.entry(relay_of(host).unwrap_or_default()).or_default().push(index);
-        }
-        groups.remove("");
-        found = groups.into_iter().max_by_key(|(_, followers)| followers.len());
-        found.as_ref().is_some_and(|(_, followers)| followers.len() == FOLLOWERS)
-    })
-    .await;
-    let (relay, followers) = found.expect("hosts follow a relay");
-    let index = site.hosts.iter().position(|host| host.name == relay);
-    (index.expect("the relay is a host of the site"), followers)
-}
-
 /// Makes a host late. If its calls to the store are late, waits until it holds the store for
 /// degraded.
 async fn make_late(site: &Site, index: usize, late: Late) {
@@ -216,7 +160,7 @@
     #[case] late: Late,
     #[case] departure: Departure,
 ) {
-    let mut site = grouped_site(DRAIN_TIME).await;
+    let mut site = grouped_site(SERVERS, DRAIN_TIME).await;
     let (relay, followers) = relay_with_followers(&site).await;
     let index = match part {
         Part::Follower => followers[0],
@@ -252,7 +196,7 @@
 async fn servers_whose_entries_expire_while_the_store_is_silent_for_all_hosts_stay_in_use() {
     const OUTAGE: Duration = Duration::from_secs(3);
     const ABSENCE: Duration = Duration::from_secs(1);
-    let site = grouped_site(2 * DRAIN_TIME).await;
+    let site = grouped_site(SERVERS, 2 * DRAIN_TIME).await;
     relay_with_followers(&site).await;
     let store = &site.backend.store;
     store.set_faults_everywhere(|faults| faults.refusal = Some(Refusal::Silence));
--- a/crates/stage/tests/routed/relays.rs
+++ b/crates/stage/tests/routed/relays.rs
@@ -21,7 +21,7 @@
 use crate::site::{self, declaration, page};
 
 /// More hosts than exchange digests without groups: one group in each of the four zones.
-const HOSTS: usize = 24;
+pub(crate) const HOSTS: usize = 24;
 
 /// Servers of the service that is called.
 const SERVERS: usize = 18;
@@ -46,14 +46,16 @@
     CutOff,
 }
 
-async fn grouped_site() -> Site {
-    let apps = (1..=SERVERS).map(|number| Settings::plain(&format!("app-{number}"), "app"));
+/// Starts hosts with this many servers of the service that is called, which must be left alone within
+/// `drain_time` after they leave.
+pub(crate) async fn grouped_site(servers: usize, drain_time: Duration) -> Site {
+    let apps = (1..=servers).map(|number| Settings::plain(&format!("app-{number}"), "app"));
     let backend = Backend::start(apps.collect()).await.expect("the servers start");
     backend.declare(&declaration());
     let mut site = site::new_site(backend, Site::relay_links);
     for _ in 0..HOSTS {
         let change = |settings: &mut Value| {
-            settings["routed"]["drain_ms"] = json!(DRAIN_TIME.as_millis());
+            settings["routed"]["drain_ms"] = json!(drain_time.as_millis());
             // Lines on what a host believes are whole lines of standard output only.
             settings["log"] = json!({"level": "info"});
         };
@@ -71,14 +73,14 @@
 }
 
 /// Writes an object among the servers that describes none.
-fn change_servers(site: &Site) {
+pub(crate) fn change_servers(site: &Site) {
     let store = &site.backend.store;
     store.put(&server_kind(), "mark", json!({"mark": store.revision()}));
 }
 
 /// Waits until all other hosts of some group follow its relay. Returns the indices of the relay and
 /// of these hosts.
-async fn relay_with_followers(site: &Site) -> (usize, Vec<usize>) {
+pub(crate) async fn relay_with_followers(site: &Site) -> (usize, Vec<usize>) {
     /// All hosts of a zone but its relay. The scouts and the holder of the lease are in three of the
     /// four zones at the most.
     const FOLLOWERS: usize = HOSTS / ZONES.len() - 1;
@@ -158,7 +160,7 @@
 #[case::cut_off(Loss::CutOff)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn leaving_servers_are_left_alone_in_time_though_the_relay_is_lost(#[case] loss: Loss) {
-    let mut site = grouped_site().await;
+    let mut site = grouped_site(SERVERS, DRAIN_TIME).await;
     let (relay, followers) = relay_with_followers(&site).await;
     lose(&mut site, relay, loss);
     let time = DEPARTURE_INTERVAL * LEAVING as u32 + DRAIN_TIME * 2;
