Share the refusal, the store call and the threshold of late hosts

Cause: the checks of late hosts repeated what stood beside them: the refusal that sends callers to another host (three copies), the store call for what may have been missed (two), the lateness from which on answers may lie unread (two constants). Ruled out: calling one twin from the other; each pair differs in what it does with the result. Change: Call::refuse_elsewhere, Shared::missed_changes, one STALL_THRESHOLD. No behaviour changes. Conclusion: each is in one place.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -241,8 +241,7 @@
         if 0 < self.handle.may_run.load(Ordering::Relaxed) {
             return Problem::TimedOut;
         }
-        self.trace.refused(Refusal::TooLate, Duration::ZERO, Some(RETRY_ELSEWHERE_AFTER));
-        Problem::NotRun(RETRY_ELSEWHERE_AFTER)
+        self.refuse_elsewhere(Refusal::TooLate, Duration::ZERO)
     }
 
     async fn apply_verdict(
@@ -292,7 +291,12 @@
 
     /// Refuses the request because this host is about to stop.
     fn refuse_stopping(&self, shared: &Shared) -> Problem {
-        self.trace.refused(Refusal::Stopping, self.time_left(shared), Some(RETRY_ELSEWHERE_AFTER));
+        self.refuse_elsewhere(Refusal::Stopping, self.time_left(shared))
+    }
+
+    /// Refuses the request as not run, so that its caller soon retries at another host.
+    fn refuse_elsewhere(&self, cause: Refusal, left: Duration) -> Problem {
+        self.trace.refused(cause, left, Some(RETRY_ELSEWHERE_AFTER));
         Problem::NotRun(RETRY_ELSEWHERE_AFTER)
     }
 
@@ -302,8 +306,7 @@
         if 0 < self.handle.may_run.load(Ordering::Relaxed) {
             return Problem::Unclear;
         }
-        self.trace.refused(Refusal::Outdated, self.time_left(shared), Some(RETRY_ELSEWHERE_AFTER));
-        Problem::NotRun(RETRY_ELSEWHERE_AFTER)
+        self.refuse_elsewhere(Refusal::Outdated, self.time_left(shared))
     }
 
     async fn wait(&self, shared: &Arc<Shared>, ticket: Ticket) -> Result<backend::Id, Problem> {
--- a/crates/relay/src/confirm.rs
+++ b/crates/relay/src/confirm.rs
@@ -16,7 +16,7 @@
 use types::time::Moment;
 
 use crate::{
-    edge::{ObjectKind, Revision, StoreCall, StoreReply},
+    edge::{ObjectKind, Revision, StoreCall, StoreReply, WatchBatch},
     host::Shared,
     watch,
 };
@@ -78,14 +78,27 @@
         if self.is_declaration_known(received) {
             return;
         }
-        let (began, since) = (self.now(), self.declaration_confirmation().revision);
-        let kind = ObjectKind::Declaration;
-        let call = StoreCall::Watch { kind, since, wait: SHORTEST_WAIT };
-        if let StoreReply::Seen(batch) = self.store.call(&call).await {
+        let since = self.declaration_confirmation().revision;
+        if let Some((batch, began)) = self.missed_changes(ObjectKind::Declaration, since).await {
             watch::apply_declarations(self, &batch, began);
         }
     }
 
+    /// Fetches the store's changes since a revision, without waiting for further ones. Returns them
+    /// with the start of the call; `None` if the store does not answer.
+    async fn missed_changes(
+        &self,
+        kind: ObjectKind,
+        since: Revision,
+    ) -> Option<(WatchBatch, Moment)> {
+        let began = self.now();
+        let call = StoreCall::Watch { kind, since, wait: SHORTEST_WAIT };
+        match self.store.call(&call).await {
+            StoreReply::Seen(batch) => Some((batch, began)),
+            _ => None,
+        }
+    }
+
     /// Locks what this host can tell of the age of its knowledge of the servers. No other lock may be
     /// taken meanwhile.
     pub(crate) fn servers_known(&self) -> MutexGuard<'_, Knowledge> {
@@ -130,10 +143,8 @@
         if self.store.is_degraded() && self.ask_peer_for_servers().await.is_some() {
             return;
         }
-        let (began, since) = (self.now(), self.revision());
-        let kind = ObjectKind::Server;
-        let call = StoreCall::Watch { kind, since, wait: SHORTEST_WAIT };
-        if let StoreReply::Seen(batch) = self.store.call(&call).await {
+        let changes = self.missed_changes(ObjectKind::Server, self.revision()).await;
+        if let Some((batch, began)) = changes {
             batch.changes.iter().for_each(|change| self.change_server(change));
             self.servers_known().confirm(began);
         }
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -25,6 +25,7 @@
 use crate::{
     connect::{self, Connection},
     host::Shared,
+    run::STALL_THRESHOLD,
 };
 
 /// Time after which other hosts are asked to connect while a direct connection is not established.
@@ -46,9 +47,6 @@
 /// Interval between checks for silent servers.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Lateness of a check from which on answers of servers may lie unread.
-const STALL_THRESHOLD: Duration = Duration::from_millis(50);
-
 /// Time for which a partition lasts before this host leaves the lease on orders to others.
 const YIELD_DELAY: Duration = Duration::from_millis(500);
 
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -43,8 +43,8 @@
 /// Interval at which the longest lateness of the pump is logged, if it is notable.
 const LATE_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Lateness of an advance of the queues from which on answers of servers may lie unread.
-const STALL_THRESHOLD: Duration = Duration::from_millis(50);
+/// Lateness of a task from which on answers of servers may lie unread.
+pub(crate) const STALL_THRESHOLD: Duration = Duration::from_millis(50);
 
 /// Time between two advances of the queues above which the machine may have been suspended.
 const JUMP_THRESHOLD: Duration = Duration::from_millis(100);
