Share the beginnings of the relay's tests

Ruled out: taking over hedged of answers, which waits and asserts more. Change: common::begin, begin_at_either, check_unwritten. Assertions and cases stay as they are. Conclusion: no check changes.

--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -25,7 +25,12 @@
     routed::{Declaration, Engine, Kind, Limits, Route, Service, Share, State},
 };
 
-use self::{caller::Caller, dialect::NeutralDialect, server::Server, store::StoreObjects};
+use self::{
+    caller::Caller,
+    dialect::NeutralDialect,
+    server::{Connection, Server},
+    store::StoreObjects,
+};
 
 /// Timeout of each wait, and value of each duration in the host's settings that no test varies.
 pub const TIMEOUT: Duration = Duration::from_secs(20);
@@ -211,6 +216,16 @@
     }
 }
 
+/// Starts a host whose server has received the request `q`.
+pub async fn begin(route: Route, server: &Server) -> (TestHost, Caller, Connection) {
+    let host = TestHost::start(route, &[server]).await;
+    let mut caller = host.caller().await;
+    caller.write(&request("q")).await;
+    let mut connection = server.accept().await;
+    connection.receive().await;
+    (host, caller, connection)
+}
+
 /// Returns a route for all paths under `/a/`.
 pub fn route(kind: Kind) -> Route {
     Route {
--- a/crates/relay/tests/leaving.rs
+++ b/crates/relay/tests/leaving.rs
@@ -5,10 +5,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use common::{
-    TestHost,
-    caller::Caller,
-    request, resumable, route,
-    server::{Connection, Server, accept_first, answer, events, stream},
+    TestHost, begin, request, resumable, route,
+    server::{Server, accept_first, answer, events, stream},
 };
 use rstest::rstest;
 use tokio::net::{TcpSocket, TcpStream};
@@ -17,15 +15,6 @@
 /// Time given to a host to notice an event where the test can't observe that it has.
 const SETTLE_TIME: Duration = Duration::from_millis(250);
 
-async fn begin(route: Route, server: &Server) -> (TestHost, Caller, Connection) {
-    let host = TestHost::start(route, &[server]).await;
-    let mut caller = host.caller().await;
-    caller.write(&request("q")).await;
-    let mut connection = server.accept().await;
-    connection.receive().await;
-    (host, caller, connection)
-}
-
 #[rstest]
 #[tokio::test]
 async fn before_the_answer_begins(
--- a/crates/relay/tests/statuses.rs
+++ b/crates/relay/tests/statuses.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use common::{
-    TestHost,
+    TestHost, begin,
     caller::Caller,
     request, resumable, route,
-    server::{self, Connection, END, Server, accept_first, answer, event, events, stream},
+    server::{self, Connection, END, Server, answer, event, events, stream},
 };
 use rstest::rstest;
 use types::routed::{Kind, Route};
@@ -36,13 +36,19 @@
     }
 }
 
-async fn begin(route: Route, server: &Server) -> (TestHost, Caller, Connection) {
-    let host = TestHost::start(route, &[server]).await;
+/// Starts a host with two servers, one of which has received the request `q`. Returns its connection,
+/// and the servers with that one first.
+async fn begin_at_either(route: Route) -> (TestHost, Caller, Connection, (Server, Server)) {
+    let (one, two) = (Server::listen("one").await, Server::listen("two").await);
+    let host = TestHost::start(route, &[&one, &two]).await;
     let mut caller = host.caller().await;
     caller.write(&request("q")).await;
-    let mut connection = server.accept().await;
-    connection.receive().await;
-    (host, caller, connection)
+    let (mut first, servers) = tokio::select! {
+        connection = one.accept() => (connection, (one, two)),
+        connection = two.accept() => (connection, (two, one)),
+    };
+    first.receive().await;
+    (host, caller, first, servers)
 }
 
 /// The answer reached the caller as it was.
@@ -77,12 +83,8 @@
 async fn an_answer_with_no_status_may_have_run(
     #[values("000 No", "600 No", "999 No", "101 Other")] status: &str,
 ) {
-    let (one, two) = (Server::listen("one").await, Server::listen("two").await);
-    let host = TestHost::start(route(Kind::NonIdempotent), &[&one, &two]).await;
-    let mut caller = host.caller().await;
-    caller.write(&request("q")).await;
-    let (mut first, other) = accept_first(&one, &two).await;
-    first.receive().await;
+    let (_host, mut caller, mut first, (_one, other)) =
+        begin_at_either(route(Kind::NonIdempotent)).await;
     first.write(&with_status(&answer("q", "no"), status, Mark::NotRun)).await;
     assert!(!other.is_called().await, "repeated a request that may have run");
     let got = caller.answer().await;
@@ -129,12 +131,8 @@
     #[values("000 No", "099 No", "600 No", "999 No", "2x0 OK")] status: &str,
     #[values(Mark::Sealed, Mark::Unsealed)] mark: Mark,
 ) {
-    let (one, two) = (Server::listen("one").await, Server::listen("two").await);
-    let host = TestHost::start(route(Kind::Idempotent), &[&one, &two]).await;
-    let mut caller = host.caller().await;
-    caller.write(&request("q")).await;
-    let (mut first, other) = accept_first(&one, &two).await;
-    first.receive().await;
+    let (_host, mut caller, mut first, (_one, other)) =
+        begin_at_either(route(Kind::Idempotent)).await;
     first.write(&with_status(&answer("q", "theirs"), status, mark)).await;
     let mut second = other.accept().await;
     second.receive().await;
@@ -151,13 +149,8 @@
     #[values("000 No", "600 No", "999 No")] status: &str,
     #[values(Mark::Sealed, Mark::Unsealed)] mark: Mark,
 ) {
-    let (one, two) = (Server::listen("one").await, Server::listen("two").await);
     let quick = Route { goal: Duration::from_millis(10), ..route(Kind::Idempotent) };
-    let host = TestHost::start(quick, &[&one, &two]).await;
-    let mut caller = host.caller().await;
-    caller.write(&request("q")).await;
-    let (mut first, other) = accept_first(&one, &two).await;
-    first.receive().await;
+    let (_host, mut caller, mut first, (_one, other)) = begin_at_either(quick).await;
     let mut second = other.accept().await;
     second.receive().await;
     second.write(&with_status(&answer("q", "theirs"), status, mark)).await;
@@ -174,12 +167,7 @@
     #[values("000 No", "600 No", "999 No")] status: &str,
     #[values(Mark::Sealed, Mark::Unsealed)] mark: Mark,
 ) {
-    let (one, two) = (Server::listen("one").await, Server::listen("two").await);
-    let host = TestHost::start(resumable(), &[&one, &two]).await;
-    let mut caller = host.caller().await;
-    caller.write(&request("q")).await;
-    let (mut first, other) = accept_first(&one, &two).await;
-    first.receive().await;
+    let (_host, mut caller, mut first, (_one, other)) = begin_at_either(resumable()).await;
     let whole = stream("q") + &events([1, 2]) + END;
     first.write(&with_status(&whole, status, mark)).await;
     let mut second = other.accept().await;
@@ -196,12 +184,7 @@
     #[values("000 No", "600 No", "999 No")] status: &str,
     #[values(Mark::Sealed, Mark::Unsealed)] mark: Mark,
 ) {
-    let (one, two) = (Server::listen("one").await, Server::listen("two").await);
-    let host = TestHost::start(resumable(), &[&one, &two]).await;
-    let mut caller = host.caller().await;
-    caller.write(&request("q")).await;
-    let (mut first, other) = accept_first(&one, &two).await;
-    first.receive().await;
+    let (_host, mut caller, mut first, (_one, other)) = begin_at_either(resumable()).await;
     first.write(&(stream("q") + &events([1]))).await;
     caller.head().await;
     assert_eq!(caller.chunk().await, Some(event(1)));
--- a/crates/relay/tests/unsent.rs
+++ b/crates/relay/tests/unsent.rs
@@ -37,6 +37,15 @@
     TestHost::start_with_forwards(clock, route, &[server], stall).await
 }
 
+/// Checks that a request is refused as not run, and that no byte of it reaches its server.
+async fn check_unwritten(host: &TestHost, server: &Server) {
+    let mut caller = host.caller().await;
+    caller.write(&request("q")).await;
+    assert_eq!(caller.answer().await.status, 503);
+    drop(caller);
+    assert_eq!(server.accept().await.drain().await, 0);
+}
+
 /// Guards against requests that reach a server after their callers have given up.
 #[rstest]
 #[case::idempotent(with_timeout(route(Kind::Idempotent)))]
@@ -47,11 +56,7 @@
     let one = Server::listen("one").await;
     let host = start_host(route, &one).await;
     NEXT_STALL.set(REQUEST_TIMEOUT);
-    let mut caller = host.caller().await;
-    caller.write(&request("q")).await;
-    assert_eq!(caller.answer().await.status, 503);
-    drop(caller);
-    assert_eq!(one.accept().await.drain().await, 0);
+    check_unwritten(&host, &one).await;
 }
 
 /// Guards against requests to a server that may have left while its host could not hear of it.
@@ -66,11 +71,7 @@
     host.objects.set_silent(true);
     // The time within which a server that leaves must be left alone.
     NEXT_STALL.set(TIMEOUT);
-    let mut caller = host.caller().await;
-    caller.write(&request("q")).await;
-    assert_eq!(caller.answer().await.status, 503);
-    drop(caller);
-    assert_eq!(one.accept().await.drain().await, 0);
+    check_unwritten(&host, &one).await;
 }
 
 /// Answers all requests to a server.
