--- a/crates/policy/src/customer/quota.rs
+++ b/crates/policy/src/customer/quota.rs
@@ -151,7 +151,7 @@
             self.decisions.push((pending.ticket, Admission::Granted));
         }
         self.hosts = 0;
-        self.resize(now);
+        self.resize();
     }
 
     /// Charges a request to a customer's quota, if it has one.
@@ -242,7 +242,7 @@
         }
         self.updated_at = Some(now);
         self.sharers.check_isolation(now);
-        self.resize(now);
+        self.resize();
         let fraction = self.sharers.fraction(now);
         let customers: Vec<customer::Id> = self.accounts.keys().cloned().collect();
         for customer in customers {
@@ -404,12 +404,12 @@
             self.live = live;
             self.hosts = 0;
         }
-        self.resize(now);
+        self.resize();
     }
 
     /// Recomputes bounds and hash buckets if the number of hosts has changed.
-    fn resize(&mut self, now: Moment) {
-        let hosts = self.sharers.count(now);
+    fn resize(&mut self) {
+        let hosts = self.sharers.count();
         if self.hosts == hosts {
             return;
         }
--- a/crates/policy/tests/quota/play.rs
+++ b/crates/policy/tests/quota/play.rs
@@ -167,7 +167,7 @@
 
 impl Simulation {
     pub fn new(plan: Plan) -> Simulation {
-        let hosts = (0..plan.hosts).map(|index| Host::new(index, 1, Duration::ZERO));
+        let hosts = (0..plan.hosts).map(|index| Host::new(index, 1, Duration::ZERO, plan.hosts));
         Simulation {
             random: ChaCha8Rng::seed_from_u64(plan.seed),
             hosts: hosts.collect(),
@@ -286,7 +286,7 @@
                 Fault::Cut(_) | Fault::Freeze(_) => None,
             });
         for index in restarted.flatten().collect::<Vec<_>>() {
-            self.hosts[index] = Host::new(index, now.as_millis() as u64, now);
+            self.hosts[index] = Host::new(index, now.as_millis() as u64, now, self.hosts.len());
         }
     }
 
@@ -447,8 +447,10 @@
 }
 
 impl Host {
-    fn new(index: usize, run: host::Incarnation, started_at: Moment) -> Host {
+    /// Creates a host that has read the list of `listed` hosts and is registered.
+    fn new(index: usize, run: host::Incarnation, started_at: Moment, listed: usize) -> Host {
         let mut quotas = Quotas::new(name(index), run);
+        quotas.set_listed(listed as u32);
         quotas.registered(started_at.is_zero());
         Host { quotas, started_at, queue: VecDeque::new(), last_heard: BTreeMap::new() }
     }
--- a/crates/policy/tests/quota/shared.rs
+++ b/crates/policy/tests/quota/shared.rs
@@ -144,6 +144,23 @@
     })
 }
 
+/// Hosts that start in two halves that can't reach each other must not use the limit in each half,
+/// whether a host hears from no other or from some.
+#[rstest]
+fn hosts_that_start_cut_off_from_each_other_keep_a_limit(
+    #[values(2, 4, 9)] hosts: usize,
+    #[values(2.1, 8.0, 40.0)] limit: f64,
+    #[values(1, 656315209694501060)] seed: u64,
+) {
+    let faults = vec![
+        planned(14.6, 25.35, Fault::Restart((0..hosts).collect())),
+        planned(24.7, 47.7, Fault::Cut((hosts / 2..hosts).collect())),
+    ];
+    let steady = Plan::steady(hosts, limit, Duration::from_millis(5));
+    let plan = Plan { seed, faults, length: s(60.0), wait: s(0.8), ..steady };
+    check(&Simulation::new(plan).run());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(48))]
 
