Date requests that are read after a pause of the host to its start

Cause: a host counted a request's time from when it read the head. What the request had waited in the socket, or its connection in the backlog, while the host's process or runtime stood still was not counted, so servers were handed that time as well, and the check in the write did not see it.

Ruled out: counting from the accept of the connection alone (a trial with the accept dated to when it is done fails read_late). Looking only at the time since the last beat when data is read (a trial fails of_a_request_whose_connection_is_accepted_late: the timers run first). Dating without regard to the last use of the connection (a trial fails of_a_request_after_an_answer_that_was_late). The process's clock, which counts suspensions of the machine, in which nothing arrives. The kernel's time of the last data (TCP_INFO) was not tried; it would need a safe wrapper.

Change: the task that advances the queues, which runs at least each 20 ms, records when it runs. What is read over 70 ms after that, or in the four turns in which the sockets are read after such a pause, is dated to the pause's start, or to the last read or write of its connection if that is later. It is the time from which the deadline, the time that servers are handed, refusals and histograms are counted. Whether the declaration must be confirmed is still decided by when the request is read, as it may have arrived that late.

A request that arrived late in a pause is dated too early, by up to the pause. Pauses of up to 70 ms are not counted, and a request's goal is still counted from when the dispatcher gets it.

--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -1,5 +1,7 @@
 //! The listener for callers.
 
+mod socket;
+
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use futures_util::FutureExt;
@@ -11,6 +13,7 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
+use self::socket::Socket;
 use crate::{connect, host::Shared, path};
 
 /// Maximum time for a request's head, counted from the end of the previous request. Callers'
@@ -70,16 +73,18 @@
     connect::prepare(&stream);
     let close = CancellationToken::new();
     let closer = Closer(close.clone());
+    let (socket, delay) = Socket::new(stream, shared.clone());
     let service = service_fn(move |mut request| {
         let shared = shared.clone();
         request.extensions_mut().insert(closer.clone());
-        async move { Ok::<_, Infallible>(path::answer(shared, request).await) }
+        let received = shared.now().saturating_sub(delay.take());
+        async move { Ok::<_, Infallible>(path::answer(shared, request, received).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     let mut connection = std::pin::pin!(connection);
     let serving = async {
         tokio::select! {
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -35,8 +35,8 @@
 use crate::{
     announced::Announced, body::LargeBodies, clock::Clock, confirm::Confirmation, control::Control,
     customers::CustomerQuotas, demand::Demand, directory::Directory, edge::Dialect,
-    log_limiter::LogLimiter, peers::Counts, planning, pool::Pool, store::Store, versions::LastRead,
-    wakeup::Wakeup,
+    lateness::Heartbeat, log_limiter::LogLimiter, peers::Counts, planning, pool::Pool,
+    store::Store, versions::LastRead, wakeup::Wakeup,
 };
 
 /// Difference between the delays with which hosts attempt to take a lease, so that they don't all
@@ -59,6 +59,8 @@
     pub(crate) clock: Clock,
     /// Notified when the clock has jumped, as after a suspension of the machine.
     pub(crate) clock_jumped: Arc<Notify>,
+    /// When the host's tasks last ran.
+    pub(crate) heartbeat: Heartbeat,
     /// Writes the structured log of the host's beliefs and of requests.
     pub(crate) logger: Logger,
     pub(crate) metrics: Metrics,
@@ -207,6 +209,7 @@
             dialect,
             clock,
             clock_jumped: Arc::default(),
+            heartbeat: Heartbeat::start(),
             pool: Pool::default(),
             large_bodies: LargeBodies::default(),
             closing: CancellationToken::new(),
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -24,6 +24,7 @@
     backend,
     routed::{Declaration, Kind, Route},
     service,
+    time::Moment,
 };
 
 use crate::{
@@ -47,13 +48,14 @@
 /// Timeout for receiving a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Handles a caller's request.
+/// Handles a caller's request, which arrived at `received`.
 pub(crate) async fn answer(
     shared: Arc<Shared>,
     request: Request<Incoming>,
+    received: Moment,
 ) -> Response<ResponseBody> {
     let open = shared.open_request();
-    let mut response = match read_request(&shared, request, open).await {
+    let mut response = match read_request(&shared, request, received, open).await {
         Ok(call) => serve(&shared, &Arc::new(call)).await,
         Err(refused) => refused,
     };
@@ -75,9 +77,10 @@
 async fn read_request(
     shared: &Arc<Shared>,
     request: Request<Incoming>,
+    received: Moment,
     open: OpenGuard,
 ) -> Result<Call, Response<ResponseBody>> {
-    let received = shared.now();
+    let read_at = shared.now();
     let (head, body) = request.into_parts();
     let declaration = shared.declaration();
     let Ok(info) = shared.dialect.request_info(&head) else {
@@ -95,7 +98,8 @@
     };
     let mut destination = find_destination(shared, &info);
     if destination.as_ref().is_err_and(|problem| problem.depends_on_declaration()) {
-        if !shared.confirm_for(received).await {
+        // The request may have arrived later than it is dated, under a later declaration.
+        if !shared.confirm_for(read_at).await {
             trace.refused(Refusal::Unconfirmed, BODY_TIMEOUT, Some(NOT_READY_RETRY_AFTER));
             return Err(fail(shared, &trace, Problem::NotRun(NOT_READY_RETRY_AFTER)));
         }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -19,7 +19,7 @@
     demand,
     edge::Dialect,
     host::Shared,
-    lateness::Lateness,
+    lateness::{Heartbeat, Lateness},
     lease, paths,
     peers::{self, PeerSource},
     planning, quarantine, ready, registration, retries, slots, task, versions, watch, workload,
@@ -252,6 +252,7 @@
             () = sleep(wait) => {}
             () = shared.dispatch_wakeup.notified() => {}
         }
+        Heartbeat::beat(&shared);
         let now = shared.now();
         if due <= now {
             late.record(&shared, now.saturating_sub(due), now);
--- a/crates/relay/src/timer.rs
+++ b/crates/relay/src/timer.rs
@@ -23,9 +23,14 @@
 pub(crate) async fn sleep_until(end: Instant) {
     time::sleep_until(end).await;
     if MIN_LATENESS <= end.elapsed() {
-        for _ in 0..READ_TURNS {
-            yield_now().await;
-        }
+        until_sockets_read().await;
+    }
+}
+
+/// Waits until the process has read what had arrived in its sockets.
+pub(crate) async fn until_sockets_read() {
+    for _ in 0..READ_TURNS {
+        yield_now().await;
     }
 }
 
--- a/crates/relay/tests/deadlines.rs
+++ b/crates/relay/tests/deadlines.rs
@@ -5,6 +5,8 @@
 mod common;
 
 use std::{
+    io::Write,
+    net::TcpStream,
     thread,
     time::{Duration, Instant},
 };
@@ -13,6 +15,7 @@
     TestHost, route,
     server::{Connection, Received, Server, accept_first, answer},
 };
+use rstest::rstest;
 use types::routed::Kind;
 
 /// Time that the caller gives its request.
@@ -24,6 +27,18 @@
 /// Time by which a server may be handed too much.
 const TOLERANCE: Duration = Duration::from_millis(50);
 
+/// Time in which the host reads what has arrived, and notices that it stood still.
+const BRIEFLY: Duration = Duration::from_millis(20);
+
+/// When a caller connects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Connecting {
+    /// Before the host stands still.
+    Before,
+    /// Afterwards.
+    After,
+}
+
 /// Returns the text of a caller's request that states [`CALLER_TIME`].
 fn timed_request() -> String {
     let left = CALLER_TIME.as_millis();
@@ -39,11 +54,16 @@
     since.elapsed()
 }
 
+/// Returns the time that a request states.
+fn time_left(received: &Received) -> Duration {
+    let left = received.header("time-left").and_then(|text| text.parse().ok());
+    Duration::from_millis(left.expect("the time left"))
+}
+
 /// Checks that a request that was written later than `elapsed` after the caller sent it states no
 /// more time than was left then.
 fn check_time_left(received: &Received, elapsed: Duration) {
-    let left = received.header("time-left").and_then(|text| text.parse().ok());
-    let left = Duration::from_millis(left.expect("the time left"));
+    let left = time_left(received);
     assert!(
         left + elapsed <= CALLER_TIME + TOLERANCE,
         "{left:?} were handed on {elapsed:?} after the request, of {CALLER_TIME:?}"
@@ -96,3 +116,70 @@
     let elapsed = stall(sent_at);
     check_time_left(&one.accept().await.receive().await, elapsed);
 }
+
+/// The same on a connection that has waited to be accepted. The host's timers run before it is read.
+#[tokio::test]
+async fn of_a_request_whose_connection_is_accepted_late() {
+    let one = Server::listen("one").await;
+    let host = TestHost::start(route(Kind::NonIdempotent), &[&one]).await;
+    let sent_at = Instant::now();
+    let mut caller = TcpStream::connect(host.address).expect("a connection");
+    caller.write_all(timed_request().as_bytes()).expect("written");
+    let elapsed = stall(sent_at);
+    check_time_left(&one.accept().await.receive().await, elapsed);
+}
+
+/// The same on a connection that the host has accepted, and read before.
+#[tokio::test]
+async fn of_a_further_request_that_is_read_late() {
+    let one = Server::listen("one").await;
+    let host = TestHost::start(route(Kind::NonIdempotent), &[&one]).await;
+    let mut caller = host.caller().await;
+    caller.write(&timed_request()).await;
+    let mut first = one.accept().await;
+    first.receive().await;
+    first.write(&answer("q", "yes")).await;
+    assert_eq!(caller.answer().await.status, 200);
+    tokio::time::sleep(BRIEFLY).await;
+    let sent_at = Instant::now();
+    caller.write(&timed_request()).await;
+    let elapsed = stall(sent_at);
+    check_time_left(&one.accept().await.receive().await, elapsed);
+}
+
+/// Guards against a host that counts its pause against a request that was sent afterwards: on a
+/// connection that was idle meanwhile, and on one that is new.
+#[rstest]
+#[case::known(Connecting::Before)]
+#[case::new(Connecting::After)]
+#[tokio::test]
+async fn of_a_request_that_is_sent_after_a_pause(#[case] connecting: Connecting) {
+    let one = Server::listen("one").await;
+    let host = TestHost::start(route(Kind::NonIdempotent), &[&one]).await;
+    let mut caller = host.caller().await;
+    tokio::time::sleep(BRIEFLY).await;
+    stall(Instant::now());
+    // The host has noticed the pause.
+    tokio::time::sleep(BRIEFLY).await;
+    if connecting == Connecting::After {
+        caller = host.caller().await;
+    }
+    caller.write(&timed_request()).await;
+    let left = time_left(&one.accept().await.receive().await);
+    assert!(CALLER_TIME <= left + TOLERANCE, "{left:?} of {CALLER_TIME:?} were handed on");
+}
+
+/// Guards against a host that counts its pause against a request whose caller can't have sent it
+/// before the host read and answered the one before, after the pause.
+#[tokio::test]
+async fn of_a_request_after_an_answer_that_was_late() {
+    let one = Server::listen("one").await;
+    let host = TestHost::start(route(Kind::NonIdempotent), &[&one]).await;
+    let mut caller = host.caller().await;
+    caller.write("GET /none HTTP/1.1\r\nhost: h\r\nrequest-name: p\r\n\r\n").await;
+    stall(Instant::now());
+    assert_eq!(caller.answer().await.status, 404);
+    caller.write(&timed_request()).await;
+    let left = time_left(&one.accept().await.receive().await);
+    assert!(CALLER_TIME <= left + TOLERANCE, "{left:?} of {CALLER_TIME:?} were handed on");
+}
