Look at waiting requests again for the host's lateness

Cause: requests that arrive or are repeated are refused if the host's lateness leaves no time to serve them by their deadline. Those that wait in the queue were compared with the expected service time alone when a server had a place, so a late host sent what could not be served in time.

Ruled out: refusing all of them. One that a server may have run can't be refused as not run, and the host may be on time again before it expires, so it goes on waiting.

Change: before a waiting request is sent, a late host refuses it as not run if its deadline is at most the lateness and the service time away. Nothing changes while the host is on time.

A request is looked at when it is its turn, not as soon as the host is late.

--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -235,7 +235,7 @@
     /// Whether this host's tasks run so late that the request can't be served by its deadline. While
     /// they are on time, a request with little time left is still sent: its service may be faster
     /// than expected.
-    fn is_lost_to_lateness(&self, task: &Task, now: Moment) -> bool {
+    pub(super) fn is_lost_to_lateness(&self, task: &Task, now: Moment) -> bool {
         let serve = duration(self.stats(task).base());
         !self.lateness.is_zero() && task.spec.deadline <= now + self.lateness + serve
     }
--- a/crates/policy/src/dispatch/pump.rs
+++ b/crates/policy/src/dispatch/pump.rs
@@ -178,6 +178,16 @@
             if task.spec.deadline <= now + duration(self.stats(task).base()) {
                 continue;
             }
+            if self.is_lost_to_lateness(task, now) {
+                // One that may have run can't be refused; the host may be on time before it expires.
+                if task.runs == 0 {
+                    let after = self.retry_after(task, now);
+                    let verdict = Verdict::Refuse { cause: Cause::Late, after };
+                    self.drop_waiting(service, key);
+                    changes.push(Change { ticket: key.ticket, verdict });
+                }
+                continue;
+            }
             let verdict = match self.is_quarantined(&task.spec, now) {
                 true => Some(Verdict::Quarantined),
                 false => None,
--- a/crates/policy/tests/dispatch/lateness.rs
+++ b/crates/policy/tests/dispatch/lateness.rs
@@ -1,7 +1,8 @@
 //! Tests of requests that arrive while the host's tasks run late.
 
 use policy::dispatch::{
-    Answer, Cause, End, NotRun, RequestSpec, RetryDecision, Unreachable, Verdict,
+    Answer, Cause, Change, Dispatcher, End, NotRun, RequestSpec, RetryDecision, Unreachable,
+    Verdict,
 };
 use rstest::rstest;
 use types::{prelude::*, routed::Kind};
@@ -72,3 +73,73 @@
         panic!("not given up as late: {decision:?}");
     };
 }
+
+/// Ticket of the request that waits.
+const WAITING: u64 = 100;
+
+/// Number of requests that the fixture's server gets before others wait.
+const PLACES: u64 = 3;
+
+/// Returns a host whose only server is full, where a request with this deadline waits.
+fn with_waiting(kind: Kind, deadline: Moment) -> Dispatcher {
+    let mut host = plain(&["s1"]);
+    for ticket in 0..PLACES {
+        sent(host.arrive(request(ticket, Kind::NonIdempotent, at(0)), at(0)));
+    }
+    assert_eq!(host.arrive(due(WAITING, kind, deadline), at(0)), Verdict::Wait);
+    host
+}
+
+/// Returns the verdicts on requests once one has ended, while the host is late.
+fn with_place(host: &mut Dispatcher, ended: u64) -> Vec<Change> {
+    host.set_lateness(LATENESS);
+    host.ended(ended, End::Cancelled, at(100));
+    host.pump(at(100))
+}
+
+/// Guards against requests that a late host sends from its queue and that can't be served by their
+/// deadline.
+#[rstest]
+#[case::idempotent(Kind::Idempotent)]
+#[case::non_idempotent(Kind::NonIdempotent)]
+#[case::stream(Kind::Stream)]
+fn a_late_host_refuses_what_has_waited_too_long_to_be_served(#[case] kind: Kind) {
+    let deadline = at(100) + LATENESS + SERVICE;
+    let mut host = with_waiting(kind, deadline);
+    let changes = with_place(&mut host, 0);
+    let [Change { ticket: WAITING, verdict: Verdict::Refuse { cause: Cause::Late, after } }] =
+        changes[..]
+    else {
+        panic!("not refused as late: {changes:?}");
+    };
+    assert!(Duration::ZERO < after && after < deadline, "{after:?}");
+    assert_eq!(host.waiting(), 0);
+}
+
+/// Guards against refusals of waiting requests that a late host can still serve by the deadline.
+#[rstest]
+fn a_late_host_sends_what_has_waited_and_can_be_served() {
+    let mut host = with_waiting(Kind::Idempotent, at(101) + LATENESS + SERVICE);
+    let verdict = Verdict::Send("s1".into());
+    assert_eq!(with_place(&mut host, 0), [Change { ticket: WAITING, verdict }]);
+}
+
+/// Guards against a request that a server may have run and that is refused as not run, or given up
+/// while the host may still be on time again.
+#[rstest]
+fn a_late_host_keeps_what_may_have_run() {
+    let mut host = plain(&["s1", "s2"]);
+    let deadline = at(100) + LATENESS + SERVICE;
+    let failed = sent(host.arrive(due(WAITING, Kind::Idempotent, deadline), at(0)));
+    host.sent(WAITING, policy::paths::Path::Direct, at(0));
+    let others = 0..2 * PLACES - 1;
+    let servers = others.map(|n| sent(host.arrive(request(n, Kind::NonIdempotent, at(0)), at(0))));
+    let servers: Vec<_> = servers.collect();
+    let elsewhere = servers.iter().position(|server| *server != failed).expect("another server");
+    let decision = host.attempt_failed(WAITING, End::ServerError, at(10));
+    assert_eq!(decision, RetryDecision::Wait);
+    assert_eq!(with_place(&mut host, elsewhere as u64), []);
+    host.set_lateness(Duration::ZERO);
+    let verdict = Verdict::Send(servers[elsewhere].clone());
+    assert_eq!(host.pump(at(110)), [Change { ticket: WAITING, verdict }]);
+}
