Take a status outside of 200 to 599 for no answer in the chat interface

Cause: the HTTP client accepts statuses from 100 to 999. A plain service's answer with 101 or 600 to 999 was passed on, and recorded as the outcome of its key; an engine's was reported to the caller as its own mistake (400) and an idempotent request was not sent again. A recorded status that is no status at all was replayed as 200.

Ruled out: a "not run" mark beside such a status. Servers have no such mark in the chat interface; a 429 or 503 counts as "may have run", and requests that may run once were not sent again before either.

Change: such an answer ends the attempt as a fault of the server (`Point::Fault`, may have run): an idempotent request whose body is held goes to another server, any other one ends with 502. A recorded outcome without a final status is answered as one whose answer was not stored (409, ran). `Fixture::start_on` starts a test's host on the platform that an earlier one has used.

Conclusion: both kinds of deployment take such a status for no answer.

--- a/crates/stage/src/answer.rs
+++ b/crates/stage/src/answer.rs
@@ -220,7 +220,7 @@
             StatusCode::TOO_MANY_REQUESTS
             | StatusCode::SERVICE_UNAVAILABLE
             | StatusCode::NOT_FOUND => Point::Refused,
-            status if status.is_server_error() => Point::Fault,
+            status if status.is_server_error() || !attempt::is_final(status) => Point::Fault,
             status => {
                 let detail = format!("the engine answers {status} to this request");
                 sent.complete();
--- a/crates/stage/src/filters/attempt.rs
+++ b/crates/stage/src/filters/attempt.rs
@@ -11,6 +11,7 @@
 use ::backend::wire;
 use axum::{
     extract::{Request, State},
+    http::StatusCode,
     response::{IntoResponse, Response},
 };
 use types::{prelude::*, request::Ran};
@@ -82,6 +83,12 @@
         .ok_or_else(|| Problem::new(problem::Kind::Internal, "the first attempt was already taken"))
 }
 
+/// Returns whether HTTP defines a class of final responses for a status. The HTTP client accepts
+/// statuses up to 999.
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns the problem that ends a call after its last attempt; `ran` covers all attempts.
 pub(crate) fn give_up(call: &Call, context: &Context, ran: Ran, cause: &str) -> Problem {
     let kind = match ran {
--- a/crates/stage/src/filters/attempt/plain.rs
+++ b/crates/stage/src/filters/attempt/plain.rs
@@ -15,7 +15,7 @@
 };
 use types::{prelude::*, request::Ran};
 
-use super::{first, give_up, upload::Upload};
+use super::{first, give_up, is_final, upload::Upload};
 use crate::{
     answer::next_attempt,
     context::Context,
@@ -89,6 +89,9 @@
             let response = self.context.backends.send(sent.server().address, self.request());
             let answer = tokio::time::timeout(self.call.time_left(&self.context), response).await;
             let (point, cause) = match answer {
+                Ok(Ok(response)) if !is_final(response.status()) => {
+                    (Point::Fault, format!("the service answers {}", response.status().as_u16()))
+                }
                 Ok(Ok(response)) if is_rejection(&response) => {
                     match self.attempt_failed(sent, Point::Refused, "the service refuses").await {
                         Ok(sent) => next = Some(sent),
--- a/crates/stage/src/filters/once.rs
+++ b/crates/stage/src/filters/once.rs
@@ -26,7 +26,7 @@
 
 use crate::{
     context::Context,
-    filters::Call,
+    filters::{Call, attempt},
     problem::{Kind, Problem},
 };
 
@@ -226,13 +226,14 @@
 }
 
 fn replay(outcome: Outcome) -> Result<Response, Problem> {
-    let once::Body::Complete(body) = outcome.body else {
+    let status = StatusCode::from_u16(outcome.status).ok().filter(|s| attempt::is_final(*s));
+    let (once::Body::Complete(body), Some(status)) = (outcome.body, status) else {
         let detail =
             format!("the request ran, with status {}; its answer was not stored", outcome.status);
         return Err(Problem::new(Kind::AlreadyRan, detail).ran(Ran::Ran));
     };
     let mut response = Response::new(Body::from(body));
-    *response.status_mut() = StatusCode::from_u16(outcome.status).unwrap_or_default();
+    *response.status_mut() = status;
     if let Ok(value) = HeaderValue::from_str(&outcome.content_type)
         && !outcome.content_type.is_empty()
     {
--- a/crates/stage/tests/common/in_process.rs
+++ b/crates/stage/tests/common/in_process.rs
@@ -28,6 +28,15 @@
     /// As [`Fixture::start`], with the given `bounds` settings for callers.
     pub async fn start_with(servers: &[ScriptedServer], bounds: serde_json::Value) -> Fixture {
         let platform = Platform::start().await.expect("the platform starts");
+        Fixture::start_on(platform, servers, bounds).await
+    }
+
+    /// As [`Fixture::start_with`], on a platform that has the state of an earlier host.
+    pub async fn start_on(
+        platform: Platform,
+        servers: &[ScriptedServer],
+        bounds: serde_json::Value,
+    ) -> Fixture {
         let config = json!({
             "customers": {"guests": {}},
             "models": {"welcome": {"group": "lm", "version": "v1", "memory": 1}},
--- a/crates/stage/tests/retry.rs
+++ b/crates/stage/tests/retry.rs
@@ -14,7 +14,8 @@
 };
 use rstest::rstest;
 use serde_json::json;
-use types::backend::Kind;
+use standin::objects::Platform;
+use types::{backend::Kind, request::Repeat};
 
 use Step::{Done, OtherRequest, Token};
 
@@ -223,6 +224,91 @@
     fixture.host.drain().await;
 }
 
+/// Guards against a status outside of the classes of HTTP that is taken for an answer: it was passed
+/// on, or blamed on the caller. The request may have run, so only an idempotent one is sent again.
+#[rstest]
+#[tokio::test]
+async fn an_answer_without_a_final_status_is_none(
+    #[values(101, 600, 999)] status: u16,
+    #[values(Kind::Engine, Kind::Plain)] kind: Kind,
+    #[values(Repeat::Idempotent, Repeat::Once)] repeat: Repeat,
+) {
+    let servers = servers(kind, Behavior::Status(status)).await;
+    let fixture = Fixture::start(&servers).await;
+    let answer = match (kind, repeat) {
+        (Kind::Engine, Repeat::Idempotent) => chat(&fixture, "true").await,
+        (Kind::Engine, Repeat::Once) => chat(&fixture, "false").await,
+        (Kind::Plain, Repeat::Idempotent) => ticket(&fixture, "PUT", &[]).await,
+        (Kind::Plain, Repeat::Once) => ticket(&fixture, "POST", &[]).await,
+    };
+    match repeat {
+        Repeat::Idempotent => {
+            check_answer(&answer, Expected::SecondAnswer, servers[1].requests());
+        }
+        Repeat::Once => {
+            assert_eq!(answer.status, 502, "{}", answer.text());
+            check_answer(&answer, Expected::Problem("may-have-run"), servers[1].requests());
+        }
+    }
+    assert_eq!(servers[0].requests(), 1);
+    fixture.host.drain().await;
+}
+
+/// Guards against an answer without a final status that is recorded as the key's outcome.
+#[rstest]
+#[tokio::test]
+async fn an_answer_without_a_final_status_is_not_replayed(#[values(101, 600, 999)] status: u16) {
+    let servers = servers(Kind::Plain, Behavior::Status(status)).await;
+    let fixture = Fixture::start(&servers).await;
+    assert_eq!(ticket(&fixture, "POST", &[KEY]).await.status, 502);
+    let again = ticket(&fixture, "POST", &[KEY]).await;
+    assert_eq!((again.status, &again.json()["ran"]), (409, &json!("may-have-run")));
+    assert_eq!((servers[0].requests(), servers[1].requests()), (1, 0));
+    fixture.host.drain().await;
+}
+
+/// Guards against a recorded status that can't be replayed and is replaced by another one: as 200, it
+/// told the caller that the request had succeeded.
+#[rstest]
+#[tokio::test]
+async fn a_recorded_status_is_replayed_only_if_it_is_final(
+    #[values(0, 99, 101, 600, 999, 1000)] status: u16,
+) {
+    let servers = servers(Kind::Plain, Behavior::Serve).await;
+    let fixture = Fixture::start(&servers).await;
+    assert_eq!(ticket(&fixture, "POST", &[KEY]).await.status, 200);
+    let Fixture { host, platform } = fixture;
+    host.drain().await;
+    assert!(replace_status(&platform, status), "no outcome is recorded");
+    let fixture = Fixture::start_on(platform, &servers, json!({})).await;
+    let again = ticket(&fixture, "POST", &[KEY]).await;
+    assert_eq!((again.status, &again.json()["ran"]), (409, &json!("ran")), "{}", again.text());
+    assert_eq!((servers[0].requests(), servers[1].requests()), (1, 0));
+    fixture.host.drain().await;
+}
+
+/// Replaces the status of the recorded outcomes; returns whether there are any.
+fn replace_status(platform: &Platform, status: u16) -> bool {
+    let recorded = "\"status\":200";
+    let mut is_replaced = false;
+    for key in platform.keys("once/") {
+        let Some((_, document)) = platform.peek(&key) else { continue };
+        let text = document.to_string();
+        if text.contains(recorded) {
+            let text = text.replace(recorded, &format!("\"status\":{status}"));
+            platform.poke(&key, serde_json::from_str(&text).expect("a JSON document"));
+            is_replaced = true;
+        }
+    }
+    is_replaced
+}
+
+const KEY: (&str, &str) = ("idempotency-key", "ticket");
+
+async fn ticket(fixture: &Fixture, method: &str, headers: &[(&str, &str)]) -> Answer {
+    send(fixture.callers(), method, "/services/tickets/rooms", headers, "letter").await
+}
+
 async fn chat(fixture: &Fixture, idempotent: &str) -> Answer {
     chat_with_prompt(fixture, idempotent, "hola").await
 }
