Judge the store by no timeout of a host that stood still

Cause: a call that ran into its timeout because the host did not run counted as a failure of the store, as did a watch whose answer lay unread. The host then held the store for out for 8 s, and went on using servers whose entries were removed. Change: the tasks that observe pauses tell the store's client, too. A timeout of a call in which the host stood still is no failure, unless the store has answered nothing since the first such timeout for as long as two answers may lie apart. What has arrived by a late timeout is read before. Refused and closed connections and unreadable answers count as before. Watches are still hedged after any call without a response; the end of an outage counts as a failure only if a call in it did. Conclusion: a pause of a host is no outage. A host that is late all the time notices an outage later than before, by up to 0.6 of the time in which a leaving server must be left alone.

--- a/crates/relay/src/lateness.rs
+++ b/crates/relay/src/lateness.rs
@@ -8,7 +8,15 @@
 
 use types::time::Moment;
 
-use crate::run::PUMP_INTERVAL;
+use crate::{host::Shared, run::PUMP_INTERVAL};
+
+impl Shared {
+    /// Records that the host runs again after it stood still.
+    pub(crate) fn resumed(&self, now: Moment) {
+        self.dispatcher().resumed(now);
+        self.store.resumed(now);
+    }
+}
 
 /// Observes how late a task runs that is due at regular intervals.
 #[derive(Debug, Default)]
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -260,7 +260,7 @@
             shared.dispatcher().set_lateness(lateness);
         }
         if due + STALL_THRESHOLD <= now {
-            shared.dispatcher().resumed(now);
+            shared.resumed(now);
         }
         if before + JUMP_THRESHOLD < now {
             shared.clock_jumped.notify_waiters();
--- a/crates/relay/src/watch/hedge.rs
+++ b/crates/relay/src/watch/hedge.rs
@@ -13,17 +13,14 @@
 use std::pin::Pin;
 
 use policy::follow::WatchTimes;
-use tokio::{
-    select,
-    sync::watch::Receiver,
-    time::{Instant, sleep_until},
-};
+use tokio::{select, sync::watch::Receiver, time::Instant};
 use types::time::Moment;
 
 use crate::{
     connect::Connection,
     edge::{ObjectKind, Revision, StoreReply},
     host::Shared,
+    timer,
 };
 
 type Watch<'a> = Pin<Box<dyn Future<Output = (StoreReply, Option<Connection>)> + Send + 'a>>;
@@ -62,8 +59,8 @@
     /// Returns the first response to a watch from this revision, or the failure of the last watch
     /// in flight, and when that watch was started.
     ///
-    /// A watch that may have stalled counts as a failure of the store, during which entries of
-    /// healthy servers may have expired.
+    /// A silent watch counts as a failure of the store, during which entries of healthy servers may
+    /// have expired.
     pub(super) async fn next(
         &mut self,
         since: Revision,
@@ -71,6 +68,7 @@
     ) -> (StoreReply, Moment) {
         let mut oldest = self.start(since, watch);
         let mut newest: Option<Pending<'a>> = None;
+        let mut trusted_from = oldest.began;
         let mut trusted_until = Instant::now() + watch.trust;
         loop {
             // After a time in which this host did not run, answers are read before a watch is suspected.
@@ -96,9 +94,11 @@
                 cause = self.suspicion(trusted_until) => {
                     if cause == Cause::Silence {
                         self.shared.store.report_silent_watch(self.kind, watch.trust);
+                        self.shared.store.record_timeout(trusted_from, trusted_from + watch.trust);
                     }
-                    self.shared.store.record_failure();
-                    newest = Some(self.start(since, watch));
+                    let started = self.start(since, watch);
+                    trusted_from = started.began;
+                    newest = Some(started);
                     trusted_until = Instant::now() + watch.trust;
                 }
             }
@@ -109,7 +109,7 @@
     async fn suspicion(&mut self, trusted_until: Instant) -> Cause {
         select! {
             _ = self.outages.changed() => Cause::Outage,
-            () = sleep_until(trusted_until) => Cause::Silence,
+            () = timer::sleep_until(trusted_until) => Cause::Silence,
         }
     }
 
--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -120,6 +120,9 @@
     fn store_call(&self, call: &StoreCall<'_>) -> Request<Bytes> {
         let path = match call {
             StoreCall::Watch { since, wait, .. } => format!("/watch/{since}/{}", wait.as_millis()),
+            StoreCall::Get { kind: ObjectKind::Lease, .. }
+            | StoreCall::Create { kind: ObjectKind::Lease, .. }
+            | StoreCall::Replace { kind: ObjectKind::Lease, .. } => "/lease".into(),
             _ => "/list".into(),
         };
         Request::get(path).body(Bytes::new()).expect("a call")
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -117,6 +117,12 @@
             .await
     }
 
+    /// Starts a host as [`TestHost::start`] does, which leaves servers alone within `drain`.
+    pub async fn start_with_drain(drain: Duration, route: Route, servers: &[&Server]) -> TestHost {
+        let settings = RoutedSettings { drain, ..routed() };
+        TestHost::start_with(Clock::start(), settings, route, servers).await
+    }
+
     async fn start_with(
         clock: Clock,
         routed: RoutedSettings,
--- a/crates/relay/tests/common/store.rs
+++ b/crates/relay/tests/common/store.rs
@@ -7,6 +7,7 @@
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
+    thread,
     time::Duration,
 };
 
@@ -16,10 +17,28 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::watch,
-    time::timeout,
+    time::{sleep, timeout},
 };
 use types::routed::{Declaration, Server};
 
+/// How the store ends a call.
+#[derive(Clone, Copy, Debug)]
+pub enum Ending {
+    /// It answers after a delay, during which the thread is free.
+    Answer(Duration),
+    /// It closes the connection.
+    Close,
+}
+
+/// A call during which the thread is blocked, which is also the host's.
+#[derive(Clone, Copy, Debug)]
+pub struct Stall {
+    /// Start of the call's path.
+    pub path: &'static str,
+    pub blocked: Duration,
+    pub ending: Ending,
+}
+
 /// The store's objects: the declaration, the registered servers and the lease on orders.
 pub struct StoreObjects {
     pub declaration: Declaration,
@@ -28,8 +47,14 @@
     /// Kinds of which the next object or list that is parsed makes the parser panic.
     planted: Mutex<Vec<ObjectKind>>,
     revision: watch::Sender<u64>,
+    /// Servers that are no longer registered.
+    removed: Mutex<Vec<Arc<str>>>,
     /// Whether watches get no response.
     is_silent: AtomicBool,
+    /// Whether calls other than watches get no response.
+    is_mute: AtomicBool,
+    /// The stall of the next call that it applies to.
+    stall: watch::Sender<Option<Stall>>,
     /// Whether the host has registered itself.
     pub registered: watch::Sender<bool>,
 }
@@ -42,7 +67,10 @@
             lease: Mutex::default(),
             planted: Mutex::default(),
             revision: watch::Sender::new(1),
+            removed: Mutex::default(),
             is_silent: AtomicBool::new(false),
+            is_mute: AtomicBool::new(false),
+            stall: watch::Sender::default(),
             registered: watch::Sender::new(false),
         }
     }
@@ -52,6 +80,32 @@
         self.revision.send_modify(|revision| *revision += 1);
     }
 
+    /// Removes the entry of a server.
+    pub fn deregister(&self, name: &str) {
+        self.servers.lock().expect("servers").retain(|server| &*server.id != name);
+        self.removed.lock().expect("removed").push(name.into());
+        self.revision.send_modify(|revision| *revision += 1);
+    }
+
+    /// Stalls the next call that the stall applies to; returns once the thread was blocked.
+    pub async fn stall(&self, stall: Stall) {
+        let mut stalls = self.stall.subscribe();
+        self.stall.send_replace(Some(stall));
+        stalls.wait_for(Option::is_none).await.expect("a store");
+    }
+
+    fn take_stall(&self, head: &str) -> Option<Stall> {
+        let stall = (*self.stall.borrow()).filter(|stall| head.contains(stall.path))?;
+        thread::sleep(stall.blocked);
+        self.stall.send_replace(None);
+        Some(stall)
+    }
+
+    /// Sets whether calls other than watches that are sent from now on get no response.
+    pub fn set_mute(&self, is_mute: bool) {
+        self.is_mute.store(is_mute, Ordering::Relaxed);
+    }
+
     /// Sets whether watches that are sent from now on get no response.
     pub fn set_silent(&self, is_silent: bool) {
         self.is_silent.store(is_silent, Ordering::Relaxed);
@@ -111,7 +165,12 @@
     pub fn changes(&self, kind: ObjectKind, since: u64) -> WatchBatch {
         let page = self.page(kind);
         let written = page.objects.into_iter().filter(|_| since < page.revision);
-        WatchBatch { changes: written.map(Change::Written).collect(), revision: page.revision }
+        let removed = self.removed.lock().expect("removed");
+        let removed = removed.iter().filter(|_| kind == ObjectKind::Server);
+        let removed =
+            removed.map(|name| Change::Removed { name: name.clone(), revision: page.revision });
+        let changes = removed.chain(written.map(Change::Written)).collect();
+        WatchBatch { changes, revision: page.revision }
     }
 }
 
@@ -143,6 +202,13 @@
                 continue;
             }
             let _ = timeout(wait, revisions.wait_for(|revision| since < *revision)).await;
+        } else if objects.is_mute.load(Ordering::Relaxed) {
+            continue;
+        }
+        match objects.take_stall(&text).map(|stall| stall.ending) {
+            Some(Ending::Answer(delay)) => sleep(delay).await,
+            Some(Ending::Close) => return,
+            None => {}
         }
         if stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await.is_err() {
             return;
