Export the notices that a host refuses

Cause: the exchange counts notices that it refuses because its inbox is full; no metric showed them.

Ruled out: `routed_exchange_lost` as the place, since it counts at the sender, and only what was given up.

Figures: before, the case of `observe: routed` didn't compile for want of the method; after, 22 of 22 green. `relay: late::refused_notices_are_exported` green (not run without the change).

Conclusion: the metric is three lines of text longer, and a host's full inbox shows.

--- a/crates/observe/src/metrics/routed/exchange.rs
+++ b/crates/observe/src/metrics/routed/exchange.rs
@@ -20,6 +20,7 @@
     messages: Gauge<u64>,
     message_bytes: Gauge<u64>,
     lost: BoundGauge<u64>,
+    refused: BoundGauge<u64>,
 }
 
 impl Exchange {
@@ -60,6 +61,12 @@
                 "Notices that were not acknowledged, or not queued because the outbox was full",
             )
             .bind(&[]),
+            refused: gauge(
+                meter,
+                "routed_exchange_refused",
+                "Notices refused because the inbox was full",
+            )
+            .bind(&[]),
         }
     }
 }
@@ -95,4 +102,10 @@
     pub fn exchange_lost(&self, notices: u64) {
         self.0.exchange.lost.record(notices);
     }
+
+    /// Sets the number of notices that were refused since the start of the process because the inbox
+    /// was full; one that is sent again and refused again counts each time.
+    pub fn exchange_refused(&self, notices: u64) {
+        self.0.exchange.refused.record(notices);
+    }
 }
--- a/crates/observe/tests/routed.rs
+++ b/crates/observe/tests/routed.rs
@@ -33,6 +33,8 @@
     routed.budget(&"chat".into(), 3.5);
     routed.budget_spent(&"chat".into(), 7);
     routed.budget_hosts(6);
+    routed.exchange_lost(4);
+    routed.exchange_refused(9);
 }
 
 #[rstest]
@@ -54,6 +56,8 @@
 #[case(r#"budget{service="chat"}"#, 3.5)]
 #[case(r#"budget_spent{service="chat"}"#, 7.0)]
 #[case("budget_hosts", 6.0)]
+#[case("exchange_lost", 4.0)]
+#[case("exchange_refused", 9.0)]
 fn each_is_shown_by_its_labels(#[case] series: &str, #[case] expected: f64) {
     let metrics = Metrics::new().unwrap();
     record_all(&metrics.routed());
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -315,6 +315,7 @@
         self.meters.exchange(Direction::Sent, counts.sent, counts.sent_bytes);
         self.meters.exchange(Direction::Received, counts.received, counts.received_bytes);
         self.meters.exchange_lost(counts.lost_notices);
+        self.meters.exchange_refused(exchange.dropped_notices());
         for (content, origin, sent) in exchange.traffic().iter() {
             let (content, origin) = (content.as_str(), origin.as_str());
             self.meters.exchange_messages(content, origin, sent.messages, sent.bytes);
--- a/crates/relay/tests/late.rs
+++ b/crates/relay/tests/late.rs
@@ -110,3 +110,12 @@
     connection.write(&answer("q2", "yes")).await;
     assert_eq!(caller.answer().await.status, 200);
 }
+
+/// Guards against refused notices that are counted but missing from the host's metrics.
+#[tokio::test]
+async fn refused_notices_are_exported() {
+    let (host, ..) = begin().await;
+    tokio::time::sleep(NOTICE_TIME).await;
+    let metrics = host.metrics().await;
+    assert!(metrics.contains("cyclamenstage_routed_exchange_refused 0\n"), "{metrics}");
+}
