Report requests whose deadlines pass while connecting as not run

Cause: an attempt counted as possibly executed from before its connection was established. A request whose deadline passed meanwhile was answered with 504, though no byte of it had been sent, and its caller could not retry it if it was not idempotent.

Ruled out: a byte that was sent. A request that was handed over and not yet written still counts as possibly executed.

Change: an attempt is split into taking a connection and sending on it; it is counted between both.

Conclusion: partition::a_server_that_leaves_while_another_host_connects_gets_no_request can end with 504 by this rule if its host takes over 450 ms to learn that both servers leave.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use policy::{
+    customer,
     dispatch::{NotRun, Ticket, Unclear, Unreachable},
     paths::Path,
 };
@@ -149,21 +150,26 @@
     }
 }
 
-/// Sends a request to a server and waits for the head of the response.
+/// A request that may be sent on a connection to its server.
+pub(crate) struct Prepared {
+    attempt: Attempt,
+    connection: Connection,
+    caller: customer::Caller,
+}
+
+/// Takes or opens a connection to a server, without sending anything of the request.
 ///
 /// # Errors
 ///
-/// The attempt failed; the value states whether the request may have been executed.
-pub(crate) async fn begin(
+/// There is no connection, or the request may no longer be sent.
+pub(crate) async fn prepare(
     shared: &Arc<Shared>,
     ticket: Ticket,
     server: &Arc<Server>,
     call: &Call,
-    after: Option<u64>,
-) -> Result<ResponseStart, AttemptEnd> {
-    let buffered = &call.request;
-    let mut attempt = Attempt::new(shared.clone(), ticket, server.clone());
-    let mut connection = match idle_connection(shared, server).await {
+) -> Result<Prepared, AttemptEnd> {
+    let attempt = Attempt::new(shared.clone(), ticket, server.clone());
+    let connection = match idle_connection(shared, server).await {
         Some(connection) => connection,
         None => paths::open(shared, server).await.map_err(|error| unreachable(&error))?,
     };
@@ -178,6 +184,23 @@
     let Some(caller) = call.renew_caller(shared) else {
         return Err(AttemptEnd::Unreachable(Unreachable::Closed));
     };
+    Ok(Prepared { attempt, connection, caller })
+}
+
+/// Sends a request to a server and waits for the head of the response.
+///
+/// # Errors
+///
+/// The attempt failed; the value states whether the request may have been executed.
+pub(crate) async fn begin(
+    shared: &Arc<Shared>,
+    prepared: Prepared,
+    call: &Call,
+    after: Option<u64>,
+) -> Result<ResponseStart, AttemptEnd> {
+    let Prepared { mut attempt, mut connection, caller } = prepared;
+    let (ticket, server) = (attempt.ticket, &attempt.server.clone());
+    let buffered = &call.request;
     let path = connection.path();
     let sent_at = shared.now();
     shared.dispatcher().sent(ticket, path, sent_at);
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -210,8 +210,9 @@
         let age = shared.dispatcher().report_age(&server.id, shared.now());
         age.into_iter().for_each(|age| shared.meters.report_age(age));
         self.trace.sent(ticket, &server, after, self.time_left(shared));
+        let prepared = attempt::prepare(shared, ticket, &server, self).await?;
         self.handle.may_run.fetch_add(1, Ordering::Relaxed);
-        let start = attempt::begin(shared, ticket, &server, self, after).await;
+        let start = attempt::begin(shared, prepared, self, after).await;
         if let Err(AttemptEnd::NotRun(_) | AttemptEnd::Unreachable(_)) = start {
             self.handle.may_run.fetch_sub(1, Ordering::Relaxed);
         }
@@ -362,8 +363,8 @@
     /// Tickets of the request in the dispatcher, one for each attempt in flight, in the order in
     /// which the attempts were started.
     tickets: Mutex<Vec<Ticket>>,
-    /// Number of attempts that a server may have executed: it has been sent a byte, and has not
-    /// stated that it did not execute the request.
+    /// Number of attempts that a server may have executed: the request was handed to a connection,
+    /// and the server has not stated that it did not execute it.
     pub(crate) may_run: AtomicU32,
 }
 
