Take back that timeouts in a pause of the host tell nothing of the store

Cause: excused a timeout if any pause of 50 ms fell within its call. A host with 0.09 of a core pauses in every call, so that it recorded no failure in an outage shorter than the time to its second timeout, and would remove servers whose entries expired in it.

Ruled out: counting a failure at the end of the outage as well; the client doesn't know then how long the store was silent and how long the host was. Keeping the change for hosts that pause rarely: what decides is the time that the host ran during the call, which isn't measured.

--- a/crates/relay/src/lateness.rs
+++ b/crates/relay/src/lateness.rs
@@ -73,14 +73,6 @@
     }
 }
 
-impl Shared {
-    /// Records that the host runs again after it stood still.
-    pub(crate) fn resumed(&self, now: Moment) {
-        self.dispatcher().resumed(now);
-        self.store.resumed(now);
-    }
-}
-
 /// Observes how late a task runs that is due at regular intervals.
 #[derive(Debug, Default)]
 pub(crate) struct Lateness {
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -204,7 +204,7 @@
         let now = shared.now();
         // The pump may not have run yet since this host went on.
         if due + STALL_THRESHOLD <= now {
-            shared.resumed(now);
+            shared.dispatcher().resumed(now);
         }
         let silent = shared.dispatcher().silent_servers(now);
         let silent = silent.iter().filter_map(|id| shared.server(id));
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -261,7 +261,7 @@
             shared.dispatcher().set_lateness(lateness);
         }
         if due + STALL_THRESHOLD <= now {
-            shared.resumed(now);
+            shared.dispatcher().resumed(now);
         }
         if before + JUMP_THRESHOLD < now {
             shared.clock_jumped.notify_waiters();
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -5,7 +5,6 @@
 //! although no response will ever arrive on it.
 
 use std::{
-    io,
     net::SocketAddr,
     sync::{
         Arc, Mutex as SyncMutex, MutexGuard, PoisonError,
@@ -22,10 +21,8 @@
     story::{Belief, DependencyState, Logger, Text},
 };
 use tokio::{
-    select,
     sync::{Mutex, watch},
-    task::yield_now,
-    time::Instant,
+    time::{Instant, timeout_at},
 };
 
 use types::prelude::*;
@@ -34,8 +31,6 @@
     clock::Clock,
     connect::{self, Connection},
     edge::{Dialect, Object, ObjectKind, Page, Revision, StoreCall, StoreReply},
-    run::STALL_THRESHOLD,
-    timer,
 };
 
 /// Timeout of a short call.
@@ -78,36 +73,6 @@
     failed_at: SyncMutex<Option<Moment>>,
     /// When the store answered this host.
     contact: SyncMutex<Contact>,
-    /// Whether a call of the present outage counted as a failure.
-    has_failed: AtomicBool,
-    pauses: SyncMutex<Pauses>,
-}
-
-/// Times in which the host stood still, and what they did to its calls.
-#[derive(Debug, Default)]
-struct Pauses {
-    /// When the last pause ended.
-    resumed_at: Option<Moment>,
-    /// The first timeout since the store's last answer that may be due to a pause.
-    excused_at: Option<Moment>,
-}
-
-/// Why a call has no response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Failure {
-    /// It was not connected or answered in time.
-    TimedOut,
-    /// The connection was refused or closed, or the response is malformed.
-    Broken,
-}
-
-impl From<io::Error> for Failure {
-    fn from(error: io::Error) -> Failure {
-        match error.kind() {
-            io::ErrorKind::TimedOut => Failure::TimedOut,
-            _ => Failure::Broken,
-        }
-    }
 }
 
 /// A time in which the store has answered a host again and again.
@@ -158,45 +123,11 @@
             contact_interval,
             failed_at: SyncMutex::default(),
             contact: SyncMutex::default(),
-            has_failed: AtomicBool::new(false),
-            pauses: SyncMutex::default(),
         }
     }
 
-    /// Records that the host runs again after it stood still.
-    pub(crate) fn resumed(&self, now: Moment) {
-        self.pauses().resumed_at = Some(now);
-    }
-
-    /// Returns whether the host stood still between a time and now.
-    pub(crate) fn has_resumed_since(&self, began: Moment) -> bool {
-        self.pauses().resumed_at.is_some_and(|at| began <= at)
-    }
-
-    /// Records that a call, which began at `began`, was not answered until its timeout at `due`.
-    /// Returns whether that counts as a failure of the store.
-    ///
-    /// If the host stood still meanwhile, the timeout may be due to that. A host that is late all the
-    /// time would then overlook an outage, so that such timeouts count once the store has answered
-    /// nothing for too long.
-    pub(crate) fn record_timeout(&self, began: Moment, due: Moment) -> bool {
-        let now = self.clock.now();
-        if self.has_resumed_since(began) || due + STALL_THRESHOLD <= now {
-            let since = *self.pauses().excused_at.get_or_insert(now);
-            if now < since + self.contact_interval {
-                return false;
-            }
-        }
-        self.record_failure();
-        true
-    }
-
-    fn pauses(&self) -> MutexGuard<'_, Pauses> {
-        self.pauses.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Records a failure of the store.
-    fn record_failure(&self) {
+    pub(crate) fn record_failure(&self) {
         if !self.is_degraded() {
             let name = Text::Borrowed("registrations");
             let why = Text::Borrowed("the store failed, so that entries of sound servers may go");
@@ -224,7 +155,6 @@
     /// Records an answer of the store.
     fn record_contact(&self) {
         let now = self.clock.now();
-        self.pauses().excused_at = None;
         let mut contact = self.contact();
         if contact.last + self.contact_interval < now {
             contact.since = now;
@@ -331,38 +261,21 @@
         connection: Option<Connection>,
         end: Instant,
     ) -> (StoreReply, Option<Connection>) {
-        let (began, began_at) = (Instant::now(), self.clock.now());
-        let result = select! {
-            biased;
-            result = self.try_exchange(call, connection) => result,
-            () = timer::sleep_until(end) => Err(Failure::TimedOut),
-        };
+        let began = Instant::now();
+        let result = timeout_at(end, self.try_exchange(call, connection)).await;
+        let (reply, connection) = result.ok().flatten().unwrap_or((StoreReply::Unclear, None));
+        self.meters.call(call_label(call), call_result(&reply));
         // Failures of all calls count: a watch may wait through a whole outage and then report the
         // removal of entries that expired in it.
-        let has_failed = match &result {
-            Err(Failure::TimedOut) => {
-                // Tasks that observe a pause run before the timeout is judged.
-                yield_now().await;
-                self.record_timeout(began_at, began_at + end.saturating_duration_since(began))
-            }
-            Err(Failure::Broken) | Ok((StoreReply::Unclear | StoreReply::Refused, _)) => {
-                self.record_failure();
-                true
-            }
-            Ok(_) => {
-                self.record_contact();
-                false
-            }
-        };
-        let (reply, connection) = result.unwrap_or((StoreReply::Unclear, None));
-        self.meters.call(call_label(call), call_result(&reply));
+        if matches!(reply, StoreReply::Unclear | StoreReply::Refused) {
+            self.record_failure();
+        } else {
+            self.record_contact();
+        }
         let state = match reply {
             StoreReply::Unclear => DependencyState::Lost,
             _ => DependencyState::Regained,
         };
-        if has_failed && state == DependencyState::Lost {
-            self.has_failed.store(true, Ordering::Relaxed);
-        }
         let took = began.elapsed();
         if let StoreCall::Watch { kind, .. } = call
             && let Some(health) = self.health(*kind)
@@ -370,10 +283,6 @@
             self.report_state(health, state, took);
         }
         if self.report_state(&self.calls, state, took) && state == DependencyState::Regained {
-            // Entries that expired in the outage may be removed only now.
-            if self.has_failed.swap(false, Ordering::Relaxed) {
-                self.record_failure();
-            }
             self.outages.send_modify(|ended| *ended += 1);
         }
         (reply, connection)
@@ -399,21 +308,19 @@
         &self,
         call: &StoreCall<'_>,
         connection: Option<Connection>,
-    ) -> Result<(StoreReply, Option<Connection>), Failure> {
+    ) -> Option<(StoreReply, Option<Connection>)> {
         let mut connection = match connection {
             Some(connection) => connection,
-            None => connect::open(self.address).await?,
+            None => connect::open(self.address).await.ok()?,
         };
         let mut request = self.dialect.store_call(call).map(Full::new);
-        let host = HeaderValue::from_str(&self.address.to_string()).map_err(|_| Failure::Broken)?;
+        let host = HeaderValue::from_str(&self.address.to_string()).ok()?;
         request.headers_mut().insert(header::HOST, host);
-        let response =
-            connection.sender.send_request(request).await.map_err(|_| Failure::Broken)?;
+        let response = connection.sender.send_request(request).await.ok()?;
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-        let body: Bytes = body.map_err(|_| Failure::Broken)?.to_bytes();
+        let body: Bytes = Limited::new(body, MAX_RESPONSE_BYTES).collect().await.ok()?.to_bytes();
         let reply = self.dialect.store_reply(call, &Response::from_parts(head, body));
-        Ok((reply, Some(connection)))
+        Some((reply, Some(connection)))
     }
 }
 
--- a/crates/relay/src/watch/hedge.rs
+++ b/crates/relay/src/watch/hedge.rs
@@ -13,14 +13,17 @@
 use std::pin::Pin;
 
 use policy::follow::WatchTimes;
-use tokio::{select, sync::watch::Receiver, time::Instant};
+use tokio::{
+    select,
+    sync::watch::Receiver,
+    time::{Instant, sleep_until},
+};
 use types::time::Moment;
 
 use crate::{
     connect::Connection,
     edge::{ObjectKind, Revision, StoreReply},
     host::Shared,
-    timer,
 };
 
 type Watch<'a> = Pin<Box<dyn Future<Output = (StoreReply, Option<Connection>)> + Send + 'a>>;
@@ -59,8 +62,8 @@
     /// Returns the first response to a watch from this revision, or the failure of the last watch
     /// in flight, and when that watch was started.
     ///
-    /// A silent watch counts as a failure of the store, during which entries of healthy servers may
-    /// have expired.
+    /// A watch that may have stalled counts as a failure of the store, during which entries of
+    /// healthy servers may have expired.
     pub(super) async fn next(
         &mut self,
         since: Revision,
@@ -68,7 +71,6 @@
     ) -> (StoreReply, Moment) {
         let mut oldest = self.start(since, watch);
         let mut newest: Option<Pending<'a>> = None;
-        let mut trusted_from = oldest.began;
         let mut trusted_until = Instant::now() + watch.trust;
         loop {
             // After a time in which this host did not run, answers are read before a watch is suspected.
@@ -94,11 +96,9 @@
                 cause = self.suspicion(trusted_until) => {
                     if cause == Cause::Silence {
                         self.shared.store.report_silent_watch(self.kind, watch.trust);
-                        self.shared.store.record_timeout(trusted_from, trusted_from + watch.trust);
                     }
-                    let started = self.start(since, watch);
-                    trusted_from = started.began;
-                    newest = Some(started);
+                    self.shared.store.record_failure();
+                    newest = Some(self.start(since, watch));
                     trusted_until = Instant::now() + watch.trust;
                 }
             }
@@ -109,7 +109,7 @@
     async fn suspicion(&mut self, trusted_until: Instant) -> Cause {
         select! {
             _ = self.outages.changed() => Cause::Outage,
-            () = timer::sleep_until(trusted_until) => Cause::Silence,
+            () = sleep_until(trusted_until) => Cause::Silence,
         }
     }
 
