Date requests by all reads of their heads

Cause: the delay of a request was that of the last read of its head. A head that takes several reads after a pause was dated to the last of them, which saw the connection in use a moment ago. What lay unread since a pause that the host has noticed was dated to the next one, if that had begun.

Ruled out: a maximum over all reads: those of a body would leave their delay to the next request, so a write ends it.

Change: the longest delay since the last write counts; a pause whose data is still being read precedes the one after it.

No test plays two pauses in a row.

Conclusion: the first is fixed, the second by reading only. A pause that replaces an earlier one at a beat still hides what is left of that.

--- a/crates/relay/src/callers/socket.rs
+++ b/crates/relay/src/callers/socket.rs
@@ -18,7 +18,7 @@
 
 use crate::host::Shared;
 
-/// Longest time for which the data that was read last may have waited, in nanoseconds.
+/// Longest time for which data that was read since the last write may have waited, in nanoseconds.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Delay(Arc<AtomicU64>);
 
@@ -28,9 +28,9 @@
         Duration::from_nanos(self.0.swap(0, Ordering::Relaxed))
     }
 
-    fn set(&self, delay: Duration) {
+    fn extend(&self, delay: Duration) {
         let nanos = u64::try_from(delay.as_nanos()).unwrap_or(u64::MAX);
-        self.0.store(nanos, Ordering::Relaxed);
+        self.0.fetch_max(nanos, Ordering::Relaxed);
     }
 }
 
@@ -56,6 +56,8 @@
     fn record_write(&mut self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if matches!(written, Poll::Ready(Ok(1..))) {
             self.used_at = Instant::now();
+            // What was read of the body says nothing of the next request.
+            self.delay.take();
         }
         written
     }
@@ -73,7 +75,7 @@
         if before < buffer.filled().len() {
             let now = Instant::now();
             let arrival = socket.shared.heartbeat.arrival(Some(socket.used_at), now);
-            socket.delay.set(now.saturating_duration_since(arrival));
+            socket.delay.extend(now.saturating_duration_since(arrival));
             socket.used_at = now;
         }
         Poll::Ready(Ok(()))
--- a/crates/relay/src/lateness.rs
+++ b/crates/relay/src/lateness.rs
@@ -62,9 +62,10 @@
     /// that was last used at `used_at`. It is now unless the host stood still.
     pub(crate) fn arrival(&self, used_at: Option<Instant>, now: Instant) -> Instant {
         let beat = self.lock();
-        // The data may be read before the first beat after the pause.
+        // The data may be read before the first beat after the pause, or lie unread since an earlier
+        // one.
         let is_paused = MAX_BEAT_INTERVAL < now.duration_since(beat.last);
-        let pause = if is_paused { Some(beat.last) } else { beat.pause };
+        let pause = beat.pause.or(is_paused.then_some(beat.last));
         pause.map_or(now, |pause| used_at.map_or(pause, |used_at| pause.max(used_at)))
     }
 
--- a/crates/relay/tests/deadlines.rs
+++ b/crates/relay/tests/deadlines.rs
@@ -30,6 +30,9 @@
 /// Time in which the host reads what has arrived, and notices that it stood still.
 const BRIEFLY: Duration = Duration::from_millis(20);
 
+/// Bytes of a field that makes a head longer than a host reads at once.
+const LONG_HEAD: usize = 30_000;
+
 /// When a caller connects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Connecting {
@@ -147,6 +150,20 @@
     check_time_left(&one.accept().await.receive().await, elapsed);
 }
 
+/// The same with a head that the host can't read at once.
+#[tokio::test]
+async fn of_a_request_whose_head_takes_several_reads() {
+    let one = Server::listen("one").await;
+    let host = TestHost::start(route(Kind::NonIdempotent), &[&one]).await;
+    let mut caller = host.caller().await;
+    let padding = format!("host: h\r\npadding: {}\r\n", "a".repeat(LONG_HEAD));
+    let request = timed_request().replace("host: h\r\n", &padding);
+    let sent_at = Instant::now();
+    caller.write(&request).await;
+    let elapsed = stall(sent_at);
+    check_time_left(&one.accept().await.receive().await, elapsed);
+}
+
 /// Guards against a host that counts its pause against a request that was sent afterwards: on a
 /// connection that was idle meanwhile, and on one that is new.
 #[rstest]
