Count the listed hosts again once their number has risen

Cause: a host that starts in a new fleet reads a list of the hosts that registered before it. It had heard from four fifths of those at once, and was settled for good: cut off from the others it used the whole limit once the list was full.

Ruled out: settling only some time after the registration: a fleet may start over longer than any such time, and grow later.

Change: a rise of the listed number unsettles the host until it has heard from four fifths of them, or for 600 s. A host that isn't listed yet counts itself. The simulation starts hosts with the list as each finds it and gives them the full one 2 s later, as the product does.

--- a/crates/policy/src/quota/members.rs
+++ b/crates/policy/src/quota/members.rs
@@ -3,7 +3,8 @@
 //! A host that falls silent may go on sending requests, so silence alone does not enlarge the other
 //! shares. A host counts as gone only after a long silence, and only with hosts that still hear
 //! from nearly all others. The two sides of a network partition can't both do so. For the same
-//! reason a host that has not yet heard from nearly all registered hosts counts the registered ones.
+//! reason a host that has not yet heard from nearly all registered hosts counts the registered ones,
+//! also after their number has risen.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -24,6 +25,10 @@
     others: BTreeMap<host::Id, Moment>,
     /// Number of registered hosts.
     listed: u32,
+    /// Number of registered hosts at the last update.
+    judged: u32,
+    /// When the number of registered hosts rose last.
+    risen_at: Moment,
     /// Whether the hosts that are known count, not the registered ones.
     is_settled: bool,
 }
@@ -55,9 +60,13 @@
         };
         self.others.retain(|host, last| !has_left(host, *last));
         let reachable = reachable.count() + 1;
+        if self.judged < self.listed {
+            (self.is_settled, self.risen_at) = (false, now);
+        }
+        self.judged = self.listed;
         let is_listed =
             0 < self.listed && MIN_HEARD_FRACTION * f64::from(self.listed) <= reachable as f64;
-        self.is_settled |= is_listed || LISTED_RETENTION <= now;
+        self.is_settled |= is_listed || self.risen_at + LISTED_RETENTION <= now;
         if (reachable as f64) < MIN_HEARD_FRACTION * f64::from(self.count()) {
             return;
         }
--- a/crates/policy/tests/quota/play.rs
+++ b/crates/policy/tests/quota/play.rs
@@ -26,6 +26,9 @@
 /// Interval at which hosts update which others are live.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(200);
 
+/// When all hosts have read the full list of hosts. A multiple of [`STEP`].
+const LIST_READ_AT: Duration = Duration::from_secs(2);
+
 /// Time after which a host regards another one as silent.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -167,7 +170,8 @@
 
 impl Simulation {
     pub fn new(plan: Plan) -> Simulation {
-        let hosts = (0..plan.hosts).map(|index| Host::new(index, 1, Duration::ZERO, plan.hosts));
+        // Hosts register one after another, each after it has read the list.
+        let hosts = (0..plan.hosts).map(|index| Host::new(index, 1, Duration::ZERO, index + 1));
         Simulation {
             random: ChaCha8Rng::seed_from_u64(plan.seed),
             hosts: hosts.collect(),
@@ -185,6 +189,10 @@
         let (mut next_update, mut due) = (Duration::ZERO, 0.0);
         while self.now < self.plan.length {
             self.now += STEP;
+            if self.now == LIST_READ_AT {
+                let hosts = self.plan.hosts as u32;
+                self.hosts.iter_mut().for_each(|host| host.quotas.set_listed(hosts));
+            }
             self.restart();
             if next_update <= self.now {
                 next_update = self.now + UPDATE_INTERVAL;
--- a/crates/policy/tests/quota/shared.rs
+++ b/crates/policy/tests/quota/shared.rs
@@ -145,17 +145,22 @@
 }
 
 /// Hosts that start in two halves that can't reach each other must not use the limit in each half,
-/// whether a host hears from no other or from some.
+/// whether a host hears from no other or from some, and whether or not they ran before.
 #[rstest]
+#[case::first(vec![])]
+#[case::again(vec![(14.6, 25.35)])]
 fn hosts_that_start_cut_off_from_each_other_keep_a_limit(
+    #[case] restarts: Vec<(f64, f64)>,
     #[values(2, 4, 9)] hosts: usize,
     #[values(2.1, 8.0, 40.0)] limit: f64,
     #[values(1, 656315209694501060)] seed: u64,
 ) {
-    let faults = vec![
-        planned(14.6, 25.35, Fault::Restart((0..hosts).collect())),
-        planned(24.7, 47.7, Fault::Cut((hosts / 2..hosts).collect())),
-    ];
+    let cut_from = restarts.first().map_or(0.0, |_| 24.7);
+    let restarts = restarts.into_iter();
+    let restarts =
+        restarts.map(|(from, to)| planned(from, to, Fault::Restart((0..hosts).collect())));
+    let cut = planned(cut_from, 47.7, Fault::Cut((hosts / 2..hosts).collect()));
+    let faults = restarts.chain([cut]).collect();
     let steady = Plan::steady(hosts, limit, Duration::from_millis(5));
     let plan = Plan { seed, faults, length: s(60.0), wait: s(0.8), ..steady };
     check(&Simulation::new(plan).run());
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -4,7 +4,7 @@
 //! if no message gets through. A host's own entry shows at the start whether an earlier run may
 //! have spent that host's part of the budgets.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use exchange::Exchange;
 use policy::dispatch::HostStart;
@@ -44,7 +44,9 @@
 }
 
 fn apply(shared: &Shared, exchange: &Exchange, page: &Page) {
-    let listed = u32::try_from(page.objects.len()).unwrap_or(u32::MAX);
+    let names = page.objects.iter().map(|object| &*object.name);
+    let listed = names.chain([&*shared.host.id]).collect::<BTreeSet<_>>().len();
+    let listed = u32::try_from(listed).unwrap_or(u32::MAX);
     shared.dispatcher().share_listed(listed);
     shared.customer_quotas().set_listed(listed);
     let address = |object: &Object| object.content.as_str()?.parse().ok();
