Answer a waiting request that crashes servers as such on a late host

Cause: a late host refused a waiting request before it looked whether it is quarantined, with a time after which to come back; its caller would send it to the next host. Arriving requests are looked at in the other order. Found by an independent review, by reading; no test shows it. Ruled out: nothing else differs between the two. Change: the quarantine is looked at first. Conclusion: one order for both.

--- a/crates/policy/src/dispatch/pump.rs
+++ b/crates/policy/src/dispatch/pump.rs
@@ -178,18 +178,15 @@
             if task.spec.deadline <= now + duration(self.stats(task).base()) {
                 continue;
             }
-            if self.is_lost_to_lateness(task, now) {
+            let is_late = self.is_lost_to_lateness(task, now);
+            let verdict = match self.is_quarantined(&task.spec, now) {
+                true => Some(Verdict::Quarantined),
                 // One that may have run can't be refused; the host may be on time before it expires.
-                if task.runs == 0 {
+                false if is_late && 0 < task.runs => continue,
+                false if is_late => {
                     let after = self.retry_after(task, now);
-                    let verdict = Verdict::Refuse { cause: Cause::Late, after };
-                    self.drop_waiting(service, key);
-                    changes.push(Change { ticket: key.ticket, verdict });
+                    Some(Verdict::Refuse { cause: Cause::Late, after })
                 }
-                continue;
-            }
-            let verdict = match self.is_quarantined(&task.spec, now) {
-                true => Some(Verdict::Quarantined),
                 false => None,
             };
             let outcome = self.choose(task, now);
