Count crashed servers, not the runs that ended with them

Cause: poison's `crashed` counted runs that ended as crashed. When a server crashes, all its unfinished runs do, so that a sound request that runs beside counted as another crashed server.

Ruled out: a weaker check: a crashed server doesn't start again in these tests, so each server counts once, and the bound is the same number.

Change: servers that have crashed are counted.

Conclusion: a fault of the test; a fourth crashed server would still be seen.

--- a/crates/stage/tests/routed/poison.rs
+++ b/crates/stage/tests/routed/poison.rs
@@ -7,7 +7,7 @@
 use standin::routed::{
     caller::RequestSpec,
     links::Delivery,
-    server::{Ending, Server, Settings},
+    server::{Server, Settings},
     site::{Customer, Site},
 };
 use tokio::time::{sleep, timeout};
@@ -78,9 +78,13 @@
     site
 }
 
+fn crashed_servers(site: &Site) -> impl Iterator<Item = &Server> {
+    site.backend.servers.iter().filter(|server| server.crashed_at().is_some())
+}
+
+/// Returns the number of servers that crashed.
 fn crashed(site: &Site) -> usize {
-    let runs = site.backend.servers.iter().flat_map(|server| server.runs());
-    runs.filter(|run| run.ending == Some(Ending::Crashed)).count()
+    crashed_servers(site).count()
 }
 
 /// Sends the crashing request through each host, each time followed by a harmless one, which has to
@@ -109,10 +113,7 @@
 }
 
 fn deregister_crashed(site: &mut Site) {
-    let has_crashed =
-        |server: &&Server| server.runs().iter().any(|run| run.ending == Some(Ending::Crashed));
-    let crashed = site.backend.servers.iter().filter(has_crashed);
-    let crashed: Vec<_> = crashed.map(|server| server.id().to_string()).collect();
+    let crashed: Vec<_> = crashed_servers(site).map(|server| server.id().to_string()).collect();
     crashed.iter().for_each(|id| site.backend.deregister(id));
 }
 
