Share the late read of the deadline tests, and name what an attempt uses

Cause: three tests of `deadlines` sent a request, stopped the host and checked the time left in the same four lines; `attempt::begin` bound a ticket and a reference to a clone in one pattern.

Ruled out: one `is_final` for relay and stage: no crate below both is about HTTP answers, and a dependency for one line isn't worth it.

Change: `check_read_late` in the test file, with the same assertion; two plain bindings in `begin`. Behaviour is as it was.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -199,14 +199,15 @@
     after: Option<u64>,
 ) -> Result<ResponseStart, AttemptEnd> {
     let Prepared { mut attempt, mut connection, caller } = prepared;
-    let (ticket, server) = (attempt.ticket, &attempt.server.clone());
+    let ticket = attempt.ticket;
+    let server = attempt.server.clone();
     let buffered = &call.request;
     let path = connection.path();
     let sent_at = shared.now();
     shared.dispatcher().sent(ticket, path, sent_at);
     // Taken here, as connecting may take most of a second.
     let left = call.time_left(shared);
-    let options = call.forward_options(server, &caller, left, after);
+    let options = call.forward_options(&server, &caller, left, after);
     let request = request(shared, buffered, &options);
     connection.set_reset_on_close(true);
     let guard = Arc::new(write_guard(shared, ticket, call.deadline()));
@@ -232,7 +233,7 @@
     if let Some(load) = answer.load {
         shared.dispatcher().server_load(&server.id, load, shared.now());
     }
-    let validated = validate(&buffered.info, server, &head, &answer);
+    let validated = validate(&buffered.info, &server, &head, &answer);
     // A server that garbles its answers still counts its requests against the limit that it states.
     if validated != Err(AttemptEnd::NotRun(NotRun::Instance)) {
         shared.observe_limit(&server.id, answer.limit, sent_at);
--- a/crates/relay/tests/deadlines.rs
+++ b/crates/relay/tests/deadlines.rs
@@ -12,7 +12,9 @@
 };
 
 use common::{
-    TestHost, route,
+    TestHost,
+    caller::Caller,
+    route,
     server::{Connection, Received, Server, accept_first, answer},
 };
 use rstest::rstest;
@@ -73,6 +75,15 @@
     );
 }
 
+/// Sends a request to a host that stands still before it can read it, and checks the time that the
+/// server is handed.
+async fn check_read_late(server: &Server, caller: &mut Caller, request: &str) {
+    let sent_at = Instant::now();
+    caller.write(request).await;
+    let elapsed = stall(sent_at);
+    check_time_left(&server.accept().await.receive().await, elapsed);
+}
+
 /// Accepts a connection, and stops the host before it can write to it.
 async fn accept_and_stall(server: &Server, since: Instant) -> (Connection, Duration) {
     let connection = server.accept().await;
@@ -114,10 +125,7 @@
     let one = Server::listen("one").await;
     let host = TestHost::start(route(Kind::NonIdempotent), &[&one]).await;
     let mut caller = host.caller().await;
-    let sent_at = Instant::now();
-    caller.write(&timed_request()).await;
-    let elapsed = stall(sent_at);
-    check_time_left(&one.accept().await.receive().await, elapsed);
+    check_read_late(&one, &mut caller, &timed_request()).await;
 }
 
 /// The same on a connection that has waited to be accepted. The host's timers run before it is read.
@@ -144,10 +152,7 @@
     first.write(&answer("q", "yes")).await;
     assert_eq!(caller.answer().await.status, 200);
     tokio::time::sleep(BRIEFLY).await;
-    let sent_at = Instant::now();
-    caller.write(&timed_request()).await;
-    let elapsed = stall(sent_at);
-    check_time_left(&one.accept().await.receive().await, elapsed);
+    check_read_late(&one, &mut caller, &timed_request()).await;
 }
 
 /// The same with a head that the host can't read at once.
@@ -158,10 +163,7 @@
     let mut caller = host.caller().await;
     let padding = format!("host: h\r\npadding: {}\r\n", "a".repeat(LONG_HEAD));
     let request = timed_request().replace("host: h\r\n", &padding);
-    let sent_at = Instant::now();
-    caller.write(&request).await;
-    let elapsed = stall(sent_at);
-    check_time_left(&one.accept().await.receive().await, elapsed);
+    check_read_late(&one, &mut caller, &request).await;
 }
 
 /// Guards against a host that counts its pause against a request that was sent afterwards: on a
