Test that servers are left alone after a silence of the store

Callers: requests reach servers that left up to 9 s before (bound 3 s), in plays with 62 host processes. Ruled out: that notices alone are at fault; all late hosts have a watch of the servers without an answer for 21 s in their logs. Change: tests only, red, listed.

--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -12,6 +12,7 @@
 mod ingress;
 mod key_changes;
 mod limits;
+mod lost_watch;
 mod orders;
 mod organisation_quotas;
 mod organisations;
