Ignore changes of servers that a later list already includes

Callers: requests reach a server up to 9 s after its entry was removed, from a host that knew so itself. Cause: the answer to a watch begins at the revision at which the watch was sent. If a peer's list arrived meanwhile, writes of entries that have been removed since come as new; the removal behind them then only starts the grace of an outage. Change: a write at or below the directory's revision is ignored. Removals are applied as before, since the store may state the revision of the last write for them. Conclusion: class of fault: order of news.

--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -141,6 +141,9 @@
     /// Applies a change of a server's entry in the store.
     pub(crate) fn change_server(self: &Arc<Self>, change: &Change) {
         match change {
+            // A watch that was sent before a peer's list arrived reports again what the list includes.
+            // The server may have gone since.
+            Change::Written(object) if object.revision <= self.revision() => return,
             Change::Written(object) => {
                 self.directory().advance(object.revision);
                 match self.registration(object) {
