Count only answers of the store as knowledge of the servers

Callers: requests reach servers that left up to 9 s before (bound 3 s), from hosts without a fault of their own. Cause: a host that follows no relay, or whose relay has too old a list, sent the store a watch of up to 20 s and took its wait for proof that nothing changes. A store that falls silent forgets the watch. Meanwhile the host did not ask its relay, and a second watch counted as proof again. Ruled out: the relay's list; its age was counted right, which is why the host turned to the store. Notices alone: they are not promised to arrive. Change: watches of the servers wait for 0.4 (scouts, relays) or 0.6 (followers) of the bound less the age of what is known, whatever the number of hosts, and a second watch returns at once and is sent in time for its answer. While the store does not answer, the relay is asked again. Knowledge is what answers have confirmed: tests of a waiting watch's trust are replaced by ones that it shows nothing, that second watches are sent in time (all roles), and that no sequence of calls with lost watches makes knowledge too old. A call that was waited out is dated by its own wait.

--- a/crates/policy/src/follow.rs
+++ b/crates/policy/src/follow.rs
@@ -57,6 +57,16 @@
 const SCOUT_WAIT_SHARE: f64 = 0.4;
 const STARTING_WAIT_SHARE: f64 = 1.0;
 
+/// Wait of a follower's watch of the servers, as a share of the deadline for changes.
+const FOLLOWER_WAIT_SHARE: f64 = MAX_PAUSE_SHARE;
+
+/// Time beyond its wait for which a follower's watch of the servers is trusted, as a share of the
+/// deadline for changes. As much is left for the answer to a second watch.
+const FOLLOWER_TRUST_SHARE: f64 = 0.15;
+
+/// Least wait of a watch; zero need not be valid.
+pub const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+
 /// Time beyond its wait for which a watch of a scout or a starting host is trusted, as a share of
 /// the deadline for changes.
 const SCOUT_TRUST_SHARE: f64 = 0.2;
@@ -87,19 +97,8 @@
     pub trust: Duration,
 }
 
-impl WatchTimes {
-    /// Returns the times of a watch by a relay whose knowledge is of this age. The watch ends sooner
-    /// by that time, so that the relay's list is never too old for those that follow it.
-    pub fn shortened(self, age: Duration) -> WatchTimes {
-        WatchTimes {
-            wait: self.wait.saturating_sub(age),
-            trust: self.trust.saturating_sub(age.min(self.wait)),
-        }
-    }
-}
-
-/// Times of a watch that starts `up` after the host's start, in a fleet of `hosts`, for changes
-/// that must be known `within` a time after their acknowledgement.
+/// Times of a watch of the declaration that starts `up` after the host's start, in a fleet of
+/// `hosts`, for changes that must be known `within` a time after their acknowledgement.
 ///
 /// A watch may stall without any other sign. So scouts trust theirs only for a part of that time,
 /// and report changes to the others. With six hosts that costs 166 to 203 additional calls to the
@@ -121,6 +120,21 @@
     }
 }
 
+/// Times of a watch of the servers by a host whose knowledge of them is of this `age`, for changes
+/// that must be known `within` a time after their acknowledgement.
+///
+/// A store that falls silent forgets the watches that wait or are sent then, so a watch without an
+/// answer shows nothing. The wait therefore ends while the knowledge is recent, whatever the role,
+/// and a second watch is sent in time for its answer.
+pub fn server_watch_times(role: Role, age: Duration, within: Duration) -> WatchTimes {
+    let (wait, trust) = match role {
+        Role::Scout | Role::Relay => (SCOUT_WAIT_SHARE, SCOUT_TRUST_SHARE),
+        Role::Follower => (FOLLOWER_WAIT_SHARE, FOLLOWER_TRUST_SHARE),
+    };
+    let wait = within.mul_f64(wait).saturating_sub(age).max(SHORTEST_WAIT);
+    WatchTimes { wait, trust: wait + within.mul_f64(trust) }
+}
+
 /// Role of a host that holds no lease, among the other reachable hosts.
 pub fn role<'a>(own: &host::Id, others: impl Iterator<Item = &'a host::Id>) -> Role {
     if rendezvous::is_among(KEY, own, others, SCOUTS) { Role::Scout } else { Role::Follower }
--- a/crates/policy/src/follow/schedule.rs
+++ b/crates/policy/src/follow/schedule.rs
@@ -2,8 +2,7 @@
 //!
 //! What a host knows of the servers has an age: the time since its knowledge was last known to be
 //! complete. A change must be known `within` a time after its acknowledgement, so the age must
-//! never exceed [`MAX_KNOWN_AGE_SHARE`] of that time, except while a watch waits at the store, which
-//! reports changes at once. All times are therefore counted from the moment at which the knowledge
+//! never exceed [`MAX_KNOWN_AGE_SHARE`] of that time. All times are therefore counted from the moment at which the knowledge
 //! was complete, not from the end of the call before:
 //!
 //! | age, as a share of `within` | what happens |
@@ -81,13 +80,23 @@
         Schedule { within, known_at: now, phase: Phase::Confirmed(now) }
     }
 
+    /// Returns the interval between two calls to another host.
+    pub fn peer_interval(&self) -> Duration {
+        self.share(PEER_INTERVAL_SHARE)
+    }
+
+    /// Returns the timeout of a call to another host.
+    pub fn peer_timeout(&self) -> Duration {
+        self.share(PEER_TIMEOUT_SHARE)
+    }
+
     /// Returns the next call. `has_peer` states whether there is a host to ask.
     pub fn next(&self, now: Moment, has_peer: bool) -> Step {
-        let timeout = self.share(PEER_TIMEOUT_SHARE);
+        let timeout = self.peer_timeout();
         match self.phase {
             Phase::Confirmed(_) if has_peer => {
                 let latest = self.known_at + self.share(PEER_START_SHARE);
-                let at = latest.min(now + self.share(PEER_INTERVAL_SHARE)).max(now);
+                let at = latest.min(now + self.peer_interval()).max(now);
                 Step::Peer { at, timeout }
             }
             Phase::Confirmed(due) => {
--- a/crates/policy/tests/follow.rs
+++ b/crates/policy/tests/follow.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use policy::follow::{self, Role, Schedule};
+use policy::follow::{self, MAX_KNOWN_AGE_SHARE, Role, Schedule};
 use rstest::rstest;
 use types::host;
 
@@ -139,9 +139,42 @@
     /// Time of the calls to the store and to the relay.
     const CALL_TIME: Duration = Duration::from_millis(30);
     let age = settled(role, count).mul_f64(paused);
-    let watch = follow::watch_times(follow::STARTUP_TIME, role, count, DEADLINE).shortened(age);
+    let watch = follow::server_watch_times(role, age, DEADLINE);
     assert!(watch.wait < watch.trust, "{watch:?}");
     let oldest = age + watch.wait + CALL_TIME;
     let mut schedule = Schedule::new(Duration::ZERO, DEADLINE);
     assert!(schedule.peer_responded(DEADLINE, oldest), "{oldest:?}");
 }
+
+/// Guards against hosts that refuse requests, or send them to servers that have left, while a watch
+/// waits that the store has forgotten.
+#[rstest]
+fn a_second_watch_of_the_servers_is_sent_while_knowledge_is_recent(
+    #[values(Role::Scout, Role::Relay, Role::Follower)] role: Role,
+    #[values(0.0, 0.3, 0.6, 0.75)] age: f64,
+) {
+    let age = match role {
+        Role::Follower => DEADLINE.mul_f64(age),
+        // Relays and scouts do not pause for longer.
+        Role::Scout | Role::Relay => DEADLINE.mul_f64(age).min(settled(Role::Relay, 350)),
+    };
+    let watch = follow::server_watch_times(role, age, DEADLINE);
+    assert!(Duration::ZERO < watch.wait && watch.wait < watch.trust, "{watch:?}");
+    let latest = DEADLINE.mul_f64(MAX_KNOWN_AGE_SHARE);
+    assert!(age + watch.trust <= latest + follow::SHORTEST_WAIT, "{age:?}, {watch:?}");
+}
+
+#[rstest]
+#[case(8)]
+#[case(82)]
+#[case(350)]
+fn watches_of_the_servers_ask_seldom_when_all_hosts_follow_the_store(#[case] count: usize) {
+    let calls = |role| {
+        let watch = follow::server_watch_times(role, Duration::ZERO, DEADLINE);
+        1.0 / watch.wait.as_secs_f64()
+    };
+    let scouts = follow::SCOUTS + 1;
+    let all = calls(Role::Scout) * scouts as f64
+        + calls(Role::Follower) * count.saturating_sub(scouts) as f64;
+    assert!(all < 200.0, "{all} calls a second of all hosts");
+}
--- a/crates/policy/tests/follow_knowledge.rs
+++ b/crates/policy/tests/follow_knowledge.rs
@@ -47,57 +47,39 @@
     assert_eq!(known.confirmed_at(), ms(500));
 }
 
-/// Guards against hosts of small fleets, whose watches wait for longer than a change may take, that
-/// refuse requests meanwhile.
+/// Guards against a host that takes the wait of a watch for proof that nothing has changed: a store
+/// that fell silent has forgotten the watch.
 #[test]
-fn a_watch_that_waits_keeps_knowledge_recent() {
+fn a_watch_without_an_answer_shows_nothing() {
     let mut known = confirmed();
-    known.watch_started(ms(0), ms(13_000));
-    read_all(&mut known, ms(0), ms(12_000));
-    assert!(!known.is_outdated(ms(12_010)));
-    known.watch_answered(ms(0), ms(12_010));
-    assert!(ms(11_600) <= known.confirmed_at(), "{:?}", known.confirmed_at());
+    read_all(&mut known, ms(0), ms(2_710));
+    assert!(known.is_outdated(ms(2_710)));
 }
 
 #[test]
-fn a_watch_that_may_be_stalled_shows_nothing() {
+fn a_watch_that_is_answered_after_a_wait_had_waited_until_then() {
     let mut known = confirmed();
-    known.watch_started(ms(0), ms(5_000));
-    read_all(&mut known, ms(0), ms(5_000));
-    assert!(!known.is_outdated(ms(4_999)));
-    assert!(known.is_outdated(ms(5_000)));
+    read_all(&mut known, ms(0), ms(1_800));
+    known.watch_answered(ms(0));
+    assert_eq!(known.confirmed_at(), ms(1_500));
 }
 
 #[test]
-fn a_watch_that_has_just_begun_shows_nothing() {
+fn a_watch_that_is_answered_at_once_shows_what_was_known_when_it_was_sent() {
     let mut known = confirmed();
-    read_all(&mut known, ms(0), ms(2_800));
-    known.watch_started(ms(2_700), ms(5_000));
-    assert!(known.is_outdated(ms(2_800)));
-    read_all(&mut known, ms(2_800), ms(3_100));
-    assert!(!known.is_outdated(ms(3_100)));
+    read_all(&mut known, ms(0), ms(2_000));
+    known.watch_answered(ms(1_900));
+    assert_eq!(known.confirmed_at(), ms(1_900));
 }
 
 /// Guards against a host that counts time in which it did not read its sockets.
 #[test]
 fn a_watch_shows_nothing_of_the_time_in_which_the_host_did_not_run() {
     let mut known = confirmed();
-    known.watch_started(ms(0), ms(20_000));
     read_all(&mut known, ms(0), ms(5_000));
-    assert!(known.is_outdated(ms(9_000)));
     // An answer may have arrived meanwhile and not been handled yet.
     known.read(ms(9_000));
     assert!(known.is_outdated(ms(9_000)));
-    known.watch_answered(ms(0), ms(9_010));
+    known.watch_answered(ms(0));
     assert!(known.confirmed_at() <= ms(5_000), "{:?}", known.confirmed_at());
 }
-
-#[test]
-fn a_watch_that_failed_shows_nothing() {
-    let mut known = confirmed();
-    known.watch_started(ms(0), ms(20_000));
-    read_all(&mut known, ms(0), ms(4_000));
-    assert!(!known.is_outdated(ms(4_000)));
-    known.watch_failed();
-    assert!(known.is_outdated(ms(4_000)));
-}
--- a/crates/policy/tests/follow_schedule.rs
+++ b/crates/policy/tests/follow_schedule.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use policy::follow::{self, MAX_KNOWN_AGE_SHARE, Role, Schedule, Step};
+use policy::follow::{self, MAX_KNOWN_AGE_SHARE, MAX_PAUSE_SHARE, Role, Schedule, Step};
 use proptest::{collection::vec, prelude::*};
 
 /// Time in which the store responds, as a share of the deadline for changes.
@@ -26,8 +26,18 @@
 struct Outcome {
     has_peer: bool,
     peer: Peer,
-    /// Time for which the store's watch waits for a change; `None` if it ends without one.
-    change_after: Option<Duration>,
+    /// What becomes of the store's watch.
+    watch: Watch,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Watch {
+    /// A change ends it after this part of its wait.
+    Changes(f64),
+    /// Its wait ends without a change.
+    WaitedOut,
+    /// The store forgets it, and answers the second one at once.
+    Lost,
 }
 
 fn peers() -> impl Strategy<Value = Peer> {
@@ -40,13 +50,17 @@
 }
 
 fn outcomes() -> impl Strategy<Value = Outcome> {
-    let change = prop_oneof![
-        2 => Just(Some(Duration::ZERO)),
-        1 => (0_u64..10_000).prop_map(|ms| Some(Duration::from_millis(ms))),
-        1 => Just(None),
+    let watch = prop_oneof![
+        2 => Just(Watch::Changes(0.0)),
+        1 => (0.0..1.0).prop_map(Watch::Changes),
+        1 => Just(Watch::WaitedOut),
+        1 => Just(Watch::Lost),
     ];
-    (prop::bool::weighted(0.8), peers(), change)
-        .prop_map(|(has_peer, peer, change_after)| Outcome { has_peer, peer, change_after })
+    (prop::bool::weighted(0.8), peers(), watch).prop_map(|(has_peer, peer, watch)| Outcome {
+        has_peer,
+        peer,
+        watch,
+    })
 }
 
 /// Plays the outcomes in order. Returns the highest age of what the host knew.
@@ -77,13 +91,21 @@
             }
             Step::Store { at } => {
                 assert!(now <= at, "a call in the past");
-                now = at + within.mul_f64(STORE_TIME_SHARE);
+                let age = at - known_at;
+                let watch = follow::server_watch_times(Role::Follower, age, within);
+                // A lost watch at this age is more than the bound allows for.
+                let is_late = within.mul_f64(MAX_PAUSE_SHARE) < age;
+                let (waited, evaluated, pause) = match outcome.watch {
+                    Watch::Changes(part) => {
+                        (watch.wait.mul_f64(part), watch.wait.mul_f64(part), pause)
+                    }
+                    Watch::Lost if !is_late => (watch.trust, watch.trust, Duration::ZERO),
+                    Watch::WaitedOut | Watch::Lost => (watch.wait, watch.wait, Duration::ZERO),
+                };
+                now = at + waited + within.mul_f64(STORE_TIME_SHARE);
                 highest = highest.max(now - known_at);
-                // The watch reports changes from here on.
-                now += outcome.change_after.unwrap_or_default();
-                known_at = now;
-                let pause = outcome.change_after.map_or(Duration::ZERO, |_| pause);
-                schedule.store_responded(now, now, pause);
+                known_at = at + evaluated;
+                schedule.store_responded(now, known_at, pause);
             }
         }
         highest = highest.max(now - known_at);
--- a/crates/relay/src/confirm.rs
+++ b/crates/relay/src/confirm.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use policy::follow::Knowledge;
+use policy::follow::{Knowledge, SHORTEST_WAIT};
 use tokio::time::timeout;
 use types::time::Moment;
 
@@ -24,9 +24,6 @@
 /// Timeout of a confirmation, for which requests wait.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Wait of a watch that is to return at once; zero need not be a valid wait.
-const SHORTEST_WAIT: Duration = Duration::from_millis(1);
-
 /// What the store last said of the declaration.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Confirmation {
@@ -109,7 +106,7 @@
     /// later. Returns the time up to which all changes are known.
     pub(crate) fn servers_watch_answered(&self, evaluated: Moment) -> Moment {
         let mut known = self.servers_known();
-        known.watch_answered(evaluated, self.now());
+        known.watch_answered(evaluated);
         known.confirmed_at()
     }
 
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -11,12 +11,15 @@
 use observe::story::Source;
 use policy::{
     fleet::{Liveness, Snapshot},
-    follow::{self, Role, Schedule, Step},
+    follow::{self, Role, Schedule, Step, WatchTimes},
+};
+use tokio::{
+    select,
+    time::{sleep, timeout},
 };
-use tokio::time::{sleep, timeout};
 use types::time::Moment;
 
-use self::hedge::Hedge;
+use self::hedge::{Hedge, Sent};
 use crate::{
     edge::{Object, ObjectKind, Revision, StoreReply, WatchBatch},
     host::Shared,
@@ -91,11 +94,11 @@
     let mut hedge = Hedge::new(shared, ObjectKind::Declaration);
     loop {
         let watch = shared.watch(ObjectKind::Declaration);
-        let (reply, began) = hedge.next(since, watch).await;
+        let (reply, sent) = hedge.next(since, watch).await;
         match reply {
             StoreReply::Seen(batch) => {
                 since = since.max(batch.revision);
-                apply_declarations(shared, &batch, evaluated_at(shared, &batch, began, watch));
+                apply_declarations(shared, &batch, evaluated_at(shared, &batch, sent));
             }
             StoreReply::Compacted => return,
             _ => sleep(RETRY_INTERVAL).await,
@@ -107,15 +110,10 @@
 ///
 /// The answer may have been queued at this host's link, so its arrival proves nothing. The store
 /// evaluated the call when it was made or, if nothing changed, when its wait ended.
-fn evaluated_at(
-    shared: &Shared,
-    batch: &WatchBatch,
-    began: Moment,
-    watch: follow::WatchTimes,
-) -> Moment {
+fn evaluated_at(shared: &Shared, batch: &WatchBatch, sent: Sent) -> Moment {
     let is_waited_out =
-        batch.changes.is_empty() && watch.wait <= shared.now().saturating_sub(began);
-    if is_waited_out { began + watch.wait } else { began }
+        batch.changes.is_empty() && sent.wait <= shared.now().saturating_sub(sent.at);
+    if is_waited_out { sent.at + sent.wait } else { sent.at }
 }
 
 /// Follows the servers, in the store or through a relay, until the store no longer has the history
@@ -138,10 +136,18 @@
             Step::Store { at } => {
                 sleep(at.saturating_sub(now)).await;
                 let watch = shared.watch(ObjectKind::Server);
-                let (reply, began) = hedge.next(since, watch).await;
+                let answer = select! {
+                    biased;
+                    answer = hedge.next(since, watch) => Some(answer),
+                    () = until_relay_answers(shared, &mut schedule) => None,
+                };
+                let Some((reply, sent)) = answer else {
+                    since = since.max(shared.revision());
+                    continue;
+                };
                 match reply {
                     StoreReply::Seen(batch) => {
-                        let evaluated = evaluated_at(shared, &batch, began, watch);
+                        let evaluated = evaluated_at(shared, &batch, sent);
                         let known = shared.servers_watch_answered(evaluated);
                         let why = why_store.as_str();
                         shared.report_server_source(Source::Store, Duration::ZERO, why);
@@ -154,7 +160,6 @@
                     }
                     StoreReply::Compacted => return,
                     _ => {
-                        shared.servers_known().watch_failed();
                         schedule.store_failed();
                         sleep(RETRY_INTERVAL).await;
                     }
@@ -211,6 +216,18 @@
     Ok(())
 }
 
+/// Asks this host's relay for changes of the servers until it answers with recent ones. Meanwhile the
+/// store may not answer this host, although it answers the relay.
+async fn until_relay_answers(shared: &Arc<Shared>, schedule: &mut Schedule) {
+    loop {
+        sleep(schedule.peer_interval()).await;
+        let timeout = schedule.peer_timeout();
+        if follow_relay(shared, schedule, timeout).await.is_ok() {
+            return;
+        }
+    }
+}
+
 impl Shared {
     /// Returns the relay: the host from which this one fetches changes of the servers instead of
     /// calling the store. There is none in an outage of the store, since a removed entry may then be
@@ -226,18 +243,16 @@
         }
     }
 
-    /// Returns the timeouts of a watch that starts now.
-    fn watch(&self, kind: ObjectKind) -> follow::WatchTimes {
-        let deadline = match kind {
-            ObjectKind::Declaration => self.routed.apply,
-            _ => self.routed.drain,
-        };
+    /// Returns the times of a watch that starts now.
+    fn watch(&self, kind: ObjectKind) -> WatchTimes {
         let snapshot = self.exchange().map(|exchange| exchange.fleet()).unwrap_or_default();
-        let times = follow::watch_times(self.now(), self.role(&snapshot), snapshot.live, deadline);
-        if kind == ObjectKind::Server && self.is_relay() {
-            return times.shortened(self.servers_age());
+        let role = self.role(&snapshot);
+        match kind {
+            ObjectKind::Server => {
+                follow::server_watch_times(role, self.servers_age(), self.routed.drain)
+            }
+            _ => follow::watch_times(self.now(), role, snapshot.live, self.routed.apply),
         }
-        times
     }
 
     /// Returns how long this host waits after changes of the servers before it asks for more, so
--- a/crates/relay/src/watch/hedge.rs
+++ b/crates/relay/src/watch/hedge.rs
@@ -10,9 +10,9 @@
 //! not responded for a time recovered: in four soak tests of 60 s with one such outage, 2, 16, 32
 //! and 0 requests were handled by an outdated declaration; with hedging, none were.
 
-use std::pin::Pin;
+use std::{pin::Pin, time::Duration};
 
-use policy::follow::WatchTimes;
+use policy::follow::{SHORTEST_WAIT, WatchTimes};
 use tokio::{
     select,
     sync::watch::Receiver,
@@ -28,9 +28,16 @@
 
 type Watch<'a> = Pin<Box<dyn Future<Output = (StoreReply, Option<Connection>)> + Send + 'a>>;
 
+/// When a watch was sent, and how long it waits for a change.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sent {
+    pub(super) at: Moment,
+    pub(super) wait: Duration,
+}
+
 /// A watch in flight.
 struct Pending<'a> {
-    began: Moment,
+    sent: Sent,
     watch: Watch<'a>,
 }
 
@@ -60,16 +67,12 @@
     }
 
     /// Returns the first response to a watch from this revision, or the failure of the last watch
-    /// in flight, and when that watch was started.
+    /// in flight, and when that watch was sent.
     ///
     /// A watch that may have stalled counts as a failure of the store, during which entries of
     /// healthy servers may have expired.
-    pub(super) async fn next(
-        &mut self,
-        since: Revision,
-        watch: WatchTimes,
-    ) -> (StoreReply, Moment) {
-        let mut oldest = self.start(since, watch);
+    pub(super) async fn next(&mut self, since: Revision, watch: WatchTimes) -> (StoreReply, Sent) {
+        let mut oldest = self.start(since, watch.wait);
         let mut newest: Option<Pending<'a>> = None;
         let mut trusted_until = Instant::now() + watch.trust;
         loop {
@@ -81,24 +84,21 @@
                         self.log_failure(&reply);
                         oldest = other;
                     }
-                    _ => return (self.finish(reply, connection), oldest.began),
+                    _ => return (self.finish(reply, connection), oldest.sent),
                 },
-                Some((reply, connection, began)) = response(&mut newest) => {
+                Some((reply, connection, sent)) = response(&mut newest) => {
                     if is_answer(&reply) {
-                        return (self.finish(reply, connection), began);
+                        return (self.finish(reply, connection), sent);
                     }
                     self.log_failure(&reply);
                     newest = None;
-                    if self.kind == ObjectKind::Server {
-                        self.shared.servers_known().watch_failed();
-                    }
                 }
                 cause = self.suspicion(trusted_until) => {
                     if cause == Cause::Silence {
                         self.shared.store.report_silent_watch(self.kind, watch.trust);
                     }
                     self.shared.store.record_failure();
-                    newest = Some(self.start(since, watch));
+                    newest = Some(self.start(since, self.hedge_wait(watch)));
                     trusted_until = Instant::now() + watch.trust;
                 }
             }
@@ -121,14 +121,20 @@
         reply
     }
 
-    fn start(&mut self, since: Revision, times: WatchTimes) -> Pending<'a> {
-        self.outages.mark_unchanged();
-        let began = self.shared.now();
-        if self.kind == ObjectKind::Server {
-            self.shared.servers_known().watch_started(began, times.trust);
+    /// Returns how long a second watch waits for a change. One of the servers returns at once, as the
+    /// age of what this host knows is used up by the first one.
+    fn hedge_wait(&self, watch: WatchTimes) -> Duration {
+        match self.kind {
+            ObjectKind::Server => SHORTEST_WAIT,
+            _ => watch.wait,
         }
-        let watch = self.shared.store.watch(self.idle.take(), self.kind, since, times.wait);
-        Pending { began, watch: Box::pin(watch) }
+    }
+
+    fn start(&mut self, since: Revision, wait: Duration) -> Pending<'a> {
+        self.outages.mark_unchanged();
+        let sent = Sent { at: self.shared.now(), wait };
+        let watch = self.shared.store.watch(self.idle.take(), self.kind, since, wait);
+        Pending { sent, watch: Box::pin(watch) }
     }
 
     fn log_failure(&self, reply: &StoreReply) {
@@ -140,12 +146,12 @@
     matches!(reply, StoreReply::Seen(_) | StoreReply::Compacted)
 }
 
-/// Waits for a watch's response, and returns it with the start of the watch; returns `None` at once
+/// Waits for a watch's response, and returns it with when the watch was sent; returns `None` at once
 /// if there is no watch.
 async fn response(
     pending: &mut Option<Pending<'_>>,
-) -> Option<(StoreReply, Option<Connection>, Moment)> {
+) -> Option<(StoreReply, Option<Connection>, Sent)> {
     let pending = pending.as_mut()?;
     let (reply, connection) = (&mut pending.watch).await;
-    Some((reply, connection, pending.began))
+    Some((reply, connection, pending.sent))
 }
