Ask the relays of other groups whether the store is out

Callers: in a silence of the store beside a frozen host, a quarter of the requests are refused as outdated for up to 6 s, though all servers are sound. Cause: a host denies an outage by what it last told, and one that is frozen or dead can't take that back until it counts as silent. Since knowledge is counted from answers alone, hosts refuse requests in that time. Ruled out: dropping claims sooner; hosts of large fleets hear each other once in 3 s only. Change: a host whose knowledge is outdated and whose own calls fail asks the hosts that are said to reach the store and the relays of the other groups, eight at most. A recent list is taken; if most of them answer and none has one, the store counts as out for 0.3 of the bound. Hosts that do not answer show nothing, so that an isolated host does not take that for an outage. Conclusion: class of fault: age unknown, of what others have told.

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -232,6 +232,11 @@
         self.shared.with(|fleet, _| fleet.tier())
     }
 
+    /// Returns the relays of the other groups of hosts; none in a deployment that is not grouped.
+    pub fn other_relays(&self) -> Vec<Member> {
+        self.shared.with(|fleet, _| fleet.other_relays())
+    }
+
     /// Returns the time between two digests. What other hosts have published does not change more
     /// often.
     pub fn interval(&self) -> Duration {
--- a/crates/policy/src/fleet/failover.rs
+++ b/crates/policy/src/fleet/failover.rs
@@ -19,7 +19,7 @@
 use types::{host, time::Moment};
 
 use super::{
-    Fleet, Tier,
+    Fleet, Member, Tier,
     notice::{Audience, Target},
     wire::{Body, Item, Run},
 };
@@ -46,6 +46,13 @@
         }
     }
 
+    /// Returns the relays of the other groups, or the hosts in their place; none in a deployment that
+    /// is not grouped.
+    pub fn other_relays(&self) -> Vec<Member> {
+        let firsts = self.fanout.other_groups().filter_map(|group| self.first_responsive(group));
+        firsts.filter_map(|id| Some(self.hosts.get(id)?.member.clone())).collect()
+    }
+
     /// Forwards a notice from another host: a relay to all its targets, and any host to its group
     /// if the sender is not of the group, and thus took this host for the relay.
     pub(super) fn forward(&mut self, now: Moment, from: Run, item: &Item) {
--- a/crates/policy/src/fleet/snapshot.rs
+++ b/crates/policy/src/fleet/snapshot.rs
@@ -115,11 +115,9 @@
         hosts
     }
 
-    /// A host that is not silent and reaches the store, one in this zone if there is any.
-    pub fn reaching_store(&self, zone: &availability::Id) -> Option<&PeerStatus> {
-        let reaching =
-            self.not_silent().filter(|status| status.store.reachability == Reachability::Reachable);
-        reaching.min_by_key(|status| status.member.zone != *zone)
+    /// The hosts that are not silent and reach the store, as far as they are known one by one.
+    pub fn reaching_store(&self) -> impl Iterator<Item = &PeerStatus> {
+        self.not_silent().filter(|status| status.store.reachability == Reachability::Reachable)
     }
 
     fn not_silent(&self) -> impl Iterator<Item = &PeerStatus> {
--- a/crates/relay/src/confirm.rs
+++ b/crates/relay/src/confirm.rs
@@ -7,10 +7,12 @@
 //! caller may retry.
 
 use std::{
+    collections::BTreeMap,
     sync::{Arc, MutexGuard, PoisonError, atomic::Ordering},
     time::Duration,
 };
 
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use policy::follow::{Knowledge, SHORTEST_WAIT};
 use tokio::time::timeout;
 use types::time::Moment;
@@ -24,6 +26,26 @@
 /// Timeout of a confirmation, for which requests wait.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Maximum number of hosts that are asked for the servers at the same time.
+const MAX_WITNESSES: usize = 8;
+
+/// Timeout of these calls.
+const WITNESS_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Time for which their answers count, as a share of the deadline for changes of the servers.
+const TESTIMONY_SHARE: f64 = 0.3;
+
+/// What other hosts' lists of the servers show of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Testimony {
+    /// The store has answered one of them recently.
+    Reached,
+    /// It has answered none of them, and most of them were asked successfully.
+    Unreached,
+    /// Too few of them have answered.
+    Unclear,
+}
+
 /// What the store last said of the declaration.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Confirmation {
@@ -137,8 +159,16 @@
         if !self.are_servers_outdated() {
             return;
         }
-        if self.store.is_degraded() && self.ask_peer_for_servers().await.is_some() {
-            return;
+        if self.store.is_degraded() {
+            match self.ask_peers_for_servers().await {
+                Testimony::Reached => return,
+                Testimony::Unreached => {
+                    *self.unreached_at.lock().unwrap_or_else(PoisonError::into_inner) =
+                        Some(self.now());
+                    return;
+                }
+                Testimony::Unclear => {}
+            }
         }
         let changes = self.missed_changes(ObjectKind::Server, self.revision()).await;
         if let Some((batch, began)) = changes {
@@ -147,23 +177,50 @@
         }
     }
 
-    /// Fetches the servers from a host that reaches the store; `None` if there is none or it does not
-    /// answer.
-    async fn ask_peer_for_servers(self: &Arc<Self>) -> Option<()> {
-        let exchange = self.exchange()?;
+    /// Fetches the servers from a host that reaches the store: one that says so, or a relay.
+    async fn ask_peers_for_servers(self: &Arc<Self>) -> Testimony {
+        let Some(exchange) = self.exchange() else { return Testimony::Unclear };
         let snapshot = exchange.fleet();
-        let peer = snapshot.reaching_store(&self.host.zone)?;
-        let requested_at = self.now();
-        let list = exchange.follow(peer.member.address, self.revision()).await.ok().flatten()?;
-        self.servers_known().confirm(requested_at.saturating_sub(list.age));
-        self.apply_peer_servers(list, &peer.member.id);
-        Some(())
+        let reaching = snapshot.reaching_store().map(|status| status.member.clone());
+        let peers: BTreeMap<_, _> = reaching
+            .chain(exchange.other_relays())
+            .take(MAX_WITNESSES)
+            .map(|peer| (peer.id, peer.address))
+            .collect();
+        let (asked, requested_at, above) = (peers.len(), self.now(), self.revision());
+        let call = async |(id, address)| {
+            let list = timeout(WITNESS_TIMEOUT, exchange.follow(address, above)).await;
+            Some((id, list.ok()?.ok()??))
+        };
+        let mut calls: FuturesUnordered<_> = peers.into_iter().map(call).collect();
+        let mut outdated = 0;
+        while let Some(answer) = calls.next().await {
+            let Some((id, list)) = answer else { continue };
+            self.servers_known().confirm(requested_at.saturating_sub(list.age));
+            self.apply_peer_servers(list, &id);
+            if !self.servers_known().is_outdated(self.now()) {
+                return Testimony::Reached;
+            }
+            outdated += 1;
+        }
+        if asked < 2 * outdated { Testimony::Unreached } else { Testimony::Unclear }
     }
 
     /// Returns whether the store is out for all hosts, so that entries of healthy servers may have
     /// expired. Failures of this host's own calls alone may be due to its own link or processor.
+    ///
+    /// What others last said of the store may have been overtaken by events, so their answers to a
+    /// question count more.
     pub(crate) fn is_store_out(&self) -> bool {
-        self.store.is_degraded() && !self.is_store_reached_by_others.load(Ordering::Relaxed)
+        self.store.is_degraded()
+            && (!self.is_store_reached_by_others.load(Ordering::Relaxed) || self.is_unreached())
+    }
+
+    /// Returns whether most of the hosts that this one has just asked had no recent answer of the
+    /// store either.
+    fn is_unreached(&self) -> bool {
+        let unreached_at = *self.unreached_at.lock().unwrap_or_else(PoisonError::into_inner);
+        unreached_at.is_some_and(|at| self.now() < at + self.routed.drain.mul_f64(TESTIMONY_SHARE))
     }
 
     /// Returns how long ago the store last confirmed the known servers.
--- a/crates/stage/tests/routed/lost_watch.rs
+++ b/crates/stage/tests/routed/lost_watch.rs
@@ -8,6 +8,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use http::StatusCode;
+use nix::sys::signal::Signal;
 use rstest::rstest;
 use standin::routed::{
     links::Delivery,
@@ -41,6 +42,9 @@
 /// Time after a silence in which hosts make contact with the store again.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
+/// Time for which hosts hold the store for degraded after a failure.
+const DEGRADED_TIME: Duration = Duration::from_secs(8);
+
 /// Time between two requests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -159,3 +163,26 @@
     let late = late(&site, &[(NEW.to_owned(), left_at)], BOUND);
     assert!(late.is_empty(), "late requests: {late:?}");
 }
+
+/// A host that is frozen has told the others that it reaches the store, and can't take that back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_served_in_a_silence_of_the_store_in_which_a_host_is_frozen() {
+    // Less than the time after which a host counts as silent.
+    const SILENCE: Duration = Duration::from_secs(5);
+    let site = grouped_site(SERVERS, DRAIN_TIME).await;
+    let (relay, followers) = relay_with_followers(&site).await;
+    // Until hosts know that the others reach the store.
+    sleep(DEGRADED_TIME).await;
+    site.hosts[relay].signal(Signal::SIGSTOP);
+    let store = &site.backend.store;
+    store.set_faults_everywhere(|faults| faults.refusal = Some(Refusal::Silence));
+    let senders: Vec<_> = followers.iter().map(|host| send_for(&site, *host, SILENCE)).collect();
+    let mut statuses = Vec::new();
+    for sender in senders {
+        statuses.extend(sender.await.expect("the caller sends to the end"));
+    }
+    site.hosts[relay].signal(Signal::SIGCONT);
+    let failed = statuses.iter().filter(|status| **status != Some(StatusCode::OK)).count();
+    assert!(failed * 100 <= statuses.len(), "{failed} of {} are not served", statuses.len());
+    assert!(200 <= statuses.len(), "{} requests", statuses.len());
+}
