Hand on notices that many later ones have overtaken

Callers: a server's departure is acknowledged between hosts and never read, so that requests go on to it until a list comes. Cause: a notice that is sent again behind more than 128 later ones of its host lies below the window of its receiver, counts as seen, and is acknowledged. Change: the window has 1,024 numbers, kept as a ring of bits. Figures: fleet_notices::a_notice_that_was_lost_once... red behind 200 and 500 later notices before, green after; behind 50 green in both.

--- a/crates/policy/src/fleet/notice.rs
+++ b/crates/policy/src/fleet/notice.rs
@@ -43,8 +43,12 @@
 /// Lowest address in the order of [`Target`]; lower bound of a range over one run's targets.
 const MIN_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
-/// Width of a window: numbers further below the highest one count as seen.
-const WINDOW_BITS: u64 = u128::BITS as u64;
+/// Width of a window: numbers further below the highest one count as seen. More than a host sends
+/// between the first and the last time that it sends a notice.
+const WINDOW_BITS: u64 = 1_024;
+
+/// Words of a window.
+const WINDOW_WORDS: usize = (WINDOW_BITS / u64::BITS as u64) as usize;
 
 /// An event that can't wait for the next digest.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -348,26 +352,46 @@
 /// Which notices of a run were received before.
 #[derive(Debug, Default)]
 pub(super) struct Window {
-    highest: Number,
-    /// Bit n stands for the number n below the highest one.
-    seen: u128,
+    /// `None` until a notice was received.
+    highest: Option<Number>,
+    /// The bit at a number modulo the width stands for that number.
+    seen: [u64; WINDOW_WORDS],
     pub(super) last_used: Moment,
 }
 
 impl Window {
     /// Whether a number is received for the first time; numbers below the window count as seen.
     pub(super) fn is_first(&mut self, number: Number) -> bool {
-        if number > self.highest || self.seen == 0 {
-            let shift = number.saturating_sub(self.highest);
-            self.seen = if shift < WINDOW_BITS { self.seen << shift } else { 0 } | 1;
-            self.highest = number;
-            return true;
+        match self.highest {
+            Some(highest) if WINDOW_BITS <= highest.saturating_sub(number) => return false,
+            Some(highest) if highest < number => {
+                self.clear(highest, number);
+                self.highest = Some(number);
+            }
+            Some(_) => {}
+            None => self.highest = Some(number),
+        }
+        let (word, bit) = Window::position(number);
+        let is_first = self.seen[word] & bit == 0;
+        self.seen[word] |= bit;
+        is_first
+    }
+
+    /// Marks the numbers above `highest` up to `number` as not received.
+    fn clear(&mut self, highest: Number, number: Number) {
+        if WINDOW_BITS <= number - highest {
+            self.seen = Default::default();
+            return;
         }
-        let below = self.highest - number;
-        if below >= WINDOW_BITS || self.seen & (1 << below) != 0 {
-            return false;
+        for above in highest + 1..=number {
+            let (word, bit) = Window::position(above);
+            self.seen[word] &= !bit;
         }
-        self.seen |= 1 << below;
-        true
+    }
+
+    /// Returns the word that holds a number's bit, and the bit.
+    fn position(number: Number) -> (usize, u64) {
+        let index = number % WINDOW_BITS;
+        ((index / u64::from(u64::BITS)) as usize, 1 << (index % u64::from(u64::BITS)))
     }
 }
--- a/crates/policy/tests/fleet_notices.rs
+++ b/crates/policy/tests/fleet_notices.rs
@@ -74,6 +74,22 @@
     assert_eq!(net.fleet(1).counts().lost_notices, 0);
 }
 
+/// Guards against a notice that is acknowledged and not handed on, as so many later ones have
+/// overtaken it that its receiver takes it for seen.
+#[rstest]
+fn a_notice_that_was_lost_once_is_received_behind_later_ones(#[values(50, 200, 500)] later: usize) {
+    let mut net = Net::settled(2, 1);
+    net.cut = vec![1];
+    net.notify_all(0, leaving(0));
+    net.run_for(Duration::from_millis(10));
+    net.cut = Vec::new();
+    for server in 1..=later {
+        net.notify_all(0, leaving(server));
+    }
+    net.run_for(Duration::from_secs(2));
+    assert!(received(&net, 1).contains(&&leaving(0)), "{} received", received(&net, 1).len());
+}
+
 #[test]
 fn a_notice_that_nobody_takes_is_sent_five_times_and_given_up() {
     let [with, without] = [true, false].map(|is_sent| {
