Judge the peers' lists by their own age, and name what peers know in the field's words

Cause: found in review: a host that stood still between its question and the answers found all lists too old by its own clock, and took the store for out for 0.3 of the bound. Ruled out: the time limit of the call; what has arrived is read before it. Change: a list counts against the store by the age that its host states. Names only besides: PeerView for Testimony.

--- a/crates/policy/src/follow.rs
+++ b/crates/policy/src/follow.rs
@@ -42,14 +42,14 @@
 /// Longest pause between two calls, as a share of the deadline for changes.
 pub const MAX_PAUSE_SHARE: f64 = 0.6;
 
-/// Bounds of the time for which a follower's watch waits for a change.
+/// Bounds of the time for which a follower's watch of the declaration waits for a change.
 const MIN_WAIT: Duration = Duration::from_secs(4);
 const MAX_WAIT: Duration = Duration::from_secs(20);
 
 /// Wait for each host, so that the call rate of all hosts together stays constant.
 const WAIT_PER_HOST: Duration = Duration::from_millis(800);
 
-/// Time beyond its wait for which a follower's watch is trusted.
+/// Time beyond its wait for which a follower's watch of the declaration is trusted.
 const TRUST_MARGIN: Duration = Duration::from_secs(1);
 
 /// Wait of a watch, as a share of the deadline for changes: of a scout, and of a host that has just
--- a/crates/relay/src/confirm.rs
+++ b/crates/relay/src/confirm.rs
@@ -13,7 +13,7 @@
 };
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use policy::follow::{Knowledge, SHORTEST_WAIT};
+use policy::follow::{Knowledge, MAX_KNOWN_AGE_SHARE, SHORTEST_WAIT};
 use tokio::time::timeout;
 use types::time::Moment;
 
@@ -27,22 +27,22 @@
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Maximum number of hosts that are asked for the servers at the same time.
-const MAX_WITNESSES: usize = 8;
+const MAX_ASKED_PEERS: usize = 8;
 
 /// Timeout of these calls.
-const WITNESS_TIMEOUT: Duration = Duration::from_millis(150);
+const PEER_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Time for which their answers count, as a share of the deadline for changes of the servers.
-const TESTIMONY_SHARE: f64 = 0.3;
+const PEER_VIEW_SHARE: f64 = 0.3;
 
-/// What other hosts' lists of the servers show of the store.
+/// What other hosts know of the servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Testimony {
+enum PeerView {
     /// The store has answered one of them recently.
-    Reached,
-    /// It has answered none of them, and most of them were asked successfully.
-    Unreached,
-    /// Too few of them have answered.
+    Recent,
+    /// Most of them responded, and the store has answered none of these recently.
+    Outdated,
+    /// Too few of them responded.
     Unclear,
 }
 
@@ -161,13 +161,13 @@
         }
         if self.store.is_degraded() {
             match self.ask_peers_for_servers().await {
-                Testimony::Reached => return,
-                Testimony::Unreached => {
-                    *self.unreached_at.lock().unwrap_or_else(PoisonError::into_inner) =
+                PeerView::Recent => return,
+                PeerView::Outdated => {
+                    *self.peers_outdated_at.lock().unwrap_or_else(PoisonError::into_inner) =
                         Some(self.now());
                     return;
                 }
-                Testimony::Unclear => {}
+                PeerView::Unclear => {}
             }
         }
         let changes = self.missed_changes(ObjectKind::Server, self.revision()).await;
@@ -178,49 +178,55 @@
     }
 
     /// Fetches the servers from a host that reaches the store: one that says so, or a relay.
-    async fn ask_peers_for_servers(self: &Arc<Self>) -> Testimony {
-        let Some(exchange) = self.exchange() else { return Testimony::Unclear };
+    async fn ask_peers_for_servers(self: &Arc<Self>) -> PeerView {
+        let Some(exchange) = self.exchange() else { return PeerView::Unclear };
         let snapshot = exchange.fleet();
         let reaching = snapshot.reaching_store().map(|status| status.member.clone());
         let peers: BTreeMap<_, _> = reaching
             .chain(exchange.other_relays())
-            .take(MAX_WITNESSES)
+            .take(MAX_ASKED_PEERS)
             .map(|peer| (peer.id, peer.address))
             .collect();
         let (asked, requested_at, above) = (peers.len(), self.now(), self.revision());
         let call = async |(id, address)| {
-            let list = timeout(WITNESS_TIMEOUT, exchange.follow(address, above)).await;
+            let list = timeout(PEER_TIMEOUT, exchange.follow(address, above)).await;
             Some((id, list.ok()?.ok()??))
         };
         let mut calls: FuturesUnordered<_> = peers.into_iter().map(call).collect();
+        let max_age = self.routed.drain.mul_f64(MAX_KNOWN_AGE_SHARE);
         let mut outdated = 0;
         while let Some(answer) = calls.next().await {
             let Some((id, list)) = answer else { continue };
-            self.servers_known().confirm(requested_at.saturating_sub(list.age));
+            let list_age = list.age;
+            self.servers_known().confirm(requested_at.saturating_sub(list_age));
             self.apply_peer_servers(list, &id);
             if !self.servers_known().is_outdated(self.now()) {
-                return Testimony::Reached;
+                return PeerView::Recent;
             }
-            outdated += 1;
+            // A recent list that this host read late shows nothing of the store.
+            outdated += usize::from(max_age < list_age);
         }
-        if asked < 2 * outdated { Testimony::Unreached } else { Testimony::Unclear }
+        if asked < 2 * outdated { PeerView::Outdated } else { PeerView::Unclear }
     }
 
     /// Returns whether the store is out for all hosts, so that entries of healthy servers may have
     /// expired. Failures of this host's own calls alone may be due to its own link or processor.
     ///
-    /// What others last said of the store may have been overtaken by events, so their answers to a
-    /// question count more.
+    /// What a host has published may be out of date, for example if it is frozen, so the responses of
+    /// peers that were asked directly take precedence.
     pub(crate) fn is_store_out(&self) -> bool {
         self.store.is_degraded()
-            && (!self.is_store_reached_by_others.load(Ordering::Relaxed) || self.is_unreached())
+            && (!self.is_store_reached_by_others.load(Ordering::Relaxed)
+                || self.are_peers_outdated())
     }
 
-    /// Returns whether most of the hosts that this one has just asked had no recent answer of the
+    /// Returns whether most of the peers that this host has just asked had no recent answer of the
     /// store either.
-    fn is_unreached(&self) -> bool {
-        let unreached_at = *self.unreached_at.lock().unwrap_or_else(PoisonError::into_inner);
-        unreached_at.is_some_and(|at| self.now() < at + self.routed.drain.mul_f64(TESTIMONY_SHARE))
+    fn are_peers_outdated(&self) -> bool {
+        let peers_outdated_at =
+            *self.peers_outdated_at.lock().unwrap_or_else(PoisonError::into_inner);
+        peers_outdated_at
+            .is_some_and(|at| self.now() < at + self.routed.drain.mul_f64(PEER_VIEW_SHARE))
     }
 
     /// Returns how long ago the store last confirmed the known servers.
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -125,8 +125,8 @@
     pub(crate) confirming_servers: AsyncMutex<()>,
     /// Whether another host reaches the store.
     pub(crate) is_store_reached_by_others: AtomicBool,
-    /// When most of the hosts that this one asked had no recent answer of the store.
-    pub(crate) unreached_at: Mutex<Option<Moment>>,
+    /// When most of the peers that this host asked had no recent answer of the store.
+    pub(crate) peers_outdated_at: Mutex<Option<Moment>>,
     /// The source from which changes of the servers were last fetched.
     pub(crate) server_source: Mutex<Option<Source>>,
     exchange: OnceLock<Weak<Exchange>>,
@@ -202,7 +202,7 @@
             servers_known: Mutex::new(Knowledge::new(routed.drain)),
             confirming_servers: AsyncMutex::default(),
             is_store_reached_by_others: AtomicBool::new(false),
-            unreached_at: Mutex::default(),
+            peers_outdated_at: Mutex::default(),
             server_source: Mutex::default(),
             exchange: OnceLock::new(),
             customer_quotas: CustomerQuotas::new(settings.host.id.clone(), incarnation),
