Say in logs and metrics why no further server is asked

Cause: a begun answer that can't go on is logged with the failure of its last server only. `RetryDecision::GiveUp(Unclear)` writes no line, so the budget, the attempts, lateness, outdated knowledge and a planned stop look the same. Ruled out: no change of logic. The dispatcher's answers and verdicts that state no refusal carry the cause, which tests now compare as well. Change: a step `given-up` with cause, time left, events, attempts and budget; `cause` in the last line of an answer that is cut; the metric `routed_cuts_total` by `why` and `cause`; `explain` shows what is unavailable beside a `given-up` step. Conclusion: the hypotheses can be told apart from logs alone.

--- a/crates/ctl/tests/incident/mod.rs
+++ b/crates/ctl/tests/incident/mod.rs
@@ -235,7 +235,7 @@
     events: u32,
     duration: Duration,
 ) -> End {
-    End { outcome, status, why: why.map(Into::into), first, events, duration }
+    End { outcome, status, why: why.map(Into::into), cause: None, first, events, duration }
 }
 
 fn ms(time: u64) -> Duration {
--- a/crates/observe/benches/story.rs
+++ b/crates/observe/benches/story.rs
@@ -52,6 +52,7 @@
         outcome,
         status: Some(200),
         why: None,
+        cause: None,
         first: Some(Duration::from_millis(52)),
         events: 47,
         duration: Duration::from_millis(900),
--- a/crates/observe/src/metrics/routed.rs
+++ b/crates/observe/src/metrics/routed.rs
@@ -21,8 +21,8 @@
 };
 
 pub use self::labels::{
-    Admissions, AttemptOutcome, BeginPart, Call, CallResult, Direction, Grants, Origin, Permits,
-    Phase, PlanTime, Queue, Refusal, Resend,
+    Admissions, AttemptOutcome, BeginPart, Break, Call, CallResult, Direction, Grants, Obstacle,
+    Origin, Permits, Phase, PlanTime, Queue, Refusal, Resend,
 };
 use self::{exchange::Exchange, labels::Label};
 use super::build::{counter, gauge, seconds};
@@ -51,6 +51,7 @@
 struct Series {
     requests: Box<[Box<[BoundCounter<u64>]>]>,
     refusals: Box<[BoundCounter<u64>]>,
+    cuts: Counter<u64>,
     attempts: Box<[BoundCounter<u64>]>,
     resends: Box<[BoundCounter<u64>]>,
     phases: Box<[Box<[BoundHistogram<f64>]>]>,
@@ -212,6 +213,12 @@
                 each(|outcome: Outcome| requests.bind(&[kind.key_value(), outcome.key_value()]))
             }),
             refusals: each(|cause: Refusal| refusals.bind(&[cause.key_value()])),
+            cuts: counter(
+                meter,
+                "routed_cuts",
+                "Responses that ended early although the caller had a part of them, by why the \
+                 last server failed and why no further one was asked",
+            ),
             attempts: each(|end: AttemptOutcome| attempts.bind(&[end.key_value()])),
             resends: each(|how: Resend| resends.bind(&[how.key_value()])),
             phases: each(|kind: Kind| {
@@ -280,6 +287,11 @@
         self.0.refusals[cause.index()].add(1);
     }
 
+    /// Counts a response that ended early although the caller had a part of it.
+    pub fn cut(&self, why: Break, cause: Obstacle) {
+        self.0.cuts.add(1, &[why.key_value(), cause.key_value()]);
+    }
+
     /// Counts an attempt that has ended.
     pub fn attempt(&self, end: AttemptOutcome) {
         self.0.attempts[end.index()].add(1);
--- a/crates/observe/src/metrics/routed/labels.rs
+++ b/crates/observe/src/metrics/routed/labels.rs
@@ -90,6 +90,58 @@
     AmbiguousVersion,
 }
 
+/// Why a response of which the caller has a part ended early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Break {
+    /// The connection to the server failed.
+    ServerCut,
+    /// The server closed the connection in the middle of an event, or before its first one.
+    PartialEvent,
+    /// An event, or what came instead of one, exceeded its limit.
+    Endless,
+    /// What the server sent is not the next event.
+    BadEvent,
+    /// The server sent nothing for too long.
+    Silence,
+    /// The deadline of the request passed.
+    Deadline,
+    /// The caller's key was removed.
+    Revoked,
+}
+
+/// Why no further server was asked for a request that may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Obstacle {
+    /// The request may run only once, or its last event has no number.
+    Unresumable,
+    /// The deadline of the request passed.
+    Deadline,
+    /// The caller's key was removed.
+    Revoked,
+    /// The host is stopping.
+    Stopping,
+    /// Servers may have left without this host knowing it, and the store does not answer.
+    Outdated,
+    /// No reachable server could run the request.
+    NoServer,
+    /// All servers are full.
+    Full,
+    /// The servers that could run the request are at their rate limit.
+    Limit,
+    /// A request of a customer below its share took the place in the queue.
+    Share,
+    /// Too little time is left until the request's deadline.
+    TooLate,
+    /// The maximum number of attempts was made.
+    Attempts,
+    /// The retry budget is used up.
+    Budget,
+    /// Requests with the same fingerprint crash servers.
+    Poison,
+    /// No server of the version that began the stream serves any more.
+    NoVersion,
+}
+
 /// Host at which the requests that are reported to the planner arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Origin {
@@ -292,6 +344,33 @@
     AmbiguousVersion = "ambiguous-version",
 });
 
+label!(Break as "why" {
+    ServerCut = "server-cut",
+    PartialEvent = "half-an-event",
+    Endless = "endless",
+    BadEvent = "bad-event",
+    Silence = "silence",
+    Deadline = "deadline",
+    Revoked = "revoked",
+});
+
+label!(Obstacle as "cause" {
+    Unresumable = "unresumable",
+    Deadline = "deadline",
+    Revoked = "revoked",
+    Stopping = "stopping",
+    Outdated = "outdated",
+    NoServer = "no-server",
+    Full = "full",
+    Limit = "limit",
+    Share = "share",
+    TooLate = "too-late",
+    Attempts = "attempts",
+    Budget = "budget",
+    Poison = "poison",
+    NoVersion = "no-version",
+});
+
 label!(Admissions as "decision" {
     Granted = "granted",
     Denied = "denied",
@@ -421,6 +500,20 @@
     }
 }
 
+impl Break {
+    /// Returns the stable identifier, which is also the label value.
+    pub fn as_str(self) -> &'static str {
+        self.value()
+    }
+}
+
+impl Obstacle {
+    /// Returns the stable identifier, which is also the label value.
+    pub fn as_str(self) -> &'static str {
+        self.value()
+    }
+}
+
 impl AttemptOutcome {
     /// Returns the stable identifier, which is also the label value.
     pub fn as_str(self) -> &'static str {
--- a/crates/observe/src/story/explanation.rs
+++ b/crates/observe/src/story/explanation.rs
@@ -215,7 +215,9 @@
             Step::Attempt(attempt) => self.include_server(run, &attempt.server),
             Step::Relayed { server, .. } => self.include(&Key::Path(run.clone(), server.clone())),
             Step::Resumed { server, .. } => self.include_server(run, server),
-            Step::Queued { .. } | Step::Refused { .. } => self.include_obstacles(run),
+            Step::Queued { .. } | Step::Refused { .. } | Step::GivenUp { .. } => {
+                self.include_obstacles(run)
+            }
             Step::Ended(_) => self.in_use.clear(),
             Step::Arrived(_)
             | Step::Unresponsive { .. }
--- a/crates/observe/src/story/request.rs
+++ b/crates/observe/src/story/request.rs
@@ -49,6 +49,9 @@
     pub status: Option<u16>,
     /// Stable identifier of the reason; required unless the request was successful.
     pub why: Option<Text>,
+    /// Stable identifier of what kept the host from asking a further server, if the caller received a
+    /// part of the response.
+    pub cause: Option<Text>,
     /// Time to the first event, or to the head of the response.
     pub first: Option<Duration>,
     /// Number of events that the caller received.
@@ -104,6 +107,7 @@
             | Step::Relayed { .. }
             | Step::Unresponsive { .. }
             | Step::StreamVersion { .. }
+            | Step::GivenUp { .. }
             | Step::AttemptEnded { .. }
             | Step::Ended(_) => {}
         }
@@ -165,7 +169,7 @@
     }
 
     fn ended(&mut self, end: End, weight: u32) -> Ended {
-        let End { outcome, status, why, first, events, duration } = end;
+        let End { outcome, status, why, cause, first, events, duration } = end;
         let (route, version, model, adapter, customer) = match self.arrival.take() {
             Some(a) => (Some(a.route), Some(a.version), a.model, a.adapter, a.customer),
             None => (None, None, None, None, None),
@@ -176,6 +180,7 @@
             outcome,
             status,
             why,
+            cause,
             route,
             version,
             model,
@@ -197,6 +202,7 @@
         let duration = self.logger.now().up.saturating_sub(self.started_at);
         let why = Some(Text::Borrowed("caller-left"));
         let outcome = Outcome::Left;
-        self.finish(End { outcome, status: None, why, first: None, events: 0, duration });
+        let (cause, first) = (None, None);
+        self.finish(End { outcome, status: None, why, cause, first, events: 0, duration });
     }
 }
--- a/crates/observe/src/story/step.rs
+++ b/crates/observe/src/story/step.rs
@@ -77,6 +77,22 @@
         /// Whether the server may have executed the request.
         ran: Ran,
     },
+    /// No further server is asked for a request that may have run.
+    GivenUp {
+        /// Stable identifier of the cause.
+        cause: Text,
+        /// Time until the deadline.
+        #[serde(with = "millis")]
+        left: Duration,
+        /// Number of events that the caller has received.
+        events: u32,
+        /// Number of attempts.
+        attempts: u32,
+        /// Further attempts that this host may still make for the service; `None` if no request for
+        /// it has arrived.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        budget: Option<f64>,
+    },
     /// A stream is resumed on another server.
     Resumed {
         /// Number of the attempt that resumes the stream, from one.
@@ -112,6 +128,7 @@
             | Step::Relayed { .. }
             | Step::Unresponsive { .. }
             | Step::AttemptEnded { .. }
+            | Step::GivenUp { .. }
             | Step::Resumed { .. }
             | Step::StreamVersion { .. } => None,
         }
@@ -131,6 +148,7 @@
             Step::Arrived(_)
             | Step::Queued { .. }
             | Step::Refused { .. }
+            | Step::GivenUp { .. }
             | Step::StreamVersion { .. } => false,
         }
     }
@@ -251,6 +269,10 @@
     /// Stable identifier of the reason, unless the request was successful.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub why: Option<Text>,
+    /// Stable identifier of what kept the host from asking a further server, if the caller received a
+    /// part of the response.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cause: Option<Text>,
     /// The request's route, if one was found.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub route: Option<RouteId>,
--- a/crates/observe/tests/common/mod.rs
+++ b/crates/observe/tests/common/mod.rs
@@ -72,6 +72,7 @@
         outcome,
         status: Some(200),
         why: None,
+        cause: None,
         first: Some(Duration::from_millis(52)),
         events: 47,
         duration: Duration::from_millis(900),
--- a/crates/observe/tests/routed.rs
+++ b/crates/observe/tests/routed.rs
@@ -4,7 +4,9 @@
 
 use observe::{
     Metrics,
-    metrics::routed::{AttemptOutcome, Call, CallResult, Phase, Queue, Refusal, Resend, Routed},
+    metrics::routed::{
+        AttemptOutcome, Break, Call, CallResult, Obstacle, Phase, Queue, Refusal, Resend, Routed,
+    },
     story::{Answer, Outcome},
 };
 use rstest::rstest;
@@ -20,6 +22,7 @@
     routed.request(Kind::Stream, Outcome::Late);
     routed.request(Kind::NonIdempotent, Outcome::Unclear);
     routed.refusal(Refusal::TooLate);
+    routed.cut(Break::ServerCut, Obstacle::Budget);
     routed.attempt(AttemptOutcome::Garbled);
     routed.resend(Resend::Resume);
     routed.phase(Kind::Stream, Phase::First, Duration::from_millis(350));
@@ -41,6 +44,7 @@
 #[case(r#"requests_total{kind="stream",outcome="late"}"#, 2.0)]
 #[case(r#"requests_total{kind="non-idempotent",outcome="unclear"}"#, 1.0)]
 #[case(r#"refusals_total{cause="too-late"}"#, 1.0)]
+#[case(r#"cuts_total{cause="budget",why="server-cut"}"#, 1.0)]
 #[case(r#"attempts_total{end="garbled"}"#, 1.0)]
 #[case(r#"again_total{how="resume"}"#, 1.0)]
 #[case(r#"phase_seconds_bucket{kind="stream",phase="first",le="0.3"}"#, 0.0)]
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -54,7 +54,7 @@
 };
 
 use self::{
-    budget::Budget,
+    budget::{Budget, Need},
     loaded::Absence,
     loans::Borrowing,
     registry::Registry,
@@ -408,6 +408,13 @@
         services.map(|service| (service.id.clone(), status(&service.budget))).collect()
     }
 
+    /// Retries that this host may still make for a service, for requests of which much depends on one;
+    /// `None` if no request for the service has arrived.
+    pub fn retries_left(&self, service: &service::Id, now: Moment) -> Option<f64> {
+        let service = self.registry.services.iter().find(|known| known.id == *service)?;
+        Some(service.budget.left(Need::High, self.sharers.extra(), now))
+    }
+
     /// Records that a server has loaded a model, or an adapter on it, as of one of its order
     /// sequence numbers.
     pub fn model_loaded(
--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -107,7 +107,7 @@
     /// over; after [`RetryDecision::InFlight`] only this attempt is.
     pub fn attempt_failed(&mut self, ticket: Ticket, end: End, now: Moment) -> RetryDecision {
         let Some(mut task) = self.tasks.remove(&ticket) else {
-            return RetryDecision::GiveUp(Answer::Unclear);
+            return RetryDecision::GiveUp(Answer::Unclear(Cause::Attempts));
         };
         let state = std::mem::replace(&mut task.state, State::Idle);
         let State::InFlight(attempt) = state else {
@@ -243,9 +243,9 @@
     fn answer(&self, task: &Task, end: End, cause: Cause, now: Moment) -> Answer {
         match end {
             _ if task.runs == 0 => Answer::NotRun { cause, after: self.retry_after(task, now) },
-            End::Completed | End::Closed | End::ServerError => Answer::Server,
+            End::Completed | End::Closed | End::ServerError => Answer::Server(cause),
             End::NotRun(_) | End::Unreachable(_) | End::Unclear(_) | End::Cancelled => {
-                Answer::Unclear
+                Answer::Unclear(cause)
             }
         }
     }
@@ -436,8 +436,12 @@
 
     /// The refusal of a request that got no server before the end of its wait.
     pub(super) fn refusal(&self, task: &Task, now: Moment) -> Verdict {
-        let cause = if self.has_capable_server(task) { Cause::Full } else { Cause::NoServer };
-        Verdict::Refuse { cause, after: self.retry_after(task, now) }
+        Verdict::Refuse { cause: self.obstacle(task), after: self.retry_after(task, now) }
+    }
+
+    /// Why a request got no server before the end of its wait.
+    pub(super) fn obstacle(&self, task: &Task) -> Cause {
+        if self.has_capable_server(task) { Cause::Full } else { Cause::NoServer }
     }
 
     /// Delay before a retry of a request that is refused now.
--- a/crates/policy/src/dispatch/pump.rs
+++ b/crates/policy/src/dispatch/pump.rs
@@ -231,7 +231,7 @@
             self.refund(&mut task);
             let verdict = match task.runs {
                 0 => self.refusal(&task, now),
-                _ => Verdict::Unclear,
+                _ => Verdict::Unclear(self.obstacle(&task)),
             };
             changes.push(Change { ticket, verdict });
         }
@@ -248,7 +248,7 @@
     fn unpaid(&self, task: &Task, now: Moment) -> Verdict {
         match task.runs {
             0 => Verdict::Refuse { cause: Cause::Budget, after: self.retry_after(task, now) },
-            _ => Verdict::Unclear,
+            _ => Verdict::Unclear(Cause::Budget),
         }
     }
 
--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -150,11 +150,12 @@
     /// The request's server is unresponsive, and the request is to be sent to a second one as well,
     /// by [`hedge`](super::Dispatcher::hedge).
     Hedge,
-    /// The request has ended after an attempt that may have run.
-    Unclear,
+    /// The request has ended after an attempt that may have run, as no other server may be asked for
+    /// this reason.
+    Unclear(Cause),
 }
 
-/// Why a request is refused.
+/// Why a request is refused, or no other server is asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Cause {
     /// No usable server has the model or adapter loaded.
@@ -274,8 +275,8 @@
 /// Final answer to the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
-    /// The server's response is passed on.
-    Server,
+    /// The server's response is passed on, as no other server may be asked for this reason.
+    Server(Cause),
     /// The caller is told that the request did not run and is not going to.
     NotRun {
         /// Why the request did not run.
@@ -283,6 +284,6 @@
         /// Delay after which the caller may retry.
         after: Duration,
     },
-    /// The caller is told that the request may have run.
-    Unclear,
+    /// The caller is told that the request may have run. No other server may be asked for this reason.
+    Unclear(Cause),
 }
--- a/crates/policy/tests/dispatch/poison.rs
+++ b/crates/policy/tests/dispatch/poison.rs
@@ -2,7 +2,7 @@
 
 use policy::{
     dispatch::{
-        Answer, Change, End, Poison, RequestSpec, RetryDecision, Unclear, Verdict,
+        Answer, Cause, Change, End, Poison, RequestSpec, RetryDecision, Unclear, Verdict,
         poison::{
             self, Crash, Fingerprint, Isolation, LIFE, MAX_SUBJECTS, POISON, SETTLE_TIME,
             SUSPICION, Standing,
@@ -476,7 +476,7 @@
         crashes += 1;
         assert_eq!(
             host.attempt_failed(ticket + 1, CUT, now + at(5)),
-            RetryDecision::GiveUp(Answer::Unclear)
+            RetryDecision::GiveUp(Answer::Unclear(Cause::Attempts))
         );
         host.gone(&second, now + at(5));
         if first == second {
--- a/crates/policy/tests/dispatch/repeat.rs
+++ b/crates/policy/tests/dispatch/repeat.rs
@@ -53,8 +53,8 @@
 }
 
 #[rstest]
-#[case::own_failure(Kind::NonIdempotent, End::ServerError, Answer::Server)]
-#[case::unclear(Kind::NonIdempotent, CUT, Answer::Unclear)]
+#[case::own_failure(Kind::NonIdempotent, End::ServerError, Answer::Server(Cause::Attempts))]
+#[case::unclear(Kind::NonIdempotent, CUT, Answer::Unclear(Cause::Attempts))]
 fn the_answer_says_what_is_known(#[case] kind: Kind, #[case] end: End, #[case] expected: Answer) {
     let mut host = servers();
     sent(host.arrive(request(1, kind, at(0)), at(0)));
@@ -67,7 +67,10 @@
     sent(host.arrive(request(1, Kind::Idempotent, at(0)), at(0)));
     assert!(matches!(host.attempt_failed(1, SILENT, at(10)), RetryDecision::Send(_)));
     assert!(matches!(host.attempt_failed(1, SILENT, at(20)), RetryDecision::Send(_)));
-    assert_eq!(host.attempt_failed(1, SILENT, at(30)), RetryDecision::GiveUp(Answer::Unclear));
+    assert_eq!(
+        host.attempt_failed(1, SILENT, at(30)),
+        RetryDecision::GiveUp(Answer::Unclear(Cause::Attempts))
+    );
 }
 
 /// Why a request that did not run is given up.
@@ -250,7 +253,7 @@
 fn a_stream_whose_only_holder_failed_ends_with_its_time() {
     let mut host = cut_by_the_only_holder();
     let changes = host.pump(at(4_000));
-    assert_eq!(changes, [Change { ticket: 1, verdict: Verdict::Unclear }]);
+    assert_eq!(changes, [Change { ticket: 1, verdict: Verdict::Unclear(Cause::NoServer) }]);
 }
 
 /// A resumable stream that `s1` has cut, while `s2` rejects it until `full_until`. Returns what is
--- a/crates/policy/tests/dispatch/retries.rs
+++ b/crates/policy/tests/dispatch/retries.rs
@@ -259,7 +259,7 @@
                 RetryDecision::GiveUp(answer) => {
                     let is_refused = matches!(
                         answer,
-                        Answer::Server | Answer::NotRun { cause: Cause::Budget, .. }
+                        Answer::Server(_) | Answer::NotRun { cause: Cause::Budget, .. }
                     );
                     self.refused += usize::from(is_refused);
                 }
--- a/crates/policy/tests/dispatch/software.rs
+++ b/crates/policy/tests/dispatch/software.rs
@@ -42,7 +42,7 @@
 }
 
 #[rstest]
-#[case::another_version("v2", RetryDecision::GiveUp(Answer::Unclear))]
+#[case::another_version("v2", RetryDecision::GiveUp(Answer::Unclear(Cause::Software)))]
 #[case::the_same_version("v1", RetryDecision::Send("s2".into()))]
 fn a_stream_that_has_begun_goes_on_at_its_version_only(
     #[case] other: &str,
@@ -85,7 +85,10 @@
     let mut host = streaming("v1", "v2");
     host.server(&versioned("s1", "v2"), at(5));
     assert_eq!(host.first_byte(1, at(10)), Some(software_id(&service(), "v1")));
-    assert_eq!(host.attempt_failed(1, CUT, at(20)), RetryDecision::GiveUp(Answer::Unclear));
+    assert_eq!(
+        host.attempt_failed(1, CUT, at(20)),
+        RetryDecision::GiveUp(Answer::Unclear(Cause::Software))
+    );
 }
 
 #[rstest]
--- a/crates/policy/tests/dispatch/uneven.rs
+++ b/crates/policy/tests/dispatch/uneven.rs
@@ -227,7 +227,10 @@
         match verdict {
             Verdict::Send(server) => self.send(server, ticket),
             Verdict::Wait | Verdict::Missing { .. } => {}
-            Verdict::Hedge | Verdict::Refuse { .. } | Verdict::Quarantined | Verdict::Unclear => {
+            Verdict::Hedge
+            | Verdict::Refuse { .. }
+            | Verdict::Quarantined
+            | Verdict::Unclear(_) => {
                 self.refused(ticket);
             }
         }
--- a/crates/policy/tests/many_hosts/world.rs
+++ b/crates/policy/tests/many_hosts/world.rs
@@ -304,7 +304,7 @@
             Verdict::Send(server) => self.send(ticket, &server),
             Verdict::Wait | Verdict::Missing { .. } => self.wait(ticket),
             Verdict::Refuse { .. } | Verdict::Quarantined => self.refused(ticket),
-            Verdict::Unclear => self.unclear(ticket),
+            Verdict::Unclear(_) => self.unclear(ticket),
             Verdict::Hedge => {}
         }
     }
@@ -463,7 +463,7 @@
             RetryDecision::Wait | RetryDecision::Missing { .. } => self.wait(ticket),
             RetryDecision::InFlight => {}
             RetryDecision::GiveUp(Answer::NotRun { .. }) => self.refused(ticket),
-            RetryDecision::GiveUp(Answer::Server | Answer::Unclear) => self.unclear(ticket),
+            RetryDecision::GiveUp(Answer::Server(_) | Answer::Unclear(_)) => self.unclear(ticket),
         }
         self.post(host);
     }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -10,7 +10,10 @@
 
 use futures_util::{FutureExt, future::BoxFuture};
 use http::StatusCode;
-use observe::{metrics::routed::Refusal, story::Arrival};
+use observe::{
+    metrics::routed::{Obstacle, Refusal},
+    story::Arrival,
+};
 use policy::{
     attempt_timeout, customer,
     dispatch::{self, Answer, Ticket, Verdict},
@@ -166,8 +169,8 @@
                 self.trace.refused(trace::refusal(cause), self.time_left(shared), Some(after));
                 return Err(Problem::NotRun(after));
             }
-            dispatch::RetryDecision::GiveUp(Answer::Server | Answer::Unclear) => {
-                return Err(Problem::Unclear);
+            dispatch::RetryDecision::GiveUp(Answer::Server(cause) | Answer::Unclear(cause)) => {
+                return Err(self.give_up(shared, trace::obstacle(cause)));
             }
         };
         Ok(Next::Server(server))
@@ -274,12 +277,16 @@
             Verdict::Quarantined => {
                 self.handle.mark_ended();
                 self.trace.refused(Refusal::Poison, self.time_left(shared), None);
-                Err(Problem::Unclear)
+                Err(self.give_up(shared, Obstacle::Poison))
+            }
+            Verdict::Unclear(cause) => {
+                self.handle.mark_ended();
+                Err(self.give_up(shared, trace::obstacle(cause)))
             }
-            // `Hedge` is not expected, as a waiting request has no server.
-            Verdict::Unclear | Verdict::Hedge => {
+            // Not expected, as a waiting request has no server.
+            Verdict::Hedge => {
                 self.handle.mark_ended();
-                Err(Problem::Unclear)
+                Err(self.give_up(shared, Obstacle::Attempts))
             }
         }
     }
@@ -292,6 +299,9 @@
 
     /// Refuses the request because this host is about to stop.
     fn refuse_stopping(&self, shared: &Shared) -> Problem {
+        if 0 < self.handle.may_run.load(Ordering::Relaxed) {
+            self.give_up(shared, Obstacle::Stopping);
+        }
         self.refuse_elsewhere(Refusal::Stopping, self.time_left(shared))
     }
 
@@ -301,11 +311,18 @@
         Problem::NotRun(RETRY_ELSEWHERE_AFTER)
     }
 
+    /// Ends a request that may have run.
+    fn give_up(&self, shared: &Shared, obstacle: Obstacle) -> Problem {
+        let budget = shared.dispatcher().retries_left(&self.service, shared.now());
+        self.trace.given_up(obstacle, self.time_left(shared), budget);
+        Problem::Unclear
+    }
+
     /// Ends the request because all servers may have left without this host knowing it.
     fn refuse_outdated(&self, shared: &Shared) -> Problem {
         self.handle.end(AttemptEnd::Unreachable(dispatch::Unreachable::Closed));
         if 0 < self.handle.may_run.load(Ordering::Relaxed) {
-            return Problem::Unclear;
+            return self.give_up(shared, Obstacle::Outdated);
         }
         self.refuse_elsewhere(Refusal::Outdated, self.time_left(shared))
     }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
+use observe::metrics::routed::Break;
 use policy::{dispatch::Unclear, event::Fault};
 
 use crate::{attempt::AttemptEnd, body};
@@ -44,16 +45,16 @@
 }
 
 impl StreamError {
-    /// Returns the reason as it is written to logs.
-    pub(crate) fn as_str(&self) -> &'static str {
+    /// Returns the reason for logs and metrics.
+    pub(crate) fn reason(&self) -> Break {
         match self {
-            StreamError::Connection(_) => "server-cut",
-            StreamError::PartialEvent => "half-an-event",
-            StreamError::Fault(Fault::TooLarge | Fault::Unproductive) => "endless",
-            StreamError::Fault(Fault::Gap | Fault::Garbage) => "bad-event",
-            StreamError::Silence => "silence",
-            StreamError::Deadline => "deadline",
-            StreamError::Revoked => "revoked",
+            StreamError::Connection(_) => Break::ServerCut,
+            StreamError::PartialEvent => Break::PartialEvent,
+            StreamError::Fault(Fault::TooLarge | Fault::Unproductive) => Break::Endless,
+            StreamError::Fault(Fault::Gap | Fault::Garbage) => Break::BadEvent,
+            StreamError::Silence => Break::Silence,
+            StreamError::Deadline => Break::Deadline,
+            StreamError::Revoked => Break::Revoked,
         }
     }
 
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -11,7 +11,9 @@
 
 use http::StatusCode;
 use observe::{
-    metrics::routed::{AttemptOutcome, BeginPart, Phase, Refusal, Resend, Routed as Meters},
+    metrics::routed::{
+        AttemptOutcome, BeginPart, Break, Obstacle, Phase, Refusal, Resend, Routed as Meters,
+    },
     story::{self, Arrival, End, Input, Outcome, Step, Text},
 };
 use policy::dispatch::{Cause, NotRun, Ticket, Unclear, Unreachable};
@@ -39,6 +41,8 @@
     goals: Option<Goals>,
     /// Cause of the last refusal by the dispatcher or by this host.
     refusal: Option<Refusal>,
+    /// What last kept the host from asking a further server.
+    obstacle: Option<Obstacle>,
     /// The attempts in flight.
     open: Vec<OpenAttempt>,
     attempts: u32,
@@ -100,6 +104,7 @@
             decided: None,
             goals: None,
             refusal: None,
+            obstacle: None,
             open: Vec::new(),
             attempts: 0,
             status: None,
@@ -139,6 +144,16 @@
         notes.record(Step::Refused { why, inputs, retry_after: again });
     }
 
+    /// Records that no further server is asked for a request that may have run. `budget` is the number
+    /// of retries left.
+    pub(crate) fn given_up(&self, obstacle: Obstacle, left: Duration, budget: Option<f64>) {
+        let mut notes = self.notes();
+        notes.obstacle = Some(obstacle);
+        let (cause, events, attempts) =
+            (Text::Borrowed(obstacle.as_str()), notes.events, notes.attempts);
+        notes.record(Step::GivenUp { cause, left, events, attempts, budget });
+    }
+
     /// Records that the request is sent to a server; `after` is the last event that the caller has,
     /// if a stream is resumed.
     pub(crate) fn sent(&self, ticket: Ticket, server: &Server, after: Option<u64>, left: Duration) {
@@ -310,8 +325,16 @@
     pub(crate) fn stream_failed(&self, error: &StreamError) {
         let mut notes = self.notes();
         notes.all_ended(error.attempt_end(), None);
+        let why = error.reason();
+        let obstacle = match why {
+            Break::Deadline => Obstacle::Deadline,
+            Break::Revoked => Obstacle::Revoked,
+            _ => notes.obstacle.unwrap_or(Obstacle::Unresumable),
+        };
+        notes.obstacle = Some(obstacle);
+        notes.meters.cut(why, obstacle);
         let status = notes.status;
-        notes.end(Outcome::Cut, status, Some(error.as_str()));
+        notes.end(Outcome::Cut, status, Some(why.as_str()));
     }
 
     fn notes(&self) -> MutexGuard<'_, Notes> {
@@ -383,8 +406,12 @@
             self.phase(Phase::Gap, self.longest_gap);
         }
         self.phase(Phase::Whole, duration);
-        let (first, events) = (self.first_after, self.events);
-        story.end(End { outcome, status, why: why.map(Text::Borrowed), first, events, duration });
+        let cause = match outcome {
+            Outcome::Cut => self.obstacle.map(|obstacle| Text::Borrowed(obstacle.as_str())),
+            _ => None,
+        };
+        let (why, first, events) = (why.map(Text::Borrowed), self.first_after, self.events);
+        story.end(End { outcome, status, why, cause, first, events, duration });
     }
 }
 
@@ -435,6 +462,21 @@
     }
 }
 
+/// Maps the dispatcher's cause to the label of what keeps the host from asking a further server.
+pub(crate) fn obstacle(cause: Cause) -> Obstacle {
+    match cause {
+        Cause::NoServer => Obstacle::NoServer,
+        Cause::Full => Obstacle::Full,
+        Cause::Limit => Obstacle::Limit,
+        Cause::Share => Obstacle::Share,
+        Cause::Late => Obstacle::TooLate,
+        Cause::Attempts => Obstacle::Attempts,
+        Cause::Budget => Obstacle::Budget,
+        Cause::Poison => Obstacle::Poison,
+        Cause::Software => Obstacle::NoVersion,
+    }
+}
+
 fn ran(end: AttemptEnd) -> Ran {
     match end {
         AttemptEnd::Completed | AttemptEnd::Closed | AttemptEnd::ServerError => Ran::Ran,
--- a/crates/stage/tests/routed/stories.rs
+++ b/crates/stage/tests/routed/stories.rs
@@ -172,6 +172,7 @@
         (&end["outcome"], &end["status"]),
         (&json!("unclear"), &json!(answer.status.as_u16()))
     );
+    assert_eq!(of_kind(&lines, "given-up")[0]["cause"], "attempts");
     let states = of_kind(&lines, "server");
     assert!(
         states.iter().any(|line| line["server"] == server),
@@ -191,6 +192,7 @@
     assert_eq!((&ended["outcome"], &ended["ran"]), (&json!("cut"), &json!("may-have-run")));
     let end = of_kind(&lines, "ended")[0];
     assert_eq!((&end["outcome"], &end["status"]), (&json!("cut"), &json!(200)));
+    assert_eq!((&end["why"], &end["cause"]), (&json!("server-cut"), &json!("unresumable")));
     assert_eq!((&end["events"], &end["model"]), (&json!(2), &json!("welcome")));
     assert!(end["first"].is_u64(), "{end:#}");
 }
