Pass on the head of a stream with its first event

Cause: a caller got status 200 before its server had anything to say. If the server broke off then, the caller was cut, where an error lets it ask again. Ruled out: waiting for the first data, which half an event or a comment is. Change: the head of every stream waits for the first complete event, as that of a hedge did for the first data. `Call::is_hedge` is gone with it. Conclusion: callers are served an error that they may act on.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{io, sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, Version, header, response};
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
@@ -10,6 +10,7 @@
 use policy::{
     customer,
     dispatch::{NotRun, Ticket, Unclear, Unreachable},
+    event::Splitter,
     paths::Path,
 };
 use tokio::{task::yield_now, time::Instant};
@@ -24,6 +25,7 @@
     fields,
     host::Shared,
     paths,
+    stream::StreamError,
 };
 
 /// A caller's request, buffered completely so that it can be sent again.
@@ -50,7 +52,7 @@
 /// A response whose body is still to be read, with its connection.
 pub(crate) struct OpenResponse {
     pub(crate) body: Incoming,
-    /// Data of the body that was received ahead of the rest.
+    /// The beginning of the body, which was received ahead of the rest.
     pub(crate) first: Option<Bytes>,
     pub(crate) end: BodyEnd,
     /// Time after which the server closes the connection if it is idle.
@@ -69,19 +71,33 @@
 }
 
 impl OpenResponse {
-    /// Receives the first data of the body, or its end.
+    /// Receives the body of a stream up to the first event after the event `after`, or to its end.
     ///
     /// # Errors
     ///
-    /// The connection failed, or was closed where the body has no other end.
-    pub(crate) async fn receive_first(&mut self) -> Result<(), AttemptEnd> {
+    /// The connection failed, or was closed where the body has no other end, or what was received is
+    /// no event.
+    pub(crate) async fn receive_event(&mut self, after: Option<u64>) -> Result<(), AttemptEnd> {
+        let mut splitter = Splitter::new(after);
+        let mut received = BytesMut::new();
         while let Some(frame) = self.body.frame().await {
             let frame = frame.map_err(|error| AttemptEnd::Unclear(body::failure(&error)))?;
-            if let Ok(data) = frame.into_data() {
+            let Ok(data) = frame.into_data() else { continue };
+            let output = splitter.take(data.clone());
+            if output.has_event && received.is_empty() {
                 self.first = Some(data);
                 return Ok(());
             }
+            received.extend_from_slice(&data);
+            if output.has_event {
+                self.first = Some(received.freeze());
+                return Ok(());
+            }
+            if let Some(fault) = output.fault {
+                return Err(StreamError::Fault(fault).attempt_end());
+            }
         }
+        self.first = (!received.is_empty()).then(|| received.freeze());
         match self.end {
             BodyEnd::Framed => Ok(()),
             BodyEnd::Close => Err(AttemptEnd::Unclear(Unclear::Cut)),
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -399,11 +399,6 @@
         self.tickets().last().copied()
     }
 
-    /// Returns whether an attempt was started while another one was in flight that still is.
-    pub(crate) fn is_hedge(&self, ticket: Ticket) -> bool {
-        self.tickets().first().is_some_and(|first| *first != ticket)
-    }
-
     /// Returns whether something was received from the server of an attempt in flight.
     pub(crate) fn has_begun(&self, ticket: Ticket) -> bool {
         self.shared.dispatcher().has_begun(ticket)
@@ -572,9 +567,7 @@
         if !start.head.status.is_success() {
             return Err(AttemptEnd::ServerError.into());
         }
-        if call.handle.is_hedge(ticket) {
-            start.response.receive_first().await?;
-        }
+        start.response.receive_event(after.or(call.request.info.resume)).await?;
         Ok(start)
     })
     .await
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -234,7 +234,8 @@
     }
 }
 
-/// Sends a request to a server and receives the response, of a stream only the head.
+/// Sends a request to a server and receives the response, of a stream only the head and the first
+/// event: a caller that has the head can't be refused any more.
 async fn attempt(
     shared: &Arc<Shared>,
     call: &Call,
@@ -244,10 +245,7 @@
     let mut start = call.send(shared, ticket, server, None).await?;
     let status = start.head.status;
     if call.route.kind == Kind::Stream && status.is_success() {
-        // The attempts before this one are closed once it is answered.
-        if call.handle.is_hedge(ticket) {
-            start.response.receive_first().await?;
-        }
+        start.response.receive_event(call.request.info.resume).await?;
         return Ok(Reply::Stream(start));
     }
     let ResponseStart { head, mut response } = start;
