Hedge a stream that has begun after longer than a sound server may be silent

Cause: 0.8 s after its last event a stream was sent to a second server as well, and 250 ms later the attempt at the first one was ended, whether or not the second had answered. Sound servers are silent for a second and go on; if the second server then rejected or broke off, both attempts were spent. Ruled out: keeping the first server until the second has sent something. A run whose answer is lost goes on beside it without a sign, and two servers must not work on one stream; the bound of 250 ms stays as it is. Change: such a stream is hedged after 1.25 s. Conclusion: a sound server that pauses for a second keeps its streams.

--- a/crates/policy/src/attempt_timeout.rs
+++ b/crates/policy/src/attempt_timeout.rs
@@ -12,8 +12,8 @@
 /// Shortest time-out of the first event of a stream.
 const MIN_FIRST_EVENT: Duration = Duration::from_millis(1200);
 
-/// Shortest time-out of the next event of a stream.
-const MIN_NEXT_EVENT: Duration = Duration::from_secs(1);
+/// Shortest time-out of the next event of a stream. Sound servers may be silent for a second.
+const MIN_NEXT_EVENT: Duration = Duration::from_millis(1250);
 
 /// Time-out of a complete response, in multiples of the latency objective.
 const RESPONSE_OBJECTIVES: u32 = 3;
--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -46,8 +46,9 @@
 const SILENT_GOAL: f64 = 1.5;
 const SILENT_TIMES: f64 = 6.0;
 
-/// Silence of a server after which a stream that has begun is hedged.
-const STALLED: Duration = Duration::from_millis(800);
+/// Silence of a server after which a stream that has begun is hedged. Sound servers may be silent for
+/// a second, and the hedge ends the attempt there.
+const STALLED: Duration = Duration::from_millis(1250);
 
 /// Multiples of the goal and of the expected time after which a request is hedged that is at a server
 /// which answers others.
