Go on with streams that have begun as long as a server may be asked

Callers saw: an answer of status 200 was cut with most of its time left, though a server of it was in order. Cause: a request that has failed is given up for want of a retry, of attempts, of time by an estimate, of recent knowledge of the servers, at a planned stop. That is right for a request that can still be refused. None of the places asks whether the caller has a head. A server that was only silent counted against the attempts, so the first failure of the server after it was final. Change: the dispatcher knows streams that have begun (`Task::is_begun`). They return to servers that were asked, within the route's number of servers, wait for the retry budget in the queue, and are not ended by an estimate. A hedge no longer avoids a server that has only rejected the stream. In the relay, `Events::end_early` is the only place that ends one, with the closed enum `stream::End`; a `Problem` can't be written there.

--- a/crates/policy/src/dispatch/arrive.rs
+++ b/crates/policy/src/dispatch/arrive.rs
@@ -120,12 +120,19 @@
             self.withdraw(&task, &attempt, end, now);
             return RetryDecision::InFlight;
         }
-        task.record_attempt(&attempt.id, end);
+        task.record_attempt(&attempt.id, end, now);
         task.pause_if_rejected(end, now);
         let outcome = self.choose(&task, now);
-        if let Err(cause) = self.pay_for_retry(&mut task, end, &outcome, now) {
-            self.refund(&mut task);
-            return RetryDecision::GiveUp(self.answer(&task, end, cause, now));
+        match self.pay_for_retry(&mut task, end, &outcome, now) {
+            Ok(()) => {}
+            Err(Cause::Budget) if task.is_begun => {
+                self.requeue(task, Duration::ZERO, &Asks::default(), now);
+                return RetryDecision::Wait;
+            }
+            Err(cause) => {
+                self.refund(&mut task);
+                return RetryDecision::GiveUp(self.answer(&task, end, cause, now));
+            }
         }
         match outcome {
             Outcome::Send(choice) => RetryDecision::Send(self.send(task, choice, now)),
@@ -166,6 +173,7 @@
     fn requeue(&mut self, mut task: Task, until: Moment, asks: &Asks, now: Moment) {
         let estimate = self.estimate_wait(&task, now);
         let give_up = match task.runs {
+            _ if task.is_begun => task.spec.deadline,
             0 => give_up_at(&task, Class::Late, &estimate, now).max(until),
             _ => latest_start(&task, &estimate),
         };
@@ -176,9 +184,11 @@
     fn wait_for_another(&mut self, task: Task, now: Moment) -> RetryDecision {
         let ready = self.loaded_at(&task);
         let (model, adapter) = (task.spec.model.clone(), task.spec.adapter.clone());
+        // Other servers may have the model, but the route doesn't allow any of them.
+        let is_limited = task.is_begun && task.is_at_limit();
         let until = load_wait_until(&task, ready);
         self.requeue(task, until, &Asks::default(), now);
-        let missing = model.filter(|_| ready.is_none());
+        let missing = model.filter(|_| ready.is_none() && !is_limited);
         missing.map_or(RetryDecision::Wait, |model| RetryDecision::Missing { model, adapter })
     }
 
@@ -196,7 +206,7 @@
         // that reached no server is dropped.
         task.payment = task.payment.filter(|payment| *payment == Payment::Own);
         // The first arrival of a request at a server needs no payment.
-        if !task.has_arrived || task.payment.is_some() {
+        if !task.must_pay() {
             return Ok(());
         }
         let (need, extra) = (task.need(), self.sharers.extra());
@@ -217,13 +227,16 @@
         };
         let serve = duration(self.stats(task).base());
         let is_poison = self.standing(&task.spec) == poison::Standing::Poison;
-        if !is_allowed || !task.has_tries() {
+        if !is_allowed || !task.has_tries() || self.has_used_up_servers(task) {
             return Err(Cause::Attempts);
         }
-        if is_poison {
+        // Crashes that turn out to have another cause are voided, and the caller has a part.
+        if is_poison && (!task.is_begun || self.is_quarantined(&task.spec, now)) {
             return Err(Cause::Poison);
         }
-        if task.spec.deadline <= now + self.lateness + serve {
+        // The estimate is no reason to end a stream that has begun.
+        let needed = if task.is_begun { Duration::ZERO } else { self.lateness + serve };
+        if task.spec.deadline <= now + needed {
             return Err(Cause::Late);
         }
         if self.lacks_software(task) {
@@ -232,6 +245,13 @@
         Ok(())
     }
 
+    /// Whether a stream that has begun may go to no further server, and none of those that ran it is
+    /// registered any more.
+    fn has_used_up_servers(&self, task: &Task) -> bool {
+        let is_registered = |server: &backend::Id| self.registry.index(server).is_some();
+        task.is_begun && task.is_at_limit() && !task.servers_that_ran().any(is_registered)
+    }
+
     /// Whether this host's tasks run so late that the request can't be served by its deadline. While
     /// they are on time, a request with little time left is still sent: its service may be faster
     /// than expected.
@@ -328,8 +348,7 @@
             let server = self.registry.get(index);
             let software = task.spec.software;
             server.is_some_and(|server| {
-                software.is_none_or(|began| server.software == began)
-                    && !task.spec.avoid.contains(&server.id)
+                software.is_none_or(|began| server.software == began) && task.may_ask(&server.id)
             })
         };
         let wanted = loading
@@ -441,6 +460,9 @@
 
     /// Why a request got no server before the end of its wait.
     pub(super) fn obstacle(&self, task: &Task) -> Cause {
+        if task.must_pay() {
+            return Cause::Budget;
+        }
         if self.has_capable_server(task) { Cause::Full } else { Cause::NoServer }
     }
 
--- a/crates/policy/src/dispatch/budget.rs
+++ b/crates/policy/src/dispatch/budget.rs
@@ -184,6 +184,13 @@
         self.count_retry(payment)
     }
 
+    /// Pays for a retry that is sent at once, like [`pay`](Self::pay). Counts no refusal if none is
+    /// left, as the retry waits for one.
+    pub fn pay_if_left(&mut self, need: Need, extra: Extra, now: Moment) -> Option<Payment> {
+        self.last_requested = Some(now);
+        (1.0 <= self.left(need, extra, now)).then(|| self.pay(need, extra, now)).flatten()
+    }
+
     /// Pays for a retry that waits, from this host's own share only.
     pub fn reserve(&mut self, need: Need, extra: Extra, now: Moment) -> Option<Payment> {
         let payment = self.take_own(need, extra, now);
--- a/crates/policy/src/dispatch/choose.rs
+++ b/crates/policy/src/dispatch/choose.rs
@@ -163,7 +163,7 @@
         let is_same_software = task.spec.software.is_none_or(|began| server.software == began);
         let may_begin =
             server.may_begin || task.spec.software.is_some() || !task.spec.is_resumable_stream();
-        is_loaded && is_same_software && may_begin && !task.spec.avoid.contains(&server.id)
+        is_loaded && is_same_software && may_begin && task.may_ask(&server.id)
     }
 
     /// Whether the request's stream can't go on, since it must avoid all servers of the version that
@@ -172,7 +172,7 @@
         let Some(software) = task.spec.software else { return false };
         let list = &self.registry.services[task.service as usize].list;
         let mut servers = list.all().iter().filter_map(|at| self.registry.get(*at));
-        !servers.any(|server| server.software == software && !task.spec.avoid.contains(&server.id))
+        !servers.any(|server| server.software == software && task.may_ask(&server.id))
     }
 
     /// Whether any server could run the request.
@@ -272,6 +272,7 @@
         let memory = server.load.memory_used(task.memory());
         let has_memory = memory.is_none_or(|used| used < MEMORY_HARD) || in_flight < 1.0;
         let is_open = task.paused_until <= now
+            && !task.has_just_asked(&server.id, now)
             && !server.load.is_full(now)
             && server.back_off.has_room(now)
             && has_memory
--- a/crates/policy/src/dispatch/events.rs
+++ b/crates/policy/src/dispatch/events.rs
@@ -71,6 +71,7 @@
             attempt.phase = Phase::Responding;
             if task.spec.kind == Kind::Stream {
                 task.spec.software.get_or_insert(attempt.software);
+                task.is_begun = task.spec.resumable;
             }
         }
         self.reached(&mut task, now);
@@ -82,6 +83,9 @@
     /// Records the last event of the stream that the caller has received.
     pub fn delivered(&mut self, ticket: Ticket, event: u64, now: Moment) {
         let Some(task) = self.tasks.get_mut(&ticket) else { return };
+        if task.spec.resume < Some(event) {
+            task.tries = 0;
+        }
         task.spec.resume = Some(event);
         path::heard(&mut self.registry, task, now);
         let State::InFlight(attempt) = &mut task.state else { return };
--- a/crates/policy/src/dispatch/pump.rs
+++ b/crates/policy/src/dispatch/pump.rs
@@ -104,6 +104,7 @@
         let waiting =
             self.registry.services.iter().flat_map(|service| service.queue.first(usize::MAX));
         let tasks = waiting.filter_map(|key| self.tasks.get(&key.ticket));
+        let tasks = tasks.filter(|task| !task.is_begun || !task.is_at_limit());
         let mut missing: Vec<Missing> = Vec::new();
         for task in tasks.filter(|task| task.model.is_some()) {
             let is_same = |other: &&mut Missing| {
@@ -175,7 +176,7 @@
                 continue;
             }
             // A request with too little time left is not sent; it is given up when it expires.
-            if task.spec.deadline <= now + duration(self.stats(task).base()) {
+            if !task.is_begun && task.spec.deadline <= now + duration(self.stats(task).base()) {
                 continue;
             }
             let is_late = self.is_lost_to_lateness(task, now);
@@ -198,6 +199,23 @@
                     self.drop_waiting(service, key);
                     changes.push(Change { ticket: key.ticket, verdict });
                 }
+                (None, Outcome::Send(_)) if task.is_begun && !self.is_covered(task, now) => {
+                    let Some(mut task) = self.tasks.remove(&key.ticket) else { continue };
+                    self.refund(&mut task);
+                    self.tasks.insert(key.ticket, task);
+                }
+                (None, Outcome::Send(choice)) if task.must_pay() => {
+                    let need = task.need();
+                    let budget = &mut self.registry.services[service].budget;
+                    let payment = budget.pay_if_left(need, self.sharers.extra(), now);
+                    if payment.is_none() {
+                        continue;
+                    }
+                    let Some(mut task) = self.take(service, key) else { continue };
+                    task.payment = payment;
+                    let verdict = Verdict::Send(self.send(task, choice, now));
+                    changes.push(Change { ticket: key.ticket, verdict });
+                }
                 (None, Outcome::Send(_)) if !self.is_covered(task, now) => {
                     let verdict = self.unpaid(task, now);
                     self.drop_waiting(service, key);
@@ -228,11 +246,11 @@
                 break;
             };
             let Some(mut task) = self.take(service, *key) else { break };
-            self.refund(&mut task);
             let verdict = match task.runs {
                 0 => self.refusal(&task, now),
                 _ => Verdict::Unclear(self.obstacle(&task)),
             };
+            self.refund(&mut task);
             changes.push(Change { ticket, verdict });
         }
     }
--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -6,7 +6,7 @@
     budget::{Need, Payment},
     mixed,
     queue::{Charge, Flow, Haste, Key},
-    request::{End, NotRun, RequestSpec, Ticket, Unreachable},
+    request::{End, NotRun, RequestSpec, Ticket, Unclear, Unreachable},
 };
 use crate::{defer::Deferral, paths::Path, route::Index, streams::SoftwareId};
 
@@ -18,6 +18,9 @@
 /// at a server counts as a retry.
 const REJECTED_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time from the end of an attempt at a server to the next one there.
+const RETURN_PAUSE: Duration = Duration::from_millis(150);
+
 /// Where a request is.
 #[derive(Clone, Debug)]
 pub enum State {
@@ -95,6 +98,39 @@
     Requested,
 }
 
+/// Another attempt of the request in flight, which has a task of its own.
+#[derive(Clone, Debug)]
+pub struct Rival {
+    pub ticket: Ticket,
+    pub server: backend::Id,
+}
+
+/// A server that the request was sent to in an attempt that has ended.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    server: backend::Id,
+    ended_at: Moment,
+    end: End,
+}
+
+impl Asked {
+    pub fn server(&self) -> &backend::Id {
+        &self.server
+    }
+
+    fn may_have_run(&self) -> bool {
+        may_have_run(self.end)
+    }
+}
+
+/// Whether the server of an attempt that ended so may have run the request.
+fn may_have_run(end: End) -> bool {
+    match end {
+        End::NotRun(_) | End::Unreachable(_) => false,
+        End::Completed | End::Closed | End::ServerError | End::Unclear(_) | End::Cancelled => true,
+    }
+}
+
 /// A request of this host.
 #[derive(Clone, Debug)]
 pub struct Task {
@@ -110,15 +146,20 @@
     pub has_arrived: bool,
     /// How the next arrival at a server was paid, if it was.
     pub payment: Option<Payment>,
-    /// Tickets of the request's other attempts in flight, which have tasks of their own.
-    pub rivals: Vec<Ticket>,
+    /// The request's other attempts in flight.
+    pub rivals: Vec<Rival>,
     /// How the request may be deferred; `None` if it is urgent.
     pub deferral: Option<Deferral>,
     /// Servers that rejected the request while another attempt was in flight, and when.
     pub declined: Vec<(backend::Id, Moment)>,
-    /// Number of ended attempts in which a server may have run the request.
+    /// Servers of the attempts that have ended, except those that had no place.
+    pub asked: Vec<Asked>,
+    /// Whether the caller has a part of a stream that may be resumed, so that the request can't be
+    /// refused any more, nor repeated by the caller without a loss.
+    pub is_begun: bool,
+    /// Number of servers that may have run the request in attempts that have ended.
     pub runs: u32,
-    /// Number of ended attempts, including those that reached no server.
+    /// Number of ended attempts since the last event, including those that reached no server.
     pub tries: u32,
     /// No server gets the request before this time.
     pub paused_until: Moment,
@@ -142,6 +183,8 @@
             rivals: Vec::new(),
             deferral: None,
             declined: Vec::new(),
+            asked: Vec::new(),
+            is_begun: false,
             runs: 0,
             tries: 0,
             paused_until: Duration::ZERO,
@@ -190,31 +233,86 @@
     }
 
     /// Records that an attempt at a server has ended.
-    pub fn record_attempt(&mut self, server: &backend::Id, end: End) {
+    pub fn record_attempt(&mut self, server: &backend::Id, end: End, now: Moment) {
         self.tries += 1;
-        self.runs += match end {
-            End::NotRun(_) | End::Unreachable(_) => 0,
-            End::Completed | End::Closed | End::ServerError | End::Unclear(_) | End::Cancelled => 1,
-        };
+        if may_have_run(end) && !self.may_have_run_at(server) {
+            self.runs += 1;
+        }
         if !matches!(end, End::NotRun(NotRun::Full) | End::Unreachable(Unreachable::Closed)) {
             self.spec.avoid.push(server.clone());
+            self.asked.push(Asked { server: server.clone(), ended_at: now, end });
+        }
+    }
+
+    fn may_have_run_at(&self, server: &backend::Id) -> bool {
+        self.asked.iter().any(|asked| asked.server == *server && asked.may_have_run())
+    }
+
+    /// Whether the request may be sent to a server, by its attempts so far. The limit of the route
+    /// is a number of servers, so a stream that may be resumed may return to one of them.
+    pub fn may_ask(&self, server: &backend::Id) -> bool {
+        if !self.spec.is_resumable_stream() {
+            return !self.spec.avoid.contains(server);
         }
+        let is_first = |rival: &&Rival| !self.may_have_run_at(&rival.server);
+        let servers = self.runs + self.rivals.iter().filter(is_first).count() as u32;
+        let is_in_flight = self.rivals.iter().any(|rival| rival.server == *server);
+        let may_return = self.returns().any(|asked| asked.server == *server);
+        !is_in_flight
+            && (may_return || !self.spec.avoid.contains(server))
+            && (self.may_have_run_at(server) || servers < self.spec.attempts)
+    }
+
+    /// Servers that the request may be sent to again: those that were only silent and, once the
+    /// stream has begun, all.
+    fn returns(&self) -> impl Iterator<Item = &Asked> {
+        let is_silent = |asked: &Asked| asked.end == End::Unclear(Unclear::Silent);
+        let is_resumable = self.spec.is_resumable_stream();
+        let may_return = move |asked: &&Asked| is_resumable && (self.is_begun || is_silent(asked));
+        self.asked.iter().filter(may_return)
+    }
+
+    /// Whether the request may be sent to a server again.
+    pub fn may_return(&self) -> bool {
+        self.is_begun || self.returns().next().is_some()
+    }
+
+    /// Whether the route allows no server that has not run the request yet.
+    pub fn is_at_limit(&self) -> bool {
+        self.spec.attempts <= self.runs
+    }
+
+    /// Servers that may have run the request in attempts that have ended.
+    pub fn servers_that_ran(&self) -> impl Iterator<Item = &backend::Id> {
+        self.asked.iter().filter(|asked| asked.may_have_run()).map(Asked::server)
+    }
+
+    /// Servers of the attempts that have ended, except those that had no place.
+    fn asked_servers(&self) -> impl Iterator<Item = &backend::Id> {
+        self.asked.iter().map(Asked::server)
+    }
+
+    /// Whether an attempt ended at a server too recently for another one there.
+    pub fn has_just_asked(&self, server: &backend::Id, now: Moment) -> bool {
+        let is_recent =
+            |asked: &Asked| asked.server == *server && now < asked.ended_at + RETURN_PAUSE;
+        self.returns().any(is_recent)
     }
 
     /// Whether another server may still be tried.
     pub fn has_tries(&self) -> bool {
-        self.runs < self.spec.attempts && self.tries < self.spec.attempts + EXTRA_TRIES
+        self.is_begun
+            || self.runs < self.spec.attempts && self.tries < self.spec.attempts + EXTRA_TRIES
     }
 
-    /// Lets a request without a try left be sent again after a pause, if servers rejected it and it
-    /// may have run before: it can't be refused as not run any more, so only its time and the retry
-    /// budget bound it.
+    /// Lets a request without a try left be sent again after a pause, if it can't be refused as not
+    /// run any more: if servers rejected it and it may have run before, or if its caller has a part of
+    /// it. Only its time and the retry budget bound it.
     pub fn pause_if_rejected(&mut self, end: End, now: Moment) {
-        if let End::NotRun(_) = end
-            && 0 < self.runs
-            && !self.has_tries()
-            && self.runs < self.spec.attempts
-        {
+        let has_tries = self.tries < self.spec.attempts + EXTRA_TRIES;
+        let is_rejected =
+            matches!(end, End::NotRun(_)) && 0 < self.runs && self.runs < self.spec.attempts;
+        if !has_tries && (self.is_begun || is_rejected) {
             self.tries -= 1;
             self.paused_until = now + REJECTED_PAUSE;
         }
@@ -222,8 +320,12 @@
 
     /// Records that an attempt has ended while this one was in flight.
     pub fn record_rival(&mut self, ticket: Ticket, server: &backend::Id, end: End, now: Moment) {
-        self.rivals.retain(|rival| *rival != ticket);
-        self.record_attempt(server, end);
+        self.rivals.retain(|rival| rival.ticket != ticket);
+        self.record_attempt(server, end, now);
+        // A hedge avoids the servers of the attempts in flight, until they have ended.
+        if !self.asked_servers().any(|asked| asked == server) {
+            self.spec.avoid.retain(|avoided| avoided != server);
+        }
         if let End::NotRun(_) = end {
             self.declined.push((server.clone(), now));
         }
@@ -236,12 +338,12 @@
 
     /// Whether another server may be tried although all attempts in flight may run.
     pub fn has_another_try(&self) -> bool {
-        self.runs + self.in_flight() < self.spec.attempts
+        self.may_return() || self.runs + self.in_flight() < self.spec.attempts
     }
 
     /// Whether no attempt of the request was started later. Only the latest one is hedged.
     pub fn is_latest(&self) -> bool {
-        self.rivals.iter().all(|rival| *rival < self.spec.ticket)
+        self.rivals.iter().all(|rival| rival.ticket < self.spec.ticket)
     }
 
     /// How much depends on a retry of the request.
@@ -249,6 +351,11 @@
         if self.spec.resume.is_some() { Need::High } else { Need::Normal }
     }
 
+    /// Whether the next arrival at a server is yet to be paid.
+    pub fn must_pay(&self) -> bool {
+        self.has_arrived && self.payment.is_none()
+    }
+
     /// A pseudo-random number of the request, the same at each call.
     pub fn seed(&self) -> u64 {
         mixed(self.spec.ticket ^ self.spec.fingerprint.rotate_left(17))
--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -28,7 +28,7 @@
     server::Server,
     slots::Wait,
     stats::{duration, millis},
-    task::{Attempt, Hedge, Phase, State, Task},
+    task::{Attempt, Hedge, Phase, Rival, State, Task},
 };
 use crate::route::Index;
 
@@ -213,11 +213,16 @@
         let State::InFlight(attempt) = &before.state else { return None };
         let mut task = Task { state: State::Idle, payment: None, ..before.clone() };
         task.spec.avoid.push(attempt.id.clone());
-        task.rivals.push(ticket);
+        task.rivals.push(Rival { ticket, server: attempt.id.clone() });
         let mut ended = task.clone();
         let declined = task.declined.iter().filter(|(_, at)| now < *at + DECLINED_PAUSE);
-        ended.spec.avoid.extend(declined.map(|(server, _)| server.clone()));
-        ended.runs += before.in_flight();
+        let declined: Vec<backend::Id> = declined.map(|(server, _)| server.clone()).collect();
+        ended.asked.retain(|asked| !declined.contains(asked.server()));
+        ended.spec.avoid.extend(declined);
+        // Those in flight count with the servers that a stream may go to.
+        if !task.spec.is_resumable_stream() {
+            ended.runs += before.in_flight();
+        }
         ended.tries += before.in_flight();
         self.check_retry(&ended, SILENCE, now).ok()?;
         let budget = &self.registry.services[task.service as usize].budget;
@@ -255,12 +260,14 @@
         task.payment = Some(budget.pay(task.need(), extra, now)?);
         task.spec.ticket = hedge;
         task.has_arrived = true;
-        for rival in task.rivals.clone() {
+        let rivals: Vec<Ticket> = task.rivals.iter().map(|rival| rival.ticket).collect();
+        let server = self.send(task, choice, now);
+        for rival in rivals {
             if let Some(rival) = self.tasks.get_mut(&rival) {
-                rival.rivals.push(hedge);
+                rival.rivals.push(Rival { ticket: hedge, server: server.clone() });
             }
         }
-        Some(self.send(task, choice, now))
+        Some(server)
     }
 
     /// Whether something was received from the server of an attempt in flight.
@@ -294,7 +301,7 @@
     /// were asked before the answering one count as silent.
     pub fn won(&mut self, ticket: Ticket, now: Moment) {
         let rivals = self.tasks.get(&ticket).map(|task| task.rivals.clone()).unwrap_or_default();
-        for rival in rivals {
+        for rival in rivals.into_iter().map(|rival| rival.ticket) {
             self.ended(rival, if rival < ticket { SILENCE } else { End::Cancelled }, now);
         }
     }
@@ -304,7 +311,7 @@
         let is_unsent = attempt.path.is_none() && end == End::Cancelled;
         let end = if is_unsent { End::Unreachable(Unreachable::Closed) } else { end };
         for rival in &task.rivals {
-            let Some(rival) = self.tasks.get_mut(rival) else { continue };
+            let Some(rival) = self.tasks.get_mut(&rival.ticket) else { continue };
             rival.record_rival(task.spec.ticket, &attempt.id, end, now);
             if let State::InFlight(attempt) = &mut rival.state {
                 attempt.hedge = Hedge::Seeking(now);
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the dispatcher of routed requests.
 
 mod back_off;
+mod begun;
 mod breaker;
 mod brittle;
 mod budget;
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -31,12 +31,16 @@
     edge::{ForwardOptions, Problem},
     host::{OpenGuard, Shared},
     race::{self, Lost},
+    timer::sleep,
     trace::{self, Trace, Unresponsive},
 };
 
 /// Time after which a caller may retry, at another host, if this one can't send its request.
 const RETRY_ELSEWHERE_AFTER: Duration = Duration::from_millis(50);
 
+/// Time between two confirmations of the servers for one stream.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Priority of all requests at a server. Urgent requests go first in this host's queue only: at a
 /// server they would preempt running requests, whose prompts would have to be processed again.
 const SERVER_PRIORITY: u8 = 5;
@@ -170,12 +174,94 @@
                 return Err(Problem::NotRun(after));
             }
             dispatch::RetryDecision::GiveUp(Answer::Server(cause) | Answer::Unclear(cause)) => {
-                return Err(self.give_up(shared, trace::obstacle(cause)));
+                return Err(self.give_up(trace::obstacle(cause)));
             }
         };
         Ok(Next::Server(server))
     }
 
+    /// Returns what follows a failed attempt of a stream of which the caller has a part. Such a stream
+    /// can't be refused any more: it waits for a server as long as its time allows.
+    ///
+    /// # Errors
+    ///
+    /// No server can continue the stream.
+    pub(crate) async fn next_server_midway(
+        &self,
+        shared: &Arc<Shared>,
+        ticket: Ticket,
+        end: AttemptEnd,
+    ) -> Result<Next, Obstacle> {
+        self.trace.attempt_ended(ticket, end, None);
+        let mut end = end;
+        loop {
+            let decision = self.handle.failed(ticket, end);
+            if decision == dispatch::RetryDecision::InFlight {
+                return Ok(Next::InFlight);
+            }
+            if self.renew_caller(shared).is_none() {
+                return Err(Obstacle::Revoked);
+            }
+            let server = match decision {
+                dispatch::RetryDecision::InFlight => return Ok(Next::InFlight),
+                dispatch::RetryDecision::Send(server) => server,
+                dispatch::RetryDecision::Wait => {
+                    self.trace.queued("again", self.time_left(shared));
+                    self.wait_midway(shared, ticket).await?
+                }
+                dispatch::RetryDecision::Missing { model, adapter } => {
+                    self.trace.queued("missing", self.time_left(shared));
+                    shared.request_missing(&self.service, &model, adapter.as_ref());
+                    self.wait_midway(shared, ticket).await?
+                }
+                dispatch::RetryDecision::GiveUp(
+                    Answer::NotRun { cause, .. } | Answer::Server(cause) | Answer::Unclear(cause),
+                ) => return Err(trace::obstacle(cause)),
+            };
+            if !shared.confirm_servers().await {
+                return Ok(Next::Server(server));
+            }
+            // The server may have left without this host knowing it.
+            self.trace.queued("outdated", self.time_left(shared));
+            sleep(CONFIRMATION_INTERVAL).await;
+            end = AttemptEnd::Unreachable(dispatch::Unreachable::Closed);
+        }
+    }
+
+    /// Waits until the dispatcher has a server for a stream of which the caller has a part.
+    ///
+    /// # Errors
+    ///
+    /// No server can continue the stream.
+    async fn wait_midway(
+        &self,
+        shared: &Arc<Shared>,
+        ticket: Ticket,
+    ) -> Result<backend::Id, Obstacle> {
+        let verdict = select! {
+            verdict = shared.wait_for_verdict(ticket) => verdict.ok(),
+            () = shared.finished() => None,
+            () = self.revoked(shared) => return Err(Obstacle::Revoked),
+        };
+        let obstacle = match verdict {
+            Some(Verdict::Send(server)) => return Ok(server),
+            Some(Verdict::Refuse { cause, .. } | Verdict::Unclear(cause)) => trace::obstacle(cause),
+            Some(Verdict::Quarantined) => Obstacle::Poison,
+            // Not expected: the request waits already, and has no server.
+            Some(Verdict::Wait | Verdict::Missing { .. } | Verdict::Hedge) => Obstacle::NoServer,
+            None => Obstacle::Stopping,
+        };
+        self.handle.end(AttemptEnd::Cancelled);
+        Err(obstacle)
+    }
+
+    /// Records what keeps this host from asking a further server.
+    pub(crate) fn record_obstacle(&self, obstacle: Obstacle) {
+        let shared = self.handle.shared();
+        let budget = shared.dispatcher().retries_left(&self.service, shared.now());
+        self.trace.given_up(obstacle, self.time_left(shared), budget);
+    }
+
     /// Finds another server for a request whose server is unresponsive, if one can take it now.
     /// Returns it with the ticket of the attempt there.
     pub(crate) fn hedge(&self, ticket: Ticket, why: Unresponsive) -> Option<(Ticket, backend::Id)> {
@@ -277,16 +363,16 @@
             Verdict::Quarantined => {
                 self.handle.mark_ended();
                 self.trace.refused(Refusal::Poison, self.time_left(shared), None);
-                Err(self.give_up(shared, Obstacle::Poison))
+                Err(self.give_up(Obstacle::Poison))
             }
             Verdict::Unclear(cause) => {
                 self.handle.mark_ended();
-                Err(self.give_up(shared, trace::obstacle(cause)))
+                Err(self.give_up(trace::obstacle(cause)))
             }
             // Not expected, as a waiting request has no server.
             Verdict::Hedge => {
                 self.handle.mark_ended();
-                Err(self.give_up(shared, Obstacle::Attempts))
+                Err(self.give_up(Obstacle::Attempts))
             }
         }
     }
@@ -300,7 +386,7 @@
     /// Refuses the request because this host is about to stop.
     fn refuse_stopping(&self, shared: &Shared) -> Problem {
         if 0 < self.handle.may_run.load(Ordering::Relaxed) {
-            self.give_up(shared, Obstacle::Stopping);
+            self.give_up(Obstacle::Stopping);
         }
         self.refuse_elsewhere(Refusal::Stopping, self.time_left(shared))
     }
@@ -312,9 +398,8 @@
     }
 
     /// Ends a request that may have run.
-    fn give_up(&self, shared: &Shared, obstacle: Obstacle) -> Problem {
-        let budget = shared.dispatcher().retries_left(&self.service, shared.now());
-        self.trace.given_up(obstacle, self.time_left(shared), budget);
+    fn give_up(&self, obstacle: Obstacle) -> Problem {
+        self.record_obstacle(obstacle);
         Problem::Unclear
     }
 
@@ -322,7 +407,7 @@
     fn refuse_outdated(&self, shared: &Shared) -> Problem {
         self.handle.end(AttemptEnd::Unreachable(dispatch::Unreachable::Closed));
         if 0 < self.handle.may_run.load(Ordering::Relaxed) {
-            return self.give_up(shared, Obstacle::Outdated);
+            return self.give_up(Obstacle::Outdated);
         }
         self.refuse_elsewhere(Refusal::Outdated, self.time_left(shared))
     }
@@ -519,7 +604,7 @@
 }
 
 /// Attempts at other servers to continue a stream.
-pub(crate) type Resuming = BoxFuture<'static, Result<ResponseStart, Lost>>;
+pub(crate) type Resuming = BoxFuture<'static, Result<ResponseStart, Lost<Obstacle>>>;
 
 impl Resumer {
     /// Returns the time that a server has for its first event.
@@ -544,7 +629,7 @@
     pub(crate) fn resume(&self, ticket: Ticket, after: Option<u64>, end: AttemptEnd) -> Resuming {
         let (shared, call) = (self.shared.clone(), self.call.clone());
         async move {
-            let next = call.next_server(&shared, ticket, end, None).await;
+            let next = call.next_server_midway(&shared, ticket, end).await;
             match next.map_err(Lost::Ended)? {
                 Next::Server(server) => resume(&shared, &call, (ticket, server), after).await,
                 Next::InFlight => Err(Lost::InFlight),
@@ -559,9 +644,9 @@
     call: &Call,
     first: (Ticket, backend::Id),
     after: Option<u64>,
-) -> Result<ResponseStart, Lost> {
+) -> Result<ResponseStart, Lost<Obstacle>> {
     let patience = || attempt_timeout::first_event(call.route.goal);
-    race::run(shared, call, first, patience, async |ticket, server: backend::Id| {
+    let begin = async |ticket, server: backend::Id| {
         let mut start = call.send(shared, ticket, &server, after).await?;
         // The caller has the head of the first response, so an error response is of no use.
         if !start.head.status.is_success() {
@@ -569,6 +654,7 @@
         }
         start.response.receive_event(after.or(call.request.info.resume)).await?;
         Ok(start)
-    })
-    .await
+    };
+    let next = async |ticket, end, _| call.next_server_midway(shared, ticket, end).await;
+    race::run(call, first, patience, begin, next).await
 }
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -36,9 +36,12 @@
     announced::Announced, body::LargeBodies, clock::Clock, confirm::Confirmation, control::Control,
     customers::CustomerQuotas, demand::Demand, directory::Directory, edge::Dialect,
     lateness::Heartbeat, log_limiter::LogLimiter, peers::Counts, planning, pool::Pool,
-    store::Store, versions::LastRead, wakeup::Wakeup,
+    store::Store, timer::sleep, versions::LastRead, wakeup::Wakeup,
 };
 
+/// Time in which the end of a response is written before the requests in flight are abandoned.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+
 /// Difference between the delays with which hosts attempt to take a lease, so that they don't all
 /// contend at once.
 const CONTENTION_STEP: Duration = Duration::from_millis(60);
@@ -442,6 +445,14 @@
         self.finish_by.get().copied()
     }
 
+    /// Waits until a planned stop is about to abandon the requests in flight.
+    pub(crate) async fn finished(&self) {
+        self.closing.cancelled().await;
+        if let Some(end) = self.finish_by() {
+            sleep(end.saturating_sub(self.now() + FLUSH_TIME)).await;
+        }
+    }
+
     /// Marks the beginning of a planned stop, which abandons the requests in flight at `finish_by`.
     pub(crate) fn leave(&self, finish_by: Moment) {
         let _ = self.finish_by.set(finish_by);
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -211,10 +211,9 @@
     let server = call.first_server(shared).await?;
     let first = (call.request.ticket, server);
     let patience = || patience(shared, call);
-    let reply = race::run(shared, call, first, patience, async |ticket, server: backend::Id| {
-        attempt(shared, call, ticket, &server).await
-    })
-    .await;
+    let begin = async |ticket, server: backend::Id| attempt(shared, call, ticket, &server).await;
+    let next = async |ticket, end, status| call.next_server(shared, ticket, end, status).await;
+    let reply = race::run(call, first, patience, begin, next).await;
     match reply {
         Ok(reply) => Ok(deliver(shared, call, reply)),
         Err(Lost::Ended(problem)) => Err(problem),
--- a/crates/relay/src/race.rs
+++ b/crates/relay/src/race.rs
@@ -3,9 +3,10 @@
 //! A request whose server is unresponsive is also sent to another server. A sound server may be
 //! silent for a moment, and the other server may reject the request, so no attempt is given up
 //! before another one is answered, or before the other server has had a stream for so long that it
-//! must be taken for at work on it: two servers must not generate one stream side by side.
+//! must be taken for at work on it: two servers must not generate one stream side by side. A server
+//! that is left for that reason may be asked again.
 
-use std::{future::Future, sync::Arc, time::Duration};
+use std::{future::Future, time::Duration};
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::StatusCode;
@@ -17,8 +18,6 @@
 use crate::{
     attempt::AttemptEnd,
     call::{Call, Next},
-    edge::Problem,
-    host::Shared,
     timer::{sleep, sleep_until},
     trace::Unresponsive,
 };
@@ -44,29 +43,31 @@
 }
 
 /// Why a race has no winner.
-pub(crate) enum Lost {
+pub(crate) enum Lost<E> {
     /// All of its attempts have failed, and an attempt that was started before is in flight.
     InFlight,
-    /// The request has ended with this problem.
-    Ended(Problem),
+    /// All attempts have failed, and no further server is asked for this reason.
+    Ended(E),
 }
 
 /// Runs attempts, each started by `begin`, until one is answered. The first one has this ticket and
 /// goes to this server; a further one is started whenever the latest server is unresponsive for the
-/// time that `patience` returns, or is so in the view of the dispatcher.
+/// time that `patience` returns, or is so in the view of the dispatcher. `next` returns what follows a
+/// failed attempt.
 ///
 /// # Errors
 ///
 /// No attempt was answered; if a server has sent an error response, that is returned instead.
-pub(crate) async fn run<T, F>(
-    shared: &Arc<Shared>,
+pub(crate) async fn run<T, E, F, N>(
     call: &Call,
     first: (Ticket, backend::Id),
     patience: impl Fn() -> Duration,
     begin: impl Fn(Ticket, backend::Id) -> F,
-) -> Result<T, Lost>
+    next: impl Fn(Ticket, AttemptEnd, Option<StatusCode>) -> N,
+) -> Result<T, Lost<E>>
 where
     F: Future<Output = Result<T, Failure<T>>>,
+    N: Future<Output = Result<Next, E>>,
 {
     let start = |ticket, server, ended: CancellationToken| {
         let attempt = begin(ticket, server);
@@ -102,7 +103,7 @@
                 };
                 let status = failure.answer.as_ref().map(|(status, _)| *status);
                 error_answer = failure.answer.map(|(_, answer)| answer).or(error_answer);
-                match call.next_server(shared, ticket, failure.end, status).await {
+                match next(ticket, failure.end, status).await {
                     Ok(Next::Server(server)) => {
                         attempts.push(start(ticket, server, superseded.clone()));
                         (latest, seek_at) = (ticket, Instant::now() + patience());
@@ -117,7 +118,7 @@
                     }
                     Ok(Next::InFlight) => {}
                     // The server's own error response is more specific than this host's.
-                    Err(problem) => return error_answer.ok_or(Lost::Ended(problem)),
+                    Err(error) => return error_answer.ok_or(Lost::Ended(error)),
                 }
                 continue;
             }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
-use observe::metrics::routed::Break;
+use observe::metrics::routed::{Break, Obstacle};
 use policy::{dispatch::Unclear, event::Fault};
 
 use crate::{attempt::AttemptEnd, body};
@@ -21,7 +21,51 @@
     timer::StreamTimer,
 };
 
-/// Why a body ends before it is complete.
+/// Why a stream ends early although its caller has a part of it. A caller in this position can't be
+/// told to retry, so there is no other reason.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum End {
+    /// The deadline of the request has passed.
+    #[error("the deadline of the request has passed")]
+    Deadline,
+    /// The caller's key has been removed, and running requests don't outlive their keys.
+    #[error("the caller's key has been removed")]
+    Revoked,
+    /// The server has failed, and no other one can continue the stream.
+    #[error("{0}, and no other server can continue the stream: {cause}", cause = .1.as_str())]
+    Failed(StreamError, Obstacle),
+}
+
+impl End {
+    /// Returns the reason for logs and metrics.
+    pub(crate) fn reason(&self) -> Break {
+        match self {
+            End::Deadline => Break::Deadline,
+            End::Revoked => Break::Revoked,
+            End::Failed(error, _) => error.reason(),
+        }
+    }
+
+    /// Returns what keeps the host from asking a further server.
+    pub(crate) fn obstacle(&self) -> Obstacle {
+        match self {
+            End::Deadline => Obstacle::Deadline,
+            End::Revoked => Obstacle::Revoked,
+            End::Failed(_, obstacle) => *obstacle,
+        }
+    }
+
+    /// Returns how the attempts in flight end.
+    pub(crate) fn attempt_end(&self) -> AttemptEnd {
+        match self {
+            // Neither a deadline nor a removed key is evidence against the server.
+            End::Deadline | End::Revoked => AttemptEnd::Cancelled,
+            End::Failed(error, _) => error.attempt_end(),
+        }
+    }
+}
+
+/// Why the stream of a server can't be used any further.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum StreamError {
     /// The connection to the server failed.
@@ -36,12 +80,6 @@
     /// The server sent nothing for too long, and another one is at work on the stream.
     #[error("the server has sent nothing for too long")]
     Silence,
-    /// The deadline of the request has passed.
-    #[error("the deadline of the request has passed")]
-    Deadline,
-    /// The caller's key has been removed, and running requests don't outlive their keys.
-    #[error("the caller's key has been removed")]
-    Revoked,
 }
 
 impl StreamError {
@@ -53,8 +91,6 @@
             StreamError::Fault(Fault::TooLarge | Fault::Unproductive) => Break::Endless,
             StreamError::Fault(Fault::Gap | Fault::Garbage) => Break::BadEvent,
             StreamError::Silence => Break::Silence,
-            StreamError::Deadline => Break::Deadline,
-            StreamError::Revoked => Break::Revoked,
         }
     }
 
@@ -70,8 +106,6 @@
                 AttemptEnd::Unclear(Unclear::Garbled)
             }
             StreamError::Silence => AttemptEnd::Unclear(Unclear::Silent),
-            // Neither a deadline nor a removed key is evidence against the server.
-            StreamError::Deadline | StreamError::Revoked => AttemptEnd::Cancelled,
         }
     }
 }
@@ -92,12 +126,12 @@
 
 impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = StreamError;
+    type Error = End;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, End>>> {
         match self.get_mut() {
             ResponseBody::Complete(body) => {
                 Pin::new(body).poll_frame(context).map_err(|never| match never {})
--- a/crates/relay/src/stream/events.rs
+++ b/crates/relay/src/stream/events.rs
@@ -1,4 +1,9 @@
 //! A stream of events that is delivered to the caller, from several servers in turn if one fails.
+//!
+//! The caller has the head and the first event, so it can't be refused any more. A stream that may be
+//! resumed therefore goes on as long as its time allows and a server may be asked, including those
+//! that were asked before. [`Events::end_early`] is the only place that ends one early, and [`End`]
+//! has the reasons.
 
 use std::{
     future::Future,
@@ -10,15 +15,16 @@
 use bytes::Bytes;
 use futures_util::{FutureExt, future::BoxFuture};
 use http_body::{Body, Frame};
+use observe::metrics::routed::Obstacle;
 use policy::event::{ResumePoint, Splitter};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
     attempt::{BodyEnd, OpenResponse, ResponseStart},
     call::{Call, HedgeSignal, Resumer, Resuming},
-    race::ACCEPTANCE_CHECK_INTERVAL,
+    race::{ACCEPTANCE_CHECK_INTERVAL, Lost},
     stream::{
-        StreamError,
+        End, StreamError,
         timer::{Alarm, StreamTimer},
     },
     streams::StreamRecord,
@@ -72,9 +78,9 @@
     Resuming(Resuming, StreamError),
     /// The stream is to end early. One poll returns `Pending` first, so that the events passed on
     /// are written before the caller's connection is closed.
-    Flushing(StreamError),
+    Flushing(End),
     /// The next poll returns this error.
-    Failed(StreamError),
+    Failed(End),
     Done,
 }
 
@@ -86,6 +92,8 @@
     Next(State),
     /// The attempt has failed with this error.
     Failed(StreamError),
+    /// The stream is to end early.
+    End(End),
 }
 
 impl Events {
@@ -116,31 +124,30 @@
     pub(super) fn poll(
         &mut self,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, End>>> {
         loop {
             if matches!(self.state, State::Streaming(_) | State::Resuming(..))
                 && self.revoked.as_mut().poll(context).is_ready()
             {
-                self.hedge = None;
-                self.state = State::Flushing(StreamError::Revoked);
+                self.end_early(End::Revoked);
             }
             let step = match &mut self.state {
                 State::Streaming(_) => ready!(self.poll_server(context)),
                 State::Resuming(..) => ready!(self.poll_resuming(context)),
                 State::Flushing(_) => {
-                    let State::Flushing(error) = std::mem::replace(&mut self.state, State::Done)
+                    let State::Flushing(end) = std::mem::replace(&mut self.state, State::Done)
                     else {
                         continue;
                     };
-                    self.state = State::Failed(error);
+                    self.state = State::Failed(end);
                     context.waker().wake_by_ref();
                     return Poll::Pending;
                 }
                 State::Failed(_) | State::Done => {
                     let state = std::mem::replace(&mut self.state, State::Done);
-                    let State::Failed(error) = state else { return Poll::Ready(None) };
-                    self.call.trace.stream_failed(&error);
-                    return Poll::Ready(Some(Err(error)));
+                    let State::Failed(end) = state else { return Poll::Ready(None) };
+                    self.call.trace.stream_failed(&end);
+                    return Poll::Ready(Some(Err(end)));
                 }
             };
             match step {
@@ -148,6 +155,7 @@
                 Step::Pass(events) => return Poll::Ready(Some(Ok(Frame::data(events)))),
                 Step::Next(state) => self.state = state,
                 Step::Failed(error) => self.resume_or_end(error),
+                Step::End(end) => self.end_early(end),
             }
         }
     }
@@ -249,9 +257,7 @@
         }
         loop {
             match ready!(self.timer.poll(context)) {
-                Alarm::End => {
-                    return Poll::Ready(Step::Next(State::Flushing(StreamError::Deadline)));
-                }
+                Alarm::End => return Poll::Ready(Step::End(End::Deadline)),
                 Alarm::Silence => {
                     self.timer.received();
                     if self.hedge.is_none() {
@@ -296,17 +302,22 @@
         };
         match resuming.as_mut().poll(context) {
             Poll::Ready(Ok(start)) => Poll::Ready(Step::Next(self.switch_to(start))),
-            Poll::Ready(Err(_)) => {
+            Poll::Ready(Err(lost)) => {
                 let State::Resuming(_, error) = std::mem::replace(&mut self.state, State::Done)
                 else {
                     return Poll::Ready(Step::Next(State::Done));
                 };
-                Poll::Ready(Step::Next(State::Flushing(error)))
+                let obstacle = match lost {
+                    Lost::Ended(obstacle) => obstacle,
+                    // Not expected: the attempt at the previous server has ended.
+                    Lost::InFlight => Obstacle::Attempts,
+                };
+                Poll::Ready(Step::End(End::Failed(error, obstacle)))
             }
             // The attempt under way has its own timeouts, so only the deadline matters here.
             Poll::Pending => {
                 ready!(self.timer.poll_end(context));
-                Poll::Ready(Step::Next(State::Flushing(StreamError::Deadline)))
+                Poll::Ready(Step::End(End::Deadline))
             }
         }
     }
@@ -335,13 +346,12 @@
     /// Continues at another server after a failure, or ends the stream early.
     fn resume_or_end(&mut self, error: StreamError) {
         let State::Streaming(response) = std::mem::replace(&mut self.state, State::Done) else {
-            self.state = State::Flushing(error);
-            return;
+            return self.end_early(End::Failed(error, Obstacle::Unresumable));
         };
         let ticket = response.attempt.ticket;
         drop(response);
         let after = self.last_event();
-        self.state = match &self.resume {
+        match &self.resume {
             ResumePolicy::OtherServer(resumer, _)
                 if self.splitter.point() != ResumePoint::Unknown =>
             {
@@ -352,14 +362,21 @@
                     }
                     None => resumer.resume(ticket, after, error.attempt_end()),
                 };
-                State::Resuming(resuming, error)
+                self.state = State::Resuming(resuming, error);
             }
             ResumePolicy::OtherServer(..) | ResumePolicy::Never => {
-                self.call.handle.end(error.attempt_end());
                 self.call.trace.attempt_ended(ticket, error.attempt_end(), None);
-                State::Flushing(error)
+                self.end_early(End::Failed(error, Obstacle::Unresumable));
             }
-        };
+        }
+    }
+
+    /// Ends the stream before it is complete. All other ends are a server's.
+    fn end_early(&mut self, end: End) {
+        self.hedge = None;
+        self.call.handle.end(end.attempt_end());
+        self.call.record_obstacle(end.obstacle());
+        self.state = State::Flushing(end);
     }
 
     /// Asks another server to continue the stream, if one can take it now. The attempt at the
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -12,7 +12,7 @@
 use http::StatusCode;
 use observe::{
     metrics::routed::{
-        AttemptOutcome, BeginPart, Break, Obstacle, Phase, Refusal, Resend, Routed as Meters,
+        AttemptOutcome, BeginPart, Obstacle, Phase, Refusal, Resend, Routed as Meters,
     },
     story::{self, Arrival, End, Input, Outcome, Step, Text},
 };
@@ -24,7 +24,7 @@
     time::Moment,
 };
 
-use crate::{attempt::AttemptEnd, clock::Clock, edge::Problem, host::Shared, stream::StreamError};
+use crate::{attempt::AttemptEnd, clock::Clock, edge::Problem, host::Shared, stream};
 
 /// Log entries and metrics of one request.
 pub(crate) struct Trace(Mutex<Notes>);
@@ -322,15 +322,10 @@
     }
 
     /// Records that a stream ended before it was complete.
-    pub(crate) fn stream_failed(&self, error: &StreamError) {
+    pub(crate) fn stream_failed(&self, end: &stream::End) {
         let mut notes = self.notes();
-        notes.all_ended(error.attempt_end(), None);
-        let why = error.reason();
-        let obstacle = match why {
-            Break::Deadline => Obstacle::Deadline,
-            Break::Revoked => Obstacle::Revoked,
-            _ => notes.obstacle.unwrap_or(Obstacle::Unresumable),
-        };
+        notes.all_ended(end.attempt_end(), None);
+        let (why, obstacle) = (end.reason(), end.obstacle());
         notes.obstacle = Some(obstacle);
         notes.meters.cut(why, obstacle);
         let status = notes.status;
