Answer a request that may have run as such at a planned stop

Cause: at a planned stop, a request that waits for another server after its first attempt was cut is ended by `refuse_stopping`, from `wait` on `closing` and from `apply_verdict` on `!can_end`. Both answered 503 (not run), although a server had run the request. The branch recorded the obstacle `stopping` there and then refused the request all the same.

Ruled out: the other callers of `refuse_elsewhere` (`timed_out`, `refuse_outdated`) look at `may_run` before they refuse.

Change: `refuse_stopping` answers `Problem::Unclear` (502) with the cause `stopping` if an attempt may have run. Test with real processes, `stops::a_request_that_may_have_run_is_not_refused_as_not_run_at_a_planned_stop`, one case for each of the two ways.

Before: both cases red, `left: (503, true), right: (502, true)`.

Conclusion: "not run" holds at a planned stop for requests that wait again.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -383,10 +383,10 @@
         shared.dispatcher().can_end_by(self.request.ticket, end, shared.now())
     }
 
-    /// Refuses the request because this host is about to stop.
+    /// Ends the request because this host is about to stop.
     fn refuse_stopping(&self, shared: &Shared) -> Problem {
         if 0 < self.handle.may_run.load(Ordering::Relaxed) {
-            self.give_up(Obstacle::Stopping);
+            return self.give_up(Obstacle::Stopping);
         }
         self.refuse_elsewhere(Refusal::Stopping, self.time_left(shared))
     }
--- a/crates/stage/tests/routed/stops.rs
+++ b/crates/stage/tests/routed/stops.rs
@@ -6,7 +6,12 @@
 use http::StatusCode;
 use nix::sys::signal::Signal;
 use rstest::rstest;
-use standin::routed::{caller::RequestSpec, site::Site, until};
+use standin::routed::{
+    caller::RequestSpec,
+    server::{Fault, Settings},
+    site::Site,
+    until,
+};
 use tokio::{
     task::JoinSet,
     time::{Instant, sleep, timeout},
@@ -198,3 +203,51 @@
     let (lost, sent) = stop_beside_tickets(&mut site, Duration::from_secs(grace)).await;
     assert_eq!(lost, 0, "of {sent} tickets");
 }
+
+/// What ends the wait of a request for another server during a planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WaitEnd {
+    /// The host stops waiting for servers.
+    Closing,
+    /// A server is found that would need more time than the host has left.
+    ServerTooLate,
+}
+
+/// Guards against a request that was cut at a server and is answered as not run at a planned stop.
+#[rstest]
+#[tokio::test]
+async fn a_request_that_may_have_run_is_not_refused_as_not_run_at_a_planned_stop(
+    #[values(WaitEnd::Closing, WaitEnd::ServerTooLate)] end: WaitEnd,
+) {
+    const GRACE_S: u64 = 4;
+    let mut site = site_with_grace(GRACE_S).await;
+    site.backend.server("app-2").drain(None);
+    site.wait_until_observed().await;
+    // The host learns how long pages take.
+    let work_time = Duration::from_secs(GRACE_S);
+    site.backend.script(|script| script.work_time = work_time);
+    assert_eq!(status_of(&site.hosts[0], &page()).await, Some(StatusCode::OK));
+
+    site.backend.server("app-1").script(|script| {
+        script.work_time = Duration::ZERO;
+        script.default_fault = Some(Fault::Lost);
+    });
+    let cut = page();
+    let mut caller = site.hosts[0].caller();
+    let request = cut.clone();
+    let pending = tokio::spawn(async move { caller.fetch(&request).await });
+    until("the request is cut", async || site.backend.runs_of(&cut.id()) == 1).await;
+    let stopped_at = Instant::now();
+    site.hosts[0].signal(Signal::SIGTERM);
+    until("the host stops", async || site.hosts[0].has_logged("drain begins")).await;
+    if end == WaitEnd::ServerTooLate {
+        site.backend.add(Settings::plain("app-3", "app")).await.expect("the server starts");
+    }
+    let answer = pending.await.unwrap().unwrap();
+    let is_early = stopped_at.elapsed() < Duration::from_secs(GRACE_S) / 2;
+    assert_eq!((is_early, site.backend.runs_of(&cut.id())), (end == WaitEnd::ServerTooLate, 1));
+    assert_eq!((answer.status, answer.is_complete), (StatusCode::BAD_GATEWAY, true));
+    let log = site.hosts[0].log();
+    let given_up = log.iter().any(|line| line.to_string().contains("given-up"));
+    assert!(given_up, "no step gives the cause");
+}
