Keep an idle engine until another one has accepted the request

Cause: an engine of the chat interface that sent no frame for `bounds.idle_ms` was given up (`Answer::stream_lost`) before another one was asked. If the others rejected the resumed request, broke off or were silent, the answer ended, although the idle engine could still go on.

Ruled out: the policy (`policy::retry::decide`) and the choice of the next engine; they are unchanged. The wait for a response head (`Answer::connect`) has the same fault and is not changed here.

Change: `Answer::replace_idle` reads the idle engine's frames while the next attempt is prepared, sent and accepted. A frame ends the new attempt; a response head of status 200 ends the old one. If no other engine accepts, the next is asked after another `idle_ms`, within the attempts and the budget, until the deadline. The engine itself is not sent the request a second time. A request that is not idempotent still ends at the bound. New step `Silence` in the scripted server of the tests.

Before: `retry an_idle_engine_goes_on_while_the_other_has_not_accepted_the_stream` red in 6 of 6 cases (second engine: 503, no answer, closed; 0 or 2 tokens before): `left: "", right: "t0 t1 t2 t3 t4 t5 "` and `left: "t0 t1 "`. After: green; `retry` 70 of 70, its `idle` cases five times in a row, `bounds` 22, `drain` 4, `once` 10 and `promises` 34 of 34, one run each.

Conclusion: an idle engine costs an answer only once its time is over, it breaks off itself, or the request may run once only.

--- a/crates/stage/src/answer.rs
+++ b/crates/stage/src/answer.rs
@@ -4,6 +4,8 @@
 //! a stream can be resumed at its offset after a failure. `policy` decides which frames are
 //! delivered and what follows a failure; this module carries the decisions out.
 
+use std::pin::pin;
+
 use ::backend::{
     StreamingResponse,
     frame::{self, Frame},
@@ -17,8 +19,11 @@
     stream::{self, Part, Stream},
     traffic::Requirements,
 };
-use tokio::time::timeout;
-use types::{prelude::*, request::Ran};
+use tokio::{select, time::timeout};
+use types::{
+    prelude::*,
+    request::{Ran, Repeat},
+};
 
 use crate::{
     context::Context,
@@ -108,11 +113,71 @@
                 }
                 Ok(Some(Err(error))) => self.stream_lost(&error.to_string()).await?,
                 Ok(None) => self.stream_lost("stream ended early").await?,
-                Err(_) => self.stream_lost("no frame within the idle timeout").await?,
+                Err(_) => {
+                    if let Some(token) = self.replace_idle().await? {
+                        return Ok(Some(token));
+                    }
+                }
             }
         }
     }
 
+    /// Asks another engine to continue the stream of one that is idle. The idle one is given up only
+    /// once the other has accepted the request. Returns a token that the idle one sends before.
+    async fn replace_idle(&mut self) -> Result<Option<Token>, Problem> {
+        const CAUSE: &str = "no frame within the idle timeout";
+        // Only a request that may be repeated can be continued elsewhere.
+        if self.call.request.repeat == Repeat::Once {
+            self.stream_lost(CAUSE).await?;
+            return Ok(None);
+        }
+        let Some(mut idle) = self.source.take() else { return Ok(None) };
+        let (attempt, point) = (self.stream.attempt(), self.break_point());
+        let (server, index) = (idle.sent.server().clone(), idle.sent.index());
+        let mut is_open = true;
+        let replaced = {
+            let mut replacement = pin!(async {
+                self.failed.push(index);
+                self.prepare_next(server, point, CAUSE).await?;
+                while self.source.is_none() {
+                    // The idle engine already runs the request.
+                    if self.next.take_if(|next| next.index() == index).is_some() {
+                        return Err(attempt::give_up(&self.call, &self.context, self.ran, CAUSE));
+                    }
+                    self.connect().await?;
+                }
+                Ok(())
+            });
+            loop {
+                select! {
+                    biased;
+                    frame = idle.frames.next(), if is_open => match frame {
+                        Some(Ok(frame)) => break Ok(Some(frame)),
+                        Some(Err(_)) | None => is_open = false,
+                    },
+                    replaced = &mut replacement => break replaced.map(|()| None),
+                }
+            }
+        };
+        let frame = match replaced {
+            Ok(frame) => frame,
+            Err(_) if is_open && !self.call.time_left(&self.context).is_zero() => {
+                (self.resume_from, self.source) = (None, Some(idle));
+                return Ok(None);
+            }
+            Err(problem) => {
+                self.record_failure(idle.sent, attempt, point, CAUSE);
+                return Err(problem);
+            }
+        };
+        let Some(frame) = frame else {
+            self.record_failure(idle.sent, attempt, point, CAUSE);
+            return Ok(None);
+        };
+        (self.next, self.resume_from, self.source) = (None, None, Some(idle));
+        self.accept_frame(frame).await
+    }
+
     /// Checks a frame against the stream's state; returns its token if it is the next one.
     async fn accept_frame(&mut self, frame: Frame) -> Result<Option<Token>, Problem> {
         let own = self.call.request.id.clone();
@@ -172,10 +237,15 @@
     /// Ends the current attempt because its stream failed.
     async fn stream_lost(&mut self, cause: &str) -> Result<(), Problem> {
         let Some(source) = self.source.take() else { return Ok(()) };
-        let point = if self.stream.next() == 0 { Point::Head } else { Point::Stream };
+        let point = self.break_point();
         self.attempt_failed(source.sent, point, cause).await
     }
 
+    /// Returns the point at which the attempt fails if its stream ends now.
+    fn break_point(&self) -> Point {
+        if self.stream.next() == 0 { Point::Head } else { Point::Stream }
+    }
+
     /// Sends the pending attempt and waits for the response head.
     async fn connect(&mut self) -> Result<(), Problem> {
         let Some(sent) = self.next.take() else {
@@ -244,21 +314,42 @@
         point: Point,
         cause: &str,
     ) -> Result<(), Problem> {
-        let attempt = self.stream.attempt();
         let server = sent.server().clone();
+        self.failed.push(sent.index());
+        self.record_failure(sent, self.stream.attempt(), point, cause);
+        self.prepare_next(server, point, cause).await
+    }
+
+    /// Records that an attempt failed.
+    fn record_failure(
+        &self,
+        sent: DispatchedAttempt,
+        attempt: request::Attempt,
+        point: Point,
+        cause: &str,
+    ) {
+        let server = &sent.server().id;
         log::warn!(
-            request = &*self.call.request.id, server = &*server.id, attempt = attempt,
+            request = &*self.call.request.id, server = &**server, attempt = attempt,
             offset = self.stream.next(); "attempt failed at {point:?}: {cause}"
         );
-        self.account.failed_attempt(attempt, &server.id, point.as_str());
-        self.failed.push(sent.index());
+        self.account.failed_attempt(attempt, server, point.as_str());
         sent.fail(point);
+    }
+
+    /// Prepares the attempt that follows one at this server, or returns the final problem.
+    async fn prepare_next(
+        &mut self,
+        server: backend::Server,
+        point: Point,
+        cause: &str,
+    ) -> Result<(), Problem> {
         let failure = Failure {
             point,
             repeat: self.call.request.repeat,
             body: Body::Buffered,
             before: self.ran,
-            attempts: attempt + 1,
+            attempts: self.stream.attempt() + 1,
             time_left: self.call.time_left(&self.context),
         };
         self.ran = self.ran.max(point.ran());
--- a/crates/stage/tests/common/script.rs
+++ b/crates/stage/tests/common/script.rs
@@ -52,6 +52,8 @@
     OtherRequest(u64),
     /// The end marker `[DONE]`.
     Done,
+    /// Nothing is sent for this time.
+    Silence(Duration),
 }
 
 /// A backend server with a scripted behavior; its load reports and KV cache calls always succeed.
@@ -180,6 +182,10 @@
             Step::Token(offset) => event(&request_id, *offset, &token(*offset)),
             Step::OtherRequest(offset) => event("another", *offset, "wrong "),
             Step::Done => "data: [DONE]\n\n".into(),
+            Step::Silence(time) => {
+                tokio::time::sleep(*time).await;
+                continue;
+            }
         };
         stream.write_all(event.as_bytes()).await.ok()?;
         stream.flush().await.ok()?;
--- a/crates/stage/tests/retry.rs
+++ b/crates/stage/tests/retry.rs
@@ -6,6 +6,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{
     Answer, answer_text, events,
     in_process::Fixture,
@@ -15,9 +17,10 @@
 use rstest::rstest;
 use serde_json::json;
 use standin::objects::Platform;
+use tokio::time::timeout;
 use types::{backend::Kind, request::Repeat};
 
-use Step::{Done, OtherRequest, Token};
+use Step::{Done, OtherRequest, Silence, Token};
 
 /// Expected answer to the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -378,6 +381,86 @@
     fixture.host.drain().await;
 }
 
+const IDLE_TIMEOUT_MS: u64 = 200;
+
+/// Longer than the idle timeout, and as long as the second server is asked in vain.
+const SILENCE: Duration = Duration::from_millis(3 * IDLE_TIMEOUT_MS / 2);
+
+/// Guards against an engine that is given up for a silence before another one has accepted the
+/// request.
+#[rstest]
+#[tokio::test]
+async fn an_idle_engine_goes_on_while_the_other_has_not_accepted_the_stream(
+    #[values(0, 2)] before: u64,
+    #[values(Behavior::Status(503), Behavior::NoAnswer, Behavior::CloseAfterRequest)]
+    second: Behavior,
+) {
+    let steps = (0..before).map(Token).chain([Silence(SILENCE)]).chain((before..6).map(Token));
+    let first = Behavior::Events(steps.chain([Done]).collect());
+    let servers = [
+        ScriptedServer::start("first", Kind::Engine, 0, first).await,
+        ScriptedServer::start("second", Kind::Engine, SECOND_RUNNING, second).await,
+    ];
+    let fixture = Fixture::start_with(&servers, json!({"idle_ms": IDLE_TIMEOUT_MS})).await;
+    let answer = chat(&fixture, "true").await;
+    let events = events(&answer.text());
+    assert_eq!(answer_text(&events), tokens(6), "{}", answer.text());
+    assert_eq!(events.last().map(|event| event.data.as_str()), Some("[DONE]"));
+    assert_eq!((servers[0].requests(), servers[1].requests()), (1, 1));
+    fixture.host.drain().await;
+}
+
+/// Guards against an answer that waits for an idle engine although another one takes it.
+#[rstest]
+#[tokio::test]
+async fn a_stream_at_an_idle_engine_is_resumed_at_another(#[values(0, 2)] before: u64) {
+    const HANG: Duration = Duration::from_secs(60);
+    let steps = (0..before).map(Token).chain([Silence(HANG)]);
+    let servers = servers(Kind::Engine, Behavior::Events(steps.collect())).await;
+    let fixture = Fixture::start_with(&servers, json!({"idle_ms": IDLE_TIMEOUT_MS})).await;
+    let answer = chat(&fixture, "true").await;
+    assert_eq!(answer_text(&events(&answer.text())), tokens(6), "{}", answer.text());
+    assert_eq!((servers[0].requests(), servers[1].requests()), (1, 1));
+    fixture.host.drain().await;
+}
+
+/// Guards against a request that never ends since neither its idle engine nor another one answers.
+#[rstest]
+#[case::idle_until_the_deadline(Duration::from_secs(60), Behavior::Status(503))]
+#[case::broken_off(SILENCE, Behavior::NoAnswer)]
+#[tokio::test]
+async fn a_stream_at_an_idle_engine_ends_with_one_clear_error(
+    #[case] silence: Duration,
+    #[case] second: Behavior,
+) {
+    let first = Behavior::Events(vec![Token(0), Silence(silence)]);
+    let servers = [
+        ScriptedServer::start("first", Kind::Engine, 0, first).await,
+        ScriptedServer::start("second", Kind::Engine, SECOND_RUNNING, second).await,
+    ];
+    let bounds = json!({"idle_ms": IDLE_TIMEOUT_MS, "request_ms": 2_000});
+    let fixture = Fixture::start_with(&servers, bounds).await;
+    let answer = timeout(Duration::from_secs(5), chat(&fixture, "true")).await;
+    let text = answer.expect("the request ends").text();
+    assert_eq!(text.matches("event: error").count(), 1, "{text}");
+    assert!(text.contains("\"ran\":\"ran\""), "{text}");
+    assert_eq!((servers[0].requests(), servers[1].requests()), (1, 1));
+    fixture.host.drain().await;
+}
+
+/// Guards against a request that waits for an idle engine until its deadline although it can't be
+/// sent to another one.
+#[tokio::test]
+async fn a_stream_that_may_run_once_ends_at_an_idle_engine() {
+    const HANG: Duration = Duration::from_secs(60);
+    let servers = servers(Kind::Engine, Behavior::Events(vec![Token(0), Silence(HANG)])).await;
+    let fixture = Fixture::start_with(&servers, json!({"idle_ms": IDLE_TIMEOUT_MS})).await;
+    let answer = chat(&fixture, "false").await;
+    assert!(answer.text().contains("\"ran\":\"ran\""), "{}", answer.text());
+    assert_eq!((servers[0].requests(), servers[1].requests()), (1, 0));
+    fixture.host.drain().await;
+}
+
 /// At the server's prefill rate the long prompt takes nearly a second to process, the short one
 /// almost no time.
 #[rstest]
