Keep a connection through another host when the direct one fails

Cause: while both connections are opened side by side, an error of the direct one ended `paths::open`, which dropped the other one on its way (`opened = &mut direct => opened`). Before the other host is asked, and once its connection stands, the error was handled.

Ruled out: waiting for the other one in that branch alone.

Change: both branches take any result, so each knows which future has ended. The choice moves to `prefer::prefer_direct`, which depends on no host, so that a test can include it.

Conclusion: a server to which one connection may still lead is not reported as unreachable.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -31,6 +31,7 @@
 mod peers;
 mod planning;
 mod pool;
+mod prefer;
 mod quarantine;
 mod quotas;
 mod race;
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -6,7 +6,6 @@
 use std::{
     collections::{BTreeMap, BTreeSet, btree_map::Entry},
     io,
-    pin::pin,
     sync::{Arc, Weak},
     time::Duration,
 };
@@ -18,22 +17,17 @@
 use tokio::{
     net::TcpStream,
     select,
-    time::{Instant, sleep, timeout, timeout_at},
+    time::{sleep, timeout},
 };
 use types::{prelude::*, routed::Server};
 
 use crate::{
     connect::{self, Connection},
     host::Shared,
+    prefer::prefer_direct,
     run::STALL_THRESHOLD,
 };
 
-/// Time after which other hosts are asked to connect while a direct connection is not established.
-const HEDGE_DELAY: Duration = Duration::from_millis(100);
-
-/// Time for which a direct connection is preferred to one through another host.
-const DIRECT_PREFERENCE: Duration = Duration::from_millis(250);
-
 /// Time after which a further host is asked to connect while the one before has not answered.
 const GATEWAY_HEDGE_DELAY: Duration = Duration::from_millis(100);
 
@@ -87,29 +81,7 @@
     {
         return Ok(connection);
     }
-    let began = Instant::now();
-    let mut direct = pin!(open_direct(shared, server));
-    let opened = select! {
-        opened = &mut direct => Some(opened),
-        () = sleep(HEDGE_DELAY) => None,
-    };
-    match opened {
-        Some(Ok(connection)) => Ok(connection),
-        Some(Err(error)) => open_through_other(shared, server).await.ok_or(error),
-        None => {
-            let mut through_other = pin!(open_through_other(shared, server));
-            select! {
-                opened = &mut direct => opened,
-                Some(connection) = &mut through_other => {
-                    match timeout_at(began + DIRECT_PREFERENCE, &mut direct).await {
-                        Ok(Ok(direct)) => Ok(direct),
-                        Ok(Err(_)) | Err(_) => Ok(connection),
-                    }
-                }
-                else => direct.await,
-            }
-        }
-    }
+    prefer_direct(open_direct(shared, server), open_through_other(shared, server)).await
 }
 
 /// Opens a direct connection to a server.
