Explore all plays of a stream that has begun

Cause: no exhaustive check covered a stream of which the caller has a part. The dispatcher ended such answers while servers were usable, and tests held single plays only. Ruled out: merging states. A dispatcher can't be compared or hashed, so a state is the list of choices that led to it, and each step replays them on a new dispatcher. Change: crates/spec/src/stream.rs with the code of policy::dispatch. Each time the stream is sent to a server, and after each pause, the server goes on, pauses for 0.95 s, breaks off, rejects or stays silent; the host may be late, the retry budget small. Checked: the answer is not ended with over 1 s left; at most 2 servers; no two of them for over 250 ms; no wait over 1.1 s on a timely host with retries left. Not covered: servers that leave, several versions of a service's software, several streams at a time, a host that is stopped, more than two crashes.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod order;
 pub mod quota;
 pub mod replica;
+pub mod stream;
