Judge streams that end early beside a sound server, also while other servers break off

Cause: the soak's judge excused any early end while a server of the service was disrupted, and a sound server was silent beside rejections only, so a stream that ended after another server broke it off passed. Ruled out: to count every server of the service as usable. The record doesn't say which model a stream is for, and a server holds three of four; only servers that ran the stream are known to hold it. Change: a stream that may be resumed, of which the caller got a part, must not end in the first half of its time while a server that ran it is sound and its host undisturbed.

--- a/crates/standin/src/routed/soak/inject.rs
+++ b/crates/standin/src/routed/soak/inject.rs
@@ -25,7 +25,7 @@
 use crate::routed::{
     links::Delivery,
     lock,
-    server::{OrderFault, Script, Server},
+    server::{Fault as ServerFault, OrderFault, Script, Server},
     site::Site,
     store::Faults,
 };
@@ -240,6 +240,10 @@
                 vec![server(at)]
             }
             Fault::AllGrey(at, _) => site::same_service(at).map(server).collect(),
+            // Rejections excuse nothing, as the silent server goes on.
+            Fault::Silence(at, ServerFault::Broken { .. }) => {
+                site::same_service(at).filter(|other| *other != at).map(server).collect()
+            }
             Fault::Links(pairs, _) => {
                 let hosts = self.site.hosts.len();
                 let ends = pairs.among(hosts).flat_map(|(from, to)| [from, to]);
@@ -261,7 +265,7 @@
             | Fault::PoisonPart
             | Fault::Brittle(..)
             | Fault::Versions
-            | Fault::Silence(_)
+            | Fault::Silence(..)
             | Fault::Limited(..)
             | Fault::AllLimited(..) => Vec::new(),
         }
@@ -343,7 +347,7 @@
             Fault::Burst => self.load.is_burst.store(true, Ordering::Relaxed),
             Fault::Poison => self.load.is_poisoned.store(true, Ordering::Relaxed),
             Fault::PoisonPart => self.load.is_part_poisoned.store(true, Ordering::Relaxed),
-            Fault::Silence(server) => self.begin_silence(server),
+            Fault::Silence(server, fault) => self.begin_silence(server, fault),
             Fault::Brittle(server, tolerated) => {
                 let (service, from) = (site::SERVERS[server], self.now());
                 self.tolerances.insert(service, tolerated);
@@ -451,7 +455,7 @@
             Fault::Burst => self.load.is_burst.store(false, Ordering::Relaxed),
             Fault::Poison => self.load.is_poisoned.store(false, Ordering::Relaxed),
             Fault::PoisonPart => self.load.is_part_poisoned.store(false, Ordering::Relaxed),
-            Fault::Silence(server) => self.end_silence(server),
+            Fault::Silence(server, fault) => self.end_silence(server, fault),
             Fault::Brittle(server, _) => {
                 self.tolerances.remove(site::SERVERS[server]);
                 let now = self.now();
--- a/crates/standin/src/routed/soak/inject/silences.rs
+++ b/crates/standin/src/routed/soak/inject/silences.rs
@@ -1,6 +1,4 @@
-//! Silences of sound servers, during which the other servers of the service are full.
-
-use http::StatusCode;
+//! Silences of sound servers, during which requests to the other servers of the service meet a fault.
 
 use super::{Injector, Span};
 use crate::routed::{
@@ -8,16 +6,14 @@
     soak::{record::Silence, site},
 };
 
-const FULL: ServerFault = ServerFault::NotRun(StatusCode::SERVICE_UNAVAILABLE);
-
 impl Injector {
-    /// Makes a server silent to all hosts, and the others of its service full.
-    pub(super) fn begin_silence(&mut self, server: usize) {
+    /// Makes a server silent to all hosts, with a fault at the others of its service.
+    pub(super) fn begin_silence(&mut self, server: usize, fault: ServerFault) {
         let address = self.server(server).address();
         self.site.backend.server_links().pause(address);
         for other in site::same_service(server).filter(|other| *other != server) {
             self.server(other).script(|script| {
-                script.default_fault.get_or_insert(FULL);
+                script.default_fault.get_or_insert(fault);
             });
         }
         let span = Span { from: self.now(), to: std::time::Duration::MAX };
@@ -26,14 +22,14 @@
     }
 
     /// Lets the server go on that was silenced last, and the others of its service serve again.
-    pub(super) fn end_silence(&mut self, server: usize) {
+    pub(super) fn end_silence(&mut self, server: usize, fault: ServerFault) {
         let now = self.now();
         let Some(silence) = self.silences.last_mut() else { return };
         silence.span.to = now;
         self.site.backend.server_links().resume(silence.address);
         for other in site::same_service(server).filter(|other| *other != server) {
             self.server(other).script(|script| {
-                if script.default_fault == Some(FULL) {
+                if script.default_fault == Some(fault) {
                     script.default_fault = None;
                 }
             });
--- a/crates/standin/src/routed/soak/judge.rs
+++ b/crates/standin/src/routed/soak/judge.rs
@@ -130,6 +130,7 @@
     breaches.extend(judge.check_declarations());
     breaches.extend(judge.check_unexplained_losses());
     breaches.extend(judge.check_silences());
+    breaches.extend(judge.check_cut_streams());
     breaches.extend(judge.check_recovery());
     breaches.extend(judge.check_partitions());
     breaches.extend(judge.check_poison(Poison::Request));
--- a/crates/standin/src/routed/soak/judge/silences.rs
+++ b/crates/standin/src/routed/soak/judge/silences.rs
@@ -1,12 +1,14 @@
-//! The rule on silent servers: a sound server may be silent for a moment, and no request at it ends
-//! early for that.
+//! The rules on early ends: a sound server may be silent for a moment, and no request at it ends early
+//! for that; a stream that may be resumed does not end early at all while a server that runs it is
+//! sound, whatever the others do.
 
 use std::time::Duration;
 
 use http::StatusCode;
+use types::routed::Kind;
 
-use super::{Breach, Judge, Promise, breach};
-use crate::routed::soak::record::{Component, Outcome, Request, Silence, Span};
+use super::{Breach, Judge, Promise, breach, stream::stated_spans};
+use crate::routed::soak::record::{Component, Outcome, Request, Run, Silence, Span};
 
 /// Part of the deadline within which an end is early.
 const EARLY: f64 = 0.5;
@@ -14,6 +16,10 @@
 /// Time after a silence in which requests may still end for it.
 const AFTERMATH: Duration = Duration::from_millis(500);
 
+/// Number of servers that break a stream off from which on it may count as one that crashes servers,
+/// so that it must reach no others.
+const MAX_CRASHES: usize = 3;
+
 impl Judge<'_> {
     /// Requests that were at a silent, sound server, and ended early without an answer.
     pub(super) fn check_silences(&self) -> Vec<Breach> {
@@ -32,6 +38,66 @@
         broken.collect()
     }
 
+    /// Streams that may be resumed, and ended early although a server that had run them was sound.
+    pub(super) fn check_cut_streams(&self) -> Vec<Breach> {
+        let requests = self.record.requests.iter().filter(|request| is_cut_stream(request));
+        let broken = requests.filter_map(|request| {
+            let run = self.runs(request).iter().find(|run| self.is_usable(request, run))?;
+            let took = (request.span.to - request.span.from).as_millis();
+            let what = format!(
+                "a stream ended after {took} of {} ms, while {} was sound",
+                request.deadline.as_millis(),
+                run.server
+            );
+            Some(breach(Promise::Lost, request, request.span.to, what))
+        });
+        broken.collect()
+    }
+
+    /// Whether the host of a request could have continued it at the server of an execution.
+    fn is_usable(&self, request: &Request, run: &Run) -> bool {
+        let host = request.host_run.host;
+        let span = Span {
+            from: request.span.from.saturating_sub(self.record.bounds.contact),
+            ..request.span
+        };
+        let is_host_disrupted = |component: &Component| match component {
+            Component::Host(other)
+            | Component::HostPlanned(other)
+            | Component::ServerLinks(other) => *other == host,
+            Component::Server(_) | Component::Store | Component::StoreEndpoint(_) => false,
+        };
+        let crashes = self.runs(request).iter().filter(|run| run.is_corrupted).count();
+        let is_limited = self.record.quotas.iter().any(|(server, quota)| {
+            *server == run.server && stated_spans(quota).any(|stated| stated.overlaps(span))
+        });
+        // The other servers of a service reject requests while one of it is silent.
+        let is_rejecting = self.record.silences.iter().any(|silence| {
+            silence.service == run.service
+                && silence.server != run.server
+                && silence.span.overlaps(request.span)
+        });
+        !run.is_corrupted
+            && run.failure.is_none()
+            && crashes < MAX_CRASHES
+            && self.record.is_server_healthy(&run.server, span)
+            && self.record.is_undisturbed(span, is_host_disrupted)
+            && !is_limited
+            && !is_rejecting
+            && !self.is_revoked(request)
+    }
+
+    /// Whether a declaration without the key of a request may have come into force during it.
+    fn is_revoked(&self, request: &Request) -> bool {
+        let in_force = |at| Span { from: at, to: at + self.record.bounds.apply };
+        let mut declared = self.record.declared.iter();
+        declared.any(|declared| {
+            declared.holders.is_some()
+                && declared.holder(request.key.as_deref()).is_none()
+                && in_force(declared.at).overlaps(request.span)
+        })
+    }
+
     /// Whether a request was at a server in its silence, and met no other fault.
     fn is_only_trouble(&self, request: &Request, silence: &Silence) -> bool {
         let runs = self.runs(request);
@@ -60,6 +126,17 @@
     }
 }
 
+/// Whether a request is a stream that may be resumed, of which the caller got a part early.
+fn is_cut_stream(request: &Request) -> bool {
+    let is_begun =
+        matches!(&request.outcome, Outcome::Answered(answer) if answer.status.is_success());
+    request.kind == Kind::Stream
+        && request.resumable
+        && request.poison.is_none()
+        && is_begun
+        && ended_early(request)
+}
+
 /// Whether a request ended without a complete answer while most of its time was left.
 fn ended_early(request: &Request) -> bool {
     let is_lost = match &request.outcome {
--- a/crates/standin/src/routed/soak/judge/stream.rs
+++ b/crates/standin/src/routed/soak/judge/stream.rs
@@ -105,7 +105,7 @@
 }
 
 /// The spans in which a server stated a limit.
-fn stated_spans(quota: &Quota) -> impl Iterator<Item = Span> {
+pub(super) fn stated_spans(quota: &Quota) -> impl Iterator<Item = Span> {
     let ends = quota.limits.iter().skip(1).map(|(at, _)| *at).chain([Duration::MAX]);
     let stated = quota.limits.iter().zip(ends).filter(|((_, limit), _)| limit.is_some());
     stated.map(|((from, _), to)| Span { from: *from, to })
--- a/crates/standin/src/routed/soak/schedule.rs
+++ b/crates/standin/src/routed/soak/schedule.rs
@@ -150,8 +150,9 @@
     Customers,
     /// A declaration that adds, moves or removes a key, as drawn from this seed.
     Keys(u64),
-    /// A sound server is silent, and goes on afterwards. The others of its service are full.
-    Silence(usize),
+    /// A sound server is silent, and goes on afterwards. All requests to the others of its service meet
+    /// a fault.
+    Silence(usize, #[serde(serialize_with = "debug")] ServerFault),
     /// Hosts are partitioned from all servers.
     Partition(Partitioned, Cut),
 }
@@ -345,7 +346,7 @@
 
 /// Whether a schedule disturbs the links between hosts and servers.
 pub fn disturbs_links(schedule: &[PlannedFault]) -> bool {
-    let disturbs = |fault| matches!(fault, Fault::Partition(..) | Fault::Silence(_));
+    let disturbs = |fault| matches!(fault, Fault::Partition(..) | Fault::Silence(..));
     schedule.iter().any(|planned| disturbs(planned.fault))
 }
 
@@ -451,7 +452,7 @@
         | Fault::Versions
         | Fault::Customers
         | Fault::Keys(_)
-        | Fault::Silence(_)
+        | Fault::Silence(..)
         | Fault::Partition(..) => (Target::Callers, 1),
     }
 }
--- a/crates/standin/tests/soak_judge.rs
+++ b/crates/standin/tests/soak_judge.rs
@@ -9,14 +9,14 @@
 use http::StatusCode;
 use rstest::rstest;
 use standin::routed::{
-    server::quota::Quota,
+    server::{Fault as ServerFault, quota::Quota},
     soak::{
         judge::{Promise, judge},
         record::{
             Answer, Arrival, BrittleTime, Component, Declared, Disruption, Fall, HostRun, Leave,
             Order, Outcome, Poison, Record, Request, Run, Silence, Span,
         },
-        schedule,
+        schedule::{self, Fault},
     },
 };
 use types::routed::Kind;
@@ -556,3 +556,72 @@
     record.disruptions.push(crash);
     assert!(judge(&record).iter().all(|breach| breach.promise != Promise::Lost));
 }
+
+/// Record of a stream that may be resumed, which paused at `app-1` and was broken off by `app-2` 1 s
+/// after its start, in the middle of its third event.
+fn record_of_cut_stream() -> Record {
+    let mut record = served_record(Kind::Stream);
+    record.requests[0].resumable = true;
+    record.requests[0].span = span(10_000, 11_000);
+    let body = events(2);
+    change_answer(&mut record, |answer| {
+        (answer.is_complete, answer.body) = (false, body.into());
+    });
+    let broken = Run { is_corrupted: true, ..run("app-2", 10_900, 10_950) };
+    record.runs = vec![run("app-1", 10_010, 10_980), broken];
+    record.disruptions = vec![disruption(Component::Server("app-2".into()), 10_500, 12_000)];
+    record
+}
+
+// Guards against a judge that excuses the end of a stream because a server other than the sound one
+// was disrupted.
+#[rstest]
+#[case::beside_a_server_that_breaks_off(|_: &mut Record| {}, true)]
+#[case::beside_a_server_that_breaks_off_in_a_silence(|record: &mut Record| add_silence(record, "app-1"), true)]
+#[case::while_the_sound_server_rejects(|record: &mut Record| add_silence(record, "app-2"), false)]
+#[case::little_time_left(|record: &mut Record| record.requests[0].span.to = ms(13_900), false)]
+#[case::not_resumable(|record: &mut Record| record.requests[0].resumable = false, false)]
+#[case::complete(|record: &mut Record| change_answer(record, |answer| answer.is_complete = true), false)]
+#[case::no_sound_server(|record: &mut Record| record.runs[0].is_corrupted = true, false)]
+#[case::crash(|record: &mut Record| disrupt(record, Component::Server("app-1".into())), false)]
+#[case::freeze(|record: &mut Record| disrupt(record, Component::Host(0)), false)]
+#[case::partition(|record: &mut Record| disrupt(record, Component::ServerLinks(0)), false)]
+#[case::freeze_of_another_host(|record: &mut Record| disrupt(record, Component::Host(1)), true)]
+#[case::store(|record: &mut Record| disrupt(record, Component::Store), true)]
+fn a_stream_that_ends_early_beside_a_sound_server_is_lost(
+    #[case] change: fn(&mut Record),
+    #[case] is_lost: bool,
+) {
+    let mut record = record_of_cut_stream();
+    change(&mut record);
+    let breaches = judge(&record);
+    let has_lost = breaches.iter().any(|breach| breach.promise == Promise::Lost);
+    assert_eq!(has_lost, is_lost, "{breaches:?}");
+}
+
+fn disrupt(record: &mut Record, component: Component) {
+    record.disruptions.push(disruption(component, 10_500, 12_000));
+}
+
+fn add_silence(record: &mut Record, server: &str) {
+    record.silences.push(Silence {
+        server: server.into(),
+        service: "app".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        span: span(10_020, 11_200),
+    });
+}
+
+// Guards against a soak in which sound servers are silent beside rejections only.
+#[test]
+fn servers_are_silent_beside_others_that_break_off_streams() {
+    let length = (Duration::from_secs(60), Duration::from_secs(16));
+    let drawn = (1..20).flat_map(|seed| schedule::draw(seed, 4, length.0, length.1));
+    let others: BTreeSet<bool> = drawn
+        .filter_map(|planned| match planned.fault {
+            Fault::Silence(_, fault) => Some(matches!(fault, ServerFault::Broken { .. })),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(others, [false, true].into());
+}
