Test streams at a silent server while the only other server fails them

No test had a sound server that is silent while the other one hangs and rejects, sends only a head, breaks off, is left with the retry budget spent, or is left with this host's knowledge of the servers outdated.

Ruled out: that the cases pass without the other server being asked. All but `Midway` assert that it has the request; those with outdated knowledge also assert that the request's log says so.

Change: `begun.rs`, 34 cases of real processes with two attempts each, and the stand-in's fault `NotRunLate`. `BeforeASlowHead` has a server that takes 900 ms for each head, `BeforeTheHead` one that does so once.

--- a/crates/stage/tests/routed/main.rs
+++ b/crates/stage/tests/routed/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a routed deployment: real host processes with simulated callers, servers and store.
 
 mod back_off;
+mod begun;
 mod connecting;
 mod crossings;
 mod cuts;
--- a/crates/standin/src/routed/server/script.rs
+++ b/crates/standin/src/routed/server/script.rs
@@ -83,6 +83,13 @@
 pub enum Fault {
     /// The request doesn't run, as the answer with this status states.
     NotRun(StatusCode),
+    /// [`NotRun`](Fault::NotRun), but answered only after a time in which the server is silent.
+    NotRunLate {
+        /// Status of the answer.
+        status: StatusCode,
+        /// Time from the arrival of the request to the answer.
+        after: Duration,
+    },
     /// The request runs, and is answered with this status and the server's seal.
     Failed(StatusCode),
     /// The request runs, and the connection is closed without an answer.
--- a/crates/standin/src/routed/server/serving.rs
+++ b/crates/standin/src/routed/server/serving.rs
@@ -221,8 +221,16 @@
         return refuse(shared, connection, &head, StatusCode::MISDIRECTED_REQUEST).await;
     }
     let fault = lock(&shared.script).take_fault();
-    if let Some(Fault::NotRun(status)) = fault {
-        return refuse(shared, connection, &head, status).await;
+    match fault {
+        Some(Fault::NotRun(status)) => return refuse(shared, connection, &head, status).await,
+        Some(Fault::NotRunLate { status, after }) => {
+            tokio::select! {
+                () = sleep(after) => {}
+                () = connection.closed() => return Ok(After::Close),
+            }
+            return refuse(shared, connection, &head, status).await;
+        }
+        _ => {}
     }
     let Some(mut slot) = Slot::enqueue(shared) else {
         shared.reject(&id);
