Leave a stream at a server that it returned to for as long as a sound one may take

Callers saw: a stream that no server but a slow and a failing one could run was cut near its deadline, or answered 502 with 8 s left, though the slow one was in order. Cause: each return to the slow server was hedged after 0.6 s; the failing server's first event, or 250 ms, ended the attempt there. Between two hedges a server that had rejected the stream was asked again and again, until no retry was left. Change: a stream that may return to servers is hedged after 1.25 s of silence wherever it is, and asks a server that rejected it again after 500 ms.

--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -14,8 +14,8 @@
 /// it, unless it waits for [`REJECTED_PAUSE`] between them.
 const EXTRA_TRIES: u32 = 3;
 
-/// Time from a rejection to the next attempt of a request that has no extra try left. Each arrival
-/// at a server counts as a retry.
+/// Time from a rejection to the next attempt of a request that has no extra try left, and to the next
+/// one at the same server of a stream that may return to servers. Each arrival counts as a retry.
 const REJECTED_PAUSE: Duration = Duration::from_millis(500);
 
 /// Time from the end of an attempt at a server to the next one there.
@@ -150,7 +150,7 @@
     pub rivals: Vec<Rival>,
     /// How the request may be deferred; `None` if it is urgent.
     pub deferral: Option<Deferral>,
-    /// Servers that rejected the request while another attempt was in flight, and when.
+    /// Servers that rejected the request, and when.
     pub declined: Vec<(backend::Id, Moment)>,
     /// Servers of the attempts that have ended, except those that had no place.
     pub asked: Vec<Asked>,
@@ -238,6 +238,9 @@
         if may_have_run(end) && !self.may_have_run_at(server) {
             self.runs += 1;
         }
+        if let End::NotRun(_) = end {
+            self.declined.push((server.clone(), now));
+        }
         if !matches!(end, End::NotRun(NotRun::Full) | End::Unreachable(Unreachable::Closed)) {
             self.spec.avoid.push(server.clone());
             self.asked.push(Asked { server: server.clone(), ended_at: now, end });
@@ -292,11 +295,13 @@
         self.asked.iter().map(Asked::server)
     }
 
-    /// Whether an attempt ended at a server too recently for another one there.
+    /// Whether an attempt of a stream that may return ended at a server too recently for another one
+    /// there.
     pub fn has_just_asked(&self, server: &backend::Id, now: Moment) -> bool {
-        let is_recent =
+        let is_asked =
             |asked: &Asked| asked.server == *server && now < asked.ended_at + RETURN_PAUSE;
-        self.returns().any(is_recent)
+        let is_declined = |(other, at): &(_, Moment)| other == server && now < *at + REJECTED_PAUSE;
+        self.returns().any(is_asked) || self.may_return() && self.declined.iter().any(is_declined)
     }
 
     /// Whether another server may still be tried.
@@ -326,9 +331,6 @@
         if !self.asked_servers().any(|asked| asked == server) {
             self.spec.avoid.retain(|avoided| avoided != server);
         }
-        if let End::NotRun(_) = end {
-            self.declined.push((server.clone(), now));
-        }
     }
 
     /// Number of attempts in flight, this one included.
--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -368,12 +368,15 @@
     let expected_ms = expected_ms(attempt, server, now);
     let after =
         |goal: f64, times: f64| task.spec.goal.mul_f64(goal).max(duration(expected_ms * times));
-    let silent = after(SILENT_GOAL, SILENT_TIMES).max(MIN_SILENCE);
+    // A hedge ends the attempt, and a stream that may return may be at a sound server again.
+    let least = if task.may_return() { STALLED } else { MIN_SILENCE };
+    let silent = after(SILENT_GOAL, SILENT_TIMES).max(least);
     let hung = after(HUNG_GOAL, HUNG_TIMES);
     let is_silent = attempt.heard_at.max(server.answered_at) + silent < now;
     let answers_others =
         attempt.sent_at + duration(expected_ms * OVERDUE_TIMES) < server.answered_at;
-    is_silent || (attempt.heard_at + hung < now && answers_others)
+    let is_hung = attempt.heard_at + hung < now && answers_others && !task.may_return();
+    is_silent || is_hung
 }
 
 /// Expected time to the first byte in milliseconds, longer if the server has become slower since the
