Decide once what follows a failed attempt of a stream that has begun

Cause: `next_server_midway` compared the decision with `InFlight` and matched it again, which left a dead arm; a comment leaned on a noun elsewhere. Change: one match, in the same order; the comment stands alone. No behaviour.

--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -219,7 +219,7 @@
         let declined: Vec<backend::Id> = declined.map(|(server, _)| server.clone()).collect();
         ended.asked.retain(|asked| !declined.contains(asked.server()));
         ended.spec.avoid.extend(declined);
-        // Those in flight count with the servers that a stream may go to.
+        // `Task::may_ask` counts the attempts in flight of a stream that may be resumed.
         if !task.spec.is_resumable_stream() {
             ended.runs += before.in_flight();
         }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -195,15 +195,9 @@
         self.trace.attempt_ended(ticket, end, None);
         let mut end = end;
         loop {
-            let decision = self.handle.failed(ticket, end);
-            if decision == dispatch::RetryDecision::InFlight {
-                return Ok(Next::InFlight);
-            }
-            if self.renew_caller(shared).is_none() {
-                return Err(Obstacle::Revoked);
-            }
-            let server = match decision {
+            let server = match self.handle.failed(ticket, end) {
                 dispatch::RetryDecision::InFlight => return Ok(Next::InFlight),
+                _ if self.renew_caller(shared).is_none() => return Err(Obstacle::Revoked),
                 dispatch::RetryDecision::Send(server) => server,
                 dispatch::RetryDecision::Wait => {
                     self.trace.queued("again", self.time_left(shared));
