Test the mends of streams that have begun which had no test

Cause: three mends of the review stood without a test: a planned stop waits for a stream that has begun, crashes that are voided don't end one, and no model is loaded for one that may go to no further server. Ruled out: that they don't work. Change: four tests, one of which keeps poison from reaching a fourth server.

--- a/crates/policy/tests/dispatch/begun.rs
+++ b/crates/policy/tests/dispatch/begun.rs
@@ -3,13 +3,14 @@
 use std::collections::BTreeSet;
 
 use policy::dispatch::{
-    Dispatcher, End, NotRun, RequestSpec, RetryDecision, Silence, Ticket, Unclear, Unreachable,
-    Verdict,
+    Change, Dispatcher, End, NotRun, RequestSpec, RetryDecision, Silence, Ticket, Unclear,
+    Unreachable, Verdict,
+    poison::{SETTLE_TIME, Standing},
 };
 use rstest::rstest;
 use types::{prelude::*, routed::Kind};
 
-use crate::fixture::{at, plain, request, sent, server};
+use crate::fixture::{at, plain, report, request, sent, server};
 
 const CUT: End = End::Unclear(Unclear::Cut);
 const FULL: End = End::NotRun(NotRun::Full);
@@ -146,3 +147,55 @@
     let decision = host.attempt_failed(1, CUT, at(50));
     assert!(matches!(decision, RetryDecision::GiveUp(_)), "{decision:?}");
 }
+
+/// A stream that three servers break off, at this time after its arrival.
+fn broken_off_by_three() -> (Dispatcher, RetryDecision, Moment) {
+    let mut host = plain(&["s1", "s2", "s3", "s4"]);
+    sent(host.arrive(RequestSpec { attempts: 4, ..stream(1) }, at(0)));
+    let mut now = at(0);
+    for event in 1..3 {
+        go_on(&mut host, 1, event, now + at(5));
+        let decision = host.attempt_failed(1, CUT, now + at(10));
+        (_, now) = next(&mut host, decision, now + at(10), DEADLINE).expect("a server");
+    }
+    go_on(&mut host, 1, 3, now + at(5));
+    let decision = host.attempt_failed(1, CUT, now + at(10));
+    assert_eq!(host.poison().standing(1), Standing::Poison);
+    (host, decision, now + at(10))
+}
+
+/// It ended as poison at its third break, though its servers went on to run.
+#[rstest]
+fn a_stream_goes_on_when_the_crashes_at_its_breaks_are_voided() {
+    let (mut host, decision, now) = broken_off_by_three();
+    // The servers accept connections, so they have not crashed.
+    let later = now + at(200);
+    for (other, server) in (100..).zip(["s1", "s2", "s3", "s4"]) {
+        host.poison_mut().crashed(other, &server.into(), later, later + at(10));
+    }
+    assert!(next(&mut host, decision, later + at(10), DEADLINE).is_some());
+}
+
+#[rstest]
+fn a_stream_that_crashes_servers_reaches_no_more_of_them() {
+    let (mut host, decision, now) = broken_off_by_three();
+    assert_eq!(decision, RetryDecision::Wait);
+    assert_eq!(host.pump(now + SETTLE_TIME / 2), []);
+    let changes = host.pump(now + SETTLE_TIME);
+    assert!(matches!(changes[..], [Change { ticket: 1, verdict: Verdict::Quarantined }]));
+}
+
+/// Its model was loaded at a server that the route did not allow it to go to.
+#[rstest]
+fn no_model_is_loaded_for_a_stream_that_may_go_to_no_further_server() {
+    let mut host = plain(&[]);
+    host.server(&server("s1", "a", &[("m", &[])]), at(0));
+    host.server(&server("s2", "a", &[]), at(0));
+    let spec = RequestSpec { model: Some("m".into()), attempts: 1, ..stream(1) };
+    sent(host.arrive(spec, at(0)));
+    go_on(&mut host, 1, 1, at(10));
+    host.report(&"s1".into(), &report(0, &[]), at(20));
+    let decision = host.attempt_failed(1, CUT, at(30));
+    assert_eq!(decision, RetryDecision::Wait);
+    assert_eq!(host.missing(), []);
+}
--- a/crates/stage/tests/routed/stops.rs
+++ b/crates/stage/tests/routed/stops.rs
@@ -17,7 +17,7 @@
     time::{Instant, sleep, timeout},
 };
 
-use crate::site::{backend, chat, declaration, page, site, start_site, status_of, ticket};
+use crate::site::{backend, chat, declaration, draft, page, site, start_site, status_of, ticket};
 
 const SLOW: Duration = Duration::from_millis(900);
 
@@ -251,3 +251,39 @@
     let given_up = log.iter().any(|line| line.to_string().contains("given-up"));
     assert!(given_up, "no step gives the cause");
 }
+
+/// Guards against a stream that was cut while it waited for a server, when requests that have not begun
+/// are refused at a planned stop.
+#[tokio::test]
+async fn a_stream_that_has_begun_waits_for_a_server_during_a_planned_stop() {
+    // Requests that have not begun are refused after 5.6 s, and those in flight end after 7.4 s.
+    const GRACE_S: u64 = 8;
+    const FULL_TIME: Duration = Duration::from_millis(5_900);
+    const INTERVAL: Duration = Duration::from_millis(200);
+    let site = site_with_grace(GRACE_S).await;
+    site.backend.server("lm-2").drain(None);
+    site.wait_until_observed().await;
+    let server = site.backend.server("lm-1");
+    server.script(|script| {
+        script.event_interval = INTERVAL;
+        script.default_fault = Some(Fault::Broken { events: 3 });
+    });
+    let request = draft().with_new_prompt();
+    let mut caller = site.hosts[0].caller();
+    let sent = request.clone();
+    let pending = tokio::spawn(async move { caller.fetch(&sent).await });
+    until("the stream runs", async || server.runs_of(&request.id()) == 1).await;
+    server.script(|script| {
+        script.default_fault = Some(Fault::NotRun(StatusCode::SERVICE_UNAVAILABLE));
+        script.back_off = Some("6".into());
+    });
+    site.hosts[0].signal(Signal::SIGTERM);
+    sleep(FULL_TIME).await;
+    server.script(|script| script.default_fault = None);
+    let log = || site.hosts[0].log().into_iter().map(|line| line["message"].to_string());
+    let log_of = || log().filter(|line| line.contains(&*request.id())).collect::<Vec<_>>();
+    assert!(!pending.is_finished(), "ended before the server had a place: {:#?}", log_of());
+    let answer = pending.await.unwrap().unwrap();
+    let seen = (answer.status, answer.is_complete);
+    assert_eq!(seen, (StatusCode::OK, true), "{:#?}", log_of());
+}
