Log that the host ended a request that outlives a planned stop

Seen: a stream that is still in flight at the end of the grace period of a planned stop has no `ended` line at all, and one whose connection the host closes as its key is removed is logged as left by its caller. Cause: the log is flushed before the runtime drops what is in flight, and a trace that is dropped counts as a caller that has left. Ruled out: that callers leave at that time: the callers of the tests don't. Change: what is in flight is dropped before the log is flushed. `Events` asks at its drop whether the host has ended it, and ends through `end_early` with `End::Stopping` or `End::Revoked`; other requests end as `unclear`. Logs and `routed_cuts_total` have `stopping`. Conclusion: every end of a stream that has begun has a cause in the log now.

--- a/crates/observe/src/metrics/routed/labels.rs
+++ b/crates/observe/src/metrics/routed/labels.rs
@@ -107,6 +107,8 @@
     Deadline,
     /// The caller's key was removed.
     Revoked,
+    /// The host stopped.
+    Stopping,
 }
 
 /// Why no further server was asked for a request that may have run.
@@ -352,6 +354,7 @@
     Silence = "silence",
     Deadline = "deadline",
     Revoked = "revoked",
+    Stopping = "stopping",
 });
 
 label!(Obstacle as "cause" {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -31,6 +31,7 @@
     edge::{ForwardOptions, Problem},
     host::{OpenGuard, Shared},
     race::{self, Lost},
+    stream,
     timer::sleep,
     trace::{self, Trace, Unresponsive},
 };
@@ -406,6 +407,16 @@
         self.refuse_elsewhere(Refusal::Outdated, self.time_left(shared))
     }
 
+    /// Returns why this host drops a stream that has begun; `None` if its caller has left.
+    pub(crate) fn dropped_by_host(&self) -> Option<stream::End> {
+        let shared = self.handle.shared();
+        let is_revoked = || shared.routed.revocation.strict && self.renew_caller(shared).is_none();
+        if shared.has_finished() {
+            return Some(stream::End::Stopping);
+        }
+        is_revoked().then_some(stream::End::Revoked)
+    }
+
     async fn wait(&self, shared: &Arc<Shared>, ticket: Ticket) -> Result<backend::Id, Problem> {
         let verdict = shared.wait_for_verdict(ticket);
         let verdict = select! {
@@ -444,6 +455,14 @@
     }
 }
 
+impl Drop for Call {
+    fn drop(&mut self) {
+        if self.handle.shared().has_finished() {
+            self.trace.abandoned();
+        }
+    }
+}
+
 /// What follows a failed attempt.
 pub(crate) enum Next {
     /// The request goes to this server, under the same ticket.
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -453,6 +453,11 @@
         }
     }
 
+    /// Returns whether a planned stop has abandoned the requests in flight.
+    pub(crate) fn has_finished(&self) -> bool {
+        self.finish_by().is_some_and(|end| end <= self.now())
+    }
+
     /// Marks the beginning of a planned stop, which abandons the requests in flight at `finish_by`.
     pub(crate) fn leave(&self, finish_by: Moment) {
         let _ = self.finish_by.set(finish_by);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -31,6 +31,9 @@
     /// The caller's key has been removed, and running requests don't outlive their keys.
     #[error("the caller's key has been removed")]
     Revoked,
+    /// The time that this host has for a planned stop has passed.
+    #[error("the host has stopped")]
+    Stopping,
     /// The server has failed, and no other one can continue the stream.
     #[error("{0}, and no other server can continue the stream: {cause}", cause = .1.as_str())]
     Failed(StreamError, Obstacle),
@@ -42,6 +45,7 @@
         match self {
             End::Deadline => Break::Deadline,
             End::Revoked => Break::Revoked,
+            End::Stopping => Break::Stopping,
             End::Failed(error, _) => error.reason(),
         }
     }
@@ -51,6 +55,7 @@
         match self {
             End::Deadline => Obstacle::Deadline,
             End::Revoked => Obstacle::Revoked,
+            End::Stopping => Obstacle::Stopping,
             End::Failed(_, obstacle) => *obstacle,
         }
     }
@@ -58,8 +63,8 @@
     /// Returns how the attempts in flight end.
     pub(crate) fn attempt_end(&self) -> AttemptEnd {
         match self {
-            // Neither a deadline nor a removed key is evidence against the server.
-            End::Deadline | End::Revoked => AttemptEnd::Cancelled,
+            // None of these is evidence against the server.
+            End::Deadline | End::Revoked | End::Stopping => AttemptEnd::Cancelled,
             End::Failed(error, _) => error.attempt_end(),
         }
     }
--- a/crates/relay/src/stream/events.rs
+++ b/crates/relay/src/stream/events.rs
@@ -408,6 +408,19 @@
     }
 }
 
+impl Drop for Events {
+    fn drop(&mut self) {
+        if let State::Streaming(_) | State::Resuming(..) = self.state
+            && let Some(end) = self.call.dropped_by_host()
+        {
+            self.end_early(end);
+        }
+        if let State::Flushing(end) | State::Failed(end) = &self.state {
+            self.call.trace.stream_failed(end);
+        }
+    }
+}
+
 /// Completes when to check whether another server has accepted the stream.
 fn check_acceptance() -> BoxFuture<'static, ()> {
     sleep(ACCEPTANCE_CHECK_INTERVAL).boxed()
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -2,7 +2,7 @@
 //!
 //! A [`Trace`] follows a request from its arrival to the last byte of the response. It only
 //! records: nothing on the path depends on it. A trace that is dropped before its end counts as a
-//! request whose caller has disconnected.
+//! request whose caller has disconnected, unless this host has stopped.
 
 use std::{
     sync::{Mutex, MutexGuard, PoisonError},
@@ -12,7 +12,7 @@
 use http::StatusCode;
 use observe::{
     metrics::routed::{
-        AttemptOutcome, BeginPart, Obstacle, Phase, Refusal, Resend, Routed as Meters,
+        AttemptOutcome, BeginPart, Break, Obstacle, Phase, Refusal, Resend, Routed as Meters,
     },
     story::{self, Arrival, End, Input, Outcome, Step, Text},
 };
@@ -321,6 +321,16 @@
         }
     }
 
+    /// Records that this host has stopped, unless the request has ended.
+    pub(crate) fn abandoned(&self) {
+        let mut notes = self.notes();
+        if notes.story.is_some() {
+            notes.all_ended(AttemptEnd::Cancelled, None);
+            let status = notes.status;
+            notes.end(Outcome::Unclear, status, Some(Break::Stopping.as_str()));
+        }
+    }
+
     /// Records that a stream ended before it was complete.
     pub(crate) fn stream_failed(&self, end: &stream::End) {
         let mut notes = self.notes();
--- a/crates/stage/src/routed.rs
+++ b/crates/stage/src/routed.rs
@@ -18,7 +18,11 @@
 /// Fails if the host can't start.
 pub fn run(settings: Process, routed: RoutedSettings, file: &Path) -> Result<ExitCode, Error> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(serve(settings, routed, file))
+    let ended = runtime.block_on(serve(settings, routed, file));
+    // The requests that are still in flight end with the runtime, and log that.
+    drop(runtime);
+    observe::log::flush();
+    ended
 }
 
 async fn serve(settings: Process, routed: RoutedSettings, file: &Path) -> Result<ExitCode, Error> {
@@ -32,7 +36,6 @@
         () = handle_reloads(&mut reload, file) => {}
     }
     running.drain().await;
-    observe::log::flush();
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/stage/tests/routed/key_changes.rs
+++ b/crates/stage/tests/routed/key_changes.rs
@@ -5,7 +5,7 @@
 use futures_util::future::join_all;
 use http::StatusCode;
 use rstest::rstest;
-use serde_json::Value;
+use serde_json::{Value, json};
 use standin::routed::{
     caller::{Answer, RequestSpec},
     server::{Ending, Fault},
@@ -20,6 +20,7 @@
         assert_no_key_logged, customers, declaration_of, runs, site, site_with,
     },
     site::{HOST, chat, draft, page, ticket},
+    stories::{finished_lines, of_kind},
 };
 
 /// Time within which a declaration must be in force.
@@ -261,7 +262,8 @@
     site.backend
         .script(|script| (script.events, script.event_interval) = (5_000_000, Duration::ZERO));
     let mut caller = site.hosts[0].caller();
-    let mut stream = caller.open(&chat().key(HARBOUR_KEY)).await.expect("the stream begins");
+    let request = chat().key(HARBOUR_KEY);
+    let mut stream = caller.open(&request).await.expect("the stream begins");
     assert!(stream.event(3).await);
     sleep(STALL_TIME).await;
     site.backend.declare_with(&declaration_of(4), &customers(&[]));
@@ -271,5 +273,9 @@
     })
     .await;
     assert!(changed_at.elapsed() < STALLED_END_TIME, "ended after {:?}", changed_at.elapsed());
+    // The host ends it, not the caller.
+    let lines = finished_lines(&site, &request.id()).await;
+    let end = of_kind(&lines, "ended")[0];
+    assert_eq!((&end["outcome"], &end["why"]), (&json!("cut"), &json!("revoked")), "{lines:#?}");
     drop(stream);
 }
--- a/crates/stage/tests/routed/stories.rs
+++ b/crates/stage/tests/routed/stories.rs
@@ -46,7 +46,7 @@
 }
 
 /// Lines for a request, once the hosts have logged its end.
-async fn finished_lines(site: &Site, id: &str) -> Vec<Value> {
+pub async fn finished_lines(site: &Site, id: &str) -> Vec<Value> {
     let mut lines = Vec::new();
     until("the end of the request is logged", async || {
         lines = explain(site, id).await;
@@ -56,7 +56,7 @@
     lines
 }
 
-fn of_kind<'a>(lines: &'a [Value], kind: &str) -> Vec<&'a Value> {
+pub fn of_kind<'a>(lines: &'a [Value], kind: &str) -> Vec<&'a Value> {
     lines.iter().filter(|line| line["kind"] == kind).collect()
 }
 
@@ -346,3 +346,54 @@
     tokio::time::sleep(REPORT_REPEAT_TIME).await;
     assert!(all().await, "{:?} {:?}", demand_of(0).await, demand_of(1).await);
 }
+
+/// What a request of a host that stops before it has ended is.
+#[derive(Clone, Copy, Debug)]
+enum Unfinished {
+    Stream,
+    Plain,
+}
+
+/// Guards against an answer that the host drops and logs as one that its caller has left.
+#[rstest]
+#[case::stream(Unfinished::Stream, "cut", json!("stopping"))]
+#[case::plain(Unfinished::Plain, "unclear", Value::Null)]
+#[tokio::test]
+async fn a_request_that_outlives_a_planned_stop_is_explained(
+    #[case] unfinished: Unfinished,
+    #[case] outcome: &str,
+    #[case] cause: Value,
+) {
+    let backend = backend().await;
+    backend.declare(&declaration());
+    let mut site = start_site(backend, 0).await;
+    site.add(|settings| {
+        settings["log"] = json!({"level": "info"});
+        settings["routed"]["grace_s"] = json!(2);
+    })
+    .await
+    .unwrap();
+    site.wait_until_ready().await;
+    let request = match unfinished {
+        Unfinished::Stream => {
+            site.backend.script(|script| script.events = 1_000);
+            draft()
+        }
+        Unfinished::Plain => {
+            site.backend.script(|script| script.work_time = Duration::from_secs(30));
+            ticket()
+        }
+    };
+    let sent = request.clone();
+    let mut caller = site.hosts[0].caller();
+    let pending = tokio::spawn(async move { caller.fetch(&sent).await });
+    until("the request runs", async || site.backend.runs() == 1).await;
+    site.hosts[0].signal(Signal::SIGTERM);
+    site.hosts[0].wait_for_exit().await;
+    let is_answered = pending.await.unwrap().is_ok_and(|answer| answer.is_complete);
+    assert!(!is_answered, "the request ended before the host");
+    let lines = finished_lines(&site, &request.id()).await;
+    let end = of_kind(&lines, "ended")[0];
+    let seen = (&end["outcome"], &end["why"], &end["cause"]);
+    assert_eq!(seen, (&json!(outcome), &json!("stopping"), &cause), "{lines:#?}");
+}
