Pause before a stream is hedged to a server again that keeps breaking it off

Cause: the pause of 500 ms beyond `attempts` + 3 tries was set only where no other attempt is in flight. Ruled out: the breaker bounds it (not where it is the only candidate). Change: beyond these tries a return waits for 500 ms in either case.

--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -18,7 +18,7 @@
 /// one at the same server of a stream that may return to servers. Each arrival counts as a retry.
 const REJECTED_PAUSE: Duration = Duration::from_millis(500);
 
-/// Time from the end of an attempt at a server to the next one there.
+/// Time from the end of an attempt at a server to the next one there, while tries are left.
 const RETURN_PAUSE: Duration = Duration::from_millis(150);
 
 /// Where a request is.
@@ -298,26 +298,28 @@
     /// Whether an attempt of a stream that may return ended at a server too recently for another one
     /// there.
     pub fn has_just_asked(&self, server: &backend::Id, now: Moment) -> bool {
-        let is_asked =
-            |asked: &Asked| asked.server == *server && now < asked.ended_at + RETURN_PAUSE;
+        let pause = if self.has_extra_tries() { RETURN_PAUSE } else { REJECTED_PAUSE };
+        let is_asked = |asked: &Asked| asked.server == *server && now < asked.ended_at + pause;
         let is_declined = |(other, at): &(_, Moment)| other == server && now < *at + REJECTED_PAUSE;
         self.returns().any(is_asked) || self.may_return() && self.declined.iter().any(is_declined)
     }
 
     /// Whether another server may still be tried.
     pub fn has_tries(&self) -> bool {
-        self.is_begun
-            || self.runs < self.spec.attempts && self.tries < self.spec.attempts + EXTRA_TRIES
+        self.is_begun || self.runs < self.spec.attempts && self.has_extra_tries()
+    }
+
+    fn has_extra_tries(&self) -> bool {
+        self.tries < self.spec.attempts + EXTRA_TRIES
     }
 
     /// Lets a request without a try left be sent again after a pause, if it can't be refused as not
     /// run any more: if servers rejected it and it may have run before, or if its caller has a part of
     /// it. Only its time and the retry budget bound it.
     pub fn pause_if_rejected(&mut self, end: End, now: Moment) {
-        let has_tries = self.tries < self.spec.attempts + EXTRA_TRIES;
         let is_rejected =
             matches!(end, End::NotRun(_)) && 0 < self.runs && self.runs < self.spec.attempts;
-        if !has_tries && (self.is_begun || is_rejected) {
+        if !self.has_extra_tries() && (self.is_begun || is_rejected) {
             self.tries -= 1;
             self.paused_until = now + REJECTED_PAUSE;
         }
--- a/crates/policy/tests/dispatch/begun.rs
+++ b/crates/policy/tests/dispatch/begun.rs
@@ -199,3 +199,25 @@
     assert_eq!(decision, RetryDecision::Wait);
     assert_eq!(host.missing(), []);
 }
+
+/// A server that breaks off was sent the stream again every 150 ms while another one was silent.
+#[rstest]
+fn hedges_of_a_stream_go_on_at_a_server_that_breaks_off_after_a_pause() {
+    let mut host = begun(&["s2"]);
+    for ticket in 1_000..2_000 {
+        let verdict = host.arrive(request(ticket, Kind::Idempotent, at(20)), at(20));
+        host.ended(ticket, End::Cancelled, at(20));
+        assert!(matches!(verdict, Verdict::Send(_)));
+    }
+    let mut sent = Vec::new();
+    for now in (1_300..9_000).step_by(10).map(at) {
+        let ticket = 100 + sent.len() as Ticket;
+        if host.hedge(1, ticket, Silence::Timeout, now).is_some() {
+            sent.push(now);
+            assert_eq!(host.attempt_failed(ticket, CUT, now + at(5)), RetryDecision::InFlight);
+        }
+    }
+    let gaps: Vec<Duration> = sent.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(5 < gaps.len(), "{gaps:?}");
+    assert!(gaps[5..].iter().all(|gap| at(500) <= *gap), "{gaps:?}");
+}
