Ask for a slot at a server that is to be tried after a failure

Seen: a stream that has begun, on a host that shares slots with 19 others, whose only server breaks it off once, is never sent again: it waits until its deadline, with 799 retries left. What else waits there isn't sent either. Cause: once the server's breaker lets a trial through, its owner counts among those to be asked, but if no server has a closed breaker only the owners of those with an open one were asked. Above 16 hosts nothing is sent without a slot. Ruled out: the budget (left), the pause after an attempt (150 ms of the 1 s). Change: the owners of servers that may be tried are asked first. And a stream that waits until a retry is left wants no slot before, so that none is kept from the requests of other hosts; a test for that found the first.

--- a/crates/policy/src/dispatch/budget.rs
+++ b/crates/policy/src/dispatch/budget.rs
@@ -184,11 +184,11 @@
         self.count_retry(payment)
     }
 
-    /// Pays for a retry that is sent at once, like [`pay`](Self::pay). Counts no refusal if none is
-    /// left, as the retry waits for one.
-    pub fn pay_if_left(&mut self, need: Need, extra: Extra, now: Moment) -> Option<Payment> {
+    /// Returns whether a retry that waits for the budget can be paid now. Other hosts are asked for a
+    /// loan as for one that is refused.
+    pub fn request_retry(&mut self, need: Need, extra: Extra, now: Moment) -> bool {
         self.last_requested = Some(now);
-        (1.0 <= self.left(need, extra, now)).then(|| self.pay(need, extra, now)).flatten()
+        1.0 <= self.left(need, extra, now)
     }
 
     /// Pays for a retry that waits, from this host's own share only.
--- a/crates/policy/src/dispatch/choose.rs
+++ b/crates/policy/src/dispatch/choose.rs
@@ -130,7 +130,9 @@
         match found {
             Candidates { best: Some(choice), .. } => Outcome::Send(choice),
             Candidates { tripped: Some(choice), has_usable: false, .. } => Outcome::Send(choice),
-            Candidates { has_usable: false, has_capable: true, tripped_asks, .. } => {
+            Candidates { has_usable: false, has_capable: true, asks, tripped_asks, .. }
+                if asks.is_empty() =>
+            {
                 Outcome::Full(tripped_asks)
             }
             Candidates { has_capable: true, asks, .. } => Outcome::Full(asks),
--- a/crates/policy/src/dispatch/pump.rs
+++ b/crates/policy/src/dispatch/pump.rs
@@ -190,6 +190,13 @@
                 }
                 false => None,
             };
+            // A stream that has begun waits until a retry is left, and wants no slot before.
+            if verdict.is_none() && task.must_pay() {
+                let budget = &mut self.registry.services[service].budget;
+                if !budget.request_retry(task.need(), self.sharers.extra(), now) {
+                    continue;
+                }
+            }
             let outcome = self.choose(task, now);
             let is_like_others = task.spec.avoid.is_empty()
                 && task.spec.software.is_none()
@@ -205,12 +212,8 @@
                     self.tasks.insert(key.ticket, task);
                 }
                 (None, Outcome::Send(choice)) if task.must_pay() => {
-                    let need = task.need();
                     let budget = &mut self.registry.services[service].budget;
-                    let payment = budget.pay_if_left(need, self.sharers.extra(), now);
-                    if payment.is_none() {
-                        continue;
-                    }
+                    let payment = budget.pay(task.need(), self.sharers.extra(), now);
                     let Some(mut task) = self.take(service, key) else { continue };
                     task.payment = payment;
                     let verdict = Verdict::Send(self.send(task, choice, now));
--- a/crates/policy/tests/slots/requests.rs
+++ b/crates/policy/tests/slots/requests.rs
@@ -5,7 +5,7 @@
 use policy::{
     dispatch::{
         Change, Dispatcher, End, HostStart, NotRun, RequestSpec, RetryBudgetConfig, RetryDecision,
-        Settings, Ticket, Verdict,
+        Settings, Ticket, Unclear, Verdict,
     },
     slots::{Message, message::Content},
 };
@@ -218,3 +218,49 @@
     }
     assert_eq!(read, others);
 }
+
+/// The most slots that the owner of the server is told to be wanted for a stream that has begun, and
+/// that its server breaks off.
+fn wanted_for_a_stream(id: host::Id, extra: f64) -> u32 {
+    let retries = RetryBudgetConfig { ratio: 0.0, extra, ..RetryBudgetConfig::default() };
+    let settings = Settings { host: id, run: 1, zone: "a".into(), hosts: 1, retries };
+    let mut host = Dispatcher::new(settings);
+    host.registered(HostStart::First);
+    host.server(&server(), at(0));
+    let route = Route { kind: Kind::Stream, resumable: true, ..route() };
+    let spec = RequestSpec::new(1, &route, &"app".into(), at(9_000));
+    let verdict = host.arrive(RequestSpec { fingerprint: 1, ..spec }, at(0));
+    assert!(matches!(verdict, Verdict::Send(_)));
+    host.response_started(1, at(5));
+    host.first_byte(1, at(5));
+    host.delivered(1, 1, at(5));
+    host.share_among(std::iter::empty(), names(), at(0));
+    let decision = host.attempt_failed(1, End::Unclear(Unclear::Cut), at(10));
+    assert_eq!(decision, RetryDecision::Wait);
+    let told = (2..100).flat_map(|tick| {
+        host.pump(at(tick * 10));
+        host.slots_outgoing()
+    });
+    let entries = told.flat_map(|(_, message)| message.entries);
+    let wanted = entries.filter_map(|entry| match entry.content {
+        Content::Use(told) => Some(told.wanted),
+        Content::Grant(_) => None,
+    });
+    wanted.max().unwrap_or_default()
+}
+
+/// A slot that a stream without a retry left wants is kept from the requests of other hosts.
+#[test]
+fn a_stream_wants_no_slot_until_a_retry_is_left() {
+    let wanted = names().into_iter().map(|id| wanted_for_a_stream(id, 0.0));
+    assert_eq!(wanted.max(), Some(0));
+}
+
+/// No slot was wanted at a server that is to be tried after a failure, if there is no other one, and
+/// what waited for it was never sent.
+#[test]
+fn a_slot_is_wanted_at_a_server_that_is_tried_after_a_failure() {
+    let wanted = names().into_iter().map(|id| wanted_for_a_stream(id, 1_000.0));
+    // The owner asks nobody.
+    assert_eq!(wanted.filter(|wanted| *wanted == 1).count(), names().len() - 1);
+}
