Wait in a test until the host has retries

Cause: the test sends its first request 20 to 80 ms after the host's start. A host has no part of the extra retries until its registration has reached the store; the log of such a run has `given-up cause=budget budget=0.05`. Ruled out: the request's time (9.99 s left), the attempts (1 of 3). Change: the test waits until the metric of the budget says that a retry is left. All of its assertions stay, and print the log. Conclusion: traced; what the host does is meant, see docs/design/dispatch.md.

--- a/crates/stage/tests/routed/faults.rs
+++ b/crates/stage/tests/routed/faults.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     site::{HOST, chat, page, server_of, site, status_of, ticket},
-    stories::{metrics, value},
+    stories::{metrics, value, wait_for_retries},
 };
 
 const DEADLINE: Duration = Duration::from_secs(2);
@@ -99,11 +99,15 @@
 #[tokio::test]
 async fn an_idempotent_request_is_tried_elsewhere(#[case] fault: Fault) {
     let site = site(1).await;
+    wait_for_retries(&site.hosts[0], "app").await;
     site.backend.server("app-1").script(|script| script.default_fault = Some(fault));
     for _ in 0..4 {
         let request = page();
         let answer = site.hosts[0].caller().fetch(&request).await.unwrap();
-        assert_eq!((answer.status, answer.is_complete), (StatusCode::OK, true));
+        let log = site.hosts[0].log().into_iter().map(|line| line["message"].to_string());
+        let log = log.filter(|line| line.contains(&*request.id())).collect::<Vec<_>>();
+        let seen = (answer.status, answer.is_complete);
+        assert_eq!(seen, (StatusCode::OK, true), "{log:#?}");
         assert_eq!(answer.field("server"), "app-2");
         assert_eq!(answer.field("request"), *request.id());
         assert!(site.backend.runs_of(&request.id()) <= 2);
--- a/crates/stage/tests/routed/stories.rs
+++ b/crates/stage/tests/routed/stories.rs
@@ -83,6 +83,16 @@
     line.rsplit(' ').next()?.parse().ok()
 }
 
+/// Waits until a host has its share of the retries of a service, which it has once its registration
+/// has reached the store.
+pub async fn wait_for_retries(host: &Host, service: &str) {
+    let series = format!("cyclamenstage_routed_budget{{service=\"{service}\"}}");
+    until("the host has retries", async || {
+        value(&metrics(host).await, &series).is_some_and(|left| 1.0 <= left)
+    })
+    .await;
+}
+
 #[rstest]
 #[case::idempotent(page())]
 #[case::non_idempotent(ticket())]
