Write down what the second review of begun streams found

Cause: a reviewer who had not seen the work read the fix again, and some doc comments said less or more than the code does. No behaviour.

--- a/crates/policy/src/dispatch/task.rs
+++ b/crates/policy/src/dispatch/task.rs
@@ -152,7 +152,8 @@
     pub deferral: Option<Deferral>,
     /// Servers that rejected the request, and when.
     pub declined: Vec<(backend::Id, Moment)>,
-    /// Servers of the attempts that have ended, except those that had no place.
+    /// Servers of the attempts that have ended, except those that had no place or had closed the
+    /// connection before the request was sent.
     pub asked: Vec<Asked>,
     /// Whether the caller has a part of a stream that may be resumed, so that the request can't be
     /// refused any more, nor repeated by the caller without a loss.
--- a/crates/policy/src/dispatch/watch.rs
+++ b/crates/policy/src/dispatch/watch.rs
@@ -8,7 +8,8 @@
 //! A sound server may be silent for a second and go on, and the other server may reject the request
 //! or be silent as well. So a request is hedged: the attempts become rivals, each with a ticket of
 //! its own, until one of them is answered and the others are ended by
-//! [`won`](Dispatcher::won). The attempts in flight count as runs.
+//! [`won`](Dispatcher::won). The attempts in flight count as runs, and those of a stream that may be
+//! resumed as servers that have run it.
 //!
 //! A host that did not run for a while finds all its timers over while answers lie unread in its
 //! sockets. No server is judged until they can be read, and the longest pause that overlaps an
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -453,7 +453,8 @@
         }
     }
 
-    /// Returns whether a planned stop has abandoned the requests in flight.
+    /// Returns whether the time of the requests in flight is over, so that those that are left are
+    /// dropped.
     pub(crate) fn has_finished(&self) -> bool {
         self.finish_by().is_some_and(|end| end <= self.now())
     }
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -2,7 +2,8 @@
 //!
 //! A [`Trace`] follows a request from its arrival to the last byte of the response. It only
 //! records: nothing on the path depends on it. A trace that is dropped before its end counts as a
-//! request whose caller has disconnected, unless this host has stopped.
+//! request whose caller has disconnected, unless it is that of a `Call` that this host
+//! drops at its end.
 
 use std::{
     sync::{Mutex, MutexGuard, PoisonError},
